Lay down the workspace and its borders

Cause: the parts are to be built side by side, so their borders come first. Change: a go.work over three modules (the daemon and operator program, the pure core, the stand-ins); the shared types, the events and effects of the group reducer, the interfaces of store, targets, exchanges and fleet view, the protobuf between daemons. Conclusion: one mechanism, the pair of a fencing and a reigning term, carries change of home, change of primary and the right to acknowledge.

--- /dev/null
+++ b/core/config/document.go
@@ -0,0 +1,118 @@
+// Package config is the declared configuration of the fleet: database groups,
+// kinds of records with the schema versions in service, and take-overs. It is
+// a pure package: checks, differences and the never-go-back rule live here,
+// the store and the spreading of news elsewhere.
+package config
+
+import (
+	"limpetspan/core"
+	"time"
+)
+
+// Revision numbers accepted configurations. It rises by one with each change
+// and a daemon never goes back to a lower one.
+type Revision uint64
+
+// Document is one whole configuration. A decision is always taken under one
+// Document, so that no request sees half a change. A Document in force is
+// immutable.
+type Document struct {
+	Revision Revision `json:"revision"`
+	// ChangeID is the unique id of the change that made this revision; it
+	// settles whether a change took effect when the store's answer was lost.
+	ChangeID string `json:"change_id"`
+	// Author and Reason are for the history only.
+	Author string `json:"author,omitempty"`
+	Reason string `json:"reason,omitempty"`
+	// DefaultGroup serves statements that name no kind.
+	DefaultGroup core.GroupID `json:"default_group"`
+	// Groups by id.
+	Groups map[core.GroupID]*Group `json:"groups"`
+	// Kinds by name.
+	Kinds map[string]*Kind `json:"kinds,omitempty"`
+	// Takeovers by name of the kind that moves.
+	Takeovers map[string]*Takeover `json:"takeovers,omitempty"`
+}
+
+// Group declares a database group.
+type Group struct {
+	Members []Member `json:"members"`
+	// MaxConnections bounds the open connections to the whole group, over all
+	// daemons, probe connections included.
+	MaxConnections int `json:"max_connections"`
+	// Slots is how many statements one member runs at a time.
+	Slots int `json:"slots"`
+	// Durable is the default for statements that name no kind: an
+	// acknowledgment waits until a second member has confirmed the write.
+	Durable bool `json:"durable"`
+	// Database is the database name on the members.
+	Database string `json:"database"`
+}
+
+// Member declares one member of a group.
+type Member struct {
+	ID   core.MemberID `json:"id"`
+	Addr string        `json:"addr"`
+	Zone core.Zone     `json:"zone"`
+	// Leaving marks a member that is to receive no new work.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Kind declares a kind of record.
+type Kind struct {
+	// Group serves the kind; a running take-over refines this by bucket.
+	Group core.GroupID `json:"group"`
+	// Versions are the schema versions in service. Empty: versions are not
+	// checked for this kind.
+	Versions []string `json:"versions,omitempty"`
+	// Durable as in Group.
+	Durable bool `json:"durable"`
+	// MaxStaleness is the age that reads of this kind accept when the
+	// statement says none.
+	MaxStaleness time.Duration `json:"max_staleness,omitempty"`
+}
+
+// TakeoverState is the operator's wish for a take-over.
+type TakeoverState string
+
+// The states of a take-over.
+const (
+	TakeoverPlanned    TakeoverState = "planned"
+	TakeoverRunning    TakeoverState = "running"
+	TakeoverPaused     TakeoverState = "paused"
+	TakeoverRollback   TakeoverState = "rollback"
+	TakeoverComplete   TakeoverState = "complete"
+	TakeoverRolledBack TakeoverState = "rolled_back"
+)
+
+// Takeover declares the move of one kind of record from a source group and
+// version to a destination group and version.
+type Takeover struct {
+	State              TakeoverState `json:"state"`
+	SourceGroup        core.GroupID  `json:"source_group"`
+	SourceVersion      string        `json:"source_version"`
+	DestinationGroup   core.GroupID  `json:"destination_group"`
+	DestinationVersion string        `json:"destination_version"`
+	// Buckets is the number of hash buckets that record keys fall into.
+	Buckets int `json:"buckets"`
+	// BucketColumn is the integer column of the source table that holds a
+	// record's bucket (see Bucket), by which ReadSQL selects.
+	// ReadSQL reads a page of records of one bucket in key order:
+	// $1 bucket, $2 last key seen (empty: from the start), $3 page size. The
+	// first column is the record key, the second its change marker.
+	ReadSQL string `json:"read_sql"`
+	// ChangedSQL reads records of one bucket changed after a marker:
+	// $1 bucket, $2 marker, $3 page size; columns as ReadSQL.
+	ChangedSQL string `json:"changed_sql"`
+	// UpsertSQL writes one record idempotently; parameters are the columns
+	// of ReadSQL in order.
+	UpsertSQL string `json:"upsert_sql"`
+	// SourceVerifySQL and DestinationVerifySQL return count and checksum of
+	// one bucket: $1 bucket.
+	SourceVerifySQL      string `json:"source_verify_sql"`
+	DestinationVerifySQL string `json:"destination_verify_sql"`
+	// Flipped is the set of buckets owned by the destination, as bits.
+	Flipped []byte `json:"flipped,omitempty"`
+	// Fenced is the set of buckets that take no writes for the moment, as bits.
+	Fenced []byte `json:"fenced,omitempty"`
+}
--- /dev/null
+++ b/core/group/effect.go
@@ -0,0 +1,207 @@
+package group
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// Effect is one thing the shell is to do. The concrete types are pointers into
+// the Effects buffer.
+type Effect interface{ effect() }
+
+// Dispatch runs the request on the connection, which belongs to it until Finished.
+type Dispatch struct {
+	Request core.RequestID `json:"request"`
+	Conn    ConnID         `json:"conn"`
+	Member  core.MemberID  `json:"member"`
+	// WantPosition: ask for the member's position behind the statement.
+	WantPosition bool `json:"want_position,omitempty"`
+	// Hold: keep back the answer from the first CommandComplete on until
+	// Acknowledge or Fail, if the answer ends with TxStatus 'I'.
+	Hold bool `json:"hold,omitempty"`
+}
+
+// Acknowledge releases the held end of a request's answer; the request is over.
+type Acknowledge struct {
+	Request core.RequestID `json:"request"`
+	// Position is what the session has now seen.
+	Position core.Position `json:"position"`
+}
+
+// Reason says why a request failed; the shell maps it to an errs.Kind.
+type Reason uint8
+
+// The reasons of Fail.
+const (
+	ReasonNotHome Reason = iota
+	ReasonOverloaded
+	ReasonDeadline
+	ReasonCancelled
+	ReasonUnavailable
+	ReasonConnectionLost
+	ReasonNotConfirmed
+	ReasonWriteLost
+	ReasonShuttingDown
+	// ReasonReplaced: the term changed while the request ran.
+	ReasonReplaced
+	// ReasonTransactionLost: the caller's pinned connection is gone.
+	ReasonTransactionLost
+)
+
+// Fail ends a request with an error. If it was dispatched and has not
+// Finished, the shell drops its connection without reporting Finished.
+type Fail struct {
+	Request core.RequestID `json:"request"`
+	Reason  Reason         `json:"reason"`
+	Outcome core.Outcome   `json:"outcome"`
+	// Step and Peer as in errs.Error.
+	Step       string        `json:"step"`
+	Peer       string        `json:"peer,omitempty"`
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	Hint       core.DaemonID `json:"hint,omitempty"`
+}
+
+// OpenConn opens a caller-work connection; answered by ConnOpened.
+type OpenConn struct {
+	Conn   ConnID        `json:"conn"`
+	Member core.MemberID `json:"member"`
+}
+
+// CloseConn closes a connection; no event needs to follow.
+type CloseConn struct {
+	Conn ConnID `json:"conn"`
+}
+
+// Probe asks a member for its status; answered by Probed. Fresh opens a new
+// control connection for it.
+type Probe struct {
+	Member  core.MemberID `json:"member"`
+	Fresh   bool          `json:"fresh,omitempty"`
+	Timeout time.Duration `json:"timeout"`
+}
+
+// Fence raises a member's term; answered by Fenced.
+type Fence struct {
+	Member  core.MemberID `json:"member"`
+	Term    core.Term     `json:"term"`
+	Timeout time.Duration `json:"timeout"`
+}
+
+// Promote makes a member primary; answered by Promoted.
+type Promote struct {
+	Member  core.MemberID `json:"member"`
+	Term    core.Term     `json:"term"`
+	Timeout time.Duration `json:"timeout"`
+}
+
+// AskOpinion asks another candidate to try a fresh connection to the member.
+type AskOpinion struct {
+	Member  core.MemberID `json:"member"`
+	Peer    core.DaemonID `json:"peer"`
+	Timeout time.Duration `json:"timeout"`
+}
+
+// Beat tells the other candidates directly that this daemon is home, and with
+// News set also the whole fleet, once for each change.
+type Beat struct {
+	Term     core.Term     `json:"term"`
+	Primary  core.MemberID `json:"primary"`
+	Released bool          `json:"released,omitempty"`
+	News     bool          `json:"news,omitempty"`
+}
+
+// SendHandover gives the term up in favour of another candidate.
+type SendHandover struct {
+	To       core.DaemonID     `json:"to"`
+	Term     core.Term         `json:"term"`
+	Sessions []SessionPosition `json:"sessions,omitempty"`
+}
+
+// Drained: a Drain is complete, nothing runs here any more.
+type Drained struct{}
+
+// Log is a decision worth an operator's attention, as a message with values.
+type Log struct {
+	// Message is a constant text such as "primary suspected".
+	Message string        `json:"message"`
+	Member  core.MemberID `json:"member,omitempty"`
+	Peer    core.DaemonID `json:"peer,omitempty"`
+	Term    core.Term     `json:"term,omitempty"`
+	Detail  string        `json:"detail,omitempty"`
+}
+
+// WakeAt asks for a Tick at the time; a later one in the same or another
+// Reduce call replaces it.
+type WakeAt struct {
+	At core.Time `json:"at"`
+}
+
+func (*Dispatch) effect()     {}
+func (*Acknowledge) effect()  {}
+func (*Fail) effect()         {}
+func (*OpenConn) effect()     {}
+func (*CloseConn) effect()    {}
+func (*Probe) effect()        {}
+func (*Fence) effect()        {}
+func (*Promote) effect()      {}
+func (*AskOpinion) effect()   {}
+func (*Beat) effect()         {}
+func (*SendHandover) effect() {}
+func (*Drained) effect()      {}
+func (*Log) effect()          {}
+func (*WakeAt) effect()       {}
+
+// Effects collects the effects of one Reduce call in order. Its memory is
+// reused, so that the steady state allocates nothing.
+type Effects struct {
+	List []Effect
+
+	dispatches   arena[Dispatch]
+	acknowledges arena[Acknowledge]
+	fails        arena[Fail]
+	opens        arena[OpenConn]
+	closes       arena[CloseConn]
+	probes       arena[Probe]
+	beats        arena[Beat]
+	logs         arena[Log]
+	wakes        arena[WakeAt]
+}
+
+// Reset empties the buffer and keeps its memory.
+func (e *Effects) Reset() {
+	clear(e.List)
+	e.List = e.List[:0]
+	e.dispatches.reset()
+	e.acknowledges.reset()
+	e.fails.reset()
+	e.opens.reset()
+	e.closes.reset()
+	e.probes.reset()
+	e.beats.reset()
+	e.logs.reset()
+	e.wakes.reset()
+}
+
+// arena hands out pointers to reused values of one type. A value's address
+// stays valid until reset, because growing adds blocks and moves nothing.
+type arena[T any] struct {
+	blocks [][]T
+	used   int
+}
+
+// arenaBlock is the number of values allocated at a time.
+const arenaBlock = 16
+
+func (a *arena[T]) put(v T) *T {
+	block, index := a.used/arenaBlock, a.used%arenaBlock
+	if block == len(a.blocks) {
+		a.blocks = append(a.blocks, make([]T, arenaBlock))
+	}
+	a.used++
+	p := &a.blocks[block][index]
+	*p = v
+	return p
+}
+
+func (a *arena[T]) reset() { a.used = 0 }
