--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -27,7 +27,10 @@
 	Revision uint64
 	// Durable asks for a confirmed write; filled in by the router.
 	Durable bool
-	// Floor is the session's last position that this entry knows, in Group.
+	// Floors are the caller connection's positions by group, kept by its entry;
+	// nil at a home that got the request from a peer.
+	Floors *Floors
+	// Floor is the session's last position that the entry knows, in Group.
 	Floor core.Position
 	// Deadline is when the caller gives up, on this process's clock.
 	Deadline core.Time
@@ -69,3 +72,26 @@
 	// is rolled back.
 	Hangup(caller core.CallerID)
 }
+
+// Floors remembers the last position one caller connection has seen in each
+// group. It is used by one goroutine at a time.
+type Floors struct {
+	byGroup map[core.GroupID]core.Position
+}
+
+// Get returns the position seen in the group.
+func (f *Floors) Get(group core.GroupID) core.Position { return f.byGroup[group] }
+
+// Raise records a position, unless a later one is known.
+func (f *Floors) Raise(group core.GroupID, p core.Position) {
+	if !f.byGroup[group].Less(p) {
+		return
+	}
+	if f.byGroup == nil {
+		f.byGroup = make(map[core.GroupID]core.Position, 1)
+	}
+	f.byGroup[group] = p
+}
+
+// Forget drops the position of a group, after the caller was told of a lost write.
+func (f *Floors) Forget(group core.GroupID) { delete(f.byGroup, group) }
