--- /dev/null
+++ b/pkg/cli/group.go
@@ -0,0 +1,4 @@
+package cli
+
+// GroupCommand creates, lists and removes database groups.
+type GroupCommand struct{}
--- /dev/null
+++ b/pkg/cli/schema.go
@@ -0,0 +1,4 @@
+package cli
+
+// SchemaCommand declares, lists and retires schema versions.
+type SchemaCommand struct{}
--- /dev/null
+++ b/pkg/cli/takeover.go
@@ -0,0 +1,4 @@
+package cli
+
+// TakeoverCommand moves a kind of record from one group and version to another.
+type TakeoverCommand struct{}
