Let error kinds cross between daemons by name

Cause: a kind has to be found again from its name at the other daemon. Change: errs.Kind.Name and errs.KindByName; an unknown name gives Internal. Measured: not measured. Conclusion: additive.

--- a/pkg/errs/errs.go
+++ b/pkg/errs/errs.go
@@ -22,8 +22,25 @@
 	Type     *errorx.Type
 }
 
+// kinds are all classes by name, filled while the package is initialised.
+var kinds = make(map[string]*Kind)
+
 func newKind(name, state string) *Kind {
-	return &Kind{SQLState: state, Type: namespace.NewType(name)}
+	k := &Kind{SQLState: state, Type: namespace.NewType(name)}
+	kinds[k.Name()] = k
+	return k
+}
+
+// Name is the name under which the kind crosses between daemons.
+func (k *Kind) Name() string { return k.Type.FullName() }
+
+// KindByName returns the kind of that name, Internal if there is none, as when
+// a newer daemon sends a kind that this one does not know.
+func KindByName(name string) *Kind {
+	if k, ok := kinds[name]; ok {
+		return k
+	}
+	return Internal
 }
 
 // The classes of failure.
