Let configurations change by deltas and check them whole

Cause: at 2,800 groups a document is near 0.7 MB (by calculation), so whole documents cannot travel with every change; and a change can be wrong in ways that only the whole document shows.

--- /dev/null
+++ b/core/config/check_takeover.go
@@ -0,0 +1,114 @@
+package config
+
+import (
+	"math/bits"
+	"slices"
+)
+
+// Bounds of take-overs.
+const (
+	MaxBuckets = 16_384
+	// MaxSQLLength in bytes, for each statement.
+	MaxSQLLength = 16 << 10
+)
+
+// active are the states in which the take-over moves or may move buckets.
+var active = []TakeoverState{TakeoverRunning, TakeoverPaused, TakeoverRollback}
+
+// Active reports whether the take-over still needs both sides.
+func (t *Takeover) Active() bool { return slices.Contains(active, t.State) }
+
+func checkTakeover(r *report, doc *Document, name string, t *Takeover) {
+	path := "takeovers." + name
+	kind := doc.Kinds[name]
+	switch {
+	case t == nil:
+		r.add(path, RuleRequired, "the take-over is empty")
+		return
+	case kind == nil:
+		r.add(path, RuleReference, "kind %q does not exist", name)
+		return
+	}
+	checkRange(r, path+".buckets", t.Buckets, 1, MaxBuckets)
+	checkBits(r, path+".flipped", t.Flipped, t.Buckets)
+	checkBits(r, path+".fenced", t.Fenced, t.Buckets)
+	checkName(r, path+".source_version", t.SourceVersion)
+	checkName(r, path+".destination_version", t.DestinationVersion)
+	if t.SourceGroup == t.DestinationGroup {
+		r.add(path+".destination_group", RuleDuplicate, "is the source group")
+	}
+	checkSQL(r, path, t)
+	checkTakeoverState(r, doc, path, t, kind)
+}
+
+func checkTakeoverState(r *report, doc *Document, path string, t *Takeover, kind *Kind) {
+	switch t.State {
+	case TakeoverPlanned, TakeoverRunning, TakeoverPaused, TakeoverRollback:
+		checkGroupExists(r, doc, path+".source_group", t.SourceGroup)
+		checkGroupExists(r, doc, path+".destination_group", t.DestinationGroup)
+		if kind.Group != t.SourceGroup {
+			r.add(path+".source_group", RuleState, "the kind is in group %q", kind.Group)
+		}
+	case TakeoverComplete, TakeoverRolledBack:
+	default:
+		r.add(path+".state", RuleFormat, "%q is no state", t.State)
+	}
+	if t.Active() {
+		checkInService(r, path+".source_version", kind, t.SourceVersion)
+		checkInService(r, path+".destination_version", kind, t.DestinationVersion)
+	}
+	flipped := countBits(t.Flipped)
+	switch {
+	case t.State == TakeoverPlanned && flipped > 0, t.State == TakeoverRolledBack && flipped > 0:
+		r.add(path+".flipped", RuleState, "%d buckets are flipped in state %q", flipped, t.State)
+	case t.State == TakeoverComplete && flipped != t.Buckets:
+		r.add(path+".flipped", RuleState, "%d of %d buckets are flipped in state %q", flipped, t.Buckets, t.State)
+	}
+	if countBits(t.Fenced) > 0 && !t.Active() {
+		r.add(path+".fenced", RuleState, "buckets are fenced in state %q", t.State)
+	}
+}
+
+// checkInService keeps a version declared while a running take-over needs it;
+// without it the records not yet moved could be reached by nobody.
+func checkInService(r *report, path string, kind *Kind, version string) {
+	if !slices.Contains(kind.Versions, version) {
+		r.add(path, RuleInUse, "version %q is needed by the take-over and is not in service", version)
+	}
+}
+
+func checkSQL(r *report, path string, t *Takeover) {
+	statements := []struct{ name, text string }{
+		{"read_sql", t.ReadSQL},
+		{"changed_sql", t.ChangedSQL},
+		{"upsert_sql", t.UpsertSQL},
+		{"source_verify_sql", t.SourceVerifySQL},
+		{"destination_verify_sql", t.DestinationVerifySQL},
+	}
+	for _, s := range statements {
+		switch {
+		case s.text == "":
+			r.add(path+"."+s.name, RuleRequired, "the statement is empty")
+		case len(s.text) > MaxSQLLength:
+			r.add(path+"."+s.name, RuleRange, "%d bytes, at most %d", len(s.text), MaxSQLLength)
+		}
+	}
+}
+
+// checkBits refuses a set that names buckets which do not exist.
+func checkBits(r *report, path string, set []byte, buckets int) {
+	for i, b := range set {
+		if b != 0 && i*8+bits.Len8(b) > buckets {
+			r.add(path, RuleRange, "names bucket %d of %d", i*8+bits.Len8(b)-1, buckets)
+			return
+		}
+	}
+}
+
+func countBits(set []byte) int {
+	n := 0
+	for _, b := range set {
+		n += bits.OnesCount8(b)
+	}
+	return n
+}
--- /dev/null
+++ b/core/config/codec.go
@@ -0,0 +1,66 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// Limits of encoded sizes, in bytes. The store holds values up to a megabyte;
+// a whole document travels between daemons only.
+const (
+	MaxChangeSize   = 256 << 10
+	MaxDocumentSize = 16 << 20
+)
+
+// ErrTooLarge: an encoded value is above its limit.
+var ErrTooLarge = errors.New("config: too large")
+
+// Encode returns the JSON of a document, a change or an entry. The same value
+// always gives the same bytes: struct fields keep their order and encoding/json
+// sorts map keys.
+func Encode(v any) ([]byte, error) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return nil, fmt.Errorf("config: encode: %w", err)
+	}
+	return data, nil
+}
+
+// Decode reads one JSON value and refuses unknown fields, anything after the
+// value, and input above limit bytes. A field that this version does not know
+// would otherwise be dropped in silence and be missing from the next change.
+func Decode(data []byte, limit int, v any) error {
+	if len(data) > limit {
+		return fmt.Errorf("%w: %d bytes, at most %d", ErrTooLarge, len(data), limit)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		return fmt.Errorf("config: decode: %w", err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errors.New("config: decode: data after the value")
+	}
+	return nil
+}
+
+// DecodeDocument reads a whole document.
+func DecodeDocument(data []byte) (*Document, error) {
+	var doc Document
+	if err := Decode(data, MaxDocumentSize, &doc); err != nil {
+		return nil, err
+	}
+	return &doc, nil
+}
+
+// DecodeChange reads a change.
+func DecodeChange(data []byte) (*Change, error) {
+	var change Change
+	if err := Decode(data, MaxChangeSize, &change); err != nil {
+		return nil, err
+	}
+	return &change, nil
+}
--- /dev/null
+++ b/core/config/problem.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Rule is the class of a problem.
+type Rule string
+
+// The rules a document and a change are checked against.
+const (
+	RuleRequired  Rule = "required"
+	RuleFormat    Rule = "format"
+	RuleRange     Rule = "range"
+	RuleDuplicate Rule = "duplicate"
+	// RuleReference: the entry named does not exist.
+	RuleReference Rule = "reference"
+	// RuleInUse: what is to go is still needed.
+	RuleInUse Rule = "in_use"
+	// RuleOverlap: old and new majorities of a group might not overlap.
+	RuleOverlap Rule = "overlap"
+	// RuleState: the take-over does not allow it in its state.
+	RuleState Rule = "state"
+)
+
+// Problem is one violation of a rule.
+type Problem struct {
+	// Path names the value, such as groups.parkdb-1.members[2].addr.
+	Path string `json:"path"`
+	Rule Rule   `json:"rule"`
+	Text string `json:"text"`
+}
+
+func (p Problem) Error() string { return p.Path + ": " + p.Text }
+
+// Problems is the error of a check: everything that is wrong, by path.
+type Problems []Problem
+
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// report collects problems.
+type report struct{ problems Problems }
+
+func (r *report) add(path string, rule Rule, format string, args ...any) {
+	r.problems = append(r.problems, Problem{Path: path, Rule: rule, Text: fmt.Sprintf(format, args...)})
+}
+
+// err returns the problems as an error, nil if there are none.
+func (r *report) err() error {
+	if len(r.problems) == 0 {
+		return nil
+	}
+	return r.problems
+}
