Tell subscribers which groups' candidates changed

Cause: a daemon must learn when it becomes or ceases to be a candidate for the home of a group, and recomputing all 2,800 on each change would be wasteful. Change: an additional field Candidates in fleet.Change. Conclusion: additive; existing consumers need no change.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -50,6 +50,8 @@
 	Membership bool
 	// Homes are the groups whose home news changed.
 	Homes []core.GroupID
+	// Candidates are the groups whose candidates for the home changed.
+	Candidates []core.GroupID
 	// Leaving: the set of leaving target hosts changed.
 	Leaving bool
 	// ConfigRevision is the highest revision a peer offers, when it rose.
