--- /dev/null
+++ b/core/membership/cluster_test.go
@@ -0,0 +1,180 @@
+package membership
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"limpetspan/core"
+)
+
+// cluster runs reducers in event time over a lossy network.
+type cluster struct {
+	now    core.Time
+	random *rand.Rand
+	loss   float64
+	// cut tells which datagrams do not pass.
+	cut   func(from, to *process) bool
+	procs []*process
+	byA   map[netip.AddrPort]*process
+	queue deliveries
+	seq   uint64
+	bytes int
+}
+
+type process struct {
+	r       *Reducer
+	addr    netip.AddrPort
+	id      core.DaemonID
+	zone    core.Zone
+	region  core.Region
+	up      bool
+	wakeAt  core.Time
+	out     Effects
+	changes []Change
+	largest int
+}
+
+type delivery struct {
+	at   core.Time
+	seq  uint64
+	to   netip.AddrPort
+	from *process
+	m    Message
+}
+
+type deliveries []delivery
+
+func (d deliveries) Len() int { return len(d) }
+func (d deliveries) Less(i, j int) bool {
+	return d[i].at < d[j].at || d[i].at == d[j].at && d[i].seq < d[j].seq
+}
+func (d deliveries) Swap(i, j int) { d[i], d[j] = d[j], d[i] }
+func (d *deliveries) Push(x any)   { *d = append(*d, x.(delivery)) }
+func (d *deliveries) Pop() any {
+	last := (*d)[len(*d)-1]
+	*d = (*d)[:len(*d)-1]
+	return last
+}
+
+const testLatency = time.Millisecond
+
+func newCluster(seed uint64, loss float64) *cluster {
+	return &cluster{random: rand.New(rand.NewPCG(seed, 1)), loss: loss, byA: map[netip.AddrPort]*process{}}
+}
+
+// add starts a daemon; i gives its zone z<i%3> and region r<i%2>... of the pattern.
+func (c *cluster) add(zone core.Zone, region core.Region) *process {
+	i := len(c.procs) + 1
+	p := &process{
+		addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7946),
+		id:   core.DaemonID(fmt.Sprintf("d%03d", i)), zone: zone, region: region,
+	}
+	c.procs = append(c.procs, p)
+	c.byA[p.addr] = p
+	c.start(p)
+	return p
+}
+
+func (c *cluster) start(p *process) {
+	p.r, p.up = New(), true
+	c.reduce(p, &Start{
+		Self:     Daemon{ID: p.id, Zone: p.zone, Region: p.region, PeerAddr: "p", GossipAddr: p.addr.String(), Incarnation: uint64(c.now)/1e6 + 1},
+		Seeds:    []netip.AddrPort{c.procs[0].addr},
+		Seed:     c.random.Uint64(),
+		Settings: DefaultSettings(),
+	})
+}
+
+func (c *cluster) reduce(p *process, ev Event) {
+	p.out.Reset()
+	p.r.Reduce(c.now, ev, &p.out)
+	p.wakeAt = max(p.out.WakeAt, c.now+1)
+	if !p.out.Change.Empty() {
+		ch := p.out.Change
+		ch.Homes = append([]core.GroupID(nil), ch.Homes...)
+		ch.Candidates = append([]core.GroupID(nil), ch.Candidates...)
+		p.changes = append(p.changes, ch)
+	}
+	for i := range p.out.Sends {
+		s := &p.out.Sends[i]
+		p.largest = max(p.largest, messageBudget-s.Message.room())
+		c.bytes += MaxDatagram - s.Message.room()
+		if c.random.Float64() < c.loss {
+			continue
+		}
+		c.seq++
+		heap.Push(&c.queue, delivery{at: c.now.Add(testLatency), seq: c.seq, to: s.To, from: p, m: cloneMessage(&s.Message)})
+	}
+}
+
+func cloneMessage(m *Message) Message {
+	n := *m
+	n.Buckets = append([]uint32(nil), m.Buckets...)
+	n.Pulls = append([]Pull(nil), m.Pulls...)
+	n.Daemons = append([]DaemonUpdate(nil), m.Daemons...)
+	n.Homes = append([]Home(nil), m.Homes...)
+	n.Targets = append([]Target(nil), m.Targets...)
+	return n
+}
+
+// run passes time until done holds or the duration is over, and reports which.
+func (c *cluster) run(d time.Duration, done func() bool) bool {
+	end := c.now.Add(d)
+	for {
+		if done != nil && done() {
+			return true
+		}
+		next := end
+		var due *process
+		for _, p := range c.procs {
+			if p.up && p.wakeAt < next {
+				next, due = p.wakeAt, p
+			}
+		}
+		if len(c.queue) > 0 && c.queue[0].at <= next {
+			v := heap.Pop(&c.queue).(delivery)
+			c.now = max(c.now, v.at)
+			to := c.byA[v.to]
+			if to == nil || !to.up || c.cut != nil && c.cut(v.from, to) {
+				continue
+			}
+			c.reduce(to, &Received{From: v.from.addr, Message: &v.m})
+			continue
+		}
+		if due == nil {
+			c.now = end
+			return done == nil || done()
+		}
+		c.now = max(c.now, next)
+		c.reduce(due, &Tick{})
+	}
+}
+
+// agree reports whether all running daemons have the same view of n daemons.
+func (c *cluster) agree(n int) bool {
+	var root uint64
+	for _, p := range c.procs {
+		if !p.up {
+			continue
+		}
+		if len(p.r.live)+1 != n {
+			return false
+		}
+		if root != 0 && p.r.Root() != root {
+			return false
+		}
+		root = p.r.Root()
+	}
+	return true
+}
+
+// fill adds n daemons in zones of three regions with two zones each.
+func (c *cluster) fill(n int) {
+	for i := range n {
+		z := i % 6
+		c.add(core.Zone(fmt.Sprintf("z%d", z)), core.Region(fmt.Sprintf("r%d", z/2)))
+	}
+}
--- /dev/null
+++ b/core/membership/message.go
@@ -0,0 +1,144 @@
+package membership
+
+import (
+	"unicode/utf8"
+
+	"limpetspan/core"
+)
+
+// Kind is the purpose of a message; news may ride on any kind.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	// KindNews carries news only.
+	KindNews Kind = iota
+	// KindPing asks Target to acknowledge Seq.
+	KindPing
+	// KindAck says that Target acknowledged Seq.
+	KindAck
+	// KindPingRequest asks a helper to ping Target and to pass the
+	// acknowledgment on under Seq.
+	KindPingRequest
+	// KindDigest compares states: without buckets it asks for them if Root
+	// differs, with buckets it is the answer.
+	KindDigest
+	// KindPull asks for the entries of buckets that the sender lacks.
+	KindPull
+)
+
+// Message is one datagram.
+type Message struct {
+	Kind Kind          `json:"kind"`
+	From core.DaemonID `json:"from"`
+	// ConfigRevision is what the sender has in force.
+	ConfigRevision uint64        `json:"config_revision,omitempty"`
+	Seq            uint64        `json:"seq,omitempty"`
+	Target         core.DaemonID `json:"target,omitempty"`
+	// WantRecord asks the receiver for its own full record.
+	WantRecord bool           `json:"want_record,omitempty"`
+	Root       uint64         `json:"root,omitempty"`
+	Buckets    []uint32       `json:"buckets,omitempty"`
+	Pulls      []Pull         `json:"pulls,omitempty"`
+	Daemons    []DaemonUpdate `json:"daemons,omitempty"`
+	Homes      []Home         `json:"homes,omitempty"`
+	Targets    []Target       `json:"targets,omitempty"`
+}
+
+// Pull asks for one bucket's entries but for those the sender has.
+type Pull struct {
+	Bucket uint32 `json:"bucket"`
+	// Known are the lower halves of the sums of the entries that are there.
+	Known []uint32 `json:"known,omitempty"`
+}
+
+// DaemonUpdate is news of one daemon. Without Full it has only the identity
+// and the state, and concerns the record with the hash Record.
+type DaemonUpdate struct {
+	Daemon
+	Full   bool   `json:"full,omitempty"`
+	Record uint32 `json:"record"`
+	// Remembered marks a death that the sender did not just learn: the
+	// receiver probes the daemon before it believes it.
+	Remembered bool `json:"remembered,omitempty"`
+}
+
+// Upper bounds of encoded sizes in bytes; package gossip tests them against
+// its encoding.
+const (
+	sizeEnvelope   = 40
+	sizeHeader     = 64
+	sizeShort      = 36
+	sizeFull       = 56
+	sizeHome       = 26
+	sizeTarget     = 28
+	sizePullBucket = 12
+	sizeSum        = 4
+	messageBudget  = MaxDatagram - sizeEnvelope - sizeHeader
+)
+
+func (u *DaemonUpdate) size() int {
+	if !u.Full {
+		return sizeShort + len(u.ID)
+	}
+	return sizeFull + len(u.ID) + len(u.Zone) + len(u.Region) + len(u.PeerAddr) +
+		len(u.GossipAddr) + len(u.OperatorAddr)
+}
+
+func (h *Home) size() int { return sizeHome + len(h.Group) + len(h.Daemon) + len(h.Primary) }
+
+func (t *Target) size() int { return sizeTarget + len(t.Addr) }
+
+func (p *Pull) size() int { return sizePullBucket + sizeSum*len(p.Known) }
+
+// room returns the bytes left in m.
+func (m *Message) room() int {
+	left := messageBudget - len(m.From) - len(m.Target) - sizeSum*len(m.Buckets)
+	for i := range m.Pulls {
+		left -= m.Pulls[i].size()
+	}
+	for i := range m.Daemons {
+		left -= m.Daemons[i].size()
+	}
+	for i := range m.Homes {
+		left -= m.Homes[i].size()
+	}
+	for i := range m.Targets {
+		left -= m.Targets[i].size()
+	}
+	return left
+}
+
+func (m *Message) reset() {
+	*m = Message{
+		Buckets: m.Buckets[:0], Pulls: m.Pulls[:0],
+		Daemons: m.Daemons[:0], Homes: m.Homes[:0], Targets: m.Targets[:0],
+	}
+}
+
+func validName(s string) bool { return len(s) > 0 && validText(s) }
+
+// validText refuses what does not fit or cannot be encoded: one such entry
+// would stop every message it stands in.
+func validText(s string) bool { return len(s) <= MaxName && utf8.ValidString(s) }
+
+// valid reports whether the update may be taken in.
+func (u *DaemonUpdate) valid() bool {
+	if !validName(string(u.ID)) || u.Incarnation >= maxVersion || u.State > Dead {
+		return false
+	}
+	if !u.Full {
+		return true
+	}
+	return validText(string(u.Zone)) && validText(string(u.Region)) && validText(u.PeerAddr) &&
+		validText(u.OperatorAddr) && validText(u.GossipAddr) && u.Weight <= MaxWeight
+}
+
+func (h *Home) valid() bool {
+	return validName(string(h.Group)) && validName(string(h.Daemon)) &&
+		validText(string(h.Primary)) && h.Term < maxVersion
+}
+
+func (t *Target) valid() bool {
+	return validName(t.Addr) && t.Version > 0 && t.Version < maxVersion && t.TTL >= 0
+}
--- /dev/null
+++ b/core/membership/probe.go
@@ -0,0 +1,269 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+
+	"limpetspan/core"
+)
+
+// prober is the state of failure detection.
+type prober struct {
+	nextAt core.Time
+	seq    uint64
+	// order is the random order of the present round, at its position.
+	order []*member
+	at    int
+	// verify are members called dead by another daemon's memory.
+	verify  []verification
+	pending []pendingProbe
+}
+
+type verification struct {
+	member      *member
+	incarnation uint64
+}
+
+// pendingProbe waits for an acknowledgment.
+type pendingProbe struct {
+	seq    uint64
+	target *member
+	// indirectAt is when helpers are asked; zero: not any more.
+	indirectAt core.Time
+	deadline   core.Time
+	// requester is told of the acknowledgment under requesterSeq; for a
+	// helper's probe, which accuses nobody.
+	requester    netip.AddrPort
+	requesterSeq uint64
+}
+
+func (p *pendingProbe) wakeAt() core.Time {
+	if p.indirectAt != 0 {
+		return p.indirectAt
+	}
+	return p.deadline
+}
+
+const (
+	// maxPending bounds the probes under way, helpers' ones included.
+	maxPending = 64
+	// maxVerify bounds the deaths to be verified.
+	maxVerify = 256
+	// verifyPerProbe is how many of them are tried with each regular probe.
+	verifyPerProbe = 2
+)
+
+func (r *Reducer) probeTick() {
+	p := &r.probe
+	for i := 0; i < len(p.pending); {
+		if r.overdue(&p.pending[i]) {
+			p.pending = slices.Delete(p.pending, i, i+1)
+			continue
+		}
+		i++
+	}
+	if r.now < p.nextAt {
+		return
+	}
+	p.nextAt = r.now.Add(r.settings.ProbeInterval)
+	for range verifyPerProbe {
+		if m := r.nextVerify(); m != nil {
+			r.ping(m)
+		}
+	}
+	if m := r.nextProbe(); m != nil {
+		r.ping(m)
+	}
+}
+
+// overdue handles the deadlines of one probe and reports whether it is over.
+func (r *Reducer) overdue(p *pendingProbe) bool {
+	if p.indirectAt != 0 && r.now >= p.indirectAt {
+		p.indirectAt = 0
+		r.askHelpers(p)
+	}
+	if r.now < p.deadline {
+		return false
+	}
+	if !p.requester.IsValid() {
+		r.failed(p.target)
+	}
+	return true
+}
+
+// nextProbe returns the next member of the round; nil: there is none.
+func (r *Reducer) nextProbe() *member {
+	p := &r.probe
+	for range 2 {
+		for p.at < len(p.order) {
+			m := p.order[p.at]
+			p.at++
+			if m.liveAt >= 0 {
+				return m
+			}
+		}
+		p.order = append(p.order[:0], r.live...)
+		r.random.Shuffle(len(p.order), func(i, j int) { p.order[i], p.order[j] = p.order[j], p.order[i] })
+		p.at = 0
+	}
+	return nil
+}
+
+func (r *Reducer) nextVerify() *member {
+	p := &r.probe
+	for len(p.verify) > 0 {
+		v := p.verify[0]
+		p.verify = slices.Delete(p.verify, 0, 1)
+		if v.member.liveAt >= 0 && v.member.Incarnation <= v.incarnation {
+			return v.member
+		}
+	}
+	return nil
+}
+
+// ping probes a live member.
+func (r *Reducer) ping(m *member) {
+	p := pendingProbe{
+		target:     m,
+		indirectAt: r.now.Add(r.settings.AckTimeout),
+		deadline:   r.now.Add(r.settings.ProbeTimeout),
+	}
+	r.sendPing(m, p)
+}
+
+func (r *Reducer) sendPing(m *member, p pendingProbe) {
+	if len(r.probe.pending) >= maxPending {
+		return
+	}
+	r.probe.seq++
+	p.seq = r.probe.seq
+	r.probe.pending = append(r.probe.pending, p)
+	msg := r.message(m.addr, KindPing)
+	msg.Seq = p.seq
+	msg.Target = m.ID
+	r.tellAccused(msg, m)
+	r.fill(msg)
+}
+
+// tellAccused adds what is believed of the receiver, so that a daemon which is
+// wrongly suspected or called dead learns of it at once and refutes.
+func (r *Reducer) tellAccused(msg *Message, m *member) {
+	if m.State == Suspect || m.State == Dead {
+		msg.Daemons = append(msg.Daemons, m.short())
+	}
+}
+
+func (r *Reducer) askHelpers(p *pendingProbe) {
+	var chosen [8]*member
+	helpers := r.chooseHelpers(chosen[:0], p.target)
+	for _, h := range helpers {
+		msg := r.message(h.addr, KindPingRequest)
+		msg.Seq = p.seq
+		msg.Target = p.target.ID
+		r.fill(msg)
+	}
+}
+
+// chooseHelpers picks daemons of zones that differ from this one's, and from
+// one another's where possible: a helper in the own zone would share the
+// broken path that it is to rule out.
+func (r *Reducer) chooseHelpers(dst []*member, target *member) []*member {
+	want := min(r.settings.Helpers, cap(dst))
+	const tries = 8
+	for try := 0; try < want*tries && len(dst) < want && len(r.live) > 0; try++ {
+		m := r.live[r.random.IntN(len(r.live))]
+		if m == target || m.State == Suspect || slices.Contains(dst, m) {
+			continue
+		}
+		strict := try < want*tries/2
+		if strict && (m.Zone == r.self.Zone || slices.ContainsFunc(dst, func(o *member) bool { return o.Zone == m.Zone })) {
+			continue
+		}
+		dst = append(dst, m)
+	}
+	return dst
+}
+
+// pinged answers a probe that is meant for this daemon. A new process at the
+// address of a dead one must not answer for it.
+func (r *Reducer) pinged(from netip.AddrPort, m *Message) {
+	if m.Target != r.self.ID {
+		return
+	}
+	ack := r.message(from, KindAck)
+	ack.Seq = m.Seq
+	ack.Target = r.self.ID
+	sender := r.members[m.From]
+	if sender == nil {
+		ack.WantRecord = true
+	} else {
+		r.tellAccused(ack, sender)
+	}
+	r.fill(ack)
+}
+
+// acked ends a probe: the sequence number is random to others and must belong
+// to this target, so an old or forged acknowledgment ends nothing.
+func (r *Reducer) acked(m *Message) {
+	p := &r.probe
+	i := slices.IndexFunc(p.pending, func(o pendingProbe) bool {
+		return o.seq == m.Seq && o.target.ID == m.Target
+	})
+	if i < 0 {
+		return
+	}
+	done := p.pending[i]
+	p.pending = slices.Delete(p.pending, i, i+1)
+	if !done.requester.IsValid() {
+		return
+	}
+	ack := r.message(done.requester, KindAck)
+	ack.Seq = done.requesterSeq
+	ack.Target = m.Target
+	r.fill(ack)
+}
+
+// asked probes for another daemon.
+func (r *Reducer) asked(from netip.AddrPort, m *Message) {
+	target := r.members[m.Target]
+	if m.Target == r.self.ID || target == nil || r.members[m.From] == nil {
+		return
+	}
+	r.sendPing(target, pendingProbe{
+		target:       target,
+		deadline:     r.now.Add(r.settings.ProbeTimeout),
+		requester:    from,
+		requesterSeq: m.Seq,
+	})
+}
+
+// failed suspects a member whose probe had no answer. One that said it was
+// leaving is gone.
+func (r *Reducer) failed(m *member) {
+	switch m.State {
+	case Alive:
+		r.setState(m, Suspect, m.Incarnation)
+		r.enqueue(m)
+		r.log("daemon suspected", m)
+	case Leaving:
+		r.setState(m, Dead, m.Incarnation)
+		r.enqueue(m)
+		r.log("daemon left", m)
+	}
+}
+
+// suspicionTick declares dead whom the suspicion was not refuted.
+func (r *Reducer) suspicionTick() {
+	if len(r.suspects) == 0 {
+		return
+	}
+	wait := float64(r.settings.SuspicionMultiplier) * r.logSize() * float64(r.settings.ProbeInterval)
+	for m := range r.suspects {
+		if float64(r.now.Sub(m.since)) < wait {
+			continue
+		}
+		r.setState(m, Dead, m.Incarnation)
+		r.enqueue(m)
+		r.log("daemon dead", m)
+	}
+}
--- /dev/null
+++ b/core/membership/queue.go
@@ -0,0 +1,211 @@
+package membership
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"limpetspan/core"
+)
+
+// spread is the part of an entry that takes part in the spreading of news.
+type spread struct {
+	// key is the hash of the entry's name.
+	key uint64
+	// generation rises with each change; queued copies of older ones are void.
+	generation uint32
+}
+
+func (s *spread) state() *spread { return s }
+
+// drop voids the queued copies of the entry.
+func (s *spread) drop() { s.generation++ }
+
+// entry is a piece of news: *member, *home or *target.
+type entry interface {
+	state() *spread
+	// addTo appends the news to the message and reports whether it had room.
+	addTo(m *Message, room int, now core.Time) (used int, ok bool)
+}
+
+type queued struct {
+	entry      entry
+	generation uint32
+}
+
+// queue holds the news by how often it was sent, so that fresh news goes
+// first and each piece ends after its number of repetitions.
+type queue struct {
+	nextAt core.Time
+	levels [][]queued
+	// sent are buffers of fill.
+	sent [2][]queued
+}
+
+// enqueue (re)starts the spreading of an entry.
+func (r *Reducer) enqueue(e entry) {
+	s := e.state()
+	s.generation++
+	if len(r.queue.levels) == 0 {
+		r.queue.levels = append(r.queue.levels, nil)
+	}
+	if !r.hasNews() {
+		r.queue.nextAt = max(r.queue.nextAt, r.now)
+	}
+	r.queue.levels[0] = append(r.queue.levels[0], queued{e, s.generation})
+}
+
+func (r *Reducer) hasNews() bool {
+	if r.config.rounds > 0 {
+		return true
+	}
+	for _, level := range r.queue.levels {
+		if len(level) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// repetitions is how often one daemon sends a piece of news.
+func (r *Reducer) repetitions() int {
+	return r.settings.RetransmitMultiplier * int(math.Ceil(r.logSize()))
+}
+
+// fill adds queued news to the message as far as there is room. What is sent
+// moves up a level, but only after that level was looked at, so that no news
+// stands in one message twice.
+func (r *Reducer) fill(m *Message) {
+	q := &r.queue
+	room := m.room()
+	limit := r.repetitions()
+	q.levels = q.levels[:min(len(q.levels), limit)]
+	var sent []queued
+	for i := 0; i < len(q.levels) || len(sent) > 0; i++ {
+		if i == len(q.levels) {
+			q.levels = append(q.levels, nil)
+		}
+		next := q.sent[i%2][:0]
+		if room > sizeShort {
+			room, next = r.fillFrom(i, m, room, next)
+		}
+		q.levels[i] = append(q.levels[i], sent...)
+		if i+1 >= limit {
+			return
+		}
+		q.sent[i%2], sent = next, next
+	}
+}
+
+// fillFrom adds news of one level, latest first, and appends it to sent.
+func (r *Reducer) fillFrom(i int, m *Message, room int, sent []queued) (int, []queued) {
+	level := r.queue.levels[i]
+	misses := 0
+	for j := len(level) - 1; j >= 0 && misses < maxMisses && room > sizeShort; j-- {
+		item := level[j]
+		if item.generation == item.entry.state().generation {
+			used, ok := item.entry.addTo(m, room, r.now)
+			if !ok {
+				misses++
+				continue
+			}
+			room -= used
+			sent = append(sent, item)
+		}
+		level = slices.Delete(level, j, j+1)
+	}
+	r.queue.levels[i] = level
+	return room, sent
+}
+
+// maxMisses bounds the search for news that still fits into a message.
+const maxMisses = 8
+
+// gossipTick sends news to a few random daemons while there is any.
+func (r *Reducer) gossipTick() {
+	if len(r.live) == 0 || !r.hasNews() || r.now < r.queue.nextAt {
+		return
+	}
+	r.queue.nextAt = r.now.Add(r.settings.GossipInterval)
+	if r.config.rounds > 0 {
+		r.config.rounds--
+	}
+	for range min(r.settings.Fanout, len(r.live)) {
+		to := r.live[r.random.IntN(len(r.live))]
+		m := r.message(to.addr, KindNews)
+		r.fill(m)
+	}
+}
+
+func (m *member) addTo(msg *Message, room int, _ core.Time) (int, bool) {
+	u := m.short()
+	if m.State != Dead && m.State != Suspect {
+		u = m.full()
+	}
+	if u.size() > room {
+		return 0, false
+	}
+	msg.Daemons = append(msg.Daemons, u)
+	return u.size(), true
+}
+
+func (h *home) addTo(msg *Message, room int, _ core.Time) (int, bool) {
+	if h.size() > room {
+		return 0, false
+	}
+	msg.Homes = append(msg.Homes, h.Home)
+	return h.size(), true
+}
+
+func (t *target) addTo(msg *Message, room int, now core.Time) (int, bool) {
+	if t.size() > room {
+		return 0, false
+	}
+	u := t.Target
+	u.TTL = max(t.expires.Sub(now), time.Second).Round(time.Second)
+	msg.Targets = append(msg.Targets, u)
+	return t.size(), true
+}
+
+// configNews is the state of the configuration's spreading.
+type configNews struct {
+	// revision is in force here, offered the highest seen with others.
+	revision uint64
+	offered  uint64
+	offerAt  core.Time
+	// rounds is how many rounds of gossip remain to announce revision.
+	rounds int
+}
+
+// offerInterval is the time between two offers of the same revision.
+const offerInterval = time.Second
+
+// announceConfig makes this daemon a holder of the revision.
+func (r *Reducer) announceConfig(revision uint64) {
+	if revision <= r.config.revision {
+		return
+	}
+	r.config.revision = revision
+	r.self.ConfigRevision = revision
+	r.config.rounds = (r.repetitions() + r.settings.Fanout - 1) / r.settings.Fanout
+	r.queue.nextAt = r.now
+}
+
+// offered notes the revision that the sender has in force.
+func (r *Reducer) offered(m *Message) {
+	sender := r.members[m.From]
+	if sender == nil {
+		return
+	}
+	sender.ConfigRevision = max(sender.ConfigRevision, m.ConfigRevision)
+	if m.ConfigRevision <= r.config.revision {
+		return
+	}
+	if m.ConfigRevision <= r.config.offered && r.now < r.config.offerAt {
+		return
+	}
+	r.config.offered = max(r.config.offered, m.ConfigRevision)
+	r.config.offerAt = r.now.Add(offerInterval)
+	r.out.Change.ConfigRevision = m.ConfigRevision
+	r.out.Change.ConfigPeer = m.From
+}
--- /dev/null
+++ b/core/membership/reducer.go
@@ -0,0 +1,308 @@
+package membership
+
+import (
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"limpetspan/core"
+)
+
+// Reducer is one daemon's view of the fleet. It is not safe for concurrent use.
+type Reducer struct {
+	settings Settings
+	random   *rand.Rand
+	now      core.Time
+	out      *Effects
+	started  bool
+
+	self    *member
+	members map[core.DaemonID]*member
+	// live are the other daemons that are not dead, dead those remembered.
+	live []*member
+	dead []*member
+	// suspects are the suspected members of live.
+	suspects map[*member]struct{}
+
+	homes   map[core.GroupID]*home
+	targets map[string]*target
+	// groups are the configured groups; nil: not known yet.
+	groups     map[core.GroupID]struct{}
+	assignment *Assignment
+
+	probe   prober
+	queue   queue
+	digest  digest
+	sync    syncer
+	contact contacts
+	config  configNews
+
+	// claim is the highest incarnation at which somebody calls this daemon
+	// suspect, dead or otherwise than it is; zero: nobody does.
+	claim     uint64
+	refuteAt  core.Time
+	sweepAt   core.Time
+	plannedAt core.Time
+}
+
+// New returns a reducer that waits for Start.
+func New() *Reducer {
+	return &Reducer{
+		members:    map[core.DaemonID]*member{},
+		suspects:   map[*member]struct{}{},
+		homes:      map[core.GroupID]*home{},
+		targets:    map[string]*target{},
+		assignment: NewAssignment(),
+	}
+}
+
+const (
+	// refuteInterval bounds how often this daemon raises its incarnation, so
+	// that two daemons with the same id do not outbid each other at the speed
+	// of the network.
+	refuteInterval = 200 * time.Millisecond
+	// sweepInterval is the time between two searches for what can be forgotten.
+	sweepInterval = time.Minute
+)
+
+// Reduce takes one event at the time now and adds to out what is to be done.
+func (r *Reducer) Reduce(now core.Time, ev Event, out *Effects) {
+	r.now, r.out = now, out
+	if start, ok := ev.(*Start); ok && !r.started {
+		r.start(start)
+	}
+	if !r.started {
+		return
+	}
+	r.forgive()
+	switch ev := ev.(type) {
+	case *Received:
+		r.received(ev.From, ev.Message)
+	case *Hosts:
+		r.contact.hosts = append(r.contact.hosts[:0], ev.Addrs...)
+	case *SetGroups:
+		r.setGroups(ev.Groups)
+	case *AnnounceHome:
+		r.applyHome(&ev.Home)
+	case *AnnounceConfig:
+		r.announceConfig(ev.Revision)
+	case *AnnounceTarget:
+		r.announceTarget(ev.Addr, ev.Leaving)
+	case *Leave:
+		r.leave()
+	}
+	r.tick()
+	out.Change.Candidates = r.assignment.takeChanged(out.Change.Candidates)
+	r.plannedAt = r.nextWake()
+	out.WakeAt = r.plannedAt
+	r.out = nil
+}
+
+func (r *Reducer) start(ev *Start) {
+	r.started = true
+	r.settings = ev.Settings
+	r.random = rand.New(rand.NewPCG(ev.Seed, ev.Seed^0x9E3779B97F4A7C15))
+	r.contact.seeds = append(r.contact.seeds, ev.Seeds...)
+	self := ev.Self
+	self.State = Alive
+	self.Incarnation = max(self.Incarnation, 1)
+	r.self = r.newMember(&self)
+	r.members[self.ID] = r.self
+	r.digest.daemons.add(r.self.bucket(), r.self)
+	r.recount(r.self)
+	r.assignment.Add(&r.self.Daemon)
+	r.enqueue(r.self)
+	r.config.revision = self.ConfigRevision
+	r.probe.seq = r.random.Uint64() >> 2
+	r.probe.nextAt = r.now.Add(r.jitter(r.settings.ProbeInterval))
+	r.sync.nextAt = r.now.Add(r.jitter(r.settings.SyncInterval))
+	r.contact.nextAt = r.now
+	r.sweepAt = r.now.Add(sweepInterval)
+	r.plannedAt = r.now
+}
+
+// forgive guards against a daemon that was paused accusing others: after the
+// pause the answers to its probes lie unread and every deadline has passed,
+// so it would declare daemons dead that are well. Its waiting times are put
+// off by the length of the pause instead.
+func (r *Reducer) forgive() {
+	late := r.now.Sub(r.plannedAt)
+	if late < r.settings.ProbeInterval {
+		return
+	}
+	r.probe.pending = r.probe.pending[:0]
+	for m := range r.suspects {
+		m.since = m.since.Add(late)
+	}
+}
+
+// tick does what has come due.
+func (r *Reducer) tick() {
+	r.refute()
+	r.probeTick()
+	r.suspicionTick()
+	r.syncTick()
+	r.contactTick()
+	r.gossipTick()
+	if r.now >= r.sweepAt {
+		r.sweepAt = r.now.Add(sweepInterval)
+		r.sweep()
+	}
+}
+
+func (r *Reducer) nextWake() core.Time {
+	at := min(r.probe.nextAt, r.sync.wakeAt(), r.contact.nextAt, r.sweepAt)
+	for i := range r.probe.pending {
+		at = min(at, r.probe.pending[i].wakeAt())
+	}
+	if len(r.suspects) > 0 {
+		at = min(at, r.probe.nextAt)
+	}
+	if len(r.live) > 0 && r.hasNews() {
+		at = min(at, r.queue.nextAt)
+	}
+	if r.claim > 0 {
+		at = min(at, r.refuteAt)
+	}
+	return at
+}
+
+// jitter returns a random duration below d.
+func (r *Reducer) jitter(d time.Duration) time.Duration {
+	return time.Duration(r.random.Int64N(int64(d) + 1))
+}
+
+// logSize is the decimal logarithm of the fleet's size, at least 1.
+func (r *Reducer) logSize() float64 {
+	return max(1, math.Log10(float64(len(r.live)+1)))
+}
+
+// received takes in one message.
+func (r *Reducer) received(from netip.AddrPort, m *Message) {
+	if m.From == r.self.ID || !validName(string(m.From)) {
+		return // an echo of an own message, or somebody without a name
+	}
+	for i := range m.Daemons {
+		r.applyDaemon(&m.Daemons[i])
+	}
+	for i := range m.Homes {
+		r.applyHome(&m.Homes[i])
+	}
+	for i := range m.Targets {
+		r.applyTarget(&m.Targets[i])
+	}
+	r.offered(m)
+	switch m.Kind {
+	case KindPing:
+		r.pinged(from, m)
+	case KindAck:
+		r.acked(m)
+	case KindPingRequest:
+		r.asked(from, m)
+	case KindDigest:
+		r.compare(from, m)
+	case KindPull:
+		r.pulled(from, m)
+	}
+	if m.WantRecord {
+		r.sendRecord(from)
+	}
+}
+
+// message returns a new message of the kind to the address.
+func (r *Reducer) message(to netip.AddrPort, kind Kind) *Message {
+	m := r.out.send(to)
+	m.Kind = kind
+	m.From = r.self.ID
+	m.ConfigRevision = r.config.revision
+	return m
+}
+
+func (r *Reducer) sendRecord(to netip.AddrPort) {
+	m := r.message(to, KindNews)
+	m.Daemons = append(m.Daemons, r.self.full())
+	r.fill(m)
+}
+
+func (r *Reducer) log(message string, m *member) {
+	r.out.Logs = append(r.out.Logs, Log{Message: message, Daemon: m.ID, Zone: m.Zone})
+}
+
+// leave spreads that this daemon stops.
+func (r *Reducer) leave() {
+	if r.self.State == Leaving {
+		return
+	}
+	r.self.State = Leaving
+	r.self.Incarnation++
+	r.assignment.Remove(r.self.ID)
+	r.recount(r.self)
+	r.enqueue(r.self)
+	r.queue.nextAt = r.now
+	r.out.Change.Membership = true
+}
+
+// Daemon returns what is known of a daemon.
+func (r *Reducer) Daemon(id core.DaemonID) (Daemon, bool) {
+	m := r.members[id]
+	if m == nil {
+		return Daemon{}, false
+	}
+	return m.Daemon, true
+}
+
+// Self returns this daemon.
+func (r *Reducer) Self() Daemon {
+	if r.self == nil {
+		return Daemon{}
+	}
+	return r.self.Daemon
+}
+
+// Daemons appends all daemons that are not dead, this one included, in no order.
+func (r *Reducer) Daemons(dst []Daemon) []Daemon {
+	if r.self == nil {
+		return dst
+	}
+	dst = append(dst, r.self.Daemon)
+	for _, m := range r.live {
+		dst = append(dst, m.Daemon)
+	}
+	return dst
+}
+
+// Home returns the newest news of a group's home.
+func (r *Reducer) Home(group core.GroupID) (Home, bool) {
+	h := r.homes[group]
+	if h == nil {
+		return Home{}, false
+	}
+	return h.Home, true
+}
+
+// TargetLeaving reports whether the target host is known to be leaving.
+func (r *Reducer) TargetLeaving(addr string) bool {
+	t := r.targets[addr]
+	return t != nil && t.Leaving
+}
+
+// Assignment returns the candidates; the caller must not change it.
+func (r *Reducer) Assignment() *Assignment { return r.assignment }
+
+// Root is the digest of the whole view, equal in views that agree.
+func (r *Reducer) Root() uint64 { return r.digest.root() }
+
+// Quiet reports whether there is no news left to send.
+func (r *Reducer) Quiet() bool { return !r.hasNews() }
+
+// LeavingTargets returns the addresses of the leaving target hosts.
+func (r *Reducer) LeavingTargets() map[string]struct{} {
+	leaving := map[string]struct{}{}
+	for addr, t := range r.targets {
+		if t.Leaving {
+			leaving[addr] = struct{}{}
+		}
+	}
+	return leaving
+}
--- /dev/null
+++ b/core/membership/reducer_test.go
@@ -0,0 +1,211 @@
+package membership
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+)
+
+var _ = Describe("Reducer", func() {
+	It("brings a fleet that joins through one seed to one view, despite loss", func() {
+		c := newCluster(1, 0.1)
+		c.fill(40)
+		Expect(c.run(time.Minute, func() bool { return c.agree(40) })).To(BeTrue())
+		for _, p := range c.procs {
+			Expect(p.largest).To(BeNumerically("<=", messageBudget))
+		}
+	})
+
+	It("spreads homes, targets and revisions to all", func() {
+		c := newCluster(2, 0.05)
+		c.fill(30)
+		Expect(c.run(time.Minute, func() bool { return c.agree(30) })).To(BeTrue())
+		c.reduce(c.procs[3], &AnnounceHome{Home{Group: "g", Term: 4, Daemon: "d004", Primary: "m1"}})
+		c.reduce(c.procs[5], &AnnounceHome{Home{Group: "g", Term: 2, Daemon: "d006", Primary: "m2"}})
+		c.reduce(c.procs[7], &AnnounceTarget{Addr: "10.1.1.1:5432", Leaving: true})
+		Expect(c.run(10*time.Second, func() bool {
+			for _, p := range c.procs {
+				if h, _ := p.r.Home("g"); h.Daemon != "d004" || !p.r.TargetLeaving("10.1.1.1:5432") {
+					return false
+				}
+			}
+			return true
+		})).To(BeTrue())
+		Expect(c.spreadConfig(9)).To(BeNumerically("<", 4*time.Second))
+	})
+
+	It("declares a crashed daemon dead, and welcomes its restart", func() {
+		c := newCluster(3, 0.02)
+		c.fill(20)
+		Expect(c.run(time.Minute, func() bool { return c.agree(20) })).To(BeTrue())
+		c.procs[4].up = false
+		Expect(c.run(time.Minute, func() bool { return c.agree(19) })).To(BeTrue())
+		c.start(c.procs[4])
+		Expect(c.run(time.Minute, func() bool { return c.agree(20) })).To(BeTrue())
+	})
+
+	It("takes a daemon that leaves from the candidates at once, and forgets it soon", func() {
+		c := newCluster(4, 0.02)
+		c.fill(20)
+		Expect(c.run(time.Minute, func() bool { return c.agree(20) })).To(BeTrue())
+		c.reduce(c.procs[4], &Leave{})
+		Expect(c.run(5*time.Second, func() bool { return c.candidate(c.procs[4].id) == 0 })).To(BeTrue())
+		c.procs[4].up = false
+		Expect(c.run(20*time.Second, func() bool { return c.agree(19) })).To(BeTrue())
+	})
+
+	// A daemon's host is paused for a minute. On waking it finds all answers
+	// to its probes missing and all deadlines passed. If it trusted its clock it
+	// would suspect and bury healthy daemons, and homes would move for nothing.
+	It("does not let a paused daemon accuse others", func() {
+		c := newCluster(5, 0)
+		c.fill(12)
+		Expect(c.run(time.Minute, func() bool { return c.agree(12) })).To(BeTrue())
+		p := c.procs[3]
+		Expect(c.run(20*time.Second, func() bool { return len(p.r.probe.pending) > 0 })).To(BeTrue())
+		p.up = false
+		c.run(time.Minute, nil)
+		p.up = true
+		p.out.Reset()
+		p.r.Reduce(c.now, &Tick{}, &p.out)
+		p.wakeAt = p.out.WakeAt
+		Expect(p.r.suspects).To(BeEmpty())
+		Expect(c.run(time.Minute, func() bool { return c.agree(12) })).To(BeTrue())
+	})
+
+	// The link between two zones breaks while both reach the third. Each side's
+	// direct probes of the other fail; without helpers of another zone healthy
+	// daemons would be called dead and their homes moved.
+	It("keeps daemons alive that only a broken path between two zones hides", func() {
+		c := newCluster(6, 0)
+		c.fill(18)
+		Expect(c.run(time.Minute, func() bool { return c.agree(18) })).To(BeTrue())
+		c.cut = func(a, b *process) bool {
+			return a.zone == "z0" && b.zone == "z1" || a.zone == "z1" && b.zone == "z0"
+		}
+		dead := 0
+		c.run(2*time.Minute, func() bool {
+			for _, p := range c.procs {
+				dead = max(dead, len(p.r.dead))
+			}
+			return false
+		})
+		Expect(dead).To(BeZero())
+	})
+
+	// Two regions lose each other for an hour, longer than any suspicion, so
+	// each holds the other's daemons for dead. Nobody restarts and no seed lies
+	// on the far side of every daemon: without tries of remembered dead
+	// addresses the fleet would stay two fleets with two homes for each group.
+	It("heals a separation of regions of an hour without burying the own side", func() {
+		c := newCluster(7, 0.02)
+		c.fill(24)
+		Expect(c.run(time.Minute, func() bool { return c.agree(24) })).To(BeTrue())
+		for _, p := range c.procs {
+			p.r.contact.seeds = nil
+		}
+		c.cut = func(a, b *process) bool { return (a.region == "r0") != (b.region == "r0") }
+		c.run(time.Hour, nil)
+		Expect(len(c.procs[0].r.live)).To(Equal(7))
+		Expect(len(c.procs[2].r.live)).To(Equal(15))
+		buried := 0
+		c.cut = nil
+		Expect(c.run(2*time.Minute, func() bool {
+			for _, p := range c.procs {
+				for _, d := range p.r.dead {
+					if c.procOf(d.ID).region == p.region {
+						buried++
+					}
+				}
+			}
+			return c.agree(24)
+		})).To(BeTrue())
+		Expect(buried).To(BeZero())
+	})
+
+	// A datagram from an hour ago arrives again: it calls a daemon alive that
+	// is dead, an old home current and a target healthy that leaves. Believed,
+	// it would send requests to a dead daemon.
+	It("ignores replayed news", func() {
+		c := newCluster(8, 0)
+		c.fill(6)
+		Expect(c.run(time.Minute, func() bool { return c.agree(6) })).To(BeTrue())
+		p, gone := c.procs[1], c.procs[4]
+		old := &Message{Kind: KindNews, From: c.procs[2].id, Daemons: []DaemonUpdate{p.r.members[gone.id].full()},
+			Homes: []Home{{Group: "g", Term: 2, Daemon: gone.id}}, Targets: []Target{{Addr: "t", Version: 1, TTL: time.Hour}}}
+		c.reduce(p, &AnnounceHome{Home{Group: "g", Term: 4, Daemon: p.id}})
+		c.reduce(p, &AnnounceTarget{Addr: "t", Leaving: true})
+		gone.up = false
+		Expect(c.run(time.Minute, func() bool { return c.agree(5) })).To(BeTrue())
+		c.reduce(p, &Received{From: c.procs[2].addr, Message: old})
+		Expect(p.r.members[gone.id].State).To(Equal(Dead))
+		h, _ := p.r.Home("g")
+		Expect(h.Term).To(Equal(core.Term(4)))
+		Expect(p.r.TargetLeaving("t")).To(BeTrue())
+	})
+
+	It("offers a revision again while it is not in force", func() {
+		c := newCluster(9, 0)
+		c.fill(4)
+		Expect(c.run(time.Minute, func() bool { return c.agree(4) })).To(BeTrue())
+		c.reduce(c.procs[0], &AnnounceConfig{Revision: 5})
+		c.run(30*time.Second, nil)
+		offers := map[core.DaemonID]int{}
+		for _, ch := range c.procs[3].changes {
+			if ch.ConfigRevision == 5 {
+				offers[ch.ConfigPeer]++
+			}
+		}
+		Expect(offers).To(HaveKeyWithValue(c.procs[0].id, BeNumerically(">", 1)))
+	})
+})
+
+// candidate counts for how many of 50 groups the daemon is a candidate anywhere.
+func (c *cluster) candidate(id core.DaemonID) int {
+	n := 0
+	for _, p := range c.procs {
+		if p.id == id || !p.up {
+			continue
+		}
+		if len(p.r.groups) == 0 {
+			var groups []Group
+			for i := range 50 {
+				groups = append(groups, Group{ID: core.GroupID(fmt.Sprintf("g%d", i))})
+			}
+			c.reduce(p, &SetGroups{groups})
+		}
+		n += len(p.r.Assignment().Of(id))
+	}
+	return n
+}
+
+func (c *cluster) procOf(id core.DaemonID) *process {
+	for _, p := range c.procs {
+		if p.id == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// spreadConfig announces a revision at one daemon, lets each that is offered
+// it announce it in turn, and returns how long it took to reach all.
+func (c *cluster) spreadConfig(revision uint64) time.Duration {
+	start := c.now
+	c.reduce(c.procs[0], &AnnounceConfig{revision})
+	c.run(time.Minute, func() bool {
+		all := true
+		for _, p := range c.procs {
+			if p.r.config.offered >= revision && p.r.config.revision < revision {
+				c.reduce(p, &AnnounceConfig{revision})
+			}
+			all = all && p.r.config.revision == revision
+		}
+		return all
+	})
+	return c.now.Sub(start)
+}
--- /dev/null
+++ b/core/membership/rendezvous.go
@@ -0,0 +1,135 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"limpetspan/core"
+)
+
+// score is the rank of a daemon for a key: highest random weight, the same in
+// every process. A daemon of weight w draws w times and keeps the best, which
+// gives it w times the share.
+func score(key, daemon uint64, weight uint32) uint64 {
+	best := mix(key ^ daemon)
+	for i := uint32(1); i < weight; i++ {
+		best = max(best, mix(key^mix(daemon+uint64(i))))
+	}
+	return best
+}
+
+// mix is the final avalanche of xxhash64.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xC2B2AE3D27D4EB4F
+	x ^= x >> 29
+	x *= 0x165667B19E3779F9
+	return x ^ x>>32
+}
+
+func hashName(s string) uint64 { return xxhash.Sum64String(s) }
+
+// ranked is a daemon with its rank for one key.
+type ranked struct {
+	*node
+	score uint64
+	// far marks a daemon outside the preferred regions.
+	far bool
+}
+
+// node is a daemon that may be chosen.
+type node struct {
+	id     core.DaemonID
+	zone   core.Zone
+	region core.Region
+	hash   uint64
+	weight uint32
+	// at is the position in Assignment.nodes.
+	at int
+}
+
+func (r ranked) before(o ranked) bool {
+	if r.far != o.far {
+		return o.far
+	}
+	if r.score != o.score {
+		return r.score > o.score
+	}
+	return r.id < o.id
+}
+
+// insert puts r into list, which holds the choice among all daemons seen
+// before, and returns the choice among those and r, at most n long: the best
+// of each zone first, then, where zones are fewer than n, the best of the
+// rest. A choice depends on the earlier choice and the new daemon alone, so an
+// arrival needs no look at the others.
+func insert(list []ranked, r ranked, n int) []ranked {
+	if len(list) == n && !r.improves(list) {
+		return list
+	}
+	list = append(list, r)
+	slices.SortFunc(list, func(a, b ranked) int {
+		if a.before(b) {
+			return -1
+		}
+		return 1
+	})
+	if len(list) <= n {
+		return zonesFirst(list)
+	}
+	list = zonesFirst(list)
+	return list[:n]
+}
+
+// improves reports whether r can enter a full list: cheap, as nearly all
+// arrivals cannot.
+func (r ranked) improves(list []ranked) bool {
+	for _, l := range list {
+		if r.before(l) {
+			return true
+		}
+	}
+	// A daemon worse than all of them still displaces one that shares its zone.
+	for _, l := range list {
+		if l.zone == r.zone {
+			return false
+		}
+	}
+	return !distinctZones(list)
+}
+
+func distinctZones(list []ranked) bool {
+	for i, a := range list {
+		for _, b := range list[:i] {
+			if a.zone == b.zone {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// zonesFirst stably moves the best daemon of each zone to the front.
+func zonesFirst(list []ranked) []ranked {
+	front := 0
+	for i := range list {
+		if zoneIn(list[:front], list[i].zone) {
+			continue
+		}
+		r := list[i]
+		copy(list[front+1:i+1], list[front:i])
+		list[front] = r
+		front++
+	}
+	return list
+}
+
+func zoneIn(list []ranked, zone core.Zone) bool {
+	for _, r := range list {
+		if r.zone == zone {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/membership/sync.go
@@ -0,0 +1,267 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"limpetspan/core"
+)
+
+// syncer is the state of the comparison with random daemons.
+type syncer struct {
+	nextAt core.Time
+	// interval until the next comparison while views differ.
+	interval time.Duration
+	// seq of the last question; its answer must bear it.
+	seq uint64
+	// peer answered; buckets are still to be fetched.
+	peer    netip.AddrPort
+	buckets []uint32
+	pullAt  core.Time
+	// pages is how many datagrams may still be sent in answer to pulls, at pagesAt.
+	pages   float64
+	pagesAt core.Time
+	known   []uint32
+}
+
+const (
+	// pullBuckets is how many buckets one pull asks for.
+	pullBuckets = 6
+	// spreadPulls is the number of differing buckets from which on they are
+	// fetched from many daemons in place of one.
+	spreadPulls = 24
+	// pagesPerSecond bounds the datagrams that one daemon sends in answer to
+	// pulls, so that a zone that returns at once cannot drown its helpers;
+	// what is left unanswered is found by the next comparison.
+	pagesPerSecond = 60
+	// firstResync is the time until the next comparison after one that
+	// differed; it doubles up to SyncInterval.
+	firstResync = 500 * time.Millisecond
+)
+
+func (s *syncer) wakeAt() core.Time {
+	if len(s.buckets) > 0 {
+		return min(s.nextAt, s.pullAt)
+	}
+	return s.nextAt
+}
+
+func (r *Reducer) syncTick() {
+	s := &r.sync
+	if len(s.buckets) > 0 && r.now >= s.pullAt {
+		r.pull()
+	}
+	if r.now < s.nextAt {
+		return
+	}
+	s.nextAt = r.now.Add(r.settings.SyncInterval)
+	if len(r.live) == 0 || len(s.buckets) > 0 {
+		return
+	}
+	r.askDigest(r.live[r.random.IntN(len(r.live))].addr)
+}
+
+// askDigest asks whether the other's view differs.
+func (r *Reducer) askDigest(to netip.AddrPort) *Message {
+	r.probe.seq++
+	r.sync.seq = r.probe.seq
+	m := r.message(to, KindDigest)
+	m.Seq = r.sync.seq
+	m.Root = r.digest.root()
+	return m
+}
+
+// compare answers a question, or takes in the answer to an own one.
+func (r *Reducer) compare(from netip.AddrPort, m *Message) {
+	if len(m.Buckets) == 0 {
+		r.answerDigest(from, m)
+		return
+	}
+	s := &r.sync
+	if m.Seq != s.seq || len(m.Buckets) != bucketCount {
+		return
+	}
+	s.seq = 0
+	s.peer = from
+	s.buckets = s.buckets[:0]
+	for i, sum := range m.Buckets {
+		if uint32(r.digest.sums[i]) != sum {
+			s.buckets = append(s.buckets, uint32(i))
+		}
+	}
+	s.pullAt = r.now
+	r.scheduleResync(m.Root == r.digest.root())
+}
+
+// scheduleResync sets the next comparison: soon while much differs, ever later
+// while a little does, as news on its way settles that by itself.
+func (r *Reducer) scheduleResync(equal bool) {
+	s := &r.sync
+	switch {
+	case equal:
+		s.interval = 0
+		s.nextAt = r.now.Add(r.settings.SyncInterval)
+		return
+	case s.interval == 0 || len(s.buckets) >= spreadPulls:
+		s.interval = firstResync
+	default:
+		s.interval = min(2*s.interval, r.settings.SyncInterval)
+	}
+	pulls := time.Duration(len(s.buckets)/pullBuckets+1) * r.settings.PullInterval
+	s.nextAt = r.now.Add(pulls + s.interval)
+}
+
+func (r *Reducer) answerDigest(from netip.AddrPort, m *Message) {
+	root := r.digest.root()
+	sender := r.members[m.From]
+	if sender != nil && m.Root == root {
+		return
+	}
+	answer := r.message(from, KindDigest)
+	answer.Seq = m.Seq
+	answer.Root = root
+	for _, sum := range r.digest.sums {
+		answer.Buckets = append(answer.Buckets, uint32(sum))
+	}
+	answer.Daemons = append(answer.Daemons, r.self.full())
+	if sender == nil {
+		answer.WantRecord = true
+	} else {
+		r.tellAccused(answer, sender)
+	}
+}
+
+// pull asks for the next few differing buckets. A daemon that lacks nearly
+// everything asks a different daemon each time, as all have about the same.
+func (r *Reducer) pull() {
+	s := &r.sync
+	s.pullAt = r.now.Add(r.settings.PullInterval)
+	to := s.peer
+	if len(s.buckets) >= spreadPulls && len(r.live) >= pullBuckets {
+		to = r.live[r.random.IntN(len(r.live))].addr
+	}
+	m := r.message(to, KindPull)
+	done := 0
+	for _, bucket := range s.buckets[:min(pullBuckets, len(s.buckets))] {
+		p := Pull{Bucket: bucket, Known: r.knownSums(int(bucket))}
+		if p.size() > m.room() {
+			if done > 0 {
+				break
+			}
+			p.Known = p.Known[:max(0, (m.room()-sizePullBucket)/sizeSum)]
+		}
+		m.Pulls = append(m.Pulls, p)
+		done++
+	}
+	s.buckets = slices.Delete(s.buckets, 0, done)
+}
+
+// knownSums returns the lower halves of the sums of a bucket's entries.
+func (r *Reducer) knownSums(bucket int) []uint32 {
+	var known []uint32
+	add := func(sum uint64) {
+		if sum != 0 {
+			known = append(known, uint32(sum))
+		}
+	}
+	for _, m := range r.digest.daemons.buckets[bucket] {
+		add(m.sum)
+	}
+	for _, h := range r.digest.homes.buckets[bucket] {
+		add(h.sum)
+	}
+	for _, t := range r.digest.targets.buckets[bucket] {
+		add(t.sum)
+	}
+	return known
+}
+
+// pulled sends the entries that the sender lacks. They go to the address in
+// the sender's record, never to the source of the datagram, which anybody can
+// forge to have a third host flooded.
+func (r *Reducer) pulled(from netip.AddrPort, m *Message) {
+	sender := r.members[m.From]
+	if sender == nil {
+		r.message(from, KindNews).WantRecord = true
+		return
+	}
+	r.refillPages()
+	p := pager{reducer: r, to: sender.addr}
+	for i := range m.Pulls[:min(len(m.Pulls), pullBuckets)] {
+		r.sendBucket(&p, &m.Pulls[i])
+	}
+}
+
+func (r *Reducer) refillPages() {
+	s := &r.sync
+	elapsed := max(0, r.now.Sub(s.pagesAt))
+	s.pagesAt = r.now
+	s.pages = min(pagesPerSecond, s.pages+elapsed.Seconds()*pagesPerSecond)
+}
+
+func (r *Reducer) sendBucket(p *pager, pull *Pull) {
+	bucket := int(pull.Bucket)
+	missing := func(sum uint64) bool { return sum != 0 && !slices.Contains(pull.Known, uint32(sum)) }
+	for _, m := range r.digest.daemons.buckets[bucket] {
+		switch {
+		case m.State == Dead:
+			u := m.short()
+			u.Remembered = true
+			p.daemon(u)
+		case missing(m.sum):
+			p.daemon(m.full())
+		}
+	}
+	for _, h := range r.digest.homes.buckets[bucket] {
+		if missing(h.sum) {
+			p.add(h)
+		}
+	}
+	for _, t := range r.digest.targets.buckets[bucket] {
+		if missing(t.sum) {
+			p.add(t)
+		}
+	}
+}
+
+// pager spreads entries over as many datagrams as are allowed.
+type pager struct {
+	reducer *Reducer
+	to      netip.AddrPort
+	message *Message
+	room    int
+}
+
+// page makes room for an entry; false: no datagram is left.
+func (p *pager) page(size int) bool {
+	if p.message != nil && p.room >= size {
+		return true
+	}
+	if p.reducer.sync.pages < 1 {
+		return false
+	}
+	p.reducer.sync.pages--
+	p.message = p.reducer.message(p.to, KindNews)
+	p.room = p.message.room()
+	return true
+}
+
+func (p *pager) daemon(u DaemonUpdate) {
+	if !p.page(u.size()) {
+		return
+	}
+	p.message.Daemons = append(p.message.Daemons, u)
+	p.room -= u.size()
+}
+
+func (p *pager) add(e entry) {
+	if !p.page(maxNewsSize) {
+		return
+	}
+	used, _ := e.addTo(p.message, p.room, p.reducer.now)
+	p.room -= used
+}
+
+// maxNewsSize bounds the size of news of homes and targets.
+const maxNewsSize = sizeHome + 3*MaxName
--- /dev/null
+++ b/core/membership/types.go
@@ -0,0 +1,167 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"limpetspan/core"
+)
+
+// State is a daemon's state as this view knows it. Within one incarnation a
+// higher state supersedes a lower one.
+type State uint8
+
+// The states of a daemon.
+const (
+	Alive State = iota
+	// Suspect missed probes; still counts as alive for the choice of homes.
+	Suspect
+	// Leaving stops in a planned way; gets no new homes.
+	Leaving
+	Dead
+)
+
+// Daemon is what the fleet knows of one daemon.
+type Daemon struct {
+	ID     core.DaemonID `json:"id"`
+	Zone   core.Zone     `json:"zone"`
+	Region core.Region   `json:"region"`
+	// PeerAddr, GossipAddr and OperatorAddr are IP:port texts.
+	PeerAddr     string `json:"peer_addr"`
+	GossipAddr   string `json:"gossip_addr"`
+	OperatorAddr string `json:"operator_addr"`
+	// Weight multiplies the share of homes; 0 counts as 1, MaxWeight at most.
+	Weight uint32 `json:"weight,omitempty"`
+	State  State  `json:"state,omitempty"`
+	// Incarnation rises with each restart and each refuted suspicion.
+	Incarnation uint64 `json:"incarnation"`
+	// ConfigRevision is what the daemon last said to have in force. It is
+	// learned from the daemon's own messages only, so it may be old.
+	ConfigRevision uint64 `json:"config_revision,omitempty"`
+}
+
+// Home is news of a group's home. The higher term is newer; within a term,
+// the release is.
+type Home struct {
+	Group    core.GroupID  `json:"group"`
+	Term     core.Term     `json:"term"`
+	Daemon   core.DaemonID `json:"daemon"`
+	Primary  core.MemberID `json:"primary"`
+	Released bool          `json:"released,omitempty"`
+}
+
+// Target is news of whether a target host is leaving; the higher version is newer.
+type Target struct {
+	Addr    string `json:"addr"`
+	Leaving bool   `json:"leaving"`
+	Version uint64 `json:"version"`
+	// TTL is how long the news is still kept.
+	TTL time.Duration `json:"ttl"`
+}
+
+// Group is a configured database group, with the zones of its members.
+type Group struct {
+	ID    core.GroupID `json:"id"`
+	Zones []core.Zone  `json:"zones,omitempty"`
+}
+
+// Limits of what is taken in, so that a faulty or hostile sender can neither
+// exhaust the memory nor make a message that fits no datagram.
+const (
+	// MaxDatagram bounds an encoded message with its envelope, in bytes.
+	MaxDatagram = 1200
+	// MaxName bounds identifiers, zones, regions and addresses, in bytes.
+	MaxName = 64
+	// MaxWeight bounds Daemon.Weight.
+	MaxWeight = 16
+	// MaxDaemons, MaxHomes and MaxTargets bound the entries of one view.
+	MaxDaemons = 16384
+	MaxHomes   = 32768
+	MaxTargets = 8192
+	// maxVersion bounds incarnations, terms and versions, so that a successor
+	// always exists.
+	maxVersion = 1 << 62
+)
+
+// Settings are the timings and sizes of the protocol.
+type Settings struct {
+	// ProbeInterval is the time between two probes by one daemon.
+	ProbeInterval time.Duration
+	// AckTimeout is the time after which helpers are asked.
+	AckTimeout time.Duration
+	// ProbeTimeout is the time after which a probe without answer failed.
+	ProbeTimeout time.Duration
+	// Helpers is how many daemons probe indirectly.
+	Helpers int
+	// SuspicionMultiplier times log10(daemons) times ProbeInterval is how long
+	// a suspect has to refute.
+	SuspicionMultiplier int
+	// GossipInterval is the time between two rounds of news, Fanout the number
+	// of daemons told in a round.
+	GossipInterval time.Duration
+	Fanout         int
+	// RetransmitMultiplier times log10(daemons) is how often a daemon repeats
+	// one piece of news.
+	RetransmitMultiplier int
+	// SyncInterval is the time between two comparisons of digests.
+	SyncInterval time.Duration
+	// PullInterval is the time between two fetches of differing buckets.
+	PullInterval time.Duration
+	// ContactInterval is the time between two attempts to reach a seed or a
+	// dead daemon that may have come back.
+	ContactInterval time.Duration
+	// DeadRetention is how long a dead daemon and its address are remembered;
+	// it must exceed the longest separation of regions that is to heal by itself.
+	DeadRetention time.Duration
+	// TargetRetention is how long news of a leaving target is kept.
+	TargetRetention time.Duration
+}
+
+// DefaultSettings are the timings for a fleet of the planned size.
+func DefaultSettings() Settings {
+	return Settings{
+		ProbeInterval:        time.Second,
+		AckTimeout:           400 * time.Millisecond,
+		ProbeTimeout:         time.Second,
+		Helpers:              3,
+		SuspicionMultiplier:  4,
+		GossipInterval:       200 * time.Millisecond,
+		Fanout:               3,
+		RetransmitMultiplier: 3,
+		SyncInterval:         10 * time.Second,
+		PullInterval:         100 * time.Millisecond,
+		ContactInterval:      5 * time.Second,
+		DeadRetention:        3 * time.Hour,
+		TargetRetention:      24 * time.Hour,
+	}
+}
+
+// member is one other daemon, or this one.
+type member struct {
+	Daemon
+	addr netip.AddrPort
+	// record is the hash of the fields that only a restart changes.
+	record uint32
+	// sum is the entry's part of the digest; zero while dead.
+	sum uint64
+	spread
+	// liveAt and deadAt are the positions in Reducer.live and Reducer.dead, -1: none.
+	liveAt, deadAt int
+	// since is when the state was entered.
+	since core.Time
+	// left is set for a daemon that died while leaving: it will not come back.
+	left bool
+}
+
+type home struct {
+	Home
+	sum uint64
+	spread
+}
+
+type target struct {
+	Target
+	expires core.Time
+	sum     uint64
+	spread
+}
