--- /dev/null
+++ b/pkg/front/server.go
@@ -0,0 +1,311 @@
+package front
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"errors"
+	"expvar"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"limpetspan/core"
+	"limpetspan/pkg/errs"
+	"limpetspan/pkg/pgframe"
+)
+
+const (
+	// startReserve is how many connections beyond MaxConnections may be in
+	// their startup, so that a caller above the bound is told so, and a
+	// CancelRequest gets through at the bound.
+	startReserve = 100
+	// acceptPause is the wait after a failed accept, such as one for want of
+	// file descriptors.
+	acceptPause = 50 * time.Millisecond
+	// refusedRetry is when a caller above a bound is told to come back.
+	refusedRetry = time.Second
+	sessionBytes = 8
+)
+
+// Server serves callers.
+type Server struct {
+	options    Options
+	tls        *tls.Config
+	workspaces *workspaces
+	keys       keyring
+	metrics    *metrics
+	countError func(state string)
+	// parameters are the encoded ParameterStatus messages.
+	parameters []byte
+	// instance begins the names of default sessions; it differs in each run.
+	instance string
+
+	busy     busySet
+	tick     atomic.Int64
+	draining atomic.Bool
+
+	mu        sync.Mutex
+	listeners map[net.Listener]struct{}
+	callers   map[uint64]*caller
+	admitted  int
+	byUser    map[string]int
+	byAddress map[string]int
+	lastID    uint64
+	// empty is closed when a draining server has lost its last caller.
+	empty chan struct{}
+}
+
+// New checks the options and returns a Server.
+func New(options Options) (*Server, error) {
+	if err := options.complete(); err != nil {
+		return nil, err
+	}
+	instance := make([]byte, sessionBytes)
+	rand.Read(instance)
+	s := &Server{
+		options:    options,
+		workspaces: newWorkspaces(options.MaxMessage, options.MaxBatch),
+		keys:       keyring{tag: KeyTag(options.Daemon), callers: make(map[cancelKey]*caller)},
+		metrics:    newMetrics(),
+		instance:   hex.EncodeToString(instance),
+		listeners:  make(map[net.Listener]struct{}),
+		callers:    make(map[uint64]*caller),
+		byUser:     make(map[string]int),
+		byAddress:  make(map[string]int),
+		empty:      make(chan struct{}),
+	}
+	s.countError = s.metrics.countError
+	s.tick.Store(1)
+	if options.Certificate != nil {
+		s.tls = options.Certificate.config()
+	}
+	parameters := maps.Clone(defaultParameters)
+	maps.Copy(parameters, options.Parameters)
+	for _, name := range slices.Sorted(maps.Keys(parameters)) {
+		s.parameters = appendParameter(s.parameters, name, parameters[name])
+	}
+	return s, nil
+}
+
+// Metrics returns the server's counters, to be published by expvar.
+func (s *Server) Metrics() expvar.Var { return &s.metrics.vars }
+
+// ReloadCertificate reads the TLS certificate's files again now.
+func (s *Server) ReloadCertificate() error {
+	if s.options.Certificate == nil {
+		return nil
+	}
+	return s.options.Certificate.Reload()
+}
+
+// CancelKey cancels the request of the caller that holds the key. It reports
+// false when there is no such caller.
+func (s *Server) CancelKey(pid, secret uint32) bool {
+	c := s.keys.find(cancelKey{pid, secret})
+	if c == nil {
+		return false
+	}
+	c.cancelRunning()
+	return true
+}
+
+// Serve accepts callers from the listener until Shutdown is called, and
+// returns nil when the last of them has gone. When ctx ends, callers are cut
+// off; a graceful stop keeps ctx alive until Shutdown has returned.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	if !s.open(listener) {
+		listener.Close()
+		return errors.New("front: Serve after Shutdown")
+	}
+	stop := context.AfterFunc(ctx, func() {
+		listener.Close()
+		s.cutOff()
+	})
+	defer stop()
+	watching, stopWatching := context.WithCancel(context.WithoutCancel(ctx))
+	var watch, callers errgroup.Group
+	watch.Go(func() error { return s.watch(watching) })
+	err := s.accept(ctx, listener, &callers)
+	callers.Wait()
+	stopWatching()
+	return errors.Join(err, watch.Wait())
+}
+
+func (s *Server) open(listener net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining.Load() {
+		return false
+	}
+	s.listeners[listener] = struct{}{}
+	return true
+}
+
+// accept runs a goroutine for each caller until the listener is closed.
+func (s *Server) accept(ctx context.Context, listener net.Listener, group *errgroup.Group) error {
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case err == nil:
+			if c := s.add(ctx, conn); c != nil {
+				group.Go(func() error {
+					c.run()
+					return nil
+				})
+			}
+		case errors.Is(err, net.ErrClosed):
+			if s.draining.Load() || ctx.Err() != nil {
+				return nil
+			}
+			return fmt.Errorf("front: accept: %w", err)
+		default:
+			s.options.Logger.Warn("accept failed", "error", err)
+			time.Sleep(acceptPause)
+		}
+	}
+}
+
+// add registers a connection; nil when there are too many by far or the server
+// stops.
+func (s *Server) add(ctx context.Context, conn net.Conn) *caller {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.callers) >= s.options.MaxConnections+startReserve || s.draining.Load() || ctx.Err() != nil {
+		s.metrics.refused.Add(1)
+		conn.Close()
+		return nil
+	}
+	s.lastID++
+	c := &caller{
+		server:  s,
+		socket:  conn,
+		conn:    conn,
+		id:      core.CallerID{Entry: s.options.Daemon, Number: s.lastID},
+		session: core.SessionID(s.instance + "-" + strconv.FormatUint(s.lastID, 36)),
+		address: hostOf(conn),
+		tx:      transaction{remote: pgframe.StatusIdle},
+	}
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	s.callers[c.id.Number] = c
+	s.metrics.connections.Add(1)
+	s.metrics.opened.Add(1)
+	return c
+}
+
+func hostOf(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return conn.RemoteAddr().String()
+	}
+	return host
+}
+
+// admit counts an authenticated caller towards the limits and gives it its
+// cancel key.
+func (s *Server) admit(c *caller) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := ""
+	switch o := &s.options; {
+	case s.admitted >= o.MaxConnections:
+		limit = "too many connections"
+	case o.MaxPerUser > 0 && s.byUser[c.user] >= o.MaxPerUser:
+		limit = "too many connections of this user"
+	case o.MaxPerAddress > 0 && s.byAddress[c.address] >= o.MaxPerAddress:
+		limit = "too many connections from this address"
+	}
+	if limit != "" {
+		s.metrics.refused.Add(1)
+		return notRun(errs.Overloaded, stepStartup, "%s", limit).After(refusedRetry)
+	}
+	s.admitted++
+	s.byUser[c.user]++
+	s.byAddress[c.address]++
+	c.admitted = true
+	c.key = s.keys.add(c)
+	c.waiter = newWaiter(c.conn)
+	return nil
+}
+
+// remove forgets a caller.
+func (s *Server) remove(c *caller) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.callers, c.id.Number)
+	s.metrics.connections.Add(-1)
+	if c.admitted {
+		s.keys.remove(c.key)
+		s.admitted--
+		decrement(s.byUser, c.user)
+		decrement(s.byAddress, c.address)
+	}
+	if s.draining.Load() && len(s.callers) == 0 {
+		s.closeEmpty()
+	}
+}
+
+func decrement(counts map[string]int, name string) {
+	counts[name]--
+	if counts[name] == 0 {
+		delete(counts, name)
+	}
+}
+
+// closeEmpty reports that no caller is left; s.mu is held.
+func (s *Server) closeEmpty() {
+	select {
+	case <-s.empty:
+	default:
+		close(s.empty)
+	}
+}
+
+// Shutdown stops accepting, closes idle callers at once with SQLSTATE 57P01
+// and lets requests and transactions in flight finish. When ctx ends before
+// they have, it cuts the rest off and returns ctx's error.
+func (s *Server) Shutdown(ctx context.Context) error {
+	callers := s.beginDrain()
+	for _, c := range callers {
+		c.drain()
+	}
+	select {
+	case <-s.empty:
+		return nil
+	case <-ctx.Done():
+		s.cutOff()
+		return ctx.Err()
+	}
+}
+
+func (s *Server) beginDrain() []*caller {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining.Store(true)
+	for listener := range s.listeners {
+		listener.Close()
+	}
+	if len(s.callers) == 0 {
+		s.closeEmpty()
+	}
+	return slices.Collect(maps.Values(s.callers))
+}
+
+// cutOff closes all connections. Their goroutines find out and end; requests
+// in flight end by their context.
+func (s *Server) cutOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.callers {
+		c.cancel()
+		c.socket.Close()
+	}
+}
--- /dev/null
+++ b/pkg/front/startup.go
@@ -0,0 +1,380 @@
+package front
+
+import (
+	"bytes"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"limpetspan/pkg/errs"
+)
+
+// Codes in the place of a startup packet's protocol version.
+const (
+	codeCancel  = 1234<<16 | 5678
+	codeTLS     = 1234<<16 | 5679
+	codeGSS     = 1234<<16 | 5680
+	majorNumber = 3
+)
+
+// Sizes of startup packets, in bytes.
+const (
+	startupHeader    = 8
+	maxStartupPacket = 10_000
+	// cancelPacket is a CancelRequest with the secret of protocol 3.0.
+	cancelPacket = 16
+	// maxNegotiations bounds the TLS and GSS requests before the startup message.
+	maxNegotiations = 3
+)
+
+// errCancelRequest says that the connection only brought a CancelRequest.
+var errCancelRequest = errors.New("front: cancel request")
+
+// start takes the connection from its first byte to its first ReadyForQuery.
+func (c *caller) start() error {
+	if err := c.beginStart(); err != nil {
+		return err
+	}
+	packet, version, err := c.startupPacket()
+	if err != nil {
+		return c.startError(err)
+	}
+	parameters, err := parseStartup(packet)
+	if err != nil {
+		return err
+	}
+	if err := c.negotiate(version, parameters); err != nil {
+		return c.startError(err)
+	}
+	if err := c.takeParameters(parameters); err != nil {
+		return err
+	}
+	if err := c.authenticate(); err != nil {
+		return c.startError(err)
+	}
+	if err := c.server.admit(c); err != nil {
+		return err
+	}
+	return c.startError(c.welcome(parameters))
+}
+
+// beginStart sets the bound of the startup, unless the server is draining.
+// Later nobody moves the deadline but drain.
+func (c *caller) beginStart() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.server.draining.Load() {
+		return shuttingDown()
+	}
+	c.conn.SetDeadline(time.Now().Add(c.server.options.StartupTimeout))
+	return nil
+}
+
+// startError turns a read that timed out into what the caller is to be told.
+func (c *caller) startError(err error) error {
+	var timeout interface{ Timeout() bool }
+	if !errors.As(err, &timeout) || !timeout.Timeout() {
+		return err
+	}
+	if c.server.draining.Load() {
+		return shuttingDown()
+	}
+	return notRun(kindInvalidStartup, stepStartup, "the startup took longer than %v", c.server.options.StartupTimeout)
+}
+
+// startupPacket answers TLS and GSS requests until a startup message comes,
+// and returns what follows its version.
+func (c *caller) startupPacket() ([]byte, uint32, error) {
+	for range maxNegotiations {
+		length, code, err := c.startupHeader()
+		if err != nil {
+			return nil, 0, err
+		}
+		switch {
+		case code == codeTLS && length == startupHeader:
+			if err := c.upgrade(); err != nil {
+				return nil, 0, err
+			}
+		case code == codeGSS && length == startupHeader:
+			if _, err := c.conn.Write([]byte{'N'}); err != nil {
+				return nil, 0, err
+			}
+		case code == codeCancel && length == cancelPacket:
+			return nil, 0, c.cancelRequest()
+		case code>>16 == majorNumber:
+			return c.startupBody(length, code)
+		default:
+			return nil, 0, notRun(errs.Unsupported, stepStartup, "unsupported frontend protocol %d.%d; 3.0 is supported",
+				code>>16, code&0xffff)
+		}
+	}
+	return nil, 0, notRun(errs.BadRequest, stepStartup, "too many encryption requests")
+}
+
+// startupHeader reads exactly the header: what follows a TLS request must be
+// left to the handshake.
+func (c *caller) startupHeader() (length int, code uint32, err error) {
+	var header [startupHeader]byte
+	if _, err := io.ReadFull(c.conn, header[:]); err != nil {
+		return 0, 0, err
+	}
+	claimed := binary.BigEndian.Uint32(header[:])
+	if claimed < startupHeader || claimed > maxStartupPacket {
+		return 0, 0, notRun(errs.BadRequest, stepStartup,
+			"malformed startup packet: a length of %d to %d bytes is allowed", startupHeader, maxStartupPacket)
+	}
+	return int(claimed), binary.BigEndian.Uint32(header[4:]), nil
+}
+
+func (c *caller) startupBody(length int, version uint32) ([]byte, uint32, error) {
+	if c.server.options.RequireTLS && c.conn == c.socket {
+		return nil, 0, notRun(kindInvalidStartup, stepStartup, "TLS is required; connect with sslmode=require or stricter")
+	}
+	packet := make([]byte, length-startupHeader)
+	_, err := io.ReadFull(c.conn, packet)
+	return packet, version, err
+}
+
+// upgrade answers a TLS request.
+func (c *caller) upgrade() error {
+	if c.server.tls == nil || c.conn != c.socket {
+		_, err := c.conn.Write([]byte{'N'})
+		return err
+	}
+	if _, err := c.conn.Write([]byte{'S'}); err != nil {
+		return err
+	}
+	secure := tls.Server(c.socket, c.server.tls)
+	if err := secure.Handshake(); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conn = secure
+	return nil
+}
+
+// cancelRequest passes a cancel on. It is never answered.
+func (c *caller) cancelRequest() error {
+	var body [cancelPacket - startupHeader]byte
+	if _, err := io.ReadFull(c.conn, body[:]); err != nil {
+		return err
+	}
+	pid, secret := binary.BigEndian.Uint32(body[:]), binary.BigEndian.Uint32(body[4:])
+	if !c.server.CancelKey(pid, secret) {
+		c.server.options.CancelElsewhere(pid, secret)
+	}
+	return errCancelRequest
+}
+
+// parameter is one name and value of a startup message.
+type parameter struct{ name, value string }
+
+func parseStartup(packet []byte) ([]parameter, error) {
+	malformed := notRun
+	var parameters []parameter
+	for {
+		name, rest, ok := cutString(packet)
+		if !ok {
+			return nil, malformed(errs.BadRequest, stepStartup, "malformed startup packet: no terminator")
+		}
+		if len(name) == 0 {
+			if len(rest) != 0 {
+				return nil, malformed(errs.BadRequest, stepStartup, "malformed startup packet: bytes behind the terminator")
+			}
+			return parameters, nil
+		}
+		value, rest, ok := cutString(rest)
+		if !ok {
+			return nil, malformed(errs.BadRequest, stepStartup, "malformed startup packet: parameter without a value")
+		}
+		parameters = append(parameters, parameter{string(name), string(value)})
+		packet = rest
+	}
+}
+
+// protocolOptionPrefix begins the names of optional protocol features.
+const protocolOptionPrefix = "_pq_."
+
+// negotiate tells a caller that asks for more than protocol 3.0 that this is
+// what it gets.
+func (c *caller) negotiate(version uint32, parameters []parameter) error {
+	var unknown []string
+	for _, p := range parameters {
+		if strings.HasPrefix(p.name, protocolOptionPrefix) {
+			unknown = append(unknown, p.name)
+		}
+	}
+	if version&0xffff == 0 && len(unknown) == 0 {
+		return nil
+	}
+	body := binary.BigEndian.AppendUint32(nil, majorNumber<<16)
+	body = binary.BigEndian.AppendUint32(body, uint32(len(unknown)))
+	for _, name := range unknown {
+		body = append(append(body, name...), 0)
+	}
+	message := binary.BigEndian.AppendUint32([]byte{'v'}, uint32(len(body)+4))
+	_, err := c.conn.Write(append(message, body...))
+	return err
+}
+
+// takeParameters reads user, database and settings.
+func (c *caller) takeParameters(parameters []parameter) error {
+	database := ""
+	for _, p := range parameters {
+		var err *errs.Error
+		switch {
+		case p.name == "user":
+			c.user = p.value
+		case p.name == "database":
+			database = p.value
+		case p.name == "options":
+			err = c.takeOptions(p.value)
+		case p.name == "replication":
+			if on, _ := parseBool(p.value); on || p.value == "database" {
+				err = notRun(errs.Unsupported, stepStartup, "replication connections are not carried")
+			}
+		case strings.HasPrefix(p.name, protocolOptionPrefix):
+		default:
+			err = c.startSetting(strings.ToLower(p.name), p.value)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	if c.user == "" {
+		return notRun(kindInvalidStartup, stepStartup, "no user name in the startup packet")
+	}
+	if database == "" {
+		database = c.user
+	}
+	if allowed := c.server.options.Databases; len(allowed) > 0 && !slices.Contains(allowed, database) {
+		return notRun(kindNoDatabase, stepStartup, "database %q does not exist", database)
+	}
+	return nil
+}
+
+// startSetting takes a setting given at startup.
+func (c *caller) startSetting(name, value string) *errs.Error {
+	if short, ours := strings.CutPrefix(name, settingPrefix); ours {
+		bit := directiveOf(short)
+		if bit == 0 {
+			return unknownSetting(name).err
+		}
+		return c.settings.set(bit, value)
+	}
+	if holdsAnyway(name, value) {
+		return nil
+	}
+	return foreignSetting(name, value)
+}
+
+// takeOptions reads command-line options: -c name=value and --name=value.
+func (c *caller) takeOptions(options string) *errs.Error {
+	words := splitOptions(options)
+	for i := 0; i < len(words); i++ {
+		word := words[i]
+		setting, ok := strings.CutPrefix(word, "--")
+		if ok {
+			name, value, _ := strings.Cut(setting, "=")
+			setting = strings.ReplaceAll(name, "-", "_") + "=" + value
+		} else if setting, ok = strings.CutPrefix(word, "-c"); ok && setting == "" && i+1 < len(words) {
+			i++
+			setting = words[i]
+		}
+		name, value, pair := strings.Cut(setting, "=")
+		if !ok || !pair || name == "" {
+			return notRun(errs.BadRequest, stepStartup,
+				"malformed startup options: -c name=value and --name=value are allowed")
+		}
+		if err := c.startSetting(strings.ToLower(name), value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// splitOptions splits at white space; a backslash takes the next character as it is.
+func splitOptions(s string) []string {
+	var words []string
+	var word bytes.Buffer
+	inside := false
+	for i := 0; i < len(s); i++ {
+		switch c := s[i]; {
+		case c == '\\' && i+1 < len(s):
+			i++
+			word.WriteByte(s[i])
+			inside = true
+		case strings.IndexByte(" \t\r\n", c) >= 0:
+			if inside {
+				words = append(words, word.String())
+			}
+			word.Reset()
+			inside = false
+		default:
+			word.WriteByte(c)
+			inside = true
+		}
+	}
+	if inside {
+		words = append(words, word.String())
+	}
+	return words
+}
+
+// defaultParameters are what ParameterStatus messages report.
+var defaultParameters = map[string]string{
+	"server_version":                "16.0",
+	"server_encoding":               "UTF8",
+	"client_encoding":               "UTF8",
+	"DateStyle":                     "ISO, MDY",
+	"IntervalStyle":                 "postgres",
+	"TimeZone":                      "UTC",
+	"integer_datetimes":             "on",
+	"standard_conforming_strings":   "on",
+	"is_superuser":                  "off",
+	"default_transaction_read_only": "off",
+	"in_hot_standby":                "off",
+}
+
+// welcome says that the caller is in.
+func (c *caller) welcome(parameters []parameter) error {
+	b := appendMessage(nil, &pgproto3.AuthenticationOk{})
+	b = append(b, c.server.parameters...)
+	b = appendParameter(b, "session_authorization", c.user)
+	for _, p := range parameters {
+		if p.name == "application_name" {
+			b = appendParameter(b, p.name, p.value)
+		}
+	}
+	secret := binary.BigEndian.AppendUint32(nil, c.key.secret)
+	b = appendMessage(b, &pgproto3.BackendKeyData{ProcessID: c.key.pid, SecretKey: secret})
+	b = appendMessage(b, &pgproto3.ReadyForQuery{TxStatus: c.tx.status()})
+	if _, err := c.conn.Write(b); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.phase = phaseRunning
+	c.woken = false
+	return c.conn.SetDeadline(time.Time{})
+}
+
+func appendParameter(b []byte, name, value string) []byte {
+	return appendMessage(b, &pgproto3.ParameterStatus{Name: name, Value: value})
+}
+
+// appendMessage encodes a short message; that cannot fail.
+func appendMessage(b []byte, m pgproto3.Message) []byte {
+	out, err := m.Encode(b)
+	if err != nil {
+		return b
+	}
+	return out
+}
