--- /dev/null
+++ b/core/group/detect.go
@@ -0,0 +1,290 @@
+package group
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// suspicion is how far the doubt about the primary has gone.
+type suspicion uint8
+
+const (
+	suspicionNone suspicion = iota
+	// suspicionFresh: the kept connection failed, a new one is tried.
+	suspicionFresh
+	// suspicionConfirmed: a new connection failed too; opinions are awaited.
+	suspicionConfirmed
+)
+
+// detector decides when the primary is to be replaced, and by whom.
+type detector struct {
+	suspicion suspicion
+	// askedUntil bounds the wait for opinions.
+	askedUntil core.Time
+	asked      int
+	answered   int
+	// reachableFrom is a candidate that reaches the primary.
+	reachableFrom core.DaemonID
+	// contestedAt is since when the reign is doubtful because a higher term
+	// was seen at the primary or a majority; zero: it is not.
+	contestedAt core.Time
+	// planned is the planned promotion under way, since plannedAt.
+	planned   planned
+	plannedAt core.Time
+	// handedOverAt is when the last handover for an unreachable primary was.
+	handedOverAt core.Time
+	beatAt       core.Time
+}
+
+// reset forgets the doubts about a reign that ends.
+func (d *detector) reset() {
+	*d = detector{handedOverAt: d.handedOverAt, beatAt: d.beatAt}
+}
+
+// maxOpinions is the number of candidates asked about a primary.
+const maxOpinions = 3
+
+// primaryProbeFailed raises the doubt about the primary by one step.
+//
+// Guard: an open connection can be silent for good while new ones work. It
+// would show as a needless promotion, which loses unconfirmed writes. Only a
+// failed new connection counts against the primary.
+func (g *Group) primaryProbeFailed(m *member, fresh bool) {
+	if !g.detecting() {
+		return
+	}
+	d := &g.detect
+	if !fresh {
+		if d.suspicion == suspicionNone {
+			d.suspicion = suspicionFresh
+			g.logEvent("primary suspected", m, g.reign.term, "")
+			g.askOpinions(m)
+		}
+		g.sendProbe(m, true)
+		return
+	}
+	if d.suspicion == suspicionNone {
+		d.suspicion = suspicionFresh
+		g.askOpinions(m)
+	}
+	if d.suspicion == suspicionFresh {
+		d.suspicion = suspicionConfirmed
+	}
+	m.probe.next = g.now.Add(g.tuning.ProbeInterval)
+	g.wakeBy(m.probe.next)
+	g.judgePrimary()
+}
+
+// detecting reports whether this daemon watches its primary.
+func (g *Group) detecting() bool {
+	return g.reign.term != 0 && (g.phase == phaseWaiting || g.phase == phaseServing)
+}
+
+// askOpinions asks other candidates, those of other zones first, at the same
+// time as the new connection is tried, so that the answers cost no time.
+func (g *Group) askOpinions(m *member) {
+	d := &g.detect
+	d.asked, d.answered, d.reachableFrom = 0, 0, ""
+	d.askedUntil = g.now.Add(g.tuning.OpinionTimeout)
+	g.wakeBy(d.askedUntil)
+	for _, otherZone := range []bool{true, false} {
+		for _, c := range g.candidates {
+			if c.ID == g.self || d.asked == maxOpinions || (c.Zone != g.zone) != otherZone {
+				continue
+			}
+			d.asked++
+			g.fx.add(&AskOpinion{Member: m.ID, Peer: c.ID, Timeout: g.tuning.OpinionTimeout})
+		}
+	}
+}
+
+func (g *Group) onOpinion(ev *Opinion) {
+	d := &g.detect
+	if d.suspicion == suspicionNone || !g.detecting() || g.reign.primary.ID != ev.Member {
+		return
+	}
+	d.answered++
+	if ev.Reachable && ev.Zone != g.zone {
+		d.reachableFrom = ev.From
+	}
+	g.judgePrimary()
+}
+
+// judgePrimary decides once a new connection has failed and the opinions are
+// in or overdue.
+//
+// Guard: if another zone reaches the primary, it is this daemon that is cut
+// off. Promoting would depose a primary that works; the group goes to the
+// daemon that reaches it instead.
+func (g *Group) judgePrimary() {
+	d := &g.detect
+	if d.suspicion != suspicionConfirmed {
+		return
+	}
+	if d.reachableFrom != "" && g.mayHandOver() {
+		d.handedOverAt = g.now
+		g.handOver(d.reachableFrom, "another zone reaches the primary")
+		return
+	}
+	if d.answered < d.asked && g.now < d.askedUntil {
+		g.wakeBy(d.askedUntil)
+		return
+	}
+	if g.healthyOthers() == 0 && g.size() > 1 {
+		return // Nothing is reached: this daemon is alone, another will claim.
+	}
+	g.startClaim("primary unreachable")
+}
+
+// healthyOthers counts the members besides the primary that answer.
+func (g *Group) healthyOthers() int {
+	n := 0
+	for _, m := range g.members {
+		if !m.gone && m != g.reign.primary && m.failures == 0 && m.known {
+			n++
+		}
+	}
+	return n
+}
+
+// mayHandOver bounds how often two daemons can pass a group to and fro. A
+// reign that still waits for an older lease cannot be released.
+func (g *Group) mayHandOver() bool {
+	last := g.detect.handedOverAt
+	return g.phase == phaseServing && (last == 0 || g.now.Sub(last) >= g.tuning.HandoverInterval)
+}
+
+// memberAnswered looks at a report for what the reign has to deal with.
+func (g *Group) memberAnswered(m *member) {
+	if !g.detecting() {
+		return
+	}
+	if m == g.reign.primary {
+		g.primaryAnswered(m)
+	}
+	g.checkContested()
+	g.checkOdd(m)
+	g.checkLeaving()
+}
+
+func (g *Group) primaryAnswered(m *member) {
+	d := &g.detect
+	if d.suspicion != suspicionNone {
+		if d.suspicion == suspicionFresh {
+			g.closeIdle(m) // They may be as silent as the control connection was.
+			g.logEvent("connection was silent, primary is alive", m, g.reign.term, "")
+		}
+		d.suspicion = suspicionNone
+	}
+	if m.term < g.reign.term || (m.term == g.reign.term && m.role != core.RolePrimary) {
+		g.startClaim("primary lost its term")
+	}
+}
+
+// checkContested notes a higher term at the primary or at a majority: another
+// candidate is about to take the group, or died while it did.
+//
+// Guard: if it died, nobody would bring the group back; writes would fail until
+// an operator looks. After ContestWait without news this daemon claims again.
+func (g *Group) checkContested() {
+	if !g.detecting() {
+		return
+	}
+	above := 0
+	for _, m := range g.members {
+		if !m.gone && m.term > g.reign.term {
+			above++
+		}
+	}
+	contested := g.reign.primary.term > g.reign.term || above >= g.majority()
+	d := &g.detect
+	switch {
+	case !contested:
+		d.contestedAt = 0
+	case d.contestedAt == 0:
+		d.contestedAt = g.now
+		g.logEvent("a higher term was seen", g.reign.primary, g.reign.primary.term, "")
+		g.wakeIn(g.tuning.ContestWait)
+	}
+}
+
+// checkOdd follows up members that came back in another term.
+//
+// A lower term: the member was away. It is fenced below the present term, so
+// that an old primary stops writing and can be attached. A higher term: a
+// candidate died after fencing it. It follows nobody until this reign is above
+// it, so the home takes a new term, planned, once the state lasts.
+func (g *Group) checkOdd(m *member) {
+	if m == g.reign.primary || !g.detecting() {
+		return
+	}
+	low := m.term < g.reign.term && m.role != core.RoleFenced
+	high := m.term > g.reign.term
+	if !low && !high {
+		m.oddAt = 0
+		return
+	}
+	if m.oddAt == 0 {
+		m.oddAt = g.now
+		if !low || m.role != core.RolePrimary {
+			return
+		}
+	}
+	if low && (m.role == core.RolePrimary || g.now.Sub(m.oddAt) >= g.tuning.RepairWait) {
+		m.oddAt = g.now
+		g.fx.add(&Fence{Member: m.ID, Term: g.reign.term - 1, Timeout: g.tuning.FenceTimeout})
+		return
+	}
+	if high && g.now.Sub(m.oddAt) >= g.tuning.RepairWait {
+		m.oddAt = g.now
+		g.plan(plannedRepair)
+	}
+}
+
+func (g *Group) runDetect() {
+	if !g.detecting() {
+		return
+	}
+	d := &g.detect
+	if d.suspicion == suspicionConfirmed {
+		g.judgePrimary()
+	}
+	if !g.detecting() {
+		return
+	}
+	if d.contestedAt != 0 {
+		until := d.contestedAt.Add(g.tuning.ContestWait)
+		if g.now >= until {
+			g.startClaim("the contender is silent")
+			return
+		}
+		g.wakeBy(until)
+	}
+	g.runPlanned()
+}
+
+// runBeat sends the home's heartbeat.
+func (g *Group) runBeat() {
+	if g.reign.term == 0 {
+		return
+	}
+	if g.now >= g.detect.beatAt {
+		g.sendBeat()
+	}
+	g.wakeBy(g.detect.beatAt)
+}
+
+func (g *Group) sendBeat() {
+	g.detect.beatAt = g.now.Add(g.tuning.BeatInterval)
+	g.wakeBy(g.detect.beatAt)
+	g.fx.beat(Beat{Term: g.reign.term, Primary: g.reign.primary.ID, News: !g.reign.announced})
+	g.reign.announced = true
+}
+
+// suspectSoon looks at the primary at once, because work on it failed.
+func (g *Group) suspectSoon(m *member) {
+	if !m.probe.inFlight && g.now.Sub(m.probe.sentAt) >= time.Millisecond {
+		g.probeSoon(m)
+	}
+}
--- /dev/null
+++ b/core/group/dispatch.go
@@ -0,0 +1,209 @@
+package group
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// readScan bounds how many waiting reads are looked at in one pass.
+const readScan = 16
+
+// pump dispatches what can run now.
+func (g *Group) pump() {
+	if g.writes.len() == 0 && g.reads.len() == 0 {
+		return
+	}
+	if !g.mayServe() {
+		if g.phase == phaseServing {
+			g.hurry() // The lease has to be renewed first.
+		}
+		return
+	}
+	g.pumpReads()
+	g.pumpWrites()
+}
+
+// pumpWrites dispatches what needs the primary, or a connection already
+// pinned, in the order of the queue.
+func (g *Group) pumpWrites() {
+	for g.writes.len() > 0 {
+		r := g.writes.items[0]
+		if r.conn != nil {
+			g.writes.remove(r)
+			g.dispatch(r, r.conn)
+			continue
+		}
+		if g.pausesWrites() {
+			return
+		}
+		if g.refuseUnseen(r) {
+			continue
+		}
+		p := g.reign.primary
+		if !g.hasSlot(p) || p.leaving() && g.heir() != nil {
+			return
+		}
+		c := p.takeIdle()
+		if c == nil {
+			g.warm(p)
+			return
+		}
+		g.writes.remove(r)
+		g.dispatch(r, c)
+	}
+}
+
+// pumpReads finds a place for the waiting reads.
+func (g *Group) pumpReads() {
+	for i := 0; i < readScan && i < g.reads.len(); {
+		r := g.reads.items[i]
+		if g.refuseUnseen(r) || g.placeRead(r) {
+			continue // It left the heap; another stands at its index.
+		}
+		i++
+	}
+}
+
+// placeRead dispatches a read or moves it to the primary's queue, and reports
+// whether it left the queue of reads.
+func (g *Group) placeRead(r *request) bool {
+	choice := g.route(r)
+	switch choice.verdict {
+	case verdictPrimary:
+		g.counters.ReadsPrimary++
+		g.toPrimary(r)
+		return true
+	case verdictNow:
+		c := choice.member.takeIdle()
+		if c == nil {
+			g.warm(choice.member)
+			return false
+		}
+		g.counters.ReadsReplica++
+		g.reads.remove(r)
+		g.dispatch(r, c)
+		return true
+	case verdictWait:
+		if r.waitUntil == 0 {
+			r.waitUntil = g.now.Add(g.tuning.MaxReadWait)
+			g.counters.ReadsWaited++
+		}
+		g.wakeBy(r.waitUntil)
+		g.hurryProbes(r.waitUntil)
+	}
+	return false
+}
+
+// dispatch runs a request on a connection.
+func (g *Group) dispatch(r *request, c *conn) {
+	m := c.member
+	r.state, r.conn, r.dispatchedAt, r.term = stateRunning, c, g.now, g.reign.term
+	r.asked = !r.read || !g.quiet()
+	c.state, c.request, c.since = connRunning, r, g.now
+	m.running++
+	if !r.read {
+		g.writesBegun++
+		g.writesRunning++
+	}
+	r.writesBegun = g.writesBegun
+	if r.attempts == 0 {
+		g.retry.earn(&g.tuning)
+	}
+	r.attempts++
+	g.counters.Dispatched++
+	g.fx.dispatch(Dispatch{
+		Request: r.id, Conn: c.id, Member: m.ID, WantPosition: r.asked, Hold: !r.read,
+	})
+}
+
+// dropRunning forgets the connection of a running request that is failed: the
+// shell drops it without a Finished.
+func (g *Group) dropRunning(r *request) {
+	if !r.read {
+		g.writesRunning--
+	}
+	c := r.conn
+	g.removeConn(c)
+	g.countClosing(c)
+	r.conn = nil
+}
+
+// failRunningWrites fails what runs at the end of a reign and may have
+// changed something. Reads may finish: they were right when they began.
+func (g *Group) failRunningWrites(reason Reason) {
+	for i := len(g.conns) - 1; i >= 0; i-- {
+		r := g.conns[i].request
+		if r != nil && (!r.read || g.conns[i].pinned) {
+			g.failRequest(r, reason, core.OutcomeUnknown, stepRun, 0)
+		}
+	}
+}
+
+// onFinished takes the end of a dispatched request.
+func (g *Group) onFinished(ev *Finished) {
+	r := g.requests[ev.Request]
+	if r == nil || r.state != stateRunning {
+		return
+	}
+	c := r.conn
+	m := c.member
+	if !r.read {
+		g.writesRunning--
+	}
+	if ev.Result == ResultOK || ev.Result == ResultReadOnly {
+		m.observeService(g.now.Sub(r.dispatchedAt))
+		g.takeBack(c, r, ev.TxStatus)
+	} else {
+		g.removeConn(c)
+	}
+	if ev.Result == ResultOK {
+		g.finishOK(r, m, ev)
+	} else {
+		g.finishFailed(r, m, ev.Result)
+	}
+	g.warm(m)
+	g.pump()
+}
+
+// takeBack returns a clean connection to the pool or pins it.
+func (g *Group) takeBack(c *conn, r *request, txStatus byte) {
+	c.member.running--
+	c.request = nil
+	if txStatus != 'I' {
+		if c.doomed {
+			g.closeConn(c)
+			return
+		}
+		g.pin(c, r.caller)
+		return
+	}
+	g.unpin(c)
+	g.idleConn(c)
+}
+
+func (g *Group) finishOK(r *request, m *member, ev *Finished) {
+	if r.read {
+		g.finishRead(r, m, ev)
+		return
+	}
+	g.finishWrite(r, ev)
+}
+
+// finishRead ends a read. Its answer may already be with the caller.
+func (g *Group) finishRead(r *request, m *member, ev *Finished) {
+	r.position = ev.Position
+	if g.reign.term == r.term {
+		g.noteRead(r, m)
+	}
+	g.acknowledge(r)
+}
+
+// observeService smooths the time a statement takes.
+func (m *member) observeService(d time.Duration) {
+	if m.service == 0 {
+		m.service = d
+		return
+	}
+	m.service += (d - m.service) / 8
+}
--- a/core/group/effect.go
+++ b/core/group/effect.go
@@ -23,6 +23,8 @@
 }
 
 // Acknowledge releases the held end of a request's answer; the request is over.
+// Every Arrived is answered by exactly one Acknowledge or Fail, also where
+// nothing was held.
 type Acknowledge struct {
 	Request core.RequestID `json:"request"`
 	// Position is what the session has now seen.
@@ -68,7 +70,9 @@
 	Member core.MemberID `json:"member"`
 }
 
-// CloseConn closes a connection; no event needs to follow.
+// CloseConn closes a connection; no event needs to follow, but a ConnClosed
+// frees its place in the budget at once. It is also sent for a connection that
+// opened after it was given up.
 type CloseConn struct {
 	Conn ConnID `json:"conn"`
 }
--- /dev/null
+++ b/core/group/factor_zone.go
@@ -0,0 +1,11 @@
+package group
+
+import "time"
+
+// zoneCost is the round trip to a member in another availability zone.
+func (g *Group) zoneCost(m *member) time.Duration {
+	if m.Zone == g.zone {
+		return 0
+	}
+	return g.tuning.ZoneCost
+}
--- /dev/null
+++ b/core/group/fake_test.go
@@ -0,0 +1,404 @@
+package group
+
+import (
+	"sort"
+	"time"
+
+	"limpetspan/core"
+)
+
+const ms = time.Millisecond
+
+// fakeMember answers like a target: it applies writes when primary, copies the
+// primary's log after lag when replica, and obeys fence and promote.
+type fakeMember struct {
+	id      core.MemberID
+	status  core.Status
+	down    bool          // refuses connections
+	paused  bool          // accepts them and never answers
+	silent  bool          // kept control connections never answer
+	stuck   bool          // applies nothing
+	lag     time.Duration // of replication
+	loseOK  bool          // the answer of the next promote is lost
+	cutFrom map[core.DaemonID]bool
+}
+
+// fakeHome drives one Group with the fake members.
+type fakeHome struct {
+	id      core.DaemonID
+	g       *Group
+	fx      Effects
+	net     *fakeNet
+	dead    bool
+	paused  bool
+	conns   map[ConnID]core.MemberID
+	running map[core.RequestID]Dispatch
+	acks    map[core.RequestID]core.Position
+	ackedAt map[core.RequestID]core.Time
+	fails   map[core.RequestID]core.Outcome
+	reasons map[core.RequestID]Reason
+	last    map[core.RequestID]*Fail
+	servers map[core.RequestID]core.MemberID
+	reads   map[core.RequestID]core.Position // what a read saw
+	effects []string
+	drained bool
+	maxOpen int
+	asked   int
+	wakeNo  int
+	request map[core.RequestID]*Arrived
+}
+
+type fakeEvent struct {
+	at  core.Time
+	no  int
+	run func()
+}
+
+// fakeNet is the event queue and the members.
+type fakeNet struct {
+	now     core.Time
+	no      int
+	queue   []fakeEvent
+	members []*fakeMember
+	homes   []*fakeHome
+	next    core.RequestID
+	tuning  Tuning
+	rtt     time.Duration
+}
+
+func newNet(daemons int, change ...func(*Tuning)) *fakeNet {
+	n := &fakeNet{now: core.Time(time.Second), rtt: ms}
+	for _, f := range change {
+		f(&n.tuning)
+	}
+	for _, id := range []core.MemberID{"a", "b", "c"} {
+		n.members = append(n.members, &fakeMember{id: id, lag: 5 * ms, cutFrom: map[core.DaemonID]bool{}})
+	}
+	var list []Candidate
+	for i := range daemons {
+		id := core.DaemonID(rune('A' + i))
+		list = append(list, Candidate{ID: id, Zone: core.Zone("z" + string(id))})
+	}
+	for _, c := range list {
+		h := n.addHome(c)
+		h.send(&Candidates{List: list})
+	}
+	n.after(5*ms, n.replicate)
+	return n
+}
+
+func (n *fakeNet) addHome(c Candidate) *fakeHome {
+	h := &fakeHome{
+		id: c.ID, net: n, g: New(Options{Group: "park", Tuning: n.tuning}),
+		conns: map[ConnID]core.MemberID{}, running: map[core.RequestID]Dispatch{},
+		acks: map[core.RequestID]core.Position{}, ackedAt: map[core.RequestID]core.Time{},
+		fails: map[core.RequestID]core.Outcome{}, reasons: map[core.RequestID]Reason{},
+		last: map[core.RequestID]*Fail{}, servers: map[core.RequestID]core.MemberID{},
+		reads: map[core.RequestID]core.Position{}, request: map[core.RequestID]*Arrived{},
+	}
+	n.homes = append(n.homes, h)
+	h.send(n.configure(h, 1))
+	return h
+}
+
+func (n *fakeNet) configure(h *fakeHome, revision uint64) *Configure {
+	c := &Configure{
+		Revision: revision, Self: h.id, Zone: core.Zone("z" + string(h.id)),
+		MaxConnections: 20, Slots: 3, Seed: uint64(h.id[0]),
+	}
+	for i, m := range n.members {
+		c.Members = append(c.Members, Member{ID: m.id, Zone: core.Zone("z" + string(rune('A'+i)))})
+	}
+	return c
+}
+
+func (n *fakeNet) after(d time.Duration, f func()) {
+	n.no++
+	n.queue = append(n.queue, fakeEvent{n.now.Add(d), n.no, f})
+}
+
+// run passes time, one event after the other.
+func (n *fakeNet) run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.queue) > 0 {
+		sort.Slice(n.queue, func(i, j int) bool {
+			a, b := n.queue[i], n.queue[j]
+			return a.at < b.at || a.at == b.at && a.no < b.no
+		})
+		if n.queue[0].at > end {
+			break
+		}
+		e := n.queue[0]
+		n.queue = n.queue[1:]
+		n.now = e.at
+		e.run()
+	}
+	n.now = end
+}
+
+func (n *fakeNet) member(id core.MemberID) *fakeMember {
+	for _, m := range n.members {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func (n *fakeNet) home(id core.DaemonID) *fakeHome {
+	for _, h := range n.homes {
+		if h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// primary is the reachable primary of the highest term.
+func (n *fakeNet) primary() *fakeMember {
+	var best *fakeMember
+	for _, m := range n.members {
+		if m.status.Role == core.RolePrimary && (best == nil || best.status.Term < m.status.Term) {
+			best = m
+		}
+	}
+	return best
+}
+
+// replicate attaches members of lower terms to the primary and copies its log.
+func (n *fakeNet) replicate() {
+	if p := n.primary(); p != nil && !p.down && !p.paused {
+		for _, m := range n.members {
+			if m == p || m.down || m.paused || m.stuck || m.status.Term > p.status.Term {
+				continue
+			}
+			m.status.Term, m.status.Role = p.status.Term, core.RoleReplica
+			s := p.status
+			n.after(m.lag, func() {
+				if m.status.Term == s.Term && m.status.Role == core.RoleReplica && !m.stuck {
+					m.status.LSN, m.status.LogTerm, m.status.History = s.LSN, s.LogTerm, s.History
+				}
+			})
+		}
+	}
+	n.after(ms, n.replicate)
+}
+
+func (h *fakeHome) send(ev Event) {
+	if h.dead {
+		return
+	}
+	h.g.Reduce(h.net.now, ev, &h.fx)
+	for _, e := range h.fx.List {
+		h.carryOut(e)
+	}
+}
+
+// later delivers an event after a round trip, or when the pause of the daemon ends.
+func (h *fakeHome) later(d time.Duration, make func() Event) {
+	h.net.after(d/2, func() {
+		ev := make()
+		if ev != nil {
+			h.net.after(d/2, func() { h.deliver(ev) })
+		}
+	})
+}
+
+func (h *fakeHome) deliver(ev Event) {
+	if h.paused {
+		h.net.after(ms, func() { h.deliver(ev) })
+		return
+	}
+	h.send(ev)
+}
+
+// call models a call to a member: refused, never answered, or answered.
+func (h *fakeHome) call(id core.MemberID, kept bool, timeout time.Duration, do func(m *fakeMember, err Failure) Event) {
+	m := h.net.member(id)
+	switch {
+	case m == nil || m.down && !m.cutFrom[h.id]:
+		h.later(h.net.rtt, func() Event { return do(m, FailureRefused) })
+	case m.paused || m.cutFrom[h.id] || kept && m.silent:
+		h.net.after(timeout, func() { h.deliver(do(m, FailureTimeout)) })
+	default:
+		h.later(h.net.rtt, func() Event { return do(m, FailureNone) })
+	}
+}
+
+func (h *fakeHome) carryOut(e Effect) {
+	switch e := e.(type) {
+	case *WakeAt:
+		h.wakeNo++
+		no, at := h.wakeNo, e.At
+		h.net.after(max(0, at.Sub(h.net.now)), func() {
+			if no == h.wakeNo {
+				h.deliver(&Tick{})
+			}
+		})
+	case *Probe:
+		v, sent := *e, h.net.now
+		h.call(v.Member, !v.Fresh, v.Timeout, func(m *fakeMember, err Failure) Event {
+			return &Probed{Member: v.Member, SentAt: sent, Fresh: v.Fresh, Status: statusOf(m), Err: err}
+		})
+	case *Fence:
+		v := *e
+		h.call(v.Member, false, v.Timeout, func(m *fakeMember, err Failure) Event {
+			err = m.fence(v.Term, err)
+			return &Fenced{Member: v.Member, Term: v.Term, Status: statusOf(m), Err: err}
+		})
+	case *Promote:
+		v := *e
+		h.call(v.Member, false, v.Timeout, func(m *fakeMember, err Failure) Event {
+			err = m.promote(v.Term, err)
+			return &Promoted{Member: v.Member, Term: v.Term, Status: statusOf(m), Err: err}
+		})
+	case *OpenConn:
+		v := *e
+		h.conns[v.Conn] = v.Member
+		h.maxOpen = max(h.maxOpen, len(h.conns))
+		h.call(v.Member, false, 300*ms, func(_ *fakeMember, err Failure) Event {
+			return &ConnOpened{Conn: v.Conn, Member: v.Member, Took: 12 * ms, Err: err}
+		})
+	case *CloseConn:
+		delete(h.conns, e.Conn)
+		id := e.Conn
+		h.later(0, func() Event { return &ConnClosed{Conn: id} })
+	case *Dispatch:
+		h.dispatched(*e)
+	case *Acknowledge:
+		h.acks[e.Request], h.ackedAt[e.Request] = e.Position, h.net.now
+	case *Fail:
+		v := *e
+		h.fails[e.Request], h.reasons[e.Request], h.last[e.Request] = e.Outcome, e.Reason, &v
+		if d, ok := h.running[e.Request]; ok {
+			delete(h.conns, d.Conn)
+		}
+		delete(h.running, e.Request)
+	case *Beat:
+		v := *e
+		for _, other := range h.net.homes {
+			if other != h {
+				other := other
+				h.net.after(h.net.rtt, func() {
+					other.deliver(&HomeNews{Home: h.id, Term: v.Term, Primary: v.Primary, Direct: true, Released: v.Released})
+				})
+			}
+		}
+	case *SendHandover:
+		v := *e
+		h.net.after(h.net.rtt, func() {
+			h.net.home(v.To).deliver(&HandedOver{From: h.id, Term: v.Term, Sessions: v.Sessions})
+		})
+	case *AskOpinion:
+		h.asked++
+		v := *e
+		peer := h.net.home(v.Peer)
+		if peer == nil || peer.dead || peer.paused {
+			return
+		}
+		peer.call(v.Member, false, v.Timeout, func(_ *fakeMember, err Failure) Event {
+			h.net.after(h.net.rtt, func() {
+				h.deliver(&Opinion{Member: v.Member, From: peer.id, Zone: peer.g.zone, Reachable: err == FailureNone})
+			})
+			return &Tick{}
+		})
+	case *Log:
+		h.effects = append(h.effects, e.Message+": "+e.Detail)
+	case *Drained:
+		h.drained = true
+	}
+}
+
+// dispatched runs a statement of 1 ms at the member.
+func (h *fakeHome) dispatched(d Dispatch) {
+	m, a := h.net.member(d.Member), h.request[d.Request]
+	h.running[d.Request] = d
+	h.servers[d.Request] = d.Member
+	if m.paused || m.cutFrom[h.id] {
+		return
+	}
+	h.net.after(ms, func() {
+		if h.running[d.Request] != d {
+			return
+		}
+		f := &Finished{Request: d.Request, TxStatus: 'I'}
+		switch {
+		case m.paused:
+			return
+		case m.down, h.conns[d.Conn] == "":
+			f.Result = ResultLost
+		case a.Read:
+			h.reads[d.Request] = m.status.Position()
+		case m.status.Role != core.RolePrimary:
+			f.Result = ResultReadOnly
+		default:
+			m.status.LSN += 10
+			m.status.LogTerm = m.status.Term
+		}
+		f.Position = m.status.Position()
+		h.net.after(h.net.rtt, func() {
+			if h.running[d.Request] == d {
+				delete(h.running, d.Request)
+				h.deliver(f)
+			}
+		})
+	})
+}
+
+// arrive sends a request with a deadline of 2 s and returns its number.
+func (h *fakeHome) arrive(change func(*Arrived)) core.RequestID {
+	h.net.next++
+	a := &Arrived{
+		Request: h.net.next, Caller: core.CallerID{Entry: h.id, Number: uint64(h.net.next)},
+		Session: "s", Deadline: h.net.now.Add(2 * time.Second),
+	}
+	if change != nil {
+		change(a)
+	}
+	h.request[a.Request] = a
+	h.deliver(a)
+	return a.Request
+}
+
+func (h *fakeHome) write() core.RequestID { return h.arrive(nil) }
+
+func (h *fakeHome) read(session core.SessionID) core.RequestID {
+	return h.arrive(func(a *Arrived) { a.Read, a.Session = true, session })
+}
+
+func (h *fakeHome) isHome() bool { return h.g.mayServe() }
+
+func statusOf(m *fakeMember) core.Status {
+	if m == nil {
+		return core.Status{}
+	}
+	return m.status
+}
+
+func (m *fakeMember) fence(t core.Term, err Failure) Failure {
+	if err != FailureNone {
+		return err
+	}
+	if t <= m.status.Term {
+		return FailureRejected
+	}
+	m.status.Term, m.status.Role = t, core.RoleFenced
+	return FailureNone
+}
+
+func (m *fakeMember) promote(t core.Term, err Failure) Failure {
+	if err != FailureNone {
+		return err
+	}
+	if t <= m.status.Term {
+		return FailureRejected
+	}
+	m.status.Term, m.status.Role = t, core.RolePrimary
+	h := append([]core.TermStart(nil), m.status.History...)
+	m.status.History = append(h, core.TermStart{Term: t, Start: m.status.LSN})
+	if m.loseOK {
+		m.loseOK = false
+		return FailureLost
+	}
+	return FailureNone
+}
--- /dev/null
+++ b/core/group/group.go
@@ -0,0 +1,199 @@
+package group
+
+import (
+	"math"
+	"time"
+
+	"limpetspan/core"
+)
+
+// never is the time of a timer that is not set.
+const never core.Time = math.MaxInt64
+
+// Options are the fixed parameters of a Group.
+type Options struct {
+	Group  core.GroupID
+	Tuning Tuning
+}
+
+// Group is the reducer of one database group at one daemon. It is used by one
+// goroutine at a time. Every Arrived is answered by exactly one Acknowledge or
+// Fail; a request that is known to be over is ignored in later events.
+type Group struct {
+	id     core.GroupID
+	tuning Tuning
+
+	// now and fx are those of the Reduce call in progress.
+	now core.Time
+	fx  *Effects
+	// due is the earliest time at which a timer has something to do, armed
+	// what the shell was last asked for.
+	due, armed core.Time
+
+	configured bool
+	revision   uint64
+	self       core.DaemonID
+	zone       core.Zone
+	maxConns   int
+	slots      int
+	members    []*member
+	candidates []Candidate
+	random     random
+
+	phase  phase
+	reign  reign
+	ballot ballot
+	peers  peerHomes
+	detect detector
+	drain  drainer
+
+	requests  map[core.RequestID]*request
+	deadlines requestHeap
+	writes    requestHeap
+	reads     requestHeap
+	delayed   []*request
+	held      []*request
+	spare     []*request
+	shares    map[uint64]int
+
+	conns    []*conn
+	lastConn ConnID
+	closing  []closingConn
+	pins     map[core.CallerID]*conn
+
+	sessions sessionTable
+	history  primaryHistory
+	retry    retryBudget
+	// writesBegun counts the writes dispatched, writesRunning those that run.
+	writesBegun   uint64
+	writesRunning int
+	// fastUntil is the time until which probes keep the fast pace.
+	fastUntil core.Time
+
+	counters Counters
+}
+
+// New returns the reducer of a group. It does nothing until Configure.
+func New(o Options) *Group {
+	g := &Group{
+		id:       o.Group,
+		tuning:   o.Tuning.withDefaults(),
+		due:      never,
+		armed:    never,
+		requests: make(map[core.RequestID]*request),
+		pins:     make(map[core.CallerID]*conn),
+		shares:   make(map[uint64]int),
+	}
+	g.deadlines.slot, g.writes.slot, g.reads.slot = slotDeadline, slotQueue, slotQueue
+	g.sessions.init()
+	g.peers.claimAt = never
+	g.retry.tokens = g.tuning.RetryBurst
+	return g
+}
+
+// Reduce applies one event and leaves what is to be done in fx, which it
+// empties first. now must not go back; if it does, the latest time counts.
+func (g *Group) Reduce(now core.Time, ev Event, fx *Effects) {
+	fx.Reset()
+	g.now = max(g.now, now)
+	g.fx = fx
+	g.apply(ev)
+	if g.now >= g.due {
+		g.runTimers()
+	}
+	g.arm()
+	g.fx = nil
+}
+
+func (g *Group) apply(ev Event) {
+	if !g.configured {
+		if c, ok := ev.(*Configure); ok {
+			g.onConfigure(c)
+			return
+		}
+		if a, ok := ev.(*Arrived); ok {
+			g.fx.fail(Fail{Request: a.Request, Reason: ReasonNotHome, Outcome: core.OutcomeNotRun, Step: stepArrive})
+		}
+		return
+	}
+	switch ev := ev.(type) {
+	case *Arrived:
+		g.onArrived(ev)
+	case *Finished:
+		g.onFinished(ev)
+	case *Probed:
+		g.onProbed(ev)
+	case *Tick:
+	case *ConnOpened:
+		g.onConnOpened(ev)
+	case *ConnClosed:
+		g.onConnClosed(ev)
+	case *Abandoned:
+		g.onAbandoned(ev)
+	case *HungUp:
+		g.onHungUp(ev)
+	case *Fenced:
+		g.onFenced(ev)
+	case *Promoted:
+		g.onPromoted(ev)
+	case *Opinion:
+		g.onOpinion(ev)
+	case *HomeNews:
+		g.onHomeNews(ev)
+	case *HandedOver:
+		g.onHandedOver(ev)
+	case *Drain:
+		g.onDrain(ev)
+	case *Candidates:
+		g.onCandidates(ev)
+	case *Configure:
+		g.onConfigure(ev)
+	}
+}
+
+// runTimers does what has fallen due. Each part names its next time by wakeBy.
+func (g *Group) runTimers() {
+	g.due = never
+	g.expireDeadlines()
+	g.runDelayed()
+	g.runClaim()
+	g.runDetect()
+	g.runProbes()
+	g.runBeat()
+	g.runPool()
+	g.runDrain()
+	g.pump()
+}
+
+// wakeBy asks for timers to run at t at the latest.
+func (g *Group) wakeBy(t core.Time) { g.due = min(g.due, t) }
+
+func (g *Group) wakeIn(d time.Duration) { g.wakeBy(g.now.Add(d)) }
+
+// arm asks the shell for a Tick when the one asked for comes too late.
+func (g *Group) arm() {
+	if g.due == never || (g.due >= g.armed && g.armed > g.now) {
+		return
+	}
+	g.armed = max(g.due, g.now+1)
+	g.fx.wake(WakeAt{At: g.armed})
+}
+
+// random is a splitmix64 generator: small, and the same on every machine.
+type random struct{ state uint64 }
+
+func (r *random) next() uint64 {
+	r.state += 0x9e3779b97f4a7c15
+	z := r.state
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// upTo returns a duration below d, evenly distributed.
+func (r *random) upTo(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return time.Duration(r.next() % uint64(d))
+}
--- /dev/null
+++ b/core/group/lease.go
@@ -0,0 +1,96 @@
+package group
+
+import (
+	"slices"
+
+	"limpetspan/core"
+)
+
+// reign is the term this daemon is home of; the zero reign is none.
+type reign struct {
+	term    core.Term
+	primary *member
+	// since is when its promotion was known.
+	since core.Time
+	// start is the primary's position at its promotion.
+	start core.Position
+	// history holds the starts of the latest terms, this one included.
+	history []core.TermStart
+	// waitUntil is when the lease of the reign before has lapsed for certain.
+	waitUntil core.Time
+	// leaseUntil is until when a majority's reports let this home serve.
+	leaseUntil core.Time
+	// announced is set once the fleet was told.
+	announced bool
+}
+
+// learnHistory copies the term starts that the primary reported.
+func (r *reign) learnHistory(h []core.TermStart) {
+	if len(h) == 0 {
+		return
+	}
+	r.history = append(r.history[:0], h...)
+	if h[len(h)-1].Term < r.term {
+		r.history = append(r.history, core.TermStart{Term: r.term, Start: r.start.LSN})
+	}
+}
+
+// leaseHolds reports whether this home may serve now.
+//
+// Guard: a home that was cut off or paused does not know that another took
+// over; it would show as two homes serving, and a stale read or a lost
+// acknowledged write. Another home first fences a majority, which includes a
+// member of each majority that this lease rests on, after that member's last
+// report; then it waits out the lease duration. By then this lease has lapsed
+// on this daemon's own clock.
+func (g *Group) leaseHolds() bool {
+	return g.reign.term != 0 && g.now >= g.reign.waitUntil && g.now < g.reign.leaseUntil
+}
+
+// extendLease counts a member's report towards the lease.
+//
+// A member that accepted the fence of this home's own ballot and still reports
+// that odd term counts as well: whoever wants to replace this home has yet to
+// fence it. So the lease holds at once after a promotion, before the other
+// members follow the new primary.
+func (g *Group) extendLease(m *member, term core.Term, sentAt core.Time) {
+	ownFence := term == g.reign.term-1 && m.vote == voteFenced && g.phase >= phaseWaiting
+	if term != g.reign.term && !ownFence {
+		return
+	}
+	if sentAt <= m.leaseAt {
+		return
+	}
+	m.leaseAt = sentAt
+	g.computeLease()
+}
+
+func (g *Group) computeLease() {
+	var buffer [16]core.Time
+	times := buffer[:0]
+	for _, m := range g.members {
+		if !m.gone && m.leaseAt > 0 {
+			times = append(times, m.leaseAt)
+		}
+	}
+	need := g.majority()
+	if len(times) < need {
+		g.reign.leaseUntil = 0
+		return
+	}
+	slices.Sort(times)
+	g.reign.leaseUntil = times[len(times)-need].Add(g.tuning.LeaseDuration)
+}
+
+// mayServe reports whether requests may be dispatched now.
+func (g *Group) mayServe() bool {
+	if g.phase != phaseServing || g.detect.contestedAt != 0 {
+		return false
+	}
+	return g.leaseHolds() || !g.guarded(GuardLeaseAtArrival)
+}
+
+// mayAcknowledge reports whether an answer of the present reign may be released.
+func (g *Group) mayAcknowledge() bool {
+	return g.leaseHolds() || !g.guarded(GuardLeaseAtAck)
+}
--- /dev/null
+++ b/core/group/member.go
@@ -0,0 +1,155 @@
+package group
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// vote is a member's answer in the ballot of the claim in progress.
+type vote uint8
+
+const (
+	votePending vote = iota
+	// voteFenced: the member accepted this ballot's fence.
+	voteFenced
+	// voteTied: the member was already fenced at this ballot's term by another
+	// candidate. It is no vote, but its position is frozen.
+	voteTied
+	// voteRefused: the member is at a higher term, or reigns at this one.
+	voteRefused
+	// voteFailed: no answer.
+	voteFailed
+)
+
+// member is what the reducer knows of one target.
+type member struct {
+	Member
+	// gone marks a member that the configuration no longer names; its
+	// connections end as they come free.
+	gone bool
+
+	// Last report: when its probe was sent, and what it said.
+	reportedAt core.Time
+	known      bool
+	term       core.Term
+	role       core.Role
+	// stopping is set by the member's own word that it shuts down.
+	stopping bool
+	// failures counts failed probes since the last answer.
+	failures int
+	// position is known to be applied in the present reign since positionAt.
+	position   core.Position
+	positionAt core.Time
+	// leaseAt is when the last probe was sent that reported the home's term.
+	leaseAt core.Time
+	// oddAt is since when the member reports a term that the reign has to deal
+	// with: above it, or so low that the member cannot follow.
+	oddAt core.Time
+	// foreign counts work connections of an old home that no fence has ended.
+	foreign int
+
+	probe probeState
+	lag   lagModel
+
+	vote       vote
+	voteStatus core.Status
+
+	conns     int
+	opening   int
+	running   int
+	pinned    int
+	idle      []*conn
+	openAfter core.Time
+	openPause time.Duration
+	// service is the smoothed time a statement takes.
+	service time.Duration
+}
+
+// leaving reports whether the member is to receive no new work.
+func (m *member) leaving() bool { return m.Leaving || m.stopping || m.gone }
+
+func (g *Group) member(id core.MemberID) *member {
+	for _, m := range g.members {
+		if m.ID == id && !m.gone {
+			return m
+		}
+	}
+	return nil
+}
+
+// size is the number of configured members.
+func (g *Group) size() int {
+	n := 0
+	for _, m := range g.members {
+		if !m.gone {
+			n++
+		}
+	}
+	return n
+}
+
+// majority is the number of members of which any two sets share one.
+func (g *Group) majority() int { return g.size()/2 + 1 }
+
+// isPrimary reports whether m is primary of the reign held here.
+func (g *Group) isPrimary(m *member) bool { return g.reign.term != 0 && m == g.reign.primary }
+
+// serving reports whether a replica takes part in serving reads: it follows
+// the reign's primary, answers probes and is not leaving.
+func (g *Group) serving(m *member) bool {
+	return g.reign.term != 0 && m != g.reign.primary && !m.leaving() && m.known &&
+		m.term == g.reign.term && m.role == core.RoleReplica && m.failures < servingFailures &&
+		!m.position.IsZero()
+}
+
+// servingFailures is the number of failed probes at which a replica stops serving.
+const servingFailures = 2
+
+// report takes in what a member said about itself.
+func (g *Group) report(m *member, s *core.Status, sentAt core.Time) {
+	if m.known && sentAt < m.reportedAt {
+		return // An answer that was overtaken by a later probe's.
+	}
+	if s.Term < g.reign.term && sentAt < g.reign.since && g.detecting() {
+		return // Asked before the promotion was known; it says nothing new.
+	}
+	m.known, m.reportedAt, m.failures = true, sentAt, 0
+	m.term, m.role = s.Term, s.Role
+	m.stopping = s.Leaving
+	g.ballot.seen = max(g.ballot.seen, s.Term)
+	if g.reign.term == 0 {
+		return
+	}
+	if m.foreign > 0 {
+		m.foreign = max(0, min(m.foreign, s.Connections-m.conns))
+	}
+	g.extendLease(m, s.Term, sentAt)
+	if s.Term == g.reign.term {
+		g.learnPosition(m, s.Position(), sentAt)
+	}
+	if m == g.reign.primary && s.Term == g.reign.term {
+		g.reign.learnHistory(s.History)
+		g.history.add(sentAt, s.Position())
+		g.sessions.resolve(sentAt, s.Position())
+	}
+}
+
+// learnPosition raises the position that a member is known to have applied.
+//
+// Guard: a member that held more of an older term's log than the reign began
+// with has diverged; its offset says nothing about this log. It would show as
+// a replica that serves a read without the session's write. Positions of older
+// terms therefore count only up to the start of the reign.
+func (g *Group) learnPosition(m *member, p core.Position, at core.Time) {
+	if p.Term > g.reign.term || (p.Term < g.reign.term && p.LSN > g.reign.start.LSN) {
+		return
+	}
+	if p.Less(m.position) && at <= m.positionAt {
+		return
+	}
+	m.position, m.positionAt = p, max(at, m.positionAt)
+	if m != g.reign.primary {
+		g.observeLag(m, at)
+	}
+}
--- /dev/null
+++ b/core/group/probe.go
@@ -0,0 +1,173 @@
+package group
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// probeState paces the probes of one member; at most one is under way.
+type probeState struct {
+	inFlight bool
+	fresh    bool
+	sentAt   core.Time
+	timeout  time.Duration
+	next     core.Time
+}
+
+// probeGrace is how much longer than its timeout a probe may stay unanswered
+// before it counts as failed.
+const probeGrace = 100 * time.Millisecond
+
+// probing reports whether this daemon watches the members: as home, or while
+// it claims the group.
+func (g *Group) probing() bool { return g.reign.term != 0 || g.phase == phaseProbing }
+
+func (g *Group) runProbes() {
+	if !g.probing() {
+		return
+	}
+	interval := g.probePace()
+	for _, m := range g.members {
+		if m.gone {
+			continue
+		}
+		g.runProbe(m, interval)
+	}
+}
+
+func (g *Group) runProbe(m *member, interval time.Duration) {
+	p := &m.probe
+	if p.inFlight {
+		limit := p.sentAt.Add(p.timeout + probeGrace)
+		if g.now < limit {
+			g.wakeBy(limit)
+			return
+		}
+		fresh := p.fresh
+		p.inFlight = false
+		g.probeFailed(m, FailureTimeout, fresh)
+		if p.inFlight {
+			return
+		}
+	}
+	if g.phase == phaseProbing {
+		return // A claim asks each member once.
+	}
+	due := min(p.next, p.sentAt.Add(interval))
+	if g.now >= due {
+		g.sendProbe(m, false)
+		return
+	}
+	g.wakeBy(due)
+}
+
+// probePace is fast while something waits for a position or the lease.
+func (g *Group) probePace() time.Duration {
+	if g.awaitsPositions() {
+		return g.tuning.FastProbeInterval
+	}
+	return g.tuning.ProbeInterval
+}
+
+// awaitsPositions reports whether a request or a step waits for what the next
+// probes will say.
+func (g *Group) awaitsPositions() bool {
+	if g.now < g.fastUntil || len(g.held) > 0 || g.detect.planned != plannedNone {
+		return true
+	}
+	return g.phase == phaseServing && !g.leaseHolds() && len(g.requests) > 0
+}
+
+// hurryProbes brings the next probe of each member forward to the fast pace
+// until t.
+func (g *Group) hurryProbes(t core.Time) {
+	if t <= g.fastUntil {
+		return
+	}
+	g.fastUntil = t
+	g.hurry()
+}
+
+// hurry makes the timers look at the probes at once.
+func (g *Group) hurry() {
+	for _, m := range g.members {
+		if m.gone || m.probe.inFlight {
+			continue
+		}
+		g.wakeBy(max(g.now, m.probe.sentAt.Add(g.tuning.FastProbeInterval)))
+	}
+}
+
+// probeSoon makes the next probe of m due now.
+func (g *Group) probeSoon(m *member) {
+	m.probe.next = g.now
+	g.wakeBy(g.now)
+}
+
+func (g *Group) sendProbe(m *member, fresh bool) {
+	timeout := g.tuning.ProbeTimeout
+	if fresh {
+		timeout = g.tuning.FreshTimeout
+	}
+	m.probe = probeState{
+		inFlight: true, fresh: fresh, sentAt: g.now, timeout: timeout, next: never,
+	}
+	g.wakeIn(timeout + probeGrace)
+	g.fx.probe(Probe{Member: m.ID, Fresh: fresh, Timeout: timeout})
+}
+
+func (g *Group) onProbed(ev *Probed) {
+	m := g.member(ev.Member)
+	if m == nil {
+		return
+	}
+	g.counters.Probes++
+	if m.probe.inFlight && m.probe.fresh == ev.Fresh && ev.SentAt >= m.probe.sentAt {
+		m.probe.inFlight = false
+	}
+	if ev.Err != FailureNone {
+		g.probeFailed(m, ev.Err, ev.Fresh)
+	} else {
+		g.report(m, &ev.Status, ev.SentAt)
+		g.probeAnswered(m)
+	}
+	if g.probing() && !m.probe.inFlight {
+		g.wakeBy(min(m.probe.next, m.probe.sentAt.Add(g.probePace())))
+	}
+	g.releaseHeld()
+	g.forgetPassed()
+	g.pump()
+}
+
+func (g *Group) probeFailed(m *member, err Failure, fresh bool) {
+	m.failures++
+	g.counters.ProbeFailures++
+	if err == FailureLeaving {
+		m.stopping = true
+	}
+	switch {
+	case g.phase == phaseProbing:
+		g.claimProbeFailed(m)
+	case g.isPrimary(m):
+		g.primaryProbeFailed(m, fresh)
+	case !fresh && g.reign.term != 0:
+		// Guard: a kept connection can be silent for good while new ones work.
+		// It would show as a replica that never serves again. A new connection
+		// tells the two apart.
+		g.sendProbe(m, true)
+	default:
+		m.probe.next = g.now.Add(g.tuning.ProbeInterval)
+		g.wakeBy(m.probe.next)
+	}
+}
+
+func (g *Group) probeAnswered(m *member) {
+	if g.phase == phaseProbing {
+		g.claimProbeAnswered()
+		return
+	}
+	if g.reign.term != 0 {
+		g.memberAnswered(m)
+	}
+}
--- /dev/null
+++ b/core/group/queue.go
@@ -0,0 +1,91 @@
+package group
+
+import "limpetspan/core"
+
+// The heap slots of a request: each heap keeps its own index and key there.
+const (
+	slotDeadline = iota
+	slotQueue
+	slotCount
+)
+
+// heapSlot is a request's place in one heap; index 0 means that it is not in it.
+type heapSlot struct {
+	index int
+	key   core.Time
+}
+
+// requestHeap is a binary heap of requests, the smallest key first. Unlike
+// container/heap it removes from the middle without an interface call.
+type requestHeap struct {
+	items []*request
+	slot  int
+}
+
+func (h *requestHeap) len() int { return len(h.items) }
+
+func (h *requestHeap) push(r *request, key core.Time) {
+	h.items = append(h.items, r)
+	r.heap[h.slot] = heapSlot{index: len(h.items), key: key}
+	h.up(len(h.items) - 1)
+}
+
+func (h *requestHeap) holds(r *request) bool {
+	i := r.heap[h.slot].index
+	return i > 0 && i <= len(h.items) && h.items[i-1] == r
+}
+
+func (h *requestHeap) remove(r *request) {
+	i := r.heap[h.slot].index - 1
+	last := len(h.items) - 1
+	h.swap(i, last)
+	h.items[last] = nil
+	h.items = h.items[:last]
+	r.heap[h.slot].index = 0
+	if i < last {
+		h.down(i)
+		h.up(i)
+	}
+}
+
+func (h *requestHeap) less(i, j int) bool {
+	a, b := h.items[i], h.items[j]
+	ka, kb := a.heap[h.slot].key, b.heap[h.slot].key
+	if ka != kb {
+		return ka < kb
+	}
+	return a.id < b.id
+}
+
+func (h *requestHeap) swap(i, j int) {
+	h.items[i], h.items[j] = h.items[j], h.items[i]
+	h.items[i].heap[h.slot].index = i + 1
+	h.items[j].heap[h.slot].index = j + 1
+}
+
+func (h *requestHeap) up(i int) {
+	for i > 0 {
+		parent := (i - 1) / 2
+		if !h.less(i, parent) {
+			return
+		}
+		h.swap(i, parent)
+		i = parent
+	}
+}
+
+func (h *requestHeap) down(i int) {
+	for {
+		least := i
+		for c := 2*i + 1; c <= 2*i+2 && c < len(h.items); c++ {
+			if h.less(c, least) {
+				least = c
+			}
+		}
+		if least == i {
+			return
+		}
+		h.swap(i, least)
+		i = least
+	}
+}
--- /dev/null
+++ b/core/group/retry.go
@@ -0,0 +1,147 @@
+package group
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// retryBudget is a token bucket: each first dispatch earns a share of a retry.
+//
+// Guard: without it every failure would be tried again while the group is
+// already overloaded or failing, which multiplies the load and keeps it so.
+type retryBudget struct{ tokens float64 }
+
+func (b *retryBudget) earn(t *Tuning) { b.tokens = min(b.tokens+t.RetryRatio, t.RetryBurst) }
+
+func (b *retryBudget) spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// finishFailed ends or retries a request whose dispatch failed. The connection
+// is already dealt with.
+//
+// Guard: only what is proved not to have run, or a read, is dispatched again.
+// Anything else would show as a charge that was made twice.
+func (g *Group) finishFailed(r *request, m *member, result Result) {
+	r.conn = nil
+	switch result {
+	case ResultLeaving:
+		m.stopping = true
+		g.probeSoon(m)
+	case ResultReadOnly:
+		g.probeSoon(m)
+	default:
+		g.suspectSoon(m)
+	}
+	ran := result == ResultLost
+	if ran && r.read {
+		r.mayHaveRun = true
+	}
+	repeatable := !ran || r.read || !g.guarded(GuardRetryProof)
+	outcome := r.unrun()
+	if ran {
+		outcome = core.OutcomeUnknown
+	}
+	r.state = stateHeld // In no queue.
+	switch {
+	case g.phase == phaseFollowing:
+		g.failRequest(r, failedReason(r, ReasonNotHome, ran), outcome, stepRun, 0)
+	case r.inTransaction:
+		g.failRequest(r, failedReason(r, ReasonTransactionLost, ran), outcome, stepRun, 0)
+	case repeatable && g.retry.spend():
+		g.delay(r)
+	default:
+		g.failRequest(r, ReasonConnectionLost, outcome, stepRun, g.retryAfter())
+	}
+}
+
+func failedReason(r *request, otherwise Reason, ran bool) Reason {
+	if ran && !r.read {
+		return ReasonConnectionLost
+	}
+	return otherwise
+}
+
+// delay queues a request again after a pause that doubles, with jitter.
+func (g *Group) delay(r *request) {
+	g.counters.Retried++
+	pause := g.tuning.RetryBackoff << min(r.attempts-1, maxRetryShift)
+	pause = min(pause, g.tuning.RetryBackoffMax)
+	r.state = stateDelayed
+	r.notBefore = g.now.Add(pause/2 + g.random.upTo(pause))
+	g.delayed = append(g.delayed, r)
+	g.wakeBy(r.notBefore)
+}
+
+// maxRetryShift bounds the doubling of the pause.
+const maxRetryShift = 10
+
+// runDelayed queues the requests whose pause is over.
+func (g *Group) runDelayed() {
+	kept := g.delayed[:0]
+	for _, r := range g.delayed {
+		if g.now < r.notBefore {
+			g.wakeBy(r.notBefore)
+			kept = append(kept, r)
+			continue
+		}
+		g.enqueue(r)
+	}
+	clear(g.delayed[len(kept):])
+	g.delayed = kept
+}
+
+// overload returns, for a request that cannot be served before its deadline,
+// how long its caller should stay away; zero if it may come in.
+func (g *Group) overload(ev *Arrived, deadline core.Time) time.Duration {
+	if g.writes.len()+g.reads.len()+len(g.delayed) >= g.tuning.MaxQueue {
+		return max(g.writeBacklog(), g.tuning.RetryBackoffMax)
+	}
+	if ev.InTransaction || g.phase != phaseServing {
+		return 0
+	}
+	wait := g.writeBacklog()
+	if ev.Read {
+		wait = min(wait, g.readBacklog())
+	}
+	if g.now.Add(wait) <= deadline {
+		return 0
+	}
+	return wait
+}
+
+// writeBacklog estimates how long a new write waits for the primary.
+func (g *Group) writeBacklog() time.Duration {
+	p := g.reign.primary
+	if p == nil {
+		return 0
+	}
+	return g.backlog(g.writes.len(), p.running, 1, p.service)
+}
+
+// readBacklog estimates how long a new read waits for a replica.
+func (g *Group) readBacklog() time.Duration {
+	replicas, running, service := 0, 0, time.Duration(0)
+	for _, m := range g.members {
+		if g.serving(m) {
+			replicas++
+			running += m.running
+			service = max(service, m.service)
+		}
+	}
+	if replicas == 0 {
+		return g.writeBacklog()
+	}
+	return g.backlog(g.reads.len(), running, replicas, service)
+}
+
+func (g *Group) backlog(queued, running, members int, service time.Duration) time.Duration {
+	slots := max(1, g.slots) * members
+	waves := (queued + max(0, running-slots)) / slots
+	return time.Duration(waves) * service
+}
--- /dev/null
+++ b/core/group/session.go
@@ -0,0 +1,320 @@
+package group
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"limpetspan/core"
+)
+
+func hashSession(id core.SessionID) uint64 {
+	if id == "" {
+		return 0
+	}
+	return xxhash.Sum64String(string(id))
+}
+
+// sessionEntry is the last position one session has seen. Two sessions whose
+// hashes collide share an entry and its later position, which is safe.
+type sessionEntry struct {
+	hash     uint64
+	name     []byte
+	position core.Position
+	at       core.Time
+	// pending: what the session saw has no known position yet; only the
+	// primary serves it until the primary's next report.
+	pending bool
+	// lost: a promotion lost what the session saw; it is told once.
+	lost       bool
+	prev, next *sessionEntry
+	list       *sessionList
+}
+
+// sessionList is a doubly linked list of entries, the oldest change first.
+type sessionList struct{ head, tail *sessionEntry }
+
+func (l *sessionList) push(e *sessionEntry) {
+	e.list, e.prev, e.next = l, l.tail, nil
+	if l.tail != nil {
+		l.tail.next = e
+	} else {
+		l.head = e
+	}
+	l.tail = e
+}
+
+func (l *sessionList) remove(e *sessionEntry) {
+	if e.prev != nil {
+		e.prev.next = e.next
+	} else {
+		l.head = e.next
+	}
+	if e.next != nil {
+		e.next.prev = e.prev
+	} else {
+		l.tail = e.prev
+	}
+	e.list, e.prev, e.next = nil, nil, nil
+}
+
+// sessionTable holds the positions that some serving replica has not passed,
+// so its size is the write rate times the lag. Every session that is not in it
+// has seen nothing past floor.
+type sessionTable struct {
+	byHash map[uint64]*sessionEntry
+	live   sessionList
+	told   sessionList // Lost, to be told.
+	spare  []*sessionEntry
+	// pending counts the entries whose position is not known yet.
+	pending int
+	floor   core.Position
+}
+
+func (t *sessionTable) init() { t.byHash = make(map[uint64]*sessionEntry) }
+
+func (t *sessionTable) get(hash uint64) *sessionEntry {
+	if hash == 0 || len(t.byHash) == 0 {
+		return nil
+	}
+	return t.byHash[hash]
+}
+
+// touch returns the session's entry, new or moved to the end of the list.
+func (t *sessionTable) touch(hash uint64, name []byte, now core.Time) *sessionEntry {
+	e := t.byHash[hash]
+	switch {
+	case e == nil:
+		e = t.newEntry()
+		e.hash, e.name = hash, append(e.name[:0], name...)
+		t.byHash[hash] = e
+	case e.lost:
+		return e
+	default:
+		t.live.remove(e)
+	}
+	e.at = now
+	t.live.push(e)
+	return e
+}
+
+func (t *sessionTable) newEntry() *sessionEntry {
+	n := len(t.spare)
+	if n == 0 {
+		return new(sessionEntry)
+	}
+	e := t.spare[n-1]
+	t.spare = t.spare[:n-1]
+	return e
+}
+
+func (t *sessionTable) remove(e *sessionEntry) {
+	if e.pending {
+		t.pending--
+	}
+	e.list.remove(e)
+	delete(t.byHash, e.hash)
+	*e = sessionEntry{name: e.name[:0]}
+	t.spare = append(t.spare, e)
+}
+
+func (t *sessionTable) raise(hash uint64, name []byte, p core.Position, now core.Time) {
+	e := t.touch(hash, name, now)
+	e.position = e.position.Max(p)
+}
+
+// await marks a session whose last position the next report will give.
+func (t *sessionTable) await(hash uint64, name []byte, now core.Time) {
+	e := t.touch(hash, name, now)
+	if !e.pending && !e.lost {
+		e.pending = true
+		t.pending++
+	}
+}
+
+// resolve gives the pending sessions the primary's position, which was asked
+// for after they saw what they saw.
+func (t *sessionTable) resolve(sentAt core.Time, p core.Position) {
+	if t.pending == 0 {
+		return
+	}
+	for e := t.live.head; e != nil; e = e.next {
+		if e.pending && e.at <= sentAt {
+			e.pending = false
+			t.pending--
+			e.position = e.position.Max(p)
+		}
+	}
+}
+
+// pass raises the floor and forgets the sessions that it covers.
+func (t *sessionTable) pass(floor core.Position) {
+	t.floor = t.floor.Max(floor)
+	for e := t.live.head; e != nil && !e.pending && !t.floor.Less(e.position); e = t.live.head {
+		t.remove(e)
+	}
+}
+
+// bound evicts the oldest sessions beyond a number; the floor covers them.
+func (t *sessionTable) bound(limit int) {
+	for len(t.byHash) > limit && t.live.head != nil {
+		t.floor = t.floor.Max(t.live.head.position)
+		t.remove(t.live.head)
+	}
+}
+
+func (t *sessionTable) clear() {
+	for t.live.head != nil {
+		t.remove(t.live.head)
+	}
+	for t.told.head != nil {
+		t.remove(t.told.head)
+	}
+	t.floor = core.Position{}
+}
+
+// newReign marks the sessions that have seen what the reign does not hold. The
+// position at the promotion is the floor of every session that is not known:
+// it covers all that any earlier home confirmed and the group kept.
+func (t *sessionTable) newReign(r *reign) {
+	for e := t.live.head; e != nil; {
+		next := e.next
+		if e.pending {
+			e.pending = false
+			t.pending--
+		}
+		if r.lost(e.position) {
+			t.live.remove(e)
+			e.lost = true
+			t.told.push(e)
+		}
+		e = next
+	}
+	t.floor = r.start
+}
+
+// lost reports whether something up to p is missing from the reign's log: p is
+// past the point where a later term's log began.
+func (r *reign) lost(p core.Position) bool {
+	if p.Term >= r.term {
+		return false
+	}
+	for _, h := range r.history {
+		if h.Term > p.Term && p.LSN > h.Start {
+			return true
+		}
+	}
+	return p.LSN > r.start.LSN
+}
+
+// refuseUnseen fails a request whose session has seen what this home's log
+// does not hold, and reports whether it did.
+//
+// Guard: after a promotion that lost a write, its session would read data from
+// before it as if it had never been confirmed. It is told once instead. A
+// position of a higher term means that this daemon is not the home any more.
+func (g *Group) refuseUnseen(r *request) bool {
+	if r.floor.Term > g.reign.term {
+		g.failRequest(r, ReasonNotHome, r.unrun(), stepQueue, g.tuning.LeaseDuration)
+		return true
+	}
+	if !g.guarded(GuardTermStart) {
+		return false
+	}
+	e := g.sessions.get(r.session)
+	if (e == nil || !e.lost) && !g.reign.lost(r.floor) {
+		return false
+	}
+	if e != nil {
+		g.sessions.remove(e)
+	}
+	g.counters.WritesLost++
+	g.failRequest(r, ReasonWriteLost, r.unrun(), stepQueue, 0)
+	return true
+}
+
+// need is the position that a replica must have applied to serve the request;
+// known is false while only the primary can tell.
+func (g *Group) need(r *request) (p core.Position, known bool) {
+	if !g.guarded(GuardSessionFloor) {
+		return core.Position{}, true
+	}
+	p = g.sessions.floor.Max(r.floor)
+	e := g.sessions.get(r.session)
+	if e == nil {
+		return p, true
+	}
+	return p.Max(e.position), !e.pending
+}
+
+// noteWrite records what the session has written.
+func (g *Group) noteWrite(r *request) {
+	if r.position.IsZero() {
+		if r.session != 0 {
+			g.sessions.await(r.session, r.name, g.now)
+		}
+		return
+	}
+	g.learnPosition(g.reign.primary, r.position, r.dispatchedAt)
+	g.history.add(r.dispatchedAt, r.position)
+	g.markLag(r.position)
+	if r.session != 0 {
+		g.sessions.raise(r.session, r.name, r.position, g.now)
+		g.sessions.bound(g.tuning.MaxSessions)
+	}
+}
+
+// noteRead records what a read has seen, for monotonic reads. In a quiet group
+// every serving member is at the same position and nothing need be kept; if a
+// write began since, what the read saw is learned from the next report.
+func (g *Group) noteRead(r *request, m *member) {
+	if !r.position.IsZero() {
+		if r.position.Term > g.reign.term {
+			g.probeSoon(m)
+			return
+		}
+		g.learnPosition(m, r.position, r.dispatchedAt)
+		if r.session != 0 && g.sessions.floor.Less(r.position) {
+			g.sessions.raise(r.session, r.name, r.position, g.now)
+		}
+		return
+	}
+	if r.session != 0 && (r.asked || g.writesBegun != r.writesBegun) {
+		g.sessions.await(r.session, r.name, g.now)
+	}
+}
+
+// quiet reports whether no write runs and every serving replica has all of the
+// primary's known log.
+func (g *Group) quiet() bool {
+	if g.writesRunning > 0 || g.sessions.pending > 0 {
+		return false
+	}
+	latest := g.latest()
+	for _, m := range g.members {
+		if g.serving(m) && m.position.Less(latest) {
+			return false
+		}
+	}
+	return true
+}
+
+// forgetPassed drops the session positions that every serving replica and a
+// majority of the members have passed. A replica that is further behind serves
+// a session only once it has passed the floor.
+func (g *Group) forgetPassed() {
+	if g.reign.term == 0 || g.phase < phaseWaiting {
+		return
+	}
+	low, holders := g.latest(), 1
+	for _, m := range g.members {
+		if !g.serving(m) || m.lag.behind(g.now) > g.tuning.ServingLag {
+			continue
+		}
+		holders++
+		if m.position.Less(low) {
+			low = m.position
+		}
+	}
+	if holders >= g.majority() {
+		g.sessions.pass(low)
+	}
+}
