Let a take-over name its worker, clear a bucket and move back

Cause: a worker that was paused could flip buckets after another one has taken over, because the flip's edit could not tell whose work it publishes; a bucket that fails verification could not be emptied; flipped buckets had no way back. Change: Takeover gains worker (carried by SetBuckets), clear_sql and reverse, all optional. Conclusion: additive; documents written before read as they did.

--- a/core/config/change.go
+++ b/core/config/change.go
@@ -34,8 +34,10 @@
 	SetBuckets map[string]*BucketSets `json:"set_buckets,omitempty"`
 }
 
-// BucketSets is the progress of a take-over: see Takeover.Flipped and Fenced.
+// BucketSets is the progress of a take-over: see Takeover.Worker, Flipped and
+// Fenced.
 type BucketSets struct {
+	Worker  string `json:"worker,omitempty"`
 	Flipped []byte `json:"flipped,omitempty"`
 	Fenced  []byte `json:"fenced,omitempty"`
 }
@@ -113,7 +115,7 @@
 			return nil, fmt.Errorf("%w: takeovers.%s", ErrMissing, name)
 		}
 		moved := *takeover
-		moved.Flipped, moved.Fenced = sets.Flipped, sets.Fenced
+		moved.Worker, moved.Flipped, moved.Fenced = sets.Worker, sets.Flipped, sets.Fenced
 		takeovers[name] = &moved
 	}
 	return takeovers, nil
--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -58,12 +58,13 @@
 // sameDeclaration compares all but the progress.
 func sameDeclaration(a, b *Takeover) bool {
 	ca, cb := *a, *b
-	ca.Flipped, ca.Fenced, cb.Flipped, cb.Fenced = nil, nil, nil, nil
+	ca.Worker, ca.Flipped, ca.Fenced = "", nil, nil
+	cb.Worker, cb.Flipped, cb.Fenced = "", nil, nil
 	return reflect.DeepEqual(ca, cb)
 }
 
 func sameBuckets(a, b *Takeover) bool {
-	return sameBits(a.Flipped, b.Flipped) && sameBits(a.Fenced, b.Fenced)
+	return a.Worker == b.Worker && sameBits(a.Flipped, b.Flipped) && sameBits(a.Fenced, b.Fenced)
 }
 
 // sameBits compares bit sets; missing bytes at the end count as zero.
@@ -82,7 +83,7 @@
 		if change.SetBuckets == nil {
 			change.SetBuckets = make(map[string]*BucketSets)
 		}
-		change.SetBuckets[name] = &BucketSets{Flipped: takeover.Flipped, Fenced: takeover.Fenced}
+		change.SetBuckets[name] = &BucketSets{Worker: takeover.Worker, Flipped: takeover.Flipped, Fenced: takeover.Fenced}
 		delete(change.SetTakeovers, name)
 	}
 	if len(change.SetTakeovers) == 0 {
--- a/core/config/document.go
+++ b/core/config/document.go
@@ -93,10 +93,10 @@
 	SourceVersion      string        `json:"source_version"`
 	DestinationGroup   core.GroupID  `json:"destination_group"`
 	DestinationVersion string        `json:"destination_version"`
-	// Buckets is the number of hash buckets that record keys fall into.
+	// Buckets is the number of hash buckets that record keys fall into, see
+	// Bucket. The tables of both sides hold each record's bucket in an integer
+	// column, by which the statements select.
 	Buckets int `json:"buckets"`
-	// BucketColumn is the integer column of the source table that holds a
-	// record's bucket (see Bucket), by which ReadSQL selects.
 	// ReadSQL reads a page of records of one bucket in key order:
 	// $1 bucket, $2 last key seen (empty: from the start), $3 page size. The
 	// first column is the record key, the second its change marker.
@@ -111,8 +111,26 @@
 	// one bucket: $1 bucket.
 	SourceVerifySQL      string `json:"source_verify_sql"`
 	DestinationVerifySQL string `json:"destination_verify_sql"`
+	// ClearSQL removes one bucket's records from the destination: $1 bucket.
+	// Optional; it lets a bucket that failed its verification be copied anew.
+	ClearSQL string `json:"clear_sql,omitempty"`
+	// Reverse moves flipped buckets back in a rollback. Optional; without it
+	// only buckets that have not flipped can be rolled back.
+	Reverse *Reverse `json:"reverse,omitempty"`
+	// Worker is the claim of the daemon that works the take-over; only flips
+	// under this claim are accepted.
+	Worker string `json:"worker,omitempty"`
 	// Flipped is the set of buckets owned by the destination, as bits.
 	Flipped []byte `json:"flipped,omitempty"`
 	// Fenced is the set of buckets that take no writes for the moment, as bits.
 	Fenced []byte `json:"fenced,omitempty"`
 }
+
+// Reverse holds the statements that move records from a take-over's
+// destination back to its source, each as its namesake in Takeover.
+type Reverse struct {
+	ReadSQL    string `json:"read_sql"`
+	ChangedSQL string `json:"changed_sql"`
+	UpsertSQL  string `json:"upsert_sql"`
+	ClearSQL   string `json:"clear_sql,omitempty"`
+}
