--- a/core/membership/sync.go
+++ b/core/membership/sync.go
@@ -22,7 +22,6 @@
 	// pages is how many datagrams may still be sent in answer to pulls, at pagesAt.
 	pages   float64
 	pagesAt core.Time
-	known   []uint32
 }
 
 const (
