Route statements by kind, version and bucket

Cause: the entry has to find the owning side of a record under one revision. Change: Document.Route with a typed error for each refusal; Bucket hashes a key. The versions in service depend on the record's side while a take-over runs. Conclusion: entry and home can decide where a statement runs.

--- /dev/null
+++ b/core/config/route_test.go
@@ -0,0 +1,101 @@
+package config_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/config"
+)
+
+// keyIn returns a record key of the bucket.
+func keyIn(bucket, buckets int) string {
+	for n := 0; ; n++ {
+		key := string(rune('a'+n%26)) + string(rune('a'+n/26%26))
+		if config.Bucket(key, buckets) == bucket {
+			return key
+		}
+	}
+}
+
+func routed() *config.Document {
+	return &config.Document{
+		Revision: 9, DefaultGroup: "park-1",
+		Groups: map[core.GroupID]*config.Group{"park-1": {Durable: true}, "rival": {}},
+		Kinds: map[string]*config.Kind{
+			"bay":     {Group: "park-1", Versions: []string{"1", "2"}, MaxStaleness: time.Second},
+			"listing": {Group: "rival", Versions: []string{"old", "new", "new2"}, Durable: true},
+		},
+		Takeovers: map[string]*config.Takeover{"listing": {
+			State: config.TakeoverRunning, SourceGroup: "rival", SourceVersion: "old",
+			DestinationGroup: "park-1", DestinationVersion: "new", Buckets: 12,
+			Flipped: []byte{0b10}, Fenced: []byte{0b100},
+		}},
+	}
+}
+
+var _ = Describe("Route", func() {
+	It("follows the declared kind, or the default group", func() {
+		doc := routed()
+		Expect(doc.Route("bay", "2", "", true)).To(Equal(config.Route{Group: "park-1", Bucket: config.NoBucket, MaxStaleness: time.Second, Revision: 9}))
+		Expect(doc.Route("bay", "", "k", false)).To(HaveField("Group", core.GroupID("park-1")))
+		Expect(doc.Route("", "", "", true)).To(Equal(config.Route{Group: "park-1", Bucket: config.NoBucket, Durable: true, Revision: 9}))
+		doc.DefaultGroup = ""
+		_, err := doc.Route("", "", "", false)
+		Expect(err).To(MatchError(&config.NoDefaultGroupError{}))
+	})
+
+	It("refuses what is not declared and says what is", func() {
+		_, err := routed().Route("ghost", "", "", false)
+		Expect(err).To(MatchError(&config.UnknownKindError{Kind: "ghost"}))
+		_, err = routed().Route("bay", "0", "", false)
+		Expect(err).To(MatchError(&config.VersionNotInServiceError{Kind: "bay", Version: "0", InService: []string{"1", "2"}}))
+	})
+
+	It("sends each record to the side that owns its bucket", func() {
+		doc := routed()
+		Expect(doc.Route("listing", "old", keyIn(0, 12), true)).To(Equal(config.Route{Group: "rival", Bucket: 0, Durable: true, Revision: 9}))
+		Expect(doc.Route("listing", "new", keyIn(1, 12), true)).To(Equal(config.Route{Group: "park-1", Bucket: 1, Durable: true, Revision: 9}))
+		doc.Takeovers["listing"].State = config.TakeoverRolledBack
+		Expect(doc.Route("listing", "old", "", true)).To(HaveField("Bucket", config.NoBucket))
+	})
+
+	// A clerk updates a lot with the old application after its record was taken
+	// over; the old schema's statement must not touch the new tables, and the
+	// application must learn which version the record now carries.
+	It("refuses the version of the other side for a record", func() {
+		_, err := routed().Route("listing", "old", keyIn(1, 12), true)
+		Expect(err).To(MatchError(&config.VersionNotInServiceError{Kind: "listing", Version: "old", InService: []string{"new", "new2"}}))
+		_, err = routed().Route("listing", "new", keyIn(0, 12), false)
+		Expect(err).To(MatchError(&config.VersionNotInServiceError{Kind: "listing", Version: "new", InService: []string{"old", "new2"}}))
+	})
+
+	It("holds writes of a fenced bucket and lets reads pass", func() {
+		_, err := routed().Route("listing", "old", keyIn(2, 12), true)
+		Expect(err).To(MatchError(&config.FencedError{Kind: "listing", Bucket: 2, Revision: 9}))
+		Expect(routed().Route("listing", "old", keyIn(2, 12), false)).To(HaveField("Group", core.GroupID("rival")))
+	})
+
+	It("asks for the key while a take-over runs", func() {
+		for _, write := range []bool{true, false} {
+			_, err := routed().Route("listing", "old", "", write)
+			Expect(err).To(MatchError(&config.KeyMissingError{Kind: "listing"}))
+		}
+	})
+})
+
+func TestRouteDoesNotAllocate(t *testing.T) {
+	doc := routed()
+	key := keyIn(0, 12)
+	n := testing.AllocsPerRun(100, func() {
+		if _, err := doc.Route("listing", "old", key, true); err != nil {
+			t.Fatal(err)
+		}
+	})
+	if n != 0 {
+		t.Fatalf("%v allocations for each route", n)
+	}
+}
