Show that a remembered death is verified before it is believed

Cause: no test failed with that guard removed. Change: a test that tells a daemon of a remembered death.

--- a/core/membership/reducer_test.go
+++ b/core/membership/reducer_test.go
@@ -127,6 +127,29 @@
 		Expect(buried).To(BeZero())
 	})
 
+	// After a separation a daemon fetches from the far side entries that differ
+	// and is told that a neighbour is long dead, which the far side only
+	// remembers. Believed, the whole own side would be buried and dug up again,
+	// and all homes would move; so the neighbour is asked first.
+	It("asks a daemon whose death another one remembers before it believes it", func() {
+		c := newCluster(10, 0)
+		c.fill(6)
+		Expect(c.run(time.Minute, func() bool { return c.agree(6) })).To(BeTrue())
+		p, accused := c.procs[1], c.procs[4]
+		u := p.r.members[accused.id].short()
+		u.State, u.Remembered = Dead, true
+		tell := func() {
+			c.reduce(p, &Received{From: c.procs[2].addr, Message: &Message{From: c.procs[2].id, Daemons: []DaemonUpdate{u}}})
+		}
+		tell()
+		buried := func() bool { return p.r.members[accused.id].State == Dead }
+		Expect(c.run(time.Minute, buried)).To(BeFalse())
+		accused.up = false
+		tell()
+		Expect(p.r.probe.verify).NotTo(BeEmpty())
+		Expect(c.run(time.Minute, buried)).To(BeTrue())
+	})
+
 	// A datagram from an hour ago arrives again: it calls a daemon alive that
 	// is dead, an old home current and a target healthy that leaves. Believed,
 	// it would send requests to a dead daemon.
