--- a/standin/target/fault.go
+++ b/standin/target/fault.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -171,16 +170,6 @@
 	return f.change(id, func(m *Member) { m.lag = lag })
 }
 
-// Fence fences the member from inside, as an operator of the platform might.
-func (f *Faults) Fence(id core.MemberID, term core.Term) error {
-	m, err := f.member(id)
-	if err != nil {
-		return err
-	}
-	_, err = m.Fence(context.Background(), term)
-	return err
-}
-
 // reaches reports whether two members can talk. Needs network.
 func (g *Group) reaches(a, b *Member) bool {
 	return !a.cutOffFrom(b) && !b.cutOffFrom(a)
--- a/standin/target/link.go
+++ b/standin/target/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"slices"
@@ -107,17 +108,19 @@
 }
 
 // await waits until the client can be reached.
-func (l *link) await() error { return l.awaitUntil(l.ctx) }
-
-func (l *link) awaitUntil(ctx context.Context) error {
-	shut, paused, changed := l.shut()
-	if !shut {
+func (l *link) await() error {
+	if shut, _, _ := l.shut(); !shut {
 		return nil
 	}
 	keepalive := time.NewTimer(l.member.group.options.Keepalive)
 	defer keepalive.Stop()
+	return l.awaitUntil(l.ctx, keepalive.C)
+}
+
+func (l *link) awaitUntil(ctx context.Context, keepalive <-chan time.Time) error {
+	shut, paused, changed := l.shut()
 	for shut {
-		expired := keepalive.C
+		expired := keepalive
 		if paused {
 			expired = nil
 		}
@@ -170,14 +173,16 @@
 }
 
 // goodbye sends a last message, if any, and closes the connection, both once
-// the client can be reached: a partition hides the end of a connection too.
+// the client can be reached: a partition hides the end of a connection too. A
+// silent one is kept until the client closes it.
 func (l *link) goodbye(message []byte) {
 	defer l.cancel()
-	if l.awaitUntil(l.member.ctx) != nil {
-		l.reset()
-		return
-	}
-	if len(message) > 0 {
+	stop := context.AfterFunc(l.member.ctx, func() { _ = l.Conn.Close() })
+	defer stop()
+	if l.silent.Load() {
+		_ = l.SetDeadline(time.Time{})
+		_, _ = io.Copy(io.Discard, l.Conn)
+	} else if l.awaitUntil(l.member.ctx, nil) == nil && len(message) > 0 {
 		_ = l.SetWriteDeadline(time.Now().Add(goodbyeTimeout))
 		_, _ = l.Conn.Write(message)
 	}
--- a/standin/target/probe_state_test.go
+++ b/standin/target/probe_state_test.go
@@ -74,7 +74,7 @@
 		g := start(options)
 		first := dial(g, "a", work)
 		dial(g, "b", work)
-		dial(g, "c", control)
+		dial(g, "c", controlling)
 		_, err := open(g, "b", work)
 		Expect(stateOf(err)).To(Equal("53300"))
 		Expect(first.Close(context.Background())).To(Succeed())
@@ -125,7 +125,7 @@
 
 var _ = Describe("terms", func() {
 	It("refuse what is not above the own, and tell the state", func() {
-		conn := dial(start(three()), "a", control)
+		conn := dial(start(three()), "a", controlling)
 		Expect(state(conn, "SELECT * FROM limpetspan_fence(2)")).To(Equal("55000"))
 		Expect(state(conn, "SELECT * FROM limpetspan_promote(1)")).To(Equal("55000"))
 		var term, lsn, logTerm int64
@@ -140,7 +140,7 @@
 
 	It("end work connections and open writes at a fence", func() {
 		g := start(three())
-		ctl, writer := dial(g, "a", control), dial(g, "a", work)
+		ctl, writer := dial(g, "a", controlling), dial(g, "a", work)
 		exec(ctl, "CREATE TABLE t (id INTEGER)")
 		exec(writer, "BEGIN")
 		exec(writer, "INSERT INTO t VALUES (1)")
--- a/standin/target/record.go
+++ b/standin/target/record.go
@@ -92,6 +92,12 @@
 	return append([]*Record(nil), j.records...)
 }
 
+func (j *Journal) len() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.records)
+}
+
 // Match returns the records with a statement for which match holds, such as
 // all commits of one key: more than one means that it was applied repeatedly,
 // Primary and Term say by whom.
--- a/standin/target/suite_test.go
+++ b/standin/target/suite_test.go
@@ -26,8 +26,8 @@
 }
 
 const (
-	work    = "limpetspan-work"
-	control = "limpetspan-control"
+	work        = "limpetspan-work"
+	controlling = "limpetspan-control"
 )
 
 func three() target.Options {
