Decide how buckets move from one group to another

Cause: the take-over needs one place that says which step may follow which. Change: package core/takeover is a pure machine over events: buckets are copied and caught up side by side, flipped in batches (hold, drain, close, verify, seal, flip, settle), with retries, blocked buckets and a copy rate that gives way to callers' latency. Measured: its tests pass. With a guard taken out its test failed, for: the first page's marker, going over the last round, repeating an unknown flip, stopping when the claim is lost, giving up after a failed step. Conclusion: the worker has only to carry out effects.

--- /dev/null
+++ b/core/takeover/bucket.go
@@ -0,0 +1,180 @@
+package takeover
+
+import (
+	"time"
+)
+
+// bucket is what the machine knows of one bucket.
+type bucket struct {
+	id   int
+	step Step
+	// failures counts failed steps in a row, aborts the batches given up and
+	// attempts the copies that did not verify.
+	failures, aborts, attempts int
+	// lastKey is up to where the pages are copied.
+	lastKey string
+	// firstPage: the next page is the first one.
+	firstPage bool
+	// marker is up to where changes are copied. roundStart is where the round
+	// under way began and previousStart the one before: a transaction that
+	// took its marker early and committed late shows up behind the marker, so
+	// that each round goes over the one before again.
+	marker, roundStart, previousStart string
+	// rounds counts the rounds of catching up.
+	rounds int
+	// latestKey as Resume.KeysAfter.
+	latestKey int64
+}
+
+// Reasons of a block.
+const (
+	reasonBad      = "the records or the declared statements are at fault, see the log"
+	reasonMismatch = "count or checksum of the two sides differ"
+)
+
+// catchUpRounds is how many rounds a bucket is caught up at least: the second
+// one is short, as it only covers the time of the first.
+const catchUpRounds = 2
+
+func (m *Machine) prepare(b *bucket) {
+	*b = bucket{id: b.id, step: StepPrepare, attempts: b.attempts, aborts: b.aborts, failures: b.failures, firstPage: true}
+	m.emit(&Prepare{Bucket: b.id, Clear: b.attempts > 0 && m.clear, Wait: m.retryWait(b)})
+}
+
+// retryWait is the pause before a step that has failed.
+func (m *Machine) retryWait(b *bucket) time.Duration {
+	if b.failures == 0 {
+		return 0
+	}
+	return m.tuning.backoff(b.failures)
+}
+
+// pageWait is the pause before a page: the pace of the copy, or a retry's.
+func (m *Machine) pageWait(b *bucket) time.Duration {
+	return max(m.retryWait(b), m.pacer.Reserve(m.now, m.tuning.PageSize))
+}
+
+// check settles a result's failure and reports whether the step succeeded.
+func (m *Machine) check(b *bucket, f Failure, retry func(*bucket)) bool {
+	if !m.mayContinue(f) {
+		return false
+	}
+	switch f {
+	case FailureNone:
+		b.failures = 0
+		return true
+	case FailureBad:
+		m.block(b, reasonBad)
+	default:
+		b.failures++
+		retry(b)
+	}
+	return false
+}
+
+func (m *Machine) prepared(b *bucket, e *Prepared) {
+	if m.check(b, e.Err, m.prepare) {
+		m.copyPage(b)
+	}
+}
+
+func (m *Machine) copyPage(b *bucket) {
+	b.step = StepCopy
+	m.emit(&CopyPage{Bucket: b.id, After: b.lastKey, Size: m.tuning.PageSize, Wait: m.pageWait(b)})
+}
+
+// copied goes on with the next page. Changes are caught up from the latest
+// marker of the first page: a record that changes after it was copied gets a
+// marker later than any that existed then.
+func (m *Machine) copied(b *bucket, e *Copied) {
+	if !m.check(b, e.Err, m.copyPage) {
+		return
+	}
+	m.progress.Records += int64(e.Rows)
+	if b.firstPage {
+		b.firstPage, b.marker = false, e.Marker
+		b.previousStart = e.Marker
+	}
+	if e.Rows == m.tuning.PageSize {
+		b.lastKey = e.LastKey
+		m.copyPage(b)
+		return
+	}
+	m.copyKeys(b)
+}
+
+func (m *Machine) copyKeys(b *bucket) {
+	b.step = StepKeys
+	m.emit(&CopyKeys{Bucket: b.id, Wait: m.retryWait(b)})
+}
+
+func (m *Machine) keysCopied(b *bucket, e *KeysCopied) {
+	if m.check(b, e.Err, m.copyKeys) {
+		b.latestKey = e.Latest
+		m.beginRound(b)
+	}
+}
+
+func (m *Machine) beginRound(b *bucket) {
+	b.roundStart = b.marker
+	b.marker = b.previousStart
+	m.catchUp(b)
+}
+
+func (m *Machine) catchUp(b *bucket) {
+	b.step = StepCatchUp
+	wait := m.pageWait(b)
+	if b.rounds == 0 && b.aborts > 0 {
+		wait = max(wait, m.tuning.backoff(b.aborts))
+	}
+	m.emit(&CatchUpPage{Bucket: b.id, Marker: b.marker, Size: m.tuning.PageSize, Wait: wait})
+}
+
+func (m *Machine) caughtUp(b *bucket, e *CaughtUp) {
+	if !m.check(b, e.Err, m.catchUp) {
+		return
+	}
+	m.progress.Changes += int64(e.Rows)
+	if e.Rows > 0 {
+		b.marker = LatestMarker(b.marker, e.Marker)
+	}
+	if e.Rows == m.tuning.PageSize {
+		m.catchUp(b)
+		return
+	}
+	b.marker = LatestMarker(b.marker, b.roundStart)
+	b.previousStart = b.roundStart
+	b.rounds++
+	if b.rounds < catchUpRounds {
+		m.beginRound(b)
+		return
+	}
+	b.step = StepReady
+	m.ready = append(m.ready, b.id)
+}
+
+// again sends a bucket of a failed batch back: to another round if it only ran
+// out of time, to a new copy if it did not verify.
+func (m *Machine) again(b *bucket, copyAnew bool) {
+	if m.stopping || m.lost {
+		b.step = StepQueued
+		return
+	}
+	if !copyAnew {
+		b.aborts++
+		b.rounds = 0
+		m.beginRound(b)
+		return
+	}
+	b.attempts++
+	if b.attempts >= m.tuning.MaxAttempts {
+		m.block(b, reasonMismatch)
+		return
+	}
+	m.prepare(b)
+}
+
+func (m *Machine) block(b *bucket, reason string) {
+	b.step = StepBlocked
+	m.effects = append(m.effects, &Blocked{Bucket: b.id, Reason: reason})
+}
--- /dev/null
+++ b/core/takeover/pacer.go
@@ -0,0 +1,115 @@
+package takeover
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// PacerTuning are the parameters of a Pacer. Zero fields take the defaults.
+type PacerTuning struct {
+	// MinRate and MaxRate bound the rate, in records per second.
+	MinRate, MaxRate float64
+	// Increase is added to the rate each Interval in which callers are not
+	// slowed, in records per second; Decrease is the factor otherwise.
+	Increase, Decrease float64
+	Interval           time.Duration
+	// Tolerance is how much callers' latency may rise, as a share of the
+	// latency without copying, and Slack a rise too small to count.
+	Tolerance float64
+	Slack     time.Duration
+}
+
+// PacerDefaults returns the parameters used where nothing else is said.
+func PacerDefaults() PacerTuning {
+	return PacerTuning{
+		MinRate:   200,
+		MaxRate:   20_000,
+		Increase:  500,
+		Decrease:  0.6,
+		Interval:  250 * time.Millisecond,
+		Tolerance: 0.2,
+		Slack:     500 * time.Microsecond,
+	}
+}
+
+func (t *PacerTuning) complete() {
+	d := PacerDefaults()
+	setDefault(&t.MinRate, d.MinRate)
+	setDefault(&t.MaxRate, d.MaxRate)
+	setDefault(&t.Increase, d.Increase)
+	setDefault(&t.Decrease, d.Decrease)
+	setDefault(&t.Interval, d.Interval)
+	setDefault(&t.Tolerance, d.Tolerance)
+	setDefault(&t.Slack, d.Slack)
+}
+
+// baselineWeight is the weight of a new sample in the latency without copying.
+const baselineWeight = 0.1
+
+// Pacer sets the copy rate by callers' latency: additive increase while they
+// are not slowed, multiplicative decrease when they are. The latency to compare
+// with is learned before the copying begins and while it goes at MinRate.
+type Pacer struct {
+	tuning   PacerTuning
+	rate     float64
+	baseline time.Duration
+	// adjusted is when the rate was last set.
+	adjusted core.Time
+	copying  bool
+	// free is when the next page may begin.
+	free core.Time
+}
+
+// NewPacer returns a pacer at the least rate.
+func NewPacer(t PacerTuning) *Pacer {
+	t.complete()
+	return &Pacer{tuning: t, rate: t.MinRate}
+}
+
+// Rate returns the present rate, in records per second.
+func (p *Pacer) Rate() float64 { return p.rate }
+
+// Baseline returns the latency that callers have without copying; zero: unknown.
+func (p *Pacer) Baseline() time.Duration { return p.baseline }
+
+// Observe takes a sample of callers' latency, such as the 99th percentile of
+// the last interval. A sample of zero means that there were no callers.
+func (p *Pacer) Observe(now core.Time, latency time.Duration) {
+	if latency > 0 && (!p.copying || p.rate <= p.tuning.MinRate) {
+		p.learn(latency)
+	}
+	if !p.copying || now.Sub(p.adjusted) < p.tuning.Interval {
+		return
+	}
+	p.adjusted = now
+	if p.slowed(latency) {
+		p.rate = max(p.rate*p.tuning.Decrease, p.tuning.MinRate)
+		return
+	}
+	p.rate = min(p.rate+p.tuning.Increase, p.tuning.MaxRate)
+}
+
+func (p *Pacer) learn(latency time.Duration) {
+	if p.baseline == 0 {
+		p.baseline = latency
+		return
+	}
+	p.baseline += time.Duration(baselineWeight * float64(latency-p.baseline))
+}
+
+func (p *Pacer) slowed(latency time.Duration) bool {
+	limit := time.Duration(float64(p.baseline)*(1+p.tuning.Tolerance)) + p.tuning.Slack
+	return latency > 0 && p.baseline > 0 && latency > limit
+}
+
+// Reserve takes the time of a page of records and returns how long to wait
+// before it.
+func (p *Pacer) Reserve(now core.Time, records int) time.Duration {
+	if !p.copying {
+		p.copying, p.adjusted = true, now
+	}
+	start := max(p.free, now)
+	p.free = start.Add(time.Duration(float64(records) / p.rate * float64(time.Second)))
+	return start.Sub(now)
+}
--- /dev/null
+++ b/core/takeover/progress.go
@@ -0,0 +1,45 @@
+package takeover
+
+import (
+	"slices"
+	"time"
+)
+
+// Progress is how far a machine has come under its claim.
+type Progress struct {
+	// Buckets to move, and those done.
+	Buckets int `json:"buckets"`
+	Done    int `json:"done"`
+	// Records and Changes count the rows copied in pages and in catching up.
+	Records int64 `json:"records"`
+	Changes int64 `json:"changes"`
+	// Batches flipped, and batches given up before their flip.
+	Batches int `json:"batches"`
+	Aborted int `json:"aborted"`
+	// PauseMax is the longest time from asking for a hold to the end of its flip.
+	PauseMax time.Duration `json:"pause_max_ns"`
+	// Rate is the present bound of the copy, in records per second, and
+	// Baseline the callers' latency it is measured against.
+	Rate     float64       `json:"rate"`
+	Baseline time.Duration `json:"baseline_ns"`
+	// Blocked buckets need an operator.
+	Blocked []int `json:"blocked,omitempty"`
+	// Steps counts the buckets by step.
+	Steps map[string]int `json:"steps"`
+}
+
+// Progress returns a copy of the present progress.
+func (m *Machine) Progress() Progress {
+	p := m.progress
+	p.Buckets = len(m.buckets)
+	p.Rate, p.Baseline = m.pacer.Rate(), m.pacer.Baseline()
+	p.Steps = make(map[string]int)
+	for id, b := range m.buckets {
+		p.Steps[b.step.String()]++
+		if b.step == StepBlocked {
+			p.Blocked = append(p.Blocked, id)
+		}
+	}
+	slices.Sort(p.Blocked)
+	return p
+}
