Keep in one file what workers change in a take-over

Cause: which fields are progress and which are declared stood in four places. Change: progress.go holds them; the new statements and the worker are checked and described. Conclusion: a new progress field is added in one place.

--- a/core/config/change.go
+++ b/core/config/change.go
@@ -34,14 +34,6 @@
 	SetBuckets map[string]*BucketSets `json:"set_buckets,omitempty"`
 }
 
-// BucketSets is the progress of a take-over: see Takeover.Worker, Flipped and
-// Fenced.
-type BucketSets struct {
-	Worker  string `json:"worker,omitempty"`
-	Flipped []byte `json:"flipped,omitempty"`
-	Fenced  []byte `json:"fenced,omitempty"`
-}
-
 // Errors of Apply.
 var (
 	// ErrGap: the change does not follow the document's revision directly.
@@ -115,7 +107,7 @@
 			return nil, fmt.Errorf("%w: takeovers.%s", ErrMissing, name)
 		}
 		moved := *takeover
-		moved.Worker, moved.Flipped, moved.Fenced = sets.Worker, sets.Flipped, sets.Fenced
+		setProgress(&moved, sets)
 		takeovers[name] = &moved
 	}
 	return takeovers, nil
--- a/core/config/check_change.go
+++ b/core/config/check_change.go
@@ -110,13 +110,3 @@
 		r.add(path, RuleInUse, "cannot be removed before the kind's group is %q", old.DestinationGroup)
 	}
 }
-
-// containsBits reports whether set holds all of subset.
-func containsBits(set, subset []byte) bool {
-	for i, b := range subset {
-		if b != 0 && (i >= len(set) || b&^set[i] != 0) {
-			return false
-		}
-	}
-	return true
-}
--- a/core/config/check_takeover.go
+++ b/core/config/check_takeover.go
@@ -77,17 +77,31 @@
 	}
 }
 
+// statement is one SQL text of a take-over.
+type statement struct {
+	name, text string
+	optional   bool
+}
+
 func checkSQL(r *report, path string, t *Takeover) {
-	statements := []struct{ name, text string }{
-		{"read_sql", t.ReadSQL},
-		{"changed_sql", t.ChangedSQL},
-		{"upsert_sql", t.UpsertSQL},
-		{"source_verify_sql", t.SourceVerifySQL},
-		{"destination_verify_sql", t.DestinationVerifySQL},
+	statements := []statement{
+		{name: "read_sql", text: t.ReadSQL},
+		{name: "changed_sql", text: t.ChangedSQL},
+		{name: "upsert_sql", text: t.UpsertSQL},
+		{name: "source_verify_sql", text: t.SourceVerifySQL},
+		{name: "destination_verify_sql", text: t.DestinationVerifySQL},
+		{name: "clear_sql", text: t.ClearSQL, optional: true},
+	}
+	if t.Reverse != nil {
+		statements = append(statements,
+			statement{name: "reverse.read_sql", text: t.Reverse.ReadSQL},
+			statement{name: "reverse.changed_sql", text: t.Reverse.ChangedSQL},
+			statement{name: "reverse.upsert_sql", text: t.Reverse.UpsertSQL},
+			statement{name: "reverse.clear_sql", text: t.Reverse.ClearSQL, optional: true})
 	}
 	for _, s := range statements {
 		switch {
-		case s.text == "":
+		case s.text == "" && !s.optional:
 			r.add(path+"."+s.name, RuleRequired, "the statement is empty")
 		case len(s.text) > MaxSQLLength:
 			r.add(path+"."+s.name, RuleRange, "%d bytes, at most %d", len(s.text), MaxSQLLength)
@@ -104,11 +118,3 @@
 		}
 	}
 }
-
-func countBits(set []byte) int {
-	n := 0
-	for _, b := range set {
-		n += bits.OnesCount8(b)
-	}
-	return n
-}
--- a/core/config/diff.go
+++ b/core/config/diff.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"maps"
 	"reflect"
 	"slices"
@@ -53,24 +52,7 @@
 	return reflect.DeepEqual(ca, cb) && slices.Equal(a.Versions, b.Versions)
 }
 
-func sameTakeover(a, b *Takeover) bool { return sameDeclaration(a, b) && sameBuckets(a, b) }
-
-// sameDeclaration compares all but the progress.
-func sameDeclaration(a, b *Takeover) bool {
-	ca, cb := *a, *b
-	ca.Worker, ca.Flipped, ca.Fenced = "", nil, nil
-	cb.Worker, cb.Flipped, cb.Fenced = "", nil, nil
-	return reflect.DeepEqual(ca, cb)
-}
-
-func sameBuckets(a, b *Takeover) bool {
-	return a.Worker == b.Worker && sameBits(a.Flipped, b.Flipped) && sameBits(a.Fenced, b.Fenced)
-}
-
-// sameBits compares bit sets; missing bytes at the end count as zero.
-func sameBits(a, b []byte) bool {
-	return bytes.Equal(bytes.TrimRight(a, "\x00"), bytes.TrimRight(b, "\x00"))
-}
+func sameTakeover(a, b *Takeover) bool { return sameDeclaration(a, b) && sameProgress(a, b) }
 
 // splitBuckets turns take-overs of which only the progress changed into
 // SetBuckets, which leaves out their SQL.
@@ -83,7 +65,7 @@
 		if change.SetBuckets == nil {
 			change.SetBuckets = make(map[string]*BucketSets)
 		}
-		change.SetBuckets[name] = &BucketSets{Worker: takeover.Worker, Flipped: takeover.Flipped, Fenced: takeover.Fenced}
+		change.SetBuckets[name] = progressOf(takeover)
 		delete(change.SetTakeovers, name)
 	}
 	if len(change.SetTakeovers) == 0 {
--- a/core/config/text.go
+++ b/core/config/text.go
@@ -110,11 +110,12 @@
 }
 
 func takeoverFields(t *Takeover) []field {
-	return []field{
+	fields := []field{
 		{"state", string(t.State)},
 		{"source", string(t.SourceGroup) + " version " + t.SourceVersion},
 		{"destination", string(t.DestinationGroup) + " version " + t.DestinationVersion},
 		{"buckets", strconv.Itoa(t.Buckets)},
+		{"worker", t.Worker},
 		{"flipped", strconv.Itoa(countBits(t.Flipped))},
 		{"fenced", strconv.Itoa(countBits(t.Fenced))},
 		{"read_sql", t.ReadSQL},
@@ -122,7 +123,16 @@
 		{"upsert_sql", t.UpsertSQL},
 		{"source_verify_sql", t.SourceVerifySQL},
 		{"destination_verify_sql", t.DestinationVerifySQL},
+		{"clear_sql", t.ClearSQL},
+	}
+	if t.Reverse == nil {
+		return fields
 	}
+	return append(fields,
+		field{"reverse.read_sql", t.Reverse.ReadSQL},
+		field{"reverse.changed_sql", t.Reverse.ChangedSQL},
+		field{"reverse.upsert_sql", t.Reverse.UpsertSQL},
+		field{"reverse.clear_sql", t.Reverse.ClearSQL})
 }
 
 func shorten(text string) string {
