--- a/core/config/check_takeover.go
+++ b/core/config/check_takeover.go
@@ -77,14 +77,14 @@
 	}
 }
 
-// statement is one SQL text of a take-over.
-type statement struct {
+// sqlText is one SQL text of a take-over.
+type sqlText struct {
 	name, text string
 	optional   bool
 }
 
 func checkSQL(r *report, path string, t *Takeover) {
-	statements := []statement{
+	statements := []sqlText{
 		{name: "read_sql", text: t.ReadSQL},
 		{name: "changed_sql", text: t.ChangedSQL},
 		{name: "upsert_sql", text: t.UpsertSQL},
@@ -94,10 +94,10 @@
 	}
 	if t.Reverse != nil {
 		statements = append(statements,
-			statement{name: "reverse.read_sql", text: t.Reverse.ReadSQL},
-			statement{name: "reverse.changed_sql", text: t.Reverse.ChangedSQL},
-			statement{name: "reverse.upsert_sql", text: t.Reverse.UpsertSQL},
-			statement{name: "reverse.clear_sql", text: t.Reverse.ClearSQL, optional: true})
+			sqlText{name: "reverse.read_sql", text: t.Reverse.ReadSQL},
+			sqlText{name: "reverse.changed_sql", text: t.Reverse.ChangedSQL},
+			sqlText{name: "reverse.upsert_sql", text: t.Reverse.UpsertSQL},
+			sqlText{name: "reverse.clear_sql", text: t.Reverse.ClearSQL, optional: true})
 	}
 	for _, s := range statements {
 		switch {
