--- a/pkg/front/caller.go
+++ b/pkg/front/caller.go
@@ -109,6 +109,9 @@
 		if err := c.exchange(kind); err != nil {
 			return err
 		}
+		if c.gone.Load() {
+			return errTerminated
+		}
 	}
 }
 
@@ -236,21 +239,22 @@
 	}
 }
 
-// hangUp tells the handler, once, that the caller is gone.
+// hangUp tells the handler that the caller is gone; from now on no exchange is
+// passed on.
 func (c *caller) hangUp() {
-	if !c.gone.CompareAndSwap(false, true) {
-		return
-	}
+	c.gone.Store(true)
 	c.cancel()
 	c.server.options.Handler.Hangup(c.id)
 }
 
-// finish forgets the connection.
+// finish forgets the connection. The handler is told even if the watch has
+// done so: an exchange may have begun at that very moment and pinned a
+// connection that nobody else would give back.
 func (c *caller) finish() {
+	c.cancel()
 	if c.used {
 		c.hangUp()
 	}
-	c.cancel()
 	c.conn.Close()
 	if c.ws != nil {
 		c.ws.in.next, c.ws.in.end, c.ws.in.start = 0, 0, 0
--- a/pkg/front/fake_test.go
+++ b/pkg/front/fake_test.go
@@ -26,6 +26,9 @@
 	release   chan struct{}
 }
 
+// brokenRow is a DataRow without its end.
+var brokenRow = []byte{'D', 0, 0, 0, 99, 0}
+
 func newFakeHandler() *fakeHandler {
 	return &fakeHandler{cancelled: make(map[core.CallerID]chan struct{}), release: make(chan struct{})}
 }
@@ -64,7 +67,6 @@
 	return f.requests[len(f.requests)-1]
 }
 
-
 func (f *fakeHandler) counts() (requests, waiting, hangups int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -170,7 +172,7 @@
 	case "LOSE":
 		return errs.New(errs.ConnectionLost, core.OutcomeUnknown, "home.exchange", "m1", "the connection broke")
 	case "CUT":
-		w.Write([]byte{'D', 0, 0, 0, 99, 0})
+		w.Write(brokenRow)
 		return errs.New(errs.ConnectionLost, core.OutcomeUnknown, "home.exchange", "m1", "the connection broke")
 	case "BREAK":
 		r.sqlError()
@@ -179,6 +181,9 @@
 		r.status = 'T'
 	case "COMMIT", "ROLLBACK":
 		r.status = 'I'
+		if strings.HasPrefix(string(rest), "ROLLBACK TO") {
+			r.status = 'T'
+		}
 	}
 	r.say(&pgproto3.DataRow{Values: [][]byte{[]byte(sql)}})
 	r.say(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
--- a/pkg/front/watch.go
+++ b/pkg/front/watch.go
@@ -87,6 +87,8 @@
 		return
 	}
 	if !c.gone.Load() && hungUp(c.socket) {
+		// Stored here already, so that the next tick does not tell it again.
+		c.gone.Store(true)
 		go c.hangUp()
 	}
 }
