Name the errors of a take-over

Cause: a home refuses statements and holds for reasons that entries and the daemon that works a take-over must tell apart. Change: the kinds NotOwner, Held, HoldRefused and ClaimLost. Conclusion: additive.

--- a/pkg/errs/errs.go
+++ b/pkg/errs/errs.go
@@ -68,6 +68,15 @@
 	VersionNotInService = newKind("version_not_in_service", "0A000")
 	// Unsupported: the proxy does not carry this.
 	Unsupported = newKind("unsupported", "0A000")
+	// NotOwner: under the home's configuration another group owns the record; the
+	// entry catches up and routes again. Reaches a caller only at its deadline.
+	NotOwner = newKind("not_owner", "57P03")
+	// Held: the record is about to move to another group; come back soon.
+	Held = newKind("held", "55P03")
+	// HoldRefused and ClaimLost: answers of a home to a daemon that works a
+	// take-over: the hold has ended, or another daemon has the take-over.
+	HoldRefused = newKind("hold_refused", "55000")
+	ClaimLost   = newKind("claim_lost", "55000")
 	// OnceRepeated: the must-not-repeat key has run and its rows are not kept.
 	OnceRepeated = newKind("once_repeated", "23505")
 	// Authentication: wrong user or password.
