--- a/standin/target/command.go
+++ b/standin/target/command.go
@@ -140,7 +140,10 @@
 // parseState recognizes SELECT * FROM limpetspan_name(term).
 func (c *command) parseState() bool {
 	t := c.tokens
-	if len(t) < 6 || !t[0].is("SELECT") || !t[2].is("FROM") || !strings.HasPrefix(t[3].text, statePrefix) {
+	if len(t) < 6 || !t[0].is("SELECT") || !t[2].is("FROM") || !t[4].symbol("(") {
+		return false
+	}
+	if !strings.HasPrefix(t[3].text, statePrefix) {
 		return false
 	}
 	c.verb, c.tag, c.counted = verbState, "SELECT", true
--- a/standin/target/expression.go
+++ b/standin/target/expression.go
@@ -62,6 +62,9 @@
 	if len(e) == 1 {
 		return in.atomType(e[0])
 	}
+	if e[len(e)-2].symbol("::") {
+		return typeOf(e[len(e)-1].text)
+	}
 	if e[0].kind == tokenWord && e[1].symbol("(") {
 		return in.functionType(e)
 	}
--- a/standin/target/probe_state_test.go
+++ b/standin/target/probe_state_test.go
@@ -44,6 +44,11 @@
 		_, err := conn.PgConn().Exec(context.Background(), "INSERT INTO t VALUES (1); INSERT INTO t VALUES (1); SELECT 1").ReadAll()
 		Expect(stateOf(err)).To(Equal("23505"))
 		Expect(query[int](conn, "SELECT count(*) FROM t")).To(BeZero())
+		batch := &pgx.Batch{}
+		batch.Queue("INSERT INTO t VALUES ($1)", 1)
+		batch.Queue("INSERT INTO t VALUES ($1)", 1)
+		Expect(stateOf(conn.SendBatch(context.Background(), batch).Close())).To(Equal("23505"))
+		Expect(query[int](conn, "SELECT count(*) FROM t")).To(BeZero())
 		results, err := conn.PgConn().Exec(context.Background(), "INSERT INTO t VALUES (1); SELECT id FROM t").ReadAll()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(results).To(HaveLen(2))
@@ -114,6 +119,14 @@
 		Expect(query[string](conn, "SELECT $1", "x")).To(Equal("x"))
 	})
 
+	It("speak protocol 3.0 to a client that asks for more", func() {
+		g := start(three())
+		conn, err := pgx.Connect(context.Background(), "postgres://"+replaceAddr("kita:cycle@%/parkdb", g.Member("a"))+"?sslmode=disable&max_protocol_version=3.2")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(query[int](conn, "SELECT 1 AS one")).To(Equal(1))
+		Expect(conn.Close(context.Background())).To(Succeed())
+	})
+
 	It("refuse a wrong password, user or database", func() {
 		g := start(three())
 		for url, want := range map[string]string{"kita:wrong@%/parkdb": "28P01", "x:cycle@%/parkdb": "28P01", "kita:cycle@%/other": "3D000"} {
@@ -142,6 +155,8 @@
 		g := start(three())
 		ctl, writer := dial(g, "a", controlling), dial(g, "a", work)
 		exec(ctl, "CREATE TABLE t (id INTEGER)")
+		exec(ctl, "CREATE TABLE limpetspan_once (tag TEXT)")
+		exec(ctl, "SELECT tag FROM limpetspan_once WHERE tag = $1", "x")
 		exec(writer, "BEGIN")
 		exec(writer, "INSERT INTO t VALUES (1)")
 		exec(ctl, "SELECT * FROM limpetspan_fence(3)")
@@ -153,4 +168,21 @@
 		Expect(query[int](ctl, "SELECT sum(id) FROM t")).To(Equal(3))
 		Expect(g.Journal().Match(func(s target.Statement) bool { return s.SQL == "INSERT INTO t VALUES (1)" })).To(BeEmpty())
 	})
+
+	It("abort a transaction that began in an earlier reign", func() {
+		// A settlement is written while the member is fenced and promoted again
+		// for a new term. Its transaction began before, on what the fence had
+		// ended, so its COMMIT must not be acknowledged in the new term.
+		g := start(three())
+		ctl, writer := dial(g, "a", controlling), dial(g, "a", controlling)
+		exec(ctl, "CREATE TABLE t (id INTEGER)")
+		exec(writer, "BEGIN")
+		exec(writer, "INSERT INTO t VALUES (1)")
+		exec(ctl, "SELECT * FROM limpetspan_fence(3)")
+		exec(ctl, "SELECT * FROM limpetspan_promote(4)")
+		Expect(state(writer, "COMMIT")).To(Equal("57P01"))
+		exec(ctl, "INSERT INTO t VALUES (2)")
+		Expect(query[int](ctl, "SELECT sum(id) FROM t")).To(Equal(2))
+		Expect(g.Journal().Records()).To(HaveLen(2))
+	})
 })
--- a/standin/target/replication.go
+++ b/standin/target/replication.go
@@ -10,7 +10,7 @@
 
 const (
 	// applyBatch is how many due records a replica applies at a time.
-	applyBatch = 256
+	applyBatch = 64
 	// idlePoll is how long a replica without work waits when no news come.
 	idlePoll = time.Second
 )
--- a/standin/target/replication_test.go
+++ b/standin/target/replication_test.go
@@ -49,6 +49,21 @@
 		Expect([]int64{logTerm, at}).To(Equal([]int64{int64(target.FirstTerm), int64(lsn(g, "a")())}))
 	})
 
+	It("keeps the order when a spike delays an earlier record", func() {
+		clock, options := newManualClock(), three()
+		options.Clock = clock
+		options.Members[1].Lag = target.Lag{Spike: 5 * time.Second, SpikeEvery: 10 * time.Second, SpikeLength: time.Second}
+		g := start(options)
+		conn := dial(g, "a", work)
+		exec(conn, "CREATE TABLE t (id INTEGER)")
+		clock.Advance(2 * time.Second)
+		exec(conn, "INSERT INTO t VALUES (1)")
+		Eventually(lsn(g, "c")).Should(Equal(lsn(g, "a")()))
+		Expect(lsn(g, "b")()).To(BeZero())
+		clock.Advance(3 * time.Second)
+		Eventually(lsn(g, "b")).Should(Equal(lsn(g, "a")()))
+	})
+
 	It("rewinds an old primary that comes back", func() {
 		// A gate's check-out is acknowledged by a primary that is cut off from
 		// the others. They get a new primary. When the old one comes back it
--- a/standin/target/session.go
+++ b/standin/target/session.go
@@ -208,6 +208,9 @@
 	if options.Database != "" && startup.Parameters["database"] != options.Database {
 		return fatal(stateNoDatabase, "database \""+startup.Parameters["database"]+"\" does not exist")
 	}
+	if startup.ProtocolVersion != pgproto3.ProtocolVersion30 {
+		s.back.Send(&pgproto3.NegotiateProtocolVersion{})
+	}
 	return s.authenticate(startup.Parameters["user"])
 }
 
@@ -256,9 +259,6 @@
 }
 
 func (s *session) greet(startup *pgproto3.StartupMessage) error {
-	if startup.ProtocolVersion != pgproto3.ProtocolVersion30 {
-		s.back.Send(&pgproto3.NegotiateProtocolVersion{})
-	}
 	s.back.Send(&pgproto3.AuthenticationOk{})
 	for i := range parameters {
 		s.back.Send(&parameters[i])
