--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -25,6 +25,8 @@
 	KindDigest
 	// KindPull asks for the entries of buckets that the sender lacks.
 	KindPull
+	// KindEntries answers a pull.
+	KindEntries
 )
 
 // Message is one datagram.
--- a/core/membership/queue.go
+++ b/core/membership/queue.go
@@ -46,6 +46,9 @@
 func (r *Reducer) enqueue(e entry) {
 	s := e.state()
 	s.generation++
+	if r.catchingUp {
+		return
+	}
 	if len(r.queue.levels) == 0 {
 		r.queue.levels = append(r.queue.levels, nil)
 	}
--- a/core/membership/reducer.go
+++ b/core/membership/reducer.go
@@ -44,6 +44,9 @@
 	refuteAt  core.Time
 	sweepAt   core.Time
 	plannedAt core.Time
+	// catchingUp is set while a new daemon takes in what all others know: it
+	// must not tell them that thousandfold.
+	catchingUp bool
 }
 
 // New returns a reducer that waits for Start.
@@ -183,6 +186,7 @@
 	if m.From == r.self.ID || !validName(string(m.From)) {
 		return // an echo of an own message, or somebody without a name
 	}
+	r.catchingUp = m.Kind == KindEntries && !r.sync.settled
 	for i := range m.Daemons {
 		r.applyDaemon(&m.Daemons[i])
 	}
@@ -192,6 +196,7 @@
 	for i := range m.Targets {
 		r.applyTarget(&m.Targets[i])
 	}
+	r.catchingUp = false
 	r.offered(m)
 	switch m.Kind {
 	case KindPing:
@@ -293,6 +298,9 @@
 // Root is the digest of the whole view, equal in views that agree.
 func (r *Reducer) Root() uint64 { return r.digest.root() }
 
+// Live is the number of daemons that are not dead, this one included.
+func (r *Reducer) Live() int { return len(r.live) + 1 }
+
 // Quiet reports whether there is no news left to send.
 func (r *Reducer) Quiet() bool { return !r.hasNews() }
 
--- a/core/membership/sync.go
+++ b/core/membership/sync.go
@@ -19,6 +19,8 @@
 	peer    netip.AddrPort
 	buckets []uint32
 	pullAt  core.Time
+	// settled is set once this view agreed with another one, or nearly did.
+	settled bool
 	// pages is how many datagrams may still be sent in answer to pulls, at pagesAt.
 	pages   float64
 	pagesAt core.Time
@@ -90,6 +92,7 @@
 		}
 	}
 	s.pullAt = r.now
+	s.settled = s.settled || len(s.buckets) < spreadPulls
 	r.scheduleResync(m.Root == r.digest.root())
 }
 
@@ -241,7 +244,7 @@
 		return false
 	}
 	p.reducer.sync.pages--
-	p.message = p.reducer.message(p.to, KindNews)
+	p.message = p.reducer.message(p.to, KindEntries)
 	p.room = p.message.room()
 	return true
 }
--- /dev/null
+++ b/pkg/cli/bench.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"limpetspan/pkg/bench/control"
+)
+
+// BenchCommand groups the measurements.
+type BenchCommand struct {
+	Control *BenchControlCommand `arg:"subcommand:control" help:"measure what the control work of a daemon costs, with many daemons in this process"`
+}
+
+// Examples shows how the subcommand is used.
+func (*BenchCommand) Examples() string {
+	return `limpetspan bench control --json --daemons 100 --groups 165`
+}
+
+// Run says that a measurement has to be named.
+func (*BenchCommand) Run(context.Context, *Env) error {
+	return Usagef("name a measurement: see limpetspan bench --help")
+}
+
+// BenchControlCommand measures the control work.
+type BenchControlCommand struct {
+	Daemons    []int         `arg:"--daemons" placeholder:"N" help:"numbers of daemons [default: 100]"`
+	Groups     []int         `arg:"--groups" placeholder:"M" help:"numbers of groups; the first runs with all numbers of daemons, the others with the first of these [default: 165]"`
+	Seconds    int           `arg:"--seconds" default:"10" placeholder:"S" help:"length of the parts that have no end of their own"`
+	Scenarios  []string      `arg:"--scenarios" placeholder:"NAME" help:"steady, config, restarts, zone, region [default: all]"`
+	Regions    int           `arg:"--regions" default:"4" placeholder:"N" help:"regions of the fleet"`
+	Zones      int           `arg:"--zones" default:"12" placeholder:"N" help:"availability zones of the fleet"`
+	FetchDelay time.Duration `arg:"--fetch-delay" default:"20ms" placeholder:"D" help:"stands for the fetch of a configuration from a peer"`
+	Memory     bool          `arg:"--memory" help:"use a network in memory in place of UDP on loopback"`
+	Latency    time.Duration `arg:"--latency" default:"0s" placeholder:"D" help:"one-way latency of the network in memory"`
+	Key        string        `arg:"--key" placeholder:"TEXT" help:"sign the datagrams with this key"`
+	Out        string        `arg:"--out" placeholder:"FILE" help:"write the JSON report to this file, too"`
+}
+
+// Examples shows how the subcommand is used.
+func (*BenchControlCommand) Examples() string {
+	return `limpetspan bench control --json --daemons 100 --groups 165
+limpetspan bench control --json --daemons 100 200 400 800 1700 --groups 2800 700 1400 --out control.json
+limpetspan bench control --json --daemons 400 --groups 660 --memory --latency 20ms --scenarios config`
+}
+
+// Run carries out the subcommand.
+func (c *BenchControlCommand) Run(ctx context.Context, env *Env) error {
+	report, err := control.Measure(ctx, control.Options{
+		Daemons: c.Daemons, Groups: c.Groups, Seconds: c.Seconds, Scenarios: c.Scenarios,
+		Regions: c.Regions, Zones: c.Zones, FetchDelay: c.FetchDelay,
+		Memory: c.Memory, Latency: c.Latency, Key: []byte(c.Key),
+		Command: "limpetspan " + strings.Join(os.Args[1:], " "), Progress: env.Stderr,
+	})
+	if err != nil {
+		return Failedf("%w", err)
+	}
+	text, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return Failedf("report: %w", err)
+	}
+	text = append(text, '\n')
+	if c.Out != "" {
+		if err := os.WriteFile(c.Out, text, 0o644); err != nil {
+			return Failedf("report: %w", err)
+		}
+	}
+	if env.JSON {
+		_, err = env.Stdout.Write(text)
+		return err
+	}
+	for _, run := range report.Runs {
+		if u := run.Steady; u != nil {
+			fmt.Fprintf(env.Stdout, "%d daemons, %d groups: %.3f %% of a core, %.0f bytes/s, %.0f bytes of heap per daemon\n",
+				run.Daemons, run.Groups, u.CPUPercentOfCore, u.BytesPerS, u.HeapBytes)
+		}
+	}
+	return nil
+}
--- a/pkg/gossip/service.go
+++ b/pkg/gossip/service.go
@@ -152,8 +152,8 @@
 }
 
 const (
-	// hostsAloneInterval and hostsInterval are the times between two looks at
-	// the platform's host list while no daemon is known, and otherwise.
+	// hostsAloneInterval and hostsInterval are the mean times between two looks
+	// at the platform's host list while no daemon is known, and otherwise.
 	hostsAloneInterval = 2 * time.Second
 	hostsInterval      = 10 * time.Minute
 	// receiveBuffer is above the largest datagram, so that longer ones are
@@ -209,23 +209,23 @@
 }
 
 func (s *Service) hostsLoop(ctx context.Context) error {
+	next := time.Now().Add(hostsInterval/2 + rand.N(hostsInterval))
 	for {
-		addrs, err := s.options.Hosts(ctx)
-		if err != nil {
-			s.logger.Warn("host list not read", "step", "gossip.hosts", "error", err)
-		} else {
-			s.reduce(&membership.Hosts{Addrs: addrs})
-		}
-		wait := hostsInterval
-		if len(s.Daemons()) < 2 {
-			wait = hostsAloneInterval
-		}
-		wait = wait/2 + rand.N(wait)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(wait):
+		case <-time.After(hostsAloneInterval/2 + rand.N(hostsAloneInterval)):
+		}
+		if live, _ := s.Fingerprint(); live > 1 && time.Now().Before(next) {
+			continue
+		}
+		next = time.Now().Add(hostsInterval/2 + rand.N(hostsInterval))
+		addrs, err := s.options.Hosts(ctx)
+		if err != nil {
+			s.logger.Warn("host list not read", "step", "gossip.hosts", "error", err)
+			continue
 		}
+		s.reduce(&membership.Hosts{Addrs: addrs})
 	}
 }
 
--- a/pkg/gossip/view.go
+++ b/pkg/gossip/view.go
@@ -50,6 +50,14 @@
 	return s.daemons
 }
 
+// Fingerprint returns the number of daemons that are not dead and a digest of
+// the whole view: views that agree have the same.
+func (s *Service) Fingerprint() (live int, root uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reducer.Live(), s.reducer.Root()
+}
+
 // Daemon returns what is known of one daemon, the dead that are remembered
 // included.
 func (s *Service) Daemon(id core.DaemonID) (fleet.Daemon, bool) {
