Complete a take-over only together with its kind's move

Cause: routing looks at a kind's group alone once its take-over is complete, so a kind left in the source would serve records that are out of date. The check refused only the later removal of the take-over. Change: a complete take-over whose kind is not in the destination is refused.

--- a/core/config/check_change.go
+++ b/core/config/check_change.go
@@ -80,7 +80,10 @@
 	path := "takeovers." + name
 	old, now := before.Takeovers[name], after.Takeovers[name]
 	if now == nil {
-		checkTakeoverRemoval(r, after, path, old, name)
+		// It decides where a record lives for as long as it runs.
+		if old.Active() {
+			r.add(path, RuleInUse, "cannot be removed in state %q", old.State)
+		}
 		return
 	}
 	if old.State != now.State && !slices.Contains(successors[old.State], now.State) {
@@ -98,15 +101,3 @@
 		r.add(path+".flipped", RuleState, "a flipped bucket goes back only in a rollback")
 	}
 }
-
-// checkTakeoverRemoval keeps a take-over as long as it decides where a record
-// lives: while it runs, and until the kind itself is in the destination.
-func checkTakeoverRemoval(r *report, after *Document, path string, old *Takeover, name string) {
-	kind := after.Kinds[name]
-	switch {
-	case old.Active():
-		r.add(path, RuleInUse, "cannot be removed in state %q", old.State)
-	case old.State == TakeoverComplete && kind != nil && kind.Group != old.DestinationGroup:
-		r.add(path, RuleInUse, "cannot be removed before the kind's group is %q", old.DestinationGroup)
-	}
-}
--- a/core/config/check_takeover.go
+++ b/core/config/check_takeover.go
@@ -49,7 +49,13 @@
 		if kind.Group != t.SourceGroup {
 			r.add(path+".source_group", RuleState, "the kind is in group %q", kind.Group)
 		}
-	case TakeoverComplete, TakeoverRolledBack:
+	case TakeoverComplete:
+		// Routing looks at the kind alone from now on. A kind left in the source
+		// would send every caller to records that are no longer kept up to date.
+		if kind.Group != t.DestinationGroup {
+			r.add(path+".destination_group", RuleState, "the kind is in group %q", kind.Group)
+		}
+	case TakeoverRolledBack:
 	default:
 		r.add(path+".state", RuleFormat, "%q is no state", t.State)
 	}
--- a/core/config/check_test.go
+++ b/core/config/check_test.go
@@ -55,6 +55,7 @@
 	Entry("complete too early", "takeovers.listing.flipped", config.RuleState, func(d *config.Document) {
 		d.Takeovers["listing"].State = config.TakeoverComplete
 		d.Takeovers["listing"].Fenced = nil
+		d.Kinds["listing"].Group = "park-1"
 	}),
 	Entry("unknown state", "takeovers.listing.state", config.RuleFormat, func(d *config.Document) {
 		d.Takeovers["listing"].State = "done"
@@ -96,16 +97,19 @@
 		}))).To(Succeed())
 	})
 
-	It("keeps a complete take-over until its kind is in the destination", func() {
+	// Story: a take-over completes, and the kind's own group stays the source.
+	// Routing no longer looks at the buckets, so riders pay at the old side,
+	// whose records nobody keeps up to date any more.
+	It("completes a take-over only together with its kind's move", func() {
 		done := edited(func(d *config.Document) {
 			t := d.Takeovers["listing"]
 			t.State, t.Flipped, t.Fenced = config.TakeoverComplete, []byte{0xff, 0x0f}, nil
 		})
+		Expect(problemsOf(config.CheckChange(sample(), done))).To(Equal([]problem{{"takeovers.listing.destination_group", config.RuleState}}))
+		done.Kinds["listing"] = &config.Kind{Group: "park-1", Versions: []string{"new"}}
 		Expect(config.CheckChange(sample(), done)).To(Succeed())
 		after := *done
 		after.Takeovers = nil
-		Expect(problemsOf(config.CheckChange(done, &after))).To(Equal([]problem{{"takeovers.listing", config.RuleInUse}}))
-		after.Kinds = map[string]*config.Kind{"listing": {Group: "park-1", Versions: []string{"new"}}, "charge": done.Kinds["charge"]}
 		after.Groups = map[core.GroupID]*config.Group{"park-1": done.Groups["park-1"]}
 		Expect(config.CheckChange(done, &after)).To(Succeed())
 	})
