Write the capacity page from measurement files

Cause: a page whose numbers are copied by hand drifts from the measurements. Change: pkg/bench/capacity renders docs/CAPACITY.md from docs/measurements; its test fails when the page differs; bench capacity writes it. A file that does not exist yet reads as not measured. Conclusion: further measurements need only their file.

--- /dev/null
+++ b/pkg/bench/capacity/plan.go
@@ -0,0 +1,169 @@
+package capacity
+
+import "limpetspan/pkg/bench/control"
+
+// The plan's size, and what follows from it by arithmetic.
+const (
+	planDaemons      = control.PlanDaemons
+	planGroups       = control.PlanGroups
+	planZones        = 12
+	planConnections  = 17_000_000
+	planStatements   = 3_200_000
+	changesPerDay    = 3300
+	restartsPerDay   = 570
+	failuresPerDay   = 16
+	primariesPerDay  = 3
+	secondsPerDay    = 86400.0
+	candidates       = 3 // of each group
+	watchersOfFleet  = 12
+	hostListInterval = 600.0 // seconds between two looks of one daemon
+
+	groupsPerDaemon      = float64(candidates*planGroups) / planDaemons
+	connectionsPerDaemon = float64(planConnections) / planDaemons
+	statementsPerDaemon  = float64(planStatements) / planDaemons
+	zoneDaemons          = planDaemons / planZones
+)
+
+// The limits.
+const (
+	limitCPUPercent    = 3.4
+	limitMemoryBytes   = 32e6
+	limitBytesPerS     = 12e3
+	limitStoreReads    = 2000.0
+	limitStoreWrites   = 300.0 // the low end of "several hundred"
+	limitPrimaryMS     = 18e3
+	limitConfigMS      = 8e3
+	assumedSwapsChange = 2.0 // store writes of one configuration change
+)
+
+// model holds the figures of the page.
+type model struct {
+	m   *Measurements
+	run *control.Run // at the plan's size; nil: not measured
+
+	steadyCPU, steadyBytes, steadyMessages, heap figure
+	newsCPU, newsBytes, newsMessages             figure
+	homeCPU, homeBytes, homeMessages, homeHeap   figure
+	configReach, configAll, configWhole          figure
+	failoverP99, failoverMax                     figure
+}
+
+func newModel(m *Measurements) *model {
+	p := &model{m: m, run: planRun(m.Control)}
+	p.steady()
+	p.news()
+	p.home()
+	p.configReach = p.ofRun(func(r *control.Run) (float64, bool) {
+		if r.Config == nil {
+			return 0, false
+		}
+		return r.Config.Reach.P99MS, r.Config.Missed == 0
+	})
+	p.configAll = p.ofRun(func(r *control.Run) (float64, bool) {
+		if r.Config == nil {
+			return 0, false
+		}
+		return r.Config.All.MaxMS, r.Config.Missed == 0
+	})
+	p.configWhole = m.largest(fileConfig, "p99_ms")
+	p.failoverP99 = m.largest(fileFailover, "gap_p99_ms")
+	p.failoverMax = m.largest(fileFailover, "gap_max_ms")
+	return p
+}
+
+// planRun is the run at the plan's size, if there is one.
+func planRun(r *control.Report) *control.Run {
+	if r == nil {
+		return nil
+	}
+	for i := range r.Runs {
+		if r.Runs[i].Daemons == planDaemons && r.Runs[i].Groups == planGroups {
+			return &r.Runs[i]
+		}
+	}
+	return nil
+}
+
+func (p *model) ofRun(f func(*control.Run) (float64, bool)) figure {
+	if p.run == nil {
+		return unknown(fileControl)
+	}
+	v, ok := f(p.run)
+	return figure{value: v, known: ok, source: fileControl + ", run at this size"}
+}
+
+// steady takes the run at the plan's size, else the fit.
+func (p *model) steady() {
+	of := func(name string, f func(*control.Usage) float64) figure {
+		direct := p.ofRun(func(r *control.Run) (float64, bool) {
+			if r.Steady == nil {
+				return 0, false
+			}
+			return f(r.Steady), true
+		})
+		if direct.known {
+			return direct
+		}
+		return p.fit("steady." + name)
+	}
+	p.steadyCPU = of("cpu_percent_of_core", func(u *control.Usage) float64 { return u.CPUPercentOfCore })
+	p.steadyBytes = of("bytes_per_s", func(u *control.Usage) float64 { return u.BytesPerS })
+	p.steadyMessages = of("messages_per_s", func(u *control.Usage) float64 { return u.MessagesPerS })
+	p.heap = of("heap_bytes", func(u *control.Usage) float64 { return u.HeapBytes })
+}
+
+func (p *model) slope(metric string) *control.Slope {
+	if p.m.Control == nil {
+		return nil
+	}
+	for i := range p.m.Control.Slopes {
+		if p.m.Control.Slopes[i].Metric == metric {
+			return &p.m.Control.Slopes[i]
+		}
+	}
+	return nil
+}
+
+func (p *model) fit(metric string) figure {
+	s := p.slope(metric)
+	if s == nil {
+		return unknown(fileControl)
+	}
+	return known(s.AtPlan, fileControl+", fit")
+}
+
+// news is what changes and restarts cost at the plan's rates: what they added
+// to the steady state in the bench, divided by the scale of their rates.
+func (p *model) news() {
+	of := func(f func(*control.Usage) float64) figure {
+		return p.ofRun(func(r *control.Run) (float64, bool) {
+			if r.Steady == nil || r.Config == nil || r.Restarts == nil {
+				return 0, false
+			}
+			base := f(r.Steady)
+			added := max(0, f(&r.Config.Usage)-base)/r.Config.Scale +
+				max(0, f(&r.Restarts.Usage)-base)/r.Restarts.Scale
+			return added, true
+		})
+	}
+	p.newsCPU = of(func(u *control.Usage) float64 { return u.CPUPercentOfCore })
+	p.newsBytes = of(func(u *control.Usage) float64 { return u.BytesPerS })
+	p.newsMessages = of(func(u *control.Usage) float64 { return u.MessagesPerS })
+}
+
+func (p *model) home() {
+	of := func(field string) figure { return p.m.largest(fileHome, field).times(groupsPerDaemon) }
+	p.homeCPU = of("cpu_percent_of_core_per_group")
+	p.homeBytes = of("bytes_per_s_per_group")
+	p.homeMessages = of("messages_per_s_per_group")
+	p.homeHeap = of("heap_bytes_per_group")
+}
+
+// Store calls of the whole fleet, calculated from the design.
+func storeReads() float64 {
+	return watchersOfFleet + watchersOfFleet*changesPerDay/secondsPerDay
+}
+
+func hostListReads() float64 { return planDaemons / hostListInterval }
+
+func storeWrites() float64 { return assumedSwapsChange * changesPerDay / secondsPerDay }
--- a/pkg/bench/control/options.go
+++ b/pkg/bench/control/options.go
@@ -16,6 +16,8 @@
 	Groups  []int
 	// Seconds is the length of each measured part that has no end of its own.
 	Seconds int
+	// Settle is the pause after the start, in which news of it dies down.
+	Settle time.Duration
 	// Scenarios to run; empty: all of them.
 	Scenarios []string
 	// Regions and Zones of the fleet; daemons are spread evenly over them.
--- a/pkg/bench/control/run.go
+++ b/pkg/bench/control/run.go
@@ -44,8 +44,7 @@
 		return nil, err
 	}
 	run := &Run{Daemons: sz.daemons, Groups: sz.groups, Regions: o.Regions, Zones: o.Zones, SetupS: time.Since(start).Seconds()}
-	// News of the start is still on its way; it belongs to no scenario.
-	s.sleep(5 * time.Second)
+	s.sleep(o.Settle)
 	for _, name := range Scenarios {
 		if !slices.Contains(o.Scenarios, name) || ctx.Err() != nil {
 			continue
--- a/pkg/bench/control/scenarios.go
+++ b/pkg/bench/control/scenarios.go
@@ -36,16 +36,33 @@
 	last   []time.Duration
 }
 
+// begin records that d is the first to have the revision.
+func (a *arrivals) begin(d *daemon, r uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.starts = append(a.starts, time.Now())
+	a.last = append(a.last, 0)
+	a.noteLocked(d, r, d)
+}
+
 // note records that d has all revisions up to r now.
 func (a *arrivals) note(d *daemon, r uint64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.noteLocked(d, r, nil)
+}
+
+// noteLocked leaves out the origin of the revision, which took no time.
+func (a *arrivals) noteLocked(d *daemon, r uint64, origin *daemon) bool {
 	now := time.Now()
 	old := a.has[d]
 	if r <= old {
 		return false
 	}
 	for v := old + 1; v <= r; v++ {
+		if v == r && origin == d {
+			break
+		}
 		took := now.Sub(a.starts[v-a.first])
 		a.reach = append(a.reach, took)
 		a.last[v-a.first] = max(a.last[v-a.first], took)
@@ -74,11 +91,7 @@
 	changes := s.options.Seconds * changesPerSecond
 	for i := range changes {
 		d := s.daemons[i*len(s.daemons)/changes]
-		a.mu.Lock()
-		a.starts = append(a.starts, time.Now())
-		a.last = append(a.last, 0)
-		a.mu.Unlock()
-		a.note(d, uint64(first+i))
+		a.begin(d, uint64(first+i))
 		d.service.AnnounceConfig(uint64(first + i))
 		s.sleep(time.Second / changesPerSecond)
 	}
--- a/pkg/bench/control/simulation.go
+++ b/pkg/bench/control/simulation.go
@@ -48,6 +48,9 @@
 	earlier traffic
 }
 
+// firstIncarnation is that of the first lives, known to all from the start.
+const firstIncarnation = 1
+
 const settleTime = 90 * time.Second
 
 // newSimulation starts a fleet whose daemons know each other and the homes of
@@ -96,6 +99,7 @@
 		PeerAddr:     fmt.Sprintf("10.%d.%d.%d:7400", zone, i>>8, i&255),
 		GossipAddr:   addr.String(),
 		OperatorAddr: fmt.Sprintf("10.%d.%d.%d:7401", zone, i>>8, i&255),
+		Incarnation:  firstIncarnation,
 	}
 }
 
@@ -129,7 +133,7 @@
 		}
 		m := membership.Daemon{
 			ID: d.self.ID, Zone: d.self.Zone, Region: d.self.Region, PeerAddr: d.self.PeerAddr,
-			GossipAddr: d.self.GossipAddr, OperatorAddr: d.self.OperatorAddr, Incarnation: 1,
+			GossipAddr: d.self.GossipAddr, OperatorAddr: d.self.OperatorAddr, Incarnation: firstIncarnation,
 		}
 		a.Add(&m)
 		last := &messages[len(messages)-1]
@@ -244,6 +248,7 @@
 		return err
 	}
 	d.earlier = d.traffic()
+	d.self.Incarnation = 0
 	return s.run(d, t, nil)
 }
 
--- a/pkg/bench/control/usage.go
+++ b/pkg/bench/control/usage.go
@@ -17,7 +17,6 @@
 	cpu    time.Duration
 	hosts  int64
 	before map[*daemon]traffic
-	base   traffic
 }
 
 // traffic counts one daemon's datagrams and bytes.
--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -13,7 +13,8 @@
 
 // BenchCommand groups the measurements.
 type BenchCommand struct {
-	Control *BenchControlCommand `arg:"subcommand:control" help:"measure what the control work of a daemon costs, with many daemons in this process"`
+	Control  *BenchControlCommand  `arg:"subcommand:control" help:"measure what the control work of a daemon costs, with many daemons in this process"`
+	Capacity *BenchCapacityCommand `arg:"subcommand:capacity" help:"write the capacity page from the measurement files"`
 }
 
 // Examples shows how the subcommand is used.
@@ -48,10 +49,13 @@
 limpetspan bench control --json --daemons 400 --groups 660 --memory --latency 20ms --scenarios config`
 }
 
+// benchSettle is the pause before the first measurement.
+const benchSettle = 5 * time.Second
+
 // Run carries out the subcommand.
 func (c *BenchControlCommand) Run(ctx context.Context, env *Env) error {
 	report, err := control.Measure(ctx, control.Options{
-		Daemons: c.Daemons, Groups: c.Groups, Seconds: c.Seconds, Scenarios: c.Scenarios,
+		Daemons: c.Daemons, Groups: c.Groups, Seconds: c.Seconds, Settle: benchSettle, Scenarios: c.Scenarios,
 		Regions: c.Regions, Zones: c.Zones, FetchDelay: c.FetchDelay,
 		Memory: c.Memory, Latency: c.Latency, Key: []byte(c.Key),
 		Command: "limpetspan " + strings.Join(os.Args[1:], " "), Progress: env.Stderr,
--- a/pkg/gossip/service.go
+++ b/pkg/gossip/service.go
@@ -24,7 +24,8 @@
 // Options are the settings of a Service.
 type Options struct {
 	// Self is this daemon. GossipAddr may have port 0 or, with a Transport,
-	// be empty; it becomes the transport's address.
+	// be empty; it becomes the transport's address. Incarnation must be above
+	// that of an earlier life; zero: the wall clock in milliseconds.
 	Self fleet.Daemon
 	// Weight multiplies the share of homes; 0 counts as 1.
 	Weight uint32
@@ -106,7 +107,9 @@
 	s.subscribers.Store(&[]func(fleet.Change){})
 	self := toMember(o.Self)
 	self.Weight = o.Weight
-	self.Incarnation = uint64(time.Now().UnixMilli())
+	if self.Incarnation == 0 {
+		self.Incarnation = uint64(time.Now().UnixMilli())
+	}
 	s.reduce(&membership.Start{Self: self, Seeds: seeds, Seed: rand.Uint64(), Settings: o.Settings})
 	return s, nil
 }
