Let operators change the configuration and see the fleet

Cause: operators drive everything by declared versions and groups and need to see what is in force where. Change: config get, check, apply, history, revert; group create, list, remove; schema declare, retire, list; status; drain; takeover plan, start, status, pause, resume, rollback, verify. Conclusion: the daemon's side of pkg/operator is not built here; takeover verify and rates in takeover status need it.

--- a/pkg/cli/args.go
+++ b/pkg/cli/args.go
@@ -14,8 +14,8 @@
 // subcommand.
 type Args struct {
 	Store  []string `arg:"--store,env:LIMPETSPAN_STORE,separate" placeholder:"URL" help:"store endpoints, separated by commas or given several times"`
-	Prefix string   `arg:"--prefix,env:LIMPETSPAN_PREFIX" default:"limpetspan" placeholder:"PREFIX" help:"prefix of the fleet's keys in the store"`
-	Daemon []string `arg:"--daemon,separate" placeholder:"ADDR" help:"operator address (host:port) of a daemon; may be given several times; the others are learned from its status"`
+	Prefix string   `arg:"--prefix,env:LIMPETSPAN_PREFIX" default:"/limpetspan/" placeholder:"PREFIX" help:"prefix of the fleet's keys in the store"`
+	Daemon []string `arg:"--daemon,env:LIMPETSPAN_DAEMON,separate" placeholder:"ADDR" help:"operator address (host:port) of a daemon; may be given several times; the others are learned from its status"`
 	JSON   bool     `arg:"--json" help:"print JSON"`
 
 	Config   *ConfigCommand   `arg:"subcommand:config" help:"read and change the declared configuration"`
@@ -55,7 +55,7 @@
 	var args Args
 	parser, err := arg.NewParser(arg.Config{Program: "limpetspan", Out: env.Stderr}, &args)
 	if err != nil {
-		return report(env.Stderr, err)
+		return env.report(err)
 	}
 	switch err := parser.Parse(argv); {
 	case errors.Is(err, arg.ErrHelp):
@@ -63,15 +63,15 @@
 		return ExitOK
 	case err != nil:
 		_ = parser.WriteUsageForSubcommand(env.Stderr, parser.SubcommandNames()...)
-		return report(env.Stderr, Usagef("%w", err))
+		return env.report(Usagef("%w", err))
 	}
 	command, ok := parser.Subcommand().(Command)
 	if !ok {
 		writeHelp(env.Stderr, parser)
-		return report(env.Stderr, Usagef("a subcommand is missing"))
+		return env.report(Usagef("a subcommand is missing"))
 	}
 	env.apply(&args)
-	return report(env.Stderr, command.Run(ctx, env))
+	return env.report(command.Run(ctx, env))
 }
 
 func writeHelp(w io.Writer, parser *arg.Parser) {
--- /dev/null
+++ b/pkg/cli/change.go
@@ -0,0 +1,153 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os/user"
+	"time"
+
+	"limpetspan/core/config"
+	"limpetspan/pkg/confstore"
+)
+
+// ChangeOptions are the options of every subcommand that changes the configuration.
+type ChangeOptions struct {
+	Author  string        `arg:"--author,env:LIMPETSPAN_AUTHOR" placeholder:"NAME" help:"who changes it, for the history [default: the user's name]"`
+	Reason  string        `arg:"--reason" placeholder:"TEXT" help:"why, for the history"`
+	Wait    bool          `arg:"--wait" help:"wait until each live daemon has the revision in force (needs --daemon)"`
+	Timeout time.Duration `arg:"--timeout" default:"30s" placeholder:"DURATION" help:"how long to wait for the store and, with --wait, for the daemons"`
+}
+
+// changeResult is the JSON form of an accepted change.
+type changeResult struct {
+	Revision config.Revision `json:"revision"`
+	ChangeID string          `json:"change_id"`
+	// Changed is false when the configuration was already as wished.
+	Changed bool `json:"changed"`
+	// Changes are the accepted changes; more than one when it was too large.
+	Changes []config.Change `json:"changes,omitempty"`
+	// Daemons is set with --wait.
+	Daemons *waitResult `json:"daemons,omitempty"`
+}
+
+// edit makes a document from the one in force, which it must not change.
+type edit func(*config.Document) (*config.Document, error)
+
+// change carries out one edit with the options. A conflict with another
+// operator is the caller's error; one with the progress of a take-over, which
+// moves on by itself, is not.
+func change(ctx context.Context, env *Env, o ChangeOptions, do edit) error {
+	if o.Wait && len(env.Daemons) == 0 {
+		return Usagef("--wait needs --daemon ADDR or LIMPETSPAN_DAEMON")
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
+	defer cancel()
+	editor, err := env.editor()
+	if err != nil {
+		return err
+	}
+	base, err := editor.Load(ctx)
+	if err != nil {
+		return err
+	}
+	for {
+		result, err := commit(ctx, editor, o.meta(), base, do)
+		if conflict, ok := errors.AsType[*confstore.Conflict](err); ok && conflict.OnlyBuckets() {
+			base = conflict.Current
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		return finish(ctx, env, o, base, result)
+	}
+}
+
+// commit checks and commits all steps of an edit.
+func commit(ctx context.Context, editor *confstore.Editor, meta confstore.Meta, base *config.Document, do edit) (*changeResult, error) {
+	after, err := do(base)
+	if err != nil {
+		return nil, err
+	}
+	steps, err := splitSteps(base, after)
+	if err != nil {
+		return nil, err
+	}
+	result := &changeResult{Revision: base.Revision, ChangeID: base.ChangeID}
+	for _, step := range steps {
+		next, err := editor.Commit(ctx, base, step, meta)
+		if errors.Is(err, confstore.ErrNoChange) {
+			continue
+		}
+		if err != nil {
+			return nil, partly(err, result, len(steps))
+		}
+		made := config.Diff(base, next)
+		made.Revision, made.ChangeID = next.Revision, next.ChangeID
+		result.Changes = append(result.Changes, made)
+		result.Revision, result.ChangeID, result.Changed = next.Revision, next.ChangeID, true
+		base = next
+	}
+	return result, nil
+}
+
+// partly says of a change in several steps how many of them are in force.
+func partly(err error, result *changeResult, steps int) error {
+	if len(result.Changes) == 0 {
+		return err
+	}
+	return Timeoutf("%d of %d steps are in force, up to revision %d; then: %w", len(result.Changes), steps, result.Revision, err)
+}
+
+// finish prints the result and waits for the daemons if asked to.
+func finish(ctx context.Context, env *Env, o ChangeOptions, base *config.Document, result *changeResult) error {
+	if !env.JSON {
+		printChange(env, base, result)
+	}
+	var waitErr error
+	if o.Wait {
+		result.Daemons, waitErr = waitInForce(ctx, env, uint64(result.Revision))
+	}
+	if env.JSON {
+		if err := env.WriteJSON(result); err != nil {
+			return err
+		}
+	}
+	return waitErr
+}
+
+func printChange(env *Env, base *config.Document, result *changeResult) {
+	if !result.Changed {
+		fmt.Fprintf(env.Stdout, "nothing changes; revision %d is in force\n", result.Revision)
+		return
+	}
+	for i := range result.Changes {
+		made := &result.Changes[i]
+		fmt.Fprintf(env.Stdout, "revision %d (change %s)\n%s\n", made.Revision, made.ChangeID, indent(config.Describe(base, made)))
+		if next, err := config.Apply(base, made); err == nil {
+			base = next
+		}
+	}
+}
+
+func (o ChangeOptions) meta() confstore.Meta {
+	meta := confstore.Meta{Author: o.Author, Reason: o.Reason}
+	if meta.Author == "" {
+		if u, err := user.Current(); err == nil {
+			meta.Author = u.Username
+		}
+	}
+	return meta
+}
+
+// editor opens the store.
+func (e *Env) editor() (*confstore.Editor, error) {
+	s, err := e.Store()
+	if err != nil {
+		return nil, err
+	}
+	editor := confstore.NewEditor(s, e.Prefix)
+	editor.Now = e.Now
+	return editor, nil
+}
--- a/pkg/cli/exit.go
+++ b/pkg/cli/exit.go
@@ -4,7 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
+
+	"limpetspan/core/config"
+	"limpetspan/pkg/cli/configfile"
+	"limpetspan/pkg/confstore"
 )
 
 // Exit codes of the operator program.
@@ -56,16 +59,63 @@
 	if exit, ok := errors.AsType[*ExitError](err); ok {
 		return exit.Code
 	}
+	if _, ok := errors.AsType[*confstore.Conflict](err); ok {
+		return ExitConflict
+	}
+	if _, ok := errors.AsType[*confstore.UnsettledError](err); ok {
+		return ExitTimeout
+	}
+	if isBadInput(err) {
+		return ExitUsage
+	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return ExitTimeout
 	}
 	return ExitFailed
 }
 
+func isBadInput(err error) bool {
+	_, inDocument := errors.AsType[config.Problems](err)
+	_, inFile := errors.AsType[configfile.Problems](err)
+	return inDocument || inFile
+}
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error    string `json:"error"`
+	ExitCode int    `json:"exit_code"`
+	// Problems are config.Problems or configfile.Problems.
+	Problems any `json:"problems,omitempty"`
+	// Revision and Difference are set for a conflict: the revision now in the
+	// store and what the winners changed.
+	Revision   config.Revision `json:"revision,omitempty"`
+	Difference *config.Change  `json:"difference,omitempty"`
+}
+
 // report prints the error, if any, and returns its exit code.
-func report(w io.Writer, err error) int {
-	if err != nil {
-		fmt.Fprintf(w, "limpetspan: %v\n", err)
+func (e *Env) report(err error) int {
+	code := ExitCode(err)
+	if err == nil {
+		return code
+	}
+	fmt.Fprintf(e.Stderr, "limpetspan: %v\n", err)
+	if e.JSON {
+		_ = e.WriteJSON(describe(err, code))
+	}
+	return code
+}
+
+func describe(err error, code int) failure {
+	f := failure{Error: err.Error(), ExitCode: code}
+	if problems, ok := errors.AsType[config.Problems](err); ok {
+		f.Problems = problems
+	}
+	if problems, ok := errors.AsType[configfile.Problems](err); ok {
+		f.Problems = problems
+	}
+	if conflict, ok := errors.AsType[*confstore.Conflict](err); ok {
+		f.Revision = conflict.Current.Revision
+		f.Difference = new(conflict.Difference())
 	}
-	return ExitCode(err)
+	return f
 }
--- a/pkg/confstore/history.go
+++ b/pkg/confstore/history.go
@@ -34,21 +34,31 @@
 	if revision > doc.Revision {
 		return nil, fmt.Errorf("%w: %d, the latest is %d", ErrNotKept, revision, doc.Revision)
 	}
-	// Undo leads down, while Apply counts up: the ids are fitted in each step.
-	for at := doc.Revision; at > revision; at-- {
-		record, err := e.reader.record(ctx, at)
+	for doc.Revision > revision {
+		record, err := e.reader.record(ctx, doc.Revision)
 		if err != nil {
 			return nil, err
 		}
-		undo := record.Undo
-		undo.Revision, undo.Parent = doc.Revision+1, doc.ChangeID
-		undo.ChangeID = record.Change.Parent
-		before, err := config.Apply(doc, &undo)
-		if err != nil {
-			return nil, fmt.Errorf("confstore: undo revision %d: %w", at, err)
+		if doc, err = Undo(doc, record); err != nil {
+			return nil, err
 		}
-		before.Revision = at - 1
-		doc = before
 	}
 	return doc, nil
 }
+
+// Undo returns the document as it was before the record's change made doc.
+func Undo(doc *config.Document, record *Record) (*config.Document, error) {
+	if record.Change.Revision != doc.Revision {
+		return nil, fmt.Errorf("%w: change %d did not make revision %d", config.ErrGap, record.Change.Revision, doc.Revision)
+	}
+	// Apply only counts up, so the revision is fitted afterwards.
+	undo := record.Undo
+	undo.Revision, undo.Parent = doc.Revision+1, doc.ChangeID
+	undo.ChangeID = record.Change.Parent
+	before, err := config.Apply(doc, &undo)
+	if err != nil {
+		return nil, fmt.Errorf("confstore: undo revision %d: %w", doc.Revision, err)
+	}
+	before.Revision = doc.Revision - 1
+	return before, nil
+}
