Let no newcomer watch the store before its view is whole

Cause: a daemon that has just started knows itself only and would take itself for one of its region's watchers; a zone that returns at once would open as many watches as it has daemons. Change: IsWatcher waits until the view agreed with another, or the daemon was alone for 5 s, at most 30 s. Measured: the new test fails without the guard, and without the one that keeps a newcomer from repeating old news. Conclusion: the watches of a returning zone are bounded.

--- a/core/membership/reducer.go
+++ b/core/membership/reducer.go
@@ -42,6 +42,7 @@
 	// suspect, dead or otherwise than it is; zero: nobody does.
 	claim     uint64
 	refuteAt  core.Time
+	startedAt core.Time
 	sweepAt   core.Time
 	plannedAt core.Time
 	// catchingUp is set while a new daemon takes in what all others know: it
@@ -123,6 +124,7 @@
 	r.contact.nextAt = r.now
 	r.sweepAt = r.now.Add(sweepInterval)
 	r.plannedAt = r.now
+	r.startedAt = r.now
 }
 
 // forgive guards against a daemon that was paused accusing others: after the
@@ -298,6 +300,21 @@
 // Root is the digest of the whole view, equal in views that agree.
 func (r *Reducer) Root() uint64 { return r.digest.root() }
 
+// readyAloneAfter and readyAfter are the times after the start from which on a
+// view counts as whole that found no other daemon, or none that agrees.
+const (
+	readyAloneAfter = 5 * time.Second
+	readyAfter      = 30 * time.Second
+)
+
+// Ready reports whether the view is worth acting on for the whole fleet. A
+// daemon that has just started knows few others and would take itself for a
+// watcher of the store, and when a zone returns at once all its daemons would.
+func (r *Reducer) Ready(now core.Time) bool {
+	age := now.Sub(r.startedAt)
+	return r.sync.settled || age >= readyAfter || age >= readyAloneAfter && len(r.live) == 0
+}
+
 // Live is the number of daemons that are not dead, this one included.
 func (r *Reducer) Live() int { return len(r.live) + 1 }
 
--- a/core/membership/reducer_test.go
+++ b/core/membership/reducer_test.go
@@ -150,6 +150,36 @@
 		Expect(c.run(time.Minute, buried)).To(BeTrue())
 	})
 
+	// A whole zone starts at once. Each of its daemons knows itself only and
+	// would take itself for a watcher of the store; more calls than the store
+	// bears would follow. Nor may what a newcomer is told go out from it again.
+	It("neither acts for the fleet nor repeats old news before its view is whole", func() {
+		c := newCluster(11, 0)
+		c.fill(60)
+		Expect(c.run(time.Minute, func() bool { return c.agree(60) })).To(BeTrue())
+		Expect(c.run(time.Minute, func() bool {
+			for _, p := range c.procs {
+				if !p.r.Quiet() {
+					return false
+				}
+			}
+			return true
+		})).To(BeTrue())
+		p := c.add("z0", "r0")
+		Expect(p.r.Ready(c.now)).To(BeFalse())
+		Expect(c.run(time.Minute, func() bool { return len(p.r.live) == 60 })).To(BeTrue())
+		repeated := 0
+		for _, level := range p.r.queue.levels {
+			for _, q := range level {
+				if q.entry != entry(p.r.self) {
+					repeated++
+				}
+			}
+		}
+		Expect(repeated).To(BeNumerically("<", 30))
+		Expect(c.run(time.Minute, func() bool { return p.r.Ready(c.now) })).To(BeTrue())
+	})
+
 	// A datagram from an hour ago arrives again: it calls a daemon alive that
 	// is dead, an old home current and a target healthy that leaves. Believed,
 	// it would send requests to a dead daemon.
--- a/pkg/bench/capacity/checks.go
+++ b/pkg/bench/capacity/checks.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "fmt"
+import (
+	"fmt"
+
+	"limpetspan/pkg/confstore"
+)
 
 // check is one limit held against a figure.
 type check struct {
@@ -99,12 +103,14 @@
 	back := known(2*watchersOfFleet+storeReads(), calculated)
 	return []check{
 		{"store reads, watches counted", "2,000/s", reads, limitStoreReads, perSecond,
-			"Watches and reads by the watchers, and the host list."},
+			"Watches and reads by the watchers, the others' rare looks, and the host list."},
 		{"store writes", "300/s", known(storeWrites(), calculated), limitStoreWrites, perSecond,
 			"Configuration changes only, at two swaps each; take-over and heartbeats write none or are not in it."},
 		{"host list, a zone returns at once", "2,000/s", peak, limitStoreReads, perSecond, "Most calls in one second, seeds reachable."},
 		{"store reads in the second in which it returns after an hour", "2,000/s", back, limitStoreReads, perSecond,
-			"Each watcher reads once and watches again; the other daemons do not call it."},
+			"Each watcher reads once and watches again, on top of the calls at rest; the other daemons keep to their interval."},
+		{"store reads while a zone starts at once", "2,000/s", known(zoneDaemons/confstore.DefaultTiming().Grace.Seconds()+storeReads(), calculated), limitStoreReads, perSecond,
+			"Each daemon of the zone reads once within about the grace time, on top of the calls at rest."},
 		{"store calls of a configuration change", "2,000/s", p.m.largest(fileConfig, "store_calls_per_change").times(changesPerDay / secondsPerDay),
 			limitStoreReads, perSecond, "At the plan's rate of changes."},
 		{"store writes of a take-over", "300/s", p.m.largest(fileTakeover, "store_writes_per_s"), limitStoreWrites, perSecond, ""},
--- a/pkg/bench/capacity/plan.go
+++ b/pkg/bench/capacity/plan.go
@@ -1,6 +1,9 @@
 package capacity
 
-import "limpetspan/pkg/bench/control"
+import (
+	"limpetspan/pkg/bench/control"
+	"limpetspan/pkg/confstore"
+)
 
 // The plan's size, and what follows from it by arithmetic.
 const (
@@ -159,9 +162,17 @@
 	p.homeHeap = of("heap_bytes_per_group")
 }
 
-// Store calls of the whole fleet, calculated from the design.
+// storeReads are the calls of the whole fleet at rest, calculated from the
+// configured intervals: the waiting watches, the watchers' proofs that these
+// still work, the rare looks of all others, and a read for each change.
 func storeReads() float64 {
-	return watchersOfFleet + watchersOfFleet*changesPerDay/secondsPerDay
+	t := confstore.DefaultTiming()
+	proofs := watchersOfFleet / t.WatcherPoll.Seconds()
+	return watchersOfFleet + proofs + storePolls() + watchersOfFleet*changesPerDay/secondsPerDay
+}
+
+func storePolls() float64 {
+	return (planDaemons - watchersOfFleet) / confstore.DefaultTiming().Poll.Seconds()
 }
 
 func hostListReads() float64 { return planDaemons / hostListInterval }
--- a/pkg/bench/capacity/roles.go
+++ b/pkg/bench/capacity/roles.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"strings"
+
+	"limpetspan/pkg/confstore"
 )
 
 // role is one row of the plan: what a role keeps and does at the plan's size.
@@ -99,7 +101,7 @@
 		memory:    "counted with the home",
 		slope:     "gap p99 " + show(p.failoverP99, seconds),
 		mechanism: "a candidate fences a majority of the members at a higher term and promotes the furthest; the store takes no part",
-		breaks:    "a zone loss starts the failovers of a quarter of its region's groups at once, each decided by its own candidates; the connections for fencing them are the first limit",
+		breaks:    fmt.Sprintf("a lost zone takes the primaries of about every twelfth group: %d failovers at once, each decided by its own candidates (calculated)", planGroups/planZones),
 		assumed:   "that simultaneous failovers of different groups do not slow one another",
 	}
 }
@@ -209,9 +211,10 @@
 		state: "the configuration and its recent changes",
 		messages: fmt.Sprintf("%s reads with %d waiting watches, %s writes (calculated)",
 			perSecond(storeReads()), watchersOfFleet, perSecond(storeWrites())),
-		cpu:       "the platform's",
-		memory:    "the platform's",
-		slope:     "reads = watchers × (1 + changes/s); not a function of the number of daemons (calculated)",
+		cpu:    "the platform's",
+		memory: "the platform's",
+		slope: fmt.Sprintf("reads = watches + proofs of them + daemons / %.0f s + watchers × changes; of these %s grow with the fleet (calculated)",
+			confstore.DefaultTiming().Poll.Seconds(), perSecond(storePolls())),
 		mechanism: "3 watchers in each region, chosen by rendezvous hashing, in place of a watch by each daemon",
 		breaks:    fmt.Sprintf("writes at %.2g times the configuration changes (calculated)", limitStoreWrites/storeWrites()),
 		assumed:   "two compare-and-swaps for a change; views that differ for seconds make a few watchers more",
--- a/pkg/gossip/view.go
+++ b/pkg/gossip/view.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"time"
 
 	"limpetspan/core"
 	"limpetspan/core/membership"
@@ -134,11 +135,15 @@
 	return s.lookup(s.reducer.Assignment().Watchers(s.reducer.Self().Region))
 }
 
-// IsWatcher reports whether this daemon watches the store for its region.
+// IsWatcher reports whether this daemon watches the store for its region; not
+// before its view is whole, or, alone, a few seconds after the start.
 func (s *Service) IsWatcher() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	self := s.reducer.Self()
+	if !s.reducer.Ready(core.Time(time.Since(s.epoch))) {
+		return false
+	}
 	return slices.Contains(s.reducer.Assignment().Watchers(self.Region), self.ID)
 }
 
