--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -22,6 +22,8 @@
 const (
 	// housekeepingInterval is how often sessions are looked over.
 	housekeepingInterval = 500 * time.Millisecond
+	// dialPause is how long a failed attempt to connect stands for others.
+	dialPause = 100 * time.Millisecond
 	// defaultDialTimeout and defaultIdleTimeout stand in for unset options.
 	defaultDialTimeout = time.Second
 	defaultIdleTimeout = time.Minute
@@ -63,7 +65,9 @@
 // peerState is the present connection to one address.
 type peerState struct {
 	current *session
-	// dialing is non-nil while a connection is being made.
+	// dialing is non-nil while a connection is being made, and for a short
+	// time after that failed: of the many requests for a daemon that is gone
+	// most then fail at once and try another daemon.
 	dialing *dial
 }
 
@@ -173,20 +177,31 @@
 	defer cancel()
 	d.session, d.err = c.dial(ctx, addr)
 	c.mu.Lock()
-	p.dialing = nil
+	defer c.mu.Unlock()
+	defer close(d.done)
 	switch {
-	case c.closed && d.session != nil:
+	case d.err != nil:
+		p.current = nil
+		time.AfterFunc(dialPause, func() { c.forgetDial(addr, p) })
+		return
+	case c.closed:
 		d.session.close()
 		d.session, d.err = nil, errClosed
-	case d.err == nil:
+	default:
 		p.current = d.session
 		c.sessions[d.session] = struct{}{}
-	default:
-		p.current = nil
+	}
+	p.dialing = nil
+}
+
+// forgetDial lets the next request try to connect again.
+func (c *Client) forgetDial(addr string, p *peerState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p.dialing = nil
+	if p.current == nil && c.peers[addr] == p {
 		delete(c.peers, addr)
 	}
-	c.mu.Unlock()
-	close(d.done)
 }
 
 func (c *Client) dial(ctx context.Context, addr string) (*session, error) {
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -61,12 +61,19 @@
 		return exchange.Result{}, false, c.answerLost(ctx, err, req, addr)
 	}
 	result, err := endFromProto(end, req.Group)
-	if err == nil {
-		c.noteTransaction(s, req.Caller, req.TxStatus, result.TxStatus)
-	}
+	c.noteTransaction(s, req.Caller, req.TxStatus, statusAfter(result))
 	return result, false, err
 }
 
+// statusAfter is the transaction status after an exchange; an error without
+// one means that there is no transaction any more.
+func statusAfter(result exchange.Result) byte {
+	if result.TxStatus == 0 {
+		return txIdle
+	}
+	return result.TxStatus
+}
+
 // bind ends the stream's reads and writes at the deadline and as soon as ctx
 // ends. The returned function must be called once, and says whether the stream
 // is clean. A stream whose deadline ctx may still be about to change is not
--- a/pkg/peer/serverstream.go
+++ b/pkg/peer/serverstream.go
@@ -82,11 +82,7 @@
 	x.server.begin()
 	defer x.server.end()
 	result, err := x.server.options.Handler.Do(ctx, req, x)
-	after := result.TxStatus
-	if err != nil {
-		after = req.TxStatus
-	}
-	x.server.noteTransaction(x.session, req.Caller, req.TxStatus, after)
+	x.server.noteTransaction(x.session, req.Caller, req.TxStatus, statusAfter(result))
 	x.sendBuf, err = appendMessage(x.sendBuf, frameEnd, endToProto(result, err))
 	if err != nil {
 		return err
