--- a/standin/target/member.go
+++ b/standin/target/member.go
@@ -86,7 +86,8 @@
 // Zone returns the member's availability zone.
 func (m *Member) Zone() core.Zone { return m.options.Zone }
 
-// Addr returns the address at which the member listens; it outlives a crash.
+// Addr returns the address at which the member listens, once the group was
+// started; it outlives a crash.
 func (m *Member) Addr() string { return m.addr }
 
 // Status returns what the member would report now.
@@ -151,7 +152,9 @@
 	m.mu.Lock()
 	m.listener = listener
 	m.mu.Unlock()
-	m.addr = listener.Addr().String()
+	if m.addr == "" {
+		m.addr = listener.Addr().String()
+	}
 	m.group.tasks.Go(func() error { m.accept(listener); return nil })
 	return nil
 }
