--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -30,6 +30,8 @@
 	sessions *sessionLimit
 	callers  *callers
 	budget   *budget
+	versions versions
+	inflight atomic.Int64
 	metrics  metrics
 }
 
@@ -67,10 +69,16 @@
 	e.homeNews.announce()
 }
 
+// InFlight returns the number of requests that wait or run.
+func (e *Entry) InFlight() int { return int(e.inflight.Load()) }
+
 // Do serves the request at the home of its group.
 func (e *Entry) Do(ctx context.Context, req *exchange.Request, w exchange.Writer) (exchange.Result, error) {
+	e.inflight.Add(1)
+	defer e.inflight.Add(-1)
 	e.metrics.requests.Add(1)
 	e.budget.request()
+	e.versions.count(req.Kind, req.Version, e.options.Now())
 	if req.Deadline == 0 {
 		req.Deadline = e.options.Now().Add(e.options.DefaultTimeout)
 	}
--- a/pkg/peer/fake_test.go
+++ b/pkg/peer/fake_test.go
@@ -139,4 +139,3 @@
 		c.Store(true)
 	}
 }
-
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -126,6 +126,8 @@
 	}
 	add((s.Callers.TLSCertificate == "") != (s.Callers.TLSKey == ""), "callers", "tls_key",
 		"tls_certificate and tls_key are set together or not at all")
+	add(s.Callers.TLS == TLSRequire && s.Callers.TLSCertificate == "", "callers", "tls",
+		"require needs tls_certificate")
 	peers := []string{s.Peers.TLSCertificate, s.Peers.TLSKey, s.Peers.TLSCA}
 	add(slices.Contains(peers, "") && strings.Join(peers, "") != "", "peers", "tls_ca",
 		"tls_certificate, tls_key and tls_ca are set together or not at all")
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -34,7 +34,14 @@
 	TLSKey         string
 	UsersFile      string
 	StartupTimeout time.Duration
+	// TLS is TLSAllow or TLSRequire.
+	TLS            string
 	MaxConnections int
+	// MaxConnectionsPerUser and MaxConnectionsPerAddress are unbounded at 0.
+	MaxConnectionsPerUser    int
+	MaxConnectionsPerAddress int
+	// IdleTimeout is off at 0.
+	IdleTimeout    time.Duration
 	DefaultTimeout time.Duration
 	// MaxMessage is in bytes.
 	MaxMessage int64
@@ -80,8 +87,9 @@
 	ConnectTimeout time.Duration
 }
 
-// The values of Targets.TLS.
+// The values of Targets.TLS and Callers.TLS.
 const (
+	TLSAllow      = "allow"
 	TLSDisable    = "disable"
 	TLSRequire    = "require"
 	TLSVerifyFull = "verify-full"
@@ -92,10 +100,9 @@
 	Lease            time.Duration
 	ProbeInterval    time.Duration
 	ProbeTimeout     time.Duration
-	HomesPerGroup    int
 	RetryRatio       float64
 	RetryBackoff     time.Duration
-	CallerInFlight   int
+	SessionInFlight  int
 	GroupInFlight    int
 	PeerIdleTimeout  time.Duration
 	PeerDialTimeout  time.Duration
