Show home changes, failing primaries and session reads by event scripts

Cause: the decisions stood without tests of the failures they are for; one of them span the wake-up timer while a home was contested. Change: scripts over a small fake of the members, each with its story; the wake-up keeps a least distance; reads of a stated age record no position, as one at the primary kept the session's next ones there. Checks were tried with GuardSessionFloor, GuardTermStart and GuardLeaseAtAck off; each of the three is seen by its test.

--- a/core/group/ack.go
+++ b/core/group/ack.go
@@ -69,7 +69,7 @@
 func (g *Group) confirmed(p core.Position) bool {
 	others := 0
 	for _, m := range g.members {
-		if !m.gone && m != g.reign.primary && !m.position.Less(p) {
+		if !m.gone && m != g.reign.primary && m.located && !m.position.Less(p) {
 			others++
 		}
 	}
--- a/core/group/ballot.go
+++ b/core/group/ballot.go
@@ -353,7 +353,8 @@
 	g.history.reset()
 	g.history.add(b.promotedAt, s.Position())
 	for _, m := range g.members {
-		m.position, m.positionAt, m.leaseAt, m.oddAt = core.Position{}, 0, 0, 0
+		m.position, m.positionAt, m.located = core.Position{}, 0, false
+		m.leaseAt, m.oddAt = 0, 0
 		if m.gone {
 			continue
 		}
--- a/core/group/claim_test.go
+++ b/core/group/claim_test.go
@@ -24,4 +24,106 @@
 		r := n.home("B").write()
 		Expect(n.home("B").last[r].Hint).To(Equal(core.DaemonID("A")))
 	})
+
+	ginkgo.It("is taken over when the home dies, after its lease", func() {
+		// The home's host burns. The next candidate misses the heartbeats,
+		// fences, waits out the lease that the dead home might still hold, and
+		// serves with the same primary.
+		n, a := served()
+		a.dead = true
+		gap := n.writeEvery(4*time.Second, false)
+		ginkgo.GinkgoWriter.Println("home death gap", gap)
+		Expect(n.home("B").isHome()).To(BeTrue())
+		Expect(n.home("B").g.reign.primary.ID).To(Equal(core.MemberID("a")))
+		Expect(gap).To(BeNumerically("<", 2*time.Second))
+	})
+
+	ginkgo.It("succeeds when the answer of the promotion is lost", func() {
+		// The member became primary, but its answer did not come back. Another
+		// choice would make two primaries of one term; the same call again is
+		// refused by the very primary it made.
+		n := newNet(3)
+		n.member("a").loseOK = true
+		n.run(2 * time.Second)
+		Expect(n.home("A").isHome()).To(BeTrue())
+		Expect(n.home("A").g.reign.term).To(Equal(core.Term(2)))
+	})
+
+	ginkgo.It("carries on at any step at which the claimant dies", func() {
+		// A candidate takes the group and dies somewhere on the way: before,
+		// during or after the fences or the promotion. Another must finish.
+		for step := range 12 {
+			n, a := served()
+			n.member("a").down = true
+			n.run(time.Duration(step) * ms)
+			a.dead = true
+			n.run(5 * time.Second)
+			b := n.home("B")
+			Expect(b.isHome()).To(BeTrue(), "died after %d ms", step)
+			w := b.write()
+			n.run(50 * ms)
+			Expect(b.acks).To(HaveKey(w), "died after %d ms", step)
+		}
+	})
+
+	ginkgo.It("does not disturb a home that serves when it cannot win", func() {
+		// A candidate is cut off from the other daemons and two members. It
+		// must not fence the one it reaches, again and again.
+		n, a := served()
+		b := n.home("B")
+		n.member("a").cutFrom["B"], n.member("b").cutFrom["B"] = true, true
+		term := n.member("c").status.Term
+		b.g.peers.claimAt = n.now // As if no heartbeat had come.
+		b.g.wakeBy(n.now)
+		b.deliver(&Tick{})
+		n.run(200 * ms)
+		Expect(n.member("c").status.Term).To(Equal(term))
+		Expect(a.isHome()).To(BeTrue())
+	})
+
+	ginkgo.It("waits out the old lease", func() {
+		// The home is only cut off from the other daemons and goes on serving.
+		// A candidate that served at once would make a second home.
+		n, a := served()
+		a.paused = true
+		var fenced core.Time
+		for n.now < core.Time(10*time.Second) && !n.home("B").isHome() {
+			if fenced == 0 && n.member("b").status.Role == core.RoleFenced {
+				fenced = n.now
+			}
+			Expect(n.now < a.g.reign.leaseUntil && n.home("B").isHome()).To(BeFalse())
+			n.run(ms)
+		}
+		Expect(n.now.Sub(fenced)).To(BeNumerically(">=", DefaultTuning().LeaseDuration))
+		Expect(n.now).To(BeNumerically(">=", a.g.reign.leaseUntil))
+	})
+})
+
+var _ = ginkgo.Describe("the term lease", func() {
+	// A daemon stands still for 3 s while it is home. Another takes over and
+	// promotes. When the first wakes up, a write that its primary had finished
+	// and a write that waits in its sockets must not be confirmed.
+	wake := func(change ...func(*Tuning)) (*fakeHome, core.RequestID, core.RequestID) {
+		n, a := served(change...)
+		running := a.arrive(func(r *Arrived) { r.Deadline = n.now.Add(10 * time.Second) })
+		n.run(ms + ms/2)
+		a.paused, a.deaf = true, true
+		n.run(3 * time.Second)
+		Expect(n.home("B").isHome()).To(BeTrue())
+		a.paused = false
+		waiting := a.write()
+		n.run(5 * ms)
+		return a, running, waiting
+	}
+
+	ginkgo.It("lets a home that was paused confirm nothing", func() {
+		a, running, waiting := wake()
+		Expect(a.acks).NotTo(HaveKey(running))
+		Expect(a.acks).NotTo(HaveKey(waiting))
+	})
+
+	ginkgo.It("is what prevents it", func() {
+		a, running, _ := wake(func(t *Tuning) { t.DisabledGuards = GuardLeaseAtAck })
+		Expect(a.acks).To(HaveKey(running))
+	})
 })
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -105,7 +105,7 @@
 		return
 	}
 	d.answered++
-	if ev.Reachable && ev.Zone != g.zone {
+	if ev.Reachable && ev.Zone != g.zone && d.reachableFrom == "" {
 		d.reachableFrom = ev.From
 	}
 	g.judgePrimary()
--- a/core/group/dispatch.go
+++ b/core/group/dispatch.go
@@ -99,7 +99,7 @@
 func (g *Group) dispatch(r *request, c *conn) {
 	m := c.member
 	r.state, r.conn, r.dispatchedAt, r.term = stateRunning, c, g.now, g.reign.term
-	r.asked = !r.read || !g.quiet()
+	r.asked = !r.read || (r.maxStaleness <= 0 && !g.quiet())
 	c.state, c.request, c.since = connRunning, r, g.now
 	m.running++
 	if !r.read {
--- a/core/group/fake_test.go
+++ b/core/group/fake_test.go
@@ -1,7 +1,7 @@
 package group
 
 import (
-	"sort"
+	"container/heap"
 	"time"
 
 	"limpetspan/core"
@@ -31,6 +31,7 @@
 	net     *fakeNet
 	dead    bool
 	paused  bool
+	deaf    bool // hears no other daemon
 	conns   map[ConnID]core.MemberID
 	running map[core.RequestID]Dispatch
 	acks    map[core.RequestID]core.Position
@@ -54,11 +55,27 @@
 	run func()
 }
 
+// fakeQueue is a heap of events in the order of time.
+type fakeQueue []fakeEvent
+
+func (q fakeQueue) Len() int { return len(q) }
+func (q fakeQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].no < q[j].no
+}
+func (q fakeQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *fakeQueue) Push(x any)   { *q = append(*q, x.(fakeEvent)) }
+func (q *fakeQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
 // fakeNet is the event queue and the members.
 type fakeNet struct {
 	now     core.Time
 	no      int
-	queue   []fakeEvent
+	queue   fakeQueue
+	events  int
 	members []*fakeMember
 	homes   []*fakeHome
 	next    core.RequestID
@@ -114,23 +131,19 @@
 
 func (n *fakeNet) after(d time.Duration, f func()) {
 	n.no++
-	n.queue = append(n.queue, fakeEvent{n.now.Add(d), n.no, f})
+	heap.Push(&n.queue, fakeEvent{n.now.Add(d), n.no, f})
 }
 
 // run passes time, one event after the other.
 func (n *fakeNet) run(d time.Duration) {
 	end := n.now.Add(d)
 	for len(n.queue) > 0 {
-		sort.Slice(n.queue, func(i, j int) bool {
-			a, b := n.queue[i], n.queue[j]
-			return a.at < b.at || a.at == b.at && a.no < b.no
-		})
 		if n.queue[0].at > end {
 			break
 		}
-		e := n.queue[0]
-		n.queue = n.queue[1:]
+		e := heap.Pop(&n.queue).(fakeEvent)
 		n.now = e.at
+		n.events++
 		e.run()
 	}
 	n.now = end
@@ -277,7 +290,7 @@
 	case *Beat:
 		v := *e
 		for _, other := range h.net.homes {
-			if other != h {
+			if other != h && !other.deaf {
 				other := other
 				h.net.after(h.net.rtt, func() {
 					other.deliver(&HomeNews{Home: h.id, Term: v.Term, Primary: v.Primary, Direct: true, Released: v.Released})
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -10,6 +10,9 @@
 // never is the time of a timer that is not set.
 const never core.Time = math.MaxInt64
 
+// minWake is the least time to the next Tick that is asked for.
+const minWake = 100 * time.Microsecond
+
 // Options are the fixed parameters of a Group.
 type Options struct {
 	Group  core.GroupID
@@ -175,7 +178,7 @@
 	if g.due == never || (g.due >= g.armed && g.armed > g.now) {
 		return
 	}
-	g.armed = max(g.due, g.now+1)
+	g.armed = max(g.due, g.now.Add(minWake))
 	g.fx.wake(WakeAt{At: g.armed})
 }
 
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -38,8 +38,10 @@
 	stopping bool
 	// failures counts failed probes since the last answer.
 	failures int
-	// position is known to be applied in the present reign since positionAt.
+	// position is known to be applied in the present reign since positionAt, if
+	// located.
 	position   core.Position
+	located    bool
 	positionAt core.Time
 	// leaseAt is when the last probe was sent that reported the home's term.
 	leaseAt core.Time
@@ -100,7 +102,7 @@
 func (g *Group) serving(m *member) bool {
 	return g.reign.term != 0 && m != g.reign.primary && !m.leaving() && m.known &&
 		m.term == g.reign.term && m.role == core.RoleReplica && m.failures < servingFailures &&
-		!m.position.IsZero()
+		m.located
 }
 
 // servingFailures is the number of failed probes at which a replica stops serving.
@@ -148,7 +150,7 @@
 	if p.Less(m.position) && at <= m.positionAt {
 		return
 	}
-	m.position, m.positionAt = p, max(at, m.positionAt)
+	m.position, m.positionAt, m.located = p, max(at, m.positionAt), true
 	if m != g.reign.primary {
 		g.observeLag(m, at)
 	}
--- a/core/group/probe.go
+++ b/core/group/probe.go
@@ -89,13 +89,14 @@
 	g.hurry()
 }
 
-// hurry makes the timers look at the probes at once.
+// hurry brings the wake-up forward to when the present pace has probes due.
 func (g *Group) hurry() {
+	interval := g.probePace()
 	for _, m := range g.members {
 		if m.gone || m.probe.inFlight {
 			continue
 		}
-		g.wakeBy(max(g.now, m.probe.sentAt.Add(g.tuning.FastProbeInterval)))
+		g.wakeBy(max(g.now, m.probe.sentAt.Add(interval)))
 	}
 }
 
--- a/core/group/session.go
+++ b/core/group/session.go
@@ -265,7 +265,14 @@
 // noteRead records what a read has seen, for monotonic reads. In a quiet group
 // every serving member is at the same position and nothing need be kept; if a
 // write began since, what the read saw is learned from the next report.
+//
+// A read of a stated age records nothing: its caller accepts older data, and
+// one such read at the primary would hold the session's next ones there.
 func (g *Group) noteRead(r *request, m *member) {
+	if r.maxStaleness > 0 {
+		r.position = core.Position{}
+		return
+	}
 	if !r.position.IsZero() {
 		if r.position.Term > g.reign.term {
 			g.probeSoon(m)
--- /dev/null
+++ b/core/group/session_test.go
@@ -0,0 +1,181 @@
+package group
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+)
+
+// writeRead writes and reads in one session and reports whether the read saw
+// the write, and where it ran.
+func writeRead(n *fakeNet, h *fakeHome, session core.SessionID) (bool, core.MemberID) {
+	w := h.arrive(func(a *Arrived) { a.Session = session })
+	n.run(4 * ms)
+	r := h.read(session)
+	n.run(60 * ms)
+	Expect(h.acks).To(HaveKey(w))
+	Expect(h.acks).To(HaveKey(r))
+	return !h.reads[r].Less(h.acks[w]), h.servers[r]
+}
+
+var _ = ginkgo.Describe("a session", func() {
+	ginkgo.It("reads its own write while every replica is behind", func() {
+		// A rider checks out and looks at once. Replication stands still, so
+		// only the primary has the check-out.
+		n, a := served()
+		for _, id := range []core.MemberID{"b", "c"} {
+			n.member(id).stuck = true
+		}
+		saw, server := writeRead(n, a, "rider")
+		Expect(saw).To(BeTrue())
+		Expect(server).To(Equal(core.MemberID("a")))
+	})
+
+	ginkgo.It("would not without the session's position", func() {
+		n, a := served(func(t *Tuning) { t.DisabledGuards = GuardSessionFloor })
+		for _, id := range []core.MemberID{"b", "c"} {
+			n.member(id).stuck = true
+		}
+		saw, _ := writeRead(n, a, "rider")
+		Expect(saw).To(BeFalse())
+	})
+
+	ginkgo.It("is served by a replica after a short wait", func() {
+		n, a := served()
+		saw, server := writeRead(n, a, "rider")
+		Expect(saw).To(BeTrue())
+		Expect(server).NotTo(Equal(core.MemberID("a")))
+	})
+
+	ginkgo.It("does not go back in time between replicas", func() {
+		// Somebody else's bid shows in one read, from a fast replica. The next
+		// read of the same buyer, at a slow one, must not lack it.
+		n, a := served()
+		n.member("b").lag, n.member("c").lag = 2*ms, 150*ms
+		var last core.Position
+		for i := range 300 {
+			a.arrive(func(a *Arrived) { a.Session = core.SessionID(fmt.Sprint("bidder", i%7)) })
+			r := a.read("buyer")
+			n.run(time.Duration(1+i%9) * ms)
+			n.run(30 * ms)
+			Expect(a.reads[r].Less(last)).To(BeFalse(), "read %d", i)
+			last = a.reads[r]
+		}
+	})
+
+	ginkgo.It("keeps no position once the replicas have it", func() {
+		n, a := served()
+		for i := range 500 {
+			a.arrive(func(a *Arrived) { a.Session = core.SessionID(fmt.Sprint("rider", i)) })
+			n.run(ms)
+		}
+		Expect(a.g.Snapshot().Sessions).To(BeNumerically(">", 0))
+		Expect(a.g.Snapshot().Sessions).To(BeNumerically("<", 300))
+		n.run(time.Second)
+		Expect(a.g.Snapshot().Sessions).To(BeZero())
+	})
+
+	ginkgo.It("keeps its position when the group is handed over", func() {
+		// The home stops in a planned way between a write and a read.
+		n, a := served()
+		for _, id := range []core.MemberID{"b", "c"} {
+			n.member(id).stuck = true
+		}
+		w := a.arrive(func(a *Arrived) { a.Session = "rider" })
+		n.run(10 * ms)
+		a.send(&Drain{Deadline: n.now.Add(10 * time.Second)})
+		n.run(50 * ms)
+		Expect(a.drained).To(BeTrue())
+		b := n.home("B")
+		Expect(b.isHome()).To(BeTrue())
+		r := b.read("rider")
+		n.run(100 * ms)
+		Expect(b.acks).To(HaveKey(r))
+		Expect(b.reads[r].Less(a.acks[w])).To(BeFalse())
+	})
+
+	ginkgo.It("is told once that a promotion lost its write", func() {
+		// The primary dies with a write that no replica has. The next request
+		// of the session must not be answered from before it; the one after
+		// that is served.
+		lose := func(change ...func(*Tuning)) (*fakeHome, core.RequestID, core.RequestID, core.RequestID) {
+			n, a := served(change...)
+			for _, id := range []core.MemberID{"b", "c"} {
+				n.member(id).stuck = true
+			}
+			w := a.arrive(func(a *Arrived) { a.Session = "rider" })
+			n.run(10 * ms)
+			Expect(a.acks).To(HaveKey(w))
+			n.member("a").down = true
+			n.run(2 * time.Second)
+			first := a.read("rider")
+			n.run(50 * ms)
+			second := a.read("rider")
+			other := a.read("other")
+			n.run(50 * ms)
+			return a, first, second, other
+		}
+		a, first, second, other := lose()
+		Expect(a.reasons).To(HaveKeyWithValue(first, ReasonWriteLost))
+		Expect(a.acks).To(HaveKey(second))
+		Expect(a.acks).To(HaveKey(other))
+		a, first, _, _ = lose(func(t *Tuning) { t.DisabledGuards = GuardTermStart })
+		Expect(a.acks).To(HaveKey(first))
+	})
+
+	ginkgo.It("is told so by a new home that knows it only from its entry", func() {
+		n, a := served()
+		w := a.arrive(nil)
+		n.run(2 * ms)
+		n.run(2 * ms)
+		floor := a.acks[w]
+		n.member("a").down = true
+		a.dead = true
+		n.run(4 * time.Second)
+		b := n.home("B")
+		r := b.arrive(func(a *Arrived) { a.Read, a.Floor = true, floor })
+		n.run(50 * ms)
+		if n.primary().status.LSN < floor.LSN {
+			Expect(b.reasons).To(HaveKeyWithValue(r, ReasonWriteLost))
+		} else {
+			Expect(b.acks).To(HaveKey(r))
+		}
+	})
+})
+
+var _ = ginkgo.Describe("a read of a stated age", func() {
+	ginkgo.It("takes a replica that is behind by less", func() {
+		n, a := served()
+		for _, id := range []core.MemberID{"b", "c"} {
+			n.member(id).lag = 300 * ms
+		}
+		stale := func(age time.Duration) core.RequestID {
+			a.arrive(func(a *Arrived) { a.Session = "writer" })
+			n.run(20 * ms)
+			return a.arrive(func(a *Arrived) { a.Read, a.Session, a.MaxStaleness = true, "stand", age })
+		}
+		for range 100 {
+			stale(time.Second)
+		}
+		loose, strict := stale(time.Second), stale(100*ms)
+		n.run(100 * ms)
+		Expect(a.servers[loose]).NotTo(Equal(core.MemberID("a")))
+		Expect(a.servers[strict]).To(Equal(core.MemberID("a")))
+	})
+
+	ginkgo.It("still sees the session's own write", func() {
+		n, a := served()
+		for _, id := range []core.MemberID{"b", "c"} {
+			n.member(id).stuck = true
+		}
+		a.arrive(func(a *Arrived) { a.Session = "rider" })
+		n.run(10 * ms)
+		r := a.arrive(func(a *Arrived) { a.Read, a.Session, a.MaxStaleness = true, "rider", time.Hour })
+		n.run(50 * ms)
+		Expect(a.servers[r]).To(Equal(core.MemberID("a")))
+	})
+})
--- a/core/group/tuning.go
+++ b/core/group/tuning.go
@@ -107,7 +107,7 @@
 	// it goes to the primary. Default 15 ms.
 	MaxReadWait time.Duration
 	// PrimaryCost is what a read on the primary is held to cost beyond its
-	// time, since only the primary takes writes. Default 8 ms.
+	// time, since only the primary takes writes. Default 10 ms.
 	PrimaryCost time.Duration
 	// ZoneCost is the round trip to another availability zone. Default 2 ms.
 	ZoneCost time.Duration
@@ -163,7 +163,7 @@
 		{&t.DefaultTimeout, 30 * time.Second},
 		{&t.FairPenalty, 20 * time.Millisecond},
 		{&t.MaxReadWait, 15 * time.Millisecond},
-		{&t.PrimaryCost, 8 * time.Millisecond},
+		{&t.PrimaryCost, 10 * time.Millisecond},
 		{&t.ZoneCost, 2 * time.Millisecond},
 		{&t.ServingLag, 10 * time.Second},
 		{&t.RetryBackoff, 2 * time.Millisecond},
