Halve the stack of idle TLS callers, let BEGIN join any batch

Cause: an idle TLS connection held 8 KB of stack inside its read; a driver's own BEGIN in front of a statement with directives was refused as contradicting. Change: below TLS the front waits for the socket itself; statements that only steer a transaction leave their neighbours' directives standing, and make the batch no read; local answers and pooled buffers are bounded.

--- a/pkg/front/action.go
+++ b/pkg/front/action.go
@@ -13,6 +13,8 @@
 const (
 	// actionForward: the target.
 	actionForward actionKind = iota
+	// actionControl: the target; begins a transaction or handles a savepoint.
+	actionControl
 	// actionEnd: the target; ends a transaction (COMMIT, ROLLBACK).
 	actionEnd
 	// actionRollbackTo: the target; goes back to a savepoint.
@@ -48,6 +50,12 @@
 // local reports whether the front answers the statement.
 func (a *action) local() bool { return a.kind >= actionNothing }
 
+// control reports whether the statement only steers a transaction. Drivers put
+// such statements in front of others by themselves.
+func (a *action) control() bool {
+	return a.kind == actionControl || a.kind == actionEnd || a.kind == actionRollbackTo
+}
+
 func refuse(err *errs.Error) action { return action{kind: actionRefuse, err: err} }
 
 // unsupported refuses a statement that leaves state on its connection.
@@ -80,6 +88,8 @@
 		return classifyShow(&l)
 	case "RESET":
 		return classifyReset(&l)
+	case "BEGIN", "START", "SAVEPOINT", "RELEASE":
+		return action{kind: actionControl}
 	case "COMMIT", "END", "ABORT", "ROLLBACK":
 		return classifyEnd(&l)
 	case "CREATE":
--- a/pkg/front/batch.go
+++ b/pkg/front/batch.go
@@ -30,10 +30,13 @@
 	// uses are the statements used but not defined by the batch.
 	uses []exchange.Prepared
 
-	// merged are the directives of the exchange, from mentioned statements.
-	merged    core.Directives
-	mentioned int
-	last      *statement
+	// merged are the directives of the exchange, from mentioned statements;
+	// spoken counts those that had a say.
+	merged            core.Directives
+	mentioned, spoken int
+	last              *statement
+	// controls: a statement without directives steers a transaction.
+	controls bool
 	// local and remote count the statements the front and the target answer.
 	local, remote int
 	// only is the statement of the exchange when there is just one.
@@ -252,7 +255,8 @@
 	return !seen
 }
 
-// mention takes a statement's directives into the exchange's.
+// mention takes a statement's directives into the exchange's. A BEGIN or the
+// like without directives leaves those of its neighbours standing.
 func (b *batch) mention(st *statement) {
 	if st == b.last {
 		return
@@ -263,17 +267,44 @@
 	} else {
 		b.remote++
 	}
-	effective := *b.settings
-	effective.overlay(&st.directives)
 	b.mentioned++
+	b.only = nil
 	if b.mentioned == 1 {
-		b.merged, b.only = effective.values, st
+		b.only = st
+	}
+	if st.directives.given == 0 && st.action.control() {
+		b.controls = true
+		return
+	}
+	effective := *b.settings
+	effective.overlay(&st.directives)
+	b.spoken++
+	if b.spoken == 1 {
+		b.merged = effective.values
 		return
 	}
-	b.only = nil
 	b.err = mergeDirectives(&b.merged, &effective.values)
 }
 
+// exchangeDirectives returns the directives of the whole exchange.
+func (b *batch) exchangeDirectives() core.Directives {
+	d := b.merged
+	if b.spoken == 0 {
+		d = b.settings.values
+	}
+	if b.controls {
+		// What follows in the transaction is unknown: only the connection's
+		// settings can declare all of it to be reads.
+		d.Read = d.Read && b.settings.values.Read
+		d.MaxStaleness = min(d.MaxStaleness, b.settings.values.MaxStaleness)
+	}
+	if !b.executes {
+		// Preparing a statement must not use up its key.
+		d.Once = ""
+	}
+	return d
+}
+
 // mergeDirectives takes the cautious value where that is right for both
 // statements, and refuses what contradicts.
 func mergeDirectives(to, d *core.Directives) *errs.Error {
--- a/pkg/front/batch_test.go
+++ b/pkg/front/batch_test.go
@@ -77,6 +77,18 @@
 		Expect(requests()).To(Equal(before))
 	})
 
+	It("lets BEGIN take part in any batch, which then is no read", func() {
+		const read = "/*kind='a',read='true',max_staleness='1s'*/ SELECT 1"
+		Expect(c.batch(extended("", "BEGIN"), extended("", read)).Status).To(Equal(byte('T')))
+		Expect(r.handler.last().Kind).To(Equal("a"))
+		Expect(r.handler.last().Read).To(BeFalse())
+		Expect(r.handler.last().MaxStaleness).To(BeZero())
+		Expect(c.batch(extended("", read), extended("", "COMMIT")).State).To(BeEmpty())
+		Expect(c.query("SET limpetspan.read = on").State).To(BeEmpty())
+		Expect(c.batch(extended("", "BEGIN"), extended("", read)).State).To(BeEmpty())
+		Expect(r.handler.last().Read).To(BeTrue())
+	})
+
 	It("does not use up a key by preparing", func() {
 		c.batch([]pgproto3.FrontendMessage{&pgproto3.Parse{Name: "p", Query: "/*once='k'*/ INSERT"}})
 		Expect(r.handler.last().Once).To(BeEmpty())
--- a/pkg/front/bench_test.go
+++ b/pkg/front/bench_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"runtime"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -22,10 +24,10 @@
 func (h *cannedHandler) Cancel(core.CallerID) {}
 func (h *cannedHandler) Hangup(core.CallerID) {}
 
-// startBench connects a client without a library on its way.
-func startBench(b *testing.B, answer []byte) net.Conn {
+// startServer returns the address of a server that always gives the answer.
+func startServer(b *testing.B, answer []byte, certificate *Certificate) string {
 	b.Helper()
-	server, err := New(Options{Handler: &cannedHandler{answer}, Daemon: "d1", Trust: true})
+	server, err := New(Options{Handler: &cannedHandler{answer}, Daemon: "d1", Trust: true, Certificate: certificate})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -39,7 +41,13 @@
 		server.Shutdown(context.Background())
 		<-done
 	})
-	connection, err := pgconn.Connect(context.Background(), "postgres://app@"+listener.Addr().String()+"/app?sslmode=disable")
+	return listener.Addr().String()
+}
+
+// connectBench connects a client without a library on its way.
+func connectBench(b *testing.B, address, sslMode string) net.Conn {
+	b.Helper()
+	connection, err := pgconn.Connect(context.Background(), "postgres://app@"+address+"/app?sslmode="+sslMode)
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -47,12 +55,13 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	b.Cleanup(func() { hijacked.Conn.Close() })
-	return hijacked.Conn
+	conn := hijacked.Conn
+	b.Cleanup(func() { conn.Close() })
+	return conn
 }
 
 func runBench(b *testing.B, request, answer []byte) {
-	conn := startBench(b, answer)
+	conn := connectBench(b, startServer(b, answer, nil), "disable")
 	buf := make([]byte, 4096)
 	b.ReportAllocs()
 	for b.Loop() {
@@ -137,3 +146,46 @@
 	}
 	return first
 }
+
+// idleConnections is how many connections BenchmarkIdle holds.
+const idleConnections = 2000
+
+// BenchmarkIdle reports the memory of an idle connection that has run a
+// request, the client's socket in the same process included. The memory of a
+// TLS client is counted too and is about as large as the server's.
+func BenchmarkIdle(b *testing.B) {
+	b.Run("plain", func(b *testing.B) { runIdle(b, nil, "disable") })
+	b.Run("tls", func(b *testing.B) {
+		certificate, err := LoadCertificate(makeCertificate(b.TempDir(), 1, b.Fatal))
+		if err != nil {
+			b.Fatal(err)
+		}
+		runIdle(b, certificate, "require")
+	})
+}
+
+func runIdle(b *testing.B, certificate *Certificate, sslMode string) {
+	answer := cannedAnswer(nil)
+	request := appendMessage(nil, &pgproto3.Query{String: "SELECT 1"})
+	address := startServer(b, answer, certificate)
+	buf := make([]byte, 4096)
+	before := memoryInUse()
+	for range idleConnections {
+		conn := connectBench(b, address, sslMode)
+		conn.Write(request)
+		if _, err := io.ReadAtLeast(conn, buf, len(answer)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(memoryInUse()-before)/idleConnections, "B/connection")
+}
+
+// memoryInUse returns the heap and the stacks after they have been shrunk.
+func memoryInUse() int64 {
+	for range 5 {
+		runtime.GC()
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc + m.StackInuse)
+}
--- a/pkg/front/directive_test.go
+++ b/pkg/front/directive_test.go
@@ -56,6 +56,7 @@
 	Expect(classify([]byte(sql)).kind).To(Equal(kind), sql)
 },
 	Entry(nil, "SELECT 1", actionForward),
+	Entry(nil, "begin", actionControl),
 	Entry(nil, "settings", actionForward),
 	Entry(nil, "", actionForward),
 	Entry(nil, "set Limpetspan.kind = 'x';", actionSet),
--- a/pkg/front/exchange.go
+++ b/pkg/front/exchange.go
@@ -120,7 +120,7 @@
 // answerHere answers a batch without the target.
 func (c *caller) answerHere() {
 	out, b := &c.ws.out, &c.ws.batch
-	local := localAnswer{caller: c, batch: b, out: out.buf}
+	local := localAnswer{caller: c, batch: b, answer: out, out: out.buf}
 	err := local.run(c.ws.in.batch())
 	out.buf = local.out
 	b.settle(local.parses, local.closes)
@@ -173,24 +173,17 @@
 
 func (c *caller) fillRequest(request *exchange.Request, arrived core.Time) {
 	b := &c.ws.batch
-	directives := &b.merged
-	if b.mentioned == 0 {
-		*directives = c.settings.values
-	}
+	directives := b.exchangeDirectives()
 	if directives.Session == "" {
 		directives.Session = c.session
 	}
-	if !b.executes {
-		// Preparing a statement must not use up its key.
-		directives.Once = ""
-	}
 	timeout := directives.Timeout
 	if timeout == 0 {
 		timeout = c.server.options.RequestTimeout
 	}
 	*request = exchange.Request{
 		Caller:     c.id,
-		Directives: *directives,
+		Directives: directives,
 		Messages:   c.ws.in.batch(),
 		Prepared:   b.uses,
 		TxStatus:   c.tx.remote,
@@ -231,7 +224,7 @@
 	}
 	request := &exchange.Request{
 		Caller:     c.id,
-		Directives: c.ws.batch.merged,
+		Directives: c.settings.values,
 		Messages:   pgframe.AppendQuery(nil, tag),
 		TxStatus:   c.tx.remote,
 		Floors:     &c.floors,
--- a/pkg/front/local.go
+++ b/pkg/front/local.go
@@ -23,12 +23,13 @@
 type localAnswer struct {
 	caller *caller
 	batch  *batch
+	answer *answer
 	out    []byte
 	// portals are the portals bound in this exchange.
 	portals []localPortal
 	// parses and closes count the completed messages.
 	parses, closes int
-	// seen are the statements defined so far in this exchange.
+	// changes counts the batch's changes passed so far.
 	changes int
 }
 
@@ -44,11 +45,22 @@
 		if err := l.message(message); err != nil {
 			return err
 		}
+		l.flush()
 		messages = rest
 	}
 	return nil
 }
 
+// flush bounds the memory of an answer to many small messages.
+func (l *localAnswer) flush() {
+	if len(l.out) < answerBuffer || l.answer.whole {
+		return
+	}
+	l.answer.buf = l.out
+	l.answer.flush()
+	l.out = l.answer.buf
+}
+
 func (l *localAnswer) message(m pgframe.Message) *errs.Error {
 	body := m.Body()
 	switch m.Type() {
--- a/pkg/front/startup.go
+++ b/pkg/front/startup.go
@@ -150,7 +150,7 @@
 	if _, err := c.conn.Write([]byte{'S'}); err != nil {
 		return err
 	}
-	secure := tls.Server(c.socket, c.server.tls)
+	secure := tls.Server(belowTLS(c.socket), c.server.tls)
 	if err := secure.Handshake(); err != nil {
 		return err
 	}
--- a/pkg/front/startup_test.go
+++ b/pkg/front/startup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
@@ -9,6 +10,7 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"fmt"
 	"math/big"
 	"net"
 	"os"
@@ -16,17 +18,19 @@
 	"strings"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgproto3"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
 
-// writeCertificate makes a self-signed certificate for 127.0.0.1.
-func writeCertificate(dir string, serial int64) (certFile, keyFile string) {
-	GinkgoHelper()
+// makeCertificate writes a self-signed certificate for 127.0.0.1.
+func makeCertificate(dir string, serial int64, fail func(...any)) (certFile, keyFile string, logger hclog.Logger) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		fail(err)
+	}
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(serial),
 		Subject:      pkix.Name{CommonName: "limpetspan"},
@@ -34,22 +38,29 @@
 		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1)},
 	}
 	certificate, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		fail(err)
+	}
 	der, err := x509.MarshalPKCS8PrivateKey(key)
-	Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		fail(err)
+	}
 	certFile, keyFile = filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
 	write := func(name, kind string, bytes []byte) {
-		Expect(os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: bytes}), 0o600)).To(Succeed())
+		if err := os.WriteFile(name, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: bytes}), 0o600); err != nil {
+			fail(err)
+		}
 	}
 	write(certFile, "CERTIFICATE", certificate)
 	write(keyFile, "PRIVATE KEY", der)
-	return certFile, keyFile
+	return certFile, keyFile, nil
 }
 
 var _ = Describe("TLS", func() {
 	It("serves, requires and reloads", func() {
 		dir := GinkgoT().TempDir()
-		certFile, keyFile := writeCertificate(dir, 1)
+		fail := func(e ...any) { Fail(fmt.Sprint(e...)) }
+		certFile, keyFile, _ := makeCertificate(dir, 1, fail)
 		certificate, err := LoadCertificate(certFile, keyFile, nil)
 		Expect(err).NotTo(HaveOccurred())
 		r := startRig(func(o *Options) { o.Certificate, o.RequireTLS = certificate, true })
@@ -64,7 +75,7 @@
 		Expect(query(first, "SELECT 1")).To(Equal("SELECT 1"))
 		Expect(serial).To(Equal(int64(1)))
 
-		writeCertificate(dir, 2)
+		makeCertificate(dir, 2, fail)
 		Expect(r.server.ReloadCertificate()).To(Succeed())
 		r.connect(secure)
 		Expect(serial).To(Equal(int64(2)))
@@ -77,6 +88,13 @@
 		plain := r.dialRaw()
 		plain.write(started())
 		Expect(plain.fatal()).To(Equal("28000"))
+
+		text := "SELECT '" + strings.Repeat("z", 100_000) + "'"
+		Expect(query(first, text)).To(Equal(text))
+		stopped := make(chan error, 1)
+		go func() { stopped <- r.server.Shutdown(context.Background()) }()
+		Expect(first.WaitForNotification(context.Background())).Error().To(haveState("57P01"))
+		Eventually(stopped, patience).Should(Receive(BeNil()))
 	})
 })
 
--- a/pkg/front/wait.go
+++ b/pkg/front/wait.go
@@ -23,7 +23,5 @@
 	if n == 0 {
 		return nil, err
 	}
-	ws := pool.get()
-	ws.in.end = copy(ws.in.buf, w.first[:n])
-	return ws, nil
+	return pool.with(w.first[:n]), nil
 }
--- a/pkg/front/wait_linux.go
+++ b/pkg/front/wait_linux.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"syscall"
@@ -22,28 +23,33 @@
 
 // newWaiter returns the waiter for a connection.
 func newWaiter(conn net.Conn) waiter {
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		if raw, err := tcp.SyscallConn(); err == nil {
+	switch conn := conn.(type) {
+	case *net.TCPConn:
+		if raw, err := conn.SyscallConn(); err == nil {
 			w := &socketWaiter{raw: raw}
 			w.try = w.read
 			return w
 		}
+	case *tls.Conn:
+		if socket, ok := conn.NetConn().(*tlsSocket); ok {
+			return &tlsWaiter{conn: conn, socket: socket}
+		}
 	}
 	return &streamWaiter{conn: conn}
 }
 
 func (w *socketWaiter) wait(pool *workspaces) (*workspace, error) {
-	w.pool, w.n, w.err = pool, 0, nil
+	w.pool = pool
 	err := w.raw.Read(w.try)
 	ws := w.ws
 	w.ws = nil
-	switch {
-	case err != nil:
-	case w.err != nil:
+	if err == nil && w.err != nil {
 		err = w.err
-	case w.n == 0:
-		err = io.EOF
-	default:
+	}
+	if err == nil {
+		err = eofIfNone(w.n)
+	}
+	if err == nil {
 		ws.in.end = w.n
 		return ws, nil
 	}
@@ -56,18 +62,32 @@
 // read reports false when the socket has nothing to read yet.
 func (w *socketWaiter) read(fd uintptr) bool {
 	ws := w.pool.get()
-	n, err := unix.Read(int(fd), ws.in.buf)
-	for err == unix.EINTR {
-		n, err = unix.Read(int(fd), ws.in.buf)
-	}
+	n, err := readSocket(fd, ws.in.buf)
 	if err == unix.EAGAIN {
 		w.pool.put(ws)
 		return false
 	}
-	w.ws, w.n, w.err = ws, max(n, 0), err
+	w.ws, w.n, w.err = ws, n, err
 	return true
 }
 
+// readSocket is one read without waiting.
+func readSocket(fd uintptr, b []byte) (int, error) {
+	for {
+		n, err := unix.Read(int(fd), b)
+		if err != unix.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
+func eofIfNone(n int) error {
+	if n == 0 {
+		return io.EOF
+	}
+	return nil
+}
+
 // hungUp reports whether the peer has closed its sending half or the
 // connection is broken, whatever bytes are still unread.
 func hungUp(conn net.Conn) bool {
