Say what a failed exchange tells of its transaction

Cause: the front must know whether a transaction outlived a failed request. Change: the comments of exchange.Handler define Result.TxStatus with an error, and that Hangup may come twice. Conclusion: comments only.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -63,13 +63,15 @@
 
 // Handler runs exchanges. A returned error means that no ReadyForQuery was
 // written and the caller is to be told err (an *errs.Error); the answer
-// written so far, if any, is ended by it.
+// written so far, if any, is ended by it. With an error, Result.TxStatus is
+// 'T' or 'E' when the caller's transaction still lives at its target, and 'I'
+// or 0 when there is none or it is gone.
 type Handler interface {
 	Do(ctx context.Context, req *Request, w Writer) (Result, error)
 	// Cancel ends what the caller is running, as a CancelRequest asks.
 	Cancel(caller core.CallerID)
 	// Hangup says that the caller's connection is gone: an open transaction
-	// is rolled back.
+	// is rolled back. It may come while Do runs, and twice.
 	Hangup(caller core.CallerID)
 }
 
