Let a transaction be over when its lost end was its own

Cause: after a COMMIT whose answer was lost the caller was held in a failed transaction, though PostgreSQL never leaves one open behind COMMIT. Measured: not measured.

--- a/pkg/front/exchange.go
+++ b/pkg/front/exchange.go
@@ -144,7 +144,7 @@
 	case err == nil:
 		err = errs.New(errs.Internal, core.OutcomeUnknown, stepAnswer, "", "the answer ended without ReadyForQuery")
 	}
-	c.tx.lost(result.TxStatus)
+	c.tx.lost(result.TxStatus, b.only != nil && b.only.action.kind == actionEnd)
 	if out.err != nil {
 		return out.err
 	}
@@ -239,12 +239,11 @@
 		c.tx.done(pgframe.StatusIdle)
 		return tag, nil
 	}
-	c.tx.lost(result.TxStatus)
+	c.tx.lost(result.TxStatus, true)
 	if c.tx.remote != pgframe.StatusIdle {
 		return "", errs.As(err)
 	}
 	// The transaction is gone with its connection, which is as good.
-	c.tx.done(pgframe.StatusIdle)
 	return tag, nil
 }
 
--- a/pkg/front/failure_test.go
+++ b/pkg/front/failure_test.go
@@ -99,6 +99,14 @@
 		Entry("when a statement is refused by the front", "LISTEN x", []string{"BEGIN", "ROLLBACK", "SELECT 3"}),
 	)
 
+	It("is over when its end is lost", func() {
+		r := startRig(trust)
+		c := r.connectRaw()
+		c.query("BEGIN")
+		Expect(c.query("END")).To(And(HaveField("State", "08006"), HaveField("Status", byte('I'))))
+		Expect(c.query("BEGIN").Status).To(Equal(byte('T')))
+	})
+
 	It("goes on after ROLLBACK TO while it lives", func() {
 		r := startRig(trust)
 		c := r.connectRaw()
--- a/pkg/front/fake_test.go
+++ b/pkg/front/fake_test.go
@@ -15,7 +15,7 @@
 
 // fakeHandler answers each statement with one row that holds its SQL text.
 // The statement's first word chooses special behaviour: WAIT runs until it is
-// released or cancelled, SHED is refused unrun, LOSE loses its connection,
+// released or cancelled, SHED is refused unrun, LOSE and END lose their connection,
 // CUT breaks off inside a message, BREAK is an SQL error.
 type fakeHandler struct {
 	mu        sync.Mutex
@@ -169,7 +169,7 @@
 	case "SHED":
 		r.after = r.status
 		return errs.New(errs.Overloaded, core.OutcomeNotRun, "home.queue", "d2", "the queue is full").After(refusedRetry)
-	case "LOSE":
+	case "LOSE", "END":
 		return errs.New(errs.ConnectionLost, core.OutcomeUnknown, "home.exchange", "m1", "the connection broke")
 	case "CUT":
 		w.Write(brokenRow)
--- a/pkg/front/transaction.go
+++ b/pkg/front/transaction.go
@@ -31,11 +31,16 @@
 }
 
 // lost notes that the handler failed a request. now is the status that it
-// reports, 0 when the transaction is gone.
-func (t *transaction) lost(now byte) {
+// reports, 0 when the transaction is gone; ends says that the request was to
+// end the transaction, so that nothing of it can follow.
+func (t *transaction) lost(now byte, ends bool) {
 	if now == 0 {
 		now = pgframe.StatusIdle
 	}
+	if ends && now == pgframe.StatusIdle {
+		t.done(now)
+		return
+	}
 	if t.remote != pgframe.StatusIdle || now != pgframe.StatusIdle {
 		t.failed = true
 	}
