--- /dev/null
+++ b/cmd/limpetspand/main.go
@@ -0,0 +1,104 @@
+// Command limpetspand is the daemon of limpetspan: it serves PostgreSQL callers
+// and is home of database groups.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"limpetspan/pkg/daemon"
+	"limpetspan/pkg/settings"
+)
+
+// The exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type arguments struct {
+	Config   string `arg:"--config" placeholder:"FILE.ini" help:"settings of the daemon"`
+	Check    bool   `arg:"--check" help:"check the settings and exit"`
+	Settings bool   `arg:"--settings" help:"print all settings as Markdown and exit"`
+}
+
+// Version is the build's version, for --version.
+func (arguments) Version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return "limpetspand " + info.Main.Version
+	}
+	return "limpetspand"
+}
+
+// Description opens the help.
+func (arguments) Description() string {
+	return "limpetspand serves PostgreSQL callers with session consistency in front of replicated database groups."
+}
+
+// Epilogue closes the help.
+func (arguments) Epilogue() string {
+	return `Examples:
+  limpetspand --config /etc/limpetspan/daemon.ini
+  limpetspand --config daemon.ini --check
+  limpetspand --settings > CONFIGURATION.md
+
+Signals: SIGTERM and SIGINT begin a planned stop that cuts off no request; a
+second one ends the daemon at once.
+
+Exit codes: 0 ended as asked, 1 failed while running, 2 bad settings or arguments.`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var args arguments
+	parser, err := arg.NewParser(arg.Config{Program: "limpetspand", Exit: os.Exit}, &args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	parser.MustParse(os.Args[1:])
+	if args.Settings {
+		fmt.Print(settings.Markdown())
+		return exitOK
+	}
+	if args.Config == "" {
+		fmt.Fprintln(os.Stderr, "limpetspand: --config is required; see --help")
+		return exitSettings
+	}
+	s, err := settings.Load(args.Config)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if args.Check {
+		fmt.Println(args.Config + ": settings are valid")
+		return exitOK
+	}
+	return serve(s)
+}
+
+func serve(s *settings.Settings) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// After the first signal the default action is back, so that a second one
+	// ends the process.
+	context.AfterFunc(ctx, stop)
+	d, err := daemon.New(s, daemon.Options{})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "limpetspand:", err)
+		return exitFailed
+	}
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "limpetspand:", err)
+		return exitFailed
+	}
+	return exitOK
+}
