Drop nothing behind a locally answered statement

Cause: in a failed transaction 'COMMIT; INSERT ...' was answered with ROLLBACK and the INSERT dropped without a word; UNLISTEN and DISCARD likewise. Change: only a statement that stands alone is answered by the front; COMMIT AND CHAIN is no plain end.

--- a/pkg/front/action.go
+++ b/pkg/front/action.go
@@ -101,7 +101,7 @@
 	case "DEALLOCATE":
 		return classifyDeallocate(&l)
 	case "UNLISTEN":
-		return action{kind: actionNothing, tag: "UNLISTEN"}
+		return classifyUnlisten(&l)
 	case "LISTEN":
 		return unsupported("LISTEN", "poll, or listen on a connection of your own to the target")
 	case "PREPARE", "EXECUTE":
@@ -114,19 +114,34 @@
 
 func isLetter(c byte) bool { return 'a' <= c|0x20 && c|0x20 <= 'z' }
 
+// classifyEnd tells the plain end of a transaction from what also goes on:
+// AND CHAIN, or further statements. Only a plain end may be answered with a
+// ROLLBACK by the front, because nothing of it is lost then.
 func classifyEnd(l *lexer) action {
-	for {
-		t := l.next()
-		if t.kind != tokenWord {
-			return action{kind: actionEnd}
-		}
-		switch t.text {
-		case "to":
+	previous := ""
+	for l.peek().kind == tokenWord {
+		word := l.next().text
+		switch {
+		case word == "to":
 			return action{kind: actionRollbackTo}
-		case "prepared":
+		case word == "prepared":
 			return unsupported("two-phase commit", "use one transaction for each group")
+		case word == "chain" && previous != "no":
+			return action{kind: actionControl}
 		}
+		previous = word
+	}
+	if !l.atEnd() {
+		return action{kind: actionControl}
 	}
+	return action{kind: actionEnd}
+}
+
+func classifyUnlisten(l *lexer) action {
+	if l.next().kind == tokenEnd || !l.atEnd() {
+		return severalStatements("UNLISTEN")
+	}
+	return action{kind: actionNothing, tag: "UNLISTEN"}
 }
 
 func classifyCreate(l *lexer) action {
@@ -151,6 +166,9 @@
 
 func classifyDiscard(l *lexer) action {
 	t := l.next()
+	if t.kind != tokenWord || !l.atEnd() {
+		return severalStatements("DISCARD")
+	}
 	if t.text == "all" {
 		return action{kind: actionDiscardAll, tag: "DISCARD ALL"}
 	}
--- a/pkg/front/directive_test.go
+++ b/pkg/front/directive_test.go
@@ -92,7 +92,11 @@
 	Entry(nil, "CREATE TABLE t ()", actionForward),
 	Entry(nil, "COPY t FROM STDIN", actionRefuse),
 	Entry(nil, "COPY t TO STDOUT", actionForward),
-	Entry(nil, "COMMIT AND CHAIN", actionEnd),
+	Entry(nil, "COMMIT WORK AND NO CHAIN;", actionEnd),
+	Entry(nil, "COMMIT AND CHAIN", actionControl),
+	Entry(nil, "COMMIT; INSERT", actionControl),
+	Entry(nil, "UNLISTEN *; INSERT", actionRefuse),
+	Entry(nil, "DISCARD ALL; INSERT", actionRefuse),
 	Entry(nil, "ROLLBACK PREPARED 'x'", actionRefuse),
 	Entry(nil, "ROLLBACK WORK TO SAVEPOINT a", actionRollbackTo),
 )
--- a/pkg/front/failure_test.go
+++ b/pkg/front/failure_test.go
@@ -99,6 +99,19 @@
 		Entry("when a statement is refused by the front", "LISTEN x", []string{"BEGIN", "ROLLBACK", "SELECT 3"}),
 	)
 
+	// The terminal sends the COMMIT and the next charge in one Query. Answering
+	// only the COMMIT would drop the charge without a word.
+	It("drops nothing that stands behind its end", func() {
+		r := startRig(trust)
+		c := r.connectRaw()
+		c.query("BEGIN")
+		c.query("SHED")
+		for _, sql := range []string{"COMMIT; INSERT 2", "COMMIT AND CHAIN"} {
+			Expect(c.query(sql)).To(And(HaveField("State", "25P02"), HaveField("Status", byte('E'))))
+		}
+		Expect(c.query("ROLLBACK").Status).To(Equal(byte('I')))
+	})
+
 	It("is over when its end is lost", func() {
 		r := startRig(trust)
 		c := r.connectRaw()
