Let a test cut the fake store's own client off

Cause: the fake's client had another transport than the one whose SetDown a test calls, so that an outage of the connection never reached it. Change: both are the same. Measured: the package's tests pass. Conclusion: tests that cut the store off now do.

--- a/pkg/store/storetest/storetest.go
+++ b/pkg/store/storetest/storetest.go
@@ -18,7 +18,7 @@
 	// Server injects faults and counts calls.
 	Server *standin.Server
 	Hosts  *standin.HostList
-	// Transport reaches the server; SetDown makes connecting fail.
+	// Transport is Client's; SetDown makes connecting fail.
 	Transport *Transport
 }
 
@@ -33,11 +33,12 @@
 	engine := standin.NewEngine(c)
 	f := &Fake{Server: standin.NewServer(engine), Hosts: standin.NewHostList(engine)}
 	f.Transport = NewTransport(f.Server)
-	f.Client = f.NewClient(store.Options{})
+	f.Client = f.NewClient(store.Options{Transport: f.Transport})
 	return f
 }
 
-// NewClient returns another client of the same store, as another daemon has.
+// NewClient returns another client of the same store, as another daemon has,
+// with a transport of its own unless one is given.
 func (f *Fake) NewClient(o store.Options) *store.Client {
 	o.Endpoints = []string{endpoint}
 	if o.Transport == nil {
