--- a/pkg/cli/cli_suite_test.go
+++ b/pkg/cli/cli_suite_test.go
@@ -124,6 +124,9 @@
 		d.drains++
 		w.WriteHeader(http.StatusAccepted)
 	})
+	mux.HandleFunc("POST "+operator.PathVerify, func(w http.ResponseWriter, r *http.Request) {
+		_ = json.NewEncoder(w).Encode(operator.Verification{Kind: r.URL.Query().Get("kind"), Buckets: 4, Equal: 3, Different: []int{2}})
+	})
 	d.server = httptest.NewServer(mux)
 	DeferCleanup(d.server.Close)
 	return d
--- a/pkg/cli/fleet_test.go
+++ b/pkg/cli/fleet_test.go
@@ -80,6 +80,8 @@
 		worker := newDaemon(operator.Status{ID: "w", Takeovers: []operator.TakeoverWork{{Kind: "listing", Elapsed: 10 * time.Second,
 			Progress: takeover.Progress{Buckets: 4, Done: 1, Records: 500, PauseMax: 30 * time.Millisecond}}}})
 		Expect(t.ok("takeover", "status", "--daemon", worker.addr())).To(MatchRegexp(`listing +running +0 of 4 +0\.0 % +w +50 +30s +30ms`))
+		r = t.fails(cli.ExitFailed, "takeover", "verify", "listing", "--daemon", worker.addr())
+		Expect(r.stdout).To(Equal("listing: 3 of 4 buckets are equal on both sides\n"))
 		t.ok("takeover", "rollback", "listing")
 		r = t.fails(cli.ExitUsage, "takeover", "start", "listing")
 		Expect(r.stderr).To(ContainSubstring(`cannot go from "rollback" to "running"`))
--- a/pkg/cli/takeover.go
+++ b/pkg/cli/takeover.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"time"
 
 	"limpetspan/core/config"
+	"limpetspan/pkg/operator"
 )
 
 // TakeoverCommand moves a kind of record from one group and version to another.
@@ -120,7 +123,8 @@
 
 // TakeoverVerifyCommand compares both sides.
 type TakeoverVerifyCommand struct {
-	Kind string `arg:"positional,required" placeholder:"KIND" help:"kind of record that moves"`
+	Kind    string        `arg:"positional,required" placeholder:"KIND" help:"kind of record that moves"`
+	Timeout time.Duration `arg:"--timeout" default:"10m" placeholder:"DURATION" help:"how long the comparison may take"`
 }
 
 // Examples are shown in the help.
@@ -134,9 +138,14 @@
 	if len(env.Daemons) == 0 {
 		return Usagef("no daemon: give --daemon ADDR or set LIMPETSPAN_DAEMON")
 	}
+	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
+	defer cancel()
+	// A comparison reads both sides whole, so the short bound of other calls is
+	// left out.
+	client := &operator.Client{HTTP: &http.Client{Transport: env.HTTP.Transport}}
 	var lastErr error
 	for _, addr := range env.Daemons {
-		v, err := env.operators().Verify(ctx, addr, c.Kind)
+		v, err := client.Verify(ctx, addr, c.Kind)
 		if err != nil {
 			lastErr = err
 			continue
--- a/pkg/confstore/follower_test.go
+++ b/pkg/confstore/follower_test.go
@@ -226,6 +226,20 @@
 		}, bound).Should(Equal(3))
 	})
 
+	It("takes up a change of its own daemon as a change", func() {
+		mustAdd(ctx, ann, "g1", 5001)
+		follower := follow(confstore.Options{Store: fake.Client, ShouldWatch: never})
+		follower.Adopt(mustAdd(ctx, ann, "g2", 5002))
+		Expect(follower.Current().Revision).To(BeEquivalentTo(2))
+		follower.Adopt(mustAdd(ctx, ann, "g3", 5003))
+		Expect(follower.Current()).To(HaveField("ChangeID", "ann-3"))
+		changes, doc := follower.Changes(2)
+		Expect(changes).To(HaveLen(1))
+		Expect(doc).To(BeNil())
+		follower.Adopt(config.Empty())
+		Expect(follower.Current().Revision).To(BeEquivalentTo(3))
+	})
+
 	// Story: a peer that was cut off for an hour, or an answer that was on its
 	// way that long, brings revision 1 while revision 2 is in force.
 	DescribeTable("never goes back for a peer", func(answer answers) {
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -62,8 +62,7 @@
 	defer resp.Body.Close()
 	body := io.LimitReader(resp.Body, maxAnswer)
 	if resp.StatusCode/100 != 2 {
-		text, _ := io.ReadAll(io.LimitReader(body, maxErrorText))
-		return fmt.Errorf("daemon %s: %s: %s", addr, resp.Status, strings.TrimSpace(string(text)))
+		return fmt.Errorf("daemon %s: %s: %s", addr, resp.Status, refusal(body))
 	}
 	if answer == nil {
 		return nil
@@ -73,3 +72,13 @@
 	}
 	return nil
 }
+
+// refusal returns the text of a Failure, or the beginning of anything else.
+func refusal(body io.Reader) string {
+	text, _ := io.ReadAll(io.LimitReader(body, maxErrorText))
+	var f Failure
+	if json.Unmarshal(text, &f) == nil && f.Error != "" {
+		return f.Error
+	}
+	return strings.TrimSpace(string(text))
+}
