Change members only when every daemon has the revision before

Cause: one member per change keeps majorities overlapping from one revision to the next only; two changes in a row could leave a daemon two behind. Change: with daemons to ask, a change of members waits for the revision before to be in force on all live ones, and changes nothing if that times out. Conclusion: without a daemon to ask it only warns, and dead daemons are not asked.

--- a/pkg/cli/change.go
+++ b/pkg/cli/change.go
@@ -54,7 +54,14 @@
 		return err
 	}
 	for {
-		result, err := commit(ctx, editor, o.meta(), base, do)
+		after, err := do(base)
+		if err != nil {
+			return err
+		}
+		if err := awaitBase(ctx, env, base, after); err != nil {
+			return err
+		}
+		result, err := commit(ctx, editor, o.meta(), base, after)
 		if conflict, ok := errors.AsType[*confstore.Conflict](err); ok && conflict.OnlyBuckets() {
 			base = conflict.Current
 			continue
@@ -66,12 +73,22 @@
 	}
 }
 
-// commit checks and commits all steps of an edit.
-func commit(ctx context.Context, editor *confstore.Editor, meta confstore.Meta, base *config.Document, do edit) (*changeResult, error) {
-	after, err := do(base)
-	if err != nil {
-		return nil, err
-	}
+// awaitBase waits until every live daemon has base in force, if the members of
+// a group change and daemons are given to ask. Old and new majorities overlap
+// from one revision to the next only: a daemon two changes behind could fence a
+// majority of the members it knows and promote a second primary.
+func awaitBase(ctx context.Context, env *Env, base, after *config.Document) error {
+	if len(env.Daemons) == 0 || len(membersChanged(base, after)) == 0 {
+		return nil
+	}
+	if _, err := waitInForce(ctx, env, uint64(base.Revision)); err != nil {
+		return Timeoutf("nothing was changed: the members of a group change only when all live daemons have the revision before: %w", err)
+	}
+	return nil
+}
+
+// commit checks and commits all steps that lead to after.
+func commit(ctx context.Context, editor *confstore.Editor, meta confstore.Meta, base, after *config.Document) (*changeResult, error) {
 	steps, err := splitSteps(base, after)
 	if err != nil {
 		return nil, err
@@ -107,8 +124,8 @@
 	if !env.JSON {
 		printChange(env, base, result)
 	}
-	for _, id := range membersChanged(base, result.Changes) {
-		fmt.Fprintf(env.Stderr, "the members of group %s change: let revision %d come in force everywhere before the next such change\n", id, result.Revision)
+	if len(env.Daemons) == 0 {
+		warnMembers(env, base, result)
 	}
 	var waitErr error
 	if o.Wait {
@@ -136,15 +153,23 @@
 	}
 }
 
-// membersChanged returns the existing groups whose members the changes add or
-// remove. Old and new majorities overlap from one revision to the next only.
-func membersChanged(base *config.Document, changes []config.Change) []core.GroupID {
+// warnMembers says what awaitBase could not see to without daemons.
+func warnMembers(env *Env, base *config.Document, result *changeResult) {
+	for i := range result.Changes {
+		after := &config.Document{Groups: result.Changes[i].SetGroups}
+		for _, id := range membersChanged(base, after) {
+			fmt.Fprintf(env.Stderr, "the members of group %s change: let revision %d come in force everywhere before the next such change\n", id, result.Revision)
+		}
+	}
+}
+
+// membersChanged returns the groups of after that exist in base with another
+// number of members; one that swaps members is refused by the check.
+func membersChanged(base, after *config.Document) []core.GroupID {
 	var ids []core.GroupID
-	for i := range changes {
-		for id, group := range changes[i].SetGroups {
-			if old := base.Groups[id]; old != nil && len(old.Members) != len(group.Members) {
-				ids = append(ids, id)
-			}
+	for id, group := range after.Groups {
+		if old := base.Groups[id]; old != nil && len(old.Members) != len(group.Members) {
+			ids = append(ids, id)
 		}
 	}
 	slices.Sort(ids)
--- a/pkg/cli/config_test.go
+++ b/pkg/cli/config_test.go
@@ -106,4 +106,21 @@
 		Expect(out).To(ContainSubstring(`"changed":false,"daemons":{"have":["a","b"]}`))
 		t.fails(cli.ExitUsage, "schema", "declare", "charge", "--version", "3", "--wait")
 	})
+
+	// Story: a member is replaced by removing it and adding another at once
+	// after. One daemon has heard of neither; with the members it knows it
+	// could reach a majority that shares nobody with the new one.
+	It("changes members only when every daemon has the revision before", func() {
+		d := newDaemon(operator.Status{ID: "d", ConfigRevision: 1})
+		text := t.ok("config", "get")
+		i := strings.Index(text, "\n[member park-1 c]")
+		j := strings.Index(text, "\n[kind")
+		smaller := tempFile(text[:i] + text[j:])
+		r := t.fails(cli.ExitTimeout, "config", "apply", smaller, "--timeout", "300ms", "--daemon", d.addr())
+		Expect(r.stderr).To(ContainSubstring("nothing was changed"))
+		Expect(t.ok("config", "get")).To(Equal(text))
+		d.set(func(s *operator.Status) { s.ConfigRevision = 2 })
+		t.ok("config", "apply", smaller, "--daemon", d.addr())
+		Expect(t.run("config", "revert", "2").stderr).To(ContainSubstring("the members of group park-1 change"))
+	})
 })
