Carry out take-overs bucket by bucket

Cause: records of a kind have to move to another group while callers use both. Change: package takeover has the worker (lease, claim, copy, batch steps, keys that must not repeat, rollback) and the gate at each home that holds buckets. Pages are charged to the copy rate by the records they held. Conclusion: works against fakes at the borders; tests of the gate by itself and of a worker that wakes up late follow.

--- a/core/takeover/bucket.go
+++ b/core/takeover/bucket.go
@@ -51,7 +51,7 @@
 
 // pageWait is the pause before a page: the pace of the copy, or a retry's.
 func (m *Machine) pageWait(b *bucket) time.Duration {
-	return max(m.retryWait(b), m.pacer.Reserve(m.now, m.tuning.PageSize))
+	return max(m.retryWait(b), m.pacer.Wait(m.now))
 }
 
 // check settles a result's failure and reports whether the step succeeded.
@@ -91,6 +91,7 @@
 		return
 	}
 	m.progress.Records += int64(e.Rows)
+	m.pacer.Spend(m.now, e.Rows)
 	if b.firstPage {
 		b.firstPage, b.marker = false, e.Marker
 		b.previousStart = e.Marker
@@ -135,6 +136,7 @@
 		return
 	}
 	m.progress.Changes += int64(e.Rows)
+	m.pacer.Spend(m.now, e.Rows)
 	if e.Rows > 0 {
 		b.marker = LatestMarker(b.marker, e.Marker)
 	}
--- a/core/takeover/effect.go
+++ b/core/takeover/effect.go
@@ -114,3 +114,20 @@
 func (*RunBatch) effect()    {}
 func (*Finished) effect()    {}
 func (*Blocked) effect()     {}
+
+// WaitOf returns how long the worker waits before it carries out an effect.
+func WaitOf(e Effect) time.Duration {
+	switch e := e.(type) {
+	case *Prepare:
+		return e.Wait
+	case *CopyPage:
+		return e.Wait
+	case *CopyKeys:
+		return e.Wait
+	case *CatchUpPage:
+		return e.Wait
+	case *RunBatch:
+		return e.Wait
+	}
+	return 0
+}
--- a/core/takeover/pacer.go
+++ b/core/takeover/pacer.go
@@ -23,7 +23,7 @@
 // PacerDefaults returns the parameters used where nothing else is said.
 func PacerDefaults() PacerTuning {
 	return PacerTuning{
-		MinRate:   200,
+		MinRate:   500,
 		MaxRate:   20_000,
 		Increase:  500,
 		Decrease:  0.6,
@@ -103,13 +103,15 @@
 	return latency > 0 && p.baseline > 0 && latency > limit
 }
 
-// Reserve takes the time of a page of records and returns how long to wait
-// before it.
-func (p *Pacer) Reserve(now core.Time, records int) time.Duration {
+// Wait returns how long to wait before the next page.
+func (p *Pacer) Wait(now core.Time) time.Duration {
 	if !p.copying {
 		p.copying, p.adjusted = true, now
 	}
-	start := max(p.free, now)
-	p.free = start.Add(time.Duration(float64(records) / p.rate * float64(time.Second)))
-	return start.Sub(now)
+	return max(0, p.free.Sub(now))
+}
+
+// Spend takes the time of records that were copied.
+func (p *Pacer) Spend(now core.Time, records int) {
+	p.free = max(p.free, now).Add(time.Duration(float64(records) / p.rate * float64(time.Second)))
 }
--- a/core/takeover/tuning.go
+++ b/core/takeover/tuning.go
@@ -23,7 +23,7 @@
 // Defaults returns the parameters used where nothing else is said.
 func Defaults() Tuning {
 	return Tuning{
-		PageSize:    500,
+		PageSize:    200,
 		Parallel:    4,
 		Batch:       4,
 		HoldLimit:   250 * time.Millisecond,
--- /dev/null
+++ b/pkg/takeover/records.go
@@ -0,0 +1,146 @@
+package takeover
+
+import (
+	"context"
+
+	"limpetspan/core"
+	"limpetspan/core/config"
+	"limpetspan/core/takeover"
+)
+
+// page is what copying one page found.
+type page struct {
+	rows            int
+	lastKey, marker string
+}
+
+// prepare makes a bucket of the destination ready for this claim's writes.
+func (r *run) prepare(ctx context.Context, bucket int, clear bool) error {
+	list := []Statement{r.checkToken(bucket)}
+	if clear && r.dir.clear != "" {
+		list = append(list, statement(r.dir.clear, number(bucket)))
+	}
+	return r.write(ctx, list)
+}
+
+func (r *run) checkToken(bucket int) Statement {
+	return statement(checkTokenSQL, text(r.dir.kind), number(bucket), number(r.token))
+}
+
+// write applies copies to the destination. A refused token means that a later
+// claim has written to the bucket, or closed it.
+func (r *run) write(ctx context.Context, list []Statement) error {
+	err := r.Databases.Apply(ctx, r.dir.destination, list)
+	if isSQLState(err, codeNotNull) && r.superseded(ctx) {
+		return ErrClaimLost
+	}
+	return err
+}
+
+// superseded reports whether the store's configuration names another worker. A
+// NOT NULL error may also stem from the declared statement.
+func (r *run) superseded(ctx context.Context) bool {
+	doc, err := r.update(ctx, "", func(doc *config.Document) (*config.Document, error) { return doc, nil })
+	if err != nil {
+		return true
+	}
+	t := doc.Takeovers[r.dir.kind]
+	return t == nil || t.Worker != r.claim.name
+}
+
+// copyPage copies the records of a bucket that follow a key.
+func (r *run) copyPage(ctx context.Context, bucket int, after string, size int) (page, error) {
+	rows, err := r.query(ctx, r.dir.source, r.dir.read, 2, number(bucket), text(after), number(size))
+	return r.copyRows(ctx, bucket, rows, err)
+}
+
+// catchUpPage copies the records of a bucket that changed after a marker.
+func (r *run) catchUpPage(ctx context.Context, bucket int, marker string, size int) (page, error) {
+	rows, err := r.query(ctx, r.dir.source, r.dir.changed, 2, number(bucket), text(marker), number(size))
+	return r.copyRows(ctx, bucket, rows, err)
+}
+
+func (r *run) copyRows(ctx context.Context, bucket int, rows []Row, err error) (page, error) {
+	if err != nil || len(rows) == 0 {
+		return page{}, err
+	}
+	p := page{rows: len(rows), lastKey: rows[len(rows)-1][0].Text}
+	list := make([]Statement, 0, len(rows)+1)
+	list = append(list, r.checkToken(bucket))
+	for _, row := range rows {
+		key := row[0].Text
+		if b := config.Bucket(key, r.dir.buckets); b != bucket {
+			return page{}, &BucketError{Kind: r.dir.kind, Key: key, Want: b, Have: bucket}
+		}
+		p.marker = takeover.LatestMarker(p.marker, row[1].Text)
+		list = append(list, Statement{SQL: r.dir.upsert, Args: row})
+	}
+	return p, r.write(ctx, list)
+}
+
+// catchUp copies all changes of a bucket after a marker.
+func (r *run) catchUp(ctx context.Context, bucket int, marker string) error {
+	size := r.pageSize
+	for {
+		p, err := r.catchUpPage(ctx, bucket, marker, size)
+		if err != nil || p.rows < size {
+			return err
+		}
+		marker = takeover.LatestMarker(marker, p.marker)
+	}
+}
+
+// matches reports whether both sides hold the same of a bucket.
+func (r *run) matches(ctx context.Context, bucket int) (bool, error) {
+	source, err := r.query(ctx, r.dir.source, r.dir.sourceVerify, 2, number(bucket))
+	if err != nil {
+		return false, err
+	}
+	copied, err := r.query(ctx, r.dir.destination, r.dir.destinationVerify, 2, number(bucket))
+	if err != nil {
+		return false, err
+	}
+	if !sameRows(source, copied) {
+		return false, nil
+	}
+	return r.keysMatch(ctx, bucket)
+}
+
+func sameRows(a, b []Row) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if len(a[i]) != len(b[i]) {
+			return false
+		}
+		for j := range a[i] {
+			if a[i][j] != b[i][j] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// query runs a reading statement and checks that its rows have enough columns.
+func (r *run) query(ctx context.Context, group core.GroupID, sql string, columns int, args ...Value) ([]Row, error) {
+	rows, err := r.Databases.Query(ctx, group, statement(sql, args...))
+	if err != nil {
+		return nil, err
+	}
+	for _, row := range rows {
+		if len(row) < columns {
+			return nil, &ColumnsError{Statement: sql, Want: columns, Have: len(row)}
+		}
+	}
+	return rows, nil
+}
+
+func (r *run) count(ctx context.Context, group core.GroupID, bucket int) (int64, error) {
+	rows, err := r.query(ctx, group, countKeysSQL, 1, text(r.dir.kind), number(bucket))
+	if err != nil || len(rows) == 0 {
+		return 0, err
+	}
+	return rows[0][0].integer(), nil
+}
