Run three daemons in one process before a group

Cause: the assembled daemon has to be shown to work, and a daemon must not claim homes before it knows the fleet. The view counts as whole when the gossip says so, when nobody is there to ask, or when it stayed the same for 2 s.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -55,6 +55,8 @@
 	drain     chan struct{}
 	drainOnce sync.Once
 	leaving   atomic.Bool
+	// whole is set once the view of the fleet is whole enough to act on.
+	whole     atomic.Bool
 	revisions *revisionWatch
 	closers   []func()
 }
--- /dev/null
+++ b/pkg/daemon/fleet_test.go
@@ -0,0 +1,121 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/config"
+	"limpetspan/pkg/confstore"
+	"limpetspan/pkg/daemon"
+	"limpetspan/pkg/front"
+	"limpetspan/pkg/settings"
+	"limpetspan/pkg/store"
+	standinstore "limpetspan/standin/store"
+	standintarget "limpetspan/standin/target"
+)
+
+// bound is how long a test waits for what must come.
+const bound = 30 * time.Second
+
+// world is a store, a group of three members and the daemons before them.
+type world struct {
+	url    string
+	editor *confstore.Editor
+	group  *standintarget.Group
+	// seed is the gossip address of the first daemon.
+	seed string
+}
+
+// running is a daemon and the end of its Run.
+type running struct {
+	*daemon.Daemon
+	done chan error
+}
+
+func newWorld(ctx context.Context) *world {
+	GinkgoHelper()
+	engine := standinstore.NewEngine(standinstore.SystemClock{})
+	server := httptest.NewServer(standinstore.NewServer(engine))
+	DeferCleanup(server.Close)
+	client, err := store.NewClient(store.Options{Endpoints: []string{server.URL}})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(client.Close)
+
+	group, err := standintarget.NewGroup(standintarget.Options{
+		Members: []standintarget.MemberOptions{{ID: "m1", Zone: "z1"}, {ID: "m2", Zone: "z2"}, {ID: "m3", Zone: "z3"}},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	Expect(group.Start(ctx)).To(Succeed())
+	DeferCleanup(group.Close)
+
+	w := &world{url: server.URL, group: group, editor: confstore.NewEditor(client, settings.Default().Store.Prefix)}
+	w.change(ctx, func(doc *config.Document) {
+		doc.DefaultGroup = "parkdb"
+		declared := &config.Group{MaxConnections: 20, Slots: 3, Database: "parkdb"}
+		for _, m := range group.Members() {
+			declared.Members = append(declared.Members, config.Member{ID: m.ID(), Addr: m.Addr(), Zone: m.Zone()})
+		}
+		doc.Groups = map[core.GroupID]*config.Group{"parkdb": declared}
+	})
+	return w
+}
+
+// change edits the declared configuration in the store.
+func (w *world) change(ctx context.Context, edit func(*config.Document)) uint64 {
+	GinkgoHelper()
+	doc, err := w.editor.Update(ctx, nil, confstore.Meta{Author: "test", Reason: "test"}, func(doc *config.Document) (*config.Document, error) {
+		next := *doc
+		edit(&next)
+		return &next, nil
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return uint64(doc.Revision)
+}
+
+// start runs a daemon in the zone until the test ends.
+func (w *world) start(id string, zone string) *running {
+	GinkgoHelper()
+	s := settings.Default()
+	s.Daemon = settings.Daemon{ID: id, Zone: zone, Region: "r"}
+	s.Callers.Listen, s.Peers.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	s.Gossip.Listen, s.Operator.Listen = "127.0.0.1:0", "127.0.0.1:0"
+	s.Store.Endpoints = []string{w.url}
+	s.Targets.User = "limpetspan"
+	if w.seed != "" {
+		s.Gossip.Seeds = []string{w.seed}
+	}
+	users := front.NewUsers()
+	Expect(users.Set("rider", "secret")).To(Succeed())
+	d, err := daemon.New(s, daemon.Options{Users: users, Stderr: GinkgoWriter, Stdout: GinkgoWriter})
+	Expect(err).NotTo(HaveOccurred())
+	if w.seed == "" {
+		w.seed = d.Addrs().Gossip
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	r := &running{Daemon: d, done: make(chan error, 1)}
+	go func() { r.done <- d.Run(ctx) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(r.done).WithTimeout(bound).Should(Receive(BeNil()))
+		r.done <- nil
+	})
+	return r
+}
+
+// connect opens a caller's connection.
+func (r *running) connect(ctx context.Context, session string) *pgx.Conn {
+	GinkgoHelper()
+	conn, err := pgx.Connect(ctx, fmt.Sprintf("postgres://rider:secret@%s/parkdb?sslmode=disable", r.Addrs().Callers))
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = conn.Close(context.Background()) })
+	_, err = conn.Exec(ctx, "SET limpetspan.session = '"+session+"'")
+	Expect(err).NotTo(HaveOccurred())
+	return conn
+}
--- a/pkg/daemon/groups.go
+++ b/pkg/daemon/groups.go
@@ -13,9 +13,14 @@
 	"limpetspan/pkg/fleet"
 )
 
-// readyPoll is how often a daemon that has just started asks whether its view
-// of the fleet is whole.
-const readyPoll = 50 * time.Millisecond
+const (
+	// readyPoll is how often a daemon that has just started asks whether its
+	// view of the fleet is whole.
+	readyPoll = 50 * time.Millisecond
+	// steadyTime is how long a view with others must stay the same to count as
+	// whole. A newcomer to a large fleet learns something every 100 ms.
+	steadyTime = 2 * time.Second
+)
 
 // served is what a group's shard was last told.
 type served struct {
@@ -85,16 +90,28 @@
 	}
 }
 
-// awaitReady waits until the view of the fleet is whole. A daemon that has
-// nobody to ask is whole from the start.
+// awaitReady waits until the view of the fleet is whole: the gossip says so, or
+// there is nobody to ask, or nothing new came for a while. Until then this
+// daemon claims no homes and callers are not sent here.
 func (d *Daemon) awaitReady(ctx context.Context) bool {
+	var root uint64
+	since := d.now()
 	for !d.viewIsWhole() {
 		select {
 		case <-ctx.Done():
 			return false
 		case <-time.After(readyPoll):
 		}
+		live, now := d.gossip.Fingerprint()
+		if now != root || live == 1 {
+			root, since = now, d.now()
+		}
+		if d.now().Sub(since) >= steadyTime {
+			break
+		}
 	}
+	d.whole.Store(true)
+	d.log.Info("view of the fleet is whole", "daemons", len(d.gossip.Daemons()))
 	return true
 }
 
--- a/pkg/daemon/status.go
+++ b/pkg/daemon/status.go
@@ -34,7 +34,7 @@
 		return errLeaving
 	case d.follower.Current().Revision == 0:
 		return errUnconfigured
-	case !d.viewIsWhole():
+	case !d.whole.Load():
 		return errAlone
 	}
 	return nil
