Keep a replaced home from opening connections; test under random faults

Cause: random faults showed up to 24 open connections of a budget of 14 work connections: a home that did not know that it was replaced opened again what the new home's fence had ended. Change: connections are opened only under the lease, after a lost connection only once the member reported the term again, by a new home only when the old lease is about to lapse; connections that a member reports beyond one's own count.

--- a/core/group/ballot.go
+++ b/core/group/ballot.go
@@ -154,10 +154,7 @@
 	m.vote = judgeFence(ev)
 	m.voteStatus = ev.Status
 	if m.vote == voteFenced {
-		m.foreign = 0
 		g.fencedOff(m)
-	} else if ev.Status.Connections > 0 {
-		m.foreign = max(0, ev.Status.Connections-m.conns)
 	}
 	if g.phase == phaseFencing {
 		g.tally()
@@ -312,13 +309,14 @@
 func (g *Group) becomeHome(s *core.Status) {
 	b := &g.ballot
 	wait := g.leaseWait()
+	sitting := g.reign.term != 0
 	history := g.reign.history
 	g.reign = reign{
 		term: b.term + 1, primary: b.target, start: s.Position(), since: g.now, waitUntil: wait,
 	}
 	g.reign.history = append(history[:0], core.TermStart{Term: g.reign.term, Start: s.LSN})
 	g.reign.learnHistory(s.History)
-	g.beginReign(s)
+	g.beginReign(s, sitting)
 	g.logEvent("home of the group", b.target, g.reign.term, "")
 	g.serveIfDue()
 }
@@ -346,7 +344,7 @@
 	return b.majorityAt.Add(g.tuning.LeaseDuration + g.tuning.LeaseMargin)
 }
 
-func (g *Group) beginReign(s *core.Status) {
+func (g *Group) beginReign(s *core.Status, sitting bool) {
 	b := &g.ballot
 	g.phase = phaseWaiting
 	b.retryAt, b.until, b.backoff = 0, never, 0
@@ -359,6 +357,10 @@
 			continue
 		}
 		m.lag.restart()
+		m.foreign = 0
+		if m.vote != voteFenced && !sitting {
+			g.assumeForeign(m)
+		}
 		if m.vote == voteFenced {
 			m.leaseAt = b.startedAt
 		}
--- a/core/group/claim_test.go
+++ b/core/group/claim_test.go
@@ -122,6 +122,33 @@
 		Expect(a.acks).NotTo(HaveKey(waiting))
 	})
 
+	ginkgo.It("lets a home that was paused serve no read", func() {
+		// Meanwhile riders wrote through the new home, and read through the
+		// one that wakes up and does not know that it was replaced. One replica
+		// was out of the new home's reach, so no fence ended the connections.
+		stale := func(change ...func(*Tuning)) int {
+			n, a := served(change...)
+			n.member("c").cutFrom["B"], n.member("c").stuck = true, true
+			a.paused, a.deaf = true, true
+			n.run(3 * time.Second)
+			b := n.home("B")
+			riders := []core.SessionID{"r1", "r2", "r3", "r4", "r5", "r6"}
+			for _, rider := range riders {
+				w := b.arrive(func(a *Arrived) { a.Session = rider })
+				n.run(20 * ms)
+				Expect(b.acks).To(HaveKey(w))
+			}
+			a.paused = false
+			for _, rider := range riders {
+				a.read(rider)
+			}
+			n.run(5 * ms)
+			return len(a.acks)
+		}
+		Expect(stale()).To(BeZero())
+		Expect(stale(func(t *Tuning) { t.DisabledGuards = GuardLeaseAtArrival })).To(BeNumerically(">", 0))
+	})
+
 	ginkgo.It("is what prevents it", func() {
 		a, running, _ := wake(func(t *Tuning) { t.DisabledGuards = GuardLeaseAtAck })
 		Expect(a.acks).To(HaveKey(running))
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -1,10 +1,6 @@
 package group
 
-import (
-	"time"
-
-	"limpetspan/core"
-)
+import "limpetspan/core"
 
 // suspicion is how far the doubt about the primary has gone.
 type suspicion uint8
@@ -284,7 +280,7 @@
 
 // suspectSoon looks at the primary at once, because work on it failed.
 func (g *Group) suspectSoon(m *member) {
-	if !m.probe.inFlight && g.now.Sub(m.probe.sentAt) >= time.Millisecond {
-		g.probeSoon(m)
+	if !m.probe.inFlight {
+		g.wakeBy(max(g.now, m.probe.sentAt.Add(g.tuning.FastProbeInterval)))
 	}
 }
--- a/core/group/dispatch.go
+++ b/core/group/dispatch.go
@@ -156,6 +156,7 @@
 		g.takeBack(c, r, ev.TxStatus)
 	} else {
 		g.removeConn(c)
+		g.lostConn(m)
 	}
 	if ev.Result == ResultOK {
 		g.finishOK(r, m, ev)
--- a/core/group/fake_test.go
+++ b/core/group/fake_test.go
@@ -19,6 +19,7 @@
 	silent  bool          // kept control connections never answer
 	stuck   bool          // applies nothing
 	lag     time.Duration // of replication
+	busy    bool          // has no connection left
 	loseOK  bool          // the answer of the next promote is lost
 	cutFrom map[core.DaemonID]bool
 }
@@ -47,6 +48,12 @@
 	asked   int
 	wakeNo  int
 	request map[core.RequestID]*Arrived
+	ranOn   map[core.RequestID]ConnID
+	// nextStatus is the transaction status after a statement; nextResult ends
+	// the next one, alwaysResult every one.
+	nextStatus   byte
+	nextResult   Result
+	alwaysResult Result
 }
 
 type fakeEvent struct {
@@ -76,6 +83,8 @@
 	no      int
 	queue   fakeQueue
 	events  int
+	check   func() // after each event
+	ran     map[core.RequestID]int
 	members []*fakeMember
 	homes   []*fakeHome
 	next    core.RequestID
@@ -84,7 +93,7 @@
 }
 
 func newNet(daemons int, change ...func(*Tuning)) *fakeNet {
-	n := &fakeNet{now: core.Time(time.Second), rtt: ms}
+	n := &fakeNet{now: core.Time(time.Second), rtt: ms, ran: map[core.RequestID]int{}}
 	for _, f := range change {
 		f(&n.tuning)
 	}
@@ -112,6 +121,7 @@
 		fails: map[core.RequestID]core.Outcome{}, reasons: map[core.RequestID]Reason{},
 		last: map[core.RequestID]*Fail{}, servers: map[core.RequestID]core.MemberID{},
 		reads: map[core.RequestID]core.Position{}, request: map[core.RequestID]*Arrived{},
+		ranOn: map[core.RequestID]ConnID{}, nextStatus: 'I',
 	}
 	n.homes = append(n.homes, h)
 	h.send(n.configure(h, 1))
@@ -197,11 +207,26 @@
 	n.after(ms, n.replicate)
 }
 
+// endConns breaks all work connections to a member, as a fence or crash does.
+func (n *fakeNet) endConns(id core.MemberID) {
+	for _, h := range n.homes {
+		for c := ConnID(1); c <= h.g.lastConn; c++ {
+			if h.conns[c] == id {
+				delete(h.conns, c)
+				h.later(n.rtt, func() Event { return &ConnClosed{Conn: c} })
+			}
+		}
+	}
+}
+
 func (h *fakeHome) send(ev Event) {
 	if h.dead {
 		return
 	}
 	h.g.Reduce(h.net.now, ev, &h.fx)
+	if h.net.check != nil {
+		h.net.check()
+	}
 	for _, e := range h.fx.List {
 		h.carryOut(e)
 	}
@@ -251,25 +276,33 @@
 	case *Probe:
 		v, sent := *e, h.net.now
 		h.call(v.Member, !v.Fresh, v.Timeout, func(m *fakeMember, err Failure) Event {
-			return &Probed{Member: v.Member, SentAt: sent, Fresh: v.Fresh, Status: statusOf(m), Err: err}
+			return &Probed{Member: v.Member, SentAt: sent, Fresh: v.Fresh, Status: h.net.statusOf(m), Err: err}
 		})
 	case *Fence:
 		v := *e
 		h.call(v.Member, false, v.Timeout, func(m *fakeMember, err Failure) Event {
-			err = m.fence(v.Term, err)
-			return &Fenced{Member: v.Member, Term: v.Term, Status: statusOf(m), Err: err}
+			if err = m.fence(v.Term, err); err == FailureNone {
+				h.net.endConns(m.id)
+			}
+			return &Fenced{Member: v.Member, Term: v.Term, Status: h.net.statusOf(m), Err: err}
 		})
 	case *Promote:
 		v := *e
 		h.call(v.Member, false, v.Timeout, func(m *fakeMember, err Failure) Event {
 			err = m.promote(v.Term, err)
-			return &Promoted{Member: v.Member, Term: v.Term, Status: statusOf(m), Err: err}
+			return &Promoted{Member: v.Member, Term: v.Term, Status: h.net.statusOf(m), Err: err}
 		})
 	case *OpenConn:
 		v := *e
 		h.conns[v.Conn] = v.Member
 		h.maxOpen = max(h.maxOpen, len(h.conns))
-		h.call(v.Member, false, 300*ms, func(_ *fakeMember, err Failure) Event {
+		h.call(v.Member, false, 300*ms, func(m *fakeMember, err Failure) Event {
+			if err == FailureNone && m.busy {
+				err = FailureBusy
+			}
+			if err != FailureNone {
+				delete(h.conns, v.Conn)
+			}
 			return &ConnOpened{Conn: v.Conn, Member: v.Member, Took: 12 * ms, Err: err}
 		})
 	case *CloseConn:
@@ -326,7 +359,7 @@
 func (h *fakeHome) dispatched(d Dispatch) {
 	m, a := h.net.member(d.Member), h.request[d.Request]
 	h.running[d.Request] = d
-	h.servers[d.Request] = d.Member
+	h.servers[d.Request], h.ranOn[d.Request] = d.Member, d.Conn
 	if m.paused || m.cutFrom[h.id] {
 		return
 	}
@@ -334,8 +367,11 @@
 		if h.running[d.Request] != d {
 			return
 		}
-		f := &Finished{Request: d.Request, TxStatus: 'I'}
+		f := &Finished{Request: d.Request, TxStatus: h.nextStatus, Result: max(h.nextResult, h.alwaysResult)}
+		h.nextResult = ResultOK
 		switch {
+		case f.Result != ResultOK:
+			delete(h.conns, d.Conn)
 		case m.paused:
 			return
 		case m.down, h.conns[d.Conn] == "":
@@ -346,6 +382,7 @@
 			f.Result = ResultReadOnly
 		default:
 			m.status.LSN += 10
+			h.net.ran[d.Request]++
 			m.status.LogTerm = m.status.Term
 		}
 		f.Position = m.status.Position()
@@ -381,11 +418,19 @@
 
 func (h *fakeHome) isHome() bool { return h.g.mayServe() }
 
-func statusOf(m *fakeMember) core.Status {
+func (n *fakeNet) statusOf(m *fakeMember) core.Status {
 	if m == nil {
 		return core.Status{}
 	}
-	return m.status
+	s := m.status
+	for _, h := range n.homes {
+		for _, id := range h.conns {
+			if id == m.id {
+				s.Connections++
+			}
+		}
+	}
+	return s
 }
 
 func (m *fakeMember) fence(t core.Term, err Failure) Failure {
--- /dev/null
+++ b/core/group/faults_test.go
@@ -0,0 +1,230 @@
+package group
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+)
+
+// faultRun puts random faults on a net under load and checks the promises
+// after each event.
+type faultRun struct {
+	n      *fakeNet
+	random *rand.Rand
+	// wrote is the last acknowledged write of each session.
+	wrote map[core.SessionID]core.Position
+	// durable holds the acknowledged durable writes.
+	durable []core.Position
+	// open holds the requests without an answer, with what their session had
+	// written when they arrived.
+	open       []openRequest
+	violations []string
+}
+
+type openRequest struct {
+	h       *fakeHome
+	id      core.RequestID
+	arrived *Arrived
+	wrote   core.Position
+}
+
+func (f *faultRun) violate(format string, args ...any) {
+	f.violations = append(f.violations, fmt.Sprintf("%d ms: %s", f.n.now/core.Time(ms), fmt.Sprintf(format, args...)))
+}
+
+func (f *faultRun) check() {
+	serving, conns := 0, 0
+	for _, h := range f.n.homes {
+		r := &h.g.reign
+		if h.g.phase == phaseServing && f.n.now < r.leaseUntil && f.n.now >= r.waitUntil {
+			serving++
+		}
+		conns += len(h.conns)
+	}
+	if serving > 1 {
+		f.violate("%d homes serve", serving)
+	}
+	if conns > 14 {
+		f.violate("%d connections %s", conns, f.connections())
+	}
+	kept := f.open[:0]
+	for _, o := range f.open {
+		if !f.settle(o) {
+			kept = append(kept, o)
+		}
+	}
+	f.open = kept
+}
+
+func (f *faultRun) connections() string {
+	text := ""
+	for _, h := range f.n.homes {
+		count := map[core.MemberID]int{}
+		for _, m := range h.conns {
+			count[m]++
+		}
+		s := h.g.Snapshot()
+		text += fmt.Sprint(" ", h.id, " ", s.Phase, " term ", s.Term, " counts ", s.Connections, "+", s.Closing, " open ", count)
+	}
+	return text
+}
+
+// settle checks a request that has its answer.
+func (f *faultRun) settle(o openRequest) bool {
+	if outcome, failed := o.h.fails[o.id]; failed {
+		if outcome == core.OutcomeNotRun && f.n.ran[o.id] > 0 {
+			f.violate("request %d ran but was reported as not run", o.id)
+		}
+		return true
+	}
+	p, ok := o.h.acks[o.id]
+	if !ok {
+		return o.h.dead
+	}
+	if !o.arrived.Read {
+		if f.n.ran[o.id] != 1 {
+			f.violate("request %d ran %d times", o.id, f.n.ran[o.id])
+		}
+		f.wrote[o.arrived.Session] = p
+		if o.arrived.Durable {
+			f.durable = append(f.durable, p)
+		}
+		return true
+	}
+	member := f.n.member(o.h.servers[o.id])
+	if saw := o.h.reads[o.id]; !lostAt(member, o.wrote) && saw.LSN < o.wrote.LSN {
+		f.violate("request %d of %s read %v at %s after a write at %v", o.id, o.arrived.Session, saw, member.id, o.wrote)
+	}
+	return true
+}
+
+// lostAt reports whether a member's log has dropped what was written at p.
+func lostAt(m *fakeMember, p core.Position) bool {
+	for _, h := range m.status.History {
+		if h.Term > p.Term && p.LSN > h.Start {
+			return true
+		}
+	}
+	return false
+}
+
+// load sends a few requests to daemons chosen at random, as roaming callers do.
+func (f *faultRun) load() {
+	for range 3 {
+		h := f.n.homes[f.random.IntN(len(f.n.homes))]
+		for _, other := range f.n.homes {
+			if other.g.reign.term > 0 && f.random.IntN(4) > 0 {
+				h = other
+			}
+		}
+		if h.dead || h.paused {
+			continue
+		}
+		session := core.SessionID(fmt.Sprint("s", f.random.IntN(12)))
+		read, durable := f.random.IntN(3) > 0, f.random.IntN(2) == 0
+		wrote := f.wrote[session]
+		id := h.arrive(func(a *Arrived) {
+			a.Session, a.Read, a.Durable = session, read, durable
+			a.Deadline = f.n.now.Add(time.Duration(50+f.random.IntN(2000)) * ms)
+		})
+		f.open = append(f.open, openRequest{h, id, h.request[id], wrote})
+	}
+}
+
+// fault changes one thing and undoes it after a while.
+func (f *faultRun) fault() {
+	m := f.n.members[f.random.IntN(3)]
+	h := f.n.homes[f.random.IntN(len(f.n.homes))]
+	heal := func() {}
+	switch f.random.IntN(9) {
+	case 0:
+		m.down = true
+		f.n.endConns(m.id)
+		heal = func() { m.down = false }
+	case 1:
+		m.paused = true
+		heal = func() { m.paused = false }
+	case 2:
+		m.silent = true
+		heal = func() { m.silent = false }
+	case 3:
+		m.stuck = true
+		heal = func() { m.stuck = false }
+	case 4:
+		m.cutFrom[h.id] = true
+		heal = func() { m.cutFrom[h.id] = false }
+	case 5:
+		h.paused = true
+		heal = func() { h.paused = false }
+	case 6:
+		h.deaf = true
+		heal = func() { h.deaf = false }
+	case 7:
+		m.loseOK = true
+	case 8:
+		m.status.Leaving = true
+		heal = func() { m.status.Leaving = false }
+	}
+	f.n.after(time.Duration(20+f.random.IntN(3000))*ms, heal)
+}
+
+// run returns the violations of one seed.
+func runFaults(seed uint64, change ...func(*Tuning)) []string {
+	f := &faultRun{
+		n: newNet(3, change...), random: rand.New(rand.NewPCG(seed, 1)),
+		wrote: map[core.SessionID]core.Position{},
+	}
+	f.n.check = f.check
+	f.n.run(2 * time.Second)
+	for i := range 2000 {
+		f.load()
+		if i%80 == 0 {
+			f.fault()
+		}
+		f.n.run(5 * ms)
+	}
+	f.n.run(12 * time.Second)
+	f.finish()
+	return f.violations
+}
+
+// finish checks what must be true once all faults are over.
+func (f *faultRun) finish() {
+	if len(f.open) > 0 {
+		f.violate("%d requests have no answer, such as %d", len(f.open), f.open[0].id)
+	}
+	serving := 0
+	for _, h := range f.n.homes {
+		if h.isHome() {
+			serving++
+			w := h.write()
+			f.n.run(100 * ms)
+			if _, ok := h.acks[w]; !ok {
+				f.violate("the home does not serve: %v", h.reasons[w])
+			}
+		}
+	}
+	if serving != 1 {
+		f.violate("%d homes at the end", serving)
+	}
+	for _, p := range f.durable {
+		if lostAt(f.n.primary(), p) {
+			f.violate("the durable write at %v is lost", p)
+		}
+	}
+}
+
+var _ = ginkgo.Describe("random faults", func() {
+	ginkgo.It("break no promise", func() {
+		// Members and daemons crash, pause, lose each other and come back, in
+		// any order and together, under load.
+		for seed := range uint64(12) {
+			Expect(runFaults(seed)).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+})
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -48,7 +48,9 @@
 	// oddAt is since when the member reports a term that the reign has to deal
 	// with: above it, or so low that the member cannot follow.
 	oddAt core.Time
-	// foreign counts work connections of an old home that no fence has ended.
+	// lostAt is when a connection to the member was last lost.
+	lostAt core.Time
+	// foreign counts work connections there that are not this home's.
 	foreign int
 
 	probe probeState
@@ -123,9 +125,7 @@
 	if g.reign.term == 0 {
 		return
 	}
-	if m.foreign > 0 {
-		m.foreign = max(0, min(m.foreign, s.Connections-m.conns))
-	}
+	m.foreign = max(0, s.Connections-m.conns-g.closingAt(m))
 	g.extendLease(m, s.Term, sentAt)
 	if s.Term == g.reign.term {
 		g.learnPosition(m, s.Position(), sentAt)
--- a/core/group/pool.go
+++ b/core/group/pool.go
@@ -55,7 +55,8 @@
 // Guard: MaxConnections holds for the whole fleet, also while the group
 // changes hands. It would show as members that refuse connections. Only a home
 // opens work connections, and the fence that made it home ended those of the
-// homes before; where a member missed the fence, those it reports are counted.
+// homes before. Connections that a member reports beyond this home's own are
+// counted, and mayOpen keeps a home that was replaced from opening new ones.
 func (g *Group) budget() int {
 	if !g.guarded(GuardBudget) {
 		return 1 << 20
@@ -71,6 +72,27 @@
 	return n
 }
 
+// closingAt counts the connections to a member that are being closed.
+func (g *Group) closingAt(m *member) int {
+	n := 0
+	for _, c := range g.closing {
+		if c.member == m {
+			n++
+		}
+	}
+	return n
+}
+
+// assumeForeign counts, for a member that the fence did not reach, what the
+// home before may have open there, until the member reports.
+func (g *Group) assumeForeign(m *member) {
+	share := g.connLimit(m)
+	if m.ID == g.peers.primary {
+		share = max(share, g.budget()-share*(g.size()-1))
+	}
+	m.foreign = share
+}
+
 // statementCap is how many statements one member is given at a time.
 func (g *Group) statementCap() int { return max(1, g.slots) + g.tuning.SlotOverlap }
 
@@ -94,16 +116,43 @@
 		return
 	}
 	want := min(g.connLimit(m), g.statementCap()+m.pinned)
-	if m.conns >= want {
+	if m.conns >= want || !g.mayOpen(m) {
 		return
 	}
+	for m.conns < want && g.openTotal() < g.budget() {
+		g.openConn(m)
+	}
+}
+
+// mayOpen reports whether connections to a member may be opened now.
+//
+// Guard: a home that was replaced and does not know it would open connections
+// again after the new home's fence ended them. So the lease must hold, after a
+// lost connection the member must first report that it is still in this term,
+// and a new home opens only when the lease of the old one is about to lapse.
+func (g *Group) mayOpen(m *member) bool {
 	if g.now < m.openAfter {
 		g.wakeBy(m.openAfter)
-		return
+		return false
 	}
-	for m.conns < want && g.openTotal() < g.budget() {
-		g.openConn(m)
+	if g.phase == phaseWaiting {
+		ready := g.reign.waitUntil.Add(-2 * g.tuning.ConnectCost)
+		if g.now < ready {
+			g.wakeBy(ready)
+			return false
+		}
+	}
+	if !g.guarded(GuardBudget) {
+		return true
 	}
+	return g.now < g.reign.leaseUntil && m.term == g.reign.term && m.reportedAt >= m.lostAt
+}
+
+// lostConn notes that a connection ended without this home's doing.
+func (g *Group) lostConn(m *member) {
+	g.counters.ConnsLost++
+	m.lostAt = g.now
+	g.suspectSoon(m)
 }
 
 func (g *Group) warmAll() {
@@ -274,11 +323,9 @@
 	if c.request != nil {
 		return // Finished will tell how its request ended.
 	}
-	g.counters.ConnsLost++
 	m := c.member
 	g.removeConn(c)
-	g.suspectSoon(m)
-	g.warm(m)
+	g.lostConn(m)
 }
 
 // closeIdle closes the idle connections of a member.
--- a/core/group/probe.go
+++ b/core/group/probe.go
@@ -55,6 +55,9 @@
 		return // A claim asks each member once.
 	}
 	due := min(p.next, p.sentAt.Add(interval))
+	if m.lostAt >= p.sentAt {
+		due = p.sentAt.Add(g.tuning.FastProbeInterval) // Whether it is still in the term.
+	}
 	if g.now >= due {
 		g.sendProbe(m, false)
 		return
--- a/core/group/request.go
+++ b/core/group/request.go
@@ -216,6 +216,9 @@
 	g.deadlines.remove(r)
 	r.conn = nil
 	g.spare = append(g.spare, r)
+	if g.drain.requested {
+		g.wakeBy(g.now)
+	}
 }
 
 // failRequest gives a request its last word. A connection it ran on is gone,
--- a/core/group/retry.go
+++ b/core/group/retry.go
@@ -35,8 +35,6 @@
 		g.probeSoon(m)
 	case ResultReadOnly:
 		g.probeSoon(m)
-	default:
-		g.suspectSoon(m)
 	}
 	ran := result == ResultLost
 	if ran && r.read {
--- a/core/group/session.go
+++ b/core/group/session.go
@@ -191,18 +191,25 @@
 	t.floor = r.start
 }
 
-// lost reports whether something up to p is missing from the reign's log: p is
-// past the point where a later term's log began.
+// lost reports whether the record at p is missing from the reign's log: p's
+// term is no part of the log's history, or a later term began before p.
+//
+// Guard: a term whose log the reign did not inherit may have begun and ended
+// between two starts of the history, with offsets below the later one. Judged
+// by offsets alone its writes would count as kept, and the session would read
+// on without them.
 func (r *reign) lost(p core.Position) bool {
-	if p.Term >= r.term {
+	if p.Term >= r.term || p.LSN == 0 {
 		return false
 	}
+	inherited := len(r.history) == 0 || p.Term < r.history[0].Term
 	for _, h := range r.history {
 		if h.Term > p.Term && p.LSN > h.Start {
 			return true
 		}
+		inherited = inherited || h.Term == p.Term
 	}
-	return p.LSN > r.start.LSN
+	return !inherited || p.LSN > r.start.LSN
 }
 
 // refuseUnseen fails a request whose session has seen what this home's log
