Test the operator program against a store over HTTP

Cause: the tests put a client in, and the one the program opens was not run. Change: one spec reads the configuration over a socket. Conclusion: the program's own client works.

--- a/pkg/cli/config_test.go
+++ b/pkg/cli/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http/httptest"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -123,4 +124,13 @@
 		t.ok("config", "apply", smaller, "--daemon", d.addr())
 		Expect(t.run("config", "revert", "2").stderr).To(ContainSubstring("the members of group park-1 change"))
 	})
+
+	It("reaches a store by its URL", func() {
+		server := httptest.NewServer(t.fake.Server)
+		DeferCleanup(server.Close)
+		client, err := cli.SystemEnv().OpenStore([]string{server.URL})
+		Expect(err).NotTo(HaveOccurred())
+		t.store = client
+		Expect(t.ok("config", "get")).To(ContainSubstring("[group park-1]"))
+	})
 })
