Close the connection of a failed request explicitly; test transactions under faults

Cause: random faults with transactions showed a connection left open beside the budget: its statement had finished, but the Finished was still under way when the request failed at its deadline. Change: a CloseConn follows the Fail; probes keep the fast pace only at members whose report is awaited; a restarted daemon that the fleet names as home claims at once; planned promotions keep a distance.

--- a/core/group/ballot.go
+++ b/core/group/ballot.go
@@ -316,6 +316,7 @@
 	}
 	g.reign.history = append(history[:0], core.TermStart{Term: g.reign.term, Start: s.LSN})
 	g.reign.learnHistory(s.History)
+	g.peers.own = g.reign.term
 	g.beginReign(s, sitting)
 	g.logEvent("home of the group", b.target, g.reign.term, "")
 	g.serveIfDue()
--- a/core/group/claim.go
+++ b/core/group/claim.go
@@ -34,6 +34,8 @@
 	primary core.MemberID
 	// released is the highest term whose home said that it serves no more.
 	released core.Term
+	// own is the highest term held by this daemon, as far as it knows.
+	own core.Term
 	// claimAt is when this daemon claims if it hears of no home until then.
 	claimAt core.Time
 	// deposed counts the homes lost here since another was heard.
@@ -84,7 +86,11 @@
 }
 
 func (g *Group) onHomeNews(ev *HomeNews) {
-	if ev.Home == g.self || ev.Term < g.peers.term {
+	if ev.Home == g.self {
+		g.onOwnNews(ev)
+		return
+	}
+	if ev.Term < g.peers.term {
 		return
 	}
 	g.peers.home, g.peers.term, g.peers.primary = ev.Home, ev.Term, ev.Primary
@@ -110,6 +116,19 @@
 	}
 }
 
+// onOwnNews: the fleet names this daemon as home of a term that it never held
+// in this process. It restarted, so nobody is home and it can claim at once.
+func (g *Group) onOwnNews(ev *HomeNews) {
+	if ev.Released || ev.Term <= g.peers.own || ev.Term <= g.peers.term {
+		return
+	}
+	g.peers.own, g.peers.primary = ev.Term, ev.Primary
+	g.ballot.seen = max(g.ballot.seen, ev.Term)
+	if g.phase == phaseFollowing {
+		g.postponeClaim(0)
+	}
+}
+
 // onReleased: the home of the term said that it serves no more, so there is
 // nothing to wait for but one's turn.
 func (g *Group) onReleased(term core.Term) {
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -28,6 +28,8 @@
 	// planned is the planned promotion under way, since plannedAt.
 	planned   planned
 	plannedAt core.Time
+	// planAfter keeps planned promotions apart.
+	planAfter core.Time
 	// handedOverAt is when the last handover for an unreachable primary was.
 	handedOverAt core.Time
 	beatAt       core.Time
@@ -35,7 +37,7 @@
 
 // reset forgets the doubts about a reign that ends.
 func (d *detector) reset() {
-	*d = detector{handedOverAt: d.handedOverAt, beatAt: d.beatAt}
+	*d = detector{handedOverAt: d.handedOverAt, beatAt: d.beatAt, planAfter: d.planAfter}
 }
 
 // maxOpinions is the number of candidates asked about a primary.
@@ -278,9 +280,12 @@
 	g.reign.announced = true
 }
 
-// suspectSoon looks at the primary at once, because work on it failed.
-func (g *Group) suspectSoon(m *member) {
-	if !m.probe.inFlight {
-		g.wakeBy(max(g.now, m.probe.sentAt.Add(g.tuning.FastProbeInterval)))
+// reportSoon asks a member for a report at the fast pace, because work on it
+// failed or its last report is too old for a read.
+func (g *Group) reportSoon(m *member) {
+	if m.probe.inFlight {
+		return
 	}
+	m.probe.next = max(g.now, m.probe.sentAt.Add(g.tuning.FastProbeInterval))
+	g.wakeBy(m.probe.next)
 }
--- a/core/group/dispatch.go
+++ b/core/group/dispatch.go
@@ -117,15 +117,15 @@
 	})
 }
 
-// dropRunning forgets the connection of a running request that is failed: the
-// shell drops it without a Finished.
+// dropRunning closes the connection of a running request that is failed. The
+// shell drops it anyway, unless its Finished is already under way; then this
+// keeps it from staying open beside the budget.
 func (g *Group) dropRunning(r *request) {
 	if !r.read {
 		g.writesRunning--
 	}
 	c := r.conn
-	g.removeConn(c)
-	g.countClosing(c)
+	g.closeConn(c)
 	r.conn = nil
 }
 
@@ -171,7 +171,7 @@
 func (g *Group) takeBack(c *conn, r *request, txStatus byte) {
 	c.member.running--
 	c.request = nil
-	if txStatus != 'I' {
+	if txStatus != 'I' && g.guarded(GuardPinned) {
 		if c.doomed {
 			g.closeConn(c)
 			return
--- a/core/group/effect.go
+++ b/core/group/effect.go
@@ -52,7 +52,8 @@
 )
 
 // Fail ends a request with an error. If it was dispatched and has not
-// Finished, the shell drops its connection without reporting Finished.
+// Finished, the shell drops its connection without reporting Finished; a
+// CloseConn for it follows, as a Finished may be under way.
 type Fail struct {
 	Request core.RequestID `json:"request"`
 	Reason  Reason         `json:"reason"`
--- a/core/group/fake_test.go
+++ b/core/group/fake_test.go
@@ -52,6 +52,9 @@
 	// nextStatus is the transaction status after a statement; nextResult ends
 	// the next one, alwaysResult every one.
 	nextStatus   byte
+	status       map[core.RequestID]byte
+	open         map[ConnID]core.CallerID // transactions
+	interleaved  int
 	nextResult   Result
 	alwaysResult Result
 }
@@ -122,6 +125,7 @@
 		last: map[core.RequestID]*Fail{}, servers: map[core.RequestID]core.MemberID{},
 		reads: map[core.RequestID]core.Position{}, request: map[core.RequestID]*Arrived{},
 		ranOn: map[core.RequestID]ConnID{}, nextStatus: 'I',
+		status: map[core.RequestID]byte{}, open: map[ConnID]core.CallerID{},
 	}
 	n.homes = append(n.homes, h)
 	h.send(n.configure(h, 1))
@@ -368,6 +372,9 @@
 			return
 		}
 		f := &Finished{Request: d.Request, TxStatus: h.nextStatus, Result: max(h.nextResult, h.alwaysResult)}
+		if s, ok := h.status[d.Request]; ok {
+			f.TxStatus = s
+		}
 		h.nextResult = ResultOK
 		switch {
 		case f.Result != ResultOK:
@@ -380,7 +387,10 @@
 			h.reads[d.Request] = m.status.Position()
 		case m.status.Role != core.RolePrimary:
 			f.Result = ResultReadOnly
+		case f.TxStatus != 'I':
+			h.transact(d.Conn, a.Caller, f.TxStatus)
 		default:
+			h.transact(d.Conn, a.Caller, f.TxStatus)
 			m.status.LSN += 10
 			h.net.ran[d.Request]++
 			m.status.LogTerm = m.status.Term
@@ -395,6 +405,18 @@
 	})
 }
 
+// transact notes a statement inside a transaction, or its end.
+func (h *fakeHome) transact(c ConnID, caller core.CallerID, status byte) {
+	if owner, ok := h.open[c]; ok && owner != caller {
+		h.interleaved++
+	}
+	if status == 'I' {
+		delete(h.open, c)
+	} else {
+		h.open[c] = caller
+	}
+}
+
 // arrive sends a request with a deadline of 2 s and returns its number.
 func (h *fakeHome) arrive(change func(*Arrived)) core.RequestID {
 	h.net.next++
--- a/core/group/plan.go
+++ b/core/group/plan.go
@@ -37,7 +37,7 @@
 
 func (g *Group) plan(why planned) {
 	d := &g.detect
-	if d.planned != plannedNone || g.phase != phaseServing {
+	if d.planned != plannedNone || g.phase != phaseServing || g.now < d.planAfter {
 		return
 	}
 	d.planned, d.plannedAt = why, g.now
@@ -66,6 +66,7 @@
 	quiet := g.writesRunning == 0 && len(g.held) == 0 && g.reign.primary.pinned == 0
 	ready := quiet && (d.planned == plannedRepair || g.heirCaughtUp())
 	if ready || g.now >= until {
+		d.planAfter = g.now.Add(g.tuning.RepairWait)
 		g.startClaim("planned promotion")
 		return
 	}
--- a/core/group/pool.go
+++ b/core/group/pool.go
@@ -152,7 +152,7 @@
 func (g *Group) lostConn(m *member) {
 	g.counters.ConnsLost++
 	m.lostAt = g.now
-	g.suspectSoon(m)
+	g.reportSoon(m)
 }
 
 func (g *Group) warmAll() {
@@ -222,7 +222,7 @@
 		m.stopping = true
 		g.probeSoon(m)
 	default:
-		g.suspectSoon(m)
+		g.reportSoon(m)
 	}
 }
 
--- a/core/group/probe.go
+++ b/core/group/probe.go
@@ -27,16 +27,14 @@
 	if !g.probing() {
 		return
 	}
-	interval := g.probePace()
 	for _, m := range g.members {
-		if m.gone {
-			continue
+		if !m.gone {
+			g.runProbe(m)
 		}
-		g.runProbe(m, interval)
 	}
 }
 
-func (g *Group) runProbe(m *member, interval time.Duration) {
+func (g *Group) runProbe(m *member) {
 	p := &m.probe
 	if p.inFlight {
 		limit := p.sentAt.Add(p.timeout + probeGrace)
@@ -54,7 +52,7 @@
 	if g.phase == phaseProbing {
 		return // A claim asks each member once.
 	}
-	due := min(p.next, p.sentAt.Add(interval))
+	due := min(p.next, p.sentAt.Add(g.probePace(m)))
 	if m.lostAt >= p.sentAt {
 		due = p.sentAt.Add(g.tuning.FastProbeInterval) // Whether it is still in the term.
 	}
@@ -65,21 +63,28 @@
 	g.wakeBy(due)
 }
 
-// probePace is fast while something waits for a position or the lease.
-func (g *Group) probePace() time.Duration {
-	if g.awaitsPositions() {
+// probePace is fast while something waits for what the member will report.
+func (g *Group) probePace(m *member) time.Duration {
+	if m.failures == 0 && g.awaits(m) {
 		return g.tuning.FastProbeInterval
 	}
 	return g.tuning.ProbeInterval
 }
 
-// awaitsPositions reports whether a request or a step waits for what the next
-// probes will say.
-func (g *Group) awaitsPositions() bool {
-	if g.now < g.fastUntil || len(g.held) > 0 || g.detect.planned != plannedNone {
+// awaits reports whether a request or a step waits for a member's next report:
+// for the term lease or a planned promotion any member's, for the position of
+// a write the replicas', for one whose position is not known the primary's.
+func (g *Group) awaits(m *member) bool {
+	if g.detect.planned != plannedNone {
+		return true
+	}
+	if g.phase == phaseServing && !g.leaseHolds() && len(g.requests) > 0 {
 		return true
 	}
-	return g.phase == phaseServing && !g.leaseHolds() && len(g.requests) > 0
+	if m == g.reign.primary {
+		return g.sessions.pending > 0 || len(g.held) > 0 && g.held[0].position.IsZero()
+	}
+	return g.now < g.fastUntil || len(g.held) > 0
 }
 
 // hurryProbes brings the next probe of each member forward to the fast pace
@@ -94,12 +99,11 @@
 
 // hurry brings the wake-up forward to when the present pace has probes due.
 func (g *Group) hurry() {
-	interval := g.probePace()
 	for _, m := range g.members {
 		if m.gone || m.probe.inFlight {
 			continue
 		}
-		g.wakeBy(max(g.now, m.probe.sentAt.Add(interval)))
+		g.wakeBy(max(g.now, m.probe.sentAt.Add(g.probePace(m))))
 	}
 }
 
@@ -137,7 +141,7 @@
 		g.probeAnswered(m)
 	}
 	if g.probing() && !m.probe.inFlight {
-		g.wakeBy(min(m.probe.next, m.probe.sentAt.Add(g.probePace())))
+		g.wakeBy(min(m.probe.next, m.probe.sentAt.Add(g.probePace(m))))
 	}
 	g.releaseHeld()
 	g.forgetPassed()
--- a/core/group/request.go
+++ b/core/group/request.go
@@ -78,16 +78,14 @@
 		g.refuse(ev)
 		return
 	}
-	if ev.InTransaction && (pin == nil || pin.request != nil) {
+	if ev.InTransaction && (pin == nil || pin.request != nil) && g.guarded(GuardPinned) {
 		g.failArrival(ev, ReasonTransactionLost, 0)
 		return
 	}
 	if !ev.InTransaction && pin != nil {
 		// The caller was told that its transaction failed; it must not go on
 		// in the middle of it.
-		if g.guarded(GuardPinned) {
-			g.closeConn(pin)
-		}
+		g.closeConn(pin)
 		pin = nil
 	}
 	deadline := ev.Deadline
@@ -228,16 +226,17 @@
 	f := Fail{
 		Request: r.id, Reason: reason, Outcome: outcome, Step: step, RetryAfter: after,
 	}
+	if reason == ReasonNotHome {
+		f.Hint = g.hint()
+	}
 	if r.state == stateRunning {
 		f.Peer = string(r.conn.member.ID)
+		g.fx.fail(f)
 		g.dropRunning(r)
 	} else {
+		g.fx.fail(f)
 		g.unqueue(r)
 	}
-	if reason == ReasonNotHome {
-		f.Hint = g.hint()
-	}
-	g.fx.fail(f)
 	g.release(r)
 }
 
--- a/core/group/route.go
+++ b/core/group/route.go
@@ -80,7 +80,5 @@
 // probeStale asks the primary for its position because what is known is older
 // than a read accepts.
 func (g *Group) probeStale() {
-	if p := g.reign.primary; !p.probe.inFlight {
-		g.probeSoon(p)
-	}
+	g.reportSoon(g.reign.primary)
 }
