Let take-overs run in the daemon

Cause: the worker and the gates of package takeover need a daemon around them. Change: statements of a kind pass their group's gate at the home; the gate opens when this daemon becomes home. limpetspan's own statements run through the entry without a route. The entry waits for another document when a record is held or belongs elsewhere, lets COMMIT and ROLLBACK pass without a kind, and measures the latency of groups that a worker asks about. Measured: go test of daemon and entry passes; a take-over through the daemon is not measured yet.

--- a/pkg/daemon/assemble.go
+++ b/pkg/daemon/assemble.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -166,7 +165,7 @@
 			User: d.settings.Targets.User, Password: password, TLS: tls,
 			Zone: core.Zone(d.settings.Daemon.Zone), DialTimeout: d.settings.Targets.ConnectTimeout,
 		},
-		Peers: d.peers, News: d.gossip.AnnounceHome, Logger: d.log.Named("home"), Tracer: d.tracer(), Now: d.now,
+		Peers: d.peers, News: d.homeNews, Logger: d.log.Named("home"), Tracer: d.tracer(), Now: d.now,
 		Tuning: d.tuning(), Bucket: d.bucket,
 	}
 	if d.recorder != nil {
@@ -210,8 +209,6 @@
 		RetryRatio: d.settings.Tuning.RetryRatio, Backoff: d.settings.Tuning.RetryBackoff,
 		SessionInFlight: d.settings.Tuning.SessionInFlight, GroupInFlight: d.settings.Tuning.GroupInFlight,
 	})
-	d.follower.Subscribe(d.configured)
-	d.gossip.Subscribe(d.fleetChanged)
 	return nil
 }
 
@@ -237,7 +234,10 @@
 		}
 	}
 	if d.front, err = front.New(options); err != nil {
-		return fmt.Errorf("front: %w", err)
+		return err
 	}
+	// All parts exist: news may reach them now.
+	d.follower.Subscribe(d.configured)
+	d.gossip.Subscribe(d.fleetChanged)
 	return nil
 }
--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -25,6 +25,8 @@
 		return &peerpb.Reply{}, d.handover(c.Handover)
 	case *peerpb.Call_Config:
 		return d.changes(c.Config)
+	case *peerpb.Call_Takeover:
+		return &peerpb.Reply{}, d.orderFromPeer(ctx, c.Takeover)
 	case *peerpb.Call_KeyCancel:
 		d.front.CancelKey(c.KeyCancel.GetProcessId(), c.KeyCancel.GetSecret())
 		return &peerpb.Reply{}, nil
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"limpetspan/pkg/peer"
 	"limpetspan/pkg/settings"
 	"limpetspan/pkg/store"
+	"limpetspan/pkg/takeover"
 	"limpetspan/pkg/telemetry"
 )
 
@@ -46,6 +47,9 @@
 	peerServer *peer.Server
 	operator   *operator.Server
 	recorder   *recorder
+	databases  *databases
+	gates      *gates
+	worker     *takeover.Worker
 	cancels    chan struct{}
 
 	listeners listeners
@@ -82,7 +86,7 @@
 	}{
 		{"trace", d.openTracing}, {"record", d.openRecorder}, {"listen", d.listen}, {"store", d.openStore}, {"gossip", d.openGossip},
 		{"peers", d.openPeers}, {"targets", d.openHomes}, {"configuration", d.openConfiguration},
-		{"callers", d.openFront},
+		{"take-overs", d.openTakeovers}, {"callers", d.openFront},
 	} {
 		if err := step.run(); err != nil {
 			d.close()
@@ -162,6 +166,7 @@
 		"configuration": d.follower.Run,
 		"groups":        d.followGroups,
 		"host list":     d.followHosts,
+		"take-overs":    d.worker.Run,
 		"callers":       func(ctx context.Context) error { return d.front.Serve(ctx, d.listeners.callers) },
 		"operator":      func(ctx context.Context) error { return d.operator.Serve(ctx, d.listeners.operator) },
 		"recorder":      d.recorder.run,
--- a/pkg/daemon/groups.go
+++ b/pkg/daemon/groups.go
@@ -32,6 +32,7 @@
 // homes of this daemon follow in their own goroutine.
 func (d *Daemon) configured(doc *config.Document) {
 	d.entry.SetDocument(doc)
+	d.gates.configured()
 	d.gossip.AnnounceConfig(uint64(doc.Revision))
 	d.revisions.announce()
 	d.lookAtGroups()
@@ -43,6 +44,7 @@
 	for _, id := range c.Homes {
 		if h, ok := d.gossip.Home(id); ok {
 			d.homes.HomeNews(h, false)
+			d.gates.homeNews(h)
 		}
 	}
 	if len(c.Homes) > 0 {
@@ -56,6 +58,12 @@
 	}
 }
 
+// homeNews spreads that this daemon became home of a group or gave it up.
+func (d *Daemon) homeNews(h fleet.Home) {
+	d.gates.homeNews(h)
+	d.gossip.AnnounceHome(h)
+}
+
 func (d *Daemon) lookAtGroups() {
 	select {
 	case d.groupsChanged <- struct{}{}:
@@ -145,6 +153,7 @@
 			continue
 		}
 		shards[id] = next
+		d.gates.ensure(id)
 		d.homes.Ensure(id, next.declared, uint64(doc.Revision), next.candidates)
 	}
 	for id := range shards {
--- a/pkg/daemon/status.go
+++ b/pkg/daemon/status.go
@@ -11,7 +11,6 @@
 	"limpetspan/core"
 	"limpetspan/core/config"
 	"limpetspan/pkg/entry"
-	"limpetspan/pkg/errs"
 	"limpetspan/pkg/fleet"
 	"limpetspan/pkg/operator"
 )
@@ -62,6 +61,7 @@
 			Kind: u.Kind, Version: u.Version, Requests: u.Requests, Window: entry.VersionWindow,
 		})
 	}
+	s.Takeovers = d.takeoverWork()
 	if withFleet {
 		s.Fleet = d.fleet()
 	}
@@ -89,12 +89,6 @@
 	return int(open.Value())
 }
 
-// Verify implements operator.Daemon.
-func (d *Daemon) Verify(_ context.Context, kind string) (*operator.Verification, error) {
-	return nil, errs.New(errs.Unsupported, core.OutcomeNotRun, "daemon.verify", string(d.id),
-		"this daemon cannot compare the sides of the take-over of kind %s", kind)
-}
-
 // AwaitRevision implements operator.Daemon.
 func (d *Daemon) AwaitRevision(ctx context.Context, revision uint64) (uint64, error) {
 	for {
--- a/pkg/entry/attempt.go
+++ b/pkg/entry/attempt.go
@@ -46,8 +46,11 @@
 	// tried are the daemons asked in this round, triedMemory their usual place.
 	tried       []core.DaemonID
 	triedMemory [8]core.DaemonID
-	// news is closed at news of homes since this round began.
-	news  <-chan struct{}
+	// news is closed at news of homes since this round began, documents when
+	// another document came since the route was taken.
+	news, documents <-chan struct{}
+	// fixed is the group of a request that is not routed.
+	fixed core.GroupID
 	pause time.Duration
 	// last is the failure of the latest try.
 	last *errs.Error
@@ -75,14 +78,23 @@
 		if !a.again(errs.As(err)) {
 			return result, err
 		}
+		if moving(a.last.Kind) {
+			if err := a.awaitMove(); err != nil {
+				return exchange.Result{}, err
+			}
+		}
 	}
 }
 
 // route takes a route under the present document and waits while it is fenced.
 // It is taken anew for each try, as nothing has run by then.
 func (a *attempt) route() error {
+	if a.fixed != "" {
+		a.req.Group = a.fixed
+		return a.enter(a.fixed)
+	}
 	for {
-		changed := a.entry.documentNews.next()
+		a.documents = a.entry.documentNews.next()
 		r, fenced, err := route(a.entry.document.Load(), a.req)
 		if err == nil {
 			apply(&r, a.req)
@@ -93,7 +105,7 @@
 		}
 		a.entry.metrics.fenced.Add(1)
 		a.last = errs.As(err)
-		if err := a.entry.wait(a.ctx, a.req, changed, a.req.Deadline, a.last); err != nil {
+		if err := a.entry.wait(a.ctx, a.req, a.documents, a.req.Deadline, a.last); err != nil {
 			return err
 		}
 	}
@@ -189,7 +201,7 @@
 	if err.Outcome == core.OutcomeNotRun {
 		if !homeless(err.Kind) {
 			a.found()
-			return false
+			return moving(err.Kind)
 		}
 		a.hint = err.Hint
 		a.entry.metrics.retries.Add(1)
@@ -208,6 +220,21 @@
 	return false
 }
 
+// moving reports whether a failure means that the record is changing its group:
+// the home holds it, or knows a later document than this entry does.
+func moving(kind *errs.Kind) bool { return kind == errs.Held || kind == errs.NotOwner }
+
+// awaitMove waits for another document, at most as long as the home said.
+func (a *attempt) awaitMove() error {
+	e := a.entry
+	e.metrics.fenced.Add(1)
+	pause := max(a.last.RetryAfter, a.pause)
+	until := e.options.Now().Add(time.Duration((0.5 + e.options.Random()) * float64(pause)))
+	err := e.wait(a.ctx, a.req, a.documents, min(until, a.req.Deadline), a.last)
+	a.newRound()
+	return err
+}
+
 // repeatRead decides on a request that may have run. A declared read may be
 // repeated, unless the caller has rows of the first answer already.
 func (a *attempt) repeatRead(err *errs.Error) bool {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -82,7 +82,9 @@
 	if req.Deadline == 0 {
 		req.Deadline = e.options.Now().Add(e.options.DefaultTimeout)
 	}
+	began := e.options.Now()
 	result, err := e.traced(ctx, req, w)
+	e.groups.noteLatency(req.Group, e.options.Now().Sub(began))
 	if req.Floors != nil && !result.Position.IsZero() {
 		req.Floors.Raise(req.Group, result.Position)
 	}
@@ -93,6 +95,21 @@
 	return result, err
 }
 
+// Direct serves a request of limpetspan itself in its Group, without a route.
+func (e *Entry) Direct(ctx context.Context, req *exchange.Request, w exchange.Writer) (exchange.Result, error) {
+	if req.Deadline == 0 {
+		req.Deadline = e.options.Now().Add(e.options.DefaultTimeout)
+	}
+	a := attempt{entry: e, ctx: ctx, req: req, out: trackedWriter{w: w}, pause: e.options.Backoff, fixed: req.Group}
+	defer a.leave()
+	return a.run()
+}
+
+// Latency returns the 99th percentile of the latency of callers' requests in
+// the groups since the last call; zero: there were none. The first call begins
+// the measuring.
+func (e *Entry) Latency(ids ...core.GroupID) time.Duration { return e.groups.latency(ids) }
+
 func (e *Entry) noteFailure(req *exchange.Request, err error) {
 	switch {
 	case errs.Is(err, errs.WriteLost) && req.Floors != nil:
--- a/pkg/entry/groups.go
+++ b/pkg/entry/groups.go
@@ -23,6 +23,8 @@
 	// searches at a time: thousands that wait would otherwise all ask every
 	// candidate, just when these take the group over.
 	nextSearch atomic.Int64
+	// measured is nil until somebody asks for the group's latency.
+	measured atomic.Pointer[latency]
 }
 
 // maySearch reports whether a request may look for the home now.
--- a/pkg/entry/transaction.go
+++ b/pkg/entry/transaction.go
@@ -44,7 +44,12 @@
 	if doc != nil {
 		req.Revision = uint64(doc.Revision)
 	}
-	if req.Kind == "" || steersTransaction(req) {
+	if req.Kind == "" {
+		return nil
+	}
+	if steersTransaction(req) {
+		// It belongs to no kind at the home either.
+		req.Kind, req.Version, req.Key = "", "", ""
 		return nil
 	}
 	r, _, err := route(doc, req)
@@ -68,7 +73,8 @@
 		return false
 	}
 	switch err.Kind {
-	case errs.BadRequest, errs.Unsupported, errs.Overloaded, errs.DeadlineExceeded, errs.Cancelled:
+	case errs.BadRequest, errs.Unsupported, errs.Overloaded, errs.DeadlineExceeded, errs.Cancelled,
+		errs.Held, errs.NotOwner, errs.UnknownKind, errs.VersionNotInService:
 		return true
 	}
 	return false
