--- a/core/group/session.go
+++ b/core/group/session.go
@@ -276,16 +276,18 @@
 // A read of a stated age records nothing: its caller accepts older data, and
 // one such read at the primary would hold the session's next ones there.
 func (g *Group) noteRead(r *request, m *member) {
+	if r.position.Term > g.reign.term {
+		g.probeSoon(m)
+		return
+	}
+	if !r.position.IsZero() {
+		g.learnPosition(m, r.position, r.dispatchedAt)
+	}
 	if r.maxStaleness > 0 {
 		r.position = core.Position{}
 		return
 	}
 	if !r.position.IsZero() {
-		if r.position.Term > g.reign.term {
-			g.probeSoon(m)
-			return
-		}
-		g.learnPosition(m, r.position, r.dispatchedAt)
 		if r.session != 0 && g.sessions.floor.Less(r.position) {
 			g.sessions.raise(r.session, r.name, r.position, g.now)
 		}
--- /dev/null
+++ b/core/trace/codec.go
@@ -0,0 +1,154 @@
+// Package trace is the stable JSON form of the group reducer's events and
+// effects, and the replay of a recorded run. A trace is JSON lines: a header,
+// then one line for each event with the effects that are stated for it.
+package trace
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"limpetspan/core"
+	"limpetspan/core/group"
+)
+
+// FormatVersion is the version of the trace format this package writes.
+const FormatVersion = 1
+
+// Header is the first line of a trace.
+type Header struct {
+	Version int `json:"trace"`
+	// Story tells in a sentence or two which failure the trace shows.
+	Story string        `json:"story,omitempty"`
+	Group core.GroupID  `json:"group"`
+	Self  core.DaemonID `json:"self,omitempty"`
+	// Tuning is the reducer's tuning; absent fields have their defaults.
+	Tuning group.Tuning `json:"tuning"`
+}
+
+// Step is one event of a trace and the effects stated for it.
+type Step struct {
+	At    core.Time
+	Event group.Event
+	// Effects are the stated effects in their JSON form, in order.
+	Effects []Item
+	// Partial: the stated effects must appear in this order, others may stand
+	// between them. Recorded traces are whole, hand-written ones often partial.
+	Partial bool
+}
+
+// Item is an event or effect with its type name.
+type Item struct {
+	Type  string          `json:"type"`
+	Value json.RawMessage `json:"value,omitempty"`
+}
+
+// line is the JSON form of a Step.
+type line struct {
+	At      core.Time       `json:"at"`
+	Type    string          `json:"type"`
+	Event   json.RawMessage `json:"event,omitempty"`
+	Effects []Item          `json:"effects"`
+	Partial bool            `json:"partial,omitempty"`
+}
+
+var eventTypes = registry(
+	&group.Configure{}, &group.Candidates{}, &group.HomeNews{}, &group.Probed{},
+	&group.Fenced{}, &group.Promoted{}, &group.Opinion{}, &group.Arrived{},
+	&group.Finished{}, &group.Abandoned{}, &group.HungUp{}, &group.ConnOpened{},
+	&group.ConnClosed{}, &group.HandedOver{}, &group.Drain{}, &group.Tick{},
+)
+
+// registry maps snake_case type names to the struct types.
+func registry(values ...group.Event) map[string]reflect.Type {
+	types := make(map[string]reflect.Type, len(values))
+	for _, v := range values {
+		types[typeName(v)] = reflect.TypeOf(v).Elem()
+	}
+	return types
+}
+
+// typeName returns the snake_case name of the struct that v points to.
+func typeName(v any) string {
+	name := reflect.TypeOf(v).Elem().Name()
+	var b strings.Builder
+	for i, r := range name {
+		if i > 0 && r >= 'A' && r <= 'Z' {
+			b.WriteByte('_')
+		}
+		b.WriteString(strings.ToLower(string(r)))
+	}
+	return b.String()
+}
+
+// EncodeHeader returns the header line.
+func EncodeHeader(h Header) ([]byte, error) {
+	h.Version = FormatVersion
+	return json.Marshal(h)
+}
+
+// DecodeHeader reads the header line.
+func DecodeHeader(data []byte) (Header, error) {
+	var h Header
+	if err := strictDecode(data, &h); err != nil {
+		return Header{}, fmt.Errorf("trace header: %w", err)
+	}
+	if h.Version != FormatVersion {
+		return Header{}, fmt.Errorf("trace header: version %d, this program reads %d", h.Version, FormatVersion)
+	}
+	return h, nil
+}
+
+// EncodeStep returns the line of one event and the effects it had.
+func EncodeStep(at core.Time, ev group.Event, effects []group.Effect) ([]byte, error) {
+	event, err := json.Marshal(ev)
+	if err != nil {
+		return nil, fmt.Errorf("trace event %s: %w", typeName(ev), err)
+	}
+	items, err := encodeEffects(effects)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(line{At: at, Type: typeName(ev), Event: event, Effects: items})
+}
+
+func encodeEffects(effects []group.Effect) ([]Item, error) {
+	items := make([]Item, 0, len(effects))
+	for _, e := range effects {
+		value, err := json.Marshal(e)
+		if err != nil {
+			return nil, fmt.Errorf("trace effect %s: %w", typeName(e), err)
+		}
+		items = append(items, Item{Type: typeName(e), Value: value})
+	}
+	return items, nil
+}
+
+// DecodeStep reads one line after the header.
+func DecodeStep(data []byte) (Step, error) {
+	var l line
+	if err := strictDecode(data, &l); err != nil {
+		return Step{}, fmt.Errorf("trace line: %w", err)
+	}
+	t, ok := eventTypes[l.Type]
+	if !ok {
+		return Step{}, fmt.Errorf("trace line: unknown event type %q", l.Type)
+	}
+	ev := reflect.New(t).Interface().(group.Event)
+	if len(l.Event) > 0 {
+		if err := strictDecode(l.Event, ev); err != nil {
+			return Step{}, fmt.Errorf("trace event %s: %w", l.Type, err)
+		}
+	}
+	return Step{At: l.At, Event: ev, Effects: l.Effects, Partial: l.Partial}, nil
+}
+
+// strictDecode refuses unknown fields, so that a misspelt one in a
+// hand-written trace is not silently a zero.
+func strictDecode(data []byte, into any) error {
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	return d.Decode(into)
+}
