--- a/core/group/lost_test.go
+++ b/core/group/lost_test.go
@@ -1,7 +1,7 @@
 package group
 
 import (
-	. "github.com/onsi/ginkgo/v2"
+	"github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"limpetspan/core"
@@ -12,17 +12,17 @@
 // whose log goes on from term 14 and is longer already. The session reads and
 // is not told that its write is gone, because the offset of the write lies
 // below the start of term 18. Found by exploration (read-your-writes).
-var _ = Describe("a position of a term that the log did not inherit", func() {
+var _ = ginkgo.Describe("a position of a term that the log did not inherit", func() {
 	r := &reign{term: 18, start: core.Position{Term: 14, LSN: 498},
 		history: []core.TermStart{{Term: 12, Start: 468}, {Term: 14, Start: 468}, {Term: 18, Start: 498}}}
 
-	DescribeTable("is lost wherever it lies",
+	ginkgo.DescribeTable("is lost wherever it lies",
 		func(p core.Position, lost bool) { Expect(r.lost(p)).To(Equal(lost)) },
-		Entry("below the later term's start", core.Position{Term: 16, LSN: 497}, true),
-		Entry("past it", core.Position{Term: 16, LSN: 499}, true),
-		Entry("an inherited term, below the start", core.Position{Term: 14, LSN: 498}, false),
-		Entry("an inherited term, past the start", core.Position{Term: 14, LSN: 499}, true),
-		Entry("older than the kept history", core.Position{Term: 4, LSN: 300}, false),
-		Entry("nothing seen yet", core.Position{}, false),
+		ginkgo.Entry("below the later term's start", core.Position{Term: 16, LSN: 497}, true),
+		ginkgo.Entry("past it", core.Position{Term: 16, LSN: 499}, true),
+		ginkgo.Entry("an inherited term, below the start", core.Position{Term: 14, LSN: 498}, false),
+		ginkgo.Entry("an inherited term, past the start", core.Position{Term: 14, LSN: 499}, true),
+		ginkgo.Entry("older than the kept history", core.Position{Term: 4, LSN: 300}, false),
+		ginkgo.Entry("nothing seen yet", core.Position{}, false),
 	)
 })
