Wait a little longer for a replica rather than tie a session to the primary

Reads of a stated age did not refresh the known positions, and the lag model took the late end of the gap between two reports. Change: the wait for a replica may take 25 ms and a read at the primary is held to cost 20 ms; reads of a stated age bring the position when the known one is old; the lag model takes the middle of the gap.

--- a/core/group/dispatch.go
+++ b/core/group/dispatch.go
@@ -99,7 +99,7 @@
 func (g *Group) dispatch(r *request, c *conn) {
 	m := c.member
 	r.state, r.conn, r.dispatchedAt, r.term = stateRunning, c, g.now, g.reign.term
-	r.asked = !r.read || (r.maxStaleness <= 0 && !g.quiet())
+	r.asked = !r.read || g.asksPosition(r, m)
 	c.state, c.request, c.since = connRunning, r, g.now
 	m.running++
 	if !r.read {
@@ -117,6 +117,19 @@
 	})
 }
 
+// positionAge is the age beyond which a replica's known position is refreshed
+// by asking behind a read that itself needs none.
+const positionAge = 10 * time.Millisecond
+
+// asksPosition reports whether a read is to bring the member's position: for
+// the session's monotonic reads, or to know the replica better.
+func (g *Group) asksPosition(r *request, m *member) bool {
+	if g.quiet() {
+		return false
+	}
+	return r.maxStaleness <= 0 || g.now.Sub(m.positionAt) > positionAge
+}
+
 // dropRunning closes the connection of a running request that is failed. The
 // shell drops it anyway, unless its Finished is already under way; then this
 // keeps it from staying open beside the budget.
--- a/core/group/lag.go
+++ b/core/group/lag.go
@@ -24,10 +24,10 @@
 const (
 	lagMeanWeight      = 8
 	lagDeviationWeight = 4
-	lagDeviations      = 2
+	lagDeviations      = 1
 	// lagResolution is the widest gap between two reports that still tells
-	// when the replica got the write.
-	lagResolution = 30 * time.Millisecond
+	// when the replica got the write; the middle of the gap is taken.
+	lagResolution = 20 * time.Millisecond
 )
 
 // restart forgets the write being followed, at the start of a reign.
@@ -52,8 +52,8 @@
 		}
 		return
 	}
-	if at.Sub(l.lastSeen) <= lagResolution {
-		l.sample(max(0, at.Sub(l.markedAt)))
+	if gap := at.Sub(l.lastSeen); gap <= lagResolution {
+		l.sample(max(0, at.Sub(l.markedAt)-gap/2))
 	}
 	l.restart()
 }
--- a/core/group/tuning.go
+++ b/core/group/tuning.go
@@ -104,10 +104,11 @@
 	// outstanding request of its session. Default 20 ms.
 	FairPenalty time.Duration
 	// MaxReadWait bounds how long a read waits for a replica's position before
-	// it goes to the primary. Default 15 ms.
+	// it goes to the primary. Default 25 ms.
 	MaxReadWait time.Duration
 	// PrimaryCost is what a read on the primary is held to cost beyond its
-	// time, since only the primary takes writes. Default 10 ms.
+	// time: only the primary takes writes, and the session's next reads need
+	// what it has seen there. Default 20 ms.
 	PrimaryCost time.Duration
 	// ZoneCost is the round trip to another availability zone. Default 2 ms.
 	ZoneCost time.Duration
@@ -162,8 +163,8 @@
 		{&t.PinnedIdle, 30 * time.Second},
 		{&t.DefaultTimeout, 30 * time.Second},
 		{&t.FairPenalty, 20 * time.Millisecond},
-		{&t.MaxReadWait, 15 * time.Millisecond},
-		{&t.PrimaryCost, 10 * time.Millisecond},
+		{&t.MaxReadWait, 25 * time.Millisecond},
+		{&t.PrimaryCost, 20 * time.Millisecond},
 		{&t.ZoneCost, 2 * time.Millisecond},
 		{&t.ServingLag, 10 * time.Second},
 		{&t.RetryBackoff, 2 * time.Millisecond},
