--- a/pkg/home/do.go
+++ b/pkg/home/do.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"limpetspan/core"
@@ -23,18 +24,27 @@
 // defaultTimeout is the deadline of a request that has none.
 const defaultTimeout = 30 * time.Second
 
-// call is one request in the goroutine of its caller.
+// call is one request in the goroutine of its caller. Calls are pooled.
 type call struct {
 	shard  *Shard
 	req    *exchange.Request
 	out    exchange.Writer
 	runner *target.Runner
 	waiter *waiter
+	batch  target.Batch
 	spans  callSpans
 	// ran is how the last dispatch ended.
 	ran run
+	// onDone abandons the request; made once, with the call.
+	onDone func()
 }
 
+var calls = sync.Pool{New: func() any {
+	c := &call{waiter: newWaiter()}
+	c.onDone = func() { c.shard.abandon(c.waiter.id) }
+	return c
+}}
+
 // run is how a dispatch ended at the member.
 type run struct {
 	result group.Result
@@ -47,22 +57,43 @@
 
 func (s *Shard) do(ctx context.Context, req *exchange.Request, w exchange.Writer) (exchange.Result, error) {
 	s.metrics.requests.Add(1)
-	c := call{shard: s, req: req, out: w, runner: target.NewRunner()}
-	defer c.runner.Free()
+	c := calls.Get().(*call)
+	c.shard, c.req, c.out, c.runner = s, req, w, target.NewRunner()
+	result, reusable, err := c.run(ctx)
+	c.runner.Free()
+	if reusable {
+		c.release()
+	}
+	return result, err
+}
+
+// release returns the call to the pool. Its last verdict was received, so that
+// nothing can send to its waiter any more.
+func (c *call) release() {
+	c.shard, c.req, c.out, c.runner = nil, nil, nil, nil
+	c.batch, c.spans, c.ran = target.Batch{}, callSpans{}, run{}
+	c.waiter.reset()
+	calls.Put(c)
+}
+
+// run takes the request through the reducer. The call is not reusable once
+// onDone has begun to run: it could then abandon the call's next request.
+func (c *call) run(ctx context.Context) (result exchange.Result, reusable bool, err error) {
 	if err := c.check(); err != nil {
-		return exchange.Result{TxStatus: req.TxStatus, Group: s.id}, err
+		return exchange.Result{TxStatus: c.req.TxStatus, Group: c.shard.id}, true, err
 	}
-	c.spans.start(ctx, s, req)
-	c.waiter = newWaiter()
-	id := s.arrive(req, c.waiter)
+	c.spans.start(ctx, c.shard, c.req)
+	c.shard.arrive(c.req, c.waiter)
+	reusable = true
 	if ctx.Done() != nil {
-		stop := context.AfterFunc(ctx, func() { s.abandon(id) })
-		defer stop()
+		stop := context.AfterFunc(ctx, c.onDone)
+		result, err = c.await()
+		reusable = stop()
+	} else {
+		result, err = c.await()
 	}
-	result, err := c.await()
-	waiters.Put(c.waiter)
 	c.spans.end(err)
-	return result, err
+	return result, reusable, err
 }
 
 // check refuses malformed messages before anything of them is sent: bytes that
@@ -82,7 +113,7 @@
 }
 
 // arrive posts the request.
-func (s *Shard) arrive(req *exchange.Request, w *waiter) core.RequestID {
+func (s *Shard) arrive(req *exchange.Request, w *waiter) {
 	id := core.RequestID(s.manager.requests.Add(1))
 	deadline := req.Deadline
 	if deadline == 0 {
@@ -93,7 +124,7 @@
 	w.id, w.caller, w.deadline = id, req.Caller, deadline
 	if s.closed {
 		s.resolve(w, verdict{kind: verdictFail, fail: closedFail(w)})
-		return id
+		return
 	}
 	s.waiters[id] = w
 	s.arrived = group.Arrived{
@@ -103,7 +134,6 @@
 		Deadline:      deadline, Floor: req.Floor,
 	}
 	s.reduce(&s.arrived)
-	return id
 }
 
 // await goes through the reducer's verdicts up to the last one.
@@ -130,7 +160,7 @@
 		c.shard.abandon(c.waiter.id)
 		return
 	}
-	c.shard.finish(c.waiter, &c.ran, v.conn)
+	c.shard.finish(c.waiter, &c.ran, v)
 }
 
 // execute carries the request over the connection.
@@ -142,10 +172,11 @@
 		return c.executeOnce(v)
 	}
 	idle := v.conn.conn.TxStatus() == pgframe.StatusIdle
-	answer, err := c.runner.Run(v.conn.conn, &target.Batch{
+	c.batch = target.Batch{
 		Messages: c.req.Messages, Prepared: c.req.Prepared,
 		WantPosition: v.dispatch.WantPosition, Hold: v.dispatch.Hold, Out: c.out,
-	})
+	}
+	answer, err := c.runner.Run(v.conn.conn, &c.batch)
 	if err != nil {
 		return classifyBroken(err, &answer)
 	}
@@ -180,41 +211,51 @@
 
 // finish reports the end of a dispatch, unless the reducer has already failed
 // the request: then the connection is gone and nobody waits for the end.
-func (s *Shard) finish(w *waiter, r *run, p *pooledConn) {
+func (s *Shard) finish(w *waiter, r *run, v *verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if w.over || s.closed {
 		return
 	}
 	w.conn = nil
-	retired := s.putBack(p, r)
+	p := v.conn
+	if p != nil {
+		s.putBack(p, r)
+	}
 	s.notePinned(w.caller, r)
 	s.finished = group.Finished{
 		Request: w.id, Result: r.result, TxStatus: r.answer.TxStatus, Position: r.answer.Position,
 	}
 	s.reduce(&s.finished)
-	if retired && !p.busy {
-		delete(s.conns, p.id)
-		s.metrics.open.Add(-1)
-		go p.conn.Close()
-		s.reduce(&group.ConnClosed{Conn: p.id})
+	switch {
+	case p == nil:
+		s.reduce(&group.ConnClosed{Conn: v.dispatch.Conn})
+	case p.retired:
+		s.bury(p)
 	}
 }
 
 // putBack frees the connection of a request. A connection that is not clean is
-// dropped. One that is clean but must not have a next user is retired: the
-// reducer may dispatch a request to it before it hears so, and that request
-// finds no connection and is not sent.
-func (s *Shard) putBack(p *pooledConn, r *run) (retired bool) {
-	if p == nil {
-		return false
-	}
+// dropped, one that is clean but must not have a next user is retired.
+func (s *Shard) putBack(p *pooledConn, r *run) {
 	p.busy = false
 	if r.result != group.ResultOK && r.result != group.ResultReadOnly {
 		s.discard(p)
-		return false
+		return
+	}
+	p.retired = r.answer.TxStatus == pgframe.StatusIdle && !p.conn.Reusable()
+}
+
+// bury closes a retired connection. The reducer hears of it here, unless it
+// dispatched a request to the connection when it heard of the one before: that
+// request reports that it was not sent, and then that the connection is closed.
+func (s *Shard) bury(p *pooledConn) {
+	delete(s.conns, p.id)
+	s.metrics.open.Add(-1)
+	go p.conn.Close()
+	if !p.busy {
+		s.reduce(&group.ConnClosed{Conn: p.id})
 	}
-	return r.answer.TxStatus == pgframe.StatusIdle && !p.conn.Reusable()
 }
 
 func (s *Shard) notePinned(caller core.CallerID, r *run) {
--- a/pkg/home/effects.go
+++ b/pkg/home/effects.go
@@ -49,7 +49,8 @@
 	}
 }
 
-// dispatch gives a request its connection.
+// dispatch gives a request its connection, or none if that is gone or retired:
+// the request then reports that it was not sent.
 func (s *Shard) dispatch(e *group.Dispatch) {
 	p := s.conns[e.Conn]
 	w := s.waiters[e.Request]
@@ -59,6 +60,9 @@
 	if p != nil {
 		p.busy = true
 	}
+	if p != nil && p.retired {
+		p = nil
+	}
 	w.conn = p
 	s.metrics.dispatched.Add(1)
 	w.verdicts <- verdict{kind: verdictDispatch, dispatch: *e, conn: p}
--- a/pkg/home/once.go
+++ b/pkg/home/once.go
@@ -110,9 +110,10 @@
 // runFirst runs the caller's messages behind the claim. Their answer is held
 // until the transaction has committed.
 func (o *onceRun) runFirst() run {
-	answer, err := o.runner.Run(o.conn, &target.Batch{
-		Messages: o.req.Messages, Prepared: o.req.Prepared, Hold: true, Out: o.out,
-	})
+	o.batch = target.Batch{
+		Messages: o.req.Messages, Prepared: o.req.Prepared, Hold: true, KeepTag: true, Out: o.out,
+	}
+	answer, err := o.runner.Run(o.conn, &o.batch)
 	if err != nil {
 		return o.lost(answer)
 	}
@@ -144,8 +145,7 @@
 	}
 	if code != "" {
 		// The member rolled the transaction back.
-		return o.inBand(errs.New(errs.Unavailable, core.OutcomeNotRun, stepOnce, string(o.member),
-			"the transaction was not committed (SQLSTATE %s)", code), reply.TxStatus)
+		return o.inBand(o.notRun(&reply, "the transaction was not committed"), reply.TxStatus)
 	}
 	return o.ended(answer, &reply)
 }
@@ -232,8 +232,7 @@
 		return o.lost(answer)
 	}
 	if reply.Code != "" {
-		return o.inBand(errs.New(errs.Unavailable, core.OutcomeNotRun, stepOnce, string(o.member),
-			"the must-not-repeat key was not recorded (SQLSTATE %s)", reply.Code), reply.TxStatus)
+		return o.inBand(o.notRun(&reply, "the must-not-repeat key was not recorded"), reply.TxStatus)
 	}
 	return run{result: group.ResultOK, answer: answer}
 }
--- a/pkg/home/once_repeat.go
+++ b/pkg/home/once_repeat.go
@@ -47,16 +47,23 @@
 		if err != nil {
 			return o.brokenBefore(err)
 		}
-		code := reply.Code
+		undone.Code, undone.Message = reply.Code, reply.Message
 		reply = undone
-		reply.Code = code
 	}
 	answer := target.Answer{TxStatus: reply.TxStatus, Code: reply.Code}
 	if r := classifyAnswer(answer, !o.joined); r.result != group.ResultOK {
 		return r
 	}
-	return o.inBand(errs.New(errs.Unavailable, core.OutcomeNotRun, stepOnce, string(o.member),
-		"the must-not-repeat key could not be claimed (SQLSTATE %s)", reply.Code), reply.TxStatus)
+	return o.inBand(o.notRun(&reply, "the must-not-repeat key could not be claimed"), reply.TxStatus)
+}
+
+// notRun is the error of a request that an error of the guard kept from running.
+func (o *onceRun) notRun(reply *target.Reply, text string) *errs.Error {
+	kind := errs.Unavailable
+	if reply.Code == target.CodeQueryCanceled {
+		kind = errs.Cancelled
+	}
+	return errs.New(kind, core.OutcomeNotRun, stepOnce, string(o.member), "%s: %s (SQLSTATE %s)", text, reply.Message, reply.Code)
 }
 
 // inBand answers with an error and the ReadyForQuery messages that the caller
--- a/pkg/home/once_sql.go
+++ b/pkg/home/once_sql.go
@@ -15,7 +15,7 @@
 	claimOnceSQL = "INSERT INTO limpetspan_once(once_key, kind, record_key, bucket, tag, done_at) " +
 		"VALUES($1, $2, $3, $4, $5, $6)"
 	tagOnceSQL    = "UPDATE limpetspan_once SET tag = $1 WHERE once_key = $2"
-	lookupOnceSQL = "SELECT tag FROM limpetspan_once WHERE once_key = $1"
+	lookupOnceSQL = "SELECT o.tag FROM limpetspan_once o WHERE o.once_key = $1"
 	removeOnceSQL = "DELETE FROM limpetspan_once WHERE once_key IN " +
 		"(SELECT once_key FROM limpetspan_once WHERE done_at < %d LIMIT %d)"
 
--- a/pkg/home/pool.go
+++ b/pkg/home/pool.go
@@ -20,6 +20,8 @@
 	stopDial context.CancelFunc
 	// busy: a request has it.
 	busy bool
+	// retired: it is clean, but must not have a next user.
+	retired bool
 	// cancelling: a cancel request is on its way.
 	cancelling bool
 }
--- a/pkg/home/waiter.go
+++ b/pkg/home/waiter.go
@@ -1,8 +1,6 @@
 package home
 
 import (
-	"sync"
-
 	"limpetspan/core"
 	"limpetspan/core/group"
 )
@@ -44,14 +42,7 @@
 	over bool
 }
 
-var waiters = sync.Pool{New: func() any {
-	return &waiter{verdicts: make(chan verdict, maxVerdicts)}
-}}
+func newWaiter() *waiter { return &waiter{verdicts: make(chan verdict, maxVerdicts)} }
 
-// newWaiter takes a waiter from the pool. It may go back only after its last
-// verdict was received, when nothing can send to it any more.
-func newWaiter() *waiter {
-	w := waiters.Get().(*waiter)
-	w.conn, w.over = nil, false
-	return w
-}
+// reset makes the waiter ready for another request.
+func (w *waiter) reset() { w.conn, w.over = nil, false }
--- a/pkg/target/batch.go
+++ b/pkg/target/batch.go
@@ -36,6 +36,8 @@
 	WantPosition bool
 	// Hold keeps the answer back from its first result on.
 	Hold bool
+	// KeepTag asks for Answer.Tag.
+	KeepTag bool
 	// Out receives the parts of the answer that are not held back.
 	Out exchange.Writer
 }
--- a/pkg/target/failure.go
+++ b/pkg/target/failure.go
@@ -15,12 +15,12 @@
 // appendix A).
 const (
 	CodeTooManyConnections = "53300"
+	CodeQueryCanceled      = "57014"
 	CodeAdminShutdown      = "57P01"
 	CodeCannotConnectNow   = "57P03"
 	CodeReadOnly           = "25006"
 	CodeUniqueViolation    = "23505"
 	CodeUndefinedTable     = "42P01"
-	CodeUnsupported        = "0A000"
 )
 
 // Classify says which failure an error of a dial or a control call is.
--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -14,6 +14,8 @@
 	TxStatus byte
 	// Code is the SQLSTATE of the first ErrorResponse, empty without one.
 	Code string
+	// Message is the text of that error.
+	Message string
 	// Value is the first column of the last row that is no position.
 	Value string
 
@@ -116,7 +118,7 @@
 		r.reply.codes[part] = fields.code
 	}
 	if r.reply.Code == "" {
-		r.reply.Code = fields.code
+		r.reply.Code, r.reply.Message = fields.code, fields.message
 	}
 	if fields.fatal() {
 		r.answer.Code = fields.code
--- a/pkg/target/stream.go
+++ b/pkg/target/stream.go
@@ -132,8 +132,8 @@
 	if changesSession(tag) {
 		r.conn.stateful = true
 	}
-	if r.batch.Hold {
-		r.stream.holding = true
+	r.stream.holding = r.stream.holding || r.batch.Hold
+	if r.batch.KeepTag {
 		r.answer.Tag = string(tag[:max(0, len(tag)-1)])
 	}
 	r.emit(message)
