--- a/standin/target/member.go
+++ b/standin/target/member.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -137,10 +138,7 @@
 
 // listen opens the listener, at the former address after a crash.
 func (m *Member) listen() error {
-	addr := m.addr
-	if addr == "" {
-		addr = anyPort
-	}
+	addr := cmp.Or(m.addr, m.options.Listen, anyPort)
 	listener, err := net.Listen("tcp", addr)
 	for i := 1; err != nil && i < listenTries; i++ {
 		time.Sleep(listenWait)
--- a/standin/target/options.go
+++ b/standin/target/options.go
@@ -27,6 +27,8 @@
 type MemberOptions struct {
 	ID   core.MemberID
 	Zone core.Zone
+	// Listen is the address to listen at; empty: a free port of loopback.
+	Listen string
 	// Latency is the one-way network latency; zero: the group's.
 	Latency time.Duration
 	// Lag is the replication lag that the member begins with.
