--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -58,7 +58,10 @@
 	// drain is closed to begin the planned stop.
 	drain     chan struct{}
 	drainOnce sync.Once
-	leaving   atomic.Bool
+	// killed is closed to end without the planned stop.
+	killed   chan struct{}
+	killOnce sync.Once
+	leaving  atomic.Bool
 	// whole is set once the view of the fleet is whole enough to act on.
 	whole     atomic.Bool
 	revisions *revisionWatch
@@ -73,7 +76,7 @@
 func New(s *settings.Settings, options Options) (*Daemon, error) {
 	d := &Daemon{
 		id: core.DaemonID(s.Daemon.ID), settings: s, options: options.withDefaults(), started: time.Now(),
-		groupsChanged: make(chan struct{}, 1), drain: make(chan struct{}),
+		groupsChanged: make(chan struct{}, 1), drain: make(chan struct{}), killed: make(chan struct{}),
 		cancels: make(chan struct{}, maxForwardedCancels), revisions: newRevisionWatch(),
 	}
 	d.log = options.Logger
@@ -143,6 +146,8 @@
 		select {
 		case <-ctx.Done():
 		case <-d.drain:
+		case <-d.killed:
+			return nil
 		case <-work.Done():
 			return nil
 		}
@@ -179,3 +184,8 @@
 
 // Drain begins the planned stop; Run returns when it is over.
 func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.drain) }) }
+
+// Kill ends the daemon as a crash of its process would, for tests that run it
+// in their own: sockets close, nobody is told and nothing is handed over. Run
+// returns when all parts have ended.
+func (d *Daemon) Kill() { d.killOnce.Do(func() { close(d.killed) }) }
--- a/pkg/embedded/fleet.go
+++ b/pkg/embedded/fleet.go
@@ -238,6 +238,17 @@
 // Stop stops a daemon in the planned way and waits for it.
 func (f *Fleet) Stop(d *Daemon) error {
 	d.cancel()
+	return f.forget(d)
+}
+
+// Kill ends a daemon as a crash of its process would and waits for it.
+func (f *Fleet) Kill(d *Daemon) error {
+	d.Kill()
+	return f.forget(d)
+}
+
+// forget waits for a daemon's end.
+func (f *Fleet) forget(d *Daemon) error {
 	<-d.Done
 	for i, other := range f.daemons {
 		if other == d {
--- a/pkg/embedded/fleet_test.go
+++ b/pkg/embedded/fleet_test.go
@@ -42,6 +42,34 @@
 	})
 })
 
+var _ = Describe("a daemon that is killed", func() {
+	// A rider's app writes through the daemon that is home of its group when
+	// that daemon's process ends without a word. Another candidate has to
+	// notice, claim the group and answer.
+	It("is replaced as home", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), bound)
+		defer cancel()
+		fleet, err := embedded.Start(ctx, embedded.Kitacycle(0))
+		Expect(err).NotTo(HaveOccurred())
+		defer fleet.Close()
+		home := homeOf(fleet)
+		Expect(home).NotTo(BeNil())
+		Expect(fleet.Kill(home)).To(Succeed())
+		Expect(fleet.Daemons()).To(HaveLen(2))
+		Expect(fleet.WaitReady(ctx)).To(Succeed())
+		Expect(homeOf(fleet)).NotTo(Or(BeNil(), BeIdenticalTo(home)))
+	})
+})
+
+func homeOf(fleet *embedded.Fleet) *embedded.Daemon {
+	for _, d := range fleet.Daemons() {
+		if len(d.Status(false).Homes) > 0 {
+			return d
+		}
+	}
+	return nil
+}
+
 // connect opens a caller's connection of one roaming session.
 func connect(ctx context.Context, fleet *embedded.Fleet, daemon int) *pgx.Conn {
 	GinkgoHelper()
