--- a/pkg/home/do_test.go
+++ b/pkg/home/do_test.go
@@ -10,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.opentelemetry.io/otel/trace"
 
 	"limpetspan/core"
 	"limpetspan/core/config"
@@ -94,15 +95,19 @@
 	now     func() core.Time
 }
 
-func newRig(conns int) *rig {
+// clock returns a monotonic clock that is never zero.
+func clock() func() core.Time {
 	start := time.Now()
-	r := &rig{
-		member: newFakeMember(), reducer: newFakeReducer(conns),
-		now: func() core.Time { return core.Time(time.Since(start)) + 1 },
-	}
+	return func() core.Time { return core.Time(time.Since(start)) + 1 }
+}
+
+func newRig(conns int) *rig { return newTracedRig(conns, nil) }
+
+func newTracedRig(conns int, tracer trace.Tracer) *rig {
+	r := &rig{member: newFakeMember(), reducer: newFakeReducer(conns), now: clock()}
 	r.manager = home.New(home.Options{
 		Self: "d1", Zone: "sapporo-hall", Dialer: &target.Dialer{User: "u", Zone: "sapporo-hall"}, Now: r.now,
-		NewReducer: func(core.GroupID) home.Reducer { return r.reducer },
+		Tracer: tracer, NewReducer: func(core.GroupID) home.Reducer { return r.reducer },
 	})
 	declared := &config.Group{Members: []config.Member{{ID: "m1", Addr: r.member.addr()}}, Database: "db"}
 	r.manager.Ensure("g", declared, 1, []group.Candidate{{ID: "d1"}})
--- a/pkg/home/once_test.go
+++ b/pkg/home/once_test.go
@@ -47,11 +47,10 @@
 }
 
 func newDaemon(declared *config.Group, reducer func(core.GroupID) home.Reducer) *daemon {
-	start := time.Now()
-	d := &daemon{now: func() core.Time { return core.Time(time.Since(start)) + 1 }}
+	d := &daemon{now: clock()}
 	d.manager = home.New(home.Options{
 		Self: "d1", Zone: "z1", Dialer: &target.Dialer{User: "u", Zone: "z1"}, Now: d.now, NewReducer: reducer,
-		Tuning: group.Tuning{ClaimDelay: 10 * time.Millisecond},
+		Tuning: group.Tuning{ClaimDelay: 10 * time.Millisecond}, OnceRetention: time.Nanosecond,
 	})
 	DeferCleanup(d.manager.Close)
 	d.manager.Ensure("g", declared, 1, []group.Candidate{{ID: "d1", Zone: "z1"}})
@@ -182,4 +181,13 @@
 		Expect(a.code()).To(Equal("23505"))
 		Expect(d.count()).To(Equal("1"))
 	})
+
+	It("is removed after its retention", func() {
+		d.run('I', "k1", insert)
+		Eventually(func() string {
+			Expect(d.manager.RemoveOldKeys("g", "a")).To(Succeed())
+			a, _ := d.run('I', "", query("SELECT count(k.once_key) FROM limpetspan_once k"))
+			return a.first()
+		}, patience).Should(Equal("0"))
+	})
 })
--- a/pkg/home/pool.go
+++ b/pkg/home/pool.go
@@ -16,7 +16,7 @@
 	member core.MemberID
 	// conn is nil while it is being opened.
 	conn *target.Conn
-	// stopDial ends the dial.
+	// stopDial ends the dial, while conn is nil.
 	stopDial context.CancelFunc
 	// busy: a request has it.
 	busy bool
@@ -26,19 +26,17 @@
 	cancelling bool
 }
 
-// close ends the connection; it may wait a little.
-func (p *pooledConn) close() {
-	if p.stopDial != nil {
-		p.stopDial()
+// closer returns what ends the connection, which may wait a little; s.mu is
+// held. One in the middle of an answer is aborted.
+func (p *pooledConn) closer() func() {
+	switch {
+	case p.conn == nil:
+		return p.stopDial
+	case p.busy:
+		return p.conn.Abort
+	default:
+		return p.conn.Close
 	}
-	if p.conn == nil {
-		return
-	}
-	if p.busy {
-		p.conn.Abort()
-		return
-	}
-	p.conn.Close()
 }
 
 // openConn dials; s.mu is held.
@@ -90,13 +88,14 @@
 		return
 	}
 	delete(s.conns, id)
+	end := p.closer()
 	if p.conn == nil {
-		p.stopDial()
+		end() // The dial reports the end.
 		return
 	}
 	s.metrics.open.Add(-1)
 	go func() {
-		p.close()
+		end()
 		s.post(&group.ConnClosed{Conn: id})
 	}()
 }
--- a/pkg/home/shard.go
+++ b/pkg/home/shard.go
@@ -217,7 +217,11 @@
 	for _, w := range s.waiters {
 		s.resolve(w, verdict{kind: verdictFail, fail: closedFail(w)})
 	}
-	conns, controls := s.conns, s.controls
+	var ends []func()
+	for _, p := range s.conns {
+		ends = append(ends, p.closer())
+	}
+	controls := s.controls
 	s.conns, s.controls = nil, nil
 	s.wake.stop()
 	s.sweepTimer.Stop()
@@ -225,8 +229,8 @@
 
 	s.stop()
 	s.metrics.remove()
-	for _, p := range conns {
-		p.close()
+	for _, end := range ends {
+		end()
 	}
 	for _, c := range controls {
 		_ = c.Close()
