--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -31,6 +34,9 @@
 	group  *standintarget.Group
 	// seed is the gossip address of the first daemon.
 	seed string
+	// key keeps datagrams of other fleets out, which may come to a port that
+	// one of them had before.
+	key string
 }
 
 // running is a daemon and the end of its Run.
@@ -48,21 +54,13 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(client.Close)
 
-	group, err := standintarget.NewGroup(standintarget.Options{
-		Members: []standintarget.MemberOptions{{ID: "m1", Zone: "z1"}, {ID: "m2", Zone: "z2"}, {ID: "m3", Zone: "z3"}},
-	})
-	Expect(err).NotTo(HaveOccurred())
-	Expect(group.Start(ctx)).To(Succeed())
-	DeferCleanup(group.Close)
-
-	w := &world{url: server.URL, group: group, editor: confstore.NewEditor(client, settings.Default().Store.Prefix)}
+	group := newGroup(ctx, "m")
+	key := filepath.Join(GinkgoT().TempDir(), "key")
+	Expect(os.WriteFile(key, []byte(rand.Text()), 0o600)).To(Succeed())
+	w := &world{url: server.URL, key: key, group: group, editor: confstore.NewEditor(client, settings.Default().Store.Prefix)}
 	w.change(ctx, func(doc *config.Document) {
 		doc.DefaultGroup = "parkdb"
-		declared := &config.Group{MaxConnections: 20, Slots: 3, Database: "parkdb"}
-		for _, m := range group.Members() {
-			declared.Members = append(declared.Members, config.Member{ID: m.ID(), Addr: m.Addr(), Zone: m.Zone()})
-		}
-		doc.Groups = map[core.GroupID]*config.Group{"parkdb": declared}
+		doc.Groups = map[core.GroupID]*config.Group{"parkdb": declaredGroup(group)}
 	})
 	return w
 }
@@ -88,6 +86,7 @@
 	s.Gossip.Listen, s.Operator.Listen = "127.0.0.1:0", "127.0.0.1:0"
 	s.Store.Endpoints = []string{w.url}
 	s.Targets.User = "limpetspan"
+	s.Gossip.Key.File = w.key
 	if w.seed != "" {
 		s.Gossip.Seeds = []string{w.seed}
 	}
--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -223,9 +223,31 @@
 		conn.Close()
 		return nil, fmt.Errorf("start yamux: %w", err)
 	}
+	if err := greet(ctx, mux); err != nil {
+		_ = mux.Close()
+		return nil, fmt.Errorf("greet: %w", err)
+	}
 	return newSession(mux, addr, c.options.Now), nil
 }
 
+// greet waits until the other end has answered once. Something in between, such
+// as a forwarder whose own target is gone, may accept connections and end them
+// after the first bytes: a write that was sent blindly would be unknown then,
+// instead of not run.
+func greet(ctx context.Context, mux *yamux.Session) error {
+	answered := make(chan error, 1)
+	go func() {
+		_, err := mux.Ping()
+		answered <- err
+	}()
+	select {
+	case err := <-answered:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // retire takes a closed session out of use.
 func (c *Client) retire(s *session) {
 	c.mu.Lock()
--- a/pkg/peer/peer_test.go
+++ b/pkg/peer/peer_test.go
@@ -97,6 +97,27 @@
 		Expect(outcome(err)).To(Equal(core.OutcomeNotRun))
 	})
 
+	// A host is gone, and a forwarder in front of it still accepts connections and
+	// closes them. A write sent to it would have to be called unknown, although no
+	// daemon ever saw it.
+	It("says not run when something else than a daemon answers", func(ctx SpecContext) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(ln.Close)
+		go func() {
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = conn.Read(make([]byte, 1))
+				_ = conn.Close()
+			}
+		}()
+		_, err = client.Exchange(ctx, ln.Addr().String(), request(1, "q"), out)
+		Expect(outcome(err)).To(Equal(core.OutcomeNotRun))
+	})
+
 	// A home dies while it runs a caller's write: the entry sees its connection
 	// break after the request went out. The write may be committed, so telling
 	// the caller "not run" would let it be made twice.
