--- a/standin/target/member.go
+++ b/standin/target/member.go
@@ -46,6 +46,8 @@
 	writer chan struct{}
 	// slots is held by each running statement.
 	slots chan struct{}
+	// statements counts those that took a slot.
+	statements atomic.Int64
 	// schema counts the changes of any schema.
 	schema atomic.Uint64
 	// news receives when another member may have something for this one.
--- a/standin/target/register.go
+++ b/standin/target/register.go
@@ -62,6 +62,8 @@
 	Status core.Status   `json:"status"`
 	// RoleName is the role in words.
 	RoleName string `json:"role"`
+	// Statements counts those that the member began to run.
+	Statements int64 `json:"statements"`
 }
 
 type groupReport struct {
@@ -102,7 +104,7 @@
 	var r groupReport
 	for _, m := range g.members {
 		status := m.Status()
-		r.Members = append(r.Members, memberReport{ID: m.ID(), Zone: m.Zone(), Addr: m.Addr(), Status: status, RoleName: status.Role.String()})
+		r.Members = append(r.Members, memberReport{ID: m.ID(), Zone: m.Zone(), Addr: m.Addr(), Status: status, RoleName: status.Role.String(), Statements: m.statements.Load()})
 	}
 	r.Connections, r.Highest, r.Refused = g.Connections()
 	r.Commits = g.journal.len()
--- a/standin/target/run.go
+++ b/standin/target/run.go
@@ -70,6 +70,7 @@
 			return err
 		}
 	}
+	m.statements.Add(1)
 	if err := s.serviceTime(); err != nil {
 		m.leave()
 		return err
