--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -77,8 +77,9 @@
 	return uint64(doc.Revision)
 }
 
-// start runs a daemon in the zone until the test ends.
-func (w *world) start(id string, zone string) *running {
+// start runs a daemon in the zone until the test ends; change may alter its
+// settings and options first.
+func (w *world) start(id string, zone string, change ...func(*settings.Settings, *daemon.Options)) *running {
 	GinkgoHelper()
 	s := settings.Default()
 	s.Daemon = settings.Daemon{ID: id, Zone: zone, Region: "r"}
@@ -92,7 +93,11 @@
 	}
 	users := front.NewUsers()
 	Expect(users.Set("rider", "secret")).To(Succeed())
-	d, err := daemon.New(s, daemon.Options{Users: users, Stderr: GinkgoWriter, Stdout: GinkgoWriter})
+	options := daemon.Options{Users: users, Stderr: GinkgoWriter, Stdout: GinkgoWriter}
+	for _, f := range change {
+		f(s, &options)
+	}
+	d, err := daemon.New(s, options)
 	Expect(err).NotTo(HaveOccurred())
 	if w.seed == "" {
 		w.seed = d.Addrs().Gossip
--- a/pkg/entry/fake_test.go
+++ b/pkg/entry/fake_test.go
@@ -183,3 +183,8 @@
 		Takeovers: map[string]*config.Takeover{},
 	}
 }
+
+// newEntryWith is newEntry with another local home.
+func newEntryWith(f *fakeFleet, local exchange.Handler) *entry.Entry {
+	return newEntry(f, func(o *entry.Options) { o.Local = local })
+}
--- a/pkg/settings/table.go
+++ b/pkg/settings/table.go
@@ -215,6 +215,6 @@
 		field: func(s *Settings) any { return &s.Trace.Sample }},
 
 	{Section: "record", Key: "target", Type: TypeRecord, Default: RecordNone,
-		Doc:   "Where the reducers' events are recorded as JSON lines: nowhere, standard output, or a TCP address.",
+		Doc:   "Where the reducers' events are recorded: nowhere, standard output, or a TCP address. Each line is a group, a tab and a line of its trace: `grep ^GROUP | cut -f2-` gives what `limpetspan replay` reads.",
 		field: func(s *Settings) any { return &s.Record.Target }},
 }
