--- a/cmd/limpetspand/main.go
+++ b/cmd/limpetspand/main.go
@@ -74,6 +74,9 @@
 		return exitSettings
 	}
 	s, err := settings.Load(args.Config)
+	if err == nil {
+		err = daemon.Check(args.Config, s)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
