Ping slow statements without opening a connection for each

Cause: every statement that ran longer than a second made its connection suspect for a round trip, and a request in that moment opened another connection. Change: a connection is suspect only when a ping is overdue by 300 ms. Measured: go test -race ./pkg/peer passes.

--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -20,6 +20,10 @@
 	// pingTimeout is how long the answer to a ping may take; well above the
 	// scheduling delays of a busy host.
 	pingTimeout = 2 * time.Second
+	// suspectAfter is how long a ping may stay unanswered before new requests
+	// use a fresh connection. It is above a round trip between regions, so
+	// that a statement that is merely slow costs no connection.
+	suspectAfter = 300 * time.Millisecond
 	// streamIdleTimeout closes pooled streams that are not needed any more.
 	streamIdleTimeout = 10 * time.Second
 	// maxIdleStreams bounds the pooled streams of one kind and session.
@@ -34,6 +38,8 @@
 
 	// heard is when something last arrived, or when waiting began.
 	heard atomic.Int64
+	// pinging is set while a ping awaits its answer.
+	pinging atomic.Bool
 	// transactions counts the callers with an open transaction over here.
 	transactions atomic.Int64
 
@@ -140,7 +146,7 @@
 		case s.mux.IsClosed(), s.isIdle(c.options.IdleTimeout):
 			c.retire(s)
 			s.close()
-		case s.isSilent():
+		case s.isSilent() && s.pinging.CompareAndSwap(false, true):
 			pings.Go(func() error {
 				c.ping(s)
 				return nil
@@ -160,21 +166,23 @@
 func (s *session) isSilent() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.inflight > 0 && !s.suspect && s.now().Sub(core.Time(s.heard.Load())) > silenceAfter
+	return s.inflight > 0 && s.now().Sub(core.Time(s.heard.Load())) > silenceAfter
 }
 
 // ping tells a slow answer from a connection that went silent because
 // something in between lost track of it: such a connection accepts writes and
-// answers nothing for many minutes. While the ping runs, new requests use a
+// answers nothing for many minutes. While a ping is overdue, new requests use a
 // fresh connection. Without an answer the connection is closed, which fails
 // what it carries as unknown instead of letting it wait for its deadline.
 func (c *Client) ping(s *session) {
-	s.setSuspect(true)
+	defer s.pinging.Store(false)
 	answered := make(chan error, 1)
 	go func() {
 		_, err := s.mux.Ping()
 		answered <- err
 	}()
+	suspect := time.AfterFunc(suspectAfter, func() { s.setSuspect(true) })
+	defer suspect.Stop()
 	timer := time.NewTimer(pingTimeout)
 	defer timer.Stop()
 	select {
