Hold back claims against a home at work, and follow up more of what members report

Cause: a home that had lost the members but not the daemons kept the others from claiming by its heartbeats; two daemons that reach the members but not each other deposed each other; news of candidates put claims off for ever. Change: no heartbeat without a lease; a claim watches whether the primary's log moves under open connections; a home that is no candidate any more moves the group; connections reopen as soon as the member reported.

--- a/core/group/ballot.go
+++ b/core/group/ballot.go
@@ -21,6 +21,10 @@
 	// retryAt is when the next attempt begins; zero: none is planned.
 	retryAt core.Time
 	backoff time.Duration
+	// watched is set while the claim waits for watchedAt, the position of a
+	// primary with connections, to move.
+	watched   bool
+	watchedAt core.Position
 	// target is promoted. It is chosen once for each ballot: a second choice
 	// could make two primaries of one term when an answer was lost.
 	target     *member
@@ -51,7 +55,8 @@
 	g.claimProbeAnswered()
 }
 
-// claimProbeAnswered fences once all have answered; see runBallot for the rest.
+// claimProbeAnswered goes on once all have answered, or a majority has and the
+// others had GatherWait; see runBallot.
 func (g *Group) claimProbeAnswered() {
 	answered, open := 0, 0
 	for _, m := range g.members {
@@ -63,17 +68,68 @@
 			open++
 		}
 	}
-	if open == 0 {
+	switch {
+	case open == 0:
 		g.probesCounted(answered)
+	case answered >= g.majority():
+		b := &g.ballot
+		b.until = min(b.until, g.now.Add(g.tuning.GatherWait))
+		g.wakeBy(b.until)
 	}
 }
 
 func (g *Group) probesCounted(answered int) {
-	if answered >= g.majority() || !g.guarded(GuardMajority) {
-		g.fence(nextBallot(g.ballot.seen))
+	if answered < g.majority() && g.guarded(GuardMajority) {
+		g.retryClaim()
 		return
 	}
-	g.retryClaim()
+	if g.reign.term == 0 && g.unheardHome() {
+		return
+	}
+	g.fence(nextBallot(g.ballot.seen))
+}
+
+// unheardHome reports whether the claim is to wait, because a home that is not
+// heard here may be at work: its connections are open at the primary.
+//
+// Guard: two candidates that reach the members but not each other would depose
+// each other for ever, and callers would see one gap after the other. If the
+// primary's log moves within ActivityWait the home is alive, and the claim is
+// given up; if it does not, taking over interrupts nobody.
+func (g *Group) unheardHome() bool {
+	b := &g.ballot
+	p := g.reportedPrimary()
+	if p == nil || p.connections == 0 {
+		b.watched = false
+		return false
+	}
+	if !b.watched {
+		b.watched, b.watchedAt = true, p.claimPosition
+		b.retryAt, b.until = g.now.Add(g.tuning.ActivityWait), never
+		g.wakeBy(b.retryAt)
+		return true
+	}
+	b.watched = false
+	if p.claimPosition == b.watchedAt {
+		return false
+	}
+	g.logEvent("a home is not heard but at work", p, p.term, "")
+	g.phase = phaseFollowing
+	g.failQueue(ReasonNotHome)
+	g.peers.deposed++
+	g.postponeClaim(g.tuning.ClaimDelay)
+	return true
+}
+
+// reportedPrimary is the primary of the highest term by the claim's probes.
+func (g *Group) reportedPrimary() *member {
+	var best *member
+	for _, m := range g.members {
+		if !m.gone && m.known && m.role == core.RolePrimary && (best == nil || best.term < m.term) {
+			best = m
+		}
+	}
+	return best
 }
 
 // nextBallot is the first odd term above a term.
--- a/core/group/claim.go
+++ b/core/group/claim.go
@@ -38,6 +38,9 @@
 	own core.Term
 	// claimAt is when this daemon claims if it hears of no home until then.
 	claimAt core.Time
+	// heardAt and delay are what claimAt is worked out from.
+	heardAt core.Time
+	delay   time.Duration
 	// deposed counts the homes lost here since another was heard.
 	deposed int
 }
@@ -66,22 +69,28 @@
 // the other home: two candidates that reach the members but not each other
 // would otherwise depose each other for ever.
 func (g *Group) postponeClaim(delay time.Duration) {
+	g.peers.heardAt, g.peers.delay = g.now, delay
+	g.setClaimAt()
+}
+
+func (g *Group) setClaimAt() {
 	rank := g.rank()
 	if rank < 0 || g.drain.requested {
 		g.peers.claimAt = never
 		return
 	}
-	delay <<= min(g.peers.deposed, maxDeposedShift)
+	delay := g.peers.delay << min(g.peers.deposed, maxDeposedShift)
 	delay += time.Duration(rank)*g.tuning.ClaimStep + g.random.upTo(g.tuning.ClaimJitter)
-	g.peers.claimAt = g.now.Add(delay)
+	g.peers.claimAt = g.peers.heardAt.Add(delay)
 	g.wakeBy(g.peers.claimAt)
 }
 
 func (g *Group) onCandidates(ev *Candidates) {
 	g.candidates = append(g.candidates[:0], ev.List...)
 	if g.phase == phaseFollowing {
-		g.postponeClaim(g.tuning.ClaimDelay)
+		g.setClaimAt()
 	}
+	g.checkDisplaced()
 	g.wakeBy(g.now)
 }
 
@@ -159,7 +168,7 @@
 func (g *Group) startClaim(why string) {
 	g.counters.Claims++
 	g.logEvent("claiming the group", nil, g.reign.term, why)
-	g.ballot.backoff = 0
+	g.ballot.backoff, g.ballot.watched = 0, false
 	if g.reign.term == 0 {
 		g.probeForClaim()
 		return
--- a/core/group/claim_test.go
+++ b/core/group/claim_test.go
@@ -71,12 +71,9 @@
 		// must not fence the one it reaches, again and again.
 		n, a := served()
 		b := n.home("B")
-		n.member("a").cutFrom["B"], n.member("b").cutFrom["B"] = true, true
+		n.member("a").cutFrom["B"], n.member("b").cutFrom["B"], b.deaf = true, true, true
 		term := n.member("c").status.Term
-		b.g.peers.claimAt = n.now // As if no heartbeat had come.
-		b.g.wakeBy(n.now)
-		b.deliver(&Tick{})
-		n.run(200 * ms)
+		n.run(4 * time.Second)
 		Expect(n.member("c").status.Term).To(Equal(term))
 		Expect(a.isHome()).To(BeTrue())
 	})
@@ -154,3 +151,64 @@
 		Expect(a.acks).To(HaveKey(running))
 	})
 })
+
+var _ = ginkgo.Describe("a home and its candidates", func() {
+	ginkgo.It("is left alone by a candidate that does not hear it while it works", func() {
+		// Two daemons lose each other, but both reach the members. If each
+		// deposed the other, callers would see gap after gap.
+		n, a := served()
+		term := a.g.reign.term
+		n.home("B").deaf, n.home("C").deaf = true, true
+		gap := n.writeEvery(10*time.Second, false)
+		Expect(gap).To(BeNumerically("<", 100*ms))
+		Expect(a.g.reign.term).To(Equal(term))
+	})
+
+	ginkgo.It("gives way when it has lost the members but not the daemons", func() {
+		// The home's switch drops its way to the members, and the primary dies,
+		// so nobody reaches it. The heartbeats of the home that can do nothing
+		// must not keep the others from claiming.
+		n, a := served()
+		n.member("a").down = true
+		for _, m := range n.members {
+			m.cutFrom["A"] = true
+		}
+		gap := n.writeEvery(5*time.Second, false)
+		ginkgo.GinkgoWriter.Println("home without members gap", gap)
+		Expect(a.isHome()).To(BeFalse())
+		Expect(gap).To(BeNumerically("<", 3*time.Second))
+	})
+
+	ginkgo.It("moves to a candidate when it is none any more", func() {
+		// The membership chose other daemons; nothing failed, so no request may.
+		n, a := served()
+		list := []Candidate{{ID: "B", Zone: "zB"}, {ID: "C", Zone: "zC"}}
+		for i := range 100 {
+			if i == 10 {
+				for _, h := range n.homes {
+					h.send(&Candidates{List: list})
+				}
+			}
+			a.write()
+			n.run(5 * ms)
+		}
+		Expect(n.home("B").isHome()).To(BeTrue())
+		for id, outcome := range a.fails {
+			Expect(outcome).To(Equal(core.OutcomeNotRun))
+			Expect(a.last[id].Hint).To(Equal(core.DaemonID("B")))
+		}
+		Expect(a.drained).To(BeFalse())
+	})
+
+	ginkgo.It("comes back quickly when its daemon restarts", func() {
+		n, a := served()
+		a.dead = true
+		clear(a.conns)
+		n.homes = n.homes[1:]
+		again := n.addHome(Candidate{ID: "A", Zone: "zA"})
+		again.send(&Candidates{List: append([]Candidate(nil), a.g.candidates...)})
+		again.send(&HomeNews{Home: "A", Term: a.g.reign.term, Primary: "a"})
+		n.run(800 * ms)
+		Expect(again.isHome()).To(BeTrue())
+	})
+})
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -263,12 +263,19 @@
 }
 
 // runBeat sends the home's heartbeat.
+//
+// Guard: a home that has lost the majority of the members but not the other
+// daemons would keep them from claiming, and the group would stand still. It
+// sends no heartbeat while its lease has lapsed.
 func (g *Group) runBeat() {
 	if g.reign.term == 0 {
 		return
 	}
 	if g.now >= g.detect.beatAt {
-		g.sendBeat()
+		g.detect.beatAt = g.now.Add(g.tuning.BeatInterval)
+		if g.now < g.reign.leaseUntil {
+			g.sendBeat()
+		}
 	}
 	g.wakeBy(g.detect.beatAt)
 }
--- a/core/group/dispatch.go
+++ b/core/group/dispatch.go
@@ -41,7 +41,7 @@
 			continue
 		}
 		p := g.reign.primary
-		if !g.hasSlot(p) || p.leaving() && g.heir() != nil {
+		if !g.hasSlot(p) {
 			return
 		}
 		c := p.takeIdle()
--- a/core/group/drain.go
+++ b/core/group/drain.go
@@ -1,6 +1,10 @@
 package group
 
-import "limpetspan/core"
+import (
+	"time"
+
+	"limpetspan/core"
+)
 
 // drainer is the planned stop of this daemon as home.
 type drainer struct {
@@ -8,15 +12,17 @@
 	since     core.Time
 	deadline  core.Time
 	done      bool
+	// moving: the daemon goes on, only this group moves to a candidate.
+	moving bool
 }
 
 // onDrain begins the planned stop. This daemon never claims again.
 func (g *Group) onDrain(ev *Drain) {
 	d := &g.drain
-	if d.requested {
+	if d.requested && !d.moving {
 		return
 	}
-	d.requested, d.since, d.deadline = true, g.now, ev.Deadline
+	*d = drainer{requested: true, since: g.now, deadline: ev.Deadline}
 	g.peers.claimAt = never
 	if g.reign.term == 0 {
 		g.phase = phaseFollowing
@@ -25,6 +31,22 @@
 	g.runDrain()
 }
 
+// checkDisplaced moves the group to a candidate, as by a planned stop, when
+// this daemon is home but no candidate any more.
+func (g *Group) checkDisplaced() {
+	d := &g.drain
+	displaced := g.rank() < 0 && g.successor() != ""
+	switch {
+	case g.phase == phaseServing && displaced && !d.requested:
+		*d = drainer{requested: true, moving: true, since: g.now, deadline: g.now.Add(moveTimeout)}
+	case d.moving && !displaced:
+		*d = drainer{}
+	}
+}
+
+// moveTimeout bounds the wait for open transactions before a group moves.
+const moveTimeout = 10 * time.Second
+
 // draining reports whether new requests are refused. While transactions are
 // open the home goes on serving for a bounded time: nobody else can take the
 // group before they end, so refusing would only lengthen the gap.
@@ -93,6 +115,10 @@
 }
 
 func (g *Group) drained() {
+	if g.drain.moving {
+		g.drain = drainer{}
+		return
+	}
 	g.drain.done = true
 	g.fx.add(&Drained{})
 }
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -34,6 +34,9 @@
 	known      bool
 	term       core.Term
 	role       core.Role
+	// connections and claimPosition are as reported, for claims.
+	connections   int
+	claimPosition core.Position
 	// stopping is set by the member's own word that it shuts down.
 	stopping bool
 	// failures counts failed probes since the last answer.
@@ -121,6 +124,7 @@
 	m.known, m.reportedAt, m.failures = true, sentAt, 0
 	m.term, m.role = s.Term, s.Role
 	m.stopping = s.Leaving
+	m.connections, m.claimPosition = s.Connections, s.Position()
 	g.ballot.seen = max(g.ballot.seen, s.Term)
 	if g.reign.term == 0 {
 		return
--- a/core/group/plan.go
+++ b/core/group/plan.go
@@ -75,12 +75,12 @@
 }
 
 // heirCaughtUp reports whether a replica has the primary's log up to a report
-// that was asked for after the writes paused. A primary that the configuration
-// no longer names is not asked; what it answered to writes has to do.
+// that was asked for after the writes paused. A primary that is not
+// asked or does not answer any more is known by what it answered to writes.
 func (g *Group) heirCaughtUp() bool {
 	heir := g.heir()
 	p := g.reign.primary
-	if heir == nil || (!p.gone && p.reportedAt < g.detect.plannedAt) {
+	if heir == nil || (!p.gone && p.failures == 0 && p.reportedAt < g.detect.plannedAt) {
 		return false
 	}
 	return !heir.position.Less(g.latest())
--- a/core/group/pool.go
+++ b/core/group/pool.go
@@ -109,10 +109,14 @@
 	return max(1, g.budget()-replica*(size-1))
 }
 
+// avoids reports whether a member is to have no connections: it is leaving.
+// A leaving primary keeps them until another is promoted.
+func (g *Group) avoids(m *member) bool { return m.gone || (m.leaving() && !g.isPrimary(m)) }
+
 // warm opens connections ahead of need: as many as the member's slots can use,
 // besides those that open transactions hold.
 func (g *Group) warm(m *member) {
-	if g.phase < phaseWaiting || m.leaving() || !(g.isPrimary(m) || g.serving(m)) {
+	if g.phase < phaseWaiting || g.avoids(m) || !(g.isPrimary(m) || g.serving(m)) {
 		return
 	}
 	want := min(g.connLimit(m), g.statementCap()+m.pinned)
@@ -230,7 +234,7 @@
 func (g *Group) idleConn(c *conn) {
 	m := c.member
 	c.request, c.since = nil, g.now
-	if c.doomed || c.term != g.reign.term || g.phase < phaseWaiting || m.leaving() || m.conns > g.connLimit(m) {
+	if c.doomed || c.term != g.reign.term || g.phase < phaseWaiting || g.avoids(m) || m.conns > g.connLimit(m) {
 		g.closeConn(c)
 		return
 	}
@@ -363,7 +367,7 @@
 		c := g.conns[i]
 		m := c.member
 		switch {
-		case c.state == connIdle && (m.leaving() || m.conns > g.connLimit(m)):
+		case c.state == connIdle && (g.avoids(m) || m.conns > g.connLimit(m)):
 			g.closeConn(c)
 		case c.state == connPinned && g.writes.len() > 0:
 			g.expirePinned(c)
--- a/core/group/probe.go
+++ b/core/group/probe.go
@@ -145,6 +145,7 @@
 	}
 	g.releaseHeld()
 	g.forgetPassed()
+	g.warmAll()
 	g.pump()
 }
 
@@ -157,6 +158,10 @@
 	switch {
 	case g.phase == phaseProbing:
 		g.claimProbeFailed(m)
+	case g.isPrimary(m) && err == FailureLeaving:
+		m.probe.next = g.now.Add(g.tuning.ProbeInterval)
+		g.wakeBy(m.probe.next)
+		g.checkLeaving()
 	case g.isPrimary(m):
 		g.primaryProbeFailed(m, fresh)
 	case !fresh && g.reign.term != 0:
--- a/core/group/session.go
+++ b/core/group/session.go
@@ -255,9 +255,7 @@
 // noteWrite records what the session has written.
 func (g *Group) noteWrite(r *request) {
 	if r.position.IsZero() {
-		if r.session != 0 {
-			g.sessions.await(r.session, r.name, g.now)
-		}
+		g.awaitPosition(r)
 		return
 	}
 	g.learnPosition(g.reign.primary, r.position, r.dispatchedAt)
@@ -293,9 +291,18 @@
 		}
 		return
 	}
-	if r.session != 0 && (r.asked || g.writesBegun != r.writesBegun) {
-		g.sessions.await(r.session, r.name, g.now)
+	if r.asked || g.writesBegun != r.writesBegun {
+		g.awaitPosition(r)
+	}
+}
+
+// awaitPosition leaves the session to the primary until it reports again.
+func (g *Group) awaitPosition(r *request) {
+	if r.session == 0 {
+		return
 	}
+	g.sessions.await(r.session, r.name, g.now)
+	g.hurry()
 }
 
 // quiet reports whether no write runs and every serving replica has all of the
--- a/core/group/tuning.go
+++ b/core/group/tuning.go
@@ -61,12 +61,15 @@
 	// ClaimJitter bounds the random part of a claim's delay. Default 100 ms.
 	ClaimJitter time.Duration
 	// ClaimBackoff is the first pause after a refused claim; it doubles up to
-	// ClaimBackoffMax. Defaults 50 ms and 5 s.
+	// ClaimBackoffMax. Defaults 50 ms and 1 s.
 	ClaimBackoff    time.Duration
 	ClaimBackoffMax time.Duration
 	// FenceTimeout and PromoteTimeout bound one call. Defaults 250 and 500 ms.
 	FenceTimeout   time.Duration
 	PromoteTimeout time.Duration
+	// ActivityWait is how long a claim watches whether the primary's log moves
+	// under connections of a home that is not heard. Default 100 ms.
+	ActivityWait time.Duration
 	// GatherWait is how long a claim waits, after a majority was fenced, for
 	// the positions of the other members. Default 40 ms.
 	GatherWait time.Duration
@@ -149,9 +152,10 @@
 		{&t.ClaimStep, 400 * time.Millisecond},
 		{&t.ClaimJitter, 100 * time.Millisecond},
 		{&t.ClaimBackoff, 50 * time.Millisecond},
-		{&t.ClaimBackoffMax, 5 * time.Second},
+		{&t.ClaimBackoffMax, 1 * time.Second},
 		{&t.FenceTimeout, 250 * time.Millisecond},
 		{&t.PromoteTimeout, 500 * time.Millisecond},
+		{&t.ActivityWait, 100 * time.Millisecond},
 		{&t.GatherWait, 40 * time.Millisecond},
 		{&t.ContestWait, 300 * time.Millisecond},
 		{&t.RepairWait, 3 * time.Second},
