Follow the host list by what the fleet knows

Cause: a watcher that had just started did not take back a leave that an earlier one had announced, so a host that came back meanwhile stayed without work. Change: the list is compared with the fleet's own news.

--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -31,6 +31,7 @@
 type world struct {
 	url    string
 	editor *confstore.Editor
+	hosts  *standinstore.HostList
 	group  *standintarget.Group
 	// seed is the gossip address of the first daemon.
 	seed string
@@ -57,7 +58,7 @@
 	group := newGroup(ctx, "m")
 	key := filepath.Join(GinkgoT().TempDir(), "key")
 	Expect(os.WriteFile(key, []byte(rand.Text()), 0o600)).To(Succeed())
-	w := &world{url: server.URL, key: key, group: group, editor: confstore.NewEditor(client, settings.Default().Store.Prefix)}
+	w := &world{url: server.URL, key: key, hosts: standinstore.NewHostList(engine), group: group, editor: confstore.NewEditor(client, settings.Default().Store.Prefix)}
 	w.change(ctx, func(doc *config.Document) {
 		doc.DefaultGroup = "parkdb"
 		doc.Groups = map[core.GroupID]*config.Group{"parkdb": declaredGroup(group)}
--- a/pkg/daemon/hosts.go
+++ b/pkg/daemon/hosts.go
@@ -20,11 +20,10 @@
 // followHosts watches the platform's host list, in the few daemons that watch
 // the store, and tells the fleet which target hosts are leaving.
 func (d *Daemon) followHosts(ctx context.Context) error {
-	leaving := make(map[string]bool)
 	for {
 		pause := hostsRecheck
 		if d.gossip.IsWatcher() {
-			if err := d.watchHosts(ctx, leaving); err != nil && ctx.Err() == nil {
+			if err := d.watchHosts(ctx); err != nil && ctx.Err() == nil {
 				d.log.Warn("host list not read", "step", "daemon.hosts", "error", err)
 				pause = hostsRetry
 			}
@@ -38,7 +37,7 @@
 }
 
 // watchHosts follows the list until the watch breaks.
-func (d *Daemon) watchHosts(ctx context.Context, leaving map[string]bool) error {
+func (d *Daemon) watchHosts(ctx context.Context) error {
 	list, err := hostlist.Read(ctx, d.store)
 	var malformed *hostlist.MalformedError
 	if errors.As(err, &malformed) {
@@ -47,7 +46,7 @@
 		return err
 	}
 	for addr, host := range list.Hosts {
-		d.noteHost(leaving, addr, host.State == hostlist.StateLeaving)
+		d.noteHost(addr, host.State == hostlist.StateLeaving)
 	}
 	changes, err := hostlist.Watch(ctx, d.store, list.Revision)
 	if err != nil {
@@ -55,22 +54,20 @@
 	}
 	for change := range changes {
 		if change.Host != nil {
-			d.noteHost(leaving, change.Addr, change.Host.State == hostlist.StateLeaving)
+			d.noteHost(change.Addr, change.Host.State == hostlist.StateLeaving)
 		}
 	}
 	return nil
 }
 
-// noteHost spreads a change. A host that was never listed as leaving is not
-// announced as staying: it may have said itself that it leaves, and the list
-// lags behind that.
-func (d *Daemon) noteHost(leaving map[string]bool, addr string, now bool) {
-	if leaving[addr] == now {
+// noteHost spreads what differs from what the fleet knows, so that a watcher
+// that has just started also takes back what an earlier one announced.
+func (d *Daemon) noteHost(addr string, leaving bool) {
+	if d.gossip.TargetLeaving(addr) == leaving {
 		return
 	}
-	leaving[addr] = now
-	d.gossip.AnnounceLeaving(addr, now)
-	d.log.Info("host list changed", "step", "daemon.hosts", "peer", addr, "leaving", now)
+	d.gossip.AnnounceLeaving(addr, leaving)
+	d.log.Info("host list changed", "step", "daemon.hosts", "peer", addr, "leaving", leaving)
 }
 
 // gossipHosts returns the addresses of the list that may be daemons, to find
