Show that late workers and new homes do no harm

Cause: the guards of the take-over had no tests of their own, and a bucket that another daemon closed just before a claim was blocked for a fault of the records. A refused token is told from a NOT NULL column of the operator's table by reading the token back, and leads to a new claim.

--- a/pkg/takeover/records.go
+++ b/pkg/takeover/records.go
@@ -20,32 +20,34 @@
 	if clear && r.dir.clear != "" {
 		list = append(list, statement(r.dir.clear, number(bucket)))
 	}
-	return r.write(ctx, list)
+	return r.write(ctx, bucket, list)
 }
 
 func (r *run) checkToken(bucket int) Statement {
 	return statement(checkTokenSQL, text(r.dir.kind), number(bucket), number(r.token))
 }
 
-// write applies copies to the destination. A refused token means that a later
-// claim has written to the bucket, or closed it.
-func (r *run) write(ctx context.Context, list []Statement) error {
+// write applies copies to the destination.
+func (r *run) write(ctx context.Context, bucket int, list []Statement) error {
 	err := r.Databases.Apply(ctx, r.dir.destination, list)
-	if isSQLState(err, codeNotNull) && r.superseded(ctx) {
-		return ErrClaimLost
+	if isSQLState(err, codeNotNull) {
+		return r.refused(ctx, bucket, err)
 	}
 	return err
 }
 
-// superseded reports whether the store's configuration names another worker. A
-// NOT NULL error may also stem from the declared statement.
-func (r *run) superseded(ctx context.Context) bool {
-	doc, err := r.update(ctx, "", func(doc *config.Document) (*config.Document, error) { return doc, nil })
-	if err != nil {
-		return true
+// refused tells a refused token from a NOT NULL column of the operator's own
+// table. The token is refused when another claim has written to the bucket, or
+// has closed it after this one looked for closings; a new claim clears it up.
+func (r *run) refused(ctx context.Context, bucket int, err error) error {
+	rows, readErr := r.query(ctx, r.dir.destination, readTokenSQL, 2, text(r.dir.kind), number(bucket))
+	if readErr != nil {
+		return readErr
 	}
-	t := doc.Takeovers[r.dir.kind]
-	return t == nil || t.Worker != r.claim.name
+	if len(rows) > 0 && (rows[0][0].integer() > int64(r.token) || rows[0][1].integer() != 0) {
+		return ErrClaimLost
+	}
+	return err
 }
 
 // copyPage copies the records of a bucket that follow a key.
@@ -75,7 +77,7 @@
 		p.marker = takeover.LatestMarker(p.marker, row[1].Text)
 		list = append(list, Statement{SQL: r.dir.upsert, Args: row})
 	}
-	return p, r.write(ctx, list)
+	return p, r.write(ctx, bucket, list)
 }
 
 // catchUp copies all changes of a bucket after a marker.
--- a/pkg/takeover/statement.go
+++ b/pkg/takeover/statement.go
@@ -50,6 +50,7 @@
 		"WHEN limpetspan_copy.closed = 0 AND limpetspan_copy.token <= excluded.token THEN excluded.closed ELSE NULL END"
 	// reopenSQL undoes one closing ($3) and no later one.
 	reopenSQL     = "UPDATE limpetspan_copy SET closed = 0 WHERE kind = $1 AND bucket = $2 AND closed = $3"
+	readTokenSQL  = "SELECT token, closed FROM limpetspan_copy WHERE kind = $1 AND bucket = $2"
 	readClosedSQL = "SELECT bucket, closed FROM limpetspan_copy WHERE kind = $1 AND closed <> 0"
 )
 
--- a/pkg/takeover/steps.go
+++ b/pkg/takeover/steps.go
@@ -93,7 +93,7 @@
 	for _, b := range buckets {
 		list = append(list, statement(closeSQL, text(r.dir.kind), number(b), number(r.token), number(r.closing)))
 	}
-	return r.write(ctx, list)
+	return r.write(ctx, buckets[0], list)
 }
 
 func (r *run) verify(ctx context.Context, buckets []int) ([]int, error) {
--- a/pkg/takeover/worker_test.go
+++ b/pkg/takeover/worker_test.go
@@ -129,6 +129,7 @@
 			Expect(e.get("lot-1")).To(Equal("after"))
 		},
 		Entry("before it copies", "apply ring"),
+		Entry("before it writes a page", "page"),
 		Entry("while it copies", "query rival"),
 		Entry("before the hold", "hold"),
 		Entry("with buckets held", "hold done"),
@@ -138,6 +139,90 @@
 		Entry("before it settles", "settle"),
 	)
 
+	// A price from before the weekend comes back: a daemon was paused in the
+	// middle of a step, another one finished the take-over, callers changed
+	// their records, and then the first one woke up and went on.
+	DescribeTable("does no harm when it wakes up after another has finished",
+		func(at string) {
+			paused, wake := make(chan struct{}), make(chan struct{})
+			var once sync.Once
+			w.setBefore(func(step string) error {
+				if step == at {
+					first := false
+					once.Do(func() { first = true; close(paused) })
+					if first {
+						<-wake
+					}
+				}
+				return nil
+			})
+			_, stop := w.worker("d1")
+			Eventually(paused, bound).Should(BeClosed())
+			w.fake.Advance(20 * time.Second)
+			w.worker("d2")
+			Eventually(w.stateNow, bound).Should(Equal(config.TakeoverComplete))
+			e := w.entry(1, w.inForce.Load)
+			for i := range 40 {
+				Expect(e.put(fmt.Sprintf("lot-%d", i), "after")).To(Succeed())
+			}
+			close(wake)
+			stop()
+			for i := range 40 {
+				Expect(e.get(fmt.Sprintf("lot-%d", i))).To(Equal("after"))
+			}
+			Expect(w.count(ring)).To(Equal(40))
+			Expect(w.current().Flipped).To(Equal([]byte{0b1111}))
+		},
+		Entry("before it writes a page", "page"),
+		Entry("with buckets held", "hold done"),
+		Entry("before the close", "close"),
+		Entry("with buckets sealed", "seal done"),
+		Entry("before it settles", "settle"),
+	)
+
+	// A bid is lost: a daemon was paused just before its flip. Another one opened
+	// the buckets again, a bid was written at the old side, and then the first
+	// one woke up and flipped them with the copy it had verified before.
+	It("refuses the flip of a daemon whose buckets were opened again", func() {
+		reached, wake := make(chan struct{}), [2]chan struct{}{make(chan struct{}), make(chan struct{})}
+		pauses := []string{"seal done", "hold"}
+		w.setBefore(func(step string) error {
+			w.mu.Lock()
+			n := len(wake) - len(pauses)
+			pause := len(pauses) > 0 && step == pauses[0]
+			if pause {
+				pauses = pauses[1:]
+			}
+			w.mu.Unlock()
+			if pause {
+				reached <- struct{}{}
+				<-wake[n]
+			}
+			return nil
+		})
+		first, _ := w.worker("d1")
+		Eventually(reached, bound).Should(Receive())
+		w.fake.Advance(20 * time.Second)
+		w.worker("d2")
+		Eventually(reached, bound).Should(Receive())
+		e := w.entry(1, w.inForce.Load)
+		for b := range buckets {
+			Expect(again(func() error { return e.put(keyIn(b, 0), "bid") })).To(Succeed())
+		}
+		close(wake[0])
+		Eventually(first.Status, bound).Should(BeEmpty())
+		expectBids := func() {
+			GinkgoHelper()
+			for b := range buckets {
+				Expect(e.get(keyIn(b, 0))).To(Equal("bid"))
+			}
+		}
+		expectBids()
+		close(wake[1])
+		Eventually(w.stateNow, bound).Should(Equal(config.TakeoverComplete))
+		expectBids()
+	})
+
 	// Both sides serve a bucket: the store made the flip's change and its answer
 	// was lost, so the worker believed that nothing had happened.
 	It("settles a flip whose answer was lost", func() {
@@ -207,39 +292,42 @@
 		Expect(w.count(ring)).To(Equal(39))
 	})
 
-	// Two operators: one pauses the take-over, the other adds a group, both
-	// while buckets flip.
-	It("pauses for an operator, and lets another change something else", func() {
-		var once sync.Once
+	// Two operators change the configuration while buckets are sealed: one adds
+	// a default group, and the flip goes through; the other pauses the take-over,
+	// and the flip must not.
+	It("flips beside another change, and pauses for an operator at once", func() {
+		sealed := 0
 		w.setBefore(func(step string) error {
-			if step == "seal done" {
-				once.Do(func() {
-					w.update(func(doc *config.Document) (*config.Document, error) {
-						next := *doc
-						next.DefaultGroup = ring
-						return &next, nil
-					})
+			defer GinkgoRecover()
+			if step != "seal done" {
+				return nil
+			}
+			if sealed++; sealed == 1 {
+				w.update(func(doc *config.Document) (*config.Document, error) {
+					next := *doc
+					next.DefaultGroup = ring
+					return &next, nil
 				})
+			} else {
+				w.state(config.TakeoverPaused)
 			}
 			return nil
 		})
-		stop := w.worker("d1")
-		Eventually(func() bool { return config.HasBit(w.current().Flipped, 0) }, bound).Should(BeTrue())
-		_, err := w.configuration().Update(w.ctx, "test", takeover.SetState(kind, config.TakeoverPaused))
-		if err != nil {
-			Expect(w.stateNow()).To(Equal(config.TakeoverComplete), "it was over before the pause")
-			return
-		}
-		stop()
+		worker, _ := w.worker("d1")
+		Eventually(w.stateNow, bound).Should(Equal(config.TakeoverPaused))
+		Eventually(worker.Status, bound).Should(BeEmpty())
+		Expect(w.current().Flipped).To(HaveLen(1))
 		e := w.entry(1, w.inForce.Load)
 		for b := range buckets {
 			Expect(again(func() error { return e.put(keyIn(b, 0), "paused") })).To(Succeed())
 		}
+		w.setBefore(nil)
 		w.state(config.TakeoverRunning)
-		w.worker("d2")
 		Eventually(w.stateNow, bound).Should(Equal(config.TakeoverComplete))
 		Expect(w.inForce.Load().DefaultGroup).To(Equal(ring))
-		Expect(e.get(keyIn(0, 0))).To(Equal("paused"))
+		for b := range buckets {
+			Expect(e.get(keyIn(b, 0))).To(Equal("paused"))
+		}
 	})
 
 	It("rolls back before any flip, and flipped buckets by the reverse statements", func() {
@@ -249,7 +337,7 @@
 			}
 			return nil
 		})
-		stop := w.worker("d1")
+		_, stop := w.worker("d1")
 		Eventually(func() bool { return w.current().Flipped != nil }, bound).Should(BeTrue())
 		stop()
 		w.setBefore(nil)
--- a/pkg/takeover/world_test.go
+++ b/pkg/takeover/world_test.go
@@ -42,8 +42,8 @@
 	inForce   atomic.Pointer[config.Document]
 	databases map[core.GroupID]*sql.DB
 	gates     map[core.GroupID]*takeover.Gate
-	// before is asked before each step of a worker, by a name such as
-	// "apply ring" or "seal"; its error is the step's.
+	// before is asked before each step of a worker, by a name such as "page" or
+	// "seal", and after an order by "seal done"; its error is the step's.
 	mu     sync.Mutex
 	before func(step string) error
 }
@@ -125,9 +125,9 @@
 func (w *world) current() *config.Takeover { return w.inForce.Load().Takeovers[kind] }
 
 // worker starts a worker; stop ends it and waits.
-func (w *world) worker(self core.DaemonID) (stop func()) {
+func (w *world) worker(self core.DaemonID) (worker *takeover.Worker, stop func()) {
 	ctx, cancel := context.WithCancel(w.ctx)
-	worker := takeover.NewWorker(takeover.Options{Self: self, Store: w.fake.Client, Prefix: prefix,
+	worker = takeover.NewWorker(takeover.Options{Self: self, Store: w.fake.Client, Prefix: prefix,
 		Configuration: w.configuration(), Databases: stepped{w}, Homes: stepped{w},
 		Tuning: coretakeover.Tuning{PageSize: 3, Batch: 2, HoldLimit: 5 * time.Second, RetryMin: time.Millisecond, RetryMax: 20 * time.Millisecond,
 			Pacer: coretakeover.PacerTuning{MinRate: 100_000, MaxRate: 100_000}},
@@ -139,7 +139,7 @@
 		Eventually(done, bound).Should(Receive())
 	}
 	DeferCleanup(cancel)
-	return stop
+	return worker, stop
 }
 
 func (w *world) setBefore(f func(step string) error) {
@@ -170,8 +170,11 @@
 
 func (s stepped) Apply(ctx context.Context, g core.GroupID, list []takeover.Statement) error {
 	name := "apply " + string(g)
-	if strings.Contains(list[0].SQL, "closed = CASE") {
+	switch {
+	case strings.Contains(list[0].SQL, "closed = CASE"):
 		name = "close"
+	case strings.Contains(list[0].SQL, "ELSE NULL") && len(list) > 1:
+		name = "page"
 	}
 	if err := s.step(name); err != nil {
 		return err
