Test must-not-repeat keys through two proxies

Cause: nothing showed that a key holds across proxies and late answers. Change: specs for concurrent askers and for an unknown outcome that is settled through another proxy. Measured: go test -race of pkg/home, three times: passed.

--- a/pkg/home/once_test.go
+++ b/pkg/home/once_test.go
@@ -111,9 +111,14 @@
 
 var _ = Describe("A must-not-repeat key", func() {
 	insert := query("INSERT INTO charge VALUES(7)")
+	var members *standin.Group
 	var d *daemon
+	another := func() *daemon {
+		return newDaemon(declare(members), func(core.GroupID) home.Reducer { return newFakeReducer(2) })
+	}
 	BeforeEach(func() {
-		d = newDaemon(declare(startMembers()), func(core.GroupID) home.Reducer { return newFakeReducer(2) })
+		members = startMembers()
+		d = another()
 		d.run('I', "", query("CREATE TABLE charge(amount int)"))
 	})
 
@@ -198,6 +203,51 @@
 		Expect(d.count()).To(Equal("1"))
 	})
 
+	// A rider presses the button again and again, and the balancer sends each
+	// press through another proxy while the first is still under way.
+	It("runs once when it comes through two proxies at the same time", func() {
+		other := another()
+		answers := make(chan string, 12)
+		for i := range 12 {
+			via := []*daemon{d, other}[i%2]
+			go func() {
+				defer GinkgoRecover()
+				req := via.request('I', "k1", insert)
+				req.Caller.Number = uint64(i)
+				a := &answer{}
+				_, err := via.manager.Do(context.Background(), req, a)
+				Expect(err).NotTo(HaveOccurred())
+				answers <- a.tag()
+			}()
+		}
+		for range 12 {
+			Eventually(answers, patience).Should(Receive(Equal("INSERT 0 1")))
+		}
+		Expect(d.count()).To(Equal("1"))
+	})
+
+	// The answer of a charge is late, the proxy gives it up as unknown and dies.
+	// The caller asks again through another: the charge may have been made or not,
+	// but after the second answer it has been made exactly once.
+	DescribeTable("settles an unknown outcome through another proxy", func(after time.Duration) {
+		other := another()
+		d.run('I', "k0", insert)
+		Expect(members.Faults().Delay("a", standin.Delay{For: 60 * time.Millisecond})).To(Succeed())
+		req := d.request('I', "k1", insert)
+		req.Deadline = d.now().Add(after)
+		_, err := d.manager.Do(context.Background(), req, &answer{})
+		Expect(err).To(HaveOccurred())
+		d.manager.Close()
+		Expect(members.Faults().Delay("a", standin.Delay{})).To(Succeed())
+		a, _ := other.run('I', "k1", insert)
+		Expect(a.tag()).To(Equal("INSERT 0 1"))
+		Expect(other.count()).To(Equal("2"))
+	},
+		Entry("given up during the claim", 30*time.Millisecond),
+		Entry("given up during the statement", 90*time.Millisecond),
+		Entry("given up during the commit", 150*time.Millisecond),
+	)
+
 	It("is removed after its retention", func() {
 		d.run('I', "k1", insert)
 		Eventually(func() string {
