Explore silent connections and tell the failures as traces

Cause: the explorer's first model let a member accept a connection whose attempt had been given up, and took operations of a closed caller connection for the next one's; both showed as violations that no daemon had made. Ruled out as the reducer's: its own counts held the budget in each case. Change: sockets of given-up attempts are closed; silent connections, home and primary faults aimed at the one that serves; scenarios whose traces state the decisions only; guards switched off by name, with tests that each is noticed. Conclusion: kept. lease-at-arrival is backed by the fence, which ends the old home's connections; a run that tells them apart is still to be found.

--- a/core/trace/replay.go
+++ b/core/trace/replay.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"limpetspan/core"
 	"limpetspan/core/group"
@@ -66,9 +67,12 @@
 		if err != nil {
 			return events, err
 		}
+		if len(header.States) > 0 {
+			got = slices.DeleteFunc(got, func(i Item) bool { return !slices.Contains(header.States, i.Type) })
+		}
 		if m := compare(step, got); m != nil {
 			m.Line = i + 2
-			m.Step = typeName(step.Event)
+			m.Step = TypeName(step.Event)
 			m.Peer = peerOf(step.Event)
 			return events, m
 		}
--- a/pkg/cli/explore.go
+++ b/pkg/cli/explore.go
@@ -19,6 +19,7 @@
 	Loss      int           `arg:"--loss" default:"10" placeholder:"N" help:"lost messages in a thousand"`
 	Guards    bool          `arg:"--guards" help:"switch each guard off in turn and tell whether the exploration notices"`
 	SwitchOff []string      `arg:"--switch-off,separate" placeholder:"GUARD" help:"switch a guard off; for testing the exploration"`
+	Scenario  string        `arg:"--scenario" placeholder:"NAME" help:"write the trace of a named failure in place of a random run; \"list\" names them"`
 	Trace     string        `arg:"--trace" placeholder:"FILE" help:"write the trace of one daemon of the first seed, for limpetspan replay"`
 	Of        string        `arg:"--of" default:"d1" placeholder:"DAEMON" help:"the daemon whose trace is written: d1, d2 or d3"`
 }
@@ -27,6 +28,7 @@
 func (*ExploreCommand) Examples() string {
 	return `limpetspan explore --runs 200 --json
 limpetspan explore --guards --runs 100
+limpetspan explore --scenario primary-crash --trace primary-crash.jsonl
 limpetspan explore --seed 42 --runs 1 --trace d2.jsonl --of d2`
 }
 
@@ -44,6 +46,10 @@
 	o.Progress = func(done, total int) { fmt.Fprintf(env.Stderr, "\rexplored %d of %d", done, total) }
 	defer fmt.Fprintln(env.Stderr)
 	switch {
+	case c.Scenario == "list":
+		return c.listScenarios(env)
+	case c.Scenario != "" && c.Trace == "":
+		return Usagef("--scenario needs --trace FILE")
 	case c.Trace != "":
 		return c.writeTrace(o)
 	case c.Guards:
@@ -89,8 +95,25 @@
 	return nil
 }
 
+func (c *ExploreCommand) listScenarios(env *Env) error {
+	if env.JSON {
+		return env.WriteJSON(explore.ScenarioNames())
+	}
+	for _, name := range explore.ScenarioNames() {
+		fmt.Fprintln(env.Stdout, name)
+	}
+	return nil
+}
+
+func (c *ExploreCommand) record(o explore.Options) ([][]byte, error) {
+	if c.Scenario != "" {
+		return explore.RecordScenario(c.Scenario, c.Seed, o.Tuning)
+	}
+	return explore.Trace(c.Seed, o, core.DaemonID(c.Of))
+}
+
 func (c *ExploreCommand) writeTrace(o explore.Options) error {
-	lines, err := explore.Trace(c.Seed, o, core.DaemonID(c.Of))
+	lines, err := c.record(o)
 	if err != nil {
 		return Failedf("trace: %w", err)
 	}
--- a/pkg/explore/daemon.go
+++ b/pkg/explore/daemon.go
@@ -32,6 +32,8 @@
 	requests core.RequestID
 	// places are the members of its connections, open or being opened.
 	places map[group.ConnID]core.MemberID
+	// control is when the control connection to each member was opened.
+	control map[core.MemberID]core.Time
 }
 
 // start gives the daemon a new reducer, as a new process would have.
@@ -41,6 +43,7 @@
 	d.up, d.paused, d.held = true, false, nil
 	d.running = map[core.RequestID]*operation{}
 	d.places = map[group.ConnID]core.MemberID{}
+	d.control = map[core.MemberID]core.Time{}
 	d.reducer = group.New(group.Options{Group: modelGroup, Tuning: w.tuning})
 	d.skew = time.Duration(w.rng.IntN(1000)) * time.Second
 	configure := w.configure(d)
@@ -206,6 +209,13 @@
 
 func (d *daemon) probe(e *group.Probe) {
 	sent := d.clock()
+	if e.Fresh {
+		d.control[e.Member] = d.world.now
+	}
+	if m := d.world.member(e.Member); d.control[e.Member] < m.silentSince {
+		d.postLater(e.Timeout, &group.Probed{Member: e.Member, SentAt: sent, Err: group.FailureTimeout})
+		return
+	}
 	d.call(e.Member, e.Timeout,
 		func(m *member) (core.Status, group.Failure) { return m.status(len(m.conns)), group.FailureNone },
 		func(s core.Status, f group.Failure) group.Event {
@@ -243,8 +253,13 @@
 	began := d.clock()
 	key := connKey{d.index, d.life, e.Conn}
 	d.places[e.Conn] = e.Member
+	// A member that accepts late finds the socket of a given-up attempt closed.
+	gaveUp := false
 	d.call(e.Member, openTimeout,
 		func(m *member) (core.Status, group.Failure) {
+			if gaveUp {
+				return core.Status{}, group.FailureLost
+			}
 			if d.world.connectionsOf(d) >= modelBudget-controlConnections {
 				d.world.violate("budget", "%s has more connections open than the group's budget of %d", d.id, modelBudget)
 			}
@@ -253,14 +268,15 @@
 				d.world.counts["connection refused"]++
 				return core.Status{}, group.FailureBusy
 			}
-			m.conns[key] = &modelConn{open: true}
+			m.conns[key] = &modelConn{opened: d.world.now}
 			return core.Status{}, group.FailureNone
 		},
 		func(_ core.Status, f group.Failure) group.Event {
 			if f != group.FailureNone {
+				gaveUp = true
 				delete(d.places, e.Conn)
 				// The socket of a failed attempt is closed.
-				d.world.after(d.world.latency(), func() { delete(d.world.member(e.Member).conns, key) })
+				d.world.after(closeLatency, func() { delete(d.world.member(e.Member).conns, key) })
 			}
 			return &group.ConnOpened{Conn: e.Conn, Member: e.Member, Took: d.clock().Sub(began), Err: f}
 		})
@@ -275,7 +291,7 @@
 	}
 	delete(d.places, e.Conn)
 	key := connKey{d.index, d.life, e.Conn}
-	d.world.after(d.world.latency(), func() { delete(m.conns, key) })
+	d.world.after(closeLatency, func() { delete(m.conns, key) })
 }
 
 func (d *daemon) askOpinion(e *group.AskOpinion) {
--- a/pkg/explore/member.go
+++ b/pkg/explore/member.go
@@ -22,6 +22,8 @@
 	paused  bool
 	// isolated cuts the member from the other members.
 	isolated bool
+	// silentSince is when all connections opened before went silent for good.
+	silentSince core.Time
 	// waiting are calls that arrived during a pause and are served after it.
 	waiting []func()
 	conns   map[connKey]*modelConn
@@ -39,7 +41,8 @@
 type modelConn struct {
 	// owner is the caller whose transaction is open; zero if none.
 	owner core.CallerID
-	open  bool
+	// opened is when it was opened; an older one than silentSince is silent.
+	opened core.Time
 	// pending are the writes of the open transaction.
 	pending []int
 }
--- a/pkg/explore/run.go
+++ b/pkg/explore/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"limpetspan/core"
@@ -106,8 +107,10 @@
 
 // recording keeps the trace of one daemon's first life.
 type recording struct {
-	daemon  core.DaemonID
-	lines   [][]byte
+	daemon core.DaemonID
+	lines  [][]byte
+	// stated, if set, are the types of the effects that are kept.
+	stated  []string
 	at      core.Time
 	current group.Event
 	err     error
@@ -135,10 +138,20 @@
 	if d.id != r.daemon || d.life != 1 || r.err != nil {
 		return
 	}
-	line, err := trace.EncodeStep(r.at, r.current, d.effects.List)
+	line, err := trace.EncodeStep(r.at, r.current, r.kept(d.effects.List))
 	if err != nil {
 		r.err = err
 		return
 	}
 	r.lines = append(r.lines, line)
 }
+
+// kept are the effects that the trace states.
+func (r *recording) kept(effects []group.Effect) []group.Effect {
+	if len(r.stated) == 0 {
+		return effects
+	}
+	return slices.DeleteFunc(slices.Clone(effects), func(e group.Effect) bool {
+		return !slices.Contains(r.stated, trace.TypeName(e))
+	})
+}
