--- /dev/null
+++ b/core/group/arrival.go
@@ -0,0 +1,93 @@
+package group
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+func (g *Group) onArrived(ev *Arrived) {
+	g.counters.Arrived++
+	if g.requests[ev.Request] != nil {
+		return
+	}
+	if g.phase == phaseFollowing {
+		g.refuse(ev)
+		return
+	}
+	pin := g.pins[ev.Caller]
+	if g.draining() && pin == nil {
+		g.refuse(ev)
+		return
+	}
+	if ev.InTransaction && (pin == nil || pin.request != nil) && g.guarded(GuardPinned) {
+		g.failArrival(ev, ReasonTransactionLost, 0)
+		return
+	}
+	if !ev.InTransaction && pin != nil {
+		// The caller was told that its transaction failed; it must not go on
+		// in the middle of it.
+		g.closeConn(pin)
+		pin = nil
+	}
+	deadline := ev.Deadline
+	if deadline <= 0 {
+		deadline = g.now.Add(g.tuning.DefaultTimeout)
+	}
+	if deadline <= g.now {
+		g.failArrival(ev, ReasonDeadline, 0)
+		return
+	}
+	if after := g.overload(ev, deadline); after > 0 {
+		g.counters.Shed++
+		g.failArrival(ev, ReasonOverloaded, after)
+		return
+	}
+	r := g.newRequest(ev, deadline)
+	if ev.InTransaction {
+		r.conn = pin
+	}
+	g.enqueue(r)
+	g.pump()
+}
+
+// refuse answers a request that came to the wrong daemon.
+func (g *Group) refuse(ev *Arrived) {
+	if ev.InTransaction {
+		g.failArrival(ev, ReasonTransactionLost, 0)
+		return
+	}
+	g.failArrival(ev, ReasonNotHome, 0)
+}
+
+func (g *Group) failArrival(ev *Arrived, reason Reason, after time.Duration) {
+	f := Fail{
+		Request: ev.Request, Reason: reason, Outcome: core.OutcomeNotRun,
+		Step: stepArrive, RetryAfter: after,
+	}
+	if reason == ReasonNotHome {
+		f.Hint = g.hint()
+	}
+	g.counters.Failed++
+	g.fx.fail(f)
+}
+
+func (g *Group) newRequest(ev *Arrived, deadline core.Time) *request {
+	var r *request
+	if n := len(g.spare); n > 0 {
+		r, g.spare = g.spare[n-1], g.spare[:n-1]
+	} else {
+		r = new(request)
+	}
+	name := append(r.name[:0], ev.Session...)
+	*r = request{
+		id: ev.Request, caller: ev.Caller, name: name, session: hashSession(ev.Session),
+		read: ev.Read, durable: ev.Durable, inTransaction: ev.InTransaction,
+		maxStaleness: ev.MaxStaleness, deadline: deadline, floor: ev.Floor,
+	}
+	g.requests[r.id] = r
+	g.shares[r.session]++
+	g.deadlines.push(r, deadline)
+	g.wakeBy(deadline)
+	return r
+}
--- /dev/null
+++ b/core/group/conn.go
@@ -0,0 +1,217 @@
+package group
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+type connState uint8
+
+const (
+	connOpening connState = iota
+	connIdle
+	connRunning
+	// connPinned: idle inside a caller's open transaction.
+	connPinned
+)
+
+// conn is one caller-work connection of this home.
+type conn struct {
+	id     ConnID
+	member *member
+	state  connState
+	// term is the reign it was opened under.
+	term    core.Term
+	request *request
+	// pinned is set while a transaction of caller is open on it.
+	pinned bool
+	caller core.CallerID
+	// doomed: it is closed when the request on it ends.
+	doomed bool
+	// since is when it entered its state.
+	since core.Time
+}
+
+// closingConn is a connection that was told to close and may still be open.
+type closingConn struct {
+	id     ConnID
+	member *member
+	until  core.Time
+}
+
+// openPauseMin and openPauseMax bound the pause after a failed opening.
+const (
+	openPauseMin = 20 * time.Millisecond
+	openPauseMax = 2 * time.Second
+)
+
+// lostConn notes that a connection ended without this home's doing.
+func (g *Group) lostConn(m *member) {
+	g.counters.ConnsLost++
+	m.lostAt = g.now
+	g.reportSoon(m)
+}
+
+func (g *Group) openConn(m *member) {
+	g.lastConn++
+	c := &conn{id: g.lastConn, member: m, term: g.reign.term, since: g.now}
+	g.conns = append(g.conns, c)
+	m.conns++
+	m.opening++
+	g.counters.ConnsOpened++
+	g.fx.open(OpenConn{Conn: c.id, Member: m.ID})
+}
+
+func (g *Group) conn(id ConnID) *conn {
+	for _, c := range g.conns {
+		if c.id == id {
+			return c
+		}
+	}
+	return nil
+}
+
+func (g *Group) onConnOpened(ev *ConnOpened) {
+	c := g.conn(ev.Conn)
+	if c == nil {
+		if ev.Err == FailureNone {
+			g.fx.close(CloseConn{Conn: ev.Conn}) // It was given up while it opened.
+		} else {
+			g.forgetClosing(ev.Conn)
+		}
+		return
+	}
+	if c.state != connOpening {
+		return
+	}
+	m := c.member
+	if ev.Err != FailureNone {
+		g.removeConn(c)
+		g.openFailed(m, ev.Err)
+		return
+	}
+	m.opening--
+	m.openPause = 0
+	c.state = connRunning // Until it is known to be wanted.
+	g.idleConn(c)
+	g.pump()
+}
+
+// openFailed pauses before the next attempt. A member that is full or stops
+// says so; any other failure is a reason to probe it.
+func (g *Group) openFailed(m *member, err Failure) {
+	m.openPause = min(max(2*m.openPause, openPauseMin), openPauseMax)
+	m.openAfter = g.now.Add(m.openPause/2 + g.random.upTo(m.openPause))
+	g.wakeBy(m.openAfter)
+	switch err {
+	case FailureBusy:
+	case FailureLeaving:
+		m.stopping = true
+		g.probeSoon(m)
+	default:
+		g.reportSoon(m)
+	}
+}
+
+// idleConn takes a clean connection back, or closes it when it is not wanted.
+func (g *Group) idleConn(c *conn) {
+	m := c.member
+	c.request, c.since = nil, g.now
+	if c.doomed || c.term != g.reign.term || g.phase < phaseWaiting || g.avoids(m) || m.conns > g.connLimit(m) {
+		g.closeConn(c)
+		return
+	}
+	c.state = connIdle
+	m.idle = append(m.idle, c)
+}
+
+// takeIdle hands out the connection that was used last, which is the least
+// likely to have gone silent.
+func (m *member) takeIdle() *conn {
+	n := len(m.idle)
+	if n == 0 {
+		return nil
+	}
+	c := m.idle[n-1]
+	m.idle[n-1] = nil
+	m.idle = m.idle[:n-1]
+	return c
+}
+
+// removeConn forgets a connection that is known to be gone.
+func (g *Group) removeConn(c *conn) {
+	m := c.member
+	switch c.state {
+	case connOpening:
+		m.opening--
+	case connIdle:
+		for i, x := range m.idle {
+			if x == c {
+				m.idle = append(m.idle[:i], m.idle[i+1:]...)
+				break
+			}
+		}
+	}
+	if c.request != nil {
+		m.running--
+		c.request = nil
+	}
+	g.unpin(c)
+	m.conns--
+	for i, x := range g.conns {
+		if x == c {
+			g.conns = append(g.conns[:i], g.conns[i+1:]...)
+			break
+		}
+	}
+}
+
+// closeConn closes a connection on which nothing runs. It counts against the
+// budget until the shell confirms, a fence ends it, or CloseGrace is over.
+func (g *Group) closeConn(c *conn) {
+	g.removeConn(c)
+	g.countClosing(c)
+	g.fx.close(CloseConn{Conn: c.id})
+}
+
+func (g *Group) countClosing(c *conn) {
+	until := g.now.Add(g.tuning.CloseGrace)
+	g.closing = append(g.closing, closingConn{id: c.id, member: c.member, until: until})
+	g.wakeBy(until)
+}
+
+func (g *Group) forgetClosing(id ConnID) {
+	for i, c := range g.closing {
+		if c.id == id {
+			g.closing = append(g.closing[:i], g.closing[i+1:]...)
+			return
+		}
+	}
+}
+
+// fencedOff forgets the closing connections of a member whose fence ended them.
+func (g *Group) fencedOff(m *member) {
+	kept := g.closing[:0]
+	for _, c := range g.closing {
+		if c.member != m {
+			kept = append(kept, c)
+		}
+	}
+	g.closing = kept
+}
+
+func (g *Group) onConnClosed(ev *ConnClosed) {
+	c := g.conn(ev.Conn)
+	if c == nil {
+		g.forgetClosing(ev.Conn)
+		g.warmAll()
+		return
+	}
+	if c.request != nil {
+		return // Finished will tell how its request ended.
+	}
+	m := c.member
+	g.removeConn(c)
+	g.lostConn(m)
+}
--- /dev/null
+++ b/core/group/deadline.go
@@ -0,0 +1,51 @@
+package group
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// onAbandoned: the caller cancelled; the answer goes out at once.
+func (g *Group) onAbandoned(ev *Abandoned) {
+	r := g.requests[ev.Request]
+	if r == nil {
+		return
+	}
+	switch r.state {
+	case stateRunning:
+		g.failRequest(r, ReasonCancelled, core.OutcomeUnknown, stepRun, 0)
+	case stateHeld:
+		g.failRequest(r, ReasonCancelled, core.OutcomeUnknown, stepAcknowledge, 0)
+	default:
+		g.failRequest(r, ReasonCancelled, r.unrun(), stepQueue, 0)
+	}
+	g.pump()
+}
+
+// expireDeadlines fails what has run out of time.
+func (g *Group) expireDeadlines() {
+	for g.deadlines.len() > 0 {
+		r := g.deadlines.items[0]
+		if r.deadline > g.now {
+			g.wakeBy(r.deadline)
+			return
+		}
+		switch r.state {
+		case stateRunning:
+			g.failRequest(r, ReasonDeadline, core.OutcomeUnknown, stepRun, 0)
+		case stateHeld:
+			g.expireHeld(r)
+		default:
+			g.failRequest(r, ReasonDeadline, r.unrun(), stepQueue, g.retryAfter())
+		}
+	}
+}
+
+// retryAfter is when a caller might come back with success.
+func (g *Group) retryAfter() time.Duration {
+	if g.phase == phaseServing {
+		return max(g.writeBacklog(), g.tuning.RetryBackoffMax)
+	}
+	return g.tuning.LeaseDuration
+}
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -180,66 +180,6 @@
 	}
 }
 
-// checkContested notes a higher term at the primary or at a majority: another
-// candidate is about to take the group, or died while it did.
-//
-// Guard: if it died, nobody would bring the group back; writes would fail until
-// an operator looks. After ContestWait without news this daemon claims again.
-func (g *Group) checkContested() {
-	if !g.detecting() {
-		return
-	}
-	above := 0
-	for _, m := range g.members {
-		if !m.gone && m.term > g.reign.term {
-			above++
-		}
-	}
-	contested := g.reign.primary.term > g.reign.term || above >= g.majority()
-	d := &g.detect
-	switch {
-	case !contested:
-		d.contestedAt = 0
-	case d.contestedAt == 0:
-		d.contestedAt = g.now
-		g.logEvent("a higher term was seen", g.reign.primary, g.reign.primary.term, "")
-		g.wakeIn(g.tuning.ContestWait)
-	}
-}
-
-// checkOdd follows up members that came back in another term.
-//
-// A lower term: the member was away. It is fenced below the present term, so
-// that an old primary stops writing and can be attached. A higher term: a
-// candidate died after fencing it. It follows nobody until this reign is above
-// it, so the home takes a new term, planned, once the state lasts.
-func (g *Group) checkOdd(m *member) {
-	if m == g.reign.primary || !g.detecting() {
-		return
-	}
-	low := m.term < g.reign.term && m.role != core.RoleFenced
-	high := m.term > g.reign.term
-	if !low && !high {
-		m.oddAt = 0
-		return
-	}
-	if m.oddAt == 0 {
-		m.oddAt = g.now
-		if !low || m.role != core.RolePrimary {
-			return
-		}
-	}
-	if low && (m.role == core.RolePrimary || g.now.Sub(m.oddAt) >= g.tuning.RepairWait) {
-		m.oddAt = g.now
-		g.fx.add(&Fence{Member: m.ID, Term: g.reign.term - 1, Timeout: g.tuning.FenceTimeout})
-		return
-	}
-	if high && g.now.Sub(m.oddAt) >= g.tuning.RepairWait {
-		m.oddAt = g.now
-		g.plan(plannedRepair)
-	}
-}
-
 func (g *Group) runDetect() {
 	if !g.detecting() {
 		return
@@ -262,31 +202,6 @@
 	g.runPlanned()
 }
 
-// runBeat sends the home's heartbeat.
-//
-// Guard: a home that has lost the majority of the members but not the other
-// daemons would keep them from claiming, and the group would stand still. It
-// sends no heartbeat while its lease has lapsed.
-func (g *Group) runBeat() {
-	if g.reign.term == 0 {
-		return
-	}
-	if g.now >= g.detect.beatAt {
-		g.detect.beatAt = g.now.Add(g.tuning.BeatInterval)
-		if g.now < g.reign.leaseUntil {
-			g.sendBeat()
-		}
-	}
-	g.wakeBy(g.detect.beatAt)
-}
-
-func (g *Group) sendBeat() {
-	g.detect.beatAt = g.now.Add(g.tuning.BeatInterval)
-	g.wakeBy(g.detect.beatAt)
-	g.fx.beat(Beat{Term: g.reign.term, Primary: g.reign.primary.ID, News: !g.reign.announced})
-	g.reign.announced = true
-}
-
 // reportSoon asks a member for a report at the fast pace, because work on it
 // failed or its last report is too old for a read.
 func (g *Group) reportSoon(m *member) {
--- /dev/null
+++ b/core/group/pin.go
@@ -0,0 +1,56 @@
+package group
+
+import "limpetspan/core"
+
+// expirePinned ends a transaction that idles while others wait.
+func (g *Group) expirePinned(c *conn) {
+	until := c.since.Add(g.tuning.PinnedIdle)
+	if g.now < until {
+		g.wakeBy(until)
+		return
+	}
+	g.counters.PinsExpired++
+	g.closeConn(c)
+}
+
+// pin binds a connection to the caller whose transaction is open on it.
+//
+// Guard: statements of two transactions must never interleave. Nothing else is
+// dispatched on the connection until its transaction ends or it is closed.
+func (g *Group) pin(c *conn, caller core.CallerID) {
+	c.state, c.request, c.since = connPinned, nil, g.now
+	if c.pinned {
+		return
+	}
+	if old := g.pins[caller]; old != nil {
+		g.closeConn(old)
+	}
+	c.pinned, c.caller = true, caller
+	c.member.pinned++
+	g.pins[caller] = c
+}
+
+func (g *Group) unpin(c *conn) {
+	if !c.pinned {
+		return
+	}
+	c.pinned = false
+	c.member.pinned--
+	if g.pins[c.caller] == c {
+		delete(g.pins, c.caller)
+	}
+}
+
+// onHungUp: the caller is gone; its open transaction ends with its connection.
+func (g *Group) onHungUp(ev *HungUp) {
+	c := g.pins[ev.Caller]
+	if c == nil {
+		return
+	}
+	if r := c.request; r != nil {
+		g.failRequest(r, ReasonCancelled, core.OutcomeUnknown, stepRun, 0)
+	} else {
+		g.closeConn(c)
+	}
+	g.pump()
+}
--- /dev/null
+++ b/core/group/repair.go
@@ -0,0 +1,63 @@
+package group
+
+import "limpetspan/core"
+
+// checkContested notes a higher term at the primary or at a majority: another
+// candidate is about to take the group, or died while it did.
+//
+// Guard: if it died, nobody would bring the group back; writes would fail until
+// an operator looks. After ContestWait without news this daemon claims again.
+func (g *Group) checkContested() {
+	if !g.detecting() {
+		return
+	}
+	above := 0
+	for _, m := range g.members {
+		if !m.gone && m.term > g.reign.term {
+			above++
+		}
+	}
+	contested := g.reign.primary.term > g.reign.term || above >= g.majority()
+	d := &g.detect
+	switch {
+	case !contested:
+		d.contestedAt = 0
+	case d.contestedAt == 0:
+		d.contestedAt = g.now
+		g.logEvent("a higher term was seen", g.reign.primary, g.reign.primary.term, "")
+		g.wakeIn(g.tuning.ContestWait)
+	}
+}
+
+// checkOdd follows up members that came back in another term.
+//
+// A lower term: the member was away. It is fenced below the present term, so
+// that an old primary stops writing and can be attached. A higher term: a
+// candidate died after fencing it. It follows nobody until this reign is above
+// it, so the home takes a new term, planned, once the state lasts.
+func (g *Group) checkOdd(m *member) {
+	if m == g.reign.primary || !g.detecting() {
+		return
+	}
+	low := m.term < g.reign.term && m.role != core.RoleFenced
+	high := m.term > g.reign.term
+	if !low && !high {
+		m.oddAt = 0
+		return
+	}
+	if m.oddAt == 0 {
+		m.oddAt = g.now
+		if !low || m.role != core.RolePrimary {
+			return
+		}
+	}
+	if low && (m.role == core.RolePrimary || g.now.Sub(m.oddAt) >= g.tuning.RepairWait) {
+		m.oddAt = g.now
+		g.fx.add(&Fence{Member: m.ID, Term: g.reign.term - 1, Timeout: g.tuning.FenceTimeout})
+		return
+	}
+	if high && g.now.Sub(m.oddAt) >= g.tuning.RepairWait {
+		m.oddAt = g.now
+		g.plan(plannedRepair)
+	}
+}
