Refuse a change from a store that is behind the daemons

Cause: for about a second after the store was restored from a backup, "limpetspan config apply" and the like went on from the old revision: a change made then was accepted and undone by the daemons' write-back, or the answer was "nothing changes; revision 1 is in force" while daemons had 2. A test gave a daemon a revision that the store never had; it now gets it with the change.

--- a/pkg/cli/change.go
+++ b/pkg/cli/change.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	base, err := editor.Load(ctx)
+	base, err := env.loadInForce(ctx, editor)
 	if err != nil {
 		return err
 	}
@@ -73,6 +73,32 @@
 	}
 }
 
+// loadInForce reads the configuration and compares it with what the daemons
+// given have in force.
+//
+// Guard: a store restored from a backup holds an older revision until a daemon
+// writes the one in force back. A change made from it would be accepted and
+// then undone by the write-back, without a trace in the history. The daemons
+// are asked before the store is read, and have no revision that it had not, so
+// a lower one there proves the restore; one after the reading is noticed by
+// the guard of the change itself.
+func (e *Env) loadInForce(ctx context.Context, editor *confstore.Editor) (*config.Document, error) {
+	var inForce config.Revision
+	for _, addr := range e.Daemons {
+		if status, err := e.operators().Status(ctx, addr, false); err == nil {
+			inForce = max(inForce, config.Revision(status.ConfigRevision))
+		}
+	}
+	doc, err := editor.Load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if doc.Revision < inForce {
+		return nil, fmt.Errorf("nothing was changed: %w: %d, daemons have %d", confstore.ErrStoreBehind, doc.Revision, inForce)
+	}
+	return doc, nil
+}
+
 // awaitBase waits until every live daemon has base in force, if the members of
 // a group change and daemons are given to ask. Old and new majorities overlap
 // from one revision to the next only: a daemon two changes behind could fence a
