Shut the gate while a home learns of the seals of others

Cause: a daemon that became home again, with another home in between, went on with the holds it knew; a late answer of an earlier reign could open the gate. Change: Load forgets first, and its answer counts only for the reign it began. Conclusion: the gate does not depend on being reset by its user.

--- a/pkg/takeover/gate_test.go
+++ b/pkg/takeover/gate_test.go
@@ -161,4 +161,42 @@
 			Revision: w.inForce.Load().Revision + 1})
 		Expect(errs.Is(err, errs.Unavailable)).To(BeTrue())
 	})
+
+	// A check-out is lost: a daemon was home, then another one sealed the bucket,
+	// and the first became home again and served by what it knew from before.
+	It("shuts until it has read the seals of homes in between", func() {
+		slow := &slowQueries{world: w, begun: make(chan struct{}), answer: make(chan struct{})}
+		gate = takeover.NewGate(rival, slow, w.inForce.Load)
+		loaded := func() chan error {
+			done := make(chan error, 1)
+			go func() { done <- gate.Load(w.ctx) }()
+			Eventually(slow.begun, bound).Should(Receive())
+			return done
+		}
+		first := loaded()
+		second := loaded()
+		slow.answer <- struct{}{}
+		slow.answer <- struct{}{}
+		errors := []error{<-first, <-second}
+		Expect(errors).To(ConsistOf(BeNil(), HaveOccurred()), "only the later reign counts")
+		Expect(enterAndLeave(1)).To(Succeed())
+		third := loaded()
+		Expect(errs.Is(enterAndLeave(1), errs.Unavailable)).To(BeTrue())
+		slow.answer <- struct{}{}
+		Eventually(third, bound).Should(Receive(BeNil()))
+		Expect(enterAndLeave(1)).To(Succeed())
+	})
 })
+
+// slowQueries answers queries when told to.
+type slowQueries struct {
+	*world
+	begun, answer chan struct{}
+}
+
+func (s *slowQueries) Query(ctx context.Context, g core.GroupID, st takeover.Statement) ([]takeover.Row, error) {
+	rows, err := s.world.Query(ctx, g, st)
+	s.begun <- struct{}{}
+	<-s.answer
+	return rows, err
+}
--- a/pkg/takeover/order.go
+++ b/pkg/takeover/order.go
@@ -180,15 +180,22 @@
 }
 
 // Load reads the seals from the group's database. It is called when this
-// daemon has become home, before or while it serves: no statement of a kind is
-// admitted until it is done.
+// daemon has become home, also when it was home of an earlier term: another
+// home may have sealed buckets in between. No statement of a kind is admitted
+// until it is done.
 func (g *Gate) Load(ctx context.Context) error {
+	reign := g.Reset()
 	rows, err := g.databases.Query(ctx, g.group, statement(readSealsSQL))
 	if err != nil && !isSQLState(err, codeUndefinedTable) {
 		return err
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// Prevents that the seals of an earlier reign count for a later one, when
+	// their answer was under way while the home changed.
+	if g.reign != reign {
+		return errs.New(errs.NotHome, core.OutcomeRan, stepOrder, "", "the home has changed meanwhile")
+	}
 	for _, row := range rows {
 		if len(row) < 4 {
 			return &ColumnsError{Statement: "seals", Want: 4, Have: len(row)}
@@ -204,13 +211,16 @@
 	return nil
 }
 
-// Reset forgets the holds when this daemon is not home any more.
-func (g *Gate) Reset() {
+// Reset forgets the holds when this daemon is not home any more. It returns
+// the number of the reign that a Load would begin now.
+func (g *Gate) Reset() (reign int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.loaded = false
+	g.reign++
 	for _, k := range g.kinds {
 		clear(k.holds)
 	}
 	g.wake()
+	return g.reign
 }
