Measure the failover gap

Cause: nothing tells how long writes stand still when a primary or its home fails, nor that acknowledged writes survive.

--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -15,6 +15,7 @@
 type BenchCommand struct {
 	Control  *BenchControlCommand  `arg:"subcommand:control" help:"measure what the control work of a daemon costs, with many daemons in this process"`
 	Capacity *BenchCapacityCommand `arg:"subcommand:capacity" help:"write the capacity page from the measurement files"`
+	Failover *BenchFailoverCommand `arg:"subcommand:failover" help:"measure the gap of writes when the primary or its home fails"`
 }
 
 // Examples shows how the subcommand is used.
