Let an embedded fleet outlive the context of its start

Cause: the stand-in groups ran under the context given to Start; when a start timeout ran out, all members stopped listening. Change: the groups run until Close. Conclusion: the new test fails with the old line (tried).

--- a/pkg/embedded/fleet.go
+++ b/pkg/embedded/fleet.go
@@ -130,7 +130,9 @@
 		return err
 	}
 	f.groups[o.ID] = g
-	if err := g.Start(ctx); err != nil {
+	// ctx bounds the start; the group runs until Close. Bound to ctx, all
+	// members would stop listening when a caller's start timeout ran out.
+	if err := g.Start(context.WithoutCancel(ctx)); err != nil {
 		return err
 	}
 	g.Faults().Register(mux, "/target/"+string(o.ID))
--- a/pkg/embedded/fleet_test.go
+++ b/pkg/embedded/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -42,6 +43,29 @@
 	})
 })
 
+var _ = Describe("a started fleet", func() {
+	// A bench bounds the start by a context of its own and ends that context
+	// once the fleet serves; the members must not go with it.
+	It("outlives the context of its start", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), bound)
+		defer cancel()
+		starting, started := context.WithCancel(ctx)
+		fleet, err := embedded.Start(starting, embedded.Kitacycle(0))
+		Expect(err).NotTo(HaveOccurred())
+		defer fleet.Close()
+		started()
+		for _, m := range fleet.Group("parkdb-1").Members() {
+			Consistently(func() error {
+				conn, err := net.Dial("tcp", m.Addr())
+				if err == nil {
+					err = conn.Close()
+				}
+				return err
+			}, 200*time.Millisecond).Should(Succeed())
+		}
+	})
+})
+
 var _ = Describe("a daemon that is killed", func() {
 	// A rider's app writes through the daemon that is home of its group when
 	// that daemon's process ends without a word. Another candidate has to
