--- a/core/group/claim.go
+++ b/core/group/claim.go
@@ -121,10 +121,14 @@
 		g.failQueue(ReasonNotHome)
 	}
 	if g.phase == phaseFollowing {
-		g.postponeClaim(g.tuning.ClaimDelay)
+		g.postponeClaim(max(g.tuning.ClaimDelay, heartbeatsMissed*g.tuning.BeatInterval))
 	}
 }
 
+// heartbeatsMissed is the least number of heartbeats that a heard home must
+// have missed before it is replaced, however short ClaimDelay is.
+const heartbeatsMissed = 3
+
 // onOwnNews: the fleet names this daemon as home of a term that it never held
 // in this process. It restarted, so nobody is home and it can claim at once.
 func (g *Group) onOwnNews(ev *HomeNews) {
--- a/core/group/tuning.go
+++ b/core/group/tuning.go
@@ -54,7 +54,8 @@
 	// BeatInterval paces the home's heartbeats to other candidates. Default 250 ms.
 	BeatInterval time.Duration
 	// ClaimDelay is how long the first candidate goes without a heartbeat
-	// before it claims the group. Default 900 ms.
+	// before it claims the group. Default 900 ms; once a home was heard, three
+	// times BeatInterval at the least.
 	ClaimDelay time.Duration
 	// ClaimStep is added to ClaimDelay for each better candidate. Default 400 ms.
 	ClaimStep time.Duration
