--- a/pkg/home/do_test.go
+++ b/pkg/home/do_test.go
@@ -308,6 +308,18 @@
 		Expect(r.reducer.results).To(Equal([]group.Result{group.ResultLost}))
 	})
 
+	// A stand reads a listing, and the connection breaks after some rows. Lost reads
+	// are repeated; the rows that the stand has already would come twice.
+	It("that was half answered is not tried again", func() {
+		start(1)
+		req := r.request(1, query("HALF"))
+		req.Read = true
+		a, _, err := r.do(req)
+		Expect(errs.Is(err, errs.ConnectionLost)).To(BeTrue())
+		Expect(a.types()).To(Equal("D"))
+		Expect(r.member.count("HALF")).To(Equal(1))
+	})
+
 	It("that finds its connection closed was not sent", func() {
 		start(1)
 		_, _, err := r.do(r.request(1, query("SELECT 1")))
--- a/pkg/home/fake_member_test.go
+++ b/pkg/home/fake_member_test.go
@@ -14,7 +14,7 @@
 
 // fakeMember is a PostgreSQL server whose statements are texts with a meaning
 // for the tests: "WAIT name" waits until the gate of that name is opened,
-// "DIE" ends the connection, "FAIL code" and "FATAL code" answer an error, BEGIN, COMMIT and ROLLBACK do as they say, and
+// "DIE" ends the connection, "HALF" after a row, "FAIL code" and "FATAL code" answer an error, BEGIN, COMMIT and ROLLBACK do as they say, and
 // everything is counted. Answers repeat the statement's text.
 type fakeMember struct {
 	listener net.Listener
@@ -140,9 +140,11 @@
 func (s *fakeSession) handle(message pgproto3.FrontendMessage) bool {
 	switch m := message.(type) {
 	case *pgproto3.Query:
-		ok := s.run(m.String)
+		if !s.run(m.String) {
+			return false
+		}
 		s.ready()
-		return ok
+		return true
 	case *pgproto3.Sync:
 		s.ready()
 		return true
@@ -210,6 +212,11 @@
 	case "COMMIT", "ROLLBACK":
 		s.status = 'I'
 	}
+	if verb == "HALF" {
+		s.row(strings.Repeat("x", 32<<10))
+		_ = s.backend.Flush()
+		return false
+	}
 	if strings.Contains(sql, "limpetspan_position") {
 		s.row("2", "100")
 	} else if verb == "BIG" {
--- a/pkg/home/fake_reducer_test.go
+++ b/pkg/home/fake_reducer_test.go
@@ -9,7 +9,8 @@
 
 // fakeReducer is the least reducer that the shell's tests need: it opens conns
 // connections to the first member, gives each request one, and ends requests at
-// their deadline. It holds every write and acknowledges it at once.
+// their deadline. It holds every write and acknowledges it at once, and repeats
+// reads that were lost.
 type fakeReducer struct {
 	conns   int
 	member  core.MemberID
@@ -100,7 +101,11 @@
 		}
 		delete(f.calls, e.Request)
 		f.add(fx, &group.Acknowledge{Request: e.Request, Position: e.Position})
-	case group.ResultNotSent:
+	case group.ResultLost, group.ResultNotSent:
+		if e.Result == group.ResultLost && !c.arrived.Read {
+			f.end(e.Request, group.ReasonConnectionLost, fx)
+			return
+		}
 		f.queue = append(f.queue, e.Request)
 		c.conn = 0
 	default:
