Copy in smaller pages while callers are slowed

Cause: at a low rate whole pages went out four at a time, and callers waited behind each burst; the latency to compare with grew by the copy's own doing. Change: the page follows the rate, pages are reserved one after the other, and a rise of latency during a copy is believed slowly.

--- a/core/takeover/bucket.go
+++ b/core/takeover/bucket.go
@@ -20,6 +20,8 @@
 	// took its marker early and committed late shows up behind the marker, so
 	// that each round goes over the one before again.
 	marker, roundStart, previousStart string
+	// pageSize is the size of the page under way.
+	pageSize int
 	// rounds counts the rounds of catching up.
 	rounds int
 	// latestKey as Resume.KeysAfter.
@@ -49,9 +51,11 @@
 	return m.tuning.backoff(b.failures)
 }
 
-// pageWait is the pause before a page: the pace of the copy, or a retry's.
+// pageWait sets the size of the next page and returns the pause before it: the
+// pace of the copy, or a retry's.
 func (m *Machine) pageWait(b *bucket) time.Duration {
-	return max(m.retryWait(b), m.pacer.Wait(m.now))
+	b.pageSize = m.pacer.PageSize(m.tuning.PageSize)
+	return max(m.retryWait(b), m.pacer.Reserve(m.now, b.pageSize))
 }
 
 // check settles a result's failure and reports whether the step succeeded.
@@ -80,7 +84,8 @@
 
 func (m *Machine) copyPage(b *bucket) {
 	b.step = StepCopy
-	m.emit(&CopyPage{Bucket: b.id, After: b.lastKey, Size: m.tuning.PageSize, Wait: m.pageWait(b)})
+	wait := m.pageWait(b)
+	m.emit(&CopyPage{Bucket: b.id, After: b.lastKey, Size: b.pageSize, Wait: wait})
 }
 
 // copied goes on with the next page. Changes are caught up from the latest
@@ -91,12 +96,12 @@
 		return
 	}
 	m.progress.Records += int64(e.Rows)
-	m.pacer.Spend(m.now, e.Rows)
+	m.pacer.Refund(b.pageSize - e.Rows)
 	if b.firstPage {
 		b.firstPage, b.marker = false, e.Marker
 		b.previousStart = e.Marker
 	}
-	if e.Rows == m.tuning.PageSize {
+	if e.Rows == b.pageSize {
 		b.lastKey = e.LastKey
 		m.copyPage(b)
 		return
@@ -128,7 +133,7 @@
 	if b.rounds == 0 && b.aborts > 0 {
 		wait = max(wait, m.tuning.backoff(b.aborts))
 	}
-	m.emit(&CatchUpPage{Bucket: b.id, Marker: b.marker, Size: m.tuning.PageSize, Wait: wait})
+	m.emit(&CatchUpPage{Bucket: b.id, Marker: b.marker, Size: b.pageSize, Wait: wait})
 }
 
 func (m *Machine) caughtUp(b *bucket, e *CaughtUp) {
@@ -136,11 +141,11 @@
 		return
 	}
 	m.progress.Changes += int64(e.Rows)
-	m.pacer.Spend(m.now, e.Rows)
+	m.pacer.Refund(b.pageSize - e.Rows)
 	if e.Rows > 0 {
 		b.marker = LatestMarker(b.marker, e.Marker)
 	}
-	if e.Rows == m.tuning.PageSize {
+	if e.Rows == b.pageSize {
 		m.catchUp(b)
 		return
 	}
--- a/core/takeover/pacer.go
+++ b/core/takeover/pacer.go
@@ -44,8 +44,13 @@
 	setDefault(&t.Slack, d.Slack)
 }
 
-// baselineWeight is the weight of a new sample in the latency without copying.
-const baselineWeight = 0.1
+// Weights of a new sample in the latency without copying. While something is
+// copied, if only at MinRate, a rise may be the copy's own doing, and is
+// believed slowly.
+const (
+	baselineWeight     = 0.1
+	baselineRiseWeight = 0.01
+)
 
 // Pacer sets the copy rate by callers' latency: additive increase while they
 // are not slowed, multiplicative decrease when they are. The latency to compare
@@ -95,7 +100,11 @@
 		p.baseline = latency
 		return
 	}
-	p.baseline += time.Duration(baselineWeight * float64(latency-p.baseline))
+	weight := baselineWeight
+	if p.copying && latency > p.baseline {
+		weight = baselineRiseWeight
+	}
+	p.baseline += time.Duration(weight * float64(latency-p.baseline))
 }
 
 func (p *Pacer) slowed(latency time.Duration) bool {
@@ -103,15 +112,32 @@
 	return latency > 0 && p.baseline > 0 && latency > limit
 }
 
-// Wait returns how long to wait before the next page.
-func (p *Pacer) Wait(now core.Time) time.Duration {
+// Reserve takes the time of a page of records and returns how long to wait
+// before it. Pages that are reserved together are thereby spread.
+func (p *Pacer) Reserve(now core.Time, records int) time.Duration {
 	if !p.copying {
 		p.copying, p.adjusted = true, now
 	}
-	return max(0, p.free.Sub(now))
+	start := max(p.free, now)
+	p.free = start.Add(p.cost(records))
+	return start.Sub(now)
 }
 
-// Spend takes the time of records that were copied.
-func (p *Pacer) Spend(now core.Time, records int) {
-	p.free = max(p.free, now).Add(time.Duration(float64(records) / p.rate * float64(time.Second)))
+// Refund gives back the time of records that a page did not hold.
+func (p *Pacer) Refund(records int) { p.free = p.free.Add(-p.cost(records)) }
+
+func (p *Pacer) cost(records int) time.Duration {
+	return time.Duration(float64(records) / p.rate * float64(time.Second))
 }
+
+// pageTime is how long the records of one page last at the present rate.
+const pageTime = 50 * time.Millisecond
+
+// PageSize returns how many records the next page is to hold, at most limit:
+// few while the rate is low, as callers wait behind each page.
+func (p *Pacer) PageSize(limit int) int {
+	return min(limit, max(minPage, int(p.rate*pageTime.Seconds())))
+}
+
+// minPage is the least number of records in a page.
+const minPage = 10
--- a/core/takeover/tuning.go
+++ b/core/takeover/tuning.go
@@ -4,7 +4,7 @@
 
 // Tuning are the parameters of a Machine. Zero fields take the defaults.
 type Tuning struct {
-	// PageSize is how many records one page holds.
+	// PageSize is how many records one page holds at most.
 	PageSize int
 	// Parallel is how many buckets are copied at a time.
 	Parallel int
