Keep small stream buffers between exchanges

Cause: every exchange gave yamux's stream buffers back and had them made anew, 8 of 44 allocations. Change: they are given back only when they grew above 16 KiB; idle streams keep 64 KiB of their own at most instead of 256. The entry counts as shed only what its own limits refuse.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -115,7 +115,7 @@
 	case errs.Is(err, errs.WriteLost) && req.Floors != nil:
 		// The session was told; from now on it reads what there is.
 		req.Floors.Forget(req.Group)
-	case errs.Is(err, errs.Overloaded):
+	case errs.As(err).Step == stepLimit:
 		e.metrics.shed.Add(1)
 	}
 }
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -40,8 +40,11 @@
 	// maxFrame bounds a frame, so that a broken peer cannot demand memory
 	// without limit. It leaves room for the largest caller message.
 	maxFrame = 1<<30 + 1<<20
-	// keptBuffer is the largest buffer that is kept for reuse.
-	keptBuffer = 256 << 10
+	// keptBuffer is the largest buffer that is kept for reuse by an idle stream.
+	// A daemon may have many of them to each of 1,700 others.
+	keptBuffer = 64 << 10
+	// smallBuffer is the size up to which yamux's buffer of a stream is kept too.
+	smallBuffer = 16 << 10
 	// growth is how much is allocated ahead of bytes that have not arrived.
 	growth = 1 << 20
 )
--- a/pkg/peer/serverstream.go
+++ b/pkg/peer/serverstream.go
@@ -61,8 +61,11 @@
 		if err := serveOne(ctx); err != nil {
 			return err
 		}
+		if max(cap(x.readBuf), cap(x.messages)) > smallBuffer {
+			// yamux's own buffer has grown with ours.
+			x.raw.Shrink()
+		}
 		x.readBuf, x.messages, x.sendBuf = trim(x.readBuf), trim(x.messages), trim(x.sendBuf)
-		x.raw.Shrink()
 	}
 }
 
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -104,8 +104,11 @@
 
 // put gives a stream back whose last answer arrived whole.
 func (s *session) put(x *stream) {
+	if cap(x.frameBuf) > smallBuffer {
+		// yamux's own buffer has grown with ours.
+		x.Shrink()
+	}
 	x.sendBuf, x.frameBuf = trim(x.sendBuf), trim(x.frameBuf)
-	x.Shrink()
 	s.mu.Lock()
 	s.inflight--
 	s.lastUse = s.now()
