Report the longest stalls of callers beside the failover gap

Cause: the gap ends with the first write; what holds single callers up later, also after the end of the fault, did not show. Change: the report lists the longest times without an acknowledgment.

--- a/pkg/bench/failover/measure.go
+++ b/pkg/bench/failover/measure.go
@@ -57,6 +57,7 @@
 	}
 	report.summarize(runs, o.Faults)
 	b.ledger.fill(report)
+	report.Stalls = stalls(b.ledger.since(0), runs)
 	if err := b.check(ctx, report); err != nil {
 		return nil, err
 	}
@@ -116,7 +117,7 @@
 	if err := heal(); err != nil {
 		return run{}, false, fmt.Errorf("heal: %w", err)
 	}
-	r := run{fault: fault, gap: time.Since(began)}
+	r := run{fault: fault, began: began, gap: time.Since(began)}
 	if first := b.firstAfter(place, began); len(first) > 0 {
 		r.gap, r.allCallers = slices.Min(first), slices.Max(first)
 	}
--- a/pkg/bench/failover/report.go
+++ b/pkg/bench/failover/report.go
@@ -27,6 +27,8 @@
 	Unconfirmed  int `json:"unconfirmed"`
 	// Errors counts the errors by SQLSTATE, outcome and step.
 	Errors map[string]int `json:"errors,omitempty"`
+	// Stalls are the longest times in which one caller got no acknowledgment.
+	Stalls []Stall `json:"stalls"`
 	// NotWhole counts the runs after which the group was not whole again in
 	// time; the measurement ends with the first.
 	NotWhole int `json:"not_whole"`
@@ -52,6 +54,7 @@
 // run is what one run gave.
 type run struct {
 	fault      Fault
+	began      time.Time
 	gap        time.Duration
 	allCallers time.Duration
 }
