Notice a primary that stands still by its statements, and adapt probe time limits

Cause: a partitioned or paused primary was noticed at the next of the probes 200 ms apart, which then ran into a limit of 150 ms; a claim waited 40 ms for a member already known not to answer. Change: a statement that takes four times as long as usual (15 ms at the least) has the primary probed at once; the limit on the kept connection follows the round trips (40 to 100 ms), that on a new one is 200 ms; a claim does not wait for members that failed their probes; candidates claim after 600 ms, since a claim against a home at work is given up.

--- a/core/group/ballot.go
+++ b/core/group/ballot.go
@@ -130,11 +130,11 @@
 	}
 }
 
-// tally promotes once a majority is fenced and the others had time to tell
-// their positions, and starts over above when that cannot be.
+// tally promotes once a majority is fenced and the others, unless they failed
+// their probes already, had time to tell their positions, and starts over above when that cannot be.
 func (g *Group) tally() {
 	b := &g.ballot
-	fenced, pending := 0, 0
+	fenced, pending, answering := 0, 0, 0
 	for _, m := range g.members {
 		switch {
 		case m.gone:
@@ -142,10 +142,13 @@
 			fenced++
 		case m.vote == votePending:
 			pending++
+			if m.failures < servingFailures {
+				answering++
+			}
 		}
 	}
 	if g.now >= b.until {
-		pending = 0
+		pending, answering = 0, 0
 	}
 	need := g.majority()
 	if !g.guarded(GuardMajority) {
@@ -163,7 +166,7 @@
 		b.until = min(b.until, g.now.Add(g.tuning.GatherWait))
 		g.wakeBy(b.until)
 	}
-	if pending > 0 && g.now < b.until {
+	if answering > 0 {
 		return
 	}
 	if g.oldPrimaryAbove() {
--- a/core/group/claim.go
+++ b/core/group/claim.go
@@ -127,7 +127,7 @@
 
 // heartbeatsMissed is the least number of heartbeats that a heard home must
 // have missed before it is replaced, however short ClaimDelay is.
-const heartbeatsMissed = 3
+const heartbeatsMissed = 2
 
 // onOwnNews: the fleet names this daemon as home of a term that it never held
 // in this process. It restarted, so nobody is home and it can claim at once.
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -1,6 +1,10 @@
 package group
 
-import "limpetspan/core"
+import (
+	"time"
+
+	"limpetspan/core"
+)
 
 // suspicion is how far the doubt about the primary has gone.
 type suspicion uint8
@@ -16,6 +20,9 @@
 // detector decides when the primary is to be replaced, and by whom.
 type detector struct {
 	suspicion suspicion
+	// late: this process itself stood still while it waited for the probe, so
+	// the missing answer says little about the connection.
+	late bool
 	// askedUntil bounds the wait for opinions.
 	askedUntil core.Time
 	asked      int
@@ -40,6 +47,9 @@
 	*d = detector{handedOverAt: d.handedOverAt, beatAt: d.beatAt, planAfter: d.planAfter}
 }
 
+// lateMargin is how late a time limit may be noticed by a process that runs.
+const lateMargin = 20 * time.Millisecond
+
 // maxOpinions is the number of candidates asked about a primary.
 const maxOpinions = 3
 
@@ -56,6 +66,7 @@
 	if !fresh {
 		if d.suspicion == suspicionNone {
 			d.suspicion = suspicionFresh
+			d.late = g.now.Sub(m.probe.sentAt) > m.probe.timeout+lateMargin
 			g.logEvent("primary suspected", m, g.reign.term, "")
 			g.askOpinions(m)
 		}
@@ -169,7 +180,7 @@
 func (g *Group) primaryAnswered(m *member) {
 	d := &g.detect
 	if d.suspicion != suspicionNone {
-		if d.suspicion == suspicionFresh {
+		if d.suspicion == suspicionFresh && !d.late {
 			g.closeIdle(m) // They may be as silent as the control connection was.
 			g.logEvent("connection was silent, primary is alive", m, g.reign.term, "")
 		}
--- a/core/group/dispatch.go
+++ b/core/group/dispatch.go
@@ -102,6 +102,9 @@
 	r.asked = !r.read || g.asksPosition(r, m)
 	c.state, c.request, c.since = connRunning, r, g.now
 	m.running++
+	if m == g.reign.primary {
+		g.wakeIn(m.stall())
+	}
 	if !r.read {
 		g.writesBegun++
 		g.writesRunning++
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -39,6 +39,8 @@
 	claimPosition core.Position
 	// stopping is set by the member's own word that it shuts down.
 	stopping bool
+	// roundTrip is the smoothed time that an answered probe takes.
+	roundTrip time.Duration
 	// failures counts failed probes since the last answer.
 	failures int
 	// position is known to be applied in the present reign since positionAt, if
--- a/core/group/probe.go
+++ b/core/group/probe.go
@@ -53,6 +53,9 @@
 		return // A claim asks each member once.
 	}
 	due := min(p.next, p.sentAt.Add(g.probePace(m)))
+	if m == g.reign.primary {
+		due = min(due, g.stalledAt(m))
+	}
 	if m.lostAt >= p.sentAt {
 		due = p.sentAt.Add(g.tuning.FastProbeInterval) // Whether it is still in the term.
 	}
@@ -63,6 +66,35 @@
 	g.wakeBy(due)
 }
 
+// stalledAt is when the oldest statement at a member has taken so much longer
+// than usual that a probe is to look, rather than wait for its turn; never if
+// one did since. It takes most of the probe interval out of the failover gap.
+func (g *Group) stalledAt(m *member) core.Time {
+	oldest := never
+	for _, c := range g.conns {
+		if c.member == m && c.request != nil {
+			oldest = min(oldest, c.since)
+		}
+	}
+	if oldest == never {
+		return never
+	}
+	at := oldest.Add(m.stall())
+	if m.probe.sentAt >= at {
+		return never
+	}
+	return at
+}
+
+// stallMin and stallFactor say how long a statement may take, beside what is
+// usual, before the primary is looked at.
+const (
+	stallMin    = 15 * time.Millisecond
+	stallFactor = 4
+)
+
+func (m *member) stall() time.Duration { return max(stallMin, stallFactor*m.service) }
+
 // probePace is fast while something waits for what the member will report.
 func (g *Group) probePace(m *member) time.Duration {
 	if m.failures == 0 && g.awaits(m) {
@@ -113,10 +145,21 @@
 	g.wakeBy(g.now)
 }
 
+// probeTimeoutMin and probeTimeoutFactor adapt the time limit of a probe on the
+// kept connection to the round trips seen. Exceeding it costs no more than a
+// new connection and a few questions, so it may be short.
+const (
+	probeTimeoutMin    = 40 * time.Millisecond
+	probeTimeoutFactor = 8
+)
+
 func (g *Group) sendProbe(m *member, fresh bool) {
 	timeout := g.tuning.ProbeTimeout
-	if fresh {
+	switch {
+	case fresh:
 		timeout = g.tuning.FreshTimeout
+	case m.roundTrip > 0:
+		timeout = min(timeout, max(probeTimeoutMin, probeTimeoutFactor*m.roundTrip))
 	}
 	m.probe = probeState{
 		inFlight: true, fresh: fresh, sentAt: g.now, timeout: timeout, next: never,
@@ -137,6 +180,7 @@
 	if ev.Err != FailureNone {
 		g.probeFailed(m, ev.Err, ev.Fresh)
 	} else {
+		m.observeRoundTrip(g.now.Sub(ev.SentAt))
 		g.report(m, &ev.Status, ev.SentAt)
 		g.probeAnswered(m)
 	}
@@ -149,6 +193,15 @@
 	g.pump()
 }
 
+// observeRoundTrip smooths the time that probes take; the first counts whole.
+func (m *member) observeRoundTrip(d time.Duration) {
+	if m.roundTrip == 0 {
+		m.roundTrip = d
+		return
+	}
+	m.roundTrip += (d - m.roundTrip) / 8
+}
+
 func (g *Group) probeFailed(m *member, err Failure, fresh bool) {
 	m.failures++
 	g.counters.ProbeFailures++
--- a/core/group/tuning.go
+++ b/core/group/tuning.go
@@ -45,21 +45,22 @@
 	// FastProbeInterval paces the probes while a request waits for a
 	// position. Default 3 ms.
 	FastProbeInterval time.Duration
-	// ProbeTimeout bounds a probe on the kept connection. Default 150 ms.
+	// ProbeTimeout bounds a probe on the kept connection; the bound is less
+	// where round trips are short, 40 ms at the least. Default 100 ms.
 	ProbeTimeout time.Duration
-	// FreshTimeout bounds a probe on a new connection. Default 250 ms.
+	// FreshTimeout bounds a probe on a new connection. Default 200 ms.
 	FreshTimeout time.Duration
-	// OpinionTimeout bounds the wait for other candidates' opinions. Default 250 ms.
+	// OpinionTimeout bounds the wait for other candidates' opinions. Default 200 ms.
 	OpinionTimeout time.Duration
 	// BeatInterval paces the home's heartbeats to other candidates. Default 250 ms.
 	BeatInterval time.Duration
 	// ClaimDelay is how long the first candidate goes without a heartbeat
-	// before it claims the group. Default 900 ms; once a home was heard, three
-	// times BeatInterval at the least.
+	// before it claims the group. Default 600 ms; once a home was heard, twice
+	// BeatInterval at the least.
 	ClaimDelay time.Duration
 	// ClaimStep is added to ClaimDelay for each better candidate. Default 400 ms.
 	ClaimStep time.Duration
-	// ClaimJitter bounds the random part of a claim's delay. Default 100 ms.
+	// ClaimJitter bounds the random part of a claim's delay. Default 50 ms.
 	ClaimJitter time.Duration
 	// ClaimBackoff is the first pause after a refused claim; it doubles up to
 	// ClaimBackoffMax. Defaults 50 ms and 1 s.
@@ -145,13 +146,13 @@
 		{&t.LeaseMargin, 20 * time.Millisecond},
 		{&t.ProbeInterval, 200 * time.Millisecond},
 		{&t.FastProbeInterval, 3 * time.Millisecond},
-		{&t.ProbeTimeout, 150 * time.Millisecond},
-		{&t.FreshTimeout, 250 * time.Millisecond},
-		{&t.OpinionTimeout, 250 * time.Millisecond},
+		{&t.ProbeTimeout, 100 * time.Millisecond},
+		{&t.FreshTimeout, 200 * time.Millisecond},
+		{&t.OpinionTimeout, 200 * time.Millisecond},
 		{&t.BeatInterval, 250 * time.Millisecond},
-		{&t.ClaimDelay, 900 * time.Millisecond},
+		{&t.ClaimDelay, 600 * time.Millisecond},
 		{&t.ClaimStep, 400 * time.Millisecond},
-		{&t.ClaimJitter, 100 * time.Millisecond},
+		{&t.ClaimJitter, 50 * time.Millisecond},
 		{&t.ClaimBackoff, 50 * time.Millisecond},
 		{&t.ClaimBackoffMax, 1 * time.Second},
 		{&t.FenceTimeout, 250 * time.Millisecond},
