--- a/pkg/daemon/assemble.go
+++ b/pkg/daemon/assemble.go
@@ -20,6 +20,7 @@
 	"limpetspan/pkg/gossip"
 	"limpetspan/pkg/home"
 	"limpetspan/pkg/peer"
+	"limpetspan/pkg/settings"
 	"limpetspan/pkg/store"
 	"limpetspan/pkg/target"
 	"limpetspan/pkg/telemetry"
@@ -216,7 +217,7 @@
 	c := d.settings.Callers
 	options := front.Options{
 		Handler: d.entry, Daemon: d.id, Users: d.options.Users, Clock: d.now, Logger: d.log.Named("front"),
-		CancelElsewhere: d.cancelElsewhere, RequireTLS: c.TLS == "require",
+		CancelElsewhere: d.cancelElsewhere, RequireTLS: c.TLS == settings.TLSRequire,
 		MaxConnections: c.MaxConnections, MaxPerUser: c.MaxConnectionsPerUser, MaxPerAddress: c.MaxConnectionsPerAddress,
 		MaxMessage: int(c.MaxMessage), MaxBatch: requestOverhead * int(c.MaxMessage),
 		StartupTimeout: c.StartupTimeout, IdleTimeout: c.IdleTimeout, RequestTimeout: c.DefaultTimeout,
