--- a/standin/target/member.go
+++ b/standin/target/member.go
@@ -100,6 +100,10 @@
 	return m.status()
 }
 
+// Statements returns how many statements have taken a slot; on a replica all of
+// them are reads of callers.
+func (m *Member) Statements() int64 { return m.statements.Load() }
+
 // Log returns the transactions that the member holds, in order.
 func (m *Member) Log() []*Record {
 	m.mu.RLock()
--- a/standin/target/register.go
+++ b/standin/target/register.go
@@ -104,7 +104,7 @@
 	var r groupReport
 	for _, m := range g.members {
 		status := m.Status()
-		r.Members = append(r.Members, memberReport{ID: m.ID(), Zone: m.Zone(), Addr: m.Addr(), Status: status, RoleName: status.Role.String(), Statements: m.statements.Load()})
+		r.Members = append(r.Members, memberReport{ID: m.ID(), Zone: m.Zone(), Addr: m.Addr(), Status: status, RoleName: status.Role.String(), Statements: m.Statements()})
 	}
 	r.Connections, r.Highest, r.Refused = g.Connections()
 	r.Commits = g.journal.len()
