--- a/pkg/bench/capacity/doc.go
+++ b/pkg/bench/capacity/doc.go
@@ -5,7 +5,13 @@
 // page reads these files; one that is missing, or lacks a field, leads to "not
 // measured" where it is needed:
 //
-//	control.json   the report of bench control (see package control)
+//	control.json   the report of bench control (see package control) with the
+//	               scenarios steady, config and restarts
+//	control-storms.json
+//	               the same at the plan's size with the scenarios zone and region
+//	control-latency.json
+//	               the same at the plan's size over a network with latency, with
+//	               the scenario config
 //	idle.json      bytes_per_connection: memory of an idle caller connection
 //	overhead.json  cpu_us_per_statement: processor time of a daemon for one
 //	               statement; throughput_ratio
