Take only the four calls for state functions in the stand-in

Cause: any SELECT with a name that begins with limpetspan_ and a parenthesis behind it was taken for a state function, with any list and any arguments. Change: only SELECT * FROM of the four functions, with their arguments, is one; the rest goes to the engine. Measured: the new test fails on the old parser; go test ./target passes.

--- a/standin/target/command.go
+++ b/standin/target/command.go
@@ -134,22 +134,30 @@
 	c.findTag()
 }
 
-// statePrefix begins the names of the state functions.
-const statePrefix = "limpetspan_"
-
-// parseState recognizes SELECT * FROM limpetspan_name(term).
+// parseState recognizes SELECT * FROM f(), where f is one of the state
+// functions and its argument, if it has one, is a term. Any other text, also
+// one over a table whose name begins as theirs, goes to the engine.
 func (c *command) parseState() bool {
 	t := c.tokens
-	if len(t) < 6 || !t[0].is("SELECT") || !t[2].is("FROM") || !t[4].symbol("(") {
+	if len(t) > 0 && t[len(t)-1].symbol(";") {
+		t = t[:len(t)-1]
+	}
+	if len(t) < 6 || !t[0].is("SELECT") || !t[1].symbol("*") || !t[2].is("FROM") || !t[4].symbol("(") || !t[len(t)-1].symbol(")") {
 		return false
 	}
-	if !strings.HasPrefix(t[3].text, statePrefix) {
+	takesTerm, ok := stateFunctions[t[3].text]
+	arguments := t[5 : len(t)-1]
+	switch {
+	case !ok:
+		return false
+	case takesTerm && (len(arguments) != 1 || arguments[0].kind != tokenNumber):
+		return false
+	case !takesTerm && len(arguments) != 0:
 		return false
 	}
-	c.verb, c.tag, c.counted = verbState, "SELECT", true
-	c.name = strings.TrimPrefix(t[3].text, statePrefix)
-	if t[5].kind == tokenNumber {
-		c.term, _ = strconv.ParseUint(t[5].text, 10, 64)
+	c.verb, c.tag, c.counted, c.name = verbState, "SELECT", true, t[3].text
+	if takesTerm {
+		c.term, _ = strconv.ParseUint(arguments[0].text, 10, 64)
 	}
 	return true
 }
--- a/standin/target/probe_state_test.go
+++ b/standin/target/probe_state_test.go
@@ -151,6 +151,24 @@
 			To(Equal([]any{int64(4), "primary", int64(0), int64(0), "2:0,4:0", 0, false}))
 	})
 
+	// A client reads a table whose name begins like a state function's, or
+	// calls one with the wrong arguments. Taken for a call, the statement would
+	// get the member's status or a refused term for its answer.
+	It("take only the four calls for state functions", func() {
+		conn := dial(start(three()), "a", controlling)
+		exec(conn, "CREATE TABLE limpetspan_once (tag TEXT)")
+		exec(conn, "INSERT INTO limpetspan_once VALUES ('INSERT 0 1')")
+		for _, from := range []string{"limpetspan_once", "limpetspan_once WHERE tag > ''", "(SELECT tag FROM limpetspan_once) AS t"} {
+			Expect(query[string](conn, "SELECT tag FROM "+from)).To(Equal("INSERT 0 1"))
+		}
+		exec(conn, "CREATE TABLE limpetspan_status_log (tag TEXT)")
+		exec(conn, "SELECT * FROM limpetspan_status_log")
+		exec(conn, "SELECT * FROM limpetspan_status() ;")
+		for _, call := range []string{"limpetspan_other()", "limpetspan_fence()", "limpetspan_status(7)", "limpetspan_promote('7')"} {
+			Expect(state(conn, "SELECT * FROM "+call)).To(HavePrefix("42"))
+		}
+	})
+
 	It("end work connections and open writes at a fence", func() {
 		g := start(three())
 		ctl, writer := dial(g, "a", controlling), dial(g, "a", work)
--- a/standin/target/state.go
+++ b/standin/target/state.go
@@ -11,9 +11,17 @@
 	"limpetspan/standin/target/internal/engine"
 )
 
-// positionName is the state function that returns the position only; the
-// others return the whole status.
-const positionName = "position"
+// The state functions. positionName returns the position only, the others the
+// full status.
+const (
+	positionName = "limpetspan_position"
+	statusName   = "limpetspan_status"
+	fenceName    = "limpetspan_fence"
+	promoteName  = "limpetspan_promote"
+)
+
+// stateFunctions tells for each state function whether it takes a term.
+var stateFunctions = map[string]bool{positionName: false, statusName: false, fenceName: true, promoteName: true}
 
 func stateFields(name string) []pgproto3.FieldDescription {
 	if name == positionName {
@@ -41,14 +49,12 @@
 	switch c.name {
 	case positionName:
 		return rows.add(m.positionRow())
-	case "status":
+	case statusName:
 		status = m.Status()
-	case "fence":
+	case fenceName:
 		status, err = m.Fence(s.context(), core.Term(c.term))
-	case "promote":
+	case promoteName:
 		status, err = m.Promote(s.context(), core.Term(c.term))
-	default:
-		err = &Error{State: stateNoFunction, Message: "function " + statePrefix + c.name + " does not exist"}
 	}
 	if err != nil {
 		return err
