Call a view whole only after what differed was fetched

Cause: beside a small fleet a newcomer's first comparison finds little to differ and counted as agreement, so it acted before it knew the homes; and equal views said nothing, so a newcomer waited up to 30 s to be ready. Change: equal views answer so; the first comparison alone makes no view whole.

--- a/core/membership/message.go
+++ b/core/membership/message.go
@@ -29,6 +29,8 @@
 	KindPull
 	// KindEntries answers a pull.
 	KindEntries
+	// KindAgree answers a digest: the views are equal.
+	KindAgree
 )
 
 // Message is one datagram.
--- a/core/membership/reducer.go
+++ b/core/membership/reducer.go
@@ -231,6 +231,8 @@
 		r.asked(from, m)
 	case KindDigest:
 		r.compare(from, m)
+	case KindAgree:
+		r.agreed(m)
 	case KindPull:
 		r.pulled(from, m)
 	}
--- a/core/membership/reducer_test.go
+++ b/core/membership/reducer_test.go
@@ -150,6 +150,21 @@
 		Expect(c.run(time.Minute, buried)).To(BeTrue())
 	})
 
+	// A daemon joins a small fleet. What it lacks is little, but among it is the
+	// home of a group; taking its view for whole it would answer for that group.
+	It("is not ready before it has fetched what differs, in a small fleet, too", func() {
+		c := newCluster(12, 0)
+		c.fill(3)
+		c.reduce(c.procs[1], &AnnounceHome{Home{Group: "g", Term: 2, Daemon: c.procs[1].id}})
+		Expect(c.run(time.Minute, func() bool { return c.agree(3) && c.procs[2].r.Quiet() && c.procs[1].r.Quiet() })).To(BeTrue())
+		start := c.now
+		p := c.add("z0", "r0")
+		Expect(c.run(time.Minute, func() bool { return p.r.Ready(c.now) })).To(BeTrue())
+		h, _ := p.r.Home("g")
+		Expect(h.Daemon).To(Equal(c.procs[1].id))
+		Expect(c.now.Sub(start)).To(BeNumerically("<", 3*time.Second))
+	})
+
 	// A whole zone starts at once. Each of its daemons knows itself only and
 	// would take itself for a watcher of the store; more calls than the store
 	// bears would follow. Nor may what a newcomer is told go out from it again.
--- a/core/membership/sync.go
+++ b/core/membership/sync.go
@@ -20,8 +20,10 @@
 	peer    netip.AddrPort
 	buckets []uint32
 	pullAt  core.Time
-	// settled is set once this view agreed with another one, or nearly did.
-	settled bool
+	// settled is set once this view agreed with another one, or nearly did
+	// after what differed was fetched.
+	settled  bool
+	compared bool
 	// pages is how many datagrams may still be sent in answer to pulls, at pagesAt.
 	pages   float64
 	pagesAt core.Time
@@ -106,7 +108,7 @@
 		return
 	}
 	s := &r.sync
-	if m.Seq != s.seq || len(m.Buckets) != bucketCount {
+	if s.seq == 0 || m.Seq != s.seq || len(m.Buckets) != bucketCount {
 		return
 	}
 	s.seq = 0
@@ -125,10 +127,25 @@
 		}
 	}
 	s.pullAt = r.now
-	s.settled = s.settled || len(s.buckets) < spreadPulls
+	// Beside a small fleet little differs from the start, so the first
+	// comparison says nothing.
+	s.settled = s.settled || s.compared && len(s.buckets) < spreadPulls
+	s.compared = true
 	r.scheduleResync(m.Root == r.digest.root())
 }
 
+// agreed takes in that the other's view was equal when it was asked.
+func (r *Reducer) agreed(m *Message) {
+	s := &r.sync
+	if s.seq == 0 || m.Seq != s.seq {
+		return
+	}
+	s.seq = 0
+	s.settled = true
+	s.buckets = s.buckets[:0]
+	r.scheduleResync(true)
+}
+
 // scheduleResync sets the next comparison: soon while much differs, ever later
 // while a little does, as news on its way settles that by itself.
 func (r *Reducer) scheduleResync(equal bool) {
@@ -140,6 +157,9 @@
 		return
 	case s.interval == 0 || len(s.buckets) >= spreadPulls:
 		s.interval = firstResync
+		if !s.settled {
+			s.interval = r.settings.PullInterval
+		}
 	default:
 		s.interval = min(2*s.interval, r.settings.SyncInterval)
 	}
@@ -152,6 +172,7 @@
 	root := r.digest.root()
 	sender := r.members[m.From]
 	if sender != nil && m.Root == root {
+		r.message(from, KindAgree).Seq = m.Seq
 		return
 	}
 	answer := r.message(from, KindDigest)
--- a/pkg/gossip/codec_test.go
+++ b/pkg/gossip/codec_test.go
@@ -73,7 +73,7 @@
 				m.Homes = []membership.Home{{Group: core.GroupID(name.Draw(t, "group")), Term: 1<<62 - 1,
 					Daemon: core.DaemonID(name.Draw(t, "daemon")), Primary: core.MemberID(name.Draw(t, "primary")), Released: true}}
 				m.Targets = []membership.Target{{Addr: name.Draw(t, "target"), Version: 1<<62 - 1, TTL: time.Hour}}
-				m.Kind = membership.Kind(rapid.IntRange(0, 6).Draw(t, "kind"))
+				m.Kind = membership.Kind(rapid.IntRange(0, 7).Draw(t, "kind"))
 				if m.Kind == membership.KindPull {
 					m.Pulls = []membership.Pull{{Bucket: uint32(i)}}
 				}
@@ -93,7 +93,7 @@
 // identity, or make it send more than a bounded number of answers.
 func FuzzReceive(f *testing.F) {
 	codec := gossip.NewCodec(nil)
-	for kind := membership.KindNews; kind <= membership.KindEntries; kind++ {
+	for kind := membership.KindNews; kind <= membership.KindAgree; kind++ {
 		m := sample()
 		m.Kind = kind
 		b, err := codec.Encode(nil, m)
