--- a/pkg/bench/failover/measure.go
+++ b/pkg/bench/failover/measure.go
@@ -130,7 +130,15 @@
 func (b *bench) wholeAgain(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, wholeBound)
 	defer cancel()
-	return poll(ctx, wholeBound, b.fleet.whole) && b.fleet.WaitReady(ctx) == nil
+	if !poll(ctx, wholeBound, b.fleet.whole) {
+		fmt.Fprintln(b.options.Progress, "not all members follow the primary")
+		return false
+	}
+	if err := b.fleet.WaitReady(ctx); err != nil {
+		fmt.Fprintln(b.options.Progress, err)
+		return false
+	}
+	return true
 }
 
 // firstAfter returns how long after began each caller was first told that a
--- a/pkg/bench/reads/report.go
+++ b/pkg/bench/reads/report.go
@@ -29,10 +29,13 @@
 	// StaleReads missed a write of their own session that was acknowledged
 	// before, or showed data older than the stated age.
 	StaleReads int `json:"stale_reads"`
-	// Backwards are reads of a session that showed less than an earlier one.
-	Backwards int     `json:"backwards"`
-	P50Ms     float64 `json:"p50_ms"`
-	P99Ms     float64 `json:"p99_ms"`
+	// Backwards are read-your-writes reads that showed less than an earlier
+	// one of the session, ListingsBackwards listings that did. A read of a
+	// stated age promises no order, so the latter are no fault.
+	Backwards         int     `json:"backwards"`
+	ListingsBackwards int     `json:"listings_backwards"`
+	P50Ms             float64 `json:"p50_ms"`
+	P99Ms             float64 `json:"p99_ms"`
 	// OwnP50Ms is the median of the read-your-writes reads alone.
 	OwnP50Ms float64 `json:"own_p50_ms"`
 	Failed   int     `json:"failed"`
@@ -55,7 +58,9 @@
 	own, listings   []time.Duration
 	replica         int
 	stale, backward int
-	failed          int
+	// listingsBackward as in Figures.
+	listingsBackward int
+	failed           int
 }
 
 func (t *tally) add(o *tally) {
@@ -63,6 +68,7 @@
 	t.replica += o.replica
 	t.stale += o.stale
 	t.backward += o.backward
+	t.listingsBackward += o.listingsBackward
 	t.failed += o.failed
 }
 
@@ -70,7 +76,7 @@
 	all := append(append([]time.Duration(nil), t.own...), t.listings...)
 	return Figures{
 		Reads: len(all), ReplicaShare: result.Share(t.replica, len(all)+t.failed),
-		StaleReads: t.stale, Backwards: t.backward, Failed: t.failed,
+		StaleReads: t.stale, Backwards: t.backward, ListingsBackwards: t.listingsBackward, Failed: t.failed,
 		P50Ms:    result.Milliseconds(result.Percentile(all, 0.5)),
 		P99Ms:    result.Milliseconds(result.Percentile(all, 0.99)),
 		OwnP50Ms: result.Milliseconds(result.Percentile(t.own, 0.5)),
