Find a change soon in a small fleet whose watchers are cut off

Cause: three daemons of a region watch the store; the others looked at it every 110 s, whatever the size of the fleet. With all three watchers cut off from the store a fleet of 8 missed an accepted change for more than 30 s, where 8 s are allowed. Change: the interval of the others grows with the number of daemons, 65 ms for each, within 3 s and 110 s, so that the whole fleet reads at most about 15 times a second at every size. pkg/embedded can cut off single daemons from the store (Options.StoreLinks).

--- a/pkg/confstore/follower.go
+++ b/pkg/confstore/follower.go
@@ -29,6 +29,9 @@
 	// it. 1,700 daemons at 110 s make 15 reads a second, 12 watchers at 3 s make
 	// 4. Both vary by half.
 	WatcherPoll, Poll time.Duration
+	// PollPerDaemon times the number of daemons takes the place of Poll where
+	// Options.Daemons is known, within WatcherPoll and Poll, see pollInterval.
+	PollPerDaemon time.Duration
 	// Grace is how long a starting daemon waits for its peers before it reads
 	// the whole document from the store.
 	Grace time.Duration
@@ -46,14 +49,15 @@
 // DefaultTiming returns the intervals of production.
 func DefaultTiming() Timing {
 	return Timing{
-		WatcherPoll: 3 * time.Second,
-		Poll:        110 * time.Second,
-		Grace:       2 * time.Second,
-		Fallback:    4 * time.Second,
-		RetryMin:    200 * time.Millisecond,
-		RetryMax:    5 * time.Second,
-		CallTimeout: 3 * time.Second,
-		Recheck:     time.Second,
+		WatcherPoll:   3 * time.Second,
+		Poll:          110 * time.Second,
+		PollPerDaemon: 65 * time.Millisecond,
+		Grace:         2 * time.Second,
+		Fallback:      4 * time.Second,
+		RetryMin:      200 * time.Millisecond,
+		RetryMax:      5 * time.Second,
+		CallTimeout:   3 * time.Second,
+		Recheck:       time.Second,
 	}
 }
 
@@ -67,7 +71,9 @@
 	// ShouldWatch reports whether this daemon is one of the few that watch
 	// the store; nil: it is. It is asked again and again.
 	ShouldWatch func() bool
-	Logger      hclog.Logger
+	// Daemons is the number of daemons in the fleet; nil: not known.
+	Daemons func() int
+	Logger  hclog.Logger
 	// Timing is DefaultTiming when zero.
 	Timing Timing
 }
--- a/pkg/confstore/follower_test.go
+++ b/pkg/confstore/follower_test.go
@@ -162,6 +162,20 @@
 	// Story: the connection of the watch has lost its way: it neither delivers
 	// nor breaks. Operators see a change accepted that no daemon has in force,
 	// since all others learn from the watchers.
+	// A small fleet's watchers are all cut off from the store. The operator sees
+	// the change accepted, and minutes later some gates still refuse the new
+	// version: the other daemons looked at the store as rarely as in a fleet of
+	// 1,700, where somebody looks all the time.
+	It("looks at the store more often in a small fleet", func() {
+		mustAdd(ctx, ann, "g1", 5001)
+		timing := fast()
+		timing.Grace, timing.PollPerDaemon = time.Millisecond, time.Millisecond
+		other := follow(confstore.Options{Store: fake.Client, ShouldWatch: never, Timing: timing, Daemons: func() int { return 8 }})
+		Eventually(revisionOf(other), bound).Should(BeEquivalentTo(1))
+		mustAdd(ctx, ann, "g2", 5002)
+		Eventually(revisionOf(other), bound).Should(BeEquivalentTo(2))
+	})
+
 	It("does not rely on a watch that went silent", func() {
 		mustAdd(ctx, ann, "g1", 5001)
 		silent := &silentStore{Fake: fake}
--- a/pkg/confstore/poll.go
+++ b/pkg/confstore/poll.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"limpetspan/core/config"
 )
@@ -16,7 +17,7 @@
 		if err := sleep(ctx, pause); err != nil {
 			return err
 		}
-		pause = jitter(f.timing.Poll)
+		pause = jitter(f.pollInterval())
 		if f.watches() {
 			continue
 		}
@@ -31,6 +32,18 @@
 	}
 }
 
+// pollInterval keeps the reads of the whole fleet at the same rate, whatever
+// its size. It prevents that a small fleet misses changes for minutes when its
+// few watchers are cut off from the store: any daemon that reads tells the rest,
+// but five daemons that read every 110 s find a change after 22 s on average.
+func (f *Follower) pollInterval() time.Duration {
+	if f.options.Daemons == nil {
+		return f.timing.Poll
+	}
+	scaled := time.Duration(f.options.Daemons()) * f.timing.PollPerDaemon
+	return min(max(scaled, f.timing.WatcherPoll), f.timing.Poll)
+}
+
 // readHead catches up with the store if its head is newer.
 func (f *Follower) readHead(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, f.timing.CallTimeout)
--- a/pkg/daemon/assemble.go
+++ b/pkg/daemon/assemble.go
@@ -202,7 +202,8 @@
 func (d *Daemon) openConfiguration() error {
 	d.follower = confstore.NewFollower(confstore.Options{
 		Store: d.store, Prefix: d.settings.Store.Prefix, Peers: d.peers, ShouldWatch: d.gossip.IsWatcher,
-		Logger: d.log.Named("configuration"), Timing: d.options.Config,
+		Daemons: func() int { return len(d.gossip.Daemons()) },
+		Logger:  d.log.Named("configuration"), Timing: d.options.Config,
 	})
 	d.entry = entry.New(entry.Options{
 		Fleet: d.gossip, Local: homeHandler{d}, Remote: d.peerClient, Now: d.now, Random: rand.Float64,
--- a/pkg/embedded/fleet.go
+++ b/pkg/embedded/fleet.go
@@ -43,7 +43,10 @@
 // Daemon is a running daemon of the fleet.
 type Daemon struct {
 	*daemon.Daemon
-	Place  Place
+	Place Place
+	// StoreLink is nil unless Options.StoreLinks is set.
+	StoreLink *StoreLink
+
 	cancel context.CancelFunc
 	// Done is closed when Run has returned, Err is its result then.
 	Done chan struct{}
@@ -195,13 +198,18 @@
 	if logs == nil {
 		logs = io.Discard
 	}
-	d, err := daemon.New(f.settings(place), daemon.Options{Users: users, Stdout: io.Discard, Stderr: logs,
+	configured := f.settings(place)
+	link, err := f.linkStore(configured)
+	if err != nil {
+		return nil, err
+	}
+	d, err := daemon.New(configured, daemon.Options{Users: users, Stdout: io.Discard, Stderr: logs,
 		Tuning: f.Options.Tuning, Gossip: f.Options.Gossip, Config: f.Options.Config})
 	if err != nil {
 		return nil, fmt.Errorf("daemon %s: %w", place.ID, err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	running := &Daemon{Daemon: d, Place: place, cancel: cancel, Done: make(chan struct{})}
+	running := &Daemon{Daemon: d, Place: place, StoreLink: link, cancel: cancel, Done: make(chan struct{})}
 	f.daemons = append(f.daemons, running)
 	go func() {
 		running.Err = d.Run(ctx)
@@ -226,6 +234,20 @@
 	return s
 }
 
+// linkStore gives a daemon a path to the store of its own, if that is asked for.
+func (f *Fleet) linkStore(s *settings.Settings) (*StoreLink, error) {
+	if !f.Options.StoreLinks {
+		return nil, nil
+	}
+	link := newStoreLink(f.Store)
+	addr, err := f.serve(link)
+	if err != nil {
+		return nil, err
+	}
+	s.Store.Endpoints = []string{"http://" + addr}
+	return link, nil
+}
+
 // Daemons are the daemons that were started and not stopped.
 func (f *Fleet) Daemons() []*Daemon { return f.daemons }
 
--- a/pkg/embedded/options.go
+++ b/pkg/embedded/options.go
@@ -38,6 +38,8 @@
 	// hclog level; empty: "info".
 	Log      io.Writer
 	LogLevel string
+	// StoreLinks gives each daemon a path to the store that can be cut.
+	StoreLinks bool
 	// Tuning, Gossip and Config replace the daemons' own timings.
 	Tuning group.Tuning
 	Gossip membership.Settings
