Fail a transaction's statement whose connection broke while it waited

Cause: such a statement waits while the term is in doubt; it was then dispatched on a connection that was gone. A Drain before the first Configure had no answer. Change: it fails as not run, with the transaction lost; the Drain is answered. Tests besides for a home that stood still itself, the probe of a hanging statement, the choice of the replica that is asked, and missed heartbeats.

--- a/core/group/claim_test.go
+++ b/core/group/claim_test.go
@@ -200,6 +200,12 @@
 		Expect(a.drained).To(BeFalse())
 	})
 
+	ginkgo.It("is not replaced between two heartbeats, however short the claim delay", func() {
+		n, a := served(func(t *Tuning) { t.ClaimDelay = 50 * ms })
+		n.run(5 * time.Second)
+		Expect(a.g.reign.term).To(Equal(core.Term(2)))
+	})
+
 	ginkgo.It("comes back quickly when its daemon restarts", func() {
 		n, a := served()
 		a.dead = true
--- a/core/group/conn.go
+++ b/core/group/conn.go
@@ -27,6 +27,8 @@
 	// pinned is set while a transaction of caller is open on it.
 	pinned bool
 	caller core.CallerID
+	// gone: it is closed or broken.
+	gone bool
 	// doomed: it is closed when the request on it ends.
 	doomed bool
 	// since is when it entered its state.
@@ -142,6 +144,7 @@
 // removeConn forgets a connection that is known to be gone.
 func (g *Group) removeConn(c *conn) {
 	m := c.member
+	c.gone = true
 	switch c.state {
 	case connOpening:
 		m.opening--
--- a/core/group/detect_test.go
+++ b/core/group/detect_test.go
@@ -64,17 +64,21 @@
 		Expect(n.primary().status.LSN).To(BeNumerically(">=", a.acks[w].LSN))
 	})
 
-	ginkgo.It("is replaced when it is cut off from every daemon", func() {
-		// The same without refusals: every call runs into its time limit.
-		n, a := served()
-		for _, h := range n.homes {
-			n.member("a").cutFrom[h.id] = true
+	ginkgo.It("is replaced when it is cut off from every daemon, at any time between probes", func() {
+		// The same without refusals: every call runs into its time limit. The
+		// statement that hangs has the primary probed before its turn.
+		for offset := time.Duration(0); offset < 200*ms; offset += 20 * ms {
+			n, a := served()
+			n.writeEvery(offset, false)
+			for _, h := range n.homes {
+				n.member("a").cutFrom[h.id] = true
+			}
+			gap := n.writeEvery(3*time.Second, false)
+			ginkgo.GinkgoWriter.Println("partition gap", gap)
+			Expect(gap).To(BeNumerically("<", 300*ms))
+			Expect(a.isHome()).To(BeTrue())
+			Expect(a.g.reign.primary.ID).NotTo(Equal(core.MemberID("a")))
 		}
-		gap := n.writeEvery(3*time.Second, false)
-		ginkgo.GinkgoWriter.Println("partition gap", gap)
-		Expect(gap).To(BeNumerically("<", 1200*ms))
-		Expect(a.isHome()).To(BeTrue())
-		Expect(a.g.reign.primary.ID).NotTo(Equal(core.MemberID("a")))
 	})
 
 	ginkgo.It("is kept when only the control connection is silent", func() {
@@ -88,6 +92,21 @@
 		Expect(a.g.reign.primary.ID).To(Equal(core.MemberID("a")))
 	})
 
+	ginkgo.It("keeps its connections when it was the home that stood still", func() {
+		// The daemon gets no processor time, so an answer looks late to it.
+		n, a := served()
+		n.member("a").silent = true
+		for n.run(5 * ms); !a.g.members[0].probe.inFlight; {
+			n.run(ms)
+		}
+		n.member("a").silent, a.paused = false, true
+		n.run(300 * ms)
+		a.paused = false
+		n.run(100 * ms)
+		Expect(a.effects).To(ContainElement(ContainSubstring("primary suspected")))
+		Expect(a.g.Snapshot().Counters.ConnsOpened).To(Equal(uint64(12)))
+	})
+
 	ginkgo.It("keeps its place when another zone reaches it", func() {
 		// The home's own zone loses the primary. Another zone's daemon reaches
 		// it, so the group moves to that daemon and the primary stays.
--- a/core/group/dispatch.go
+++ b/core/group/dispatch.go
@@ -30,8 +30,7 @@
 	for g.writes.len() > 0 {
 		r := g.writes.items[0]
 		if r.conn != nil {
-			g.writes.remove(r)
-			g.dispatch(r, r.conn)
+			g.dispatchPinned(r)
 			continue
 		}
 		if g.pausesWrites() {
@@ -54,6 +53,17 @@
 	}
 }
 
+// dispatchPinned runs a request on the connection of its caller's transaction,
+// or fails it if that was closed while the request waited.
+func (g *Group) dispatchPinned(r *request) {
+	if r.conn.gone {
+		g.failRequest(r, ReasonTransactionLost, core.OutcomeNotRun, stepQueue, 0)
+		return
+	}
+	g.writes.remove(r)
+	g.dispatch(r, r.conn)
+}
+
 // pumpReads finds a place for the waiting reads.
 func (g *Group) pumpReads() {
 	for i := 0; i < readScan && i < g.reads.len(); {
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -110,13 +110,7 @@
 
 func (g *Group) apply(ev Event) {
 	if !g.configured {
-		if c, ok := ev.(*Configure); ok {
-			g.onConfigure(c)
-			return
-		}
-		if a, ok := ev.(*Arrived); ok {
-			g.fx.fail(Fail{Request: a.Request, Reason: ReasonNotHome, Outcome: core.OutcomeNotRun, Step: stepArrive})
-		}
+		g.applyUnconfigured(ev)
 		return
 	}
 	switch ev := ev.(type) {
@@ -154,6 +148,19 @@
 	}
 }
 
+// applyUnconfigured answers what needs an answer before the group is known.
+func (g *Group) applyUnconfigured(ev Event) {
+	switch ev := ev.(type) {
+	case *Configure:
+		g.onConfigure(ev)
+	case *Arrived:
+		g.failArrival(ev, ReasonNotHome, 0)
+	case *Drain:
+		g.drain = drainer{requested: true, done: true}
+		g.fx.add(&Drained{})
+	}
+}
+
 // runTimers does what has fallen due. Each part names its next time by wakeBy.
 func (g *Group) runTimers() {
 	g.due = never
--- a/core/group/pool_test.go
+++ b/core/group/pool_test.go
@@ -245,6 +245,13 @@
 		Expect(a.acks).To(HaveKey(w))
 	})
 
+	ginkgo.It("is asked for at one replica, not at both, while that one has it in time", func() {
+		n, a := served()
+		probes := a.g.counters.Probes
+		n.writeEvery(2*time.Second, true)
+		Expect(a.g.counters.Probes - probes).To(BeNumerically("<", 600))
+	})
+
 	ginkgo.It("is reported as unknown when no second member has it in time", func() {
 		n, a := served()
 		n.member("b").stuck, n.member("c").stuck = true, true
--- a/core/group/report_test.go
+++ b/core/group/report_test.go
@@ -105,6 +105,27 @@
 		Expect(emitted[*CloseConn](a)).To(HaveLen(1))
 	})
 
+	ginkgo.It("does not run on a connection that broke while it waited", func() {
+		// A statement of a transaction waits because the term is in doubt, and
+		// the transaction's connection breaks. It must not be dispatched there.
+		n, a := served()
+		c := begin(n, a, 901)
+		a.g.detect.contestedAt = n.now
+		r := a.arrive(inTransaction(901, true))
+		delete(a.conns, c)
+		a.send(&ConnClosed{Conn: c})
+		n.run(500 * ms)
+		Expect(a.reasons).To(HaveKeyWithValue(r, ReasonTransactionLost))
+		Expect(a.ranOn).NotTo(HaveKey(r))
+	})
+
+	ginkgo.It("is not needed for a daemon to stop", func() {
+		h := newNet(0).addHome(Candidate{ID: "A"})
+		h.g = New(Options{Group: "park"})
+		h.send(&Drain{})
+		Expect(h.drained).To(BeTrue())
+	})
+
 	ginkgo.It("does not leave its transaction to the caller's next request", func() {
 		// The caller was told that its transaction failed and begins anew. The
 		// old transaction, open on its connection, must not swallow that.
