Report a lost transaction as gone at its source

Cause: the home answered every failure with the status the caller had before, also when the transaction had ended with its connection; the entry corrected that by a list of kinds of failure, which also gave up transactions that were still open. Change: the home says whether the connection of the transaction is still there; the entry goes by that and its list is removed.

--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -184,6 +184,29 @@
 		Expect(daemons.daemonsAsked()).To(Equal([]core.DaemonID{"d1", "d1"}))
 	})
 
+	// A statement of a transaction fails and its home says whether the
+	// transaction is still there. A caller whose transaction is there must reach
+	// it with its ROLLBACK; one whose transaction is gone must not go on asking.
+	It("goes by the home's word on whether a transaction survived a failure", func() {
+		daemons.setHome("d1")
+		gone := func(*exchange.Request, exchange.Writer) (exchange.Result, error) {
+			return exchange.Result{TxStatus: 'I'}, errs.New(errs.DeadlineExceeded, core.OutcomeNotRun, "test", "", "test")
+		}
+		daemons.answers["d1"] = inOrder(ok('T'), fails(errs.Unsupported, core.OutcomeRan), gone)
+		_, err := do(request("BEGIN", core.Directives{}))
+		Expect(err).NotTo(HaveOccurred())
+		next := request("INSERT", core.Directives{})
+		next.TxStatus = 'T'
+		result, err := do(next)
+		expectError(err, errs.Unsupported, core.OutcomeRan)
+		Expect(result.TxStatus).To(Equal(byte('T')))
+		result, err = do(next)
+		expectError(err, errs.DeadlineExceeded, core.OutcomeNotRun)
+		Expect(result.TxStatus).To(BeZero())
+		_, err = do(next)
+		expectError(err, errs.ConnectionLost, core.OutcomeNotRun)
+	})
+
 	// A home gives its group up while a transaction is open there. Its next
 	// statement must not run alone at the new home, outside the transaction.
 	It("loses a transaction with its home instead of moving its statements", func() {
--- a/pkg/entry/transaction.go
+++ b/pkg/entry/transaction.go
@@ -27,7 +27,7 @@
 		e.notePin(req, pin.place, result.TxStatus)
 		return result, nil
 	}
-	if keepsTransaction(errs.As(err)) && inTransaction(result.TxStatus) {
+	if inTransaction(result.TxStatus) {
 		return result, err
 	}
 	return e.loseTransaction(req, pin, err)
@@ -66,20 +66,6 @@
 	return nil
 }
 
-// keepsTransaction reports whether a failure left the home's side of the
-// transaction as it was: the statement was refused before it was sent on.
-func keepsTransaction(err *errs.Error) bool {
-	if err.Outcome != core.OutcomeNotRun {
-		return false
-	}
-	switch err.Kind {
-	case errs.BadRequest, errs.Unsupported, errs.Overloaded, errs.DeadlineExceeded, errs.Cancelled,
-		errs.Held, errs.NotOwner, errs.UnknownKind, errs.VersionNotInService:
-		return true
-	}
-	return false
-}
-
 // loseTransaction gives the transaction up on both sides.
 func (e *Entry) loseTransaction(req *exchange.Request, pin *pin, err error) (exchange.Result, error) {
 	e.callers.update(req.Caller, func(w *work) { w.pin = nil })
--- a/pkg/home/do.go
+++ b/pkg/home/do.go
@@ -82,7 +82,7 @@
 // onDone has begun to run: it could then abandon the call's next request.
 func (c *call) run(ctx context.Context) (result exchange.Result, reusable bool, err error) {
 	if err := c.check(); err != nil {
-		return exchange.Result{TxStatus: c.req.TxStatus, Group: c.shard.id}, true, err
+		return exchange.Result{TxStatus: c.shard.txStatus(c.req), Group: c.shard.id}, true, err
 	}
 	c.spans.start(ctx, c.shard, c.req)
 	c.shard.arrive(c.req, c.waiter)
@@ -207,7 +207,7 @@
 
 // failed tells the caller why the request failed.
 func (c *call) failed(f *group.Fail) (exchange.Result, error) {
-	result := exchange.Result{TxStatus: c.req.TxStatus, Group: c.shard.id, Hint: f.Hint}
+	result := exchange.Result{TxStatus: c.shard.txStatus(c.req), Group: c.shard.id, Hint: f.Hint}
 	if c.ran.abandon && f.Reason == group.ReasonCancelled {
 		return result, c.ran.told
 	}
@@ -230,7 +230,7 @@
 	if r.silent {
 		s.dropSilent(p)
 	}
-	s.notePinned(w.caller, r)
+	s.notePinned(w.caller, p, r)
 	s.finished = group.Finished{
 		Request: w.id, Result: r.result, TxStatus: r.answer.TxStatus, Position: r.answer.Position,
 	}
@@ -268,10 +268,26 @@
 	}
 }
 
-func (s *Shard) notePinned(caller core.CallerID, r *run) {
+func (s *Shard) notePinned(caller core.CallerID, p *pooledConn, r *run) {
 	if r.result == group.ResultOK && r.answer.TxStatus != pgframe.StatusIdle {
-		s.pinned[caller] = struct{}{}
+		s.pinned[caller] = p
 	} else if len(s.pinned) > 0 {
 		delete(s.pinned, caller)
 	}
 }
+
+// txStatus is the status of a failed request's transaction: what it was before,
+// as long as the transaction's connection is there. A transaction that ended
+// with its connection must not be reported as open: the caller's ROLLBACK would
+// be sent here, fail for want of it and be reported as open again, for ever.
+func (s *Shard) txStatus(req *exchange.Request) byte {
+	if req.TxStatus == pgframe.StatusIdle {
+		return req.TxStatus
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.pinned[req.Caller]; p != nil && s.conns[p.id] == p {
+		return req.TxStatus
+	}
+	return pgframe.StatusIdle
+}
--- a/pkg/home/do_test.go
+++ b/pkg/home/do_test.go
@@ -239,6 +239,43 @@
 		Expect(r.member.sessionCount()).To(Equal(2))
 	})
 
+	// A charge's transaction is lost, with its connection or while its request
+	// runs past its deadline. Told that it is open, the caller's ROLLBACK would go
+	// to the home and fail for want of the transaction, time after time.
+	It("of a lost transaction says that there is none", func() {
+		start(1)
+		begin := func() {
+			_, result, err := r.do(r.request(1, query("BEGIN")))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.TxStatus).To(Equal(byte('T')))
+		}
+		fail := func(sql string, within core.Time) byte {
+			req := r.request(1, query(sql))
+			req.TxStatus, req.Deadline = 'T', within
+			_, result, err := r.do(req)
+			Expect(err).To(HaveOccurred())
+			return result.TxStatus
+		}
+		begin()
+		Expect(fail("DIE", within(r.now(), patience))).To(Equal(byte('I')))
+		begin()
+		Expect(fail("WAIT for ever", within(r.now(), 50*time.Millisecond))).To(Equal(byte('I')))
+	})
+
+	It("that is refused leaves the transaction open", func() {
+		start(1)
+		_, _, err := r.do(r.request(1, query("BEGIN")))
+		Expect(err).NotTo(HaveOccurred())
+		malformed := r.request(1, []byte{'Q', 0, 0, 0, 99, 'x'})
+		malformed.TxStatus = 'T'
+		_, result, err := r.do(malformed)
+		Expect(errs.Is(err, errs.BadRequest)).To(BeTrue())
+		Expect(result.TxStatus).To(Equal(byte('T')))
+		malformed.Caller.Number = 2
+		_, result, _ = r.do(malformed)
+		Expect(result.TxStatus).To(Equal(byte('I')))
+	})
+
 	// A stand's display reads its listing slowly. Its connection waits for it;
 	// the other callers of the group must not.
 	It("of a slow caller does not hold up others", func() {
--- a/pkg/home/shard.go
+++ b/pkg/home/shard.go
@@ -49,8 +49,9 @@
 	others    []group.Candidate
 	waiters   map[core.RequestID]*waiter
 	conns     map[group.ConnID]*pooledConn
-	// pinned are the callers with an open transaction.
-	pinned map[core.CallerID]struct{}
+	// pinned has the connections of the callers with an open transaction, those
+	// that were closed since included.
+	pinned map[core.CallerID]*pooledConn
 	// suspects has for each member when a connection to it was last lost.
 	suspects map[core.MemberID]core.Time
 	controls map[core.MemberID]*target.Control
@@ -87,7 +88,7 @@
 		members:  make(map[core.MemberID]config.Member),
 		waiters:  make(map[core.RequestID]*waiter),
 		conns:    make(map[group.ConnID]*pooledConn),
-		pinned:   make(map[core.CallerID]struct{}),
+		pinned:   make(map[core.CallerID]*pooledConn),
 		suspects: make(map[core.MemberID]core.Time),
 		controls: make(map[core.MemberID]*target.Control),
 		beats:    make(map[core.DaemonID]*mailbox[fleet.Home]),
