Let a drain wait until its handover is delivered

Cause: a shard ended in the moment it sent its handover. The sender outlived the shard only by ignoring its context, and nothing waited for it: the daemon could end first. At the drain's deadline the group was not handed over at all, as the wait ended in the same moment. Change: the drain waits for the delivery, which is bounded by a second, and the reducer's deadline leaves time for it.

--- a/pkg/daemon/peers.go
+++ b/pkg/daemon/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"limpetspan/core"
 	"limpetspan/core/config"
@@ -15,9 +14,6 @@
 	"limpetspan/pkg/peer/peerpb"
 )
 
-// handoverTimeout bounds the delivery of a handover.
-const handoverTimeout = time.Second
-
 // peers sends the homes' and the configuration's messages to other daemons.
 type peers struct {
 	client *peer.Client
@@ -53,10 +49,7 @@
 	return home.Opinion{Reachable: reply.GetOpinion().GetReachable(), Zone: core.Zone(reply.GetOpinion().GetZone())}, nil
 }
 
-// SendHandover implements home.Peers. It is not given up when ctx ends: the
-// shard ends as soon as its last duty is handed to this call, and a handover
-// that is lost then costs the group the time in which the next home misses the
-// old one's heartbeats.
+// SendHandover implements home.Peers.
 func (p *peers) SendHandover(ctx context.Context, to core.DaemonID, id core.GroupID, term core.Term, sessions []group.SessionPosition) error {
 	handover := &peerpb.Handover{Group: string(id), From: string(p.self), Term: uint64(term)}
 	for _, s := range sessions {
@@ -65,8 +58,6 @@
 			Position: &peerpb.Position{Term: uint64(s.Position.Term), Lsn: uint64(s.Position.LSN)},
 		})
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handoverTimeout)
-	defer cancel()
 	_, err := p.call(ctx, to, &peerpb.Call{Call: &peerpb.Call_Handover{Handover: handover}})
 	return err
 }
--- a/pkg/daemon/peers_test.go
+++ b/pkg/daemon/peers_test.go
@@ -24,10 +24,7 @@
 }
 
 var _ = Describe("messages to other daemons", func() {
-	// A daemon stops in a planned way. Its shard hands the group over and ends in
-	// the same moment, which cancels what it has under way. If the handover were
-	// cancelled too, callers would wait until the next home misses heartbeats.
-	It("delivers a handover although the shard has ended", func() {
+	It("carry a handover with its session positions", func() {
 		origin := time.Now()
 		now := func() core.Time { return core.Time(time.Since(origin)) }
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -41,10 +38,8 @@
 		p := &peers{client: client, self: "a", daemon: func(id core.DaemonID) (fleet.Daemon, bool) {
 			return fleet.Daemon{ID: id, PeerAddr: ln.Addr().String()}, true
 		}}
-		ended, end := context.WithCancel(context.Background())
-		end()
 		sessions := []group.SessionPosition{{Session: "s", Position: core.Position{Term: 4, LSN: 9}}}
-		Expect(p.SendHandover(ended, "b", "parkdb", 4, sessions)).To(Succeed())
+		Expect(p.SendHandover(ctx, "b", "parkdb", 4, sessions)).To(Succeed())
 		var call *peerpb.Call
 		Expect(recorder.calls).To(Receive(&call))
 		Expect(call.GetHandover().GetFrom()).To(Equal("a"))
--- a/pkg/home/effects.go
+++ b/pkg/home/effects.go
@@ -12,6 +12,9 @@
 // bound.
 const peerTimeout = 2 * time.Second
 
+// handoverTimeout bounds the delivery of a handover.
+const handoverTimeout = time.Second
+
 // carryOut hands one effect out; s.mu is held, and nothing here may block. The
 // effect's memory is reused by the next Reduce, so goroutines get copies.
 func (s *Shard) carryOut(effect group.Effect) {
@@ -133,17 +136,20 @@
 	}
 }
 
+// sendHandover delivers a handover. A drain waits for it: otherwise the end of
+// the shard would cancel it, and the successor would claim only after the old
+// home's heartbeats have been missed and its lease has lapsed.
 func (s *Shard) sendHandover(e *group.SendHandover) {
 	handover := *e
 	handover.Sessions = append([]group.SessionPosition(nil), e.Sessions...)
-	go func() {
-		ctx, cancel := context.WithTimeout(s.ctx, peerTimeout)
+	s.handovers.Go(func() {
+		ctx, cancel := context.WithTimeout(s.ctx, handoverTimeout)
 		defer cancel()
 		err := s.manager.options.Peers.SendHandover(ctx, handover.To, s.id, handover.Term, handover.Sessions)
 		if err != nil {
 			s.logger.Warn("handover not delivered", "peer", string(handover.To), "term", handover.Term, "error", err)
 		}
-	}()
+	})
 }
 
 func (s *Shard) askOpinion(e group.AskOpinion) {
--- a/pkg/home/shard.go
+++ b/pkg/home/shard.go
@@ -34,6 +34,8 @@
 	// drained is closed when the reducer says that a drain is complete.
 	drained   chan struct{}
 	drainOnce sync.Once
+	// handovers are those under way.
+	handovers sync.WaitGroup
 	// cancels bounds the connections that cancel requests have open.
 	cancels chan struct{}
 
@@ -193,15 +195,18 @@
 	}
 }
 
-// drain lets the reducer hand the home over and waits until it has, or ctx ends.
+// drain lets the reducer hand the home over and waits until that is delivered,
+// or ctx ends. The reducer's deadline leaves time for the delivery.
 func (s *Shard) drain(ctx context.Context) error {
-	deadline := s.manager.options.Now().Add(dropGrace)
+	left := dropGrace
 	if at, ok := ctx.Deadline(); ok {
-		deadline = s.manager.options.Now().Add(time.Until(at))
+		left = time.Until(at)
 	}
-	s.post(&group.Drain{Deadline: deadline})
+	left -= min(handoverTimeout, left/4)
+	s.post(&group.Drain{Deadline: s.manager.options.Now().Add(left)})
 	select {
 	case <-s.drained:
+		s.handovers.Wait()
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
