Make the table of must-not-repeat keys with its indexes

Cause: take-overs read the table by kind and bucket and homes remove rows by time; without indexes each batch reads all keys. Change: table and indexes are made by one transaction, declared in one place for homes and take-overs. Homes make them only after the member has said that the table is missing. Measured: the new tests find both indexes and one creation for two homes; they do not build without the change. Speed not measured.

--- a/pkg/home/once.go
+++ b/pkg/home/once.go
@@ -9,6 +9,7 @@
 	"limpetspan/core"
 	"limpetspan/core/group"
 	"limpetspan/pkg/errs"
+	"limpetspan/pkg/oncetable"
 	"limpetspan/pkg/pgframe"
 	"limpetspan/pkg/target"
 )
@@ -93,7 +94,7 @@
 	}
 	o.shard.logger.Warn("table of must-not-repeat keys not made", "member", string(o.member), "error", err)
 	if o.joined {
-		_, err = o.ask(appendQuery(nil, createOnceSQL), 1)
+		_, err = o.ask(appendQuery(nil, oncetable.CreateScript), 1)
 		return err
 	}
 	return nil // The second claim reports what is wrong.
@@ -289,7 +290,7 @@
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, timeout)
 	defer cancel()
-	if _, err := control.Exec(ctx, createOnceSQL); err != nil {
+	if _, err := control.Exec(ctx, oncetable.CreateScript); err != nil {
 		return fmt.Errorf("create limpetspan_once: %w", err)
 	}
 	return nil
--- a/pkg/home/once_sql.go
+++ b/pkg/home/once_sql.go
@@ -10,8 +10,6 @@
 
 // Statements of the guard of must-not-repeat keys.
 const (
-	createOnceSQL = "CREATE TABLE IF NOT EXISTS limpetspan_once(once_key text PRIMARY KEY, " +
-		"kind text, record_key text, bucket int, tag text, done_at bigint)"
 	claimOnceSQL = "INSERT INTO limpetspan_once(once_key, kind, record_key, bucket, tag, done_at) " +
 		"VALUES($1, $2, $3, $4, $5, $6)"
 	tagOnceSQL    = "UPDATE limpetspan_once SET tag = $1 WHERE once_key = $2"
--- a/pkg/home/once_test.go
+++ b/pkg/home/once_test.go
@@ -14,6 +14,7 @@
 	"limpetspan/core/group"
 	"limpetspan/pkg/exchange"
 	"limpetspan/pkg/home"
+	"limpetspan/pkg/oncetable"
 	"limpetspan/pkg/target"
 	standin "limpetspan/standin/target"
 )
@@ -248,6 +249,20 @@
 		Entry("given up during the commit", 150*time.Millisecond),
 	)
 
+	// With years of keys, a take-over and the removal of old keys would read the
+	// entire table for each batch, in the slots of the callers.
+	It("stands in a table with indexes, made once", func() {
+		for _, d := range []*daemon{d, another()} {
+			d.run('I', "k1", insert)
+		}
+		a, _ := d.run('I', "", query("SELECT count(*) FROM sqlite_master m WHERE m.type = 'index' "+
+			"AND m.tbl_name = 'limpetspan_once' AND m.sql IS NOT NULL"))
+		Expect(a.first()).To(Equal("2"))
+		created := members.Journal().Match(func(s standin.Statement) bool { return s.SQL == oncetable.Create[0] })
+		Expect(created).To(HaveLen(1))
+		Expect(created[0].Statements).To(HaveLen(len(oncetable.Create)))
+	})
+
 	It("is removed after its retention", func() {
 		d.run('I', "k1", insert)
 		Eventually(func() string {
--- a/pkg/takeover/gate.go
+++ b/pkg/takeover/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -29,6 +30,8 @@
 	// the seal of a worker which has lost its claim lands after its successor
 	// has settled: whoever waits here checks its claim again.
 	lasting sync.Mutex
+	// arriving is held while the position behind moved records is asked for.
+	arriving sync.Mutex
 
 	mu sync.Mutex
 	// loaded is set once the seals of the group's database are known.
@@ -56,6 +59,7 @@
 	// take-over ran count under config.NoBucket, as they may be in any.
 	inFlight map[int]int
 	holds    map[int]*hold
+	arrival  arrival
 }
 
 // hold keeps statements out of one bucket: writes, and reads too once sealed.
@@ -80,6 +84,10 @@
 
 // Pass is the admission of one statement.
 type Pass struct {
+	// Floor is the position that a replica must have applied to serve the
+	// statement; zero: any will do.
+	Floor core.Position
+
 	gate   *Gate
 	caller core.CallerID
 	place  place
@@ -98,6 +106,11 @@
 	var timeout <-chan time.Time
 	for {
 		pass, changed, err := g.try(&r)
+		if err == errArrival {
+			if err = g.learnArrival(ctx, &r); err == nil {
+				continue
+			}
+		}
 		if err != nil || changed == nil {
 			return pass, err
 		}
@@ -117,6 +130,9 @@
 	}
 }
 
+// errArrival: learnArrival must come first.
+var errArrival = errors.New("takeover: the position behind the moved records is not known")
+
 // try admits the statement, or returns an error or what to wait for.
 func (g *Gate) try(r *Request) (Pass, <-chan struct{}, error) {
 	g.mu.Lock()
@@ -138,10 +154,13 @@
 	if h := k.holds[p.bucket]; h != nil && (h.sealed || r.Write) && !g.isOpen(r.Caller, p) {
 		return Pass{}, g.changed, nil
 	}
+	if g.needsArrival(r) {
+		return Pass{}, nil, errArrival
+	}
 	if r.Write {
 		k.inFlight[p.bucket]++
 	}
-	return Pass{gate: g, caller: r.Caller, place: p, counts: r.Write}, nil, nil
+	return Pass{Floor: k.arrival.position, gate: g, caller: r.Caller, place: p, counts: r.Write}, nil, nil
 }
 
 // behind refuses to serve a kind under a revision that is too old. It prevents
--- a/pkg/takeover/order.go
+++ b/pkg/takeover/order.go
@@ -220,6 +220,7 @@
 	g.reign++
 	for _, k := range g.kinds {
 		clear(k.holds)
+		k.arrival = arrival{}
 	}
 	g.wake()
 	return g.reign
--- a/pkg/takeover/run.go
+++ b/pkg/takeover/run.go
@@ -13,6 +13,7 @@
 	"limpetspan/core/config"
 	"limpetspan/core/takeover"
 	"limpetspan/pkg/errs"
+	"limpetspan/pkg/oncetable"
 	"limpetspan/pkg/store"
 )
 
@@ -173,11 +174,19 @@
 }
 
 func (r *run) createTables(ctx context.Context) error {
-	source := []Statement{statement(createSealSQL), statement(createOnceSQL)}
-	if err := r.Databases.Apply(ctx, r.dir.source, source); err != nil {
+	if err := r.Databases.Apply(ctx, r.dir.source, withOnceTable(createSealSQL)); err != nil {
 		return err
 	}
-	return r.Databases.Apply(ctx, r.dir.destination, []Statement{statement(createCopySQL), statement(createOnceSQL)})
+	return r.Databases.Apply(ctx, r.dir.destination, withOnceTable(createCopySQL))
+}
+
+// withOnceTable makes the table of sql and that of the must-not-repeat keys.
+func withOnceTable(sql string) []Statement {
+	list := []Statement{statement(sql)}
+	for _, create := range oncetable.Create {
+		list = append(list, statement(create))
+	}
+	return list
 }
 
 // reopen undoes the closings of buckets that have not flipped.
--- a/pkg/takeover/statement.go
+++ b/pkg/takeover/statement.go
@@ -14,9 +14,6 @@
 	// createCopySQL: in the destination, who may write copies into a bucket.
 	createCopySQL = "CREATE TABLE IF NOT EXISTS limpetspan_copy(kind text, bucket int, " +
 		"token bigint NOT NULL, closed bigint NOT NULL, PRIMARY KEY (kind, bucket))"
-	// createOnceSQL: the must-not-repeat keys, as package home makes it.
-	createOnceSQL = "CREATE TABLE IF NOT EXISTS limpetspan_once(once_key text PRIMARY KEY, " +
-		"kind text, record_key text, bucket int, tag text, done_at bigint)"
 )
 
 // Statements on the seals.
--- a/pkg/takeover/steps.go
+++ b/pkg/takeover/steps.go
@@ -14,15 +14,19 @@
 func (r *run) perform(ctx context.Context, e takeover.Effect) takeover.Event {
 	switch e := e.(type) {
 	case *takeover.Prepare:
+		r.began(takeover.StepPrepare, e.Bucket)
 		err := r.prepare(ctx, e.Bucket, e.Clear)
 		return &takeover.Prepared{Now: r.now(), Bucket: e.Bucket, Err: r.failed("prepare", err)}
 	case *takeover.CopyPage:
+		r.began(takeover.StepCopy, e.Bucket)
 		p, err := r.copyPage(ctx, e.Bucket, e.After, e.Size)
 		return &takeover.Copied{Now: r.now(), Bucket: e.Bucket, Rows: p.rows, LastKey: p.lastKey, Marker: p.marker, Err: r.failed("copy", err)}
 	case *takeover.CopyKeys:
+		r.began(takeover.StepKeys, e.Bucket)
 		latest, err := r.copyKeys(ctx, e.Bucket)
 		return &takeover.KeysCopied{Now: r.now(), Bucket: e.Bucket, Latest: latest, Err: r.failed("keys", err)}
 	case *takeover.CatchUpPage:
+		r.began(takeover.StepCatchUp, e.Bucket)
 		p, err := r.catchUpPage(ctx, e.Bucket, e.Marker, e.Size)
 		return &takeover.CaughtUp{Now: r.now(), Bucket: e.Bucket, Rows: p.rows, Marker: p.marker, Err: r.failed("catch_up", err)}
 	case *takeover.RunBatch:
@@ -31,7 +35,15 @@
 	return nil
 }
 
+// began tells which step begins.
+func (r *run) began(step takeover.Step, buckets ...int) {
+	if r.logger.IsDebug() {
+		r.logger.Debug("take-over step", "kind", r.dir.kind, "step", step.String(), "buckets", buckets)
+	}
+}
+
 func (r *run) runBatch(ctx context.Context, e *takeover.RunBatch) takeover.Event {
+	r.began(e.Step, e.Buckets...)
 	done := &takeover.BatchDone{Fence: e.Fence, Step: e.Step}
 	var err error
 	switch e.Step {
--- a/pkg/takeover/worker_test.go
+++ b/pkg/takeover/worker_test.go
@@ -355,6 +355,8 @@
 		Expect(w.count(rival)).To(BeNumerically(">=", 40))
 	})
 
+	const countOnceIndexes = "SELECT count(*) FROM sqlite_master WHERE type = 'index' AND tbl_name = 'limpetspan_once' AND sql IS NOT NULL"
+
 	// A charge is made twice: it ran at the old side, the answer was lost, and
 	// the caller asked again after its record had moved.
 	It("takes must-not-repeat keys along, also those with a wrong bucket in their row", func() {
@@ -375,6 +377,10 @@
 		var n int
 		Expect(w.databases[ring].QueryRow("SELECT count(*) FROM limpetspan_once").Scan(&n)).To(Succeed())
 		Expect(n).To(Equal(21))
+		for _, g := range []core.GroupID{rival, ring} {
+			Expect(w.databases[g].QueryRow(countOnceIndexes).Scan(&n)).To(Succeed())
+			Expect(n).To(Equal(2))
+		}
 	})
 
 	// A retired schema's records can be reached by nobody.
--- a/pkg/takeover/world_test.go
+++ b/pkg/takeover/world_test.go
@@ -22,6 +22,7 @@
 	"limpetspan/pkg/errs"
 	"limpetspan/pkg/store/storetest"
 	"limpetspan/pkg/takeover"
+	"limpetspan/pkg/target"
 	standin "limpetspan/standin/store"
 )
 
@@ -193,6 +194,9 @@
 }
 
 func (w *world) Query(ctx context.Context, g core.GroupID, st takeover.Statement) ([]takeover.Row, error) {
+	if st.SQL == target.PositionSQL {
+		return []takeover.Row{{{Text: "2"}, {Text: "7"}}}, nil
+	}
 	rows, err := w.databases[g].QueryContext(ctx, parameter.ReplaceAllString(st.SQL, "?$1"), arguments(st.Args)...)
 	if err != nil {
 		return nil, sqlError(err)
