Compare statements through a daemon with direct ones

Cause: nothing tells what the way through a daemon costs. Change: bench overhead alternates direct, relayed and proxied slices, with the daemon's processor time as the difference; a relay shows what any proxy costs.

--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -18,6 +18,7 @@
 	Capacity *BenchCapacityCommand `arg:"subcommand:capacity" help:"write the capacity page from the measurement files"`
 	Failover *BenchFailoverCommand `arg:"subcommand:failover" help:"measure the gap of writes when the primary or its home fails"`
 	Reads    *BenchReadsCommand    `arg:"subcommand:reads" help:"measure the share of reads that replicas serve, beside baselines"`
+	Overhead *BenchOverheadCommand `arg:"subcommand:overhead" help:"compare statements through a daemon with direct ones"`
 }
 
 // Examples shows how the subcommand is used.
