Let an error lead to its cause

Cause: errorx hides what it wraps, so errors.Is(err, context.DeadlineExceeded) failed through errs.Error. Change: Unwrap gives the errorx error and the cause. Measured: the new test fails on the old Unwrap (it found neither the deadline nor the net.OpError); go test of peer, entry, front, target and cli passes.

--- a/pkg/errs/errs.go
+++ b/pkg/errs/errs.go
@@ -98,25 +98,28 @@
 	// RetryAfter tells the caller when to come back; zero: unsaid.
 	RetryAfter time.Duration
 	// Hint, for NotHome, is the daemon believed to be home.
-	Hint  core.DaemonID
-	cause *errorx.Error
+	Hint core.DaemonID
+	// text is the errorx error, whose type is Kind.Type.
+	text *errorx.Error
+	// cause is what was wrapped, if anything.
+	cause error
 }
 
 // New returns an error of the kind.
 func New(kind *Kind, outcome core.Outcome, step, peer, format string, args ...any) *Error {
-	return &Error{Kind: kind, Outcome: outcome, Step: step, Peer: peer, cause: kind.Type.New(format, args...)}
+	return &Error{Kind: kind, Outcome: outcome, Step: step, Peer: peer, text: kind.Type.New(format, args...)}
 }
 
 // Wrap returns an error of the kind that was caused by err.
 func Wrap(err error, kind *Kind, outcome core.Outcome, step, peer, format string, args ...any) *Error {
-	return &Error{Kind: kind, Outcome: outcome, Step: step, Peer: peer, cause: kind.Type.Wrap(err, format, args...)}
+	return &Error{Kind: kind, Outcome: outcome, Step: step, Peer: peer, text: kind.Type.Wrap(err, format, args...), cause: err}
 }
 
 // After sets RetryAfter.
 func (e *Error) After(d time.Duration) *Error { e.RetryAfter = d; return e }
 
 // Message is the text without the outcome, for an ErrorResponse's MESSAGE.
-func (e *Error) Message() string { return e.cause.Message() }
+func (e *Error) Message() string { return e.text.Message() }
 
 // Detail is the text of an ErrorResponse's DETAIL:
 // outcome=… step=… peer=… and, where known, retry_after_ms=….
@@ -129,10 +132,17 @@
 	return b.String()
 }
 
-func (e *Error) Error() string { return e.cause.Error() + " (" + e.Detail() + ")" }
+func (e *Error) Error() string { return e.text.Error() + " (" + e.Detail() + ")" }
 
-// Unwrap gives the errorx error, whose type is Kind.Type.
-func (e *Error) Unwrap() error { return e.cause }
+// Unwrap gives the errorx error and the cause: errorx hides the cause from
+// errors.Is and errors.As, so that a wrapped context.DeadlineExceeded would not
+// be found.
+func (e *Error) Unwrap() []error {
+	if e.cause == nil {
+		return []error{e.text}
+	}
+	return []error{e.text, e.cause}
+}
 
 // As returns err as an *Error, or wraps it as Internal with outcome unknown.
 func As(err error) *Error {
