Measure the memory of idle caller connections

Cause: the size of today and of the plan is set by idle connections. Change: bench idle opens callers to one daemon, keeps bare sockets of them, and takes heap and stacks in use for each, less the caller's end.

--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -19,6 +19,7 @@
 	Failover *BenchFailoverCommand `arg:"subcommand:failover" help:"measure the gap of writes when the primary or its home fails"`
 	Reads    *BenchReadsCommand    `arg:"subcommand:reads" help:"measure the share of reads that replicas serve, beside baselines"`
 	Overhead *BenchOverheadCommand `arg:"subcommand:overhead" help:"compare statements through a daemon with direct ones"`
+	Idle     *BenchIdleCommand     `arg:"subcommand:idle" help:"measure the memory of idle caller connections"`
 }
 
 // Examples shows how the subcommand is used.
