Keep reads of moved records from replicas that lack the copy

Cause: after a flip, a read went to any replica of the destination. A session that wrote the record on the source's side has no position in the destination's group, so a lagging replica answered that there is no such record; a read of a stated age had the same fault. The handler raises the request's floor.

--- a/pkg/daemon/handler.go
+++ b/pkg/daemon/handler.go
@@ -36,7 +36,13 @@
 	if err != nil {
 		return exchange.Result{TxStatus: req.TxStatus, Group: req.Group}, h.withHint(err, req.Group)
 	}
-	result, err := h.d.homes.Do(ctx, req, w)
+	admitted := req
+	if req.Floor.Less(pass.Floor) {
+		raised := *req
+		raised.Floor = pass.Floor
+		admitted = &raised
+	}
+	result, err := h.d.homes.Do(ctx, admitted, w)
 	h.leave(pass, req, result, err)
 	return result, err
 }
--- /dev/null
+++ b/tests/takeover/kill_test.go
@@ -0,0 +1,56 @@
+package takeover_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"limpetspan/core/config"
+	"limpetspan/core/takeover"
+)
+
+const (
+	// slowNetwork makes each step last long enough to be met.
+	slowNetwork = 2 * time.Millisecond
+	// parallelFleets bounds the fleets that run at a time.
+	parallelFleets = 6
+)
+
+var _ = Describe("the daemon that works a take-over", func() {
+	// The daemon's process ends without a word in the middle of a step. Holds
+	// and seals, half copied buckets and closings are left behind, at the home
+	// of the source too when that was the same daemon. Another daemon has to
+	// clear them up and go on, and callers must not lose a write meanwhile.
+	It("is killed in each state of a bucket, and another one goes on", func() {
+		steps := []takeover.Step{takeover.StepPrepare, takeover.StepCopy, takeover.StepKeys, takeover.StepCatchUp, takeover.StepHold,
+			takeover.StepDrain, takeover.StepClose, takeover.StepVerify, takeover.StepSeal, takeover.StepFlip, takeover.StepSettle}
+		var g errgroup.Group
+		g.SetLimit(parallelFleets)
+		for _, step := range steps {
+			g.Go(func() error {
+				defer GinkgoRecover()
+				By("kill in step " + step.String())
+				killIn(step.String())
+				return nil
+			})
+		}
+		Expect(g.Wait()).To(Succeed())
+	})
+})
+
+func killIn(step string) {
+	w := newWorld(context.Background(), worldOptions{latency: slowNetwork})
+	defer w.close()
+	w.startCallers()
+	began := w.steps.next(step)
+	Expect(w.setState(config.TakeoverRunning)).To(Succeed())
+	var line logLine
+	Eventually(began).Should(Receive(&line))
+	w.kill(line.Daemon)
+	w.expireClaim()
+	w.awaitState(config.TakeoverComplete)
+	w.finish()
+}
