Show the last error of a take-over

Cause: a worker keeps the latest failure of a step, but a daemon's status left it out; an operator saw only that the share stood still. Change: the status carries error, step and time, and takeover status prints a line for it below the table (fields in JSON). Measured: go test of operator, cli and daemon; the cli test fails to build without the fields.

--- a/pkg/cli/fleet_test.go
+++ b/pkg/cli/fleet_test.go
@@ -78,8 +78,11 @@
 		t.fails(cli.ExitUsage, "takeover", "plan", tempFile(plan))
 		t.ok("takeover", "resume", "listing")
 		worker := newDaemon(operator.Status{ID: "w", Takeovers: []operator.TakeoverWork{{Kind: "listing", Elapsed: 10 * time.Second,
-			Progress: takeover.Progress{Buckets: 4, Done: 1, Records: 500, PauseMax: 30 * time.Millisecond}}}})
+			Progress: takeover.Progress{Buckets: 4, Done: 1, Records: 500, PauseMax: 30 * time.Millisecond},
+			LastStep: "copy", LastError: "the source is busy", LastAt: time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)}}})
 		Expect(t.ok("takeover", "status", "--daemon", worker.addr())).To(MatchRegexp(`listing +running +0 of 4 +0\.0 % +w +50 +30s +30ms`))
+		Expect(t.ok("takeover", "status", "--daemon", worker.addr())).To(HaveSuffix("\nlisting: last error at 2026-03-01T09:00:00Z in copy: the source is busy\n"))
+		Expect(t.ok("takeover", "status", "--daemon", worker.addr(), "--json")).To(ContainSubstring(`"last_error":"the source is busy","last_error_step":"copy"`))
 		r = t.fails(cli.ExitFailed, "takeover", "verify", "listing", "--daemon", worker.addr())
 		Expect(r.stdout).To(Equal("listing: 3 of 4 buckets are equal on both sides\n"))
 		t.ok("takeover", "rollback", "listing")
--- a/pkg/cli/takeover_status.go
+++ b/pkg/cli/takeover_status.go
@@ -40,6 +40,11 @@
 	TimeLeft time.Duration `json:"time_left_ns,omitempty"`
 	PauseMax time.Duration `json:"pause_max_ns,omitempty"`
 	Blocked  []int         `json:"blocked,omitempty"`
+	// LastError is the working daemon's latest failure, in LastStep; it may have
+	// been overcome since.
+	LastError string    `json:"last_error,omitempty"`
+	LastStep  string    `json:"last_error_step,omitempty"`
+	LastAt    time.Time `json:"last_error_at,omitzero"`
 }
 
 // Run shows the declared state from the store and, when daemons are given,
@@ -64,6 +69,7 @@
 		env.askStatus(ctx, reports)
 	}
 	var rows [][]any
+	var failures []string
 	for _, kind := range slices.Sorted(maps.Keys(doc.Takeovers)) {
 		if c.Kind != "" && c.Kind != kind {
 			continue
@@ -76,11 +82,23 @@
 			continue
 		}
 		rows = append(rows, entry.row())
+		if entry.LastError != "" {
+			failures = append(failures, entry.failure())
+		}
 	}
 	if env.JSON {
 		return nil
 	}
-	return writeTable(env.Stdout, []any{"KIND", "STATE", "MOVED", "SHARE", "DAEMON", "RECORDS/S", "TIME LEFT", "LONGEST PAUSE", "BLOCKED"}, rows)
+	header := []any{"KIND", "STATE", "MOVED", "SHARE", "DAEMON", "RECORDS/S", "TIME LEFT", "LONGEST PAUSE", "BLOCKED"}
+	if err := writeTable(env.Stdout, header, rows); err != nil {
+		return err
+	}
+	for _, line := range failures {
+		if _, err := fmt.Fprintln(env.Stdout, line); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func newTakeoverEntry(kind string, t *config.Takeover, reports []daemonReport) takeoverEntry {
@@ -102,6 +120,7 @@
 func (e *takeoverEntry) addWork(daemon string, work *operator.TakeoverWork) {
 	p := work.Progress
 	e.Daemon, e.Records, e.PauseMax, e.Blocked = daemon, p.Records, p.PauseMax, p.Blocked
+	e.LastError, e.LastStep, e.LastAt = work.LastError, work.LastStep, work.LastAt
 	if work.Elapsed <= 0 {
 		return
 	}
@@ -120,6 +139,11 @@
 		e.TimeLeft.Round(time.Second), e.PauseMax.Round(time.Millisecond), orDash(blockedText(e.Blocked))}
 }
 
+// failure is the line below the table that tells of the last error.
+func (e *takeoverEntry) failure() string {
+	return fmt.Sprintf("%s: last error at %s in %s: %s", e.Kind, e.LastAt.UTC().Format(time.RFC3339), e.LastStep, e.LastError)
+}
+
 func (e *takeoverEntry) moved() string { return fmt.Sprintf("%d of %d", e.Flipped, e.Buckets) }
 
 func (e *takeoverEntry) percent() string { return fmt.Sprintf("%.1f %%", 100*e.Share) }
--- a/pkg/daemon/takeovers.go
+++ b/pkg/daemon/takeovers.go
@@ -133,7 +133,10 @@
 func (d *Daemon) takeoverWork() []operator.TakeoverWork {
 	var list []operator.TakeoverWork
 	for _, s := range d.worker.Status() {
-		list = append(list, operator.TakeoverWork{Kind: s.Kind, Elapsed: time.Since(s.Since), Progress: s.Progress})
+		list = append(list, operator.TakeoverWork{
+			Kind: s.Kind, Elapsed: time.Since(s.Since), Progress: s.Progress,
+			LastError: s.LastError, LastStep: s.LastStep, LastAt: s.LastAt,
+		})
 	}
 	return list
 }
--- a/pkg/operator/message.go
+++ b/pkg/operator/message.go
@@ -68,6 +68,11 @@
 	// Elapsed is the time since this daemon took it up, in nanoseconds.
 	Elapsed  time.Duration     `json:"elapsed_ns"`
 	Progress takeover.Progress `json:"progress"`
+	// LastError is the latest failure of a step, LastStep, which may have been
+	// repeated with success since. Empty: none.
+	LastError string    `json:"last_error,omitempty"`
+	LastStep  string    `json:"last_error_step,omitempty"`
+	LastAt    time.Time `json:"last_error_at,omitzero"`
 }
 
 // Peer is another daemon as seen by the one asked.
