Refuse a probe timeout that outlasts the lease

Cause: with probe_interval and probe_timeout together at or above lease, one lost probe ends the lease before the next can renew it, and the home stops serving. Change: such settings are refused. Measured: go test ./pkg/settings; the new test has both sides of the bound.

--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -141,6 +141,8 @@
 		"only one of password_file and password_env is allowed")
 	add(3*s.Tuning.ProbeInterval > s.Tuning.Lease, "tuning", "probe_interval",
 		"must be at most a third of lease, so that one lost probe does not end the lease")
+	add(s.Tuning.ProbeInterval+s.Tuning.ProbeTimeout >= s.Tuning.Lease, "tuning", "probe_timeout",
+		"must be less than lease without one probe_interval, so that the probe after a lost one still renews the lease")
 	add(s.Trace.Exporter == ExporterOTLP && checkURL(s.Trace.Endpoint) != nil, "trace", "endpoint",
 		"an http or https URL is required with exporter otlp")
 	return problems
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -63,6 +63,16 @@
 		}
 	})
 
+	// One probe of the primary is lost. Where its timeout and the next probe take
+	// longer than the lease, the home stops serving at each lost packet.
+	It("refuses a probe timeout that outlasts the lease", func() {
+		const tuning = "[tuning]\nlease = 600ms\nprobe_interval = 150ms\nprobe_timeout = "
+		_, err := settings.Parse("a.ini", minimal(tuning+"450ms\n"))
+		Expect(err).To(MatchError(ContainSubstring("a.ini: [tuning] probe_timeout: must be less than lease without one probe_interval, so that")))
+		_, err = settings.Parse("a.ini", minimal(tuning+"449ms\n"))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	// An operator writes the password itself where the name of a file belongs,
 	// or under a key that does not exist. The daemon refuses the settings, and
 	// the refusal is logged: the password must not stand in it.
--- a/pkg/settings/table.go
+++ b/pkg/settings/table.go
@@ -171,7 +171,7 @@
 		Doc:   "How often a home asks each member for its state; at most a third of lease.",
 		field: func(s *Settings) any { return &s.Tuning.ProbeInterval }},
 	{Section: "tuning", Key: "probe_timeout", Type: TypeDuration, Default: "150ms", Min: "5ms", Max: "10s",
-		Doc:   "How long a probe may take.",
+		Doc:   "How long a probe may take; with probe_interval less than lease.",
 		field: func(s *Settings) any { return &s.Tuning.ProbeTimeout }},
 	{Section: "tuning", Key: "retry_ratio", Type: TypeRatio, Default: "0.1", Min: "0", Max: "1",
 		Doc:   "Repeated reads allowed per request, as the refill of the retry budget.",
