Ask replicas more often while reads go to the primary for their lag

Cause: after a spell of lag a replica's position was known only from the next probe, up to 200 ms later; its reads stayed at the primary until then. Change: for 200 ms after such a read the replicas are asked every 10 ms. Test tried with the change taken out: it fails.

--- a/core/group/dispatch.go
+++ b/core/group/dispatch.go
@@ -82,6 +82,7 @@
 	switch choice.verdict {
 	case verdictPrimary:
 		g.counters.ReadsPrimary++
+		g.noteDiverted()
 		g.toPrimary(r)
 		return true
 	case verdictNow:
@@ -105,6 +106,17 @@
 	return false
 }
 
+// noteDiverted has the replicas asked for a while, as a read went to the primary:
+// after a spell of lag the next ones shall find them as soon as they are level.
+func (g *Group) noteDiverted() {
+	until := g.now.Add(g.tuning.ProbeInterval)
+	if g.divertedUntil < g.now {
+		g.divertedUntil = until
+		g.hurry()
+	}
+	g.divertedUntil = until
+}
+
 // dispatch runs a request on a connection.
 func (g *Group) dispatch(r *request, c *conn) {
 	m := c.member
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -70,8 +70,11 @@
 	// writesBegun counts the writes dispatched, writesRunning those that run.
 	writesBegun   uint64
 	writesRunning int
-	// fastUntil is the time until which probes keep the fast pace.
-	fastUntil core.Time
+	// fastUntil is the time until which probes keep the fast pace,
+	// divertedUntil that until which replicas are asked because reads go to the
+	// primary for their lag.
+	fastUntil     core.Time
+	divertedUntil core.Time
 
 	counters Counters
 }
--- a/core/group/pace.go
+++ b/core/group/pace.go
@@ -57,6 +57,9 @@
 	if g.now < g.fastUntil {
 		due = next
 	}
+	if g.now < g.divertedUntil {
+		due = min(due, max(m.probe.sentAt, m.positionAt).Add(positionPaceMax))
+	}
 	if len(g.held) > 0 {
 		expected := m.lag.mean * 3 / 4
 		if !g.quick(m) {
--- a/core/group/session_test.go
+++ b/core/group/session_test.go
@@ -51,6 +51,24 @@
 		Expect(server).NotTo(Equal(core.MemberID("a")))
 	})
 
+	ginkgo.It("finds a replica again soon after a spell of lag", func() {
+		n, a := served()
+		n.member("b").stuck, n.member("c").stuck = true, true
+		var r core.RequestID
+		for i := range 3040 {
+			session := core.SessionID(fmt.Sprint("rider", i%50))
+			if i == 3000 {
+				n.member("b").stuck = false
+			}
+			if i < 3000 && i%5 == 0 {
+				a.arrive(func(a *Arrived) { a.Session = session })
+			}
+			r = a.read(session)
+			n.run(ms)
+		}
+		Expect(a.servers[r]).To(Equal(core.MemberID("b")))
+	})
+
 	ginkgo.It("does not go back in time between replicas", func() {
 		// Somebody else's bid shows in one read, from a fast replica. The next
 		// read of the same buyer, at a slow one, must not lack it.
