--- a/pkg/bench/capacity/checks.go
+++ b/pkg/bench/capacity/checks.go
@@ -128,7 +128,7 @@
 	const calculated = "calculated from the design"
 	reads := known(storeReads()+hostListReads(), calculated)
 	peak := p.hostListPeak()
-	back := known(2*watchersOfFleet+storeReads(), calculated)
+	back := known(2*watchesOfWatcher*watchersOfFleet+storeReads(), calculated)
 	return []check{
 		{"store reads, watches counted", "2,000/s", reads, limitStoreReads, perSecond,
 			"Watches and reads by the watchers, the others' rare looks, and the host list."},
--- a/pkg/bench/capacity/measurement.go
+++ b/pkg/bench/capacity/measurement.go
@@ -106,7 +106,11 @@
 
 // plus adds figures; the sum is known if both are.
 func (f figure) plus(o figure) figure {
-	return figure{value: f.value + o.value, known: f.known && o.known, source: f.source + ", " + o.source}
+	sum := figure{value: f.value + o.value, known: f.known && o.known, source: f.source}
+	if o.source != f.source {
+		sum.source += "; " + o.source
+	}
+	return sum
 }
 
 // largest and smallest find the field anywhere in the file.
--- a/pkg/bench/capacity/page.go
+++ b/pkg/bench/capacity/page.go
@@ -66,7 +66,9 @@
 
 func (p *model) writeSlopes(b *strings.Builder) {
 	b.WriteString("\n## Slopes of the control work, per daemon\n\n" +
-		"Metric = intercept + a × daemons + b × groups, by least squares over all runs of `control.json`.\n")
+		"Metric = intercept + a × daemons + b × groups, by least squares over all runs of `control.json`. " +
+		"The bench's own work and the restarts, whose rate is fixed for the whole fleet, are divided by the daemons, " +
+		"so slopes over daemons may be below zero; where a run at the plan's size exists, the page uses that and not the fit.\n")
 	if p.m.Control == nil || len(p.m.Control.Slopes) == 0 {
 		b.WriteString("\nNot measured.\n")
 		return
--- a/pkg/bench/capacity/plan.go
+++ b/pkg/bench/capacity/plan.go
@@ -19,6 +19,7 @@
 	secondsPerDay    = 86400.0
 	candidates       = 3 // of each group
 	watchersOfFleet  = 12
+	watchesOfWatcher = 2 // of the configuration and of the host list
 	hostListInterval = 600.0 // seconds between two looks of one daemon
 
 	groupsPerDaemon      = float64(candidates*planGroups) / planDaemons
@@ -179,8 +180,8 @@
 // still work, the rare looks of all others, and a read for each change.
 func storeReads() float64 {
 	t := confstore.DefaultTiming()
-	proofs := watchersOfFleet / t.WatcherPoll.Seconds()
-	return watchersOfFleet + proofs + storePolls() + watchersOfFleet*changesPerDay/secondsPerDay
+	proofs := watchersOfFleet / t.WatcherPoll.Seconds() // of the configuration's watch
+	return watchesOfWatcher*watchersOfFleet + proofs + storePolls() + watchersOfFleet*changesPerDay/secondsPerDay
 }
 
 func storePolls() float64 {
--- a/pkg/bench/capacity/roles.go
+++ b/pkg/bench/capacity/roles.go
@@ -210,7 +210,7 @@
 		name:  "Platform store (whole fleet)",
 		state: "the configuration and its recent changes",
 		messages: fmt.Sprintf("%s reads with %d waiting watches, %s writes (calculated)",
-			perSecond(storeReads()), watchersOfFleet, perSecond(storeWrites())),
+			perSecond(storeReads()), watchesOfWatcher*watchersOfFleet, perSecond(storeWrites())),
 		cpu:    "the platform's",
 		memory: "the platform's",
 		slope: fmt.Sprintf("reads = watches + proofs of them + daemons / %.0f s + watchers × changes; of these %s grow with the fleet (calculated)",
--- a/pkg/bench/control/run.go
+++ b/pkg/bench/control/run.go
@@ -22,8 +22,10 @@
 	if o.Memory {
 		r.Network = "memory"
 	}
+	// Taken once: what is left of an earlier size must not count as the base.
+	baseHeap := liveHeap()
 	for _, sz := range o.sizes() {
-		run, err := measure(ctx, &o, sz)
+		run, err := measure(ctx, &o, sz, baseHeap)
 		if err != nil {
 			return r, fmt.Errorf("bench control: %d daemons, %d groups: %w", sz.daemons, sz.groups, err)
 		}
@@ -33,10 +35,10 @@
 	return r, nil
 }
 
-func measure(ctx context.Context, o *Options, sz size) (*Run, error) {
+func measure(ctx context.Context, o *Options, sz size, baseHeap float64) (*Run, error) {
 	o.progress("%d daemons, %d groups: starting", sz.daemons, sz.groups)
 	start := time.Now()
-	s, err := newSimulation(ctx, o, sz)
+	s, err := newSimulation(ctx, o, sz, baseHeap)
 	if s != nil {
 		defer s.close()
 	}
--- a/pkg/bench/control/simulation.go
+++ b/pkg/bench/control/simulation.go
@@ -55,9 +55,8 @@
 
 // newSimulation starts a fleet whose daemons know each other and the homes of
 // all groups, and waits until their views are equal.
-func newSimulation(ctx context.Context, o *Options, sz size) (*simulation, error) {
-	s := &simulation{options: o, size: sz, ctx: ctx, byID: map[core.DaemonID]*daemon{}}
-	s.baseHeap = liveHeap()
+func newSimulation(ctx context.Context, o *Options, sz size, baseHeap float64) (*simulation, error) {
+	s := &simulation{options: o, size: sz, ctx: ctx, baseHeap: baseHeap, byID: map[core.DaemonID]*daemon{}}
 	if o.Memory {
 		s.network = memnet.New(1, 0, o.Latency)
 	}
--- a/pkg/bench/control/usage.go
+++ b/pkg/bench/control/usage.go
@@ -53,6 +53,7 @@
 
 func liveHeap() float64 {
 	runtime.GC()
+	runtime.GC() // the first one empties pools only in part
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc)
