--- a/pkg/bench/capacity/plan.go
+++ b/pkg/bench/capacity/plan.go
@@ -19,7 +19,7 @@
 	secondsPerDay    = 86400.0
 	candidates       = 3 // of each group
 	watchersOfFleet  = 12
-	watchesOfWatcher = 2 // of the configuration and of the host list
+	watchesOfWatcher = 2     // of the configuration and of the host list
 	hostListInterval = 600.0 // seconds between two looks of one daemon
 
 	groupsPerDaemon      = float64(candidates*planGroups) / planDaemons
