Call fence and promote through one function

Cause: the two calls to a member stood twice with the same bound, log and event. Change: one function makes the call; the two give it the call and the event. Measured: go test ./pkg/home passes.

--- a/pkg/home/members.go
+++ b/pkg/home/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"limpetspan/core"
 	"limpetspan/core/group"
@@ -49,35 +50,36 @@
 }
 
 func (s *Shard) fence(e group.Fence) {
-	control := s.control(e.Member)
-	go func() {
-		ctx, cancel := context.WithTimeout(s.ctx, e.Timeout)
-		defer cancel()
-		status, err := core.Status{}, errNoMember
-		if control != nil {
-			status, err = control.Fence(ctx, e.Term)
-		}
-		s.logCall("fence failed", e.Member, e.Term, err)
-		s.post(&group.Fenced{Member: e.Member, Term: e.Term, Status: status, Err: target.Classify(err)})
-	}()
+	s.changeTerm("fence failed", e.Member, e.Term, e.Timeout, (*target.Control).Fence,
+		func(status core.Status, failure group.Failure) group.Event {
+			return &group.Fenced{Member: e.Member, Term: e.Term, Status: status, Err: failure}
+		})
 }
 
 func (s *Shard) promote(e group.Promote) {
-	control := s.control(e.Member)
+	s.changeTerm("promotion failed", e.Member, e.Term, e.Timeout, (*target.Control).Promote,
+		func(status core.Status, failure group.Failure) group.Event {
+			return &group.Promoted{Member: e.Member, Term: e.Term, Status: status, Err: failure}
+		})
+}
+
+// changeTerm makes one call to a member and posts the event of its answer.
+func (s *Shard) changeTerm(
+	failed string, member core.MemberID, term core.Term, timeout time.Duration,
+	call func(*target.Control, context.Context, core.Term) (core.Status, error),
+	event func(core.Status, group.Failure) group.Event,
+) {
+	control := s.control(member)
 	go func() {
-		ctx, cancel := context.WithTimeout(s.ctx, e.Timeout)
+		ctx, cancel := context.WithTimeout(s.ctx, timeout)
 		defer cancel()
 		status, err := core.Status{}, errNoMember
 		if control != nil {
-			status, err = control.Promote(ctx, e.Term)
+			status, err = call(control, ctx, term)
 		}
-		s.logCall("promotion failed", e.Member, e.Term, err)
-		s.post(&group.Promoted{Member: e.Member, Term: e.Term, Status: status, Err: target.Classify(err)})
+		if err != nil {
+			s.logger.Warn(failed, "member", string(member), "term", uint64(term), "error", err)
+		}
+		s.post(event(status, target.Classify(err)))
 	}()
 }
-
-func (s *Shard) logCall(message string, member core.MemberID, term core.Term, err error) {
-	if err != nil {
-		s.logger.Warn(message, "member", string(member), "term", uint64(term), "error", err)
-	}
-}
