Use the field's terms for messages, views and connections

Cause: names and comments said whole, retired, bury, orphans, reign and meddling where the field says complete, full, closing, hung up, heartbeat and intercept. Change: renamed; the log field whole of "configuration in force" is now full.

--- a/pkg/confstore/adopt.go
+++ b/pkg/confstore/adopt.go
@@ -9,7 +9,7 @@
 // Adopt brings a document in force that an Editor of this daemon has just
 // committed, without waiting for the store's news of it. The direct successor
 // of what is in force is taken as a change, so that peers get the change and
-// not the whole document; for anything later the store is asked.
+// not the full document; for anything later the store is asked.
 func (f *Follower) Adopt(doc *config.Document) {
 	current := f.Current()
 	switch {
--- a/pkg/confstore/doc.go
+++ b/pkg/confstore/doc.go
@@ -8,7 +8,7 @@
 // kinds/NAME, takeovers/NAME, and changes/SLOT, a ring of the last
 // HistoryLength changes with what undoes them. A change is one
 // compare-and-swap of all its keys, and every one of them swaps head, so head
-// is the guard of the whole document: whoever saw head unchanged before and
+// is the guard of the full document: whoever saw head unchanged before and
 // after reading saw one revision.
 //
 // # Spreading
--- a/pkg/confstore/editor.go
+++ b/pkg/confstore/editor.go
@@ -56,7 +56,7 @@
 // Calls counts the editor's calls to the store.
 func (e *Editor) Calls() *Calls { return &e.reader.calls }
 
-// Load reads the whole document; it is empty before the first change.
+// Load reads the full document; it is empty before the first change.
 func (e *Editor) Load(ctx context.Context) (*config.Document, error) { return e.reader.load(ctx) }
 
 // Latest returns the document in the store, reading only what base lacks.
@@ -106,7 +106,7 @@
 }
 
 // Update commits what edit makes of the latest document, and begins again when
-// somebody else was faster. base spares the whole read; it may be nil. edit
+// somebody else was faster. base spares the full read; it may be nil. edit
 // must not change the document it gets and may be called several times.
 func (e *Editor) Update(ctx context.Context, base *config.Document, meta Meta, edit func(*config.Document) (*config.Document, error)) (*config.Document, error) {
 	base, err := e.Latest(ctx, base)
--- a/pkg/confstore/editor_test.go
+++ b/pkg/confstore/editor_test.go
@@ -118,12 +118,12 @@
 		fake.Server.LoseAnswers(1, standin.KindTxn)
 		lostOnce := false
 		after, _ := addGroup("g2", 5002)(base)
-		meddler := &meddlingStore{Fake: fake, afterLost: func() {
+		store := &interceptingStore{Fake: fake, afterLost: func() {
 			lostOnce = true
 			mustAdd(ctx, bob, "g3", 5003)
 			mustAdd(ctx, bob, "g4", 5004)
 		}}
-		editor := confstore.NewEditor(meddler, prefix)
+		editor := confstore.NewEditor(store, prefix)
 		editor.Retry = time.Millisecond
 		doc, err := editor.Commit(ctx, base, after, confstore.Meta{})
 		Expect(err).NotTo(HaveOccurred())
@@ -135,9 +135,9 @@
 	// Saying "failed" would be a guess; so would saying "done".
 	It("says that a change is unsettled when it cannot be read back", func() {
 		base := mustAdd(ctx, ann, "g1", 5001)
-		meddler := &meddlingStore{Fake: fake, afterLost: func() { _ = fake.Server.SetOutage(standin.OutageDrop) }}
+		store := &interceptingStore{Fake: fake, afterLost: func() { _ = fake.Server.SetOutage(standin.OutageDrop) }}
 		fake.Server.LoseAnswers(1, standin.KindTxn)
-		editor := confstore.NewEditor(meddler, prefix)
+		editor := confstore.NewEditor(store, prefix)
 		editor.Retry = time.Millisecond
 		short, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
 		defer cancel()
--- a/pkg/confstore/follower.go
+++ b/pkg/confstore/follower.go
@@ -18,7 +18,7 @@
 // PeerSource asks another daemon for changes.
 type PeerSource interface {
 	// Changes returns the peer's changes after a revision, ascending, or its
-	// whole document when it does not keep them all.
+	// full document when it does not keep them all.
 	Changes(ctx context.Context, peer core.DaemonID, after config.Revision) ([]config.Change, *config.Document, error)
 }
 
@@ -33,7 +33,7 @@
 	// Options.Daemons is known, within WatcherPoll and Poll, see pollInterval.
 	PollPerDaemon time.Duration
 	// Grace is how long a starting daemon waits for its peers before it reads
-	// the whole document from the store.
+	// the full document from the store.
 	Grace time.Duration
 	// Fallback is the pause before the store is read for a revision that no
 	// peer gives; it varies by half, which spreads daemons that lost one peer.
@@ -176,10 +176,10 @@
 	return true
 }
 
-// takeWhole brings a whole document in force unless it is not newer.
-func (f *Follower) takeWhole(doc *config.Document, source string) {
+// takeDocument brings a full document in force unless it is not newer.
+func (f *Follower) takeDocument(doc *config.Document, source string) {
 	if f.ledger.replace(doc) {
-		f.logger.Info("configuration in force", "revision", doc.Revision, "change_id", doc.ChangeID, "source", source, "whole", true)
+		f.logger.Info("configuration in force", "revision", doc.Revision, "change_id", doc.ChangeID, "source", source, "full", true)
 	}
 }
 
--- a/pkg/confstore/follower_test.go
+++ b/pkg/confstore/follower_test.go
@@ -134,7 +134,7 @@
 		changes, doc := first.Changes(1)
 		Expect(changes).To(HaveLen(1))
 		Expect(doc).To(BeNil())
-		// A follower that loaded revision 2 whole keeps no change before it.
+		// A follower that loaded revision 2 as a full document keeps no change before it.
 		late := follow(confstore.Options{Peers: peers{"first": first}})
 		late.Offer("first", 2)
 		Eventually(revisionOf(late), bound).Should(BeEquivalentTo(2))
@@ -268,7 +268,7 @@
 		Eventually(answer.asked, bound).Should(Receive(BeEquivalentTo(2)))
 		Expect(follower.Current()).To(BeIdenticalTo(before))
 	},
-		Entry("with a whole document", answers{doc: &config.Document{Revision: 1, ChangeID: "ann-1"}}),
+		Entry("with a full document", answers{doc: &config.Document{Revision: 1, ChangeID: "ann-1"}}),
 		Entry("with the same revision of another history", answers{doc: &config.Document{Revision: 2, ChangeID: "other"}}),
 		Entry("with changes", answers{changes: []config.Change{{Revision: 1, ChangeID: "ann-1"}}}),
 	)
@@ -288,12 +288,12 @@
 		follower := follow(confstore.Options{Peers: source})
 		follower.Offer("peer", 300)
 		Eventually(revisionOf(follower), bound).Should(BeEquivalentTo(300))
-		changes, whole := follower.Changes(300 - 256)
+		changes, full := follower.Changes(300 - 256)
 		Expect(changes).To(HaveLen(256))
-		Expect(whole).To(BeNil())
-		changes, whole = follower.Changes(300 - 257)
+		Expect(full).To(BeNil())
+		changes, full = follower.Changes(300 - 257)
 		Expect(changes).To(BeNil())
-		Expect(whole).To(BeIdenticalTo(follower.Current()))
+		Expect(full).To(BeIdenticalTo(follower.Current()))
 	})
 })
 
--- a/pkg/confstore/meddling_test.go
+++ b/pkg/confstore/intercept_test.go
@@ -7,14 +7,14 @@
 	"limpetspan/pkg/store/storetest"
 )
 
-// meddlingStore calls afterLost when an answer to a swap was lost, before the
+// interceptingStore calls afterLost when an answer to a swap was lost, before the
 // code under test hears of it.
-type meddlingStore struct {
+type interceptingStore struct {
 	*storetest.Fake
 	afterLost func()
 }
 
-func (m *meddlingStore) CompareAndSwap(ctx context.Context, swaps ...store.Swap) (store.SwapResult, error) {
+func (m *interceptingStore) CompareAndSwap(ctx context.Context, swaps ...store.Swap) (store.SwapResult, error) {
 	result, err := m.Fake.CompareAndSwap(ctx, swaps...)
 	if err != nil {
 		m.afterLost()
--- a/pkg/confstore/ledger.go
+++ b/pkg/confstore/ledger.go
@@ -66,7 +66,7 @@
 	return nil
 }
 
-// replace brings a whole document in force, if it is newer.
+// replace brings a full document in force, if it is newer.
 func (l *ledger) replace(doc *config.Document) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -106,7 +106,7 @@
 	}
 }
 
-// since returns the changes after a revision, or the whole document when they
+// since returns the changes after a revision, or the full document when they
 // are not all kept; neither when there is nothing newer.
 func (l *ledger) since(after config.Revision) ([]config.Change, *config.Document) {
 	l.mu.Lock()
--- a/pkg/confstore/offer.go
+++ b/pkg/confstore/offer.go
@@ -125,7 +125,7 @@
 	}
 	source := "peer " + string(peer)
 	if doc != nil {
-		f.takeWhole(doc, source)
+		f.takeDocument(doc, source)
 	} else if !f.take(changes, source) {
 		f.pullWhole(ctx, peer)
 	}
@@ -140,13 +140,13 @@
 	// gives a history that starts from the empty document.
 	changes, doc, err := f.options.Peers.Changes(call, peer, 0)
 	if err != nil {
-		f.logger.Warn("whole configuration not had from peer", "peer", peer, "error", err)
+		f.logger.Warn("full configuration not received from peer", "peer", peer, "error", err)
 		return
 	}
 	if doc == nil {
 		doc = replay(changes)
 	}
-	f.takeWhole(doc, "peer "+string(peer))
+	f.takeDocument(doc, "peer "+string(peer))
 }
 
 // replay builds a document from its first change on; nil if that fails.
--- a/pkg/confstore/poll.go
+++ b/pkg/confstore/poll.go
@@ -69,7 +69,7 @@
 		return err
 	}
 	if changes == nil || !f.take(changes, "store") {
-		f.takeWhole(doc, "store")
+		f.takeDocument(doc, "store")
 	}
 	return nil
 }
--- a/pkg/confstore/reader.go
+++ b/pkg/confstore/reader.go
@@ -12,7 +12,7 @@
 )
 
 // maxAdvance is the longest gap that is closed by reading single changes; one
-// more costs a read each, while a whole document costs five.
+// more costs a read each, while a full document costs five.
 const maxAdvance = 16
 
 // loadAttempts bounds how often a load begins again because of a change.
@@ -68,7 +68,7 @@
 	return kvs, revision, nil
 }
 
-// load reads the whole document: five calls. Every change swaps head, so a
+// load reads the full document: five calls. Every change swaps head, so a
 // head that is the same before and after proves that the lists between belong
 // to one revision.
 func (r *reader) load(ctx context.Context) (*config.Document, error) {
@@ -155,14 +155,14 @@
 }
 
 // advance returns the document at the head's revision, and the changes that
-// led there from doc; no changes when the whole document had to be read.
+// led there from doc; no changes when the full document had to be read.
 func (r *reader) advance(ctx context.Context, doc *config.Document, to head) (*config.Document, []config.Change, error) {
 	if to.Restoring {
 		return nil, nil, ErrRestoring
 	}
 	if to.Revision < doc.Revision || to.Revision-doc.Revision > maxAdvance {
-		whole, err := r.load(ctx)
-		return whole, nil, err
+		full, err := r.load(ctx)
+		return full, nil, err
 	}
 	var changes []config.Change
 	for next := doc; ; {
@@ -178,8 +178,8 @@
 			next, err = config.Apply(next, &record.Change)
 		}
 		if err != nil {
-			whole, err := r.load(ctx)
-			return whole, nil, err
+			full, err := r.load(ctx)
+			return full, nil, err
 		}
 	}
 }
--- a/pkg/front/answer.go
+++ b/pkg/front/answer.go
@@ -33,8 +33,8 @@
 	conn io.Writer
 	buf  []byte
 	err  error
-	// whole keeps everything in buf until the end.
-	whole bool
+	// buffered keeps everything in buf until the end.
+	buffered bool
 	// onError gets the SQLSTATE of each error.
 	onError func(state string)
 
@@ -65,7 +65,7 @@
 	if err := a.track(messages); err != nil {
 		return 0, err
 	}
-	if !a.whole && len(a.buf)+len(messages) > answerBuffer {
+	if !a.buffered && len(a.buf)+len(messages) > answerBuffer {
 		a.flush()
 		if len(messages) >= answerBuffer {
 			a.send(messages)
@@ -93,7 +93,7 @@
 // complete reports whether the answer stands between two messages.
 func (a *answer) complete() bool { return a.left == 0 && a.got == 0 }
 
-// dropReady takes the ReadyForQuery at the end back; whole must be set.
+// dropReady takes the ReadyForQuery at the end back; buffered must be set.
 func (a *answer) dropReady() { a.buf = a.buf[:len(a.buf)-readyLen] }
 
 // track follows the message borders.
--- a/pkg/front/batch_test.go
+++ b/pkg/front/batch_test.go
@@ -128,7 +128,7 @@
 		Expect(requests()).To(BeZero())
 	})
 
-	It("passes a large batch and a large answer whole", func() {
+	It("passes a large batch and a large answer unchanged", func() {
 		text := "SELECT '" + strings.Repeat("y", 3<<20) + "'"
 		Expect(c.query(text).Rows).To(Equal([]string{text}))
 		Expect(c.batch(extended("", text)).Rows).To(Equal([]string{text}))
--- a/pkg/front/caller.go
+++ b/pkg/front/caller.go
@@ -30,7 +30,7 @@
 
 const (
 	phaseStarting phase = iota
-	// phaseWaiting: reading, with no whole exchange at hand.
+	// phaseWaiting: reading, with no complete exchange at hand.
 	phaseWaiting
 	phaseRunning
 )
--- a/pkg/front/exchange.go
+++ b/pkg/front/exchange.go
@@ -46,7 +46,7 @@
 		b.err = notRun(errs.Unsupported, stepMessage, "a Flush after Bind or Execute is not carried outside a transaction; send Sync")
 	}
 	in.flushToSync()
-	out.whole = true
+	out.buffered = true
 	broken := c.dispatch(arrived)
 	if broken == nil {
 		out.dropReady()
@@ -74,7 +74,7 @@
 	return nil
 }
 
-// forTarget reports whether the whole batch concerns the target. One that
+// forTarget reports whether the entire batch concerns the target. One that
 // only closes statements, or is empty, does not; nor does a portal outside a
 // transaction, as it cannot exist any more.
 func (c *caller) forTarget(b *batch) bool {
--- a/pkg/front/failure_test.go
+++ b/pkg/front/failure_test.go
@@ -16,7 +16,7 @@
 var _ = Describe("A planned stop", func() {
 	// An operator stops a daemon while one rider's request runs, another is
 	// inside a transaction and a third is idle. The idle one must be told at
-	// once to connect elsewhere, the others must get their whole answers, and
+	// once to connect elsewhere, the others must get their complete answers, and
 	// the daemon must end by itself.
 	It("closes idle callers at once and cuts off nothing in flight", func() {
 		r := startRig(trust)
--- a/pkg/front/fuzz_test.go
+++ b/pkg/front/fuzz_test.go
@@ -42,7 +42,7 @@
 	for len(rest) > 0 {
 		message, tail, err := pgframe.Split(rest, 0)
 		if message == nil {
-			h.t.Fatalf("no whole message in %q: %v", rest, err)
+			h.t.Fatalf("no complete message in %q: %v", rest, err)
 		}
 		switch message.Type() {
 		case messageParse:
@@ -92,13 +92,13 @@
 	return conn.out.Bytes()
 }
 
-// checkAnswers fails unless the bytes are whole, well-formed backend messages.
+// checkAnswers fails unless the bytes are complete, well-formed backend messages.
 func checkAnswers(t *testing.T, answers []byte) {
 	frontend := pgproto3.NewFrontend(bytes.NewReader(answers), nil)
 	for rest := answers; len(rest) > 0; {
 		message, tail, err := pgframe.Split(rest, 0)
 		if message == nil {
-			t.Fatalf("no whole message in %q: %v", rest, err)
+			t.Fatalf("no complete message in %q: %v", rest, err)
 		}
 		if _, err := frontend.Receive(); err != nil {
 			t.Fatalf("message %q: %v", message, err)
--- a/pkg/front/input.go
+++ b/pkg/front/input.go
@@ -42,7 +42,7 @@
 // input collects the messages of one batch in one buffer.
 type input struct {
 	buf []byte
-	// buf[start:next] are whole messages of the batch, buf[next:end] is unscanned.
+	// buf[start:next] are complete messages of the batch, buf[next:end] is unscanned.
 	start, next, end int
 	maxMessage       int
 	maxBatch         int
@@ -62,7 +62,7 @@
 // flushToSync turns the Flush that ends the batch into a Sync of the same size.
 func (in *input) flushToSync() { in.buf[in.next-pgframe.HeaderLen] = messageSync }
 
-// scan moves over whole messages until one ends the batch, and returns its
+// scan moves over complete messages until one ends the batch, and returns its
 // type, or 0 when more bytes are needed.
 func (in *input) scan() (byte, *errs.Error) {
 	for in.next < in.end {
--- a/pkg/front/local.go
+++ b/pkg/front/local.go
@@ -53,7 +53,7 @@
 
 // flush bounds the memory of an answer to many small messages.
 func (l *localAnswer) flush() {
-	if len(l.out) < answerBuffer || l.answer.whole {
+	if len(l.out) < answerBuffer || l.answer.buffered {
 		return
 	}
 	l.answer.buf = l.out
--- a/pkg/front/merge.go
+++ b/pkg/front/merge.go
@@ -5,7 +5,7 @@
 	"limpetspan/pkg/errs"
 )
 
-// exchangeDirectives returns the directives of the whole exchange.
+// exchangeDirectives returns the directives of the entire exchange.
 func (b *batch) exchangeDirectives() core.Directives {
 	d := b.merged
 	if b.spoken == 0 {
--- a/pkg/front/metrics.go
+++ b/pkg/front/metrics.go
@@ -16,7 +16,7 @@
 	latencyShards = 8
 )
 
-// metrics are the front's counters. Latency is from the arrival of a whole
+// metrics are the front's counters. Latency is from the arrival of a complete
 // request to the last byte of its answer given to the socket.
 type metrics struct {
 	vars                         expvar.Map
--- a/pkg/home/classify.go
+++ b/pkg/home/classify.go
@@ -10,7 +10,7 @@
 	"limpetspan/pkg/target"
 )
 
-// classifyAnswer says what a whole answer means to the reducer. A refusal counts
+// classifyAnswer says what a complete answer means to the reducer. A refusal counts
 // as one only while nothing of the exchange can have run or have been written:
 // otherwise it is an ordinary answer.
 func classifyAnswer(answer target.Answer, idleBefore bool) run {
--- a/pkg/home/do.go
+++ b/pkg/home/do.go
@@ -99,7 +99,7 @@
 }
 
 // check refuses malformed messages before anything of them is sent: bytes that
-// are no whole message would run into the next request on the connection.
+// are not a complete message would run into the next request on the connection.
 func (c *call) check() error {
 	if err := c.runner.Plan.Parse(c.req.Messages); err != nil {
 		return errs.Wrap(err, errs.BadRequest, core.OutcomeNotRun, stepArrive, "", "malformed request")
@@ -238,13 +238,13 @@
 	switch {
 	case p == nil:
 		s.reduce(&group.ConnClosed{Conn: v.dispatch.Conn})
-	case p.retired:
-		s.bury(p)
+	case p.closing:
+		s.closeNotReusable(p)
 	}
 }
 
 // putBack frees the connection of a request. A connection that is not clean is
-// dropped, one that is clean but must not have a next user is retired.
+// dropped, one that is clean but not reusable is closed.
 func (s *Shard) putBack(p *pooledConn, r *run) {
 	p.busy = false
 	if r.result != group.ResultOK && r.result != group.ResultReadOnly {
@@ -253,13 +253,14 @@
 		return
 	}
 	p.provenAt = s.manager.options.Now()
-	p.retired = r.answer.TxStatus == pgframe.StatusIdle && !p.conn.Reusable()
+	p.closing = r.answer.TxStatus == pgframe.StatusIdle && !p.conn.Reusable()
 }
 
-// bury closes a retired connection. The reducer hears of it here, unless it
-// dispatched a request to the connection when it heard of the one before: that
-// request reports that it was not sent, and then that the connection is closed.
-func (s *Shard) bury(p *pooledConn) {
+// closeNotReusable closes a connection that is clean but not reusable. The
+// reducer hears of it here, unless it dispatched a request to the connection
+// when it heard of the one before: that request reports that it was not sent,
+// and then that the connection is closed.
+func (s *Shard) closeNotReusable(p *pooledConn) {
 	delete(s.conns, p.id)
 	s.metrics.open.Add(-1)
 	go p.conn.Close()
--- a/pkg/home/do_test.go
+++ b/pkg/home/do_test.go
@@ -139,7 +139,7 @@
 		DeferCleanup(r.close)
 	}
 
-	It("gets its whole answer and the position behind it", func() {
+	It("gets its complete answer and the position behind it", func() {
 		start(1)
 		a, result, err := r.do(r.request(1, query("SELECT 1")))
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/home/effects.go
+++ b/pkg/home/effects.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// dispatch gives a request its connection, or none if that is gone or retired:
+// dispatch gives a request its connection, or none if that is gone or closing:
 // the request then reports that it was not sent.
 func (s *Shard) dispatch(e *group.Dispatch) {
 	p := s.conns[e.Conn]
@@ -63,7 +63,7 @@
 	if p != nil {
 		p.busy = true
 	}
-	if p != nil && p.retired {
+	if p != nil && p.closing {
 		p = nil
 	}
 	w.conn = p
@@ -103,7 +103,7 @@
 func (s *Shard) beat(e *group.Beat) {
 	self := s.manager.options.Self
 	home := fleet.Home{Group: s.id, Term: e.Term, Daemon: self, Primary: e.Primary, Released: e.Released}
-	s.reign = home
+	s.lastBeat = home
 	for _, candidate := range s.others {
 		if candidate.ID == self {
 			continue
--- a/pkg/home/once_sql.go
+++ b/pkg/home/once_sql.go
@@ -21,7 +21,7 @@
 	commitSQL   = "COMMIT"
 	rollbackSQL = "ROLLBACK"
 	// Inside a caller's transaction a savepoint keeps a repeated key from
-	// failing the whole of it.
+	// failing all of it.
 	savepointSQL  = "SAVEPOINT limpetspan_once"
 	rollbackToSQL = "ROLLBACK TO SAVEPOINT limpetspan_once"
 )
--- a/pkg/home/pool.go
+++ b/pkg/home/pool.go
@@ -22,8 +22,8 @@
 	provenAt core.Time
 	// busy: a request has it.
 	busy bool
-	// retired: it is clean, but must not have a next user.
-	retired bool
+	// closing: it is clean but not reusable, and is closed after its request.
+	closing bool
 	// cancelling: a cancel request is on its way.
 	cancelling bool
 }
--- a/pkg/home/shard.go
+++ b/pkg/home/shard.go
@@ -58,8 +58,8 @@
 	suspects map[core.MemberID]core.Time
 	controls map[core.MemberID]*target.Control
 	beats    map[core.DaemonID]*mailbox[fleet.Home]
-	// reign is the last Beat.
-	reign fleet.Home
+	// lastBeat is the last heartbeat sent.
+	lastBeat fleet.Home
 	// The events of the data path are built in place.
 	arrived  group.Arrived
 	finished group.Finished
--- a/pkg/home/upkeep.go
+++ b/pkg/home/upkeep.go
@@ -28,12 +28,12 @@
 // s.mu is held.
 func (s *Shard) startUpkeep() {
 	now := s.manager.options.Now()
-	home := s.reign.Term != 0 && !s.reign.Released
+	home := s.lastBeat.Term != 0 && !s.lastBeat.Released
 	if !home || s.upkeep || now < s.upkeepAt {
 		return
 	}
 	s.upkeep, s.upkeepAt = true, now.Add(upkeepInterval)
-	control, member := s.control(s.reign.Primary), s.reign.Primary
+	control, member := s.control(s.lastBeat.Primary), s.lastBeat.Primary
 	go func() {
 		if control != nil {
 			if err := s.removeOldKeys(control); err != nil {
--- a/pkg/peer/doc.go
+++ b/pkg/peer/doc.go
@@ -11,7 +11,7 @@
 //	client → server   call
 //	server → client   reply
 //
-// The server starts an exchange only when the run frame has arrived whole.
+// The server starts an exchange only when the run frame has arrived completely.
 // Hence the client may report "not run" exactly when it knows that a part of
 // the request was never handed to the connection, and must report "unknown"
 // for every failure after that.
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -27,7 +27,7 @@
 
 // Exchange runs the request at the daemon at addr and passes its answer to w.
 // A failure is an *errs.Error: its outcome is "not run" exactly when the
-// request cannot have reached the daemon whole.
+// request cannot have reached the daemon completely.
 func (c *Client) Exchange(ctx context.Context, addr string, req *exchange.Request, w exchange.Writer) (exchange.Result, error) {
 	var err error
 	for range attempts {
@@ -125,7 +125,7 @@
 }
 
 // errNotSent marks a failure to send that left the last frame incomplete.
-var errNotSent = errors.New("request not sent whole")
+var errNotSent = errors.New("request not sent completely")
 
 // flush writes the send buffer. The error is errNotSent where the peer cannot
 // have received all of it: yamux reports these failures only before it hands
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -24,7 +24,7 @@
 	frameMessages byte = 'M'
 	// frameRun are the last raw frontend messages of the request.
 	frameRun byte = 'R'
-	// frameData are whole backend messages of the answer.
+	// frameData are complete backend messages of the answer.
 	frameData byte = 'D'
 	// frameEnd is an ExchangeEnd.
 	frameEnd byte = 'E'
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -217,17 +217,17 @@
 // without this, the target's connection would keep its locks until the
 // transaction times out.
 func (s *Server) remove(session *serverSession) {
-	var orphans []core.CallerID
+	var hungUp []core.CallerID
 	s.mu.Lock()
 	delete(s.sessions, session)
 	for caller, at := range s.open {
 		if at == session {
-			orphans = append(orphans, caller)
+			hungUp = append(hungUp, caller)
 			delete(s.open, caller)
 		}
 	}
 	s.mu.Unlock()
-	for _, caller := range orphans {
+	for _, caller := range hungUp {
 		s.options.Handler.Hangup(caller)
 	}
 }
@@ -235,16 +235,16 @@
 // HangUpEntry rolls back the open transactions of all callers of an entry
 // that is known to be dead, before its connections are found to be.
 func (s *Server) HangUpEntry(entry core.DaemonID) {
-	var orphans []core.CallerID
+	var hungUp []core.CallerID
 	s.mu.Lock()
 	for caller := range s.open {
 		if caller.Entry == entry {
-			orphans = append(orphans, caller)
+			hungUp = append(hungUp, caller)
 			delete(s.open, caller)
 		}
 	}
 	s.mu.Unlock()
-	for _, caller := range orphans {
+	for _, caller := range hungUp {
 		s.options.Handler.Hangup(caller)
 	}
 }
--- a/pkg/peer/serverstream.go
+++ b/pkg/peer/serverstream.go
@@ -93,7 +93,7 @@
 	return x.flush()
 }
 
-// readRequest reads one request whole; nothing of it runs before that.
+// readRequest reads one complete request; nothing of it runs before that.
 func (x *serverStream) readRequest() (*exchange.Request, error) {
 	kind, payload, err := readFrame(x.raw, x.readBuf)
 	x.readBuf = payload
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -102,7 +102,7 @@
 	return &stream{Stream: raw, kind: kind, sendBuf: []byte{kind}}, nil
 }
 
-// put gives a stream back whose last answer arrived whole.
+// put gives a stream back whose last answer arrived completely.
 func (s *session) put(x *stream) {
 	if cap(x.frameBuf) > smallBuffer {
 		// yamux's own buffer has grown with ours.
--- a/pkg/pgframe/message.go
+++ b/pkg/pgframe/message.go
@@ -35,7 +35,7 @@
 // Body returns the bytes after the header.
 func (m Message) Body() []byte { return m[HeaderLen:] }
 
-// Size returns the whole size in bytes of the message that begins b, header
+// Size returns the full size in bytes of the message that begins b, header
 // included, or 0 when b does not hold its header yet. A size above max is
 // refused; max 0 means no bound.
 func Size(b []byte, max int) (int, error) {
@@ -53,7 +53,7 @@
 	return size, nil
 }
 
-// Split cuts the first whole message off b. Without one it returns a nil
+// Split cuts the first complete message off b. Without one it returns a nil
 // message and b.
 func Split(b []byte, max int) (Message, []byte, error) {
 	size, err := Size(b, max)
--- a/pkg/pgframe/reader.go
+++ b/pkg/pgframe/reader.go
@@ -35,7 +35,7 @@
 // connection between two answers has none.
 func (r *Reader) Buffered() int { return r.end - r.start }
 
-// Next returns one whole message. The buffer grows to hold it. io.EOF means
+// Next returns one complete message. The buffer grows to hold it. io.EOF means
 // that the stream ended between messages, io.ErrUnexpectedEOF inside one.
 func (r *Reader) Next() (Message, error) {
 	for {
@@ -56,7 +56,7 @@
 	}
 }
 
-// makeRoom lets the whole of the message at start fit into the buffer.
+// makeRoom lets all of the message at start fit into the buffer.
 func (r *Reader) makeRoom() error {
 	size, err := Size(r.buf[r.start:r.end], r.max)
 	if err != nil {
@@ -98,7 +98,7 @@
 
 // Chunk is a run of consecutive messages, raw.
 type Chunk struct {
-	// Bytes holds whole messages only, unless a message larger than the
+	// Bytes holds complete messages only, unless a message larger than the
 	// buffer passes in pieces.
 	Bytes []byte
 	// Count is the number of messages that begin in Bytes.
@@ -114,7 +114,7 @@
 	Partial bool
 }
 
-// LastMessage returns the whole last message, nil if the chunk holds only a
+// LastMessage returns the complete last message, nil if the chunk holds only a
 // piece of it.
 func (c *Chunk) LastMessage() Message {
 	if c.Partial || c.LastStart < 0 {
@@ -132,7 +132,7 @@
 		return r.piece()
 	}
 	for {
-		chunk, err := r.whole(&stop)
+		chunk, err := r.complete(&stop)
 		if err != nil || chunk.Count > 0 {
 			return chunk, err
 		}
@@ -148,9 +148,9 @@
 	}
 }
 
-// whole takes the whole messages that are buffered. A malformed message is
+// complete takes the complete messages that are buffered. A malformed message is
 // reported when it comes first, so that those before it are not lost.
-func (r *Reader) whole(stop *TypeSet) (Chunk, error) {
+func (r *Reader) complete(stop *TypeSet) (Chunk, error) {
 	var chunk Chunk
 	rest := r.buf[r.start:r.end]
 	first := r.start
--- a/pkg/pgframe/reader_test.go
+++ b/pkg/pgframe/reader_test.go
@@ -22,7 +22,7 @@
 }
 
 var _ = Describe("Reader", func() {
-	It("returns whole messages and grows for a large one", func() {
+	It("returns complete messages and grows for a large one", func() {
 		stream := bytes.Join([][]byte{raw('D', "one"), raw('D', string(make([]byte, 500))), raw('Z', "I")}, nil)
 		r := pgframe.NewReader(iotest.OneByteReader(bytes.NewReader(stream)), 16, 0)
 		var got []byte
--- a/pkg/target/plan.go
+++ b/pkg/target/plan.go
@@ -8,8 +8,8 @@
 	"limpetspan/pkg/pgframe"
 )
 
-// ErrBadMessages says that a request's messages are not a whole exchange.
-var ErrBadMessages = errors.New("target: the messages are no whole exchange")
+// ErrBadMessages says that a request's messages are not a complete exchange.
+var ErrBadMessages = errors.New("target: the messages are not a complete exchange")
 
 // Plan is what has to be known of a request's messages before they are sent:
 // how many answers they have, and what they do to the prepared statements. Its
@@ -34,7 +34,7 @@
 	hash uint64
 }
 
-// Parse reads the messages. It refuses what does not consist of whole messages
+// Parse reads the messages. It refuses what does not consist of complete messages
 // or does not end with one that is answered by a ReadyForQuery: sent like that,
 // it would let one caller's bytes run into the next one's.
 func (p *Plan) Parse(messages []byte) error {
--- a/pkg/target/plan_test.go
+++ b/pkg/target/plan_test.go
@@ -31,7 +31,7 @@
 
 	// A caller sends a message whose length says more than there is. Passed on
 	// as it is, the next caller's bytes would become its body.
-	DescribeTable("refuses what is no whole exchange", func(messages []byte) {
+	DescribeTable("refuses what is not a complete exchange", func(messages []byte) {
 		var p target.Plan
 		Expect(p.Parse(messages)).To(MatchError(target.ErrBadMessages))
 	},
--- a/pkg/target/run.go
+++ b/pkg/target/run.go
@@ -87,7 +87,7 @@
 	return err
 }
 
-// read reads the whole answer: that of the prefix, which is nobody's, then the
+// read reads the complete answer: that of the prefix, which is nobody's, then the
 // caller's, then that of the position query.
 func (r *Runner) read(asked bool) error {
 	r.copies.asked = asked
--- a/pkg/target/stream.go
+++ b/pkg/target/stream.go
@@ -197,7 +197,7 @@
 }
 
 // mayWrite reports whether the answer may go out as far as it came: it has
-// begun, it is not held, and what is there ends with a whole message.
+// begun, it is not held, and what is there ends with a complete message.
 func (r *Runner) mayWrite() bool {
 	return r.stream.begun && !r.stream.holding && !r.stream.open
 }
