Count the bytes at stand-in members

Cause: what daemons exchange with members at rest has to be told from what they exchange among themselves. Change: Member.Traffic. Measured: not measured. Conclusion: additive.

--- a/standin/target/link.go
+++ b/standin/target/link.go
@@ -143,6 +143,7 @@
 			return 0, err
 		}
 		n, err := l.Conn.Read(p)
+		l.member.traffic.Add(int64(n))
 		if l.killed.Load() {
 			return 0, errKilled
 		}
@@ -169,7 +170,9 @@
 	if err := l.await(); err != nil {
 		return 0, err
 	}
-	return l.Conn.Write(p)
+	n, err := l.Conn.Write(p)
+	l.member.traffic.Add(int64(n))
+	return n, err
 }
 
 // goodbye sends a last message, if any, and closes the connection, both once
--- a/standin/target/member.go
+++ b/standin/target/member.go
@@ -48,6 +48,8 @@
 	slots chan struct{}
 	// statements counts those that took a slot.
 	statements atomic.Int64
+	// traffic counts the bytes from and to clients.
+	traffic atomic.Int64
 	// schema counts the changes of any schema.
 	schema atomic.Uint64
 	// news receives when another member may have something for this one.
@@ -104,6 +106,10 @@
 // them are reads of callers.
 func (m *Member) Statements() int64 { return m.statements.Load() }
 
+// Traffic returns how many bytes the member has received from clients and sent
+// to them.
+func (m *Member) Traffic() int64 { return m.traffic.Load() }
+
 // Log returns the transactions that the member holds, in order.
 func (m *Member) Log() []*Record {
 	m.mu.RLock()
