Read the configuration for commands in one place

Cause: five commands opened the editor and loaded the document by the same lines, and two test files of the store prepared the same fake. Change: one function each. Measured: go test of cli and store passes.

--- a/pkg/cli/change.go
+++ b/pkg/cli/change.go
@@ -222,3 +222,12 @@
 	editor.Now = e.Now
 	return editor, nil
 }
+
+// document reads the accepted configuration from the store.
+func (e *Env) document(ctx context.Context) (*config.Document, error) {
+	editor, err := e.editor()
+	if err != nil {
+		return nil, err
+	}
+	return editor.Load(ctx)
+}
--- a/pkg/cli/config_check.go
+++ b/pkg/cli/config_check.go
@@ -35,11 +35,7 @@
 	if len(env.Endpoints) == 0 {
 		return c.checkAlone(env, file)
 	}
-	editor, err := env.editor()
-	if err != nil {
-		return err
-	}
-	current, err := editor.Load(ctx)
+	current, err := env.document(ctx)
 	if err != nil {
 		return err
 	}
--- a/pkg/cli/group.go
+++ b/pkg/cli/group.go
@@ -88,11 +88,7 @@
 
 // Run carries out the subcommand.
 func (*GroupListCommand) Run(ctx context.Context, env *Env) error {
-	editor, err := env.editor()
-	if err != nil {
-		return err
-	}
-	doc, err := editor.Load(ctx)
+	doc, err := env.document(ctx)
 	if err != nil {
 		return err
 	}
--- a/pkg/cli/schema.go
+++ b/pkg/cli/schema.go
@@ -33,11 +33,7 @@
 
 // Run carries out the subcommand.
 func (*SchemaListCommand) Run(ctx context.Context, env *Env) error {
-	editor, err := env.editor()
-	if err != nil {
-		return err
-	}
-	doc, err := editor.Load(ctx)
+	doc, err := env.document(ctx)
 	if err != nil {
 		return err
 	}
--- a/pkg/cli/schema_retire.go
+++ b/pkg/cli/schema_retire.go
@@ -57,11 +57,7 @@
 // requests in the daemons' last window. A daemon that does not answer may have
 // some, so it counts.
 func (c *SchemaRetireCommand) users(ctx context.Context, env *Env) ([]string, error) {
-	editor, err := env.editor()
-	if err != nil {
-		return nil, err
-	}
-	doc, err := editor.Load(ctx)
+	doc, err := env.document(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/cli/takeover_status.go
+++ b/pkg/cli/takeover_status.go
@@ -50,11 +50,7 @@
 // Run shows the declared state from the store and, when daemons are given,
 // the rate from the one that works.
 func (c *TakeoverStatusCommand) Run(ctx context.Context, env *Env) error {
-	editor, err := env.editor()
-	if err != nil {
-		return err
-	}
-	doc, err := editor.Load(ctx)
+	doc, err := env.document(ctx)
 	if err != nil {
 		return err
 	}
--- a/pkg/store/client_test.go
+++ b/pkg/store/client_test.go
@@ -19,12 +19,7 @@
 		ctx  context.Context
 		fake *storetest.Fake
 	)
-	BeforeEach(func() {
-		var cancel context.CancelFunc
-		ctx, cancel = storetest.Context()
-		DeferCleanup(cancel)
-		fake = storetest.NewWithClock(standin.NewManualClock(time.Unix(1_000, 0)))
-	})
+	BeforeEach(func() { ctx, fake = startFake() })
 
 	It("swaps several keys or none, and shows the one in the way", func() {
 		r, err := fake.CompareAndSwap(ctx, store.Swap{Key: "/a", Value: []byte("1")}, store.Swap{Key: "/b", Value: []byte("1")})
--- a/pkg/store/watch_test.go
+++ b/pkg/store/watch_test.go
@@ -17,12 +17,7 @@
 		ctx  context.Context
 		fake *storetest.Fake
 	)
-	BeforeEach(func() {
-		var cancel context.CancelFunc
-		ctx, cancel = storetest.Context()
-		DeferCleanup(cancel)
-		fake = storetest.NewWithClock(standin.NewManualClock(time.Unix(1_000, 0)))
-	})
+	BeforeEach(func() { ctx, fake = startFake() })
 
 	It("delivers the changes after a revision in order", func() {
 		fake.MustPut("/a/1", []byte("old"))
