--- a/tests/takeover/ledger_test.go
+++ b/tests/takeover/ledger_test.go
@@ -60,6 +60,13 @@
 	n   int64
 }
 
+// sql is the caller's statement. It changes nothing after a later write, as one
+// whose outcome is not known may come late.
+func (w write) sql() string {
+	return fmt.Sprintf("/*kind='%s',key='%s'*/ UPDATE lot SET n = %d, changed = (SELECT max(changed) FROM lot) + 1 WHERE id = '%s' AND n < %d",
+		kind, w.key, w.n, w.key, w.n)
+}
+
 // ledger holds what callers were told of each write.
 type ledger struct {
 	mu     sync.Mutex
