Tell an empty text from NULL in a stand-in connection's first row

Cause: the row buffer of a stand-in member's new connection is nil, and an empty value at its start was sent as NULL. Change: empty values that are not NULL are sent as such. Measured: the new test fails without the change (tried once). Answers of the proxy were not at fault.

--- a/standin/target/probe_test.go
+++ b/standin/target/probe_test.go
@@ -12,6 +12,16 @@
 var _ = Describe("a client", func() {
 	ctx := context.Background()
 
+	// A reader now and then finds NULL where an empty text was written: on
+	// connections whose first row it is, as nothing has grown their buffer yet.
+	It("tells an empty text from NULL in the first row of a connection", func() {
+		g := start(three())
+		conn := dial(g, "a", "psql")
+		exec(conn, "CREATE TABLE note (id BIGINT PRIMARY KEY, body TEXT)")
+		exec(conn, "INSERT INTO note VALUES (1, '')")
+		Expect(query[string](dial(g, "a", "psql"), "SELECT body FROM note")).To(BeEmpty())
+	})
+
 	It("gets back what it wrote, type by type, in both protocols", func() {
 		conn := dial(start(three()), "a", "psql")
 		Expect(exec(conn, `CREATE TABLE bay (id BIGINT PRIMARY KEY, n INTEGER, ratio DOUBLE PRECISION,
--- a/standin/target/sink.go
+++ b/standin/target/sink.go
@@ -115,6 +115,9 @@
 	return 0
 }
 
+// noBytes is the empty value, which is not NULL.
+var noBytes = []byte{}
+
 // encode builds the row in the session's buffers.
 func (k *sink) encode(row []engine.Value) (*pgproto3.DataRow, error) {
 	r := &k.session.reply
@@ -132,9 +135,13 @@
 	r.row.Values = r.row.Values[:0]
 	start := 0
 	for i, end := range r.ends {
-		if row[i].Kind == engine.Null {
+		switch {
+		case row[i].Kind == engine.Null:
 			r.row.Values = append(r.row.Values, nil)
-		} else {
+		case start == end:
+			// A slice of a buffer that is still nil would be nil and read as NULL.
+			r.row.Values = append(r.row.Values, noBytes)
+		default:
 			r.row.Values = append(r.row.Values, r.cells[start:end:end])
 		}
 		start = end
