Measure what a group at rest costs its candidates

Cause: the capacity page had no figures of probes, heartbeats and leases. Change: bench home takes the slope between few and many groups.

--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -20,6 +20,7 @@
 	Reads    *BenchReadsCommand    `arg:"subcommand:reads" help:"measure the share of reads that replicas serve, beside baselines"`
 	Overhead *BenchOverheadCommand `arg:"subcommand:overhead" help:"compare statements through a daemon with direct ones"`
 	Idle     *BenchIdleCommand     `arg:"subcommand:idle" help:"measure the memory of idle caller connections"`
+	Home     *BenchHomeCommand     `arg:"subcommand:home" help:"measure what a group at rest costs its candidates"`
 	Reducer  *BenchReducerCommand  `arg:"subcommand:reducer" help:"measure the group reducer alone"`
 }
 
