Say why a gate that is not loaded refuses

Cause: a home that could not read the seals, as with no member in reach, said "has revision 8 and serves the kind from revision 0 on". Change: it says that it has not read them from the group yet. Measured: the test of unloaded gates asks for the text, which the old one lacked; go test ./pkg/takeover passes.

--- a/pkg/takeover/gate.go
+++ b/pkg/takeover/gate.go
@@ -165,9 +165,14 @@
 
 // behind refuses to serve a kind under a revision that is too old. It prevents
 // that a daemon which became home, and has missed configuration changes, takes
-// writes of buckets that have flipped away.
+// writes of buckets that have flipped away. Before Load nothing is known of that,
+// as when no member of the group is reachable.
 func (g *Gate) behind(k *kindGate, kind string, have config.Revision) error {
-	if g.loaded && have >= k.floor {
+	if !g.loaded {
+		return errs.New(errs.Unavailable, core.OutcomeNotRun, stepGate, "",
+			"this home has not read from group %s yet which records may be about to move", g.group).After(retryAfter)
+	}
+	if have >= k.floor {
 		return nil
 	}
 	return errs.New(errs.Unavailable, core.OutcomeNotRun, stepGate, "",
--- a/pkg/takeover/gate_test.go
+++ b/pkg/takeover/gate_test.go
@@ -181,7 +181,10 @@
 		Expect(errors).To(ConsistOf(BeNil(), HaveOccurred()), "only the later reign counts")
 		Expect(enterAndLeave(1)).To(Succeed())
 		third := loaded()
-		Expect(errs.Is(enterAndLeave(1), errs.Unavailable)).To(BeTrue())
+		err := enterAndLeave(1)
+		Expect(errs.Is(err, errs.Unavailable)).To(BeTrue())
+		// Not that the revision is too old, which would send the operator astray.
+		Expect(err).To(MatchError(ContainSubstring("has not read from group " + string(rival))))
 		slow.answer <- struct{}{}
 		Eventually(third, bound).Should(Receive(BeNil()))
 		Expect(enterAndLeave(1)).To(Succeed())
--- a/pkg/takeover/worker.go
+++ b/pkg/takeover/worker.go
@@ -21,7 +21,7 @@
 // Defaults of Options.
 const (
 	DefaultInterval    = 250 * time.Millisecond
-	DefaultRetry       = 5 * time.Second
+	DefaultRetry       = 2 * time.Second
 	DefaultStepTimeout = 10 * time.Second
 	// stopGrace is how long a daemon that stops goes on with what it holds.
 	stopGrace = 3 * time.Second
