--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -22,6 +22,7 @@
 	Idle     *BenchIdleCommand     `arg:"subcommand:idle" help:"measure the memory of idle caller connections"`
 	Home     *BenchHomeCommand     `arg:"subcommand:home" help:"measure what a group at rest costs its candidates"`
 	Reducer  *BenchReducerCommand  `arg:"subcommand:reducer" help:"measure the group reducer alone"`
+	Report   *BenchReportCommand   `arg:"subcommand:report" help:"run all measurements in short form and compare with an earlier run"`
 }
 
 // Examples shows how the subcommand is used.
