--- a/pkg/home/do_test.go
+++ b/pkg/home/do_test.go
@@ -24,8 +24,7 @@
 
 	It("gets its complete answer and the position behind it", func() {
 		start(1)
-		a, result, err := r.do(r.request(1, query("SELECT 1")))
-		Expect(err).NotTo(HaveOccurred())
+		a, result := r.run(1, "SELECT 1")
 		Expect(a.types()).To(Equal("DCZ"))
 		Expect(result.Position).To(Equal(core.Position{Term: 2, LSN: 100}))
 		Expect(result.TxStatus).To(Equal(byte('I')))
@@ -51,14 +50,6 @@
 		Expect(r.member.count("SELECT * FROM limpetspan_position()")).To(Equal(1))
 	})
 
-	It("that is malformed is refused before anything is sent", func() {
-		start(1)
-		_, _, err := r.do(r.request(1, []byte{'Q', 0, 0, 0, 99, 'x'}))
-		Expect(errs.Is(err, errs.BadRequest)).To(BeTrue())
-		_, _, err = r.do(r.request(1, query("SELECT 2")))
-		Expect(err).NotTo(HaveOccurred())
-	})
-
 	// A rider's request times out while the member still works on it. Then the
 	// member answers. If the connection had gone back to the pool, the next rider
 	// would read the first one's answer as its own.
@@ -71,8 +62,7 @@
 		Expect(errs.Is(err, errs.DeadlineExceeded)).To(BeTrue())
 		Expect(errs.As(err).Outcome).To(Equal(core.OutcomeUnknown))
 		close(gate)
-		a, _, err := r.do(r.request(2, query("SELECT mine")))
-		Expect(err).NotTo(HaveOccurred())
+		a, _ := r.run(2, "SELECT mine")
 		Expect(a.first()).To(Equal("SELECT mine"))
 		Expect(r.member.sessionCount()).To(BeNumerically(">", 1))
 	})
@@ -111,12 +101,10 @@
 	// neither stay on the connection nor reach the next caller.
 	It("of a caller that hung up leaves no open transaction behind", func() {
 		start(1)
-		_, result, err := r.do(r.request(1, query("BEGIN")))
-		Expect(err).NotTo(HaveOccurred())
+		_, result := r.run(1, "BEGIN")
 		Expect(result.TxStatus).To(Equal(byte('T')))
 		r.manager.Hangup(core.CallerID{Entry: "d1", Number: 1})
-		a, result, err := r.do(r.request(2, query("SELECT 1")))
-		Expect(err).NotTo(HaveOccurred())
+		a, result := r.run(2, "SELECT 1")
 		Expect(result.TxStatus).To(Equal(byte('I')))
 		Expect(a.types()).To(Equal("DCZ"))
 		Expect(r.member.sessionCount()).To(Equal(2))
@@ -128,8 +116,7 @@
 	It("of a lost transaction says that there is none", func() {
 		start(1)
 		begin := func() {
-			_, result, err := r.do(r.request(1, query("BEGIN")))
-			Expect(err).NotTo(HaveOccurred())
+			_, result := r.run(1, "BEGIN")
 			Expect(result.TxStatus).To(Equal(byte('T')))
 		}
 		fail := func(sql string, within core.Time) byte {
@@ -145,18 +132,23 @@
 		Expect(fail("WAIT for ever", within(r.now(), 50*time.Millisecond))).To(Equal(byte('I')))
 	})
 
-	It("that is refused leaves the transaction open", func() {
+	It("that is malformed is refused before anything is sent, and leaves the transaction open", func() {
 		start(1)
-		_, _, err := r.do(r.request(1, query("BEGIN")))
+		r.run(1, "BEGIN")
+		for _, step := range []struct {
+			caller        uint64
+			before, after byte
+		}{{1, 'T', 'T'}, {2, 'T', 'I'}, {3, 'I', 'I'}} {
+			malformed := r.request(step.caller, []byte{'Q', 0, 0, 0, 99, 'x'})
+			malformed.TxStatus = step.before
+			_, result, err := r.do(malformed)
+			Expect(errs.Is(err, errs.BadRequest)).To(BeTrue())
+			Expect(result.TxStatus).To(Equal(step.after))
+		}
+		next := r.request(1, query("SELECT 2"))
+		next.TxStatus = 'T'
+		_, _, err := r.do(next)
 		Expect(err).NotTo(HaveOccurred())
-		malformed := r.request(1, []byte{'Q', 0, 0, 0, 99, 'x'})
-		malformed.TxStatus = 'T'
-		_, result, err := r.do(malformed)
-		Expect(errs.Is(err, errs.BadRequest)).To(BeTrue())
-		Expect(result.TxStatus).To(Equal(byte('T')))
-		malformed.Caller.Number = 2
-		_, result, _ = r.do(malformed)
-		Expect(result.TxStatus).To(Equal(byte('I')))
 	})
 
 	// A stand's display reads its listing slowly. Its connection waits for it;
@@ -242,11 +234,9 @@
 
 	It("that finds its connection closed was not sent", func() {
 		start(1)
-		_, _, err := r.do(r.request(1, query("SELECT 1")))
-		Expect(err).NotTo(HaveOccurred())
+		r.run(1, "SELECT 1")
 		r.member.hangUp()
-		_, _, err = r.do(r.request(1, query("SELECT 2")))
-		Expect(err).NotTo(HaveOccurred())
+		r.run(1, "SELECT 2")
 		Expect(r.reducer.results).To(Equal([]group.Result{group.ResultOK, group.ResultNotSent, group.ResultOK}))
 	})
 
@@ -273,8 +263,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(a.code()).To(Equal("0A000"))
 			Expect(result.TxStatus).To(Equal(byte('I')))
-			a, _, err = r.do(r.request(1, query("SELECT 1")))
-			Expect(err).NotTo(HaveOccurred())
+			a, _ = r.run(1, "SELECT 1")
 			Expect(a.first()).To(Equal("SELECT 1"))
 		}
 		Expect(r.member.sessionCount()).To(Equal(1))
@@ -286,8 +275,7 @@
 			&pgproto3.Execute{}, &pgproto3.Sync{})))
 		Expect(errs.As(err).Outcome).To(Equal(core.OutcomeRan))
 		Expect(errs.As(err).Step).To(Equal("home.hold"))
-		_, _, err = r.do(r.request(1, query("SELECT 1")))
-		Expect(err).NotTo(HaveOccurred())
+		r.run(1, "SELECT 1")
 	})
 
 	It("of many messages is sent while its answer is read", func() {
@@ -308,10 +296,8 @@
 	// connection would run under it without having asked for it.
 	It("leaves no session settings to the next caller", func() {
 		start(1)
-		_, _, err := r.do(r.request(1, query("SET search_path")))
-		Expect(err).NotTo(HaveOccurred())
-		_, _, err = r.do(r.request(2, query("SELECT 1")))
-		Expect(err).NotTo(HaveOccurred())
+		r.run(1, "SET search_path")
+		r.run(2, "SELECT 1")
 		Expect(r.member.last("SELECT 1")).NotTo(Equal(r.member.last("SET search_path")))
 	})
 })
--- a/pkg/home/rig_test.go
+++ b/pkg/home/rig_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"go.opentelemetry.io/otel/trace"
 
@@ -128,3 +129,11 @@
 	result, err := r.manager.Do(context.Background(), req, a)
 	return a, result, err
 }
+
+// run runs a statement that must succeed.
+func (r *rig) run(caller uint64, sql string) (*answer, exchange.Result) {
+	GinkgoHelper()
+	a, result, err := r.do(r.request(caller, query(sql)))
+	Expect(err).NotTo(HaveOccurred())
+	return a, result
+}
