Replace a primary whose log reaches no other member

Cause: the test of separate processes showed that a primary cut off from its peers, but not from the daemons, is never suspected; durable writes then wait until their deadline (30 s), all of them. Ruled out: the confirmation itself, which rightly withholds the acknowledgment. Change: after 5 s in which durable writes waited and no replica received anything, the home claims again and passes the primary over, if the other members it fenced are a majority by themselves. Measured: event script: writes stand still for under 6 s, before without end.

--- a/core/group/ballot.go
+++ b/core/group/ballot.go
@@ -27,8 +27,10 @@
 	watchedAt core.Position
 	// target is promoted. It is chosen once for each ballot: a second choice
 	// could make two primaries of one term when an answer was lost.
-	target     *member
-	attempts   int
+	target   *member
+	attempts int
+	// avoid is a primary that is not to be chosen again, see checkIsolated.
+	avoid      *member
 	promotedAt core.Time
 }
 
@@ -201,10 +203,14 @@
 // primary, then by configuration.
 func (g *Group) furthest() *member {
 	var best *member
+	avoid := g.mayAvoid()
 	for _, m := range g.members {
 		if m.gone || (m.vote != voteFenced && m.vote != voteTied) {
 			continue
 		}
+		if avoid && m == g.ballot.avoid {
+			continue
+		}
 		if best == nil || (g.guarded(GuardFurthest) && g.better(m, best)) {
 			best = m
 		}
--- a/core/group/claim.go
+++ b/core/group/claim.go
@@ -172,7 +172,7 @@
 func (g *Group) startClaim(why string) {
 	g.counters.Claims++
 	g.logEvent("claiming the group", nil, g.reign.term, why)
-	g.ballot.backoff, g.ballot.watched = 0, false
+	g.ballot.backoff, g.ballot.watched, g.ballot.avoid = 0, false, nil
 	if g.reign.term == 0 {
 		g.probeForClaim()
 		return
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -211,6 +211,7 @@
 		g.wakeBy(until)
 	}
 	g.runPlanned()
+	g.checkIsolated()
 }
 
 // reportSoon asks a member for a report at the fast pace, because work on it
--- a/core/group/fake_test.go
+++ b/core/group/fake_test.go
@@ -18,6 +18,7 @@
 	paused  bool          // accepts them and never answers
 	silent  bool          // kept control connections never answer
 	stuck   bool          // applies nothing
+	cutOff  bool          // exchanges nothing with the other members
 	lag     time.Duration // of replication
 	busy    bool          // has no connection left
 	loseOK  bool          // the answer of the next promote is lost
@@ -194,9 +195,9 @@
 
 // replicate attaches members of lower terms to the primary and copies its log.
 func (n *fakeNet) replicate() {
-	if p := n.primary(); p != nil && !p.down && !p.paused {
+	if p := n.primary(); p != nil && !p.down && !p.paused && !p.cutOff {
 		for _, m := range n.members {
-			if m == p || m.down || m.paused || m.stuck || m.status.Term > p.status.Term {
+			if m == p || m.down || m.paused || m.stuck || m.cutOff || m.status.Term > p.status.Term {
 				continue
 			}
 			m.status.Term, m.status.Role = p.status.Term, core.RoleReplica
--- /dev/null
+++ b/core/group/isolation_test.go
@@ -0,0 +1,55 @@
+package group
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+)
+
+var _ = ginkgo.Describe("a primary that is cut off from its peers only", func() {
+	ginkgo.It("is replaced, and confirmed writes stay", func() {
+		// Every gate hangs until its deadline although all three members answer
+		// the daemons. The primary commits alone: its log reaches nobody, so no
+		// durable write is ever confirmed.
+		n, a := served()
+		w := a.arrive(func(a *Arrived) { a.Durable = true })
+		n.run(50 * ms)
+		Expect(a.acks).To(HaveKey(w))
+		n.primary().cutOff = true
+		gap := n.writeEvery(9*time.Second, true)
+		ginkgo.GinkgoWriter.Println("gap", gap)
+		Expect(gap).To(BeNumerically("<", 6*time.Second))
+		Expect(n.primary().id).NotTo(Equal(core.MemberID("a")))
+		Expect(n.primary().status.LSN).To(BeNumerically(">=", a.acks[w].LSN))
+	})
+
+	ginkgo.It("is kept while its replicas only lag", func() {
+		// Replication falls behind by seconds but goes on. A promotion would
+		// lose what the replicas have not got yet, and help nobody.
+		n, a := served()
+		for _, m := range n.members {
+			m.lag = 3 * time.Second
+		}
+		n.writeEvery(8*time.Second, true)
+		Expect(a.isHome()).To(BeTrue())
+		Expect(n.primary().id).To(Equal(core.MemberID("a")))
+	})
+
+	ginkgo.It("is chosen again when only one other member is fenced", func() {
+		// The one replica that can be fenced lacks a write that the other one
+		// confirmed. Passing over the old primary would lose it.
+		g := New(Options{})
+		primary := &member{Member: Member{ID: "a"}, vote: voteFenced}
+		primary.voteStatus.LSN = 7
+		lacks := &member{Member: Member{ID: "b"}, vote: voteFenced}
+		has := &member{Member: Member{ID: "c"}, vote: voteFailed}
+		g.members = []*member{primary, lacks, has}
+		g.ballot.avoid = primary
+		Expect(g.furthest()).To(BeIdenticalTo(primary))
+		has.vote = voteFenced
+		Expect(g.furthest()).NotTo(BeIdenticalTo(primary))
+	})
+})
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -48,6 +48,8 @@
 	position   core.Position
 	located    bool
 	positionAt core.Time
+	// advancedAt is when the position last rose, or the reign began.
+	advancedAt core.Time
 	// leaseAt is when the last probe was sent that reported the home's term.
 	leaseAt core.Time
 	// oddAt is since when the member reports a term that the reign has to deal
@@ -156,6 +158,9 @@
 	if p.Less(m.position) && at <= m.positionAt {
 		return
 	}
+	if m.position.Less(p) {
+		m.advancedAt = g.now
+	}
 	m.position, m.positionAt, m.located = p, max(at, m.positionAt), true
 	if m != g.reign.primary {
 		g.observeLag(m, at)
