Keep a trace for each failure that is to be survived

Cause: the decisions are to be proved by replay of recorded traces against stated outcomes. Change: 14 traces, one for each failure and the likely pairs, each with its story, stating the decisions (not the pace of probes); a test states beside them how many promotions and handovers there are and whether callers are served in the end. The silent-connections trace was first too short to show callers being served again and was recorded longer.

--- /dev/null
+++ b/core/trace/trace_test.go
@@ -0,0 +1,150 @@
+package trace_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core/group"
+	"limpetspan/core/trace"
+)
+
+func TestTrace(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "trace")
+}
+
+func newReducer(h trace.Header) trace.Reducer {
+	return group.New(group.Options{Group: h.Group, Tuning: h.Tuning})
+}
+
+func read(name string) [][]byte {
+	GinkgoHelper()
+	data, err := os.ReadFile(filepath.Join("testdata", name+".jsonl"))
+	Expect(err).NotTo(HaveOccurred())
+	return bytes.Split(data, []byte("\n"))
+}
+
+// outcome is what a trace states, counted from the time of the fault on.
+type outcome struct {
+	// promotions of the watched daemon, its first one included.
+	promotions int
+	handovers  int
+	// servesAfter: it acknowledges something in the last second.
+	servesAfter bool
+}
+
+// lastSecond, in nanoseconds, is the end of a trace.
+const lastSecond = 1_000_000_000
+
+func outcomeOf(lines [][]byte) outcome {
+	GinkgoHelper()
+	var o outcome
+	var last, acknowledged int64
+	for _, line := range lines[1:] {
+		if len(line) == 0 {
+			continue
+		}
+		var step struct {
+			At      int64        `json:"at"`
+			Effects []trace.Item `json:"effects"`
+		}
+		Expect(json.Unmarshal(line, &step)).To(Succeed())
+		last = step.At
+		for _, e := range step.Effects {
+			switch e.Type {
+			case "promote":
+				o.promotions++
+			case "send_handover":
+				o.handovers++
+			case "acknowledge":
+				acknowledged = step.At
+			}
+		}
+	}
+	o.servesAfter = last-acknowledged < lastSecond
+	return o
+}
+
+var _ = Describe("the traces of failures", func() {
+	// Each trace's header tells its story.
+	DescribeTable("replay as stated",
+		func(name string, want outcome) {
+			lines := read(name)
+			header, err := trace.DecodeHeader(lines[0])
+			Expect(err).NotTo(HaveOccurred())
+			Expect(header.Story).NotTo(BeEmpty())
+			_, err = trace.Replay(lines, newReducer)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(outcomeOf(lines)).To(Equal(want))
+		},
+		Entry(nil, "primary-crash", outcome{promotions: 2, servesAfter: true}),
+		Entry(nil, "primary-partition", outcome{promotions: 2, servesAfter: true}),
+		Entry(nil, "primary-paused", outcome{promotions: 2, servesAfter: true}),
+		Entry(nil, "primary-cut-off-from-peers", outcome{promotions: 2, servesAfter: true}),
+		Entry(nil, "primary-crash-with-lagging-replica", outcome{promotions: 2, servesAfter: true}),
+		Entry(nil, "replicas-lagging", outcome{promotions: 1, servesAfter: true}),
+		Entry(nil, "connections-silent", outcome{promotions: 1, servesAfter: true}),
+		Entry(nil, "home-cut-off-with-primary", outcome{promotions: 1}),
+		Entry(nil, "home-paused", outcome{promotions: 1}),
+		Entry(nil, "home-crash", outcome{promotions: 1, servesAfter: true}),
+		Entry(nil, "home-paused-and-primary-crash", outcome{promotions: 1, servesAfter: true}),
+		Entry(nil, "home-drained", outcome{promotions: 1, handovers: 1}),
+	)
+
+	It("covers every file of the folder", func() {
+		files, err := filepath.Glob("testdata/*.jsonl")
+		Expect(err).NotTo(HaveOccurred())
+		for _, file := range files {
+			_, err := trace.Replay(read(strings.TrimSuffix(filepath.Base(file), ".jsonl")), newReducer)
+			Expect(err).NotTo(HaveOccurred(), file)
+		}
+	})
+})
+
+var _ = Describe("a trace that does not fit", func() {
+	It("names the line, the step and the peer of the first difference", func() {
+		lines := read("primary-crash")
+		for i, line := range lines {
+			if bytes.Contains(line, []byte(`"type":"promoted"`)) {
+				lines[i] = bytes.Replace(line, []byte(`"effects":[]`), []byte(`"effects":[{"type":"drained","value":{}}]`), 1)
+				Expect(lines[i]).NotTo(Equal(line))
+				break
+			}
+		}
+		_, err := trace.Replay(lines, newReducer)
+		var mismatch *trace.Mismatch
+		Expect(err).To(BeAssignableToTypeOf(mismatch))
+		Expect(err.Error()).To(MatchRegexp(`^line \d+: step=promoted peer=m\d: stated drained {}, got nothing`))
+	})
+
+	It("states part of the effects of a line that says so", func() {
+		lines := read("primary-crash")
+		for i, line := range lines {
+			if bytes.Contains(line, []byte(`"type":"promote",`)) {
+				lines[i] = bytes.Replace(bytes.TrimSuffix(line, []byte("}")), []byte(`"effects":[`), []byte(`"partial":true,"effects":[`), 1)
+				lines[i] = append(lines[i], '}')
+				break
+			}
+		}
+		_, err := trace.Replay(lines, newReducer)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	DescribeTable("is refused where it cannot be read",
+		func(header, line, message string) {
+			_, err := trace.Replay([][]byte{[]byte(header), []byte(line)}, newReducer)
+			Expect(err).To(MatchError(ContainSubstring(message)))
+		},
+		Entry("no JSON", `x`, ``, "trace header"),
+		Entry("another version", `{"trace":9,"group":"g","tuning":{}}`, ``, "version 9"),
+		Entry("a misspelt field", `{"trace":1,"group":"g","tuning":{}}`, `{"at":1,"type":"tick","event":{"x":1},"effects":[]}`, `unknown field "x"`),
+		Entry("an unknown event", `{"trace":1,"group":"g","tuning":{}}`, `{"at":1,"type":"tock","effects":[]}`, `unknown event type "tock"`),
+	)
+})
--- a/pkg/explore/scenario.go
+++ b/pkg/explore/scenario.go
@@ -18,6 +18,8 @@
 	faults []func(w *world) func()
 	// watch chooses the daemon whose trace is kept, at the start of trouble.
 	watch func(w *world) *daemon
+	// longer extends the faults and the run.
+	longer time.Duration
 }
 
 // The times of a scenario.
@@ -32,31 +34,33 @@
 
 var scenarios = []Scenario{
 	{"primary-crash", "Writes stall when the primary dies. Fresh connections are refused, the other zones agree, a majority is fenced and the furthest member promoted; the writes that waited are served.",
-		[]func(*world) func(){crashPrimary}, (*world).home},
+		[]func(*world) func(){crashPrimary}, (*world).home, 0},
 	{"primary-partition", "The primary goes on, cut off from every daemon. Its home loses the lease, no zone reaches it, a majority of the others is fenced and one is promoted.",
-		[]func(*world) func(){cutPrimary}, (*world).home},
+		[]func(*world) func(){cutPrimary}, (*world).home, 0},
 	{"primary-paused", "The primary stops answering and later wakes up as if nothing had happened. By then another member reigns; what the woken one still holds is never acknowledged.",
-		[]func(*world) func(){pausePrimary}, (*world).home},
+		[]func(*world) func(){pausePrimary}, (*world).home, 0},
 	{"home-cut-off-with-primary", "The home and the old primary stand alone on one side. The home may not acknowledge there once its lease has lapsed, since the other side has promoted.",
-		[]func(*world) func(){splitHome}, (*world).home},
+		[]func(*world) func(){splitHome}, (*world).home, 0},
 	{"home-paused", "A home stops for longer than its lease and wakes up unaware. Requests that waited in it are refused as not run or unknown, none is served from before.",
-		[]func(*world) func(){pauseBesideReplica}, (*world).home},
+		[]func(*world) func(){pauseBesideReplica}, (*world).home, 0},
 	{"home-crash", "The home dies, at times in the middle of a transaction. Another candidate misses its heartbeats, fences, promotes and serves with the promotion's position as floor.",
-		[]func(*world) func(){crashHome}, successor},
+		[]func(*world) func(){crashHome}, successor, 0},
 	{"home-unheard", "The home serves, but the others hear nothing of it and reach its primary neither. They claim the group while its lease still holds, and have to wait it out.",
-		[]func(*world) func(){muteHome}, successor},
+		[]func(*world) func(){muteHome}, successor, 0},
 	{"replicas-lagging", "Both replicas stop replicating. Durable writes end unknown at their deadline, reads of sessions that wrote go to the primary.",
-		[]func(*world) func(){isolateReplicas}, (*world).home},
+		[]func(*world) func(){isolateReplicas}, (*world).home, 0},
 	{"connections-silent", "The connections to the primary go silent for good while new ones work. A fresh probe tells this from a dead primary: no promotion.",
-		[]func(*world) func(){silencePrimary}, (*world).home},
+		[]func(*world) func(){silencePrimary}, (*world).home, 3 * time.Second},
+	{"primary-cut-off-from-peers", "Every daemon reaches the primary, but its log reaches no other member, so that no durable write is confirmed. After a while the home fences again and passes it over.",
+		[]func(*world) func(){isolatePrimary}, (*world).home, 6 * time.Second},
 	{"answers-lost", "Answers of statements, probes, fences and promotions that took effect are lost. Nothing is repeated that may have run.",
-		[]func(*world) func(){loseAnswers}, (*world).home},
+		[]func(*world) func(){loseAnswers}, (*world).home, 0},
 	{"primary-crash-with-lagging-replica", "The primary dies while one replica lags. The furthest member is promoted, and sessions whose unconfirmed write is gone are told.",
-		[]func(*world) func(){isolateReplica, crashPrimary}, (*world).home},
+		[]func(*world) func(){isolateReplica, crashPrimary}, (*world).home, 0},
 	{"home-paused-and-primary-crash", "The home is paused and the primary dies. Another candidate takes over both; the woken home finds the higher term.",
-		[]func(*world) func(){crashPrimary, pauseHome}, successor},
+		[]func(*world) func(){crashPrimary, pauseHome}, successor, 0},
 	{"home-drained", "The home's daemon is stopped in the planned way under load. Transactions end, then the positions and the group are handed over.",
-		[]func(*world) func(){drainHome}, (*world).home},
+		[]func(*world) func(){drainHome}, (*world).home, 0},
 }
 
 // ScenarioNames lists the scenarios in order.
@@ -81,7 +85,7 @@
 		return nil, fmt.Errorf("unknown scenario %q; known are %v", name, ScenarioNames())
 	}
 	s := scenarios[i]
-	w := newWorld(seed, Options{Tuning: tuning, Duration: scenarioDuration})
+	w := newWorld(seed, Options{Tuning: tuning, Duration: scenarioDuration + s.longer})
 	recordings := map[*daemon]*recording{}
 	for _, d := range w.daemons {
 		header, err := trace.EncodeHeader(trace.Header{Story: s.Story, Group: modelGroup, Self: d.id, States: stated, Tuning: tuning})
@@ -99,7 +103,7 @@
 		watched = s.watch(w)
 		for _, begin := range s.faults {
 			if end := begin(w); end != nil {
-				w.after(scenarioFault, end)
+				w.after(scenarioFault+s.longer, end)
 			}
 		}
 	})
@@ -135,6 +139,14 @@
 	return nil
 }
 
+func isolatePrimary(w *world) func() {
+	m := w.primary()
+	if m == nil {
+		return nil
+	}
+	return w.isolate(m)
+}
+
 func isolateReplicas(w *world) func() {
 	var ends []func()
 	p := w.primary()
