Prepare a statement of the stand-in in one place

Cause: two steps of a description took the connection and prepared the statement by the same lines. Change: one function does that and gives it to the step. Measured: go test ./target of the stand-ins passes.

--- a/standin/target/describe.go
+++ b/standin/target/describe.go
@@ -71,16 +71,26 @@
 	p.fields = []pgproto3.FieldDescription{field(unnamedColumn, oid)}
 }
 
-func (s *session) describeQuery(p *prepared) error {
+// withStatement prepares the command for use.
+func (s *session) withStatement(c *command, use func(*engine.Conn, *engine.Stmt) error) error {
 	conn, locked, err := s.conn()
 	if err != nil {
 		return err
 	}
 	defer s.unlock(locked)
-	st, err := conn.Prepare(p.command.rewritten)
+	st, err := conn.Prepare(c.rewritten)
 	if err != nil {
 		return err
 	}
+	return use(conn, st)
+}
+
+func (s *session) describeQuery(p *prepared) error {
+	return s.withStatement(p.command, p.describe)
+}
+
+// describe learns the types of the parameters and the columns of a statement.
+func (p *prepared) describe(conn *engine.Conn, st *engine.Stmt) error {
 	p.readOnly = st.ReadOnly()
 	count, columns := st.Params(), st.Columns()
 	p.params = make([]uint32, count)
@@ -121,15 +131,11 @@
 	if p.command.verb != verbQuery || !p.readOnly || !unsettled(p.fields) {
 		return nil
 	}
-	conn, locked, err := s.conn()
-	if err != nil {
-		return err
-	}
-	defer s.unlock(locked)
-	st, err := conn.Prepare(p.command.rewritten)
-	if err != nil {
-		return err
-	}
+	return s.withStatement(p.command, p.settle)
+}
+
+// settle learns them from the first row.
+func (p *prepared) settle(_ *engine.Conn, st *engine.Stmt) error {
 	defer st.Reset()
 	if found, err := st.Step(); err != nil || !found {
 		return err
