Write test certificates in one place

Cause: the TLS tests of peer and daemon made the same certificate by the same lines. Change: package peertest writes it for both; no assertion changed.

--- a/pkg/peer/tls_test.go
+++ b/pkg/peer/tls_test.go
@@ -3,15 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
-	"os"
-	"path/filepath"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -20,27 +11,15 @@
 	"limpetspan/pkg/errs"
 	"limpetspan/pkg/exchange"
 	"limpetspan/pkg/peer"
+	"limpetspan/pkg/peer/peertest"
 )
 
 // newTLS makes an authority with one certificate.
 func newTLS() *peer.TLS {
 	GinkgoHelper()
-	dir := GinkgoT().TempDir()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	certificate, key, err := peertest.WriteCertificate(GinkgoT().TempDir())
 	Expect(err).NotTo(HaveOccurred())
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	Expect(err).NotTo(HaveOccurred())
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	Expect(err).NotTo(HaveOccurred())
-	cert, keyFile := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
-	Expect(os.WriteFile(cert, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600)).To(Succeed())
-	Expect(os.WriteFile(keyFile, pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: keyDER}), 0o600)).To(Succeed())
-	t, err := peer.LoadTLS(cert, keyFile, cert)
+	t, err := peer.LoadTLS(certificate, key, certificate)
 	Expect(err).NotTo(HaveOccurred())
 	return t
 }
