--- a/pkg/daemon/takeovers.go
+++ b/pkg/daemon/takeovers.go
@@ -30,6 +30,7 @@
 			Author: "limpetspand " + string(d.id), InForce: d.follower.Current, Adopt: d.follower.Adopt,
 		},
 		Databases: d.databases, Homes: orders{d}, Callers: callerLatency{d}, Eligible: d.mayWork,
+		Leaving: d.leaving.Load, Killed: d.killed,
 		Logger: d.log.Named("takeover"),
 	})
 	return nil
--- a/pkg/takeover/run.go
+++ b/pkg/takeover/run.go
@@ -79,7 +79,7 @@
 		}
 	}
 	t = r.takeover()
-	if r.dir.ended(t) || isDone(r.stopping) {
+	if r.dir.ended(t) || r.mustStop() {
 		return nil
 	}
 	if len(r.dir.remaining(t)) > 0 {
@@ -96,6 +96,9 @@
 	return nil
 }
 
+// mustStop reports whether this daemon stops.
+func (r *run) mustStop() bool { return isDone(r.stopping) || r.Leaving() }
+
 func isDone(c <-chan struct{}) bool {
 	select {
 	case <-c:
@@ -112,7 +115,7 @@
 	defer end.Stop()
 	tick := time.NewTicker(r.Interval)
 	defer tick.Stop()
-	for !r.dir.ended(r.takeover()) {
+	for !r.dir.ended(r.takeover()) && !r.Leaving() {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -261,7 +264,7 @@
 		case <-tick.C:
 			effects = r.machine.Reduce(r.sample())
 			r.status.progress(r.machine.Progress())
-			if stopping != nil && r.dir.ended(r.takeover()) {
+			if stopping != nil && (r.dir.ended(r.takeover()) || r.Leaving()) {
 				stopping = nil
 				effects = r.machine.Reduce(&takeover.Stopped{})
 			}
--- a/pkg/takeover/worker.go
+++ b/pkg/takeover/worker.go
@@ -40,8 +40,13 @@
 	// Eligible reports whether this daemon is one of the few that try to work
 	// the kind's take-over; nil: it is. Each try costs the store one read.
 	Eligible func(kind string) bool
-	Tuning   takeover.Tuning
-	Logger   hclog.Logger
+	// Leaving reports whether this daemon is about to stop; nil: it is not. Work
+	// is given up then, while the homes and peers that it needs still answer.
+	Leaving func() bool
+	// Killed ends all work at once, as the end of the process would; nil: never.
+	Killed <-chan struct{}
+	Tuning takeover.Tuning
+	Logger hclog.Logger
 	// Interval is how often the callers' latency and the operator's state are
 	// looked at, Retry how often a claim is tried.
 	Interval, Retry time.Duration
@@ -56,6 +61,9 @@
 	if o.Eligible == nil {
 		o.Eligible = func(string) bool { return true }
 	}
+	if o.Leaving == nil {
+		o.Leaving = func() bool { return false }
+	}
 	if o.Callers == nil {
 		o.Callers = noCallers{}
 	}
@@ -171,7 +179,11 @@
 	if err != nil || c == nil {
 		return err
 	}
-	defer c.release(ctx)
+	defer func() {
+		if !isDone(w.options.Killed) {
+			c.release(ctx)
+		}
+	}()
 	t := w.options.Configuration.Current().Takeovers[kind]
 	if t == nil {
 		return nil
@@ -183,12 +195,13 @@
 	w.options.Logger.Info("take-over claimed", "kind", kind, "claim", name, "state", string(t.State))
 	r := &run{Options: &w.options, claim: c, dir: newDirection(kind, t), logger: w.options.Logger,
 		start: time.Now(), status: s, stopping: ctx.Done()}
-	return workUnder(ctx, c, r.work)
+	return workUnder(ctx, c, w.options.Killed, r.work)
 }
 
-// workUnder ends the work when the lease of the claim is lost, and some time
-// after ctx has ended, within which the run gives up what it holds.
-func workUnder(ctx context.Context, c *claim, work func(context.Context) error) error {
+// workUnder ends the work when the lease of the claim is lost or the daemon is
+// killed, and some time after ctx has ended, within which the run gives up what
+// it holds.
+func workUnder(ctx context.Context, c *claim, killed <-chan struct{}, work func(context.Context) error) error {
 	under, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var g errgroup.Group
 	g.Go(func() error {
@@ -196,6 +209,14 @@
 		c.keep(under)
 		return nil
 	})
+	g.Go(func() error {
+		select {
+		case <-killed:
+			cancel()
+		case <-under.Done():
+		}
+		return nil
+	})
 	stop := context.AfterFunc(ctx, func() { time.AfterFunc(stopGrace, cancel) })
 	err := work(under)
 	lost := under.Err() != nil
