Measure how fast accepted changes are in force

Cause: the time from an accepted change to its being in force was known for the news alone, not for statements through each daemon. Change: limpetspan bench config applies changes with the store up, with daemons cut off from it and with all its watchers cut off, and starts daemons with the store down; it counts reversals. Conclusion: complements the measurement of the news at full size.

--- a/pkg/bench/config/measure.go
+++ b/pkg/bench/config/measure.go
@@ -22,8 +22,6 @@
 	freshTimeout = 30 * time.Second
 	// turns is how often the daemons that are cut off change.
 	turns = 4
-	// watcherChanges are made with all watchers cut off.
-	watcherChanges = 4
 	// notice is the pause after a cut, longer than a call to the store waits.
 	notice = 4 * time.Second
 )
@@ -44,7 +42,7 @@
 	if err := o.complete(); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	b := &bench{options: o, report: &Report{Head: result.Begin(o.Command), Daemons: o.Daemons, Changes: 2 * o.Changes}}
+	b := &bench{options: o, report: &Report{Head: result.Begin(o.Command), Daemons: o.Daemons, Changes: 2*o.Changes + o.WatcherChanges}}
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	var err error
@@ -79,8 +77,8 @@
 
 func (b *bench) connect(ctx context.Context) error {
 	for _, d := range b.fleet.Daemons() {
-		p, err := newProbe(ctx, b.fleet, d)
-		if err != nil {
+		p := &probe{fleet: b.fleet, daemon: d}
+		if err := p.connect(ctx); err != nil {
 			return err
 		}
 		b.probes = append(b.probes, p)
@@ -142,7 +140,7 @@
 		}
 	}
 	var took []time.Duration
-	if err := b.during(ctx, watchers, watcherChanges, &took, &took); err != nil {
+	if err := b.during(ctx, watchers, b.options.WatcherChanges, &took, &took); err != nil {
 		return err
 	}
 	b.report.Watchers, b.report.WatchersCutOff = len(watchers), timesOf(took)
@@ -162,7 +160,7 @@
 		}
 	}()
 	for i := range changes {
-		if i == changes/2 {
+		if i > 0 && i == changes/2 {
 			time.Sleep(notice)
 		}
 		took, err := b.change(ctx)
@@ -261,10 +259,7 @@
 	if err := b.fleet.WaitReady(ctx); err != nil {
 		return 0, err
 	}
-	p, err := newProbe(ctx, b.fleet, d)
-	if err != nil {
-		return 0, err
-	}
+	p := &probe{fleet: b.fleet, daemon: d}
 	defer p.close()
 	if _, err := p.await(ctx, b.version(b.changes)); err != nil {
 		return 0, fmt.Errorf("daemon %s: %w", d.Place.ID, err)
--- a/pkg/bench/config/probe.go
+++ b/pkg/bench/config/probe.go
@@ -24,26 +24,39 @@
 
 // probe is a caller of one daemon.
 type probe struct {
+	fleet  *embedded.Fleet
 	daemon *embedded.Daemon
-	conn   *pgx.Conn
+	// conn is nil after a statement that got no answer.
+	conn *pgx.Conn
 	// revision is the highest that the daemon was seen at.
 	revision uint64
 	reverted int
 }
 
-func newProbe(ctx context.Context, f *embedded.Fleet, d *embedded.Daemon) (*probe, error) {
-	conn, err := pgx.Connect(ctx, f.URL(d))
+func (p *probe) connect(ctx context.Context) error {
+	if p.conn != nil && !p.conn.IsClosed() {
+		return nil
+	}
+	conn, err := pgx.Connect(ctx, p.fleet.URL(p.daemon))
 	if err != nil {
-		return nil, fmt.Errorf("connect to daemon %s: %w", d.Place.ID, err)
+		return fmt.Errorf("connect to daemon %s: %w", p.daemon.Place.ID, err)
 	}
-	return &probe{daemon: d, conn: conn}, nil
+	p.conn = conn
+	return nil
 }
 
-func (p *probe) close() { _ = p.conn.Close(context.Background()) }
+func (p *probe) close() {
+	if p.conn != nil {
+		_ = p.conn.Close(context.Background())
+	}
+}
 
 // serves asks with one version and reports whether that is in service.
 func (p *probe) serves(ctx context.Context, version string) (bool, error) {
 	p.look(ctx)
+	if err := p.connect(ctx); err != nil {
+		return false, err
+	}
 	sql := fmt.Sprintf("/*kind='%s',version='%s',read='true'*/ SELECT 1", kind, version)
 	_, err := p.conn.Exec(ctx, sql, pgx.QueryExecModeSimpleProtocol)
 	if err == nil {
