--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -62,8 +62,8 @@
 	killed   chan struct{}
 	killOnce sync.Once
 	leaving  atomic.Bool
-	// whole is set once the view of the fleet is whole enough to act on.
-	whole     atomic.Bool
+	// converged is set once the view of the fleet is complete enough to act on.
+	converged atomic.Bool
 	revisions *revisionWatch
 	closers   []func()
 }
--- a/pkg/daemon/groups.go
+++ b/pkg/daemon/groups.go
@@ -15,10 +15,10 @@
 
 const (
 	// readyPoll is how often a daemon that has just started asks whether its
-	// view of the fleet is whole.
+	// view of the fleet has converged.
 	readyPoll = 50 * time.Millisecond
 	// steadyTime is how long a view with others must stay the same to count as
-	// whole. A newcomer to a large fleet learns something every 100 ms.
+	// converged. A daemon new to a large fleet learns something every 100 ms.
 	steadyTime = 2 * time.Second
 )
 
@@ -98,13 +98,13 @@
 	}
 }
 
-// awaitReady waits until the view of the fleet is whole: the gossip says so, or
+// awaitReady waits until the view of the fleet has converged: gossip says so, or
 // there is nobody to ask, or nothing new came for a while. Until then this
 // daemon claims no homes and callers are not sent here.
 func (d *Daemon) awaitReady(ctx context.Context) bool {
 	var root uint64
 	since := d.now()
-	for !d.viewIsWhole() {
+	for !d.viewConverged() {
 		select {
 		case <-ctx.Done():
 			return false
@@ -118,12 +118,12 @@
 			break
 		}
 	}
-	d.whole.Store(true)
-	d.log.Info("view of the fleet is whole", "daemons", len(d.gossip.Daemons()))
+	d.converged.Store(true)
+	d.log.Info("view of the fleet has converged", "daemons", len(d.gossip.Daemons()))
 	return true
 }
 
-func (d *Daemon) viewIsWhole() bool {
+func (d *Daemon) viewConverged() bool {
 	return d.gossip.Ready() || len(d.settings.Gossip.Seeds) == 0 && len(d.gossip.Daemons()) == 1
 }
 
--- a/pkg/daemon/status.go
+++ b/pkg/daemon/status.go
@@ -19,7 +19,7 @@
 var (
 	errLeaving      = errors.New("the daemon is stopping")
 	errUnconfigured = errors.New("no configuration is in force yet")
-	errAlone        = errors.New("the view of the fleet is not whole yet")
+	errNotConverged = errors.New("the view of the fleet has not converged yet")
 )
 
 var stateNames = map[fleet.State]string{
@@ -33,8 +33,8 @@
 		return errLeaving
 	case d.follower.Current().Revision == 0:
 		return errUnconfigured
-	case !d.whole.Load():
-		return errAlone
+	case !d.converged.Load():
+		return errNotConverged
 	}
 	return nil
 }
--- a/pkg/daemon/takeovers.go
+++ b/pkg/daemon/takeovers.go
@@ -40,7 +40,7 @@
 // take-over: a candidate for the home of its source.
 func (d *Daemon) mayWork(kind string) bool {
 	t := d.follower.Current().Takeovers[kind]
-	if t == nil || d.leaving.Load() || !d.whole.Load() {
+	if t == nil || d.leaving.Load() || !d.converged.Load() {
 		return false
 	}
 	for _, c := range d.gossip.Candidates(t.SourceGroup) {
