Tell knowing of a lost zone from views that are equal

Cause: with 1,700 daemons in one process the bench waited for equal views, which came 83 s after the loss because 834 wrong suspicions, from the burst of work in all daemons at once, had to be refuted; the loss itself was known after about 30. Change: the report has both times; a returning daemon takes another port if its own is gone; candidates are brought up to date at most once a second.

--- a/core/membership/reducer.go
+++ b/core/membership/reducer.go
@@ -166,7 +166,7 @@
 
 // flushInterval is the time over which changes of daemons are collected before
 // the candidates follow them. The first change after a pause is not put off.
-const flushInterval = 250 * time.Millisecond
+const flushInterval = time.Second
 
 func (r *Reducer) flushAssignment() {
 	if !r.assignment.Pending() || r.now < r.flushAt {
--- a/pkg/bench/control/region.go
+++ b/pkg/bench/control/region.go
@@ -21,7 +21,7 @@
 	cut := func(from, to netip.AddrPort) bool { return side[from] != side[to] }
 	s.blocked.Store(&cut)
 	took, ok := s.wait(detectLimit, func() bool {
-		return agree(inside, len(inside)) && agree(outside, len(outside))
+		return complete(inside, len(inside)) && complete(outside, len(outside))
 	})
 	r.DetectS, r.Detected = took.Seconds(), ok
 	r.SplitUsage = m.usage()
@@ -30,9 +30,11 @@
 	s.blocked.Store(nil)
 	took, ok = s.wait(returnLimit, func() bool {
 		r.Buried = max(r.Buried, buried(inside[0], inside), buried(outside[0], outside))
-		return agree(s.daemons, len(s.daemons))
+		return complete(s.daemons, len(s.daemons))
 	})
 	r.HealS, r.Healed = took.Seconds(), ok
+	more, ok := s.waitAgree(returnLimit, s.daemons)
+	r.EqualS, r.Equal = (took + more).Seconds(), ok
 	r.HealUsage = m.usage()
 	return r
 }
--- a/pkg/bench/control/report.go
+++ b/pkg/bench/control/report.go
@@ -98,18 +98,25 @@
 // Zone is the loss of a zone and its return at once.
 type Zone struct {
 	Lost int `json:"lost"`
-	// LossUsage is from the loss until all others hold the zone for dead.
+	// LossUsage is from the loss until the views of all others are equal,
+	// DetectS until all of them hold the whole zone for dead.
 	LossUsage Usage   `json:"loss_usage"`
 	DetectS   float64 `json:"detect_s"`
 	Detected  bool    `json:"detected"`
+	// EqualS is the time until the views of all others were equal as well.
+	EqualS float64 `json:"equal_s"`
+	Equal  bool    `json:"equal"`
 	// MovedGroups had a candidate in the zone; MovedPercent is their share.
 	MovedGroups  int     `json:"moved_groups"`
 	MovedPercent float64 `json:"moved_percent"`
 	// ReturnUsage is from the start of all lost daemons until all views are
-	// equal; Returned is the part of it that the returning daemons used.
+	// equal; Returned is the part of it that the returning daemons used. BackS
+	// is the time until all views hold all daemons for alive.
 	ReturnUsage         Usage     `json:"return_usage"`
 	ReturnedBytesPerS   float64   `json:"returned_bytes_per_s"`
 	Joined              Quantiles `json:"joined"`
+	BackS               float64   `json:"back_s"`
+	Back                bool      `json:"back"`
 	AgreeS              float64   `json:"agree_s"`
 	Agreed              bool      `json:"agreed"`
 	HostListCalls       int       `json:"host_list_calls"`
@@ -126,6 +133,9 @@
 	HealUsage  Usage   `json:"heal_usage"`
 	HealS      float64 `json:"heal_s"`
 	Healed     bool    `json:"healed"`
+	// EqualS is the time until all views were equal as well.
+	EqualS float64 `json:"equal_s"`
+	Equal  bool    `json:"equal"`
 	// Buried counts daemons that were called dead on their own side.
 	Buried int `json:"buried"`
 }
--- a/pkg/bench/control/simulation.go
+++ b/pkg/bench/control/simulation.go
@@ -190,7 +190,13 @@
 func (s *simulation) restart(d *daemon) error {
 	t, err := s.listen(d.addr)
 	if err != nil {
-		return err
+		// Another process of the machine took the port meanwhile: the daemon
+		// comes back at another one, as on a host that was replaced.
+		if t, err = s.listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+			return err
+		}
+		d.addr = t.LocalAddr()
+		d.self.GossipAddr = d.addr.String()
 	}
 	d.earlier = d.traffic()
 	d.self.Incarnation = 0
--- a/pkg/bench/control/views.go
+++ b/pkg/bench/control/views.go
@@ -41,6 +41,16 @@
 	return true
 }
 
+// complete reports whether each of the daemons holds that many for alive.
+func complete(daemons []*daemon, live int) bool {
+	for _, d := range daemons {
+		if n, _ := d.service.Fingerprint(); n != live {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *simulation) watchers() int {
 	n := 0
 	for _, d := range s.up(nil) {
