Refuse the version of the side that owns no record outside a take-over too

Where the destination has a table of the same name, the old statement would have run on it. The same held for the new version at the source before the start. Change: while a take-over is declared but not active, the version of the side that does not own the records is not in service for the kind.

--- a/core/config/route.go
+++ b/core/config/route.go
@@ -47,7 +47,7 @@
 	r := Route{Group: k.Group, Bucket: NoBucket, Durable: k.Durable, MaxStaleness: k.MaxStaleness, Revision: d.Revision}
 	t := d.Takeovers[kind]
 	if t == nil || !t.Active() {
-		return r, k.checkVersion(kind, version, "")
+		return r, k.checkVersion(kind, version, t.otherVersion(k.Group))
 	}
 	return d.takeoverRoute(r, k, t, statement{kind, version, key, write})
 }
@@ -88,6 +88,24 @@
 	return r, nil
 }
 
+// otherVersion is the version that belongs to the side of a planned or ended
+// take-over that does not own the records, if there is one. Both versions stay
+// declared until the operator retires one. Without this check a caller that
+// still speaks the version of the side that has lost the records would reach
+// the other side's tables with it and be told that a table is missing, or worse,
+// find one of the same name.
+func (t *Takeover) otherVersion(owner core.GroupID) string {
+	switch {
+	case t == nil || t.SourceVersion == t.DestinationVersion:
+		return ""
+	case owner == t.DestinationGroup:
+		return t.SourceVersion
+	case owner == t.SourceGroup:
+		return t.DestinationVersion
+	}
+	return ""
+}
+
 // checkVersion refuses a version that is not in service, or that belongs to
 // the other side of a take-over. An unsaid version is not checked.
 func (k *Kind) checkVersion(kind, version, other string) error {
--- a/core/config/route_test.go
+++ b/core/config/route_test.go
@@ -73,6 +73,28 @@
 		Expect(err).To(MatchError(&config.VersionNotInServiceError{Kind: "listing", Version: "new", InService: []string{"old", "new2"}}))
 	})
 
+	// The take-over has completed and both versions are still declared. A rider's
+	// old application asks for a record: its statement named the old tables and
+	// reached the new side, which answered that the table is missing.
+	It("refuses the version of the side that owns no record, before and after a take-over", func() {
+		refuses := func(version string) {
+			GinkgoHelper()
+			doc := routed()
+			doc.Takeovers["listing"].State = config.TakeoverPlanned
+			if version == "old" {
+				doc.Takeovers["listing"].State = config.TakeoverComplete
+				doc.Kinds["listing"].Group = "park-1"
+			}
+			_, err := doc.Route("listing", version, "", true)
+			Expect(err).To(HaveField("Version", version))
+			Expect(doc.Route("listing", "new2", "", true)).To(HaveField("Group", doc.Kinds["listing"].Group))
+			delete(doc.Takeovers, "listing")
+			Expect(doc.Route("listing", version, "", true)).To(HaveField("Group", doc.Kinds["listing"].Group))
+		}
+		refuses("new")
+		refuses("old")
+	})
+
 	It("holds writes of a fenced bucket and lets reads pass", func() {
 		_, err := routed().Route("listing", "old", keyIn(2, 12), true)
 		Expect(err).To(MatchError(&config.FencedError{Kind: "listing", Bucket: 2, Revision: 9}))
