Measure and check a take-over while callers work

Cause: copy rate, pauses and the correctness of a take-over had been tried with 40 records only. Change: limpetspan bench takeover moves many records between two groups while callers read and write them through all daemons, with faults on request, and checks tables, logs and must-not-repeat keys afterwards.

--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -15,6 +15,7 @@
 type BenchCommand struct {
 	Control  *BenchControlCommand  `arg:"subcommand:control" help:"measure what the control work of a daemon costs, with many daemons in this process"`
 	Config   *BenchConfigCommand   `arg:"subcommand:config" help:"measure how fast accepted changes of the configuration are in force"`
+	Takeover *BenchTakeoverCommand `arg:"subcommand:takeover" help:"measure a take-over of many records while callers work, and check it"`
 	Capacity *BenchCapacityCommand `arg:"subcommand:capacity" help:"write the capacity page from the measurement files"`
 	Failover *BenchFailoverCommand `arg:"subcommand:failover" help:"measure the gap of writes when the primary or its home fails"`
 	Reads    *BenchReadsCommand    `arg:"subcommand:reads" help:"measure the share of reads that replicas serve, beside baselines"`
