--- a/pkg/bench/failover/fleet.go
+++ b/pkg/bench/failover/fleet.go
@@ -28,9 +28,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &fleet{Fleet: e, group: e.Group(o.Groups[0].ID), daemons: slices.Clone(e.Daemons())}, nil
+	f := &fleet{Fleet: e, group: e.Group(o.Groups[0].ID), daemons: slices.Clone(e.Daemons())}
+	for _, m := range f.group.Members() {
+		if err := f.group.Faults().SetLag(m.ID(), lag); err != nil {
+			e.Close()
+			return nil, err
+		}
+	}
+	return f, nil
 }
 
+// lag of the replicas. Without any, a write would be at all members before its
+// caller hears of it, and no failover could lose it, guards or not.
+var lag = target.Lag{Fixed: 5 * time.Millisecond, Jitter: 5 * time.Millisecond}
+
 // url returns the n-th daemon's URL, counted round.
 func (f *fleet) url(n int) string {
 	f.mu.Lock()
@@ -78,6 +89,8 @@
 		return func() error { return faults.Restart(id) }, faults.Crash(id)
 	case Partition:
 		return func() error { return faults.Heal(id) }, faults.Partition(id, target.Partition{Clients: true, Members: true})
+	case Isolated:
+		return func() error { return faults.Heal(id) }, faults.Partition(id, target.Partition{Members: true})
 	case Pause:
 		return func() error { return faults.Resume(id) }, faults.Pause(id)
 	case StoreDown:
--- a/pkg/bench/failover/options.go
+++ b/pkg/bench/failover/options.go
@@ -17,6 +17,9 @@
 	Crash Fault = "crash"
 	// Partition cuts the primary off from clients and members.
 	Partition Fault = "partition"
+	// Isolated cuts the primary off from the members only: it takes writes
+	// that no other member ever gets.
+	Isolated Fault = "isolated"
 	// Pause stops the primary's process, which wakes up after the gap with
 	// everything it had.
 	Pause Fault = "pause"
@@ -27,7 +30,7 @@
 )
 
 // Faults are all faults.
-var Faults = []Fault{Crash, Partition, Pause, StoreDown, HomeKilled}
+var Faults = []Fault{Crash, Partition, Isolated, Pause, StoreDown, HomeKilled}
 
 // Defaults of Options.
 const (
--- a/pkg/cli/bench_failover.go
+++ b/pkg/cli/bench_failover.go
@@ -14,7 +14,7 @@
 type BenchFailoverCommand struct {
 	Profile  string   `arg:"--profile" default:"kitacycle" placeholder:"NAME" help:"kitacycle or auction"`
 	Runs     int      `arg:"--runs" default:"20" placeholder:"N" help:"number of runs, which take the faults in turn"`
-	Faults   []string `arg:"--faults" placeholder:"FAULT" help:"crash, partition, pause, store-down, home-killed [default: all]"`
+	Faults   []string `arg:"--faults" placeholder:"FAULT" help:"crash, partition, isolated, pause, store-down, home-killed [default: all]"`
 	Callers  int      `arg:"--callers" default:"8" placeholder:"N" help:"callers that write"`
 	Plot     string   `arg:"--plot" placeholder:"FILE" help:"draw the gaps"`
 	Out      string   `arg:"--out" placeholder:"FILE" help:"write the JSON report to this file, too"`
