Let a daemon name the databases that callers may give

Cause: the callers' page lists 3D000 for an unknown database, but no setting reached the front's check, so every name was taken. Change: callers.databases. Measured: settings and front tests pass.

--- a/pkg/daemon/assemble.go
+++ b/pkg/daemon/assemble.go
@@ -220,7 +220,7 @@
 		Handler: d.entry, Daemon: d.id, Users: d.options.Users, Clock: d.now, Logger: d.log.Named("front"),
 		CancelElsewhere: d.cancelElsewhere, RequireTLS: c.TLS == settings.TLSRequire,
 		MaxConnections: c.MaxConnections, MaxPerUser: c.MaxConnectionsPerUser, MaxPerAddress: c.MaxConnectionsPerAddress,
-		MaxMessage: int(c.MaxMessage), MaxBatch: requestOverhead * int(c.MaxMessage),
+		Databases: c.Databases, MaxMessage: int(c.MaxMessage), MaxBatch: requestOverhead * int(c.MaxMessage),
 		StartupTimeout: c.StartupTimeout, IdleTimeout: c.IdleTimeout, RequestTimeout: c.DefaultTimeout,
 	}
 	var err error
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -37,6 +37,8 @@
 	// TLS is TLSAllow or TLSRequire.
 	TLS            string
 	MaxConnections int
+	// Databases are the names callers may give; empty: any.
+	Databases []string
 	// MaxConnectionsPerUser and MaxConnectionsPerAddress are unbounded at 0.
 	MaxConnectionsPerUser    int
 	MaxConnectionsPerAddress int
