--- a/tests/process/suite_test.go
+++ b/tests/process/suite_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,6 +26,24 @@
 	daemonEnv = "LIMPETSPAN_TEST_DAEMON"
 )
 
+// knownRedEnv names a file of specs that are known to fail, one a line as
+// "spec | cause | reference". CI sets it, prints the file and passes over them.
+const knownRedEnv = "LIMPETSPAN_KNOWN_RED"
+
+var _ = BeforeEach(func() {
+	name := os.Getenv(knownRedEnv)
+	if name == "" {
+		return
+	}
+	text, err := os.ReadFile(name)
+	Expect(err).NotTo(HaveOccurred())
+	for line := range strings.Lines(string(text)) {
+		if spec, _, _ := strings.Cut(line, " | "); spec == CurrentSpecReport().FullText() {
+			Skip("known to fail: " + line)
+		}
+	}
+})
+
 // programs are the paths of the built programs.
 var programs struct{ limpetspan, limpetspand string }
 
