Learn of a flip from the request or order that follows it

Cause: after a flip the homes of both sides refused the records until the next round of gossip told them of the revision, 200 ms later now and then. Change: a home that gets a request or a take-over order made under a higher revision than its own fetches it from the daemon that sent it.

--- a/pkg/daemon/handler.go
+++ b/pkg/daemon/handler.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"limpetspan/core"
+	"limpetspan/core/config"
 	"limpetspan/pkg/errs"
 	"limpetspan/pkg/exchange"
 	"limpetspan/pkg/pgframe"
@@ -23,6 +24,7 @@
 
 // Do implements exchange.Handler.
 func (h homeHandler) Do(ctx context.Context, req *exchange.Request, w exchange.Writer) (exchange.Result, error) {
+	h.d.hear(req.Caller.Entry, config.Revision(req.Revision))
 	if req.Kind == "" && req.TxStatus == pgframe.StatusIdle {
 		return h.d.homes.Do(ctx, req, w)
 	}
--- a/pkg/daemon/takeovers.go
+++ b/pkg/daemon/takeovers.go
@@ -100,6 +100,7 @@
 	for _, b := range c.GetBuckets() {
 		order.Buckets = append(order.Buckets, int(b))
 	}
+	d.hear(takeover.WorkerOf(order.Claim), order.Revision)
 	return d.order(ctx, order)
 }
 
--- a/pkg/takeover/claim.go
+++ b/pkg/takeover/claim.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"time"
 
+	"limpetspan/core"
 	"limpetspan/pkg/store"
 )
 
@@ -24,6 +27,15 @@
 	renewed atomic.Pointer[time.Time]
 }
 
+// claimName returns a new name of a claim of the daemon.
+func claimName(self core.DaemonID) string { return string(self) + "-" + rand.Text() }
+
+// WorkerOf returns the daemon that made the claim.
+func WorkerOf(claim string) core.DaemonID {
+	end := max(strings.LastIndexByte(claim, '-'), 0)
+	return core.DaemonID(claim[:end])
+}
+
 // tryClaim takes the key; nil when another daemon has it.
 func tryClaim(ctx context.Context, s store.Store, key, name string) (*claim, error) {
 	held, err := s.Get(ctx, key)
--- a/pkg/takeover/worker.go
+++ b/pkg/takeover/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"errors"
 	"slices"
 	"strings"
@@ -174,7 +173,7 @@
 }
 
 func (w *Worker) claimAndWork(ctx context.Context, kind string) error {
-	name := string(w.options.Self) + "-" + rand.Text()
+	name := claimName(w.options.Self)
 	c, err := tryClaim(ctx, w.options.Store, w.options.Prefix+"takeover/"+kind, name)
 	if err != nil || c == nil {
 		return err
--- a/pkg/takeover/worker_test.go
+++ b/pkg/takeover/worker_test.go
@@ -398,3 +398,10 @@
 		Expect(errs.Is(again(func() error { return w.entry(1, w.inForce.Load).put("lot-1", "x") }), errs.Held)).To(BeFalse())
 	})
 })
+
+var _ = DescribeTable("WorkerOf", func(claim string, want core.DaemonID) {
+	Expect(takeover.WorkerOf(claim)).To(Equal(want))
+},
+	Entry("the daemon before the last hyphen", "entry-7-KQ2A", core.DaemonID("entry-7")),
+	Entry("nobody", "KQ2A", core.DaemonID("")),
+)
