Ask a member that has no room on the kept connection

Cause: a home was frozen with its connections open (12 for work, 3 for control, of 20). Two candidates kept two control connections each and probed on new ones beside them; with one replica out of their reach, each new connection took the last place from the other's, both got 53300 at one member, neither reached a majority, and the group had no home for as long as the old one was frozen. Change: a status call on a new connection that is refused for want of room asks on the kept one. The refusal itself proves that the member is alive. The new spec of pkg/target fails with the change taken out.

--- a/pkg/target/control.go
+++ b/pkg/target/control.go
@@ -32,10 +32,27 @@
 
 // Status asks the member for its status.
 func (c *Control) Status(ctx context.Context, fresh bool) (core.Status, error) {
-	if fresh {
-		return c.callFresh(ctx, StatusSQL)
+	if !fresh {
+		return c.call(ctx, StatusSQL)
 	}
-	return c.call(ctx, StatusSQL)
+	status, err := c.callFresh(ctx, StatusSQL)
+	if Classify(err) == group.FailureBusy && c.keeps() {
+		return c.call(ctx, StatusSQL)
+	}
+	return status, err
+}
+
+// keeps reports whether a connection is kept.
+//
+// Guard: a frozen home's connections stay open and leave few of the group's
+// budget. Candidates that ask on new connections beside their kept ones take
+// those from each other, and none reaches a majority: the group has no home
+// for as long as the old one is frozen. A member that refuses a connection for
+// want of room is alive, so the kept one may be asked in its place.
+func (c *Control) keeps() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.kept != nil
 }
 
 // Fence raises the member's term. When the member refuses, the returned status
--- a/pkg/target/control_test.go
+++ b/pkg/target/control_test.go
@@ -73,6 +73,25 @@
 		_, err = control.Status(ctx, true)
 		Expect(target.Classify(err)).To(Equal(group.FailureRefused))
 	})
+
+	// The home is frozen with its connections open. Candidates that probe on new
+	// connections beside their kept ones find no room, and none becomes home.
+	It("asks on the kept connection when there is no room for a new one", func() {
+		_, err := control.Status(ctx, false)
+		Expect(err).NotTo(HaveOccurred())
+		other := (&target.Dialer{User: "kita", Password: "cycle", Database: "parkdb", Zone: "kushiro"}).Control(members.Member("a").Addr())
+		DeferCleanup(other.Close)
+		for range standin.DefaultMaxConnections - 1 {
+			taken := (&target.Dialer{User: "kita", Password: "cycle", Database: "parkdb"}).Control(members.Member("b").Addr())
+			DeferCleanup(taken.Close)
+			_, err := taken.Status(ctx, false)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		_, err = other.Status(ctx, true)
+		Expect(target.Classify(err)).To(Equal(group.FailureBusy))
+		_, err = control.Status(ctx, true)
+		Expect(err).NotTo(HaveOccurred())
+	})
 })
 
 var _ = DescribeTable("Failures are told apart", func(err error, failure group.Failure) {
