Test a home that dies, and a worker that knows nothing, while a flip is open

Change: both tests let the store accept the flip while every path to it breaks. Writes to sealed buckets are then tried at the home that comes after.

--- a/tests/takeover/check_test.go
+++ b/tests/takeover/check_test.go
@@ -13,7 +13,7 @@
 )
 
 // writeSQL finds the callers' writes in the logs of the groups.
-var writeSQL = regexp.MustCompile(`^/\*kind='lot',key='([^']+)'\*/ UPDATE lot SET n = (\d+),`)
+var writeSQL = regexp.MustCompile(`^/\*kind='lot',key='([^']+)'[^*]*\*/ UPDATE lot SET n = (\d+),`)
 
 // shownViolations bounds what a failure prints.
 const shownViolations = 12
--- a/tests/takeover/fault_test.go
+++ b/tests/takeover/fault_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/jackc/pgx/v5"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -24,6 +26,7 @@
 			story{"store refuses", func() { withOutage(standinstore.OutageRefuse) }},
 			story{"store silent", func() { withOutage(standinstore.OutageSilent) }},
 			story{"daemon cut off from the store", withDaemonCutOff},
+			story{"flip accepted while all paths to the store break", withFlipUnsettled},
 			story{"lease lapses", withLeaseLapsed},
 		)
 	})
@@ -77,9 +80,10 @@
 	w.finish()
 }
 
-// The daemon that is home of the source dies after the buckets are sealed and
-// before they flip. The next home has not heard of the hold: were the seal not
-// in the group's database, it would take writes of buckets that flip meanwhile.
+// The daemon that is home of the source dies after the buckets are sealed, and
+// nobody but the store knows yet that they have flipped. The next home has not
+// heard of the hold: were the seal not in the group's database, it would take
+// writes of buckets that belong to the other side.
 func withHomeKilled() {
 	w := newWorld(context.Background(), worldOptions{storeLinks: true})
 	defer w.close()
@@ -88,21 +92,99 @@
 	// Another daemon than the home is to work the take-over.
 	home.StoreLink.Cut()
 	prepared := w.steps.next("prepare")
-	killed := make(chan struct{})
+	flipping, cut := make(chan logLine, 1), make(chan int, 1)
 	w.steps.at("flip", func(line logLine) {
-		defer GinkgoRecover()
-		defer close(killed)
-		Expect(line.Daemon).NotTo(Equal(home.Place.ID))
-		w.kill(home.Place.ID)
+		w.cutDuringFlip(line, cut)
+		flipping <- line
 	})
 	Expect(w.setState(config.TakeoverRunning)).To(Succeed())
 	Eventually(prepared).Should(Receive())
 	home.StoreLink.Restore()
-	Eventually(killed).Should(BeClosed())
+	Eventually(cut).Should(Receive())
+	line := <-flipping
+	Expect(line.Daemon).NotTo(Equal(home.Place.ID))
+	w.kill(home.Place.ID)
+	w.probeSealed(line)
+	w.restoreLinks()
 	w.awaitState(config.TakeoverComplete)
 	w.finish()
 }
 
+func (w *world) restoreLinks() {
+	for _, d := range w.daemons() {
+		d.StoreLink.Restore()
+	}
+}
+
+// probeSealed writes records: one that is not held
+// until the new home takes it, then one of each sealed bucket, which it must not.
+func (w *world) probeSealed(line logLine) {
+	var free []int
+	for b := range buckets {
+		if !slices.Contains(line.Buckets, b) {
+			free = append(free, b)
+		}
+	}
+	prober := w.newCaller(callerCount)
+	defer prober.close()
+	probe := func(key string) outcome {
+		prober.numbers[key]++
+		written := write{key, prober.numbers[key]}
+		told := outcomeOf(prober.try("probe", func(ctx context.Context, conn *pgx.Conn) error {
+			return exec(ctx, conn, written.sql("deadline='500ms'"))
+		}))
+		w.ledger.wrote(written, told)
+		return told
+	}
+	Eventually(func() outcome { return probe(keyIn(free)) }).Should(Equal(acknowledged))
+	for _, b := range line.Buckets {
+		Expect(probe(keyIn([]int{b}))).NotTo(Equal(acknowledged), "bucket %d is sealed", b)
+	}
+}
+
+// The store accepts the flip while every path to it breaks: the worker cannot
+// ask whether it was accepted, and no other daemon hears of it. A worker that
+// took it for failed would open the buckets at the source, and what is written
+// there would be missing at the destination.
+func withFlipUnsettled() {
+	w := newWorld(context.Background(), worldOptions{storeLinks: true})
+	defer w.close()
+	w.startCallers()
+	cut := make(chan int, 1)
+	w.steps.at("flip", func(line logLine) { w.cutDuringFlip(line, cut) })
+	Expect(w.setState(config.TakeoverRunning)).To(Succeed())
+	var before int
+	Eventually(cut).Should(Receive(&before))
+	Eventually(w.flipped).Should(BeNumerically(">", 0), "the store has accepted the flip")
+	Eventually(func() bool { return w.steps.hasFailed("flip") }).Should(BeTrue())
+	w.restoreLinks()
+	w.awaitState(config.TakeoverComplete)
+	w.finish()
+}
+
+// flipDelay is how long the store takes for a flip that is to lose its answer.
+const flipDelay = 100 * time.Millisecond
+
+// cutDuringFlip cuts all daemons off; the worker once its flip has reached the
+// store, which then takes effect.
+func (w *world) cutDuringFlip(line logLine, cut chan<- int) {
+	for _, d := range w.daemons() {
+		if d.Place.ID != line.Daemon {
+			d.StoreLink.Cut()
+		}
+	}
+	w.fleet.Store.SetDelay(flipDelay, standinstore.KindTxn)
+	calls := w.fleet.Store.Counts().Calls[standinstore.KindTxn]
+	go func() {
+		defer GinkgoRecover()
+		Eventually(func() int64 { return w.fleet.Store.Counts().Calls[standinstore.KindTxn] }).
+			WithPolling(time.Millisecond).Should(BeNumerically(">", calls))
+		w.daemon(line.Daemon).StoreLink.Cut()
+		w.fleet.Store.SetDelay(0)
+		cut <- w.ledger.acknowledgedWrites()
+	}()
+}
+
 // The store goes down when the first flip is on its way, and nobody can know
 // whether it was accepted. Records of that batch are held; all others must be
 // served on their sides, and the take-over goes on when the store is back.
--- a/tests/takeover/ledger_test.go
+++ b/tests/takeover/ledger_test.go
@@ -62,9 +62,10 @@
 
 // sql is the caller's statement. It changes nothing after a later write, as one
 // whose outcome is not known may come late.
-func (w write) sql() string {
-	return fmt.Sprintf("/*kind='%s',key='%s'*/ UPDATE lot SET n = %d, changed = (SELECT max(changed) FROM lot) + 1 WHERE id = '%s' AND n < %d",
-		kind, w.key, w.n, w.key, w.n)
+func (w write) sql(directives ...string) string {
+	said := strings.Join(append([]string{fmt.Sprintf("kind='%s',key='%s'", kind, w.key)}, directives...), ",")
+	return fmt.Sprintf("/*%s*/ UPDATE lot SET n = %d, changed = (SELECT max(changed) FROM lot) + 1 WHERE id = '%s' AND n < %d",
+		said, w.n, w.key, w.n)
 }
 
 // ledger holds what callers were told of each write.
