Take over buckets without records when the change marker is an integer

Cause: catching up began with an empty marker in a bucket that had no record. PostgreSQL refuses that as an integer (22P02), so every empty bucket was blocked and the take-over never ended. Seen by typing the commands of docs/TAKEOVER.md against the demo with one record in 256 buckets. Change: without a marker all records of the bucket are copied instead. Measured: the new test fails without the change (tried once); the fake database of the tests now refuses an empty marker as PostgreSQL does.

--- a/pkg/takeover/records.go
+++ b/pkg/takeover/records.go
@@ -56,12 +56,34 @@
 	return r.copyRows(ctx, bucket, rows, err)
 }
 
-// catchUpPage copies the records of a bucket that changed after a marker.
+// catchUpPage copies the records of a bucket that changed after a marker. A
+// bucket that had no record has no marker either, and none is made up: the
+// database refuses an empty text as an integer, which blocked every empty
+// bucket. All that it holds by now is copied instead.
 func (r *run) catchUpPage(ctx context.Context, bucket int, marker string, size int) (page, error) {
+	if marker == "" {
+		return r.copyAll(ctx, bucket, size)
+	}
 	rows, err := r.query(ctx, r.dir.source, r.dir.changed, 2, number(bucket), text(marker), number(size))
 	return r.copyRows(ctx, bucket, rows, err)
 }
 
+// copyAll copies all records of a bucket and returns the last page with the
+// latest marker of all.
+func (r *run) copyAll(ctx context.Context, bucket, size int) (page, error) {
+	var all page
+	for {
+		p, err := r.copyPage(ctx, bucket, all.lastKey, size)
+		if err != nil {
+			return page{}, err
+		}
+		p.marker = takeover.LatestMarker(all.marker, p.marker)
+		if all = p; p.rows < size {
+			return all, nil
+		}
+	}
+}
+
 func (r *run) copyRows(ctx context.Context, bucket int, rows []Row, err error) (page, error) {
 	if err != nil || len(rows) == 0 {
 		return page{}, err
--- a/pkg/takeover/worker_test.go
+++ b/pkg/takeover/worker_test.go
@@ -52,6 +52,24 @@
 		Expect(w.fake.Server.Counts().Writes - before).To(BeNumerically("<=", 10))
 	})
 
+	// The rival has no record in some bucket yet. Its change marker is an integer,
+	// and the database refused the empty one that the catching up began with: the
+	// bucket was blocked, the take-over never ended.
+	It("moves a bucket without records, and what comes into it meanwhile", func() {
+		w.exec(rival, "DELETE FROM lot WHERE bucket = 1")
+		added := false
+		w.setBefore(func(step string) error {
+			if step == "hold" && !added {
+				added = true
+				w.exec(rival, "INSERT INTO lot VALUES(?, 1000, 1, 'late')", keyIn(1, 0))
+			}
+			return nil
+		})
+		w.worker("d1")
+		Eventually(w.stateNow, bound).Should(Equal(config.TakeoverComplete))
+		Expect(w.count(ring)).To(Equal(w.count(rival)))
+	})
+
 	// Callers write and read while their records move, through daemons that hear
 	// of each revision late. Every price must be the last one that was
 	// acknowledged, and no write may be held against a caller for good.
--- a/pkg/takeover/world_test.go
+++ b/pkg/takeover/world_test.go
@@ -197,6 +197,10 @@
 	if st.SQL == target.PositionSQL {
 		return []takeover.Row{{{Text: "2"}, {Text: "7"}}}, nil
 	}
+	if strings.Contains(st.SQL, "changed > $2") && st.Args[1].Text == "" {
+		// SQLite would compare the text, PostgreSQL refuses it.
+		return nil, &takeover.SQLError{Code: "22P02", Message: "invalid input syntax for type integer"}
+	}
 	rows, err := w.databases[g].QueryContext(ctx, parameter.ReplaceAllString(st.SQL, "?$1"), arguments(st.Args)...)
 	if err != nil {
 		return nil, sqlError(err)
