--- a/pkg/bench/capacity/checks.go
+++ b/pkg/bench/capacity/checks.go
@@ -40,9 +40,9 @@
 func bytes(v float64) string {
 	switch {
 	case v >= 1e6:
-		return fmt.Sprintf("%.3g MB", v/1e6)
+		return fmt.Sprintf("%.4g MB", v/1e6)
 	case v >= 1e3:
-		return fmt.Sprintf("%.3g KB", v/1e3)
+		return fmt.Sprintf("%.4g KB", v/1e3)
 	}
 	return fmt.Sprintf("%.3g B", v)
 }
@@ -111,7 +111,7 @@
 		return z.ReturnedBytesPerS, z.ReturnUsage.Seconds
 	})
 	const minute = "Membership and news, mean over the minute that begins with it."
-	return []check{
+	list := []check{
 		{"bytes, a zone is lost", "12 KB/s", bytesOf(lost), limitBytesPerS, bytesPerS, minute},
 		{"bytes, a zone returns at once, all daemons", "12 KB/s", bytesOf(back), limitBytesPerS, bytesPerS, minute},
 		{"bytes, a zone returns at once, its own daemons", "12 KB/s", returning, limitBytesPerS, bytesPerS, minute},
@@ -122,6 +122,14 @@
 		{"processor, regions part", "3.4 % of a core", cpu(apart), limitCPUPercent, percent, minute},
 		{"processor, regions meet again", "3.4 % of a core", cpu(together), limitCPUPercent, percent, minute},
 	}
+	const all = "As above, with the homes' probing of targets at rest."
+	for _, c := range list[:5] {
+		list = append(list, check{c.what + ", all control", c.limit, c.value.plus(p.homeBytes), c.bound, c.format, all})
+	}
+	return append(list, check{"daemons of the own side called dead while regions meet", "0",
+		p.ofStorms(func(_ *control.Zone, r *control.Region) float64 { return float64(r.Buried) }), 0,
+		func(v float64) string { return fmt.Sprintf("%.0f", v) },
+		"At two viewers; they come back when they refute. All daemons share the bench's processors."})
 }
 
 func (p *model) storeChecks() []check {
