Count the wait for a confirmation from the first write that waits

Cause: the check for a primary cut off from its peers took the start of the wait from the lag model, which follows no write whose position is unknown; when the callers' first writes hung together and nothing followed, it began to count only with the next ones, 30 s later. Change: the wait is counted from the first durable write that waits until a replica advances.

--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -40,6 +40,9 @@
 	// handedOverAt is when the last handover for an unreachable primary was.
 	handedOverAt core.Time
 	beatAt       core.Time
+	// unconfirmedSince is since when durable writes have waited without any
+	// replica advancing; zero: none wait, or one advanced.
+	unconfirmedSince core.Time
 }
 
 // reset forgets the doubts about a reign that ends.
--- a/core/group/fake_test.go
+++ b/core/group/fake_test.go
@@ -94,6 +94,8 @@
 	next    core.RequestID
 	tuning  Tuning
 	rtt     time.Duration
+	// unpositioned: statements end without telling a position.
+	unpositioned bool
 }
 
 func newNet(daemons int, change ...func(*Tuning)) *fakeNet {
@@ -396,7 +398,9 @@
 			h.net.ran[d.Request]++
 			m.status.LogTerm = m.status.Term
 		}
-		f.Position = m.status.Position()
+		if !h.net.unpositioned {
+			f.Position = m.status.Position()
+		}
 		h.net.after(h.net.rtt, func() {
 			if h.running[d.Request] == d {
 				delete(h.running, d.Request)
--- a/core/group/isolation.go
+++ b/core/group/isolation.go
@@ -25,24 +25,26 @@
 }
 
 // isolatedSince is since when durable writes wait while none of the other
-// members, a majority of the group that answers, has received anything.
+// members, a majority of the group that answers, has received anything. It
+// outlasts the writes themselves, whose deadlines may be shorter.
 func (g *Group) isolatedSince() (since core.Time, stuck bool) {
 	if g.phase != phaseServing || !g.holdsDurable() {
 		return 0, false
 	}
+	if g.detect.unconfirmedSince == 0 {
+		g.detect.unconfirmedSince = g.now
+	}
 	replicas := 0
 	for _, m := range g.members {
 		if m == g.reign.primary || !g.serving(m) {
 			continue
 		}
-		behind := m.lag.behind(g.now)
-		if behind == 0 || !m.position.Less(g.reign.primary.position) {
+		if !m.position.Less(g.reign.primary.position) {
 			return 0, false
 		}
 		replicas++
-		since = max(since, m.advancedAt, g.now.Add(-behind))
 	}
-	return since, replicas >= g.majority()
+	return g.detect.unconfirmedSince, replicas >= g.majority()
 }
 
 func (g *Group) holdsDurable() bool {
--- a/core/group/isolation_test.go
+++ b/core/group/isolation_test.go
@@ -26,6 +26,19 @@
 		Expect(n.primary().status.LSN).To(BeNumerically(">=", a.acks[w].LSN))
 	})
 
+	ginkgo.It("is replaced although the callers send nothing more", func() {
+		// The same with callers that wait for their first answer: a few writes
+		// hang, whose positions were not told, and nothing follows them.
+		n, a := served()
+		n.primary().cutOff = true
+		n.unpositioned = true
+		for range 3 {
+			a.arrive(func(r *Arrived) { r.Durable, r.Deadline = true, n.now.Add(30*time.Second) })
+		}
+		n.run(6 * time.Second)
+		Expect(n.primary().id).NotTo(Equal(core.MemberID("a")))
+	})
+
 	ginkgo.It("is kept while its replicas only lag", func() {
 		// Replication falls behind by seconds but goes on. A promotion would
 		// lose what the replicas have not got yet, and help nobody.
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -48,8 +48,6 @@
 	position   core.Position
 	located    bool
 	positionAt core.Time
-	// advancedAt is when the position last rose, or the reign began.
-	advancedAt core.Time
 	// leaseAt is when the last probe was sent that reported the home's term.
 	leaseAt core.Time
 	// oddAt is since when the member reports a term that the reign has to deal
@@ -158,8 +156,8 @@
 	if p.Less(m.position) && at <= m.positionAt {
 		return
 	}
-	if m.position.Less(p) {
-		m.advancedAt = g.now
+	if m != g.reign.primary && m.position.Less(p) {
+		g.detect.unconfirmedSince = 0
 	}
 	m.position, m.positionAt, m.located = p, max(at, m.positionAt), true
 	if m != g.reign.primary {
--- a/core/group/promotion.go
+++ b/core/group/promotion.go
@@ -94,7 +94,7 @@
 	g.history.add(b.promotedAt, s.Position())
 	for _, m := range g.members {
 		m.position, m.positionAt, m.located = core.Position{}, 0, false
-		m.leaseAt, m.oddAt, m.advancedAt = 0, 0, g.now
+		m.leaseAt, m.oddAt = 0, 0
 		if m.gone {
 			continue
 		}
