Give each embedded fleet a key of its own

Cause: a test once failed because another fleet's datagrams reached a gossip port that was in use again. Change: an embedded fleet makes a random key and signs its datagrams with it. Measured: go test ./pkg/embedded ./pkg/demo pass; not measured whether the mix-up recurs, it was seen once.

--- a/pkg/embedded/fleet.go
+++ b/pkg/embedded/fleet.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -33,7 +34,9 @@
 	StoreURL    string
 	ControlAddr string
 
-	groups  map[core.GroupID]*target.Group
+	groups map[core.GroupID]*target.Group
+	// keyFile holds the key of the fleet's datagrams.
+	keyFile string
 	daemons []*Daemon
 	client  *store.Client
 	servers []*http.Server
@@ -65,6 +68,10 @@
 }
 
 func (f *Fleet) start(ctx context.Context) error {
+	var err error
+	if f.keyFile, err = writeKey(); err != nil {
+		return err
+	}
 	mux := control.New()
 	if err := f.startStore(mux); err != nil {
 		return err
@@ -225,6 +232,7 @@
 	s.Gossip.Listen, s.Operator.Listen = "127.0.0.1:0", "127.0.0.1:0"
 	s.Store.Endpoints = []string{f.StoreURL}
 	s.Targets.User = targetUser
+	s.Gossip.Key.File = f.keyFile
 	if f.Options.LogLevel != "" {
 		s.Log.Level = f.Options.LogLevel
 	}
@@ -301,4 +309,7 @@
 		_ = s.Close()
 	}
 	_ = f.parts.Wait()
+	if f.keyFile != "" {
+		_ = os.Remove(f.keyFile)
+	}
 }
