Keep a transaction open across the hold, and say which guards tests notice

Cause: the racing transaction ended before the drain, so that a hold which does not wait for it went unnoticed. Not tried: verification, drain, undoing of closings.

--- a/tests/takeover/race_test.go
+++ b/tests/takeover/race_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -30,6 +31,9 @@
 	Expect(r.committed).To(BeNumerically(">", 0))
 }
 
+// holdOpen is how long the transaction stays open, within the hold's limit.
+const holdOpen = 100 * time.Millisecond
+
 // racer opens a transaction before each hold and ends it within.
 type racer struct {
 	w         *world
@@ -55,8 +59,14 @@
 		_ = conn.Close(r.w.ctx)
 		return
 	}
+	sealing := r.w.steps.next("seal")
 	r.group.Go(func() {
 		defer conn.Close(r.w.ctx)
+		// A hold that does not wait for the transaction gets as far as the seal.
+		select {
+		case <-sealing:
+		case <-time.After(holdOpen):
+		}
 		r.end(conn, first)
 	})
 }
