Replace an isolated primary sooner where nothing acknowledged is lost

Change: 1.5 s while every acknowledged write is on a second member, 5 s otherwise; the wait doubles with each replacement that confirmed nothing.

--- a/core/group/ack.go
+++ b/core/group/ack.go
@@ -96,6 +96,7 @@
 // acknowledge gives a request its answer.
 func (g *Group) acknowledge(r *request) {
 	g.counters.Acknowledged++
+	g.noteAcknowledged(r)
 	g.fx.acknowledge(Acknowledge{Request: r.id, Position: r.position})
 	g.release(r)
 }
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -40,14 +40,15 @@
 	// handedOverAt is when the last handover for an unreachable primary was.
 	handedOverAt core.Time
 	beatAt       core.Time
-	// unconfirmedSince is since when durable writes have waited without any
-	// replica advancing; zero: none wait, or one advanced.
-	unconfirmedSince core.Time
+	isolation    isolation
 }
 
 // reset forgets the doubts about a reign that ends.
 func (d *detector) reset() {
-	*d = detector{handedOverAt: d.handedOverAt, beatAt: d.beatAt, planAfter: d.planAfter}
+	*d = detector{
+		handedOverAt: d.handedOverAt, beatAt: d.beatAt, planAfter: d.planAfter,
+		isolation: isolation{replaced: d.isolation.replaced},
+	}
 }
 
 // lateMargin is how late a time limit may be noticed by a process that runs.
--- a/core/group/isolation.go
+++ b/core/group/isolation.go
@@ -2,28 +2,79 @@
 
 import "limpetspan/core"
 
+// isolation is what is known of the primary's being cut off from its peers.
+type isolation struct {
+	// since is since when durable writes have waited without any replica
+	// advancing; zero: none wait, or one advanced.
+	since core.Time
+	// unconfirmed is the furthest position acknowledged without a second member
+	// having it: of kinds that are not durable.
+	unconfirmed core.Position
+	// replaced counts the primaries replaced for it since a durable write was
+	// last confirmed.
+	replaced int
+}
+
+// maxIsolationShift bounds the doubling of the wait.
+const maxIsolationShift = 6
+
 // checkIsolated replaces a primary whose log reaches no other member.
 //
 // Guard: a primary that is cut off from its peers only answers every probe, so
 // it is never suspected. Durable writes would wait for a confirmation that
 // cannot come and end at their deadline, all of them, for as long as the cut
-// lasts. Replicas that merely lag still advance, and are left alone.
+// lasts. A sudden lag looks the same until it has passed. The wait is therefore
+// longer while acknowledged writes would be lost, and doubles with each
+// replacement that led to no confirmed write, so that replicas which are slower
+// than the wait do not take turns for ever.
 func (g *Group) checkIsolated() {
 	since, stuck := g.isolatedSince()
 	if !stuck {
 		return
 	}
-	until := max(since.Add(g.tuning.IsolationTimeout), g.detect.planAfter)
+	d := &g.detect
+	wait := g.tuning.IsolationTimeout
+	if g.holdsUnconfirmed() {
+		wait = g.tuning.IsolationPatience
+	}
+	until := max(since.Add(wait<<min(d.isolation.replaced, maxIsolationShift)), d.planAfter)
 	if g.now < until {
 		g.wakeBy(until)
 		return
 	}
-	g.detect.planAfter = g.now.Add(g.tuning.RepairWait)
+	d.planAfter = g.now.Add(g.tuning.RepairWait)
+	d.isolation.replaced++
 	p := g.reign.primary
 	g.startClaim("primary is cut off from its peers")
 	g.ballot.avoid = p
 }
 
+// holdsUnconfirmed reports whether the primary alone holds acknowledged writes.
+func (g *Group) holdsUnconfirmed() bool {
+	for _, m := range g.members {
+		if m != g.reign.primary && g.serving(m) && !m.position.Less(g.detect.isolation.unconfirmed) {
+			return false
+		}
+	}
+	return true
+}
+
+// noteAcknowledged keeps what the check for isolation needs of an answer.
+func (g *Group) noteAcknowledged(r *request) {
+	i := &g.detect.isolation
+	switch {
+	case r.read:
+	case !r.durable:
+		p := r.position
+		if p.IsZero() && g.reign.primary != nil {
+			p = g.reign.primary.position
+		}
+		i.unconfirmed = i.unconfirmed.Max(p)
+	case r.state == stateHeld:
+		i.replaced = 0
+	}
+}
+
 // isolatedSince is since when durable writes wait while none of the other
 // members, a majority of the group that answers, has received anything. It
 // outlasts the writes themselves, whose deadlines may be shorter.
@@ -31,8 +82,8 @@
 	if g.phase != phaseServing || !g.holdsDurable() {
 		return 0, false
 	}
-	if g.detect.unconfirmedSince == 0 {
-		g.detect.unconfirmedSince = g.now
+	if g.detect.isolation.since == 0 {
+		g.detect.isolation.since = g.now
 	}
 	replicas := 0
 	for _, m := range g.members {
@@ -44,7 +95,7 @@
 		}
 		replicas++
 	}
-	return g.detect.unconfirmedSince, replicas >= g.majority()
+	return g.detect.isolation.since, replicas >= g.majority()
 }
 
 func (g *Group) holdsDurable() bool {
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -157,7 +157,7 @@
 		return
 	}
 	if m != g.reign.primary && m.position.Less(p) {
-		g.detect.unconfirmedSince = 0
+		g.detect.isolation.since = 0
 	}
 	m.position, m.positionAt, m.located = p, max(at, m.positionAt), true
 	if m != g.reign.primary {
--- a/core/group/tuning.go
+++ b/core/group/tuning.go
@@ -79,9 +79,12 @@
 	// for news of the new home before it claims again. Default 300 ms.
 	ContestWait time.Duration
 	// IsolationTimeout is how long durable writes wait, with no replica
-	// receiving anything, before the primary is replaced. A sudden lag looks the
-	// same for as long as it is deep. Default 5 s.
-	IsolationTimeout time.Duration
+	// receiving anything, before the primary is replaced. IsolationPatience is
+	// the same while that would lose acknowledged writes of kinds that are not
+	// durable. Both double after a replacement that confirmed nothing. Defaults
+	// 1.5 s and 5 s.
+	IsolationTimeout  time.Duration
+	IsolationPatience time.Duration
 	// RepairWait is how long a member may stay fenced at a higher term before
 	// the home raises its own to take the member back. Default 3 s.
 	RepairWait time.Duration
@@ -164,7 +167,8 @@
 		{&t.ActivityWait, 100 * time.Millisecond},
 		{&t.GatherWait, 40 * time.Millisecond},
 		{&t.ContestWait, 300 * time.Millisecond},
-		{&t.IsolationTimeout, 5 * time.Second},
+		{&t.IsolationTimeout, 1500 * time.Millisecond},
+		{&t.IsolationPatience, 5 * time.Second},
 		{&t.RepairWait, 3 * time.Second},
 		{&t.HandoverInterval, 5 * time.Second},
 		{&t.PlannedWait, 2 * time.Second},
