--- a/pkg/explore/world.go
+++ b/pkg/explore/world.go
@@ -10,11 +10,13 @@
 	"limpetspan/core/group"
 )
 
-// The sizes of the model: parkdb's group of the brief, seen by three daemons.
+// modelGroup is parkdb's group of the brief, seen by three daemons.
+const modelGroup core.GroupID = "parkdb-1"
+
+// The sizes of the model.
 const (
-	modelGroup  core.GroupID = "parkdb-1"
-	modelBudget              = 20
-	modelSlots               = 3
+	modelBudget = 20
+	modelSlots  = 3
 	// controlConnections are the home's own connections for probes, one a member.
 	controlConnections = memberCount
 	daemonCount        = 3
