Begin the wait for a confirmation anew once one has come

Cause: the check on a fresh clone failed in tests/process: a healthy primary was replaced while a fleet started ("primary is cut off from its peers", 30 ms after a write was sent). A statement that wrote nothing had been held and confirmed without any replica advancing; the wait went on from there, and was over when the first real write began. Ruled out: a slow start of the replicas, which have 1.5 s. Change: a confirmed durable write, or a replica that is not behind, ends the wait. The fake members take no new log term from a statement that writes nothing. Measured: the new event script fails with the two resets taken out.

--- a/core/group/fake_test.go
+++ b/core/group/fake_test.go
@@ -96,6 +96,8 @@
 	rtt     time.Duration
 	// unpositioned: statements end without telling a position.
 	unpositioned bool
+	// idle: statements write nothing.
+	idle bool
 }
 
 func newNet(daemons int, change ...func(*Tuning)) *fakeNet {
@@ -394,9 +396,11 @@
 			h.transact(d.Conn, a.Caller, f.TxStatus)
 		default:
 			h.transact(d.Conn, a.Caller, f.TxStatus)
-			m.status.LSN += 10
 			h.net.ran[d.Request]++
-			m.status.LogTerm = m.status.Term
+			if !h.net.idle {
+				m.status.LSN += 10
+				m.status.LogTerm = m.status.Term
+			}
 		}
 		if !h.net.unpositioned {
 			f.Position = m.status.Position()
--- a/core/group/isolation.go
+++ b/core/group/isolation.go
@@ -71,7 +71,10 @@
 		}
 		i.unconfirmed = i.unconfirmed.Max(p)
 	case r.state == stateHeld:
-		i.replaced = 0
+		// Guard: a statement that wrote nothing is confirmed without any
+		// replica advancing. Counted on from it, the wait would be over when
+		// the next write begins, and a healthy primary be replaced.
+		i.since, i.replaced = 0, 0
 	}
 }
 
@@ -91,6 +94,7 @@
 			continue
 		}
 		if !m.position.Less(g.reign.primary.position) {
+			g.detect.isolation.since = 0
 			return 0, false
 		}
 		replicas++
--- a/core/group/isolation_test.go
+++ b/core/group/isolation_test.go
@@ -39,6 +39,22 @@
 		Expect(n.primary().id).NotTo(Equal(core.MemberID("a")))
 	})
 
+	ginkgo.It("is not seen in a healthy one after statements that wrote nothing", func() {
+		// A gate asks something that is not declared a read, and writes minutes
+		// later. The first is confirmed although no replica had anything to
+		// receive; the write after it met a replacement of the primary.
+		n, a := served()
+		claims := a.g.counters.Claims
+		n.idle, n.unpositioned = true, true // It is held until the next reports.
+		a.arrive(func(r *Arrived) { r.Durable = true })
+		n.run(3 * time.Second)
+		n.idle, n.unpositioned = false, false
+		w := a.arrive(func(r *Arrived) { r.Durable = true })
+		n.run(time.Second)
+		Expect(a.acks).To(HaveKey(w))
+		Expect(a.g.counters.Claims).To(Equal(claims))
+	})
+
 	ginkgo.It("is kept while its replicas only lag and it alone has what was acknowledged", func() {
 		// Replication falls behind by seconds but goes on, and a kind that is
 		// not durable is in use. A promotion would lose its writes.
