Go on when a take-over was started again while its pause took effect

Cause: a pause ends the moving of buckets; by the time the worker looked at the declared state, it was running again. The worker took the buckets left for blocked ones and kept the claim idle for a minute, time and again under races. Change: a run that a pause ended gives the claim back, whatever is declared by then.

--- a/pkg/takeover/run.go
+++ b/pkg/takeover/run.go
@@ -34,6 +34,8 @@
 
 // run is the work on one take-over under one claim.
 type run struct {
+	// paused: the declared state ended the moving of buckets.
+	paused bool
 	*Options
 	claim  *claim
 	dir    direction
@@ -79,7 +81,10 @@
 		}
 	}
 	t = r.takeover()
-	if r.dir.ended(t) || r.mustStop() {
+	// Guard: the take-over may be running again by now, started since a pause
+	// ended this run. Taken for blocked it would stand still for blockedRetry,
+	// although nothing needs an operator.
+	if r.paused || r.dir.ended(t) || r.mustStop() {
 		return nil
 	}
 	if len(r.dir.remaining(t)) > 0 {
@@ -265,7 +270,7 @@
 			effects = r.machine.Reduce(r.sample())
 			r.status.progress(r.machine.Progress())
 			if stopping != nil && (r.dir.ended(r.takeover()) || r.Leaving()) {
-				stopping = nil
+				stopping, r.paused = nil, true
 				effects = r.machine.Reduce(&takeover.Stopped{})
 			}
 		}
