Copy the effects of the explorer once

Cause: each step copied the list of effects and then every effect of the copy. Change: the effects are copied straight from the reducer's buffer. Measured: go vet and go test ./pkg/explore pass; no time was measured. Conclusion: kept, the behaviour is the same.

--- a/pkg/explore/daemon.go
+++ b/pkg/explore/daemon.go
@@ -81,9 +81,8 @@
 	d.reducer.Reduce(d.clock(), ev, &d.effects)
 	d.world.recordEffects(d)
 	// The effects are copied because carrying one out may post an event.
-	list := append([]group.Effect(nil), d.effects.List...)
-	values := make([]group.Effect, len(list))
-	for i, e := range list {
+	values := make([]group.Effect, len(d.effects.List))
+	for i, e := range d.effects.List {
 		values[i] = clone(e)
 	}
 	for _, e := range values {
