--- a/cmd/limpetspand/main.go
+++ b/cmd/limpetspand/main.go
@@ -13,7 +13,9 @@
 	"github.com/alexflint/go-arg"
 
 	"limpetspan/pkg/daemon"
+	"limpetspan/pkg/proxy"
 	"limpetspan/pkg/settings"
+	"limpetspan/platform"
 )
 
 // The exit codes.
@@ -25,6 +27,7 @@
 
 type arguments struct {
 	Config   string `arg:"--config" placeholder:"FILE.ini" help:"settings of the daemon"`
+	Platform bool   `arg:"--platform" help:"serve the platform's callers; its settings file is named by LIMPETSPAN_CONFIG"`
 	Check    bool   `arg:"--check" help:"check the settings and exit"`
 	Settings bool   `arg:"--settings" help:"print all settings as Markdown and exit"`
 }
@@ -69,6 +72,9 @@
 		fmt.Print(settings.Markdown())
 		return exitOK
 	}
+	if args.Platform {
+		return servePlatform()
+	}
 	if args.Config == "" {
 		fmt.Fprintln(os.Stderr, "limpetspand: --config is required; see --help")
 		return exitSettings
@@ -88,6 +94,22 @@
 	return serve(s)
 }
 
+// servePlatform runs the daemon that reaches the platform's members itself.
+func servePlatform() int {
+	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "limpetspand:", err)
+		return exitSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := proxy.New(s, os.Stdout).Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "limpetspand:", err)
+		return exitFailed
+	}
+	return exitOK
+}
+
 func serve(s *settings.Settings) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- /dev/null
+++ b/core/direct/doc.go
@@ -0,0 +1,32 @@
+// Package direct decides how one daemon uses the members of a database group
+// that it reaches itself, without a home of the group in between.
+//
+// It does no I/O and reads no clock. A Group takes events (answers, probes,
+// reports of other daemons, ticks) with the time at which they happened, and
+// returns effects as data, which the caller carries out.
+//
+// # Reads
+//
+// A read runs on a replica with the position that the replica's log must
+// cover. For reads of a bounded age that is a sample: the primary's newest
+// position as of a moment no older than the bound. A sample counts from the
+// moment its request was sent, because every commit acknowledged before that is
+// in the answer's position.
+//
+// # The primary
+//
+// The primary is used only under a lease: floor(n/2) of the group's replicas
+// have reported the primary's own term and no fence in probes sent less than
+// LeaseFor ago. A daemon that promotes another member first fences so many
+// replicas that each such set holds a fenced one, and waits until all leases
+// that were confirmed before the fence have run out. Reads check the lease when
+// they are sent, writes when their answer is passed on.
+//
+// # Promotion
+//
+// One daemon at a time may promote in a group: the holder of a ticket, a key of
+// the platform's store that is written under a condition. The revision of that
+// write is the fencing token. A ticket is good for TicketSendWindow on its
+// holder's clock, and others take it over only once they have seen it unchanged
+// for TicketLife.
+package direct
--- /dev/null
+++ b/core/direct/effect.go
@@ -0,0 +1,38 @@
+package direct
+
+import "limpetspan/core"
+
+// EffectKind is what the caller of a Group has to do.
+type EffectKind uint8
+
+// The effects.
+const (
+	// EffectProbe asks the member for its status.
+	EffectProbe EffectKind = iota
+	// EffectFence stops a replica from receiving, for the term.
+	EffectFence
+	// EffectUnfence ends a fence.
+	EffectUnfence
+	// EffectDemote makes a primary of a lower term a replica.
+	EffectDemote
+	// EffectClaim asks the store for the group's ticket.
+	EffectClaim
+	// EffectPromote orders that the member takes over, under Token.
+	EffectPromote
+	// EffectReport tells the other daemons at once what this one believes.
+	EffectReport
+	// EffectDecision is for the log: Reason says what was decided and why.
+	EffectDecision
+)
+
+// Effect is work for the caller.
+type Effect struct {
+	Kind   EffectKind
+	Group  core.GroupID
+	Member core.MemberID
+	Term   core.Term
+	Token  uint64
+	// Until is when an order to promote must be on its way at the latest.
+	Until  core.Time
+	Reason string
+}
--- /dev/null
+++ b/core/direct/group.go
@@ -0,0 +1,311 @@
+package direct
+
+import (
+	"slices"
+	"sort"
+
+	"limpetspan/core"
+)
+
+// Group is one daemon's view of a database group. It is not safe for concurrent use.
+type Group struct {
+	id      core.GroupID
+	self    core.DaemonID
+	zone    core.Zone
+	spec    GroupSpec
+	daemons int
+	members map[core.MemberID]*member
+	// order are the members' ids, sorted, so that decisions repeat.
+	order []core.MemberID
+	// term is the newest one seen, primary the member that reigns in it.
+	term    core.Term
+	primary core.MemberID
+	// primarySince is when this daemon learnt of the primary.
+	primarySince core.Time
+	samples      samples
+	peers        map[core.DaemonID]peerReport
+	knownPeers   int
+	claim        claim
+	effects      []Effect
+}
+
+// NewGroup returns the view of a daemon that has heard nothing yet.
+func NewGroup(id core.GroupID, self core.DaemonID, zone core.Zone) *Group {
+	return &Group{id: id, self: self, zone: zone, daemons: 1, knownPeers: 1,
+		members: make(map[core.MemberID]*member), peers: make(map[core.DaemonID]peerReport)}
+}
+
+// Configure takes the configuration's word on the group.
+func (g *Group) Configure(spec GroupSpec) { g.spec = spec }
+
+// SetDaemons says how many daemons share the group's connections.
+func (g *Group) SetDaemons(n int) { g.daemons, g.knownPeers = max(1, n), max(1, n) }
+
+// List takes the host list's entries of the group.
+func (g *Group) List(now core.Time, listed []Member) {
+	seen := make(map[core.MemberID]bool, len(listed))
+	for _, l := range listed {
+		seen[l.ID] = true
+		m := g.members[l.ID]
+		if m == nil {
+			m = &member{heardAt: now}
+			g.members[l.ID] = m
+			g.order = append(g.order, l.ID)
+		}
+		m.Member, m.vanishedAt = l, 0
+	}
+	slices.Sort(g.order)
+	for _, id := range slices.Clone(g.order) {
+		m := g.members[id]
+		if seen[id] {
+			continue
+		}
+		if m.vanishedAt == 0 {
+			m.vanishedAt = now
+		}
+		if now.Sub(m.vanishedAt) > VanishedKeep && m.open == 0 {
+			g.forget(id)
+		}
+	}
+}
+
+func (g *Group) forget(id core.MemberID) {
+	delete(g.members, id)
+	g.order = slices.DeleteFunc(g.order, func(o core.MemberID) bool { return o == id })
+	if g.primary == id {
+		g.primary = ""
+	}
+}
+
+// Addr returns where the member is reached.
+func (g *Group) Addr(id core.MemberID) (string, bool) {
+	m := g.members[id]
+	if m == nil {
+		return "", false
+	}
+	return m.Addr, true
+}
+
+// Primary returns the member that reigns as far as this daemon knows, and its term.
+func (g *Group) Primary() (core.MemberID, core.Term) { return g.primary, g.term }
+
+// Members returns the ids of all members that are remembered.
+func (g *Group) Members() []core.MemberID { return slices.Clone(g.order) }
+
+// size is the number of members that count towards a majority.
+func (g *Group) size(now core.Time) int {
+	n := 0
+	for _, m := range g.members {
+		if m.alive(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// LeaseUntil returns until when the primary may be used.
+func (g *Group) LeaseUntil(now core.Time) core.Time {
+	p := g.members[g.primary]
+	if p == nil || !p.isPrimary(g.term) {
+		return 0
+	}
+	need := g.size(now) / 2
+	if need == 0 {
+		return p.statusAt.Add(LeaseFor)
+	}
+	var at []core.Time
+	for id, m := range g.members {
+		if id != g.primary && m.confirms(g.term) {
+			at = append(at, m.statusAt)
+		}
+	}
+	if len(at) < need {
+		return 0
+	}
+	sort.Slice(at, func(i, j int) bool { return at[i] > at[j] })
+	return at[need-1].Add(LeaseFor)
+}
+
+// Leased says whether the primary may be used now.
+func (g *Group) Leased(now core.Time) bool { return now < g.LeaseUntil(now) }
+
+// Reign is the term in which positions of the present primary count; 0: none is known.
+func (g *Group) Reign() core.Term {
+	if g.primary == "" {
+		return 0
+	}
+	return g.term
+}
+
+// sawTerm learns of a newer term: whoever reigned before does so no longer.
+func (g *Group) sawTerm(t core.Term) {
+	if t <= g.term {
+		return
+	}
+	g.term = t
+	g.primary = ""
+	g.samples.clear()
+}
+
+// Probed takes the answer to a probe, fence or demotion that was sent at sent.
+func (g *Group) Probed(now, sent core.Time, id core.MemberID, st Status) []Effect {
+	m := g.members[id]
+	if m == nil {
+		return nil
+	}
+	m.probing = false
+	m.heard(now)
+	if sent < m.statusAt {
+		return nil
+	}
+	m.status, m.statusAt = st, sent
+	m.saw(st.Position, now)
+	g.noteFence(now, m)
+	g.sawTerm(st.Term)
+	if st.Role == core.RolePrimary && st.Term == g.term {
+		g.reigns(now, id)
+	} else if g.primary == id {
+		g.primary = ""
+	}
+	if g.primary == id && g.Leased(now) {
+		g.samples.add(sent, st.Position)
+	}
+	g.claimProbed(now, id, st)
+	return g.take()
+}
+
+func (g *Group) noteFence(now core.Time, m *member) {
+	if m.status.FencedTerm > 0 {
+		if m.fencedAt == 0 {
+			m.fencedAt = now
+		}
+		return
+	}
+	m.fencedAt = 0
+}
+
+func (g *Group) reigns(now core.Time, id core.MemberID) {
+	if g.primary == id {
+		return
+	}
+	g.primary, g.primarySince = id, now
+	g.samples.clear()
+	g.emit(Effect{Kind: EffectReport})
+}
+
+// ProbeFailed takes that a probe was not answered. refused: the host answers
+// and nothing listens there.
+func (g *Group) ProbeFailed(now, sent core.Time, id core.MemberID, refused bool) []Effect {
+	m := g.members[id]
+	if m == nil {
+		return nil
+	}
+	m.probing = false
+	if m.heardAt < sent || refused {
+		g.suspect(now, id, m)
+	}
+	return g.take()
+}
+
+func (g *Group) suspect(now core.Time, id core.MemberID, m *member) {
+	if m.suspect {
+		return
+	}
+	m.suspect = true
+	if id == g.primary {
+		g.emit(Effect{Kind: EffectReport})
+	}
+}
+
+// Answered takes a member's whole answer to a statement that was sent at sent.
+func (g *Group) Answered(now, sent core.Time, id core.MemberID, p core.Position, o Outcome) []Effect {
+	m := g.members[id]
+	if m == nil {
+		return nil
+	}
+	m.heard(now)
+	switch o {
+	case Succeeded:
+		m.measured(now.Sub(sent))
+	case Busy:
+		m.busyAt = now
+	case Behind:
+		m.behindAt = now
+	case NotPrimary:
+		g.notPrimary(now, id, m)
+	}
+	m.saw(p, now)
+	if p.Term > g.term {
+		g.sawTerm(p.Term)
+	}
+	if id == g.primary && !p.IsZero() && g.Leased(now) {
+		g.samples.add(sent, p)
+	}
+	return g.take()
+}
+
+// notPrimary forgets the primary that has refused a write as a replica does.
+func (g *Group) notPrimary(now core.Time, id core.MemberID, m *member) {
+	m.status.Role = core.RoleReplica
+	m.probeAt = 0
+	if g.primary == id {
+		g.primary = ""
+		g.emit(Effect{Kind: EffectReport})
+	}
+}
+
+// ConnOpened, ConnIdle, ConnTaken and ConnClosed count the connections for
+// statements towards a member.
+func (g *Group) ConnOpened(id core.MemberID) { g.count(id, 1, 0) }
+
+// ConnIdle says that a connection waits for a statement.
+func (g *Group) ConnIdle(id core.MemberID) { g.count(id, 0, 1) }
+
+// ConnTaken says that an idle connection is in use.
+func (g *Group) ConnTaken(id core.MemberID) { g.count(id, 0, -1) }
+
+// ConnClosed says that a connection which was in use is gone.
+func (g *Group) ConnClosed(id core.MemberID) { g.count(id, -1, 0) }
+
+func (g *Group) count(id core.MemberID, open, idle int) {
+	if m := g.members[id]; m != nil {
+		m.open += open
+		m.idle += idle
+	}
+}
+
+// ConnRefused takes that a connection could not be opened.
+func (g *Group) ConnRefused(now core.Time, id core.MemberID, o Outcome) []Effect {
+	m := g.members[id]
+	if m == nil {
+		return nil
+	}
+	switch o {
+	case NoRoom:
+		m.heard(now)
+		m.blockedAt = now.Add(NoRoomBackoff)
+	case WrongMember:
+		m.blockedAt = now.Add(DialBackoff)
+		m.vanishedAt = max(m.vanishedAt, now)
+	default:
+		m.blockedAt = now.Add(DialBackoff)
+	}
+	return g.take()
+}
+
+// FairConns is how many connections for statements a daemon may keep to a
+// member: an equal share of what is left beside one for probes each.
+func (g *Group) FairConns() int {
+	return max(1, (g.spec.MaxConns-reservedConns-g.daemons)/g.daemons)
+}
+
+func (g *Group) emit(e Effect) {
+	e.Group = g.id
+	g.effects = append(g.effects, e)
+}
+
+func (g *Group) take() []Effect {
+	e := g.effects
+	g.effects = nil
+	return e
+}
--- /dev/null
+++ b/core/direct/member.go
@@ -0,0 +1,70 @@
+package direct
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// member is what the group knows of one target.
+type member struct {
+	Member
+	// vanishedAt is when the entry left the host list; 0: it is listed.
+	vanishedAt core.Time
+	// status is the last probe's answer, statusAt when that probe was sent.
+	status   Status
+	statusAt core.Time
+	// heardAt is when anything was last heard; sentAt of that exchange is not known.
+	heardAt core.Time
+	// position is the newest one known, positionAt when it was told.
+	position   core.Position
+	positionAt core.Time
+	// probeAt is when the outstanding or last probe was sent.
+	probeAt   core.Time
+	probing   bool
+	suspect   bool
+	fencedAt  core.Time // since when a fence is seen, 0: none
+	behindAt  core.Time
+	busyAt    core.Time
+	blockedAt core.Time // until when no connection is tried
+	demoteAt  core.Time
+	// latency is the mean time of a statement.
+	latency time.Duration
+	// open and idle count connections for statements.
+	open, idle int
+}
+
+func (m *member) leaving() bool { return m.Leaving || m.vanishedAt != 0 }
+
+// alive says whether the member counts towards the majority of its group.
+func (m *member) alive(now core.Time) bool {
+	return m.vanishedAt == 0 || now.Sub(m.heardAt) < HeardRecently
+}
+
+func (m *member) isPrimary(term core.Term) bool {
+	return m.statusAt != 0 && m.status.Role == core.RolePrimary && m.status.Term == term
+}
+
+// confirms says whether the last probe supports the term: a replica that knows
+// no newer term and is not fenced for one.
+func (m *member) confirms(term core.Term) bool {
+	return m.statusAt != 0 && m.status.Role == core.RoleReplica && m.status.Term == term && m.status.FencedTerm <= term
+}
+
+func (m *member) measured(d time.Duration) {
+	if m.latency == 0 {
+		m.latency = firstLatency
+	}
+	m.latency += (d - m.latency) / latencyShare
+}
+
+func (m *member) heard(now core.Time) {
+	m.heardAt = max(m.heardAt, now)
+	m.suspect = false
+}
+
+func (m *member) saw(p core.Position, at core.Time) {
+	if at >= m.positionAt && !p.IsZero() {
+		m.position, m.positionAt = p, at
+	}
+}
--- /dev/null
+++ b/core/direct/place.go
@@ -0,0 +1,135 @@
+package direct
+
+import (
+	"slices"
+	"time"
+
+	"limpetspan/core"
+)
+
+// Need is what a statement, or the first of a transaction, asks of a member.
+type Need struct {
+	// Primary is set for writes, transactions that may write, and reads that
+	// must see every acknowledged commit.
+	Primary bool
+	// MaxAge bounds what a read may miss, counted back from Arrived.
+	MaxAge  time.Duration
+	Arrived core.Time
+	// Session is the position of the session's last commit, SessionReign the
+	// term in which its member reigned.
+	Session      core.Position
+	SessionReign core.Term
+	// Avoid are members that were tried before.
+	Avoid []core.MemberID
+}
+
+// Place says on which member a statement is to run.
+type Place struct {
+	Member core.MemberID
+	// Since is what the member's log has to cover; zero: nothing.
+	Since core.Position
+	// Primary is set if the member is used as the primary, under the lease.
+	Primary bool
+	// Dial is set if a connection has to be opened first.
+	Dial bool
+}
+
+// Place returns where the statement may run now; false: nowhere yet.
+func (g *Group) Place(now core.Time, n Need) (Place, bool) {
+	if n.Primary {
+		return g.placePrimary(now, n)
+	}
+	since, ok := g.requirement(n)
+	if !ok {
+		return g.placePrimary(now, n)
+	}
+	return g.placeRead(now, n, since)
+}
+
+func (g *Group) placePrimary(now core.Time, n Need) (Place, bool) {
+	m := g.members[g.primary]
+	if m == nil || !g.Leased(now) || now.Sub(m.busyAt) < BusyBackoff && m.busyAt != 0 {
+		return Place{}, false
+	}
+	dial, ok := g.room(now, m)
+	return Place{Member: m.ID, Primary: true, Dial: dial}, ok
+}
+
+// requirement is the position that a replica must cover for the read.
+func (g *Group) requirement(n Need) (core.Position, bool) {
+	since, ok := g.samples.since(n.Arrived.Add(-n.MaxAge))
+	if !ok || n.Session.IsZero() {
+		return since, ok
+	}
+	if n.SessionReign == g.term {
+		return Later(since, n.Session), true
+	}
+	// The session's commit may have been lost with its primary, and then no log
+	// covers its position. The newest sample of this reign covers what was kept.
+	newest, _ := g.samples.newest()
+	return newest.position, true
+}
+
+func (g *Group) placeRead(now core.Time, n Need, since core.Position) (Place, bool) {
+	var best Place
+	var bestCost time.Duration
+	found := false
+	for _, id := range g.order {
+		m := g.members[id]
+		if slices.Contains(n.Avoid, id) || !g.readable(now, id, m, since) {
+			continue
+		}
+		dial, ok := g.room(now, m)
+		if !ok {
+			continue
+		}
+		cost := g.cost(id, m)
+		if !found || cost < bestCost {
+			best, bestCost, found = Place{Member: id, Since: since, Dial: dial}, cost, true
+		}
+	}
+	if found && best.Member == g.primary {
+		best.Since, best.Primary = core.Position{}, true
+	}
+	return best, found
+}
+
+func (g *Group) readable(now core.Time, id core.MemberID, m *member, since core.Position) bool {
+	if m.leaving() || m.suspect || m.statusAt == 0 {
+		return false
+	}
+	if m.busyAt != 0 && now.Sub(m.busyAt) < BusyBackoff {
+		return false
+	}
+	if id == g.primary {
+		return g.Leased(now)
+	}
+	if !m.position.Less(since) {
+		return true
+	}
+	behind := m.behindAt != 0 && now.Sub(m.behindAt) < BehindBackoff
+	return !behind && now.Sub(m.positionAt) > m.status.Lag
+}
+
+func (g *Group) cost(id core.MemberID, m *member) time.Duration {
+	latency := m.latency
+	if latency == 0 {
+		latency = firstLatency
+	}
+	cost := latency * time.Duration(m.open-m.idle+1)
+	if m.Zone != g.zone {
+		cost += otherZone
+	}
+	if id == g.primary {
+		cost += primaryPenalty
+	}
+	return cost
+}
+
+// room says whether a connection to the member is free or may be opened.
+func (g *Group) room(now core.Time, m *member) (dial, ok bool) {
+	if m.idle > 0 {
+		return false, true
+	}
+	return true, m.open < g.FairConns()+borrowConns && now >= m.blockedAt
+}
--- /dev/null
+++ b/core/direct/samples.go
@@ -0,0 +1,53 @@
+package direct
+
+import "limpetspan/core"
+
+// sample is a position of the primary that covers every commit acknowledged
+// before at.
+type sample struct {
+	at       core.Time
+	position core.Position
+}
+
+// samples are the primary's positions of one term, oldest first.
+type samples struct {
+	list []sample
+}
+
+func (s *samples) clear() { s.list = s.list[:0] }
+
+// add keeps a sample; one that comes soon after the last replaces nothing and
+// is only remembered as the newest.
+func (s *samples) add(at core.Time, p core.Position) {
+	n := len(s.list)
+	if n > 0 && at < s.list[n-1].at {
+		return
+	}
+	if n > 1 && at.Sub(s.list[n-2].at) < SampleEvery {
+		s.list[n-1] = sample{at, p}
+		return
+	}
+	if n == SampleKeep {
+		copy(s.list, s.list[1:])
+		s.list = s.list[:n-1]
+	}
+	s.list = append(s.list, sample{at, p})
+}
+
+// since returns the oldest sample that is not older than at: it asks the least
+// of a replica.
+func (s *samples) since(at core.Time) (core.Position, bool) {
+	for _, x := range s.list {
+		if x.at >= at {
+			return x.position, true
+		}
+	}
+	return core.Position{}, false
+}
+
+func (s *samples) newest() (sample, bool) {
+	if len(s.list) == 0 {
+		return sample{}, false
+	}
+	return s.list[len(s.list)-1], true
+}
--- /dev/null
+++ b/core/direct/tuning.go
@@ -0,0 +1,84 @@
+package direct
+
+import "time"
+
+// Times of the group's reducer.
+const (
+	// ProbeEvery is the pause between probes that confirm the lease, so that two
+	// of them fall into LeaseFor and one lost answer does no harm.
+	ProbeEvery = 300 * time.Millisecond
+	// SuspectProbeEvery is the pause between probes of a silent member.
+	SuspectProbeEvery = 400 * time.Millisecond
+	// LeaseFor is how long a confirmation of the primary's term counts.
+	LeaseFor = 700 * time.Millisecond
+	// ProbeTimeout is after how long an unanswered probe makes a member suspect
+	// if nothing else has come from it. A statement takes at most 220 ms on the
+	// hosts of the first two users, and a probe waits behind three of them.
+	ProbeTimeout = 350 * time.Millisecond
+	// PromoteAtLeast is less than any promotion takes: the platform says "some
+	// hundred milliseconds", and a lease may run out meanwhile.
+	PromoteAtLeast = 300 * time.Millisecond
+	// PromoteTimeout is after how long an order without effect is given up.
+	PromoteTimeout = 2500 * time.Millisecond
+	// PollPromoted is the pause between probes of a member that is being promoted.
+	PollPromoted = 60 * time.Millisecond
+	// CatchUpFor is how long a planned change of the primary waits for the
+	// replica to receive the rest of the log; replicas are some 20 ms behind.
+	CatchUpFor = 400 * time.Millisecond
+	// FenceTimeout is after how long a fence that is not confirmed is ordered again.
+	FenceTimeout = 400 * time.Millisecond
+	// ClaimTimeout ends a take-over that does not get on.
+	ClaimTimeout = 6 * time.Second
+	// ClaimRetry is the pause before a refused claim is tried again.
+	ClaimRetry = 250 * time.Millisecond
+	// ClaimStagger keeps daemons that see the same failure from claiming at once.
+	ClaimStagger = 120 * time.Millisecond
+	// TicketSendWindow is how long after its claim a holder may order a promotion.
+	TicketSendWindow = 2500 * time.Millisecond
+	// TicketLife is how long others leave a ticket alone that does not change. It
+	// exceeds TicketSendWindow by more than an order may be under way.
+	TicketLife = 4 * time.Second
+	// OrphanedFence is after how long a fence is taken to be left behind by a
+	// daemon that ended.
+	OrphanedFence = TicketLife + time.Second
+	// PeerFresh is how long another daemon's report counts.
+	PeerFresh = 1200 * time.Millisecond
+	// BehindBackoff is how long a replica that lacked a position is not asked
+	// for such a position again.
+	BehindBackoff = 60 * time.Millisecond
+	// BusyBackoff is how long a member that refused for load gets no new statement.
+	BusyBackoff = 40 * time.Millisecond
+	// NoRoomBackoff is how long no new connection is tried after a member refused one.
+	NoRoomBackoff = 150 * time.Millisecond
+	// DialBackoff is how long no new connection is tried after one failed.
+	DialBackoff = 200 * time.Millisecond
+	// SampleEvery is the distance between kept samples of the primary's position.
+	SampleEvery = 50 * time.Millisecond
+	// SampleKeep is how many samples are kept: 60 of them cover three seconds,
+	// more than the ages that the first two users allow.
+	SampleKeep = 60
+	// VanishedKeep is how long a member that left the host list is remembered, to
+	// demote it should it still think that it is primary.
+	VanishedKeep = 10 * time.Second
+	// HeardRecently is how long a member that left the host list counts as alive
+	// after its last answer.
+	HeardRecently = 2 * time.Second
+)
+
+// Weights of the choice of a member.
+const (
+	// otherZone is added to the expected time on a member in another zone: two
+	// crossings of about a millisecond, doubled for the traffic they cost.
+	otherZone = 4 * time.Millisecond
+	// primaryPenalty is added for reads on the primary, which has the writes.
+	primaryPenalty = 60 * time.Millisecond
+	// firstLatency is assumed of a member that has not answered yet.
+	firstLatency = 15 * time.Millisecond
+	// latencyShare is the weight of a new measurement in the mean, 1/8.
+	latencyShare = 8
+	// reservedConns are left free of a member's limit, for hosts that are being
+	// replaced while connections of the old one linger.
+	reservedConns = 2
+	// borrowConns may be opened beyond the fair share while the member has room.
+	borrowConns = 2
+)
--- /dev/null
+++ b/pkg/proxy/claims.go
@@ -0,0 +1,129 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/platform"
+)
+
+// ticket is the key of the store that names who may change a group's primary.
+type ticket struct {
+	Holder core.DaemonID `json:"holder"`
+	// Boot tells one life of a daemon from the next.
+	Boot int64     `json:"boot"`
+	Term core.Term `json:"term"`
+}
+
+// seenTicket is a ticket's revision and when this daemon first saw it.
+type seenTicket struct {
+	revision platform.Revision
+	at       core.Time
+}
+
+// claims takes tickets and orders promotions.
+type claims struct {
+	p    *Proxy
+	mu   sync.Mutex
+	seen map[core.GroupID]seenTicket
+}
+
+// claim takes the group's ticket, or reports why that is not possible.
+func (c *claims) claim(g *group, e direct.Effect) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*storeTimeout)
+	defer cancel()
+	sent := now()
+	revision, why := c.take(ctx, g.id, e.Term)
+	c.p.log.Info("ticket", "group", g.id, "term", e.Term, "revision", revision, "refused", why)
+	g.update(func(r *direct.Group, at core.Time) []direct.Effect {
+		if why != "" {
+			return r.ClaimRefused(at, why)
+		}
+		return r.Claimed(at, sent, uint64(revision))
+	})
+}
+
+func (c *claims) take(ctx context.Context, id core.GroupID, term core.Term) (platform.Revision, string) {
+	key := platform.TicketsPrefix + string(id)
+	item, err := c.p.client.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return 0, "store: " + err.Error()
+	}
+	if err == nil && !c.free(id, item) {
+		return 0, "another daemon has the ticket"
+	}
+	value, err := json.Marshal(ticket{Holder: c.p.settings.Daemon, Boot: c.p.boot, Term: term})
+	if err != nil {
+		return 0, err.Error()
+	}
+	revision, err := c.p.client.Put(ctx,
+		[]platform.Condition{{Key: key, Revision: item.Revision}}, []platform.Write{{Key: key, Value: value}})
+	if err != nil {
+		return 0, "store: " + err.Error()
+	}
+	return revision, ""
+}
+
+// free says whether the ticket may be taken over: it is this process's own, or
+// it has not changed for so long that its holder can order nothing under it.
+func (c *claims) free(id core.GroupID, item platform.Item) bool {
+	var t ticket
+	if err := json.Unmarshal(item.Value, &t); err != nil {
+		c.p.log.Warn("ticket cannot be read, taken as held", "group", id, "error", err.Error())
+	}
+	if t.Holder == c.p.settings.Daemon && t.Boot == c.p.boot {
+		return true
+	}
+	at := now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.seen[id]
+	if s.revision != item.Revision {
+		c.seen[id] = seenTicket{item.Revision, at}
+		return false
+	}
+	return at.Sub(s.at) >= direct.TicketLife
+}
+
+// observe remembers since when tickets have stood, so that an old one is not
+// waited for when it is needed.
+func (c *claims) observe(items []platform.Item) {
+	at := now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, item := range items {
+		id := core.GroupID(item.Key[len(platform.TicketsPrefix):])
+		if c.seen[id].revision != item.Revision {
+			c.seen[id] = seenTicket{item.Revision, at}
+		}
+	}
+}
+
+// promote gives the order. It is not on its way later than e.Until, so that the
+// next holder's order comes after it.
+func (c *claims) promote(g *group, e direct.Effect) {
+	left := e.Until.Sub(now())
+	if left <= 0 {
+		c.refused(g, "the ticket ran out")
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), min(promoteTimeout, left+time.Second))
+	defer cancel()
+	err := c.p.client.Promote(ctx, g.id, e.Member, c.p.settings.Daemon, platform.Revision(e.Token))
+	c.p.log.Info("promote", "group", g.id, "member", e.Member, "term", e.Term, "token", e.Token, "error", errorText(err))
+	c.p.stats.promotions.Add(1)
+	if errors.Is(err, platform.ErrNotRunning) || errors.Is(err, platform.ErrUnavailable) {
+		c.refused(g, err.Error())
+	}
+	// Any other failure leaves open whether the order was received; the member's
+	// status will tell.
+}
+
+func (c *claims) refused(g *group, why string) {
+	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.PromoteRefused(at, why) })
+}
--- /dev/null
+++ b/pkg/proxy/conn.go
@@ -0,0 +1,170 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/platform"
+)
+
+// memberConn is a connection to a member. One goroutine uses it at a time.
+type memberConn struct {
+	member core.MemberID
+	c      net.Conn
+	r      *bufio.Reader
+	out    []byte
+	body   []byte
+	// values and prepared are the session state on the member's side.
+	values   map[string]string
+	prepared map[string]bool
+	idleAt   core.Time
+}
+
+// connError is why a connection could not be opened.
+type connError struct {
+	outcome direct.Outcome
+	refused bool
+	err     error
+}
+
+func (e *connError) Error() string { return e.err.Error() }
+func (e *connError) Unwrap() error { return e.err }
+
+// dialMember opens a connection to the member that is expected at the address.
+func dialMember(addr string, group core.GroupID, id core.MemberID, timeout time.Duration) (*memberConn, *connError) {
+	deadline := time.Now().Add(timeout)
+	c, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, &connError{direct.NotSent, errors.Is(err, syscall.ECONNREFUSED), err}
+	}
+	m := &memberConn{member: id, c: c, r: platform.NewReader(c), values: map[string]string{}, prepared: map[string]bool{}}
+	_ = c.SetDeadline(deadline)
+	m.out = platform.AppendStartup(m.out[:0], group, "limpetspan", id)
+	if _, err := c.Write(m.out); err != nil {
+		m.close()
+		return nil, &connError{direct.NotSent, false, err}
+	}
+	a, err := platform.ReadStartup(m.r)
+	if err == nil && a.Code != "" {
+		err = errors.New(a.Code + " " + a.Text)
+	}
+	if err != nil {
+		m.close()
+		return nil, &connError{startupOutcome(a.Code), false, err}
+	}
+	return m, nil
+}
+
+func startupOutcome(code string) direct.Outcome {
+	a := platform.Answer{Code: code}
+	if code == "" {
+		return direct.NotSent
+	}
+	return a.Outcome()
+}
+
+// close resets the connection: what the network still holds of it is dropped
+// there, so that the member cannot receive a statement after it was given up.
+func (m *memberConn) close() {
+	if tcp, ok := m.c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = m.c.Close()
+}
+
+// exchange sends the statement and reads its whole answer. After an error the
+// connection must be closed; sent is false if nothing can have reached the member.
+func (m *memberConn) exchange(id, text string, since core.Position, deadline time.Time) (a platform.Answer, sent bool, err error) {
+	m.out = platform.AppendStatement(m.out[:0], id, text, since)
+	_ = m.c.SetDeadline(deadline)
+	n, err := m.c.Write(m.out)
+	if err != nil {
+		return a, n > 0, err
+	}
+	a, err = platform.ReadAnswer(m.r, m.body)
+	m.body = a.Body
+	return a, true, err
+}
+
+// own runs a statement of the proxy itself.
+func (m *memberConn) own(text string, since core.Position, deadline time.Time) (platform.Answer, error) {
+	a, _, err := m.exchange("-", text, since, deadline)
+	return a, err
+}
+
+// adopt brings the connection's session state to what the session needs: its
+// values exactly, and the prepared statement that is about to run.
+func (m *memberConn) adopt(values map[string]string, prepare *prepared, deadline time.Time) error {
+	m.out = m.out[:0]
+	sent := 0
+	for name := range m.values {
+		if _, ok := values[name]; !ok {
+			m.out = platform.AppendOwn(m.out, platform.TextDiscard, core.Position{})
+			clear(m.values)
+			clear(m.prepared)
+			sent++
+			break
+		}
+	}
+	for name, value := range values {
+		if m.values[name] != value {
+			m.out = platform.AppendOwn(m.out, platform.TextSet(name, value), core.Position{})
+			m.values[name] = value
+			sent++
+		}
+	}
+	if prepare != nil {
+		if name := platform.PreparedName(prepare.writes, prepare.shape); !m.prepared[name] {
+			m.out = platform.AppendOwn(m.out, platform.TextPrepare(prepare.writes, prepare.shape), core.Position{})
+			m.prepared[name] = true
+			sent++
+		}
+	}
+	if sent == 0 {
+		return nil
+	}
+	return m.finishOwn(sent, deadline)
+}
+
+// finishOwn sends the n own statements in out and reads their answers.
+func (m *memberConn) finishOwn(n int, deadline time.Time) error {
+	_ = m.c.SetDeadline(deadline)
+	if _, err := m.c.Write(m.out); err != nil {
+		return err
+	}
+	for range n {
+		a, err := platform.ReadAnswer(m.r, m.body)
+		m.body = a.Body
+		if err != nil {
+			return err
+		}
+		if a.Code != "" {
+			return errors.New("session state refused: " + a.Code + " " + a.Text)
+		}
+	}
+	return nil
+}
+
+// fits counts how little has to be changed for a session with these values.
+func (m *memberConn) fits(values map[string]string, prepare *prepared) int {
+	cost := 0
+	for name, value := range values {
+		if m.values[name] != value {
+			cost++
+		}
+	}
+	for name := range m.values {
+		if _, ok := values[name]; !ok {
+			cost += 4
+		}
+	}
+	if prepare != nil && !m.prepared[platform.PreparedName(prepare.writes, prepare.shape)] {
+		cost++
+	}
+	return cost
+}
--- /dev/null
+++ b/pkg/proxy/group.go
@@ -0,0 +1,281 @@
+package proxy
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/platform"
+)
+
+// group is one database group at run time: the reducer under a lock, the
+// connections for statements, and the statements that wait for one.
+type group struct {
+	p  *Proxy
+	id core.GroupID
+
+	mu       sync.Mutex
+	core     *direct.Group
+	idle     map[core.MemberID][]*memberConn
+	waiters  []*waiter
+	controls map[core.MemberID]*control
+}
+
+// waiter is a statement that waits for a connection.
+type waiter struct {
+	need     direct.Need
+	session  *session
+	priority int
+	prepare  *prepared
+	granted  chan grant
+}
+
+// grant is a place on a member; conn is nil if it has to be opened.
+type grant struct {
+	place direct.Place
+	conn  *memberConn
+}
+
+func newGroup(p *Proxy, id core.GroupID) *group {
+	return &group{
+		p: p, id: id, core: direct.NewGroup(id, p.settings.Daemon, p.settings.Zone),
+		idle: make(map[core.MemberID][]*memberConn), controls: make(map[core.MemberID]*control),
+	}
+}
+
+// update runs an event of the reducer and carries out its effects.
+func (g *group) update(event func(c *direct.Group, at core.Time) []direct.Effect) {
+	at := now()
+	g.mu.Lock()
+	effects := event(g.core, at)
+	g.dispatch(at)
+	g.mu.Unlock()
+	g.run(effects)
+}
+
+// run carries out effects.
+func (g *group) run(effects []direct.Effect) {
+	for _, e := range effects {
+		switch e.Kind {
+		case direct.EffectProbe, direct.EffectFence, direct.EffectUnfence, direct.EffectDemote:
+			g.control(e.Member).order(e)
+		case direct.EffectClaim:
+			go g.p.claims.claim(g, e)
+		case direct.EffectPromote:
+			go g.p.claims.promote(g, e)
+		case direct.EffectReport:
+			g.p.peers.kick()
+		case direct.EffectDecision:
+			g.p.log.Info("primary", "group", g.id, "member", e.Member, "term", e.Term, "decision", e.Reason)
+		}
+	}
+}
+
+func (g *group) control(id core.MemberID) *control {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.controls[id]
+	if c == nil {
+		c = newControl(g, id)
+		g.controls[id] = c
+		go c.run()
+	}
+	return c
+}
+
+// acquire waits for a connection to a member that suits the need. It returns
+// direct.NotSent if there is none by the deadline.
+func (g *group) acquire(w *waiter, deadline core.Time) (*memberConn, direct.Place, bool) {
+	for {
+		gr, ok := g.grant(w, deadline)
+		if !ok {
+			return nil, direct.Place{}, false
+		}
+		if gr.conn != nil {
+			return gr.conn, gr.place, true
+		}
+		conn, err := g.open(gr.place.Member, deadline)
+		if err == nil {
+			return conn, gr.place, true
+		}
+		g.p.stats.dialFailures.Add(1)
+		w.session.debug("dial", "member", gr.place.Member, "error", err)
+		g.update(func(c *direct.Group, at core.Time) []direct.Effect {
+			c.ConnClosed(gr.place.Member)
+			return c.ConnRefused(at, gr.place.Member, err.outcome)
+		})
+	}
+}
+
+func (g *group) grant(w *waiter, deadline core.Time) (grant, bool) {
+	at := now()
+	g.mu.Lock()
+	if gr, ok := g.try(at, w); ok {
+		g.mu.Unlock()
+		return gr, true
+	}
+	if at >= deadline {
+		g.mu.Unlock()
+		return grant{}, false
+	}
+	w.granted = make(chan grant, 1)
+	g.enqueue(w)
+	g.mu.Unlock()
+	timer := time.NewTimer(deadline.Sub(at))
+	defer timer.Stop()
+	select {
+	case gr := <-w.granted:
+		return gr, true
+	case <-timer.C:
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case gr := <-w.granted:
+		return gr, true
+	default:
+	}
+	g.waiters = slices.DeleteFunc(g.waiters, func(o *waiter) bool { return o == w })
+	return grant{}, false
+}
+
+// enqueue keeps waiters by priority, then by arrival.
+func (g *group) enqueue(w *waiter) {
+	i := len(g.waiters)
+	for i > 0 && g.waiters[i-1].priority > w.priority {
+		i--
+	}
+	g.waiters = slices.Insert(g.waiters, i, w)
+}
+
+// try places the waiter now if that is possible.
+func (g *group) try(at core.Time, w *waiter) (grant, bool) {
+	place, ok := g.core.Place(at, w.need)
+	if !ok {
+		return grant{}, false
+	}
+	if place.Dial {
+		g.core.ConnOpened(place.Member)
+		return grant{place: place}, true
+	}
+	return grant{place: place, conn: g.takeIdle(place.Member, w)}, true
+}
+
+// takeIdle takes the idle connection whose session state is nearest.
+func (g *group) takeIdle(id core.MemberID, w *waiter) *memberConn {
+	list := g.idle[id]
+	best, bestCost := len(list)-1, int(^uint(0)>>1)
+	for i := len(list) - 1; i >= 0; i-- {
+		if cost := list[i].fits(w.session.values, w.prepare); cost < bestCost {
+			best, bestCost = i, cost
+		}
+		if bestCost == 0 {
+			break
+		}
+	}
+	conn := list[best]
+	g.idle[id] = slices.Delete(list, best, best+1)
+	g.core.ConnTaken(id)
+	return conn
+}
+
+// dispatch gives waiters what has become free.
+func (g *group) dispatch(at core.Time) {
+	for i := 0; i < len(g.waiters); {
+		w := g.waiters[i]
+		gr, ok := g.try(at, w)
+		if !ok {
+			i++
+			continue
+		}
+		g.waiters = slices.Delete(g.waiters, i, i+1)
+		w.granted <- gr
+	}
+}
+
+func (g *group) open(id core.MemberID, deadline core.Time) (*memberConn, *connError) {
+	g.mu.Lock()
+	addr, ok := g.core.Addr(id)
+	g.mu.Unlock()
+	if !ok {
+		return nil, &connError{outcome: direct.NotSent, err: errUnknownMember}
+	}
+	g.p.stats.dials.Add(1)
+	return dialMember(addr, g.id, id, min(dialTimeout, until(deadline, 20*time.Millisecond)))
+}
+
+// release returns a connection that is in order and outside a transaction.
+func (g *group) release(conn *memberConn) {
+	at := now()
+	conn.idleAt = at
+	g.mu.Lock()
+	g.idle[conn.member] = append(g.idle[conn.member], conn)
+	g.core.ConnIdle(conn.member)
+	g.dispatch(at)
+	g.mu.Unlock()
+}
+
+// discard ends a connection that must not be used again.
+func (g *group) discard(conn *memberConn) {
+	conn.close()
+	at := now()
+	g.mu.Lock()
+	g.core.ConnClosed(conn.member)
+	g.dispatch(at)
+	g.mu.Unlock()
+}
+
+// answered reports a member's answer to the reducer.
+func (g *group) answered(id core.MemberID, sent core.Time, a *platform.Answer, o direct.Outcome) {
+	g.update(func(c *direct.Group, at core.Time) []direct.Effect {
+		return c.Answered(at, sent, id, a.Position, o)
+	})
+}
+
+// leased says whether the member is the primary now, under the lease.
+func (g *group) leased(id core.MemberID) bool {
+	at := now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	primary, _ := g.core.Primary()
+	return primary == id && g.core.Leased(at)
+}
+
+// reign is the present primary's term.
+func (g *group) reign() core.Term {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Reign()
+}
+
+// tick lets time pass and closes connections that are not needed any more.
+func (g *group) tick() {
+	var old []*memberConn
+	g.update(func(c *direct.Group, at core.Time) []direct.Effect {
+		old = g.surplus(c, at)
+		return c.Tick(at)
+	})
+	for _, conn := range old {
+		conn.close()
+	}
+}
+
+// surplus takes idle connections beyond the fair share, and those to members
+// that are forgotten.
+func (g *group) surplus(c *direct.Group, at core.Time) []*memberConn {
+	var old []*memberConn
+	fair := c.FairConns()
+	for id, list := range g.idle {
+		_, known := c.Addr(id)
+		for len(list) > 0 && (!known || len(list) > fair && at.Sub(list[0].idleAt) > idleConnKeep) {
+			old = append(old, list[0])
+			list = list[1:]
+			c.ConnTaken(id)
+			c.ConnClosed(id)
+		}
+		g.idle[id] = list
+	}
+	return old
+}
--- /dev/null
+++ b/pkg/proxy/peers.go
@@ -0,0 +1,187 @@
+package proxy
+
+import (
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/pkg/proxy/reportpb"
+)
+
+// peers exchanges reports with the other daemons by datagrams.
+type peers struct {
+	p    *Proxy
+	conn net.PacketConn
+	wake chan struct{}
+
+	mu    sync.Mutex
+	known map[core.DaemonID]*peer
+}
+
+type peer struct {
+	ip     string
+	addr   *net.UDPAddr
+	seenAt core.Time
+}
+
+// reportSize is more than a report of a few hundred groups takes, in bytes.
+const reportSize = 32 << 10
+
+func newPeers(p *Proxy) (*peers, error) {
+	conn, err := net.ListenPacket("udp4", p.settings.GossipAddr(p.settings.IP))
+	if err != nil {
+		return nil, err
+	}
+	return &peers{p: p, conn: conn, wake: make(chan struct{}, 1), known: make(map[core.DaemonID]*peer)}, nil
+}
+
+// kick has a report sent at once.
+func (s *peers) kick() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// listed takes a daemon's entry of the store.
+func (s *peers) listed(id core.DaemonID, ip string) { s.seen(id, ip) }
+
+func (s *peers) seen(id core.DaemonID, ip string) {
+	if id == s.p.settings.Daemon {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.known[id]
+	if k == nil || k.ip != ip {
+		addr, err := net.ResolveUDPAddr("udp4", s.p.settings.GossipAddr(ip))
+		if err != nil {
+			s.p.log.Error("address of a daemon is malformed", "daemon", id, "ip", ip, "error", err.Error())
+			return
+		}
+		k = &peer{ip: ip, addr: addr}
+		s.known[id] = k
+	}
+	k.seenAt = now()
+}
+
+// count is the number of daemons, this one included.
+func (s *peers) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := now()
+	for id, k := range s.known {
+		if at.Sub(k.seenAt) > peerKept {
+			delete(s.known, id)
+		}
+	}
+	return len(s.known) + 1
+}
+
+func (s *peers) addrs() []*net.UDPAddr {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []core.DaemonID
+	for id := range s.known {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	var addrs []*net.UDPAddr
+	for _, id := range ids[:min(len(ids), maxPeers)] {
+		addrs = append(addrs, s.known[id].addr)
+	}
+	return addrs
+}
+
+// send reports at intervals, and at once when something has changed.
+func (s *peers) send() {
+	timer := time.NewTicker(reportEvery)
+	defer timer.Stop()
+	for s.p.running() {
+		select {
+		case <-s.p.done:
+			return
+		case <-timer.C:
+		case <-s.wake:
+			time.Sleep(reportGap)
+		}
+		s.sendReport()
+	}
+}
+
+func (s *peers) sendReport() {
+	m := &reportpb.Report{Daemon: string(s.p.settings.Daemon), Ip: s.p.settings.IP, Leaving: s.p.stopping.Load()}
+	if c := s.p.catalog.Load(); c != nil {
+		m.ConfigVersion = c.Version
+	}
+	n := s.count()
+	for _, g := range s.p.allGroups() {
+		g.mu.Lock()
+		g.core.SetDaemons(n)
+		r := g.core.Report()
+		g.mu.Unlock()
+		m.Groups = append(m.Groups, &reportpb.Group{
+			Group: string(r.Group), Primary: string(r.Primary), Term: uint64(r.Term), Suspect: r.Suspect, Claiming: r.Claiming,
+		})
+	}
+	data, err := proto.Marshal(m)
+	if err != nil || len(data) > reportSize {
+		s.p.log.Error("report cannot be sent", "bytes", len(data), "error", errorText(err))
+		return
+	}
+	for _, addr := range s.addrs() {
+		if _, err := s.conn.WriteTo(data, addr); err != nil {
+			s.p.stats.reportsUnsent.Add(1)
+		}
+	}
+}
+
+// receive takes the others' reports until the connection is closed.
+func (s *peers) receive() {
+	buf := make([]byte, reportSize)
+	for {
+		n, _, err := s.conn.ReadFrom(buf)
+		if err != nil {
+			if !s.p.running() {
+				return
+			}
+			s.p.stats.reportsUnsent.Add(1)
+			time.Sleep(reportGap)
+			continue
+		}
+		var m reportpb.Report
+		if err := proto.Unmarshal(buf[:n], &m); err != nil || m.Daemon == "" {
+			s.p.stats.reportsMalformed.Add(1)
+			continue
+		}
+		s.take(&m)
+	}
+}
+
+func (s *peers) take(m *reportpb.Report) {
+	from := core.DaemonID(m.Daemon)
+	if m.Leaving {
+		s.mu.Lock()
+		delete(s.known, from)
+		s.mu.Unlock()
+	} else {
+		s.seen(from, m.Ip)
+	}
+	for _, r := range m.Groups {
+		g := s.p.known(core.GroupID(r.Group))
+		if g == nil {
+			continue
+		}
+		g.update(func(c *direct.Group, at core.Time) []direct.Effect {
+			return c.PeerReported(at, from, direct.Report{
+				Group: core.GroupID(r.Group), Primary: core.MemberID(r.Primary), Term: core.Term(r.Term),
+				Suspect: r.Suspect, Claiming: r.Claiming,
+			})
+		})
+	}
+}
--- /dev/null
+++ b/pkg/proxy/proxy.go
@@ -0,0 +1,262 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/platform"
+)
+
+// Proxy is the daemon.
+type Proxy struct {
+	settings platform.Settings
+	client   *platform.Client
+	log      hclog.Logger
+	stats    *stats
+	limiter  limiter
+	boot     int64
+	claims   *claims
+	peers    *peers
+	catalog  atomic.Pointer[direct.Catalog]
+	// membersListed is set once the host list was read.
+	membersListed atomic.Bool
+	stopping      atomic.Bool
+	done          chan struct{}
+
+	mu       sync.Mutex
+	groups   map[core.GroupID]*group
+	sessions map[*session]struct{}
+
+	depMu sync.Mutex
+	lost  map[string]bool
+}
+
+// Memory of the process.
+const (
+	// memoryShare of the platform's limit is the soft limit of the Go heap, so
+	// that the collector works harder before the process is killed.
+	memoryShare = 0.7
+	// heapGrowth is how far the heap grows between collections, in per cent: it is
+	// a few megabytes, and collections cost processor time.
+	heapGrowth = 400
+)
+
+// New returns a daemon that logs to w.
+func New(s platform.Settings, w io.Writer) *Proxy {
+	st := newStats()
+	p := &Proxy{
+		settings: s, client: platform.NewClient(s.StoreAddr, s.PromoteAddr), stats: st, boot: time.Now().UnixNano(),
+		done: make(chan struct{}), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
+		lost: make(map[string]bool),
+		log: hclog.New(&hclog.LoggerOptions{
+			Name: "limpetspand", Level: hclog.Info, Output: newAsyncWriter(w, st), JSONFormat: true,
+		}).With("daemon", s.Daemon),
+	}
+	p.claims = &claims{p: p, seen: make(map[core.GroupID]seenTicket)}
+	if s.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
+	}
+	debug.SetGCPercent(heapGrowth)
+	return p
+}
+
+// Run serves until ctx ends, and then stops as planned.
+func (p *Proxy) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", p.settings.CallerAddr)
+	if err != nil {
+		return err
+	}
+	ready, err := net.Listen("tcp", p.settings.ReadyAddr)
+	if err != nil {
+		return err
+	}
+	if p.peers, err = newPeers(p); err != nil {
+		return err
+	}
+	p.log.Info("started", "callers", p.settings.CallerAddr, "zone", p.settings.Zone)
+	var work errgroup.Group
+	for _, f := range []func(){p.followConfiguration, p.followMembers, p.followDaemons, p.tick, p.peers.send, p.peers.receive} {
+		work.Go(func() error { f(); return nil })
+	}
+	go p.serveReady(ready)
+	go p.serveMetrics()
+	go p.acceptCallers(callers)
+	<-ctx.Done()
+	p.stop()
+	_ = callers.Close()
+	close(p.done)
+	_ = p.peers.conn.Close()
+	return work.Wait()
+}
+
+func (p *Proxy) running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *Proxy) acceptCallers(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			p.log.Warn("accept failed", "error", err.Error())
+			time.Sleep(reportGap)
+			continue
+		}
+		s := &session{p: p, c: c, values: make(map[string]string), prepared: make(map[string]prepared)}
+		p.mu.Lock()
+		p.sessions[s] = struct{}{}
+		p.mu.Unlock()
+		go s.run()
+	}
+}
+
+func (p *Proxy) forget(s *session) {
+	p.mu.Lock()
+	delete(p.sessions, s)
+	p.mu.Unlock()
+}
+
+// group returns the group, which is made if it is new.
+func (p *Proxy) group(id core.GroupID) *group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g := p.groups[id]
+	if g == nil {
+		g = newGroup(p, id)
+		p.groups[id] = g
+	}
+	return g
+}
+
+func (p *Proxy) known(id core.GroupID) *group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.groups[id]
+}
+
+func (p *Proxy) allGroups() []*group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]*group, 0, len(p.groups))
+	for _, g := range p.groups {
+		list = append(list, g)
+	}
+	return list
+}
+
+// defaultIdleTransaction holds until the configuration says otherwise.
+const defaultIdleTransaction = 3 * time.Second
+
+func (p *Proxy) idleTransaction() time.Duration {
+	if c := p.catalog.Load(); c != nil && c.IdleTransaction > 0 {
+		return c.IdleTransaction
+	}
+	return defaultIdleTransaction
+}
+
+func (p *Proxy) tick() {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-p.done:
+			return
+		case <-t.C:
+		}
+		for _, g := range p.allGroups() {
+			g.tick()
+		}
+	}
+}
+
+// ready says whether callers may be sent here: the configuration and the host
+// list have been read once. Later trouble with the store does not change it, as
+// it would take all daemons out at once.
+func (p *Proxy) ready() bool {
+	return p.catalog.Load() != nil && p.membersListed.Load() && !p.stopping.Load()
+}
+
+func (p *Proxy) serveReady(l net.Listener) {
+	server := &http.Server{
+		ReadHeaderTimeout: startupWait,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if !p.ready() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+		}),
+	}
+	if err := server.Serve(l); err != nil && p.running() {
+		p.log.Error("readiness cannot be served", "error", err.Error())
+	}
+}
+
+// serveMetrics publishes the counters on the last of the internal ports.
+func (p *Proxy) serveMetrics() {
+	addr := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.LastPort))
+	server := &http.Server{
+		Addr: addr, ReadHeaderTimeout: startupWait,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			if err := json.NewEncoder(w).Encode(map[string]any{"proxy": p.stats.snapshot()}); err != nil {
+				p.log.Warn("metrics not sent", "error", err.Error())
+			}
+		}),
+	}
+	if err := server.ListenAndServe(); err != nil && p.running() {
+		p.log.Error("metrics cannot be served", "error", err.Error())
+	}
+}
+
+// stopPoll is how often a planned stop looks whether sessions are left.
+const stopPoll = 50 * time.Millisecond
+
+// stop ends sessions as they come to rest. Callers still come until the balancer
+// has seen twice that this daemon is not ready. A transaction has half of the
+// grace time to end.
+func (p *Proxy) stop() {
+	p.stopping.Store(true)
+	p.peers.kick()
+	began := now()
+	limit := p.settings.Grace * 11 / 12
+	p.log.Info("stopping", "sessions", p.countSessions())
+	for now().Sub(began) < limit {
+		time.Sleep(stopPoll)
+		p.mu.Lock()
+		for s := range p.sessions {
+			s.stop(now())
+		}
+		left := len(p.sessions)
+		p.mu.Unlock()
+		if left == 0 && now().Sub(began) > p.settings.Grace/2 {
+			break
+		}
+	}
+	p.log.Info("stopped", "sessions", p.countSessions())
+}
+
+func (p *Proxy) countSessions() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sessions)
+}
--- /dev/null
+++ b/pkg/proxy/run.go
@@ -0,0 +1,158 @@
+package proxy
+
+import (
+	"strconv"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/platform"
+)
+
+// job is one statement on its way through the proxy.
+type job struct {
+	id      string
+	kind    direct.StatementKind
+	text    string
+	writes  bool
+	prepare *prepared
+	route   direct.Route
+	arrived core.Time
+}
+
+func (j *job) deadline() core.Time { return j.arrived.Add(j.route.StatementTimeout - answerMargin) }
+
+// need is what the statement asks of a member when it runs outside a transaction.
+func (s *session) need(route direct.Route, primary bool, arrived core.Time) direct.Need {
+	n := direct.Need{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived}
+	if route.Consistency == direct.ReadYourWrites {
+		n.Session, n.SessionReign = s.last, s.lastReign
+	}
+	return n
+}
+
+// runSingle runs a statement outside a transaction. It is placed again as long
+// as it is proved that it has not run, or running twice does no harm.
+func (s *session) runSingle(j *job) {
+	g := s.p.group(j.route.Group)
+	w := &waiter{need: s.need(j.route, j.writes, j.arrived), session: s, priority: j.route.Priority, prepare: j.prepare}
+	deadline := j.deadline()
+	for attempt := 1; ; attempt++ {
+		conn, place, ok := g.acquire(w, deadline)
+		if !ok {
+			s.notRun(j, "no member for it in time", attempt)
+			return
+		}
+		a, sent, o := s.runOn(g, conn, place, j, j.id, deadline)
+		if o == direct.Succeeded {
+			s.succeed(g, conn, place, j, &a)
+			return
+		}
+		verdict := direct.Settle(j.kind, j.writes, false, o)
+		s.debug("answer", "id", j.id, "member", place.Member, "outcome", int(o), "code", a.Code, "attempt", attempt, "ms", now().Sub(sent).Milliseconds())
+		switch verdict {
+		case direct.TellFailed:
+			s.passOn(conn, g, &a)
+			return
+		case direct.TellUnknown:
+			s.answerError(platform.CodeUnknown, "no whole answer from "+string(place.Member))
+			return
+		}
+		if o != direct.Broken && o != direct.NotSent {
+			g.release(conn)
+		}
+		if attempt >= maxAttempts || now() >= deadline {
+			s.notRun(j, "refused by the members", attempt)
+			return
+		}
+		w.need.Avoid = avoid(w.need.Avoid, place, o)
+	}
+}
+
+// avoid keeps a read away from a member that did not answer it or lacks its
+// position, until all have been tried.
+func avoid(tried []core.MemberID, place direct.Place, o direct.Outcome) []core.MemberID {
+	if place.Primary || o == direct.Busy {
+		return tried
+	}
+	return append(tried, place.Member)
+}
+
+// runOn runs the statement on the connection. After Broken and NotSent the
+// connection is gone.
+func (s *session) runOn(g *group, conn *memberConn, place direct.Place, j *job, id string, deadline core.Time) (platform.Answer, core.Time, direct.Outcome) {
+	limit := time.Now().Add(until(deadline, time.Millisecond))
+	if !j.writes && j.kind != direct.StatementCommit {
+		if patience := time.Now().Add(readPatience); patience.Before(limit) {
+			limit = patience
+		}
+	}
+	if err := conn.adopt(s.values, j.prepare, limit); err != nil {
+		s.debug("session state", "id", j.id, "member", conn.member, "error", err)
+		g.discard(conn)
+		return platform.Answer{}, now(), direct.NotSent
+	}
+	// The lease is checked after everything that may have taken time: a read that
+	// is sent under it sees all commits that were acknowledged before it came.
+	if place.Primary && !g.leased(place.Member) {
+		g.release(conn)
+		return platform.Answer{}, now(), direct.NotPrimary
+	}
+	sent := now()
+	a, wrote, err := conn.exchange(id, j.text, place.Since, limit)
+	if err != nil {
+		s.p.stats.broken.Add(1)
+		g.discard(conn)
+		if !wrote {
+			return a, sent, direct.NotSent
+		}
+		return a, sent, direct.Broken
+	}
+	o := a.Outcome()
+	g.answered(conn.member, sent, &a, o)
+	return a, sent, o
+}
+
+// succeed passes on an answer. That of a write goes out only while the lease
+// holds after the answer came: the member was primary when the write ran.
+func (s *session) succeed(g *group, conn *memberConn, place direct.Place, j *job, a *platform.Answer) {
+	if j.writes && !s.acknowledge(g, conn.member, a) {
+		g.release(conn)
+		s.unconfirmed(j)
+		return
+	}
+	s.p.stats.served(place.Primary, now().Sub(j.arrived))
+	s.passOn(conn, g, a)
+}
+
+// acknowledge decides whether a commit may be told to the caller, and keeps its position.
+func (s *session) acknowledge(g *group, id core.MemberID, a *platform.Answer) bool {
+	limit := now().Add(leaseWait)
+	for !g.leased(id) {
+		if now() >= limit {
+			return false
+		}
+		time.Sleep(tickEvery)
+	}
+	s.last, s.lastReign = direct.Later(a.Position, core.Position{}), g.reign()
+	return true
+}
+
+// unconfirmed tells that a write ran on a member that may have been replaced.
+func (s *session) unconfirmed(j *job) {
+	s.debug("commit not confirmed", "id", j.id)
+	s.answerError(platform.CodeUnknown, "the member may have been replaced when it ran")
+}
+
+// passOn gives the member's answer to the caller as it came.
+func (s *session) passOn(conn *memberConn, g *group, a *platform.Answer) {
+	s.out = append(s.out, a.Body...)
+	s.out = platform.AppendReady(s.out, s.state(), a.PositionText)
+	g.release(conn)
+}
+
+// notRun refuses a statement of which nothing ran.
+func (s *session) notRun(j *job, why string, attempt int) {
+	s.debug("refused", "id", j.id, "reason", why, "attempt", attempt, "ms", now().Sub(j.arrived).Milliseconds())
+	s.answerError(platform.CodeBusy, "not run: "+why+"; retry after "+strconv.Itoa(int(retryAfter.Milliseconds()))+" ms")
+}
--- /dev/null
+++ b/pkg/proxy/session.go
@@ -0,0 +1,284 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/platform"
+)
+
+// prepared is a prepared statement of a session.
+type prepared struct {
+	writes bool
+	shape  string
+}
+
+// session is one caller's connection. Its goroutine does all of its work.
+type session struct {
+	p        *Proxy
+	c        net.Conn
+	r        *bufio.Reader
+	out      []byte
+	database string
+	values   map[string]string
+	prepared map[string]prepared
+	// last is the position of the session's last commit, lastReign the term in
+	// which the member that took it reigned.
+	last      core.Position
+	lastReign core.Term
+	tx        *transaction
+	// waitingSince is since when the session waits for a message outside a
+	// transaction; 0: it does not.
+	waitingSince atomic.Int64
+}
+
+// errEnd ends a session without a failure.
+var errEnd = errors.New("session ended")
+
+func (s *session) run() {
+	defer s.end()
+	s.r = platform.NewReader(s.c)
+	if err := s.startup(); err != nil {
+		return
+	}
+	for {
+		msg, err := s.next()
+		if err != nil {
+			s.refuse(err)
+			return
+		}
+		if msg.Terminate {
+			return
+		}
+		if msg.Startup {
+			s.refuse(platform.ErrMalformed)
+			return
+		}
+		if err := s.serve(&msg.Statement); err != nil {
+			return
+		}
+	}
+}
+
+// refuse tells the caller of a message that could not be read.
+func (s *session) refuse(err error) {
+	switch {
+	case errors.Is(err, platform.ErrTooLong):
+		s.out = platform.AppendError(s.out[:0], platform.CodeTooBig, "message is longer than 1 MiB")
+	case errors.Is(err, platform.ErrMalformed):
+		s.out = platform.AppendError(s.out[:0], platform.CodeMalformed, err.Error())
+	default:
+		return
+	}
+	s.p.stats.malformed.Add(1)
+	_, _ = s.c.Write(s.out)
+}
+
+func (s *session) end() {
+	if s.tx != nil {
+		s.rollback(s.tx)
+	}
+	_ = s.c.Close()
+	s.p.forget(s)
+}
+
+// startupWait is how long a caller may take to open its session.
+const startupWait = 5 * time.Second
+
+func (s *session) startup() error {
+	_ = s.c.SetReadDeadline(time.Now().Add(startupWait))
+	line, err := platform.ReadLine(s.r)
+	if err != nil {
+		s.refuse(err)
+		return err
+	}
+	msg, err := platform.ParseCaller(line)
+	if err != nil || !msg.Startup {
+		s.refuse(platform.ErrMalformed)
+		return platform.ErrMalformed
+	}
+	_ = s.c.SetReadDeadline(time.Time{})
+	catalog := s.p.catalog.Load()
+	if catalog == nil {
+		return s.close(platform.CodeBusy, "no configuration yet; retry after "+strconv.Itoa(int(retryAfter.Milliseconds()))+" ms")
+	}
+	if _, ok := catalog.Routes[msg.Database]; !ok {
+		return s.close(platform.CodeNoDatabase, "no such database")
+	}
+	s.database = msg.Database
+	s.out = platform.AppendReady(s.out[:0], platform.StateIdle, "")
+	return s.flush()
+}
+
+func (s *session) close(code, text string) error {
+	s.out = platform.AppendError(s.out[:0], code, text)
+	_, _ = s.c.Write(s.out)
+	return errEnd
+}
+
+func (s *session) flush() error {
+	_, err := s.c.Write(s.out)
+	return err
+}
+
+// next reads the next message. Outside a transaction a planned stop ends the
+// session here; inside one, a caller that stays away too long loses it.
+func (s *session) next() (platform.CallerMessage, error) {
+	if s.tx == nil {
+		s.waitingSince.Store(int64(now()))
+	} else if s.tx.conn != nil {
+		_ = s.c.SetReadDeadline(time.Now().Add(s.p.idleTransaction()))
+	}
+	line, err := platform.ReadLine(s.r)
+	s.waitingSince.Store(0)
+	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && s.r.Buffered() == 0 {
+		line, err = s.afterTimeout()
+	}
+	if err != nil {
+		return platform.CallerMessage{}, err
+	}
+	if s.tx != nil {
+		_ = s.c.SetReadDeadline(time.Time{})
+	}
+	return platform.ParseCaller(line)
+}
+
+// lastLook is how long a session that is being ended still takes a message.
+const lastLook = 2 * time.Millisecond
+
+// afterTimeout ends a transaction that was idle too long and waits on. Outside
+// a transaction the stop has woken the session: a message that has arrived
+// meanwhile is still served, because a read that times out at once does not see it.
+func (s *session) afterTimeout() (string, error) {
+	if s.tx == nil {
+		_ = s.c.SetReadDeadline(time.Now().Add(lastLook))
+		line, err := platform.ReadLine(s.r)
+		_ = s.c.SetReadDeadline(time.Time{})
+		return line, err
+	}
+	s.debug("transaction ended", "reason", "idle")
+	s.abort(s.tx)
+	_ = s.c.SetReadDeadline(time.Time{})
+	return platform.ReadLine(s.r)
+}
+
+// stop ends the session if it has waited for a message outside a transaction
+// for a while: a caller that was just let in sends its first one at once.
+func (s *session) stop(at core.Time) {
+	since := core.Time(s.waitingSince.Load())
+	if since != 0 && at.Sub(since) >= stopIdleAfter {
+		_ = s.c.SetReadDeadline(time.Now())
+	}
+}
+
+// serve runs one statement and answers it.
+func (s *session) serve(st *direct.Statement) error {
+	s.p.stats.statements.Add(1)
+	arrived := now()
+	s.out = s.out[:0]
+	catalog := s.p.catalog.Load()
+	route, ok := catalog.Routes[s.database]
+	if !ok && s.tx == nil {
+		s.answerError(platform.CodeNoDatabase, "the database has been removed")
+		return s.flush()
+	}
+	if s.tx != nil && s.tx.failed {
+		s.serveFailed(st)
+		return s.flush()
+	}
+	switch st.Kind {
+	case direct.StatementSet:
+		s.values[st.Name] = st.Argument
+		s.answerDone()
+	case direct.StatementPrepare:
+		s.prepared[st.Name] = prepared{st.Writes, st.Argument}
+		s.answerDone()
+	case direct.StatementDeallocate:
+		s.deallocate(st)
+	case direct.StatementBegin, direct.StatementBeginRead:
+		s.begin(st, route, arrived)
+	case direct.StatementRollback:
+		return s.serveRollback()
+	case direct.StatementCommit:
+		s.serveCommit(st, arrived)
+	case direct.StatementRead, direct.StatementWrite, direct.StatementExecute:
+		s.serveRun(st, route, arrived)
+	default:
+		s.answerError(platform.CodeMalformed, "statement is not understood")
+	}
+	return s.flush()
+}
+
+func (s *session) state() byte {
+	switch {
+	case s.tx == nil:
+		return platform.StateIdle
+	case s.tx.failed:
+		return platform.StateFailed
+	}
+	return platform.StateInTransaction
+}
+
+func (s *session) answerDone() {
+	s.out = platform.AppendReady(platform.AppendDone(s.out), s.state(), "")
+}
+
+func (s *session) answerError(code, text string) {
+	s.p.stats.refused(code)
+	s.out = platform.AppendReady(platform.AppendError(s.out, code, text), s.state(), "")
+}
+
+func (s *session) deallocate(st *direct.Statement) {
+	if _, ok := s.prepared[st.Name]; !ok {
+		s.answerError(platform.CodeNotPrepared, st.Name)
+		return
+	}
+	delete(s.prepared, st.Name)
+	s.answerDone()
+}
+
+// serveFailed answers while the transaction has failed: only its end is taken.
+func (s *session) serveFailed(st *direct.Statement) {
+	switch st.Kind {
+	case direct.StatementRollback:
+		s.tx = nil
+		s.answerDone()
+	case direct.StatementCommit:
+		s.tx = nil
+		s.answerError(platform.CodeAborted, "the transaction has failed and is rolled back")
+	default:
+		s.answerError(platform.CodeMalformed, "the transaction has failed; end it first")
+	}
+}
+
+// serveRun runs a read or write, inside or outside a transaction.
+func (s *session) serveRun(st *direct.Statement, route direct.Route, arrived core.Time) {
+	job := job{id: st.ID, kind: st.Kind, text: st.Text, writes: st.Writes, arrived: arrived}
+	if st.Kind == direct.StatementExecute {
+		def, ok := s.prepared[st.Name]
+		if !ok {
+			s.answerError(platform.CodeNotPrepared, st.Name)
+			return
+		}
+		job.prepare, job.writes = &def, def.writes
+		job.text = platform.TextExecute(def.writes, def.shape, st.Argument)
+	}
+	if s.tx != nil {
+		s.runInTransaction(&job)
+		return
+	}
+	job.route = route
+	s.runSingle(&job)
+}
+
+// debug writes a decision about one of the session's requests, bounded in volume.
+func (s *session) debug(decision string, args ...any) {
+	s.p.decision(decision, append([]any{"database", s.database}, args...)...)
+}
--- /dev/null
+++ b/pkg/proxy/stats.go
@@ -0,0 +1,64 @@
+package proxy
+
+import (
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// stats are the counters that a running daemon publishes under "proxy".
+type stats struct {
+	statements, malformed, broken, dials, dialFailures, probeFailures expvar.Int
+	ordersDropped, promotions, reportsUnsent, reportsMalformed        expvar.Int
+	onPrimary, onReplica, logDropped                                  expvar.Int
+	refusals                                                          expvar.Map
+
+	mu      sync.Mutex
+	latency *hdrhistogram.Histogram
+}
+
+// The range of the latency histogram: 50 us to 60 s with two digits.
+const (
+	minLatency    = 50
+	maxLatency    = 60_000_000
+	latencyDigits = 2
+)
+
+func newStats() *stats {
+	return &stats{latency: hdrhistogram.New(minLatency, maxLatency, latencyDigits)}
+}
+
+func (s *stats) refused(code string) { s.refusals.Add(code, 1) }
+
+func (s *stats) served(primary bool, d time.Duration) {
+	if primary {
+		s.onPrimary.Add(1)
+	} else {
+		s.onReplica.Add(1)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// A value beyond the range is recorded as the range's end.
+	_ = s.latency.RecordValue(min(maxLatency, max(minLatency, d.Microseconds())))
+}
+
+// snapshot returns all figures for the metrics address.
+func (s *stats) snapshot() any {
+	refusals := map[string]string{}
+	s.refusals.Do(func(kv expvar.KeyValue) { refusals[kv.Key] = kv.Value.String() })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return map[string]any{
+		"statements": s.statements.Value(), "malformed": s.malformed.Value(), "broken": s.broken.Value(),
+		"dials": s.dials.Value(), "dial_failures": s.dialFailures.Value(), "probe_failures": s.probeFailures.Value(),
+		"orders_dropped": s.ordersDropped.Value(), "promotions": s.promotions.Value(),
+		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
+		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logDropped.Value(),
+		"refusals": refusals,
+		"latency_us": map[string]int64{
+			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
+		},
+	}
+}
--- /dev/null
+++ b/pkg/proxy/tuning.go
@@ -0,0 +1,62 @@
+package proxy
+
+import "time"
+
+// Times and limits of the shell.
+const (
+	// tickEvery is how often the reducers look at their deadlines; the shortest of
+	// these is 60 ms.
+	tickEvery = 30 * time.Millisecond
+	// dialTimeout bounds opening a connection to a member: 12 ms of work there and
+	// a place in its queue.
+	dialTimeout = 400 * time.Millisecond
+	// probeTimeout bounds one exchange on a member's control connection.
+	probeTimeout = 400 * time.Millisecond
+	// readPatience is how long a read waits for its answer before it runs on
+	// another member: longer than the 220 ms that the slowest reads work.
+	readPatience = 350 * time.Millisecond
+	// transactionPatience is how long a statement in a transaction, other than the
+	// commit, waits for its answer before the transaction is given up.
+	transactionPatience = 600 * time.Millisecond
+	// answerMargin is kept of a statement's timeout for the way back to the caller.
+	answerMargin = 25 * time.Millisecond
+	// leaseWait is how long the answer to a write waits for a lease that has run
+	// out to be confirmed again.
+	leaseWait = 250 * time.Millisecond
+	// maxAttempts bounds how often one statement is placed.
+	maxAttempts = 6
+	// idleConnKeep is how long a connection beyond the fair share stays open unused.
+	idleConnKeep = 3 * time.Second
+	// membersEvery is the pause between reads of the host list: a leaving member
+	// gets no new work after 7 s, of which one read and one failed read are used.
+	membersEvery = time.Second
+	// daemonsEvery is the pause between reads of the list of daemons.
+	daemonsEvery = 3 * time.Second
+	// registrationLease is the lease of a daemon's own entry, renewalEvery the
+	// pause between its renewals.
+	registrationLease = 6 * time.Second
+	renewalEvery      = 2 * time.Second
+	// watchWait is how long one watch of the configuration waits. Only the end of
+	// this time shows that its connection has gone silent, and a change is to be
+	// in force within 3 s.
+	watchWait = 2 * time.Second
+	// storeTimeout bounds other calls to the store, which answers in 4 ms.
+	storeTimeout = 800 * time.Millisecond
+	// storeRetry is the pause after a failed call to the store.
+	storeRetry = 250 * time.Millisecond
+	// promoteTimeout bounds an order to promote.
+	promoteTimeout = 700 * time.Millisecond
+	// reportEvery is the pause between reports to other daemons, reportGap the
+	// least pause when something has changed.
+	reportEvery = 300 * time.Millisecond
+	reportGap   = 10 * time.Millisecond
+	// peerKept is how long a daemon is remembered after its last sign of life.
+	peerKept = 4 * time.Second
+	// maxPeers bounds to how many daemons reports are sent.
+	maxPeers = 16
+	// stopIdleAfter is after how long a stop ends idle sessions: the balancer needs
+	// two questions, a second apart, to send no new ones.
+	stopIdleAfter = 300 * time.Millisecond
+	// retryAfter is what a caller is told if nothing better is known.
+	retryAfter = 200 * time.Millisecond
+)
