--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -79,7 +79,7 @@
 }
 
 // runOn runs the statement on the connection. After Broken and NotSent the
-// connection is gone.
+// connection is gone; otherwise the caller of runOn still holds it.
 func (s *session) runOn(g *group, conn *memberConn, place direct.Place, j *job, id string, deadline core.Time) (platform.Answer, core.Time, direct.Outcome) {
 	limit := time.Now().Add(until(deadline, time.Millisecond))
 	if !j.writes && j.kind != direct.StatementCommit {
@@ -95,8 +95,7 @@
 	// The lease is checked after everything that may have taken time: a read that
 	// is sent under it sees all commits that were acknowledged before it came.
 	if place.Primary && !g.leased(place.Member) {
-		g.release(conn)
-		return platform.Answer{}, now(), direct.NotPrimary
+		return platform.Answer{State: platform.StateIdle}, now(), direct.NotPrimary
 	}
 	sent := now()
 	a, wrote, err := conn.exchange(id, j.text, place.Since, limit)
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -125,19 +125,20 @@
 // whether the transaction has failed.
 func (s *session) passPinned(a *platform.Answer) {
 	tx := s.tx
+	tx.failed = a.State != platform.StateInTransaction
+	if a.Code != "" {
+		s.p.stats.refused(a.Code)
+	}
+	// The body is memory of the connection: it is copied before the connection
+	// runs anything else, or the caller gets the answer to another statement.
+	s.out = append(s.out, a.Body...)
+	s.out = platform.AppendReady(s.out, s.state(), a.PositionText)
 	switch a.State {
 	case platform.StateFailed:
-		tx.failed = true
 		s.rollback(tx)
 	case platform.StateIdle:
-		tx.failed = true
 		s.giveBack(tx)
 	}
-	if a.Code != "" {
-		s.p.stats.refused(a.Code)
-	}
-	s.out = append(s.out, a.Body...)
-	s.out = platform.AppendReady(s.out, s.state(), a.PositionText)
 }
 
 // aborted tells that the transaction is lost before its commit was sent: the
