--- a/cmd/limpetspand/main.go
+++ b/cmd/limpetspand/main.go
@@ -103,7 +103,15 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := proxy.New(s, os.Stdout).Run(ctx); err != nil {
+	p := proxy.New(s, os.Stdout)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go func() {
+		for range reload {
+			p.Reload(platform.LoadSettings(os.Getenv(platform.SettingsVariable)))
+		}
+	}()
+	if err := p.Run(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "limpetspand:", err)
 		return exitFailed
 	}
--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -39,6 +39,9 @@
 	// token and until come with the ticket.
 	token uint64
 	until core.Time
+	// claimedAt is when the ticket was taken: leases by reads of the store that
+	// did not show it run out LeaseFor later.
+	claimedAt core.Time
 	// demoted is set once the old primary has confirmed; last is its final position.
 	demoted   bool
 	last      core.Position
@@ -61,6 +64,13 @@
 	claiming bool
 }
 
+// relayed is a replica's confirmation of a term that another daemon has got; at
+// is a moment of this daemon's clock that was not after that daemon's probe.
+type relayed struct {
+	term core.Term
+	at   core.Time
+}
+
 // Report is what a daemon tells the others of a group.
 type Report struct {
 	Group    core.GroupID
@@ -68,19 +78,44 @@
 	Term     core.Term
 	Suspect  bool
 	Claiming bool
+	// Confirmations are what the sender's own probes of replicas have shown.
+	Confirmations []Confirmation
+}
+
+// Confirmation says that a replica knew no newer term than Term and was not
+// fenced when it was probed, Age before the report was sent.
+type Confirmation struct {
+	Member core.MemberID
+	Term   core.Term
+	Age    time.Duration
 }
 
 // Report returns what to tell the other daemons.
-func (g *Group) Report() Report {
+func (g *Group) Report(now core.Time) Report {
 	p := g.members[g.primary]
-	return Report{
+	r := Report{
 		Group: g.id, Primary: g.primary, Term: g.term,
 		Suspect: p != nil && p.suspect, Claiming: g.claim.phase != noClaim,
 	}
+	for _, id := range g.order {
+		m := g.members[id]
+		if m.confirms(g.term) && now.Sub(m.statusAt) < LeaseFor {
+			r.Confirmations = append(r.Confirmations, Confirmation{id, g.term, now.Sub(m.statusAt)})
+		}
+	}
+	return r
 }
 
-// PeerReported takes another daemon's report.
-func (g *Group) PeerReported(now core.Time, from core.DaemonID, r Report) []Effect {
+// PeerReported takes another daemon's report. sent is a moment of this daemon's
+// clock that was not after the report was sent; 0: none is known.
+func (g *Group) PeerReported(now, sent core.Time, from core.DaemonID, r Report) []Effect {
+	for _, c := range r.Confirmations {
+		m := g.members[c.Member]
+		at := sent.Add(-c.Age)
+		if m != nil && sent != 0 && (c.Term > m.relayed.term || c.Term == m.relayed.term && at > m.relayed.at) {
+			m.relayed = relayed{c.Term, at}
+		}
+	}
 	g.peers[from] = peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming}
 	if r.Term > g.term {
 		// Its primary reigns; whom this daemon used does so no longer.
@@ -95,6 +130,7 @@
 // Tick lets time pass: probes become due and take-overs get on.
 func (g *Group) Tick(now core.Time) []Effect {
 	g.probe(now)
+	g.renewByTicket(now)
 	g.demoteStrays(now)
 	g.stepClaim(now)
 	return g.take()
@@ -115,11 +151,23 @@
 	}
 }
 
+// renewByTicket reads the ticket while the replicas' confirmations fail to come.
+func (g *Group) renewByTicket(now core.Time) {
+	p := g.members[g.primary]
+	if p == nil || p.suspect || g.claim.phase != noClaim || now.Sub(g.primarySince) < LeaseFor {
+		return
+	}
+	if g.LeaseUntil(now).Sub(now) >= TicketReadBefore || now.Sub(g.ticket.askedAt) < TicketReadEvery {
+		return
+	}
+	g.ticket.askedAt = now
+	g.emit(Effect{Kind: EffectReadTicket})
+}
+
 // dueProbes are members without a known role, the primary if nothing has been
-// heard of it, and so many replicas, in turn, as the lease needs.
+// heard of it, and replicas if the lease needs their confirmation.
 func (g *Group) dueProbes(now core.Time) []core.MemberID {
 	var due, replicas []core.MemberID
-	confirmed := 0
 	for _, id := range g.order {
 		m := g.members[id]
 		age := now.Sub(m.probeAt)
@@ -132,27 +180,37 @@
 				due = append(due, id)
 			}
 		case id == g.primary:
-			if age >= ProbeEvery && (now.Sub(m.heardAt) >= ProbeEvery || age >= 5*ProbeEvery) {
+			if age >= ProbeEvery && now.Sub(m.heardAt) >= ProbeEvery || age >= RoleProbeEvery {
 				due = append(due, id)
 			}
+		case m.fencedAt != 0 && age >= ProbeEvery:
+			due = append(due, id)
 		default:
 			replicas = append(replicas, id)
 		}
-		if id != g.primary && now.Sub(m.probeAt) < ProbeEvery {
-			confirmed++
+	}
+	return append(due, g.dueReplicas(now, replicas)...)
+}
+
+// dueReplicas are the replicas to be probed for the lease, those first whose
+// probe is oldest. One daemon's probe serves all: the others probe only if no
+// confirmation has reached them, each a little later than the one before it.
+func (g *Group) dueReplicas(now core.Time, replicas []core.MemberID) []core.MemberID {
+	need := g.size(now) / 2
+	if g.primary == "" || need == 0 {
+		return nil
+	}
+	patience := ProbeEvery + min(ProbeStagger*time.Duration(g.rank(now)), LeaseFor/2-ProbeStagger)
+	fresh := 0
+	for id, m := range g.members {
+		if id != g.primary && now.Sub(max(g.confirmedAt(m), m.probeAt)) < patience {
+			fresh++
 		}
 	}
 	sort.SliceStable(replicas, func(i, j int) bool {
 		return g.members[replicas[i]].probeAt < g.members[replicas[j]].probeAt
 	})
-	for _, id := range replicas {
-		if confirmed >= g.size(now)/2 {
-			break
-		}
-		due = append(due, id)
-		confirmed++
-	}
-	return due
+	return replicas[:min(len(replicas), max(0, need-fresh))]
 }
 
 // demoteStrays demotes members that still think they reign in an older term.
@@ -194,7 +252,7 @@
 		return noReason
 	case p.suspect && g.suspected(now):
 		return unreachable
-	case p.leaving() && g.successor(now) != "":
+	case p.leaving(now) && g.successor(now) != "":
 		return leavingPrimary
 	}
 	for _, m := range g.members {
@@ -250,7 +308,7 @@
 	var best core.MemberID
 	for _, id := range g.order {
 		m := g.members[id]
-		if id == g.primary || id == g.claim.old || m.leaving() || m.suspect || m.statusAt == 0 {
+		if id == g.primary || id == g.claim.old || m.leaving(now) || m.suspect || m.statusAt == 0 {
 			continue
 		}
 		if best == "" || g.members[best].position.Less(m.position) {
@@ -260,7 +318,7 @@
 	return best
 }
 
-// rank is this daemon's place among those that would claim.
+// rank is this daemon's place among those that hear each other.
 func (g *Group) rank(now core.Time) int {
 	n := 0
 	for id, p := range g.peers {
@@ -325,7 +383,11 @@
 		planned: r == leavingPrimary, repair: r == orphanedFence, fenced: make(map[core.MemberID]core.Time),
 	}
 	g.emit(Effect{Kind: EffectDecision, Member: g.primary, Term: g.term, Reason: "claim: " + r.String()})
-	g.emit(Effect{Kind: EffectClaim, Member: g.primary, Term: g.term + 1})
+	wanted := g.term + 1
+	if r == orphanedFence {
+		wanted = g.term
+	}
+	g.emit(Effect{Kind: EffectClaim, Member: g.primary, Term: wanted})
 	g.emit(Effect{Kind: EffectReport})
 }
 
@@ -335,7 +397,7 @@
 	if c.phase != claiming {
 		return g.take()
 	}
-	c.token, c.until = token, sent.Add(TicketSendWindow)
+	c.token, c.until, c.claimedAt = token, sent.Add(TicketSendWindow), now
 	if c.repair {
 		g.endClaim(now, "fence removed")
 		return g.take()
@@ -452,7 +514,7 @@
 // recovered says whether the reason for an unplanned change has gone.
 func (g *Group) recovered(now core.Time) bool {
 	p := g.members[g.claim.old]
-	return !g.claim.planned && !g.claim.demoted && p != nil && !p.suspect && !p.leaving() && p.isPrimary(g.claim.term) && p.heardAt > g.claim.started
+	return !g.claim.planned && !g.claim.demoted && p != nil && !p.suspect && !p.leaving(now) && p.isPrimary(g.claim.term) && p.heardAt > g.claim.started
 }
 
 // stepOutwaiting orders the promotion once no daemon can hold a lease that was
@@ -463,7 +525,7 @@
 		g.endClaim(now, "the primary answers again")
 		return
 	}
-	var last core.Time
+	last := c.claimedAt
 	for _, at := range c.fenced {
 		last = max(last, at)
 	}
@@ -474,7 +536,7 @@
 		g.endClaim(now, "the ticket ran out")
 		return
 	}
-	if c.candidate = g.bestFenced(); c.candidate == "" {
+	if c.candidate = g.bestFenced(now); c.candidate == "" {
 		g.endClaim(now, "no fenced replica is left")
 		return
 	}
@@ -484,23 +546,23 @@
 
 // bestFenced is the fenced replica that has received most; one that stays is
 // preferred to one that is leaving.
-func (g *Group) bestFenced() core.MemberID {
+func (g *Group) bestFenced(now core.Time) core.MemberID {
 	var best core.MemberID
 	for _, id := range g.order {
 		m := g.members[id]
 		if _, ok := g.claim.fenced[id]; !ok || m.suspect {
 			continue
 		}
-		if best == "" || g.better(m, g.members[best]) {
+		if best == "" || g.better(now, m, g.members[best]) {
 			best = id
 		}
 	}
 	return best
 }
 
-func (g *Group) better(a, b *member) bool {
-	if a.leaving() != b.leaving() {
-		return b.leaving()
+func (g *Group) better(now core.Time, a, b *member) bool {
+	if a.leaving(now) != b.leaving(now) {
+		return b.leaving(now)
 	}
 	if a.position != b.position {
 		return b.position.Less(a.position)
--- a/core/direct/doc.go
+++ b/core/direct/doc.go
@@ -17,9 +17,11 @@
 //
 // The primary is used only under a lease: floor(n/2) of the group's replicas
 // have reported the primary's own term and no fence in probes sent less than
-// LeaseFor ago. A daemon that promotes another member first fences so many
-// replicas that each such set holds a fenced one, and waits until all leases
-// that were confirmed before the fence have run out. Reads check the lease when
+// LeaseFor ago, by this daemon or by another one that passed the result on; or
+// the group's ticket in the store named no newer term in a read sent less than
+// LeaseFor ago. A daemon that promotes another member first takes the ticket,
+// fences so many replicas that each such set holds a fenced one, and waits until
+// all leases that were confirmed before have run out. Reads check the lease when
 // they are sent, writes when their answer is passed on.
 //
 // # Promotion
--- a/core/direct/effect.go
+++ b/core/direct/effect.go
@@ -17,6 +17,8 @@
 	EffectDemote
 	// EffectClaim asks the store for the group's ticket.
 	EffectClaim
+	// EffectReadTicket reads the group's ticket without taking it.
+	EffectReadTicket
 	// EffectPromote orders that the member takes over, under Token.
 	EffectPromote
 	// EffectReport tells the other daemons at once what this one believes.
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"fmt"
 	"slices"
 	"sort"
 
@@ -26,9 +27,19 @@
 	peers        map[core.DaemonID]peerReport
 	knownPeers   int
 	claim        claim
+	ticket       ticketRead
 	effects      []Effect
 }
 
+// ticketRead is the newest read of the group's ticket: the term that its holder
+// wants to begin, and when the read was sent.
+type ticketRead struct {
+	term core.Term
+	at   core.Time
+	// askedAt is when the last read was ordered.
+	askedAt core.Time
+}
+
 // NewGroup returns the view of a daemon that has heard nothing yet.
 func NewGroup(id core.GroupID, self core.DaemonID, zone core.Zone) *Group {
 	return &Group{id: id, self: self, zone: zone, daemons: 1, knownPeers: 1,
@@ -109,14 +120,37 @@
 	if p == nil || !p.isPrimary(g.term) {
 		return 0
 	}
+	return max(g.leaseOfReplicas(now, p), g.leaseOfTicket())
+}
+
+// leaseOfTicket is the lease that a read of the store gives: nobody had claimed
+// a newer term when it was sent. It serves a daemon that reaches the primary but
+// no replica, and costs a call to the store.
+func (g *Group) leaseOfTicket() core.Time {
+	if g.ticket.at == 0 || g.ticket.term > g.term {
+		return 0
+	}
+	return g.ticket.at.Add(LeaseFor)
+}
+
+// TicketRead takes the term of the group's ticket, 0 if there is none, from a
+// read that was sent at sent.
+func (g *Group) TicketRead(now, sent core.Time, term core.Term) []Effect {
+	if sent > g.ticket.at {
+		g.ticket.term, g.ticket.at = term, sent
+	}
+	return g.take()
+}
+
+func (g *Group) leaseOfReplicas(now core.Time, p *member) core.Time {
 	need := g.size(now) / 2
 	if need == 0 {
 		return p.statusAt.Add(LeaseFor)
 	}
 	var at []core.Time
 	for id, m := range g.members {
-		if id != g.primary && m.confirms(g.term) {
-			at = append(at, m.statusAt)
+		if c := g.confirmedAt(m); id != g.primary && c != 0 {
+			at = append(at, c)
 		}
 	}
 	if len(at) < need {
@@ -126,6 +160,23 @@
 	return at[need-1].Add(LeaseFor)
 }
 
+// confirmedAt is when a probe was sent, by this or another daemon, in which the
+// replica supported the present term; 0: none is known, or a later one showed
+// that it does so no longer.
+func (g *Group) confirmedAt(m *member) core.Time {
+	var at core.Time
+	if m.relayed.term == g.term {
+		at = m.relayed.at
+	}
+	if m.confirms(g.term) {
+		return max(at, m.statusAt)
+	}
+	if m.statusAt > at {
+		return 0
+	}
+	return at
+}
+
 // Leased says whether the primary may be used now.
 func (g *Group) Leased(now core.Time) bool { return now < g.LeaseUntil(now) }
 
@@ -154,7 +205,7 @@
 		return nil
 	}
 	m.probing = false
-	m.heard(now)
+	g.heard(now, id, m)
 	if sent < m.statusAt {
 		return nil
 	}
@@ -190,6 +241,7 @@
 	}
 	g.primary, g.primarySince = id, now
 	g.samples.clear()
+	g.emit(Effect{Kind: EffectDecision, Member: id, Term: g.term, Reason: "reigns"})
 	g.emit(Effect{Kind: EffectReport})
 }
 
@@ -207,23 +259,54 @@
 	return g.take()
 }
 
+// ProbeRefused takes that the member lives but has no room for a probe.
+func (g *Group) ProbeRefused(now core.Time, id core.MemberID) []Effect {
+	m := g.members[id]
+	if m == nil {
+		return nil
+	}
+	m.probing = false
+	g.heard(now, id, m)
+	return g.take()
+}
+
 func (g *Group) suspect(now core.Time, id core.MemberID, m *member) {
 	if m.suspect {
 		return
 	}
 	m.suspect = true
+	g.emit(Effect{Kind: EffectDecision, Member: id, Term: g.term,
+		Reason: fmt.Sprintf("suspect: silent for %d ms", now.Sub(m.heardAt).Milliseconds())})
 	if id == g.primary {
 		g.emit(Effect{Kind: EffectReport})
 	}
 }
 
+// heard takes that something came from the member.
+func (g *Group) heard(now core.Time, id core.MemberID, m *member) {
+	m.heardAt = max(m.heardAt, now)
+	if !m.suspect {
+		return
+	}
+	m.suspect = false
+	g.emit(Effect{Kind: EffectDecision, Member: id, Term: g.term, Reason: "answers again"})
+}
+
+// Unanswered takes that a statement which was sent at sent got no whole answer.
+func (g *Group) Unanswered(now, sent core.Time, id core.MemberID) []Effect {
+	if m := g.members[id]; m != nil && m.heardAt < sent {
+		g.suspect(now, id, m)
+	}
+	return g.take()
+}
+
 // Answered takes a member's whole answer to a statement that was sent at sent.
 func (g *Group) Answered(now, sent core.Time, id core.MemberID, p core.Position, o Outcome) []Effect {
 	m := g.members[id]
 	if m == nil {
 		return nil
 	}
-	m.heard(now)
+	g.heard(now, id, m)
 	switch o {
 	case Succeeded:
 		m.measured(now.Sub(sent))
@@ -282,7 +365,7 @@
 	}
 	switch o {
 	case NoRoom:
-		m.heard(now)
+		g.heard(now, id, m)
 		m.blockedAt = now.Add(NoRoomBackoff)
 	case WrongMember:
 		m.blockedAt = now.Add(DialBackoff)
@@ -293,10 +376,16 @@
 	return g.take()
 }
 
-// FairConns is how many connections for statements a daemon may keep to a
-// member: an equal share of what is left beside one for probes each.
-func (g *Group) FairConns() int {
-	return max(1, (g.spec.MaxConns-reservedConns-g.daemons)/g.daemons)
+// FairConns is how many connections a daemon may keep to a member: an equal
+// share of the primary's, whose transactions keep them, and of half of a
+// replica's. When all daemons lose power at once, members drop the connections
+// of the dead ones only after seconds, and until then the rest is all there is.
+func (g *Group) FairConns(id core.MemberID) int {
+	conns := (g.spec.MaxConns + 1) / 2
+	if id == g.primary {
+		conns = g.spec.MaxConns - reservedConns
+	}
+	return max(1, conns/g.daemons)
 }
 
 func (g *Group) emit(e Effect) {
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -14,6 +14,7 @@
 	// status is the last probe's answer, statusAt when that probe was sent.
 	status   Status
 	statusAt core.Time
+	relayed  relayed
 	// heardAt is when anything was last heard; sentAt of that exchange is not known.
 	heardAt core.Time
 	// position is the newest one known, positionAt when it was told.
@@ -34,7 +35,12 @@
 	open, idle int
 }
 
-func (m *member) leaving() bool { return m.Leaving || m.vanishedAt != 0 }
+// leaving says whether the member is to get no new work. An entry that is gone
+// from the host list may come back: the store forgets entries of members that it
+// cannot hear.
+func (m *member) leaving(now core.Time) bool {
+	return m.Leaving || m.vanishedAt != 0 && now.Sub(m.vanishedAt) > VanishedGrace
+}
 
 // alive says whether the member counts towards the majority of its group.
 func (m *member) alive(now core.Time) bool {
@@ -58,11 +64,6 @@
 	m.latency += (d - m.latency) / latencyShare
 }
 
-func (m *member) heard(now core.Time) {
-	m.heardAt = max(m.heardAt, now)
-	m.suspect = false
-}
-
 func (m *member) saw(p core.Position, at core.Time) {
 	if at >= m.positionAt && !p.IsZero() {
 		m.position, m.positionAt = p, at
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -95,7 +95,7 @@
 }
 
 func (g *Group) readable(now core.Time, id core.MemberID, m *member, since core.Position) bool {
-	if m.leaving() || m.suspect || m.statusAt == 0 {
+	if m.leaving(now) || m.suspect || m.statusAt == 0 {
 		return false
 	}
 	if m.busyAt != 0 && now.Sub(m.busyAt) < BusyBackoff {
@@ -131,5 +131,5 @@
 	if m.idle > 0 {
 		return false, true
 	}
-	return true, m.open < g.FairConns()+borrowConns && now >= m.blockedAt
+	return true, m.open < g.FairConns(m.ID)+borrowConns && now >= m.blockedAt
 }
--- a/core/direct/tuning.go
+++ b/core/direct/tuning.go
@@ -7,6 +7,16 @@
 	// ProbeEvery is the pause between probes that confirm the lease, so that two
 	// of them fall into LeaseFor and one lost answer does no harm.
 	ProbeEvery = 300 * time.Millisecond
+	// ProbeStagger is by how much later each further daemon probes a replica that
+	// nobody has confirmed: a report takes some milliseconds.
+	ProbeStagger = 60 * time.Millisecond
+	// RoleProbeEvery is how often a primary is asked for its role although its
+	// answers to statements show that it lives.
+	RoleProbeEvery = 4 * time.Second
+	// VanishedGrace is how long a member that is gone from the host list still gets
+	// new work if it answers. Entries that the store lost are back two seconds
+	// after it is, and new work has to end within seven.
+	VanishedGrace = 3500 * time.Millisecond
 	// SuspectProbeEvery is the pause between probes of a silent member.
 	SuspectProbeEvery = 400 * time.Millisecond
 	// LeaseFor is how long a confirmation of the primary's term counts.
@@ -15,6 +25,10 @@
 	// if nothing else has come from it. A statement takes at most 220 ms on the
 	// hosts of the first two users, and a probe waits behind three of them.
 	ProbeTimeout = 350 * time.Millisecond
+	// TicketReadBefore is how long before the lease runs out the store is read, and
+	// TicketReadEvery the pause between such reads.
+	TicketReadBefore = 280 * time.Millisecond
+	TicketReadEvery  = 250 * time.Millisecond
 	// PromoteAtLeast is less than any promotion takes: the platform says "some
 	// hundred milliseconds", and a lease may run out meanwhile.
 	PromoteAtLeast = 300 * time.Millisecond
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -69,6 +69,26 @@
 	return revision, ""
 }
 
+// read tells the reducer which term the group's ticket names.
+func (c *claims) read(g *group) {
+	ctx, cancel := context.WithTimeout(context.Background(), direct.TicketReadEvery)
+	defer cancel()
+	sent := now()
+	item, err := c.p.client.Get(ctx, platform.TicketsPrefix+string(g.id))
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		c.p.decision("ticket not read", "group", g.id, "error", err.Error())
+		return
+	}
+	var t ticket
+	if err == nil {
+		if err := json.Unmarshal(item.Value, &t); err != nil {
+			c.p.log.Warn("ticket cannot be read", "group", g.id, "error", err.Error())
+			return
+		}
+	}
+	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.TicketRead(at, sent, t.Term) })
+}
+
 // free says whether the ticket may be taken over: it is this process's own, or
 // it has not changed for so long that its holder can order nothing under it.
 func (c *claims) free(id core.GroupID, item platform.Item) bool {
--- a/pkg/proxy/control.go
+++ b/pkg/proxy/control.go
@@ -11,13 +11,12 @@
 
 var errUnknownMember = errors.New("member is not in the host list")
 
-// control carries out orders to one member, one after the other, on a
-// connection of its own, so that they never wait for statements.
+// control carries out orders to one member, one after the other. It uses an
+// idle connection of the pool if there is one, and leaves its own there.
 type control struct {
 	g      *group
 	id     core.MemberID
 	orders chan direct.Effect
-	conn   *memberConn
 }
 
 // ordersKept bounds the orders that wait; a further one is dropped, and the
@@ -59,62 +58,67 @@
 	return platform.TextStatus
 }
 
-// do runs one order. An order on a connection that was opened earlier is run
-// again on a new one if the old one fails: that one may have gone silent.
+// do runs one order. One that fails on a connection which was opened earlier is
+// run again on a new one: the old one may have gone silent.
 func (c *control) do(e direct.Effect) {
 	sent := now()
-	reused := c.conn != nil
-	st, err := c.exchange(e, sent)
+	st, reused, err := c.exchange(e, true)
 	if err != nil && reused {
 		sent = now()
-		st, err = c.exchange(e, sent)
+		st, _, err = c.exchange(e, false)
 	}
 	if e.Kind != direct.EffectProbe {
-		c.g.p.log.Info("order", "group", c.g.id, "member", c.id, "order", commandText(e), "status", st, "error", errorText(err))
+		c.g.p.log.Info("order", "group", c.g.id, "member", c.id, "order", commandText(e),
+			"role", st.Role, "term", st.Term, "fenced", st.FencedTerm, "position", st.Position, "error", errorText(err))
 	}
 	if err != nil {
-		c.g.p.stats.probeFailures.Add(1)
-		var ce *connError
-		refused := errors.As(err, &ce) && ce.refused
-		noRoom := errors.As(err, &ce) && (ce.outcome == direct.NoRoom || ce.outcome == direct.Busy)
-		c.g.update(func(g *direct.Group, at core.Time) []direct.Effect {
-			if noRoom {
-				return g.ConnRefused(at, c.id, direct.NoRoom)
-			}
-			return g.ProbeFailed(at, sent, c.id, refused)
-		})
+		c.failed(sent, err)
 		return
 	}
 	c.g.update(func(g *direct.Group, at core.Time) []direct.Effect {
 		return g.Probed(at, sent, c.id, st)
 	})
+	if e.Kind == direct.EffectProbe {
+		c.g.p.peers.kick()
+	}
 }
 
-func (c *control) exchange(e direct.Effect, sent core.Time) (direct.Status, error) {
-	if c.conn == nil {
-		c.g.mu.Lock()
-		addr, ok := c.g.core.Addr(c.id)
-		c.g.mu.Unlock()
-		if !ok {
-			return direct.Status{}, errUnknownMember
+func (c *control) failed(sent core.Time, err error) {
+	c.g.p.stats.probeFailures.Add(1)
+	var ce *connError
+	opened := errors.As(err, &ce)
+	c.g.update(func(g *direct.Group, at core.Time) []direct.Effect {
+		if opened && (ce.outcome == direct.NoRoom || ce.outcome == direct.Busy) {
+			return g.ProbeRefused(at, c.id)
 		}
-		conn, err := dialMember(addr, c.g.id, c.id, probeTimeout)
-		if err != nil {
-			return direct.Status{}, err
+		return g.ProbeFailed(at, sent, c.id, opened && ce.refused)
+	})
+}
+
+// exchange sends the order; reused says that the connection was not new.
+func (c *control) exchange(e direct.Effect, reuse bool) (st direct.Status, reused bool, err error) {
+	var conn *memberConn
+	if reuse {
+		conn = c.g.takeAny(c.id)
+	}
+	reused = conn != nil
+	if conn == nil {
+		if conn, err = c.g.openControl(c.id); err != nil {
+			return st, false, err
 		}
-		c.conn = conn
 	}
-	limit := probeTimeout
-	a, err := c.conn.own(commandText(e), core.Position{}, time.Now().Add(limit))
+	a, err := conn.own(commandText(e), core.Position{}, time.Now().Add(probeTimeout))
 	if err != nil {
-		c.conn.close()
-		c.conn = nil
-		return direct.Status{}, err
+		c.g.discard(conn)
+		return st, reused, err
 	}
+	text := a.FirstRow
+	c.g.release(conn)
 	if a.Code != "" {
-		return direct.Status{}, &connError{outcome: a.Outcome(), err: errors.New(a.Code + " " + a.Text)}
+		return st, reused, &connError{outcome: a.Outcome(), err: errors.New(a.Code + " " + a.Text)}
 	}
-	return platform.ParseStatus(a.FirstRow)
+	st, err = platform.ParseStatus(text)
+	return st, reused, err
 }
 
 func errorText(err error) string {
--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -16,6 +16,7 @@
 // one of a higher version, whatever the store answers after a gap.
 func (p *Proxy) followConfiguration() {
 	after := platform.Revision(0)
+	pause := storeRetry
 	for p.running() {
 		var err error
 		if after == 0 {
@@ -25,9 +26,13 @@
 		}
 		if err != nil && p.running() {
 			p.dependency("configuration", err)
-			time.Sleep(storeRetry)
+			time.Sleep(pause)
+			if p.catalog.Load() != nil {
+				pause = min(2*pause, storeRetryMost)
+			}
 		} else {
 			p.dependency("configuration", nil)
+			pause = storeRetry
 		}
 	}
 }
@@ -89,7 +94,7 @@
 		err := p.readMembers()
 		p.dependency("host list", err)
 		if err != nil {
-			time.Sleep(storeRetry)
+			time.Sleep(2 * storeRetry)
 			continue
 		}
 		time.Sleep(membersEvery)
@@ -138,7 +143,7 @@
 func (p *Proxy) followDaemons() {
 	var lease uint64
 	var renewed, listed core.Time
-	for p.running() {
+	for ; p.running(); time.Sleep(2 * storeRetry) {
 		at := now()
 		if lease == 0 || at.Sub(renewed) >= renewalEvery {
 			lease = p.register(lease)
@@ -149,7 +154,6 @@
 				listed = at
 			}
 		}
-		time.Sleep(storeRetry)
 	}
 	if lease != 0 {
 		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -23,8 +23,10 @@
 	controls map[core.MemberID]*control
 }
 
-// waiter is a statement that waits for a connection.
+// waiter is a statement that waits for a connection. aim is until when its
+// answer has its full value.
 type waiter struct {
+	aim      core.Time
 	need     direct.Need
 	session  *session
 	priority int
@@ -63,6 +65,8 @@
 			g.control(e.Member).order(e)
 		case direct.EffectClaim:
 			go g.p.claims.claim(g, e)
+		case direct.EffectReadTicket:
+			go g.p.claims.read(g)
 		case direct.EffectPromote:
 			go g.p.claims.promote(g, e)
 		case direct.EffectReport:
@@ -163,6 +167,36 @@
 	return grant{place: place, conn: g.takeIdle(place.Member, w)}, true
 }
 
+// takeAny takes any idle connection to the member; nil: there is none.
+func (g *group) takeAny(id core.MemberID) *memberConn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	list := g.idle[id]
+	if len(list) == 0 {
+		return nil
+	}
+	conn := list[len(list)-1]
+	g.idle[id] = list[:len(list)-1]
+	g.core.ConnTaken(id)
+	return conn
+}
+
+// openControl opens a connection for an order, whatever the share allows.
+func (g *group) openControl(id core.MemberID) (*memberConn, error) {
+	g.mu.Lock()
+	g.core.ConnOpened(id)
+	g.mu.Unlock()
+	conn, err := g.open(id, now().Add(dialTimeout))
+	if err != nil {
+		g.update(func(c *direct.Group, _ core.Time) []direct.Effect {
+			c.ConnClosed(id)
+			return nil
+		})
+		return nil, err
+	}
+	return conn, nil
+}
+
 // takeIdle takes the idle connection whose session state is nearest.
 func (g *group) takeIdle(id core.MemberID, w *waiter) *memberConn {
 	list := g.idle[id]
@@ -181,11 +215,24 @@
 	return conn
 }
 
-// dispatch gives waiters what has become free.
+// dispatch gives waiters what has become free: first to those whose answer can
+// still be in time, so that a queue from an outage does not make all that come
+// later late as well.
 func (g *group) dispatch(at core.Time) {
+	if len(g.waiters) == 0 {
+		return
+	}
+	g.dispatchIf(at, func(w *waiter) bool { return at < w.aim })
+	g.dispatchIf(at, func(w *waiter) bool { return at >= w.aim })
+}
+
+func (g *group) dispatchIf(at core.Time, eligible func(*waiter) bool) {
 	for i := 0; i < len(g.waiters); {
 		w := g.waiters[i]
-		gr, ok := g.try(at, w)
+		gr, ok := grant{}, false
+		if eligible(w) {
+			gr, ok = g.try(at, w)
+		}
 		if !ok {
 			i++
 			continue
@@ -227,6 +274,12 @@
 	g.mu.Unlock()
 }
 
+// unanswered ends a connection on which a statement got no whole answer.
+func (g *group) unanswered(conn *memberConn, sent core.Time) {
+	g.discard(conn)
+	g.update(func(c *direct.Group, at core.Time) []direct.Effect { return c.Unanswered(at, sent, conn.member) })
+}
+
 // answered reports a member's answer to the reducer.
 func (g *group) answered(id core.MemberID, sent core.Time, a *platform.Answer, o direct.Outcome) {
 	g.update(func(c *direct.Group, at core.Time) []direct.Effect {
@@ -266,8 +319,8 @@
 // that are forgotten.
 func (g *group) surplus(c *direct.Group, at core.Time) []*memberConn {
 	var old []*memberConn
-	fair := c.FairConns()
 	for id, list := range g.idle {
+		fair := c.FairConns(id)
 		_, known := c.Addr(id)
 		for len(list) > 0 && (!known || len(list) > fair && at.Sub(list[0].idleAt) > idleConnKeep) {
 			old = append(old, list[0])
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -27,6 +27,9 @@
 	ip     string
 	addr   *net.UDPAddr
 	seenAt core.Time
+	// stamp is the newest one that came from the daemon, at stampAt.
+	stamp   int64
+	stampAt core.Time
 }
 
 // reportSize is more than a report of a few hundred groups takes, in bytes.
@@ -83,7 +86,14 @@
 	return len(s.known) + 1
 }
 
-func (s *peers) addrs() []*net.UDPAddr {
+// target is a daemon to report to.
+type target struct {
+	addr  *net.UDPAddr
+	stamp int64
+	at    core.Time
+}
+
+func (s *peers) targets() []target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var ids []core.DaemonID
@@ -91,11 +101,12 @@
 		ids = append(ids, id)
 	}
 	slices.Sort(ids)
-	var addrs []*net.UDPAddr
+	var targets []target
 	for _, id := range ids[:min(len(ids), maxPeers)] {
-		addrs = append(addrs, s.known[id].addr)
+		k := s.known[id]
+		targets = append(targets, target{k.addr, k.stamp, k.stampAt})
 	}
-	return addrs
+	return targets
 }
 
 // send reports at intervals, and at once when something has changed.
@@ -123,21 +134,53 @@
 	for _, g := range s.p.allGroups() {
 		g.mu.Lock()
 		g.core.SetDaemons(n)
-		r := g.core.Report()
+		r := g.core.Report(now())
 		g.mu.Unlock()
-		m.Groups = append(m.Groups, &reportpb.Group{
-			Group: string(r.Group), Primary: string(r.Primary), Term: uint64(r.Term), Suspect: r.Suspect, Claiming: r.Claiming,
+		m.Groups = append(m.Groups, encodeReport(&r))
+	}
+	for _, t := range s.targets() {
+		s.sendTo(t, m)
+	}
+}
+
+func encodeReport(r *direct.Report) *reportpb.Group {
+	out := &reportpb.Group{
+		Group: string(r.Group), Primary: string(r.Primary), Term: uint64(r.Term), Suspect: r.Suspect, Claiming: r.Claiming,
+	}
+	for _, c := range r.Confirmations {
+		// Rounded up: a confirmation must not look younger than it is.
+		age := uint64((c.Age + time.Microsecond - 1) / time.Microsecond)
+		out.Confirmations = append(out.Confirmations, &reportpb.Confirmation{Member: string(c.Member), Term: uint64(c.Term), AgeUs: age})
+	}
+	return out
+}
+
+func decodeReport(g *reportpb.Group) direct.Report {
+	r := direct.Report{
+		Group: core.GroupID(g.Group), Primary: core.MemberID(g.Primary), Term: core.Term(g.Term),
+		Suspect: g.Suspect, Claiming: g.Claiming,
+	}
+	for _, c := range g.Confirmations {
+		r.Confirmations = append(r.Confirmations, direct.Confirmation{
+			Member: core.MemberID(c.Member), Term: core.Term(c.Term), Age: time.Duration(c.AgeUs) * time.Microsecond,
 		})
 	}
+	return r
+}
+
+// sendTo sends the report with a stamp for the receiver to send back, and with
+// the receiver's own: that dates what the report says on the receiver's clock.
+func (s *peers) sendTo(t target, m *reportpb.Report) {
+	at := now()
+	m.Stamp, m.Echo = int64(at), t.stamp
+	m.EchoAgeUs = uint64(at.Sub(t.at) / time.Microsecond)
 	data, err := proto.Marshal(m)
 	if err != nil || len(data) > reportSize {
 		s.p.log.Error("report cannot be sent", "bytes", len(data), "error", errorText(err))
 		return
 	}
-	for _, addr := range s.addrs() {
-		if _, err := s.conn.WriteTo(data, addr); err != nil {
-			s.p.stats.reportsUnsent.Add(1)
-		}
+	if _, err := s.conn.WriteTo(data, t.addr); err != nil {
+		s.p.stats.reportsUnsent.Add(1)
 	}
 }
 
@@ -165,12 +208,13 @@
 
 func (s *peers) take(m *reportpb.Report) {
 	from := core.DaemonID(m.Daemon)
-	if m.Leaving {
-		s.mu.Lock()
-		delete(s.known, from)
-		s.mu.Unlock()
-	} else {
-		s.seen(from, m.Ip)
+	if from == s.p.settings.Daemon {
+		return
+	}
+	s.note(from, m)
+	var sent core.Time
+	if m.Echo != 0 {
+		sent = core.Time(m.Echo).Add(time.Duration(m.EchoAgeUs) * time.Microsecond)
 	}
 	for _, r := range m.Groups {
 		g := s.p.known(core.GroupID(r.Group))
@@ -178,10 +222,24 @@
 			continue
 		}
 		g.update(func(c *direct.Group, at core.Time) []direct.Effect {
-			return c.PeerReported(at, from, direct.Report{
-				Group: core.GroupID(r.Group), Primary: core.MemberID(r.Primary), Term: core.Term(r.Term),
-				Suspect: r.Suspect, Claiming: r.Claiming,
-			})
+			return c.PeerReported(at, min(sent, at), from, decodeReport(r))
 		})
 	}
 }
+
+// note keeps the sender's address and stamp. A stamp that is older than the one
+// that is kept came late; it would still be a true moment, but a worse one.
+func (s *peers) note(from core.DaemonID, m *reportpb.Report) {
+	if m.Leaving {
+		s.mu.Lock()
+		delete(s.known, from)
+		s.mu.Unlock()
+		return
+	}
+	s.seen(from, m.Ip)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k := s.known[from]; k != nil {
+		k.stamp, k.stampAt = m.Stamp, now()
+	}
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -103,6 +103,20 @@
 	return work.Wait()
 }
 
+// Reload takes settings that have changed. What a process cannot change while
+// it serves, its own addresses, is told and stays.
+func (p *Proxy) Reload(s platform.Settings, err error) {
+	if err != nil {
+		p.log.Error("settings cannot be read, the old ones stay", "error", err.Error())
+		return
+	}
+	if s.CallerAddr != p.settings.CallerAddr || s.ReadyAddr != p.settings.ReadyAddr || s.GossipPort != p.settings.GossipPort {
+		p.log.Warn("a change of this process's own addresses takes a restart", "callers", s.CallerAddr)
+	}
+	p.client.SetAddresses(s.StoreAddr, s.PromoteAddr)
+	p.log.Info("settings reloaded", "store", s.StoreAddr, "promote", s.PromoteAddr)
+}
+
 func (p *Proxy) running() bool {
 	select {
 	case <-p.done:
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -35,7 +35,7 @@
 // as it is proved that it has not run, or running twice does no harm.
 func (s *session) runSingle(j *job) {
 	g := s.p.group(j.route.Group)
-	w := &waiter{need: s.need(j.route, j.writes, j.arrived), session: s, priority: j.route.Priority, prepare: j.prepare}
+	w := &waiter{need: s.need(j.route, j.writes, j.arrived), session: s, priority: j.route.Priority, prepare: j.prepare, aim: j.arrived.Add(j.route.LatencyAim)}
 	deadline := j.deadline()
 	for attempt := 1; ; attempt++ {
 		conn, place, ok := g.acquire(w, deadline)
@@ -101,7 +101,7 @@
 	a, wrote, err := conn.exchange(id, j.text, place.Since, limit)
 	if err != nil {
 		s.p.stats.broken.Add(1)
-		g.discard(conn)
+		g.unanswered(conn, sent)
 		if !wrote {
 			return a, sent, direct.NotSent
 		}
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -39,7 +39,7 @@
 	tx := s.tx
 	deadline := j.deadline()
 	primary := !tx.readOnly
-	w := &waiter{need: s.need(tx.route, primary, tx.arrived), session: s, priority: tx.route.Priority}
+	w := &waiter{need: s.need(tx.route, primary, tx.arrived), session: s, priority: tx.route.Priority, aim: j.arrived.Add(tx.route.LatencyAim)}
 	if w.need.Primary {
 		// Nothing was sent for the transaction yet, so what matters is the lease now.
 		w.need.Arrived = j.arrived
@@ -110,7 +110,8 @@
 	if err != nil {
 		s.p.stats.broken.Add(1)
 		s.debug("answer", "id", j.id, "member", tx.conn.member, "error", err, "ms", now().Sub(sent).Milliseconds())
-		s.drop(tx)
+		tx.g.unanswered(tx.conn, sent)
+		tx.conn = nil
 		if !wrote {
 			return a, direct.NotSent
 		}
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -44,6 +44,8 @@
 	storeTimeout = 800 * time.Millisecond
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 250 * time.Millisecond
+	// storeRetryMost is the longest such pause; refused calls are paid for as well.
+	storeRetryMost = time.Second
 	// promoteTimeout bounds an order to promote.
 	promoteTimeout = 700 * time.Millisecond
 	// reportEvery is the pause between reports to other daemons, reportGap the
