Suspect a member only after it was silent for the probe's time

Cause: a statement with little time left that got no answer made its member suspect after 2 ms, and a member that could not be dialled stayed in use. Change: Unanswered and ConnRefused need ProbeTimeout of silence.

--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -294,7 +294,7 @@
 
 // Unanswered takes that a statement which was sent at sent got no whole answer.
 func (g *Group) Unanswered(now, sent core.Time, id core.MemberID) []Effect {
-	if m := g.members[id]; m != nil && m.heardAt < sent {
+	if m := g.members[id]; m != nil && m.heardAt < sent && now.Sub(sent) >= ProbeTimeout {
 		g.suspect(now, id, m)
 	}
 	return g.take()
@@ -357,8 +357,8 @@
 	}
 }
 
-// ConnRefused takes that a connection could not be opened.
-func (g *Group) ConnRefused(now core.Time, id core.MemberID, o Outcome) []Effect {
+// ConnRefused takes that a connection which was tried at sent could not be opened.
+func (g *Group) ConnRefused(now, sent core.Time, id core.MemberID, o Outcome) []Effect {
 	m := g.members[id]
 	if m == nil {
 		return nil
@@ -372,6 +372,9 @@
 		m.vanishedAt = max(m.vanishedAt, now)
 	default:
 		m.blockedAt = now.Add(DialBackoff)
+		if m.heardAt < sent && now.Sub(sent) >= ProbeTimeout {
+			g.suspect(now, id, m)
+		}
 	}
 	return g.take()
 }
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -100,6 +100,7 @@
 		if gr.conn != nil {
 			return gr.conn, gr.place, true
 		}
+		sent := now()
 		conn, err := g.open(gr.place.Member, deadline)
 		if err == nil {
 			return conn, gr.place, true
@@ -108,7 +109,7 @@
 		w.session.debug("dial", "member", gr.place.Member, "error", err)
 		g.update(func(c *direct.Group, at core.Time) []direct.Effect {
 			c.ConnClosed(gr.place.Member)
-			return c.ConnRefused(at, gr.place.Member, err.outcome)
+			return c.ConnRefused(at, sent, gr.place.Member, err.outcome)
 		})
 	}
 }
