Watch the configuration from the store's revision, not the document's

Change: the watch goes on from the store's own revision in the answer to Get; calls are counted by path.

--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -45,7 +45,7 @@
 		return 0, err
 	}
 	p.accept(item.Value)
-	return item.Revision, nil
+	return item.StoreRevision, nil
 }
 
 // watchConfiguration waits for the next change; 0 as the revision asks for a
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -232,7 +232,7 @@
 		Addr: addr, ReadHeaderTimeout: startupWait,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set("Content-Type", "application/json")
-			if err := json.NewEncoder(w).Encode(map[string]any{"proxy": p.stats.snapshot()}); err != nil {
+			if err := json.NewEncoder(w).Encode(map[string]any{"proxy": p.stats.snapshot(), "platform_calls": p.client.Calls()}); err != nil {
 				p.log.Warn("metrics not sent", "error", err.Error())
 			}
 		}),
@@ -266,7 +266,7 @@
 			break
 		}
 	}
-	p.log.Info("stopped", "sessions", p.countSessions())
+	p.log.Info("stopped", "sessions", p.countSessions(), "platform_calls", p.client.Calls())
 }
 
 func (p *Proxy) countSessions() int {
