Relay samples and connection counts, measure replicas' lag

Cause: after all hosts lost power the primaries' limits were full of dead connections, so no daemon learnt who reigns and reads stood still as well; reads went to replicas that lacked the position. Change: reports carry the primary's newest position and connection counts; a daemon opens more than its share only below a soft limit; a replica's lag is read off the positions in its answers; lost answers are given up after ten times the member's mean, 400 to 600 ms.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -62,6 +62,8 @@
 	term    core.Term
 	// claiming is set while that daemon works a change of the primary.
 	claiming bool
+	// open counts its connections by member.
+	open map[core.MemberID]int
 }
 
 // relayed is a replica's confirmation of a term that another daemon has got; at
@@ -78,16 +80,22 @@
 	Term     core.Term
 	Suspect  bool
 	Claiming bool
-	// Confirmations are what the sender's own probes of replicas have shown.
-	Confirmations []Confirmation
+	// Sample is a position of the primary, SampleAge how long before the report
+	// it was asked for; zero: none.
+	Sample    core.Position
+	SampleAge time.Duration
+	Members   []MemberReport
 }
 
-// Confirmation says that a replica knew no newer term than Term and was not
-// fenced when it was probed, Age before the report was sent.
-type Confirmation struct {
+// MemberReport is what a daemon tells of one member.
+type MemberReport struct {
 	Member core.MemberID
-	Term   core.Term
-	Age    time.Duration
+	// Open is how many connections the sender has to it.
+	Open int
+	// Confirmed, if not 0, is the term that the member, as a replica, confirmed: it
+	// knew no newer one and was not fenced when it was probed, Age before the report.
+	Confirmed core.Term
+	Age       time.Duration
 }
 
 // Report returns what to tell the other daemons.
@@ -97,10 +105,17 @@
 		Group: g.id, Primary: g.primary, Term: g.term,
 		Suspect: p != nil && p.suspect, Claiming: g.claim.phase != noClaim,
 	}
+	if newest, ok := g.samples.newest(); ok {
+		r.Sample, r.SampleAge = newest.position, now.Sub(newest.at)
+	}
 	for _, id := range g.order {
 		m := g.members[id]
+		out := MemberReport{Member: id, Open: m.open}
 		if m.confirms(g.term) && now.Sub(m.statusAt) < LeaseFor {
-			r.Confirmations = append(r.Confirmations, Confirmation{id, g.term, now.Sub(m.statusAt)})
+			out.Confirmed, out.Age = g.term, now.Sub(m.statusAt)
+		}
+		if out.Open > 0 || out.Confirmed != 0 {
+			r.Members = append(r.Members, out)
 		}
 	}
 	return r
@@ -109,14 +124,14 @@
 // PeerReported takes another daemon's report. sent is a moment of this daemon's
 // clock that was not after the report was sent; 0: none is known.
 func (g *Group) PeerReported(now, sent core.Time, from core.DaemonID, r Report) []Effect {
-	for _, c := range r.Confirmations {
-		m := g.members[c.Member]
-		at := sent.Add(-c.Age)
-		if m != nil && sent != 0 && (c.Term > m.relayed.term || c.Term == m.relayed.term && at > m.relayed.at) {
-			m.relayed = relayed{c.Term, at}
+	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, open: make(map[core.MemberID]int)}
+	for _, x := range r.Members {
+		p.open[x.Member] = x.Open
+		if m := g.members[x.Member]; m != nil && sent != 0 && x.Confirmed != 0 {
+			m.relay(x.Confirmed, sent.Add(-x.Age))
 		}
 	}
-	g.peers[from] = peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming}
+	g.peers[from] = p
 	if r.Term > g.term {
 		// Its primary reigns; whom this daemon used does so no longer.
 		g.sawTerm(r.Term)
@@ -124,9 +139,27 @@
 			m.probeAt = 0
 		}
 	}
+	g.believe(now, sent, &r)
 	return g.take()
 }
 
+// believe takes another daemon's word on the primary of the present term, and a
+// sample of its position. Both are true whoever has seen them; whether the
+// primary may be used still takes a lease.
+func (g *Group) believe(now, sent core.Time, r *Report) {
+	m := g.members[r.Primary]
+	if m == nil || r.Term != g.term || m.refused == r.Term {
+		return
+	}
+	if g.primary == "" {
+		m.reigns = r.Term
+		g.reigns(now, r.Primary)
+	}
+	if g.primary == r.Primary && sent != 0 && !r.Sample.IsZero() {
+		g.samples.add(sent.Add(-r.SampleAge), r.Sample)
+	}
+}
+
 // Tick lets time pass: probes become due and take-overs get on.
 func (g *Group) Tick(now core.Time) []Effect {
 	g.probe(now)
@@ -180,7 +213,7 @@
 				due = append(due, id)
 			}
 		case id == g.primary:
-			if age >= ProbeEvery && now.Sub(m.heardAt) >= ProbeEvery || age >= RoleProbeEvery {
+			if g.primaryDue(now, m) {
 				due = append(due, id)
 			}
 		case m.fencedAt != 0 && age >= ProbeEvery:
@@ -192,6 +225,17 @@
 	return append(due, g.dueReplicas(now, replicas)...)
 }
 
+// primaryDue says whether the primary has to be asked whether it lives: soon if
+// a statement waits for it.
+func (g *Group) primaryDue(now core.Time, m *member) bool {
+	age, silent := now.Sub(m.probeAt), now.Sub(m.heardAt)
+	quiet := ProbeEvery
+	if m.open == m.idle && g.rank(now) > 0 {
+		quiet = IdleProbeEvery
+	}
+	return age >= ProbeEvery && silent >= quiet || age >= RoleProbeEvery
+}
+
 // dueReplicas are the replicas to be probed for the lease, those first whose
 // probe is oldest. One daemon's probe serves all: the others probe only if no
 // confirmation has reached them, each a little later than the one before it.
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -145,7 +145,7 @@
 func (g *Group) leaseOfReplicas(now core.Time, p *member) core.Time {
 	need := g.size(now) / 2
 	if need == 0 {
-		return p.statusAt.Add(LeaseFor)
+		return p.heardAt.Add(LeaseFor)
 	}
 	var at []core.Time
 	for id, m := range g.members {
@@ -214,6 +214,7 @@
 	g.noteFence(now, m)
 	g.sawTerm(st.Term)
 	if st.Role == core.RolePrimary && st.Term == g.term {
+		m.reigns, m.refused = st.Term, 0
 		g.reigns(now, id)
 	} else if g.primary == id {
 		g.primary = ""
@@ -312,12 +313,13 @@
 		m.measured(now.Sub(sent))
 	case Busy:
 		m.busyAt = now
-	case Behind:
-		m.behindAt = now
 	case NotPrimary:
 		g.notPrimary(now, id, m)
 	}
 	m.saw(p, now)
+	if id != g.primary && !p.IsZero() {
+		m.lag = g.samples.lag(now, p)
+	}
 	if p.Term > g.term {
 		g.sawTerm(p.Term)
 	}
@@ -329,8 +331,10 @@
 
 // notPrimary forgets the primary that has refused a write as a replica does.
 func (g *Group) notPrimary(now core.Time, id core.MemberID, m *member) {
-	m.status.Role = core.RoleReplica
-	m.probeAt = 0
+	// Its last status is no longer true, and it must not count as a replica that
+	// confirms the term.
+	m.statusAt, m.probeAt = 0, 0
+	m.reigns, m.refused = 0, g.term
 	if g.primary == id {
 		g.primary = ""
 		g.emit(Effect{Kind: EffectReport})
@@ -379,16 +383,31 @@
 	return g.take()
 }
 
-// FairConns is how many connections a daemon may keep to a member: an equal
-// share of the primary's, whose transactions keep them, and of half of a
-// replica's. When all daemons lose power at once, members drop the connections
-// of the dead ones only after seconds, and until then the rest is all there is.
-func (g *Group) FairConns(id core.MemberID) int {
-	conns := (g.spec.MaxConns + 1) / 2
+// softLimit is how many connections all daemons together may have before each
+// keeps to its share. When all lose power at once, members drop the connections
+// of the dead only after seconds; until then the rest is all there is.
+func (g *Group) softLimit(id core.MemberID) int {
+	share := replicaShare
 	if id == g.primary {
-		conns = g.spec.MaxConns - reservedConns
+		share = primaryShare
+	}
+	return max(1, int(share*float64(g.spec.MaxConns)))
+}
+
+// FairConns is how many connections to a member a daemon may have in any case.
+func (g *Group) FairConns(id core.MemberID) int {
+	return max(1, g.softLimit(id)/g.daemons)
+}
+
+// conns is how many connections all daemons have to the member, as far as known.
+func (g *Group) conns(now core.Time, id core.MemberID, m *member) int {
+	n := m.open
+	for _, p := range g.peers {
+		if now.Sub(p.at) < PeerFresh {
+			n += p.open[id]
+		}
 	}
-	return max(1, conns/g.daemons)
+	return n
 }
 
 func (g *Group) emit(e Effect) {
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -15,17 +15,21 @@
 	status   Status
 	statusAt core.Time
 	relayed  relayed
+	// reigns is the term in which the member was seen as primary, by this daemon or
+	// another one; refused is the term in which it has refused a write as a replica.
+	reigns, refused core.Term
 	// heardAt is when anything was last heard; sentAt of that exchange is not known.
 	heardAt core.Time
 	// position is the newest one known, positionAt when it was told.
 	position   core.Position
 	positionAt core.Time
 	// probeAt is when the outstanding or last probe was sent.
-	probeAt   core.Time
-	probing   bool
-	suspect   bool
-	fencedAt  core.Time // since when a fence is seen, 0: none
-	behindAt  core.Time
+	probeAt  core.Time
+	probing  bool
+	suspect  bool
+	fencedAt core.Time // since when a fence is seen, 0: none
+	// lag is how far the replica's log was behind the primary's at its last answer.
+	lag       time.Duration
 	busyAt    core.Time
 	blockedAt core.Time // until when no connection is tried
 	demoteAt  core.Time
@@ -48,7 +52,7 @@
 }
 
 func (m *member) isPrimary(term core.Term) bool {
-	return m.statusAt != 0 && m.status.Role == core.RolePrimary && m.status.Term == term
+	return m.reigns == term && term != 0
 }
 
 // confirms says whether the last probe supports the term: a replica that knows
@@ -64,6 +68,18 @@
 	m.latency += (d - m.latency) / latencyShare
 }
 
+// relay takes another daemon's confirmation.
+func (m *member) relay(term core.Term, at core.Time) {
+	if term > m.relayed.term || term == m.relayed.term && at > m.relayed.at {
+		m.relayed = relayed{term, at}
+	}
+}
+
+// patience is how long an answer is waited for where it may be given up.
+func (m *member) patience() time.Duration {
+	return min(mostPatience, max(leastPatience, patienceFactor*m.latency))
+}
+
 func (m *member) saw(p core.Position, at core.Time) {
 	if at >= m.positionAt && !p.IsZero() {
 		m.position, m.positionAt = p, at
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -16,9 +16,10 @@
 	MaxAge  time.Duration
 	Arrived core.Time
 	// Session is the position of the session's last commit, SessionReign the
-	// term in which its member reigned.
+	// term in which its member reigned, SessionAt when it was acknowledged.
 	Session      core.Position
 	SessionReign core.Term
+	SessionAt    core.Time
 	// Avoid are members that were tried before.
 	Avoid []core.MemberID
 }
@@ -32,6 +33,8 @@
 	Primary bool
 	// Dial is set if a connection has to be opened first.
 	Dial bool
+	// Patience is how long to wait for an answer that may be given up.
+	Patience time.Duration
 }
 
 // Place returns where the statement may run now; false: nowhere yet.
@@ -52,25 +55,28 @@
 		return Place{}, false
 	}
 	dial, ok := g.room(now, m)
-	return Place{Member: m.ID, Primary: true, Dial: dial}, ok
+	return Place{Member: m.ID, Primary: true, Dial: dial, Patience: m.patience()}, ok
 }
 
-// requirement is the position that a replica must cover for the read.
-func (g *Group) requirement(n Need) (core.Position, bool) {
+// requirement is what a replica must cover for the read: a position, and since
+// when the primary has had it.
+func (g *Group) requirement(n Need) (sample, bool) {
 	since, ok := g.samples.since(n.Arrived.Add(-n.MaxAge))
 	if !ok || n.Session.IsZero() {
 		return since, ok
 	}
-	if n.SessionReign == g.term {
-		return Later(since, n.Session), true
+	if n.SessionReign != g.term {
+		// The session's commit may have been lost with its primary, and then no log
+		// covers its position. The newest sample of this reign covers what was kept.
+		return g.samples.newest()
 	}
-	// The session's commit may have been lost with its primary, and then no log
-	// covers its position. The newest sample of this reign covers what was kept.
-	newest, _ := g.samples.newest()
-	return newest.position, true
+	if since.position.Less(n.Session) {
+		return sample{n.SessionAt, n.Session}, true
+	}
+	return since, true
 }
 
-func (g *Group) placeRead(now core.Time, n Need, since core.Position) (Place, bool) {
+func (g *Group) placeRead(now core.Time, n Need, since sample) (Place, bool) {
 	var best Place
 	var bestCost time.Duration
 	found := false
@@ -85,7 +91,7 @@
 		}
 		cost := g.cost(id, m)
 		if !found || cost < bestCost {
-			best, bestCost, found = Place{Member: id, Since: since, Dial: dial}, cost, true
+			best, bestCost, found = Place{Member: id, Since: since.position, Dial: dial, Patience: m.patience()}, cost, true
 		}
 	}
 	if found && best.Member == g.primary {
@@ -94,8 +100,8 @@
 	return best, found
 }
 
-func (g *Group) readable(now core.Time, id core.MemberID, m *member, since core.Position) bool {
-	if m.leaving(now) || m.suspect || m.statusAt == 0 {
+func (g *Group) readable(now core.Time, id core.MemberID, m *member, since sample) bool {
+	if m.leaving(now) || m.suspect || m.heardAt == 0 {
 		return false
 	}
 	if m.busyAt != 0 && now.Sub(m.busyAt) < BusyBackoff {
@@ -104,11 +110,11 @@
 	if id == g.primary {
 		return g.Leased(now)
 	}
-	if !m.position.Less(since) {
+	if !m.position.Less(since.position) || now.Sub(since.at) > m.lag+LagMargin {
 		return true
 	}
-	behind := m.behindAt != 0 && now.Sub(m.behindAt) < BehindBackoff
-	return !behind && now.Sub(m.positionAt) > m.status.Lag
+	// Nobody else tells that a replica has caught up: it is tried again.
+	return now.Sub(m.positionAt) > max(LagMargin, m.lag/4)
 }
 
 func (g *Group) cost(id core.MemberID, m *member) time.Duration {
@@ -131,5 +137,8 @@
 	if m.idle > 0 {
 		return false, true
 	}
-	return true, m.open < g.FairConns(m.ID)+borrowConns && now >= m.blockedAt
+	if now < m.blockedAt {
+		return true, false
+	}
+	return true, m.open < g.FairConns(m.ID) || g.conns(now, m.ID, m) < g.softLimit(m.ID)
 }
--- a/core/direct/samples.go
+++ b/core/direct/samples.go
@@ -1,6 +1,10 @@
 package direct
 
-import "limpetspan/core"
+import (
+	"time"
+
+	"limpetspan/core"
+)
 
 // sample is a position of the primary that covers every commit acknowledged
 // before at.
@@ -36,13 +40,23 @@
 
 // since returns the oldest sample that is not older than at: it asks the least
 // of a replica.
-func (s *samples) since(at core.Time) (core.Position, bool) {
+func (s *samples) since(at core.Time) (sample, bool) {
 	for _, x := range s.list {
 		if x.at >= at {
-			return x.position, true
+			return x, true
+		}
+	}
+	return sample{}, false
+}
+
+// lag is how long before now the primary had moved on from the position.
+func (s *samples) lag(now core.Time, p core.Position) time.Duration {
+	for _, x := range s.list {
+		if p.Less(x.position) {
+			return now.Sub(x.at)
 		}
 	}
-	return core.Position{}, false
+	return 0
 }
 
 func (s *samples) newest() (sample, bool) {
--- a/core/direct/statement.go
+++ b/core/direct/statement.go
@@ -1,7 +1,5 @@
 package direct
 
-import "limpetspan/core"
-
 // StatementKind says what a statement does, as far as the proxy has to know.
 type StatementKind uint8
 
@@ -106,6 +104,3 @@
 	}
 	return RunElsewhere
 }
-
-// Later returns the position that covers both a and b for a reader.
-func Later(a, b core.Position) core.Position { return a.Max(b) }
--- a/core/direct/tuning.go
+++ b/core/direct/tuning.go
@@ -10,6 +10,9 @@
 	// ProbeStagger is by how much later each further daemon probes a replica that
 	// nobody has confirmed: a report takes some milliseconds.
 	ProbeStagger = 60 * time.Millisecond
+	// IdleProbeEvery is how often a daemon that has no statement on the primary asks
+	// whether it lives; one daemon asks at every ProbeEvery.
+	IdleProbeEvery = time.Second
 	// RoleProbeEvery is how often a primary is asked for its role although its
 	// answers to statements show that it lives.
 	RoleProbeEvery = 4 * time.Second
@@ -57,9 +60,9 @@
 	OrphanedFence = TicketLife + time.Second
 	// PeerFresh is how long another daemon's report counts.
 	PeerFresh = 1200 * time.Millisecond
-	// BehindBackoff is how long a replica that lacked a position is not asked
-	// for such a position again.
-	BehindBackoff = 60 * time.Millisecond
+	// LagMargin is added to a replica's measured lag before it is asked for a
+	// position that it may have by now.
+	LagMargin = 5 * time.Millisecond
 	// BusyBackoff is how long a member that refused for load gets no new statement.
 	BusyBackoff = 40 * time.Millisecond
 	// NoRoomBackoff is how long no new connection is tried after a member refused one.
@@ -90,9 +93,15 @@
 	firstLatency = 15 * time.Millisecond
 	// latencyShare is the weight of a new measurement in the mean, 1/8.
 	latencyShare = 8
-	// reservedConns are left free of a member's limit, for hosts that are being
-	// replaced while connections of the old one linger.
-	reservedConns = 2
-	// borrowConns may be opened beyond the fair share while the member has room.
-	borrowConns = 2
+	// A member that takes longer than patienceFactor times its mean, within the
+	// bounds, is taken to have lost the answer. Lost answers are rarer than slow
+	// ones, whose work reaches eight times the mean.
+	patienceFactor = 10
+	leastPatience  = 400 * time.Millisecond
+	mostPatience   = 600 * time.Millisecond
+	// primaryShare and replicaShare of a member's connections may be open before
+	// each daemon keeps to its equal part of them. Open transactions keep some
+	// eight of a primary's 22 busy at the sizes of today; reads need few.
+	primaryShare = 0.7
+	replicaShare = 0.5
 )
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -146,23 +146,32 @@
 func encodeReport(r *direct.Report) *reportpb.Group {
 	out := &reportpb.Group{
 		Group: string(r.Group), Primary: string(r.Primary), Term: uint64(r.Term), Suspect: r.Suspect, Claiming: r.Claiming,
+		SampleTerm: uint64(r.Sample.Term), SampleLsn: uint64(r.Sample.LSN), SampleAgeUs: microseconds(r.SampleAge),
 	}
-	for _, c := range r.Confirmations {
-		// Rounded up: a confirmation must not look younger than it is.
-		age := uint64((c.Age + time.Microsecond - 1) / time.Microsecond)
-		out.Confirmations = append(out.Confirmations, &reportpb.Confirmation{Member: string(c.Member), Term: uint64(c.Term), AgeUs: age})
+	for _, m := range r.Members {
+		out.Members = append(out.Members, &reportpb.Member{
+			Member: string(m.Member), Open: uint32(m.Open), Confirmed: uint64(m.Confirmed), AgeUs: microseconds(m.Age),
+		})
 	}
 	return out
 }
 
+// microseconds rounds up: what is reported must not look younger than it is.
+func microseconds(d time.Duration) uint64 {
+	return uint64((d + time.Microsecond - 1) / time.Microsecond)
+}
+
 func decodeReport(g *reportpb.Group) direct.Report {
 	r := direct.Report{
 		Group: core.GroupID(g.Group), Primary: core.MemberID(g.Primary), Term: core.Term(g.Term),
 		Suspect: g.Suspect, Claiming: g.Claiming,
+		Sample:    core.Position{Term: core.Term(g.SampleTerm), LSN: core.LSN(g.SampleLsn)},
+		SampleAge: time.Duration(g.SampleAgeUs) * time.Microsecond,
 	}
-	for _, c := range g.Confirmations {
-		r.Confirmations = append(r.Confirmations, direct.Confirmation{
-			Member: core.MemberID(c.Member), Term: core.Term(c.Term), Age: time.Duration(c.AgeUs) * time.Microsecond,
+	for _, m := range g.Members {
+		r.Members = append(r.Members, direct.MemberReport{
+			Member: core.MemberID(m.Member), Open: int(m.Open), Confirmed: core.Term(m.Confirmed),
+			Age: time.Duration(m.AgeUs) * time.Microsecond,
 		})
 	}
 	return r
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -26,7 +26,7 @@
 func (s *session) need(route direct.Route, primary bool, arrived core.Time) direct.Need {
 	n := direct.Need{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived}
 	if route.Consistency == direct.ReadYourWrites {
-		n.Session, n.SessionReign = s.last, s.lastReign
+		n.Session, n.SessionReign, n.SessionAt = s.last, s.lastReign, s.lastAt
 	}
 	return n
 }
@@ -83,7 +83,7 @@
 func (s *session) runOn(g *group, conn *memberConn, place direct.Place, j *job, id string, deadline core.Time) (platform.Answer, core.Time, direct.Outcome) {
 	limit := time.Now().Add(until(deadline, time.Millisecond))
 	if !j.writes && j.kind != direct.StatementCommit {
-		if patience := time.Now().Add(readPatience); patience.Before(limit) {
+		if patience := time.Now().Add(place.Patience); patience.Before(limit) {
 			limit = patience
 		}
 	}
@@ -133,7 +133,7 @@
 		}
 		time.Sleep(tickEvery)
 	}
-	s.last, s.lastReign = direct.Later(a.Position, core.Position{}), g.reign()
+	s.last, s.lastReign, s.lastAt = a.Position, g.reign(), now()
 	return true
 }
 
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -30,9 +30,10 @@
 	values   map[string]string
 	prepared map[string]prepared
 	// last is the position of the session's last commit, lastReign the term in
-	// which the member that took it reigned.
+	// which the member that took it reigned, lastAt when it was acknowledged.
 	last      core.Position
 	lastReign core.Term
+	lastAt    core.Time
 	tx        *transaction
 	// waitingSince is since when the session waits for a message outside a
 	// transaction; 0: it does not.
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -86,7 +86,7 @@
 	if tx.conn == nil && !s.open(j) {
 		return
 	}
-	a, o := s.runPinned(j, min(j.route.StatementTimeout-answerMargin, transactionPatience))
+	a, o := s.runPinned(j, min(j.route.StatementTimeout-answerMargin, tx.place.Patience))
 	if o == direct.Broken || o == direct.NotSent {
 		s.aborted(j, o)
 		return
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -12,12 +12,6 @@
 	dialTimeout = 400 * time.Millisecond
 	// probeTimeout bounds one exchange on a member's control connection.
 	probeTimeout = 400 * time.Millisecond
-	// readPatience is how long a read waits for its answer before it runs on
-	// another member: longer than the 220 ms that the slowest reads work.
-	readPatience = 350 * time.Millisecond
-	// transactionPatience is how long a statement in a transaction, other than the
-	// commit, waits for its answer before the transaction is given up.
-	transactionPatience = 600 * time.Millisecond
 	// answerMargin is kept of a statement's timeout for the way back to the caller.
 	answerMargin = 25 * time.Millisecond
 	// leaseWait is how long the answer to a write waits for a lease that has run
@@ -29,9 +23,10 @@
 	idleConnKeep = 3 * time.Second
 	// membersEvery is the pause between reads of the host list: a leaving member
 	// gets no new work after 7 s, of which one read and one failed read are used.
-	membersEvery = time.Second
-	// daemonsEvery is the pause between reads of the list of daemons.
-	daemonsEvery = 3 * time.Second
+	membersEvery = 1500 * time.Millisecond
+	// daemonsEvery is the pause between reads of the list of daemons; once known,
+	// they tell of themselves in reports.
+	daemonsEvery = 10 * time.Second
 	// registrationLease is the lease of a daemon's own entry, renewalEvery the
 	// pause between its renewals.
 	registrationLease = 6 * time.Second
