Take no new work in the later part of a stop, and end with it

It also outlived its sessions by up to 2.8 s, waiting for a watch of the configuration. Change: new work is taken for 0.37 of the grace time, which covers the balancer's two seconds; then the listener closes and sessions end after their answer; calls to the platform end with the process.

--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -35,7 +35,7 @@
 
 // claim takes the group's ticket, or reports why that is not possible.
 func (c *claims) claim(g *group, e direct.Effect) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*storeTimeout)
+	ctx, cancel := context.WithTimeout(c.p.ctx, 2*storeTimeout)
 	defer cancel()
 	sent := now()
 	revision, why := c.take(ctx, g.id, e.Term)
@@ -71,7 +71,7 @@
 
 // read tells the reducer which term the group's ticket names.
 func (c *claims) read(g *group) {
-	ctx, cancel := context.WithTimeout(context.Background(), direct.TicketReadEvery)
+	ctx, cancel := context.WithTimeout(c.p.ctx, direct.TicketReadEvery)
 	defer cancel()
 	sent := now()
 	item, err := c.p.client.Get(ctx, platform.TicketsPrefix+string(g.id))
@@ -132,7 +132,7 @@
 		c.refused(g, "the ticket ran out")
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), min(promoteTimeout, left+time.Second))
+	ctx, cancel := context.WithTimeout(c.p.ctx, min(promoteTimeout, left+time.Second))
 	defer cancel()
 	err := c.p.client.Promote(ctx, g.id, e.Member, c.p.settings.Daemon, platform.Revision(e.Token))
 	c.p.log.Info("promote", "group", g.id, "member", e.Member, "term", e.Term, "token", e.Token, "error", errorText(err))
--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -38,7 +38,7 @@
 }
 
 func (p *Proxy) loadConfiguration() (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
 	item, err := p.client.Get(ctx, platform.ConfigurationKey)
 	if err != nil {
@@ -51,7 +51,7 @@
 // watchConfiguration waits for the next change; 0 as the revision asks for a
 // whole read, as after a gap in the history.
 func (p *Proxy) watchConfiguration(after platform.Revision) (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), watchWait+storeTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, watchWait+storeTimeout)
 	defer cancel()
 	events, next, err := p.client.Watch(ctx, platform.ConfigurationKey, after, watchWait)
 	if errors.Is(err, platform.ErrCompacted) {
@@ -102,7 +102,7 @@
 }
 
 func (p *Proxy) readMembers() error {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
 	items, _, err := p.client.List(ctx, platform.MembersPrefix)
 	if err != nil {
@@ -167,7 +167,7 @@
 // register writes the own entry or renews its lease; it returns the lease, 0 if
 // there is none.
 func (p *Proxy) register(lease uint64) uint64 {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
 	if lease != 0 {
 		err := p.client.Renew(ctx, lease)
@@ -191,7 +191,7 @@
 }
 
 func (p *Proxy) readDaemons() error {
-	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
 	items, _, err := p.client.List(ctx, platform.DaemonsPrefix)
 	if err != nil {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -34,8 +34,13 @@
 	catalog  atomic.Pointer[direct.Catalog]
 	// membersListed is set once the host list was read.
 	membersListed atomic.Bool
-	stopping      atomic.Bool
-	done          chan struct{}
+	// stopping is set when a planned stop has begun, closing once it takes no new work.
+	stopping atomic.Bool
+	closing  atomic.Bool
+	done     chan struct{}
+	// ctx ends with the process, and with it all calls to the platform.
+	ctx    context.Context
+	cancel context.CancelFunc
 
 	mu       sync.Mutex
 	groups   map[core.GroupID]*group
@@ -66,6 +71,7 @@
 			Name: "limpetspand", Level: hclog.Info, Output: newAsyncWriter(w, st), JSONFormat: true,
 		}).With("daemon", s.Daemon),
 	}
+	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.claims = &claims{p: p, seen: make(map[core.GroupID]seenTicket)}
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
@@ -96,9 +102,9 @@
 	go p.serveMetrics()
 	go p.acceptCallers(callers)
 	<-ctx.Done()
-	p.stop()
-	_ = callers.Close()
+	p.stop(callers)
 	close(p.done)
+	p.cancel()
 	_ = p.peers.conn.Close()
 	return work.Wait()
 }
@@ -243,30 +249,45 @@
 }
 
 // stopPoll is how often a planned stop looks whether sessions are left.
-const stopPoll = 50 * time.Millisecond
+const stopPoll = 20 * time.Millisecond
+
+// Parts of the grace time: how long new work is taken, and how long work may go
+// on. Between them lies more than nearly all statements take, and after them the
+// time in which a busy host still ends the process.
+const (
+	acceptShare = 0.37
+	workShare   = 0.92
+)
 
-// stop ends sessions as they come to rest. Callers still come until the balancer
-// has seen twice that this daemon is not ready. A transaction has half of the
-// grace time to end.
-func (p *Proxy) stop() {
+func share(d time.Duration, part float64) time.Duration { return time.Duration(float64(d) * part) }
+
+// stop ends sessions as they come to rest. In the first part of the grace time
+// callers still come: the balancer takes two seconds to see that this daemon is
+// not ready, and goes on sending them if no other is left. Then no new work is
+// taken, so that what has begun can end before the process is killed.
+func (p *Proxy) stop(callers net.Listener) {
 	p.stopping.Store(true)
 	p.peers.kick()
 	began := now()
-	limit := p.settings.Grace * 11 / 12
 	p.log.Info("stopping", "sessions", p.countSessions())
-	for now().Sub(began) < limit {
-		time.Sleep(stopPoll)
+	p.endIdle(began.Add(share(p.settings.Grace, acceptShare)), stopIdleAfter, func() bool { return false })
+	p.closing.Store(true)
+	_ = callers.Close()
+	p.endIdle(began.Add(share(p.settings.Grace, workShare)), 0, func() bool { return p.countSessions() == 0 })
+	p.log.Info("stopped", "sessions", p.countSessions(), "platform_calls", p.client.Calls())
+}
+
+// endIdle ends sessions that have been idle for so long, until the deadline or
+// until done says so.
+func (p *Proxy) endIdle(deadline core.Time, idle time.Duration, done func() bool) {
+	for at := now(); at < deadline && !done(); at = now() {
 		p.mu.Lock()
 		for s := range p.sessions {
-			s.stop(now())
+			s.stop(at, idle)
 		}
-		left := len(p.sessions)
 		p.mu.Unlock()
-		if left == 0 && now().Sub(began) > p.settings.Grace/2 {
-			break
-		}
+		time.Sleep(stopPoll)
 	}
-	p.log.Info("stopped", "sessions", p.countSessions(), "platform_calls", p.client.Calls())
 }
 
 func (p *Proxy) countSessions() int {
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -133,6 +133,9 @@
 // session here; inside one, a caller that stays away too long loses it.
 func (s *session) next() (platform.CallerMessage, error) {
 	if s.tx == nil {
+		if s.p.closing.Load() && s.r.Buffered() == 0 {
+			return platform.CallerMessage{}, errEnd
+		}
 		s.waitingSince.Store(int64(now()))
 	} else if s.tx.conn != nil {
 		_ = s.c.SetReadDeadline(time.Now().Add(s.p.idleTransaction()))
@@ -171,10 +174,10 @@
 }
 
 // stop ends the session if it has waited for a message outside a transaction
-// for a while: a caller that was just let in sends its first one at once.
-func (s *session) stop(at core.Time) {
+// for so long: a caller that was just let in sends its first one at once.
+func (s *session) stop(at core.Time, idle time.Duration) {
 	since := core.Time(s.waitingSince.Load())
-	if since != 0 && at.Sub(since) >= stopIdleAfter {
+	if since != 0 && at.Sub(since) >= idle {
 		_ = s.c.SetReadDeadline(time.Now())
 	}
 }
