--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -127,7 +127,7 @@
 	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, open: make(map[core.MemberID]int)}
 	for _, x := range r.Members {
 		p.open[x.Member] = x.Open
-		if m := g.members[x.Member]; m != nil && sent != 0 && x.Confirmed != 0 {
+		if m := g.members[x.Member]; m != nil && x.Confirmed != 0 {
 			m.relay(x.Confirmed, sent.Add(-x.Age))
 		}
 	}
--- /dev/null
+++ b/core/direct/claim_test.go
@@ -0,0 +1,189 @@
+package direct_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+)
+
+var (
+	replicasAnswer = map[core.MemberID]direct.Status{"b": replica, "c": replica}
+	fencedAnswer   = map[core.MemberID]direct.Status{"b": fenced, "c": fenced}
+)
+
+// silence lets the primary be silent until this daemon and another suspect it
+// and this one claims the group.
+func (s *script) silence() {
+	s.tick(800*ms, replicasAnswer)
+	s.peerSuspects("d2")
+	s.tick(100*ms, replicasAnswer)
+}
+
+// fence answers the ticket and both fences.
+func (s *script) fence(token uint64) (claimed core.Time) {
+	claimed = s.at
+	s.keep(s.g.Claimed(s.at, s.at, token))
+	s.status("b", fenced)
+	s.status("c", fenced)
+	return claimed
+}
+
+var _ = Describe("a change of the primary", func() {
+	// One daemon's path to the primary is cut. The others reach it; a promotion
+	// would interrupt them all for over a second.
+	It("does not begin while only one daemon of six gets no answer", func() {
+		s := newScript()
+		s.tick(1500*ms, replicasAnswer)
+		Expect(s.take(direct.EffectClaim)).To(BeEmpty())
+	})
+
+	It("begins when a third of the daemons gets no answer", func() {
+		s := newScript()
+		s.silence()
+		claims := s.take(direct.EffectClaim)
+		Expect(claims).To(HaveLen(1))
+		Expect(claims[0].Term).To(Equal(core.Term(2)))
+	})
+
+	// Another daemon got its lease from b just before the fence. If b led before
+	// that lease ran out, a write on the old primary would still be acknowledged.
+	It("orders the promotion only when leases from before the fences have run out", func() {
+		s := newScript()
+		s.silence()
+		s.fence(7)
+		s.effects = nil
+		s.tick(direct.LeaseFor-direct.PromoteAtLeast-20*ms, fencedAnswer)
+		Expect(s.take(direct.EffectPromote)).To(BeEmpty())
+		s.tick(40*ms, fencedAnswer)
+		orders := s.take(direct.EffectPromote)
+		Expect(orders).To(HaveLen(1))
+		Expect(orders[0].Token).To(Equal(uint64(7)))
+	})
+
+	// One of the two replicas does not answer. A daemon that reaches it and the old
+	// primary still has a lease, so nobody may be promoted.
+	It("does not go on with one fence of two", func() {
+		s := newScript()
+		s.silence()
+		s.keep(s.g.Claimed(s.at, s.at, 7))
+		s.status("b", fenced)
+		s.tick(2000*ms, map[core.MemberID]direct.Status{"b": fenced})
+		Expect(s.take(direct.EffectPromote)).To(BeEmpty())
+	})
+
+	// The holder was frozen between the ticket and its order. Meanwhile another
+	// daemon has waited for the ticket to end and ordered under a higher token; an
+	// order with the lower one must not follow it.
+	It("orders nothing once the ticket has run out", func() {
+		s := newScript()
+		s.silence()
+		s.fence(7)
+		s.effects = nil
+		s.pass(direct.TicketSendWindow)
+		s.tick(100*ms, fencedAnswer)
+		Expect(s.take(direct.EffectPromote)).To(BeEmpty())
+	})
+
+	It("chooses the replica that has received most", func() {
+		s := newScript()
+		s.silence()
+		s.keep(s.g.Claimed(s.at, s.at, 7))
+		ahead := fenced
+		ahead.Position.LSN = 11
+		s.status("b", fenced)
+		s.status("c", ahead)
+		s.tick(direct.LeaseFor, map[core.MemberID]direct.Status{"b": fenced, "c": ahead})
+		Expect(s.take(direct.EffectPromote)).To(ConsistOf(HaveField("Member", core.MemberID("c"))))
+	})
+
+	// The primary was only slow. Its replicas are fenced and receive nothing until
+	// someone removes the fences.
+	It("ends and removes the fences when the primary answers again", func() {
+		s := newScript()
+		s.silence()
+		s.fence(7)
+		s.tick(100*ms, fencedAnswer)
+		s.effects = nil
+		s.status("a", primary)
+		s.tick(40*ms, nil)
+		Expect(s.take(direct.EffectUnfence)).To(HaveLen(2))
+		s.tick(direct.LeaseFor, nil)
+		Expect(s.take(direct.EffectPromote)).To(BeEmpty())
+	})
+
+	// The primary reports that it will stop. It is demoted first and the replica
+	// receives the rest of its log, so no acknowledged commit is lost.
+	It("that is planned waits for the rest of the log before it fences", func() {
+		s := newScript()
+		s.g.List(s.at, []direct.Member{
+			{ID: "a", Group: "g", Leaving: true}, {ID: "b", Group: "g"}, {ID: "c", Group: "g"},
+		})
+		s.tick(40*ms, replicasAnswer)
+		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
+		s.keep(s.g.Claimed(s.at, s.at, 7))
+		Expect(s.take(direct.EffectDemote)).To(HaveLen(1))
+		s.status("a", direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 12}})
+		s.tick(40*ms, nil)
+		Expect(s.take(direct.EffectFence)).To(BeEmpty(), "b and c are at 10")
+		s.status("c", direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 12}})
+		s.tick(20*ms, nil)
+		Expect(s.take(direct.EffectFence)).To(HaveLen(2))
+	})
+
+	// A daemon fenced both replicas and was killed. Nobody has a lease, and nothing
+	// is wrong with the primary.
+	It("that somebody left behind is repaired after its ticket's life", func() {
+		s := newScript()
+		s.status("b", fenced)
+		s.status("c", fenced)
+		answering := map[core.MemberID]direct.Status{"a": primary, "b": fenced, "c": fenced}
+		s.tick(direct.OrphanedFence-200*ms, answering)
+		Expect(s.take(direct.EffectClaim)).To(BeEmpty())
+		s.tick(400*ms, answering)
+		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
+		s.keep(s.g.Claimed(s.at, s.at, 8))
+		Expect(s.take(direct.EffectUnfence)).To(HaveLen(2))
+	})
+
+	It("demotes a member that leads an older term", func() {
+		s := newScript()
+		s.probed("b", core.RolePrimary, 2)
+		s.pass(direct.FenceTimeout)
+		s.status("a", primary)
+		s.tick(20*ms, nil)
+		demoted := s.take(direct.EffectDemote)
+		Expect(demoted).To(HaveLen(1))
+		Expect(demoted[0].Term).To(Equal(core.Term(2)))
+	})
+})
+
+var _ = Describe("suspicion", func() {
+	// A caller's statement had 2 ms left when it was sent. That it got no answer in
+	// that time says nothing about the member, but would have started a take-over.
+	It("does not follow from a statement that could wait only for a moment", func() {
+		s := newScript()
+		s.pass(400 * ms)
+		s.keep(s.g.Unanswered(s.at.Add(2*ms), s.at, "a"))
+		Expect(s.g.Report(s.at).Suspect).To(BeFalse())
+		s.keep(s.g.Unanswered(s.at.Add(direct.ProbeTimeout), s.at, "a"))
+		Expect(s.g.Report(s.at).Suspect).To(BeTrue())
+	})
+})
+
+var _ = Describe("Settle", func() {
+	DescribeTable("says what a caller is told",
+		func(kind direct.StatementKind, writes, inTransaction bool, o direct.Outcome, want direct.Verdict) {
+			Expect(direct.Settle(kind, writes, inTransaction, o)).To(Equal(want))
+		},
+		Entry("a read whose answer was lost runs again", direct.StatementRead, false, false, direct.Broken, direct.RunElsewhere),
+		Entry("a write whose answer was lost is unknown", direct.StatementWrite, true, false, direct.Broken, direct.TellUnknown),
+		Entry("a prepared write too", direct.StatementExecute, true, false, direct.Broken, direct.TellUnknown),
+		Entry("a commit too", direct.StatementCommit, false, true, direct.Broken, direct.TellUnknown),
+		Entry("a write that was refused for load runs again", direct.StatementWrite, true, false, direct.Busy, direct.RunElsewhere),
+		Entry("a write that was not sent runs again", direct.StatementWrite, true, false, direct.NotSent, direct.RunElsewhere),
+		Entry("a lost statement inside a transaction aborts it", direct.StatementWrite, true, true, direct.Broken, direct.TellAborted),
+		Entry("a failure is told", direct.StatementWrite, true, false, direct.Failed, direct.TellFailed),
+	)
+})
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -331,8 +331,8 @@
 
 // notPrimary forgets the primary that has refused a write as a replica does.
 func (g *Group) notPrimary(now core.Time, id core.MemberID, m *member) {
-	// Its last status is no longer true, and it must not count as a replica that
-	// confirms the term.
+	// Its last status is no longer true. Until it says again that it reigns, the word
+	// of other daemons, which may not know yet, does not count.
 	m.statusAt, m.probeAt = 0, 0
 	m.reigns, m.refused = 0, g.term
 	if g.primary == id {
--- /dev/null
+++ b/core/direct/lease_test.go
@@ -0,0 +1,85 @@
+package direct_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+)
+
+var _ = Describe("the lease on the primary", func() {
+	It("holds for LeaseFor after a replica's confirmation was asked for", func() {
+		s := newScript()
+		Expect(s.g.Leased(s.at)).To(BeTrue())
+		s.pass(direct.LeaseFor - ms)
+		Expect(s.g.Leased(s.at)).To(BeTrue())
+		s.pass(ms)
+		Expect(s.g.Leased(s.at)).To(BeFalse())
+	})
+
+	// A daemon promotes b: it fences b and c and waits. Another daemon's confirmation
+	// of b is still young when this one sees b's fence. Were it counted, this daemon
+	// would go on writing to the old primary after b has taken over.
+	It("counts no confirmation of a replica that was seen fenced later", func() {
+		s := newScript()
+		report := direct.Report{Group: "g", Primary: "a", Term: 1, Members: []direct.MemberReport{{Member: "b", Confirmed: 1}}}
+		s.keep(s.g.PeerReported(s.at, s.at, "d2", report))
+		s.pass(10 * ms)
+		s.status("b", fenced)
+		s.status("c", fenced)
+		Expect(s.g.Leased(s.at)).To(BeFalse())
+	})
+
+	// The old primary was demoted and has refused a write. Another daemon does not
+	// know that yet and reports it as the primary of the same term.
+	It("is not given for a primary that has refused a write, whatever others believe", func() {
+		s := newScript()
+		s.keep(s.g.Answered(s.at, s.at, "a", core.Position{}, direct.NotPrimary))
+		s.keep(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 1}))
+		Expect(s.g.Leased(s.at)).To(BeFalse())
+		s.probed("a", core.RolePrimary, 1)
+		Expect(s.g.Leased(s.at)).To(BeTrue(), "it says itself that it reigns")
+	})
+
+	// The daemon is cut from both replicas; another one reaches them and passes
+	// their confirmation on. The report is dated by the echo of a stamp of this
+	// daemon, so the confirmation cannot look younger than it is.
+	It("holds by a confirmation that another daemon passes on, no longer than its age allows", func() {
+		s := newScript()
+		s.pass(direct.LeaseFor)
+		report := direct.Report{Group: "g", Primary: "a", Term: 1,
+			Members: []direct.MemberReport{{Member: "b", Confirmed: 1, Age: 200 * ms}}}
+		s.keep(s.g.PeerReported(s.at, s.at.Add(-100*ms), "d2", report))
+		Expect(s.g.LeaseUntil(s.at)).To(Equal(s.at.Add(direct.LeaseFor - 300*ms)))
+	})
+
+	It("is not given by a report whose time is unknown", func() {
+		s := newScript()
+		s.pass(direct.LeaseFor)
+		report := direct.Report{Group: "g", Primary: "a", Term: 1, Members: []direct.MemberReport{{Member: "b", Confirmed: 1}}}
+		s.keep(s.g.PeerReported(s.at, 0, "d2", report))
+		Expect(s.g.Leased(s.at)).To(BeFalse())
+	})
+
+	// Primary and five daemons are on one side of a partition, both replicas and a
+	// sixth daemon on the other. Callers of the five would get nothing for as long
+	// as it lasts, although nobody has claimed the group.
+	It("holds by a read of the ticket that names no newer term", func() {
+		s := newScript()
+		s.tick(direct.LeaseFor, map[core.MemberID]direct.Status{"a": primary})
+		Expect(s.take(direct.EffectReadTicket)).NotTo(BeEmpty())
+		s.keep(s.g.TicketRead(s.at, s.at, 1))
+		Expect(s.g.Leased(s.at)).To(BeTrue())
+		s.keep(s.g.TicketRead(s.at, s.at.Add(ms), 2))
+		Expect(s.g.Leased(s.at)).To(BeFalse(), "another daemon wants to begin term 2")
+	})
+
+	// The primary of a group without replicas cannot be replaced by anyone.
+	It("needs no confirmation in a group of one", func() {
+		s := &script{g: direct.NewGroup("g", "d1", "zone-1"), at: origin}
+		s.list("a")
+		s.probed("a", core.RolePrimary, 1)
+		Expect(s.g.Leased(s.at)).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/core/direct/place_test.go
@@ -0,0 +1,128 @@
+package direct_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+)
+
+// commit has the primary answer a write at the position.
+func (s *script) commit(lsn core.LSN) {
+	s.keep(s.g.Answered(s.at, s.at, "a", core.Position{Term: 1, LSN: lsn}, direct.Succeeded))
+}
+
+// replicaAt has a replica answer at the position.
+func (s *script) replicaAt(id core.MemberID, lsn core.LSN) {
+	s.keep(s.g.Answered(s.at, s.at, id, core.Position{Term: 1, LSN: lsn}, direct.Succeeded))
+}
+
+func (s *script) read(age time.Duration) direct.Need {
+	return direct.Need{MaxAge: age, Arrived: s.at}
+}
+
+var _ = Describe("the place of a read", func() {
+	It("is a replica with the oldest position that the age allows", func() {
+		s := newScript()
+		s.tick(400*ms, map[core.MemberID]direct.Status{"a": primary, "b": replica, "c": replica})
+		s.commit(20)
+		s.pass(100 * ms)
+		s.commit(30)
+		p, ok := s.g.Place(s.at, s.read(100*ms))
+		Expect(ok).To(BeTrue())
+		Expect(p.Primary).To(BeFalse())
+		Expect(p.Since).To(Equal(core.Position{Term: 1, LSN: 20}))
+	})
+
+	It("covers the session's own commit", func() {
+		s := newScript()
+		s.commit(20)
+		s.replicaAt("b", 20)
+		need := s.read(500 * ms)
+		need.Session, need.SessionReign, need.SessionAt = core.Position{Term: 1, LSN: 20}, 1, s.at
+		p, ok := s.g.Place(s.at, need)
+		Expect(ok).To(BeTrue())
+		Expect(p.Member).To(Equal(core.MemberID("b")))
+		Expect(p.Since).To(Equal(core.Position{Term: 1, LSN: 20}))
+	})
+
+	// The session's last commit, 1.20, was lost with its primary; the new one's log
+	// goes from 1.15 to 2.16. No log ever covers 1.20, and the session's reads would
+	// be refused as behind by every member for good.
+	It("asks for nothing of a lost term", func() {
+		s := newScript()
+		s.commit(20)
+		s.status("b", direct.Status{Role: core.RolePrimary, Term: 2, Position: core.Position{Term: 1, LSN: 15}})
+		s.status("c", direct.Status{Role: core.RoleReplica, Term: 2, Position: core.Position{Term: 1, LSN: 15}})
+		s.status("b", direct.Status{Role: core.RolePrimary, Term: 2, Position: core.Position{Term: 1, LSN: 15}})
+		need := s.read(500 * ms)
+		need.Session, need.SessionReign, need.SessionAt = core.Position{Term: 1, LSN: 20}, 1, s.at
+		p, ok := s.g.Place(s.at, need)
+		Expect(ok).To(BeTrue())
+		Expect(p.Since).To(Equal(core.Position{Term: 1, LSN: 15}))
+	})
+
+	// Both replicas are 300 ms behind. Reads that were tried there first would pay
+	// two refusals each before they run on the primary.
+	It("is not a replica whose measured lag is longer than the position's age", func() {
+		s := newScript()
+		s.commit(20)
+		s.pass(300 * ms)
+		s.commit(30)
+		s.replicaAt("b", 10)
+		s.replicaAt("c", 10)
+		need := s.read(500 * ms)
+		need.Session, need.SessionReign, need.SessionAt = core.Position{Term: 1, LSN: 30}, 1, s.at
+		p, ok := s.g.Place(s.at, need)
+		Expect(ok).To(BeTrue())
+		Expect(p.Primary).To(BeTrue())
+	})
+
+	It("is the primary if no sample is young enough", func() {
+		s := newScript()
+		s.tick(400*ms, map[core.MemberID]direct.Status{"b": replica, "c": replica})
+		p, ok := s.g.Place(s.at, s.read(10*ms))
+		Expect(ok).To(BeTrue())
+		Expect(p.Primary).To(BeTrue())
+	})
+
+	It("is nowhere without sample and lease", func() {
+		s := newScript()
+		s.pass(direct.LeaseFor)
+		_, ok := s.g.Place(s.at, s.read(10*ms))
+		Expect(ok).To(BeFalse())
+	})
+
+	// Three hosts lose power; the members keep their connections for seconds. The
+	// daemons that are left must not have taken the rest.
+	It("opens more than the fair share only below the soft limit of all daemons", func() {
+		s := newScript()
+		write := direct.Need{Primary: true, Arrived: s.at}
+		for range s.g.FairConns("a") {
+			s.g.ConnOpened("a")
+		}
+		_, ok := s.g.Place(s.at, write)
+		Expect(ok).To(BeTrue(), "below the soft limit")
+		s.keep(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 1,
+			Members: []direct.MemberReport{{Member: "a", Open: 14}}}))
+		_, ok = s.g.Place(s.at, write)
+		Expect(ok).To(BeFalse(), "at the soft limit")
+	})
+
+	// The host list forgets a member that the store cannot hear. It still answers,
+	// and with a store that was away its entry is back after two seconds.
+	It("stays on a member that has just vanished from the host list, and leaves it later", func() {
+		s := newScript()
+		s.list("a", "b")
+		s.list("b")
+		write := direct.Need{Primary: true, Arrived: s.at}
+		_, ok := s.g.Place(s.at, write)
+		Expect(ok).To(BeTrue())
+		s.tick(direct.VanishedGrace+100*ms, map[core.MemberID]direct.Status{"a": primary, "b": replica, "c": replica})
+		claims := s.take(direct.EffectClaim)
+		Expect(claims).NotTo(BeEmpty(), "the primary counts as leaving")
+	})
+})
--- /dev/null
+++ b/core/direct/suite_test.go
@@ -0,0 +1,99 @@
+package direct_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+)
+
+func TestDirect(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "direct")
+}
+
+const (
+	ms = time.Millisecond
+	// origin is when the scripts begin; 0 means "never" inside the reducer.
+	origin = core.Time(10 * time.Second)
+)
+
+// script drives a group by events and keeps what it ordered.
+type script struct {
+	g       *direct.Group
+	at      core.Time
+	effects []direct.Effect
+}
+
+// newScript is a group of three members a (primary), b and c, all of which have
+// been probed; six daemons share it.
+func newScript() *script {
+	s := &script{g: direct.NewGroup("g", "d1", "zone-1"), at: origin}
+	s.g.Configure(direct.GroupSpec{ID: "g", MaxConns: 22})
+	s.g.SetDaemons(6)
+	s.list("a", "b", "c")
+	s.probed("a", core.RolePrimary, 1)
+	s.probed("b", core.RoleReplica, 1)
+	s.probed("c", core.RoleReplica, 1)
+	s.effects = nil
+	return s
+}
+
+func (s *script) list(ids ...core.MemberID) {
+	var members []direct.Member
+	for _, id := range ids {
+		members = append(members, direct.Member{ID: id, Group: "g", Addr: string(id), Zone: "zone-1", Slots: 3})
+	}
+	s.g.List(s.at, members)
+}
+
+func (s *script) pass(d time.Duration) { s.at = s.at.Add(d) }
+
+func (s *script) keep(e []direct.Effect) { s.effects = append(s.effects, e...) }
+
+// probed is a probe that is answered at once.
+func (s *script) probed(id core.MemberID, role core.Role, term core.Term) {
+	s.status(id, direct.Status{Role: role, Term: term, Position: core.Position{Term: term, LSN: 10}})
+}
+
+func (s *script) status(id core.MemberID, st direct.Status) { s.keep(s.g.Probed(s.at, s.at, id, st)) }
+
+// tick lets time pass in steps of 20 ms; answering members answer all probes.
+func (s *script) tick(d time.Duration, answering map[core.MemberID]direct.Status) {
+	for end := s.at.Add(d); s.at < end; {
+		s.pass(20 * ms)
+		for _, e := range s.g.Tick(s.at) {
+			s.effects = append(s.effects, e)
+			if st, ok := answering[e.Member]; ok && e.Kind == direct.EffectProbe {
+				s.status(e.Member, st)
+			}
+		}
+	}
+}
+
+// take returns the effects of the kind so far and forgets all.
+func (s *script) take(kind direct.EffectKind) []direct.Effect {
+	var found []direct.Effect
+	for _, e := range s.effects {
+		if e.Kind == kind {
+			found = append(found, e)
+		}
+	}
+	s.effects = nil
+	return found
+}
+
+// peer has another daemon report that it gets no answer from the primary.
+func (s *script) peerSuspects(id core.DaemonID) {
+	s.keep(s.g.PeerReported(s.at, s.at, id, direct.Report{Group: "g", Primary: "a", Term: 1, Suspect: true}))
+}
+
+var (
+	primary = direct.Status{Role: core.RolePrimary, Term: 1, Position: core.Position{Term: 1, LSN: 10}}
+	replica = direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 10}}
+	fenced  = direct.Status{Role: core.RoleReplica, Term: 1, FencedTerm: 2, Position: core.Position{Term: 1, LSN: 10}}
+)
