--- a/cmd/limpetspand/imports_test.go
+++ b/cmd/limpetspand/imports_test.go
@@ -48,6 +48,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		packages := strings.Fields(string(list))
 		Expect(packages).To(ContainElement("limpetspan/pkg/daemon"))
+		Expect(packages).NotTo(ContainElement("limpetspan/platform/standin"))
 		for _, p := range packages {
 			Expect(p).NotTo(HavePrefix("limpetspan/standin"))
 		}
--- /dev/null
+++ b/pkg/proxy/failover_test.go
@@ -0,0 +1,141 @@
+package proxy
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core/direct"
+	"limpetspan/platform/standin"
+)
+
+// acknowledged drives writes through all daemons until stop, and returns the
+// data of those that were acknowledged.
+func acknowledged(f *fleet, n int, between func(i int)) map[string]bool {
+	acked := make(map[string]bool)
+	for i := range n {
+		between(i)
+		x := f.daemons[i%len(f.daemons)].dial("db-primary")
+		data := fmt.Sprintf("v%d", i)
+		if x.query("WRITE k" + data + " " + data).served() {
+			acked[data] = true
+		}
+		_ = x.c.Close()
+	}
+	return acked
+}
+
+func committed(commits []standin.Commit) map[string]int {
+	found := make(map[string]int)
+	for _, c := range commits {
+		found[c.Data]++
+	}
+	return found
+}
+
+var _ = Describe("a failover", func() {
+	// The primary goes silent. Writes wait or are refused as not run; a replica is
+	// promoted; afterwards all daemons write there. The old primary comes back, still
+	// believing that it leads, and must not get another write.
+	It("promotes a replica, once, and leaves the old primary", func() {
+		f := newFleet(3)
+		x := f.daemons[0].dial("db-primary")
+		x.persist("WRITE k 1")
+		old := f.group.Primary()
+		old.SetDark(true)
+		x.persist("WRITE k 2")
+		Expect(f.group.Primary()).NotTo(Equal(old))
+		old.SetDark(false)
+		Eventually(old.Leads, patience).Should(BeFalse())
+		acked := acknowledged(f, 12, func(int) {})
+		Expect(acked).To(HaveLen(12))
+		found := committed(f.group.Commits())
+		for data := range acked {
+			Expect(found).To(HaveKeyWithValue(data, 1))
+		}
+		orders := f.store.Orders()
+		for i := 1; i < len(orders); i++ {
+			Expect(orders[i].Token).To(BeNumerically(">", orders[i-1].Token))
+		}
+		for _, m := range f.group.Members() {
+			Eventually(m.Fenced, patience).Should(BeZero())
+		}
+	})
+
+	// The primary is to be replaced and says so. What it has acknowledged is in the
+	// log of the one that takes over.
+	It("that is planned loses no acknowledged write", func() {
+		f := newFleet(3)
+		old := f.group.Primary()
+		acked := acknowledged(f, 60, func(i int) {
+			if i == 20 {
+				old.Leaving = true
+				Expect(f.store.List(old)).To(Succeed())
+			}
+		})
+		Eventually(func() *standin.Member { return f.group.Primary() }, patience).Should(And(Not(BeNil()), Not(Equal(old))))
+		found := committed(f.group.Commits())
+		for data := range acked {
+			Expect(found).To(HaveKey(data))
+		}
+	})
+
+	// The store answers nothing while all is well with the members: callers are
+	// served on, for longer than any lease.
+	It("is not needed while only the store is away", func() {
+		f := newFleet(2)
+		f.daemons[0].dial("db-primary").persist("WRITE k 1")
+		f.store.SetDown(true)
+		acked := acknowledged(f, 400, func(int) {})
+		Expect(acked).To(HaveLen(400))
+	})
+
+	// The answer to the write of the ticket is lost. The daemon does not know its
+	// token and must not order under a guessed one; it tries again.
+	It("survives that the answer to the ticket's write is lost", func() {
+		f := newFleet(3)
+		x := f.daemons[0].dial("db-primary")
+		x.persist("WRITE k 1")
+		f.store.LoseWrites(1)
+		f.group.Primary().SetDark(true)
+		x.persist("WRITE k 2")
+		seen := make(map[uint64]string)
+		for _, o := range f.store.Orders() {
+			Expect(o.Token).NotTo(BeZero())
+			if holder, ok := seen[o.Token]; ok {
+				Expect(holder).To(Equal(o.Holder), "two holders with one token")
+			}
+			seen[o.Token] = o.Holder
+		}
+	})
+
+	// A write is under way when this daemon loses replicas and store. The primary may
+	// have been replaced before it ran; the answer comes after the lease has ended.
+	It("makes the answer to a write that outlived the lease unknown", func() {
+		f := newFleet(1)
+		x := f.daemons[0].dial("db-primary")
+		x.persist("WRITE k 1")
+		f.group.SetWork(direct.LeaseFor + 500*time.Millisecond)
+		f.store.SetDown(true)
+		for _, m := range f.group.Members() {
+			if !m.Leads() {
+				m.SetDark(true)
+			}
+		}
+		Expect(x.query("WRITE k 2").end).To(HavePrefix("ERROR INDOUBT"))
+	})
+
+	It("lets a session read what it wrote before it, or says that it cannot", func() {
+		f := newFleet(3)
+		x := f.daemons[1].dial("db-own")
+		x.persist("WRITE k 1")
+		Eventually(func() []string { return x.query("READ k").rows }, patience).Should(Equal([]string{"1"}))
+		f.group.Primary().SetDark(true)
+		x.persist("WRITE k 2")
+		Expect(x.persist("READ k").rows).To(Equal([]string{"2"}))
+		Expect(strings.Count(fmt.Sprint(f.group.Commits()), " k 2 ")).To(Equal(1))
+	})
+})
--- /dev/null
+++ b/pkg/proxy/fleet_test.go
@@ -0,0 +1,203 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/platform"
+	"limpetspan/platform/standin"
+)
+
+func TestProxy(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "proxy")
+}
+
+// patience bounds waits for a condition; it decides no verdict about speed.
+const patience = 20 * time.Second
+
+// fleet is a store, one group of three members and daemons on loopback.
+type fleet struct {
+	store   *standin.Store
+	group   *standin.Group
+	daemons []*daemon
+	version int
+}
+
+type daemon struct {
+	p    *Proxy
+	s    platform.Settings
+	stop context.CancelFunc
+	done chan error
+}
+
+func newFleet(daemons int) *fleet {
+	f := &fleet{version: 3}
+	var err error
+	f.store, err = standin.NewStore()
+	Expect(err).NotTo(HaveOccurred())
+	f.group, err = standin.NewGroup("ledger", 3)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(f.store.Register(f.group)).To(Succeed())
+	f.configure("db-primary", "db-own", "db-stale")
+	port := freePort()
+	for i := range daemons {
+		f.daemons = append(f.daemons, f.start(fmt.Sprintf("127.0.0.%d", 2+i), i, port))
+	}
+	for _, d := range f.daemons {
+		Eventually(d.p.ready, patience).Should(BeTrue())
+	}
+	DeferCleanup(f.close)
+	return f
+}
+
+func (f *fleet) close() {
+	for _, d := range f.daemons {
+		d.kill()
+	}
+	f.store.Close()
+}
+
+// configure puts the next version of the configuration, with these databases.
+func (f *fleet) configure(databases ...string) {
+	f.version += 2
+	var routes []map[string]any
+	for _, name := range databases {
+		r := map[string]any{"name": "r-" + name, "host": name, "prefix": "/", "type": "primary", "timeout_ms": 2000,
+			"latency_goal_ms": 500, "priority": 1, "service": "ledger", "attempts": 2}
+		switch name {
+		case "db-own":
+			r["type"], r["max_staleness_ms"] = "read_your_writes", 2500
+		case "db-stale":
+			r["type"], r["max_staleness_ms"] = "bounded_stale", 1500
+		}
+		routes = append(routes, r)
+	}
+	Expect(f.store.Put("op/config", map[string]any{
+		"version": f.version, "routes": routes, "limits": map[string]any{"tx_idle_ms": 3000},
+		"services": []map[string]any{{"name": "ledger", "max_conns": 22, "sync_replicas": 0}},
+	})).To(Succeed())
+}
+
+func freePort() int {
+	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.LocalAddr().(*net.UDPAddr).Port
+}
+
+func freeAddr(ip string) string {
+	l, err := net.Listen("tcp", ip+":0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (f *fleet) start(ip string, n, port int) *daemon {
+	s := platform.Settings{
+		Daemon: core.DaemonID(fmt.Sprintf("edge-%d", n+1)), Zone: "zone-1", IP: ip, CallerAddr: freeAddr(ip), ReadyAddr: freeAddr(ip),
+		GossipPort: port, LastPort: 0, Grace: 2 * time.Second, StoreAddr: f.store.Addr(), PromoteAddr: f.store.Addr(),
+	}
+	return run(s)
+}
+
+func run(s platform.Settings) *daemon {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &daemon{p: New(s, io.Discard), s: s, stop: cancel, done: make(chan error, 1)}
+	go func() { d.done <- d.p.Run(ctx) }()
+	return d
+}
+
+// kill ends the daemon without a planned stop.
+func (d *daemon) kill() {
+	d.p.stopping.Store(true)
+	d.p.settings.Grace = 0
+	d.stop()
+	Eventually(d.done, patience).Should(Receive())
+	d.done <- nil
+}
+
+// caller is a caller's session.
+type caller struct {
+	c    net.Conn
+	r    *bufio.Reader
+	next int
+}
+
+func (d *daemon) dial(database string) *caller {
+	c, err := net.Dial("tcp", d.s.CallerAddr)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = c.Close() })
+	x := &caller{c: c, r: bufio.NewReader(c)}
+	x.send("STARTUP " + database + " me")
+	Expect(x.line()).To(Equal("READY I -"))
+	return x
+}
+
+func (x *caller) send(line string) {
+	_, err := io.WriteString(x.c, line+"\r\n")
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (x *caller) line() string {
+	Expect(x.c.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
+	line, err := x.r.ReadString('\n')
+	if err != nil {
+		return "closed"
+	}
+	return strings.TrimRight(line, "\r\n")
+}
+
+// answer is a whole answer: rows, the line that ends it, and the state.
+type answer struct {
+	id    string
+	rows  []string
+	end   string
+	state string
+}
+
+func (x *caller) query(text string) answer {
+	x.next++
+	a := answer{id: fmt.Sprintf("q%p-%d", x, x.next)}
+	x.send("QUERY " + a.id + " " + text)
+	for {
+		word, rest, _ := strings.Cut(x.line(), " ")
+		switch word {
+		case "DATAROW":
+			a.rows = append(a.rows, rest)
+		case "READY":
+			a.state, _, _ = strings.Cut(rest, " ")
+			return a
+		case "closed":
+			a.end = word
+			return a
+		default:
+			a.end = word + " " + rest
+		}
+	}
+}
+
+// served has the member's receipt for this very statement.
+func (a answer) served() bool {
+	return strings.HasPrefix(a.end, "COMPLETE r.") && strings.HasSuffix(a.end, "."+a.id)
+}
+
+// persist repeats a statement that is refused as not run.
+func (x *caller) persist(text string) answer {
+	var a answer
+	Eventually(func() bool {
+		a = x.query(text)
+		return a.served()
+	}, patience).Should(BeTrue())
+	return a
+}
--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"strings"
-	"time"
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
@@ -26,7 +25,7 @@
 		}
 		if err != nil && p.running() {
 			p.dependency("configuration", err)
-			time.Sleep(pause)
+			p.sleep(pause)
 			if p.catalog.Load() != nil {
 				pause = min(2*pause, storeRetryMost)
 			}
@@ -94,10 +93,10 @@
 		err := p.readMembers()
 		p.dependency("host list", err)
 		if err != nil {
-			time.Sleep(2 * storeRetry)
+			p.sleep(2 * storeRetry)
 			continue
 		}
-		time.Sleep(membersEvery)
+		p.sleep(membersEvery)
 	}
 }
 
@@ -143,7 +142,7 @@
 func (p *Proxy) followDaemons() {
 	var lease uint64
 	var renewed, listed core.Time
-	for ; p.running(); time.Sleep(2 * storeRetry) {
+	for ; p.running(); p.sleep(2 * storeRetry) {
 		at := now()
 		if lease == 0 || at.Sub(renewed) >= renewalEvery {
 			lease = p.register(lease)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -93,19 +93,25 @@
 	if p.peers, err = newPeers(p); err != nil {
 		return err
 	}
+	metrics, err := net.Listen("tcp", net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.LastPort)))
+	if err != nil {
+		return err
+	}
 	p.log.Info("started", "callers", p.settings.CallerAddr, "zone", p.settings.Zone)
 	var work errgroup.Group
 	for _, f := range []func(){p.followConfiguration, p.followMembers, p.followDaemons, p.tick, p.peers.send, p.peers.receive} {
 		work.Go(func() error { f(); return nil })
 	}
-	go p.serveReady(ready)
-	go p.serveMetrics()
+	go p.serveHTTP("readiness", ready, p.answerReady)
+	go p.serveHTTP("metrics", metrics, p.answerMetrics)
 	go p.acceptCallers(callers)
 	<-ctx.Done()
 	p.stop(callers)
 	close(p.done)
 	p.cancel()
 	_ = p.peers.conn.Close()
+	_ = ready.Close()
+	_ = metrics.Close()
 	return work.Wait()
 }
 
@@ -132,6 +138,16 @@
 	}
 }
 
+// sleep waits, but not beyond the end of the process.
+func (p *Proxy) sleep(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+	case <-timer.C:
+	}
+}
+
 func (p *Proxy) acceptCallers(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -217,34 +233,24 @@
 	return p.catalog.Load() != nil && p.membersListed.Load() && !p.stopping.Load()
 }
 
-func (p *Proxy) serveReady(l net.Listener) {
-	server := &http.Server{
-		ReadHeaderTimeout: startupWait,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if !p.ready() {
-				w.WriteHeader(http.StatusServiceUnavailable)
-			}
-		}),
-	}
-	if err := server.Serve(l); err != nil && p.running() {
-		p.log.Error("readiness cannot be served", "error", err.Error())
+func (p *Proxy) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !p.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
-// serveMetrics publishes the counters on the last of the internal ports.
-func (p *Proxy) serveMetrics() {
-	addr := net.JoinHostPort(p.settings.IP, strconv.Itoa(p.settings.LastPort))
-	server := &http.Server{
-		Addr: addr, ReadHeaderTimeout: startupWait,
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("Content-Type", "application/json")
-			if err := json.NewEncoder(w).Encode(map[string]any{"proxy": p.stats.snapshot(), "platform_calls": p.client.Calls()}); err != nil {
-				p.log.Warn("metrics not sent", "error", err.Error())
-			}
-		}),
+// answerMetrics publishes the counters, on the last of the internal ports.
+func (p *Proxy) answerMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(map[string]any{"proxy": p.stats.snapshot(), "platform_calls": p.client.Calls()}); err != nil {
+		p.log.Warn("metrics not sent", "error", err.Error())
 	}
-	if err := server.ListenAndServe(); err != nil && p.running() {
-		p.log.Error("metrics cannot be served", "error", err.Error())
+}
+
+func (p *Proxy) serveHTTP(what string, l net.Listener, h http.HandlerFunc) {
+	server := &http.Server{ReadHeaderTimeout: startupWait, Handler: h}
+	if err := server.Serve(l); err != nil && p.running() {
+		p.log.Error("cannot be served", "what", what, "error", err.Error())
 	}
 }
 
