Pass sessions on to homes where a fleet is too large for direct access

Change: Homes chooses by weighted rendezvous hashing, per zone and among strong hosts, which daemons reach a group's members; others link each session to one of them and keep its values, prepared statements and position. Small fleets go on as before: each daemon is home of every group.

--- /dev/null
+++ b/core/direct/homes.go
@@ -0,0 +1,117 @@
+package direct
+
+import (
+	"cmp"
+	"hash/fnv"
+	"math"
+	"slices"
+
+	"limpetspan/core"
+)
+
+// Daemon is another limpetspan process, or this one, as the store lists it.
+type Daemon struct {
+	ID   core.DaemonID
+	Zone core.Zone
+	// Weight is the host's processor share.
+	Weight float64
+}
+
+// Limits of the choice of homes.
+const (
+	// homeShare of a member's connections is divided among homes, each of which
+	// needs connsPerHome to have reads, writes and transactions under way at once.
+	homeShare    = 0.6
+	connsPerHome = 4
+	// connsPerDaemon is what each daemon needs if all of them reach the members
+	// themselves, which saves callers a hop.
+	connsPerDaemon = 2
+	// mostHomesPerZone bounds how far a group's load is spread. More homes probe
+	// and report more and have fewer connections each.
+	mostHomesPerZone = 2
+	// strongShare of the strongest host's weight makes a host fit to be a home.
+	strongShare = 0.5
+)
+
+// Homes returns the daemons that reach the members of the group; all others
+// pass their callers' sessions on to one of them. With few daemons it returns
+// all. Daemons that know the same list choose alike; one that does not only
+// uses a few connections more.
+func Homes(group core.GroupID, maxConns int, daemons []Daemon) []core.DaemonID {
+	budget := homeShare * float64(maxConns)
+	if float64(connsPerDaemon*len(daemons)) <= budget {
+		return ids(daemons)
+	}
+	zones := make(map[core.Zone][]Daemon)
+	for _, d := range daemons {
+		zones[d.Zone] = append(zones[d.Zone], d)
+	}
+	perZone := min(mostHomesPerZone, max(1, int(budget)/connsPerHome/len(zones)))
+	var homes []core.DaemonID
+	for _, list := range zones {
+		list = strong(list)
+		slices.SortFunc(list, func(a, b Daemon) int { return cmp.Compare(draw(group, b), draw(group, a)) })
+		homes = append(homes, ids(list[:min(len(list), perZone)])...)
+	}
+	slices.Sort(homes)
+	return homes
+}
+
+func ids(daemons []Daemon) []core.DaemonID {
+	list := make([]core.DaemonID, 0, len(daemons))
+	for _, d := range daemons {
+		list = append(list, d.ID)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// strong leaves out hosts that are much weaker than the strongest of the zone.
+func strong(daemons []Daemon) []Daemon {
+	top := 0.0
+	for _, d := range daemons {
+		top = max(top, d.Weight)
+	}
+	return slices.DeleteFunc(daemons, func(d Daemon) bool { return d.Weight < strongShare*top })
+}
+
+// draw is the daemon's rank for the group in weighted rendezvous hashing: a
+// change of the list moves only the groups of the daemons that came or went.
+func draw(group core.GroupID, d Daemon) float64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(group))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(d.ID))
+	x := h.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	unit := (float64(x>>11) + 0.5) / (1 << 53)
+	return -max(d.Weight, 0.01) / math.Log(unit)
+}
+
+// Order returns the daemons that an entry in the zone asks to serve the group,
+// best first: homes of its own zone, other homes, and for the case that none of
+// them answers some further daemons.
+func Order(group core.GroupID, self core.DaemonID, zone core.Zone, homes []core.DaemonID, daemons []Daemon) []core.DaemonID {
+	list := slices.Clone(daemons)
+	rank := func(d Daemon) int {
+		switch home := slices.Contains(homes, d.ID); {
+		case home && d.Zone == zone:
+			return 0
+		case home:
+			return 1
+		}
+		return 2
+	}
+	entry := core.GroupID(string(group) + "/" + string(self))
+	slices.SortFunc(list, func(a, b Daemon) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(draw(entry, b), draw(entry, a)))
+	})
+	list = slices.DeleteFunc(list, func(d Daemon) bool { return d.ID == self })
+	order := make([]core.DaemonID, 0, len(list))
+	for _, d := range list {
+		order = append(order, d.ID)
+	}
+	return order
+}
--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"strings"
+	"time"
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
@@ -50,9 +51,10 @@
 // watchConfiguration waits for the next change; 0 as the revision asks for a
 // whole read, as after a gap in the history.
 func (p *Proxy) watchConfiguration(after platform.Revision) (platform.Revision, error) {
-	ctx, cancel := context.WithTimeout(p.ctx, watchWait+storeTimeout)
+	wait := min(watchWait, max(watchMargin, p.settings.ConfigurationBound-watchMargin))
+	ctx, cancel := context.WithTimeout(p.ctx, wait+storeTimeout)
 	defer cancel()
-	events, next, err := p.client.Watch(ctx, platform.ConfigurationKey, after, watchWait)
+	events, next, err := p.client.Watch(ctx, platform.ConfigurationKey, after, wait)
 	if errors.Is(err, platform.ErrCompacted) {
 		return 0, nil
 	}
@@ -78,6 +80,7 @@
 	}
 	p.catalog.Store(c)
 	p.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes))
+	p.homes.update()
 	for id, spec := range c.Groups {
 		p.group(id).update(func(g *direct.Group, _ core.Time) []direct.Effect {
 			g.Configure(spec)
@@ -86,17 +89,31 @@
 	}
 }
 
-// followMembers reads the host list again and again. A failed read leaves what
-// is known in force.
+// followMembers reads the host list again and again, as long as this daemon
+// reaches members. A failed read leaves what is known in force.
 func (p *Proxy) followMembers() {
 	for p.running() {
-		err := p.readMembers()
-		p.dependency("host list", err)
-		if err != nil {
-			p.sleep(2 * storeRetry)
-			continue
+		pause := membersEvery
+		if len(p.activeGroups()) > 0 {
+			err := p.readMembers()
+			p.dependency("host list", err)
+			if err != nil {
+				pause = 2 * storeRetry
+			}
+		} else if p.homes.chosen() {
+			p.membersListed.Store(true)
+		} else {
+			pause = storeRetry / 5
 		}
-		p.sleep(membersEvery)
+		p.await(pause, p.membersWanted)
+	}
+}
+
+// wakeMembers has the host list read at once.
+func (p *Proxy) wakeMembers() {
+	select {
+	case p.membersWanted <- struct{}{}:
+	default:
 	}
 }
 
@@ -135,7 +152,9 @@
 
 // daemonEntry is what a daemon writes of itself into the store.
 type daemonEntry struct {
-	IP string `json:"ip"`
+	IP     string    `json:"ip"`
+	Zone   core.Zone `json:"zone"`
+	Weight float64   `json:"weight"`
 }
 
 // followDaemons keeps this daemon's own entry and the list of the others.
@@ -148,9 +167,14 @@
 			lease = p.register(lease)
 			renewed = at
 		}
-		if listed == 0 || at.Sub(listed) >= daemonsEvery {
-			if err := p.readDaemons(); err == nil {
+		if listed == 0 && p.settings.FirstStart && lease != 0 {
+			p.sleep(joinWait)
+		}
+		if listed == 0 || at.Sub(listed) >= p.daemonsPause() {
+			if err := p.readDaemons(listed == 0); err == nil {
 				listed = at
+				p.homes.decide()
+				p.wakeMembers()
 			}
 		}
 	}
@@ -163,6 +187,15 @@
 	}
 }
 
+// daemonsPause is the pause between reads of the list of daemons. Where reports
+// reach all of them, the list tells little that is new.
+func (p *Proxy) daemonsPause() time.Duration {
+	if p.homes.everywhere() {
+		return daemonsEvery
+	}
+	return daemonsEvery / 3
+}
+
 // register writes the own entry or renews its lease; it returns the lease, 0 if
 // there is none.
 func (p *Proxy) register(lease uint64) uint64 {
@@ -178,7 +211,7 @@
 	if err != nil {
 		return 0
 	}
-	value, err := json.Marshal(daemonEntry{IP: p.settings.IP})
+	value, err := json.Marshal(daemonEntry{IP: p.settings.IP, Zone: p.settings.Zone, Weight: p.settings.Weight})
 	if err != nil {
 		return 0
 	}
@@ -189,22 +222,32 @@
 	return lease
 }
 
-func (p *Proxy) readDaemons() error {
+// readDaemons reads the list of daemons, and since when tickets have stood.
+func (p *Proxy) readDaemons(first bool) error {
 	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
-	items, _, err := p.client.List(ctx, platform.DaemonsPrefix)
+	read := func() ([]platform.Item, error) { return p.client.ListStale(ctx, platform.DaemonsPrefix) }
+	if first {
+		read = func() ([]platform.Item, error) {
+			items, _, err := p.client.List(ctx, platform.DaemonsPrefix)
+			return items, err
+		}
+	}
+	items, err := read()
 	if err != nil {
 		return err
 	}
+	entries := make(map[core.DaemonID]daemonEntry)
 	for _, item := range items {
 		var e daemonEntry
 		if err := json.Unmarshal(item.Value, &e); err != nil {
 			p.log.Error("daemon's entry cannot be read", "key", item.Key, "error", err.Error())
 			continue
 		}
-		p.peers.listed(core.DaemonID(strings.TrimPrefix(item.Key, platform.DaemonsPrefix)), e.IP)
+		entries[core.DaemonID(strings.TrimPrefix(item.Key, platform.DaemonsPrefix))] = e
 	}
-	tickets, _, err := p.client.List(ctx, platform.TicketsPrefix)
+	p.peers.listed(entries)
+	tickets, err := p.client.ListStale(ctx, platform.TicketsPrefix)
 	if err != nil {
 		return err
 	}
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -21,6 +21,8 @@
 	idle     map[core.MemberID][]*memberConn
 	waiters  []*waiter
 	controls map[core.MemberID]*control
+	// usedAt is when a statement was last run here.
+	usedAt core.Time
 }
 
 // waiter is a statement that waits for a connection. aim is until when its
--- /dev/null
+++ b/pkg/proxy/homes.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"slices"
+	"sync"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+)
+
+// homes knows which daemons reach the members of which group.
+type homes struct {
+	p  *Proxy
+	mu sync.Mutex
+	// decided is set once the list of daemons was read after this one joined it.
+	decided bool
+	daemons []direct.Daemon
+	of      map[core.GroupID][]core.DaemonID
+	// avoid is until when a daemon that did not answer is not asked again.
+	avoid map[core.DaemonID]core.Time
+}
+
+func newHomes(p *Proxy) *homes {
+	return &homes{p: p, of: make(map[core.GroupID][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time)}
+}
+
+// update chooses the homes anew from the daemons and groups that are known now.
+func (h *homes) update() {
+	catalog := h.p.catalog.Load()
+	if catalog == nil {
+		return
+	}
+	daemons := h.p.peers.daemons()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.decided {
+		return
+	}
+	h.daemons = daemons
+	for id, spec := range catalog.Groups {
+		chosen := direct.Homes(id, spec.MaxConns, slices.Clone(daemons))
+		if !slices.Equal(chosen, h.of[id]) {
+			h.p.log.Info("homes", "group", id, "homes", len(chosen), "of", len(daemons), "here", slices.Contains(chosen, h.p.settings.Daemon))
+		}
+		h.of[id] = chosen
+	}
+}
+
+// decide allows the choice: the list of daemons is complete enough.
+func (h *homes) decide() {
+	h.mu.Lock()
+	h.decided = true
+	h.mu.Unlock()
+	h.update()
+}
+
+// here says whether this daemon is a home of the group, and how many there are.
+func (h *homes) here(id core.GroupID) (bool, int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	list := h.of[id]
+	return slices.Contains(list, h.p.settings.Daemon), max(1, len(list))
+}
+
+// chosen says whether homes have been chosen at all.
+func (h *homes) chosen() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.of) > 0
+}
+
+// everywhere says whether all daemons are homes of all groups.
+func (h *homes) everywhere() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, list := range h.of {
+		if len(list) < len(h.daemons) {
+			return false
+		}
+	}
+	return h.decided
+}
+
+// order returns the daemons to ask for the group, best first, without those that
+// have just failed to answer.
+func (h *homes) order(id core.GroupID) []core.DaemonID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := now()
+	list := direct.Order(id, h.p.settings.Daemon, h.p.settings.Zone, h.of[id], h.daemons)
+	return slices.DeleteFunc(list, func(d core.DaemonID) bool { return at < h.avoid[d] })
+}
+
+// failed keeps a daemon from being asked for a while.
+func (h *homes) failed(id core.DaemonID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.avoid[id] = now().Add(avoidHome)
+}
+
+// others are the daemons that share a group with this one as home.
+func (h *homes) others() map[core.DaemonID]bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	found := make(map[core.DaemonID]bool)
+	for _, list := range h.of {
+		if !slices.Contains(list, h.p.settings.Daemon) {
+			continue
+		}
+		for _, d := range list {
+			found[d] = true
+		}
+	}
+	delete(found, h.p.settings.Daemon)
+	return found
+}
--- /dev/null
+++ b/pkg/proxy/link.go
@@ -0,0 +1,393 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"strconv"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/pkg/proxy/reportpb"
+	"limpetspan/platform"
+)
+
+// link is an entry's connection to a home, for one session. The home runs the
+// session as if the caller were there.
+type link struct {
+	home core.DaemonID
+	c    net.Conn
+	r    *bufio.Reader
+	out  []byte
+	body []byte
+	// values and prepared are what the home's session has.
+	values   map[string]string
+	prepared map[string]prepared
+	// leaving is set once the home has said that it stops.
+	leaving bool
+}
+
+var errNoHome = errors.New("no home of the group answers")
+
+// connect returns the session's link to a home of the group, a new one if the
+// old one has ended or its home is leaving.
+func (s *session) connect(id core.GroupID, deadline core.Time) (*link, error) {
+	if s.link != nil && s.link.group == id && s.link.usable() {
+		return s.link.link, nil
+	}
+	s.unlink()
+	for _, home := range s.p.homes.order(id) {
+		if now() >= deadline {
+			break
+		}
+		l, err := s.dialHome(home, deadline)
+		if err == nil {
+			s.link = &groupLink{group: id, link: l}
+			return l, nil
+		}
+		s.debug("home", "home", home, "error", err)
+		s.p.homes.failed(home)
+	}
+	return nil, errNoHome
+}
+
+// groupLink is the link with the group for which it was opened.
+type groupLink struct {
+	*link
+	group core.GroupID
+}
+
+func (s *session) unlink() {
+	if s.link != nil {
+		_ = s.link.c.Close()
+		s.link = nil
+	}
+}
+
+func (s *session) dialHome(home core.DaemonID, deadline core.Time) (*link, error) {
+	addr, ok := s.p.peers.homeAddr(home)
+	if !ok {
+		return nil, errNoHome
+	}
+	timeout := min(homeDialTimeout, until(deadline, 20*time.Millisecond))
+	c, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return nil, err
+	}
+	l := &link{home: home, c: c, r: bufio.NewReaderSize(c, 1024), values: map[string]string{}, prepared: map[string]prepared{}}
+	if err := l.open(s, timeout); err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *link) open(s *session, timeout time.Duration) error {
+	_ = l.c.SetDeadline(time.Now().Add(timeout))
+	hello := &reportpb.Hello{
+		Database: s.database, Entry: string(s.p.settings.Daemon), Term: uint64(s.last.Term), Lsn: uint64(s.last.LSN),
+	}
+	if _, err := protodelim.MarshalTo(l.c, hello); err != nil {
+		return err
+	}
+	var welcome reportpb.Welcome
+	if err := protodelim.UnmarshalFrom(l.r, &welcome); err != nil {
+		return err
+	}
+	if welcome.Refused != "" {
+		return errors.New(welcome.Refused)
+	}
+	return nil
+}
+
+// usable says whether the home still holds the link and has not said that it
+// stops: a statement that is sent to a home which has closed the link may count
+// as lost although it never ran.
+func (l *link) usable() bool {
+	if l.leaving || l.r.Buffered() > 0 {
+		return false
+	}
+	sc, ok := l.c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+	})
+	return err == nil && quiet
+}
+
+// linkID is the id of statements that the entry sends for itself.
+const linkID = "entry"
+
+// run brings the home's session to the caller's state and runs texts, the last
+// of which is the caller's statement; its answer is returned. sent is false if
+// nothing of that statement can have reached the home.
+func (l *link) run(s *session, id string, texts []string, deadline time.Time) (a platform.Answer, sent bool, err error) {
+	l.out = l.out[:0]
+	before := l.adopt(s)
+	for _, text := range texts[:len(texts)-1] {
+		l.out = platform.AppendStatement(l.out, linkID, text, core.Position{})
+		before++
+	}
+	l.out = platform.AppendStatement(l.out, id, texts[len(texts)-1], core.Position{})
+	_ = l.c.SetDeadline(deadline)
+	if n, err := l.c.Write(l.out); err != nil {
+		return a, n > 0, err
+	}
+	for range before {
+		a, err = l.answer()
+		if err == nil && a.Code != "" {
+			err = errors.New(a.Code + " " + a.Text)
+		}
+		if err != nil {
+			return a, true, err
+		}
+	}
+	a, err = l.answer()
+	return a, true, err
+}
+
+// answer reads an answer; a home that is stopping says so between answers.
+func (l *link) answer() (platform.Answer, error) {
+	a, err := platform.ReadAnswer(l.r, l.body)
+	if errors.Is(err, platform.ErrTerminate) {
+		l.leaving = true
+		a, err = platform.ReadAnswer(l.r, a.Body)
+	}
+	l.body = a.Body
+	return a, err
+}
+
+// adopt appends the statements that give the home's session the values and
+// prepared statements of the caller's, and returns their number.
+func (l *link) adopt(s *session) int {
+	n := 0
+	add := func(text string) {
+		l.out = platform.AppendStatement(l.out, linkID, text, core.Position{})
+		n++
+	}
+	for name, value := range s.values {
+		if l.values[name] != value {
+			add(platform.TextSet(name, value))
+			l.values[name] = value
+		}
+	}
+	for name, def := range s.prepared {
+		if l.prepared[name] != def {
+			add(platform.TextPrepareAs(name, def.writes, def.shape))
+			l.prepared[name] = def
+		}
+	}
+	for name := range l.prepared {
+		if _, ok := s.prepared[name]; !ok {
+			add(platform.TextDeallocate(name))
+			delete(l.prepared, name)
+		}
+	}
+	return n
+}
+
+// limit is until when an entry waits for a home, which keeps to the same time
+// itself and answers before.
+func (j *job) limit() time.Time {
+	return time.Now().Add(until(j.arrived.Add(j.route.StatementTimeout-answerMargin/2), time.Millisecond))
+}
+
+// forwardSingle has a home run a statement outside a transaction.
+func (s *session) forwardSingle(j *job) {
+	for attempt := 1; ; attempt++ {
+		l, err := s.connect(j.route.Group, j.deadline())
+		if err != nil {
+			s.notRun(j, err.Error(), attempt)
+			return
+		}
+		a, sent, err := l.run(s, j.id, []string{j.text}, j.limit())
+		if err == nil {
+			s.forwarded(j, &a, true)
+			return
+		}
+		o := s.lostHome(j, l, sent, err)
+		if direct.Settle(j.kind, j.writes, false, o) != direct.RunElsewhere {
+			s.answerError(platform.CodeUnknown, "no whole answer from "+string(l.home))
+			return
+		}
+		if attempt >= maxAttempts || now() >= j.deadline() {
+			s.notRun(j, "the home did not answer", attempt)
+			return
+		}
+	}
+}
+
+// lostHome ends a link that has failed.
+func (s *session) lostHome(j *job, l *link, sent bool, err error) direct.Outcome {
+	s.p.stats.broken.Add(1)
+	s.debug("home lost", "id", j.id, "home", l.home, "sent", sent, "error", err)
+	s.p.homes.failed(l.home)
+	s.unlink()
+	if !sent {
+		return direct.NotSent
+	}
+	return direct.Broken
+}
+
+// forwarded passes on a home's answer and keeps the position of a commit.
+func (s *session) forwarded(j *job, a *platform.Answer, commits bool) {
+	if commits && j.writes && a.Code == "" {
+		s.last, s.lastReign, s.lastAt = a.Position, a.Position.Term, now()
+	}
+	if a.Code != "" {
+		s.p.stats.refused(a.Code)
+	}
+	s.out = append(s.out, a.Body...)
+	s.out = platform.AppendReady(s.out, s.state(), a.PositionText)
+	if a.Code == "" {
+		s.p.stats.served(j.writes, now().Sub(j.arrived))
+	}
+}
+
+// forwardInTransaction has the home run a statement of the open transaction.
+func (s *session) forwardInTransaction(j *job) {
+	tx := s.tx
+	texts := []string{j.text}
+	if tx.home == nil {
+		l, err := s.connect(tx.route.Group, j.deadline())
+		if err != nil {
+			tx.failed = true
+			s.notRun(j, err.Error(), 1)
+			return
+		}
+		tx.home = l
+		texts = []string{tx.beginText(), j.text}
+	}
+	a, sent, err := tx.home.run(s, j.id, texts, j.limit())
+	if err != nil {
+		o := s.lostHome(j, tx.home, sent, err)
+		tx.home = nil
+		s.aborted(j, o)
+		return
+	}
+	tx.wrote = tx.wrote || j.writes
+	tx.failed = a.State != platform.StateInTransaction
+	s.forwarded(j, &a, false)
+	if a.State == platform.StateFailed {
+		s.forwardRollback(tx)
+	}
+}
+
+// forwardCommit has the home run the commit of the open transaction.
+func (s *session) forwardCommit(j *job) {
+	tx := s.tx
+	texts := []string{j.text}
+	if tx.home == nil {
+		l, err := s.connect(tx.route.Group, j.deadline())
+		if err != nil {
+			s.tx = nil
+			s.notRun(j, err.Error(), 1)
+			return
+		}
+		tx.home = l
+		texts = []string{tx.beginText(), j.text}
+	}
+	a, sent, err := tx.home.run(s, j.id, texts, j.limit())
+	s.tx = nil
+	if err != nil {
+		s.lostHome(j, tx.home, sent, err)
+		if sent && tx.wrote {
+			s.answerError(platform.CodeUnknown, "the commit was not answered")
+			return
+		}
+		s.answerError(platform.CodeAborted, "the commit did not arrive; nothing is kept")
+		return
+	}
+	j.writes = tx.wrote
+	s.forwarded(j, &a, true)
+	if a.State != platform.StateIdle {
+		// The home keeps a transaction whose commit was refused; the caller's is over.
+		s.forwardRollback(tx)
+	}
+}
+
+// forwardRollback ends the transaction at the home.
+func (s *session) forwardRollback(tx *transaction) {
+	l := tx.home
+	if l == nil {
+		return
+	}
+	tx.home = nil
+	l.out = platform.AppendStatement(l.out[:0], linkID, platform.TextRollback, core.Position{})
+	_ = l.c.SetDeadline(time.Now().Add(rollbackWait))
+	_, err := l.c.Write(l.out)
+	if err == nil {
+		_, err = l.answer()
+	}
+	if err != nil {
+		s.debug("rollback not answered", "home", l.home, "error", err)
+		s.unlink()
+	}
+}
+
+func (tx *transaction) beginText() string {
+	if tx.readOnly {
+		return platform.TextBeginRead
+	}
+	return platform.TextBegin
+}
+
+// serveLinks takes sessions that entries hand over.
+func (p *Proxy) serveLinks(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			p.log.Warn("accept failed", "error", err.Error())
+			time.Sleep(reportGap)
+			continue
+		}
+		s := p.newSession(c)
+		s.linked = true
+		go s.runLinked()
+	}
+}
+
+func (s *session) runLinked() {
+	s.r = platform.NewReader(s.c)
+	_ = s.c.SetReadDeadline(time.Now().Add(startupWait))
+	var hello reportpb.Hello
+	welcome := &reportpb.Welcome{}
+	if err := protodelim.UnmarshalFrom(s.r, &hello); err != nil {
+		s.end()
+		return
+	}
+	catalog := s.p.catalog.Load()
+	if catalog == nil || s.p.closing.Load() {
+		welcome.Refused = "not serving"
+	} else if route, ok := catalog.Routes[hello.Database]; !ok {
+		welcome.Refused = "no such database in version " + strconv.FormatUint(catalog.Version, 10)
+	} else {
+		s.p.use(route.Group)
+	}
+	if _, err := protodelim.MarshalTo(s.c, welcome); err != nil || welcome.Refused != "" {
+		s.end()
+		return
+	}
+	_ = s.c.SetReadDeadline(time.Time{})
+	s.database = hello.Database
+	s.last = core.Position{Term: core.Term(hello.Term), LSN: core.LSN(hello.Lsn)}
+	s.lastReign, s.lastAt = s.last.Term, now()
+	s.loop()
+}
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -25,8 +25,13 @@
 
 type peer struct {
 	ip     string
+	zone   core.Zone
+	weight float64
 	addr   *net.UDPAddr
+	// seenAt is when a report of it last came; listed says that the store's list
+	// has it.
 	seenAt core.Time
+	listed bool
 	// stamp is the newest one that came from the daemon, at stampAt.
 	stamp   int64
 	stampAt core.Time
@@ -51,39 +56,82 @@
 	}
 }
 
-// listed takes a daemon's entry of the store.
-func (s *peers) listed(id core.DaemonID, ip string) { s.seen(id, ip) }
+// listed takes the store's list of daemons.
+func (s *peers) listed(entries map[core.DaemonID]daemonEntry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, k := range s.known {
+		if _, ok := entries[id]; !ok {
+			k.listed = false
+		}
+	}
+	for id, e := range entries {
+		if k := s.keep(id, e.IP); k != nil {
+			k.zone, k.weight, k.listed = e.Zone, e.Weight, true
+		}
+	}
+}
 
-func (s *peers) seen(id core.DaemonID, ip string) {
+// keep returns the daemon's record, a new one if it was not known at that
+// address; nil for this daemon itself. The lock is held.
+func (s *peers) keep(id core.DaemonID, ip string) *peer {
 	if id == s.p.settings.Daemon {
-		return
+		return nil
+	}
+	k := s.known[id]
+	if k != nil && k.ip == ip {
+		return k
+	}
+	addr, err := net.ResolveUDPAddr("udp4", s.p.settings.GossipAddr(ip))
+	if err != nil {
+		s.p.log.Error("address of a daemon is malformed", "daemon", id, "ip", ip, "error", err.Error())
+		return nil
 	}
+	k = &peer{ip: ip, addr: addr, seenAt: now()}
+	s.known[id] = k
+	return k
+}
+
+// homeAddr is where the daemon takes sessions of entries.
+func (s *peers) homeAddr(id core.DaemonID) (string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.known[id]
-	if k == nil || k.ip != ip {
-		addr, err := net.ResolveUDPAddr("udp4", s.p.settings.GossipAddr(ip))
-		if err != nil {
-			s.p.log.Error("address of a daemon is malformed", "daemon", id, "ip", ip, "error", err.Error())
-			return
-		}
-		k = &peer{ip: ip, addr: addr}
-		s.known[id] = k
+	if k == nil {
+		return "", false
 	}
-	k.seenAt = now()
+	return s.p.settings.LinkAddr(k.ip), true
 }
 
-// count is the number of daemons, this one included.
-func (s *peers) count() int {
+// daemons are all that are known, this one included. In a fleet in which reports
+// reach everyone, one that sends none has gone; in a larger one the list tells.
+func (s *peers) daemons() []direct.Daemon {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := now()
+	large := s.large()
+	list := []direct.Daemon{{ID: s.p.settings.Daemon, Zone: s.p.settings.Zone, Weight: s.p.settings.Weight}}
 	for id, k := range s.known {
-		if at.Sub(k.seenAt) > peerKept {
+		fresh := at.Sub(k.seenAt) <= peerKept
+		if !fresh && !k.listed {
 			delete(s.known, id)
 		}
+		if fresh || large && k.listed {
+			list = append(list, direct.Daemon{ID: id, Zone: k.zone, Weight: k.weight})
+		}
+	}
+	return list
+}
+
+// large says whether the fleet has more daemons than reports are sent to.
+func (s *peers) large() bool {
+	n := 0
+	for _, k := range s.known {
+		if k.listed {
+			n++
+		}
 	}
-	return len(s.known) + 1
+	return n > maxPeers
 }
 
 // target is a daemon to report to.
@@ -94,11 +142,15 @@
 }
 
 func (s *peers) targets() []target {
+	others := s.p.homes.others()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	large := s.large()
 	var ids []core.DaemonID
 	for id := range s.known {
-		ids = append(ids, id)
+		if !large || others[id] {
+			ids = append(ids, id)
+		}
 	}
 	slices.Sort(ids)
 	var targets []target
@@ -126,12 +178,14 @@
 }
 
 func (s *peers) sendReport() {
-	m := &reportpb.Report{Daemon: string(s.p.settings.Daemon), Ip: s.p.settings.IP, Leaving: s.p.stopping.Load()}
+	m := &reportpb.Report{Daemon: string(s.p.settings.Daemon), Ip: s.p.settings.IP, Leaving: s.p.stopping.Load(),
+		Zone: string(s.p.settings.Zone), Weight: s.p.settings.Weight}
 	if c := s.p.catalog.Load(); c != nil {
 		m.ConfigVersion = c.Version
 	}
-	n := s.count()
-	for _, g := range s.p.allGroups() {
+	s.p.homes.update()
+	for _, g := range s.p.activeGroups() {
+		_, n := s.p.homes.here(g.id)
 		g.mu.Lock()
 		g.core.SetDaemons(n)
 		r := g.core.Report(now())
@@ -245,10 +299,10 @@
 		s.mu.Unlock()
 		return
 	}
-	s.seen(from, m.Ip)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if k := s.known[from]; k != nil {
-		k.stamp, k.stampAt = m.Stamp, now()
+	if k := s.keep(from, m.Ip); k != nil {
+		k.zone, k.weight = core.Zone(m.Zone), m.Weight
+		k.seenAt, k.stamp, k.stampAt = now(), m.Stamp, now()
 	}
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,7 @@
 	boot     int64
 	claims   *claims
 	peers    *peers
+	homes    *homes
 	catalog  atomic.Pointer[direct.Catalog]
 	// membersListed is set once the host list was read.
 	membersListed atomic.Bool
@@ -38,6 +40,8 @@
 	stopping atomic.Bool
 	closing  atomic.Bool
 	done     chan struct{}
+	// membersWanted asks for a read of the host list at once.
+	membersWanted chan struct{}
 	// ctx ends with the process, and with it all calls to the platform.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -65,13 +69,14 @@
 	st := newStats()
 	p := &Proxy{
 		settings: s, client: platform.NewClient(s.StoreAddr, s.PromoteAddr), stats: st, boot: time.Now().UnixNano(),
-		done: make(chan struct{}), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
+		done: make(chan struct{}), membersWanted: make(chan struct{}, 1), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
 		lost: make(map[string]bool),
 		log: hclog.New(&hclog.LoggerOptions{
 			Name: "limpetspand", Level: hclog.Info, Output: newAsyncWriter(w, st), JSONFormat: true,
 		}).With("daemon", s.Daemon),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.homes = newHomes(p)
 	p.claims = &claims{p: p, seen: make(map[core.GroupID]seenTicket)}
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
@@ -97,6 +102,10 @@
 	if err != nil {
 		return err
 	}
+	links, err := net.Listen("tcp", p.settings.LinkAddr(p.settings.IP))
+	if err != nil {
+		return err
+	}
 	p.log.Info("started", "callers", p.settings.CallerAddr, "zone", p.settings.Zone)
 	var work errgroup.Group
 	for _, f := range []func(){p.followConfiguration, p.followMembers, p.followDaemons, p.tick, p.peers.send, p.peers.receive} {
@@ -105,6 +114,7 @@
 	go p.serveHTTP("readiness", ready, p.answerReady)
 	go p.serveHTTP("metrics", metrics, p.answerMetrics)
 	go p.acceptCallers(callers)
+	go p.serveLinks(links)
 	<-ctx.Done()
 	p.stop(callers)
 	close(p.done)
@@ -112,6 +122,7 @@
 	_ = p.peers.conn.Close()
 	_ = ready.Close()
 	_ = metrics.Close()
+	_ = links.Close()
 	return work.Wait()
 }
 
@@ -139,11 +150,15 @@
 }
 
 // sleep waits, but not beyond the end of the process.
-func (p *Proxy) sleep(d time.Duration) {
+func (p *Proxy) sleep(d time.Duration) { p.await(d, nil) }
+
+// await is sleep that wake ends.
+func (p *Proxy) await(d time.Duration, wake <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-p.done:
+	case <-wake:
 	case <-timer.C:
 	}
 }
@@ -159,14 +174,18 @@
 			time.Sleep(reportGap)
 			continue
 		}
-		s := &session{p: p, c: c, values: make(map[string]string), prepared: make(map[string]prepared)}
-		p.mu.Lock()
-		p.sessions[s] = struct{}{}
-		p.mu.Unlock()
-		go s.run()
+		go p.newSession(c).run()
 	}
 }
 
+func (p *Proxy) newSession(c net.Conn) *session {
+	s := &session{p: p, c: c, values: make(map[string]string), prepared: make(map[string]prepared)}
+	p.mu.Lock()
+	p.sessions[s] = struct{}{}
+	p.mu.Unlock()
+	return s
+}
+
 func (p *Proxy) forget(s *session) {
 	p.mu.Lock()
 	delete(p.sessions, s)
@@ -191,6 +210,32 @@
 	return p.groups[id]
 }
 
+// use returns the group for a statement that runs here.
+func (p *Proxy) use(id core.GroupID) *group {
+	g := p.group(id)
+	at := now()
+	g.mu.Lock()
+	fresh := at.Sub(g.usedAt) < usedGroupKept
+	g.usedAt = at
+	g.mu.Unlock()
+	if here, _ := p.homes.here(id); !fresh && !here {
+		p.wakeMembers()
+	}
+	return g
+}
+
+// activeGroups are the groups whose members this daemon reaches: as their home,
+// or because an entry has lately sent statements for them.
+func (p *Proxy) activeGroups() []*group {
+	at := now()
+	return slices.DeleteFunc(p.allGroups(), func(g *group) bool {
+		here, _ := p.homes.here(g.id)
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return !here && at.Sub(g.usedAt) >= usedGroupKept
+	})
+}
+
 func (p *Proxy) allGroups() []*group {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -220,7 +265,7 @@
 			return
 		case <-t.C:
 		}
-		for _, g := range p.allGroups() {
+		for _, g := range p.activeGroups() {
 			g.tick()
 		}
 	}
@@ -230,7 +275,7 @@
 // list have been read once. Later trouble with the store does not change it, as
 // it would take all daemons out at once.
 func (p *Proxy) ready() bool {
-	return p.catalog.Load() != nil && p.membersListed.Load() && !p.stopping.Load()
+	return p.catalog.Load() != nil && p.membersListed.Load() && p.homes.chosen() && !p.stopping.Load()
 }
 
 func (p *Proxy) answerReady(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -34,7 +34,7 @@
 // runSingle runs a statement outside a transaction. It is placed again as long
 // as it is proved that it has not run, or running twice does no harm.
 func (s *session) runSingle(j *job) {
-	g := s.p.group(j.route.Group)
+	g := s.p.use(j.route.Group)
 	w := &waiter{need: s.need(j.route, j.writes, j.arrived), session: s, priority: j.route.Priority, prepare: j.prepare, aim: j.arrived.Add(j.route.LatencyAim)}
 	deadline := j.deadline()
 	for attempt := 1; ; attempt++ {
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -35,6 +35,12 @@
 	lastReign core.Term
 	lastAt    core.Time
 	tx        *transaction
+	// link leads to a home if this daemon is none for the session's group; linked
+	// says that the caller is at another daemon, for which this one is home.
+	link   *groupLink
+	linked bool
+	// toldEntry is set once the entry was told that this home stops.
+	toldEntry atomic.Bool
 	// waitingSince is since when the session waits for a message outside a
 	// transaction; 0: it does not.
 	waitingSince atomic.Int64
@@ -44,11 +50,17 @@
 var errEnd = errors.New("session ended")
 
 func (s *session) run() {
-	defer s.end()
 	s.r = platform.NewReader(s.c)
 	if err := s.startup(); err != nil {
+		s.end()
 		return
 	}
+	s.loop()
+}
+
+// loop serves the session to its end.
+func (s *session) loop() {
+	defer s.end()
 	for {
 		msg, err := s.next()
 		if err != nil {
@@ -86,6 +98,7 @@
 	if s.tx != nil {
 		s.rollback(s.tx)
 	}
+	s.unlink()
 	_ = s.c.Close()
 	s.p.forget(s)
 }
@@ -133,11 +146,11 @@
 // session here; inside one, a caller that stays away too long loses it.
 func (s *session) next() (platform.CallerMessage, error) {
 	if s.tx == nil {
-		if s.p.closing.Load() && s.r.Buffered() == 0 {
+		if s.p.closing.Load() && s.r.Buffered() == 0 && !s.linked {
 			return platform.CallerMessage{}, errEnd
 		}
 		s.waitingSince.Store(int64(now()))
-	} else if s.tx.conn != nil {
+	} else if s.tx.conn != nil || s.tx.home != nil {
 		_ = s.c.SetReadDeadline(time.Now().Add(s.p.idleTransaction()))
 	}
 	line, err := platform.ReadLine(s.r)
@@ -158,9 +171,19 @@
 const lastLook = 2 * time.Millisecond
 
 // afterTimeout ends a transaction that was idle too long and waits on. Outside
-// a transaction the stop has woken the session: a message that has arrived
+// a transaction an entry is told to take its session elsewhere, and until it has
+// done so its statements are still served. Otherwise the stop has woken the session: a message that has arrived
 // meanwhile is still served, because a read that times out at once does not see it.
 func (s *session) afterTimeout() (string, error) {
+	if s.tx == nil && s.linked && !s.toldEntry.Load() {
+		s.toldEntry.Store(true)
+		s.out = platform.AppendTerminate(s.out[:0])
+		if err := s.flush(); err != nil {
+			return "", err
+		}
+		_ = s.c.SetReadDeadline(time.Time{})
+		return platform.ReadLine(s.r)
+	}
 	if s.tx == nil {
 		_ = s.c.SetReadDeadline(time.Now().Add(lastLook))
 		line, err := platform.ReadLine(s.r)
@@ -177,6 +200,9 @@
 // for so long: a caller that was just let in sends its first one at once.
 func (s *session) stop(at core.Time, idle time.Duration) {
 	since := core.Time(s.waitingSince.Load())
+	if s.toldEntry.Load() {
+		return
+	}
 	if since != 0 && at.Sub(since) >= idle {
 		_ = s.c.SetReadDeadline(time.Now())
 	}
@@ -274,12 +300,29 @@
 		job.prepare, job.writes = &def, def.writes
 		job.text = platform.TextExecute(def.writes, def.shape, st.Argument)
 	}
-	if s.tx != nil {
+	switch {
+	case s.tx != nil && s.tx.forward:
+		job.text, job.route = st.Text, s.tx.route
+		s.forwardInTransaction(&job)
+	case s.tx != nil:
 		s.runInTransaction(&job)
-		return
+	case s.forwards(route):
+		job.text, job.route = st.Text, route
+		s.forwardSingle(&job)
+	default:
+		job.route = route
+		s.runSingle(&job)
+	}
+}
+
+// forwards says whether statements of the route run at another daemon. A home
+// runs what an entry sends it even if it is none any more.
+func (s *session) forwards(route direct.Route) bool {
+	if s.linked {
+		return false
 	}
-	job.route = route
-	s.runSingle(&job)
+	here, _ := s.p.homes.here(route.Group)
+	return !here
 }
 
 // debug writes a decision about one of the session's requests, bounded in volume.
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -20,6 +20,10 @@
 	// wrote is set once a write was sent.
 	wrote  bool
 	failed bool
+	// forward is set if a home runs the transaction; home is the link to it, nil
+	// before the first statement.
+	forward bool
+	home    *link
 }
 
 // begin opens a transaction without a member yet, so that a caller's pause
@@ -29,7 +33,10 @@
 		s.answerError(platform.CodeMalformed, "a transaction is open")
 		return
 	}
-	s.tx = &transaction{readOnly: st.Kind == direct.StatementBeginRead, route: route, arrived: arrived, g: s.p.group(route.Group)}
+	s.tx = &transaction{readOnly: st.Kind == direct.StatementBeginRead, route: route, arrived: arrived, forward: s.forwards(route)}
+	if !s.tx.forward {
+		s.tx.g = s.p.use(route.Group)
+	}
 	s.answerDone()
 }
 
@@ -158,6 +165,10 @@
 		return
 	}
 	j := &job{id: st.ID, kind: st.Kind, text: st.Text, route: tx.route, arrived: arrived}
+	if tx.forward {
+		s.forwardCommit(j)
+		return
+	}
 	if tx.conn == nil && !s.open(j) {
 		s.tx = nil
 		return
@@ -219,6 +230,10 @@
 
 // rollback ends the transaction on the member and gives its connection back.
 func (s *session) rollback(tx *transaction) {
+	if tx.forward {
+		s.forwardRollback(tx)
+		return
+	}
 	if tx.conn == nil {
 		return
 	}
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -19,6 +19,16 @@
 	leaseWait = 250 * time.Millisecond
 	// maxAttempts bounds how often one statement is placed.
 	maxAttempts = 6
+	// homeDialTimeout bounds opening a link to a home.
+	homeDialTimeout = 300 * time.Millisecond
+	// avoidHome is how long a home that did not answer is not asked again.
+	avoidHome = 2 * time.Second
+	// usedGroupKept is how long a daemon that is no home of a group keeps reaching
+	// its members after a statement.
+	usedGroupKept = 10 * time.Second
+	// joinWait is how long a daemon waits, when the whole fleet starts for the first
+	// time, before it takes the list of daemons for complete.
+	joinWait = time.Second
 	// idleConnKeep is how long a connection beyond the fair share stays open unused.
 	idleConnKeep = 3 * time.Second
 	// membersEvery is the pause between reads of the host list: a leaving member
@@ -31,10 +41,11 @@
 	// pause between its renewals.
 	registrationLease = 6 * time.Second
 	renewalEvery      = 2 * time.Second
-	// watchWait is how long one watch of the configuration waits. Only the end of
-	// this time shows that its connection has gone silent, and a change is to be
-	// in force within 3 s.
-	watchWait = 2 * time.Second
+	// watchWait is how long one watch of the configuration waits at most, and
+	// watchMargin what is left of the bound of a change when it has failed. Only the
+	// end of this time shows that the watch's connection has gone silent.
+	watchWait   = 5 * time.Second
+	watchMargin = time.Second
 	// storeTimeout bounds other calls to the store, which answers in 4 ms.
 	storeTimeout = 800 * time.Millisecond
 	// storeRetry is the pause after a failed call to the store.
