Test sessions that an entry passes on to a home

Cause: links between daemons had no test. Change: sessions at an entry against real daemons; the choice of homes by scripts.

--- /dev/null
+++ b/core/direct/homes_test.go
@@ -0,0 +1,69 @@
+package direct_test
+
+import (
+	"fmt"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+)
+
+func daemons(zones, perZone int) []direct.Daemon {
+	var list []direct.Daemon
+	for z := range zones {
+		for i := range perZone {
+			weight := 0.2
+			if i < 2 {
+				weight = 0.8
+			}
+			list = append(list, direct.Daemon{ID: core.DaemonID(fmt.Sprintf("d%d-%d", z, i)), Zone: core.Zone(fmt.Sprint(z)), Weight: weight})
+		}
+	}
+	return list
+}
+
+var _ = Describe("Homes", func() {
+	It("are all daemons while the members' connections suffice", func() {
+		Expect(direct.Homes("g", 22, daemons(3, 2))).To(HaveLen(6))
+		Expect(direct.Homes("g", 32, daemons(4, 2))).To(HaveLen(8))
+	})
+
+	It("are few of a large fleet, some in each zone, on strong hosts", func() {
+		homes := direct.Homes("g", 35, daemons(4, 18))
+		Expect(homes).To(HaveLen(4))
+		for _, id := range homes {
+			Expect(string(id)).To(Or(HaveSuffix("-0"), HaveSuffix("-1")))
+		}
+	})
+
+	// A daemon that goes takes its own groups with it. Were the homes of all groups
+	// dealt anew, all sessions of the fleet would move at once.
+	It("stay when a daemon goes that is none of them", func() {
+		all := daemons(4, 18)
+		moved := 0
+		for g := range 50 {
+			id := core.GroupID(fmt.Sprintf("g%d", g))
+			before := direct.Homes(id, 35, append([]direct.Daemon(nil), all...))
+			after := direct.Homes(id, 35, append([]direct.Daemon(nil), all[1:]...))
+			for _, home := range before {
+				if home != all[0].ID {
+					Expect(after).To(ContainElement(home))
+				} else {
+					moved++
+				}
+			}
+		}
+		Expect(moved).To(BeNumerically(">", 5), "it was home of some groups")
+	})
+
+	It("of the own zone are asked first, then others, then any daemon", func() {
+		all := daemons(4, 18)
+		homes := direct.Homes("g", 35, append([]direct.Daemon(nil), all...))
+		order := direct.Order("g", "d2-9", "2", homes, all)
+		Expect(order).To(HaveLen(len(all) - 1))
+		Expect(string(order[0])).To(HavePrefix("d2-"))
+		Expect(homes).To(ContainElements(order[0], order[1], order[2], order[3]))
+	})
+})
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -14,6 +14,8 @@
 	mu sync.Mutex
 	// decided is set once the list of daemons was read after this one joined it.
 	decided bool
+	// fixed keeps the choice as it is.
+	fixed   bool
 	daemons []direct.Daemon
 	of      map[core.GroupID][]core.DaemonID
 	// avoid is until when a daemon that did not answer is not asked again.
@@ -37,6 +39,9 @@
 		return
 	}
 	h.daemons = daemons
+	if h.fixed {
+		return
+	}
 	for id, spec := range catalog.Groups {
 		chosen := direct.Homes(id, spec.MaxConns, slices.Clone(daemons))
 		if !slices.Equal(chosen, h.of[id]) {
--- /dev/null
+++ b/pkg/proxy/link_test.go
@@ -0,0 +1,144 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"limpetspan/core"
+	"limpetspan/pkg/proxy/reportpb"
+)
+
+// split makes the daemons of the fleet choose only those as homes.
+func (f *fleet) split(homes ...*daemon) {
+	for _, d := range f.daemons {
+		h := d.p.homes
+		h.mu.Lock()
+		var ids []core.DaemonID
+		for _, home := range homes {
+			ids = append(ids, home.s.Daemon)
+		}
+		h.of["ledger"], h.fixed = ids, true
+		h.mu.Unlock()
+	}
+}
+
+var _ = Describe("a session at an entry", func() {
+	It("runs at a home, with its values, prepared statements and transactions", func() {
+		f := newFleet(2)
+		home, entry := f.daemons[0], f.daemons[1]
+		f.split(home)
+		x := entry.dial("db-own")
+		x.persist("WRITE k 1")
+		Expect(x.query("READ k").rows).To(Equal([]string{"1"}))
+		Expect(x.query("SET zone jst").end).To(Equal("COMPLETE -"))
+		Expect(x.query("PREPARE w WRITE q1").end).To(Equal("COMPLETE -"))
+		Expect(x.query("EXECUTE w k 2").served()).To(BeTrue())
+		Expect(x.query("DEALLOCATE w").end).To(Equal("COMPLETE -"))
+		x.query("BEGIN")
+		Expect(x.query("WRITE k 3").state).To(Equal("T"))
+		Expect(x.query("COMMIT").served()).To(BeTrue())
+		x.query("BEGIN")
+		Expect(x.query("WRITE bad 1").end).To(Equal("ERROR FAILED no such item"))
+		Expect(x.query("ROLLBACK").state).To(Equal("I"))
+		Expect(x.query("READ k").rows).To(Equal([]string{"3"}))
+		Expect(entry.p.stats.dials.Value()).To(BeNumerically("<=", home.p.stats.dials.Value()))
+	})
+
+	// The home stops as planned. A session whose entry learnt of it only by a closed
+	// connection could not tell whether its next write ran.
+	It("goes on at another home when the first one stops, and loses nothing", func() {
+		f := newFleet(3)
+		f.split(f.daemons[0], f.daemons[1])
+		var sessions []*caller
+		for range 6 {
+			x := f.daemons[2].dial("db-own")
+			x.persist("WRITE k 0")
+			sessions = append(sessions, x)
+		}
+		f.daemons[0].stop()
+		for i := 0; ; i++ {
+			for n, x := range sessions {
+				key := fmt.Sprintf("k%d-%d", n, i)
+				Expect(x.query("WRITE "+key+" v").served()).To(BeTrue(), "write %s", key)
+				Expect(x.query("READ " + key).rows).To(Equal([]string{"v"}))
+			}
+			select {
+			case err := <-f.daemons[0].done:
+				Expect(err).NotTo(HaveOccurred())
+				f.daemons[0].done <- nil
+				return
+			default:
+			}
+		}
+	})
+
+	// The home says that it stops while a statement of the entry is on its way. It was
+	// sent to a home that served; closed now, the link would leave it in doubt.
+	It("is served by the home even after that has said that it stops", func() {
+		f := newFleet(1)
+		d := f.daemons[0]
+		d.dial("db-primary").persist("WRITE k 1")
+		c, err := net.Dial("tcp", d.s.LinkAddr(d.s.IP))
+		Expect(err).NotTo(HaveOccurred())
+		defer c.Close()
+		_, err = protodelim.MarshalTo(c, &reportpb.Hello{Database: "db-primary", Entry: "edge-9"})
+		Expect(err).NotTo(HaveOccurred())
+		x := &caller{c: c, r: bufio.NewReader(c)}
+		Expect(protodelim.UnmarshalFrom(x.r, &reportpb.Welcome{})).To(Succeed())
+		d.stop()
+		Expect(x.line()).To(Equal("TERMINATE"))
+		Expect(x.query("WRITE k 2").served()).To(BeTrue())
+	})
+
+	// The home's process has ended while the session was idle. The write that comes
+	// next is not sent on the dead link, where its fate would be unknown.
+	It("looks for another home before it sends on a link that has ended", func() {
+		f := newFleet(3)
+		f.split(f.daemons[0], f.daemons[1])
+		x := f.daemons[2].dial("db-primary")
+		for i := range 5 {
+			x.persist(fmt.Sprintf("WRITE k%d v", i))
+			for _, d := range f.daemons[:2] {
+				d.p.mu.Lock()
+				for s := range d.p.sessions {
+					_ = s.c.Close()
+				}
+				d.p.mu.Unlock()
+			}
+			Eventually(func() int { return f.daemons[0].p.countSessions() + f.daemons[1].p.countSessions() }, patience).Should(BeZero())
+			Expect(x.query(fmt.Sprintf("WRITE again%d v", i)).served()).To(BeTrue())
+		}
+	})
+
+	// The home dies while a write is under way. The entry knows that it was sent, not
+	// whether it ran; a read runs again at another home.
+	It("is told that a write may have run when its home is lost under it", func() {
+		f := newFleet(2)
+		f.split(f.daemons[0])
+		x := f.daemons[1].dial("db-primary")
+		x.persist("WRITE k 1")
+		f.group.SetWork(patience / 10)
+		answered := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			answered <- x.query("WRITE k 2")
+		}()
+		p := f.daemons[0].p
+		Eventually(func() int64 { return p.stats.statements.Value() }, patience).Should(BeNumerically(">=", 2))
+		p.mu.Lock()
+		for s := range p.sessions {
+			_ = s.c.Close()
+		}
+		p.mu.Unlock()
+		var a answer
+		Eventually(answered, patience).Should(Receive(&a))
+		Expect(a.end).To(HavePrefix("ERROR INDOUBT"))
+		f.group.SetWork(0)
+		Expect(x.persist("READ k").rows).To(HaveLen(1))
+	})
+})
