--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -24,8 +24,11 @@
 	homeShare    = 0.6
 	connsPerHome = 4
 	// connsPerDaemon is what each daemon needs if all of them reach the members
-	// themselves, which saves callers a hop.
+	// themselves, which saves callers a hop; directShare of a member's connections
+	// may go there. It leaves room for hosts that are added before others go, so
+	// that a fleet does not change its ways in the middle of a replacement.
 	connsPerDaemon = 2
+	directShare    = 0.95
 	// mostHomesPerZone bounds how far a group's load is spread. More homes probe
 	// and report more and have fewer connections each.
 	mostHomesPerZone = 2
@@ -38,10 +41,10 @@
 // all. Daemons that know the same list choose alike; one that does not only
 // uses a few connections more.
 func Homes(group core.GroupID, maxConns int, daemons []Daemon) []core.DaemonID {
-	budget := homeShare * float64(maxConns)
-	if float64(connsPerDaemon*len(daemons)) <= budget {
+	if float64(connsPerDaemon*len(daemons)) <= directShare*float64(maxConns) {
 		return ids(daemons)
 	}
+	budget := homeShare * float64(maxConns)
 	zones := make(map[core.Zone][]Daemon)
 	for _, d := range daemons {
 		zones[d.Zone] = append(zones[d.Zone], d)
--- a/core/direct/homes_test.go
+++ b/core/direct/homes_test.go
@@ -30,6 +30,12 @@
 		Expect(direct.Homes("g", 32, daemons(4, 2))).To(HaveLen(8))
 	})
 
+	// A host is added before another goes. For the few seconds in between a fleet of
+	// eight must not turn to homes, and back.
+	It("are still all daemons while hosts are being replaced", func() {
+		Expect(direct.Homes("g", 22, daemons(5, 2))).To(HaveLen(10))
+	})
+
 	It("are few of a large fleet, some in each zone, on strong hosts", func() {
 		homes := direct.Homes("g", 35, daemons(4, 18))
 		Expect(homes).To(HaveLen(4))
