--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -654,8 +654,10 @@
 			g.emit(Effect{Kind: EffectUnfence, Member: id})
 		}
 	}
-	if c.token != 0 && c.phase != promoting && !c.repair {
-		g.emit(Effect{Kind: EffectReleaseTicket, Term: c.term, Token: c.token})
+	if done := c.phase == promoting && g.primary == c.candidate && g.term > c.term; c.token != 0 && (done || c.phase != promoting) {
+		// Nothing can be ordered under the token any more, so nobody has to wait for
+		// its end before the next change.
+		g.emit(Effect{Kind: EffectReleaseTicket, Term: g.term, Token: c.token})
 	}
 	g.emit(Effect{Kind: EffectDecision, Member: c.candidate, Term: c.term, Reason: "claim ended: " + why})
 	g.emit(Effect{Kind: EffectReport})
--- a/core/direct/claim_test.go
+++ b/core/direct/claim_test.go
@@ -86,6 +86,19 @@
 		Expect(s.take(direct.EffectPromote)).To(BeEmpty())
 	})
 
+	// A primary fails soon after another one did. Were the first ticket waited out,
+	// callers would stand for four seconds more.
+	It("gives its ticket back when the promotion has taken effect", func() {
+		s := newScript()
+		s.silence()
+		s.fence(7)
+		s.tick(direct.LeaseFor, fencedAnswer)
+		s.effects = nil
+		s.status("b", direct.Status{Role: core.RolePrimary, Term: 2, Position: core.Position{Term: 1, LSN: 10}})
+		s.tick(20*ms, nil)
+		Expect(s.take(direct.EffectReleaseTicket)).To(ConsistOf(And(HaveField("Token", uint64(7)), HaveField("Term", core.Term(2)))))
+	})
+
 	It("chooses the replica that has received most", func() {
 		s := newScript()
 		s.silence()
--- a/core/direct/doc.go
+++ b/core/direct/doc.go
@@ -29,6 +29,6 @@
 // One daemon at a time may promote in a group: the holder of a ticket, a key of
 // the platform's store that is written under a condition. The revision of that
 // write is the fencing token. A ticket is good for TicketSendWindow on its
-// holder's clock, and others take it over only once they have seen it unchanged
-// for TicketLife.
+// holder's clock, and others take it over only once its holder has given it back
+// or they have seen it unchanged for TicketLife.
 package direct
--- a/core/direct/effect.go
+++ b/core/direct/effect.go
@@ -19,8 +19,9 @@
 	EffectClaim
 	// EffectReadTicket reads the group's ticket without taking it.
 	EffectReadTicket
-	// EffectReleaseTicket gives back the ticket Token, under which nothing was
-	// ordered, so that it does not look like a promotion to daemons that start later.
+	// EffectReleaseTicket gives back the ticket Token, under which nothing will be
+	// ordered any more. Term is the reign that it leaves, so that a claim which was
+	// given up does not look like a promotion to daemons that start later.
 	EffectReleaseTicket
 	// EffectPromote orders that the member takes over, under Token.
 	EffectPromote
--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -29,6 +29,9 @@
 	// that a fleet does not change its ways in the middle of a replacement.
 	connsPerDaemon = 2
 	directShare    = 0.95
+	// mostDirect daemons at most reach all members: each reports to all others of
+	// the group several times a second, which grows with their number's square.
+	mostDirect = 16
 	// mostHomesPerZone bounds how far a group's load is spread. More homes probe
 	// and report more and have fewer connections each.
 	mostHomesPerZone = 2
@@ -41,7 +44,7 @@
 // all. Daemons that know the same list choose alike; one that does not only
 // uses a few connections more.
 func Homes(group core.GroupID, maxConns int, daemons []Daemon) []core.DaemonID {
-	if float64(connsPerDaemon*len(daemons)) <= directShare*float64(maxConns) {
+	if len(daemons) <= mostDirect && float64(connsPerDaemon*len(daemons)) <= directShare*float64(maxConns) {
 		return ids(daemons)
 	}
 	budget := homeShare * float64(maxConns)
--- a/core/direct/homes_test.go
+++ b/core/direct/homes_test.go
@@ -36,6 +36,13 @@
 		Expect(direct.Homes("g", 22, daemons(5, 2))).To(HaveLen(10))
 	})
 
+	// Members that take many connections would let 80 daemons reach them, and each
+	// would report to 79 others: on the users' installation of that size reports were
+	// a third of a day's worth in traffic between zones.
+	It("are not all of a large fleet even if connections suffice", func() {
+		Expect(len(direct.Homes("g", 170, daemons(5, 16)))).To(BeNumerically("<=", 10))
+	})
+
 	It("are few of a large fleet, some in each zone, on strong hosts", func() {
 		homes := direct.Homes("g", 35, daemons(4, 18))
 		Expect(homes).To(HaveLen(4))
--- a/core/direct/tuning.go
+++ b/core/direct/tuning.go
@@ -47,7 +47,7 @@
 	// ClaimTimeout ends a take-over that does not get on.
 	ClaimTimeout = 6 * time.Second
 	// ClaimRetry is the pause before a refused claim is tried again.
-	ClaimRetry = 250 * time.Millisecond
+	ClaimRetry = 500 * time.Millisecond
 	// ClaimStagger keeps daemons that see the same failure from claiming at once.
 	ClaimStagger = 120 * time.Millisecond
 	// TicketSendWindow is how long after its claim a holder may order a promotion.
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -18,6 +18,8 @@
 	// Boot tells one life of a daemon from the next.
 	Boot int64     `json:"boot"`
 	Term core.Term `json:"term"`
+	// Free: the holder has given it back.
+	Free bool `json:"free,omitempty"`
 }
 
 // seenTicket is a ticket's revision and when this daemon first saw it.
@@ -56,7 +58,7 @@
 	if err == nil && !c.free(id, item) {
 		return 0, "another daemon has the ticket"
 	}
-	revision, err := c.put(ctx, id, item.Revision, term)
+	revision, err := c.put(ctx, id, item.Revision, ticket{Term: term})
 	if err != nil {
 		return 0, "store: " + err.Error()
 	}
@@ -64,20 +66,21 @@
 }
 
 // put writes the group's ticket if its last change is the revision.
-func (c *claims) put(ctx context.Context, id core.GroupID, last platform.Revision, term core.Term) (platform.Revision, error) {
+func (c *claims) put(ctx context.Context, id core.GroupID, last platform.Revision, t ticket) (platform.Revision, error) {
 	key := platform.TicketsPrefix + string(id)
-	value, err := json.Marshal(ticket{Holder: c.p.settings.Daemon, Boot: c.p.boot, Term: term})
+	t.Holder, t.Boot = c.p.settings.Daemon, c.p.boot
+	value, err := json.Marshal(t)
 	if err != nil {
 		return 0, err
 	}
 	return c.p.client.Put(ctx, []platform.Condition{{Key: key, Revision: last}}, []platform.Write{{Key: key, Value: value}})
 }
 
-// release gives back a ticket under which nothing was ordered.
+// release gives back a ticket under which nothing will be ordered any more.
 func (c *claims) release(id core.GroupID, e direct.Effect) {
 	ctx, cancel := context.WithTimeout(c.p.ctx, storeTimeout)
 	defer cancel()
-	if _, err := c.put(ctx, id, platform.Revision(e.Token), e.Term); err != nil {
+	if _, err := c.put(ctx, id, platform.Revision(e.Token), ticket{Term: e.Term, Free: true}); err != nil {
 		c.p.log.Warn("ticket not given back", "group", id, "error", err.Error())
 	}
 }
@@ -102,14 +105,14 @@
 	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.TicketRead(at, sent, t.Term) })
 }
 
-// free says whether the ticket may be taken over: it is this process's own, or
-// it has not changed for so long that its holder can order nothing under it.
+// free says whether the ticket may be taken over: it was given back, it is this
+// process's own, or it has not changed for so long that its holder can order nothing under it.
 func (c *claims) free(id core.GroupID, item platform.Item) bool {
 	var t ticket
 	if err := json.Unmarshal(item.Value, &t); err != nil {
 		c.p.log.Warn("ticket cannot be read, taken as held", "group", id, "error", err.Error())
 	}
-	if t.Holder == c.p.settings.Daemon && t.Boot == c.p.boot {
+	if t.Free || t.Holder == c.p.settings.Daemon && t.Boot == c.p.boot {
 		return true
 	}
 	at := now()
