Wait for the first configuration by a watch

Cause: 80 daemons that start before the operator asked for the configuration four times a second each. Change: the first read is a list, whose revision a watch goes on from.

--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -37,15 +37,22 @@
 	}
 }
 
+// loadConfiguration reads the configuration, if there is one yet, and returns the
+// store's own revision: a watch that goes on from it needs no history from
+// before, and waits for a first configuration without asking again and again.
 func (p *Proxy) loadConfiguration() (platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
-	item, err := p.client.Get(ctx, platform.ConfigurationKey)
+	items, revision, err := p.client.List(ctx, platform.ConfigurationKey)
 	if err != nil {
 		return 0, err
 	}
-	p.accept(item.Value)
-	return item.StoreRevision, nil
+	for _, item := range items {
+		if item.Key == platform.ConfigurationKey {
+			p.accept(item.Value)
+		}
+	}
+	return revision, nil
 }
 
 // watchConfiguration waits for the next change; 0 as the revision asks for a
