--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -258,19 +258,33 @@
 	}
 }
 
+// begun returns what the home has to run for a statement of the transaction, with
+// the begin before the first one; false: no home answers, the caller was told and
+// the transaction has failed, or is over if this was its commit.
+func (s *session) begun(j *job) (texts []string, ok bool) {
+	tx := s.tx
+	if tx.home != nil {
+		return []string{j.text}, true
+	}
+	l, err := s.connect(tx.route.Group, j.deadline())
+	if err != nil {
+		tx.failed = true
+		if j.kind == direct.StatementCommit {
+			s.tx = nil
+		}
+		s.notRun(j, err.Error(), 1)
+		return nil, false
+	}
+	tx.home = l
+	return []string{tx.beginText(), j.text}, true
+}
+
 // forwardInTransaction has the home run a statement of the open transaction.
 func (s *session) forwardInTransaction(j *job) {
 	tx := s.tx
-	texts := []string{j.text}
-	if tx.home == nil {
-		l, err := s.connect(tx.route.Group, j.deadline())
-		if err != nil {
-			tx.failed = true
-			s.notRun(j, err.Error(), 1)
-			return
-		}
-		tx.home = l
-		texts = []string{tx.beginText(), j.text}
+	texts, ok := s.begun(j)
+	if !ok {
+		return
 	}
 	a, sent, err := tx.home.run(s, j.id, texts, j.limit())
 	if err != nil {
@@ -290,16 +304,9 @@
 // forwardCommit has the home run the commit of the open transaction.
 func (s *session) forwardCommit(j *job) {
 	tx := s.tx
-	texts := []string{j.text}
-	if tx.home == nil {
-		l, err := s.connect(tx.route.Group, j.deadline())
-		if err != nil {
-			s.tx = nil
-			s.notRun(j, err.Error(), 1)
-			return
-		}
-		tx.home = l
-		texts = []string{tx.beginText(), j.text}
+	texts, ok := s.begun(j)
+	if !ok {
+		return
 	}
 	a, sent, err := tx.home.run(s, j.id, texts, j.limit())
 	s.tx = nil
@@ -346,22 +353,11 @@
 	return platform.TextBegin
 }
 
-// serveLinks takes sessions that entries hand over.
-func (p *Proxy) serveLinks(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			p.log.Warn("accept failed", "error", err.Error())
-			time.Sleep(reportGap)
-			continue
-		}
-		s := p.newSession(c)
-		s.linked = true
-		go s.runLinked()
-	}
+// serveLink takes a session that an entry hands over.
+func (p *Proxy) serveLink(c net.Conn) {
+	s := p.newSession(c)
+	s.linked = true
+	s.runLinked()
 }
 
 func (s *session) runLinked() {
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -77,6 +77,25 @@
 		}
 	})
 
+	// No home answers. The answer's state has to be the one that holds from then on:
+	// a caller that is told of an open transaction ends it, or its session.
+	It("is told the state of a transaction for which there is no home", func() {
+		f := newFleet(2)
+		home, entry := f.daemons[0], f.daemons[1]
+		f.split(home)
+		x := entry.dial("db-own")
+		home.kill()
+		x.query("BEGIN")
+		a := x.query("WRITE k 1")
+		Expect(a.end).To(HavePrefix("ERROR BUSY"))
+		Expect(a.state).To(Equal("E"))
+		Expect(x.query("ROLLBACK").state).To(Equal("I"))
+		x.query("BEGIN")
+		a = x.query("COMMIT")
+		Expect(a.end).To(HavePrefix("ERROR BUSY"))
+		Expect(a.state).To(Equal("I"))
+	})
+
 	// The home says that it stops while a statement of the entry is on its way. It was
 	// sent to a home that served; closed now, the link would leave it in doubt.
 	It("is served by the home even after that has said that it stops", func() {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -113,8 +113,8 @@
 	}
 	go p.serveHTTP("readiness", ready, p.answerReady)
 	go p.serveHTTP("metrics", metrics, p.answerMetrics)
-	go p.acceptCallers(callers)
-	go p.serveLinks(links)
+	go p.accepts(callers, func(c net.Conn) { p.newSession(c).run() })
+	go p.accepts(links, p.serveLink)
 	<-ctx.Done()
 	p.stop(callers)
 	close(p.done)
@@ -163,7 +163,8 @@
 	}
 }
 
-func (p *Proxy) acceptCallers(l net.Listener) {
+// accepts serves each connection in a goroutine of its own until l is closed.
+func (p *Proxy) accepts(l net.Listener, serve func(net.Conn)) {
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -174,7 +175,7 @@
 			time.Sleep(reportGap)
 			continue
 		}
-		go p.newSession(c).run()
+		go serve(c)
 	}
 }
 
