Tell the state after a commit that could not begin

Cause: a transaction without statements whose commit found no member was told as failed while the session was at rest; the caller's rollback was then malformed. Change: the transaction is over before the caller is told.

--- a/pkg/proxy/session_test.go
+++ b/pkg/proxy/session_test.go
@@ -132,6 +132,20 @@
 		}
 	})
 
+	// No member answers. Told of an open transaction after its commit, the caller
+	// would send a rollback into nothing.
+	It("is at rest after a commit that could not begin", func() {
+		f := newFleet(1)
+		for _, m := range f.group.Members() {
+			m.SetDark(true)
+		}
+		x := f.daemons[0].dial("db-primary")
+		x.query("BEGIN")
+		a := x.query("COMMIT")
+		Expect(a.end).To(HavePrefix("ERROR BUSY"))
+		Expect(a.state).To(Equal("I"))
+	})
+
 	It("loses a transaction in which its caller stays away, and is told", func() {
 		f := newFleet(1)
 		f.daemons[0].p.catalog.Load().IdleTransaction = 50 * time.Millisecond
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -82,6 +82,9 @@
 
 func (s *session) notOpened(j *job, why string, attempt int) bool {
 	s.tx.failed = true
+	if j.kind == direct.StatementCommit {
+		s.tx = nil
+	}
 	s.notRun(j, why, attempt)
 	return false
 }
@@ -170,7 +173,6 @@
 		return
 	}
 	if tx.conn == nil && !s.open(j) {
-		s.tx = nil
 		return
 	}
 	a, o := s.runPinned(j, tx.route.StatementTimeout-answerMargin)
