--- a/pkg/bench/capacity/page.go
+++ b/pkg/bench/capacity/page.go
@@ -41,6 +41,9 @@
 Bytes are those of sent and received datagrams together with IP and UDP headers.
 The machine is shared and the bench's own work is counted in, so processor
 times are on the high side.
+
+What a daemon costs on the users' platform, with the calls to its store, is in
+[CAPACITY-PLATFORM.md](CAPACITY-PLATFORM.md).
 `
 
 func table(b *strings.Builder, header []string, rows [][]string) {
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -312,8 +312,12 @@
 	soak := func(seed uint64, length time.Duration) {
 		dir := GinkgoT().TempDir()
 		if keep := os.Getenv("LIMPETSPAN_SOAK_LOGS"); keep != "" {
-			dir = filepath.Join(keep, strconv.FormatUint(seed, 10))
-			Expect(os.MkdirAll(dir, 0o700)).To(Succeed())
+			// Each run has a directory of its own: with the same seed played twice at
+			// once, daemons would start with each other's settings.
+			Expect(os.MkdirAll(keep, 0o700)).To(Succeed())
+			var err error
+			dir, err = os.MkdirTemp(keep, strconv.FormatUint(seed, 10)+"-")
+			Expect(err).NotTo(HaveOccurred())
 		}
 		w, err := newWorld(seed, binary, dir)
 		Expect(err).NotTo(HaveOccurred())
