Wait for the list of a large fleet before homes are chosen

Change: the fleet's size is kept in the store; a daemon that starts waits up to a second for 0.7 of it. Connections to members that a daemon leaves are closed.

--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 	"strings"
 	"time"
 
@@ -174,11 +175,11 @@
 			lease = p.register(lease)
 			renewed = at
 		}
-		if listed == 0 && p.settings.FirstStart && lease != 0 {
-			p.sleep(joinWait)
+		if listed == 0 && lease != 0 {
+			p.join()
 		}
 		if listed == 0 || at.Sub(listed) >= p.daemonsPause() {
-			if err := p.readDaemons(listed == 0); err == nil {
+			if _, err := p.readDaemons(listed == 0); err == nil {
 				listed = at
 				p.homes.decide()
 				p.wakeMembers()
@@ -194,6 +195,25 @@
 	}
 }
 
+// join waits until the list of daemons is complete enough to choose homes by it.
+// After a loss of power of all hosts, with the leases lapsed, the first daemons
+// would otherwise take a large fleet for a small one, and all would open
+// connections to all members.
+func (p *Proxy) join() {
+	deadline := now().Add(joinWait)
+	if p.settings.FirstStart {
+		p.sleep(joinWait)
+		return
+	}
+	for now() < deadline && p.running() {
+		complete, err := p.readDaemons(true)
+		if err == nil && complete {
+			return
+		}
+		p.sleep(joinPause)
+	}
+}
+
 // daemonsPause is the pause between reads of the list of daemons. Where reports
 // reach all of them, the list tells little that is new.
 func (p *Proxy) daemonsPause() time.Duration {
@@ -230,8 +250,9 @@
 }
 
 // readDaemons reads the list of daemons, and since when tickets have stood. The
-// first time it is not content with what may be old.
-func (p *Proxy) readDaemons(first bool) error {
+// first time it is not content with what may be old. complete says whether the
+// list has about as many daemons as there last were.
+func (p *Proxy) readDaemons(first bool) (complete bool, err error) {
 	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
 	read := p.client.ListStale
@@ -241,26 +262,39 @@
 			return items, err
 		}
 	}
-	items, err := read(ctx, platform.DaemonsPrefix)
+	items, err := read(ctx, platform.FleetPrefix)
 	if err != nil {
-		return err
+		return false, err
+	}
+	entries, size, revision := p.parseDaemons(items)
+	p.peers.listed(entries)
+	if !first {
+		p.noteSize(ctx, entries, size, revision)
 	}
-	p.peers.listed(p.parseDaemons(items))
 	sent := now()
 	tickets, err := read(ctx, platform.TicketsPrefix)
 	if err != nil {
-		return err
+		return false, err
 	}
 	p.claims.observe(tickets)
 	if first {
 		p.claims.tell(sent, tickets)
 	}
-	return nil
+	return float64(len(entries)) >= joinShare*float64(size), nil
 }
 
-func (p *Proxy) parseDaemons(items []platform.Item) map[core.DaemonID]daemonEntry {
-	entries := make(map[core.DaemonID]daemonEntry)
+// parseDaemons decodes the daemons' entries, and the size of the fleet as it was
+// last counted with that entry's revision.
+func (p *Proxy) parseDaemons(items []platform.Item) (entries map[core.DaemonID]daemonEntry, size int, revision platform.Revision) {
+	entries = make(map[core.DaemonID]daemonEntry)
 	for _, item := range items {
+		if item.Key == platform.FleetSizeKey {
+			if err := json.Unmarshal(item.Value, &size); err != nil {
+				p.log.Error("size of the fleet cannot be read", "error", err.Error())
+			}
+			revision = item.Revision
+			continue
+		}
 		var e daemonEntry
 		if err := json.Unmarshal(item.Value, &e); err != nil {
 			p.log.Error("daemon's entry cannot be read", "key", item.Key, "error", err.Error())
@@ -268,5 +302,24 @@
 		}
 		entries[core.DaemonID(strings.TrimPrefix(item.Key, platform.DaemonsPrefix))] = e
 	}
-	return entries
+	return entries, size, revision
+}
+
+// noteSize has the daemon with the lowest id write the fleet's size if it has
+// changed much.
+func (p *Proxy) noteSize(ctx context.Context, entries map[core.DaemonID]daemonEntry, size int, revision platform.Revision) {
+	for id := range entries {
+		if id < p.settings.Daemon {
+			return
+		}
+	}
+	if math.Abs(float64(len(entries)-size)) <= sizeChange*float64(size) {
+		return
+	}
+	value, err := json.Marshal(len(entries))
+	if err == nil {
+		_, err = p.client.Put(ctx, []platform.Condition{{Key: platform.FleetSizeKey, Revision: revision}},
+			[]platform.Write{{Key: platform.FleetSizeKey, Value: value}})
+	}
+	p.log.Info("size of the fleet", "daemons", len(entries), "before", size, "error", errorText(err))
 }
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -320,6 +320,25 @@
 	}
 }
 
+// leave closes the connections of a group whose members this daemon does not
+// reach any more: its homes need them.
+func (g *group) leave() {
+	g.mu.Lock()
+	var old []*memberConn
+	for id, list := range g.idle {
+		for range list {
+			g.core.ConnTaken(id)
+			g.core.ConnClosed(id)
+		}
+		old = append(old, list...)
+		delete(g.idle, id)
+	}
+	g.mu.Unlock()
+	for _, conn := range old {
+		conn.close()
+	}
+}
+
 // surplus takes idle connections beyond the fair share, and those to members
 // that are forgotten.
 func (g *group) surplus(c *direct.Group, at core.Time) []*memberConn {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -266,9 +266,15 @@
 			return
 		case <-t.C:
 		}
-		for _, g := range p.activeGroups() {
+		active := p.activeGroups()
+		for _, g := range active {
 			g.tick()
 		}
+		for _, g := range p.allGroups() {
+			if !slices.Contains(active, g) {
+				g.leave()
+			}
+		}
 	}
 }
 
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -29,9 +29,15 @@
 	// usedGroupKept is how long a daemon that is no home of a group keeps reaching
 	// its members after a statement.
 	usedGroupKept = 10 * time.Second
-	// joinWait is how long a daemon waits, when the whole fleet starts for the first
-	// time, before it takes the list of daemons for complete.
-	joinWait = time.Second
+	// joinWait is how long a daemon waits at most, when a whole fleet starts, before
+	// it takes the list of daemons for complete, and joinPause the pause between reads.
+	joinWait  = time.Second
+	joinPause = 150 * time.Millisecond
+	// joinShare of the last known size makes a list complete enough.
+	joinShare = 0.7
+	// sizeChange is by what share the fleet has to change for its size to be
+	// written anew.
+	sizeChange = 0.25
 	// idleConnKeep is how long a connection beyond the fair share stays open unused.
 	idleConnKeep = 3 * time.Second
 	// membersEvery is the pause between reads of the host list: a leaving member
