Leave a home that is none any more

Cause: sessions stayed linked to former homes, whose connections to members came on top of those of the present ones. Change: an entry moves a session at rest when its home is not among the homes. Conclusion: kept for the members' limits.

--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -88,6 +88,22 @@
 	return h.decided
 }
 
+// is says whether a link to the daemon may stay: it is a home of the group, or
+// none of the homes can be asked now.
+func (h *homes) is(id core.GroupID, daemon core.DaemonID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := now()
+	asked := false
+	for _, home := range h.of[id] {
+		if home == daemon {
+			return true
+		}
+		asked = asked || at >= h.avoid[home]
+	}
+	return !asked
+}
+
 // order returns the daemons to ask for the group, best first, without those that
 // have just failed to answer.
 func (h *homes) order(id core.GroupID) []core.DaemonID {
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -35,9 +35,10 @@
 var errNoHome = errors.New("no home of the group answers")
 
 // connect returns the session's link to a home of the group, a new one if the
-// old one has ended or its home is leaving.
+// old one has ended or its home is leaving. A daemon that is no home any more is
+// left as well: its connections to members come on top of the present homes'.
 func (s *session) connect(id core.GroupID, deadline core.Time) (*link, error) {
-	if s.link != nil && s.link.group == id && s.link.usable() {
+	if s.link != nil && s.link.group == id && s.link.usable() && s.p.homes.is(id, s.link.home) {
 		return s.link.link, nil
 	}
 	s.unlink()
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -77,6 +77,21 @@
 		}
 	})
 
+	// Another daemon has become home. Sessions that stayed at the old one would keep
+	// its connections to members open beside those of the new one, and the members
+	// had no room for either.
+	It("moves to the new home when the old one is none any more", func() {
+		f := newFleet(3)
+		f.split(f.daemons[0])
+		x := f.daemons[2].dial("db-own")
+		x.persist("WRITE k 1")
+		Expect(f.daemons[0].p.countSessions()).To(Equal(1))
+		f.split(f.daemons[1])
+		Expect(x.persist("READ k").rows).To(Equal([]string{"1"}))
+		Expect(f.daemons[1].p.countSessions()).To(Equal(1))
+		Eventually(f.daemons[0].p.countSessions, patience).Should(BeZero())
+	})
+
 	// No home answers. The answer's state has to be the one that holds from then on:
 	// a caller that is told of an open transaction ends it, or its session.
 	It("is told the state of a transaction for which there is no home", func() {
