Send a member that refuses for load less at once

Change: a refusal for load narrows the member's window to half of what is in use; answers widen it slowly.

--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -63,7 +63,7 @@
 		seen[l.ID] = true
 		m := g.members[l.ID]
 		if m == nil {
-			m = &member{heardAt: now}
+			m = &member{heardAt: now, window: mostWindow}
 			g.members[l.ID] = m
 			g.order = append(g.order, l.ID)
 		}
@@ -332,8 +332,10 @@
 	switch o {
 	case Succeeded:
 		m.measured(now.Sub(sent))
+		m.uncongested()
 	case Busy:
 		m.busyAt = now
+		m.congested()
 	case NotPrimary:
 		g.notPrimary(now, id, m)
 	}
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -37,6 +37,20 @@
 	latency time.Duration
 	// open and idle count connections for statements.
 	open, idle int
+	// window is how many connections may be in use at once before new work waits.
+	window float64
+}
+
+// congested narrows the window: the member's own queue was full. What waits there
+// is late when it runs, and all that is sent on top of it is refused, so that a
+// short overload would go on for as long as callers come back.
+func (m *member) congested() {
+	m.window = max(leastWindow, windowCut*float64(m.open-m.idle))
+}
+
+// uncongested widens the window after an answer.
+func (m *member) uncongested() {
+	m.window = min(mostWindow, m.window+windowGrowth/m.window)
 }
 
 // leaving says whether the member is to get no new work. An entry that is gone
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -134,6 +134,9 @@
 
 // room says whether a connection to the member is free or may be opened.
 func (g *Group) room(now core.Time, m *member) (dial, ok bool) {
+	if float64(m.open-m.idle) >= m.window {
+		return false, false
+	}
 	if m.idle > 0 {
 		return false, true
 	}
--- a/core/direct/place_test.go
+++ b/core/direct/place_test.go
@@ -112,6 +112,27 @@
 		Expect(ok).To(BeFalse(), "at the soft limit")
 	})
 
+	// A replica was slow for a while, its reads went to the primary, whose queue filled
+	// up. It refuses at once what comes on top, callers come again, and the overload
+	// goes on long after its cause has gone.
+	It("waits here while a member that has refused for load has half of its work left", func() {
+		s := newScript()
+		write := direct.Need{Primary: true, Arrived: s.at}
+		for range 6 {
+			s.g.ConnOpened("a")
+		}
+		s.keep(s.g.Answered(s.at, s.at, "a", core.Position{}, direct.Busy))
+		s.pass(direct.BusyBackoff)
+		s.g.ConnIdle("a")
+		s.g.ConnIdle("a")
+		_, ok := s.g.Place(s.at, write)
+		Expect(ok).To(BeFalse(), "four of six are still in use")
+		s.g.ConnIdle("a")
+		s.g.ConnIdle("a")
+		_, ok = s.g.Place(s.at, write)
+		Expect(ok).To(BeTrue(), "two are")
+	})
+
 	// The host list forgets a member that the store cannot hear. It still answers,
 	// and with a store that was away its entry is back after two seconds.
 	It("stays on a member that has just vanished from the host list, and leaves it later", func() {
--- a/core/direct/tuning.go
+++ b/core/direct/tuning.go
@@ -99,6 +99,12 @@
 	patienceFactor = 10
 	leastPatience  = 400 * time.Millisecond
 	mostPatience   = 600 * time.Millisecond
+	// The window of connections in use: its bounds, what is left of the present use
+	// when the member refuses for load, and by how much some answers widen it.
+	leastWindow  = 1.0
+	mostWindow   = 64.0
+	windowCut    = 0.5
+	windowGrowth = 0.05
 	// primaryShare and replicaShare of a member's connections may be open before
 	// each daemon keeps to its equal part of them. Open transactions keep some
 	// eight of a primary's 22 busy at the sizes of today; reads need few.
