--- a/cmd/limpetspand/main.go
+++ b/cmd/limpetspand/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -15,6 +16,7 @@
 	"limpetspan/pkg/daemon"
 	"limpetspan/pkg/proxy"
 	"limpetspan/pkg/settings"
+	"limpetspan/pkg/telemetry"
 	"limpetspan/platform"
 )
 
@@ -26,10 +28,13 @@
 )
 
 type arguments struct {
-	Config   string `arg:"--config" placeholder:"FILE.ini" help:"settings of the daemon"`
-	Platform bool   `arg:"--platform" help:"serve the platform's callers; its settings file is named by LIMPETSPAN_CONFIG"`
-	Check    bool   `arg:"--check" help:"check the settings and exit"`
-	Settings bool   `arg:"--settings" help:"print all settings as Markdown and exit"`
+	Config   string  `arg:"--config" placeholder:"FILE.ini" help:"settings of the daemon"`
+	Platform bool    `arg:"--platform" help:"serve the platform's callers; its settings file is named by LIMPETSPAN_CONFIG"`
+	Trace    string  `arg:"--trace" default:"none" placeholder:"none|stdout|otlp" help:"with --platform: where spans go"`
+	TraceURL string  `arg:"--trace-endpoint" placeholder:"URL" help:"with --trace otlp: the collector"`
+	Sample   float64 `arg:"--trace-sample" default:"0.01" placeholder:"SHARE" help:"with --trace: share of statements that are traced"`
+	Check    bool    `arg:"--check" help:"check the settings and exit"`
+	Settings bool    `arg:"--settings" help:"print all settings as Markdown and exit"`
 }
 
 // Version is the build's version, for --version.
@@ -73,7 +78,7 @@
 		return exitOK
 	}
 	if args.Platform {
-		return servePlatform()
+		return servePlatform(&args)
 	}
 	if args.Config == "" {
 		fmt.Fprintln(os.Stderr, "limpetspand: --config is required; see --help")
@@ -95,7 +100,7 @@
 }
 
 // servePlatform runs the daemon that reaches the platform's members itself.
-func servePlatform() int {
+func servePlatform(args *arguments) int {
 	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "limpetspand:", err)
@@ -103,7 +108,15 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	provider, err := args.provider(ctx, &s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "limpetspand:", err)
+		return exitSettings
+	}
 	p := proxy.New(s, os.Stdout)
+	if provider.Enabled() {
+		p.SetTracer(provider.Tracer("limpetspan/proxy"))
+	}
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
 	go func() {
@@ -111,13 +124,31 @@
 			p.Reload(platform.LoadSettings(os.Getenv(platform.SettingsVariable)))
 		}
 	}()
-	if err := p.Run(ctx); err != nil {
+	err = p.Run(ctx)
+	if shutdown := provider.Shutdown(context.Background()); shutdown != nil {
+		fmt.Fprintln(os.Stderr, "limpetspand: spans not sent:", shutdown)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "limpetspand:", err)
 		return exitFailed
 	}
 	return exitOK
 }
 
+// provider returns where spans go, as the arguments say.
+func (a *arguments) provider(ctx context.Context, s *platform.Settings) (*telemetry.Provider, error) {
+	switch {
+	case a.Trace != settings.ExporterNone && a.Trace != settings.ExporterStdout && a.Trace != settings.ExporterOTLP:
+		return nil, fmt.Errorf("--trace %q: allowed are none, stdout and otlp", a.Trace)
+	case a.Trace == settings.ExporterOTLP && a.TraceURL == "":
+		return nil, errors.New("--trace otlp needs --trace-endpoint")
+	case a.Sample < 0 || a.Sample > 1:
+		return nil, fmt.Errorf("--trace-sample %v: not between 0 and 1", a.Sample)
+	}
+	return telemetry.NewProvider(ctx, settings.Trace{Exporter: a.Trace, Endpoint: a.TraceURL, Sample: a.Sample},
+		settings.Daemon{ID: string(s.Daemon), Zone: string(s.Zone)}, os.Stdout)
+}
+
 func serve(s *settings.Settings) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/cmd/limpetspand/platform_test.go
+++ b/cmd/limpetspand/platform_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -18,17 +17,14 @@
 
 // platformSettings writes a settings file as the platform does.
 func platformSettings(dir, store, callers string) string {
-	_, port, err := net.SplitHostPort(callers)
-	Expect(err).NotTo(HaveOccurred())
-	inner, err := strconv.Atoi(port)
-	Expect(err).NotTo(HaveOccurred())
+	a, b := freePort(), freePort()
 	ready, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	defer ready.Close()
 	data, err := json.Marshal(map[string]any{
 		"node_name": "edge-1", "ip": "127.0.0.2", "zone": "zone-1", "seeds": []string{"127.0.0.3:1"},
 		"listen":         map[string]any{"frontend": callers, "ready": ready.Addr().String()},
-		"internal_ports": []int{inner, inner}, "limits": map[string]any{"memory_mb": 200},
+		"internal_ports": []int{min(a, b), max(a, b)}, "limits": map[string]any{"memory_mb": 200},
 		"bounds": map[string]any{"grace_s": 1}, "platform": map[string]any{"address": store, "ttl_min_ms": 1000},
 		"cloud_api": map[string]any{"address": store}, "not_known_yet": 1,
 	})
@@ -38,6 +34,13 @@
 	return file
 }
 
+func freePort() int {
+	l, err := net.Listen("tcp", "127.0.0.2:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
 var _ = Describe("limpetspand --platform", func() {
 	const patience = 20 * time.Second
 
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -137,6 +137,8 @@
 // of which is the caller's statement; its answer is returned. sent is false if
 // nothing of that statement can have reached the home.
 func (l *link) run(s *session, id string, texts []string, deadline time.Time) (a platform.Answer, sent bool, err error) {
+	end := s.hop("home.link", id, string(l.home))
+	defer func() { end(outcomeText(a.Code, err)) }()
 	l.out = l.out[:0]
 	before := l.adopt(s)
 	for _, text := range texts[:len(texts)-1] {
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"limpetspan/core"
@@ -77,6 +79,27 @@
 		}
 	})
 
+	It("leaves a span for each hop", func() {
+		f := newFleet(2)
+		f.split(f.daemons[0])
+		spans := tracetest.NewInMemoryExporter()
+		provider := sdktrace.NewTracerProvider(sdktrace.WithSyncer(spans))
+		for _, d := range f.daemons {
+			d.p.SetTracer(provider.Tracer("test"))
+		}
+		x := f.daemons[1].dial("db-primary")
+		a := x.persist("WRITE k 1")
+		var names []string
+		for _, span := range spans.GetSpans() {
+			for _, attr := range span.Attributes {
+				if attr.Value.AsString() == a.id {
+					names = append(names, span.Name)
+				}
+			}
+		}
+		Expect(names).To(ConsistOf("entry.statement", "home.link", "entry.statement", "member.exchange"))
+	})
+
 	// Another daemon has become home. Sessions that stayed at the old one would keep
 	// its connections to members open beside those of the new one, and the members
 	// had no room for either.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
 
 	"limpetspan/core"
@@ -28,6 +29,7 @@
 	client   *platform.Client
 	log      hclog.Logger
 	stats    *stats
+	tracer   trace.Tracer
 	limiter  limiter
 	boot     int64
 	claims   *claims
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -104,7 +104,9 @@
 		return platform.Answer{State: platform.StateIdle}, now(), direct.NotPrimary
 	}
 	sent := now()
+	end := s.hop("member.exchange", j.id, string(conn.member))
 	a, wrote, err := conn.exchange(id, j.text, place.Since, limit)
+	end(outcomeText(a.Code, err))
 	if err != nil {
 		s.p.stats.broken.Add(1)
 		g.unanswered(conn, sent)
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -39,6 +40,8 @@
 	// says that the caller is at another daemon, for which this one is home.
 	link   *groupLink
 	linked bool
+	// ctx carries the span of the hop under way, if hops are traced.
+	ctx context.Context
 	// toldEntry is set once the entry was told that this home stops.
 	toldEntry atomic.Bool
 	// waitingSince is since when the session waits for a message outside a
@@ -210,6 +213,13 @@
 
 // serve runs one statement and answers it.
 func (s *session) serve(st *direct.Statement) error {
+	end := s.hop("entry.statement", st.ID, "")
+	err := s.answerStatement(st)
+	end(outcomeText("", err))
+	return err
+}
+
+func (s *session) answerStatement(st *direct.Statement) error {
 	s.p.stats.statements.Add(1)
 	arrived := now()
 	s.out = s.out[:0]
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -116,7 +116,9 @@
 		return platform.Answer{}, direct.NotSent
 	}
 	sent := now()
+	end := s.hop("member.exchange", j.id, string(tx.conn.member))
 	a, wrote, err := tx.conn.exchange(j.id, j.text, core.Position{}, deadline)
+	end(outcomeText(a.Code, err))
 	if err != nil {
 		s.p.stats.broken.Add(1)
 		s.debug("answer", "id", j.id, "member", tx.conn.member, "error", err, "ms", now().Sub(sent).Milliseconds())
