Close a socket before its request is cancelled, and read the host list less often

Each change of homes had the host list read. Change: close first, then cancel; the list is read at once only by a daemon that has become home.

--- a/pkg/front/server.go
+++ b/pkg/front/server.go
@@ -209,12 +209,13 @@
 }
 
 // cutOff closes all connections. Their goroutines find out and end; requests
-// in flight end by their context.
+// in flight end by their context. The socket is closed first: the error of a
+// cancelled request could otherwise still go out, or not.
 func (s *Server) cutOff() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.callers {
-		c.cancel()
 		c.socket.Close()
+		c.cancel()
 	}
 }
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -44,10 +44,13 @@
 	}
 	for id, spec := range catalog.Groups {
 		chosen := direct.Homes(id, spec.MaxConns, slices.Clone(daemons))
-		if !slices.Equal(chosen, h.of[id]) {
+		here := slices.Contains(chosen, h.p.settings.Daemon)
+		if here && !slices.Contains(h.of[id], h.p.settings.Daemon) {
 			// Members that were not reached before have to be known at once.
 			h.p.wakeMembers()
-			h.p.log.Info("homes", "group", id, "homes", len(chosen), "of", len(daemons), "here", slices.Contains(chosen, h.p.settings.Daemon))
+		}
+		if !slices.Equal(chosen, h.of[id]) {
+			h.p.log.Info("homes", "group", id, "homes", len(chosen), "of", len(daemons), "here", here)
 		}
 		h.of[id] = chosen
 	}
