Have a lease from replicas only without a gap, and let only homes promote

A daemon that was no home had an entry's session, could not reach the primary for want of room, took it for missing and replaced it. The homes get no reports from it; the promotion ended the other replica's fence, which still gave the old term, and the homes extended their leases by it. Change: a lease that has run out is had again only by a read of the ticket or from another daemon's lease, not from replicas: fences stand until every lease has run out. Only homes change a primary. Large fleets choose homes with each new list.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -82,6 +82,8 @@
 	Claiming bool
 	// Ordered is the highest term for which a promotion is known to be ordered.
 	Ordered core.Term
+	// LeaseLeft is for how long after the report the sender holds a lease on Primary.
+	LeaseLeft time.Duration
 	// Sample is a position of the primary, SampleAge how long before the report
 	// it was asked for; zero: none.
 	Sample    core.Position
@@ -107,6 +109,7 @@
 		Group: g.id, Primary: g.primary, Term: g.term,
 		Suspect: p != nil && p.suspect, Claiming: g.claim.phase != noClaim, Ordered: g.ordered,
 	}
+	r.LeaseLeft = max(0, g.LeaseUntil(now).Sub(now))
 	if newest, ok := g.samples.newest(); ok {
 		r.Sample, r.SampleAge = newest.position, now.Sub(newest.at)
 	}
@@ -143,6 +146,7 @@
 		}
 	}
 	g.believe(now, sent, &r)
+	g.LeaseUntil(now)
 	return g.take()
 }
 
@@ -158,6 +162,10 @@
 		m.reigns = r.Term
 		g.reigns(now, r.Primary)
 	}
+	if g.primary == r.Primary && sent != 0 && r.LeaseLeft > 0 {
+		// Nobody else takes over while that daemon holds its lease.
+		g.peerLease = max(g.peerLease, sent.Add(r.LeaseLeft))
+	}
 	if g.primary == r.Primary && sent != 0 && !r.Sample.IsZero() {
 		g.samples.add(sent.Add(-r.SampleAge), r.Sample)
 	}
@@ -165,6 +173,7 @@
 
 // Tick lets time pass: probes become due and take-overs get on.
 func (g *Group) Tick(now core.Time) []Effect {
+	g.LeaseUntil(now)
 	g.probe(now)
 	g.renewByTicket(now)
 	g.demoteStrays(now)
@@ -190,7 +199,7 @@
 // renewByTicket reads the ticket while the replicas' confirmations fail to come.
 func (g *Group) renewByTicket(now core.Time) {
 	p := g.members[g.primary]
-	if p == nil || p.suspect || g.claim.phase != noClaim || now.Sub(g.primarySince) < LeaseFor && g.ticket.at != 0 {
+	if p == nil || p.suspect || g.claim.phase != noClaim || p.leaving(now) && g.peerClaims(now) {
 		return
 	}
 	if g.LeaseUntil(now).Sub(now) >= TicketReadBefore || now.Sub(g.ticket.askedAt) < TicketReadEvery || g.superseded() {
@@ -410,7 +419,7 @@
 
 func (g *Group) maybeClaim(now core.Time) {
 	r := g.reason(now)
-	if r == noReason {
+	if r == noReason || !g.home {
 		g.claim.wantedSince = 0
 		return
 	}
--- a/core/direct/doc.go
+++ b/core/direct/doc.go
@@ -15,14 +15,13 @@
 //
 // # The primary
 //
-// The primary is used only under a lease: floor(n/2) of the group's replicas
-// have reported the primary's own term and no fence in probes sent less than
-// LeaseFor ago, by this daemon or by another one that passed the result on; or
-// the group's ticket in the store named no newer term in a read sent less than
-// LeaseFor ago. A daemon that promotes another member first takes the ticket,
-// fences so many replicas that each such set holds a fenced one, and waits until
-// all leases that were confirmed before have run out. Reads check the lease when
-// they are sent, writes when their answer is passed on.
+// The primary is used only under a lease. A daemon gets one by a read of the
+// group's ticket in the store that names no newer term, or from the lease of
+// another daemon, and extends it without a gap while floor(n/2) of the group's
+// replicas report the primary's own term and no fence; each counts for LeaseFor
+// from when it was asked for. A daemon that promotes another member first takes
+// the ticket, fences so many replicas that each such set holds a fenced one, and
+// waits until all leases have run out when the promotion takes effect.
 //
 // # Promotion
 //
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -28,6 +28,12 @@
 	knownPeers   int
 	claim        claim
 	ticket       ticketRead
+	// lease is until when the primary may be used, peerLease until when another daemon
+	// holds a lease on it.
+	lease, peerLease core.Time
+	// home is set if this daemon is one of the group's homes, which alone change its
+	// primary.
+	home bool
 	// ordered is the highest term for which a promotion is known to have been
 	// ordered, by any daemon; orderedAt is when that was learnt.
 	ordered   core.Term
@@ -42,6 +48,8 @@
 	at   core.Time
 	// askedAt is when the last read was ordered.
 	askedAt core.Time
+	// aheadSince is since when reads name a newer term than any that reigns.
+	aheadSince core.Time
 }
 
 // NewGroup returns the view of a daemon that has heard nothing yet.
@@ -53,8 +61,11 @@
 // Configure takes the configuration's word on the group.
 func (g *Group) Configure(spec GroupSpec) { g.spec = spec }
 
-// SetDaemons says how many daemons share the group's connections.
-func (g *Group) SetDaemons(n int) { g.daemons, g.knownPeers = max(1, n), max(1, n) }
+// SetHomes says how many daemons share the group's connections, and whether this
+// is one of them.
+func (g *Group) SetHomes(n int, here bool) {
+	g.daemons, g.knownPeers, g.home = max(1, n), max(1, n), here
+}
 
 // List takes the host list's entries of the group.
 func (g *Group) List(now core.Time, listed []Member) {
@@ -118,18 +129,27 @@
 	return n
 }
 
-// LeaseUntil returns until when the primary may be used.
+// LeaseUntil returns until when the primary may be used. Every event that can
+// extend the lease ends with it.
 func (g *Group) LeaseUntil(now core.Time) core.Time {
 	p := g.members[g.primary]
-	if p == nil || !p.isPrimary(g.term) || g.superseded() || g.ticket.at == 0 {
+	if p == nil || !p.isPrimary(g.term) || g.superseded() {
+		g.lease = 0
 		return 0
 	}
-	return max(g.leaseOfReplicas(now, p), g.leaseOfTicket())
+	g.lease = max(g.lease, g.leaseOfTicket(), g.peerLease)
+	// Replicas only extend a lease that has not run out. Their fences stand until the
+	// promotion takes effect, which is not before all leases have run out; it ends
+	// them, and a replica that has not heard of the new term then confirms the old
+	// one. Whoever has held a lease without a gap cannot have met that.
+	if now < g.lease {
+		g.lease = max(g.lease, g.leaseOfReplicas(now, p))
+	}
+	return g.lease
 }
 
 // leaseOfTicket is the lease that a read of the store gives: nobody had claimed
-// a newer term when it was sent. It serves a daemon that reaches the primary but
-// no replica, and costs a call to the store.
+// a newer term when it was sent.
 func (g *Group) leaseOfTicket() core.Time {
 	if g.ticket.at == 0 || g.ticket.term > g.term {
 		return 0
@@ -152,14 +172,19 @@
 // TicketRead takes the term of the group's ticket, 0 if there is none, from a
 // read that was sent at sent.
 func (g *Group) TicketRead(now, sent core.Time, term core.Term) []Effect {
-	if g.ticket.at == 0 && !g.peerClaims(now) {
-		// What was ordered before this daemon started is not known; the holder of the
-		// ticket may have done so.
-		g.learnOrdered(now, term)
-	}
 	if sent > g.ticket.at {
 		g.ticket.term, g.ticket.at = term, sent
 	}
+	switch {
+	case term <= g.term:
+		g.ticket.aheadSince = 0
+	case g.ticket.aheadSince == 0:
+		g.ticket.aheadSince = now
+	case now.Sub(g.ticket.aheadSince) > OrphanedFence && !g.peerClaims(now):
+		// Its holder is gone, and may have ordered the promotion.
+		g.learnOrdered(now, term)
+	}
+	g.LeaseUntil(now)
 	return g.take()
 }
 
@@ -216,6 +241,7 @@
 	}
 	g.term = t
 	g.primary = ""
+	g.lease, g.peerLease = 0, 0
 	g.samples.clear()
 }
 
@@ -240,7 +266,7 @@
 	} else if g.primary == id {
 		g.primary = ""
 	}
-	if g.primary == id && g.Leased(now) {
+	if g.Leased(now) && g.primary == id {
 		g.samples.add(sent, st.Position)
 	}
 	g.claimProbed(now, id, st)
@@ -262,6 +288,7 @@
 		return
 	}
 	g.primary, g.primarySince = id, now
+	g.lease, g.peerLease = 0, 0
 	g.samples.clear()
 	g.emit(Effect{Kind: EffectDecision, Member: id, Term: g.term, Reason: "reigns"})
 	g.emit(Effect{Kind: EffectReport})
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -183,11 +183,14 @@
 	if c := s.p.catalog.Load(); c != nil {
 		m.ConfigVersion = c.Version
 	}
-	s.p.homes.update()
+	if s.p.homes.everywhere() {
+		// A small fleet learns by reports who has come and gone, a large one from the list.
+		s.p.homes.update()
+	}
 	for _, g := range s.p.activeGroups() {
-		_, n := s.p.homes.here(g.id)
+		here, n := s.p.homes.here(g.id)
 		g.mu.Lock()
-		g.core.SetDaemons(n)
+		g.core.SetHomes(n, here)
 		r := g.core.Report(now())
 		g.mu.Unlock()
 		m.Groups = append(m.Groups, encodeReport(&r))
@@ -200,7 +203,9 @@
 func encodeReport(r *direct.Report) *reportpb.Group {
 	out := &reportpb.Group{
 		Group: string(r.Group), Primary: string(r.Primary), Term: uint64(r.Term), Suspect: r.Suspect, Claiming: r.Claiming, Ordered: uint64(r.Ordered),
-		SampleTerm: uint64(r.Sample.Term), SampleLsn: uint64(r.Sample.LSN), SampleAgeUs: microseconds(r.SampleAge),
+		// Rounded down: a lease must not look longer than it is.
+		LeaseLeftUs: uint64(r.LeaseLeft / time.Microsecond),
+		SampleTerm:  uint64(r.Sample.Term), SampleLsn: uint64(r.Sample.LSN), SampleAgeUs: microseconds(r.SampleAge),
 	}
 	for _, m := range r.Members {
 		out.Members = append(out.Members, &reportpb.Member{
@@ -218,7 +223,7 @@
 func decodeReport(g *reportpb.Group) direct.Report {
 	r := direct.Report{
 		Group: core.GroupID(g.Group), Primary: core.MemberID(g.Primary), Term: core.Term(g.Term),
-		Suspect: g.Suspect, Claiming: g.Claiming, Ordered: core.Term(g.Ordered),
+		Suspect: g.Suspect, Claiming: g.Claiming, Ordered: core.Term(g.Ordered), LeaseLeft: time.Duration(g.LeaseLeftUs) * time.Microsecond,
 		Sample:    core.Position{Term: core.Term(g.SampleTerm), LSN: core.LSN(g.SampleLsn)},
 		SampleAge: time.Duration(g.SampleAgeUs) * time.Microsecond,
 	}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -17,6 +17,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	// The daemon is built by the test; importing what it is made of lets the test
+	// cache see its changes.
+	_ "limpetspan/pkg/proxy"
 	"limpetspan/platform/standin"
 )
 
