--- /dev/null
+++ b/core/direct/report.go
@@ -0,0 +1,154 @@
+package direct
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// peerReport is what another daemon believes of the group.
+type peerReport struct {
+	at      core.Time
+	suspect bool
+	primary core.MemberID
+	term    core.Term
+	// claiming is set while that daemon works a change of the primary.
+	claiming bool
+	// open counts its connections by member.
+	open map[core.MemberID]int
+}
+
+// relayed is a replica's confirmation of a term that another daemon has got; at
+// is a moment of this daemon's clock that was not after that daemon's probe.
+type relayed struct {
+	term core.Term
+	at   core.Time
+}
+
+// Report is what a daemon tells the others of a group.
+type Report struct {
+	Group    core.GroupID
+	Primary  core.MemberID
+	Term     core.Term
+	Suspect  bool
+	Claiming bool
+	// Ordered is the highest term for which a promotion is known to be ordered.
+	Ordered core.Term
+	// LeaseLeft is for how long after the report the sender holds a lease on Primary.
+	LeaseLeft time.Duration
+	// Sample is a position of the primary, SampleAge how long before the report
+	// it was asked for; zero: none.
+	Sample    core.Position
+	SampleAge time.Duration
+	Members   []MemberReport
+}
+
+// MemberReport is what a daemon tells of one member.
+type MemberReport struct {
+	Member core.MemberID
+	// Open is how many connections the sender has to it.
+	Open int
+	// Confirmed, if not 0, is the term that the member, as a replica, confirmed: it
+	// knew no newer one and was not fenced when it was probed, Age before the report.
+	Confirmed core.Term
+	Age       time.Duration
+}
+
+// Report returns what to tell the other daemons.
+func (g *Group) Report(now core.Time) Report {
+	p := g.members[g.primary]
+	r := Report{
+		Group: g.id, Primary: g.primary, Term: g.term,
+		Suspect: p != nil && p.suspect, Claiming: g.claim.phase != noClaim, Ordered: g.ordered,
+	}
+	r.LeaseLeft = max(0, g.LeaseUntil(now).Sub(now))
+	if newest, ok := g.samples.newest(); ok {
+		r.Sample, r.SampleAge = newest.position, now.Sub(newest.at)
+	}
+	for _, id := range g.order {
+		m := g.members[id]
+		out := MemberReport{Member: id, Open: m.open}
+		if m.confirms(g.term) && now.Sub(m.statusAt) < LeaseFor {
+			out.Confirmed, out.Age = g.term, now.Sub(m.statusAt)
+		}
+		if out.Open > 0 || out.Confirmed != 0 {
+			r.Members = append(r.Members, out)
+		}
+	}
+	return r
+}
+
+// PeerReported takes another daemon's report. sent is a moment of this daemon's
+// clock that was not after the report was sent; 0: none is known.
+func (g *Group) PeerReported(now, sent core.Time, from core.DaemonID, r Report) []Effect {
+	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, open: make(map[core.MemberID]int)}
+	for _, x := range r.Members {
+		p.open[x.Member] = x.Open
+		if m := g.members[x.Member]; m != nil && x.Confirmed != 0 {
+			m.relay(x.Confirmed, sent.Add(-x.Age))
+		}
+	}
+	g.peers[from] = p
+	g.learnOrdered(now, r.Ordered)
+	if r.Term > g.term {
+		// Its primary reigns; whom this daemon used does so no longer.
+		g.sawTerm(r.Term)
+		for _, m := range g.members {
+			m.probeAt = 0
+		}
+	}
+	g.believe(now, sent, &r)
+	g.LeaseUntil(now)
+	return g.take()
+}
+
+// believe takes another daemon's word on the primary of the present term, and a
+// sample of its position. Both are true whoever has seen them; whether the
+// primary may be used still takes a lease.
+func (g *Group) believe(now, sent core.Time, r *Report) {
+	m := g.members[r.Primary]
+	if m == nil || r.Term != g.term || m.refused == r.Term {
+		return
+	}
+	if g.primary == "" {
+		m.reigns = r.Term
+		g.reigns(now, r.Primary)
+	}
+	if g.primary == r.Primary && sent != 0 && r.LeaseLeft > 0 {
+		// Nobody else takes over while that daemon holds its lease.
+		g.peerLease = max(g.peerLease, sent.Add(r.LeaseLeft))
+	}
+	if g.primary == r.Primary && sent != 0 && !r.Sample.IsZero() {
+		g.samples.add(sent.Add(-r.SampleAge), r.Sample)
+	}
+}
+
+// peerReigns says whether another daemon reaches a primary of the newest term.
+func (g *Group) peerReigns(now core.Time) bool {
+	for _, p := range g.peers {
+		if now.Sub(p.at) < PeerFresh && p.primary != "" && !p.suspect && p.term >= g.term {
+			return true
+		}
+	}
+	return false
+}
+
+// rank is this daemon's place among those that hear each other.
+func (g *Group) rank(now core.Time) int {
+	n := 0
+	for id, p := range g.peers {
+		if now.Sub(p.at) < PeerFresh && id < g.self {
+			n++
+		}
+	}
+	return n
+}
+
+func (g *Group) peerClaims(now core.Time) bool {
+	for _, p := range g.peers {
+		if now.Sub(p.at) < PeerFresh && p.claiming {
+			return true
+		}
+	}
+	return false
+}
