Keep a session's position of a reign that a home has not heard of

A session that moves to a home which still knows the old reign had its position dropped for a sample of that reign; that fits, and was found by reading. Change: only a position of an older reign is dropped; a commit's reign is its position's term. Result: the script fails without the change and passes with it.

--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -117,14 +117,6 @@
 	return n
 }
 
-// Reign is the term in which positions of the present primary count; 0: none is known.
-func (g *Group) Reign() core.Term {
-	if g.primary == "" {
-		return 0
-	}
-	return g.term
-}
-
 // sawTerm learns of a newer term: whoever reigned before does so no longer.
 func (g *Group) sawTerm(t core.Term) {
 	if t <= g.term {
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -65,7 +65,7 @@
 	if !ok || n.Session.IsZero() {
 		return since, ok
 	}
-	if n.SessionReign != g.term {
+	if n.SessionReign < g.term {
 		// The session's commit may have been lost with its primary, and then no log
 		// covers its position. The newest sample of this reign covers what was kept.
 		return g.samples.newest()
--- a/core/direct/place_test.go
+++ b/core/direct/place_test.go
@@ -65,6 +65,20 @@
 		Expect(p.Since).To(Equal(core.Position{Term: 1, LSN: 15}))
 	})
 
+	// A session has committed 2.20 under a new primary and moves to a home that still
+	// takes the old one for primary. The newest sample there is of the old reign; a
+	// replica that covers it may lack the session's own commit.
+	It("covers the session's commit of a reign that this daemon has not heard of", func() {
+		s := newScript()
+		s.commit(20)
+		s.replicaAt("b", 20)
+		need := s.read(500 * ms)
+		need.Session, need.SessionReign, need.SessionAt = core.Position{Term: 2, LSN: 20}, 2, s.at.Add(-100*ms)
+		p, ok := s.g.Place(s.at, need)
+		Expect(ok).To(BeTrue())
+		Expect(p.Since).To(Equal(core.Position{Term: 2, LSN: 20}))
+	})
+
 	// Both replicas are 300 ms behind. Reads that were tried there first would pay
 	// two refusals each before they run on the primary.
 	It("is not a replica whose measured lag is longer than the position's age", func() {
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -301,13 +301,6 @@
 	return primary == id && g.core.Leased(at)
 }
 
-// reign is the present primary's term.
-func (g *group) reign() core.Term {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.core.Reign()
-}
-
 // tick lets time pass and closes connections that are not needed any more.
 func (g *group) tick() {
 	var old []*memberConn
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -141,7 +141,7 @@
 		}
 		time.Sleep(tickEvery)
 	}
-	s.last, s.lastReign, s.lastAt = a.Position, g.reign(), now()
+	s.last, s.lastReign, s.lastAt = a.Position, a.Position.Term, now()
 	return true
 }
 
