--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -114,7 +114,7 @@
 func (g *Group) suspected(now core.Time) bool {
 	n := 1
 	for _, p := range g.peers {
-		if now.Sub(p.at) < PeerFresh && p.suspect && p.primary == g.primary {
+		if p.fresh(now) && p.suspect && p.primary == g.primary {
 			n++
 		}
 	}
@@ -177,7 +177,7 @@
 		return
 	}
 	g.claim = claim{
-		phase: claiming, started: now, old: g.primary, term: g.term, wantedSince: g.claim.wantedSince,
+		phase: claiming, started: now, old: g.primary, term: g.term,
 		planned: r == leavingPrimary, repair: r == orphanedFence, fenced: make(map[core.MemberID]core.Time),
 	}
 	g.emit(Effect{Kind: EffectDecision, Member: g.primary, Term: g.term, Reason: "claim: " + r.String()})
@@ -270,8 +270,7 @@
 		return
 	}
 	if s != nil && now.Sub(s.probeAt) >= PollPromoted {
-		s.probing, s.probeAt = true, now
-		g.emit(Effect{Kind: EffectProbe, Member: s.ID})
+		g.ask(now, s)
 	}
 }
 
@@ -409,5 +408,5 @@
 	}
 	g.emit(Effect{Kind: EffectDecision, Member: c.candidate, Term: c.term, Reason: "claim ended: " + why})
 	g.emit(Effect{Kind: EffectReport})
-	g.claim = claim{retryAt: now.Add(ClaimRetry), wantedSince: 0}
+	g.claim = claim{retryAt: now.Add(ClaimRetry)}
 }
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -18,15 +18,13 @@
 	// order are the members' ids, sorted, so that decisions repeat.
 	order []core.MemberID
 	// term is the newest one seen, primary the member that reigns in it.
-	term    core.Term
-	primary core.MemberID
-	// primarySince is when this daemon learnt of the primary.
-	primarySince core.Time
-	samples      samples
-	peers        map[core.DaemonID]peerReport
-	knownPeers   int
-	claim        claim
-	ticket       ticketRead
+	term       core.Term
+	primary    core.MemberID
+	samples    samples
+	peers      map[core.DaemonID]peerReport
+	knownPeers int
+	claim      claim
+	ticket     ticketRead
 	// lease is until when the primary may be used, peerLease until when another daemon
 	// holds a lease on it.
 	lease, peerLease core.Time
@@ -103,9 +101,6 @@
 // Primary returns the member that reigns as far as this daemon knows, and its term.
 func (g *Group) Primary() (core.MemberID, core.Term) { return g.primary, g.term }
 
-// Members returns the ids of all members that are remembered.
-func (g *Group) Members() []core.MemberID { return slices.Clone(g.order) }
-
 // size is the number of members that count towards a majority.
 func (g *Group) size(now core.Time) int {
 	n := 0
@@ -170,7 +165,7 @@
 	if g.primary == id {
 		return
 	}
-	g.primary, g.primarySince = id, now
+	g.primary = id
 	g.lease, g.peerLease = 0, 0
 	g.samples.clear()
 	g.emit(Effect{Kind: EffectDecision, Member: id, Term: g.term, Reason: "reigns"})
@@ -336,7 +331,7 @@
 func (g *Group) conns(now core.Time, id core.MemberID, m *member) int {
 	n := m.open
 	for _, p := range g.peers {
-		if now.Sub(p.at) < PeerFresh {
+		if p.fresh(now) {
 			n += p.open[id]
 		}
 	}
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -89,6 +89,12 @@
 	}
 }
 
+// busy says whether the member has refused for load so lately that it gets no
+// new statement.
+func (m *member) busy(now core.Time) bool {
+	return m.busyAt != 0 && now.Sub(m.busyAt) < BusyBackoff
+}
+
 // patience is how long an answer is waited for where it may be given up.
 func (m *member) patience() time.Duration {
 	return min(mostPatience, max(leastPatience, patienceFactor*m.latency))
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -15,11 +15,10 @@
 	// MaxAge bounds what a read may miss, counted back from Arrived.
 	MaxAge  time.Duration
 	Arrived core.Time
-	// Session is the position of the session's last commit, SessionReign the
-	// term in which its member reigned, SessionAt when it was acknowledged.
-	Session      core.Position
-	SessionReign core.Term
-	SessionAt    core.Time
+	// Session is the position of the session's last commit, whose term is the reign
+	// that took it; SessionAt is when it was acknowledged.
+	Session   core.Position
+	SessionAt core.Time
 	// Avoid are members that were tried before.
 	Avoid []core.MemberID
 }
@@ -51,7 +50,7 @@
 
 func (g *Group) placePrimary(now core.Time, n Need) (Place, bool) {
 	m := g.members[g.primary]
-	if m == nil || !g.Leased(now) || now.Sub(m.busyAt) < BusyBackoff && m.busyAt != 0 {
+	if m == nil || !g.Leased(now) || m.busy(now) {
 		return Place{}, false
 	}
 	dial, ok := g.room(now, m)
@@ -65,7 +64,7 @@
 	if !ok || n.Session.IsZero() {
 		return since, ok
 	}
-	if n.SessionReign < g.term {
+	if n.Session.Term < g.term {
 		// The session's commit may have been lost with its primary, and then no log
 		// covers its position. The newest sample of this reign covers what was kept.
 		return g.samples.newest()
@@ -101,10 +100,7 @@
 }
 
 func (g *Group) readable(now core.Time, id core.MemberID, m *member, since sample) bool {
-	if m.leaving(now) || m.suspect || m.heardAt == 0 {
-		return false
-	}
-	if m.busyAt != 0 && now.Sub(m.busyAt) < BusyBackoff {
+	if m.leaving(now) || m.suspect || m.heardAt == 0 || m.busy(now) {
 		return false
 	}
 	if id == g.primary {
--- a/core/direct/place_test.go
+++ b/core/direct/place_test.go
@@ -42,7 +42,7 @@
 		s.commit(20)
 		s.replicaAt("b", 20)
 		need := s.read(500 * ms)
-		need.Session, need.SessionReign, need.SessionAt = core.Position{Term: 1, LSN: 20}, 1, s.at
+		need.Session, need.SessionAt = core.Position{Term: 1, LSN: 20}, s.at
 		p, ok := s.g.Place(s.at, need)
 		Expect(ok).To(BeTrue())
 		Expect(p.Member).To(Equal(core.MemberID("b")))
@@ -59,7 +59,7 @@
 		s.status("c", direct.Status{Role: core.RoleReplica, Term: 2, Position: core.Position{Term: 1, LSN: 15}})
 		s.status("b", direct.Status{Role: core.RolePrimary, Term: 2, Position: core.Position{Term: 1, LSN: 15}})
 		need := s.read(500 * ms)
-		need.Session, need.SessionReign, need.SessionAt = core.Position{Term: 1, LSN: 20}, 1, s.at
+		need.Session, need.SessionAt = core.Position{Term: 1, LSN: 20}, s.at
 		p, ok := s.g.Place(s.at, need)
 		Expect(ok).To(BeTrue())
 		Expect(p.Since).To(Equal(core.Position{Term: 1, LSN: 15}))
@@ -73,7 +73,7 @@
 		s.commit(20)
 		s.replicaAt("b", 20)
 		need := s.read(500 * ms)
-		need.Session, need.SessionReign, need.SessionAt = core.Position{Term: 2, LSN: 20}, 2, s.at.Add(-100*ms)
+		need.Session, need.SessionAt = core.Position{Term: 2, LSN: 20}, s.at.Add(-100*ms)
 		p, ok := s.g.Place(s.at, need)
 		Expect(ok).To(BeTrue())
 		Expect(p.Since).To(Equal(core.Position{Term: 2, LSN: 20}))
@@ -89,7 +89,7 @@
 		s.replicaAt("b", 10)
 		s.replicaAt("c", 10)
 		need := s.read(500 * ms)
-		need.Session, need.SessionReign, need.SessionAt = core.Position{Term: 1, LSN: 30}, 1, s.at
+		need.Session, need.SessionAt = core.Position{Term: 1, LSN: 30}, s.at
 		p, ok := s.g.Place(s.at, need)
 		Expect(ok).To(BeTrue())
 		Expect(p.Primary).To(BeTrue())
--- a/core/direct/probe.go
+++ b/core/direct/probe.go
@@ -26,12 +26,16 @@
 		}
 	}
 	for _, id := range g.dueProbes(now) {
-		m := g.members[id]
-		m.probing, m.probeAt = true, now
-		g.emit(Effect{Kind: EffectProbe, Member: id})
+		g.ask(now, g.members[id])
 	}
 }
 
+// ask orders a probe of the member.
+func (g *Group) ask(now core.Time, m *member) {
+	m.probing, m.probeAt = true, now
+	g.emit(Effect{Kind: EffectProbe, Member: m.ID})
+}
+
 // renewByTicket reads the ticket while the replicas' confirmations fail to come.
 func (g *Group) renewByTicket(now core.Time) {
 	p := g.members[g.primary]
--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -18,6 +18,9 @@
 	open map[core.MemberID]int
 }
 
+// fresh says whether the report is young enough to be believed.
+func (p *peerReport) fresh(now core.Time) bool { return now.Sub(p.at) < PeerFresh }
+
 // relayed is a replica's confirmation of a term that another daemon has got; at
 // is a moment of this daemon's clock that was not after that daemon's probe.
 type relayed struct {
@@ -126,7 +129,7 @@
 // peerReigns says whether another daemon reaches a primary of the newest term.
 func (g *Group) peerReigns(now core.Time) bool {
 	for _, p := range g.peers {
-		if now.Sub(p.at) < PeerFresh && p.primary != "" && !p.suspect && p.term >= g.term {
+		if p.fresh(now) && p.primary != "" && !p.suspect && p.term >= g.term {
 			return true
 		}
 	}
@@ -137,7 +140,7 @@
 func (g *Group) rank(now core.Time) int {
 	n := 0
 	for id, p := range g.peers {
-		if now.Sub(p.at) < PeerFresh && id < g.self {
+		if p.fresh(now) && id < g.self {
 			n++
 		}
 	}
@@ -146,7 +149,7 @@
 
 func (g *Group) peerClaims(now core.Time) bool {
 	for _, p := range g.peers {
-		if now.Sub(p.at) < PeerFresh && p.claiming {
+		if p.fresh(now) && p.claiming {
 			return true
 		}
 	}
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,7 +56,7 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return 0, "store: " + err.Error()
 	}
-	if err == nil && !c.free(id, item) {
+	if err == nil && !c.free(item) {
 		return 0, "another daemon has the ticket"
 	}
 	revision, err := c.put(ctx, id, item.Revision, ticket{Term: term})
@@ -97,33 +98,58 @@
 	}
 	var t ticket
 	if err == nil {
-		if err := json.Unmarshal(item.Value, &t); err != nil {
-			c.p.log.Warn("ticket cannot be read", "group", g.id, "error", err.Error())
+		var ok bool
+		if t, ok = c.parse(item); !ok {
 			return
 		}
 	}
 	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.TicketRead(at, sent, t.Term) })
 }
 
-// free says whether the ticket may be taken over: it was given back, it is this
-// process's own, or it has not changed for so long that its holder can order nothing under it.
-func (c *claims) free(id core.GroupID, item platform.Item) bool {
-	var t ticket
+// parse decodes a ticket; what cannot be read is logged, and its zero ticket is
+// nobody's and not free.
+func (c *claims) parse(item platform.Item) (t ticket, ok bool) {
 	if err := json.Unmarshal(item.Value, &t); err != nil {
-		c.p.log.Warn("ticket cannot be read, taken as held", "group", id, "error", err.Error())
+		c.p.log.Warn("ticket cannot be read", "key", item.Key, "error", err.Error())
+		return ticket{}, false
 	}
+	return t, true
+}
+
+func groupOfTicket(item platform.Item) core.GroupID {
+	return core.GroupID(strings.TrimPrefix(item.Key, platform.TicketsPrefix))
+}
+
+// free says whether the ticket may be taken over: it was given back, it is this
+// process's own, or it has not changed for so long that its holder can order
+// nothing under it. One that cannot be read counts as held.
+func (c *claims) free(item platform.Item) bool {
+	t, _ := c.parse(item)
 	if t.Free || t.Holder == c.p.settings.Daemon && t.Boot == c.p.boot {
 		return true
 	}
 	at := now()
+	return at.Sub(c.since(item, at)) >= direct.TicketLife
+}
+
+// since is when the ticket was first seen as it is now, which may be at.
+func (c *claims) since(item platform.Item, at core.Time) core.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s := c.seen[id]
-	if s.revision != item.Revision {
+	id := groupOfTicket(item)
+	if c.seen[id].revision != item.Revision {
 		c.seen[id] = seenTicket{item.Revision, at}
-		return false
 	}
-	return at.Sub(s.at) >= direct.TicketLife
+	return c.seen[id].at
+}
+
+// observe remembers since when tickets have stood, so that an old one is not
+// waited for when it is needed.
+func (c *claims) observe(items []platform.Item) {
+	at := now()
+	for _, item := range items {
+		c.since(item, at)
+	}
 }
 
 // tell passes tickets that were read at sent on to the groups, which may use no
@@ -131,32 +157,17 @@
 func (c *claims) tell(sent core.Time, items []platform.Item) {
 	terms := make(map[core.GroupID]core.Term)
 	for _, item := range items {
-		var t ticket
-		if err := json.Unmarshal(item.Value, &t); err != nil {
-			c.p.log.Warn("ticket cannot be read", "key", item.Key, "error", err.Error())
+		t, ok := c.parse(item)
+		if !ok {
 			return
 		}
-		terms[core.GroupID(item.Key[len(platform.TicketsPrefix):])] = t.Term
+		terms[groupOfTicket(item)] = t.Term
 	}
 	for _, g := range c.p.allGroups() {
 		g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.TicketRead(at, sent, terms[g.id]) })
 	}
 }
 
-// observe remembers since when tickets have stood, so that an old one is not
-// waited for when it is needed.
-func (c *claims) observe(items []platform.Item) {
-	at := now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, item := range items {
-		id := core.GroupID(item.Key[len(platform.TicketsPrefix):])
-		if c.seen[id].revision != item.Revision {
-			c.seen[id] = seenTicket{item.Revision, at}
-		}
-	}
-}
-
 // promote gives the order. It is not on its way later than e.Until, so that the
 // next holder's order comes after it.
 func (c *claims) promote(g *group, e direct.Effect) {
--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -48,11 +48,7 @@
 	if err != nil {
 		return 0, err
 	}
-	for _, item := range items {
-		if item.Key == platform.ConfigurationKey {
-			p.accept(item.Value)
-		}
-	}
+	p.acceptFrom(items)
 	return revision, nil
 }
 
@@ -69,12 +65,17 @@
 	if err != nil {
 		return 0, err
 	}
-	for _, e := range events {
-		if e.Key == platform.ConfigurationKey && !e.Deleted {
-			p.accept(e.Value)
+	p.acceptFrom(events)
+	return max(after, next), nil
+}
+
+// acceptFrom takes the configuration from items of a read or a watch.
+func (p *Proxy) acceptFrom(items []platform.Item) {
+	for _, item := range items {
+		if item.Key == platform.ConfigurationKey && !item.Deleted {
+			p.accept(item.Value)
 		}
 	}
-	return max(after, next), nil
 }
 
 func (p *Proxy) accept(value []byte) {
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -249,7 +249,7 @@
 // forwarded passes on a home's answer and keeps the position of a commit.
 func (s *session) forwarded(j *job, a *platform.Answer, commits bool) {
 	if commits && j.writes && a.Code == "" {
-		s.last, s.lastReign, s.lastAt = a.Position, a.Position.Term, now()
+		s.last, s.lastAt = a.Position, now()
 	}
 	if a.Code != "" {
 		s.p.stats.refused(a.Code)
@@ -387,6 +387,6 @@
 	_ = s.c.SetReadDeadline(time.Time{})
 	s.database = hello.Database
 	s.last = core.Position{Term: core.Term(hello.Term), LSN: core.LSN(hello.Lsn)}
-	s.lastReign, s.lastAt = s.last.Term, now()
+	s.lastAt = now()
 	s.loop()
 }
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -180,9 +180,6 @@
 func (s *peers) sendReport() {
 	m := &reportpb.Report{Daemon: string(s.p.settings.Daemon), Ip: s.p.settings.IP, Leaving: s.p.stopping.Load(),
 		Zone: string(s.p.settings.Zone), Weight: s.p.settings.Weight}
-	if c := s.p.catalog.Load(); c != nil {
-		m.ConfigVersion = c.Version
-	}
 	if s.p.homes.everywhere() {
 		// A small fleet learns by reports who has come and gone, a large one from the list.
 		s.p.homes.update()
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -20,6 +20,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/pkg/telemetry"
 	"limpetspan/platform"
 )
 
@@ -73,9 +74,7 @@
 		settings: s, client: platform.NewClient(s.StoreAddr, s.PromoteAddr), stats: st, boot: time.Now().UnixNano(),
 		done: make(chan struct{}), membersWanted: make(chan struct{}, 1), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
 		lost: make(map[string]bool),
-		log: hclog.New(&hclog.LoggerOptions{
-			Name: "limpetspand", Level: hclog.Info, Output: newAsyncWriter(w, st), JSONFormat: true,
-		}).With("daemon", s.Daemon),
+		log:  telemetry.NewLogger(newAsyncWriter(w, st), "info", string(s.Daemon)),
 	}
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.homes = newHomes(p)
@@ -221,22 +220,28 @@
 	fresh := at.Sub(g.usedAt) < usedGroupKept
 	g.usedAt = at
 	g.mu.Unlock()
-	if here, _ := p.homes.here(id); !fresh && !here {
+	if fresh {
+		return g
+	}
+	if here, _ := p.homes.here(id); !here {
 		p.wakeMembers()
 	}
 	return g
 }
 
-// activeGroups are the groups whose members this daemon reaches: as their home,
-// or because an entry has lately sent statements for them.
+// active says whether this daemon reaches the group's members: as its home, or
+// because an entry has lately sent statements for it.
+func (p *Proxy) active(g *group, at core.Time) bool {
+	here, _ := p.homes.here(g.id)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return here || at.Sub(g.usedAt) < usedGroupKept
+}
+
+// activeGroups are the groups whose members this daemon reaches.
 func (p *Proxy) activeGroups() []*group {
 	at := now()
-	return slices.DeleteFunc(p.allGroups(), func(g *group) bool {
-		here, _ := p.homes.here(g.id)
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return !here && at.Sub(g.usedAt) >= usedGroupKept
-	})
+	return slices.DeleteFunc(p.allGroups(), func(g *group) bool { return !p.active(g, at) })
 }
 
 func (p *Proxy) allGroups() []*group {
@@ -268,12 +273,11 @@
 			return
 		case <-t.C:
 		}
-		active := p.activeGroups()
-		for _, g := range active {
-			g.tick()
-		}
+		at := now()
 		for _, g := range p.allGroups() {
-			if !slices.Contains(active, g) {
+			if p.active(g, at) {
+				g.tick()
+			} else {
 				g.leave()
 			}
 		}
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"strconv"
 	"time"
 
 	"limpetspan/core"
@@ -32,7 +31,7 @@
 func (s *session) need(route direct.Route, primary bool, arrived core.Time) direct.Need {
 	n := direct.Need{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived}
 	if route.Consistency == direct.ReadYourWrites {
-		n.Session, n.SessionReign, n.SessionAt = s.last, s.lastReign, s.lastAt
+		n.Session, n.SessionAt = s.last, s.lastAt
 	}
 	return n
 }
@@ -141,7 +140,7 @@
 		}
 		time.Sleep(tickEvery)
 	}
-	s.last, s.lastReign, s.lastAt = a.Position, a.Position.Term, now()
+	s.last, s.lastAt = a.Position, now()
 	return true
 }
 
@@ -161,5 +160,5 @@
 // notRun refuses a statement of which nothing ran.
 func (s *session) notRun(j *job, why string, attempt int) {
 	s.debug("refused", "id", j.id, "reason", why, "attempt", attempt, "ms", now().Sub(j.arrived).Milliseconds())
-	s.answerError(platform.CodeBusy, "not run: "+why+"; retry after "+strconv.Itoa(int(retryAfter.Milliseconds()))+" ms")
+	s.answerError(platform.CodeBusy, "not run: "+why+retryHint)
 }
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -6,7 +6,6 @@
 	"errors"
 	"net"
 	"os"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -30,12 +29,11 @@
 	database string
 	values   map[string]string
 	prepared map[string]prepared
-	// last is the position of the session's last commit, lastReign the term in
-	// which the member that took it reigned, lastAt when it was acknowledged.
-	last      core.Position
-	lastReign core.Term
-	lastAt    core.Time
-	tx        *transaction
+	// last is the position of the session's last commit, lastAt when it was
+	// acknowledged.
+	last   core.Position
+	lastAt core.Time
+	tx     *transaction
 	// link leads to a home if this daemon is none for the session's group; linked
 	// says that the caller is at another daemon, for which this one is home.
 	link   *groupLink
@@ -124,7 +122,7 @@
 	_ = s.c.SetReadDeadline(time.Time{})
 	catalog := s.p.catalog.Load()
 	if catalog == nil {
-		return s.close(platform.CodeBusy, "no configuration yet; retry after "+strconv.Itoa(int(retryAfter.Milliseconds()))+" ms")
+		return s.close(platform.CodeBusy, "no configuration yet"+retryHint)
 	}
 	if _, ok := catalog.Routes[msg.Database]; !ok {
 		return s.close(platform.CodeNoDatabase, "no such database")
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -60,7 +60,7 @@
 		if !ok {
 			return s.notOpened(j, "no member for it in time", attempt)
 		}
-		a, _, o := s.runOn(tx.g, conn, place, &begin, "-", deadline)
+		a, _, o := s.runOn(tx.g, conn, place, &begin, platform.OwnID, deadline)
 		if o == direct.Succeeded && a.State == platform.StateInTransaction {
 			tx.conn, tx.place = conn, place
 			return true
@@ -241,7 +241,7 @@
 	if tx.conn == nil {
 		return
 	}
-	a, err := tx.conn.own(platform.TextRollback, core.Position{}, time.Now().Add(rollbackWait))
+	a, err := tx.conn.own(platform.TextRollback, time.Now().Add(rollbackWait))
 	if err != nil || a.State != platform.StateIdle {
 		s.drop(tx)
 		return
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -1,6 +1,9 @@
 package proxy
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Times and limits of the shell.
 const (
@@ -77,3 +80,6 @@
 	// retryAfter is what a caller is told if nothing better is known.
 	retryAfter = 200 * time.Millisecond
 )
+
+// retryHint ends the text of a refusal.
+var retryHint = "; retry after " + strconv.Itoa(int(retryAfter.Milliseconds())) + " ms"
