Say in a refusal what kept each member from the statement; two homes must miss a primary

Change: the line of a refusal carries the group and, for each member, what kept the statement from it (Group.Explain). A daemon claims a group without a known primary only if a third of the homes know of none, as for a silent primary.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -78,7 +78,7 @@
 func (g *Group) reason(now core.Time) reason {
 	p := g.members[g.primary]
 	switch {
-	case p == nil && g.someMember(now) && !g.peerReigns(now):
+	case p == nil && g.someMember(now) && !g.peerReigns(now) && g.missed(now):
 		return missing
 	case p == nil:
 		return noReason
@@ -127,6 +127,20 @@
 	return 3*n >= g.knownPeers
 }
 
+// missed says whether a third of the daemons, this one among them, knows of no
+// primary. One that has just become a home may have a host list from which the
+// store has lost the primary's entry, and has not heard of the others yet; it would
+// replace a primary that serves them all.
+func (g *Group) missed(now core.Time) bool {
+	n := 1
+	for _, p := range g.peers {
+		if p.fresh(now) && p.primary == "" {
+			n++
+		}
+	}
+	return 3*n >= g.knownPeers
+}
+
 // candidate is the replica that would take over; "": none can.
 func (g *Group) candidate(now core.Time) core.MemberID {
 	var best core.MemberID
--- a/core/direct/claim_test.go
+++ b/core/direct/claim_test.go
@@ -223,6 +223,23 @@
 		Expect(other.g.Leased(other.at)).To(BeTrue(), "the first order had no effect, and the second one came to term 2")
 	})
 
+	// The store has lost the primary's entry. A daemon that starts sees replicas only
+	// and no report yet, while the other homes are served by the primary; commits
+	// were rolled back by its promotion.
+	It("does not begin because one daemon of four knows of no primary", func() {
+		s := &script{g: direct.NewGroup("g", "d4", "zone-1"), at: origin}
+		s.g.SetHomes(4, true)
+		s.list("b")
+		answering := map[core.MemberID]direct.Status{"b": replica}
+		s.tick(3*time.Second, answering)
+		Expect(s.take(direct.EffectClaim)).To(BeEmpty())
+		for range 6 {
+			s.keep(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Term: 1}))
+			s.tick(300*ms, answering)
+		}
+		Expect(s.take(direct.EffectClaim)).To(HaveLen(1), "two of four know of none")
+	})
+
 	// Two daemons claim the group. One gets the ticket and fences the replicas; the
 	// other one's claim is refused. If that one removed the fences that it sees, a
 	// third daemon would have its lease on the old primary extended.
--- a/core/direct/place_test.go
+++ b/core/direct/place_test.go
@@ -161,3 +161,18 @@
 		Expect(claims).NotTo(BeEmpty(), "the primary counts as leaving")
 	})
 })
+
+var _ = Describe("the explanation of a refusal", func() {
+	// A caller complains. The log's line has to tell a silent member from one that is
+	// behind and from one without room.
+	It("names what keeps each member from the statement", func() {
+		s := newScript()
+		s.g.ConnOpened("a")
+		s.keep(s.g.Answered(s.at, s.at, "a", core.Position{}, direct.Busy))
+		s.pass(direct.BusyBackoff / 2)
+		s.keep(s.g.ProbeFailed(s.at, s.at, "b", true))
+		text := s.g.Explain(s.at, direct.Need{MaxAge: time.Second, Arrived: s.at, Avoid: []core.MemberID{"c"}})
+		Expect(text).To(Equal("a: full 20 ms ago; b: silent for 20 ms; c: tried before"))
+		Expect(s.g.Explain(s.at, direct.Need{Primary: true})).To(ContainSubstring("c: replica"))
+	})
+})
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -309,6 +309,14 @@
 	return g.core.Confirms(at, id, p)
 }
 
+// explain says why the statement cannot be placed now.
+func (g *group) explain(w *waiter) string {
+	at := now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Explain(at, w.need)
+}
+
 // tick lets time pass and closes connections that are not needed any more.
 func (g *group) tick() {
 	var old []*memberConn
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -45,7 +45,7 @@
 	for attempt := 1; ; attempt++ {
 		conn, place, ok := g.acquire(w, j.holdUntil())
 		if !ok {
-			s.notRun(j, "no member for it in time", attempt)
+			s.notRun(j, noMember, attempt, "group", g.id, "members", g.explain(w))
 			return
 		}
 		a, sent, o := s.runOn(g, conn, place, j, j.id, deadline)
@@ -157,8 +157,12 @@
 	g.release(conn)
 }
 
-// notRun refuses a statement of which nothing ran.
-func (s *session) notRun(j *job, why string, attempt int) {
-	s.debug("refused", "id", j.id, "reason", why, "attempt", attempt, "ms", now().Sub(j.arrived).Milliseconds())
+// noMember is why a statement is refused that no member could take in time.
+const noMember = "no member for it in time"
+
+// notRun refuses a statement of which nothing ran, and logs the inputs that decided it.
+func (s *session) notRun(j *job, why string, attempt int, inputs ...any) {
+	args := []any{"id", j.id, "reason", why, "attempt", attempt, "ms", now().Sub(j.arrived).Milliseconds()}
+	s.debug("refused", append(args, inputs...)...)
 	s.answerError(platform.CodeBusy, "not run: "+why+retryHint)
 }
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -58,7 +58,7 @@
 	for attempt := 1; ; attempt++ {
 		conn, place, ok := tx.g.acquire(w, j.holdUntil())
 		if !ok {
-			return s.notOpened(j, "no member for it in time", attempt)
+			return s.notOpened(j, noMember, attempt, "group", tx.g.id, "members", tx.g.explain(w))
 		}
 		a, _, o := s.runOn(tx.g, conn, place, &begin, platform.OwnID, deadline)
 		if o == direct.Succeeded && a.State == platform.StateInTransaction {
@@ -80,12 +80,12 @@
 	}
 }
 
-func (s *session) notOpened(j *job, why string, attempt int) bool {
+func (s *session) notOpened(j *job, why string, attempt int, inputs ...any) bool {
 	s.tx.failed = true
 	if j.kind == direct.StatementCommit {
 		s.tx = nil
 	}
-	s.notRun(j, why, attempt)
+	s.notRun(j, why, attempt, inputs...)
 	return false
 }
 
