--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -126,15 +126,15 @@
 	timer := time.NewTimer(deadline.Sub(at))
 	defer timer.Stop()
 	select {
-	case gr := <-w.granted:
-		return gr, true
+	case gr, ok := <-w.granted:
+		return gr, ok
 	case <-timer.C:
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	select {
-	case gr := <-w.granted:
-		return gr, true
+	case gr, ok := <-w.granted:
+		return gr, ok
 	default:
 	}
 	g.queue.remove(w)
--- a/pkg/proxy/queue.go
+++ b/pkg/proxy/queue.go
@@ -10,6 +10,15 @@
 
 // Figures of the queue.
 const (
+	// shedAfter is how long the queue stands before it sheds: a short overload is over
+	// before its late answers are worth nothing.
+	shedAfter = time.Second
+	// servingWithin is how lately a waiter must have been served for the queue to count
+	// as overloaded rather than without a member.
+	servingWithin = 100 * time.Millisecond
+	// leastWait is how long a statement waits in any case, so that a caller which
+	// comes back is not refused three times in a burst.
+	leastWait = 100 * time.Millisecond
 	// answerWay is kept of an answer's aim for the way back to the caller: two
 	// crossings of up to 3 ms, and the caller's own way here.
 	answerWay = 10 * time.Millisecond
@@ -45,14 +54,16 @@
 // most of them, then by arrival.
 type queue struct {
 	waiters []*waiter
-	// standingAt is when a waiter was last seen that had lost half of its time. While
-	// the queue stands, the newest of a database goes first: in order of arrival all
+	// standingAt is when a waiter was last seen that had lost half of its time, and
+	// standingSince since when such ones have come without a pause. While the queue stands, the newest of a database goes first: in order of arrival all
 	// would be served too late.
-	standingAt core.Time
+	standingAt, standingSince core.Time
+	// servedAt is when a waiter last got a connection.
+	servedAt core.Time
 }
 
 func (q *queue) add(at core.Time, w *waiter) {
-	standing := q.standingAt != 0 && at.Sub(q.standingAt) < standingFor
+	standing := q.standing(at)
 	i := len(q.waiters)
 	for i > 0 && w.before(q.waiters[i-1], standing) {
 		i--
@@ -83,6 +94,35 @@
 	}
 	q.serveIf(at, try, true)
 	q.serveIf(at, try, false)
+	if q.standing(at) && at.Sub(q.standingSince) >= shedAfter && at.Sub(q.servedAt) < servingWithin {
+		q.shed(at)
+	}
+}
+
+// standing says whether waiters have lately lost half of their time here.
+func (q *queue) standing(at core.Time) bool {
+	return q.standingAt != 0 && at.Sub(q.standingAt) < standingFor
+}
+
+// stands notes that a waiter has lost half of its time.
+func (q *queue) stands(at core.Time) {
+	if !q.standing(at) {
+		q.standingSince = at
+	}
+	q.standingAt = at
+}
+
+// shed refuses those that can no longer be in time, while others are served: what
+// they wait for is given to those that come after them. Where nothing is served,
+// as without a primary, they wait on.
+func (q *queue) shed(at core.Time) {
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
+		if w.inTime(at) || at.Sub(w.arrived) < leastWait {
+			return false
+		}
+		close(w.granted)
+		return true
+	})
 }
 
 func (q *queue) serveIf(at core.Time, try func(w *waiter) (grant, bool), inTime bool) {
@@ -90,7 +130,7 @@
 	for i := 0; i < len(q.waiters); {
 		w := q.waiters[i]
 		if float64(at.Sub(w.arrived)) > standingShare*float64(w.aim.Sub(w.arrived)) {
-			q.standingAt = at
+			q.stands(at)
 		}
 		if w.inTime(at) != inTime || w.need.Primary && primaryFull {
 			i++
@@ -102,6 +142,7 @@
 			i++
 			continue
 		}
+		q.servedAt = at
 		q.waiters = slices.Delete(q.waiters, i, i+1)
 		w.granted <- gr
 	}
--- a/pkg/proxy/queue_test.go
+++ b/pkg/proxy/queue_test.go
@@ -53,6 +53,35 @@
 		Expect(next(q, start.Add(203*ms))).To(BeIdenticalTo(old))
 	})
 
+	// A member has had too much work for a second. What is late would wait for most of
+	// its time and be refused then, again and again.
+	It("sheds what can no longer be in time once it has stood for a second, while others are served", func() {
+		q := &queue{}
+		full := func(*waiter) (grant, bool) { return grant{}, false }
+		at := start
+		for ; at.Sub(start) < shedAfter+100*ms; at = at.Add(50 * ms) {
+			waits(q, at, "a", 1, 20*ms, 100*ms)
+			next(q, at)
+			waits(q, at, "a", 1, 20*ms, 100*ms)
+			q.serve(at.Add(30*ms), full)
+		}
+		late := waits(q, at, "a", 1, 20*ms, 100*ms)
+		fresh := waits(q, at.Add(80*ms), "a", 1, 20*ms, 100*ms)
+		q.servedAt = at.Add(90 * ms)
+		q.serve(at.Add(110*ms), full)
+		Expect(late.granted).To(BeClosed())
+		Expect(fresh.granted).NotTo(BeClosed())
+	})
+
+	It("sheds nothing while nobody is served", func() {
+		q := &queue{}
+		w := waits(q, start, "a", 1, 20*ms, 100*ms)
+		for at := start; at.Sub(start) < 3*time.Second; at = at.Add(30 * ms) {
+			q.serve(at, func(*waiter) (grant, bool) { return grant{}, false })
+		}
+		Expect(w.granted).NotTo(BeClosed())
+	})
+
 	It("serves what is late already after all that can be in time", func() {
 		q := &queue{}
 		late := waits(q, start, "a", 1, 20*ms, 30*ms)
