--- /dev/null
+++ b/pkg/cli/reigns.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"limpetspan/pkg/explore/reigns"
+)
+
+// ReignsCommand checks the changes of primaries on the platform against a model.
+type ReignsCommand struct {
+	Seed      uint64        `arg:"--seed" default:"1" placeholder:"N" help:"first seed; each run takes the next one"`
+	Runs      int           `arg:"--runs" default:"100" placeholder:"N" help:"number of runs"`
+	Duration  time.Duration `arg:"--duration" default:"30s" placeholder:"D" help:"time of the model with faults in one run"`
+	Faults    time.Duration `arg:"--fault-every" default:"700ms" placeholder:"D" help:"mean time of the model between faults"`
+	Guards    bool          `arg:"--guards" help:"switch each guard off in turn and tell whether the exploration notices"`
+	SwitchOff []string      `arg:"--switch-off,separate" placeholder:"GUARD" help:"switch a guard off; for testing the exploration"`
+	Trace     bool          `arg:"--trace" help:"write what happens in the first seed's run"`
+}
+
+// Examples shows how the subcommand is used.
+func (*ReignsCommand) Examples() string {
+	return `limpetspan reigns --runs 500 --json
+limpetspan reigns --guards --runs 1500
+limpetspan reigns --seed 42 --trace`
+}
+
+// Run carries out the subcommand.
+func (c *ReignsCommand) Run(ctx context.Context, env *Env) error {
+	o := reigns.Options{Seed: c.Seed, Runs: c.Runs, Duration: c.Duration, FaultEvery: c.Faults}
+	if c.Runs < 1 || c.Duration <= 0 || c.Faults <= 0 {
+		return Usagef("--runs, --duration and --fault-every are above zero")
+	}
+	if err := o.SwitchOff(c.SwitchOff...); err != nil {
+		return Usagef("%w", err)
+	}
+	switch {
+	case c.Guards:
+		return c.proveGuards(ctx, env, o)
+	case c.Trace:
+		o.Runs = 1
+		o.Trace = func(line string) { fmt.Fprintln(env.Stdout, line) }
+	}
+	return c.explore(ctx, env, o)
+}
+
+func (c *ReignsCommand) explore(ctx context.Context, env *Env, o reigns.Options) error {
+	report := reigns.Run(ctx, o)
+	if env.JSON {
+		if err := env.WriteJSON(report); err != nil {
+			return err
+		}
+	} else {
+		fmt.Fprintf(env.Stdout, "%d runs, %d faults, %d promotions, %d commits, %d violations\n", report.Runs,
+			report.Counts["faults"], report.Counts["promotions"], report.Counts["acknowledged"], len(report.Violations))
+		for _, v := range report.Violations {
+			fmt.Fprintf(env.Stdout, "seed %d at %v: %s: %s\n", v.Seed, v.At, v.Promise, v.Detail)
+		}
+	}
+	if len(report.Violations) > 0 {
+		return Failedf("a promise was broken in %d cases", len(report.Violations))
+	}
+	if report.Runs < o.Runs {
+		return Timeoutf("interrupted after %d of %d runs", report.Runs, o.Runs)
+	}
+	return nil
+}
+
+func (c *ReignsCommand) proveGuards(ctx context.Context, env *Env, o reigns.Options) error {
+	results := reigns.ProveGuards(ctx, o)
+	if env.JSON {
+		return env.WriteJSON(results)
+	}
+	for _, r := range results {
+		if r.Violation == nil {
+			fmt.Fprintf(env.Stdout, "%-17s not noticed in %d runs\n", r.Guard, r.Runs)
+			continue
+		}
+		fmt.Fprintf(env.Stdout, "%-17s caught with seed %d: %s\n", r.Guard, r.Violation.Seed, r.Violation.Promise)
+	}
+	return nil
+}
--- a/pkg/explore/reigns/fault.go
+++ b/pkg/explore/reigns/fault.go
@@ -82,6 +82,9 @@
 func (w *world) island(d *daemon, m *member, span time.Duration) {
 	w.note("%s alone with %s for %v", d.id, m.id, span)
 	w.sever(d.node(), storeNode, span)
+	if w.chance(400) {
+		w.leave(m, span)
+	}
 	for _, other := range w.daemons {
 		if other != d {
 			w.sever(d.node(), other.node(), span)
