Pass sessions on from a home that has no host list; entries read no tickets

Change: a daemon that has had its configuration for half a second and knows no member of a group links its sessions to another home, and refuses links. Entries read no tickets any more, as only homes promote.

--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// Known says whether the host list has had members of the group.
+func (g *Group) Known() bool { return len(g.members) > 0 }
+
 // Addr returns where the member is reached.
 func (g *Group) Addr(id core.MemberID) (string, bool) {
 	m := g.members[id]
--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -88,6 +88,7 @@
 		return
 	}
 	p.catalog.Store(c)
+	p.configuredAt.CompareAndSwap(0, int64(now()))
 	p.log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes))
 	p.homes.update()
 	for id, spec := range c.Groups {
@@ -159,6 +160,23 @@
 	p.membersListed.Store(true)
 }
 
+// blind says whether this daemon cannot serve the group, although it may be its
+// home: it has started while the store went away, and has the configuration but no
+// host list. Another home can serve what comes here.
+func (p *Proxy) blind(id core.GroupID) bool {
+	since := core.Time(p.configuredAt.Load())
+	if since == 0 || now().Sub(since) < blindAfter {
+		return false
+	}
+	g := p.known(id)
+	if g == nil {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.core.Known()
+}
+
 // daemonEntry is what a daemon writes of itself into the store.
 type daemonEntry struct {
 	IP     string    `json:"ip"`
@@ -272,6 +290,10 @@
 	if !first {
 		p.noteSize(ctx, entries, size, revision)
 	}
+	if !first && len(p.activeGroups()) == 0 {
+		// Only homes promote.
+		return true, nil
+	}
 	sent := now()
 	tickets, err := read(ctx, platform.TicketsPrefix)
 	if err != nil {
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -377,8 +377,8 @@
 		welcome.Refused = "not serving"
 	} else if route, ok := catalog.Routes[hello.Database]; !ok {
 		welcome.Refused = "no such database in version " + strconv.FormatUint(catalog.Version, 10)
-	} else {
-		s.p.use(route.Group)
+	} else if s.p.use(route.Group); s.p.blind(route.Group) {
+		welcome.Refused = "no host list yet"
 	}
 	if _, err := protodelim.MarshalTo(s.c, welcome); err != nil || welcome.Refused != "" {
 		s.end()
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -12,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"limpetspan/core"
+	"limpetspan/core/direct"
 	"limpetspan/pkg/proxy/reportpb"
 )
 
@@ -51,6 +53,25 @@
 		Expect(entry.p.stats.dials.Value()).To(BeNumerically("<=", home.p.stats.dials.Value()))
 	})
 
+	// A daemon has started just before the store went away: it has the configuration,
+	// is a home, and knows no member. Its callers, and those of entries that take it
+	// for their home, were refused until the store was back.
+	It("runs at another home while the own one has no host list", func() {
+		f := newFleet(3)
+		blind := f.daemons[1]
+		blind.dial("db-own").persist("WRITE k 1")
+		time.Sleep(blindAfter)
+		f.store.SetDown(true)
+		g := blind.p.known("ledger")
+		g.mu.Lock()
+		g.core = direct.NewGroup("ledger", blind.s.Daemon, blind.s.Zone)
+		g.mu.Unlock()
+		Expect(blind.p.blind("ledger")).To(BeTrue())
+		Expect(blind.dial("db-own").query("READ k").rows).To(Equal([]string{"1"}))
+		f.split(blind)
+		Expect(f.daemons[2].dial("db-own").query("READ k").rows).To(Equal([]string{"1"}))
+	})
+
 	// The home stops as planned. A session whose entry learnt of it only by a closed
 	// connection could not tell whether its next write ran.
 	It("goes on at another home when the first one stops, and loses nothing", func() {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -28,15 +28,17 @@
 type Proxy struct {
 	settings platform.Settings
 	client   *platform.Client
-	log      hclog.Logger
-	stats    *stats
-	tracer   trace.Tracer
-	limiter  limiter
-	boot     int64
-	claims   *claims
-	peers    *peers
-	homes    *homes
-	catalog  atomic.Pointer[direct.Catalog]
+	// configuredAt is when the first configuration came.
+	configuredAt atomic.Int64
+	log          hclog.Logger
+	stats        *stats
+	tracer       trace.Tracer
+	limiter      limiter
+	boot         int64
+	claims       *claims
+	peers        *peers
+	homes        *homes
+	catalog      atomic.Pointer[direct.Catalog]
 	// membersListed is set once the host list was read.
 	membersListed atomic.Bool
 	// stopping is set when a planned stop has begun, closing once it takes no new work.
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -333,7 +333,7 @@
 		return false
 	}
 	here, _ := s.p.homes.here(route.Group)
-	return !here
+	return !here || s.p.blind(route.Group)
 }
 
 // debug writes a decision about one of the session's requests, bounded in volume.
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -27,6 +27,9 @@
 	maxAttempts = 6
 	// homeDialTimeout bounds opening a link to a home.
 	homeDialTimeout = 300 * time.Millisecond
+	// blindAfter is how long after its configuration a daemon waits for the host list
+	// before it passes its sessions on: a read takes some 10 ms.
+	blindAfter = 500 * time.Millisecond
 	// avoidHome is how long a home that did not answer is not asked again.
 	avoidHome = 2 * time.Second
 	// usedGroupKept is how long a daemon that is no home of a group keeps reaching
