Run statements for the primary at another home while the own one is cut from it

Change: a daemon that could not use the primary for 0.6 s while another home holds a lease on it links statements for the primary to such a home, refuses links, and tells linked entries to look elsewhere after a refusal. Reads that replicas serve stay.

--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -41,6 +41,8 @@
 	successor          core.MemberID
 	orderedAt          core.Time
 	effects            []Effect
+	// unusableSince is since when the primary cannot be used here; 0: it can.
+	unusableSince core.Time
 	// disabled are the guards that model checking has switched off.
 	disabled Guard
 }
--- a/core/direct/lease_test.go
+++ b/core/direct/lease_test.go
@@ -156,3 +156,24 @@
 		Expect(s.g.Confirms(s.at, "b", core.Position{Term: 2, LSN: 11})).To(BeFalse())
 	})
 })
+
+var _ = Describe("a daemon that is cut from the primary", func() {
+	It("knows that another one can use it, and no longer than that one says so", func() {
+		s := newScript()
+		other := direct.Report{Group: "g", Primary: "a", Term: 1, LeaseLeft: 500 * ms}
+		s.keep(s.g.ProbeFailed(s.at, s.at, "a", true))
+		for range 5 {
+			s.keep(s.g.PeerReported(s.at, s.at, "d2", other))
+			s.tick(200*ms, replicasAnswer)
+		}
+		Expect(s.g.Cut(s.at)).To(BeTrue())
+		other.Suspect = true
+		s.keep(s.g.PeerReported(s.at, s.at, "d2", other))
+		Expect(s.g.Cut(s.at)).To(BeFalse(), "nobody reaches it")
+		other.Suspect = false
+		s.keep(s.g.PeerReported(s.at, s.at, "d2", other))
+		s.probed("a", core.RolePrimary, 1)
+		s.tick(20*ms, nil)
+		Expect(s.g.Cut(s.at)).To(BeFalse(), "it answers again")
+	})
+})
--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -12,6 +12,8 @@
 	suspect bool
 	primary core.MemberID
 	term    core.Term
+	// leased is set if it holds a lease on the primary.
+	leased bool
 	// claiming is set while that daemon works a change of the primary.
 	claiming bool
 	// open counts its connections by member.
@@ -107,7 +109,7 @@
 // PeerReported takes another daemon's report. sent is a moment of this daemon's
 // clock that was not after the report was sent; 0: none is known.
 func (g *Group) PeerReported(now, sent core.Time, from core.DaemonID, r Report) []Effect {
-	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, open: make(map[core.MemberID]int)}
+	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, leased: r.LeaseLeft > 0, open: make(map[core.MemberID]int)}
 	for _, x := range r.Members {
 		p.open[x.Member] = x.Open
 		if m := g.members[x.Member]; m != nil && x.Confirmed != 0 {
@@ -152,6 +154,32 @@
 	}
 }
 
+// Cut says whether this daemon has been unable to use the primary for CutAfter
+// while another one holds a lease on it and reaches it: statements for the primary
+// run there.
+func (g *Group) Cut(now core.Time) bool {
+	if g.unusableSince == 0 || now.Sub(g.unusableSince) < CutAfter || g.primary == "" {
+		return false
+	}
+	for _, p := range g.peers {
+		if p.fresh(now) && p.leased && !p.suspect && p.primary == g.primary && p.term == g.term {
+			return true
+		}
+	}
+	return false
+}
+
+// noteUsable remembers since when the primary cannot be used here.
+func (g *Group) noteUsable(now core.Time) {
+	p := g.members[g.primary]
+	switch {
+	case p != nil && !p.suspect && g.Leased(now):
+		g.unusableSince = 0
+	case g.unusableSince == 0:
+		g.unusableSince = now
+	}
+}
+
 // peerReigns says whether another daemon reaches a primary of the newest term.
 func (g *Group) peerReigns(now core.Time) bool {
 	for _, p := range g.peers {
--- a/core/direct/tuning.go
+++ b/core/direct/tuning.go
@@ -48,6 +48,10 @@
 	CatchUpFor = 400 * time.Millisecond
 	// FenceTimeout is after how long a fence that is not confirmed is ordered again.
 	FenceTimeout = 400 * time.Millisecond
+	// CutAfter is how long a primary is unusable here, while another daemon uses it,
+	// before statements for it run there. A primary that is silent to all is found out
+	// by then.
+	CutAfter = 600 * time.Millisecond
 	// ClaimTimeout ends a take-over that does not get on.
 	ClaimTimeout = 6 * time.Second
 	// ClaimRetry is the pause before a refused claim is tried again.
--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -177,6 +177,18 @@
 	return !g.core.Known()
 }
 
+// cut says whether this daemon is cut from the group's primary and another home is not.
+func (p *Proxy) cut(id core.GroupID) bool {
+	g := p.known(id)
+	if g == nil {
+		return false
+	}
+	at := now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.core.Cut(at)
+}
+
 // daemonEntry is what a daemon writes of itself into the store.
 type daemonEntry struct {
 	IP     string    `json:"ip"`
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -379,6 +379,8 @@
 		welcome.Refused = "no such database in version " + strconv.FormatUint(catalog.Version, 10)
 	} else if s.p.use(route.Group); s.p.blind(route.Group) {
 		welcome.Refused = "no host list yet"
+	} else if s.p.cut(route.Group) {
+		welcome.Refused = "cut from the primary"
 	}
 	if _, err := protodelim.MarshalTo(s.c, welcome); err != nil || welcome.Refused != "" {
 		s.end()
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -72,6 +72,33 @@
 		Expect(f.daemons[2].dial("db-own").query("READ k").rows).To(Equal([]string{"1"}))
 	})
 
+	// One daemon's path to the primary is cut; the others' is not, so nobody replaces
+	// it. The daemon's callers were refused for as long as the cut lasted.
+	It("runs its writes at another home while the own one is cut from the primary", func() {
+		f := newFleet(4)
+		alone := f.daemons[1]
+		x := alone.dial("db-own")
+		x.persist("WRITE k 1")
+		f.store.SetDown(true)
+		g := alone.p.known("ledger")
+		g.mu.Lock()
+		var list []direct.Member
+		for _, m := range f.group.Members() {
+			addr := m.Addr()
+			if m.Leads() {
+				addr = freeAddr("127.0.0.1")
+			}
+			list = append(list, direct.Member{ID: core.MemberID(m.ID), Group: "ledger", Addr: addr, Zone: "zone-1", Slots: 3})
+		}
+		g.core.List(now(), list)
+		g.mu.Unlock()
+		g.leave()
+		Eventually(func() bool { return alone.p.cut("ledger") }, patience).Should(BeTrue())
+		Expect(x.query("WRITE k 2").served()).To(BeTrue())
+		Expect(x.query("READ k").rows).To(Equal([]string{"2"}), "a replica covers what was written elsewhere")
+		Expect(f.store.Orders()).To(BeEmpty())
+	})
+
 	// The home stops as planned. A session whose entry learnt of it only by a closed
 	// connection could not tell whether its next write ran.
 	It("goes on at another home when the first one stops, and loses nothing", func() {
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -186,4 +186,9 @@
 	args := []any{"id", j.id, "reason", why, "attempt", attempt, "ms", now().Sub(j.arrived).Milliseconds()}
 	s.debug("refused", append(args, inputs...)...)
 	s.answerError(platform.CodeBusy, "not run: "+why+retryHint)
+	if s.linked && s.tx == nil && !s.toldEntry.Load() && s.p.cut(j.route.Group) {
+		// The entry looks for another home, which reaches the primary.
+		s.toldEntry.Store(true)
+		s.out = platform.AppendTerminate(s.out)
+	}
 }
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -317,7 +317,7 @@
 		s.forwardInTransaction(&job)
 	case s.tx != nil:
 		s.runInTransaction(&job)
-	case s.forwards(route):
+	case s.forwards(route, job.writes):
 		job.text, job.route = st.Text, route
 		s.forwardSingle(&job)
 	default:
@@ -326,14 +326,16 @@
 	}
 }
 
-// forwards says whether statements of the route run at another daemon. A home
-// runs what an entry sends it even if it is none any more.
-func (s *session) forwards(route direct.Route) bool {
+// forwards says whether a statement of the route runs at another daemon: this one
+// is no home of the group, knows no member of it, or is cut from a primary that
+// others use. A home runs what an entry sends it even if it is none any more.
+func (s *session) forwards(route direct.Route, writes bool) bool {
 	if s.linked {
 		return false
 	}
 	here, _ := s.p.homes.here(route.Group)
-	return !here || s.p.blind(route.Group)
+	needsPrimary := writes || route.Consistency == direct.PrimaryReads
+	return !here || s.p.blind(route.Group) || needsPrimary && s.p.cut(route.Group)
 }
 
 // debug writes a decision about one of the session's requests, bounded in volume.
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -33,7 +33,7 @@
 		s.answerError(platform.CodeMalformed, "a transaction is open")
 		return
 	}
-	s.tx = &transaction{readOnly: st.Kind == direct.StatementBeginRead, route: route, arrived: arrived, forward: s.forwards(route)}
+	s.tx = &transaction{readOnly: st.Kind == direct.StatementBeginRead, route: route, arrived: arrived, forward: s.forwards(route, st.Kind != direct.StatementBeginRead)}
 	if !s.tx.forward {
 		s.tx.g = s.p.use(route.Group)
 	}
