Sum up a soak's record as a table and a plot

Cause: the soak kept its daemons' logs, but nothing showed what its callers saw around a fault.

Change: package record (JSON lines, summary by windows, plot), which the soak writes, and limpetspan report.

--- a/pkg/cli/args.go
+++ b/pkg/cli/args.go
@@ -27,6 +27,7 @@
 	Replay   *ReplayCommand   `arg:"subcommand:replay" help:"run recorded traces through the reducer and compare"`
 	Explore  *ExploreCommand  `arg:"subcommand:explore" help:"check the decisions against a model under faults"`
 	Reigns   *ReignsCommand   `arg:"subcommand:reigns" help:"check the changes of primaries on the platform against a model under faults"`
+	Report   *ReportCommand   `arg:"subcommand:report" help:"sum up the record of a run with faults as a table and a plot"`
 	Demo     *DemoCommand     `arg:"subcommand:demo" help:"run a whole fleet on stand-ins and check the promises"`
 	Standin  *StandinCommand  `arg:"subcommand:standin" help:"run a substitute of the platform for trials and tests"`
 	Bench    *BenchCommand    `arg:"subcommand:bench" help:"measure what limpetspan costs"`
--- /dev/null
+++ b/pkg/record/record_test.go
@@ -0,0 +1,80 @@
+package record_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/pkg/record"
+)
+
+func TestRecord(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "record")
+}
+
+const second = int64(1e6)
+
+// failover is a run whose primary is away from 1 to 3 s.
+var failover = []record.Event{
+	{Kind: record.Statement, At: second / 2, Took: 2000, Outcome: record.Served},
+	{Kind: record.Statement, At: second / 2, Took: 4000, Outcome: record.Served, Read: true, Replica: true},
+	{Kind: record.Fault, At: second, Text: "primary silent"},
+	{Kind: record.Statement, At: 2 * second, Took: 680000, Outcome: record.NotRun},
+	{Kind: record.Statement, At: 2 * second, Took: 3000, Outcome: record.Served, Read: true},
+	{Kind: record.Statement, At: 3 * second, Took: 2000, Outcome: record.Unknown},
+	{Kind: record.Statement, At: 3 * second, Took: 2000, Outcome: record.Served},
+}
+
+var _ = Describe("a record", func() {
+	It("is summed up by windows, with the gap of writes and the share of replicas", func() {
+		s := record.Summarize(failover, time.Second)
+		Expect(s.Rows).To(HaveLen(4))
+		Expect(s.Rows[1].Faults).To(Equal([]string{"primary silent"}))
+		Expect(s.Rows[2].NotRun).To(Equal(1))
+		Expect(s.Rows[0].P99).To(BeNumerically("~", 4*time.Millisecond, 50*time.Microsecond))
+		Expect(s.Gap).To(Equal(2500 * time.Millisecond))
+		Expect(s.GapEnd).To(Equal(3 * time.Second))
+		Expect(s.ReplicaReads).To(Equal(0.5))
+		Expect(s.Total.Served).To(Equal(4))
+		Expect(s.Total.Unknown).To(Equal(1))
+	})
+
+	It("comes back as it was written, and is drawn", func() {
+		var file bytes.Buffer
+		w := record.NewWriter(&file)
+		w.Fault("pause")
+		w.Statement(time.Now().Add(-time.Millisecond), record.Served, true, true)
+		Expect(w.Err()).NotTo(HaveOccurred())
+		events, err := record.Read(&file)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(events).To(HaveLen(2))
+		Expect(events[0].Text).To(Equal("pause"))
+		Expect(events[1].Took).To(BeNumerically(">=", 1000))
+		s := record.Summarize(events, time.Second)
+		plot := filepath.Join(GinkgoT().TempDir(), "run.svg")
+		Expect(s.Plot(events, plot)).To(Succeed())
+		data, err := os.ReadFile(plot)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(data)).To(ContainSubstring("<svg"))
+	})
+
+	DescribeTable("says which line it cannot read",
+		func(text, message string) {
+			_, err := record.Read(strings.NewReader(text))
+			Expect(err).To(MatchError(ContainSubstring(message)))
+		},
+		Entry(nil, "{\"kind\":\"fault\"}\nnot json\n", "line 2: "),
+		Entry(nil, "{\"kind\":\"other\"}\n", `line 1: unknown kind "other"`),
+	)
+
+	It("may be empty", func() {
+		Expect(record.Summarize(nil, time.Second).Rows).To(BeEmpty())
+	})
+})
--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"limpetspan/pkg/record"
 )
 
 // verdict is what a caller was told of a write.
@@ -34,6 +36,9 @@
 	random   *rand.Rand
 	pick     func() string
 	promoted func() int
+	// recorder takes each statement that runs; replica tells which members do not lead.
+	recorder *record.Writer
+	replica  func(member string) bool
 
 	c    net.Conn
 	r    *bufio.Reader
@@ -115,12 +120,14 @@
 	return false
 }
 
-func (x *caller) query(text string) reply {
+func (x *caller) query(text string) (a reply) {
 	x.next++
-	a := reply{id: fmt.Sprintf("%s.%d", x.name, x.next)}
+	a = reply{id: fmt.Sprintf("%s.%d", x.name, x.next)}
 	if x.c == nil {
 		return a
 	}
+	sent := time.Now()
+	defer func() { x.keep(text, sent, &a) }()
 	_ = x.c.SetDeadline(time.Now().Add(answerWait))
 	if _, err := fmt.Fprintf(x.c, "QUERY %s %s\r\n", a.id, text); err != nil {
 		x.hangUp()
@@ -146,6 +153,24 @@
 	}
 }
 
+// keep records a statement that runs at a member. A receipt is "r", the member and
+// the statement's id.
+func (x *caller) keep(text string, sent time.Time, a *reply) {
+	word, _, _ := strings.Cut(text, " ")
+	if word != "READ" && word != "WRITE" && word != "COMMIT" {
+		return
+	}
+	outcome := record.Unknown
+	switch {
+	case a.served():
+		outcome = record.Served
+	case a.promise():
+		outcome = record.NotRun
+	}
+	member := strings.TrimSuffix(strings.TrimPrefix(a.end, "COMPLETE r."), "."+a.id)
+	x.recorder.Statement(sent, outcome, word == "READ", a.served() && x.replica(member))
+}
+
 // checkAnswer looks whether the answer belongs to the statement.
 func (x *caller) checkAnswer(text string, a reply) {
 	word, _, _ := strings.Cut(text, " ")
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -20,6 +20,7 @@
 	// The daemon is built by the test; importing what it is made of lets the test
 	// cache see its changes.
 	_ "limpetspan/pkg/proxy"
+	"limpetspan/pkg/record"
 	"limpetspan/platform/standin"
 )
 
@@ -59,6 +60,8 @@
 	callers []*caller
 	version int
 	log     []string
+	// recorder keeps what callers see, for limpetspan report.
+	recorder *record.Writer
 }
 
 func newWorld(seed uint64, binary, dir string) (*world, error) {
@@ -132,7 +135,8 @@
 		random := rand.New(rand.NewPCG(w.seed, uint64(100+i)))
 		x := &caller{name: fmt.Sprintf("c%d", i), database: []string{"db-primary", "db-own"}[i%2], random: random,
 			pick:     func() string { return w.pick(random) },
-			promoted: func() int { return w.group.Reigns() }}
+			promoted: func() int { return w.group.Reigns() }, recorder: w.recorder,
+			replica: func(member string) bool { return w.group.Primary() == nil || w.group.Primary().ID != member }}
 		w.callers = append(w.callers, x)
 		go func() {
 			x.run(stop)
@@ -158,6 +162,11 @@
 
 func (w *world) note(format string, args ...any) { w.log = append(w.log, fmt.Sprintf(format, args...)) }
 
+// faultNames are the faults by their number.
+var faultNames = [...]string{"daemon killed", "daemon stops", "daemon paused", "settings read again", "all daemons killed",
+	"connections reset", "connections silenced", "cut", "delay", "member silent", "member silent", "store away",
+	"answers lost", "configuration and compaction"}
+
 // fault injects one fault and returns how to end it.
 func (w *world) fault() (heal func()) {
 	d := w.daemons[w.random.IntN(len(w.daemons))]
@@ -166,6 +175,7 @@
 	none := func() {}
 	kind := w.random.IntN(14)
 	w.note("fault %d", kind)
+	w.recorder.Fault(faultNames[kind])
 	switch kind {
 	case 0:
 		d.signal(syscall.SIGKILL)
@@ -220,6 +230,7 @@
 		time.Sleep(time.Duration(100+w.random.IntN(1200)) * time.Millisecond)
 		if len(heals) > 2 || w.random.IntN(2) == 0 {
 			heals[0]()
+			w.recorder.Fault("end of a fault")
 			heals = heals[1:]
 		}
 	}
@@ -325,6 +336,10 @@
 		w, err := newWorld(seed, binary, dir)
 		Expect(err).NotTo(HaveOccurred())
 		defer w.close()
+		file, err := os.Create(filepath.Join(dir, "record.jsonl"))
+		Expect(err).NotTo(HaveOccurred())
+		defer file.Close()
+		w.recorder = record.NewWriter(file)
 		for _, d := range w.daemons {
 			Eventually(d.isReady, recovery).Should(BeTrue())
 		}
@@ -335,6 +350,7 @@
 		Eventually(func() bool { return w.recovered(before) }, recovery).Should(BeTrue(), "seed %d: callers are not served after %v", seed, w.log)
 		close(stop)
 		wait()
+		Expect(w.recorder.Err()).NotTo(HaveOccurred())
 		Expect(w.broken()).To(BeEmpty(), "seed %d, %v", seed, w.log)
 		total := 0
 		for _, n := range w.served() {
