Lose no commit that has waited for a replica

Cause: the number of replicas that a commit waits for was decoded and not used.

Change: where commits wait for replicas, all members but that many are fenced before a promotion, and only the furthest of them is promoted.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -331,17 +331,30 @@
 // itself, once the old primary has been demoted for so long that nobody can still
 // believe that it leads.
 func (g *Group) fencesNeeded(now core.Time) int {
-	c := &g.claim
-	disbelieved := c.demoted && now.Sub(c.demotedAt) >= RoleFor-PromoteAtLeast
-	if disbelieved || !g.guarded(GuardFences) {
+	if !g.guarded(GuardFences) {
 		return 1
 	}
+	c := &g.claim
+	if c.demoted && now.Sub(c.demotedAt) >= RoleFor-PromoteAtLeast {
+		return max(1, g.fencesForSync())
+	}
 	n := g.size(now)
 	if p := g.members[c.old]; p == nil || !p.alive(now) {
 		n++ // the old primary's place counts although it has gone
 	}
 	replicas := n - 1
-	return max(1, replicas-n/2+1)
+	return max(1, replicas-n/2+1, g.fencesForSync())
+}
+
+// fencesForSync is how many members must be fenced so that each set of members that
+// has an acknowledged commit, the primary and those it waited for, has a fenced one
+// in it: the furthest of these has all such commits. Members count that cannot be
+// reached; to promote without them may lose what was acknowledged.
+func (g *Group) fencesForSync() int {
+	if g.spec.SyncReplicas == 0 || !g.guarded(GuardSync) {
+		return 0
+	}
+	return len(g.members) - g.spec.SyncReplicas
 }
 
 func (g *Group) stepFencing(now core.Time) {
@@ -403,8 +416,12 @@
 }
 
 // bestFenced is the fenced replica that has received most; one that stays is
-// preferred to one that is leaving.
+// preferred to one that is leaving, unless commits wait for replicas: then only
+// the furthest surely has all that were acknowledged.
 func (g *Group) bestFenced(now core.Time) core.MemberID {
+	if g.spec.SyncReplicas > 0 && g.guarded(GuardSync) {
+		return g.furthestFenced()
+	}
 	var best core.MemberID
 	for _, id := range g.order {
 		m := g.members[id]
@@ -418,6 +435,21 @@
 	return best
 }
 
+// furthestFenced is the fenced replica that has received most; "" if it does not answer.
+func (g *Group) furthestFenced() core.MemberID {
+	var best *member
+	for _, id := range g.order {
+		m := g.members[id]
+		if _, ok := g.claim.fenced[id]; ok && (best == nil || best.position.Less(m.position)) {
+			best = m
+		}
+	}
+	if best == nil || best.suspect {
+		return ""
+	}
+	return best.ID
+}
+
 func (g *Group) better(now core.Time, a, b *member) bool {
 	if a.leaving(now) != b.leaving(now) {
 		return b.leaving(now)
--- a/core/direct/claim_test.go
+++ b/core/direct/claim_test.go
@@ -240,6 +240,23 @@
 		Expect(s.take(direct.EffectClaim)).To(HaveLen(1), "two of four know of none")
 	})
 
+	// Commits wait for one replica before they are acknowledged. The primary and one
+	// replica are silent: that one may have a commit which the other lacks, and its
+	// promotion would lose what callers were told is kept.
+	It("waits for all replicas that may have a commit which one was waited for", func() {
+		s := newScript()
+		s.g.Configure(direct.GroupSpec{ID: "g", MaxConns: 22, SyncReplicas: 1})
+		s.silence()
+		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 7, Term: 2, Highest: 2}))
+		s.status("a", direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 10}})
+		s.status("b", fenced)
+		s.tick(2*time.Second, map[core.MemberID]direct.Status{"b": fenced})
+		Expect(s.take(direct.EffectPromote)).To(BeEmpty())
+		s.status("c", fenced)
+		s.tick(400*ms, fencedAnswer)
+		Expect(s.take(direct.EffectPromote)).To(HaveLen(1))
+	})
+
 	// Two daemons claim the group. One gets the ticket and fences the replicas; the
 	// other one's claim is refused. If that one removed the fences that it sees, a
 	// third daemon would have its lease on the old primary extended.
--- a/core/direct/guard.go
+++ b/core/direct/guard.go
@@ -28,6 +28,8 @@
 	GuardOwnFences
 	// GuardLeads: a lease is extended only while the primary is known to lead.
 	GuardLeads
+	// GuardSync: where commits wait for replicas, a promotion knows enough of them.
+	GuardSync
 	// GuardSessionPosition: a session's reads cover its own commits.
 	GuardSessionPosition
 )
--- a/pkg/explore/reigns/daemon.go
+++ b/pkg/explore/reigns/daemon.go
@@ -63,7 +63,11 @@
 	d.up, d.thawAt = true, 0
 	d.g = direct.NewGroup(groupID, d.id, "z")
 	d.g.Disable(d.w.options.Disabled)
-	d.g.Configure(direct.GroupSpec{ID: groupID, MaxConns: 60})
+	spec := direct.GroupSpec{ID: groupID, MaxConns: 60}
+	if d.w.options.Sync {
+		spec.SyncReplicas = 1
+	}
+	d.g.Configure(spec)
 	d.g.SetHomes(daemonCount, true)
 	d.orders, d.busy = make(map[core.MemberID][]direct.Effect), make(map[core.MemberID]bool)
 	d.stamps = make(map[core.DaemonID]stamp)
--- a/pkg/explore/reigns/member.go
+++ b/pkg/explore/reigns/member.go
@@ -74,6 +74,24 @@
 	return true
 }
 
+// onceReplicated has do happen once a replica has received the commit, or at once
+// where commits do not wait for one.
+func (m *member) onceReplicated(c *commit, do func()) {
+	if !m.w.options.Sync {
+		do()
+		return
+	}
+	for _, other := range m.w.members {
+		if other != m && other.has(c) {
+			do()
+			return
+		}
+	}
+	if m.has(c) && !m.down {
+		m.w.after(tick, func() { m.onceReplicated(c, do) })
+	}
+}
+
 // restart brings a member back that crashed: its log is kept, its fence is not.
 func (m *member) restart() {
 	m.down, m.fenced = false, 0
@@ -94,9 +112,13 @@
 		other.fenced = 0
 	}
 	for _, c := range w.commits {
-		if !m.has(c) {
-			c.lost = true
+		if m.has(c) {
+			continue
+		}
+		if w.options.Sync && c.acked && !c.lost {
+			w.violate("lost", "the promotion of %s loses commit %d, which %s acknowledged", m.id, c.id, c.daemon.id)
 		}
+		c.lost = true
 	}
 	w.counts["promotions"]++
 	w.note("%s reigns in term %d", m.id, m.term)
--- a/pkg/explore/reigns/reigns_test.go
+++ b/pkg/explore/reigns/reigns_test.go
@@ -25,6 +25,14 @@
 		Expect(report.Counts["promotions"]).To(BeNumerically(">", 60))
 	})
 
+	It("loses no acknowledged commit where commits wait for a replica", func() {
+		o := reigns.DefaultOptions()
+		o.Runs, o.Sync = 40, true
+		report := reigns.Run(context.Background(), o)
+		Expect(report.Violations).To(BeEmpty())
+		Expect(report.Counts["promotions"]).To(BeNumerically(">", 20))
+	})
+
 	It("repeats a run from its seed", func() {
 		o := reigns.DefaultOptions()
 		o.Runs, o.Seed = 1, 7
@@ -54,6 +62,7 @@
 		Entry(nil, "read-lease", "replaced|stale"),
 		Entry(nil, "session-position", "stale"),
 		Entry(nil, "superseded", "replaced|progress"),
+		Entry(nil, "sync", "lost"),
 		Entry(nil, "ticket-life", "replaced|token"),
 		Entry(nil, "ticket-term", "replaced|stale"),
 		Entry(nil, "unbroken-lease", "replaced|stale"),
--- a/pkg/explore/reigns/run.go
+++ b/pkg/explore/reigns/run.go
@@ -20,6 +20,8 @@
 	// Duration is the model's time with faults in one run, FaultEvery the mean
 	// time between them.
 	Duration, FaultEvery time.Duration
+	// Sync has commits wait for one replica; then no promotion may lose one.
+	Sync bool
 	// Disabled are checks of the reducer that are switched off, shell those of the
 	// code around it.
 	Disabled direct.Guard
@@ -52,6 +54,8 @@
 	name    string
 	reducer direct.Guard
 	shell   shellGuard
+	// sync: the check matters where commits wait for a replica.
+	sync bool
 }
 
 var guards = []guard{
@@ -65,6 +69,7 @@
 	{name: "same-reign", reducer: direct.GuardSameReign},
 	{name: "send-window", reducer: direct.GuardSendWindow, shell: shellSendWindow},
 	{name: "session-position", reducer: direct.GuardSessionPosition},
+	{name: "sync", reducer: direct.GuardSync, sync: true},
 	{name: "superseded", reducer: direct.GuardSuperseded},
 	{name: "ticket-life", shell: shellTicketLife},
 	{name: "ticket-term", reducer: direct.GuardTicketTerm},
@@ -89,6 +94,7 @@
 		}
 		o.Disabled |= guards[i].reducer
 		o.shell |= guards[i].shell
+		o.Sync = o.Sync || guards[i].sync
 	}
 	return nil
 }
@@ -159,6 +165,7 @@
 	for _, g := range guards {
 		broken := o
 		broken.Disabled, broken.shell, broken.Runs = g.reducer, g.shell, guardBatch
+		broken.Sync = broken.Sync || g.sync
 		result := GuardResult{Guard: g.name}
 		for result.Runs < o.Runs && result.Violation == nil && ctx.Err() == nil {
 			broken.Seed = o.Seed + uint64(result.Runs)
--- a/pkg/explore/reigns/statement.go
+++ b/pkg/explore/reigns/statement.go
@@ -32,7 +32,7 @@
 }
 
 // exchange sends a statement to its member and reports the outcome to the reducer.
-func (d *daemon) exchange(p direct.Place, run func(m *member) direct.Outcome, answered func(core.Position)) {
+func (d *daemon) exchange(p direct.Place, written bool, run func(m *member) direct.Outcome, answered func(core.Position)) {
 	d.take(p)
 	m, sent := d.w.member(p.Member), d.clock()
 	once := d.timeout(exchangeTimeout, func() {
@@ -45,15 +45,22 @@
 		}
 		outcome := run(m)
 		position := m.position()
-		d.w.send(m.node(), d.node(), func() {
-			once(func() {
-				d.g.ConnIdle(m.id)
-				d.update(func(at core.Time) []direct.Effect { return d.g.Answered(at, sent, m.id, position, outcome) })
-				if outcome == direct.Succeeded {
-					answered(position)
-				}
+		reply := func() {
+			d.w.send(m.node(), d.node(), func() {
+				once(func() {
+					d.g.ConnIdle(m.id)
+					d.update(func(at core.Time) []direct.Effect { return d.g.Answered(at, sent, m.id, position, outcome) })
+					if outcome == direct.Succeeded {
+						answered(position)
+					}
+				})
 			})
-		})
+		}
+		if written && outcome == direct.Succeeded {
+			m.onceReplicated(m.log[len(m.log)-1].commit, reply)
+			return
+		}
+		reply()
 	})
 }
 
@@ -65,7 +72,7 @@
 	}
 	c := &commit{id: len(d.w.commits) + 1, daemon: d, life: d.life}
 	d.w.commits = append(d.w.commits, c)
-	d.exchange(place, func(m *member) direct.Outcome {
+	d.exchange(place, true, func(m *member) direct.Outcome {
 		if m.write(c) {
 			return direct.Succeeded
 		}
@@ -119,7 +126,7 @@
 	}
 	life := d.life
 	var missing *commit
-	d.exchange(place, func(m *member) direct.Outcome {
+	d.exchange(place, false, func(m *member) direct.Outcome {
 		if m.position().Less(place.Since) {
 			return direct.Behind
 		}
