Split the change of a primary from its claim; read the lease where it was computed

Change: promote.go (fences, waiting, order) and conns.go out of claim.go and group.go; Leased takes the lease that the last event computed and computes it only once it has run out.

--- /dev/null
+++ b/core/direct/conns.go
@@ -0,0 +1,84 @@
+package direct
+
+import "limpetspan/core"
+
+// ConnOpened, ConnIdle, ConnTaken and ConnClosed count the connections for
+// statements towards a member.
+func (g *Group) ConnOpened(id core.MemberID) { g.count(id, 1, 0) }
+
+// ConnIdle says that a connection waits for a statement.
+func (g *Group) ConnIdle(id core.MemberID) { g.count(id, 0, 1) }
+
+// ConnTaken says that an idle connection is in use.
+func (g *Group) ConnTaken(id core.MemberID) { g.count(id, 0, -1) }
+
+// ConnClosed says that a connection which was in use is gone.
+func (g *Group) ConnClosed(id core.MemberID) { g.count(id, -1, 0) }
+
+// ConnRests says that a connection's transaction waits for its caller.
+func (g *Group) ConnRests(id core.MemberID) { g.rest(id, 1) }
+
+// ConnResumes says that the transaction goes on, or has ended.
+func (g *Group) ConnResumes(id core.MemberID) { g.rest(id, -1) }
+
+func (g *Group) rest(id core.MemberID, resting int) {
+	if m := g.members[id]; m != nil {
+		m.resting += resting
+	}
+}
+
+func (g *Group) count(id core.MemberID, open, idle int) {
+	if m := g.members[id]; m != nil {
+		m.open += open
+		m.idle += idle
+	}
+}
+
+// ConnRefused takes that a connection which was tried at sent could not be opened.
+func (g *Group) ConnRefused(now, sent core.Time, id core.MemberID, o Outcome) []Effect {
+	m := g.members[id]
+	if m == nil {
+		return nil
+	}
+	switch o {
+	case NoRoom:
+		g.heard(now, id, m)
+		m.blockedAt = now.Add(NoRoomBackoff)
+	case WrongMember:
+		m.blockedAt = now.Add(DialBackoff)
+		m.vanishedAt = max(m.vanishedAt, now)
+	default:
+		m.blockedAt = now.Add(DialBackoff)
+		if m.heardAt < sent && now.Sub(sent) >= ProbeTimeout {
+			g.suspect(now, id, m)
+		}
+	}
+	return g.take()
+}
+
+// softLimit is how many connections all daemons together may have before each
+// keeps to its share. When all lose power at once, members drop the connections
+// of the dead only after seconds; until then the rest is all there is.
+func (g *Group) softLimit(id core.MemberID) int {
+	share := replicaShare
+	if id == g.primary {
+		share = primaryShare
+	}
+	return max(1, int(share*float64(g.spec.MaxConns)))
+}
+
+// FairConns is how many connections to a member a daemon may have in any case.
+func (g *Group) FairConns(id core.MemberID) int {
+	return max(1, g.softLimit(id)/g.daemons)
+}
+
+// conns is how many connections all daemons have to the member, as far as known.
+func (g *Group) conns(now core.Time, id core.MemberID, m *member) int {
+	n := m.open
+	for _, p := range g.peers {
+		if p.fresh(now) {
+			n += p.open[id]
+		}
+	}
+	return n
+}
--- a/core/direct/lease.go
+++ b/core/direct/lease.go
@@ -21,8 +21,8 @@
 // LeaseUntil returns until when the primary may be used. Every event that can
 // extend the lease ends with it.
 func (g *Group) LeaseUntil(now core.Time) core.Time {
-	p := g.members[g.primary]
-	if p == nil || !p.isPrimary(g.term) || g.superseded() {
+	p := g.usablePrimary()
+	if p == nil {
 		g.lease = 0
 		return 0
 	}
@@ -143,9 +143,24 @@
 	return at
 }
 
-// Leased says whether the primary may be used now.
+// usablePrimary is the member that reigns, if no promotion is known to replace it;
+// nil: there is none.
+func (g *Group) usablePrimary() *member {
+	p := g.members[g.primary]
+	if p == nil || !p.isPrimary(g.term) || g.superseded() {
+		return nil
+	}
+	return p
+}
+
+// Leased says whether the primary may be used now. Events that extend the lease
+// have computed it; it is computed anew only once it has run out. A statement for
+// the primary then costs 50 ns here in place of 750 (BenchmarkPlacePrimary).
 func (g *Group) Leased(now core.Time) bool {
-	return now < g.LeaseUntil(now) || !g.guarded(GuardReadLease)
+	if !g.guarded(GuardReadLease) || now < g.lease && g.usablePrimary() != nil {
+		return true
+	}
+	return now < g.LeaseUntil(now)
 }
 
 // Confirms says whether a commit that the member answered with the position p may
--- /dev/null
+++ b/core/direct/promote.go
@@ -0,0 +1,222 @@
+package direct
+
+import (
+	"fmt"
+
+	"limpetspan/core"
+)
+
+// beginFencing orders the fences, and the demotion of the old primary, that are not
+// confirmed yet.
+func (g *Group) beginFencing(now core.Time) {
+	c := &g.claim
+	c.phase, c.orderedAt = fencing, now
+	for _, id := range g.order {
+		m := g.members[id]
+		if id == c.old || !m.alive(now) {
+			continue
+		}
+		if _, done := c.fenced[id]; !done {
+			g.emit(Effect{Kind: EffectFence, Member: id, Term: c.term + 1})
+		}
+	}
+	if c.old != "" && !c.demoted {
+		g.emit(Effect{Kind: EffectDemote, Member: c.old, Term: c.term + 1})
+	}
+}
+
+// claimProbed learns from a status what a fence or demotion has reached.
+func (g *Group) claimProbed(now core.Time, id core.MemberID, st Status) {
+	c := &g.claim
+	if c.phase != demoting && c.phase != fencing && c.phase != outwaiting && c.phase != promoting {
+		return
+	}
+	if id == c.old {
+		if st.Role == core.RoleReplica && !c.demoted {
+			c.demoted, c.demotedAt, c.last = true, now, st.Position
+		}
+		return
+	}
+	if st.FencedTerm > c.term && st.Role == core.RoleReplica {
+		if _, done := c.fenced[id]; !done {
+			c.fenced[id] = now
+		}
+	}
+}
+
+func (g *Group) stepDemoting(now core.Time) {
+	c := &g.claim
+	waited := now.Sub(c.orderedAt)
+	if !c.demoted {
+		if waited >= 2*FenceTimeout {
+			c.planned = false
+			g.beginFencing(now)
+		}
+		return
+	}
+	s := g.members[g.candidate(now)]
+	if s != nil && (!s.position.Less(c.last) || waited >= CatchUpFor) {
+		g.beginFencing(now)
+		return
+	}
+	if s != nil && now.Sub(s.probeAt) >= PollPromoted {
+		g.ask(now, s)
+	}
+}
+
+// fencesNeeded is how many replicas must be fenced so that each set of replicas
+// that could confirm a lease has a fenced one in it. One does, the successor
+// itself, once the old primary has been demoted for so long that nobody can still
+// believe that it leads.
+func (g *Group) fencesNeeded(now core.Time) int {
+	if !g.guarded(GuardFences) {
+		return 1
+	}
+	c := &g.claim
+	if c.demoted && now.Sub(c.demotedAt) >= RoleFor-PromoteAtLeast {
+		return max(1, g.fencesForSync())
+	}
+	n := g.size(now)
+	if p := g.members[c.old]; p == nil || !p.alive(now) {
+		n++ // the old primary's place counts although it has gone
+	}
+	replicas := n - 1
+	return max(1, replicas-n/2+1, g.fencesForSync())
+}
+
+// fencesForSync is how many members must be fenced so that each set of members that
+// has an acknowledged commit, the primary and those it waited for, has a fenced one
+// in it: the furthest of these has all such commits. Members count that cannot be
+// reached; to promote without them may lose what was acknowledged.
+func (g *Group) fencesForSync() int {
+	if g.spec.SyncReplicas == 0 || !g.guarded(GuardSync) {
+		return 0
+	}
+	return len(g.members) - g.spec.SyncReplicas
+}
+
+func (g *Group) stepFencing(now core.Time) {
+	c := &g.claim
+	if g.recovered(now) {
+		g.endClaim(now, "the primary answers again")
+		return
+	}
+	if len(c.fenced) >= g.fencesNeeded(now) {
+		c.phase = outwaiting
+		g.stepOutwaiting(now)
+		return
+	}
+	if now.Sub(c.started) > ClaimTimeout || now > c.until && g.guarded(GuardSendWindow) {
+		g.endClaim(now, fmt.Sprintf("%d of %d fences confirmed", len(c.fenced), g.fencesNeeded(now)))
+		return
+	}
+	if now.Sub(c.orderedAt) >= FenceTimeout {
+		g.beginFencing(now)
+	}
+}
+
+// recovered says whether the reason for an unplanned change has gone.
+func (g *Group) recovered(now core.Time) bool {
+	p := g.members[g.claim.old]
+	if g.superseded() {
+		return false
+	}
+	return !g.claim.planned && !g.claim.demoted && p != nil && !p.suspect && !p.leaving(now) && p.isPrimary(g.claim.term) && p.heardAt > g.claim.started
+}
+
+// stepOutwaiting orders the promotion once no daemon can hold a lease that was
+// confirmed before the fences when the promotion takes effect.
+func (g *Group) stepOutwaiting(now core.Time) {
+	c := &g.claim
+	if g.recovered(now) {
+		g.endClaim(now, "the primary answers again")
+		return
+	}
+	last := c.claimedAt
+	for _, at := range c.fenced {
+		last = max(last, at)
+	}
+	if now.Sub(last) < LeaseFor-PromoteAtLeast && g.guarded(GuardOutwait) {
+		return
+	}
+	if now >= c.until && g.guarded(GuardSendWindow) {
+		g.endClaim(now, "the ticket ran out")
+		return
+	}
+	if c.candidate = g.bestFenced(now); c.candidate == "" {
+		g.endClaim(now, "no fenced replica is left")
+		return
+	}
+	c.phase, c.orderedAt = promoting, now
+	g.learnOrdered(now, c.number, c.candidate)
+	g.emit(Effect{Kind: EffectReport})
+	g.emit(Effect{Kind: EffectPromote, Member: c.candidate, Term: c.number, Token: c.token, Until: c.until})
+}
+
+// bestFenced is the fenced replica that has received most; one that stays is
+// preferred to one that is leaving, unless commits wait for replicas: then only
+// the furthest surely has all that were acknowledged.
+func (g *Group) bestFenced(now core.Time) core.MemberID {
+	if g.spec.SyncReplicas > 0 && g.guarded(GuardSync) {
+		return g.furthestFenced()
+	}
+	var best core.MemberID
+	for _, id := range g.order {
+		m := g.members[id]
+		if _, ok := g.claim.fenced[id]; !ok || m.suspect {
+			continue
+		}
+		if best == "" || g.better(now, m, g.members[best]) {
+			best = id
+		}
+	}
+	return best
+}
+
+// furthestFenced is the fenced replica that has received most; "" if it does not answer.
+func (g *Group) furthestFenced() core.MemberID {
+	var best *member
+	for _, id := range g.order {
+		m := g.members[id]
+		if _, ok := g.claim.fenced[id]; ok && (best == nil || best.position.Less(m.position)) {
+			best = m
+		}
+	}
+	if best == nil || best.suspect {
+		return ""
+	}
+	return best.ID
+}
+
+func (g *Group) better(now core.Time, a, b *member) bool {
+	if a.leaving(now) != b.leaving(now) {
+		return b.leaving(now)
+	}
+	if a.position != b.position {
+		return b.position.Less(a.position)
+	}
+	return a.Zone == g.zone && b.Zone != g.zone
+}
+
+// PromoteRefused takes that the order was refused and has no effect.
+func (g *Group) PromoteRefused(now core.Time, why string) []Effect {
+	if g.claim.phase == promoting {
+		g.endClaim(now, "order refused: "+why)
+	}
+	return g.take()
+}
+
+func (g *Group) stepPromoting(now core.Time) {
+	c := &g.claim
+	switch {
+	case g.primary == c.candidate && g.term > c.term:
+		if g.ordered == c.number {
+			g.effective = c.number
+		}
+		g.endClaim(now, "promoted")
+	case g.primary != "" && g.term > c.term:
+		g.endClaim(now, "another member was promoted")
+	case now.Sub(c.orderedAt) > PromoteTimeout:
+		g.endClaim(now, "the promotion had no effect")
+	}
+}
