Log each failed try to withdraw a claim

Cause: a try that the store did not answer left no line, only the last one did.

Change: a line with step and error for each.

Measured: the package's tests pass.

--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -120,7 +120,7 @@
 		}
 		time.Sleep(releaseRetry)
 	}
-	c.p.log.Warn("claim not withdrawn", "group", id, "term", claim.Term)
+	c.p.log.Error("claim not withdrawn", "group", id, "term", claim.Term)
 }
 
 // replace writes the ticket that was there before over the claim, or over what the
@@ -130,6 +130,7 @@
 	defer cancel()
 	item, err := c.p.client.Get(ctx, platform.TicketsPrefix+string(id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		c.p.log.Warn("claim not withdrawn yet", "group", id, "step", "read", "error", err.Error())
 		return false
 	}
 	if item.Revision != revision {
@@ -138,11 +139,12 @@
 			return true
 		}
 	}
-	_, err = c.put(ctx, id, item.Revision, before)
-	if err == nil {
-		c.p.log.Info("claim withdrawn", "group", id, "term", claim.Term)
+	if _, err = c.put(ctx, id, item.Revision, before); err != nil {
+		c.p.log.Warn("claim not withdrawn yet", "group", id, "step", "write", "error", err.Error())
+		return false
 	}
-	return err == nil
+	c.p.log.Info("claim withdrawn", "group", id, "term", claim.Term)
+	return true
 }
 
 // put writes the group's ticket if its last change is the revision.
--- a/pkg/proxy/queue.go
+++ b/pkg/proxy/queue.go
@@ -55,8 +55,9 @@
 type queue struct {
 	waiters []*waiter
 	// standingAt is when a waiter was last seen that had lost half of its time, and
-	// standingSince since when such ones have come without a pause. While the queue stands, the newest of a database goes first: in order of arrival all
-	// would be served too late.
+	// standingSince since when such ones have come without a pause. While the queue
+	// stands, the newest of a database goes first: in order of arrival all would be
+	// served too late.
 	standingAt, standingSince core.Time
 	// servedAt is when a waiter last got a connection.
 	servedAt core.Time
