Wait for the last span in the test of hops

A statement's span ends after its answer has been sent, and the test read the spans as soon as it had the answer.

Change: the test waits until exactly the four spans are there.

--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -137,15 +137,19 @@
 		}
 		x := f.daemons[1].dial("db-primary")
 		a := x.persist("WRITE k 1")
-		var names []string
-		for _, span := range spans.GetSpans() {
-			for _, attr := range span.Attributes {
-				if attr.Value.AsString() == a.id {
-					names = append(names, span.Name)
+		names := func() (names []string) {
+			for _, span := range spans.GetSpans() {
+				for _, attr := range span.Attributes {
+					if attr.Value.AsString() == a.id {
+						names = append(names, span.Name)
+					}
 				}
 			}
+			return names
 		}
-		Expect(names).To(ConsistOf("entry.statement", "home.link", "entry.statement", "member.exchange"))
+		// A statement's span ends once its answer has been sent, so the caller may be
+		// here before the span is.
+		Eventually(names, patience).Should(ConsistOf("entry.statement", "home.link", "entry.statement", "member.exchange"))
 	})
 
 	// Another daemon has become home. Sessions that stayed at the old one would keep
