--- a/pkg/explore/check.go
+++ b/pkg/explore/check.go
@@ -54,9 +54,14 @@
 	}
 }
 
+// checkRan holds an acknowledged write against the members' runs of it. One that
+// ran on two members, the second after a promotion, shows here first.
 func (w *world) checkRan(op *operation) {
-	if w.runs[op.id] != 1 {
-		w.violate("acknowledged", "write %d was acknowledged after %d runs", op.id, w.runs[op.id])
+	switch runs := w.runs[op.id]; {
+	case runs == 0:
+		w.violate("acknowledged", "write %d was acknowledged and did not run", op.id)
+	case runs > 1:
+		w.violate("doubled", "write %d was acknowledged after %d runs", op.id, runs)
 	}
 }
 
