Decide once what a ticket says

Cause: which term a claim's ticket names, what it leaves unresolved and what is written when it goes back stood twice, in the daemon's shell and in the model of reigns, so that the model did not explore the code that runs. The tries to give a ticket back and to withdraw a claim were two loops.

Change: core/direct has the record of a ticket with its four steps, used by both; one loop persists.

Conclusion: behaviour is as before; what is stored keeps its names.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -223,21 +223,6 @@
 	g.emit(Effect{Kind: EffectReport})
 }
 
-// Ticket is the right to order a promotion.
-type Ticket struct {
-	// Token is the fencing token, which rises from one ticket to the next.
-	Token uint64
-	// Term is the one that the ticket names. It is higher than that of every ticket
-	// before it, so that daemons do not take it for a promotion which has had its
-	// effect.
-	Term core.Term
-	// Highest is the highest term that any ticket so far has named.
-	Highest core.Term
-	// Unresolved is the term of the ticket before it if that was not given back:
-	// its holder may have ordered a promotion of which nobody here has heard.
-	Unresolved core.Term
-}
-
 // Claimed takes the ticket, which was asked for at sent.
 func (g *Group) Claimed(now, sent core.Time, t Ticket) []Effect {
 	c := &g.claim
--- a/core/direct/lease.go
+++ b/core/direct/lease.go
@@ -85,13 +85,6 @@
 	}
 }
 
-// TicketSeen is what a read of the group's ticket shows; zero: there is none.
-type TicketSeen struct {
-	Term core.Term
-	// Reign: Term is a reign, as it was given back, rather than what a claim counts on.
-	Reign bool
-}
-
 // TicketRead takes a read of the group's ticket that was sent at sent.
 func (g *Group) TicketRead(now, sent core.Time, seen TicketSeen) []Effect {
 	term := seen.Term
--- a/pkg/explore/reigns/daemon.go
+++ b/pkg/explore/reigns/daemon.go
@@ -203,9 +203,9 @@
 		case !d.free(t):
 			refuse("another daemon has the ticket")
 		default:
-			next, taken := t.next(e)
+			record, taken := t.TicketRecord.Claim(e)
 			d.claims++
-			next.holder, next.life, next.claim = d.id, d.life, d.claims
+			next := item{TicketRecord: record, holder: d.id, life: d.life, claim: d.claims}
 			d.w.store.put(d, t.revision, next, func(revision uint64, ok bool) {
 				if !ok {
 					d.withdraw(t, next, releaseTries)
@@ -222,7 +222,7 @@
 // release gives the ticket back, again while the store does not answer. The write
 // has no effect once the ticket has changed.
 func (d *daemon) release(e direct.Effect, tries int) {
-	d.w.store.put(d, e.Token, item{holder: d.id, life: d.life, term: e.Term, highest: e.Highest, pending: e.Pending, free: true}, func(_ uint64, ok bool) {
+	d.w.store.put(d, e.Token, item{TicketRecord: e.Returned(), holder: d.id, life: d.life}, func(_ uint64, ok bool) {
 		if !ok && tries > 1 {
 			d.w.after(releaseRetry, d.mine(func() { d.release(e, tries-1) }))
 		}
@@ -242,9 +242,7 @@
 		case !ok:
 			again()
 		case t.revision == before.revision || ours:
-			back := before
-			back.holder, back.life, back.claim = d.id, d.life, 0
-			back.highest, back.free = claim.highest, before.free || before.revision == 0
+			back := item{TicketRecord: before.Withdrawn(claim.TicketRecord), holder: d.id, life: d.life}
 			d.w.store.put(d, t.revision, back, func(_ uint64, ok bool) {
 				if !ok {
 					again()
@@ -255,7 +253,7 @@
 }
 
 func (d *daemon) free(t item) bool {
-	if t.revision == 0 || t.free || t.holder == d.id && t.life == d.life || d.w.options.without(shellTicketLife) {
+	if t.revision == 0 || t.Free || t.holder == d.id && t.life == d.life || d.w.options.without(shellTicketLife) {
 		return true
 	}
 	d.noteTicket(t)
@@ -276,7 +274,7 @@
 			return
 		}
 		d.noteTicket(t)
-		d.update(func(at core.Time) []direct.Effect { return d.g.TicketRead(at, sent, t.seen()) })
+		d.update(func(at core.Time) []direct.Effect { return d.g.TicketRead(at, sent, t.Seen()) })
 	})
 }
 
@@ -284,7 +282,7 @@
 	sent := d.clock()
 	d.w.store.get(d, func(t item, ok bool) {
 		if ok && d.clock().Sub(sent) < direct.TicketReadEvery {
-			d.update(func(at core.Time) []direct.Effect { return d.g.TicketRead(at, sent, t.seen()) })
+			d.update(func(at core.Time) []direct.Effect { return d.g.TicketRead(at, sent, t.Seen()) })
 		}
 	})
 }
--- a/pkg/explore/reigns/store.go
+++ b/pkg/explore/reigns/store.go
@@ -9,34 +9,14 @@
 
 // item is the group's ticket as the store holds it.
 type item struct {
+	direct.TicketRecord
 	revision uint64
 	holder   core.DaemonID
 	life     int
-	term     core.Term
-	highest  core.Term
-	free     bool
-	pending  bool
 	// claim tells one claim of the holder from the next.
 	claim int
 }
 
-func (t item) seen() direct.TicketSeen {
-	return direct.TicketSeen{Term: t.term, Reign: t.free && !t.pending}
-}
-
-// next is the ticket that a claim writes after t, and what the claim is told.
-func (t item) next(e direct.Effect) (item, direct.Ticket) {
-	term := max(e.Term, t.highest+1)
-	if e.Repair {
-		term = max(e.Term, t.term)
-	}
-	taken := direct.Ticket{Term: term, Highest: max(term, t.highest)}
-	if t.revision != 0 && (!t.free || t.pending) {
-		taken.Unresolved = t.term
-	}
-	return item{term: term, highest: taken.Highest}, taken
-}
-
 // store holds the ticket. It may be away, and its answers may be lost, in which
 // case a write may also take effect later.
 type store struct {
@@ -69,7 +49,7 @@
 		s.revision++
 		next.revision = s.revision
 		s.ticket = next
-		s.w.note("ticket %d: %s wants term %d, free %v", next.revision, next.holder, next.term, next.free)
+		s.w.note("ticket %d: %s wants term %d, free %v", next.revision, next.holder, next.Term, next.Free)
 		return next.revision, true
 	}
 	s.call(d, func() {
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -16,18 +16,12 @@
 
 // ticket is the key of the store that names who may change a group's primary.
 type ticket struct {
+	direct.TicketRecord
 	Holder core.DaemonID `json:"holder"`
 	// Boot tells one life of a daemon from the next.
-	Boot int64     `json:"boot"`
-	Term core.Term `json:"term"`
-	// Highest is the highest term that any ticket of the group has named.
-	Highest core.Term `json:"highest"`
+	Boot int64 `json:"boot"`
 	// Claim tells one claim of the holder from the next.
 	Claim uint64 `json:"claim,omitempty"`
-	// Free: the holder has given it back.
-	Free bool `json:"free,omitempty"`
-	// Pending: it was given back while an earlier order for Term was unresolved.
-	Pending bool `json:"pending,omitempty"`
 }
 
 // seenTicket is a ticket's revision and when this daemon first saw it.
@@ -75,12 +69,12 @@
 			return direct.Ticket{}, "the last ticket cannot be read"
 		}
 	}
-	next, taken := last.next(e)
-	next.Claim = c.claimed.Add(1)
+	record, taken := last.TicketRecord.Claim(e)
+	next := ticket{TicketRecord: record, Claim: c.claimed.Add(1)}
 	revision, err := c.put(ctx, id, item.Revision, next)
 	if err != nil {
 		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnavailable) {
-			go c.withdraw(id, item.Revision, last, next)
+			go c.withdraw(id, item.Revision, last.TicketRecord, next)
 		}
 		return direct.Ticket{}, "store: " + err.Error()
 	}
@@ -88,46 +82,37 @@
 	return taken, ""
 }
 
-func (t ticket) shown() direct.TicketSeen {
-	return direct.TicketSeen{Term: t.Term, Reign: t.Free && !t.Pending}
-}
-
-// next is the ticket that a claim writes after t, and what the claim is told.
-func (t ticket) next(e direct.Effect) (ticket, direct.Ticket) {
-	term := max(e.Term, t.Highest+1)
-	if e.Repair {
-		term = max(e.Term, t.Term)
-	}
-	taken := direct.Ticket{Term: term, Highest: max(term, t.Highest)}
-	if !t.Free || t.Pending {
-		taken.Unresolved = t.Term
-	}
-	return ticket{Term: term, Highest: taken.Highest}, taken
-}
-
 // withdraw takes back a claim that was not answered. The store may have executed
 // it, or may do so seconds later while its condition holds; the group would then
 // look claimed, and five seconds later as if a promotion had been ordered. Writing
 // what was there before takes the place of the claim, or makes its condition fail.
-func (c *claims) withdraw(id core.GroupID, revision platform.Revision, before, claim ticket) {
-	before.Highest, before.Claim = claim.Highest, 0
-	if revision == 0 {
-		before.Free = true
+func (c *claims) withdraw(id core.GroupID, revision platform.Revision, before direct.TicketRecord, claim ticket) {
+	back := ticket{TicketRecord: before.Withdrawn(claim.TicketRecord)}
+	if !c.persist(func(ctx context.Context) bool { return c.replace(ctx, id, revision, back, claim) }) {
+		c.p.log.Error("claim not withdrawn", "group", id, "term", claim.Term)
 	}
-	for try := 0; try < releaseTries && c.p.running(); try++ {
-		if c.replace(id, revision, before, claim) {
-			return
+}
+
+// persist tries something at the store until it is done, at most releaseTries times.
+func (c *claims) persist(try func(ctx context.Context) (done bool)) bool {
+	for range releaseTries {
+		ctx, cancel := context.WithTimeout(c.p.ctx, storeTimeout)
+		done := try(ctx)
+		cancel()
+		if done {
+			return true
+		}
+		c.p.sleep(releaseRetry)
+		if !c.p.running() {
+			return false
 		}
-		time.Sleep(releaseRetry)
 	}
-	c.p.log.Error("claim not withdrawn", "group", id, "term", claim.Term)
+	return false
 }
 
 // replace writes the ticket that was there before over the claim, or over what the
 // claim would be written over; false: the store did not answer.
-func (c *claims) replace(id core.GroupID, revision platform.Revision, before, claim ticket) bool {
-	ctx, cancel := context.WithTimeout(c.p.ctx, storeTimeout)
-	defer cancel()
+func (c *claims) replace(ctx context.Context, id core.GroupID, revision platform.Revision, before, claim ticket) bool {
 	item, err := c.p.client.Get(ctx, platform.TicketsPrefix+string(id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		c.p.log.Warn("claim not withdrawn yet", "group", id, "step", "read", "error", err.Error())
@@ -162,19 +147,15 @@
 // tried again while the store does not answer: until a ticket is back, reads of it
 // give nobody a lease, and the next claim waits for its end.
 func (c *claims) release(id core.GroupID, e direct.Effect) {
-	for try := 1; c.p.running(); try++ {
-		ctx, cancel := context.WithTimeout(c.p.ctx, storeTimeout)
-		_, err := c.put(ctx, id, platform.Revision(e.Token), ticket{Term: e.Term, Highest: e.Highest, Pending: e.Pending, Free: true})
-		cancel()
-		if err == nil {
-			return
-		}
-		c.p.log.Warn("ticket not given back", "group", id, "token", e.Token, "try", try, "error", err.Error())
-		if errors.Is(err, platform.ErrConflict) || try == releaseTries {
-			return
+	tries := 0
+	c.persist(func(ctx context.Context) bool {
+		tries++
+		_, err := c.put(ctx, id, platform.Revision(e.Token), ticket{TicketRecord: e.Returned()})
+		if err != nil {
+			c.p.log.Warn("ticket not given back", "group", id, "token", e.Token, "try", tries, "error", err.Error())
 		}
-		time.Sleep(releaseRetry)
-	}
+		return err == nil || errors.Is(err, platform.ErrConflict)
+	})
 }
 
 // read tells the reducer which term the group's ticket names.
@@ -194,7 +175,7 @@
 			return
 		}
 	}
-	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.TicketRead(at, sent, t.shown()) })
+	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.TicketRead(at, sent, t.Seen()) })
 }
 
 // parse decodes a ticket; what cannot be read is logged, and its zero ticket is
@@ -252,7 +233,7 @@
 		if !ok {
 			return
 		}
-		seen[groupOfTicket(item)] = t.shown()
+		seen[groupOfTicket(item)] = t.Seen()
 	}
 	for _, g := range c.p.allGroups() {
 		g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.TicketRead(at, sent, seen[g.id]) })
