Give both explorations one agenda, one violation and one end

Cause: the model of reigns wrote again the heap of actions, the type of a violation and the last lines of the command that stand in pkg/explore and pkg/cli.

Change: package agenda; reigns uses explore's Violation and SeedViolation; one function ends both commands.

Conclusion: behaviour is as before.

--- a/pkg/cli/explore.go
+++ b/pkg/cli/explore.go
@@ -66,15 +66,22 @@
 		}
 	} else {
 		fmt.Fprintf(env.Stdout, "%d runs, %d states, %d violations\n", report.Runs, report.States, len(report.Violations))
-		for _, v := range report.Violations {
+	}
+	return explored(env, report.Violations, report.Runs, o.Runs)
+}
+
+// explored lists what an exploration found, and says how it has ended.
+func explored(env *Env, violations []explore.SeedViolation, made, wanted int) error {
+	if !env.JSON {
+		for _, v := range violations {
 			fmt.Fprintf(env.Stdout, "seed %d at %v: %s: %s\n", v.Seed, v.At, v.Promise, v.Detail)
 		}
 	}
-	if len(report.Violations) > 0 {
-		return Failedf("a promise was broken in %d cases", len(report.Violations))
+	if len(violations) > 0 {
+		return Failedf("a promise was broken in %d cases", len(violations))
 	}
-	if report.Runs < o.Runs {
-		return Timeoutf("interrupted after %d of %d runs", report.Runs, o.Runs)
+	if made < wanted {
+		return Timeoutf("interrupted after %d of %d runs", made, wanted)
 	}
 	return nil
 }
--- a/pkg/cli/reigns.go
+++ b/pkg/cli/reigns.go
@@ -55,17 +55,8 @@
 	} else {
 		fmt.Fprintf(env.Stdout, "%d runs, %d faults, %d promotions, %d commits, %d violations\n", report.Runs,
 			report.Counts["faults"], report.Counts["promotions"], report.Counts["acknowledged"], len(report.Violations))
-		for _, v := range report.Violations {
-			fmt.Fprintf(env.Stdout, "seed %d at %v: %s: %s\n", v.Seed, v.At, v.Promise, v.Detail)
-		}
-	}
-	if len(report.Violations) > 0 {
-		return Failedf("a promise was broken in %d cases", len(report.Violations))
 	}
-	if report.Runs < o.Runs {
-		return Timeoutf("interrupted after %d of %d runs", report.Runs, o.Runs)
-	}
-	return nil
+	return explored(env, report.Violations, report.Runs, o.Runs)
 }
 
 func (c *ReignsCommand) proveGuards(ctx context.Context, env *Env, o reigns.Options) error {
--- a/pkg/explore/reigns/run.go
+++ b/pkg/explore/reigns/run.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"limpetspan/core/direct"
+	"limpetspan/pkg/explore"
 )
 
 // Options of an exploration.
@@ -99,17 +100,11 @@
 	return nil
 }
 
-// SeedViolation is a violation and the seed of its run.
-type SeedViolation struct {
-	Seed uint64 `json:"seed"`
-	Violation
-}
-
 // Report is the result of an exploration.
 type Report struct {
-	Runs       int             `json:"runs"`
-	Counts     map[string]int  `json:"counts"`
-	Violations []SeedViolation `json:"violations"`
+	Runs       int                     `json:"runs"`
+	Counts     map[string]int          `json:"counts"`
+	Violations []explore.SeedViolation `json:"violations"`
 }
 
 // Run explores, as many runs at once as there are processors; it stops early when
@@ -129,7 +124,7 @@
 			return nil
 		})
 	}
-	report := Report{Counts: make(map[string]int), Violations: []SeedViolation{}}
+	report := Report{Counts: make(map[string]int), Violations: []explore.SeedViolation{}}
 	// A run that was not made is left out of the report; the caller has ended ctx.
 	_ = group.Wait()
 	for i, w := range worlds {
@@ -141,7 +136,7 @@
 			report.Counts[name] += n
 		}
 		for _, v := range w.violations {
-			report.Violations = append(report.Violations, SeedViolation{o.Seed + uint64(i), v})
+			report.Violations = append(report.Violations, explore.SeedViolation{Seed: o.Seed + uint64(i), Violation: v})
 		}
 	}
 	return report
@@ -154,8 +149,8 @@
 type GuardResult struct {
 	Guard string `json:"guard"`
 	// Runs is how many runs it took, or were made in vain.
-	Runs      int            `json:"runs"`
-	Violation *SeedViolation `json:"violation,omitempty"`
+	Runs      int                    `json:"runs"`
+	Violation *explore.SeedViolation `json:"violation,omitempty"`
 }
 
 // ProveGuards switches the checks off one at a time and explores until a
--- a/pkg/explore/reigns/world.go
+++ b/pkg/explore/reigns/world.go
@@ -1,7 +1,6 @@
 package reigns
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +8,8 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/pkg/explore"
+	"limpetspan/pkg/explore/agenda"
 )
 
 // groupID is the one group of the model.
@@ -33,47 +34,17 @@
 	replicationDelay = 20 * time.Millisecond
 )
 
-// Violation is a broken promise.
-type Violation struct {
-	Promise string        `json:"promise"`
-	At      time.Duration `json:"at"`
-	Detail  string        `json:"detail"`
-}
-
 // node names an end of a path: a daemon, a member or the store.
 type node string
 
 const storeNode node = "store"
 
-// action is something that happens at a time of the model.
-type action struct {
-	at  core.Time
-	seq int
-	do  func()
-}
-
-type agenda []action
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-func (a *agenda) Push(x any)   { *a = append(*a, x.(action)) }
-func (a *agenda) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
 // world is one run.
 type world struct {
 	options Options
 	random  *rand.Rand
 	now     core.Time
-	seq     int
-	agenda  agenda
+	agenda  agenda.Agenda
 	members []*member
 	daemons []*daemon
 	store   store
@@ -86,7 +57,7 @@
 	// highestToken is the newest one that came with an order.
 	highestToken uint64
 	faultsEnd    core.Time
-	violations   []Violation
+	violations   []explore.Violation
 	counts       map[string]int
 	trace        func(string)
 }
@@ -124,7 +95,7 @@
 }
 
 func (w *world) violate(promise, format string, args ...any) {
-	v := Violation{promise, w.now.Sub(epoch), fmt.Sprintf(format, args...)}
+	v := explore.Violation{Promise: promise, At: w.now.Sub(epoch), Detail: fmt.Sprintf(format, args...)}
 	w.violations = append(w.violations, v)
 	w.note("VIOLATION %s: %s", v.Promise, v.Detail)
 }
@@ -137,8 +108,7 @@
 
 // after has do happen d from now.
 func (w *world) after(d time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.agenda, action{w.now.Add(d), w.seq, do})
+	w.agenda.Add(w.now.Add(d), do)
 }
 
 // every repeats do until the run ends.
@@ -219,9 +189,9 @@
 	w.scheduleFault()
 	end := w.faultsEnd.Add(settleFor)
 	for len(w.violations) == 0 && w.now < end {
-		next := heap.Pop(&w.agenda).(action)
-		w.now = next.at
-		next.do()
+		at, do := w.agenda.Next()
+		w.now = at
+		do()
 		w.counts["events"]++
 	}
 	if len(w.violations) == 0 {
--- a/pkg/explore/world.go
+++ b/pkg/explore/world.go
@@ -1,13 +1,13 @@
 package explore
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"limpetspan/core"
 	"limpetspan/core/group"
+	"limpetspan/pkg/explore/agenda"
 )
 
 // modelGroup is parkdb's group of the brief, seen by three daemons.
@@ -47,8 +47,7 @@
 	tuning   group.Tuning
 	now      core.Time
 	until    core.Time
-	queue    queue
-	seq      int
+	agenda   agenda.Agenda
 	daemons  []*daemon
 	members  []*member
 	callers  []*caller
@@ -120,21 +119,20 @@
 
 // after schedules an action.
 func (w *world) after(delay time.Duration, do func()) {
-	w.seq++
-	heap.Push(&w.queue, action{w.now.Add(delay), w.seq, do})
+	w.agenda.Add(w.now.Add(delay), do)
 }
 
 // step carries out the next action; false when the run has ended.
 func (w *world) step() bool {
-	if w.queue.Len() == 0 || len(w.violations) > 0 {
+	if w.agenda.Len() == 0 || len(w.violations) > 0 {
 		return false
 	}
-	a := heap.Pop(&w.queue).(action)
-	if a.at > w.until.Add(settleTime) {
+	at, do := w.agenda.Next()
+	if at > w.until.Add(settleTime) {
 		return false
 	}
-	w.now = a.at
-	a.do()
+	w.now = at
+	do()
 	return true
 }
 
