Say each small thing once in the use of members

Cause: read as a newcomer, core/direct and pkg/proxy had the count of a third of the daemons, the cut of a window, the test of a silent member, the look at the reducer under its lock, the failed begin of a transaction and its text two or more times. The queue looked at every waiter twice for having lost half of its time. The soak's recorder asked twice for the primary and could meet none the second time.

Change: one function for each; the queue looks once.

Conclusion: behaviour is as before but for the soak's recorder, which cannot panic any more.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -114,16 +114,10 @@
 	return answering
 }
 
-// suspected says whether a third of the daemons, this one among them, gets no
-// answer from the primary. Fewer do without it rather than interrupt the others.
+// suspected says whether a third of the daemons gets no answer from the primary.
+// Fewer do without it rather than interrupt the others.
 func (g *Group) suspected(now core.Time) bool {
-	n := 1
-	for _, p := range g.peers {
-		if p.fresh(now) && p.suspect && p.primary == g.primary {
-			n++
-		}
-	}
-	return 3*n >= g.knownPeers
+	return g.third(now, func(p *peerReport) bool { return p.suspect && p.primary == g.primary })
 }
 
 // missed says whether a third of the daemons, this one among them, knows of no
@@ -131,9 +125,14 @@
 // store has lost the primary's entry, and has not heard of the others yet; it would
 // replace a primary that serves them all.
 func (g *Group) missed(now core.Time) bool {
+	return g.third(now, func(p *peerReport) bool { return p.primary == "" })
+}
+
+// third says whether a third of the daemons, this one among them, find the same.
+func (g *Group) third(now core.Time, same func(p *peerReport) bool) bool {
 	n := 1
 	for _, p := range g.peers {
-		if p.fresh(now) && p.primary == "" {
+		if p.fresh(now) && same(&p) {
 			n++
 		}
 	}
--- a/core/direct/conns.go
+++ b/core/direct/conns.go
@@ -49,9 +49,7 @@
 		m.vanishedAt = max(m.vanishedAt, now)
 	default:
 		m.blockedAt = now.Add(DialBackoff)
-		if m.heardAt < sent && now.Sub(sent) >= ProbeTimeout {
-			g.suspect(now, id, m)
-		}
+		g.unheard(now, sent, id, m)
 	}
 	return g.take()
 }
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -1,10 +1,9 @@
 package direct
 
 import (
-	"time"
-
 	"fmt"
 	"slices"
+	"time"
 
 	"limpetspan/core"
 )
@@ -158,7 +157,7 @@
 	} else if g.primary == id {
 		g.primary = ""
 	}
-	if now < g.LeaseUntil(now) && g.primary == id {
+	if until := g.LeaseUntil(now); now < until && g.primary == id {
 		g.samples.add(sent, st.Position)
 	}
 	g.claimProbed(now, id, st)
@@ -235,12 +234,20 @@
 
 // Unanswered takes that a statement which was sent at sent got no whole answer.
 func (g *Group) Unanswered(now, sent core.Time, id core.MemberID) []Effect {
-	if m := g.members[id]; m != nil && m.heardAt < sent && now.Sub(sent) >= ProbeTimeout {
-		g.suspect(now, id, m)
+	if m := g.members[id]; m != nil {
+		g.unheard(now, sent, id, m)
 	}
 	return g.take()
 }
 
+// unheard suspects a member from which nothing has come since sent, if it had time
+// to answer.
+func (g *Group) unheard(now, sent core.Time, id core.MemberID, m *member) {
+	if m.heardAt < sent && now.Sub(sent) >= ProbeTimeout {
+		g.suspect(now, id, m)
+	}
+}
+
 // Answered takes a member's whole answer to a statement that was sent at sent.
 func (g *Group) Answered(now, sent core.Time, id core.MemberID, p core.Position, o Outcome) []Effect {
 	m := g.members[id]
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -53,7 +53,7 @@
 // is late when it runs, and all that is sent on top of it is refused, so that a
 // short overload would go on for as long as callers come back.
 func (m *member) congested() {
-	m.window = max(leastWindow, windowCut*float64(m.inUse()))
+	m.narrow(windowCut)
 }
 
 // strained narrows the window when statements take a great part of the time that
@@ -68,9 +68,12 @@
 		return
 	}
 	m.strain = leastStrain
-	m.window = max(leastWindow, strainCut*float64(m.inUse()))
+	m.narrow(strainCut)
 }
 
+// narrow cuts the window to a share of the present use.
+func (m *member) narrow(share float64) { m.window = max(leastWindow, share*float64(m.inUse())) }
+
 // uncongested widens the window after an answer.
 func (m *member) uncongested() {
 	m.window = min(mostWindow, m.window+windowGrowth/m.window)
--- a/pkg/proxy/follow.go
+++ b/pkg/proxy/follow.go
@@ -172,21 +172,13 @@
 	if g == nil {
 		return true
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !g.core.Known()
+	return !look(g, func(c *direct.Group, _ core.Time) bool { return c.Known() })
 }
 
 // cut says whether this daemon is cut from the group's primary and another home is not.
 func (p *Proxy) cut(id core.GroupID) bool {
 	g := p.known(id)
-	if g == nil {
-		return false
-	}
-	at := now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.core.Cut(at)
+	return g != nil && look(g, (*direct.Group).Cut)
 }
 
 // daemonEntry is what a daemon writes of itself into the store.
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -295,29 +295,30 @@
 	})
 }
 
-// leased says whether the member is the primary now, under the lease.
-func (g *group) leased(id core.MemberID) bool {
+// look asks the reducer something that changes nothing.
+func look[T any](g *group, ask func(c *direct.Group, at core.Time) T) T {
 	at := now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	primary, _ := g.core.Primary()
-	return primary == id && g.core.Leased(at)
+	return ask(g.core, at)
+}
+
+// leased says whether the member is the primary now, under the lease.
+func (g *group) leased(id core.MemberID) bool {
+	return look(g, func(c *direct.Group, at core.Time) bool {
+		primary, _ := c.Primary()
+		return primary == id && c.Leased(at)
+	})
 }
 
 // confirms says whether a commit at the position may be acknowledged now.
 func (g *group) confirms(id core.MemberID, p core.Position) bool {
-	at := now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.core.Confirms(at, id, p)
+	return look(g, func(c *direct.Group, at core.Time) bool { return c.Confirms(at, id, p) })
 }
 
 // explain says why the statement cannot be placed now.
 func (g *group) explain(w *waiter) string {
-	at := now()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.core.Explain(at, w.need)
+	return look(g, func(c *direct.Group, at core.Time) string { return c.Explain(at, w.need) })
 }
 
 // tick lets time pass and closes connections that are not needed any more.
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -271,12 +271,7 @@
 	}
 	l, err := s.connect(tx.route.Group, j.deadline())
 	if err != nil {
-		tx.failed = true
-		if j.kind == direct.StatementCommit {
-			s.tx = nil
-		}
-		s.notRun(j, err.Error(), 1)
-		return nil, false
+		return nil, s.notOpened(j, err.Error(), 1)
 	}
 	tx.home = l
 	return []string{tx.beginText(), j.text}, true
@@ -349,13 +344,6 @@
 	}
 }
 
-func (tx *transaction) beginText() string {
-	if tx.readOnly {
-		return platform.TextBeginRead
-	}
-	return platform.TextBegin
-}
-
 // serveLink takes a session that an entry hands over.
 func (p *Proxy) serveLink(c net.Conn) {
 	s := p.newSession(c)
--- a/pkg/proxy/queue.go
+++ b/pkg/proxy/queue.go
@@ -49,6 +49,11 @@
 // inTime says whether an answer can still come before the aim.
 func (w *waiter) inTime(at core.Time) bool { return at.Add(w.work+answerWay) < w.aim }
 
+// lostHalf says whether the waiter has waited for half of its time to the aim.
+func (w *waiter) lostHalf(at core.Time) bool {
+	return float64(at.Sub(w.arrived)) > standingShare*float64(w.aim.Sub(w.arrived))
+}
+
 // queue holds the waiters in the order in which they get a connection: by
 // priority, then those whose database takes least work, so that the members serve
 // most of them, then by arrival.
@@ -93,6 +98,9 @@
 	if len(q.waiters) == 0 {
 		return
 	}
+	if slices.ContainsFunc(q.waiters, func(w *waiter) bool { return w.lostHalf(at) }) {
+		q.stands(at)
+	}
 	q.serveIf(at, try, true)
 	q.serveIf(at, try, false)
 	if q.standing(at) && at.Sub(q.standingSince) >= shedAfter && at.Sub(q.servedAt) < servingWithin {
@@ -130,9 +138,6 @@
 	primaryFull := false
 	for i := 0; i < len(q.waiters); {
 		w := q.waiters[i]
-		if float64(at.Sub(w.arrived)) > standingShare*float64(w.aim.Sub(w.arrived)) {
-			q.stands(at)
-		}
 		if w.inTime(at) != inTime || w.need.Primary && primaryFull {
 			i++
 			continue
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -176,8 +176,9 @@
 
 // afterTimeout ends a transaction that was idle too long and waits on. Outside
 // a transaction an entry is told to take its session elsewhere, and until it has
-// done so its statements are still served. Otherwise the stop has woken the session: a message that has arrived
-// meanwhile is still served, because a read that times out at once does not see it.
+// done so its statements are still served. Otherwise the stop has woken the
+// session: a message that has arrived meanwhile is still served, because a read
+// that times out at once does not see it.
 func (s *session) afterTimeout() (string, error) {
 	if s.tx == nil && s.linked && !s.toldEntry.Load() {
 		s.toldEntry.Store(true)
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -51,9 +51,9 @@
 		// Nothing was sent for the transaction yet, so what matters is the lease now.
 		w.need.Arrived = j.arrived
 	}
-	begin := job{id: j.id, kind: direct.StatementBegin, text: platform.TextBegin, route: tx.route, arrived: j.arrived}
+	begin := job{id: j.id, kind: direct.StatementBegin, text: tx.beginText(), route: tx.route, arrived: j.arrived}
 	if tx.readOnly {
-		begin.kind, begin.text = direct.StatementBeginRead, platform.TextBeginRead
+		begin.kind = direct.StatementBeginRead
 	}
 	for attempt := 1; ; attempt++ {
 		conn, place, ok := tx.g.acquire(w, j.holdUntil())
@@ -80,6 +80,15 @@
 	}
 }
 
+func (tx *transaction) beginText() string {
+	if tx.readOnly {
+		return platform.TextBeginRead
+	}
+	return platform.TextBegin
+}
+
+// notOpened tells that the transaction could not begin; it has failed, or is over if
+// this was its commit. It returns false.
 func (s *session) notOpened(j *job, why string, attempt int, inputs ...any) bool {
 	s.tx.failed = true
 	if j.kind == direct.StatementCommit {
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -136,7 +136,7 @@
 		x := &caller{name: fmt.Sprintf("c%d", i), database: []string{"db-primary", "db-own"}[i%2], random: random,
 			pick:     func() string { return w.pick(random) },
 			promoted: func() int { return w.group.Reigns() }, recorder: w.recorder,
-			replica: func(member string) bool { return w.group.Primary() == nil || w.group.Primary().ID != member }}
+			replica: w.isReplica}
 		w.callers = append(w.callers, x)
 		go func() {
 			x.run(stop)
@@ -150,6 +150,12 @@
 	}
 }
 
+// isReplica says whether another member than this one leads, or none does.
+func (w *world) isReplica(member string) bool {
+	p := w.group.Primary()
+	return p == nil || p.ID != member
+}
+
 // pick chooses a daemon as the balancer does, mostly a ready one.
 func (w *world) pick(random *rand.Rand) string {
 	for range 4 {
