Give the proxy's tests addresses of their own

Change: loopback addresses by process id with ports that are used once; a test that sets homes waits until entries know them; a daemon that ends before it is ready fails the test with its error. No assertion is changed.

Conclusion: the daemon was right to end; the fixture is mended.

--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -59,17 +61,28 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(f.store.Register(f.group)).To(Succeed())
 	f.configure("db-primary", "db-own", "db-stale")
-	port := freePort()
+	port := nextPort()
 	for i := range daemons {
-		f.daemons = append(f.daemons, f.start(fmt.Sprintf("127.0.0.%d", 2+i), i, port))
+		f.daemons = append(f.daemons, f.start(ownIP(2+i), i, port))
 	}
 	for _, d := range f.daemons {
-		Eventually(d.p.ready, patience).Should(BeTrue())
+		Eventually(d.started, patience).Should(BeTrue())
 	}
 	DeferCleanup(f.close)
 	return f
 }
 
+// started says whether the daemon is ready; one that has ended instead says why.
+func (d *daemon) started() (bool, error) {
+	select {
+	case err := <-d.done:
+		d.done <- err
+		return false, StopTrying("the daemon has ended").Wrap(err)
+	default:
+		return d.p.ready(), nil
+	}
+}
+
 func (f *fleet) close() {
 	for _, d := range f.daemons {
 		d.kill()
@@ -98,13 +111,28 @@
 	})).To(Succeed())
 }
 
-func freePort() int {
-	l, err := net.ListenPacket("udp4", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.LocalAddr().(*net.UDPAddr).Port
+// ownIP is a loopback address that no other process takes. A port that was free
+// when it was chosen could be another test's when the daemon listens there, and the
+// daemon would end before it is ready.
+func ownIP(host int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid>>8%254, pid%256, host)
 }
 
+// firstPort is below those that the system gives out.
+const firstPort = 20000
+
+var lastPort = firstPort
+
+// nextPort is a port that this process has not used yet.
+func nextPort() int {
+	lastPort++
+	return lastPort
+}
+
+func nextAddr(ip string) string { return net.JoinHostPort(ip, strconv.Itoa(nextPort())) }
+
+// freeAddr is an address at which nothing listens.
 func freeAddr(ip string) string {
 	l, err := net.Listen("tcp", ip+":0")
 	Expect(err).NotTo(HaveOccurred())
@@ -114,7 +142,7 @@
 
 func (f *fleet) start(ip string, n, port int) *daemon {
 	s := platform.Settings{
-		Daemon: core.DaemonID(fmt.Sprintf("edge-%d", n+1)), Zone: "zone-1", IP: ip, CallerAddr: freeAddr(ip), ReadyAddr: freeAddr(ip),
+		Daemon: core.DaemonID(fmt.Sprintf("edge-%d", n+1)), Zone: "zone-1", IP: ip, CallerAddr: nextAddr(ip), ReadyAddr: nextAddr(ip),
 		GossipPort: port, LastPort: 0, Grace: 2 * time.Second, StoreAddr: f.store.Addr(), PromoteAddr: f.store.Addr(),
 	}
 	return run(s)
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,6 +21,12 @@
 // split makes the daemons of the fleet choose only those as homes.
 func (f *fleet) split(homes ...*daemon) {
 	for _, d := range f.daemons {
+		for _, home := range homes {
+			// An entry that has not heard of the home yet would go elsewhere.
+			Eventually(func() bool {
+				return d == home || slices.Contains(d.p.homes.order("ledger"), home.s.Daemon)
+			}, patience).Should(BeTrue())
+		}
 		h := d.p.homes
 		h.mu.Lock()
 		var ids []core.DaemonID
