Follow the configuration through two watchers a zone, and start with fewer calls

Cause: each daemon watched the configuration itself, read the list of daemons and all tickets at full price when it started, and tried all of these every 80 ms while the store was away.

Change: core/relay decides whether a daemon watches the store, asks a watcher of its zone, or reads the store itself; what a relay tells comes with a proof of how old it is, on the clock of the one that asked. A daemon that starts reads the list of daemons at the lower price as soon as it contains its own entry, reads tickets only if it is a home, and tries one kind of call while the store is away. How large a fleet is grows with one list and shrinks after 30 s, so that a short list does not make every daemon a home. A stop removes the daemon's entry when it takes no new work any more, not at the end of its grace time, where a slow store had it killed.

--- /dev/null
+++ b/core/direct/fleetsize_test.go
@@ -0,0 +1,56 @@
+package direct_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+)
+
+var _ = Describe("the size of a fleet", func() {
+	at := func(d time.Duration) core.Time { return core.Time(time.Hour).Add(d) }
+
+	It("grows with the first list that is longer", func() {
+		var s direct.FleetSize
+		Expect(s.Counted(at(0), 3)).To(Equal(3))
+		Expect(s.Counted(at(time.Second), 295)).To(Equal(295))
+	})
+
+	// The store's reads are behind, or it has lost registrations: one daemon reads a list
+	// of ten, and would open connections to all members of all groups.
+	It("does not jump with one short list, or with several", func() {
+		var s direct.FleetSize
+		s.Counted(at(0), 295)
+		for second := range 29 {
+			Expect(s.Counted(at(time.Duration(second)*time.Second), 10)).To(Equal(295))
+		}
+		Expect(s.Counted(at(29*time.Second), 290)).To(Equal(295))
+	})
+
+	It("follows a fleet that has become smaller for good", func() {
+		var s direct.FleetSize
+		s.Counted(at(0), 295)
+		s.Counted(at(time.Second), 200)
+		s.Counted(at(2*time.Second), 12)
+		Expect(s.Counted(at(31*time.Second), 12)).To(Equal(200))
+		Expect(s.Counted(at(62*time.Second), 12)).To(Equal(12))
+	})
+})
+
+var _ = Describe("Homes of a large fleet of which a short list was read", func() {
+	// Twelve of 295 daemons are on the list. Were they taken for the whole fleet, each of
+	// them would be a home of all groups, and so would each daemon that reads such a list.
+	It("are as few as before", func() {
+		short := daemons(6, 2)
+		Expect(direct.Homes("g", 131, 12, daemons(6, 2))).To(HaveLen(12))
+		Expect(len(direct.Homes("g", 35, 295, short))).To(BeNumerically("<=", 6))
+	})
+
+	It("leave the configuration to few watchers", func() {
+		Expect(direct.Watchers(12, daemons(6, 2))).To(HaveLen(12))
+		Expect(direct.Watchers(295, daemons(6, 3))).To(HaveLen(12))
+	})
+})
--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -40,27 +40,61 @@
 )
 
 // Homes returns the daemons that reach the members of the group; all others
-// pass their callers' sessions on to one of them. With few daemons it returns
-// all. Daemons that know the same list choose alike; one that does not only
-// uses a few connections more.
-func Homes(group core.GroupID, maxConns int, daemons []Daemon) []core.DaemonID {
-	if len(daemons) <= mostDirect && float64(connsPerDaemon*len(daemons)) <= directShare*float64(maxConns) {
+// pass their callers' sessions on to one of them. In a small fleet it returns
+// all; size is how large it is, whatever daemons lacks at the moment. Daemons that
+// know the same list choose alike; one that does not only uses a few connections more.
+func Homes(group core.GroupID, maxConns, size int, daemons []Daemon) []core.DaemonID {
+	if size <= mostDirect && float64(connsPerDaemon*len(daemons)) <= directShare*float64(maxConns) {
 		return ids(daemons)
 	}
+	zones := byZone(daemons)
 	budget := homeShare * float64(maxConns)
+	return chosen(group, zones, min(mostHomesPerZone, max(1, int(budget)/connsPerHome/len(zones))))
+}
+
+// configurationKey stands for the configuration where daemons are ranked for a group.
+const configurationKey = core.GroupID("/configuration")
+
+// watchersPerZone is how many daemons of a zone watch the configuration in a large
+// fleet, so that one is left when the other goes.
+const watchersPerZone = 2
+
+// Watchers returns the daemons that watch the store's configuration; all others learn
+// from them. In a small fleet it returns all.
+func Watchers(size int, daemons []Daemon) []core.DaemonID {
+	if size <= mostDirect {
+		return ids(daemons)
+	}
+	return chosen(configurationKey, byZone(daemons), watchersPerZone)
+}
+
+// WatcherOrder returns the watchers that a daemon in the zone asks for the
+// configuration, best first: those of its own zone, then others.
+func WatcherOrder(self core.DaemonID, zone core.Zone, size int, daemons []Daemon) []core.DaemonID {
+	watchers := Watchers(size, daemons)
+	order := Order(configurationKey, self, zone, watchers, daemons)
+	return slices.DeleteFunc(order, func(id core.DaemonID) bool { return !slices.Contains(watchers, id) })
+}
+
+func byZone(daemons []Daemon) map[core.Zone][]Daemon {
 	zones := make(map[core.Zone][]Daemon)
 	for _, d := range daemons {
 		zones[d.Zone] = append(zones[d.Zone], d)
 	}
-	perZone := min(mostHomesPerZone, max(1, int(budget)/connsPerHome/len(zones)))
-	var homes []core.DaemonID
+	return zones
+}
+
+// chosen are the daemons with the highest ranks for the group, some in each zone, on
+// strong hosts.
+func chosen(group core.GroupID, zones map[core.Zone][]Daemon, perZone int) []core.DaemonID {
+	var best []core.DaemonID
 	for _, list := range zones {
 		list = strong(list)
 		slices.SortFunc(list, func(a, b Daemon) int { return cmp.Compare(draw(group, b), draw(group, a)) })
-		homes = append(homes, ids(list[:min(len(list), perZone)])...)
+		best = append(best, ids(list[:min(len(list), perZone)])...)
 	}
-	slices.Sort(homes)
-	return homes
+	slices.Sort(best)
+	return best
 }
 
 func ids(daemons []Daemon) []core.DaemonID {
--- /dev/null
+++ b/core/relay/doc.go
@@ -0,0 +1,46 @@
+// Package relay decides how one daemon keeps its configuration current: by its own
+// watch of the platform's store, or through another daemon that watches.
+//
+// It does no I/O, reads no clock and draws no randomness. A Follower is asked for its
+// next Step, the caller carries it out and reports the outcome, and so on; there is one
+// step at a time.
+//
+// # Load pattern
+//
+// A watch is a paid call that has to end within the bound of a change, as only its end
+// shows that its connection has gone silent. Were each daemon to watch, calls would grow
+// with the fleet: 59 a second with 295 daemons and a bound of six seconds, beside a store
+// that all of them fall upon when it comes back. So a large fleet has two watchers in
+// each zone, and everyone else asks one of those.
+//
+// # Proof
+//
+// A daemon holds its configuration together with a proof: a moment of its own clock as
+// of which the configuration was the store's newest. A read or watch that was sent at s
+// proves it as of s. A daemon that is asked answers with its proof relative to the
+// arrival of the question; the question was sent before it arrived, so the same distance
+// from the sending is a proof on the clock of the one that asked. No clocks are
+// compared, and an answer that was delayed, or whose sender was frozen, is dated too old
+// and never too young.
+//
+// # Contract
+//
+// A daemon whose proof is as old as its budget, the bound less OwnReadMargin, reads the
+// store itself, whatever its relays say, and again with growing pauses until a read
+// succeeds or a relay has a younger proof. So an accepted configuration is in force
+// within the bound at each daemon that reaches the store or a relay that does:
+//
+//   - A relay that is dead, frozen, cut off or behind delays nobody beyond the budget: its
+//     followers ask the next relay, and when none has a young proof the store.
+//   - A daemon in touch with the store but with no relay reads the store once per budget.
+//   - A daemon in touch with a relay but not with the store goes on by the relay.
+//   - Followers that ask each other in a circle hand around proofs that only grow older,
+//     and end at the store.
+//
+// A configuration is replaced only by one of a higher version, so nothing goes back
+// whoever tells it. The package keeps no configuration; the caller accepts what comes
+// before it reports the proof.
+//
+// Relayed is the configuration alone. What needs a daemon's own call stays its own: its
+// registration, the lease on a primary, the promotion's ticket, the host list.
+package relay
--- /dev/null
+++ b/core/relay/follower_test.go
@@ -0,0 +1,141 @@
+package relay_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/relay"
+)
+
+const bound = 6 * time.Second
+
+// start is when the scripts begin, so that a time of 0 means "never".
+const start = core.Time(time.Hour)
+
+func after(d time.Duration) core.Time { return start.Add(d) }
+
+// following returns a follower of the relays that read the store at start.
+func following(relays ...core.DaemonID) *relay.Follower {
+	f := relay.NewFollower("d", bound)
+	f.SetFleet(false, relays)
+	f.Loaded(start)
+	return f
+}
+
+var _ = Describe("a daemon of a large fleet", func() {
+	It("reads the store once when it starts, and asks its relay from then on", func() {
+		f := relay.NewFollower("d", bound)
+		Expect(f.Next(start).Kind).To(Equal(relay.Load))
+		f.Loaded(start)
+		Expect(f.Next(after(time.Millisecond)).Kind).To(Equal(relay.Pause), "the fleet is not known yet")
+		f.SetFleet(false, []core.DaemonID{"a", "b"})
+		step := f.Next(after(time.Second))
+		Expect(step.Kind).To(Equal(relay.Ask))
+		Expect(step.Peer).To(Equal(core.DaemonID("a")))
+	})
+
+	It("watches for a third of its budget if others depend on it, and for all of it alone", func() {
+		f := relay.NewFollower("d", bound)
+		f.SetFleet(true, nil)
+		f.Loaded(start)
+		Expect(f.Next(start)).To(Equal(relay.Step{Kind: relay.Watch, Wait: 5 * time.Second}))
+		f.SetFleet(true, []core.DaemonID{"a"})
+		Expect(f.Next(start)).To(Equal(relay.Step{Kind: relay.Watch, Wait: 5 * time.Second / 3}))
+	})
+
+	// A relay dies between two answers. Its followers would not hear of a change.
+	It("asks the next relay when one is silent, and the store when all are", func() {
+		f := following("a", "b")
+		f.Silent(after(time.Second), "a")
+		Expect(f.Next(after(time.Second)).Peer).To(Equal(core.DaemonID("b")))
+		f.Silent(after(1200*time.Millisecond), "b")
+		Expect(f.Next(after(1200 * time.Millisecond)).Kind).To(Equal(relay.Pause))
+		Expect(f.Next(after(3100*time.Millisecond)).Peer).To(Equal(core.DaemonID("a")), "it may be back")
+		f.Silent(after(3200*time.Millisecond), "a")
+		f.Silent(after(3300*time.Millisecond), "b")
+		Expect(f.Next(after(5 * time.Second)).Kind).To(Equal(relay.Load))
+	})
+
+	// The store turns the relay away and serves its followers. The relay goes on
+	// answering; its proof is what shows that it is behind.
+	It("reads the store itself when its relays answer with old proofs", func() {
+		f := following("a")
+		f.Told(after(4500*time.Millisecond), "a", after(100*time.Millisecond))
+		for at := 4500 * time.Millisecond; at < 5100*time.Millisecond; at += 10 * time.Millisecond {
+			if f.Next(after(at)).Kind == relay.Load {
+				return
+			}
+		}
+		Fail("no read of its own within the budget of five seconds")
+	})
+
+	It("goes on by its relay while the store answers everyone but itself", func() {
+		f := following("a")
+		f.StoreFailed(after(5 * time.Second))
+		f.Told(after(5200*time.Millisecond), "a", after(5100*time.Millisecond))
+		Expect(f.Next(after(5200 * time.Millisecond)).Kind).To(Equal(relay.Ask))
+	})
+
+	It("does not ask again and again when there is no time to wait for an answer", func() {
+		f := following("a")
+		f.SetFleet(true, []core.DaemonID{"a"})
+		f.StoreFailed(after(time.Second))
+		Expect(f.Next(after(time.Second)).Kind).To(Equal(relay.Pause))
+	})
+
+	// All relays are cut off at once, or the store is away: 295 daemons would come in one
+	// moment, and again in step with each other.
+	It("comes to the store spread over a part of the budget, with growing pauses", func() {
+		var first, last, calls time.Duration
+		for i := range 300 {
+			f := relay.NewFollower(core.DaemonID(fmt.Sprintf("edge-%d", i)), bound)
+			f.SetFleet(false, nil)
+			f.Loaded(start)
+			due := f.Next(after(time.Millisecond)).Wait
+			if i == 0 || due < first {
+				first = due
+			}
+			last = max(last, due)
+			at := after(due + time.Millisecond)
+			for at < after(due+4500*time.Millisecond) {
+				step := f.Next(at)
+				if step.Kind == relay.Load {
+					calls++
+					f.StoreFailed(at)
+					continue
+				}
+				at = at.Add(step.Wait)
+			}
+		}
+		Expect(last - first).To(BeNumerically(">", 400*time.Millisecond))
+		Expect(last).To(BeNumerically("<", 5*time.Second))
+		Expect(int(calls)).To(BeNumerically("<", 300*6), "in an outage of 4.5 s")
+	})
+
+	It("asks often while it has nothing, but not ever as often", func() {
+		f := relay.NewFollower("d", bound)
+		calls := 0
+		for at := start; at < after(10*time.Second); {
+			step := f.Next(at)
+			if step.Kind == relay.Load {
+				calls++
+				f.StoreFailed(at)
+				continue
+			}
+			Expect(step.Wait).To(BeNumerically("<=", time.Second))
+			at = at.Add(step.Wait)
+		}
+		Expect(calls).To(BeNumerically("<", 60), "125 at a pause of 80 ms")
+	})
+
+	It("reads the store anew when the history for a watch is gone", func() {
+		f := following()
+		f.SetFleet(true, nil)
+		f.HistoryGone()
+		Expect(f.Next(start).Kind).To(Equal(relay.Load))
+	})
+})
--- /dev/null
+++ b/core/relay/model_test.go
@@ -0,0 +1,358 @@
+package relay_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/relay"
+)
+
+// Paces of the model.
+const (
+	modelLength  = 60 * time.Second
+	modelDaemons = 12
+	// callTimeout ends a call that is not answered, as the real one does.
+	callTimeout = 800 * time.Millisecond
+	// inTouch is for how long a daemon has to have run, and reached the store, before
+	// the bound holds for it.
+	inTouch = 6 * time.Second
+)
+
+// event is something that happens in the model at a time.
+type event struct {
+	at core.Time
+	n  int
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// world is a store whose configuration changes, and daemons that follow it. The clock of
+// each daemon has an offset of its own.
+type world struct {
+	now     core.Time
+	queue   events
+	n       int
+	random  *rand.Rand
+	changes []core.Time // the version is their number so far
+	daemons []*node
+	// dateByArrival takes a proof from when the answer came: the fault that dating by the
+	// question prevents.
+	dateByArrival bool
+	// trustRelays leaves out the daemon's own read at the end of its budget.
+	trustRelays bool
+	broken      []string
+}
+
+// node is one daemon.
+type node struct {
+	w      *world
+	id     core.DaemonID
+	offset time.Duration
+	life   int
+	f      *relay.Follower
+	// version is what it has in force.
+	version int
+	// told is the proof that each peer was told last on its link.
+	told map[core.DaemonID]core.Time
+	// frozenTill, storeCutTill and relayCutTill are until when it stands still, cannot
+	// reach the store, and cannot reach or be reached by other daemons.
+	frozenTill, storeCutTill, relayCutTill core.Time
+	// troubledAt is when it was last disturbed.
+	troubledAt core.Time
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.n++
+	heap.Push(&w.queue, event{w.now.Add(d), w.n, do})
+}
+
+func (w *world) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(w.random.Int64N(int64(most-least)+1))
+}
+
+// newest is the store's version as of then.
+func (w *world) newest(at core.Time) int {
+	n := 0
+	for _, changed := range w.changes {
+		if changed <= at {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *node) clock() core.Time { return d.w.now.Add(d.offset) }
+
+// later runs do in this life after so long, once the daemon is not frozen.
+func (d *node) later(after time.Duration, do func()) {
+	life := d.life
+	var run func()
+	run = func() {
+		switch {
+		case d.life != life:
+		case d.w.now < d.frozenTill:
+			d.w.after(d.frozenTill.Sub(d.w.now), run)
+		default:
+			do()
+		}
+	}
+	d.w.after(after, run)
+}
+
+// start begins a life, in which nothing is remembered.
+func (d *node) start() {
+	d.life++
+	d.version, d.told = 0, make(map[core.DaemonID]core.Time)
+	d.f = relay.NewFollower(d.id, bound)
+	d.later(time.Second, func() {
+		watchers := d.w.daemons[:4]
+		var relays []core.DaemonID
+		watches := false
+		for _, o := range watchers {
+			watches = watches || o == d
+			if o != d {
+				relays = append(relays, o.id)
+			}
+		}
+		d.f.SetFleet(watches, relays)
+	})
+	d.step()
+}
+
+// step carries out the next step, and then the one after it.
+func (d *node) step() {
+	s := d.f.Next(d.clock())
+	if d.w.trustRelays && s.Kind == relay.Load && d.f.Proof() != 0 {
+		s = relay.Step{Kind: relay.Ask, Peer: "d0", Wait: time.Second, Timeout: 1400 * time.Millisecond}
+	}
+	switch s.Kind {
+	case relay.Pause:
+		d.later(min(s.Wait, 500*time.Millisecond), d.step)
+	case relay.Load:
+		d.load()
+	case relay.Watch:
+		d.watch(s.Wait)
+	case relay.Ask:
+		d.ask(s)
+	}
+}
+
+func (d *node) accept(version int) {
+	d.version = max(d.version, version)
+}
+
+// load reads the store; the answer may be as of any moment of the call.
+func (d *node) load() {
+	sent, way := d.clock(), d.w.between(time.Millisecond, 20*time.Millisecond)
+	if d.w.now < d.storeCutTill {
+		d.later(callTimeout, func() { d.f.StoreFailed(d.clock()); d.step() })
+		return
+	}
+	d.w.after(way, func() {
+		version := d.w.newest(d.w.now)
+		d.later(way, func() { d.accept(version); d.f.Loaded(sent); d.step() })
+	})
+}
+
+// watch waits at the store. A cut that begins meanwhile keeps the answer back.
+func (d *node) watch(wait time.Duration) {
+	sent := d.clock()
+	began, had := d.w.now, d.version
+	life := d.life
+	if d.w.now < d.storeCutTill {
+		d.later(wait+callTimeout, func() { d.f.StoreFailed(d.clock()); d.step() })
+		return
+	}
+	var look func()
+	look = func() {
+		version := d.w.newest(d.w.now)
+		switch {
+		case d.life != life:
+		case d.w.now < d.storeCutTill:
+			d.later(max(0, wait+callTimeout-d.w.now.Sub(began)), func() { d.f.StoreFailed(d.clock()); d.step() })
+		case version > had || d.w.now.Sub(began) >= wait:
+			d.later(d.w.between(time.Millisecond, 20*time.Millisecond), func() { d.accept(version); d.f.Watched(sent); d.step() })
+		default:
+			d.w.after(10*time.Millisecond, look)
+		}
+	}
+	look()
+}
+
+// ask asks another daemon, which answers when it has a younger proof than it told last.
+func (d *node) ask(s relay.Step) {
+	sent, began := d.clock(), d.w.now
+	var peer *node
+	for _, o := range d.w.daemons {
+		if o.id == s.Peer {
+			peer = o
+		}
+	}
+	answered := false
+	life := d.life
+	d.later(s.Timeout, func() {
+		if !answered {
+			answered = true
+			d.f.Silent(d.clock(), s.Peer)
+			delete(peer.told, d.id)
+			d.step()
+		}
+	})
+	peer.later(d.w.between(time.Millisecond, 30*time.Millisecond), func() {
+		arrived := peer.clock()
+		var look func()
+		look = func() {
+			proof := peer.f.Proof()
+			cut := d.w.now < d.relayCutTill || d.w.now < peer.relayCutTill
+			switch {
+			case answered || d.life != life || cut:
+			case proof > peer.told[d.id] || d.w.now.Sub(began) >= s.Wait:
+				peer.told[d.id] = proof
+				offset, version := proof.Sub(arrived), peer.version
+				d.later(d.w.between(time.Millisecond, 300*time.Millisecond), func() {
+					if answered {
+						return
+					}
+					answered = true
+					if proof == 0 {
+						d.f.Silent(d.clock(), s.Peer)
+					} else {
+						d.accept(version)
+						d.f.Told(d.clock(), s.Peer, d.date(sent, offset))
+					}
+					d.step()
+				})
+			default:
+				peer.later(10*time.Millisecond, look)
+			}
+		}
+		look()
+	})
+}
+
+func (d *node) date(sent core.Time, offset time.Duration) core.Time {
+	if d.w.dateByArrival {
+		return d.clock().Add(offset)
+	}
+	return min(d.clock(), sent.Add(offset))
+}
+
+// check holds what is promised against what is so.
+func (w *world) check() {
+	for _, d := range w.daemons {
+		if proof := d.f.Proof(); proof != 0 && d.version < w.newest(proof.Add(-d.offset)) {
+			w.broken = append(w.broken, fmt.Sprintf("%v: %s has version %d, and a proof for a newer one", w.now.Sub(start), d.id, d.version))
+		}
+		touched := w.now.Sub(max(start, d.troubledAt, d.frozenTill, d.storeCutTill)) >= inTouch
+		if owed := w.newest(w.now.Add(-bound)); touched && d.version < owed {
+			w.broken = append(w.broken, fmt.Sprintf("%v: %s has version %d and should have %d", w.now.Sub(start), d.id, d.version, owed))
+		}
+	}
+}
+
+// trouble disturbs one daemon, the relays more often than others.
+func (w *world) trouble() {
+	d := w.daemons[w.random.IntN(len(w.daemons))]
+	if w.random.IntN(2) == 0 {
+		d = w.daemons[w.random.IntN(4)]
+	}
+	till := w.now.Add(w.between(time.Second, 12*time.Second))
+	switch w.random.IntN(5) {
+	case 0:
+		d.frozenTill = max(d.frozenTill, till)
+	case 1:
+		d.storeCutTill = max(d.storeCutTill, till)
+	case 2:
+		// Others reach the store, and so does this one: the bound holds for it all the while.
+		d.relayCutTill = max(d.relayCutTill, till)
+	case 3:
+		d.troubledAt = w.now
+		d.start()
+	case 4:
+		for _, o := range w.daemons[:4] {
+			o.storeCutTill = max(o.storeCutTill, till)
+		}
+	}
+	w.after(w.between(500*time.Millisecond, 4*time.Second), w.trouble)
+}
+
+func (w *world) change() {
+	w.changes = append(w.changes, w.now)
+	w.after(w.between(50*time.Millisecond, 5*time.Second), w.change)
+}
+
+// play plays a day of the seed and returns what was broken.
+func play(seed uint64, arm func(w *world)) []string {
+	w := &world{now: start, random: rand.New(rand.NewPCG(seed, 1))}
+	arm(w)
+	for i := range modelDaemons {
+		w.daemons = append(w.daemons, &node{w: w, id: core.DaemonID(fmt.Sprintf("d%d", i)), offset: w.between(0, time.Hour)})
+	}
+	for _, d := range w.daemons {
+		d.troubledAt = start
+		d.start()
+	}
+	w.after(3*time.Second, w.trouble)
+	w.after(time.Second, w.change)
+	var checks func()
+	checks = func() { w.check(); w.after(50*time.Millisecond, checks) }
+	checks()
+	for w.queue.Len() > 0 && w.now < after(modelLength) && len(w.broken) == 0 {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	return w.broken
+}
+
+// Daemons are frozen, killed and cut from the store or from each other, relays more
+// often than others, while the configuration changes in quick succession. What an
+// operator would see: a daemon that goes on with an old configuration beyond the bound,
+// because the one that it follows is behind and says nothing of it.
+var _ = Describe("an accepted configuration, in the model", func() {
+	const days = 300
+
+	It("is in force within the bound at every daemon in touch, and no proof is too young", func() {
+		for seed := range uint64(days) {
+			Expect(play(seed, func(*world) {})).To(BeEmpty(), "seed %d", seed)
+		}
+	})
+
+	broken := func(arm func(w *world)) int {
+		n := 0
+		for seed := range uint64(days) {
+			if len(play(seed, arm)) > 0 {
+				n++
+			}
+		}
+		return n
+	}
+
+	It("would not be without the daemon's own read at the end of its budget", func() {
+		Expect(broken(func(w *world) { w.trustRelays = true })).To(BeNumerically(">", 0))
+	})
+
+	It("would not be were answers dated by their arrival", func() {
+		Expect(broken(func(w *world) { w.dateByArrival = true })).To(BeNumerically(">", 0))
+	})
+})
--- /dev/null
+++ b/core/relay/tuning.go
@@ -0,0 +1,51 @@
+package relay
+
+import "time"
+
+// Limits of the age of a proof.
+const (
+	// OwnReadMargin of the bound is left for the daemon's own read when its proof has
+	// become old: one read that is not answered, 0.8 s, and one that is.
+	OwnReadMargin = time.Second
+	// leastBudget and mostBudget bound the age at which a daemon reads the store itself.
+	// A shorter one would be all calls; a longer one gains little, and leaves a change
+	// unnoticed for longer than operators expect, whatever bound they set.
+	leastBudget = time.Second
+	mostBudget  = 5 * time.Second
+	// watchParts is how many watches of a relay fit into the budget of its followers. A
+	// proof is up to two watches old when the next one comes; the third part is for
+	// asking another relay.
+	watchParts = 3
+	// answerSlack is how much later than usual a relay's next proof may be: the store is
+	// slow at times, and answers within this time or not at all.
+	answerSlack = 800 * time.Millisecond
+	// answerTimeout bounds the way to a relay and back.
+	answerTimeout = 400 * time.Millisecond
+	// leastAsk is what has to be left until the daemon's own read for a question to a
+	// relay: with less, answers that bring nothing new would follow each other at once.
+	leastAsk = 2 * answerTimeout
+	// avoidFor is how long a relay is left alone that did not answer or had an old proof.
+	avoidFor = 2 * time.Second
+	// mostAsked relays are asked before the store: both of the own zone, and one
+	// elsewhere should the zone be cut from the store.
+	mostAsked = 3
+)
+
+// Pauses after a failed read of the store, the first one and the longest.
+const (
+	// A daemon without a configuration serves nobody, so it asks often; its pauses grow
+	// with the outage to emptyShare of it, which is by how much an outage gets longer for
+	// callers at most.
+	emptyRetry     = 80 * time.Millisecond
+	emptyRetryMost = time.Second
+	emptyShare     = 0.1
+	// The followers of a relay wait for it.
+	watcherRetry     = 250 * time.Millisecond
+	watcherRetryMost = time.Second
+	// Others have a configuration, and come all at once when the store is away.
+	followerRetry     = 500 * time.Millisecond
+	followerRetryMost = 4 * time.Second
+	// retryJitter is the share of a pause by which daemons differ, so that a fleet does
+	// not ask in one moment again and again.
+	retryJitter = 0.5
+)
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -17,7 +17,12 @@
 	// fixed keeps the choice as it is.
 	fixed   bool
 	daemons []direct.Daemon
-	of      map[core.GroupID][]core.DaemonID
+	// size is how large the fleet is.
+	size direct.FleetSize
+	// catalog and chosenBy are the configuration and size by which homes were chosen last.
+	catalog  *direct.Catalog
+	chosenBy int
+	of       map[core.GroupID][]core.DaemonID
 	// avoid is until when a daemon that did not answer is not asked again.
 	avoid map[core.DaemonID]core.Time
 	// heardAt is when a daemon last answered on any link.
@@ -28,24 +33,27 @@
 	return &homes{p: p, of: make(map[core.GroupID][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), heardAt: make(map[core.DaemonID]core.Time)}
 }
 
-// update chooses the homes anew from the daemons and groups that are known now.
+// update chooses the homes anew from the daemons and groups that are known now, if
+// either has changed.
 func (h *homes) update() {
 	catalog := h.p.catalog.Load()
-	if catalog == nil {
-		return
-	}
 	daemons := h.p.peers.daemons()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.decided {
 		return
 	}
-	h.daemons = daemons
-	if h.fixed {
+	size := h.size.Counted(now(), len(daemons))
+	if h.catalog == catalog && h.chosenBy == size && slices.Equal(daemons, h.daemons) {
+		return
+	}
+	h.catalog, h.chosenBy, h.daemons = catalog, size, daemons
+	h.chooseWatchers(size)
+	if h.fixed || catalog == nil {
 		return
 	}
 	for id, spec := range catalog.Groups {
-		chosen := direct.Homes(id, spec.MaxConns, slices.Clone(daemons))
+		chosen := direct.Homes(id, spec.MaxConns, size, slices.Clone(daemons))
 		here := slices.Contains(chosen, h.p.settings.Daemon)
 		if here && !slices.Contains(h.of[id], h.p.settings.Daemon) {
 			// Members that were not reached before have to be known at once.
@@ -58,14 +66,36 @@
 	}
 }
 
-// decide allows the choice: the list of daemons is complete enough.
-func (h *homes) decide() {
+// chooseWatchers says who watches the store's configuration.
+func (h *homes) chooseWatchers(size int) {
+	self := h.p.settings.Daemon
+	watchers := direct.Watchers(size, slices.Clone(h.daemons))
+	if len(watchers) == len(h.daemons) {
+		h.p.configuration.setFleet(true, nil)
+		return
+	}
+	here := slices.Contains(watchers, self)
+	h.p.log.Info("configuration", "watchers", len(watchers), "of", len(h.daemons), "here", here)
+	h.p.configuration.setFleet(here, direct.WatcherOrder(self, h.p.settings.Zone, size, h.daemons))
+}
+
+// decide allows the choice: the list of daemons is complete enough. size is how many
+// there were when somebody last counted.
+func (h *homes) decide(size int) {
 	h.mu.Lock()
 	h.decided = true
+	h.size.Counted(now(), size)
 	h.mu.Unlock()
 	h.update()
 }
 
+// fleetSize takes a count of the daemons and returns how large the fleet is.
+func (h *homes) fleetSize(n int) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.size.Counted(now(), n)
+}
+
 // here says whether this daemon is a home of the group, and how many there are.
 func (h *homes) here(id core.GroupID) (bool, int) {
 	h.mu.Lock()
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -390,6 +390,12 @@
 		s.end()
 		return
 	}
+	if hello.Configuration {
+		// A stop waits for sessions, and this is none.
+		s.p.forget(s)
+		s.p.configuration.answer(s.c, s.r)
+		return
+	}
 	catalog := s.p.catalog.Load()
 	if catalog == nil || s.p.closing.Load() {
 		welcome.Refused = "not serving"
--- /dev/null
+++ b/pkg/proxy/outage.go
@@ -0,0 +1,47 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/admission"
+	"limpetspan/core/direct"
+)
+
+// blind says whether this daemon cannot serve the group, although it may be its
+// home: it has started while the store went away, and has the configuration but no
+// host list. Another home can serve what comes here.
+func (p *Proxy) blind(id core.GroupID) bool {
+	since := core.Time(p.configuredAt.Load())
+	if since == 0 || now().Sub(since) < blindAfter {
+		return false
+	}
+	g := p.known(id)
+	if g == nil {
+		return true
+	}
+	return !look(g, func(c *direct.Group, _ core.Time) bool { return c.Known() })
+}
+
+// outage is for how long the group's primary has been unusable here.
+func (p *Proxy) outage(id core.GroupID) time.Duration {
+	g := p.known(id)
+	if g == nil {
+		return 0
+	}
+	return look(g, func(c *direct.Group, at core.Time) time.Duration { return c.Outage(at, direct.Need{Primary: true}) })
+}
+
+// comeBack ends the text of a refusal in an outage of that age: when to come back.
+func comeBack(age time.Duration) string {
+	after := admission.ComeBack(age, rand.Float64())
+	return "; retry after " + strconv.FormatInt(after.Milliseconds(), 10) + " ms"
+}
+
+// cut says whether this daemon is cut from the group's primary and another home is not.
+func (p *Proxy) cut(id core.GroupID) bool {
+	g := p.known(id)
+	return g != nil && look(g, (*direct.Group).Cut)
+}
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"net"
 	"slices"
 	"sync"
@@ -137,7 +138,7 @@
 	return s.p.settings.LinkAddr(k.ip), true
 }
 
-// daemons are all that are known, this one included. In a fleet in which reports
+// daemons are all that are known by their ids, this one included. In a fleet in which reports
 // reach everyone, one that sends none has gone; in a larger one the list tells.
 func (s *peers) daemons() []direct.Daemon {
 	s.mu.Lock()
@@ -154,6 +155,7 @@
 			list = append(list, direct.Daemon{ID: id, Zone: k.zone, Weight: k.weight})
 		}
 	}
+	slices.SortFunc(list, func(a, b direct.Daemon) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -45,13 +45,16 @@
 	peers         *peers
 	homes         *homes
 	catalog       atomic.Pointer[direct.Catalog]
+	configuration *configuration
 	hostList      hostList
 	// membersListed is set once the host list was read.
 	membersListed atomic.Bool
 	// stopping is set when a planned stop has begun, closing once it takes no new work.
 	stopping atomic.Bool
 	closing  atomic.Bool
-	done     chan struct{}
+	// closed is closed with closing, done at the end of the process.
+	closed chan struct{}
+	done   chan struct{}
 	// membersWanted asks for a read of the host list at once.
 	membersWanted chan struct{}
 	// ctx ends with the process, and with it all calls to the platform.
@@ -81,13 +84,14 @@
 	st := newStats()
 	p := &Proxy{
 		settings: s, client: platform.NewClient(s.StoreAddr, s.PromoteAddr), stats: st, boot: time.Now().UnixNano(),
-		done: make(chan struct{}), membersWanted: make(chan struct{}, 1), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
+		closed: make(chan struct{}), done: make(chan struct{}), membersWanted: make(chan struct{}, 1), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
 		lost: make(map[string]bool), sessionLimits: DefaultSessionLimits, policy: policy.All,
 		log: telemetry.NewLogger(newAsyncWriter(w, st), "info", string(s.Daemon)),
 	}
 	p.startedAt = now()
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.homes = newHomes(p)
+	p.configuration = newConfiguration(p)
 	p.claims = &claims{p: p, seen: make(map[core.GroupID]seenTicket)}
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
@@ -131,7 +135,7 @@
 	}
 	p.log.Info("started", "callers", p.settings.CallerAddr, "zone", p.settings.Zone, "switched_off", p.policy.Off())
 	var work errgroup.Group
-	for _, f := range []func(){p.followConfiguration, p.followMembers, p.followDaemons, p.tick, p.peers.run, p.peers.receive} {
+	for _, f := range []func(){p.configuration.run, p.followMembers, p.followDaemons, p.tick, p.peers.run, p.peers.receive} {
 		work.Go(func() error { f(); return nil })
 	}
 	go p.serveHTTP("readiness", ready, p.answerReady)
@@ -359,13 +363,16 @@
 func (p *Proxy) stop(callers net.Listener) {
 	p.stopping.Store(true)
 	p.peers.kick()
+	p.configuration.dismiss()
 	began := now()
 	p.log.Info("stopping", "sessions", p.countSessions())
 	p.endIdle(began.Add(share(p.settings.Grace, acceptShare)), stopIdleAfter, func() bool { return false })
 	p.closing.Store(true)
+	close(p.closed)
 	_ = callers.Close()
 	p.endIdle(began.Add(share(p.settings.Grace, workShare)), 0, func() bool { return p.countSessions() == 0 })
-	p.log.Info("stopped", "sessions", p.countSessions(), "platform_calls", p.client.Calls())
+	p.log.Info("stopped", "sessions", p.countSessions(), "in_transaction", p.countOpenTransactions(), "ms", now().Sub(began).Milliseconds(),
+		"platform_calls", p.client.Calls())
 }
 
 // endIdle ends sessions that have been idle for so long, until the deadline or
@@ -381,6 +388,20 @@
 	}
 }
 
+// countOpenTransactions is how many sessions have a transaction open or a statement
+// under way: what a stop waits for, beside sessions whose entries have not left yet.
+func (p *Proxy) countOpenTransactions() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for s := range p.sessions {
+		if s.waitingSince.Load() == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Proxy) countSessions() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/pkg/proxy/relay.go
@@ -0,0 +1,144 @@
+package proxy
+
+import (
+	"bufio"
+	"errors"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"limpetspan/core"
+	"limpetspan/core/relay"
+	"limpetspan/pkg/proxy/reportpb"
+)
+
+// relaySource is a link to a daemon that is asked for the configuration.
+type relaySource struct {
+	relay core.DaemonID
+	c     net.Conn
+	r     *bufio.Reader
+}
+
+// errUnknownConfiguration is told by a daemon that has just started, or stops.
+var errUnknownConfiguration = errors.New("the daemon has no configuration to tell")
+
+// ask asks a relay, over the link to it if there is one already.
+func (c *configuration) ask(step relay.Step) {
+	proof, err := c.question(step)
+	c.p.dependency("configuration relay", err)
+	if err != nil {
+		c.leaveSource()
+		c.learn(func(f *relay.Follower) { f.Silent(now(), step.Peer) })
+		return
+	}
+	c.learn(func(f *relay.Follower) { f.Told(now(), step.Peer, proof) })
+}
+
+// question asks, accepts the configuration that is told, and returns the proof on this
+// daemon's clock: the relay's is relative to the arrival of the question, which came
+// after it was sent.
+func (c *configuration) question(step relay.Step) (core.Time, error) {
+	deadline := time.Now().Add(step.Timeout)
+	if err := c.reach(step.Peer, deadline); err != nil {
+		return 0, err
+	}
+	_ = c.source.c.SetDeadline(deadline)
+	q := &reportpb.Question{WaitMs: uint64(step.Wait / time.Millisecond)}
+	if d := c.document.Load(); d != nil {
+		q.Version = d.version
+	}
+	sent := now()
+	if _, err := protodelim.MarshalTo(c.source.c, q); err != nil {
+		return 0, err
+	}
+	var a reportpb.Answer
+	if err := protodelim.UnmarshalFrom(c.source.r, &a); err != nil {
+		return 0, err
+	}
+	if a.Unknown {
+		return 0, errUnknownConfiguration
+	}
+	if len(a.Configuration) > 0 {
+		c.accept(a.Configuration)
+	}
+	return proofFrom(sent, now(), a.ProofNs), nil
+}
+
+// proofFrom dates an answer. One that claims to know the future is not to be believed.
+func proofFrom(sent, came core.Time, offset int64) core.Time {
+	return min(came, sent.Add(time.Duration(offset)))
+}
+
+// reach opens a link to the relay unless there is one.
+func (c *configuration) reach(id core.DaemonID, deadline time.Time) error {
+	if c.source != nil && c.source.relay == id {
+		return nil
+	}
+	c.leaveSource()
+	addr, ok := c.p.peers.homeAddr(id)
+	if !ok {
+		return errNoHome
+	}
+	conn, err := net.DialTimeout("tcp", addr, min(homeDialTimeout, time.Until(deadline)))
+	if err != nil {
+		return err
+	}
+	c.source = &relaySource{relay: id, c: conn, r: bufio.NewReader(conn)}
+	_ = conn.SetDeadline(deadline)
+	_, err = protodelim.MarshalTo(conn, &reportpb.Hello{Entry: string(c.p.settings.Daemon), Configuration: true})
+	return err
+}
+
+func (c *configuration) leaveSource() {
+	if c.source != nil {
+		_ = c.source.c.Close()
+		c.source = nil
+	}
+}
+
+// answer answers another daemon's questions until the link ends or this process stops:
+// its followers have to find another relay while they still have time.
+func (c *configuration) answer(conn net.Conn, r *bufio.Reader) {
+	defer conn.Close()
+	told := core.Time(0)
+	for {
+		_ = conn.SetReadDeadline(time.Now().Add(relayIdle))
+		var q reportpb.Question
+		if err := protodelim.UnmarshalFrom(r, &q); err != nil {
+			return
+		}
+		arrived := now()
+		proof := c.youngerThan(told, time.Duration(min(q.WaitMs, uint64(relayIdle/time.Millisecond)))*time.Millisecond)
+		a := &reportpb.Answer{Unknown: proof == 0 || c.p.stopping.Load(), ProofNs: int64(proof.Sub(arrived))}
+		// The document is read after the proof: it is as new as the proof says, or newer.
+		if d := c.document.Load(); d != nil && d.version > q.Version {
+			a.Configuration = d.value
+		}
+		_ = conn.SetWriteDeadline(time.Now().Add(relayIdle))
+		if _, err := protodelim.MarshalTo(conn, a); err != nil || a.Unknown {
+			return
+		}
+		told = proof
+	}
+}
+
+// youngerThan returns a proof that is younger than the one told before, or the old one
+// if none has come within the wait.
+func (c *configuration) youngerThan(told core.Time, wait time.Duration) core.Time {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		proof, advanced := c.proof()
+		if proof > told || c.p.stopping.Load() {
+			return proof
+		}
+		select {
+		case <-advanced:
+		case <-c.p.done:
+			return proof
+		case <-timer.C:
+			return proof
+		}
+	}
+}
--- /dev/null
+++ b/pkg/proxy/relay_test.go
@@ -0,0 +1,155 @@
+package proxy
+
+import (
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core/direct"
+)
+
+// largeFleet is more daemons than all watch the configuration.
+const largeFleet = 18
+
+// version is the configuration that a daemon has in force; 0: none.
+func (d *daemon) version() uint64 {
+	if c := d.p.catalog.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// watchers are the daemons of the fleet that watch the store, and the others.
+func (f *fleet) watchers() (watchers, followers []*daemon) {
+	all := f.daemons[0].p.homes
+	all.mu.Lock()
+	chosen := direct.Watchers(len(all.daemons), slices.Clone(all.daemons))
+	all.mu.Unlock()
+	for _, d := range f.daemons {
+		watches := false
+		for _, id := range chosen {
+			watches = watches || id == d.s.Daemon
+		}
+		if watches {
+			watchers = append(watchers, d)
+		} else {
+			followers = append(followers, d)
+		}
+	}
+	return watchers, followers
+}
+
+// joined waits until all daemons know all others.
+func (f *fleet) joined() {
+	for _, d := range f.daemons {
+		Eventually(func() int {
+			d.p.homes.mu.Lock()
+			defer d.p.homes.mu.Unlock()
+			return len(d.p.homes.daemons)
+		}, patience).Should(Equal(len(f.daemons)))
+	}
+}
+
+// cutStore has all later calls of the daemon fail.
+func (d *daemon) cutStore() {
+	nowhere := freeAddr(d.s.IP)
+	d.p.client.SetAddresses(nowhere, nowhere)
+}
+
+func (f *fleet) inForce(daemons []*daemon) {
+	GinkgoHelper()
+	for _, d := range daemons {
+		Eventually(d.version, patience).Should(Equal(uint64(f.version)), "%s", d.s.Daemon)
+	}
+}
+
+var _ = Describe("the configuration of a large fleet", func() {
+	var f *fleet
+	var watchers, followers []*daemon
+	BeforeEach(func() {
+		f = newFleet(largeFleet)
+		f.joined()
+		watchers, followers = f.watchers()
+		Expect(watchers).To(HaveLen(2))
+	})
+
+	// Each daemon that watches is a paid call every few seconds. With followers, calls to
+	// the store grow with zones and not with hosts.
+	It("is watched by two daemons of a zone, and told to all others", func() {
+		Eventually(func() bool {
+			for _, d := range followers {
+				if d.p.client.Calls()["/api/kv-watch"] > 0 && d.p.configuration.source == nil {
+					return false
+				}
+			}
+			return true
+		}, patience).Should(BeTrue())
+		before := make(map[*daemon]int64)
+		for _, d := range followers {
+			before[d] = d.p.client.Calls()["/api/kv-watch"]
+		}
+		for range 3 {
+			f.configure("db-own", "db-stale")
+			f.inForce(f.daemons)
+		}
+		for _, d := range followers {
+			Expect(d.p.client.Calls()["/api/kv-watch"]).To(Equal(before[d]))
+		}
+	})
+
+	// A watcher is killed, and then the other: an operator's change has to reach those
+	// who asked them all the same.
+	It("reaches the followers of daemons that are killed", func() {
+		for _, d := range watchers {
+			d.kill()
+			f.configure("db-own", "db-stale")
+			f.inForce(followers)
+		}
+	})
+
+	// Both watchers are cut from the store and go on answering. Their proofs grow old, so
+	// their followers read the store themselves.
+	It("reaches the followers of daemons that are cut from the store", func() {
+		for _, d := range watchers {
+			d.cutStore()
+		}
+		f.configure("db-own", "db-stale")
+		f.inForce(f.daemons)
+	})
+
+	It("reaches a daemon that has lost the store, through one that has not", func() {
+		d := followers[0]
+		d.cutStore()
+		f.configure("db-own", "db-stale")
+		f.inForce([]*daemon{d})
+	})
+})
+
+var _ = Describe("a relay's proof", func() {
+	It("counts from the sending of the question, and never from the future", func() {
+		sent := now()
+		came := sent.Add(30 * time.Millisecond)
+		Expect(proofFrom(sent, came, -int64(time.Second))).To(Equal(sent.Add(-time.Second)))
+		Expect(proofFrom(sent, came, int64(10*time.Millisecond))).To(Equal(sent.Add(10 * time.Millisecond)))
+		Expect(proofFrom(sent, came, int64(time.Hour))).To(Equal(came))
+	})
+})
+
+var _ = Describe("a daemon that starts while the store is away", func() {
+	// All hosts have lost power and the store is down. With each of its calls a fleet that
+	// starts would fall upon a store that has just come back.
+	It("tries with one kind of call until the store answers", func() {
+		f := newFleet(1)
+		d := f.daemons[0]
+		d.kill()
+		f.store.SetDown(true)
+		d = run(d.s, GinkgoWriter)
+		f.daemons[0] = d
+		Eventually(func() int64 { return d.p.client.Calls()["/api/kv-range"] }, patience).Should(BeNumerically(">", 4))
+		Expect(d.p.client.Calls()).To(HaveLen(1), "%v", d.p.client.Calls())
+		f.store.SetDown(false)
+		Eventually(d.started, patience).Should(BeTrue())
+	})
+})
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -39,6 +39,10 @@
 	// it takes the list of daemons for complete, and joinPause the pause between reads.
 	joinWait  = time.Second
 	joinPause = 150 * time.Millisecond
+	// staleTries is how often a daemon that joins reads a list of daemons that may be
+	// old before it pays for one that is not. Such a list is as good if it has the entry
+	// that this process has just written.
+	staleTries = 3
 	// joinShare of the last known size makes a list complete enough.
 	joinShare = 0.7
 	// sizeChange is by what share the fleet has to change for its size to be
@@ -56,21 +60,16 @@
 	// pause between its renewals.
 	registrationLease = 6 * time.Second
 	renewalEvery      = 2 * time.Second
-	// watchWait is how long one watch of the configuration waits at most, and
-	// watchMargin what is left of the bound of a change when it has failed. Only the
-	// end of this time shows that the watch's connection has gone silent, or that the
-	// store has dropped the change from its history before the watch heard of it.
-	watchWait   = 5 * time.Second
-	watchMargin = time.Second
+	// relayIdle is how long a relay keeps the link of a daemon that asks nothing, and
+	// waits for one that does not read: longer than any follower waits.
+	relayIdle = 10 * time.Second
 	// storeTimeout bounds other calls to the store, which answers in 4 ms.
 	storeTimeout = 800 * time.Millisecond
 	// storeRetry is the pause after a failed call to the store.
 	storeRetry = 250 * time.Millisecond
-	// firstRetry is the pause while a daemon has no configuration or no list of daemons:
-	// it serves nobody, and what calls cost is little beside that.
+	// firstRetry is the pause while a daemon has no list of daemons: it serves nobody,
+	// and what calls cost is little beside that.
 	firstRetry = 80 * time.Millisecond
-	// storeRetryMost is the longest such pause; refused calls are paid for as well.
-	storeRetryMost = time.Second
 	// releaseTries is how often a ticket is given back, releaseRetry the pause between
 	// tries: longer than the store is usually away.
 	releaseTries = 10
