Keep homes through a difference of configurations and through waits

Cause: an entry that had a new configuration before its homes took their "no such database" for a failure. In a large fleet an entry has about one statement a second at each home; one that waited 0.4 s made it give the home up as well.

Change: a home fetches a newer configuration from its entry; refusals say what they are about, and only one by the daemon itself gives it up. A silent home is asked whether it lives.

--- a/pkg/proxy/configuration.go
+++ b/pkg/proxy/configuration.go
@@ -28,6 +28,13 @@
 	after  platform.Revision
 	source *relaySource
 
+	// accepting lets one configuration at a time be put in force.
+	accepting sync.Mutex
+	// catchingUp lets one session at a time fetch a newer configuration; the next try
+	// waits until nextCatchUp if the last one brought none.
+	catchingUp  sync.Mutex
+	nextCatchUp core.Time
+
 	mu       sync.Mutex
 	follower *relay.Follower
 	// advanced is closed and replaced when there is a younger proof.
@@ -47,6 +54,14 @@
 	}
 }
 
+// version is the version in force; 0: there is none.
+func (c *configuration) version() uint64 {
+	if d := c.document.Load(); d != nil {
+		return d.version
+	}
+	return 0
+}
+
 // run carries out the follower's steps until the process ends.
 func (c *configuration) run() {
 	for c.p.running() {
@@ -171,6 +186,8 @@
 		c.p.log.Error("configuration cannot be read", "error", err.Error())
 		return
 	}
+	c.accepting.Lock()
+	defer c.accepting.Unlock()
 	if old := c.p.catalog.Load(); old != nil && old.Version >= catalog.Version {
 		return
 	}
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"errors"
 	"slices"
 	"sync"
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/pkg/proxy/reportpb"
 )
 
 // homes knows which daemons reach the members of which group.
@@ -23,14 +25,22 @@
 	catalog  *direct.Catalog
 	chosenBy int
 	of       map[core.GroupID][]core.DaemonID
-	// avoid is until when a daemon that did not answer is not asked again.
-	avoid map[core.DaemonID]core.Time
+	// avoid is until when a daemon that did not answer is not asked again, avoidFor until
+	// when one is not asked for a group that it does not serve.
+	avoid    map[core.DaemonID]core.Time
+	avoidFor map[groupAt]core.Time
 	// heardAt is when a daemon last answered on any link.
 	heardAt map[core.DaemonID]core.Time
 }
 
+// groupAt is a group at a daemon.
+type groupAt struct {
+	group  core.GroupID
+	daemon core.DaemonID
+}
+
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, of: make(map[core.GroupID][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), heardAt: make(map[core.DaemonID]core.Time)}
+	return &homes{p: p, of: make(map[core.GroupID][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), heardAt: make(map[core.DaemonID]core.Time)}
 }
 
 // update chooses the homes anew from the daemons and groups that are known now, if
@@ -151,7 +161,7 @@
 	defer h.mu.Unlock()
 	at := now()
 	list := direct.Order(id, h.p.settings.Daemon, h.p.settings.Zone, h.of[id], h.daemons)
-	return slices.DeleteFunc(list, func(d core.DaemonID) bool { return at < h.avoid[d] })
+	return slices.DeleteFunc(list, func(d core.DaemonID) bool { return at < h.avoid[d] || at < h.avoidFor[groupAt{id, d}] })
 }
 
 // heard notes that the daemon has answered.
@@ -180,6 +190,26 @@
 	}
 }
 
+// refusedBy takes that a daemon did not take a session, and why.
+//
+// One that lacks the session's database is asked again at once for others. Its
+// configuration differs from this daemon's for a moment after each change; were it given
+// up, a single caller of a new database would have the entry give up all homes of all
+// groups in turn. Each entry then has daemons that are no homes reach the members, which
+// refuse connections for seconds.
+func (h *homes) refusedBy(id core.DaemonID, group core.GroupID, err error) {
+	var r *refusal
+	if !errors.As(err, &r) || r.kind == reportpb.Refusal_REFUSAL_DAEMON {
+		h.failed(id)
+		return
+	}
+	if r.kind == reportpb.Refusal_REFUSAL_GROUP {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.avoidFor[groupAt{group, id}] = now().Add(avoidHome)
+	}
+}
+
 // failed keeps a daemon from being asked for a while.
 func (h *homes) failed(id core.DaemonID) {
 	h.mu.Lock()
--- a/pkg/proxy/homes_test.go
+++ b/pkg/proxy/homes_test.go
@@ -14,7 +14,8 @@
 	"limpetspan/pkg/proxy/reportpb"
 )
 
-// mute takes sessions of entries as a home does, and never answers a statement.
+// mute takes sessions of entries as a home does, and never answers a statement or a
+// question.
 func mute(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -22,7 +23,8 @@
 			return
 		}
 		go func() {
-			if protodelim.UnmarshalFrom(bufio.NewReader(c), &reportpb.Hello{}) == nil {
+			var hello reportpb.Hello
+			if protodelim.UnmarshalFrom(bufio.NewReader(c), &hello) == nil && !hello.Configuration {
 				_, _ = protodelim.MarshalTo(c, &reportpb.Welcome{})
 			}
 		}()
@@ -62,6 +64,36 @@
 		Expect(h.is("ledger", "edge-cut")).To(BeFalse())
 	})
 
+	// All of a group's members are overloaded, and an entry has one statement at its home,
+	// which waits there for longer than a home may be silent. The entry gave the home up,
+	// and then the next one; daemons that are no homes filled the members.
+	It("is not one whose only statement waits for a member", func() {
+		f := newFleet(2)
+		home, entry := f.daemons[0], f.daemons[1]
+		f.split(home)
+		s := &session{p: entry.p, database: "db-own", sessionState: newSessionState()}
+		l, err := s.connect("ledger", now().Add(patience))
+		Expect(err).NotTo(HaveOccurred())
+		defer s.unlink()
+		// No statement is under way, so that no answer comes on the link.
+		Expect(l.await(s, time.Now().Add(2*homeSilence), false)).To(Succeed())
+		entry.p.checkHome(home.s.Daemon, now())
+		Expect(entry.p.homes.order("ledger")).To(HaveLen(1))
+	})
+
+	// A caller of a database that has just been added comes to an entry that has the new
+	// configuration, before its homes have it.
+	It("is not one that lacks a database for a moment", func() {
+		h := newHomes(nil)
+		h.of["g"], h.daemons = []core.DaemonID{"a"}, []direct.Daemon{{ID: "a"}}
+		h.p = &Proxy{}
+		h.refusedBy("a", "g", &refusal{reportpb.Refusal_REFUSAL_DATABASE, "no such database"})
+		Expect(h.order("g")).To(HaveLen(1))
+		h.refusedBy("a", "g", &refusal{reportpb.Refusal_REFUSAL_GROUP, "cut from the primary"})
+		Expect(h.order("g")).To(BeEmpty())
+		Expect(h.order("another")).To(HaveLen(1))
+	})
+
 	It("is not one of which another session has had an answer meanwhile", func() {
 		h := newHomes(nil)
 		h.of["g"] = []core.DaemonID{"a", "b"}
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -43,6 +43,7 @@
 		return s.link.link, nil
 	}
 	s.unlink()
+	unknown := 0
 	for _, home := range s.p.homes.order(id) {
 		if now() >= deadline {
 			break
@@ -53,11 +54,34 @@
 			return l, nil
 		}
 		s.debug("home", "home", home, "error", err)
-		s.p.homes.failed(home)
+		s.p.homes.refusedBy(home, id, err)
+		if unknownDatabase(err) {
+			unknown++
+		}
+		if unknown >= mostUnknown {
+			return nil, err
+		}
 	}
 	return nil, errNoHome
 }
 
+// mostUnknown homes are asked for a database that they do not have: it has just been
+// removed, or added, and all daemons know within a moment.
+const mostUnknown = 2
+
+func unknownDatabase(err error) bool {
+	var r *refusal
+	return errors.As(err, &r) && r.kind == reportpb.Refusal_REFUSAL_DATABASE
+}
+
+// refusal is a home's answer that it does not take a session.
+type refusal struct {
+	kind reportpb.Refusal
+	text string
+}
+
+func (r *refusal) Error() string { return r.text }
+
 // groupLink is the link with the group for which it was opened.
 type groupLink struct {
 	*link
@@ -93,6 +117,7 @@
 	_ = l.c.SetDeadline(time.Now().Add(timeout))
 	hello := &reportpb.Hello{
 		Database: s.database, Entry: string(s.p.settings.Daemon), Term: uint64(s.last.Term), Lsn: uint64(s.last.LSN),
+		Version: s.p.configuration.version(),
 	}
 	if _, err := protodelim.MarshalTo(l.c, hello); err != nil {
 		return err
@@ -102,7 +127,11 @@
 		return err
 	}
 	if welcome.Refused != "" {
-		return errors.New(welcome.Refused)
+		if welcome.Refusal == reportpb.Refusal_REFUSAL_DATABASE {
+			// The database has been removed in a configuration that this entry lacks.
+			s.p.configuration.catchUp(l.home, welcome.Version)
+		}
+		return &refusal{welcome.Refusal, welcome.Refused}
 	}
 	return nil
 }
@@ -172,9 +201,13 @@
 }
 
 // await waits for the first byte of an answer, but not longer than homeSilence for a
-// home that answers none of this daemon's sessions meanwhile: it is cut off, and another
-// home may still serve the statement in time. A home that answers others lets this one
-// wait for a member.
+// home that answers nothing else meanwhile: it is cut off, and another home may still
+// serve the statement in time. A home that answers others lets this one wait for a
+// member. Where an entry has few statements under way there may be no others, so the
+// home is asked whether it lives: in a fleet of hundreds each entry has about one
+// statement a second at each home, and while a group's members were overloaded entries
+// gave up one home after the other, until daemons that are none filled the members with
+// connections and the overload went on by itself.
 func (l *link) await(s *session, deadline time.Time, patient bool) error {
 	if patient || time.Until(deadline) <= homeSilence {
 		return nil
@@ -183,12 +216,29 @@
 	_ = l.c.SetReadDeadline(time.Now().Add(homeSilence))
 	_, err := l.r.Peek(1)
 	_ = l.c.SetReadDeadline(deadline)
-	if errors.Is(err, os.ErrDeadlineExceeded) && s.p.homes.answers(l.home, sent) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && (s.p.homes.answers(l.home, sent) || s.p.lives(l.home)) {
 		return nil
 	}
 	return err
 }
 
+// checkHome gives a home up that has answered nothing since a statement was sent to it,
+// and does not say either that it lives.
+func (p *Proxy) checkHome(id core.DaemonID, sent core.Time) {
+	if !p.homes.answers(id, sent) && !p.lives(id) {
+		p.homes.silent(id, sent)
+	}
+}
+
+// lives asks a daemon for anything at all, one session for all that wait for it.
+func (p *Proxy) lives(id core.DaemonID) bool {
+	_, err, _ := p.lifeChecks.Do(string(id), func() (any, error) { return nil, p.configuration.fetch(id) })
+	if err == nil {
+		p.homes.heard(id)
+	}
+	return err == nil
+}
+
 // answer reads an answer; a home that is stopping says so between answers.
 func (l *link) answer() (platform.Answer, error) {
 	a, err := platform.ReadAnswer(l.r, l.body)
@@ -267,7 +317,7 @@
 	if endedByPeer(err) {
 		s.p.homes.failed(l.home)
 	} else {
-		s.p.homes.silent(l.home, j.arrived)
+		go s.p.checkHome(l.home, j.arrived)
 	}
 	s.unlink()
 	if !sent {
@@ -381,11 +431,33 @@
 	s.runLinked()
 }
 
+// welcome says whether this daemon serves the session that an entry hands over.
+func (p *Proxy) welcome(hello *reportpb.Hello) *reportpb.Welcome {
+	catalog := p.catalog.Load()
+	if catalog == nil || p.closing.Load() {
+		return &reportpb.Welcome{Refused: "not serving", Refusal: reportpb.Refusal_REFUSAL_DAEMON}
+	}
+	w := &reportpb.Welcome{Version: catalog.Version}
+	route, ok := catalog.Routes[hello.Database]
+	if !ok {
+		w.Refused = "no such database in version " + strconv.FormatUint(catalog.Version, 10)
+		w.Refusal = reportpb.Refusal_REFUSAL_DATABASE
+		return w
+	}
+	p.use(route.Group)
+	switch {
+	case p.blind(route.Group):
+		w.Refused, w.Refusal = "no host list yet", reportpb.Refusal_REFUSAL_GROUP
+	case p.cut(route.Group):
+		w.Refused, w.Refusal = "cut from the primary", reportpb.Refusal_REFUSAL_GROUP
+	}
+	return w
+}
+
 func (s *session) runLinked() {
 	s.r = platform.NewReader(s.c)
 	_ = s.c.SetReadDeadline(time.Now().Add(startupWait))
 	var hello reportpb.Hello
-	welcome := &reportpb.Welcome{}
 	if err := protodelim.UnmarshalFrom(s.r, &hello); err != nil {
 		s.end()
 		return
@@ -396,16 +468,8 @@
 		s.p.configuration.answer(s.c, s.r)
 		return
 	}
-	catalog := s.p.catalog.Load()
-	if catalog == nil || s.p.closing.Load() {
-		welcome.Refused = "not serving"
-	} else if route, ok := catalog.Routes[hello.Database]; !ok {
-		welcome.Refused = "no such database in version " + strconv.FormatUint(catalog.Version, 10)
-	} else if s.p.use(route.Group); s.p.blind(route.Group) {
-		welcome.Refused = "no host list yet"
-	} else if s.p.cut(route.Group) {
-		welcome.Refused = "cut from the primary"
-	}
+	s.p.configuration.catchUp(core.DaemonID(hello.Entry), hello.Version)
+	welcome := s.p.welcome(&hello)
 	if _, err := protodelim.MarshalTo(s.c, welcome); err != nil || welcome.Refused != "" {
 		s.end()
 		return
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
@@ -36,6 +37,8 @@
 	stats        *stats
 	tracer       trace.Tracer
 	limiter      limiter
+	// lifeChecks are questions under way whether a home lives.
+	lifeChecks singleflight.Group
 	// policy is the mechanisms in use.
 	policy policy.Set
 	// sessionLimits bound what a session may have set.
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -44,16 +44,17 @@
 		return 0, err
 	}
 	_ = c.source.c.SetDeadline(deadline)
-	q := &reportpb.Question{WaitMs: uint64(step.Wait / time.Millisecond)}
-	if d := c.document.Load(); d != nil {
-		q.Version = d.version
-	}
+	return c.source.exchange(c, step.Wait)
+}
+
+// exchange sends one question and accepts the configuration in the answer.
+func (s *relaySource) exchange(c *configuration, wait time.Duration) (core.Time, error) {
 	sent := now()
-	if _, err := protodelim.MarshalTo(c.source.c, q); err != nil {
+	if _, err := protodelim.MarshalTo(s.c, &reportpb.Question{Version: c.version(), WaitMs: uint64(wait / time.Millisecond)}); err != nil {
 		return 0, err
 	}
 	var a reportpb.Answer
-	if err := protodelim.UnmarshalFrom(c.source.r, &a); err != nil {
+	if err := protodelim.UnmarshalFrom(s.r, &a); err != nil {
 		return 0, err
 	}
 	if a.Unknown {
@@ -65,6 +66,36 @@
 	return proofFrom(sent, now(), a.ProofNs), nil
 }
 
+// catchUp fetches the configuration from another daemon that is known to have a higher
+// version. Entry and home of a session learn of a change at different moments, at times a
+// second apart; a session for a database that is new has to be served all the same.
+func (c *configuration) catchUp(id core.DaemonID, version uint64) {
+	if version <= c.version() {
+		return
+	}
+	c.catchingUp.Lock()
+	defer c.catchingUp.Unlock()
+	if version <= c.version() || now() < c.nextCatchUp {
+		return
+	}
+	err := c.fetch(id)
+	if c.version() < version {
+		c.nextCatchUp = now().Add(catchUpRetry)
+	}
+	c.p.log.Info("configuration", "fetched_from", id, "wanted", version, "has", c.version(), "error", errorText(err))
+}
+
+func (c *configuration) fetch(id core.DaemonID) error {
+	deadline := time.Now().Add(catchUpTimeout)
+	source, err := c.open(id, deadline)
+	if err != nil {
+		return err
+	}
+	defer source.c.Close()
+	_, err = source.exchange(c, 0)
+	return err
+}
+
 // proofFrom dates an answer. One that claims to know the future is not to be believed.
 func proofFrom(sent, came core.Time, offset int64) core.Time {
 	return min(came, sent.Add(time.Duration(offset)))
@@ -76,18 +107,29 @@
 		return nil
 	}
 	c.leaveSource()
+	source, err := c.open(id, deadline)
+	if err == nil {
+		c.source = source
+	}
+	return err
+}
+
+// open opens a link for questions.
+func (c *configuration) open(id core.DaemonID, deadline time.Time) (*relaySource, error) {
 	addr, ok := c.p.peers.homeAddr(id)
 	if !ok {
-		return errNoHome
+		return nil, errNoHome
 	}
 	conn, err := net.DialTimeout("tcp", addr, min(homeDialTimeout, time.Until(deadline)))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	c.source = &relaySource{relay: id, c: conn, r: bufio.NewReader(conn)}
 	_ = conn.SetDeadline(deadline)
-	_, err = protodelim.MarshalTo(conn, &reportpb.Hello{Entry: string(c.p.settings.Daemon), Configuration: true})
-	return err
+	if _, err := protodelim.MarshalTo(conn, &reportpb.Hello{Entry: string(c.p.settings.Daemon), Configuration: true}); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &relaySource{relay: id, c: conn, r: bufio.NewReader(conn)}, nil
 }
 
 func (c *configuration) leaveSource() {
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -127,6 +127,28 @@
 	})
 })
 
+var _ = Describe("a session for a database that has just been added", func() {
+	// The entry has the new configuration and its home has not: a watch is slow, or the
+	// store has forgotten the change before it heard of it. The caller was refused, and
+	// the entry went through all daemons of the fleet.
+	It("is served by a home that fetches the configuration from the entry", func() {
+		f := newFleet(2)
+		home, entry := f.daemons[0], f.daemons[1]
+		f.split(home)
+		Eventually(func() int64 { return home.p.client.Calls()["/api/kv-watch"] }, patience).Should(BeNumerically(">", 0))
+		home.cutStore()
+		// A watch that was under way before may still bring this one.
+		f.configure("db-own")
+		f.inForce([]*daemon{entry})
+		f.configure("db-own", "db-primary", "db-new")
+		f.inForce([]*daemon{entry})
+		Expect(home.version()).To(BeNumerically("<", f.version))
+		x := entry.dial("db-new")
+		Expect(x.query("WRITE k 1").served()).To(BeTrue())
+		Expect(home.version()).To(Equal(uint64(f.version)))
+	})
+})
+
 var _ = Describe("a relay's proof", func() {
 	It("counts from the sending of the question, and never from the future", func() {
 		sent := now()
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -60,6 +60,11 @@
 	// pause between its renewals.
 	registrationLease = 6 * time.Second
 	renewalEvery      = 2 * time.Second
+	// catchUpTimeout bounds fetching a newer configuration from the other end of a link,
+	// within which the entry waits for the home's welcome; catchUpRetry is the pause
+	// after one that brought none.
+	catchUpTimeout = homeDialTimeout / 2
+	catchUpRetry   = 250 * time.Millisecond
 	// relayIdle is how long a relay keeps the link of a daemon that asks nothing, and
 	// waits for one that does not read: longer than any follower waits.
 	relayIdle = 10 * time.Second
