Keep sessions at homes whose host list has no members yet

Cause: after an outage in which the store lost the members' entries, each home passed its sessions on as if it alone lacked the list.

Change: a home is passed over only if its own read of the host list failed, and a daemon that is none gives its connections back after three seconds.

Measured: tests only so far.

--- a/pkg/proxy/hostlist.go
+++ b/pkg/proxy/hostlist.go
@@ -25,6 +25,7 @@
 		if len(p.activeGroups()) > 0 {
 			err := p.readMembers()
 			p.dependency("host list", err)
+			p.hostListCurrent.Store(err == nil)
 			if err != nil {
 				pause = 2 * storeRetry
 			}
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -79,6 +79,25 @@
 		Expect(f.daemons[2].dial("db-own").query("READ k").rows).To(Equal([]string{"1"}))
 	})
 
+	// The store was away for longer than its leases last, and the members' entries are gone
+	// when it is back. Each home passed its sessions on to daemons that knew as little, and
+	// these filled the members once they were listed again.
+	It("stays at a home whose host list has no member of the group yet", func() {
+		f := newFleet(1)
+		d := f.daemons[0]
+		time.Sleep(blindAfter)
+		for _, m := range f.group.Members() {
+			f.store.Remove("servers/" + m.ID)
+		}
+		g := d.p.known("ledger")
+		g.mu.Lock()
+		g.core = direct.NewGroup("ledger", d.s.Daemon, d.s.Zone)
+		g.mu.Unlock()
+		Expect(d.p.blind("ledger")).To(BeFalse())
+		Expect(f.store.Register(f.group)).To(Succeed())
+		d.dial("db-own").persist("WRITE k 1")
+	})
+
 	// One daemon's path to the primary is cut; the others' is not, so nobody replaces
 	// it. The daemon's callers were refused for as long as the cut lasted.
 	It("runs its writes at another home while the own one is cut from the primary", func() {
--- a/pkg/proxy/outage.go
+++ b/pkg/proxy/outage.go
@@ -12,10 +12,13 @@
 
 // blind says whether this daemon cannot serve the group, although it may be its
 // home: it has started while the store went away, and has the configuration but no
-// host list. Another home can serve what comes here.
+// host list. Another home can serve what comes here. One that has the list, and no member
+// of the group on it, knows what the others know: the store has lost the members'
+// entries. Sessions that were passed on then had daemons that are no homes reach the
+// members, as soon as these were back, for ten seconds.
 func (p *Proxy) blind(id core.GroupID) bool {
 	since := core.Time(p.configuredAt.Load())
-	if since == 0 || now().Sub(since) < blindAfter {
+	if since == 0 || now().Sub(since) < blindAfter || p.hostListCurrent.Load() {
 		return false
 	}
 	g := p.known(id)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -50,6 +50,8 @@
 	catalog       atomic.Pointer[direct.Catalog]
 	configuration *configuration
 	hostList      hostList
+	// hostListCurrent says that the last read of the host list was answered.
+	hostListCurrent atomic.Bool
 	// membersListed is set once the host list was read.
 	membersListed atomic.Bool
 	// stopping is set when a planned stop has begun, closing once it takes no new work.
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -33,8 +33,9 @@
 	// avoidHome is how long a home that did not answer is not asked again.
 	avoidHome = 2 * time.Second
 	// usedGroupKept is how long a daemon that is no home of a group keeps reaching
-	// its members after a statement.
-	usedGroupKept = 10 * time.Second
+	// its members after a statement: a little longer than entries leave a home alone that
+	// did not answer. Its connections are what the homes lack when they are back.
+	usedGroupKept = avoidHome + time.Second
 	// joinWait is how long a daemon waits at most, when a whole fleet starts, before
 	// it takes the list of daemons for complete, and joinPause the pause between reads.
 	joinWait  = time.Second
