--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -117,10 +117,14 @@
 }
 
 // daemonsPause is the pause between reads of the list of daemons. Where reports
-// reach all of them, the list tells little that is new.
+// reach all of them, the list tells little that is new; nor does it while a relay, which
+// goes on reading it, has the same.
 func (p *Proxy) daemonsPause() time.Duration {
-	if p.homes.everywhere() {
+	switch {
+	case p.homes.everywhere():
 		return daemonsEvery
+	case p.peers.agrees():
+		return daemonsAgreed
 	}
 	return daemonsEvery / 3
 }
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -2,6 +2,9 @@
 
 import (
 	"cmp"
+	"fmt"
+	"hash/fnv"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -26,6 +29,10 @@
 	// whole report is.
 	news map[core.GroupID]bool
 	all  bool
+	// listDigest is a digest of the store's list of daemons; sameAt is when another daemon
+	// last had the same.
+	listDigest uint64
+	sameAt     core.Time
 }
 
 type peer struct {
@@ -84,6 +91,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := now()
+	s.listDigest = digestOf(entries)
 	for id, k := range s.known {
 		if _, ok := entries[id]; !ok {
 			k.unlist(at)
@@ -96,6 +104,39 @@
 	}
 }
 
+// digestOf tells one list of daemons from another.
+func digestOf(entries map[core.DaemonID]daemonEntry) uint64 {
+	h := fnv.New64a()
+	for _, id := range slices.Sorted(maps.Keys(entries)) {
+		_, _ = fmt.Fprintln(h, id, entries[id].IP)
+	}
+	return h.Sum64()
+}
+
+// digest is that of the list as it was last read.
+func (s *peers) digest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listDigest
+}
+
+// compare takes the digest of another daemon's list.
+func (s *peers) compare(digest uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sameAt = 0
+	if digest == s.listDigest {
+		s.sameAt = now()
+	}
+}
+
+// agrees says whether a relay has lately had the same list as this daemon.
+func (s *peers) agrees() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sameAt != 0 && now().Sub(s.sameAt) < listAgreed
+}
+
 // unlist takes that the store's list lacks the daemon. It may only be cut from the
 // store: when half of a fleet was, the other half chose all homes anew, and again when
 // the list was whole; daemons that were no homes any more and new ones filled the
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -63,6 +63,7 @@
 	if len(a.Configuration) > 0 {
 		c.accept(a.Configuration)
 	}
+	c.p.peers.compare(a.Daemons)
 	return proofFrom(sent, now(), a.ProofNs), nil
 }
 
@@ -152,7 +153,7 @@
 		}
 		arrived := now()
 		proof := c.youngerThan(told, time.Duration(min(q.WaitMs, uint64(relayIdle/time.Millisecond)))*time.Millisecond)
-		a := &reportpb.Answer{Unknown: proof == 0 || c.p.stopping.Load(), ProofNs: int64(proof.Sub(arrived))}
+		a := &reportpb.Answer{Unknown: proof == 0 || c.p.stopping.Load(), ProofNs: int64(proof.Sub(arrived)), Daemons: c.p.peers.digest()}
 		// The document is read after the proof: it is as new as the proof says, or newer.
 		if d := c.document.Load(); d != nil && d.version > q.Version {
 			a.Configuration = d.value
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"limpetspan/core"
 	"limpetspan/core/direct"
 )
 
@@ -159,6 +160,25 @@
 	})
 })
 
+var _ = Describe("the list of daemons", func() {
+	// Each of some hundred daemons read the whole list every few seconds, on days on which
+	// nobody came or went.
+	It("is read seldom while a relay has the same, and as often as before otherwise", func() {
+		p := &Proxy{}
+		p.homes = newHomes(p)
+		p.homes.of["g"], p.homes.daemons = []core.DaemonID{"a"}, []direct.Daemon{{ID: "a"}, {ID: "b"}}
+		s := &peers{p: p, known: make(map[core.DaemonID]*peer)}
+		p.peers = s
+		p.settings.Daemon = "a"
+		s.listed(map[core.DaemonID]daemonEntry{"a": {IP: "127.0.0.1"}, "b": {IP: "127.0.0.2"}})
+		Expect(p.daemonsPause()).To(Equal(daemonsEvery / 3))
+		s.compare(s.digest())
+		Expect(p.daemonsPause()).To(Equal(daemonsAgreed))
+		s.compare(digestOf(map[core.DaemonID]daemonEntry{"a": {IP: "127.0.0.1"}, "c": {IP: "127.0.0.3"}}))
+		Expect(p.daemonsPause()).To(Equal(daemonsEvery / 3))
+	})
+})
+
 var _ = Describe("a daemon that starts while the store is away", func() {
 	// All hosts have lost power and the store is down. With each of its calls a fleet that
 	// starts would fall upon a store that has just come back.
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -61,6 +61,10 @@
 	// daemonsEvery is the pause between reads of the list of daemons; once known,
 	// they tell of themselves in reports.
 	daemonsEvery = 10 * time.Second
+	// daemonsAgreed is that pause while a relay says that it has the same list, and
+	// listAgreed for how long that counts: two of a relay's answers.
+	daemonsAgreed = 3 * daemonsEvery
+	listAgreed    = 4 * time.Second
 	// registrationLease is the lease of a daemon's own entry, renewalEvery the
 	// pause between its renewals.
 	registrationLease = 6 * time.Second
