--- a/pkg/bench/capacity/measurement.go
+++ b/pkg/bench/capacity/measurement.go
@@ -24,6 +24,10 @@
 	fileTakeover = "takeover.json"
 )
 
+// filePlatform is the part of the page on the users' platform, whose figures come from
+// their own bench and are written by hand.
+const filePlatform = "platform.md"
+
 var files = []string{fileControl, fileStorms, fileLatency, fileIdle, fileOverhead, fileHome, fileFailover, fileConfig, fileTakeover}
 
 // Measurement is one file.
@@ -39,6 +43,8 @@
 	byFile map[string]*Measurement
 	// Control, Storms and Latency are reports of bench control; nil: no file.
 	Control, Storms, Latency *control.Report
+	// Platform is the part on the users' platform; "": no file.
+	Platform string
 }
 
 // Load reads the measurement files of a directory.
@@ -56,6 +62,11 @@
 			return nil, fmt.Errorf("capacity: %s: %w", name, err)
 		}
 	}
+	text, err := os.ReadFile(filepath.Join(dir, filePlatform))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("capacity: %w", err)
+	}
+	m.Platform = string(text)
 	return m, nil
 }
 
--- a/pkg/bench/capacity/page.go
+++ b/pkg/bench/capacity/page.go
@@ -20,6 +20,9 @@
 	p.writeRuns(&b)
 	p.writeRoles(&b)
 	p.writeChecks(&b)
+	if m.Platform != "" {
+		b.WriteString("\n" + m.Platform)
+	}
 	return b.String()
 }
 
@@ -42,8 +45,8 @@
 The machine is shared and the bench's own work is counted in, so processor
 times are on the high side.
 
-What a daemon costs on the users' platform, with the calls to its store, is in
-[CAPACITY-PLATFORM.md](CAPACITY-PLATFORM.md).
+What a daemon costs on the users' platform, with the calls to its store, stands at the
+end.
 `
 
 func table(b *strings.Builder, header []string, rows [][]string) {
