End a question to a relay with the process, and count what a stop waits for

Linked sessions that were told of the stop counted as open transactions in the line of the stop.

Change: the end of the process closes the link; told sessions count as waiting.

--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"time"
@@ -18,6 +19,13 @@
 	relay core.DaemonID
 	c     net.Conn
 	r     *bufio.Reader
+	// forget ends the watch for the end of the process.
+	forget func() bool
+}
+
+func (s *relaySource) close() {
+	s.forget()
+	_ = s.c.Close()
 }
 
 // errUnknownConfiguration is told by a daemon that has just started, or stops.
@@ -92,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	defer source.c.Close()
+	defer source.close()
 	_, err = source.exchange(c, 0)
 	return err
 }
@@ -115,7 +123,8 @@
 	return err
 }
 
-// open opens a link for questions.
+// open opens a link for questions. The end of the process ends it: an answer may take
+// seconds, and a stop that waited for one would be killed at the end of its grace time.
 func (c *configuration) open(id core.DaemonID, deadline time.Time) (*relaySource, error) {
 	addr, ok := c.p.peers.homeAddr(id)
 	if !ok {
@@ -125,17 +134,19 @@
 	if err != nil {
 		return nil, err
 	}
+	source := &relaySource{relay: id, c: conn, r: bufio.NewReader(conn)}
+	source.forget = context.AfterFunc(c.p.ctx, func() { _ = conn.Close() })
 	_ = conn.SetDeadline(deadline)
 	if _, err := protodelim.MarshalTo(conn, &reportpb.Hello{Entry: string(c.p.settings.Daemon), Configuration: true}); err != nil {
-		_ = conn.Close()
+		source.close()
 		return nil, err
 	}
-	return &relaySource{relay: id, c: conn, r: bufio.NewReader(conn)}, nil
+	return source, nil
 }
 
 func (c *configuration) leaveSource() {
 	if c.source != nil {
-		_ = c.source.c.Close()
+		c.source.close()
 		c.source = nil
 	}
 }
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"net"
 	"slices"
 	"time"
 
@@ -150,6 +151,34 @@
 	})
 })
 
+var _ = Describe("a daemon that stops while a relay owes it an answer", func() {
+	// A relay answers a question when it has news, which may take seconds. The process of
+	// a daemon that had asked was still there at the end of its grace time.
+	It("does not wait for it", func() {
+		f := newFleet(2)
+		d := f.daemons[0]
+		silent := ownIP(98)
+		l, err := net.Listen("tcp", d.s.LinkAddr(silent))
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		d.p.peers.mu.Lock()
+		d.p.peers.keep("edge-silent", silent)
+		d.p.peers.mu.Unlock()
+		asked := make(chan error, 1)
+		go func() {
+			source, err := d.p.configuration.open("edge-silent", time.Now().Add(2*patience))
+			if err == nil {
+				_, err = source.exchange(d.p.configuration, patience)
+			}
+			asked <- err
+		}()
+		_, err = l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		d.kill()
+		Eventually(asked, patience).Should(Receive(HaveOccurred()))
+	})
+})
+
 var _ = Describe("a relay's proof", func() {
 	It("counts from the sending of the question, and never from the future", func() {
 		sent := now()
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -186,6 +186,8 @@
 			return "", err
 		}
 		_ = s.c.SetReadDeadline(time.Time{})
+		s.waitingSince.Store(int64(now()))
+		defer s.waitingSince.Store(0)
 		return platform.ReadLine(s.r)
 	}
 	if s.tx == nil {
