Fetch a newer configuration from an entry that the home does not know yet

On the platform that is a home within its first second.

Change: the entry says where it answers. The test takes the entry from what the home knows, which failed each time before.

--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -117,7 +117,7 @@
 	_ = l.c.SetDeadline(time.Now().Add(timeout))
 	hello := &reportpb.Hello{
 		Database: s.database, Entry: string(s.p.settings.Daemon), Term: uint64(s.last.Term), Lsn: uint64(s.last.LSN),
-		Version: s.p.configuration.version(),
+		Version: s.p.configuration.version(), Ip: s.p.settings.IP,
 	}
 	if _, err := protodelim.MarshalTo(l.c, hello); err != nil {
 		return err
@@ -129,7 +129,8 @@
 	if welcome.Refused != "" {
 		if welcome.Refusal == reportpb.Refusal_REFUSAL_DATABASE {
 			// The database has been removed in a configuration that this entry lacks.
-			s.p.configuration.catchUp(l.home, welcome.Version)
+			addr, _ := s.p.peers.homeAddr(l.home)
+			s.p.configuration.catchUp(addr, welcome.Version)
 		}
 		return &refusal{welcome.Refusal, welcome.Refused}
 	}
@@ -232,7 +233,11 @@
 
 // lives asks a daemon for anything at all, one session for all that wait for it.
 func (p *Proxy) lives(id core.DaemonID) bool {
-	_, err, _ := p.lifeChecks.Do(string(id), func() (any, error) { return nil, p.configuration.fetch(id) })
+	addr, ok := p.peers.homeAddr(id)
+	if !ok {
+		return false
+	}
+	_, err, _ := p.lifeChecks.Do(string(id), func() (any, error) { return nil, p.configuration.fetch(addr) })
 	if err == nil {
 		p.homes.heard(id)
 	}
@@ -468,7 +473,7 @@
 		s.p.configuration.answer(s.c, s.r)
 		return
 	}
-	s.p.configuration.catchUp(core.DaemonID(hello.Entry), hello.Version)
+	s.p.configuration.catchUp(s.p.settings.LinkAddr(hello.Ip), hello.Version)
 	welcome := s.p.welcome(&hello)
 	if _, err := protodelim.MarshalTo(s.c, welcome); err != nil || welcome.Refused != "" {
 		s.end()
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -75,10 +75,10 @@
 	return proofFrom(sent, now(), a.ProofNs), nil
 }
 
-// catchUp fetches the configuration from another daemon that is known to have a higher
+// catchUp fetches the configuration from the daemon at the address, which has a higher
 // version. Entry and home of a session learn of a change at different moments, at times a
 // second apart; a session for a database that is new has to be served all the same.
-func (c *configuration) catchUp(id core.DaemonID, version uint64) {
+func (c *configuration) catchUp(addr string, version uint64) {
 	if version <= c.version() {
 		return
 	}
@@ -87,16 +87,17 @@
 	if version <= c.version() || now() < c.nextCatchUp {
 		return
 	}
-	err := c.fetch(id)
+	err := c.fetch(addr)
 	if c.version() < version {
 		c.nextCatchUp = now().Add(catchUpRetry)
 	}
-	c.p.log.Info("configuration", "fetched_from", id, "wanted", version, "has", c.version(), "error", errorText(err))
+	c.p.log.Info("configuration", "fetched_from", addr, "wanted", version, "has", c.version(), "error", errorText(err))
 }
 
-func (c *configuration) fetch(id core.DaemonID) error {
+// fetch asks the daemon at the address once, and accepts its configuration.
+func (c *configuration) fetch(addr string) error {
 	deadline := time.Now().Add(catchUpTimeout)
-	source, err := c.open(id, deadline)
+	source, err := c.open(addr, deadline)
 	if err != nil {
 		return err
 	}
@@ -116,8 +117,13 @@
 		return nil
 	}
 	c.leaveSource()
-	source, err := c.open(id, deadline)
+	addr, ok := c.p.peers.homeAddr(id)
+	if !ok {
+		return errNoHome
+	}
+	source, err := c.open(addr, deadline)
 	if err == nil {
+		source.relay = id
 		c.source = source
 	}
 	return err
@@ -125,16 +131,12 @@
 
 // open opens a link for questions. The end of the process ends it: an answer may take
 // seconds, and a stop that waited for one would be killed at the end of its grace time.
-func (c *configuration) open(id core.DaemonID, deadline time.Time) (*relaySource, error) {
-	addr, ok := c.p.peers.homeAddr(id)
-	if !ok {
-		return nil, errNoHome
-	}
+func (c *configuration) open(addr string, deadline time.Time) (*relaySource, error) {
 	conn, err := net.DialTimeout("tcp", addr, min(homeDialTimeout, time.Until(deadline)))
 	if err != nil {
 		return nil, err
 	}
-	source := &relaySource{relay: id, c: conn, r: bufio.NewReader(conn)}
+	source := &relaySource{c: conn, r: bufio.NewReader(conn)}
 	source.forget = context.AfterFunc(c.p.ctx, func() { _ = conn.Close() })
 	_ = conn.SetDeadline(deadline)
 	if _, err := protodelim.MarshalTo(conn, &reportpb.Hello{Entry: string(c.p.settings.Daemon), Configuration: true}); err != nil {
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -145,6 +145,10 @@
 		f.configure("db-own", "db-primary", "db-new")
 		f.inForce([]*daemon{entry})
 		Expect(home.version()).To(BeNumerically("<", f.version))
+		// The home has not heard of the entry in any other way.
+		home.p.peers.mu.Lock()
+		delete(home.p.peers.known, entry.s.Daemon)
+		home.p.peers.mu.Unlock()
 		x := entry.dial("db-new")
 		Expect(x.query("WRITE k 1").served()).To(BeTrue())
 		Expect(home.version()).To(Equal(uint64(f.version)))
@@ -161,12 +165,9 @@
 		l, err := net.Listen("tcp", d.s.LinkAddr(silent))
 		Expect(err).NotTo(HaveOccurred())
 		defer l.Close()
-		d.p.peers.mu.Lock()
-		d.p.peers.keep("edge-silent", silent)
-		d.p.peers.mu.Unlock()
 		asked := make(chan error, 1)
 		go func() {
-			source, err := d.p.configuration.open("edge-silent", time.Now().Add(2*patience))
+			source, err := d.p.configuration.open(d.s.LinkAddr(silent), time.Now().Add(2*patience))
 			if err == nil {
 				_, err = source.exchange(d.p.configuration, patience)
 			}
