--- a/standin/target/member.go
+++ b/standin/target/member.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -140,17 +141,26 @@
 }
 
 const (
-	// anyPort lets the system choose the first port.
-	anyPort = "127.0.0.1:0"
 	// listenTries and listenWait bound the wait for the former port, which
 	// another process may hold for a moment.
 	listenTries = 40
 	listenWait  = 50 * time.Millisecond
 )
 
+// members counts the members of this process that have listened.
+var members atomic.Uint32
+
+// ownAddr is any port of a loopback address that nothing else uses. On a shared one, the
+// port of a member that has crashed could be given to another process, and the member
+// could not start again: "address already in use".
+func ownAddr() string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>8%254, pid%256, 1+members.Add(1)%254)
+}
+
 // listen opens the listener, at the former address after a crash.
 func (m *Member) listen() error {
-	addr := cmp.Or(m.addr, m.options.Listen, anyPort)
+	addr := cmp.Or(m.addr, m.options.Listen, ownAddr())
 	listener, err := net.Listen("tcp", addr)
 	for i := 1; err != nil && i < listenTries; i++ {
 		time.Sleep(listenWait)
