Take a home that stops for a living one, and compare lists with relays alone

Found by reading: a home that stops has no configuration to tell, and the check whether it lives took that for silence, so that reads under way there began again elsewhere. Any question, as that of a check, compared the lists of daemons, so that a daemon with an older list had others read theirs anew.

--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -238,10 +238,12 @@
 		return false
 	}
 	_, err, _ := p.lifeChecks.Do(string(id), func() (any, error) { return nil, p.configuration.fetch(addr) })
-	if err == nil {
+	// A daemon that stops says that it has nothing to tell, and lives.
+	lives := err == nil || errors.Is(err, errUnknownConfiguration)
+	if lives {
 		p.homes.heard(id)
 	}
-	return err == nil
+	return lives
 }
 
 // answer reads an answer; a home that is stopping says so between answers.
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -33,46 +33,53 @@
 
 // ask asks a relay, over the link to it if there is one already.
 func (c *configuration) ask(step relay.Step) {
-	proof, err := c.question(step)
+	a, err := c.question(step)
 	c.p.dependency("configuration relay", err)
 	if err != nil {
 		c.leaveSource()
 		c.learn(func(f *relay.Follower) { f.Silent(now(), step.Peer) })
 		return
 	}
-	c.learn(func(f *relay.Follower) { f.Told(now(), step.Peer, proof) })
+	c.p.peers.compare(a.daemons)
+	c.learn(func(f *relay.Follower) { f.Told(now(), step.Peer, a.proof) })
+}
+
+// relayAnswer is what a daemon that was asked knows beside the configuration: its proof,
+// on this daemon's clock, and a digest of its list of daemons.
+type relayAnswer struct {
+	proof   core.Time
+	daemons uint64
 }
 
 // question asks, accepts the configuration that is told, and returns the proof on this
 // daemon's clock: the relay's is relative to the arrival of the question, which came
 // after it was sent.
-func (c *configuration) question(step relay.Step) (core.Time, error) {
+func (c *configuration) question(step relay.Step) (relayAnswer, error) {
 	deadline := time.Now().Add(step.Timeout)
 	if err := c.reach(step.Peer, deadline); err != nil {
-		return 0, err
+		return relayAnswer{}, err
 	}
 	_ = c.source.c.SetDeadline(deadline)
 	return c.source.exchange(c, step.Wait)
 }
 
 // exchange sends one question and accepts the configuration in the answer.
-func (s *relaySource) exchange(c *configuration, wait time.Duration) (core.Time, error) {
+func (s *relaySource) exchange(c *configuration, wait time.Duration) (relayAnswer, error) {
 	sent := now()
 	if _, err := protodelim.MarshalTo(s.c, &reportpb.Question{Version: c.version(), WaitMs: uint64(wait / time.Millisecond)}); err != nil {
-		return 0, err
+		return relayAnswer{}, err
 	}
 	var a reportpb.Answer
 	if err := protodelim.UnmarshalFrom(s.r, &a); err != nil {
-		return 0, err
+		return relayAnswer{}, err
 	}
 	if a.Unknown {
-		return 0, errUnknownConfiguration
+		return relayAnswer{}, errUnknownConfiguration
 	}
 	if len(a.Configuration) > 0 {
 		c.accept(a.Configuration)
 	}
-	c.p.peers.compare(a.Daemons)
-	return proofFrom(sent, now(), a.ProofNs), nil
+	return relayAnswer{proofFrom(sent, now(), a.ProofNs), a.Daemons}, nil
 }
 
 // catchUp fetches the configuration from the daemon at the address, which has a higher
