Read a current list of daemons when a daemon starts later than its fleet

Change: only a fleet that starts for the first time, before any caller, looks for its entry in lists that may be old; later starts pay for a current one.

--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -63,8 +63,7 @@
 // join reads the list of daemons for the first time, chooses homes by it, and reads the
 // tickets if this daemon is one; false: the store did not answer.
 func (p *Proxy) join(lease uint64) bool {
-	p.awaitOthers(lease)
-	l, err := p.readFirstList(lease)
+	l, err := p.firstList(lease)
 	if err != nil {
 		return false
 	}
@@ -79,23 +78,44 @@
 	return p.readTickets(ctx, true) == nil
 }
 
-// awaitOthers waits until the list of daemons is complete enough to choose homes by it.
-// After a loss of power of all hosts, with the leases lapsed, the first daemons would
-// otherwise take a large fleet for a small one, and all would open connections to all
-// members.
-func (p *Proxy) awaitOthers(lease uint64) {
-	if lease == 0 {
-		return
-	}
+// firstList reads a list of daemons that is complete enough to choose homes by it.
+func (p *Proxy) firstList(lease uint64) (*daemonList, error) {
 	if p.settings.FirstStart {
 		p.sleep(joinWait)
-		return
+		return p.ownEntryListed(lease)
 	}
-	for deadline := now().Add(joinWait); now() < deadline && p.running(); p.sleep(joinPause) {
-		if l, err := p.listDaemons(p.client.ListStale); err == nil && l.complete() {
-			return
+	// After a loss of power of all hosts, with the leases lapsed, the first daemons would
+	// otherwise take a large fleet for a small one, and all would open connections to all
+	// members.
+	for deadline := now().Add(joinWait); ; p.sleep(joinPause) {
+		l, err := p.listDaemons(p.listCurrent)
+		if err != nil || l.complete() || now() >= deadline || !p.running() {
+			return l, err
+		}
+	}
+}
+
+// ownEntryListed reads a list of daemons that may be old, but has this daemon's entry.
+// Nobody is served yet where the whole fleet starts for the first time. A daemon that
+// starts later pays for a current list at once: old ones lack it for some 0.2 s, in which
+// after a loss of power no caller is served.
+func (p *Proxy) ownEntryListed(lease uint64) (*daemonList, error) {
+	for range staleTries {
+		if lease == 0 || !p.running() {
+			break
+		}
+		if l, err := p.listDaemons(p.client.ListStale); err == nil && l.leases[p.settings.Daemon] == lease {
+			return l, nil
 		}
+		p.sleep(joinPause)
 	}
+	return p.listDaemons(p.listCurrent)
+}
+
+// listCurrent is a list that is not old.
+func (p *Proxy) listCurrent(ctx context.Context, prefix string) ([]platform.Item, error) {
+	items, _, err := p.client.List(ctx, prefix)
+	return items, err
 }
 
 // relist reads the list of daemons again, which may be old; false: the store did not
@@ -181,23 +201,6 @@
 	return p.parseDaemons(items), nil
 }
 
-// readFirstList reads a list of daemons that is no older than this daemon's own entry.
-func (p *Proxy) readFirstList(lease uint64) (*daemonList, error) {
-	for range staleTries {
-		if lease == 0 || !p.running() {
-			break
-		}
-		if l, err := p.listDaemons(p.client.ListStale); err == nil && l.leases[p.settings.Daemon] == lease {
-			return l, nil
-		}
-		p.sleep(joinPause)
-	}
-	return p.listDaemons(func(ctx context.Context, prefix string) ([]platform.Item, error) {
-		items, _, err := p.client.List(ctx, prefix)
-		return items, err
-	})
-}
-
 // readTickets reads since when tickets have stood. Where groups may use their primaries by
 // what it says, it is not content with what may be old.
 func (p *Proxy) readTickets(ctx context.Context, current bool) error {
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -209,6 +209,15 @@
 	})
 })
 
+var _ = Describe("a daemon that starts while others serve", func() {
+	// All hosts have lost power. Lists that may be old lack the daemon's own entry for some
+	// 0.2 s, and no caller was served before it was there.
+	It("pays for a list of daemons that is not old", func() {
+		f := newFleet(1)
+		Expect(f.daemons[0].p.client.Calls()).NotTo(HaveKey("/api/kv-range allow_stale"))
+	})
+})
+
 var _ = Describe("a daemon that starts while the store is away", func() {
 	// All hosts have lost power and the store is down. With each of its calls a fleet that
 	// starts would fall upon a store that has just come back.
