Let the models share what a member makes of an order, and the agenda

Cause: the model of the configuration's relays had an event queue of its own beside pkg/explore/agenda, and the two models of groups each said what a member makes of a fence and of a demotion.

Change: the relays' model stands in pkg/explore/relays, as core cannot use packages of the main module, and uses the agenda; its checks, seeds and guards are as they were. direct.Effect.Obeyed says what an order makes of a member. The kick and timeout of the two models' daemons stay apart: one of them also freezes its daemons.

--- a/core/direct/effect.go
+++ b/core/direct/effect.go
@@ -54,3 +54,21 @@
 	Repair  bool
 	Reason  string
 }
+
+// Obeyed is what a member of the term makes of the order: whether it leads then, and the
+// term for which it is fenced. An order that does not concern it changes nothing.
+func (e Effect) Obeyed(term core.Term, leads bool, fenced core.Term) (stillLeads bool, fencedFor core.Term) {
+	switch e.Kind {
+	case EffectFence:
+		if !leads && e.Term > term {
+			return leads, e.Term
+		}
+	case EffectUnfence:
+		return leads, 0
+	case EffectDemote:
+		if leads && e.Term > term {
+			return false, fenced
+		}
+	}
+	return leads, fenced
+}
--- a/pkg/experiment/member.go
+++ b/pkg/experiment/member.go
@@ -81,18 +81,7 @@
 
 // order carries out an order of a daemon.
 func (m *member) order(e direct.Effect) direct.Status {
-	switch e.Kind {
-	case direct.EffectFence:
-		if !m.primary && e.Term > m.term {
-			m.fenced = e.Term
-		}
-	case direct.EffectUnfence:
-		m.fenced = 0
-	case direct.EffectDemote:
-		if m.primary && e.Term > m.term {
-			m.primary = false
-		}
-	}
+	m.primary, m.fenced = e.Obeyed(m.term, m.primary, m.fenced)
 	return m.status()
 }
 
--- a/pkg/explore/reigns/member.go
+++ b/pkg/explore/reigns/member.go
@@ -52,18 +52,7 @@
 
 // order carries out a daemon's order and returns the member's status.
 func (m *member) order(e direct.Effect) direct.Status {
-	switch e.Kind {
-	case direct.EffectFence:
-		if !m.primary && e.Term > m.term {
-			m.fenced = e.Term
-		}
-	case direct.EffectUnfence:
-		m.fenced = 0
-	case direct.EffectDemote:
-		if m.primary && e.Term > m.term {
-			m.primary = false
-		}
-	}
+	m.primary, m.fenced = e.Obeyed(m.term, m.primary, m.fenced)
 	role := core.RoleReplica
 	if m.primary {
 		role = core.RolePrimary
--- a/core/relay/model_test.go
+++ b/pkg/explore/relays/relays_test.go
@@ -1,9 +1,9 @@
-package relay_test
+package relays_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,6 +11,19 @@
 
 	"limpetspan/core"
 	"limpetspan/core/relay"
+	"limpetspan/pkg/explore/agenda"
+)
+
+func TestRelays(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "relays")
+}
+
+const (
+	// bound is within what time a change has to be in force.
+	bound = 6 * time.Second
+	// start is when a day begins; 0 means "never" in the follower.
+	start = core.Time(time.Hour)
 )
 
 // Paces of the model.
@@ -24,34 +37,11 @@
 	inTouch = 6 * time.Second
 )
 
-// event is something that happens in the model at a time.
-type event struct {
-	at core.Time
-	n  int
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // world is a store whose configuration changes, and daemons that follow it. The clock of
 // each daemon has an offset of its own.
 type world struct {
 	now     core.Time
-	queue   events
-	n       int
+	agenda  agenda.Agenda
 	random  *rand.Rand
 	changes []core.Time // the version is their number so far
 	daemons []*node
@@ -82,8 +72,7 @@
 }
 
 func (w *world) after(d time.Duration, do func()) {
-	w.n++
-	heap.Push(&w.queue, event{w.now.Add(d), w.n, do})
+	w.agenda.Add(w.now.Add(d), do)
 }
 
 func (w *world) between(least, most time.Duration) time.Duration {
@@ -317,10 +306,10 @@
 	var checks func()
 	checks = func() { w.check(); w.after(50*time.Millisecond, checks) }
 	checks()
-	for w.queue.Len() > 0 && w.now < after(modelLength) && len(w.broken) == 0 {
-		e := heap.Pop(&w.queue).(event)
-		w.now = e.at
-		e.do()
+	for w.agenda.Len() > 0 && w.now < start.Add(modelLength) && len(w.broken) == 0 {
+		at, do := w.agenda.Next()
+		w.now = at
+		do()
 	}
 	return w.broken
 }
