Compute an entry's order of daemons once each, and derive what was kept twice

Found by reading the whole change again: - The order in which an entry asks daemons was sorted by ranks that were hashed anew at each comparison, for each link that is opened. The watchers were chosen twice for each new list, and their order was cut out of that of all daemons. - The hash of core/direct stood again in core/relay; core/spread serves both.

Behaviour is meant to stay.

--- a/core/direct/bench_test.go
+++ b/core/direct/bench_test.go
@@ -17,3 +17,16 @@
 		}
 	}
 }
+
+// BenchmarkOrder is what an entry of a fleet of 300 pays to open a link: whom it asks for
+// a group, in which order.
+func BenchmarkOrder(b *testing.B) {
+	all := daemons(6, 50)
+	homes := direct.Homes("g", 131, len(all), all)
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(direct.Order("g", "d0-7", "0", homes, all)) != len(all)-1 {
+			b.Fatal("daemons are missing")
+		}
+	}
+}
--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -2,11 +2,11 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
 
 	"limpetspan/core"
+	"limpetspan/core/spread"
 )
 
 // Daemon is another limpetspan process, or this one, as the store lists it.
@@ -70,10 +70,9 @@
 
 // WatcherOrder returns the watchers that a daemon in the zone asks for the
 // configuration, best first: those of its own zone, then others.
-func WatcherOrder(self core.DaemonID, zone core.Zone, size int, daemons []Daemon) []core.DaemonID {
-	watchers := Watchers(size, daemons)
-	order := Order(configurationKey, self, zone, watchers, daemons)
-	return slices.DeleteFunc(order, func(id core.DaemonID) bool { return !slices.Contains(watchers, id) })
+func WatcherOrder(self core.DaemonID, zone core.Zone, watchers []core.DaemonID, daemons []Daemon) []core.DaemonID {
+	list := slices.DeleteFunc(slices.Clone(daemons), func(d Daemon) bool { return !slices.Contains(watchers, d.ID) })
+	return Order(configurationKey, self, zone, watchers, list)
 }
 
 func byZone(daemons []Daemon) map[core.Zone][]Daemon {
@@ -118,16 +117,7 @@
 // draw is the daemon's rank for the group in weighted rendezvous hashing: a
 // change of the list moves only the groups of the daemons that came or went.
 func draw(group core.GroupID, d Daemon) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(group))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(d.ID))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	unit := (float64(x>>11) + 0.5) / (1 << 53)
-	return -max(d.Weight, 0.01) / math.Log(unit)
+	return -max(d.Weight, 0.01) / math.Log(spread.Unit(string(group), string(d.ID)))
 }
 
 // The ranks of daemons that an entry may ask.
@@ -137,6 +127,13 @@
 	furtherDaemon
 )
 
+// choice is a daemon with what decides its place in an entry's order.
+type choice struct {
+	id   core.DaemonID
+	rank int
+	draw float64
+}
+
 // Order returns the daemons that an entry in the zone asks to serve the group,
 // best first: homes of its own zone, other homes, and for the case that none of
 // them answers further daemons. Among homes each entry has an order of its own, which
@@ -145,30 +142,25 @@
 // the other, 65 entries chose 40 different ones and had members refuse 50,000
 // connections in 25 s.
 func Order(group core.GroupID, self core.DaemonID, zone core.Zone, homes []core.DaemonID, daemons []Daemon) []core.DaemonID {
-	list := slices.Clone(daemons)
-	rank := func(d Daemon) int {
+	entry := core.GroupID(string(group) + "/" + string(self))
+	list := make([]choice, 0, len(daemons))
+	for _, d := range daemons {
 		switch home := slices.Contains(homes, d.ID); {
+		case d.ID == self:
 		case home && d.Zone == zone:
-			return nearHome
+			list = append(list, choice{d.ID, nearHome, draw(entry, d)})
 		case home:
-			return farHome
-		}
-		return furtherDaemon
-	}
-	entry := core.GroupID(string(group) + "/" + string(self))
-	place := func(d Daemon) float64 {
-		if rank(d) == furtherDaemon {
-			return draw(group, d)
+			list = append(list, choice{d.ID, farHome, draw(entry, d)})
+		default:
+			list = append(list, choice{d.ID, furtherDaemon, draw(group, d)})
 		}
-		return draw(entry, d)
 	}
-	slices.SortFunc(list, func(a, b Daemon) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(place(b), place(a)))
+	slices.SortFunc(list, func(a, b choice) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.draw, a.draw))
 	})
-	list = slices.DeleteFunc(list, func(d Daemon) bool { return d.ID == self })
 	order := make([]core.DaemonID, 0, len(list))
-	for _, d := range list {
-		order = append(order, d.ID)
+	for _, c := range list {
+		order = append(order, c.id)
 	}
 	return order
 }
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -95,6 +95,7 @@
 	var best Place
 	var bestCost time.Duration
 	found := false
+	faults := g.leastFaults(now)
 	for _, id := range g.order {
 		m := g.members[id]
 		if slices.Contains(n.Avoid, id) || !g.readable(now, id, m, since) {
@@ -104,7 +105,7 @@
 		if !ok {
 			continue
 		}
-		cost := g.cost(now, id, m)
+		cost := g.cost(now, id, m, faults)
 		if !found || cost < bestCost {
 			best, bestCost, found = Place{Member: id, Since: since.position, Dial: dial, AnswerTimeout: m.answerTimeout()}, cost, true
 		}
@@ -130,7 +131,8 @@
 }
 
 // cost is the time that a read on the member is expected to take, or to cost others.
-func (g *Group) cost(now core.Time, id core.MemberID, m *member) time.Duration {
+// leastFaults is the share that fails on the best replica.
+func (g *Group) cost(now core.Time, id core.MemberID, m *member, leastFaults float64) time.Duration {
 	latency := m.latency
 	if latency == 0 {
 		latency = firstLatency
@@ -140,7 +142,7 @@
 		cost += otherZone
 	}
 	if g.policy.Has(policy.AvoidFailing) {
-		cost += faultCostOf(m.faults.now(now) - g.leastFaults(now))
+		cost += faultCostOf(m.faults.now(now) - leastFaults)
 	}
 	switch {
 	case id != g.primary:
--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -1,11 +1,11 @@
 package relay
 
 import (
-	"encoding/binary"
-	"hash/fnv"
+	"strconv"
 	"time"
 
 	"limpetspan/core"
+	"limpetspan/core/spread"
 )
 
 // StepKind says what a daemon does next about its configuration.
@@ -189,14 +189,7 @@
 	f.avoid[relay] = now.Add(avoidFor)
 }
 
-// draw is a number in [0, 1) that differs between daemons and between n.
+// draw is a number between 0 and 1 that differs between daemons and between n.
 func (f *Follower) draw(n int) float64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(f.self))
-	_ = binary.Write(h, binary.LittleEndian, int64(n))
-	x := h.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return float64(x>>11) / (1 << 53)
+	return spread.Unit(string(f.self), strconv.Itoa(n))
 }
--- /dev/null
+++ b/core/spread/spread_test.go
@@ -0,0 +1,33 @@
+package spread_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core/spread"
+)
+
+func TestSpread(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "spread")
+}
+
+var _ = Describe("Unit", func() {
+	It("spreads names that differ in their last letter evenly", func() {
+		const names, parts = 4000, 4
+		var count [parts]int
+		for i := range names {
+			count[int(parts*spread.Unit("edge", fmt.Sprint(i)))]++
+		}
+		for _, n := range count {
+			Expect(n).To(BeNumerically("~", names/parts, names/parts/5))
+		}
+	})
+
+	It("tells where one name ends and the next begins", func() {
+		Expect(spread.Unit("ab", "c")).NotTo(Equal(spread.Unit("a", "bc")))
+	})
+})
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -178,9 +178,7 @@
 		return
 	}
 	defer c.listing.Store(false)
-	ctx, cancel := context.WithTimeout(c.p.ctx, direct.TicketReadEvery)
-	defer cancel()
-	if err := c.p.readTickets(ctx, true); err != nil {
+	if err := c.p.tellTickets(direct.TicketReadEvery); err != nil {
 		c.p.decision("tickets not read", "error", err.Error())
 	}
 }
--- a/pkg/proxy/claims_test.go
+++ b/pkg/proxy/claims_test.go
@@ -20,12 +20,8 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(f.store.Register(second)).To(Succeed())
 		f.version += 2
-		route := func(database, service string) map[string]any {
-			return map[string]any{"name": "r-" + database, "host": database, "prefix": "/", "type": "primary", "timeout_ms": 2000,
-				"latency_goal_ms": 500, "priority": 1, "service": service, "attempts": 2}
-		}
 		Expect(f.store.Put("op/config", map[string]any{
-			"version": f.version, "routes": []any{route("db-own", "ledger"), route("db-second", "second")},
+			"version": f.version, "routes": []any{routeTo("db-own", "ledger"), routeTo("db-second", "second")},
 			"limits": map[string]any{"tx_idle_ms": 3000},
 			"services": []map[string]any{
 				{"name": "ledger", "max_conns": 22, "sync_replicas": 0}, {"name": "second", "max_conns": 22, "sync_replicas": 0},
--- a/pkg/proxy/configuration.go
+++ b/pkg/proxy/configuration.go
@@ -104,6 +104,11 @@
 func (c *configuration) dismiss() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.wake()
+}
+
+// wake ends the waits for a younger proof; the lock is held.
+func (c *configuration) wake() {
 	close(c.advanced)
 	c.advanced = make(chan struct{})
 }
@@ -115,8 +120,7 @@
 	before := c.follower.Proof()
 	report(c.follower)
 	if c.follower.Proof() > before {
-		close(c.advanced)
-		c.advanced = make(chan struct{})
+		c.wake()
 	}
 }
 
@@ -142,9 +146,7 @@
 	c.acceptFrom(items)
 	c.after = revision
 	c.learn(func(f *relay.Follower) { f.Loaded(sent) })
-	select {
-	case <-c.reached:
-	default:
+	if !isClosed(c.reached) {
 		close(c.reached)
 	}
 	return nil
--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -34,7 +34,7 @@
 	var lease uint64
 	var renewed, listed core.Time
 	pause := firstRetry
-	for ; !p.closing.Load(); p.await(pause, p.closed) {
+	for ; !p.closing(); p.await(pause, p.closed) {
 		at := now()
 		if lease == 0 || at.Sub(renewed) >= renewalEvery {
 			lease = p.register(lease)
@@ -70,12 +70,7 @@
 	p.peers.listed(l.entries)
 	p.homes.decide(l.size)
 	p.wakeMembers()
-	if len(p.activeGroups()) == 0 {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
-	defer cancel()
-	return p.readTickets(ctx, true) == nil
+	return len(p.activeGroups()) == 0 || p.tellTickets(storeTimeout) == nil
 }
 
 // firstList reads a list of daemons that is complete enough to choose homes by it.
@@ -128,12 +123,7 @@
 	p.peers.listed(l.entries)
 	p.noteSize(l)
 	p.homes.update()
-	if len(p.activeGroups()) == 0 {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
-	defer cancel()
-	return p.readTickets(ctx, false) == nil
+	return len(p.activeGroups()) == 0 || p.observeTickets() == nil
 }
 
 // daemonsPause is the pause between reads of the list of daemons. Where reports
@@ -201,24 +191,29 @@
 	return p.parseDaemons(items), nil
 }
 
-// readTickets reads since when tickets have stood. Where groups may use their primaries by
-// what it says, it is not content with what may be old.
-func (p *Proxy) readTickets(ctx context.Context, current bool) error {
-	if !current {
-		tickets, err := p.client.ListStale(ctx, platform.TicketsPrefix)
-		if err == nil {
-			p.claims.observe(tickets)
-		}
-		return err
+// observeTickets reads since when tickets have stood; what it reads may be old.
+func (p *Proxy) observeTickets() error {
+	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
+	defer cancel()
+	tickets, err := p.client.ListStale(ctx, platform.TicketsPrefix)
+	if err == nil {
+		p.claims.observe(tickets)
 	}
+	return err
+}
+
+// tellTickets reads the tickets as they are now: groups may use their primaries by what
+// they say.
+func (p *Proxy) tellTickets(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(p.ctx, timeout)
+	defer cancel()
 	sent := now()
 	tickets, _, err := p.client.List(ctx, platform.TicketsPrefix)
-	if err != nil {
-		return err
+	if err == nil {
+		p.claims.observe(tickets)
+		p.claims.tell(sent, tickets)
 	}
-	p.claims.observe(tickets)
-	p.claims.tell(sent, tickets)
-	return nil
+	return err
 }
 
 // parseDaemons decodes the daemons' entries and the size of the fleet.
--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -95,8 +95,7 @@
 	f.version += 2
 	var routes []map[string]any
 	for _, name := range databases {
-		r := map[string]any{"name": "r-" + name, "host": name, "prefix": "/", "type": "primary", "timeout_ms": 2000,
-			"latency_goal_ms": 500, "priority": 1, "service": "ledger", "attempts": 2}
+		r := routeTo(name, "ledger")
 		switch name {
 		case "db-own":
 			r["type"], r["max_staleness_ms"] = "read_your_writes", 2500
@@ -111,6 +110,12 @@
 	})).To(Succeed())
 }
 
+// routeTo is the configuration's route of a database whose reads run on the primary.
+func routeTo(database, service string) map[string]any {
+	return map[string]any{"name": "r-" + database, "host": database, "prefix": "/", "type": "primary", "timeout_ms": 2000,
+		"latency_goal_ms": 500, "priority": 1, "service": service, "attempts": 2}
+}
+
 // ownIP is a loopback address that no other process takes. A port that was free
 // when it was chosen could be another test's when the daemon listens there, and the
 // daemon would end before it is ready.
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -66,7 +66,7 @@
 		return
 	}
 	for id, spec := range catalog.Groups {
-		chosen := direct.Homes(id, spec.MaxConns, size, slices.Clone(daemons))
+		chosen := direct.Homes(id, spec.MaxConns, size, daemons)
 		here := slices.Contains(chosen, h.p.settings.Daemon)
 		if here && !slices.Contains(h.of[id], h.p.settings.Daemon) {
 			// Members that were not reached before have to be known at once.
@@ -77,16 +77,7 @@
 		}
 		h.of[id] = chosen
 	}
-	if len(h.of) > 0 {
-		h.open()
-	}
-}
-
-// open says that homes have been chosen. The lock is held.
-func (h *homes) open() {
-	select {
-	case <-h.ready:
-	default:
+	if len(h.of) > 0 && !h.chosen() {
 		close(h.ready)
 	}
 }
@@ -96,10 +87,8 @@
 // come meanwhile would be refused, and use up their attempts within milliseconds: after a
 // loss of power of a whole fleet that was every caller of this moment.
 func (h *homes) awaitChoice(deadline core.Time) {
-	select {
-	case <-h.ready:
+	if h.chosen() {
 		return
-	default:
 	}
 	timer := time.NewTimer(until(deadline, 0))
 	defer timer.Stop()
@@ -113,14 +102,14 @@
 // chooseWatchers says who watches the store's configuration.
 func (h *homes) chooseWatchers(size int) {
 	self := h.p.settings.Daemon
-	watchers := direct.Watchers(size, slices.Clone(h.daemons))
+	watchers := direct.Watchers(size, h.daemons)
 	if len(watchers) == len(h.daemons) {
 		h.p.configuration.setFleet(true, nil)
 		return
 	}
 	here := slices.Contains(watchers, self)
 	h.p.log.Info("configuration", "watchers", len(watchers), "of", len(h.daemons), "here", here)
-	h.p.configuration.setFleet(here, direct.WatcherOrder(self, h.p.settings.Zone, size, h.daemons))
+	h.p.configuration.setFleet(here, direct.WatcherOrder(self, h.p.settings.Zone, watchers, h.daemons))
 }
 
 // decide allows the choice: the list of daemons is complete enough. size is how many
@@ -149,11 +138,7 @@
 }
 
 // chosen says whether homes have been chosen at all.
-func (h *homes) chosen() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.of) > 0
-}
+func (h *homes) chosen() bool { return isClosed(h.ready) }
 
 // everywhere says whether all daemons are homes of all groups.
 func (h *homes) everywhere() bool {
--- a/pkg/proxy/homes_test.go
+++ b/pkg/proxy/homes_test.go
@@ -135,7 +135,7 @@
 		}()
 		h.mu.Lock()
 		h.of["g"] = []core.DaemonID{"a"}
-		h.open()
+		close(h.ready)
 		h.mu.Unlock()
 		Eventually(served, patience).Should(Receive(BeTrue()))
 	})
--- a/pkg/proxy/hostlist.go
+++ b/pkg/proxy/hostlist.go
@@ -24,8 +24,7 @@
 		pause := membersEvery
 		if len(p.activeGroups()) > 0 {
 			err := p.readMembers()
-			p.dependency("host list", err)
-			p.hostListCurrent.Store(err == nil)
+			p.dependency(hostListDependency, err)
 			if err != nil {
 				pause = 2 * storeRetry
 			}
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -217,7 +217,7 @@
 	_ = l.c.SetReadDeadline(time.Now().Add(homeSilence))
 	_, err := l.r.Peek(1)
 	_ = l.c.SetReadDeadline(deadline)
-	if errors.Is(err, os.ErrDeadlineExceeded) && (s.p.homes.answers(l.home, sent) || s.p.lives(l.home)) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && s.p.answering(l.home, sent) {
 		return nil
 	}
 	return err
@@ -226,11 +226,17 @@
 // checkHome gives a home up that has answered nothing since a statement was sent to it,
 // and does not say either that it lives.
 func (p *Proxy) checkHome(id core.DaemonID, sent core.Time) {
-	if !p.homes.answers(id, sent) && !p.lives(id) {
+	if !p.answering(id, sent) {
 		p.homes.silent(id, sent)
 	}
 }
 
+// answering says whether a home has answered anybody here since the statement was sent,
+// or says now that it lives.
+func (p *Proxy) answering(id core.DaemonID, sent core.Time) bool {
+	return p.homes.answers(id, sent) || p.lives(id)
+}
+
 // lives asks a daemon for anything at all, one session for all that wait for it.
 func (p *Proxy) lives(id core.DaemonID) bool {
 	addr, ok := p.peers.homeAddr(id)
@@ -441,7 +447,7 @@
 // welcome says whether this daemon serves the session that an entry hands over.
 func (p *Proxy) welcome(hello *reportpb.Hello) *reportpb.Welcome {
 	catalog := p.catalog.Load()
-	if catalog == nil || p.closing.Load() {
+	if catalog == nil || p.closing() {
 		return &reportpb.Welcome{Refused: "not serving", Refusal: reportpb.Refusal_REFUSAL_DAEMON}
 	}
 	w := &reportpb.Welcome{Version: catalog.Version}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -50,16 +50,13 @@
 	catalog       atomic.Pointer[direct.Catalog]
 	configuration *configuration
 	hostList      hostList
-	// hostListCurrent says that the last read of the host list was answered.
-	hostListCurrent atomic.Bool
 	// membersListed is set once the host list was read.
 	membersListed atomic.Bool
-	// stopping is set when a planned stop has begun, closing once it takes no new work.
+	// stopping is set when a planned stop has begun; closed is closed once it takes no new
+	// work, done at the end of the process.
 	stopping atomic.Bool
-	closing  atomic.Bool
-	// closed is closed with closing, done at the end of the process.
-	closed chan struct{}
-	done   chan struct{}
+	closed   chan struct{}
+	done     chan struct{}
 	// membersWanted asks for a read of the host list at once.
 	membersWanted chan struct{}
 	// ctx ends with the process, and with it all calls to the platform.
@@ -172,12 +169,17 @@
 	p.log.Info("settings reloaded", "store", s.StoreAddr, "promote", s.PromoteAddr)
 }
 
-func (p *Proxy) running() bool {
+func (p *Proxy) running() bool { return !isClosed(p.done) }
+
+// closing says whether a planned stop takes no new work any more.
+func (p *Proxy) closing() bool { return isClosed(p.closed) }
+
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-p.done:
-		return false
-	default:
+	case <-c:
 		return true
+	default:
+		return false
 	}
 }
 
@@ -372,7 +374,6 @@
 	began := now()
 	p.log.Info("stopping", "sessions", p.countSessions())
 	p.endIdle(began.Add(share(p.settings.Grace, acceptShare)), stopIdleAfter, func() bool { return false })
-	p.closing.Store(true)
 	close(p.closed)
 	_ = callers.Close()
 	p.endIdle(began.Add(share(p.settings.Grace, workShare)), 0, func() bool { return p.countSessions() == 0 })
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -27,14 +27,10 @@
 func (f *fleet) watchers() (watchers, followers []*daemon) {
 	all := f.daemons[0].p.homes
 	all.mu.Lock()
-	chosen := direct.Watchers(len(all.daemons), slices.Clone(all.daemons))
+	chosen := direct.Watchers(len(all.daemons), all.daemons)
 	all.mu.Unlock()
 	for _, d := range f.daemons {
-		watches := false
-		for _, id := range chosen {
-			watches = watches || id == d.s.Daemon
-		}
-		if watches {
+		if slices.Contains(chosen, d.s.Daemon) {
 			watchers = append(watchers, d)
 		} else {
 			followers = append(followers, d)
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -149,7 +149,7 @@
 // session here; inside one, a caller that stays away too long loses it.
 func (s *session) next() (platform.CallerMessage, error) {
 	if s.tx == nil {
-		if s.p.closing.Load() && s.r.Buffered() == 0 && !s.linked {
+		if s.p.closing() && s.r.Buffered() == 0 && !s.linked {
 			return platform.CallerMessage{}, errEnd
 		}
 		s.waitingSince.Store(int64(now()))
