--- a/cmd/limpetspand/platform_test.go
+++ b/cmd/limpetspand/platform_test.go
@@ -42,7 +42,7 @@
 }
 
 var _ = Describe("limpetspand --platform", func() {
-	const patience = 20 * time.Second
+	const waitLimit = 20 * time.Second
 
 	start := func(file string) (*exec.Cmd, chan error) {
 		binary := filepath.Join(GinkgoT().TempDir(), "limpetspand")
@@ -76,14 +76,14 @@
 			}
 			return err
 		}
-		Eventually(listening, patience).Should(Succeed())
+		Eventually(listening, waitLimit).Should(Succeed())
 		Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
 		Expect(os.WriteFile(filepath.Join(dir, "settings.json"), []byte("{"), 0o600)).To(Succeed())
 		Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
 		Consistently(ended, 300*time.Millisecond).ShouldNot(Receive())
 		Expect(listening()).To(Succeed())
 		Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
-		Eventually(ended, patience).Should(Receive(BeNil()))
+		Eventually(ended, waitLimit).Should(Receive(BeNil()))
 	})
 
 	It("names the missing key of its settings", func() {
@@ -91,7 +91,7 @@
 		Expect(os.WriteFile(file, []byte(`{"node_name": "edge-1"}`), 0o600)).To(Succeed())
 		_, ended := start(file)
 		var err error
-		Eventually(ended, patience).Should(Receive(&err))
+		Eventually(ended, waitLimit).Should(Receive(&err))
 		Expect(err).To(MatchError(ContainSubstring("exit status 2")))
 	})
 })
--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -12,7 +12,7 @@
 
 const (
 	noClaim phase = iota
-	// claiming: the store was asked for the ticket.
+	// claiming: the store was asked for the promotion lock.
 	claiming
 	// demoting: a planned change stops the old primary and waits for the rest of its log.
 	demoting
@@ -32,17 +32,17 @@
 	planned bool
 	// repair: nothing is wrong but a fence that somebody left behind.
 	repair bool
-	// old is the primary to replace, term its reign; number is the term that the
-	// ticket names.
+	// old is the primary to replace, term its term; number is the term that the
+	// promotion lock names.
 	old    core.MemberID
 	term   core.Term
 	number core.Term
-	// highest is the highest term that a ticket has named.
+	// highest is the highest term that a promotion lock has named.
 	highest core.Term
-	// token and until come with the ticket.
+	// token and until come with the promotion lock.
 	token uint64
 	until core.Time
-	// claimedAt is when the ticket was taken: leases by reads of the store that
+	// claimedAt is when the promotion lock was taken: leases by reads of the store that
 	// did not show it run out LeaseFor later.
 	claimedAt core.Time
 	// demoted is set once the old primary has confirmed, at demotedAt; last is its
@@ -76,13 +76,13 @@
 )
 
 func (r reason) String() string {
-	return [...]string{"none", "primary does not answer", "primary is leaving", "no member reigns", "a promotion had no effect", "a fence was left behind"}[r]
+	return [...]string{"none", "primary does not answer", "primary is leaving", "no member leads", "a promotion had no effect", "a fence was left behind"}[r]
 }
 
 func (g *Group) reason(now core.Time) reason {
 	p := g.members[g.primary]
 	switch {
-	case p == nil && g.someMember(now) && !g.peerReigns(now) && g.missed(now):
+	case p == nil && g.someMember(now) && !g.peerLeads(now) && g.missed(now):
 		return missing
 	case p == nil:
 		return noReason
@@ -162,7 +162,7 @@
 // stepClaim begins a change of the primary, or gets on with it.
 func (g *Group) stepClaim(now core.Time) {
 	if g.outrun() {
-		g.endClaim(now, "another member reigns")
+		g.endClaim(now, "another member leads")
 		return
 	}
 	switch g.claim.phase {
@@ -183,8 +183,8 @@
 	}
 }
 
-// outrun says whether a newer reign has become known before the order. The fences
-// were for the old one: they keep nobody from using the new primary, whose reign
+// outrun says whether a newer leadership has become known before the order. The fences
+// were for the old one: they keep nobody from using the new primary, whose leadership
 // the order would end unseen.
 func (g *Group) outrun() bool {
 	switch g.claim.phase {
@@ -254,14 +254,14 @@
 	return g.longest
 }
 
-// Claimed takes the ticket, which was asked for at sent.
-func (g *Group) Claimed(now, sent core.Time, t Ticket) []Effect {
+// Claimed takes the promotion lock, which was asked for at sent.
+func (g *Group) Claimed(now, sent core.Time, t PromotionLock) []Effect {
 	c := &g.claim
 	if c.phase != claiming {
 		return g.take()
 	}
 	c.token, c.number, c.highest = t.Token, t.Term, t.Highest
-	c.until, c.claimedAt = sent.Add(TicketSendWindow), now
+	c.until, c.claimedAt = sent.Add(LockSendWindow), now
 	g.learnOrdered(now, t.Unresolved, "")
 	if c.repair {
 		g.endClaim(now, "fence removed")
@@ -276,7 +276,7 @@
 	return g.take()
 }
 
-// ClaimRefused takes that the ticket is another daemon's, or that the store
+// ClaimRefused takes that the promotion lock is another daemon's, or that the store
 // does not answer.
 func (g *Group) ClaimRefused(now core.Time, why string) []Effect {
 	if g.claim.phase == claiming {
@@ -286,8 +286,8 @@
 }
 
 // endClaim ends the attempt and removes the fences it may have left, while the
-// ticket is surely still its own: an order that comes later, or from a claim
-// without a ticket, would remove those of the next holder.
+// promotion lock is surely still its own: an order that comes later, or from a claim
+// without a promotion lock, would remove those of the next holder.
 func (g *Group) endClaim(now core.Time, why string) {
 	c := &g.claim
 	owned := c.token != 0 && now < c.until || !g.guarded(GuardOwnFences)
@@ -300,7 +300,7 @@
 	if done := c.phase == promoting && g.primary == c.candidate && g.term > c.term; c.token != 0 && (done || c.phase != promoting) {
 		// Nothing can be ordered under the token any more, so nobody has to wait for
 		// its end before the next change.
-		back := Effect{Kind: EffectReleaseTicket, Token: c.token, Term: g.term, Highest: c.highest}
+		back := Effect{Kind: EffectReleaseLock, Token: c.token, Term: g.term, Highest: c.highest}
 		if g.superseded() {
 			back.Term, back.Pending = g.ordered, true
 		}
--- a/core/direct/claim_test.go
+++ b/core/direct/claim_test.go
@@ -23,10 +23,10 @@
 	s.tick(100*ms, replicasAnswer)
 }
 
-// fence answers the ticket and both fences.
+// fence answers the promotion lock and both fences.
 func (s *script) fence(token uint64) (claimed core.Time) {
 	claimed = s.at
-	s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: token, Term: 2}))
+	s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: token, Term: 2}))
 	s.status("b", fenced)
 	s.status("c", fenced)
 	return claimed
@@ -61,7 +61,7 @@
 		s.list("a", "b", "c")
 		s.tick(2*time.Second, map[core.MemberID]direct.Status{"b": replica, "c": replica})
 		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 7, Term: 2, Highest: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
 		s.status("b", fenced)
 		s.tick(time.Second, map[core.MemberID]direct.Status{"b": fenced})
 		Expect(s.take(direct.EffectPromote)).To(BeEmpty(), "c is not fenced")
@@ -76,7 +76,7 @@
 		s.peerSuspects("d2")
 		s.tick(100*ms, map[core.MemberID]direct.Status{"b": replica})
 		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 7, Term: 2, Highest: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
 		s.status("b", fenced)
 		s.tick(600*ms, map[core.MemberID]direct.Status{"b": fenced})
 		Expect(s.take(direct.EffectPromote)).To(BeEmpty(), "one fence of two")
@@ -102,28 +102,28 @@
 	It("does not go on with one fence of two", func() {
 		s := newScript()
 		s.silence()
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 7, Term: 2, Highest: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
 		s.status("b", fenced)
 		s.tick(2000*ms, map[core.MemberID]direct.Status{"b": fenced})
 		Expect(s.take(direct.EffectPromote)).To(BeEmpty())
 	})
 
-	// The holder was frozen between the ticket and its order. Meanwhile another
-	// daemon has waited for the ticket to end and ordered under a higher token; an
+	// The holder was frozen between the promotion lock and its order. Meanwhile another
+	// daemon has waited for the promotion lock to end and ordered under a higher token; an
 	// order with the lower one must not follow it.
-	It("orders nothing once the ticket has run out", func() {
+	It("orders nothing once the promotion lock has run out", func() {
 		s := newScript()
 		s.silence()
 		s.fence(7)
 		s.effects = nil
-		s.pass(direct.TicketSendWindow)
+		s.pass(direct.LockSendWindow)
 		s.tick(100*ms, fencedAnswer)
 		Expect(s.take(direct.EffectPromote)).To(BeEmpty())
 	})
 
-	// A primary fails soon after another one did. Were the first ticket waited out,
+	// A primary fails soon after another one did. Were the first promotion lock waited out,
 	// callers would stand for four seconds more.
-	It("gives its ticket back when the promotion has taken effect", func() {
+	It("gives its promotion lock back when the promotion has taken effect", func() {
 		s := newScript()
 		s.silence()
 		s.fence(7)
@@ -131,13 +131,13 @@
 		s.effects = nil
 		s.status("b", direct.Status{Role: core.RolePrimary, Term: 2, Position: core.Position{Term: 1, LSN: 10}})
 		s.tick(20*ms, nil)
-		Expect(s.take(direct.EffectReleaseTicket)).To(ConsistOf(And(HaveField("Token", uint64(7)), HaveField("Term", core.Term(2)))))
+		Expect(s.take(direct.EffectReleaseLock)).To(ConsistOf(And(HaveField("Token", uint64(7)), HaveField("Term", core.Term(2)))))
 	})
 
 	It("chooses the replica that has received most", func() {
 		s := newScript()
 		s.silence()
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 7, Term: 2, Highest: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
 		ahead := fenced
 		ahead.Position.LSN = 11
 		s.status("b", fenced)
@@ -158,7 +158,7 @@
 		s.tick(40*ms, nil)
 		ended := s.effects
 		Expect(s.take(direct.EffectUnfence)).To(HaveLen(2))
-		Expect(ended).To(ContainElement(And(HaveField("Kind", direct.EffectReleaseTicket), HaveField("Token", uint64(7)))))
+		Expect(ended).To(ContainElement(And(HaveField("Kind", direct.EffectReleaseLock), HaveField("Token", uint64(7)))))
 		s.tick(direct.LeaseFor, nil)
 		Expect(s.take(direct.EffectPromote)).To(BeEmpty())
 	})
@@ -172,7 +172,7 @@
 		})
 		s.tick(40*ms, replicasAnswer)
 		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 7, Term: 2, Highest: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
 		Expect(s.take(direct.EffectDemote)).To(HaveLen(1))
 		s.status("a", direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 12}})
 		s.tick(40*ms, nil)
@@ -184,7 +184,7 @@
 
 	// A daemon fenced both replicas and was killed. Nobody has a lease, and nothing
 	// is wrong with the primary.
-	It("that somebody left behind is repaired after its ticket's life", func() {
+	It("that somebody left behind is repaired after its promotion lock's life", func() {
 		s := newScript()
 		s.status("b", fenced)
 		s.status("c", fenced)
@@ -193,7 +193,7 @@
 		Expect(s.take(direct.EffectClaim)).To(BeEmpty())
 		s.tick(400*ms, answering)
 		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 8, Term: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 8, Term: 2}))
 		Expect(s.take(direct.EffectUnfence)).To(HaveLen(2))
 	})
 
@@ -207,7 +207,7 @@
 		Expect(s.take(direct.EffectClaim)).To(BeEmpty())
 		s.tick(800*ms, answering)
 		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 9, Term: 3, Unresolved: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 9, Term: 3, Unresolved: 2}))
 		s.status("a", direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 10}})
 		s.status("c", fenced)
 		s.effects = nil
@@ -218,9 +218,9 @@
 	})
 
 	// A promotion was ordered, its member went dark when it took over, and the daemon
-	// claims the group again. Just before its order the member is back and reigns:
+	// claims the group again. Just before its order the member is back and leads:
 	// other daemons use it at once, and no fence of this claim keeps them from it.
-	It("orders nothing once a newer reign has become known", func() {
+	It("orders nothing once a newer leadership has become known", func() {
 		s := newScript()
 		s.silence()
 		s.fence(7)
@@ -232,13 +232,13 @@
 	})
 
 	// The first order's member went dark when it took over; the second order was
-	// given for another member. Then the first one is back and reigns in the term
+	// given for another member. Then the first one is back and leads in the term
 	// that both claims wanted. Daemons that took the second order for the one that
 	// made it primary would use it until the second order replaces it.
 	It("that follows an unresolved one keeps others from using what that one promoted", func() {
 		s := newScript()
 		s.silence()
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 9, Term: 3, Unresolved: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 9, Term: 3, Unresolved: 2}))
 		s.status("b", fenced)
 		s.status("c", fenced)
 		s.tick(direct.LeaseFor, fencedAnswer)
@@ -248,11 +248,11 @@
 		other := newScript()
 		other.keep(other.g.PeerReported(other.at, other.at, "d2", r))
 		other.status("a", direct.Status{Role: core.RolePrimary, Term: 2, Position: core.Position{Term: 1, LSN: 10}})
-		other.keep(other.g.TicketRead(other.at, other.at, direct.TicketSeen{Term: 3}))
-		Expect(other.g.Leased(other.at)).To(BeFalse(), "a reigns in term 2 and is to be replaced")
+		other.keep(other.g.LockRead(other.at, other.at, direct.LockSeen{Term: 3}))
+		Expect(other.g.Leased(other.at)).To(BeFalse(), "a leads in term 2 and is to be replaced")
 		other.pass(ms)
 		other.status(r.Successor, direct.Status{Role: core.RolePrimary, Term: 2, Position: core.Position{Term: 1, LSN: 10}})
-		other.keep(other.g.TicketRead(other.at, other.at, direct.TicketSeen{Term: 2}))
+		other.keep(other.g.LockRead(other.at, other.at, direct.LockSeen{Term: 2}))
 		Expect(other.g.Leased(other.at)).To(BeTrue(), "the first order had no effect, and the second one came to term 2")
 	})
 
@@ -280,7 +280,7 @@
 		s := newScript()
 		s.g.Configure(direct.GroupSpec{ID: "g", MaxConns: 22, SyncReplicas: 1})
 		s.silence()
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 7, Term: 2, Highest: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
 		s.status("a", direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 10}})
 		s.status("b", fenced)
 		s.tick(2*time.Second, map[core.MemberID]direct.Status{"b": fenced})
@@ -315,7 +315,7 @@
 		s.g.List(s.at, append([]direct.Member{{ID: "gone", Group: "g"}}, leaving...))
 		s.g.List(s.at, leaving)
 		s.tick(40*ms, replicasAnswer)
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 7, Term: 2, Highest: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
 		demoted := direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 12}}
 		s.status("a", demoted)
 		behind, whole := fenced, fenced
@@ -329,25 +329,25 @@
 		Expect(s.take(direct.EffectPromote)).To(ConsistOf(HaveField("Member", core.MemberID("c"))))
 	})
 
-	// Two daemons claim the group. One gets the ticket and fences the replicas; the
+	// Two daemons claim the group. One gets the promotion lock and fences the replicas; the
 	// other one's claim is refused. If that one removed the fences that it sees, a
 	// third daemon would have its lease on the old primary extended.
-	It("leaves others' fences alone if it got no ticket", func() {
+	It("leaves others' fences alone if it got no promotion lock", func() {
 		s := newScript()
 		s.silence()
 		s.status("b", fenced)
 		s.status("c", fenced)
 		s.effects = nil
-		s.keep(s.g.ClaimRefused(s.at, "another daemon has the ticket"))
+		s.keep(s.g.ClaimRefused(s.at, "another daemon has the promotion lock"))
 		Expect(s.take(direct.EffectUnfence)).To(BeEmpty())
 	})
 
-	// The holder of a ticket was frozen until another daemon may have the next one.
-	It("leaves fences alone once its ticket has run out", func() {
+	// The holder of a promotion lock was frozen until another daemon may have the next one.
+	It("leaves fences alone once its promotion lock has run out", func() {
 		s := newScript()
 		s.silence()
 		s.fence(7)
-		s.pass(direct.TicketLife + time.Second)
+		s.pass(direct.LockLife + time.Second)
 		s.effects = nil
 		s.keep(s.g.Tick(s.at))
 		ended := s.effects
--- a/core/direct/doc.go
+++ b/core/direct/doc.go
@@ -16,18 +16,18 @@
 // # The primary
 //
 // The primary is used only under a lease. A daemon gets one by a read of the
-// group's ticket in the store that names no newer term, or from the lease of
+// group's promotion lock in the store that names no newer term, or from the lease of
 // another daemon, and extends it without a gap while floor(n/2) of the group's
 // replicas report the primary's own term and no fence; each counts for LeaseFor
 // from when it was asked for. A daemon that promotes another member first takes
-// the ticket, fences so many replicas that each such set holds a fenced one, and
+// the promotion lock, fences so many replicas that each such set holds a fenced one, and
 // waits until all leases have run out when the promotion takes effect.
 //
 // # Promotion
 //
-// One daemon at a time may promote in a group: the holder of a ticket, a key of
+// One daemon at a time may promote in a group: the holder of a promotion lock, a key of
 // the platform's store that is written under a condition. The revision of that
-// write is the fencing token. A ticket is good for TicketSendWindow on its
+// write is the fencing token. A promotion lock is good for LockSendWindow on its
 // holder's clock, and others take it over only once its holder has given it back
-// or they have seen it unchanged for TicketLife.
+// or they have seen it unchanged for LockLife.
 package direct
--- a/core/direct/effect.go
+++ b/core/direct/effect.go
@@ -15,17 +15,17 @@
 	EffectUnfence
 	// EffectDemote makes a primary of a lower term a replica.
 	EffectDemote
-	// EffectClaim asks the store for the group's ticket, for Term at least and more
-	// than any ticket before it has named; for Repair, which orders nothing, the same
+	// EffectClaim asks the store for the group's promotion lock, for Term at least and more
+	// than any promotion lock before it has named; for Repair, which orders nothing, the same
 	// term will do.
 	EffectClaim
-	// EffectReadTicket reads the group's ticket without taking it.
-	EffectReadTicket
-	// EffectReleaseTicket gives back the ticket Token, under which nothing will be
-	// ordered any more. Term is the reign that it leaves, so that a claim which was
+	// EffectReadLock reads the group's promotion lock without taking it.
+	EffectReadLock
+	// EffectReleaseLock gives back the promotion lock Token, under which nothing will be
+	// ordered any more. Term is the leadership that it leaves, so that a claim which was
 	// given up does not look like a promotion to daemons that start later; but see
 	// Pending.
-	EffectReleaseTicket
+	EffectReleaseLock
 	// EffectPromote orders that the member takes over, under Token.
 	EffectPromote
 	// EffectDropConns closes the idle connections to the member: they lead to a life of
@@ -46,10 +46,10 @@
 	Token  uint64
 	// Until is when an order to promote must be on its way at the latest.
 	Until core.Time
-	// Pending goes back with a ticket: a promotion for Term was ordered before it, and
+	// Pending goes back with a promotion lock: a promotion for Term was ordered before it, and
 	// nobody has seen it take effect.
 	Pending bool
-	// Highest goes back with a ticket: the highest term that one has named.
+	// Highest goes back with a promotion lock: the highest term that one has named.
 	Highest core.Term
 	Repair  bool
 	Reason  string
--- a/core/direct/explain.go
+++ b/core/direct/explain.go
@@ -62,10 +62,10 @@
 	Claim string `json:"claim"`
 	// Ordered is the highest term for which a promotion is known to be ordered.
 	Ordered core.Term `json:"ordered"`
-	// TicketTerm is what the last read of the ticket named, TicketAgeMS how old it is.
-	TicketTerm  core.Term                      `json:"ticket_term"`
-	TicketAgeMS int64                          `json:"ticket_age_ms"`
-	Members     map[core.MemberID]MemberBelief `json:"members"`
+	// LockTerm is what the last read of the promotion lock named, LockAgeMS how old it is.
+	LockTerm  core.Term                      `json:"lock_term"`
+	LockAgeMS int64                          `json:"lock_age_ms"`
+	Members   map[core.MemberID]MemberBelief `json:"members"`
 }
 
 // MemberBelief is what the daemon takes to be true of a member.
@@ -86,8 +86,8 @@
 func (g *Group) Belief(now core.Time) Belief {
 	b := Belief{
 		Home: g.home, Settled: g.settled(now), Primary: g.primary, Term: g.term, LeaseLeftMS: max(0, g.LeaseUntil(now).Sub(now).Milliseconds()),
-		Claim: phaseNames[g.claim.phase], Ordered: g.ordered, TicketTerm: g.ticket.term,
-		TicketAgeMS: now.Sub(g.ticket.at).Milliseconds(), Members: make(map[core.MemberID]MemberBelief),
+		Claim: phaseNames[g.claim.phase], Ordered: g.ordered, LockTerm: g.promotionLock.term,
+		LockAgeMS: now.Sub(g.promotionLock.at).Milliseconds(), Members: make(map[core.MemberID]MemberBelief),
 	}
 	for id, m := range g.members {
 		b.Members[id] = MemberBelief{
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -19,18 +19,18 @@
 	members map[core.MemberID]*member
 	// order are the members' ids, sorted, so that decisions repeat.
 	order []core.MemberID
-	// term is the newest one seen, primary the member that reigns in it.
+	// term is the newest one seen, primary the member that leads in it.
 	term    core.Term
 	primary core.MemberID
 	samples samples
 	// longest is the furthest position of the primary in this term of which this daemon
 	// has heard, longestAt when it has.
-	longest    core.Position
-	longestAt  core.Time
-	peers      map[core.DaemonID]peerReport
-	knownPeers int
-	claim      claim
-	ticket     ticketRead
+	longest       core.Position
+	longestAt     core.Time
+	peers         map[core.DaemonID]peerReport
+	knownPeers    int
+	claim         claim
+	promotionLock lockRead
 	// lease is until when the primary may be used, peerLease until when another daemon
 	// holds a lease on it.
 	lease, peerLease core.Time
@@ -142,7 +142,7 @@
 	return m.Addr, true
 }
 
-// Primary returns the member that reigns as far as this daemon knows, and its term.
+// Primary returns the member that leads as far as this daemon knows, and its term.
 func (g *Group) Primary() (core.MemberID, core.Term) { return g.primary, g.term }
 
 // size is the number of members that count towards a majority.
@@ -156,7 +156,7 @@
 	return n
 }
 
-// sawTerm learns of a newer term: whoever reigned before does so no longer.
+// sawTerm learns of a newer term: whoever led before does so no longer.
 func (g *Group) sawTerm(t core.Term) {
 	if t <= g.term {
 		return
@@ -200,9 +200,9 @@
 		m.forgotTerm = g.term
 	}
 	if st.Role == core.RolePrimary && st.Term == g.term && m.mayLead(st.Term) {
-		m.reigns, m.refused = st.Term, 0
+		m.leads, m.refused = st.Term, 0
 		m.led.note(st.Term, sent)
-		g.reigns(now, id)
+		g.leads(now, id)
 		g.noteEffect(sent, id)
 	} else if g.primary == id {
 		g.primary = ""
@@ -224,14 +224,14 @@
 	m.fencedAt = 0
 }
 
-func (g *Group) reigns(now core.Time, id core.MemberID) {
+func (g *Group) leads(now core.Time, id core.MemberID) {
 	if g.primary == id {
 		return
 	}
 	g.primary = id
 	g.lease, g.peerLease = 0, 0
 	g.samples.clear()
-	g.emit(Effect{Kind: EffectDecision, Member: id, Term: g.term, Reason: "reigns"})
+	g.emit(Effect{Kind: EffectDecision, Member: id, Term: g.term, Reason: "leads"})
 	g.emit(Effect{Kind: EffectReport})
 }
 
@@ -342,19 +342,19 @@
 	return g.take()
 }
 
-// Strained takes how long a statement took of its caller's aim.
-func (g *Group) Strained(id core.MemberID, took, aim time.Duration) {
-	if m := g.members[id]; m != nil && g.policy.Has(policy.WindowByStrain) {
-		m.strained(took, aim)
+// TookOfAim takes how long a statement took of its caller's aim.
+func (g *Group) TookOfAim(id core.MemberID, took, aim time.Duration) {
+	if m := g.members[id]; m != nil && g.policy.Has(policy.WindowByAimShare) {
+		m.tookOfAim(took, aim)
 	}
 }
 
 // notPrimary forgets the primary that has refused a write as a replica does.
 func (g *Group) notPrimary(now core.Time, id core.MemberID, m *member) {
-	// Its last status is no longer true. Until it says again that it reigns, the word
+	// Its last status is no longer true. Until it says again that it leads, the word
 	// of other daemons, which may not know yet, does not count.
 	m.statusAt, m.probeAt = 0, 0
-	m.reigns, m.refused = 0, g.term
+	m.leads, m.refused = 0, g.term
 	m.led = seen{}
 	if g.primary == id {
 		g.primary = ""
--- a/core/direct/guard.go
+++ b/core/direct/guard.go
@@ -12,19 +12,19 @@
 	GuardUnbrokenLease
 	// GuardSuperseded: no lease is had once a promotion is known to be ordered.
 	GuardSuperseded
-	// GuardTicketTerm: a read of the ticket gives a lease only if it names no newer term.
-	GuardTicketTerm
+	// GuardLockTerm: a read of the promotion lock gives a lease only if it names no newer term.
+	GuardLockTerm
 	// GuardFences: enough replicas are fenced before a promotion.
 	GuardFences
 	// GuardOutwait: leases from before the fences are waited out.
 	GuardOutwait
-	// GuardSendWindow: nothing is ordered under a ticket that may be another's.
+	// GuardSendWindow: nothing is ordered under a promotion lock that may be another's.
 	GuardSendWindow
-	// GuardOutrun: nothing is ordered after a newer reign has become known.
+	// GuardOutrun: nothing is ordered after a newer leadership has become known.
 	GuardOutrun
-	// GuardSameReign: a commit is acknowledged only in the reign that took it.
-	GuardSameReign
-	// GuardOwnFences: fences are removed only by the holder of the ticket.
+	// GuardSameTerm: a commit is acknowledged only in the leadership that took it.
+	GuardSameTerm
+	// GuardOwnFences: fences are removed only by the holder of the promotion lock.
 	GuardOwnFences
 	// GuardLeads: a lease is extended only while the primary is known to lead.
 	GuardLeads
--- a/core/direct/lease.go
+++ b/core/direct/lease.go
@@ -6,15 +6,15 @@
 	"limpetspan/core"
 )
 
-// ticketRead is the newest read of the group's ticket: the term that its holder
+// lockRead is the newest read of the group's promotion lock: the term that its holder
 // wants to begin, and when the read was sent.
-type ticketRead struct {
-	term  core.Term
-	reign bool
-	at    core.Time
+type lockRead struct {
+	term       core.Term
+	leadership bool
+	at         core.Time
 	// askedAt is when the last read was ordered.
 	askedAt core.Time
-	// aheadSince is since when reads name a newer term than any that reigns.
+	// aheadSince is since when reads name a newer term than any that leads.
 	aheadSince core.Time
 }
 
@@ -26,7 +26,7 @@
 		g.lease = 0
 		return 0
 	}
-	g.lease = max(g.lease, g.leaseOfTicket(), g.peerLease)
+	g.lease = max(g.lease, g.leaseOfLock(), g.peerLease)
 	// Replicas only extend a lease that has not run out. Their fences stand until the
 	// promotion takes effect, which is not before all leases have run out; it ends
 	// them, and a replica that has not heard of the new term then confirms the old
@@ -43,20 +43,20 @@
 	return g.lease
 }
 
-// leaseOfTicket is the lease that a read of the store gives: nobody had claimed
+// leaseOfLock is the lease that a read of the store gives: nobody had claimed
 // a newer term when it was sent, or that claim's promotion has had its effect.
-func (g *Group) leaseOfTicket() core.Time {
-	if g.ticket.at == 0 || g.ticketAhead() && g.guarded(GuardTicketTerm) {
+func (g *Group) leaseOfLock() core.Time {
+	if g.promotionLock.at == 0 || g.lockAhead() && g.guarded(GuardLockTerm) {
 		return 0
 	}
-	return g.ticket.at.Add(LeaseFor)
+	return g.promotionLock.at.Add(LeaseFor)
 }
 
-// ticketAhead says whether the last read of the ticket names a newer term than the
+// lockAhead says whether the last read of the promotion lock names a newer term than the
 // present one, for a promotion that is not known to have had its effect.
-func (g *Group) ticketAhead() bool {
-	resolved := !g.ticket.reign && g.ticket.term <= g.effective
-	return g.ticket.term > g.term && !resolved
+func (g *Group) lockAhead() bool {
+	resolved := !g.promotionLock.leadership && g.promotionLock.term <= g.effective
+	return g.promotionLock.term > g.term && !resolved
 }
 
 // superseded says whether a promotion to a higher term was ordered. The old
@@ -81,7 +81,7 @@
 
 // noteEffect takes that the member has answered a probe, which was sent at sent,
 // as primary. Whom a promotion is ordered for was fenced as a replica before, so
-// that its reign is the effect of the order. Its term may be lower than the order
+// that its leadership is the effect of the order. Its term may be lower than the order
 // counts on: where an earlier order may have had an effect that nobody has seen,
 // the next one names one term more than it may come to.
 func (g *Group) noteEffect(sent core.Time, id core.MemberID) {
@@ -90,18 +90,18 @@
 	}
 }
 
-// TicketRead takes a read of the group's ticket that was sent at sent.
-func (g *Group) TicketRead(now, sent core.Time, seen TicketSeen) []Effect {
+// LockRead takes a read of the group's promotion lock that was sent at sent.
+func (g *Group) LockRead(now, sent core.Time, seen LockSeen) []Effect {
 	term := seen.Term
-	if sent > g.ticket.at {
-		g.ticket.term, g.ticket.reign, g.ticket.at = term, seen.Reign, sent
+	if sent > g.promotionLock.at {
+		g.promotionLock.term, g.promotionLock.leadership, g.promotionLock.at = term, seen.Leadership, sent
 	}
 	switch {
 	case term <= g.term:
-		g.ticket.aheadSince = 0
-	case g.ticket.aheadSince == 0:
-		g.ticket.aheadSince = now
-	case now.Sub(g.ticket.aheadSince) > OrphanedFence && !g.peerClaims(now):
+		g.promotionLock.aheadSince = 0
+	case g.promotionLock.aheadSince == 0:
+		g.promotionLock.aheadSince = now
+	case now.Sub(g.promotionLock.aheadSince) > OrphanedFence && !g.peerClaims(now):
 		// Its holder is gone, and may have ordered the promotion.
 		g.learnOrdered(now, term, "")
 	}
@@ -144,7 +144,7 @@
 	return at
 }
 
-// usablePrimary is the member that reigns, if no promotion is known to replace it;
+// usablePrimary is the member that leads, if no promotion is known to replace it;
 // nil: there is none.
 func (g *Group) usablePrimary() *member {
 	p := g.members[g.primary]
@@ -165,9 +165,9 @@
 }
 
 // Confirms says whether a commit that the member answered with the position p may
-// be acknowledged: the member reigns under the lease, and in the term of the
+// be acknowledged: the member leads under the lease, and in the term of the
 // commit. A member that was replaced and promoted again may have lost it between.
 func (g *Group) Confirms(now core.Time, id core.MemberID, p core.Position) bool {
-	sameReign := p.Term == g.term || !g.guarded(GuardSameReign)
-	return g.primary == id && sameReign && g.Leased(now)
+	sameTerm := p.Term == g.term || !g.guarded(GuardSameTerm)
+	return g.primary == id && sameTerm && g.Leased(now)
 }
--- a/core/direct/lease_test.go
+++ b/core/direct/lease_test.go
@@ -42,9 +42,9 @@
 		s.probed("b", core.RoleReplica, 1)
 		s.probed("c", core.RoleReplica, 1)
 		Expect(s.g.Leased(s.at)).To(BeFalse())
-		s.keep(s.g.TicketRead(s.at, s.at, direct.TicketSeen{Term: 2}))
-		Expect(s.g.Leased(s.at)).To(BeFalse(), "the ticket names term 2")
-		s.keep(s.g.TicketRead(s.at, s.at.Add(ms), direct.TicketSeen{Term: 1, Reign: true}))
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{Term: 2}))
+		Expect(s.g.Leased(s.at)).To(BeFalse(), "the promotion lock names term 2")
+		s.keep(s.g.LockRead(s.at, s.at.Add(ms), direct.LockSeen{Term: 1, Leadership: true}))
 		Expect(s.g.Leased(s.at)).To(BeTrue(), "it was given back without an order")
 	})
 
@@ -65,8 +65,8 @@
 		s.keep(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 1}))
 		Expect(s.g.Leased(s.at)).To(BeFalse())
 		s.probed("a", core.RolePrimary, 1)
-		s.keep(s.g.TicketRead(s.at, s.at, direct.TicketSeen{}))
-		Expect(s.g.Leased(s.at)).To(BeTrue(), "it says itself that it reigns")
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{}))
+		Expect(s.g.Leased(s.at)).To(BeTrue(), "it says itself that it leads")
 	})
 
 	// The daemon is cut from both replicas; another one reaches them and passes
@@ -93,15 +93,15 @@
 	// Primary and five daemons are on one side of a partition, both replicas and a
 	// sixth daemon on the other. Callers of the five would get nothing for as long
 	// as it lasts, although nobody has claimed the group.
-	It("holds by a read of the ticket that names no newer term", func() {
+	It("holds by a read of the promotion lock that names no newer term", func() {
 		s := newScript()
 		s.tick(direct.LeaseFor, map[core.MemberID]direct.Status{"a": primary})
-		Expect(s.take(direct.EffectReadTicket)).NotTo(BeEmpty())
-		s.keep(s.g.TicketRead(s.at, s.at, direct.TicketSeen{Term: 1, Reign: true}))
+		Expect(s.take(direct.EffectReadLock)).NotTo(BeEmpty())
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{Term: 1, Leadership: true}))
 		until := s.g.LeaseUntil(s.at)
 		Expect(until).To(Equal(s.at.Add(direct.LeaseFor)))
 		s.pass(100 * ms)
-		s.keep(s.g.TicketRead(s.at, s.at, direct.TicketSeen{Term: 2}))
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{Term: 2}))
 		Expect(s.g.LeaseUntil(s.at)).To(Equal(until), "another daemon wants to begin term 2")
 	})
 
@@ -110,7 +110,7 @@
 		s := &script{g: direct.NewGroup("g", "d1", "zone-1"), at: origin}
 		s.list("a")
 		s.probed("a", core.RolePrimary, 1)
-		s.keep(s.g.TicketRead(s.at, s.at, direct.TicketSeen{}))
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{}))
 		s.pass(direct.LeaseFor / 2)
 		s.probed("a", core.RolePrimary, 1)
 		Expect(s.g.LeaseUntil(s.at)).To(Equal(s.at.Add(direct.LeaseFor)))
@@ -126,31 +126,31 @@
 		Expect(s.g.Leased(s.at)).To(BeFalse())
 		Expect(s.g.Report(s.at).Ordered).To(Equal(core.Term(2)), "it is passed on")
 		s.probed("b", core.RolePrimary, 2)
-		s.keep(s.g.TicketRead(s.at, s.at, direct.TicketSeen{Term: 2}))
-		Expect(s.g.Leased(s.at)).To(BeTrue(), "b reigns in the term that was ordered")
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{Term: 2}))
+		Expect(s.g.Leased(s.at)).To(BeTrue(), "b leads in the term that was ordered")
 	})
 
 	// All daemons were killed just after one of them had ordered a promotion. Only
-	// the ticket still tells of it.
-	It("is not given after a start before the ticket is read, nor if it names a newer term", func() {
+	// the promotion lock still tells of it.
+	It("is not given after a start before the promotion lock is read, nor if it names a newer term", func() {
 		s := &script{g: direct.NewGroup("g", "d1", "zone-1"), at: origin}
 		s.list("a", "b", "c")
 		s.probed("a", core.RolePrimary, 1)
 		s.probed("c", core.RoleReplica, 1)
 		Expect(s.g.Leased(s.at)).To(BeFalse())
-		s.keep(s.g.TicketRead(s.at, s.at, direct.TicketSeen{Term: 2}))
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{Term: 2}))
 		Expect(s.g.Leased(s.at)).To(BeFalse())
 	})
 
 	// A daemon froze while a write was under way. Meanwhile the primary was replaced,
 	// lost the write with its old log, and was promoted again. The answer that then
-	// comes up belongs to a reign that is over; acknowledged, the write would be lost.
-	It("does not confirm a commit of an earlier reign of the same member", func() {
+	// comes up belongs to a leadership that is over; acknowledged, the write would be lost.
+	It("does not confirm a commit of an earlier leadership of the same member", func() {
 		s := newScript()
 		s.probed("b", core.RolePrimary, 2)
 		s.probed("a", core.RolePrimary, 3)
 		s.pass(ms)
-		s.keep(s.g.TicketRead(s.at, s.at, direct.TicketSeen{Term: 3}))
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{Term: 3}))
 		Expect(s.g.Confirms(s.at, "a", core.Position{Term: 1, LSN: 11})).To(BeFalse())
 		Expect(s.g.Confirms(s.at, "a", core.Position{Term: 3, LSN: 11})).To(BeTrue())
 		Expect(s.g.Confirms(s.at, "b", core.Position{Term: 2, LSN: 11})).To(BeFalse())
--- a/core/direct/lives.go
+++ b/core/direct/lives.go
@@ -117,13 +117,13 @@
 }
 
 // doubtful says whether the member's last confirmation may be that of a life which has
-// lost a fence. A read of the ticket that was sent after the connection broke, and
+// lost a fence. A read of the promotion lock that was sent after the connection broke, and
 // shows that nobody has claimed the group, proves that there was no fence; after
 // OrphanedFence a claim from before has ended in any case.
 func (g *Group) doubtful(m *member) bool {
 	if m.doubtedAt == 0 || m.statusAt <= m.doubtedAt || !g.guarded(GuardRestart) {
 		return false
 	}
-	unclaimed := g.ticket.at > m.doubtedAt && !g.ticketAhead()
+	unclaimed := g.promotionLock.at > m.doubtedAt && !g.lockAhead()
 	return !unclaimed && m.statusAt.Sub(m.doubtedAt) < OrphanedFence
 }
--- a/core/direct/lives_test.go
+++ b/core/direct/lives_test.go
@@ -24,16 +24,16 @@
 	// A replica was fenced for a promotion, crashed and is back under its id without
 	// the fence. It receives from the old primary and confirms its term to a daemon
 	// that reaches both; commits would be acknowledged by a primary that is replaced.
-	It("extends no lease until the ticket shows that it can have lost no fence", func() {
+	It("extends no lease until the promotion lock shows that it can have lost no fence", func() {
 		s := newScript()
 		s.tick(300*ms, map[core.MemberID]direct.Status{"a": primary, "b": replica})
 		s.g.ConnBroken(s.at, "b")
 		for range 40 {
 			s.tick(20*ms, map[core.MemberID]direct.Status{"a": primary, "b": replica})
 		}
-		Expect(s.take(direct.EffectReadTicket)).NotTo(BeEmpty(), "the store is asked before the lease ends")
+		Expect(s.take(direct.EffectReadLock)).NotTo(BeEmpty(), "the store is asked before the lease ends")
 		Expect(s.g.Leased(s.at)).To(BeFalse(), "b's word does not count")
-		s.keep(s.g.TicketRead(s.at, s.at, direct.TicketSeen{}))
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{}))
 		s.tick(direct.LeaseFor+200*ms, map[core.MemberID]direct.Status{"a": primary, "b": replica})
 		Expect(s.g.Leased(s.at)).To(BeTrue(), "nobody had claimed the group when b was back")
 	})
@@ -171,7 +171,7 @@
 	s.g.List(s.at, []direct.Member{{ID: "a", Group: "g", Leaving: true}, {ID: "b", Group: "g"}, {ID: "c", Group: "g"}})
 	answering := map[core.MemberID]direct.Status{"a": replica, "b": replica, "c": replica}
 	s.tick(40*ms, answering)
-	s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 7, Term: 2, Highest: 2}))
+	s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
 	s.status("a", replica)
 	s.tick(40*ms, answering)
 	s.status("b", fenced)
@@ -196,7 +196,7 @@
 		s.tick(direct.SuccessorSilent+100*ms, map[core.MemberID]direct.Status{"a": replica, other: fenced})
 		again := s.take(direct.EffectClaim)
 		Expect(again).To(HaveLen(1))
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 9, Term: 3, Highest: 3, Unresolved: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 9, Term: 3, Highest: 3, Unresolved: 2}))
 		Expect(s.take(direct.EffectFence)).To(HaveLen(3), "the old primary is a replica now")
 		s.status("a", fenced)
 		s.status(other, fenced)
@@ -206,12 +206,12 @@
 	})
 
 	// The second candidate alone must not be enough: the old primary would confirm the
-	// reign of the first one, which some daemon may use by then.
+	// leadership of the first one, which some daemon may use by then.
 	It("is not followed while the old primary is not fenced", func() {
 		s := newScript()
 		other := s.orderPlanned()
 		s.tick(direct.SuccessorSilent+100*ms, map[core.MemberID]direct.Status{other: fenced})
-		s.keep(s.g.Claimed(s.at, s.at, direct.Ticket{Token: 9, Term: 3, Highest: 3, Unresolved: 2}))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 9, Term: 3, Highest: 3, Unresolved: 2}))
 		s.status(other, fenced)
 		s.effects = nil
 		s.tick(2*time.Second, map[core.MemberID]direct.Status{other: fenced})
--- a/core/direct/load_test.go
+++ b/core/direct/load_test.go
@@ -119,11 +119,11 @@
 		Expect(s.g.Outage(s.at, write)).To(BeZero(), "d2 changes the primary")
 	})
 
-	It("ends with the read of the ticket that makes the primary usable", func() {
+	It("ends with the read of the promotion lock that makes the primary usable", func() {
 		s := newScript()
 		s.tick(2*direct.LeaseFor, map[core.MemberID]direct.Status{"a": primary})
 		Expect(s.g.Outage(s.at, write)).NotTo(BeZero())
-		s.keep(s.g.TicketRead(s.at, s.at, direct.TicketSeen{}))
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{}))
 		Expect(s.g.Outage(s.at, write)).To(BeZero(), "before the next tick")
 	})
 })
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -17,9 +17,9 @@
 	// relayed is another daemon's confirmation of the replica. led is when the member
 	// was known to lead, by a probe of this daemon or another one.
 	relayed, led seen
-	// reigns is the term in which the member was seen as primary, by this daemon or
+	// leads is the term in which the member was seen as primary, by this daemon or
 	// another one; refused is the term in which it has refused a write as a replica.
-	reigns, refused core.Term
+	leads, refused core.Term
 	// heardAt is when anything was last heard; sentAt of that exchange is not known.
 	heardAt core.Time
 	// position is the newest one known, positionAt when it was told.
@@ -38,7 +38,7 @@
 	elsewhere bool
 	// olderSince is since when entries have named an older start; 0: they do not.
 	olderSince core.Time
-	// forgotTerm is the reign whose log the member has lost by starting again.
+	// forgotTerm is the leadership whose log the member has lost by starting again.
 	forgotTerm core.Term
 	// doubtedAt is when the member's side last ended a connection.
 	doubtedAt core.Time
@@ -56,8 +56,8 @@
 	open, idle, idleInTransaction int
 	// window is how many connections may be in use at once before new work waits.
 	window float64
-	// strain is the mean share of their aims that statements have taken lately.
-	strain float64
+	// share of the aim is the mean share of their aims that statements have taken lately.
+	aimShare float64
 }
 
 // inUse is how many connections have a statement under way.
@@ -70,19 +70,19 @@
 	m.narrow(windowCut)
 }
 
-// strained narrows the window when statements take a great part of the time that
+// tookOfAim narrows the window when statements take a great part of the time that
 // their callers give them: they wait in the member's own queue, where they can no
 // longer be put in order.
-func (m *member) strained(took, aim time.Duration) {
+func (m *member) tookOfAim(took, aim time.Duration) {
 	if aim <= 0 {
 		return
 	}
-	m.strain += (float64(took)/float64(aim) - m.strain) / strainWeight
-	if m.strain < mostStrain {
+	m.aimShare += (float64(took)/float64(aim) - m.aimShare) / aimShareWeight
+	if m.aimShare < mostAimShare {
 		return
 	}
-	m.strain = leastStrain
-	m.narrow(strainCut)
+	m.aimShare = leastAimShare
+	m.narrow(aimShareCut)
 }
 
 // narrow cuts the window to a share of the present use.
@@ -108,11 +108,11 @@
 }
 
 func (m *member) isPrimary(term core.Term) bool {
-	return m.reigns == term && term != 0
+	return m.leads == term && term != 0
 }
 
 // mayLead says whether the member can be the primary of the term: one that has lost
-// its log in that reign has lost commits that were acknowledged, and leads it no more.
+// its log in that leadership has lost commits that were acknowledged, and leads it no more.
 func (m *member) mayLead(term core.Term) bool { return m.forgotTerm != term || term == 0 }
 
 // confirms says whether the last probe supports the term: a replica that knows
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -16,7 +16,7 @@
 	// MaxAge bounds what a read may miss, counted back from Arrived.
 	MaxAge  time.Duration
 	Arrived core.Time
-	// Session is the position of the session's last commit, whose term is the reign
+	// Session is the position of the session's last commit, whose term is the leadership
 	// that took it; SessionAt is when it was acknowledged.
 	Session   core.Position
 	SessionAt core.Time
@@ -82,7 +82,7 @@
 	}
 	if n.Session.Term < g.term {
 		// The session's commit may have been lost with its primary, and then no log
-		// covers its position. The newest sample of this reign covers what was kept.
+		// covers its position. The newest sample of this leadership covers what was kept.
 		return g.samples.newest()
 	}
 	if since.position.Less(n.Session) {
--- a/core/direct/place_test.go
+++ b/core/direct/place_test.go
@@ -66,9 +66,9 @@
 	})
 
 	// A session has committed 2.20 under a new primary and moves to a home that still
-	// takes the old one for primary. The newest sample there is of the old reign; a
+	// takes the old one for primary. The newest sample there is of the old leadership; a
 	// replica that covers it may lack the session's own commit.
-	It("covers the session's commit of a reign that this daemon has not heard of", func() {
+	It("covers the session's commit of a leadership that this daemon has not heard of", func() {
 		s := newScript()
 		s.commit(20)
 		s.replicaAt("b", 20)
@@ -192,7 +192,7 @@
 		_, ok := s.g.Place(s.at, direct.Need{Primary: true})
 		Expect(ok).To(BeTrue())
 		for range 10 {
-			s.g.Strained("a", 120*ms, 250*ms)
+			s.g.TookOfAim("a", 120*ms, 250*ms)
 		}
 		_, ok = s.g.Place(s.at, direct.Need{Primary: true})
 		Expect(ok).To(BeFalse(), "4 are in use, and 0.8 of that is the window")
@@ -204,7 +204,7 @@
 		s := newScript()
 		inUse(s, "a", 4)
 		for range 10 {
-			s.g.Strained("a", 120*ms, 250*ms)
+			s.g.TookOfAim("a", 120*ms, 250*ms)
 		}
 		s.g.ConnIdleInTransaction("a")
 		s.g.ConnIdleInTransaction("a")
--- a/core/direct/probe.go
+++ b/core/direct/probe.go
@@ -13,7 +13,7 @@
 	g.LeaseUntil(now)
 	g.noteUsable(now)
 	g.probe(now)
-	g.renewByTicket(now)
+	g.renewByLock(now)
 	g.demoteStrays(now)
 	g.stepClaim(now)
 	return g.take()
@@ -38,17 +38,17 @@
 	g.emit(Effect{Kind: EffectProbe, Member: m.ID})
 }
 
-// renewByTicket reads the ticket while the replicas' confirmations fail to come.
-func (g *Group) renewByTicket(now core.Time) {
+// renewByLock reads the promotion lock while the replicas' confirmations fail to come.
+func (g *Group) renewByLock(now core.Time) {
 	p := g.members[g.primary]
 	if p == nil || p.suspect || g.claim.phase != noClaim || p.leaving(now) && g.peerClaims(now) {
 		return
 	}
-	if g.LeaseUntil(now).Sub(now) >= TicketReadBefore || now.Sub(g.ticket.askedAt) < TicketReadEvery || g.superseded() {
+	if g.LeaseUntil(now).Sub(now) >= LockReadBefore || now.Sub(g.promotionLock.askedAt) < LockReadEvery || g.superseded() {
 		return
 	}
-	g.ticket.askedAt = now
-	g.emit(Effect{Kind: EffectReadTicket})
+	g.promotionLock.askedAt = now
+	g.emit(Effect{Kind: EffectReadLock})
 }
 
 // dueProbes are members without a known role, the primary if nothing has been
@@ -87,8 +87,8 @@
 	if m.open == m.idle && g.rank(now) > 0 {
 		quiet = IdleProbeEvery
 	}
-	patience := RoleProbeEvery + min(ProbeStagger*time.Duration(g.rank(now)), RoleProbeEvery/2)
-	return age >= ProbeEvery && (silent >= quiet || now.Sub(m.led.of(g.term)) >= patience)
+	waitLimit := RoleProbeEvery + min(ProbeStagger*time.Duration(g.rank(now)), RoleProbeEvery/2)
+	return age >= ProbeEvery && (silent >= quiet || now.Sub(m.led.of(g.term)) >= waitLimit)
 }
 
 // dueReplicas are the replicas to be probed for the lease, those first whose
@@ -99,10 +99,10 @@
 	if g.primary == "" || need == 0 {
 		return nil
 	}
-	patience := ProbeEvery + min(ProbeStagger*time.Duration(g.rank(now)), LeaseFor/2-ProbeStagger)
+	waitLimit := ProbeEvery + min(ProbeStagger*time.Duration(g.rank(now)), LeaseFor/2-ProbeStagger)
 	fresh := 0
 	for id, m := range g.members {
-		if id != g.primary && now.Sub(max(g.confirmedAt(m), m.probeAt)) < patience {
+		if id != g.primary && now.Sub(max(g.confirmedAt(m), m.probeAt)) < waitLimit {
 			fresh++
 		}
 	}
@@ -112,7 +112,7 @@
 	return replicas[:min(len(replicas), max(0, need-fresh))]
 }
 
-// demoteStrays demotes members that still think they reign in an older term.
+// demoteStrays demotes members that still think they lead in an older term.
 func (g *Group) demoteStrays(now core.Time) {
 	if g.primary == "" {
 		return
--- a/core/direct/promote.go
+++ b/core/direct/promote.go
@@ -166,7 +166,7 @@
 		return
 	}
 	if now >= c.until && g.guarded(GuardSendWindow) {
-		g.endClaim(now, "the ticket ran out")
+		g.endClaim(now, "the promotion lock ran out")
 		return
 	}
 	if c.candidate = g.bestFenced(now); c.candidate == "" {
@@ -273,11 +273,11 @@
 // claimAgain claims the group anew for another member, under a higher token, in place
 // of waiting for an effect that will not come: of 2.5 s and the pauses around them
 // 0.7 s are left. The order may still have its effect unseen, and some daemon may then
-// use the lost member. The new ticket ends the leases that reads of the first one have
+// use the lost member. The new promotion lock ends the leases that reads of the first one have
 // given, and as no daemon counts on a fence of the first claim, all are made anew.
 //
 // A primary that was demoted is a replica now and is fenced like the others, or it
-// would confirm the lost member's reign. Its own reign was last seen before it was
+// would confirm the lost member's leadership. Its own leadership was last seen before it was
 // demoted, and leases on it end RoleFor after that, whoever confirms them.
 func (g *Group) claimAgain(now core.Time) {
 	lost := g.claim
--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -135,7 +135,7 @@
 	g.peers[from] = p
 	g.learnOrdered(now, r.Ordered, r.Successor)
 	if r.Term > g.term {
-		// Its primary reigns; whom this daemon used does so no longer.
+		// Its primary leads; whom this daemon used does so no longer.
 		g.sawTerm(r.Term)
 		for _, m := range g.members {
 			m.probeAt = 0
@@ -159,8 +159,8 @@
 		return
 	}
 	if g.primary == "" {
-		m.reigns = r.Term
-		g.reigns(now, r.Primary)
+		m.leads = r.Term
+		g.leads(now, r.Primary)
 	}
 	if r.Led && sent != 0 {
 		m.led.note(r.Term, sent.Add(-r.LedAge))
@@ -233,8 +233,8 @@
 	}
 }
 
-// peerReigns says whether another daemon reaches a primary of the newest term.
-func (g *Group) peerReigns(now core.Time) bool {
+// peerLeads says whether another daemon reaches a primary of the newest term.
+func (g *Group) peerLeads(now core.Time) bool {
 	for _, p := range g.peers {
 		if p.fresh(now) && p.primary != "" && !p.suspect && p.term >= g.term {
 			return true
--- a/core/direct/suite_test.go
+++ b/core/direct/suite_test.go
@@ -38,9 +38,9 @@
 	s.list("a", "b", "c")
 	s.at = origin
 	s.probed("a", core.RolePrimary, 1)
-	// The lease is had by a read of the ticket that is almost too old; the replicas
+	// The lease is had by a read of the promotion lock that is almost too old; the replicas
 	// extend it.
-	s.keep(s.g.TicketRead(s.at, s.at.Add(ms-direct.LeaseFor), direct.TicketSeen{}))
+	s.keep(s.g.LockRead(s.at, s.at.Add(ms-direct.LeaseFor), direct.LockSeen{}))
 	s.probed("b", core.RoleReplica, 1)
 	s.probed("c", core.RoleReplica, 1)
 	s.effects = nil
--- a/core/direct/tuning.go
+++ b/core/direct/tuning.go
@@ -18,7 +18,7 @@
 	RoleProbeEvery = 800 * time.Millisecond
 	// RoleFor is how long a lease is extended after the primary was seen to lead. A
 	// planned change that reaches but one replica waits so long, within the window of
-	// its ticket.
+	// its promotion lock.
 	RoleFor = 1600 * time.Millisecond
 	// VanishedGrace is how long a member that is gone from the host list still gets
 	// new work if it answers. Entries that the store lost are back two seconds
@@ -46,10 +46,10 @@
 	// if nothing else has come from it. A statement takes at most 220 ms on the
 	// hosts of the first two users, and a probe waits behind three of them.
 	ProbeTimeout = 350 * time.Millisecond
-	// TicketReadBefore is how long before the lease runs out the store is read, and
-	// TicketReadEvery the pause between such reads.
-	TicketReadBefore = 280 * time.Millisecond
-	TicketReadEvery  = 250 * time.Millisecond
+	// LockReadBefore is how long before the lease runs out the store is read, and
+	// LockReadEvery the pause between such reads.
+	LockReadBefore = 280 * time.Millisecond
+	LockReadEvery  = 250 * time.Millisecond
 	// PromoteAtLeast is less than any promotion takes: the platform says "some
 	// hundred milliseconds", and a lease may run out meanwhile.
 	PromoteAtLeast = 300 * time.Millisecond
@@ -72,14 +72,14 @@
 	ClaimRetry = 500 * time.Millisecond
 	// ClaimStagger keeps daemons that see the same failure from claiming at once.
 	ClaimStagger = 120 * time.Millisecond
-	// TicketSendWindow is how long after its claim a holder may order a promotion.
-	TicketSendWindow = 2500 * time.Millisecond
-	// TicketLife is how long others leave a ticket alone that does not change. It
-	// exceeds TicketSendWindow by more than an order may be under way.
-	TicketLife = 4 * time.Second
+	// LockSendWindow is how long after its claim a holder may order a promotion.
+	LockSendWindow = 2500 * time.Millisecond
+	// LockLife is how long others leave a promotion lock alone that does not change. It
+	// exceeds LockSendWindow by more than an order may be under way.
+	LockLife = 4 * time.Second
 	// OrphanedFence is after how long a fence is taken to be left behind by a
 	// daemon that ended.
-	OrphanedFence = TicketLife + time.Second
+	OrphanedFence = LockLife + time.Second
 	// PeerFresh is how long another daemon's report counts: whole ones come every 0.9 s,
 	// and one that is lost does no harm.
 	PeerFresh = 2000 * time.Millisecond
@@ -127,13 +127,13 @@
 	windowCut    = 0.5
 	windowGrowth = 0.05
 	// The mean share of their aims that statements may take at a member before its
-	// window is cut to strainCut of the use, the share from which it is measured
+	// window is cut to aimShareCut of the use, the share from which it is measured
 	// anew then, and the weight of a measurement, 1/8. Statements of the first two
 	// users take 0.04 to 0.07 on a member without a queue.
-	mostStrain   = 0.35
-	leastStrain  = 0.15
-	strainCut    = 0.8
-	strainWeight = 8
+	mostAimShare   = 0.35
+	leastAimShare  = 0.15
+	aimShareCut    = 0.8
+	aimShareWeight = 8
 	// primaryShare and replicaShare of a member's connections may be open before
 	// each daemon keeps to its equal part of them. Open transactions keep some
 	// eight of a primary's 22 busy at the sizes of today; reads need few.
--- a/core/direct/types.go
+++ b/core/direct/types.go
@@ -75,7 +75,7 @@
 // Status is a member's answer to a probe.
 type Status struct {
 	Role core.Role
-	// Term is the newest reign that the member knows.
+	// Term is the newest leadership that the member knows.
 	Term core.Term
 	// Position is the end of the log that the member has received.
 	Position core.Position
--- a/core/group/ack.go
+++ b/core/group/ack.go
@@ -5,10 +5,10 @@
 // finishWrite ends a write at the member: it is acknowledged now, or held.
 func (g *Group) finishWrite(r *request, ev *Finished) {
 	r.position = ev.Position
-	if r.term != g.reign.term || ev.Position.Term > g.reign.term {
+	if r.term != g.leadership.term || ev.Position.Term > g.leadership.term {
 		// Guard: a replaced primary's answer must not reach the caller as a
 		// success. It would show as a write that was confirmed and is gone.
-		g.probeSoon(g.reignPrimary(r))
+		g.probeSoon(g.leadingPrimary(r))
 		g.replaced(r)
 		return
 	}
@@ -29,9 +29,9 @@
 	g.hurry()
 }
 
-func (g *Group) reignPrimary(r *request) *member {
-	if g.reign.primary != nil {
-		return g.reign.primary
+func (g *Group) leadingPrimary(r *request) *member {
+	if g.leadership.primary != nil {
+		return g.leadership.primary
 	}
 	return r.conn.member
 }
@@ -42,21 +42,21 @@
 }
 
 // releasable reports whether a finished write may be acknowledged: in its own
-// reign, under the lease and, if durable, with its position at a majority.
+// leadership, under the lease and, if durable, with its position at a majority.
 //
 // Guard: without the lease another home may have promoted a member that lacks
 // the write. Without the majority a later fence might miss every member that
 // has it. Both would show as a write that was confirmed and is gone.
 func (g *Group) releasable(r *request) bool {
-	if r.term != g.reign.term || !g.mayAcknowledge() {
+	if r.term != g.leadership.term || !g.mayAcknowledge() {
 		return false
 	}
 	if !r.durable || !g.guarded(GuardDurableConfirm) {
 		return true
 	}
 	if r.position.IsZero() {
-		p := g.reign.primary
-		if p.reportedAt < r.dispatchedAt || p.term != g.reign.term {
+		p := g.leadership.primary
+		if p.reportedAt < r.dispatchedAt || p.term != g.leadership.term {
 			return false
 		}
 		r.position = p.position
@@ -65,11 +65,11 @@
 }
 
 // confirmed reports whether a majority, the primary included, has applied p in
-// this reign. Positions of members are kept only from reports of this term.
+// this leadership. Positions of members are kept only from reports of this term.
 func (g *Group) confirmed(p core.Position) bool {
 	others := 0
 	for _, m := range g.members {
-		if !m.gone && m != g.reign.primary && m.located && !m.position.Less(p) {
+		if !m.gone && m != g.leadership.primary && m.located && !m.position.Less(p) {
 			others++
 		}
 	}
@@ -101,7 +101,7 @@
 	g.release(r)
 }
 
-// failHeld fails the writes whose reign ends before they were acknowledged.
+// failHeld fails the writes whose leadership ends before they were acknowledged.
 func (g *Group) failHeld(reason Reason) {
 	for len(g.held) > 0 {
 		g.failRequest(g.held[len(g.held)-1], reason, core.OutcomeUnknown, stepAcknowledge, 0)
--- a/core/group/ballot.go
+++ b/core/group/ballot.go
@@ -8,7 +8,7 @@
 
 // ballot is one attempt to fence a majority and promote a member.
 type ballot struct {
-	// term is the odd term to fence at; the reign will be term+1.
+	// term is the odd term to fence at; the leadership will be term+1.
 	term core.Term
 	// seen is the highest term heard of.
 	seen core.Term
@@ -190,10 +190,10 @@
 	return false
 }
 
-// oldPrimary is the primary of the last reign known here.
+// oldPrimary is the primary of the last leadership known here.
 func (g *Group) oldPrimary() core.MemberID {
-	if g.reign.primary != nil {
-		return g.reign.primary.ID
+	if g.leadership.primary != nil {
+		return g.leadership.primary.ID
 	}
 	return g.peers.primary
 }
--- a/core/group/beat.go
+++ b/core/group/beat.go
@@ -6,12 +6,12 @@
 // daemons would keep them from claiming, and the group would stand still. It
 // sends no heartbeat while its lease has lapsed.
 func (g *Group) runBeat() {
-	if g.reign.term == 0 {
+	if g.leadership.term == 0 {
 		return
 	}
 	if g.now >= g.detect.beatAt {
 		g.detect.beatAt = g.now.Add(g.tuning.BeatInterval)
-		if g.now < g.reign.leaseUntil {
+		if g.now < g.leadership.leaseUntil {
 			g.sendBeat()
 		}
 	}
@@ -21,6 +21,6 @@
 func (g *Group) sendBeat() {
 	g.detect.beatAt = g.now.Add(g.tuning.BeatInterval)
 	g.wakeBy(g.detect.beatAt)
-	g.fx.beat(Beat{Term: g.reign.term, Primary: g.reign.primary.ID, News: !g.reign.announced})
-	g.reign.announced = true
+	g.fx.beat(Beat{Term: g.leadership.term, Primary: g.leadership.primary.ID, News: !g.leadership.announced})
+	g.leadership.announced = true
 }
--- a/core/group/bench_test.go
+++ b/core/group/bench_test.go
@@ -51,7 +51,7 @@
 	n.now = n.now.Add(100 * time.Microsecond)
 	c.finished = Finished{
 		Request: n.next, TxStatus: 'I',
-		Position: core.Position{Term: c.h.g.reign.term, LSN: c.lsn},
+		Position: core.Position{Term: c.h.g.leadership.term, LSN: c.lsn},
 	}
 	c.reduce(&c.finished)
 	if i%64 == 63 {
@@ -63,12 +63,12 @@
 	g := c.h.g
 	for _, m := range g.members {
 		role := core.RoleReplica
-		if m == g.reign.primary {
+		if m == g.leadership.primary {
 			role = core.RolePrimary
 		}
 		c.probed = Probed{
 			Member: m.ID, SentAt: c.h.net.now,
-			Status: core.Status{Term: g.reign.term, LogTerm: g.reign.term, Role: role, LSN: c.lsn},
+			Status: core.Status{Term: g.leadership.term, LogTerm: g.leadership.term, Role: role, LSN: c.lsn},
 		}
 		c.reduce(&c.probed)
 	}
--- a/core/group/claim.go
+++ b/core/group/claim.go
@@ -104,7 +104,7 @@
 	}
 	g.peers.home, g.peers.term, g.peers.primary = ev.Home, ev.Term, ev.Primary
 	g.ballot.seen = max(g.ballot.seen, ev.Term)
-	if g.reign.term != 0 && ev.Term > g.reign.term {
+	if g.leadership.term != 0 && ev.Term > g.leadership.term {
 		g.stepDown("another home was announced")
 	}
 	if ev.Released {
@@ -115,7 +115,7 @@
 		return
 	}
 	g.peers.deposed = 0
-	claiming := g.reign.term == 0 && g.phase != phaseFollowing
+	claiming := g.leadership.term == 0 && g.phase != phaseFollowing
 	if claiming && (g.phase == phaseProbing || ev.Term > g.ballot.term) {
 		g.phase = phaseFollowing
 		g.failQueue(ReasonNotHome)
@@ -171,19 +171,19 @@
 // primary while this daemon is home.
 func (g *Group) startClaim(why string) {
 	g.counters.Claims++
-	g.logEvent("claiming the group", nil, g.reign.term, why)
+	g.logEvent("claiming the group", nil, g.leadership.term, why)
 	g.ballot.backoff, g.ballot.watched, g.ballot.avoid = 0, false, nil
-	if g.reign.term == 0 {
+	if g.leadership.term == 0 {
 		g.probeForClaim()
 		return
 	}
-	g.suspendReign()
-	g.fence(g.reign.term + 1)
+	g.suspendLeadership()
+	g.fence(g.leadership.term + 1)
 }
 
-// suspendReign ends the work of the reign before this daemon replaces it.
+// suspendLeadership ends the work of the leadership before this daemon replaces it.
 // What may have run is unknown; what waits keeps its place and its deadline.
-func (g *Group) suspendReign() {
+func (g *Group) suspendLeadership() {
 	g.detect.reset()
 	g.failRunningWrites(ReasonReplaced)
 	g.failHeld(ReasonReplaced)
@@ -191,22 +191,22 @@
 	g.phase = phaseFencing
 }
 
-// stepDown: the reign was lost to another home.
+// stepDown: the leadership was lost to another home.
 func (g *Group) stepDown(why string) {
 	g.counters.StepDowns++
-	g.logEvent("no longer home", nil, g.reign.term, why)
-	g.endReign()
+	g.logEvent("no longer home", nil, g.leadership.term, why)
+	g.endLeadership()
 	g.peers.deposed++
 	g.postponeClaim(g.tuning.ClaimDelay)
 }
 
-// endReign fails what is here and forgets the reign. Nothing of the term is
+// endLeadership fails what is here and forgets the leadership. Nothing of the term is
 // acknowledged after it.
-func (g *Group) endReign() {
+func (g *Group) endLeadership() {
 	g.detect.reset()
 	g.failRunningWrites(ReasonReplaced)
 	g.failHeld(ReasonReplaced)
-	g.reign = reign{}
+	g.leadership = leadership{}
 	g.phase = phaseFollowing
 	g.failQueue(ReasonNotHome)
 	g.closeAll()
--- a/core/group/claim_test.go
+++ b/core/group/claim_test.go
@@ -34,7 +34,7 @@
 		gap := n.writeEvery(4*time.Second, false)
 		ginkgo.GinkgoWriter.Println("home death gap", gap)
 		Expect(n.home("B").isHome()).To(BeTrue())
-		Expect(n.home("B").g.reign.primary.ID).To(Equal(core.MemberID("a")))
+		Expect(n.home("B").g.leadership.primary.ID).To(Equal(core.MemberID("a")))
 		Expect(gap).To(BeNumerically("<", 2*time.Second))
 	})
 
@@ -46,7 +46,7 @@
 		n.member("a").loseOK = true
 		n.run(2 * time.Second)
 		Expect(n.home("A").isHome()).To(BeTrue())
-		Expect(n.home("A").g.reign.term).To(Equal(core.Term(2)))
+		Expect(n.home("A").g.leadership.term).To(Equal(core.Term(2)))
 	})
 
 	ginkgo.It("carries on at any step at which the claimant dies", func() {
@@ -88,11 +88,11 @@
 			if fenced == 0 && n.member("b").status.Role == core.RoleFenced {
 				fenced = n.now
 			}
-			Expect(n.now < a.g.reign.leaseUntil && n.home("B").isHome()).To(BeFalse())
+			Expect(n.now < a.g.leadership.leaseUntil && n.home("B").isHome()).To(BeFalse())
 			n.run(ms)
 		}
 		Expect(n.now.Sub(fenced)).To(BeNumerically(">=", DefaultTuning().LeaseDuration))
-		Expect(n.now).To(BeNumerically(">=", a.g.reign.leaseUntil))
+		Expect(n.now).To(BeNumerically(">=", a.g.leadership.leaseUntil))
 	})
 })
 
@@ -157,11 +157,11 @@
 		// Two daemons lose each other, but both reach the members. If each
 		// deposed the other, callers would see gap after gap.
 		n, a := served()
-		term := a.g.reign.term
+		term := a.g.leadership.term
 		n.home("B").deaf, n.home("C").deaf = true, true
 		gap := n.writeEvery(10*time.Second, false)
 		Expect(gap).To(BeNumerically("<", 100*ms))
-		Expect(a.g.reign.term).To(Equal(term))
+		Expect(a.g.leadership.term).To(Equal(term))
 	})
 
 	ginkgo.It("gives way when it has lost the members but not the daemons", func() {
@@ -203,7 +203,7 @@
 	ginkgo.It("is not replaced between two heartbeats, however short the claim delay", func() {
 		n, a := served(func(t *Tuning) { t.ClaimDelay = 50 * ms })
 		n.run(5 * time.Second)
-		Expect(a.g.reign.term).To(Equal(core.Term(2)))
+		Expect(a.g.leadership.term).To(Equal(core.Term(2)))
 	})
 
 	ginkgo.It("comes back quickly when its daemon restarts", func() {
@@ -213,7 +213,7 @@
 		n.homes = n.homes[1:]
 		again := n.addHome(Candidate{ID: "A", Zone: "zA"})
 		again.send(&Candidates{List: append([]Candidate(nil), a.g.candidates...)})
-		again.send(&HomeNews{Home: "A", Term: a.g.reign.term, Primary: "a"})
+		again.send(&HomeNews{Home: "A", Term: a.g.leadership.term, Primary: "a"})
 		n.run(800 * ms)
 		Expect(again.isHome()).To(BeTrue())
 	})
--- a/core/group/configure.go
+++ b/core/group/configure.go
@@ -22,7 +22,7 @@
 		g.postponeClaim(g.tuning.ClaimDelay)
 		return
 	}
-	if g.reign.term != 0 {
+	if g.leadership.term != 0 {
 		g.computeLease()
 		g.releaseHeld()
 		g.checkLeaving()
@@ -50,7 +50,7 @@
 		}
 		m.gone = true
 		g.closeIdle(m)
-		if m.conns > 0 || m == g.reign.primary || m == g.ballot.target {
+		if m.conns > 0 || m == g.leadership.primary || m == g.ballot.target {
 			kept = append(kept, m)
 		}
 	}
--- a/core/group/conn.go
+++ b/core/group/conn.go
@@ -21,7 +21,7 @@
 	id     ConnID
 	member *member
 	state  connState
-	// term is the reign it was opened under.
+	// term is the leadership it was opened under.
 	term    core.Term
 	request *request
 	// pinned is set while a transaction of caller is open on it.
@@ -57,7 +57,7 @@
 
 func (g *Group) openConn(m *member) {
 	g.lastConn++
-	c := &conn{id: g.lastConn, member: m, term: g.reign.term, since: g.now}
+	c := &conn{id: g.lastConn, member: m, term: g.leadership.term, since: g.now}
 	g.conns = append(g.conns, c)
 	m.conns++
 	m.opening++
@@ -120,7 +120,7 @@
 func (g *Group) idleConn(c *conn) {
 	m := c.member
 	c.request, c.since = nil, g.now
-	if c.doomed || c.term != g.reign.term || g.phase < phaseWaiting || g.avoids(m) || m.conns > g.connLimit(m) {
+	if c.doomed || c.term != g.leadership.term || g.phase < phaseWaiting || g.avoids(m) || m.conns > g.connLimit(m) {
 		g.closeConn(c)
 		return
 	}
--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -29,7 +29,7 @@
 	answered   int
 	// reachableFrom is a candidate that reaches the primary.
 	reachableFrom core.DaemonID
-	// contestedAt is since when the reign is doubtful because a higher term
+	// contestedAt is since when the leadership is doubtful because a higher term
 	// was seen at the primary or a majority; zero: it is not.
 	contestedAt core.Time
 	// planned is the planned promotion under way, since plannedAt.
@@ -43,7 +43,7 @@
 	isolation    isolation
 }
 
-// reset forgets the doubts about a reign that ends.
+// reset forgets the doubts about a leadership that ends.
 func (d *detector) reset() {
 	*d = detector{
 		handedOverAt: d.handedOverAt, beatAt: d.beatAt, planAfter: d.planAfter,
@@ -71,7 +71,7 @@
 		if d.suspicion == suspicionNone {
 			d.suspicion = suspicionFresh
 			d.late = g.now.Sub(m.probe.sentAt) > m.probe.timeout+lateMargin
-			g.logEvent("primary suspected", m, g.reign.term, "")
+			g.logEvent("primary suspected", m, g.leadership.term, "")
 			g.askOpinions(m)
 		}
 		g.sendProbe(m, true)
@@ -91,7 +91,7 @@
 
 // detecting reports whether this daemon watches its primary.
 func (g *Group) detecting() bool {
-	return g.reign.term != 0 && (g.phase == phaseWaiting || g.phase == phaseServing)
+	return g.leadership.term != 0 && (g.phase == phaseWaiting || g.phase == phaseServing)
 }
 
 // askOpinions asks other candidates, those of other zones first, at the same
@@ -114,7 +114,7 @@
 
 func (g *Group) onOpinion(ev *Opinion) {
 	d := &g.detect
-	if d.suspicion == suspicionNone || !g.detecting() || g.reign.primary.ID != ev.Member {
+	if d.suspicion == suspicionNone || !g.detecting() || g.leadership.primary.ID != ev.Member {
 		return
 	}
 	d.answered++
@@ -154,7 +154,7 @@
 func (g *Group) healthyOthers() int {
 	n := 0
 	for _, m := range g.members {
-		if !m.gone && m != g.reign.primary && m.failures == 0 && m.known {
+		if !m.gone && m != g.leadership.primary && m.failures == 0 && m.known {
 			n++
 		}
 	}
@@ -162,18 +162,18 @@
 }
 
 // mayHandOver bounds how often two daemons can pass a group to and fro. A
-// reign that still waits for an older lease cannot be released.
+// leadership that still waits for an older lease cannot be released.
 func (g *Group) mayHandOver() bool {
 	last := g.detect.handedOverAt
 	return g.phase == phaseServing && (last == 0 || g.now.Sub(last) >= g.tuning.HandoverInterval)
 }
 
-// memberAnswered looks at a report for what the reign has to deal with.
+// memberAnswered looks at a report for what the leadership has to deal with.
 func (g *Group) memberAnswered(m *member) {
 	if !g.detecting() {
 		return
 	}
-	if m == g.reign.primary {
+	if m == g.leadership.primary {
 		g.primaryAnswered(m)
 	}
 	g.checkContested()
@@ -186,11 +186,11 @@
 	if d.suspicion != suspicionNone {
 		if d.suspicion == suspicionFresh && !d.late {
 			g.closeIdle(m) // They may be as silent as the control connection was.
-			g.logEvent("connection was silent, primary is alive", m, g.reign.term, "")
+			g.logEvent("connection was silent, primary is alive", m, g.leadership.term, "")
 		}
 		d.suspicion = suspicionNone
 	}
-	if m.term < g.reign.term || (m.term == g.reign.term && m.role != core.RolePrimary) {
+	if m.term < g.leadership.term || (m.term == g.leadership.term && m.role != core.RolePrimary) {
 		g.startClaim("primary lost its term")
 	}
 }
--- a/core/group/detect_test.go
+++ b/core/group/detect_test.go
@@ -77,7 +77,7 @@
 			ginkgo.GinkgoWriter.Println("partition gap", gap)
 			Expect(gap).To(BeNumerically("<", 300*ms))
 			Expect(a.isHome()).To(BeTrue())
-			Expect(a.g.reign.primary.ID).NotTo(Equal(core.MemberID("a")))
+			Expect(a.g.leadership.primary.ID).NotTo(Equal(core.MemberID("a")))
 		}
 	})
 
@@ -85,11 +85,11 @@
 		// A firewall forgets one connection. New ones work, so a promotion
 		// would lose unconfirmed writes for nothing.
 		n, a := served()
-		term := a.g.reign.term
+		term := a.g.leadership.term
 		n.member("a").silent = true
 		n.writeEvery(2*time.Second, false)
-		Expect(a.g.reign.term).To(Equal(term))
-		Expect(a.g.reign.primary.ID).To(Equal(core.MemberID("a")))
+		Expect(a.g.leadership.term).To(Equal(term))
+		Expect(a.g.leadership.primary.ID).To(Equal(core.MemberID("a")))
 	})
 
 	ginkgo.It("keeps its connections when it was the home that stood still", func() {
@@ -116,7 +116,7 @@
 		ginkgo.GinkgoWriter.Println("home cut off gap", gap)
 		Expect(a.isHome()).To(BeFalse())
 		Expect(n.home("B").isHome()).To(BeTrue())
-		Expect(n.home("B").g.reign.primary.ID).To(Equal(core.MemberID("a")))
+		Expect(n.home("B").g.leadership.primary.ID).To(Equal(core.MemberID("a")))
 		Expect(gap).To(BeNumerically("<", 1200*ms))
 	})
 
@@ -128,7 +128,7 @@
 		n.member("a").paused = true
 		w := a.write()
 		n.run(3 * time.Second)
-		Expect(a.g.reign.primary.ID).NotTo(Equal(core.MemberID("a")))
+		Expect(a.g.leadership.primary.ID).NotTo(Equal(core.MemberID("a")))
 		Expect(a.fails).To(HaveKeyWithValue(w, core.OutcomeUnknown))
 		n.member("a").paused = false
 		n.run(3 * time.Second)
@@ -142,7 +142,7 @@
 		n, a := served()
 		for _, id := range []core.MemberID{"a", "b"} {
 			m := n.member(id)
-			m.fence(a.g.reign.term+3, FailureNone)
+			m.fence(a.g.leadership.term+3, FailureNone)
 		}
 		gap := n.writeEvery(4*time.Second, false)
 		ginkgo.GinkgoWriter.Println("dead candidate gap", gap)
@@ -151,11 +151,11 @@
 	})
 
 	ginkgo.It("takes back a replica that a dead candidate left fenced", func() {
-		// One replica stays fenced above the reign and follows nobody; the
+		// One replica stays fenced above the leadership and follows nobody; the
 		// group runs without it until the home rises above, planned.
 		n, a := served()
 		m := n.member("c")
-		m.fence(a.g.reign.term+1, FailureNone)
+		m.fence(a.g.leadership.term+1, FailureNone)
 		w := a.write()
 		n.run(8 * time.Second)
 		Expect(m.status.Role).To(Equal(core.RoleReplica))
@@ -173,7 +173,7 @@
 		gap := n.writeEvery(3*time.Second, false)
 		ginkgo.GinkgoWriter.Println("planned gap", gap)
 		Expect(a.fails).To(BeEmpty())
-		Expect(a.g.reign.primary.ID).NotTo(Equal(core.MemberID("a")))
+		Expect(a.g.leadership.primary.ID).NotTo(Equal(core.MemberID("a")))
 		Expect(gap).To(BeNumerically("<", 300*ms))
 		for _, d := range a.running {
 			Expect(d.Member).NotTo(Equal(core.MemberID("a")))
--- a/core/group/dispatch.go
+++ b/core/group/dispatch.go
@@ -39,7 +39,7 @@
 		if g.refuseUnseen(r) {
 			continue
 		}
-		p := g.reign.primary
+		p := g.leadership.primary
 		if !g.hasSlot(p) {
 			return
 		}
@@ -120,11 +120,11 @@
 // dispatch runs a request on a connection.
 func (g *Group) dispatch(r *request, c *conn) {
 	m := c.member
-	r.state, r.conn, r.dispatchedAt, r.term = stateRunning, c, g.now, g.reign.term
+	r.state, r.conn, r.dispatchedAt, r.term = stateRunning, c, g.now, g.leadership.term
 	r.asked = !r.read || g.asksPosition(r, m)
 	c.state, c.request, c.since = connRunning, r, g.now
 	m.running++
-	if m == g.reign.primary {
+	if m == g.leadership.primary {
 		g.wakeIn(m.stall())
 	}
 	if !r.read {
@@ -167,7 +167,7 @@
 	r.conn = nil
 }
 
-// failRunningWrites fails what runs at the end of a reign and may have
+// failRunningWrites fails what runs at the end of a leadership and may have
 // changed something. Reads may finish: they were right when they began.
 func (g *Group) failRunningWrites(reason Reason) {
 	for i := len(g.conns) - 1; i >= 0; i-- {
@@ -232,7 +232,7 @@
 // finishRead ends a read. Its answer may already be with the caller.
 func (g *Group) finishRead(r *request, m *member, ev *Finished) {
 	r.position = ev.Position
-	if g.reign.term == r.term {
+	if g.leadership.term == r.term {
 		g.noteRead(r, m)
 	}
 	g.acknowledge(r)
--- a/core/group/drain.go
+++ b/core/group/drain.go
@@ -24,7 +24,7 @@
 	}
 	*d = drainer{requested: true, since: g.now, deadline: ev.Deadline}
 	g.peers.claimAt = never
-	if g.reign.term == 0 {
+	if g.leadership.term == 0 {
 		g.phase = phaseFollowing
 		g.failQueue(ReasonNotHome)
 	}
@@ -55,16 +55,16 @@
 	if !d.requested {
 		return false
 	}
-	return len(g.pins) == 0 || g.now >= g.drainPatience()
+	return len(g.pins) == 0 || g.now >= g.drainWaitLimit()
 }
 
-func (g *Group) drainPatience() core.Time {
+func (g *Group) drainWaitLimit() core.Time {
 	d := &g.drain
-	patience := d.since.Add(g.tuning.DrainPatience)
+	waitLimit := d.since.Add(g.tuning.DrainWaitLimit)
 	if d.deadline > d.since {
-		patience = min(patience, d.since.Add(d.deadline.Sub(d.since)/2))
+		waitLimit = min(waitLimit, d.since.Add(d.deadline.Sub(d.since)/2))
 	}
-	return patience
+	return waitLimit
 }
 
 // runDrain hands the group over once nothing runs here, or at the deadline.
@@ -73,12 +73,12 @@
 	if !d.requested || d.done {
 		return
 	}
-	if g.reign.term == 0 {
+	if g.leadership.term == 0 {
 		g.drained()
 		return
 	}
 	if !g.draining() {
-		g.wakeBy(g.drainPatience())
+		g.wakeBy(g.drainWaitLimit())
 		return
 	}
 	g.failIdleQueue()
@@ -91,7 +91,7 @@
 	if to := g.successor(); to != "" && g.phase == phaseServing {
 		g.handOver(to, "planned stop")
 	} else {
-		g.releaseReign()
+		g.releaseLeadership()
 	}
 	g.drained()
 }
@@ -123,30 +123,30 @@
 	g.fx.add(&Drained{})
 }
 
-// handOver gives the reign up in favour of another candidate, with the
+// handOver gives the leadership up in favour of another candidate, with the
 // positions of all sessions. What runs is failed first, so nothing of the term
 // is acknowledged after it.
 func (g *Group) handOver(to core.DaemonID, why string) {
 	g.counters.Handovers++
-	term := g.reign.term
+	term := g.leadership.term
 	l := Log{Message: "handing the group over", Peer: to, Term: term, Detail: why}
 	g.fx.log(l)
 	sessions := g.sessions.list()
-	primary := g.reign.primary.ID
+	primary := g.leadership.primary.ID
 	g.peers.home, g.peers.term, g.peers.primary = to, term, primary
-	g.endReign()
+	g.endLeadership()
 	g.fx.add(&SendHandover{To: to, Term: term, Sessions: sessions})
 	g.fx.beat(Beat{Term: term, Primary: primary, Released: true, News: true})
 	g.postponeClaim(2 * g.tuning.ClaimDelay)
 }
 
-// releaseReign gives the reign up in favour of whoever claims next. Only a
+// releaseLeadership gives the leadership up in favour of whoever claims next. Only a
 // home that has waited out its predecessor's lease may say so: the next home
 // will not wait.
-func (g *Group) releaseReign() {
-	term, primary := g.reign.term, g.reign.primary.ID
+func (g *Group) releaseLeadership() {
+	term, primary := g.leadership.term, g.leadership.primary.ID
 	serving := g.phase == phaseServing
-	g.endReign()
+	g.endLeadership()
 	if serving {
 		g.fx.beat(Beat{Term: term, Primary: primary, Released: true, News: true})
 	}
@@ -166,7 +166,7 @@
 // onHandedOver: the old home released its term to this daemon, which claims
 // at once and need not wait for the old lease.
 func (g *Group) onHandedOver(ev *HandedOver) {
-	if g.drain.requested || g.reign.term != 0 || ev.Term < g.peers.released {
+	if g.drain.requested || g.leadership.term != 0 || ev.Term < g.peers.released {
 		return
 	}
 	g.sessions.clear()
--- a/core/group/factor_affinity.go
+++ b/core/group/factor_affinity.go
@@ -10,7 +10,7 @@
 func (g *Group) affinityCost(m *member, r *request) time.Duration {
 	size := uint64(len(g.members))
 	preferred := r.session % size
-	if g.members[preferred] == g.reign.primary {
+	if g.members[preferred] == g.leadership.primary {
 		preferred = (preferred + 1) % size
 	}
 	if r.session == 0 || g.members[preferred] == m {
--- a/core/group/faults_test.go
+++ b/core/group/faults_test.go
@@ -49,7 +49,7 @@
 func (f *faultRun) check() {
 	serving, conns := 0, 0
 	for _, h := range f.n.homes {
-		r := &h.g.reign
+		r := &h.g.leadership
 		if h.g.phase == phaseServing && !h.dead && f.n.now < r.leaseUntil && f.n.now >= r.waitUntil {
 			serving++
 		}
@@ -127,7 +127,7 @@
 	for range 3 {
 		h := f.n.homes[f.random.IntN(len(f.n.homes))]
 		for _, other := range f.n.homes {
-			if other.g.reign.term > 0 && f.random.IntN(4) > 0 {
+			if other.g.leadership.term > 0 && f.random.IntN(4) > 0 {
 				h = other
 			}
 		}
--- a/core/group/group.go
+++ b/core/group/group.go
@@ -43,12 +43,12 @@
 	candidates []Candidate
 	random     random
 
-	phase  phase
-	reign  reign
-	ballot ballot
-	peers  peerHomes
-	detect detector
-	drain  drainer
+	phase      phase
+	leadership leadership
+	ballot     ballot
+	peers      peerHomes
+	detect     detector
+	drain      drainer
 
 	requests  map[core.RequestID]*request
 	deadlines requestHeap
--- a/core/group/isolation.go
+++ b/core/group/isolation.go
@@ -35,7 +35,7 @@
 	d := &g.detect
 	wait := g.tuning.IsolationTimeout
 	if g.holdsUnconfirmed() {
-		wait = g.tuning.IsolationPatience
+		wait = g.tuning.IsolationWaitLimit
 	}
 	until := max(since.Add(wait<<min(d.isolation.replaced, maxIsolationShift)), d.planAfter)
 	if g.now < until {
@@ -44,7 +44,7 @@
 	}
 	d.planAfter = g.now.Add(g.tuning.RepairWait)
 	d.isolation.replaced++
-	p := g.reign.primary
+	p := g.leadership.primary
 	g.startClaim("primary is cut off from its peers")
 	g.ballot.avoid = p
 }
@@ -52,7 +52,7 @@
 // holdsUnconfirmed reports whether the primary alone holds acknowledged writes.
 func (g *Group) holdsUnconfirmed() bool {
 	for _, m := range g.members {
-		if m != g.reign.primary && g.serving(m) && !m.position.Less(g.detect.isolation.unconfirmed) {
+		if m != g.leadership.primary && g.serving(m) && !m.position.Less(g.detect.isolation.unconfirmed) {
 			return false
 		}
 	}
@@ -66,8 +66,8 @@
 	case r.read:
 	case !r.durable:
 		p := r.position
-		if p.IsZero() && g.reign.primary != nil {
-			p = g.reign.primary.position
+		if p.IsZero() && g.leadership.primary != nil {
+			p = g.leadership.primary.position
 		}
 		i.unconfirmed = i.unconfirmed.Max(p)
 	case r.state == stateHeld:
@@ -90,10 +90,10 @@
 	}
 	replicas := 0
 	for _, m := range g.members {
-		if m == g.reign.primary || !g.serving(m) {
+		if m == g.leadership.primary || !g.serving(m) {
 			continue
 		}
-		if !m.position.Less(g.reign.primary.position) {
+		if !m.position.Less(g.leadership.primary.position) {
 			g.detect.isolation.since = 0
 			return 0, false
 		}
--- a/core/group/lag.go
+++ b/core/group/lag.go
@@ -30,7 +30,7 @@
 	lagResolution = 20 * time.Millisecond
 )
 
-// restart forgets the write being followed, at the start of a reign.
+// restart forgets the write being followed, at the start of a leadership.
 func (l *lagModel) restart() { l.marker, l.markedAt, l.lastSeen = core.Position{}, 0, 0 }
 
 // mark begins to follow a write unless another is being followed.
--- a/core/group/lease.go
+++ b/core/group/lease.go
@@ -6,8 +6,8 @@
 	"limpetspan/core"
 )
 
-// reign is the term this daemon is home of; the zero reign is none.
-type reign struct {
+// leadership is the term this daemon is home of; the zero leadership is none.
+type leadership struct {
 	term    core.Term
 	primary *member
 	// since is when its promotion was known.
@@ -16,7 +16,7 @@
 	start core.Position
 	// history holds the starts of the latest terms, this one included.
 	history []core.TermStart
-	// waitUntil is when the lease of the reign before has lapsed for certain.
+	// waitUntil is when the lease of the leadership before has lapsed for certain.
 	waitUntil core.Time
 	// leaseUntil is until when a majority's reports let this home serve.
 	leaseUntil core.Time
@@ -25,7 +25,7 @@
 }
 
 // learnHistory copies the term starts that the primary reported.
-func (r *reign) learnHistory(h []core.TermStart) {
+func (r *leadership) learnHistory(h []core.TermStart) {
 	if len(h) == 0 {
 		return
 	}
@@ -44,7 +44,7 @@
 // report; then it waits out the lease duration. By then this lease has lapsed
 // on this daemon's own clock.
 func (g *Group) leaseHolds() bool {
-	return g.reign.term != 0 && g.now >= g.reign.waitUntil && g.now < g.reign.leaseUntil
+	return g.leadership.term != 0 && g.now >= g.leadership.waitUntil && g.now < g.leadership.leaseUntil
 }
 
 // extendLease counts a member's report towards the lease.
@@ -54,8 +54,8 @@
 // fence it. So the lease holds at once after a promotion, before the other
 // members follow the new primary.
 func (g *Group) extendLease(m *member, term core.Term, sentAt core.Time) {
-	ownFence := term == g.reign.term-1 && m.vote == voteFenced && g.phase >= phaseWaiting
-	if term != g.reign.term && !ownFence {
+	ownFence := term == g.leadership.term-1 && m.vote == voteFenced && g.phase >= phaseWaiting
+	if term != g.leadership.term && !ownFence {
 		return
 	}
 	if sentAt <= m.leaseAt {
@@ -75,11 +75,11 @@
 	}
 	need := g.majority()
 	if len(times) < need {
-		g.reign.leaseUntil = 0
+		g.leadership.leaseUntil = 0
 		return
 	}
 	slices.Sort(times)
-	g.reign.leaseUntil = times[len(times)-need].Add(g.tuning.LeaseDuration)
+	g.leadership.leaseUntil = times[len(times)-need].Add(g.tuning.LeaseDuration)
 }
 
 // mayServe reports whether requests may be dispatched now.
@@ -90,7 +90,7 @@
 	return g.leaseHolds() || !g.guarded(GuardLeaseAtArrival)
 }
 
-// mayAcknowledge reports whether an answer of the present reign may be released.
+// mayAcknowledge reports whether an answer of the present leadership may be released.
 func (g *Group) mayAcknowledge() bool {
 	return g.leaseHolds() || !g.guarded(GuardLeaseAtAck)
 }
--- a/core/group/lost_test.go
+++ b/core/group/lost_test.go
@@ -13,7 +13,7 @@
 // is not told that its write is gone, because the offset of the write lies
 // below the start of term 18. Found by exploration (read-your-writes).
 var _ = ginkgo.Describe("a position of a term that the log did not inherit", func() {
-	r := &reign{term: 18, start: core.Position{Term: 14, LSN: 498},
+	r := &leadership{term: 18, start: core.Position{Term: 14, LSN: 498},
 		history: []core.TermStart{{Term: 12, Start: 468}, {Term: 14, Start: 468}, {Term: 18, Start: 498}}}
 
 	ginkgo.DescribeTable("is lost wherever it lies",
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -16,7 +16,7 @@
 	// voteTied: the member was already fenced at this ballot's term by another
 	// candidate. It is no vote, but its position is frozen.
 	voteTied
-	// voteRefused: the member is at a higher term, or reigns at this one.
+	// voteRefused: the member is at a higher term, or leads at this one.
 	voteRefused
 	// voteFailed: no answer.
 	voteFailed
@@ -43,14 +43,14 @@
 	roundTrip time.Duration
 	// failures counts failed probes since the last answer.
 	failures int
-	// position is known to be applied in the present reign since positionAt, if
+	// position is known to be applied in the present leadership since positionAt, if
 	// located.
 	position   core.Position
 	located    bool
 	positionAt core.Time
 	// leaseAt is when the last probe was sent that reported the home's term.
 	leaseAt core.Time
-	// oddAt is since when the member reports a term that the reign has to deal
+	// oddAt is since when the member reports a term that the leadership has to deal
 	// with: above it, or so low that the member cannot follow.
 	oddAt core.Time
 	// lostAt is when a connection to the member was last lost.
@@ -101,14 +101,14 @@
 // majority is the number of members of which any two sets share one.
 func (g *Group) majority() int { return g.size()/2 + 1 }
 
-// isPrimary reports whether m is primary of the reign held here.
-func (g *Group) isPrimary(m *member) bool { return g.reign.term != 0 && m == g.reign.primary }
+// isPrimary reports whether m is primary of the leadership held here.
+func (g *Group) isPrimary(m *member) bool { return g.leadership.term != 0 && m == g.leadership.primary }
 
 // serving reports whether a replica takes part in serving reads: it follows
-// the reign's primary, answers probes and is not leaving.
+// the leadership's primary, answers probes and is not leaving.
 func (g *Group) serving(m *member) bool {
-	return g.reign.term != 0 && m != g.reign.primary && !m.leaving() && m.known &&
-		m.term == g.reign.term && m.role == core.RoleReplica && m.failures < servingFailures &&
+	return g.leadership.term != 0 && m != g.leadership.primary && !m.leaving() && m.known &&
+		m.term == g.leadership.term && m.role == core.RoleReplica && m.failures < servingFailures &&
 		m.located
 }
 
@@ -120,7 +120,7 @@
 	if m.known && sentAt < m.reportedAt {
 		return // An answer that was overtaken by a later probe's.
 	}
-	if s.Term < g.reign.term && sentAt < g.reign.since && g.detecting() {
+	if s.Term < g.leadership.term && sentAt < g.leadership.since && g.detecting() {
 		return // Asked before the promotion was known; it says nothing new.
 	}
 	m.known, m.reportedAt, m.failures = true, sentAt, 0
@@ -128,16 +128,16 @@
 	m.stopping = s.Leaving
 	m.connections, m.claimPosition = s.Connections, s.Position()
 	g.ballot.seen = max(g.ballot.seen, s.Term)
-	if g.reign.term == 0 {
+	if g.leadership.term == 0 {
 		return
 	}
 	m.foreign = max(0, s.Connections-m.conns-g.closingAt(m))
 	g.extendLease(m, s.Term, sentAt)
-	if s.Term == g.reign.term {
+	if s.Term == g.leadership.term {
 		g.learnPosition(m, s.Position(), sentAt)
 	}
-	if m == g.reign.primary && s.Term == g.reign.term {
-		g.reign.learnHistory(s.History)
+	if m == g.leadership.primary && s.Term == g.leadership.term {
+		g.leadership.learnHistory(s.History)
 		g.history.add(sentAt, s.Position())
 		g.sessions.resolve(sentAt, s.Position())
 	}
@@ -145,22 +145,22 @@
 
 // learnPosition raises the position that a member is known to have applied.
 //
-// Guard: a member that held more of an older term's log than the reign began
+// Guard: a member that held more of an older term's log than the leadership began
 // with has diverged; its offset says nothing about this log. It would show as
 // a replica that serves a read without the session's write. Positions of older
-// terms therefore count only up to the start of the reign.
+// terms therefore count only up to the start of the leadership.
 func (g *Group) learnPosition(m *member, p core.Position, at core.Time) {
-	if p.Term > g.reign.term || (p.Term < g.reign.term && p.LSN > g.reign.start.LSN) {
+	if p.Term > g.leadership.term || (p.Term < g.leadership.term && p.LSN > g.leadership.start.LSN) {
 		return
 	}
 	if p.Less(m.position) && at <= m.positionAt {
 		return
 	}
-	if m != g.reign.primary && m.position.Less(p) {
+	if m != g.leadership.primary && m.position.Less(p) {
 		g.detect.isolation.since = 0
 	}
 	m.position, m.positionAt, m.located = p, max(at, m.positionAt), true
-	if m != g.reign.primary {
+	if m != g.leadership.primary {
 		g.observeLag(m, at)
 	}
 }
--- a/core/group/pace.go
+++ b/core/group/pace.go
@@ -10,9 +10,9 @@
 // has a position.
 const positionPaceMax = 10 * time.Millisecond
 
-// confirmPatience is the longest time after a write at which a replica is
+// confirmWaitLimit is the longest time after a write at which a replica is
 // first asked whether it has it.
-const confirmPatience = 30 * time.Millisecond
+const confirmWaitLimit = 30 * time.Millisecond
 
 // probeDue is when a member is to be probed: at the slow pace, which keeps the
 // lease, or sooner while something waits for its report. A member that failed
@@ -24,7 +24,7 @@
 		return slow
 	case g.awaits(m):
 		return min(slow, m.probe.sentAt.Add(g.tuning.FastProbeInterval))
-	case m == g.reign.primary:
+	case m == g.leadership.primary:
 		return slow
 	}
 	return min(slow, g.positionDue(m))
@@ -40,7 +40,7 @@
 	if g.phase == phaseServing && !g.leaseHolds() && len(g.requests) > 0 {
 		return true
 	}
-	if m != g.reign.primary {
+	if m != g.leadership.primary {
 		return false
 	}
 	return g.sessions.pending > 0 || len(g.held) > 0 && g.held[0].position.IsZero()
@@ -65,7 +65,7 @@
 		if !g.quick(m) {
 			expected = 2*m.lag.delay() + positionPaceMax
 		}
-		expected = min(expected, confirmPatience)
+		expected = min(expected, confirmWaitLimit)
 		due = min(due, max(g.held[0].dispatchedAt.Add(expected), next))
 	}
 	return due
--- a/core/group/plan.go
+++ b/core/group/plan.go
@@ -16,7 +16,7 @@
 // checkLeaving plans a promotion when the primary is leaving and another
 // member can take over.
 func (g *Group) checkLeaving() {
-	if g.phase != phaseServing || g.detect.planned != plannedNone || !g.reign.primary.leaving() {
+	if g.phase != phaseServing || g.detect.planned != plannedNone || !g.leadership.primary.leaving() {
 		return
 	}
 	if g.heir() != nil {
@@ -41,7 +41,7 @@
 		return
 	}
 	d.planned, d.plannedAt = why, g.now
-	g.logEvent("promotion planned", g.reign.primary, g.reign.term, "")
+	g.logEvent("promotion planned", g.leadership.primary, g.leadership.term, "")
 	g.wakeBy(g.now)
 }
 
@@ -57,13 +57,13 @@
 	if d.planned == plannedNone {
 		return
 	}
-	if d.planned == plannedLeaving && !g.reign.primary.leaving() {
+	if d.planned == plannedLeaving && !g.leadership.primary.leaving() {
 		d.planned = plannedNone
 		g.pump()
 		return
 	}
 	until := d.plannedAt.Add(g.tuning.PlannedWait)
-	quiet := g.writesRunning == 0 && len(g.held) == 0 && g.reign.primary.pinned == 0
+	quiet := g.writesRunning == 0 && len(g.held) == 0 && g.leadership.primary.pinned == 0
 	ready := quiet && (d.planned == plannedRepair || g.heirCaughtUp())
 	if ready || g.now >= until {
 		d.planAfter = g.now.Add(g.tuning.RepairWait)
@@ -79,7 +79,7 @@
 // asked or does not answer any more is known by what it answered to writes.
 func (g *Group) heirCaughtUp() bool {
 	heir := g.heir()
-	p := g.reign.primary
+	p := g.leadership.primary
 	if heir == nil || (!p.gone && p.failures == 0 && p.reportedAt < g.detect.plannedAt) {
 		return false
 	}
@@ -87,4 +87,4 @@
 }
 
 // latest is the furthest position known of the primary.
-func (g *Group) latest() core.Position { return g.reign.primary.position }
+func (g *Group) latest() core.Position { return g.leadership.primary.position }
--- a/core/group/pool.go
+++ b/core/group/pool.go
@@ -57,7 +57,7 @@
 func (g *Group) connLimit(m *member) int {
 	size := max(1, g.size())
 	replica := max(1, min(g.statementCap(), g.budget()/size))
-	if m != g.reign.primary {
+	if m != g.leadership.primary {
 		return replica
 	}
 	return max(1, g.budget()-replica*(size-1))
@@ -94,7 +94,7 @@
 		return false
 	}
 	if g.phase == phaseWaiting {
-		ready := g.reign.waitUntil.Add(-2 * g.tuning.ConnectCost)
+		ready := g.leadership.waitUntil.Add(-2 * g.tuning.ConnectCost)
 		if g.now < ready {
 			g.wakeBy(ready)
 			return false
@@ -103,14 +103,14 @@
 	if !g.guarded(GuardBudget) {
 		return true
 	}
-	return g.now < g.reign.leaseUntil && m.term == g.reign.term && m.reportedAt >= m.lostAt
+	return g.now < g.leadership.leaseUntil && m.term == g.leadership.term && m.reportedAt >= m.lostAt
 }
 
 func (g *Group) warmAll() {
 	if g.phase < phaseWaiting {
 		return
 	}
-	g.warm(g.reign.primary)
+	g.warm(g.leadership.primary)
 	for _, m := range g.members {
 		g.warm(m)
 	}
@@ -123,7 +123,7 @@
 	}
 }
 
-// closeAll closes every connection of a reign that ends; those on which a read
+// closeAll closes every connection of a leadership that ends; those on which a read
 // runs close when it ends.
 func (g *Group) closeAll() {
 	for i := len(g.conns) - 1; i >= 0; i-- {
--- a/core/group/pool_test.go
+++ b/core/group/pool_test.go
@@ -303,7 +303,7 @@
 		gap := n.writeEvery(2*time.Second, true)
 		ginkgo.GinkgoWriter.Println("primary removed gap", gap)
 		Expect(gap).To(BeNumerically("<", time.Second))
-		Expect(a.g.reign.primary.ID).NotTo(Equal(core.MemberID("a")))
+		Expect(a.g.leadership.primary.ID).NotTo(Equal(core.MemberID("a")))
 	})
 
 	ginkgo.It("never goes back to a lower revision", func() {
--- a/core/group/prevote.go
+++ b/core/group/prevote.go
@@ -50,7 +50,7 @@
 		g.retryClaim()
 		return
 	}
-	if g.reign.term == 0 && g.unheardHome() {
+	if g.leadership.term == 0 && g.unheardHome() {
 		return
 	}
 	g.fence(nextBallot(g.ballot.seen))
--- a/core/group/probe.go
+++ b/core/group/probe.go
@@ -21,7 +21,7 @@
 
 // probing reports whether this daemon watches the members: as home, or while
 // it claims the group.
-func (g *Group) probing() bool { return g.reign.term != 0 || g.phase == phaseProbing }
+func (g *Group) probing() bool { return g.leadership.term != 0 || g.phase == phaseProbing }
 
 func (g *Group) runProbes() {
 	if !g.probing() {
@@ -53,7 +53,7 @@
 		return // A claim asks each member once.
 	}
 	due := min(p.next, g.probeDue(m))
-	if m == g.reign.primary {
+	if m == g.leadership.primary {
 		due = min(due, g.stalledAt(m))
 	}
 	if m.lostAt >= p.sentAt {
@@ -164,7 +164,7 @@
 		g.checkLeaving()
 	case g.isPrimary(m):
 		g.primaryProbeFailed(m, fresh)
-	case !fresh && g.reign.term != 0:
+	case !fresh && g.leadership.term != 0:
 		// Guard: a kept connection can be silent for good while new ones work.
 		// It would show as a replica that never serves again. A new connection
 		// tells the two apart.
@@ -180,7 +180,7 @@
 		g.claimProbeAnswered()
 		return
 	}
-	if g.reign.term != 0 {
+	if g.leadership.term != 0 {
 		g.memberAnswered(m)
 	}
 }
--- a/core/group/promotion.go
+++ b/core/group/promotion.go
@@ -46,20 +46,20 @@
 	g.retryClaim()
 }
 
-// becomeHome begins the reign that the promotion made.
+// becomeHome begins the leadership that the promotion made.
 func (g *Group) becomeHome(s *core.Status) {
 	b := &g.ballot
 	wait := g.leaseWait()
-	sitting := g.reign.term != 0
-	history := g.reign.history
-	g.reign = reign{
+	sitting := g.leadership.term != 0
+	history := g.leadership.history
+	g.leadership = leadership{
 		term: b.term + 1, primary: b.target, start: s.Position(), since: g.now, waitUntil: wait,
 	}
-	g.reign.history = append(history[:0], core.TermStart{Term: g.reign.term, Start: s.LSN})
-	g.reign.learnHistory(s.History)
-	g.peers.own = g.reign.term
-	g.beginReign(s, sitting)
-	g.logEvent("home of the group", b.target, g.reign.term, "")
+	g.leadership.history = append(history[:0], core.TermStart{Term: g.leadership.term, Start: s.LSN})
+	g.leadership.learnHistory(s.History)
+	g.peers.own = g.leadership.term
+	g.beginLeadership(s, sitting)
+	g.logEvent("home of the group", b.target, g.leadership.term, "")
 	g.serveIfDue()
 }
 
@@ -67,7 +67,7 @@
 //
 // Guard: without the wait an old home that has not noticed would serve beside
 // this one; it would show as a stale read or a lost acknowledged write. There
-// is nothing to wait for only if no reign can lie between this one and a reign
+// is nothing to wait for only if no leadership can lie between this one and a leadership
 // that is known to be over: the ballot is the next after it, and the majority
 // that accepted this ballot would have refused it after any other fence.
 func (g *Group) leaseWait() core.Time {
@@ -78,15 +78,15 @@
 	switch {
 	case b.term == 1:
 		return 0
-	case g.reign.term != 0 && b.term == g.reign.term+1:
-		return g.reign.waitUntil
+	case g.leadership.term != 0 && b.term == g.leadership.term+1:
+		return g.leadership.waitUntil
 	case b.term == g.peers.released+1:
 		return 0
 	}
 	return b.majorityAt.Add(g.tuning.LeaseDuration + g.tuning.LeaseMargin)
 }
 
-func (g *Group) beginReign(s *core.Status, sitting bool) {
+func (g *Group) beginLeadership(s *core.Status, sitting bool) {
 	b := &g.ballot
 	g.phase = phaseWaiting
 	b.retryAt, b.until, b.backoff = 0, never, 0
@@ -113,7 +113,7 @@
 	p.reportedAt, p.failures, p.stopping = b.promotedAt, 0, s.Leaving
 	g.learnPosition(p, s.Position(), b.promotedAt)
 	g.computeLease()
-	g.sessions.newReign(&g.reign)
+	g.sessions.newLeadership(&g.leadership)
 	g.sendBeat()
 	g.warmAll()
 }
@@ -122,8 +122,8 @@
 	if g.phase != phaseWaiting {
 		return
 	}
-	if g.now < g.reign.waitUntil {
-		g.wakeBy(g.reign.waitUntil)
+	if g.now < g.leadership.waitUntil {
+		g.wakeBy(g.leadership.waitUntil)
 		return
 	}
 	g.phase = phaseServing
--- a/core/group/repair.go
+++ b/core/group/repair.go
@@ -13,18 +13,18 @@
 	}
 	above := 0
 	for _, m := range g.members {
-		if !m.gone && m.term > g.reign.term {
+		if !m.gone && m.term > g.leadership.term {
 			above++
 		}
 	}
-	contested := g.reign.primary.term > g.reign.term || above >= g.majority()
+	contested := g.leadership.primary.term > g.leadership.term || above >= g.majority()
 	d := &g.detect
 	switch {
 	case !contested:
 		d.contestedAt = 0
 	case d.contestedAt == 0:
 		d.contestedAt = g.now
-		g.logEvent("a higher term was seen", g.reign.primary, g.reign.primary.term, "")
+		g.logEvent("a higher term was seen", g.leadership.primary, g.leadership.primary.term, "")
 		g.wakeIn(g.tuning.ContestWait)
 	}
 }
@@ -33,14 +33,14 @@
 //
 // A lower term: the member was away. It is fenced below the present term, so
 // that an old primary stops writing and can be attached. A higher term: a
-// candidate died after fencing it. It follows nobody until this reign is above
+// candidate died after fencing it. It follows nobody until this leadership is above
 // it, so the home takes a new term, planned, once the state lasts.
 func (g *Group) checkOdd(m *member) {
-	if m == g.reign.primary || !g.detecting() {
+	if m == g.leadership.primary || !g.detecting() {
 		return
 	}
-	low := m.term < g.reign.term && m.role != core.RoleFenced
-	high := m.term > g.reign.term
+	low := m.term < g.leadership.term && m.role != core.RoleFenced
+	high := m.term > g.leadership.term
 	if !low && !high {
 		m.oddAt = 0
 		return
@@ -53,7 +53,7 @@
 	}
 	if low && (m.role == core.RolePrimary || g.now.Sub(m.oddAt) >= g.tuning.RepairWait) {
 		m.oddAt = g.now
-		g.fx.add(&Fence{Member: m.ID, Term: g.reign.term - 1, Timeout: g.tuning.FenceTimeout})
+		g.fx.add(&Fence{Member: m.ID, Term: g.leadership.term - 1, Timeout: g.tuning.FenceTimeout})
 		return
 	}
 	if high && g.now.Sub(m.oddAt) >= g.tuning.RepairWait {
--- a/core/group/report_test.go
+++ b/core/group/report_test.go
@@ -30,9 +30,9 @@
 		// An old primary comes back and still takes writes from whoever
 		// reaches it. It must be stopped below the present term.
 		n, a := served()
-		term := a.g.reign.term
-		a.g.reign.term += 2 // As if a promotion had passed it by.
-		a.g.reign.since = n.now
+		term := a.g.leadership.term
+		a.g.leadership.term += 2 // As if a promotion had passed it by.
+		a.g.leadership.since = n.now
 		n.run(ms)
 		a.reports("c", core.Status{Term: term, Role: core.RolePrimary})
 		Expect(emitted[*Fence](a)).To(ConsistOf(HaveField("Term", term+1)))
@@ -42,8 +42,8 @@
 		// The old primary is attached again, with more of the old term's log
 		// than the new term began with. A read there would lack new writes.
 		n, a := served()
-		term := a.g.reign.term
-		a.g.reign.start = core.Position{Term: term - 2, LSN: 100}
+		term := a.g.leadership.term
+		a.g.leadership.start = core.Position{Term: term - 2, LSN: 100}
 		a.g.members[1].position, a.g.members[1].located = core.Position{}, false
 		n.run(ms)
 		a.reports("b", core.Status{Term: term, Role: core.RoleReplica, LogTerm: term - 2, LSN: 120})
@@ -57,7 +57,7 @@
 		// A probe overtakes the promotion. Its answer, the fenced state, must
 		// not look like a primary that lost its term.
 		_, a := served()
-		r := a.g.reign
+		r := a.g.leadership
 		a.g.members[0].reportedAt = r.since - 2
 		a.send(&Probed{Member: "a", SentAt: r.since - 1, Status: core.Status{Term: r.term - 1, Role: core.RoleFenced}})
 		Expect(emitted[*Fence](a)).To(BeEmpty())
@@ -142,12 +142,12 @@
 var _ = ginkgo.Describe("what only the primary has", func() {
 	ginkgo.It("is kept when a dead candidate left the primary fenced", func() {
 		// The primary has a write that no replica has, and was fenced above
-		// the reign. The home must not pass it by only because it refuses.
+		// the leadership. The home must not pass it by only because it refuses.
 		n, a := served()
 		n.member("b").stuck, n.member("c").stuck = true, true
 		w := a.arrive(func(a *Arrived) { a.Session = "rider" })
 		n.run(10 * ms)
-		n.member("a").fence(a.g.reign.term+3, FailureNone)
+		n.member("a").fence(a.g.leadership.term+3, FailureNone)
 		n.run(5 * time.Second)
 		r := a.read("rider")
 		n.run(50 * ms)
--- a/core/group/request.go
+++ b/core/group/request.go
@@ -43,7 +43,7 @@
 
 	// conn is the connection it runs on, or the one it is pinned to.
 	conn *conn
-	// term is the reign under which it was dispatched.
+	// term is the leadership under which it was dispatched.
 	term         core.Term
 	dispatchedAt core.Time
 	// writesBegun is the group's count at dispatch.
--- a/core/group/retry.go
+++ b/core/group/retry.go
@@ -115,7 +115,7 @@
 
 // writeBacklog estimates how long a new write waits for the primary.
 func (g *Group) writeBacklog() time.Duration {
-	p := g.reign.primary
+	p := g.leadership.primary
 	if p == nil {
 		return 0
 	}
--- a/core/group/route.go
+++ b/core/group/route.go
@@ -45,7 +45,7 @@
 			best, bestCost, bestWait = m, cost, wait
 		}
 	}
-	p := g.reign.primary
+	p := g.leadership.primary
 	if best == nil {
 		return choice{verdict: verdictPrimary, member: p}
 	}
@@ -80,5 +80,5 @@
 // probeStale asks the primary for its position because what is known is older
 // than a read accepts.
 func (g *Group) probeStale() {
-	g.reportSoon(g.reign.primary)
+	g.reportSoon(g.leadership.primary)
 }
--- a/core/group/session.go
+++ b/core/group/session.go
@@ -13,14 +13,14 @@
 	return xxhash.Sum64String(string(id))
 }
 
-// lost reports whether the record at p is missing from the reign's log: p's
+// lost reports whether the record at p is missing from the leadership's log: p's
 // term is no part of the log's history, or a later term began before p.
 //
-// Guard: a term whose log the reign did not inherit may have begun and ended
+// Guard: a term whose log the leadership did not inherit may have begun and ended
 // between two starts of the history, with offsets below the later one. Judged
 // by offsets alone its writes would count as kept, and the session would read
 // on without them.
-func (r *reign) lost(p core.Position) bool {
+func (r *leadership) lost(p core.Position) bool {
 	if p.Term >= r.term || p.LSN == 0 {
 		return false
 	}
@@ -41,7 +41,7 @@
 // before it as if it had never been confirmed. It is told once instead. A
 // position of a higher term means that this daemon is not the home any more.
 func (g *Group) refuseUnseen(r *request) bool {
-	if r.floor.Term > g.reign.term {
+	if r.floor.Term > g.leadership.term {
 		g.failRequest(r, ReasonNotHome, r.unrun(), stepQueue, g.tuning.LeaseDuration)
 		return true
 	}
@@ -49,7 +49,7 @@
 		return false
 	}
 	e := g.sessions.get(r.session)
-	if (e == nil || !e.lost) && !g.reign.lost(r.floor) {
+	if (e == nil || !e.lost) && !g.leadership.lost(r.floor) {
 		return false
 	}
 	if e != nil {
@@ -80,7 +80,7 @@
 		g.awaitPosition(r)
 		return
 	}
-	g.learnPosition(g.reign.primary, r.position, r.dispatchedAt)
+	g.learnPosition(g.leadership.primary, r.position, r.dispatchedAt)
 	g.history.add(r.dispatchedAt, r.position)
 	g.markLag(r.position)
 	if r.session != 0 {
@@ -96,7 +96,7 @@
 // A read of a stated age records nothing: its caller accepts older data, and
 // one such read at the primary would hold the session's next ones there.
 func (g *Group) noteRead(r *request, m *member) {
-	if r.position.Term > g.reign.term {
+	if r.position.Term > g.leadership.term {
 		g.probeSoon(m)
 		return
 	}
@@ -146,7 +146,7 @@
 // majority of the members have passed. A replica that is further behind serves
 // a session only once it has passed the floor.
 func (g *Group) forgetPassed() {
-	if g.reign.term == 0 || g.phase < phaseWaiting {
+	if g.leadership.term == 0 || g.phase < phaseWaiting {
 		return
 	}
 	low, holders := g.latest(), 1
--- a/core/group/session_table.go
+++ b/core/group/session_table.go
@@ -160,10 +160,10 @@
 	t.floor = core.Position{}
 }
 
-// newReign marks the sessions that have seen what the reign does not hold. The
+// newLeadership marks the sessions that have seen what the leadership does not hold. The
 // position at the promotion is the floor of every session that is not known:
 // it covers all that any earlier home confirmed and the group kept.
-func (t *sessionTable) newReign(r *reign) {
+func (t *sessionTable) newLeadership(r *leadership) {
 	for e := t.live.head; e != nil; {
 		next := e.next
 		if e.pending {
--- a/core/group/snapshot.go
+++ b/core/group/snapshot.go
@@ -35,7 +35,7 @@
 	Zone core.Zone     `json:"zone"`
 	Role string        `json:"role"`
 	Term core.Term     `json:"term"`
-	// Position is the last known applied position in the present reign.
+	// Position is the last known applied position in the present leadership.
 	Position core.Position `json:"position"`
 	Serving  bool          `json:"serving"`
 	Leaving  bool          `json:"leaving"`
@@ -57,7 +57,7 @@
 type Snapshot struct {
 	Group core.GroupID `json:"group"`
 	Phase string       `json:"phase"`
-	// Home is set while this daemon holds a reign, Serving while it may serve.
+	// Home is set while this daemon holds a leadership, Serving while it may serve.
 	Home     bool          `json:"home"`
 	Serving  bool          `json:"serving"`
 	Draining bool          `json:"draining,omitempty"`
@@ -87,16 +87,16 @@
 func (g *Group) Snapshot() Snapshot {
 	s := Snapshot{
 		Group: g.id, Phase: phaseNames[g.phase], Revision: g.revision,
-		Home: g.reign.term != 0, Serving: g.mayServe(), Draining: g.drain.requested,
-		Term: g.reign.term, KnownHome: g.peers.home, KnownTerm: g.peers.term,
+		Home: g.leadership.term != 0, Serving: g.mayServe(), Draining: g.drain.requested,
+		Term: g.leadership.term, KnownHome: g.peers.home, KnownTerm: g.peers.term,
 		Connections: len(g.conns), Closing: len(g.closing), Budget: g.budget(),
 		Queued: g.writes.len() + g.reads.len(), Delayed: len(g.delayed), Held: len(g.held),
 		Requests: len(g.requests), Sessions: len(g.sessions.byHash),
 		Floor: g.sessions.floor, Counters: g.counters,
 	}
-	if g.reign.term != 0 {
-		s.Primary = g.reign.primary.ID
-		s.LeaseLeft = g.reign.leaseUntil.Sub(g.now)
+	if g.leadership.term != 0 {
+		s.Primary = g.leadership.primary.ID
+		s.LeaseLeft = g.leadership.leaseUntil.Sub(g.now)
 	}
 	for _, m := range g.members {
 		s.Members = append(s.Members, g.memberSnapshot(m))
--- a/core/group/tuning.go
+++ b/core/group/tuning.go
@@ -79,12 +79,12 @@
 	// for news of the new home before it claims again. Default 300 ms.
 	ContestWait time.Duration
 	// IsolationTimeout is how long durable writes wait, with no replica
-	// receiving anything, before the primary is replaced. IsolationPatience is
+	// receiving anything, before the primary is replaced. IsolationWaitLimit is
 	// the same while that would lose acknowledged writes of kinds that are not
 	// durable. Both double after a replacement that confirmed nothing. Defaults
 	// 1.5 s and 5 s.
-	IsolationTimeout  time.Duration
-	IsolationPatience time.Duration
+	IsolationTimeout   time.Duration
+	IsolationWaitLimit time.Duration
 	// RepairWait is how long a member may stay fenced at a higher term before
 	// the home raises its own to take the member back. Default 3 s.
 	RepairWait time.Duration
@@ -94,9 +94,9 @@
 	// PlannedWait bounds the wait for writes to end and a replica to catch up
 	// before a planned promotion. Default 2 s.
 	PlannedWait time.Duration
-	// DrainPatience is how long a draining home goes on serving for the sake
+	// DrainWaitLimit is how long a draining home goes on serving for the sake
 	// of open transactions. Default 2 s.
-	DrainPatience time.Duration
+	DrainWaitLimit time.Duration
 	// SlotOverlap is how many statements beyond its slots a member is given,
 	// so that it has the next at hand. Default 1; negative: none.
 	SlotOverlap int
@@ -168,11 +168,11 @@
 		{&t.GatherWait, 40 * time.Millisecond},
 		{&t.ContestWait, 300 * time.Millisecond},
 		{&t.IsolationTimeout, 1500 * time.Millisecond},
-		{&t.IsolationPatience, 5 * time.Second},
+		{&t.IsolationWaitLimit, 5 * time.Second},
 		{&t.RepairWait, 3 * time.Second},
 		{&t.HandoverInterval, 5 * time.Second},
 		{&t.PlannedWait, 2 * time.Second},
-		{&t.DrainPatience, 2 * time.Second},
+		{&t.DrainWaitLimit, 2 * time.Second},
 		{&t.ConnectCost, 12 * time.Millisecond},
 		{&t.CloseGrace, time.Second},
 		{&t.PinnedIdle, 30 * time.Second},
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -136,11 +136,11 @@
 
 // ping probes a live member.
 func (r *Reducer) ping(m *member, confirm bool) {
-	patience := time.Duration(1 + r.probe.ailing)
+	waitLimit := time.Duration(1 + r.probe.ailing)
 	p := pendingProbe{
 		target:     m,
-		indirectAt: r.now.Add(patience * r.settings.AckTimeout),
-		deadline:   r.now.Add(patience * r.settings.ProbeTimeout),
+		indirectAt: r.now.Add(waitLimit * r.settings.AckTimeout),
+		deadline:   r.now.Add(waitLimit * r.settings.ProbeTimeout),
 		confirm:    confirm,
 	}
 	r.sendPing(m, p)
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -16,8 +16,8 @@
 const (
 	// WindowByRefusals cuts a member's window of statements when it refuses for load.
 	WindowByRefusals Set = 1 << iota
-	// WindowByStrain cuts it when statements take a great part of their aims there.
-	WindowByStrain
+	// WindowByAimShare cuts it when statements take a great part of their aims there.
+	WindowByAimShare
 	// BusyBackoff keeps new statements from a member for a moment after it has refused.
 	BusyBackoff
 	// OrderByWork has the statements of the database with the least work go first.
@@ -53,11 +53,14 @@
 const All = end - 1
 
 var names = [...]string{
-	"window-by-refusals", "window-by-strain", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
+	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
 	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing",
 }
 
+// renamed leads from a mechanism's old name to its present one.
+var renamed = map[string]string{"window-by-strain": "window-by-aim-share"}
+
 // Names lists the mechanisms.
 func Names() []string { return slices.Clone(names[:]) }
 
@@ -68,6 +71,9 @@
 func (s Set) Without(list ...string) (Set, error) {
 	for _, name := range list {
 		i := slices.Index(names[:], name)
+		if to, old := renamed[name]; old {
+			return s, fmt.Errorf("mechanism %q is called %q now", name, to)
+		}
 		if i < 0 {
 			return s, fmt.Errorf("unknown mechanism %q; known are %s", name, strings.Join(names[:], ", "))
 		}
--- a/core/policy/policy_test.go
+++ b/core/policy/policy_test.go
@@ -29,6 +29,11 @@
 		Expect(set.Has(policy.InTimeFirst)).To(BeTrue())
 	})
 
+	It("names the present name of one that has been renamed", func() {
+		_, err := policy.All.Without("window-by-strain")
+		Expect(err).To(MatchError(ContainSubstring(`"window-by-aim-share"`)))
+	})
+
 	It("refuses a name that it does not know", func() {
 		_, err := policy.All.Without("magic")
 		Expect(err).To(MatchError(ContainSubstring(`unknown mechanism "magic"`)))
--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -42,5 +42,5 @@
 // before it reports the proof.
 //
 // Relayed is the configuration alone. What needs a daemon's own call stays its own: its
-// registration, the lease on a primary, the promotion's ticket, the host list.
+// registration, the lease on a primary, the promotion lock, the host list.
 package relay
--- a/core/types.go
+++ b/core/types.go
@@ -40,8 +40,8 @@
 	Number uint64   `json:"number"`
 }
 
-// Term is the number of a primary's reign. Odd terms only fence; a primary
-// reigns in an even term, see package group.
+// Term is the number of a primary's leadership. Odd terms only fence; a primary
+// leads in an even term, see package group.
 type Term uint64
 
 // LSN is an offset in a group's log, in bytes.
--- a/pkg/bench/takeover/caller.go
+++ b/pkg/bench/takeover/caller.go
@@ -19,11 +19,11 @@
 	thinkTime = 10 * time.Millisecond
 	// refusedPause is the pause after "not run".
 	refusedPause = 2 * time.Millisecond
-	// deadline is how long a caller lets one request try, patience how long it
+	// deadline is how long a caller lets one request try, waitLimit how long it
 	// waits for the answer, giveUp how long it repeats what did not run.
-	deadline = 5 * time.Second
-	patience = deadline + 3*time.Second
-	giveUp   = 30 * time.Second
+	deadline  = 5 * time.Second
+	waitLimit = deadline + 3*time.Second
+	giveUp    = 30 * time.Second
 	// onceShare is one must-not-repeat write in so many writes.
 	onceShare = 5
 	// notInService is the SQLSTATE of a version that is not in service.
@@ -149,7 +149,7 @@
 }
 
 func (c *caller) update(k *key, through int, name, once string) error {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	conn, err := c.connect(ctx, through)
 	if err != nil {
@@ -202,7 +202,7 @@
 }
 
 func (c *caller) query(k *key, through int) (price string, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
 	conn, err := c.connect(ctx, through)
 	if err != nil {
--- a/pkg/cli/args.go
+++ b/pkg/cli/args.go
@@ -18,20 +18,20 @@
 	Daemon []string `arg:"--daemon,env:LIMPETSPAN_DAEMON,separate" placeholder:"ADDR" help:"operator address (host:port) of a daemon; may be given several times; the others are learned from its status"`
 	JSON   bool     `arg:"--json" help:"print JSON"`
 
-	Config   *ConfigCommand     `arg:"subcommand:config" help:"read and change the declared configuration"`
-	Group    *GroupCommand      `arg:"subcommand:group" help:"create, list and remove database groups"`
-	Schema   *SchemaCommand     `arg:"subcommand:schema" help:"declare, list and retire schema versions of a kind of record"`
-	Status   *StatusCommand     `arg:"subcommand:status" help:"show the daemons of the fleet"`
-	Drain    *DrainCommand      `arg:"subcommand:drain" help:"take a daemon or a target out of service in a planned way"`
-	Takeover *TakeoverCommand   `arg:"subcommand:takeover" help:"move a kind of record from one group and version to another"`
-	Replay   *ReplayCommand     `arg:"subcommand:replay" help:"run recorded traces through the reducer and compare"`
-	Explore  *ExploreCommand    `arg:"subcommand:explore" help:"check the decisions against a model under faults"`
-	Reigns   *ReignsCommand     `arg:"subcommand:reigns" help:"check the changes of primaries on the platform against a model under faults"`
-	Trial    *ExperimentCommand `arg:"subcommand:experiment" help:"run the platform daemon's decisions under a load pattern in a model"`
-	Report   *ReportCommand     `arg:"subcommand:report" help:"sum up the record of a run with faults as a table and a plot"`
-	Demo     *DemoCommand       `arg:"subcommand:demo" help:"run a whole fleet on stand-ins and check the promises"`
-	Standin  *StandinCommand    `arg:"subcommand:standin" help:"run a substitute of the platform for trials and tests"`
-	Bench    *BenchCommand      `arg:"subcommand:bench" help:"measure what limpetspan costs"`
+	Config     *ConfigCommand     `arg:"subcommand:config" help:"read and change the declared configuration"`
+	Group      *GroupCommand      `arg:"subcommand:group" help:"create, list and remove database groups"`
+	Schema     *SchemaCommand     `arg:"subcommand:schema" help:"declare, list and retire schema versions of a kind of record"`
+	Status     *StatusCommand     `arg:"subcommand:status" help:"show the daemons of the fleet"`
+	Drain      *DrainCommand      `arg:"subcommand:drain" help:"take a daemon or a target out of service in a planned way"`
+	Takeover   *TakeoverCommand   `arg:"subcommand:takeover" help:"move a kind of record from one group and version to another"`
+	Replay     *ReplayCommand     `arg:"subcommand:replay" help:"run recorded traces through the reducer and compare"`
+	Explore    *ExploreCommand    `arg:"subcommand:explore" help:"check the decisions against a model under faults"`
+	Promotions *PromotionsCommand `arg:"subcommand:promotions" help:"check the changes of primaries on the platform against a model under faults"`
+	Trial      *ExperimentCommand `arg:"subcommand:experiment" help:"run the platform daemon's decisions under a load pattern in a model"`
+	Report     *ReportCommand     `arg:"subcommand:report" help:"sum up the record of a run with faults as a table and a plot"`
+	Demo       *DemoCommand       `arg:"subcommand:demo" help:"run a whole fleet on stand-ins and check the promises"`
+	Standin    *StandinCommand    `arg:"subcommand:standin" help:"run a substitute of the platform for trials and tests"`
+	Bench      *BenchCommand      `arg:"subcommand:bench" help:"measure what limpetspan costs"`
 }
 
 // Command is a subcommand that can be run.
@@ -57,6 +57,9 @@
 	return "limpetspan operates a fleet of limpetspan database proxies."
 }
 
+// renamed leads from a subcommand's old name to its present one.
+var renamed = map[string]string{"reigns": "promotions"}
+
 // Main parses the arguments, runs the subcommand and returns the exit code.
 func Main(ctx context.Context, argv []string, env *Env) int {
 	var args Args
@@ -68,6 +71,8 @@
 	case errors.Is(err, arg.ErrHelp):
 		writeHelp(env.Stdout, parser)
 		return ExitOK
+	case err != nil && len(argv) > 0 && renamed[argv[0]] != "":
+		return env.report(Usagef("subcommand %q is called %q now", argv[0], renamed[argv[0]]))
 	case err != nil:
 		_ = parser.WriteUsageForSubcommand(env.Stderr, parser.SubcommandNames()...)
 		return env.report(Usagef("%w", err))
--- a/pkg/cli/reigns.go
+++ b/pkg/cli/promotions.go
@@ -5,11 +5,11 @@
 	"fmt"
 	"time"
 
-	"limpetspan/pkg/explore/reigns"
+	"limpetspan/pkg/explore/promotions"
 )
 
-// ReignsCommand checks the changes of primaries on the platform against a model.
-type ReignsCommand struct {
+// PromotionsCommand checks the changes of primaries on the platform against a model.
+type PromotionsCommand struct {
 	Seed      uint64        `arg:"--seed" default:"1" placeholder:"N" help:"first seed; each run takes the next one"`
 	Runs      int           `arg:"--runs" default:"100" placeholder:"N" help:"number of runs"`
 	Duration  time.Duration `arg:"--duration" default:"30s" placeholder:"D" help:"time of the model with faults in one run"`
@@ -21,15 +21,15 @@
 }
 
 // Examples shows how the subcommand is used.
-func (*ReignsCommand) Examples() string {
-	return `limpetspan reigns --runs 500 --json
-limpetspan reigns --guards --runs 1500
-limpetspan reigns --seed 42 --trace`
+func (*PromotionsCommand) Examples() string {
+	return `limpetspan promotions --runs 500 --json
+limpetspan promotions --guards --runs 1500
+limpetspan promotions --seed 42 --trace`
 }
 
 // Run carries out the subcommand.
-func (c *ReignsCommand) Run(ctx context.Context, env *Env) error {
-	o := reigns.Options{Seed: c.Seed, Runs: c.Runs, Duration: c.Duration, FaultEvery: c.Faults, Sync: c.Sync}
+func (c *PromotionsCommand) Run(ctx context.Context, env *Env) error {
+	o := promotions.Options{Seed: c.Seed, Runs: c.Runs, Duration: c.Duration, FaultEvery: c.Faults, Sync: c.Sync}
 	if c.Runs < 1 || c.Duration <= 0 || c.Faults <= 0 {
 		return Usagef("--runs, --duration and --fault-every are above zero")
 	}
@@ -46,8 +46,8 @@
 	return c.explore(ctx, env, o)
 }
 
-func (c *ReignsCommand) explore(ctx context.Context, env *Env, o reigns.Options) error {
-	report := reigns.Run(ctx, o)
+func (c *PromotionsCommand) explore(ctx context.Context, env *Env, o promotions.Options) error {
+	report := promotions.Run(ctx, o)
 	if env.JSON {
 		if err := env.WriteJSON(report); err != nil {
 			return err
@@ -59,8 +59,8 @@
 	return explored(env, report.Violations, report.Runs, o.Runs)
 }
 
-func (c *ReignsCommand) proveGuards(ctx context.Context, env *Env, o reigns.Options) error {
-	results := reigns.ProveGuards(ctx, o)
+func (c *PromotionsCommand) proveGuards(ctx context.Context, env *Env, o promotions.Options) error {
+	results := promotions.ProveGuards(ctx, o)
 	if env.JSON {
 		return env.WriteJSON(results)
 	}
--- a/pkg/daemon/assemble.go
+++ b/pkg/daemon/assemble.go
@@ -183,9 +183,9 @@
 	t.LeaseDuration, t.ProbeInterval, t.ProbeTimeout = s.Lease, s.ProbeInterval, s.ProbeTimeout
 	t.RetryRatio = s.RetryRatio
 	t.DefaultTimeout = d.settings.Callers.DefaultTimeout
-	if t.DrainPatience == 0 {
+	if t.DrainWaitLimit == 0 {
 		// Open transactions get half of the stop; the rest is for handing over.
-		t.DrainPatience = s.DrainTimeout / 2
+		t.DrainWaitLimit = s.DrainTimeout / 2
 	}
 	return t
 }
--- a/pkg/daemon/gates.go
+++ b/pkg/daemon/gates.go
@@ -30,7 +30,7 @@
 	byGroup map[core.GroupID]*gate
 }
 
-// gate is the gate of one group and the reign it was opened for.
+// gate is the gate of one group and the leadership it was opened for.
 type gate struct {
 	*takeover.Gate
 	// home is the latest news of the group's home. The gate is open, or is
@@ -88,7 +88,7 @@
 
 func (g *gates) holds(h fleet.Home) bool { return h.Daemon == g.self && !h.Released }
 
-// end ends the reading of the seals for an earlier reign.
+// end ends the reading of the seals for an earlier leadership.
 func (g *gate) end() {
 	if g.stop != nil {
 		g.stop()
--- a/pkg/demo/caller.go
+++ b/pkg/demo/caller.go
@@ -12,7 +12,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 )
 
-// requestTimeout is the callers' patience.
+// requestTimeout is how long a caller waits for an answer.
 const requestTimeout = 5 * time.Second
 
 // span is the time of an acknowledged write.
--- a/pkg/experiment/daemon.go
+++ b/pkg/experiment/daemon.go
@@ -46,7 +46,7 @@
 	d.idle, d.busy = make(map[core.MemberID]int), make(map[core.MemberID]bool)
 	d.orders = make(map[core.MemberID][]direct.Effect)
 	d.update(func(at core.Time) []direct.Effect { return d.g.List(at, d.w.listed()) })
-	d.readTicket()
+	d.readLock()
 	d.repeat(tick, func() {
 		d.update(func(at core.Time) []direct.Effect { return append(d.g.List(at, d.w.listed()), d.g.Tick(at)...) })
 	})
@@ -121,12 +121,12 @@
 		d.nextOrder(d.w.member(e.Member))
 	case direct.EffectClaim:
 		d.claim(e)
-	case direct.EffectReadTicket:
-		d.readTicket()
-	case direct.EffectReleaseTicket:
+	case direct.EffectReadLock:
+		d.readLock()
+	case direct.EffectReleaseLock:
 		d.w.after(storeTakes, func() {
 			if d.w.revision == e.Token {
-				d.w.ticket = e.Returned()
+				d.w.promotionLock = e.Returned()
 				d.w.revision++
 			}
 		})
@@ -171,24 +171,24 @@
 func (d *daemon) claim(e direct.Effect) {
 	sent := d.w.now
 	d.w.after(storeTakes, d.mine(func() {
-		held := d.w.revision != 0 && !d.w.ticket.Free && d.w.holder != d.id && d.w.now.Sub(d.w.writtenAt) < direct.TicketLife
+		held := d.w.revision != 0 && !d.w.promotionLock.Free && d.w.holder != d.id && d.w.now.Sub(d.w.writtenAt) < direct.LockLife
 		if held {
 			d.update(func(at core.Time) []direct.Effect { return d.g.ClaimRefused(at, "another daemon has the lock") })
 			return
 		}
-		record, taken := d.w.ticket.Claim(e)
+		record, taken := d.w.promotionLock.Claim(e)
 		d.w.revision++
-		d.w.ticket, taken.Token = record, d.w.revision
+		d.w.promotionLock, taken.Token = record, d.w.revision
 		d.w.holder, d.w.writtenAt = d.id, d.w.now
 		d.update(func(at core.Time) []direct.Effect { return d.g.Claimed(at, sent, taken) })
 	}))
 }
 
-func (d *daemon) readTicket() {
+func (d *daemon) readLock() {
 	sent := d.w.now
 	d.w.after(storeTakes, d.mine(func() {
-		seen := d.w.ticket.Seen()
-		d.update(func(at core.Time) []direct.Effect { return d.g.TicketRead(at, sent, seen) })
+		seen := d.w.promotionLock.Seen()
+		d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, seen) })
 	}))
 }
 
@@ -339,7 +339,7 @@
 func (d *daemon) answered(s *statement, place direct.Place, m *member, sent core.Time, o direct.Outcome, p core.Position) {
 	if o == direct.Succeeded {
 		d.work.Took(s.op.kind.Name, d.w.now.Sub(sent))
-		d.g.Strained(m.id, d.w.now.Sub(sent), s.op.kind.Aim)
+		d.g.TookOfAim(m.id, d.w.now.Sub(sent), s.op.kind.Aim)
 	}
 	d.update(func(at core.Time) []direct.Effect { return d.g.Answered(at, sent, m.id, p, o) })
 	d.settled(s, place, m, o)
--- a/pkg/experiment/world.go
+++ b/pkg/experiment/world.go
@@ -44,12 +44,12 @@
 
 	members []*member
 	daemons []*daemon
-	// ticket is the promotion lock as the store holds it, written by holder at writtenAt.
-	ticket    direct.TicketRecord
-	revision  uint64
-	holder    core.DaemonID
-	writtenAt core.Time
-	term      core.Term
+	// promotionLock is the lock as the store holds it, written by holder at writtenAt.
+	promotionLock direct.LockRecord
+	revision      uint64
+	holder        core.DaemonID
+	writtenAt     core.Time
+	term          core.Term
 	// log are the times of all commits of the primary.
 	log []core.Time
 	// load multiplies the rate of callers.
--- a/pkg/explore/reigns/daemon.go
+++ b/pkg/explore/promotions/daemon.go
@@ -1,4 +1,4 @@
-package reigns
+package promotions
 
 import (
 	"time"
@@ -39,7 +39,7 @@
 	// stamps are the newest moments of other daemons' clocks that came, and when.
 	stamps map[core.DaemonID]stamp
 	kicked bool
-	// seen is the ticket's revision and since when it has stood.
+	// seen is the promotion lock's revision and since when it has stood.
 	seen     uint64
 	seenAt   core.Time
 	last     core.Position
@@ -154,9 +154,9 @@
 		d.nextOrder(e.Member)
 	case direct.EffectClaim:
 		d.claim(e)
-	case direct.EffectReadTicket:
-		d.readTicket()
-	case direct.EffectReleaseTicket:
+	case direct.EffectReadLock:
+		d.readLock()
+	case direct.EffectReleaseLock:
 		d.release(e, releaseTries)
 	case direct.EffectPromote:
 		d.promote(e)
@@ -208,7 +208,7 @@
 	d.connected[m.id] = m.life
 }
 
-// claim takes the ticket if it is free.
+// claim takes the promotion lock if it is free.
 func (d *daemon) claim(e direct.Effect) {
 	sent := d.clock()
 	refuse := func(why string) {
@@ -219,11 +219,11 @@
 		case !ok:
 			refuse("store")
 		case !d.free(t):
-			refuse("another daemon has the ticket")
+			refuse("another daemon has the promotion lock")
 		default:
-			record, taken := t.TicketRecord.Claim(e)
+			record, taken := t.LockRecord.Claim(e)
 			d.claims++
-			next := item{TicketRecord: record, holder: d.id, life: d.life, claim: d.claims}
+			next := item{LockRecord: record, holder: d.id, life: d.life, claim: d.claims}
 			d.w.store.put(d, t.revision, next, func(revision uint64, ok bool) {
 				if !ok {
 					d.withdraw(t, next, releaseTries)
@@ -237,10 +237,10 @@
 	})
 }
 
-// release gives the ticket back, again while the store does not answer. The write
-// has no effect once the ticket has changed.
+// release gives the promotion lock back, again while the store does not answer. The write
+// has no effect once the promotion lock has changed.
 func (d *daemon) release(e direct.Effect, tries int) {
-	d.w.store.put(d, e.Token, item{TicketRecord: e.Returned(), holder: d.id, life: d.life}, func(_ uint64, ok bool) {
+	d.w.store.put(d, e.Token, item{LockRecord: e.Returned(), holder: d.id, life: d.life}, func(_ uint64, ok bool) {
 		if !ok && tries > 1 {
 			d.w.after(releaseRetry, d.mine(func() { d.release(e, tries-1) }))
 		}
@@ -260,7 +260,7 @@
 		case !ok:
 			again()
 		case t.revision == before.revision || ours:
-			back := item{TicketRecord: before.Withdrawn(claim.TicketRecord), holder: d.id, life: d.life}
+			back := item{LockRecord: before.Withdrawn(claim.LockRecord), holder: d.id, life: d.life}
 			d.w.store.put(d, t.revision, back, func(_ uint64, ok bool) {
 				if !ok {
 					again()
@@ -271,14 +271,14 @@
 }
 
 func (d *daemon) free(t item) bool {
-	if t.revision == 0 || t.Free || t.holder == d.id && t.life == d.life || d.w.options.without(shellTicketLife) {
+	if t.revision == 0 || t.Free || t.holder == d.id && t.life == d.life || d.w.options.without(shellLockLife) {
 		return true
 	}
-	d.noteTicket(t)
-	return d.clock().Sub(d.seenAt) >= direct.TicketLife
+	d.noteLock(t)
+	return d.clock().Sub(d.seenAt) >= direct.LockLife
 }
 
-func (d *daemon) noteTicket(t item) {
+func (d *daemon) noteLock(t item) {
 	if d.seen != t.revision {
 		d.seen, d.seenAt = t.revision, d.clock()
 	}
@@ -291,16 +291,16 @@
 			d.w.after(500*time.Millisecond, d.mine(d.observe))
 			return
 		}
-		d.noteTicket(t)
-		d.update(func(at core.Time) []direct.Effect { return d.g.TicketRead(at, sent, t.Seen()) })
+		d.noteLock(t)
+		d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, t.Seen()) })
 	})
 }
 
-func (d *daemon) readTicket() {
+func (d *daemon) readLock() {
 	sent := d.clock()
 	d.w.store.get(d, func(t item, ok bool) {
-		if ok && d.clock().Sub(sent) < direct.TicketReadEvery {
-			d.update(func(at core.Time) []direct.Effect { return d.g.TicketRead(at, sent, t.Seen()) })
+		if ok && d.clock().Sub(sent) < direct.LockReadEvery {
+			d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, t.Seen()) })
 		}
 	})
 }
@@ -308,7 +308,7 @@
 // promote gives the order, unless it could come after that of the next holder.
 func (d *daemon) promote(e direct.Effect) {
 	if d.clock() >= e.Until && !d.w.options.without(shellSendWindow) {
-		d.update(func(at core.Time) []direct.Effect { return d.g.PromoteRefused(at, "the ticket ran out") })
+		d.update(func(at core.Time) []direct.Effect { return d.g.PromoteRefused(at, "the promotion lock ran out") })
 		return
 	}
 	d.w.after(d.w.delay(), func() { d.w.ordered(d, e) })
@@ -327,7 +327,7 @@
 		d.mine(func() {
 			d.update(func(at core.Time) []direct.Effect { return d.g.PromoteRefused(at, "not running") })
 		})()
-	case m.primary && m.term == w.reign:
+	case m.primary && m.term == w.leadership:
 	default:
 		w.after(w.between(direct.PromoteAtLeast, time.Second), func() { w.promote(m) })
 	}
--- a/pkg/explore/reigns/doc.go
+++ b/pkg/explore/promotions/doc.go
@@ -1,4 +1,4 @@
-// Package reigns explores the reducer of direct access, core/direct, in a model
+// Package promotions explores the reducer of direct access, core/direct, in a model
 // of the platform: several daemons, one group of members with asynchronous
 // replication, a store that is away or answers late, and orders to promote that
 // take effect some time after they were given.
@@ -9,4 +9,4 @@
 // acknowledged by a replaced primary, no read lacks a commit that its
 // consistency promises, fencing tokens never fall, and the group takes writes
 // again once the faults have ended.
-package reigns
+package promotions
--- a/pkg/explore/reigns/fault.go
+++ b/pkg/explore/promotions/fault.go
@@ -1,4 +1,4 @@
-package reigns
+package promotions
 
 import "time"
 
@@ -41,10 +41,10 @@
 	kinds[w.random.IntN(len(kinds))]()
 }
 
-// leader is the member that reigns, as the model knows.
+// leader is the member that leads, as the model knows.
 func (w *world) leader() *member {
 	for _, m := range w.members {
-		if m.primary && m.term == w.reign {
+		if m.primary && m.term == w.leadership {
 			return m
 		}
 	}
--- a/pkg/explore/reigns/member.go
+++ b/pkg/explore/promotions/member.go
@@ -1,4 +1,4 @@
-package reigns
+package promotions
 
 import (
 	"time"
@@ -29,7 +29,7 @@
 	// life counts the member's starts; listed is the one that the host list names, which
 	// follows later.
 	life, listed int
-	// reachedAt is since when a replaced primary reaches the one that reigns.
+	// reachedAt is since when a replaced primary reaches the one that leads.
 	reachedAt core.Time
 }
 
@@ -65,7 +65,7 @@
 	if !m.primary {
 		return false
 	}
-	c.replaced, c.lsn = m.term < m.w.reign, len(m.log)+1
+	c.replaced, c.lsn = m.term < m.w.leadership, len(m.log)+1
 	m.log = append(m.log, entry{core.Position{Term: m.term, LSN: core.LSN(c.lsn)}, c, m.w.now})
 	return true
 }
@@ -91,7 +91,7 @@
 // restart brings a member back that crashed: its log is kept, its fence is not.
 func (m *member) restart() {
 	m.down, m.fenced = false, 0
-	if m.term < m.w.reign {
+	if m.term < m.w.leadership {
 		m.primary = false
 	}
 }
@@ -111,8 +111,8 @@
 	if m.down {
 		return
 	}
-	w.reign++
-	m.term, m.primary = w.reign, true
+	w.leadership++
+	m.term, m.primary = w.leadership, true
 	for _, other := range w.members {
 		other.fenced = 0
 	}
@@ -126,7 +126,7 @@
 		c.lost = true
 	}
 	w.counts["promotions"]++
-	w.note("%s reigns in term %d", m.id, m.term)
+	w.note("%s leads in term %d", m.id, m.term)
 }
 
 // replicate lets replicas receive from the newest primary that they reach, and
--- a/pkg/explore/reigns/reigns_test.go
+++ b/pkg/explore/promotions/promotions_test.go
@@ -1,4 +1,4 @@
-package reigns_test
+package promotions_test
 
 import (
 	"context"
@@ -7,53 +7,53 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"limpetspan/pkg/explore/reigns"
+	"limpetspan/pkg/explore/promotions"
 )
 
-func TestReigns(t *testing.T) {
+func TestPromotions(t *testing.T) {
 	RegisterFailHandler(Fail)
-	RunSpecs(t, "reigns")
+	RunSpecs(t, "leads")
 }
 
 var _ = Describe("exploration of changes of the primary", func() {
 	It("finds no broken promise under faults", func() {
-		o := reigns.DefaultOptions()
+		o := promotions.DefaultOptions()
 		o.Runs = 60
-		report := reigns.Run(context.Background(), o)
+		report := promotions.Run(context.Background(), o)
 		Expect(report.Violations).To(BeEmpty())
 		Expect(report.Counts["acknowledged"]).To(BeNumerically(">", 30000))
 		Expect(report.Counts["promotions"]).To(BeNumerically(">", 60))
 	})
 
 	It("loses no acknowledged commit where commits wait for a replica", func() {
-		o := reigns.DefaultOptions()
+		o := promotions.DefaultOptions()
 		o.Runs, o.Sync = 40, true
-		report := reigns.Run(context.Background(), o)
+		report := promotions.Run(context.Background(), o)
 		Expect(report.Violations).To(BeEmpty())
 		Expect(report.Counts["promotions"]).To(BeNumerically(">", 20))
 	})
 
 	It("repeats a run from its seed", func() {
-		o := reigns.DefaultOptions()
+		o := promotions.DefaultOptions()
 		o.Runs, o.Seed = 1, 7
-		Expect(reigns.Run(context.Background(), o)).To(Equal(reigns.Run(context.Background(), o)))
+		Expect(promotions.Run(context.Background(), o)).To(Equal(promotions.Run(context.Background(), o)))
 	})
 
 	// Story: a check is taken out by mistake. Callers would see commits that are
 	// acknowledged and lost, reads that lack commits, or a group that takes no writes
 	// any more. The exploration has to notice each. The checks that are not here take
-	// it more runs than a test may: leads, outrun, own-fences, same-reign and
+	// it more runs than a test may: leads, outrun, own-fences, same-term and
 	// send-window have scripts of their own.
 	DescribeTable("notices a check that is switched off",
 		func(name, promise string, first ...uint64) {
-			o := reigns.DefaultOptions()
+			o := promotions.DefaultOptions()
 			Expect(o.SwitchOff(name)).To(Succeed())
 			for _, seed := range first {
 				o.Seed = seed
 			}
 			end := o.Seed + 300
 			for o.Runs = 16; o.Seed < end; o.Seed += uint64(o.Runs) {
-				if report := reigns.Run(context.Background(), o); len(report.Violations) > 0 {
+				if report := promotions.Run(context.Background(), o); len(report.Violations) > 0 {
 					Expect(report.Violations[0].Promise).To(MatchRegexp(promise))
 					return
 				}
@@ -68,8 +68,8 @@
 		Entry(nil, "session-position", "stale"),
 		Entry(nil, "superseded", "replaced|progress"),
 		Entry(nil, "sync", "lost"),
-		Entry(nil, "ticket-life", "replaced|token"),
-		Entry(nil, "ticket-term", "replaced|stale"),
+		Entry(nil, "lock-life", "replaced|token"),
+		Entry(nil, "lock-term", "replaced|stale"),
 		Entry(nil, "unbroken-lease", "replaced|stale"),
 	)
 })
--- a/pkg/explore/reigns/run.go
+++ b/pkg/explore/promotions/run.go
@@ -1,4 +1,4 @@
-package reigns
+package promotions
 
 import (
 	"context"
@@ -42,10 +42,10 @@
 const (
 	// shellAckLease: a commit is told only while its member is primary under the lease.
 	shellAckLease shellGuard = 1 << iota
-	// shellSendWindow: no order goes out once its ticket could be another's.
+	// shellSendWindow: no order goes out once its promotion lock could be another's.
 	shellSendWindow
-	// shellTicketLife: a ticket that its holder has not given back is waited out.
-	shellTicketLife
+	// shellLockLife: a promotion lock that its holder has not given back is waited out.
+	shellLockLife
 )
 
 func (o *Options) without(g shellGuard) bool { return o.shell&g != 0 }
@@ -68,14 +68,14 @@
 	{name: "own-fences", reducer: direct.GuardOwnFences},
 	{name: "read-lease", reducer: direct.GuardReadLease},
 	{name: "restart", reducer: direct.GuardRestart},
-	{name: "same-reign", reducer: direct.GuardSameReign},
+	{name: "same-term", reducer: direct.GuardSameTerm},
 	{name: "send-window", reducer: direct.GuardSendWindow, shell: shellSendWindow},
 	{name: "session-position", reducer: direct.GuardSessionPosition},
 	{name: "sync", reducer: direct.GuardSync, sync: true},
 	{name: "settled", reducer: direct.GuardSettled},
 	{name: "superseded", reducer: direct.GuardSuperseded},
-	{name: "ticket-life", shell: shellTicketLife},
-	{name: "ticket-term", reducer: direct.GuardTicketTerm},
+	{name: "lock-life", shell: shellLockLife},
+	{name: "lock-term", reducer: direct.GuardLockTerm},
 	{name: "unbroken-lease", reducer: direct.GuardUnbrokenLease},
 }
 
--- a/pkg/explore/reigns/statement.go
+++ b/pkg/explore/promotions/statement.go
@@ -1,4 +1,4 @@
-package reigns
+package promotions
 
 import (
 	"time"
--- a/pkg/explore/reigns/store.go
+++ b/pkg/explore/promotions/store.go
@@ -1,4 +1,4 @@
-package reigns
+package promotions
 
 import (
 	"time"
@@ -7,9 +7,9 @@
 	"limpetspan/core/direct"
 )
 
-// item is the group's ticket as the store holds it.
+// item is the group's promotion lock as the store holds it.
 type item struct {
-	direct.TicketRecord
+	direct.LockRecord
 	revision uint64
 	holder   core.DaemonID
 	life     int
@@ -17,14 +17,14 @@
 	claim int
 }
 
-// store holds the ticket. It may be away, and its answers may be lost, in which
+// store holds the promotion lock. It may be away, and its answers may be lost, in which
 // case a write may also take effect later.
 type store struct {
-	w        *world
-	ticket   item
-	revision uint64
-	awayTill core.Time
-	loseTill core.Time
+	w             *world
+	promotionLock item
+	revision      uint64
+	awayTill      core.Time
+	loseTill      core.Time
 }
 
 // storeTimeout is when a daemon gives a call up.
@@ -34,22 +34,22 @@
 func (s *store) get(d *daemon, answer func(item, bool)) {
 	once := d.timeout(storeTimeout, func() { answer(item{}, false) })
 	s.call(d, func() {
-		read := s.ticket
+		read := s.promotionLock
 		s.reply(d, func() { once(func() { answer(read, true) }) })
 	})
 }
 
-// put writes the ticket if its revision is last.
+// put writes the promotion lock if its revision is last.
 func (s *store) put(d *daemon, last uint64, next item, answer func(uint64, bool)) {
 	once := d.timeout(storeTimeout, func() { answer(0, false) })
 	apply := func() (uint64, bool) {
-		if s.ticket.revision != last {
+		if s.promotionLock.revision != last {
 			return 0, false
 		}
 		s.revision++
 		next.revision = s.revision
-		s.ticket = next
-		s.w.note("ticket %d: %s wants term %d, free %v", next.revision, next.holder, next.Term, next.Free)
+		s.promotionLock = next
+		s.w.note("promotion lock %d: %s wants term %d, free %v", next.revision, next.holder, next.Term, next.Free)
 		return next.revision, true
 	}
 	s.call(d, func() {
--- a/pkg/explore/reigns/world.go
+++ b/pkg/explore/promotions/world.go
@@ -1,4 +1,4 @@
-package reigns
+package promotions
 
 import (
 	"fmt"
@@ -22,7 +22,7 @@
 	// epoch is when a run begins: 0 means "never" inside the reducer.
 	epoch = core.Time(10 * time.Second)
 	// settleFor is how long after the last fault the group has to take writes
-	// again: a ticket of a holder that was killed is waited out, an order that
+	// again: a promotion lock of a holder that was killed is waited out, an order that
 	// had no effect as well, and the next one takes its time.
 	settleFor = 15 * time.Second
 	// tick is how often daemons look at their deadlines and replicas receive.
@@ -52,8 +52,8 @@
 	store   store
 	// cut holds, by path, until when nothing passes.
 	cut map[[2]node]core.Time
-	// reign is the newest promotion that has taken effect.
-	reign core.Term
+	// leadership is the newest promotion that has taken effect.
+	leadership core.Term
 	// commits are all that were ever written, by identity.
 	commits []*commit
 	// highestToken is the newest one that came with an order.
@@ -83,7 +83,7 @@
 func newWorld(seed uint64, o Options) *world {
 	w := &world{
 		options: o, random: rand.New(rand.NewPCG(seed, 1)), now: epoch, cut: make(map[[2]node]core.Time),
-		counts: make(map[string]int), reign: 1, faultsEnd: epoch.Add(o.Duration), trace: o.Trace,
+		counts: make(map[string]int), leadership: 1, faultsEnd: epoch.Add(o.Duration), trace: o.Trace,
 	}
 	w.store.w = w
 	for i := range memberCount {
--- a/pkg/explore/scenario.go
+++ b/pkg/explore/scenario.go
@@ -37,7 +37,7 @@
 		[]func(*world) func(){crashPrimary}, (*world).home, 0},
 	{"primary-partition", "The primary goes on, cut off from every daemon. Its home loses the lease, no zone reaches it, a majority of the others is fenced and one is promoted.",
 		[]func(*world) func(){cutPrimary}, (*world).home, 0},
-	{"primary-paused", "The primary stops answering and later wakes up as if nothing had happened. By then another member reigns; what the woken one still holds is never acknowledged.",
+	{"primary-paused", "The primary stops answering and later wakes up as if nothing had happened. By then another member leads; what the woken one still holds is never acknowledged.",
 		[]func(*world) func(){pausePrimary}, (*world).home, 0},
 	{"home-cut-off-with-primary", "The home and the old primary stand alone on one side. The home may not acknowledge there once its lease has lapsed, since the other side has promoted.",
 		[]func(*world) func(){splitHome}, (*world).home, 0},
--- a/pkg/explore/world.go
+++ b/pkg/explore/world.go
@@ -212,7 +212,7 @@
 	return n
 }
 
-// primary is the member that reigns in the highest term, nil if none.
+// primary is the member that leads in the highest term, nil if none.
 func (w *world) primary() *member {
 	var best *member
 	for _, m := range w.members {
--- a/pkg/front/batch_test.go
+++ b/pkg/front/batch_test.go
@@ -146,7 +146,7 @@
 		Expect(r.server.CancelKey(conn.PgConn().PID(), 0)).To(BeFalse())
 		foreign := uint32(KeyTag("d2"))<<keyNumberLen | 7
 		r.dialRaw().write(encodeCancel(foreign, 9))
-		Eventually(elsewhere, patience).Should(Receive(Equal([2]uint32{foreign, 9})))
+		Eventually(elsewhere, waitLimit).Should(Receive(Equal([2]uint32{foreign, 9})))
 		Expect(conn.Ping(context.Background())).To(Succeed())
 	})
 })
--- a/pkg/front/failure_test.go
+++ b/pkg/front/failure_test.go
@@ -23,9 +23,9 @@
 		idle, running, inside := r.connectRaw(), r.connectRaw(), r.connectRaw()
 		Expect(inside.query("BEGIN").Status).To(Equal(byte('T')))
 		running.write(encode(&pgproto3.Query{String: "WAIT"}))
-		Eventually(func() int { _, n, _ := r.handler.counts(); return n }, patience).Should(Equal(1))
+		Eventually(func() int { _, n, _ := r.handler.counts(); return n }, waitLimit).Should(Equal(1))
 
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 		defer cancel()
 		stopped := make(chan error, 1)
 		go func() { stopped <- r.server.Shutdown(ctx) }()
@@ -38,14 +38,14 @@
 		close(r.handler.release)
 		Expect(running.untilReady().Rows).To(Equal([]string{"WAIT"}))
 		Expect(running.fatal()).To(Equal("57P01"))
-		Eventually(stopped, patience).Should(Receive(BeNil()))
+		Eventually(stopped, waitLimit).Should(Receive(BeNil()))
 	})
 
 	It("cuts off what has not ended in time", func() {
 		r := startRig(trust)
 		stuck := r.connectRaw()
 		stuck.write(encode(&pgproto3.Query{String: "WAIT"}))
-		Eventually(func() int { _, n, _ := r.handler.counts(); return n }, patience).Should(Equal(1))
+		Eventually(func() int { _, n, _ := r.handler.counts(); return n }, waitLimit).Should(Equal(1))
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		Expect(r.server.Shutdown(ctx)).To(MatchError(context.Canceled))
@@ -61,10 +61,10 @@
 		r := startRig(trust)
 		c := r.connectRaw()
 		c.write(encode(&pgproto3.Query{String: "WAIT"}, &pgproto3.Query{String: "SELECT 2"}, &pgproto3.Terminate{}))
-		Eventually(func() int { _, n, _ := r.handler.counts(); return n }, patience).Should(Equal(1))
+		Eventually(func() int { _, n, _ := r.handler.counts(); return n }, waitLimit).Should(Equal(1))
 		c.conn.Close()
-		Eventually(func() int { _, _, n := r.handler.counts(); return n }, patience).Should(BeNumerically(">", 0))
-		Eventually(r.callers, patience).Should(BeZero())
+		Eventually(func() int { _, _, n := r.handler.counts(); return n }, waitLimit).Should(BeNumerically(">", 0))
+		Eventually(r.callers, waitLimit).Should(BeZero())
 		requests, _, _ := r.handler.counts()
 		Expect(requests).To(Equal(1))
 	})
@@ -242,7 +242,7 @@
 				again.Close(context.Background())
 			}
 			return err
-		}, patience).Should(Succeed())
+		}, waitLimit).Should(Succeed())
 	})
 
 	It("end an idle connection, but none in a transaction", func() {
--- a/pkg/front/raw_test.go
+++ b/pkg/front/raw_test.go
@@ -22,7 +22,7 @@
 	conn, err := net.Dial("tcp", r.address)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { conn.Close() })
-	conn.SetDeadline(time.Now().Add(patience))
+	conn.SetDeadline(time.Now().Add(waitLimit))
 	return &rawClient{conn, pgproto3.NewFrontend(conn, conn)}
 }
 
--- a/pkg/front/server_test.go
+++ b/pkg/front/server_test.go
@@ -13,7 +13,7 @@
 	. "github.com/onsi/gomega"
 )
 
-const patience = 20 * time.Second
+const waitLimit = 20 * time.Second
 
 // rig is a server in front of a fake handler.
 type rig struct {
@@ -44,7 +44,7 @@
 	go func() { r.served <- r.server.Serve(ctx, listener) }()
 	DeferCleanup(func() {
 		cancel()
-		Eventually(r.served, patience).Should(Receive())
+		Eventually(r.served, waitLimit).Should(Receive())
 	})
 	return r
 }
@@ -147,9 +147,9 @@
 			_, err := conn.PgConn().Exec(context.Background(), "WAIT").ReadAll()
 			failed <- err
 		}()
-		Eventually(func() int { _, n, _ := r.handler.counts(); return n }, patience).Should(Equal(1))
+		Eventually(func() int { _, n, _ := r.handler.counts(); return n }, waitLimit).Should(Equal(1))
 		Expect(conn.PgConn().CancelRequest(context.Background())).To(Succeed())
-		Eventually(failed, patience).Should(Receive(haveState("57014", "outcome=not_run step=home.queue")))
+		Eventually(failed, waitLimit).Should(Receive(haveState("57014", "outcome=not_run step=home.queue")))
 		Expect(query(conn, "SELECT 1")).Error().NotTo(HaveOccurred())
 	})
 })
--- a/pkg/front/startup_test.go
+++ b/pkg/front/startup_test.go
@@ -94,7 +94,7 @@
 		stopped := make(chan error, 1)
 		go func() { stopped <- r.server.Shutdown(context.Background()) }()
 		Expect(first.WaitForNotification(context.Background())).Error().To(haveState("57P01"))
-		Eventually(stopped, patience).Should(Receive(BeNil()))
+		Eventually(stopped, waitLimit).Should(Receive(BeNil()))
 	})
 })
 
--- a/pkg/home/do_test.go
+++ b/pkg/home/do_test.go
@@ -127,7 +127,7 @@
 			return result.TxStatus
 		}
 		begin()
-		Expect(fail("DIE", within(r.now(), patience))).To(Equal(byte('I')))
+		Expect(fail("DIE", within(r.now(), waitLimit))).To(Equal(byte('I')))
 		begin()
 		Expect(fail("WAIT for ever", within(r.now(), 50*time.Millisecond))).To(Equal(byte('I')))
 	})
@@ -163,14 +163,14 @@
 			_, err := r.manager.Do(context.Background(), req, slow)
 			done <- err
 		}()
-		Eventually(func() int { return r.member.count("BIG") }, patience).Should(Equal(1))
+		Eventually(func() int { return r.member.count("BIG") }, waitLimit).Should(Equal(1))
 		for i := range 5 {
 			_, _, err := r.do(r.request(uint64(10+i), query("SELECT 1")))
 			Expect(err).NotTo(HaveOccurred())
 		}
 		Consistently(done, 20*time.Millisecond).ShouldNot(Receive())
 		close(slow.block)
-		Eventually(done, patience).Should(Receive(BeNil()))
+		Eventually(done, waitLimit).Should(Receive(BeNil()))
 	})
 
 	// A rider cancels, the statement ends just then, and the cancel request
@@ -184,14 +184,14 @@
 			done <- err
 		}
 		go run(1, "WAIT cancel")
-		Eventually(func() int { return r.member.count("WAIT cancel") }, patience).Should(Equal(1))
+		Eventually(func() int { return r.member.count("WAIT cancel") }, waitLimit).Should(Equal(1))
 		go run(2, "SELECT next")
-		Eventually(func() int { return r.manager.Snapshot()[0].Requests }, patience).Should(Equal(2))
+		Eventually(func() int { return r.manager.Snapshot()[0].Requests }, waitLimit).Should(Equal(2))
 		r.manager.Cancel(core.CallerID{Entry: "d1", Number: 1})
-		Eventually(r.member.cancels.Load, patience).Should(Equal(int32(1)))
+		Eventually(r.member.cancels.Load, waitLimit).Should(Equal(int32(1)))
 		close(r.member.gate("cancel"))
-		Eventually(done, patience).Should(Receive(BeNil()))
-		Eventually(done, patience).Should(Receive(BeNil()))
+		Eventually(done, waitLimit).Should(Receive(BeNil()))
+		Eventually(done, waitLimit).Should(Receive(BeNil()))
 		Expect(r.member.last("SELECT next")).NotTo(Equal(r.member.last("WAIT cancel")))
 		Expect(r.reducer.results).To(ContainElement(group.ResultNotSent))
 	})
@@ -204,10 +204,10 @@
 			_, err := r.manager.Do(ctx, r.request(1, query("WAIT ctx")), &answer{})
 			done <- err
 		}()
-		Eventually(func() int { return r.member.count("WAIT ctx") }, patience).Should(Equal(1))
+		Eventually(func() int { return r.member.count("WAIT ctx") }, waitLimit).Should(Equal(1))
 		cancel()
 		var err error
-		Eventually(done, patience).Should(Receive(&err))
+		Eventually(done, waitLimit).Should(Receive(&err))
 		Expect(errs.Is(err, errs.Cancelled)).To(BeTrue())
 		close(r.member.gate("ctx"))
 	})
--- a/pkg/home/once_test.go
+++ b/pkg/home/once_test.go
@@ -72,7 +72,7 @@
 func (d *daemon) request(status byte, once string, messages []byte) *exchange.Request {
 	return &exchange.Request{
 		Caller: core.CallerID{Entry: "d1", Number: 1}, Messages: messages, TxStatus: status, Group: "g",
-		Directives: core.Directives{Session: "s1", Once: once}, Deadline: d.now().Add(patience),
+		Directives: core.Directives{Session: "s1", Once: once}, Deadline: d.now().Add(waitLimit),
 	}
 }
 
@@ -222,7 +222,7 @@
 			}()
 		}
 		for range 12 {
-			Eventually(answers, patience).Should(Receive(Equal("INSERT 0 1")))
+			Eventually(answers, waitLimit).Should(Receive(Equal("INSERT 0 1")))
 		}
 		Expect(d.count()).To(Equal("1"))
 	})
@@ -269,6 +269,6 @@
 			Expect(d.manager.RemoveOldKeys("g", "a")).To(Succeed())
 			a, _ := d.run('I', "", query("SELECT count(k.once_key) FROM limpetspan_once k"))
 			return a.first()
-		}, patience).Should(Equal("0"))
+		}, waitLimit).Should(Equal("0"))
 	})
 })
--- a/pkg/home/peers_test.go
+++ b/pkg/home/peers_test.go
@@ -96,7 +96,7 @@
 			Expect(members.Faults().SetLag(replica, standin.Lag{Fixed: stuck})).To(Succeed())
 		}
 		_, result := first.run('I', "", query("INSERT INTO charge VALUES(7)"))
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 		defer cancel()
 		Expect(first.manager.Drain(ctx)).To(Succeed())
 		Expect(handed).To(Equal([][]group.SessionPosition{{{Session: "s1", Position: result.Position}}}))
--- a/pkg/home/rig_test.go
+++ b/pkg/home/rig_test.go
@@ -19,7 +19,7 @@
 	"limpetspan/pkg/target"
 )
 
-const patience = 10 * time.Second
+const waitLimit = 10 * time.Second
 
 // answer collects what a caller gets.
 type answer struct {
@@ -120,7 +120,7 @@
 func (r *rig) request(caller uint64, messages []byte) *exchange.Request {
 	return &exchange.Request{
 		Caller: core.CallerID{Entry: "d1", Number: caller}, Messages: messages, TxStatus: 'I', Group: "g",
-		Deadline: within(r.now(), patience),
+		Deadline: within(r.now(), waitLimit),
 	}
 }
 
--- a/pkg/home/shard_test.go
+++ b/pkg/home/shard_test.go
@@ -35,7 +35,7 @@
 	// the member that takes over, with what was acknowledged before.
 	It("takes up writes again after the primary crashed", func() {
 		d.run('I', "k1", insert)
-		Eventually(func() core.LSN { return d.slowest(members) }, patience).Should(BeNumerically(">=", 1))
+		Eventually(func() core.LSN { return d.slowest(members) }, waitLimit).Should(BeNumerically(">=", 1))
 		Expect(members.Faults().Crash("a")).To(Succeed())
 		d.eventually(query("INSERT INTO charge VALUES(8)"))
 		Expect(d.manager.Snapshot()[0].Requests).To(BeZero())
@@ -67,7 +67,7 @@
 
 	It("hands over and ends on a drain", func() {
 		d.run('I', "", insert)
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 		defer cancel()
 		Expect(d.manager.Drain(ctx)).To(Succeed())
 		_, _, err := d.do('I', "", insert)
@@ -81,7 +81,7 @@
 	Eventually(func() error {
 		_, _, err := d.do('I', "", messages)
 		return err
-	}, 2*patience, 20*time.Millisecond).Should(Succeed())
+	}, 2*waitLimit, 20*time.Millisecond).Should(Succeed())
 }
 
 // slowest returns the least offset of all members.
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -14,9 +14,9 @@
 	"limpetspan/platform"
 )
 
-// ticket is the key of the store that names who may change a group's primary.
-type ticket struct {
-	direct.TicketRecord
+// promotion lock is the key of the store that names who may change a group's primary.
+type promotionLock struct {
+	direct.LockRecord
 	Holder core.DaemonID `json:"holder"`
 	// Boot tells one life of a daemon from the next.
 	Boot int64 `json:"boot"`
@@ -24,30 +24,30 @@
 	Claim uint64 `json:"claim,omitempty"`
 }
 
-// seenTicket is a ticket's revision and when this daemon first saw it.
-type seenTicket struct {
+// seenLock is a promotion lock's revision and when this daemon first saw it.
+type seenLock struct {
 	revision platform.Revision
 	at       core.Time
 }
 
-// claims takes tickets and orders promotions.
+// claims takes promotion locks and orders promotions.
 type claims struct {
 	p *Proxy
 	// claimed counts this daemon's claims.
 	claimed atomic.Uint64
-	// listing is set while all tickets are read for the groups that ask.
+	// listing is set while all promotion locks are read for the groups that ask.
 	listing atomic.Bool
 	mu      sync.Mutex
-	seen    map[core.GroupID]seenTicket
+	seen    map[core.GroupID]seenLock
 }
 
-// claim takes the group's ticket, or reports why that is not possible.
+// claim takes the group's promotion lock, or reports why that is not possible.
 func (c *claims) claim(g *group, e direct.Effect) {
 	ctx, cancel := context.WithTimeout(c.p.ctx, 2*storeTimeout)
 	defer cancel()
 	sent := now()
 	taken, why := c.take(ctx, g.id, e)
-	c.p.log.Info("ticket", "group", g.id, "term", taken.Term, "unresolved", taken.Unresolved, "revision", taken.Token, "refused", why)
+	c.p.log.Info("promotion lock", "group", g.id, "term", taken.Term, "unresolved", taken.Unresolved, "revision", taken.Token, "refused", why)
 	g.update(func(r *direct.Group, at core.Time) []direct.Effect {
 		if why != "" {
 			return r.ClaimRefused(at, why)
@@ -56,29 +56,29 @@
 	})
 }
 
-func (c *claims) take(ctx context.Context, id core.GroupID, e direct.Effect) (direct.Ticket, string) {
-	item, err := c.p.client.Get(ctx, platform.TicketsPrefix+string(id))
+func (c *claims) take(ctx context.Context, id core.GroupID, e direct.Effect) (direct.PromotionLock, string) {
+	item, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		return direct.Ticket{}, "store: " + err.Error()
+		return direct.PromotionLock{}, "store: " + err.Error()
 	}
-	var last ticket
+	var last promotionLock
 	if err == nil {
 		if !c.free(item) {
-			return direct.Ticket{}, "another daemon has the ticket"
+			return direct.PromotionLock{}, "another daemon has the promotion lock"
 		}
 		var ok bool
 		if last, ok = c.parse(item); !ok {
-			return direct.Ticket{}, "the last ticket cannot be read"
+			return direct.PromotionLock{}, "the last promotion lock cannot be read"
 		}
 	}
-	record, taken := last.TicketRecord.Claim(e)
-	next := ticket{TicketRecord: record, Claim: c.claimed.Add(1)}
+	record, taken := last.LockRecord.Claim(e)
+	next := promotionLock{LockRecord: record, Claim: c.claimed.Add(1)}
 	revision, err := c.put(ctx, id, item.Revision, next)
 	if err != nil {
 		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnavailable) {
-			go c.withdraw(id, item.Revision, last.TicketRecord, next)
+			go c.withdraw(id, item.Revision, last.LockRecord, next)
 		}
-		return direct.Ticket{}, "store: " + err.Error()
+		return direct.PromotionLock{}, "store: " + err.Error()
 	}
 	taken.Token = uint64(revision)
 	return taken, ""
@@ -88,8 +88,8 @@
 // it, or may do so seconds later while its condition holds; the group would then
 // look claimed, and five seconds later as if a promotion had been ordered. Writing
 // what was there before takes the place of the claim, or makes its condition fail.
-func (c *claims) withdraw(id core.GroupID, revision platform.Revision, before direct.TicketRecord, claim ticket) {
-	back := ticket{TicketRecord: before.Withdrawn(claim.TicketRecord)}
+func (c *claims) withdraw(id core.GroupID, revision platform.Revision, before direct.LockRecord, claim promotionLock) {
+	back := promotionLock{LockRecord: before.Withdrawn(claim.LockRecord)}
 	if !c.persist(func(ctx context.Context) bool { return c.replace(ctx, id, revision, back, claim) }) {
 		c.p.log.Error("claim not withdrawn", "group", id, "term", claim.Term)
 	}
@@ -112,10 +112,10 @@
 	return false
 }
 
-// replace writes the ticket that was there before over the claim, or over what the
+// replace writes the promotion lock that was there before over the claim, or over what the
 // claim would be written over; false: the store did not answer.
-func (c *claims) replace(ctx context.Context, id core.GroupID, revision platform.Revision, before, claim ticket) bool {
-	item, err := c.p.client.Get(ctx, platform.TicketsPrefix+string(id))
+func (c *claims) replace(ctx context.Context, id core.GroupID, revision platform.Revision, before, claim promotionLock) bool {
+	item, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		c.p.log.Warn("claim not withdrawn yet", "group", id, "step", "read", "error", err.Error())
 		return false
@@ -134,9 +134,9 @@
 	return true
 }
 
-// put writes the group's ticket if its last change is the revision.
-func (c *claims) put(ctx context.Context, id core.GroupID, last platform.Revision, t ticket) (platform.Revision, error) {
-	key := platform.TicketsPrefix + string(id)
+// put writes the group's promotion lock if its last change is the revision.
+func (c *claims) put(ctx context.Context, id core.GroupID, last platform.Revision, t promotionLock) (platform.Revision, error) {
+	key := platform.LocksPrefix + string(id)
 	t.Holder, t.Boot = c.p.settings.Daemon, c.p.boot
 	value, err := json.Marshal(t)
 	if err != nil {
@@ -145,31 +145,31 @@
 	return c.p.client.Put(ctx, []platform.Condition{{Key: key, Revision: last}}, []platform.Write{{Key: key, Value: value}})
 }
 
-// release gives back a ticket under which nothing will be ordered any more. It is
-// tried again while the store does not answer: until a ticket is back, reads of it
+// release gives back a promotion lock under which nothing will be ordered any more. It is
+// tried again while the store does not answer: until a promotion lock is back, reads of it
 // give nobody a lease, and the next claim waits for its end.
 func (c *claims) release(id core.GroupID, e direct.Effect) {
 	tries := 0
 	c.persist(func(ctx context.Context) bool {
 		tries++
-		_, err := c.put(ctx, id, platform.Revision(e.Token), ticket{TicketRecord: e.Returned()})
+		_, err := c.put(ctx, id, platform.Revision(e.Token), promotionLock{LockRecord: e.Returned()})
 		if err != nil {
-			c.p.log.Warn("ticket not given back", "group", id, "token", e.Token, "try", tries, "error", err.Error())
+			c.p.log.Warn("promotion lock not given back", "group", id, "token", e.Token, "try", tries, "error", err.Error())
 		}
 		return err == nil || errors.Is(err, platform.ErrConflict)
 	})
 }
 
-// ticketsPerPage is how many tickets one call lists.
-const ticketsPerPage = 500
+// locksPerPage is how many promotion locks one call lists.
+const locksPerPage = 500
 
-// read tells the reducer which term the group's ticket names, and all others of this
+// read tells the reducer which term the group's promotion lock names, and all others of this
 // daemon's groups as well if that costs no more calls. Without a primary's confirmations,
 // as after a loss of power or with replicas cut off, each group asks four times a second;
 // 18 homes of 20 groups made a thousand calls a second of it.
 func (c *claims) read(g *group) {
 	catalog := c.p.catalog.Load()
-	if catalog == nil || len(c.p.activeGroups()) <= 1+len(catalog.Groups)/ticketsPerPage {
+	if catalog == nil || len(c.p.activeGroups()) <= 1+len(catalog.Groups)/locksPerPage {
 		c.readOne(g)
 		return
 	}
@@ -178,46 +178,46 @@
 		return
 	}
 	defer c.listing.Store(false)
-	if err := c.p.tellTickets(direct.TicketReadEvery); err != nil {
-		c.p.decision("tickets not read", "error", err.Error())
+	if err := c.p.tellLocks(direct.LockReadEvery); err != nil {
+		c.p.decision("promotion locks not read", "error", err.Error())
 	}
 }
 
-// readOne reads the ticket of one group.
+// readOne reads the promotion lock of one group.
 func (c *claims) readOne(g *group) {
-	ctx, cancel := context.WithTimeout(c.p.ctx, direct.TicketReadEvery)
+	ctx, cancel := context.WithTimeout(c.p.ctx, direct.LockReadEvery)
 	defer cancel()
 	sent := now()
-	item, err := c.p.client.Get(ctx, platform.TicketsPrefix+string(g.id))
+	item, err := c.p.client.Get(ctx, platform.LocksPrefix+string(g.id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
-		c.p.decision("ticket not read", "group", g.id, "error", err.Error())
+		c.p.decision("promotion lock not read", "group", g.id, "error", err.Error())
 		return
 	}
-	var t ticket
+	var t promotionLock
 	if err == nil {
 		var ok bool
 		if t, ok = c.parse(item); !ok {
 			return
 		}
 	}
-	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.TicketRead(at, sent, t.Seen()) })
+	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.LockRead(at, sent, t.Seen()) })
 }
 
-// parse decodes a ticket; what cannot be read is logged, and its zero ticket is
+// parse decodes a promotion lock; what cannot be read is logged, and its zero promotion lock is
 // nobody's and not free.
-func (c *claims) parse(item platform.Item) (t ticket, ok bool) {
+func (c *claims) parse(item platform.Item) (t promotionLock, ok bool) {
 	if err := json.Unmarshal(item.Value, &t); err != nil {
-		c.p.log.Warn("ticket cannot be read", "key", item.Key, "error", err.Error())
-		return ticket{}, false
+		c.p.log.Warn("promotion lock cannot be read", "key", item.Key, "error", err.Error())
+		return promotionLock{}, false
 	}
 	return t, true
 }
 
-func groupOfTicket(item platform.Item) core.GroupID {
-	return core.GroupID(strings.TrimPrefix(item.Key, platform.TicketsPrefix))
+func groupOfLock(item platform.Item) core.GroupID {
+	return core.GroupID(strings.TrimPrefix(item.Key, platform.LocksPrefix))
 }
 
-// free says whether the ticket may be taken over: it was given back, it is this
+// free says whether the promotion lock may be taken over: it was given back, it is this
 // process's own, or it has not changed for so long that its holder can order
 // nothing under it. One that cannot be read counts as held.
 func (c *claims) free(item platform.Item) bool {
@@ -226,21 +226,21 @@
 		return true
 	}
 	at := now()
-	return at.Sub(c.since(item, at)) >= direct.TicketLife
+	return at.Sub(c.since(item, at)) >= direct.LockLife
 }
 
-// since is when the ticket was first seen as it is now, which may be at.
+// since is when the promotion lock was first seen as it is now, which may be at.
 func (c *claims) since(item platform.Item, at core.Time) core.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	id := groupOfTicket(item)
+	id := groupOfLock(item)
 	if c.seen[id].revision != item.Revision {
-		c.seen[id] = seenTicket{item.Revision, at}
+		c.seen[id] = seenLock{item.Revision, at}
 	}
 	return c.seen[id].at
 }
 
-// observe remembers since when tickets have stood, so that an old one is not
+// observe remembers since when promotion locks have stood, so that an old one is not
 // waited for when it is needed.
 func (c *claims) observe(items []platform.Item) {
 	at := now()
@@ -249,23 +249,23 @@
 	}
 }
 
-// tell passes tickets that were read at sent on to the groups, which may use no
+// tell passes promotion locks that were read at sent on to the groups, which may use no
 // primary before they know who has claimed them.
 func (c *claims) tell(sent core.Time, items []platform.Item) {
-	seen := make(map[core.GroupID]direct.TicketSeen)
+	seen := make(map[core.GroupID]direct.LockSeen)
 	unreadable := make(map[core.GroupID]bool)
 	for _, item := range items {
 		if t, ok := c.parse(item); ok {
-			seen[groupOfTicket(item)] = t.Seen()
+			seen[groupOfLock(item)] = t.Seen()
 		} else {
-			unreadable[groupOfTicket(item)] = true
+			unreadable[groupOfLock(item)] = true
 		}
 	}
 	for _, g := range c.p.allGroups() {
 		if unreadable[g.id] {
 			continue
 		}
-		g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.TicketRead(at, sent, seen[g.id]) })
+		g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.LockRead(at, sent, seen[g.id]) })
 	}
 }
 
@@ -274,7 +274,7 @@
 func (c *claims) promote(g *group, e direct.Effect) {
 	left := e.Until.Sub(now())
 	if left <= 0 {
-		c.refused(g, "the ticket ran out")
+		c.refused(g, "the promotion lock ran out")
 		return
 	}
 	ctx, cancel := context.WithTimeout(c.p.ctx, min(promoteTimeout, left+time.Second))
--- a/pkg/proxy/claims_test.go
+++ b/pkg/proxy/claims_test.go
@@ -9,8 +9,8 @@
 	"limpetspan/platform/standin"
 )
 
-var _ = Describe("the tickets of a daemon's groups", func() {
-	// Replicas are cut from the daemon, so that its leases need reads of the tickets. With
+var _ = Describe("the promotion locks of a daemon's groups", func() {
+	// Replicas are cut from the daemon, so that its leases need reads of the promotion locks. With
 	// a call for each group, homes of many groups ask the store a thousand times a second,
 	// most of all when it has just come back.
 	It("are read with one call for all groups", func() {
--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -61,7 +61,7 @@
 }
 
 // join reads the list of daemons for the first time, chooses homes by it, and reads the
-// tickets if this daemon is one; false: the store did not answer.
+// promotion locks if this daemon is one; false: the store did not answer.
 func (p *Proxy) join(lease uint64) bool {
 	l, err := p.firstList(lease)
 	if err != nil {
@@ -70,7 +70,7 @@
 	p.peers.listed(l.entries)
 	p.homes.decide(l.size)
 	p.wakeMembers()
-	return len(p.activeGroups()) == 0 || p.tellTickets(storeTimeout) == nil
+	return len(p.activeGroups()) == 0 || p.tellLocks(storeTimeout) == nil
 }
 
 // firstList reads a list of daemons that is complete enough to choose homes by it.
@@ -114,7 +114,7 @@
 }
 
 // relist reads the list of daemons again, which may be old; false: the store did not
-// answer. Only homes promote, and only they look since when tickets have stood.
+// answer. Only homes promote, and only they look since when promotion locks have stood.
 func (p *Proxy) relist() bool {
 	l, err := p.listDaemons(p.client.ListStale)
 	if err != nil {
@@ -123,7 +123,7 @@
 	p.peers.listed(l.entries)
 	p.noteSize(l)
 	p.homes.update()
-	return len(p.activeGroups()) == 0 || p.observeTickets() == nil
+	return len(p.activeGroups()) == 0 || p.observeLocks() == nil
 }
 
 // daemonsPause is the pause between reads of the list of daemons. Where reports
@@ -191,27 +191,27 @@
 	return p.parseDaemons(items), nil
 }
 
-// observeTickets reads since when tickets have stood; what it reads may be old.
-func (p *Proxy) observeTickets() error {
+// observeLocks reads since when promotion locks have stood; what it reads may be old.
+func (p *Proxy) observeLocks() error {
 	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
-	tickets, err := p.client.ListStale(ctx, platform.TicketsPrefix)
+	locks, err := p.client.ListStale(ctx, platform.LocksPrefix)
 	if err == nil {
-		p.claims.observe(tickets)
+		p.claims.observe(locks)
 	}
 	return err
 }
 
-// tellTickets reads the tickets as they are now: groups may use their primaries by what
+// tellLocks reads the promotion locks as they are now: groups may use their primaries by what
 // they say.
-func (p *Proxy) tellTickets(timeout time.Duration) error {
+func (p *Proxy) tellLocks(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(p.ctx, timeout)
 	defer cancel()
 	sent := now()
-	tickets, _, err := p.client.List(ctx, platform.TicketsPrefix)
+	locks, _, err := p.client.List(ctx, platform.LocksPrefix)
 	if err == nil {
-		p.claims.observe(tickets)
-		p.claims.tell(sent, tickets)
+		p.claims.observe(locks)
+		p.claims.tell(sent, locks)
 	}
 	return err
 }
--- a/pkg/proxy/failover_test.go
+++ b/pkg/proxy/failover_test.go
@@ -53,7 +53,7 @@
 		x.persist("WRITE k 2")
 		Expect(f.group.Primary()).NotTo(Equal(old))
 		old.SetDark(false)
-		Eventually(old.Leads, patience).Should(BeFalse())
+		Eventually(old.Leads, waitLimit).Should(BeFalse())
 		acked := acknowledged(f, 12, func(int) {})
 		Expect(acked).To(HaveLen(12))
 		found := committed(f.group.Commits())
@@ -65,7 +65,7 @@
 			Expect(orders[i].Token).To(BeNumerically(">", orders[i-1].Token))
 		}
 		for _, m := range f.group.Members() {
-			Eventually(m.Fenced, patience).Should(BeZero())
+			Eventually(m.Fenced, waitLimit).Should(BeZero())
 		}
 	})
 
@@ -80,7 +80,7 @@
 				Expect(f.store.List(old)).To(Succeed())
 			}
 		})
-		Eventually(func() *standin.Member { return f.group.Primary() }, patience).Should(And(Not(BeNil()), Not(Equal(old))))
+		Eventually(func() *standin.Member { return f.group.Primary() }, waitLimit).Should(And(Not(BeNil()), Not(Equal(old))))
 		found := committed(f.group.Commits())
 		for data := range acked {
 			Expect(found).To(HaveKey(data))
@@ -97,9 +97,9 @@
 		Expect(acked).To(HaveLen(400))
 	})
 
-	// The answer to the write of the ticket is lost. The daemon does not know its
+	// The answer to the write of the promotion lock is lost. The daemon does not know its
 	// token and must not order under a guessed one; it tries again.
-	It("survives that the answer to the ticket's write is lost", func() {
+	It("survives that the answer to the promotion lock's write is lost", func() {
 		f := newFleet(3)
 		x := f.daemons[0].dial("db-primary")
 		x.persist("WRITE k 1")
@@ -117,23 +117,23 @@
 	})
 
 	// A claim's write is done and its answer lost, and meanwhile the primary is back.
-	// The ticket would look held; daemons that start later would have no lease, and
+	// The promotion lock would look held; daemons that start later would have no lease, and
 	// after five seconds all would take it that a promotion had been ordered.
 	It("takes back a claim whose answer was lost", func() {
 		f := newFleet(1)
 		x := f.daemons[0].dial("db-primary")
 		x.persist("WRITE k 1")
 		primary := f.group.Primary()
-		f.store.LoseWritesOf(platform.TicketsPrefix, 1)
+		f.store.LoseWritesOf(platform.LocksPrefix, 1)
 		primary.SetDark(true)
-		ticket := func() (t ticket) {
-			item, err := f.daemons[0].p.client.Get(context.Background(), platform.TicketsPrefix+"ledger")
+		promotionLock := func() (t promotionLock) {
+			item, err := f.daemons[0].p.client.Get(context.Background(), platform.LocksPrefix+"ledger")
 			if err == nil {
 				Expect(json.Unmarshal(item.Value, &t)).To(Succeed())
 			}
 			return t
 		}
-		Eventually(func() core.Term { return ticket().Highest }, patience, 2*time.Millisecond).Should(Equal(core.Term(2)))
+		Eventually(func() core.Term { return promotionLock().Highest }, waitLimit, 2*time.Millisecond).Should(Equal(core.Term(2)))
 		// The store is away until the primary is known to be back, so that nobody
 		// claims again.
 		f.store.SetDown(true)
@@ -143,9 +143,9 @@
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			return g.core.Report(now()).Suspect
-		}, patience).Should(BeFalse())
+		}, waitLimit).Should(BeFalse())
 		f.store.SetDown(false)
-		Eventually(func() bool { return ticket().Free }, patience).Should(BeTrue())
+		Eventually(func() bool { return promotionLock().Free }, waitLimit).Should(BeTrue())
 		Expect(f.store.Orders()).To(BeEmpty())
 		x.persist("WRITE k 2")
 	})
@@ -170,7 +170,7 @@
 		f := newFleet(3)
 		x := f.daemons[1].dial("db-own")
 		x.persist("WRITE k 1")
-		Eventually(func() []string { return x.query("READ k").rows }, patience).Should(Equal([]string{"1"}))
+		Eventually(func() []string { return x.query("READ k").rows }, waitLimit).Should(Equal([]string{"1"}))
 		f.group.Primary().SetDark(true)
 		x.persist("WRITE k 2")
 		Expect(x.persist("READ k").rows).To(Equal([]string{"2"}))
--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -34,8 +34,8 @@
 	RunSpecs(t, "proxy")
 }
 
-// patience bounds waits for a condition; it decides no verdict about speed.
-const patience = 20 * time.Second
+// waitLimit bounds waits for a condition; it decides no verdict about speed.
+const waitLimit = 20 * time.Second
 
 // fleet is a store, one group of three members and daemons on loopback.
 type fleet struct {
@@ -66,7 +66,7 @@
 		f.daemons = append(f.daemons, f.start(ownIP(2+i), i, port))
 	}
 	for _, d := range f.daemons {
-		Eventually(d.started, patience).Should(BeTrue())
+		Eventually(d.started, waitLimit).Should(BeTrue())
 	}
 	DeferCleanup(f.close)
 	return f
@@ -171,7 +171,7 @@
 		d.p.depMu.Lock()
 		defer d.p.depMu.Unlock()
 		return d.p.lost["host list"]
-	}, patience).Should(BeTrue())
+	}, waitLimit).Should(BeTrue())
 }
 
 // kill ends the daemon without a planned stop.
@@ -179,7 +179,7 @@
 	d.p.stopping.Store(true)
 	d.p.settings.Grace = 0
 	d.stop()
-	Eventually(d.done, patience).Should(Receive())
+	Eventually(d.done, waitLimit).Should(Receive())
 	d.done <- nil
 }
 
@@ -206,7 +206,7 @@
 }
 
 func (x *caller) line() string {
-	Expect(x.c.SetReadDeadline(time.Now().Add(patience))).To(Succeed())
+	Expect(x.c.SetReadDeadline(time.Now().Add(waitLimit))).To(Succeed())
 	line, err := x.r.ReadString('\n')
 	if err != nil {
 		return "closed"
@@ -254,6 +254,6 @@
 	Eventually(func() bool {
 		a = x.query(text)
 		return a.served()
-	}, patience).Should(BeTrue())
+	}, waitLimit).Should(BeTrue())
 	return a
 }
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -81,9 +81,9 @@
 			g.control(e.Member).order(e)
 		case direct.EffectClaim:
 			go g.p.claims.claim(g, e)
-		case direct.EffectReleaseTicket:
+		case direct.EffectReleaseLock:
 			go g.p.claims.release(g.id, e)
-		case direct.EffectReadTicket:
+		case direct.EffectReadLock:
 			go g.p.claims.read(g)
 		case direct.EffectPromote:
 			go g.p.claims.promote(g, e)
@@ -334,7 +334,7 @@
 		if o == direct.Succeeded {
 			took := at.Sub(sent)
 			g.work.Took(r.Database, took)
-			c.Strained(id, took, r.LatencyAim)
+			c.TookOfAim(id, took, r.LatencyAim)
 		}
 		return c.Answered(at, sent, id, a.Position, o)
 	})
--- a/pkg/proxy/homes_test.go
+++ b/pkg/proxy/homes_test.go
@@ -72,7 +72,7 @@
 		home, entry := f.daemons[0], f.daemons[1]
 		f.split(home)
 		s := &session{p: entry.p, database: "db-own", sessionState: newSessionState()}
-		l, err := s.connect("ledger", now().Add(patience))
+		l, err := s.connect("ledger", now().Add(waitLimit))
 		Expect(err).NotTo(HaveOccurred())
 		defer s.unlink()
 		// No statement is under way, so that no answer comes on the link.
@@ -130,14 +130,14 @@
 		h := newHomes(&Proxy{done: make(chan struct{})})
 		served := make(chan bool)
 		go func() {
-			h.awaitChoice(now().Add(patience))
+			h.awaitChoice(now().Add(waitLimit))
 			served <- h.chosen()
 		}()
 		h.mu.Lock()
 		h.of["g"] = []core.DaemonID{"a"}
 		close(h.ready)
 		h.mu.Unlock()
-		Eventually(served, patience).Should(Receive(BeTrue()))
+		Eventually(served, waitLimit).Should(Receive(BeTrue()))
 	})
 
 	It("has none wait for longer than a start takes", func() {
--- a/pkg/proxy/hostlist_test.go
+++ b/pkg/proxy/hostlist_test.go
@@ -43,14 +43,14 @@
 		d.kill()
 		d = run(d.s, log)
 		f.daemons[0] = d
-		Eventually(d.started, patience).Should(BeTrue())
+		Eventually(d.started, waitLimit).Should(BeTrue())
 		Expect(f.store.Put("servers/i-stranger", map[string]any{"service": "ledger", "state": "sleeping"})).To(Succeed())
 		Expect(f.store.Put("servers/i-number", 7)).To(Succeed())
 		x := d.dial("db-own")
-		Eventually(func() int { return log.count("i-stranger") }, patience).Should(Equal(1))
+		Eventually(func() int { return log.count("i-stranger") }, waitLimit).Should(Equal(1))
 		for n := range 4 {
 			Expect(f.store.Put("servers/i-restless", n)).To(Succeed())
-			Eventually(func() int { return log.count("i-restless") }, patience).Should(Equal(n+1), "once for each revision")
+			Eventually(func() int { return log.count("i-restless") }, waitLimit).Should(Equal(n+1), "once for each revision")
 			x.persist("WRITE k 1")
 		}
 		Expect(log.count("i-stranger")).To(Equal(1))
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -166,9 +166,9 @@
 
 // run brings the home's session to the caller's state and runs texts, the last
 // of which is the caller's statement; its answer is returned. sent is false if
-// nothing of that statement can have reached the home. patient waits to the deadline
+// nothing of that statement can have reached the home. toDeadline waits to the deadline
 // also for a home that answers nobody.
-func (l *link) run(s *session, id string, texts []string, deadline time.Time, patient bool) (a platform.Answer, sent bool, err error) {
+func (l *link) run(s *session, id string, texts []string, deadline time.Time, toDeadline bool) (a platform.Answer, sent bool, err error) {
 	end := s.hop("home.link", id, string(l.home))
 	defer func() { end(outcomeText(a.Code, err)) }()
 	l.out = l.out[:0]
@@ -182,7 +182,7 @@
 	if n, err := l.c.Write(l.out); err != nil {
 		return a, n > 0, err
 	}
-	if err := l.await(s, deadline, patient); err != nil {
+	if err := l.await(s, deadline, toDeadline); err != nil {
 		return a, true, err
 	}
 	for range before {
@@ -209,8 +209,8 @@
 // statement a second at each home, and while a group's members were overloaded entries
 // gave up one home after the other, until daemons that are none filled the members with
 // connections and the overload went on by itself.
-func (l *link) await(s *session, deadline time.Time, patient bool) error {
-	if patient || time.Until(deadline) <= homeSilence {
+func (l *link) await(s *session, deadline time.Time, toDeadline bool) error {
+	if toDeadline || time.Until(deadline) <= homeSilence {
 		return nil
 	}
 	sent := now()
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -25,7 +25,7 @@
 			// An entry that has not heard of the home yet would go elsewhere.
 			Eventually(func() bool {
 				return d == home || slices.Contains(d.p.homes.order("ledger"), home.s.Daemon)
-			}, patience).Should(BeTrue())
+			}, waitLimit).Should(BeTrue())
 		}
 		h := d.p.homes
 		h.mu.Lock()
@@ -119,7 +119,7 @@
 		g.core.List(now(), list)
 		g.mu.Unlock()
 		g.leave()
-		Eventually(func() bool { return alone.p.cut("ledger") }, patience).Should(BeTrue())
+		Eventually(func() bool { return alone.p.cut("ledger") }, waitLimit).Should(BeTrue())
 		Expect(x.query("WRITE k 2").served()).To(BeTrue())
 		Expect(x.query("READ k").rows).To(Equal([]string{"2"}), "a replica covers what was written elsewhere")
 		Expect(f.store.Orders()).To(BeEmpty())
@@ -175,7 +175,7 @@
 		}
 		// A statement's span ends once its answer has been sent, so the caller may be
 		// here before the span is.
-		Eventually(names, patience).Should(ConsistOf("entry.statement", "home.link", "entry.statement", "member.exchange"))
+		Eventually(names, waitLimit).Should(ConsistOf("entry.statement", "home.link", "entry.statement", "member.exchange"))
 	})
 
 	// Another daemon has become home. Sessions that stayed at the old one would keep
@@ -190,7 +190,7 @@
 		f.split(f.daemons[1])
 		Expect(x.persist("READ k").rows).To(Equal([]string{"1"}))
 		Expect(f.daemons[1].p.countSessions()).To(Equal(1))
-		Eventually(f.daemons[0].p.countSessions, patience).Should(BeZero())
+		Eventually(f.daemons[0].p.countSessions, waitLimit).Should(BeZero())
 	})
 
 	// No home answers. The answer's state has to be the one that holds from then on:
@@ -245,7 +245,7 @@
 				}
 				d.p.mu.Unlock()
 			}
-			Eventually(func() int { return f.daemons[0].p.countSessions() + f.daemons[1].p.countSessions() }, patience).Should(BeZero())
+			Eventually(func() int { return f.daemons[0].p.countSessions() + f.daemons[1].p.countSessions() }, waitLimit).Should(BeZero())
 			Expect(x.query(fmt.Sprintf("WRITE again%d v", i)).served()).To(BeTrue())
 		}
 	})
@@ -257,21 +257,21 @@
 		f.split(f.daemons[0])
 		x := f.daemons[1].dial("db-primary")
 		x.persist("WRITE k 1")
-		f.group.SetWork(patience / 10)
+		f.group.SetWork(waitLimit / 10)
 		answered := make(chan answer, 1)
 		go func() {
 			defer GinkgoRecover()
 			answered <- x.query("WRITE k 2")
 		}()
 		p := f.daemons[0].p
-		Eventually(func() int64 { return p.stats.statements.Value() }, patience).Should(BeNumerically(">=", 2))
+		Eventually(func() int64 { return p.stats.statements.Value() }, waitLimit).Should(BeNumerically(">=", 2))
 		p.mu.Lock()
 		for s := range p.sessions {
 			_ = s.c.Close()
 		}
 		p.mu.Unlock()
 		var a answer
-		Eventually(answered, patience).Should(Receive(&a))
+		Eventually(answered, waitLimit).Should(Receive(&a))
 		Expect(a.end).To(HavePrefix("ERROR INDOUBT"))
 		f.group.SetWork(0)
 		Expect(x.persist("READ k").rows).To(HaveLen(1))
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -94,7 +94,7 @@
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.homes = newHomes(p)
 	p.configuration = newConfiguration(p)
-	p.claims = &claims{p: p, seen: make(map[core.GroupID]seenTicket)}
+	p.claims = &claims{p: p, seen: make(map[core.GroupID]seenLock)}
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
 	}
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -46,7 +46,7 @@
 			d.p.homes.mu.Lock()
 			defer d.p.homes.mu.Unlock()
 			return len(d.p.homes.daemons)
-		}, patience).Should(Equal(len(f.daemons)))
+		}, waitLimit).Should(Equal(len(f.daemons)))
 	}
 }
 
@@ -59,7 +59,7 @@
 func (f *fleet) inForce(daemons []*daemon) {
 	GinkgoHelper()
 	for _, d := range daemons {
-		Eventually(d.version, patience).Should(Equal(uint64(f.version)), "%s", d.s.Daemon)
+		Eventually(d.version, waitLimit).Should(Equal(uint64(f.version)), "%s", d.s.Daemon)
 	}
 }
 
@@ -83,7 +83,7 @@
 				}
 			}
 			return true
-		}, patience).Should(BeTrue())
+		}, waitLimit).Should(BeTrue())
 		before := make(map[*daemon]int64)
 		for _, d := range followers {
 			before[d] = d.p.client.Calls()["/api/kv-watch"]
@@ -133,7 +133,7 @@
 		f := newFleet(2)
 		home, entry := f.daemons[0], f.daemons[1]
 		f.split(home)
-		Eventually(func() int64 { return home.p.client.Calls()["/api/kv-watch"] }, patience).Should(BeNumerically(">", 0))
+		Eventually(func() int64 { return home.p.client.Calls()["/api/kv-watch"] }, waitLimit).Should(BeNumerically(">", 0))
 		home.cutStore()
 		// A watch that was under way before may still bring this one.
 		f.configure("db-own")
@@ -163,16 +163,16 @@
 		defer l.Close()
 		asked := make(chan error, 1)
 		go func() {
-			source, err := d.p.configuration.open(d.s.LinkAddr(silent), time.Now().Add(2*patience))
+			source, err := d.p.configuration.open(d.s.LinkAddr(silent), time.Now().Add(2*waitLimit))
 			if err == nil {
-				_, err = source.exchange(d.p.configuration, patience)
+				_, err = source.exchange(d.p.configuration, waitLimit)
 			}
 			asked <- err
 		}()
 		_, err = l.Accept()
 		Expect(err).NotTo(HaveOccurred())
 		d.kill()
-		Eventually(asked, patience).Should(Receive(HaveOccurred()))
+		Eventually(asked, waitLimit).Should(Receive(HaveOccurred()))
 	})
 })
 
@@ -224,9 +224,9 @@
 		f.store.SetDown(true)
 		d = run(d.s, GinkgoWriter)
 		f.daemons[0] = d
-		Eventually(func() int64 { return d.p.client.Calls()["/api/kv-range"] }, patience).Should(BeNumerically(">", 4))
+		Eventually(func() int64 { return d.p.client.Calls()["/api/kv-range"] }, waitLimit).Should(BeNumerically(">", 4))
 		Expect(d.p.client.Calls()).To(HaveLen(1), "%v", d.p.client.Calls())
 		f.store.SetDown(false)
-		Eventually(d.started, patience).Should(BeTrue())
+		Eventually(d.started, waitLimit).Should(BeTrue())
 	})
 })
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -139,8 +139,8 @@
 func (s *session) runOn(g *group, conn *memberConn, place direct.Place, j *job, id string, deadline core.Time) (platform.Answer, core.Time, direct.Outcome) {
 	limit := time.Now().Add(until(deadline, time.Millisecond))
 	if !j.writes && j.kind != direct.StatementCommit && s.p.policy.Has(policy.AnswerTimeouts) {
-		if patience := time.Now().Add(place.AnswerTimeout); patience.Before(limit) {
-			limit = patience
+		if waitLimit := time.Now().Add(place.AnswerTimeout); waitLimit.Before(limit) {
+			limit = waitLimit
 		}
 	}
 	if err := conn.adopt(s.values, j.prepare, limit); err != nil {
--- a/pkg/proxy/session_test.go
+++ b/pkg/proxy/session_test.go
@@ -77,7 +77,7 @@
 		for _, m := range f.group.Members() {
 			m.SetDark(true)
 		}
-		Eventually(func() bool { return g.leased(place.Member) }, patience).Should(BeFalse())
+		Eventually(func() bool { return g.leased(place.Member) }, waitLimit).Should(BeFalse())
 		j := &job{id: "x", kind: direct.StatementWrite, text: "WRITE k 2", writes: true, arrived: now(), route: direct.Route{StatementTimeout: time.Second}}
 		_, _, o := s.runOn(g, conn, place, j, j.id, now().Add(time.Second))
 		Expect(o).To(Equal(direct.NotPrimary))
@@ -153,7 +153,7 @@
 		x := f.daemons[0].dial("db-primary")
 		x.query("BEGIN")
 		x.persist("WRITE k 1")
-		Eventually(func() string { return x.query("READ k").state }, patience, 100*time.Millisecond).Should(Equal("E"))
+		Eventually(func() string { return x.query("READ k").state }, waitLimit, 100*time.Millisecond).Should(Equal("E"))
 		Expect(x.query("ROLLBACK").state).To(Equal("I"))
 		Expect(f.group.Commits()).To(BeEmpty())
 	})
@@ -198,7 +198,7 @@
 		x := f.daemons[0].dial("db-own")
 		x.persist("WRITE k 1")
 		f.configure("db-primary")
-		Eventually(func() string { return x.query("READ k").end }, patience).Should(HavePrefix("ERROR NODB"))
+		Eventually(func() string { return x.query("READ k").end }, waitLimit).Should(HavePrefix("ERROR NODB"))
 	})
 
 	It("does not go back to an older version", func() {
@@ -206,7 +206,7 @@
 		p := f.daemons[0].p
 		old := f.version
 		f.configure("db-primary", "db-new")
-		Eventually(func() int { return len(p.catalog.Load().Routes) }, patience).Should(Equal(2))
+		Eventually(func() int { return len(p.catalog.Load().Routes) }, waitLimit).Should(Equal(2))
 		f.version = old - 2
 		f.configure("db-own")
 		Consistently(func() int { return len(p.catalog.Load().Routes) }, 300*time.Millisecond).Should(Equal(2))
@@ -225,10 +225,10 @@
 		f.store.Compact()
 		before := f.store.Calls("GET /api/kv-watch")
 		f.daemons[0] = run(d.s, io.Discard)
-		Eventually(f.daemons[0].p.ready, patience).Should(BeTrue())
+		Eventually(f.daemons[0].p.ready, waitLimit).Should(BeTrue())
 		Consistently(func() int { return f.store.Calls("GET /api/kv-watch") - before }, time.Second).Should(BeNumerically("<", 5))
 		f.configure("db-new")
-		Eventually(func() int { return len(f.daemons[0].p.catalog.Load().Routes) }, patience).Should(Equal(1))
+		Eventually(func() int { return len(f.daemons[0].p.catalog.Load().Routes) }, waitLimit).Should(Equal(1))
 	})
 })
 
@@ -242,17 +242,17 @@
 		x.query("BEGIN")
 		x.persist("WRITE k 1")
 		d.stop()
-		Eventually(d.p.ready, patience).Should(BeFalse())
+		Eventually(d.p.ready, waitLimit).Should(BeFalse())
 		Expect(x.query("COMMIT").served()).To(BeTrue())
-		Eventually(x.line, patience).Should(Equal("closed"))
+		Eventually(x.line, waitLimit).Should(Equal("closed"))
 		Eventually(func() error {
 			c, err := net.Dial("tcp", d.s.CallerAddr)
 			if err == nil {
 				_ = c.Close()
 			}
 			return err
-		}, patience).Should(HaveOccurred())
-		Eventually(d.done, patience).Should(Receive())
+		}, waitLimit).Should(HaveOccurred())
+		Eventually(d.done, waitLimit).Should(Receive())
 		d.done <- nil
 		Expect(f.group.Commits()).To(HaveLen(1))
 	})
@@ -261,7 +261,7 @@
 	It("does not wait for calls to the store", func() {
 		f := newFleet(1)
 		d := f.daemons[0]
-		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 		defer cancel()
 		d.p.settings.Grace = 0
 		d.stop()
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -106,11 +106,11 @@
 	if tx.conn == nil && !s.open(j) {
 		return
 	}
-	patience := j.route.StatementTimeout - answerMargin
+	waitLimit := j.route.StatementTimeout - answerMargin
 	if s.p.policy.Has(policy.AnswerTimeouts) {
-		patience = min(patience, tx.place.AnswerTimeout)
+		waitLimit = min(waitLimit, tx.place.AnswerTimeout)
 	}
-	a, o := s.runPinned(j, patience)
+	a, o := s.runPinned(j, waitLimit)
 	if o == direct.Broken || o == direct.NotSent {
 		s.aborted(j, o)
 		return
@@ -121,9 +121,9 @@
 
 // runPinned runs a statement on the transaction's connection. After Broken and
 // NotSent the connection is gone.
-func (s *session) runPinned(j *job, patience time.Duration) (platform.Answer, direct.Outcome) {
+func (s *session) runPinned(j *job, waitLimit time.Duration) (platform.Answer, direct.Outcome) {
 	tx := s.tx
-	deadline := time.Now().Add(max(time.Millisecond, patience-now().Sub(j.arrived)))
+	deadline := time.Now().Add(max(time.Millisecond, waitLimit-now().Sub(j.arrived)))
 	if err := tx.conn.adopt(s.values, j.prepare, deadline); err != nil {
 		s.debug("session state", "id", j.id, "member", tx.conn.member, "error", err)
 		s.drop(tx)
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -86,7 +86,7 @@
 	// firstRetry is the pause while a daemon has no list of daemons: it serves nobody,
 	// and what calls cost is little beside that.
 	firstRetry = 80 * time.Millisecond
-	// releaseTries is how often a ticket is given back, releaseRetry the pause between
+	// releaseTries is how often a promotion lock is given back, releaseRetry the pause between
 	// tries: longer than the store is usually away.
 	releaseTries = 10
 	releaseRetry = time.Second
--- a/pkg/takeover/arrival.go
+++ b/pkg/takeover/arrival.go
@@ -63,7 +63,7 @@
 	g.arriving.Lock()
 	defer g.arriving.Unlock()
 	g.mu.Lock()
-	needed, reign, t := g.needsArrival(r), g.reign, g.current().Takeovers[r.Kind]
+	needed, leadership, t := g.needsArrival(r), g.leadership, g.current().Takeovers[r.Kind]
 	g.mu.Unlock()
 	if !needed {
 		return nil
@@ -81,7 +81,7 @@
 	_, back := arrived(t, g.group, r.Key)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.reign == reign {
+	if g.leadership == leadership {
 		g.kind(r.Kind).arrival = arrival{known: true, back: back, flipped: t.Flipped, position: positionOf(rows[0])}
 	}
 	return nil
--- a/pkg/takeover/gate.go
+++ b/pkg/takeover/gate.go
@@ -36,9 +36,9 @@
 	mu sync.Mutex
 	// loaded is set once the seals of the group's database are known.
 	loaded bool
-	// reign counts the resets.
-	reign int
-	kinds map[string]*kindGate
+	// leadership counts the resets.
+	leadership int
+	kinds      map[string]*kindGate
 	// open holds the buckets that callers' open transactions have written to.
 	open map[core.CallerID][]place
 	// changed is closed and replaced when something may admit a waiter.
--- a/pkg/takeover/gate_test.go
+++ b/pkg/takeover/gate_test.go
@@ -178,7 +178,7 @@
 		slow.answer <- struct{}{}
 		slow.answer <- struct{}{}
 		errors := []error{<-first, <-second}
-		Expect(errors).To(ConsistOf(BeNil(), HaveOccurred()), "only the later reign counts")
+		Expect(errors).To(ConsistOf(BeNil(), HaveOccurred()), "only the later leadership counts")
 		Expect(enterAndLeave(1)).To(Succeed())
 		third := loaded()
 		err := enterAndLeave(1)
--- a/pkg/takeover/order.go
+++ b/pkg/takeover/order.go
@@ -184,16 +184,16 @@
 // home may have sealed buckets in between. No statement of a kind is admitted
 // until it is done.
 func (g *Gate) Load(ctx context.Context) error {
-	reign := g.Reset()
+	leadership := g.Reset()
 	rows, err := g.databases.Query(ctx, g.group, statement(readSealsSQL))
 	if err != nil && !isSQLState(err, codeUndefinedTable) {
 		return err
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	// Prevents that the seals of an earlier reign count for a later one, when
+	// Prevents that the seals of an earlier leadership count for a later one, when
 	// their answer was under way while the home changed.
-	if g.reign != reign {
+	if g.leadership != leadership {
 		return errs.New(errs.NotHome, core.OutcomeRan, stepOrder, "", "the home has changed meanwhile")
 	}
 	for _, row := range rows {
@@ -212,16 +212,16 @@
 }
 
 // Reset forgets the holds when this daemon is not home any more. It returns
-// the number of the reign that a Load would begin now.
-func (g *Gate) Reset() (reign int) {
+// the number of the leadership that a Load would begin now.
+func (g *Gate) Reset() (leadership int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.loaded = false
-	g.reign++
+	g.leadership++
 	for _, k := range g.kinds {
 		clear(k.holds)
 		k.arrival = arrival{}
 	}
 	g.wake()
-	return g.reign
+	return g.leadership
 }
--- a/standin/target/fault.go
+++ b/standin/target/fault.go
@@ -64,7 +64,7 @@
 func (f *Faults) Crash(id core.MemberID) error {
 	err := f.change(id, func(m *Member) {
 		m.crashed = true
-		m.reign++
+		m.leadership++
 		m.resume()
 	})
 	if err != nil {
--- a/standin/target/member.go
+++ b/standin/target/member.go
@@ -30,13 +30,13 @@
 	mu   sync.RWMutex
 	term core.Term
 	role core.Role
-	// reign counts the changes of role and the crashes: a transaction may
-	// commit only in the reign it began in.
-	reign   uint64
-	history []core.TermStart
-	log     []*Record
-	leaving bool
-	lag     Lag
+	// leadership counts the changes of role and the crashes: a transaction may
+	// commit only in the leadership it began in.
+	leadership uint64
+	history    []core.TermStart
+	log        []*Record
+	leaving    bool
+	lag        Lag
 	// paused is closed when the member resumes; nil: it runs.
 	paused   chan struct{}
 	crashed  bool
--- a/standin/target/probe_state_test.go
+++ b/standin/target/probe_state_test.go
@@ -187,7 +187,7 @@
 		Expect(g.Journal().Match(func(s target.Statement) bool { return s.SQL == "INSERT INTO t VALUES (1)" })).To(BeEmpty())
 	})
 
-	It("abort a transaction that began in an earlier reign", func() {
+	It("abort a transaction that began in an earlier leadership", func() {
 		// A settlement is written while the member is fenced and promoted again
 		// for a new term. Its transaction began before, on what the fence had
 		// ended, so its COMMIT must not be acknowledged in the new term.
--- a/standin/target/replication.go
+++ b/standin/target/replication.go
@@ -94,7 +94,7 @@
 // comes back would show writes that the new term has lost. Needs mu.
 func (m *Member) attach(f feed) error {
 	if m.role == core.RolePrimary {
-		m.reign++
+		m.leadership++
 		m.endWork()
 	}
 	m.term, m.role = f.term, core.RoleReplica
--- a/standin/target/term.go
+++ b/standin/target/term.go
@@ -32,7 +32,7 @@
 	}
 	m.term = term
 	m.role = role
-	m.reign++
+	m.leadership++
 	if role == core.RolePrimary {
 		m.beginTerm(term)
 	}
