--- a/standin/target/transaction.go
+++ b/standin/target/transaction.go
@@ -17,8 +17,8 @@
 	readOnly bool
 	// work is the working database while the transaction holds the writer.
 	work *engine.Conn
-	// reign of the member in which the writing began.
-	reign      uint64
+	// leadership of the member in which the writing began.
+	leadership uint64
 	statements []Statement
 	savepoints []savepoint
 }
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	t.work, t.reign, t.statements = work, m.reign, nil
+	t.work, t.leadership, t.statements = work, m.leadership, nil
 	if err := work.Exec("BEGIN"); err != nil {
 		return err
 	}
@@ -120,7 +120,7 @@
 }
 
 // commitWrite commits the working transaction: the log gets a record and the
-// committed database its statements, unless the reign has changed. Without
+// committed database its statements, unless the leadership has changed. Without
 // that last check a primary that was fenced or paused meanwhile would
 // acknowledge a write that the next term doesn't hold.
 func (m *Member) commitWrite(ctx context.Context, t *transaction) error {
@@ -152,7 +152,7 @@
 
 // appendRecord needs mu for writing.
 func (m *Member) appendRecord(t *transaction) error {
-	if m.reign != t.reign || m.role != core.RolePrimary {
+	if m.leadership != t.leadership || m.role != core.RolePrimary {
 		m.store.stale = true
 		return errReplaced
 	}
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -136,7 +136,7 @@
 		random := rand.New(rand.NewPCG(w.seed, uint64(100+i)))
 		x := &caller{name: fmt.Sprintf("c%d", i), database: []string{"db-primary", "db-own"}[i%2], random: random,
 			pick:     func() string { return w.pick(random) },
-			promoted: func() int { return w.group.Reigns() }, recorder: w.recorder,
+			promoted: func() int { return w.group.Leaderships() }, recorder: w.recorder,
 			replica: w.isReplica}
 		w.callers = append(w.callers, x)
 		go func() {
@@ -305,7 +305,7 @@
 	for _, x := range w.callers {
 		list = append(list, x.broken...)
 		for _, wr := range x.writes {
-			list = append(list, checkWrite(wr, commits[wr.data], checks.Reigns)...)
+			list = append(list, checkWrite(wr, commits[wr.data], checks.Leaderships)...)
 		}
 	}
 	orders := w.store.Orders()
@@ -317,14 +317,14 @@
 	return list
 }
 
-func checkWrite(wr write, commits []standin.TimedCommit, reigns map[uint64]time.Time) []string {
+func checkWrite(wr write, commits []standin.TimedCommit, promotions map[uint64]time.Time) []string {
 	switch {
 	case wr.verdict == notRun && len(commits) > 0:
 		return []string{fmt.Sprintf("write %s was told as not run and took effect at %s", wr.data, commits[0].Member)}
 	case wr.verdict == acknowledged && len(commits) == 0:
 		return []string{fmt.Sprintf("write %s was acknowledged and never took effect", wr.data)}
 	case wr.verdict == acknowledged:
-		if began, ok := reigns[commits[0].Term+1]; ok && commits[0].At.After(began) {
+		if began, ok := promotions[commits[0].Term+1]; ok && commits[0].At.After(began) {
 			return []string{fmt.Sprintf("write %s was acknowledged %v after its primary was replaced", wr.data, commits[0].At.Sub(began))}
 		}
 	}
--- a/tests/takeover/caller_test.go
+++ b/tests/takeover/caller_test.go
@@ -17,8 +17,8 @@
 	callerCount = 4
 	// keysPerCaller of the records are written, each by one caller.
 	keysPerCaller = 16
-	// patience is how long a caller goes on with a statement that did not run.
-	patience = 30 * time.Second
+	// waitLimit is how long a caller goes on with a statement that did not run.
+	waitLimit = 30 * time.Second
 	// exchangeBound bounds one statement.
 	exchangeBound = 8 * time.Second
 	// callerPause is the time between two exchanges of a caller.
@@ -149,9 +149,9 @@
 // SafeToRetry tells pgconn so.
 func (*refusedConnection) SafeToRetry() bool { return true }
 
-// again calls f until it returns true, for as long as callers have patience.
+// again calls f until it returns true, until their wait limit is reached.
 func again(f func() bool) bool {
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(comeBack) {
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(comeBack) {
 		if f() {
 			return true
 		}
@@ -192,7 +192,7 @@
 	})
 	switch {
 	case !answered:
-		c.w.ledger.violated("%s could not read %s for %v: %s", c.name, key, patience, describe(err))
+		c.w.ledger.violated("%s could not read %s for %v: %s", c.name, key, waitLimit, describe(err))
 	case errors.Is(err, pgx.ErrNoRows):
 		c.w.ledger.violated("%s read no record %s, its write %d was acknowledged", c.name, key, last)
 	case n < last:
@@ -216,7 +216,7 @@
 		c.w.ledger.charged(key, once)
 		return
 	}
-	c.w.ledger.violated("the outcome of charge %s of %s is not known after %v", once, key, patience)
+	c.w.ledger.violated("the outcome of charge %s of %s is not known after %v", once, key, waitLimit)
 }
 
 // repeat sends a charge until it has run, now or before.
