--- /dev/null
+++ b/core/auth/auth_test.go
@@ -0,0 +1,85 @@
+package auth_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/auth"
+)
+
+func TestAuth(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "auth")
+}
+
+const (
+	bound = 5 * time.Second
+	start = core.Time(time.Hour)
+)
+
+func directory(keys map[string]core.TeamID) *auth.Directory {
+	d := auth.NewDirectory()
+	for key, team := range keys {
+		d.Add(auth.Team{ID: team}, []auth.Fingerprint{auth.FingerprintOf(key)})
+	}
+	return d
+}
+
+func verdict(d *auth.Directory, key string, age time.Duration) auth.Verdict {
+	_, v := auth.NewGate(bound).Check(start, start.Add(-age), d, auth.FingerprintOf(key))
+	return v
+}
+
+var _ = Describe("a key", func() {
+	It("stands for its team", func() {
+		t, v := auth.NewGate(bound).Check(start, start, directory(map[string]core.TeamID{"k": "gates"}), auth.FingerprintOf("k"))
+		Expect(v).To(Equal(auth.Granted))
+		Expect(t.ID).To(Equal(core.TeamID("gates")))
+	})
+
+	It("that no team has is unknown, as is none at all", func() {
+		d := directory(map[string]core.TeamID{"k": "gates"})
+		Expect(verdict(d, "guess", 0)).To(Equal(auth.Unknown))
+		Expect(verdict(d, "", 0)).To(Equal(auth.Unknown))
+		Expect(verdict(auth.NewDirectory(), "k", 0)).To(Equal(auth.Unknown))
+	})
+
+	// A daemon is cut off from the store and from all that know it. Its callers' keys may
+	// have been taken away meanwhile; statements go on for as long as the bound allows, and
+	// then nothing runs, and nobody is told that a key is wrong.
+	It("runs nothing once the configuration may be older than the bound", func() {
+		d := directory(map[string]core.TeamID{"k": "gates"})
+		Expect(verdict(d, "k", bound-auth.Margin-time.Millisecond)).To(Equal(auth.Granted))
+		Expect(verdict(d, "k", bound-auth.Margin)).To(Equal(auth.Unproved))
+		Expect(verdict(d, "guess", bound)).To(Equal(auth.Unproved))
+	})
+
+	It("runs nothing before the first proof", func() {
+		_, v := auth.NewGate(bound).Check(core.Time(time.Second), 0, directory(map[string]core.TeamID{"k": "gates"}), auth.FingerprintOf("k"))
+		Expect(v).To(Equal(auth.Unproved))
+	})
+
+	// An operator copies a team's entry and forgets to replace its key.
+	It("that two teams claim is nobody's", func() {
+		d := directory(map[string]core.TeamID{"k": "gates"})
+		key := auth.FingerprintOf("k")
+		Expect(d.Add(auth.Team{ID: "bays"}, []auth.Fingerprint{key})).To(Equal([]auth.Fingerprint{key}))
+		Expect(verdict(d, "k", 0)).To(Equal(auth.Unknown))
+		Expect(d.Add(auth.Team{ID: "desk"}, []auth.Fingerprint{key})).To(HaveLen(1))
+		Expect(verdict(d, "k", 0)).To(Equal(auth.Unknown))
+	})
+
+	It("is not needed where there are no teams", func() {
+		_, v := auth.NewGate(bound).Check(start, 0, nil, auth.Fingerprint{})
+		Expect(v).To(Equal(auth.Granted))
+	})
+
+	It("is shown by a part of its digest alone", func() {
+		Expect(auth.FingerprintOf("secret").String()).To(Equal("2bb80d537b1da3e3"))
+		Expect(auth.Fingerprint{}.String()).To(Equal("none"))
+	})
+})
--- /dev/null
+++ b/core/auth/directory.go
@@ -0,0 +1,91 @@
+package auth
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"limpetspan/core"
+)
+
+// Fingerprint stands for a key; the zero one stands for none.
+type Fingerprint [sha256.Size]byte
+
+// FingerprintOf returns the fingerprint of a key; that of no key is zero.
+func FingerprintOf(key string) Fingerprint {
+	if key == "" {
+		return Fingerprint{}
+	}
+	return sha256.Sum256([]byte(key))
+}
+
+// shownBytes of a fingerprint are enough to find a key among millions.
+const shownBytes = 8
+
+// String is the fingerprint's beginning, as logs show it.
+func (f Fingerprint) String() string {
+	if f == (Fingerprint{}) {
+		return "none"
+	}
+	return hex.EncodeToString(f[:shownBytes])
+}
+
+// Team is who may ask, and how much.
+type Team struct {
+	ID core.TeamID
+	// Limited says that Rate and Burst hold; a team without a limit asks what it wants.
+	Limited bool
+	// Rate is how many operations a second the whole fleet runs for the team, Burst how
+	// many more at once after a pause.
+	Rate, Burst float64
+}
+
+// Directory is the teams of one configuration by their keys.
+type Directory struct {
+	teams map[core.TeamID]Team
+	keys  map[Fingerprint]core.TeamID
+	// disputed are keys that more than one team claims.
+	disputed map[Fingerprint]bool
+}
+
+// NewDirectory returns a directory without teams, which lets nobody in.
+func NewDirectory() *Directory {
+	return &Directory{teams: make(map[core.TeamID]Team), keys: make(map[Fingerprint]core.TeamID), disputed: make(map[Fingerprint]bool)}
+}
+
+// Add adds a team with its keys, and returns those that another team has as well: they
+// are nobody's.
+func (d *Directory) Add(t Team, keys []Fingerprint) (disputed []Fingerprint) {
+	d.teams[t.ID] = t
+	for _, f := range keys {
+		owner, taken := d.keys[f]
+		if d.disputed[f] || taken && owner != t.ID {
+			delete(d.keys, f)
+			d.disputed[f] = true
+			disputed = append(disputed, f)
+			continue
+		}
+		d.keys[f] = t.ID
+	}
+	return disputed
+}
+
+// Team returns the team that has the key.
+func (d *Directory) Team(f Fingerprint) (Team, bool) {
+	id, ok := d.keys[f]
+	if !ok {
+		return Team{}, false
+	}
+	return d.teams[id], true
+}
+
+// Named returns the team of that name.
+func (d *Directory) Named(id core.TeamID) (Team, bool) {
+	t, ok := d.teams[id]
+	return t, ok
+}
+
+// Teams is how many teams there are.
+func (d *Directory) Teams() int { return len(d.teams) }
+
+// Keys is how many keys the teams have together.
+func (d *Directory) Keys() int { return len(d.keys) }
--- a/core/direct/conns.go
+++ b/core/direct/conns.go
@@ -4,16 +4,24 @@
 
 // ConnOpened, ConnIdle, ConnTaken and ConnClosed count the connections for
 // statements towards a member.
-func (g *Group) ConnOpened(id core.MemberID) { g.count(id, 1, 0) }
+func (g *Group) ConnOpened(id core.MemberID) {
+	if m := g.members[id]; m != nil {
+		m.open++
+	}
+}
 
-// ConnIdle says that a connection waits for a statement.
-func (g *Group) ConnIdle(id core.MemberID) { g.count(id, 0, 1) }
+// ConnIdle says that a connection of the team waits for a statement.
+func (g *Group) ConnIdle(id core.MemberID, team core.TeamID) { g.countIdle(id, team, 1) }
 
-// ConnTaken says that an idle connection is in use.
-func (g *Group) ConnTaken(id core.MemberID) { g.count(id, 0, -1) }
+// ConnTaken says that an idle connection of the team is in use.
+func (g *Group) ConnTaken(id core.MemberID, team core.TeamID) { g.countIdle(id, team, -1) }
 
 // ConnClosed says that a connection which was in use is gone.
-func (g *Group) ConnClosed(id core.MemberID) { g.count(id, -1, 0) }
+func (g *Group) ConnClosed(id core.MemberID) {
+	if m := g.members[id]; m != nil {
+		m.open--
+	}
+}
 
 // ConnIdleInTransaction says that a connection's transaction waits for its caller.
 func (g *Group) ConnIdleInTransaction(id core.MemberID) { g.rest(id, 1) }
@@ -27,10 +35,17 @@
 	}
 }
 
-func (g *Group) count(id core.MemberID, open, idle int) {
-	if m := g.members[id]; m != nil {
-		m.open += open
-		m.idle += idle
+func (g *Group) countIdle(id core.MemberID, team core.TeamID, n int) {
+	m := g.members[id]
+	if m == nil {
+		return
+	}
+	if m.idleOf == nil {
+		m.idleOf = make(map[core.TeamID]int)
+	}
+	m.idle += n
+	if m.idleOf[team] += n; m.idleOf[team] == 0 {
+		delete(m.idleOf, team)
 	}
 }
 
--- a/core/direct/explain.go
+++ b/core/direct/explain.go
@@ -25,7 +25,7 @@
 }
 
 func (g *Group) whyNot(now core.Time, id core.MemberID, m *member, n Need, since sample, sampled bool) string {
-	_, room := g.room(now, m)
+	_, room := g.room(now, m, n.Team)
 	switch {
 	case slices.Contains(n.Avoid, id):
 		return "tried before"
--- a/core/direct/lives.go
+++ b/core/direct/lives.go
@@ -79,7 +79,7 @@
 	wasPrimary := g.primary == m.ID
 	*m = member{
 		Member: m.Member, vanishedAt: m.vanishedAt, heardAt: now, window: mostWindow,
-		open: m.open, idle: m.idle, idleInTransaction: m.idleInTransaction,
+		open: m.open, idle: m.idle, idleOf: m.idleOf, idleInTransaction: m.idleInTransaction,
 		// Daemons that have not noticed may go on to say that it leads: its own word counts.
 		refused: g.term, forgotTerm: m.forgotTerm,
 	}
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -54,6 +54,8 @@
 	// open and idle count connections for statements; idleInTransaction are those of open
 	// transactions that wait for their callers.
 	open, idle, idleInTransaction int
+	// idleOf are the idle ones by team: a connection serves one team alone.
+	idleOf map[core.TeamID]int
 	// window is how many connections may be in use at once before new work waits.
 	window float64
 	// share of the aim is the mean share of their aims that statements have taken lately.
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -22,6 +22,8 @@
 	SessionAt core.Time
 	// Avoid are members that were tried before.
 	Avoid []core.MemberID
+	// Team is whose connections can be used.
+	Team core.TeamID
 }
 
 // Place says on which member a statement is to run.
@@ -31,8 +33,9 @@
 	Since core.Position
 	// Primary is set if the member is used as the primary, under the lease.
 	Primary bool
-	// Dial is set if a connection has to be opened first.
-	Dial bool
+	// Dial is set if a connection has to be opened first, Replace if an idle one of
+	// another team has to be closed for it.
+	Dial, Replace bool
 	// AnswerTimeout is how long to wait for an answer that may be given up.
 	AnswerTimeout time.Duration
 }
@@ -54,8 +57,8 @@
 	if m == nil || !g.Leased(now) || !g.askedIt(m) || m.busy(now) {
 		return Place{}, false
 	}
-	dial, ok := g.room(now, m)
-	return Place{Member: m.ID, Since: g.ownLog(), Primary: true, Dial: dial, AnswerTimeout: m.answerTimeout()}, ok
+	way, ok := g.room(now, m, n.Team)
+	return Place{Member: m.ID, Since: g.ownLog(), Primary: true, Dial: way != reuse, Replace: way == replace, AnswerTimeout: m.answerTimeout()}, ok
 }
 
 // askedIt says whether this daemon itself has a status of the primary's present life.
@@ -101,13 +104,13 @@
 		if slices.Contains(n.Avoid, id) || !g.readable(now, id, m, since) {
 			continue
 		}
-		dial, ok := g.room(now, m)
+		way, ok := g.room(now, m, n.Team)
 		if !ok {
 			continue
 		}
 		cost := g.cost(now, id, m, faults)
 		if !found || cost < bestCost {
-			best, bestCost, found = Place{Member: id, Since: since.position, Dial: dial, AnswerTimeout: m.answerTimeout()}, cost, true
+			best, bestCost, found = Place{Member: id, Since: since.position, Dial: way != reuse, Replace: way == replace, AnswerTimeout: m.answerTimeout()}, cost, true
 		}
 	}
 	if found && best.Member == g.primary {
@@ -154,16 +157,30 @@
 	return cost
 }
 
-// room says whether a connection to the member is free or may be opened.
-func (g *Group) room(now core.Time, m *member) (dial, ok bool) {
-	if m.elsewhere || float64(m.inUse()) >= m.window {
-		return false, false
-	}
-	if m.idle > 0 {
-		return false, true
-	}
-	if now < m.blockedAt {
-		return true, false
-	}
-	return true, m.open < g.FairConns(m.ID) || g.conns(now, m.ID, m) < g.softLimit(m.ID)
+// way is how a connection to a member is had.
+type way int
+
+const (
+	// reuse takes an idle connection of the team.
+	reuse way = iota
+	// dial opens one.
+	dial
+	// replace closes an idle one of another team and opens one: with more teams than
+	// connections a team that asks seldom would otherwise wait for ever.
+	replace
+)
+
+// room says how a connection to the member can be had for the team; false: not now.
+func (g *Group) room(now core.Time, m *member, team core.TeamID) (way, bool) {
+	switch {
+	case m.elsewhere || float64(m.inUse()) >= m.window:
+		return dial, false
+	case m.idleOf[team] > 0:
+		return reuse, true
+	case now < m.blockedAt:
+		return dial, false
+	case m.open < g.FairConns(m.ID) || g.conns(now, m.ID, m) < g.softLimit(m.ID):
+		return dial, true
+	}
+	return replace, m.idle > 0
 }
--- a/core/direct/statement.go
+++ b/core/direct/statement.go
@@ -56,6 +56,8 @@
 	Broken
 	// NotSent: the statement never left the daemon.
 	NotSent
+	// Barred: it was kept back, as its caller may not ask for it.
+	Barred
 )
 
 // Verdict is what a caller is told of a statement that did not succeed.
@@ -88,6 +90,8 @@
 	switch o {
 	case Succeeded, Failed:
 		return TellFailed
+	case Barred:
+		return TellNotRun
 	case NotSent, Busy, Behind, NotPrimary, WrongMember, NoRoom, NotPrepared:
 		if inTransaction {
 			return TellAborted
--- a/core/direct/types.go
+++ b/core/direct/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"limpetspan/core"
+	"limpetspan/core/auth"
 )
 
 // Consistency is what the reads of a route may miss.
@@ -32,6 +33,8 @@
 	LatencyAim time.Duration
 	// Priority orders waiting statements; 0 goes first.
 	Priority int
+	// Public says that callers need no key.
+	Public bool
 }
 
 // GroupSpec is what the configuration says of a database group.
@@ -50,6 +53,10 @@
 	Groups  map[core.GroupID]GroupSpec
 	// IdleTransaction is after how long a transaction without a statement may be ended.
 	IdleTransaction time.Duration
+	// Teams are the callers' teams; nil: the configuration names none.
+	Teams *auth.Directory
+	// Problems are what could not be used of it, in words without any key.
+	Problems []string
 }
 
 // Member is a target as the host list knows it.
--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -33,7 +33,8 @@
 //   - A relay that is dead, frozen, cut off or behind delays nobody beyond the budget: its
 //     followers ask the next relay, and when none has a young proof the store.
 //   - A daemon in touch with the store but with no relay reads the store once per budget.
-//   - A daemon in touch with a relay but not with the store goes on by the relay.
+//   - A daemon in touch with a relay but not with the store goes on by the relay; so does
+//     one that watches the store itself, which tries the store again all the while.
 //   - Followers that ask each other in a circle hand around proofs that only grow older,
 //     and end at the store.
 //
--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -50,6 +50,8 @@
 	failures int
 	failedAt core.Time
 	retryAt  core.Time
+	// consulted is set once a relay was asked after the latest failure.
+	consulted bool
 	// avoid is until when a relay is not asked.
 	avoid map[core.DaemonID]core.Time
 }
@@ -73,8 +75,19 @@
 // store's newest; 0: it never was.
 func (f *Follower) Proof() core.Time { return f.proof }
 
+// Source is the daemon that would be asked first; false: this one watches the store itself.
+func (f *Follower) Source() (core.DaemonID, bool) {
+	if f.watches || len(f.relays) == 0 {
+		return "", false
+	}
+	return f.relays[0], true
+}
+
 // Next is the step to take now.
 func (f *Follower) Next(now core.Time) Step {
+	if peer, ok := f.consults(now); ok {
+		return Step{Kind: Ask, Peer: peer, Timeout: answerTimeout}
+	}
 	due := f.storeDue()
 	if now >= due {
 		if f.watches && f.watchable {
@@ -97,6 +110,22 @@
 	return Step{Kind: Pause, Wait: wakeAt.Sub(now)}
 }
 
+// consults says whom a daemon asks that watches the store and gets no answer there: once
+// after each failure, as soon as its proof is as old as half of the budget. The store may
+// turn it away alone, and then others have a young proof; without one its callers' keys
+// cannot be checked, and it refuses all of them until the store answers it again.
+func (f *Follower) consults(now core.Time) (core.DaemonID, bool) {
+	if !f.watches || f.failures == 0 || f.consulted || f.proof == 0 || now.Sub(f.proof) < f.budget/2 {
+		return "", false
+	}
+	for _, id := range f.relays {
+		if now >= f.avoid[id] {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // storeDue is when this daemon is to call the store itself. Without the budget's end, a
 // relay that is cut from the store while its followers are not would keep a change from
 // them for as long as it goes on answering.
@@ -147,6 +176,7 @@
 		f.failedAt = now
 	}
 	f.failures++
+	f.consulted = false
 	pause := f.pause(now)
 	f.retryAt = now.Add(pause - time.Duration(retryJitter*f.draw(f.failures)*float64(pause)))
 }
@@ -176,11 +206,16 @@
 // proof is older than two of its watches is cut from the store itself; another one may
 // not be.
 func (f *Follower) Told(now core.Time, relay core.DaemonID, proof core.Time) {
+	f.consulted = true
 	if now.Sub(proof) > 2*f.watchFor()+answerSlack {
 		f.avoid[relay] = now.Add(avoidFor)
 	}
-	if proof > f.proof {
-		f.proof, f.failures = proof, 0
+	if proof <= f.proof {
+		return
+	}
+	f.proof = proof
+	if !f.watches {
+		f.failures = 0
 	}
 }
 
--- a/core/relay/follower_test.go
+++ b/core/relay/follower_test.go
@@ -80,6 +80,26 @@
 		Expect(f.Next(after(5200 * time.Millisecond)).Kind).To(Equal(relay.Ask))
 	})
 
+	// The store turns one of the watchers away for seconds and serves the others. Its proof
+	// runs out, and it refuses every caller because their keys cannot be checked.
+	It("asks another one while the store turns it away, once after each failure", func() {
+		f := relay.NewFollower("d", bound)
+		f.SetFleet(true, []core.DaemonID{"a", "b"})
+		f.Loaded(start)
+		f.StoreFailed(after(time.Second))
+		Expect(f.Next(after(time.Second)).Kind).To(Equal(relay.Pause), "its proof is young")
+		f.StoreFailed(after(2600 * time.Millisecond))
+		step := f.Next(after(2600 * time.Millisecond))
+		Expect(step.Kind).To(Equal(relay.Ask))
+		Expect(step.Peer).To(Equal(core.DaemonID("a")))
+		f.Silent(after(3*time.Second), "a")
+		Expect(f.Next(after(3 * time.Second)).Peer).To(Equal(core.DaemonID("b")))
+		f.Told(after(3010*time.Millisecond), "b", after(2*time.Second))
+		Expect(f.Proof()).To(Equal(after(2 * time.Second)))
+		Expect(f.Next(after(3010 * time.Millisecond)).Kind).NotTo(Equal(relay.Ask))
+		Expect(f.Next(after(4500 * time.Millisecond)).Kind).To(Equal(relay.Watch), "it goes on trying")
+	})
+
 	It("does not ask again and again when there is no time to wait for an answer", func() {
 		f := following("a")
 		f.SetFleet(true, []core.DaemonID{"a"})
--- a/core/types.go
+++ b/core/types.go
@@ -18,6 +18,9 @@
 // MemberID names a target: one member of a database group.
 type MemberID string
 
+// TeamID names a team, on whose behalf callers ask; the empty one stands for none.
+type TeamID string
+
 // DaemonID names one limpetspand process.
 type DaemonID string
 
--- a/pkg/experiment/daemon.go
+++ b/pkg/experiment/daemon.go
@@ -268,7 +268,7 @@
 		return true
 	}
 	d.idle[m.id]--
-	d.g.ConnTaken(m.id)
+	d.g.ConnTaken(m.id, "")
 	d.w.after(0, d.mine(func() { d.exchange(s, place, m) }))
 	return true
 }
@@ -386,6 +386,6 @@
 // release gives a connection back.
 func (d *daemon) release(m *member) {
 	d.idle[m.id]++
-	d.g.ConnIdle(m.id)
+	d.g.ConnIdle(m.id, "")
 	d.dispatch()
 }
--- a/pkg/explore/promotions/statement.go
+++ b/pkg/explore/promotions/statement.go
@@ -27,7 +27,7 @@
 	if p.Dial {
 		d.g.ConnOpened(p.Member)
 	} else {
-		d.g.ConnTaken(p.Member)
+		d.g.ConnTaken(p.Member, "")
 	}
 }
 
@@ -50,7 +50,7 @@
 		reply := func() {
 			d.w.send(m.node(), d.node(), func() {
 				once(func() {
-					d.g.ConnIdle(m.id)
+					d.g.ConnIdle(m.id, "")
 					d.update(func(at core.Time) []direct.Effect { return d.g.Answered(at, sent, m.id, position, outcome) })
 					if outcome == direct.Succeeded {
 						answered(position)
--- /dev/null
+++ b/pkg/proxy/access.go
@@ -0,0 +1,181 @@
+package proxy
+
+import (
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/auth"
+	"limpetspan/core/direct"
+	"limpetspan/platform"
+)
+
+// access checks callers' keys against the configuration in force.
+type access struct {
+	p    *Proxy
+	gate auth.Gate
+	// required says that the installation's callers show keys.
+	required bool
+}
+
+func newAccess(p *Proxy) access {
+	return access{p: p, gate: auth.NewGate(p.settings.KeyBound), required: p.settings.Teams}
+}
+
+// nobody is the directory of a configuration that names no teams where keys are required.
+var nobody = auth.NewDirectory()
+
+// directory is the teams of the catalog.
+func directory(catalog *direct.Catalog) *auth.Directory {
+	if catalog.Teams == nil {
+		return nobody
+	}
+	return catalog.Teams
+}
+
+// check says what a key is worth now for a database's route. A public one needs no key, and
+// serves whoever shows one in the name of its team. The proof is read before the
+// catalog, which is as new as the proof says or newer, and the clock last: whatever the
+// process stood still for in between makes the proof older.
+func (a *access) check(database string, key auth.Fingerprint) (auth.Team, auth.Verdict) {
+	if !a.required {
+		return auth.Team{}, auth.Granted
+	}
+	proof, _ := a.p.configuration.proof()
+	catalog := a.p.catalog.Load()
+	if catalog.Routes[database].Public {
+		t, _ := directory(catalog).Team(key)
+		return t, auth.Granted
+	}
+	return a.gate.Check(now(), proof, directory(catalog), key)
+}
+
+// proved says whether keys can be checked now, or need not be.
+func (a *access) proved() bool {
+	proof, _ := a.p.configuration.proof()
+	return !a.required || a.gate.Proved(now(), proof)
+}
+
+// open says whether a session may be opened. One whose key this daemon knows is kept even
+// if it cannot say whether the key is still good: each statement asks again.
+func (a *access) open(database string, key auth.Fingerprint) auth.Verdict {
+	_, v := a.check(database, key)
+	if v == auth.Unknown {
+		// The key may be newer than this daemon's configuration.
+		a.p.configuration.askForNews()
+		_, v = a.check(database, key)
+	}
+	if v == auth.Unproved {
+		if _, known := directory(a.p.catalog.Load()).Team(key); known {
+			return auth.Granted
+		}
+	}
+	return v
+}
+
+// team is whose key it is by the configuration in force, proved or not.
+func (a *access) team(key auth.Fingerprint) core.TeamID {
+	if !a.required {
+		return ""
+	}
+	t, _ := directory(a.p.catalog.Load()).Team(key)
+	return t.ID
+}
+
+// unprovedComeBack is when a caller is told to come back whose key cannot be checked now:
+// a daemon that is cut off tries to hear of the configuration about this often.
+const unprovedComeBack = 500 * time.Millisecond
+
+// Texts of refusals on account of a key.
+const (
+	textUnknownKey = "no team has the key"
+	textUnproved   = "the key cannot be checked now"
+	textOtherTeam  = "the key has become another team's"
+)
+
+// allowed says whether a statement may be sent to the member on a connection of the team,
+// right before it is sent. The verdict is kept for the caller's answer.
+func (s *session) allowed(team core.TeamID) bool {
+	if !s.p.access.required {
+		return true
+	}
+	t, v := s.p.access.check(s.database, s.key)
+	s.barredBy = barrier{verdict: v, otherTeam: v == auth.Granted && t.ID != team}
+	return s.barredBy == barrier{}
+}
+
+// barrier is why a statement is not sent on account of its key.
+type barrier struct {
+	verdict   auth.Verdict
+	otherTeam bool
+}
+
+func (b barrier) text() string {
+	switch {
+	case b.verdict == auth.Unknown:
+		return textUnknownKey
+	case b.verdict == auth.Unproved:
+		return textUnproved
+	}
+	return textOtherTeam
+}
+
+// admit looks at a statement's key when it arrives; false: it is refused, and the caller
+// was told. A statement in a transaction is looked at before it is sent.
+func (s *session) admit(j *job) bool {
+	if !s.p.access.required {
+		return true
+	}
+	_, v := s.p.access.check(s.database, s.key)
+	if v != auth.Granted {
+		s.barredBy = barrier{verdict: v}
+		s.barred(j)
+		return false
+	}
+	return true
+}
+
+// admitTransaction is admit for the first statement of a transaction, which has failed if
+// it is refused, or is over if this was its commit.
+func (s *session) admitTransaction(j *job) bool {
+	if !s.p.access.required {
+		return true
+	}
+	_, v := s.p.access.check(s.database, s.key)
+	if v != auth.Granted {
+		s.barredBy = barrier{verdict: v}
+		s.barredInTransaction(j)
+	}
+	return v == auth.Granted
+}
+
+// barred refuses a statement outside a transaction, of which nothing was sent.
+func (s *session) barred(j *job) {
+	s.noteBarred(j)
+	if s.barredBy.verdict == auth.Unknown {
+		s.answerError(platform.CodeUnknownKey, textUnknownKey)
+		return
+	}
+	s.answerError(platform.CodeBusy, "not run: "+s.barredBy.text()+comeBackIn(unprovedComeBack))
+	if s.barredBy.verdict == auth.Unproved {
+		s.sendElsewhere()
+	}
+}
+
+// barredInTransaction rolls the open transaction back, as its statement may not be sent.
+// Nothing of it is kept, which its caller is told.
+func (s *session) barredInTransaction(j *job) {
+	s.noteBarred(j)
+	tx := s.tx
+	s.abort(tx)
+	if j.kind == direct.StatementCommit {
+		s.tx = nil
+	}
+	s.answerError(platform.CodeAborted, s.barredBy.text()+"; the transaction is rolled back")
+}
+
+func (s *session) noteBarred(j *job) {
+	s.p.stats.barred.Add(s.barredBy.text(), 1)
+	proof, _ := s.p.configuration.proof()
+	s.debug("refused", "id", j.id, "reason", s.barredBy.text(), "key", s.key.String(),
+		"configuration", s.p.configuration.version(), "proof_ms", now().Sub(proof).Milliseconds())
+}
--- /dev/null
+++ b/pkg/proxy/access_test.go
@@ -0,0 +1,167 @@
+package proxy
+
+import (
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+
+	"limpetspan/platform"
+)
+
+const (
+	gatesKey = "key-of-the-gates"
+	baysKey  = "key-of-the-bays"
+	// keyBound is short, so that a test sees a proof run out.
+	keyBound = 2 * time.Second
+)
+
+func team(name string, keys ...string) map[string]any {
+	return map[string]any{"name": name, "api_keys": keys}
+}
+
+// withKeys has the fleet's callers show keys.
+func withKeys(f *fleet) {
+	f.teams = []map[string]any{team("gates", gatesKey), team("bays", baysKey)}
+	f.adjust = func(s *platform.Settings) {
+		s.Teams, s.KeyBound, s.ConfigurationBound = true, keyBound, keyBound
+	}
+}
+
+// opened opens a session with a key that is known.
+func (d *daemon) opened(database, key string) *caller {
+	x := d.dialWith(database, key)
+	Expect(x.line()).To(Equal("READY I -"))
+	return x
+}
+
+// ranFor returns in whose name the statement ran, at any member.
+func (f *fleet) ranFor(id string) (names []string) {
+	for _, m := range f.group.Members() {
+		of := m.RunsOf()
+		for i, run := range m.Runs() {
+			if strings.HasPrefix(run, id+" ") {
+				names = append(names, of[i])
+			}
+		}
+	}
+	return names
+}
+
+// setTeams puts a configuration with these teams.
+func (f *fleet) setTeams(teams ...map[string]any) {
+	f.teams = teams
+	f.configure("db-primary", "db-own", "db-stale")
+}
+
+var _ = Describe("a caller's key", func() {
+	It("decides in whose name its statements run", func() {
+		f := newFleet(1, withKeys)
+		gates, bays := f.daemons[0].opened("db-primary", gatesKey), f.daemons[0].opened("db-primary", baysKey)
+		for range 3 {
+			Expect(f.ranFor(gates.persist("WRITE k 1").id)).To(Equal([]string{"gates"}))
+			Expect(f.ranFor(bays.persist("READ k").id)).To(Equal([]string{"bays"}))
+		}
+	})
+
+	It("opens no session that no team has", func() {
+		f := newFleet(1, withKeys)
+		for _, key := range []string{"guess", ""} {
+			Expect(f.daemons[0].dialWith("db-primary", key).line()).To(HavePrefix("ERROR AUTHFAIL"))
+		}
+	})
+
+	It("opens none where the configuration names no teams although keys are required", func() {
+		f := newFleet(1, withKeys, func(f *fleet) { f.teams = nil })
+		Expect(f.daemons[0].dialWith("db-primary", gatesKey).line()).To(HavePrefix("ERROR AUTHFAIL"))
+	})
+
+	It("that is given while the caller is there works, and no longer once it is taken away", func() {
+		f := newFleet(1, withKeys)
+		f.setTeams(team("gates", gatesKey), team("desk", "new-key"))
+		Eventually(func() string { return f.daemons[0].dialWith("db-primary", "new-key").line() }, waitLimit).Should(Equal("READY I -"))
+		x := f.daemons[0].opened("db-primary", gatesKey)
+		x.persist("WRITE k 1")
+		f.setTeams(team("gates", "another"))
+		Eventually(func() string { return x.query("READ k").end }, waitLimit).Should(HavePrefix("ERROR AUTHFAIL"))
+		f.setTeams(team("gates", gatesKey))
+		x.persist("READ k")
+	})
+
+	// A caller's key is taken away while its transaction is open. What the transaction wrote
+	// must not be kept: its commit would be a request of a key that is gone.
+	It("that is taken away rolls its open transaction back", func() {
+		f := newFleet(1, withKeys)
+		x := f.daemons[0].opened("db-primary", gatesKey)
+		x.persist("READ k")
+		Expect(x.query("BEGIN").end).To(Equal("COMPLETE -"))
+		Expect(x.query("WRITE k lost").served()).To(BeTrue())
+		version := f.version
+		f.setTeams(team("gates", "another"))
+		Eventually(func() int { return int(f.daemons[0].p.configuration.version()) }, waitLimit).Should(BeNumerically(">", version))
+		Expect(x.query("COMMIT").end).To(HavePrefix("ERROR ABORTED"))
+		f.setTeams(team("gates", gatesKey))
+		Expect(x.persist("READ k").rows).NotTo(ContainElement("lost"))
+	})
+
+	// The daemon is cut off from the store. Its callers' keys may have been taken away
+	// meanwhile, so nothing runs once its proof has run out; callers are told to come back
+	// and not that their keys are wrong, and go on in their sessions when it is back.
+	It("runs nothing at a daemon that has heard nothing for the bound", func() {
+		f := newFleet(1, withKeys)
+		d := f.daemons[0]
+		x := d.opened("db-primary", gatesKey)
+		x.persist("WRITE k 1")
+		d.loseStore()
+		Eventually(func() string { return x.query("READ k").end }, waitLimit).Should(HavePrefix("ERROR BUSY not run: the key cannot be checked now; retry after"))
+		Expect(d.dialWith("db-primary", "guess").line()).To(HavePrefix("ERROR BUSY"))
+		ran := len(f.group.Primary().Runs())
+		Expect(x.query("WRITE k 2").served()).To(BeFalse())
+		Expect(f.group.Primary().Runs()).To(HaveLen(ran))
+		d.p.client.SetAddresses(f.store.Addr(), f.store.Addr())
+		x.persist("WRITE k 3")
+	})
+
+	It("is never written to a log", func() {
+		f := newFleet(1, withKeys)
+		f.daemons[0].opened("db-primary", gatesKey).persist("WRITE k 1")
+		f.daemons[0].dialWith("db-primary", "key-of-nobody").line()
+		f.setTeams(team("gates", gatesKey), team("bays", gatesKey))
+		Eventually(f.log, waitLimit).Should(gbytes.Say("part of the configuration cannot be used"))
+		Expect(string(f.log.Contents())).NotTo(ContainSubstring("key-of-"))
+		Expect(string(f.daemons[0].p.configuration.document.Load().value)).NotTo(ContainSubstring("key-of-"))
+	})
+
+	It("is not asked for on a public route", func() {
+		f := newFleet(1, withKeys)
+		f.version += 2
+		route := routeTo("db-primary", "ledger")
+		route["public"] = true
+		Expect(f.store.Put("op/config", map[string]any{"version": f.version, "routes": []map[string]any{route}, "limits": map[string]any{},
+			"services": []map[string]any{{"name": "ledger", "max_conns": 22}}, "tenants": f.teams})).To(Succeed())
+		Eventually(func() string { return f.daemons[0].dialWith("db-primary", "").line() }, waitLimit).Should(Equal("READY I -"))
+		x := f.daemons[0].opened("db-primary", gatesKey)
+		Expect(f.ranFor(x.persist("READ k").id)).To(Equal([]string{"gates"}))
+	})
+})
+
+var _ = Describe("a member's connections", func() {
+	// More teams than connections: each team's statement finds all of them open in other
+	// teams' names. Without giving up an idle one it would wait for ever.
+	It("are given up by a team that is idle for one that asks", func() {
+		f := newFleet(1, withKeys, func(f *fleet) {
+			for i := range 30 {
+				f.teams = append(f.teams, team("t"+strings.Repeat("x", i+1), "key"+strings.Repeat("x", i+1)))
+			}
+		})
+		for range 2 {
+			for i := range 30 {
+				x := f.daemons[0].opened("db-primary", "key"+strings.Repeat("x", i+1))
+				Expect(f.ranFor(x.persist("READ k").id)).To(Equal([]string{"t" + strings.Repeat("x", i+1)}))
+			}
+		}
+		Expect(f.daemons[0].p.stats.replaced.Value()).To(BeNumerically(">", 0))
+	})
+})
--- a/pkg/proxy/configuration.go
+++ b/pkg/proxy/configuration.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"limpetspan/core"
 	"limpetspan/core/direct"
 	"limpetspan/core/relay"
@@ -35,6 +37,11 @@
 	catchingUp  sync.Mutex
 	nextCatchUp core.Time
 
+	// newsAsked lets all sessions that wait for news share one question; nextNews is the
+	// earliest moment of the next one.
+	newsAsked singleflight.Group
+	nextNews  atomic.Int64
+
 	mu       sync.Mutex
 	follower *relay.Follower
 	// advanced is closed and replaced when there is a younger proof.
@@ -50,7 +57,7 @@
 func newConfiguration(p *Proxy) *configuration {
 	return &configuration{
 		p: p, reached: make(chan struct{}), changed: make(chan struct{}, 1), advanced: make(chan struct{}),
-		follower: relay.NewFollower(p.settings.Daemon, p.settings.ConfigurationBound),
+		follower: relay.NewFollower(p.settings.Daemon, p.settings.ProofBound()),
 	}
 }
 
@@ -184,6 +191,9 @@
 // whoever tells it and whatever the store answers after a gap.
 func (c *configuration) accept(value []byte) {
 	catalog, err := platform.ParseConfiguration(value)
+	if err == nil {
+		value, err = platform.SealConfiguration(value)
+	}
 	if err != nil {
 		c.p.log.Error("configuration cannot be read", "error", err.Error())
 		return
@@ -193,6 +203,9 @@
 	if old := c.p.catalog.Load(); old != nil && old.Version >= catalog.Version {
 		return
 	}
+	for _, problem := range catalog.Problems {
+		c.p.log.Error("part of the configuration cannot be used", "version", catalog.Version, "problem", problem)
+	}
 	c.p.catalog.Store(catalog)
 	c.p.configuredAt.CompareAndSwap(0, int64(now()))
 	c.p.log.Info("configuration in force", "version", catalog.Version, "routes", len(catalog.Routes))
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -15,10 +15,12 @@
 // memberConn is a connection to a member. One goroutine uses it at a time.
 type memberConn struct {
 	member core.MemberID
-	c      net.Conn
-	r      *bufio.Reader
-	out    []byte
-	body   []byte
+	// team is the one that it serves.
+	team core.TeamID
+	c    net.Conn
+	r    *bufio.Reader
+	out  []byte
+	body []byte
 	// values and prepared are the session state on the member's side.
 	values   map[string]string
 	prepared map[string]bool
@@ -37,16 +39,16 @@
 func (e *connError) Error() string { return e.err.Error() }
 func (e *connError) Unwrap() error { return e.err }
 
-// dialMember opens a connection to the member that is expected at the address.
-func dialMember(addr string, group core.GroupID, id core.MemberID, timeout time.Duration) (*memberConn, *connError) {
+// dialMember opens a connection to the member that is expected at the address, for the team.
+func dialMember(addr string, group core.GroupID, id core.MemberID, team core.TeamID, timeout time.Duration) (*memberConn, *connError) {
 	deadline := time.Now().Add(timeout)
 	c, err := net.DialTimeout("tcp", addr, timeout)
 	if err != nil {
 		return nil, &connError{direct.NotSent, errors.Is(err, syscall.ECONNREFUSED), err}
 	}
-	m := &memberConn{member: id, c: c, r: platform.NewReader(c), values: map[string]string{}, prepared: map[string]bool{}}
+	m := &memberConn{member: id, team: team, c: c, r: platform.NewReader(c), values: map[string]string{}, prepared: map[string]bool{}}
 	_ = c.SetDeadline(deadline)
-	m.out = platform.AppendStartup(m.out[:0], group, "limpetspan", id)
+	m.out = platform.AppendStartup(m.out[:0], group, team, id)
 	if _, err := c.Write(m.out); err != nil {
 		m.close()
 		return nil, &connError{direct.NotSent, false, err}
--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -14,6 +14,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
 
 	"limpetspan/core"
 	"limpetspan/platform"
@@ -43,6 +44,12 @@
 	group   *standin.Group
 	daemons []*daemon
 	version int
+	// teams are those of the next configuration; nil: it speaks of none.
+	teams []map[string]any
+	// adjust changes the settings of daemons before they start.
+	adjust func(s *platform.Settings)
+	// log is what all daemons write.
+	log *gbytes.Buffer
 }
 
 type daemon struct {
@@ -52,8 +59,11 @@
 	done chan error
 }
 
-func newFleet(daemons int) *fleet {
-	f := &fleet{version: 3}
+func newFleet(daemons int, options ...func(f *fleet)) *fleet {
+	f := &fleet{version: 3, log: gbytes.NewBuffer(), adjust: func(*platform.Settings) {}}
+	for _, option := range options {
+		option(f)
+	}
 	var err error
 	f.store, err = standin.NewStore()
 	Expect(err).NotTo(HaveOccurred())
@@ -104,10 +114,14 @@
 		}
 		routes = append(routes, r)
 	}
-	Expect(f.store.Put("op/config", map[string]any{
+	document := map[string]any{
 		"version": f.version, "routes": routes, "limits": map[string]any{"tx_idle_ms": 3000},
 		"services": []map[string]any{{"name": "ledger", "max_conns": 22, "sync_replicas": 0}},
-	})).To(Succeed())
+	}
+	if f.teams != nil {
+		document["tenants"] = f.teams
+	}
+	Expect(f.store.Put("op/config", document)).To(Succeed())
 }
 
 // routeTo is the configuration's route of a database whose reads run on the primary.
@@ -150,7 +164,8 @@
 		Daemon: core.DaemonID(fmt.Sprintf("edge-%d", n+1)), Zone: "zone-1", IP: ip, CallerAddr: nextAddr(ip), ReadyAddr: nextAddr(ip),
 		GossipPort: port, LastPort: 0, Grace: 2 * time.Second, StoreAddr: f.store.Addr(), PromoteAddr: f.store.Addr(),
 	}
-	return run(s, io.Discard)
+	f.adjust(&s)
+	return run(s, f.log)
 }
 
 // run starts a daemon that logs to w.
@@ -191,12 +206,18 @@
 }
 
 func (d *daemon) dial(database string) *caller {
+	x := d.dialWith(database, "me")
+	Expect(x.line()).To(Equal("READY I -"))
+	return x
+}
+
+// dialWith opens a session with a key; its answer is yet to be read.
+func (d *daemon) dialWith(database, key string) *caller {
 	c, err := net.Dial("tcp", d.s.CallerAddr)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(func() { _ = c.Close() })
 	x := &caller{c: c, r: bufio.NewReader(c)}
-	x.send("STARTUP " + database + " me")
-	Expect(x.line()).To(Equal("READY I -"))
+	x.send("STARTUP " + database + " " + key)
 	return x
 }
 
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -48,10 +48,12 @@
 	return w
 }
 
-// grant is a place on a member; conn is nil if it has to be opened.
+// grant is a place on a member; conn is nil if it has to be opened, after replaced, if
+// any, was closed.
 type grant struct {
-	place direct.Place
-	conn  *memberConn
+	place    direct.Place
+	conn     *memberConn
+	replaced *memberConn
 }
 
 func newGroup(p *Proxy, id core.GroupID) *group {
@@ -120,8 +122,11 @@
 		if gr.conn != nil {
 			return gr.conn, gr.place, true
 		}
+		if gr.replaced != nil {
+			gr.replaced.close()
+		}
 		sent := now()
-		conn, err := g.open(gr.place.Member, deadline)
+		conn, err := g.open(gr.place.Member, w.need.Team, deadline)
 		if err == nil {
 			return conn, gr.place, true
 		}
@@ -172,21 +177,28 @@
 	if !ok {
 		return grant{}, false
 	}
-	if place.Dial {
-		g.core.ConnOpened(place.Member)
-		return grant{place: place}, true
+	if !place.Dial {
+		return grant{place: place, conn: g.takeIdle(place.Member, w.need.Team)}, true
+	}
+	var replaced *memberConn
+	if place.Replace {
+		replaced = g.takeOldest(place.Member)
+		g.core.ConnClosed(place.Member)
+		g.p.stats.replaced.Add(1)
 	}
-	return grant{place: place, conn: g.takeIdle(place.Member)}, true
+	g.core.ConnOpened(place.Member)
+	return grant{place: place, replaced: replaced}, true
 }
 
 // takeAny takes any idle connection to the member; nil: there is none.
 func (g *group) takeAny(id core.MemberID) *memberConn {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if len(g.idle[id]) == 0 {
+	list := g.idle[id]
+	if len(list) == 0 {
 		return nil
 	}
-	return g.takeIdle(id)
+	return g.takeAt(id, len(list)-1)
 }
 
 // openControl opens a connection for an order, whatever the share allows.
@@ -194,7 +206,7 @@
 	g.mu.Lock()
 	g.core.ConnOpened(id)
 	g.mu.Unlock()
-	conn, err := g.open(id, now().Add(dialTimeout))
+	conn, err := g.open(id, "", now().Add(dialTimeout))
 	if err != nil {
 		g.update(func(c *direct.Group, _ core.Time) []direct.Effect {
 			c.ConnClosed(id)
@@ -205,12 +217,23 @@
 	return conn, nil
 }
 
-// takeIdle takes the idle connection that was used last.
-func (g *group) takeIdle(id core.MemberID) *memberConn {
+// takeIdle takes the team's idle connection that was used last.
+func (g *group) takeIdle(id core.MemberID, team core.TeamID) *memberConn {
 	list := g.idle[id]
-	conn := list[len(list)-1]
-	g.idle[id] = list[:len(list)-1]
-	g.core.ConnTaken(id)
+	i := len(list) - 1
+	for list[i].team != team {
+		i--
+	}
+	return g.takeAt(id, i)
+}
+
+// takeOldest takes the idle connection that has been unused for longest, whose ever it is.
+func (g *group) takeOldest(id core.MemberID) *memberConn { return g.takeAt(id, 0) }
+
+func (g *group) takeAt(id core.MemberID, i int) *memberConn {
+	conn := g.idle[id][i]
+	g.idle[id] = slices.Delete(g.idle[id], i, i+1)
+	g.core.ConnTaken(id, conn.team)
 	return conn
 }
 
@@ -229,7 +252,7 @@
 	}
 }
 
-func (g *group) open(id core.MemberID, deadline core.Time) (*memberConn, *connError) {
+func (g *group) open(id core.MemberID, team core.TeamID, deadline core.Time) (*memberConn, *connError) {
 	g.mu.Lock()
 	addr, ok := g.core.Addr(id)
 	g.mu.Unlock()
@@ -237,7 +260,7 @@
 		return nil, &connError{outcome: direct.NotSent, err: errUnknownMember}
 	}
 	g.p.stats.dials.Add(1)
-	return dialMember(addr, g.id, id, min(dialTimeout, until(deadline, 20*time.Millisecond)))
+	return dialMember(addr, g.id, id, team, min(dialTimeout, until(deadline, 20*time.Millisecond)))
 }
 
 // release returns a connection that is in order and outside a transaction.
@@ -247,7 +270,7 @@
 	g.mu.Lock()
 	g.resume(conn)
 	g.idle[conn.member] = append(g.idle[conn.member], conn)
-	g.core.ConnIdle(conn.member)
+	g.core.ConnIdle(conn.member, conn.team)
 	g.dispatch(at)
 	g.mu.Unlock()
 }
@@ -318,8 +341,8 @@
 	g.mu.Lock()
 	old := g.idle[id]
 	delete(g.idle, id)
-	for range old {
-		g.core.ConnTaken(id)
+	for _, conn := range old {
+		g.core.ConnTaken(id, conn.team)
 		g.core.ConnClosed(id)
 	}
 	g.mu.Unlock()
@@ -398,9 +421,9 @@
 		_, known := c.Addr(id)
 		for len(list) > 0 && (!known || len(list) > fair && at.Sub(list[0].idleAt) > idleConnKeep) {
 			old = append(old, list[0])
-			list = list[1:]
-			c.ConnTaken(id)
+			c.ConnTaken(id, list[0].team)
 			c.ConnClosed(id)
+			list = list[1:]
 		}
 		g.idle[id] = list
 	}
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -117,7 +117,7 @@
 	_ = l.c.SetDeadline(time.Now().Add(timeout))
 	hello := &reportpb.Hello{
 		Database: s.database, Entry: string(s.p.settings.Daemon), Term: uint64(s.last.Term), Lsn: uint64(s.last.LSN),
-		Version: s.p.configuration.version(), Ip: s.p.settings.IP,
+		Version: s.p.configuration.version(), Ip: s.p.settings.IP, KeyFingerprint: s.key[:],
 	}
 	if _, err := protodelim.MarshalTo(l.c, hello); err != nil {
 		return err
@@ -447,7 +447,7 @@
 // welcome says whether this daemon serves the session that an entry hands over.
 func (p *Proxy) welcome(hello *reportpb.Hello) *reportpb.Welcome {
 	catalog := p.catalog.Load()
-	if catalog == nil || p.closing() {
+	if catalog == nil || p.closing() || !p.access.proved() {
 		return &reportpb.Welcome{Refused: "not serving", Refusal: reportpb.Refusal_REFUSAL_DAEMON}
 	}
 	w := &reportpb.Welcome{Version: catalog.Version}
@@ -489,6 +489,7 @@
 	}
 	_ = s.c.SetReadDeadline(time.Time{})
 	s.database = hello.Database
+	copy(s.key[:], hello.KeyFingerprint)
 	s.last = core.Position{Term: core.Term(hello.Term), LSN: core.LSN(hello.Lsn)}
 	s.lastAt = now()
 	s.loop()
--- a/pkg/proxy/outage.go
+++ b/pkg/proxy/outage.go
@@ -50,6 +50,12 @@
 	return "; retry after " + strconv.FormatInt(after.Milliseconds(), 10) + " ms"
 }
 
+// comeBackIn ends the text of a refusal: when to come back, spread out by half of that.
+func comeBackIn(after time.Duration) string {
+	after += time.Duration(rand.Float64() / 2 * float64(after))
+	return "; retry after " + strconv.FormatInt(after.Milliseconds(), 10) + " ms"
+}
+
 // cut says whether this daemon is cut from the group's primary and another home is not.
 func (p *Proxy) cut(id core.GroupID) bool {
 	g := p.known(id)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -41,6 +41,8 @@
 	lifeChecks singleflight.Group
 	// policy is the mechanisms in use.
 	policy policy.Set
+	// access checks callers' keys.
+	access access
 	// sessionLimits bound what a session may have set.
 	sessionLimits SessionLimits
 	boot          int64
@@ -93,6 +95,7 @@
 	p.startedAt = now()
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.homes = newHomes(p)
+	p.access = newAccess(p)
 	p.configuration = newConfiguration(p)
 	p.claims = &claims{p: p, seen: make(map[core.GroupID]seenLock)}
 	if s.MemoryLimit > 0 {
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -101,6 +101,31 @@
 	c.p.log.Info("configuration", "fetched_from", addr, "wanted", version, "has", c.version(), "error", errorText(err))
 }
 
+// askForNews fetches a newer configuration from the daemon that this one follows. Sessions
+// that come at the same time share the question, and newsEvery bounds how often it is
+// asked: keys that somebody guesses must not become load on others. A daemon that watches
+// the store hears of a change within milliseconds, and has nobody to ask.
+func (c *configuration) askForNews() {
+	_, _, _ = c.newsAsked.Do("", func() (any, error) {
+		at := now()
+		c.mu.Lock()
+		source, ok := c.follower.Source()
+		c.mu.Unlock()
+		if !ok || at < core.Time(c.nextNews.Load()) {
+			return nil, nil
+		}
+		c.nextNews.Store(int64(at.Add(newsEvery)))
+		addr, ok := c.p.peers.homeAddr(source)
+		if !ok {
+			return nil, nil
+		}
+		if err := c.fetch(addr); err != nil {
+			c.p.log.Info("configuration", "news_from", source, "error", err.Error())
+		}
+		return nil, nil
+	})
+}
+
 // fetch asks the daemon at the address once, and accepts its configuration.
 func (c *configuration) fetch(addr string) error {
 	deadline := time.Now().Add(catchUpTimeout)
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -31,7 +31,7 @@
 
 // need is what the statement asks of a member when it runs outside a transaction.
 func (s *session) need(route direct.Route, primary bool, arrived core.Time) direct.Need {
-	n := direct.Need{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived}
+	n := direct.Need{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived, Team: s.p.access.team(s.key)}
 	if route.Consistency == direct.ReadYourWrites {
 		n.Session, n.SessionAt = s.last, s.lastAt
 	}
@@ -62,6 +62,9 @@
 // runSingle runs a statement outside a transaction. It is placed again as long
 // as it is proved that it has not run, or running twice does no harm.
 func (s *session) runSingle(j *job) {
+	if !s.admit(j) {
+		return
+	}
 	g := s.p.use(j.route.Group)
 	w := s.waiter(j, s.need(j.route, j.writes, j.arrived))
 	deadline := j.deadline()
@@ -77,6 +80,11 @@
 			s.succeed(g, conn, place, j, &a)
 			return
 		}
+		if o == direct.Barred {
+			g.release(conn)
+			s.barred(j)
+			return
+		}
 		verdict := direct.Settle(j.kind, j.writes, false, o)
 		s.debug("answer", "id", j.id, "member", place.Member, "outcome", int(o), "code", a.Code, "attempt", attempt, "ms", now().Sub(sent).Milliseconds())
 		switch verdict {
@@ -153,6 +161,9 @@
 	if place.Primary && !g.leased(place.Member) {
 		return platform.Answer{State: platform.StateIdle}, now(), direct.NotPrimary
 	}
+	if !s.allowed(conn.team) {
+		return platform.Answer{State: platform.StateIdle}, now(), direct.Barred
+	}
 	since := place.Since
 	if j.writes {
 		since = core.Position{}
@@ -222,8 +233,15 @@
 	args := []any{"id", j.id, "reason", why, "attempt", attempt, "ms", now().Sub(j.arrived).Milliseconds()}
 	s.debug("refused", append(args, inputs...)...)
 	s.answerError(platform.CodeBusy, "not run: "+why+comeBack(s.p.outage(j.route.Group)))
-	if s.linked && s.tx == nil && !s.toldEntry.Load() && s.p.cut(j.route.Group) {
-		// The entry looks for another home, which reaches the primary.
+	if s.p.cut(j.route.Group) {
+		s.sendElsewhere()
+	}
+}
+
+// sendElsewhere has the entry of a linked session look for another home, which can do what
+// this one cannot.
+func (s *session) sendElsewhere() {
+	if s.linked && s.tx == nil && !s.toldEntry.Load() {
 		s.toldEntry.Store(true)
 		s.out = platform.AppendTerminate(s.out)
 	}
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"limpetspan/core"
+	"limpetspan/core/auth"
 	"limpetspan/core/direct"
 	"limpetspan/platform"
 )
@@ -27,6 +28,10 @@
 	r        *bufio.Reader
 	out      []byte
 	database string
+	// key is the fingerprint of what the caller showed for its team; barredBy is why its last
+	// statement was not sent on account of it.
+	key      auth.Fingerprint
+	barredBy barrier
 	sessionState
 	// last is the position of the session's last commit, lastAt when it was
 	// acknowledged.
@@ -129,7 +134,16 @@
 	if _, ok := catalog.Routes[msg.Database]; !ok {
 		return s.close(platform.CodeNoDatabase, "no such database")
 	}
-	s.database = msg.Database
+	s.database, s.key = msg.Database, auth.FingerprintOf(msg.Key)
+	switch s.p.access.open(s.database, s.key) {
+	case auth.Unknown:
+		s.p.stats.barred.Add(textUnknownKey, 1)
+		s.debug("session refused", "reason", textUnknownKey, "key", s.key.String(), "configuration", s.p.configuration.version())
+		return s.close(platform.CodeUnknownKey, textUnknownKey)
+	case auth.Unproved:
+		s.p.stats.barred.Add(textUnproved, 1)
+		return s.close(platform.CodeBusy, "not run: "+textUnproved+comeBackIn(unprovedComeBack))
+	}
 	s.out = platform.AppendReady(s.out[:0], platform.StateIdle, "")
 	return s.flush()
 }
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -13,7 +13,11 @@
 	statements, malformed, broken, dials, dialFailures, probeFailures expvar.Int
 	ordersDropped, promotions, reportsUnsent, reportsMalformed        expvar.Int
 	onPrimary, onReplica, logDropped                                  expvar.Int
-	refusals                                                          expvar.Map
+	// replaced are idle connections that were closed for one of another team.
+	replaced expvar.Int
+	// refusals are errors by code, barred statements that were refused on account of their
+	// callers' keys, by reason.
+	refusals, barred expvar.Map
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
@@ -46,19 +50,24 @@
 
 // snapshot returns all figures for the metrics address.
 func (s *stats) snapshot() any {
-	refusals := map[string]string{}
-	s.refusals.Do(func(kv expvar.KeyValue) { refusals[kv.Key] = kv.Value.String() })
+	refusals, barred := valuesOf(&s.refusals), valuesOf(&s.barred)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return map[string]any{
 		"statements": s.statements.Value(), "malformed": s.malformed.Value(), "broken": s.broken.Value(),
-		"dials": s.dials.Value(), "dial_failures": s.dialFailures.Value(), "probe_failures": s.probeFailures.Value(),
+		"dials": s.dials.Value(), "conns_replaced": s.replaced.Value(), "dial_failures": s.dialFailures.Value(), "probe_failures": s.probeFailures.Value(),
 		"orders_dropped": s.ordersDropped.Value(), "promotions": s.promotions.Value(),
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logDropped.Value(),
-		"refusals": refusals,
+		"refusals": refusals, "barred": barred,
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
 	}
 }
+
+func valuesOf(m *expvar.Map) map[string]string {
+	values := map[string]string{}
+	m.Do(func(kv expvar.KeyValue) { values[kv.Key] = kv.Value.String() })
+	return values
+}
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -45,6 +45,9 @@
 // could not be had, and the caller was told.
 func (s *session) open(j *job) bool {
 	tx := s.tx
+	if !s.admitTransaction(j) {
+		return false
+	}
 	deadline := j.deadline()
 	primary := !tx.readOnly
 	w := s.waiter(j, s.need(tx.route, primary, tx.arrived))
@@ -66,6 +69,11 @@
 			tx.conn, tx.place = conn, place
 			return true
 		}
+		if o == direct.Barred {
+			tx.g.release(conn)
+			s.barredInTransaction(j)
+			return false
+		}
 		s.debug("begin", "id", j.id, "member", place.Member, "outcome", int(o), "code", a.Code)
 		switch {
 		case o == direct.Broken || o == direct.NotSent:
@@ -111,6 +119,10 @@
 		waitLimit = min(waitLimit, tx.place.AnswerTimeout)
 	}
 	a, o := s.runPinned(j, waitLimit)
+	if o == direct.Barred {
+		s.barredInTransaction(j)
+		return
+	}
 	if o == direct.Broken || o == direct.NotSent {
 		s.aborted(j, o)
 		return
@@ -130,6 +142,9 @@
 		return platform.Answer{}, direct.NotSent
 	}
 	tx.g.resumes(tx.conn)
+	if !s.allowed(tx.conn.team) {
+		return platform.Answer{}, direct.Barred
+	}
 	sent := now()
 	end := s.hop("member.exchange", j.id, string(tx.conn.member))
 	a, wrote, err := tx.conn.exchange(j.id, j.text, core.Position{}, deadline)
@@ -196,6 +211,9 @@
 	}
 	a, o := s.runPinned(j, tx.route.StatementTimeout-answerMargin)
 	switch o {
+	case direct.Barred:
+		s.barredInTransaction(j)
+		return
 	case direct.NotSent:
 		s.tx = nil
 		s.answerError(platform.CodeAborted, "the commit was not sent; the transaction is rolled back")
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -76,6 +76,10 @@
 	// after one that brought none.
 	catchUpTimeout = homeDialTimeout / 2
 	catchUpRetry   = 250 * time.Millisecond
+	// newsEvery is the pause between questions for a newer configuration that callers with
+	// unknown keys cause: a key that has just been added works a quarter of a second later at
+	// the latest where such callers come all the time.
+	newsEvery = 250 * time.Millisecond
 	// relayIdle is how long a relay keeps the link of a daemon that asks nothing, and
 	// waits for one that does not read: longer than any follower waits.
 	relayIdle = 10 * time.Second
