--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -155,6 +155,11 @@
 			list = append(list, choice{d.ID, furtherDaemon, draw(group, d)})
 		}
 	}
+	return ordered(list)
+}
+
+// ordered are the daemons by rank, then by draw.
+func ordered(list []choice) []core.DaemonID {
 	slices.SortFunc(list, func(a, b choice) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(b.draw, a.draw))
 	})
@@ -164,3 +169,22 @@
 	}
 	return order
 }
+
+// TeamOrder returns the daemons that an entry asks to serve the team's statements in the
+// group, best first, this daemon's own among them: homes in the team's order, which is the
+// same for all entries and groups, then further daemons in the group's.
+//
+// A member's connection serves one team alone. Were each home to serve every team, each
+// would need connections of its own for all of them, of which there are fewer than teams.
+// Gathered at one home a team has few pools, and its statements are counted where they meet.
+func TeamOrder(group core.GroupID, team core.TeamID, homes []core.DaemonID, daemons []Daemon) []core.DaemonID {
+	list := make([]choice, 0, len(daemons))
+	for _, d := range daemons {
+		if slices.Contains(homes, d.ID) {
+			list = append(list, choice{d.ID, nearHome, draw(core.GroupID("team/"+string(team)), d)})
+		} else {
+			list = append(list, choice{d.ID, furtherDaemon, draw(group, d)})
+		}
+	}
+	return ordered(list)
+}
--- a/core/direct/homes_test.go
+++ b/core/direct/homes_test.go
@@ -80,3 +80,43 @@
 		Expect(homes).To(ContainElements(order[0], order[1], order[2], order[3]))
 	})
 })
+
+var _ = Describe("the order of daemons for a team", func() {
+	daemons := func(n int) (list []direct.Daemon) {
+		for i := range n {
+			list = append(list, direct.Daemon{ID: core.DaemonID(fmt.Sprintf("d%d", i)), Zone: core.Zone(fmt.Sprintf("z%d", i%4)), Weight: 1})
+		}
+		return list
+	}
+	homes := []core.DaemonID{"d0", "d1", "d2", "d3", "d4", "d5", "d6", "d7"}
+
+	// A team's callers come in at all entries, for databases of all groups. Were they to meet at
+	// several homes, each would need connections of its own for the team, and each would
+	// have to know how much the others have run for it.
+	It("begins with the same home in all groups that have it", func() {
+		for i := range 50 {
+			team := core.TeamID(fmt.Sprintf("team-%d", i))
+			order := direct.TeamOrder("g1", team, homes, daemons(12))
+			Expect(order).To(HaveLen(12))
+			Expect(homes).To(ContainElements(order[:8]))
+			Expect(direct.TeamOrder("g2", team, homes, daemons(12))[:8]).To(Equal(order[:8]))
+		}
+	})
+
+	It("spreads teams over the homes, and moves only those of a home that goes", func() {
+		first := make(map[core.DaemonID]int)
+		for i := range 400 {
+			team := core.TeamID(fmt.Sprintf("team-%d", i))
+			before := direct.TeamOrder("g1", team, homes, daemons(12))[0]
+			first[before]++
+			after := direct.TeamOrder("g1", team, homes[1:], daemons(12))[0]
+			if before != "d0" {
+				Expect(after).To(Equal(before))
+			}
+		}
+		Expect(first).To(HaveLen(8))
+		for _, n := range first {
+			Expect(n).To(BeNumerically("~", 50, 30))
+		}
+	})
+})
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -46,6 +46,8 @@
 	RefuseHopeless
 	// AvoidFailing sends reads to members whose answers fail less often.
 	AvoidFailing
+	// GatherTeams has one home of each group serve all of a team's statements.
+	GatherTeams
 	end
 )
 
@@ -55,7 +57,7 @@
 var names = [...]string{
 	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
-	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing",
+	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
 }
 
 // renamed leads from a mechanism's old name to its present one.
--- a/core/relay/follower_test.go
+++ b/core/relay/follower_test.go
@@ -97,7 +97,7 @@
 		f.Told(after(3010*time.Millisecond), "b", after(2*time.Second))
 		Expect(f.Proof()).To(Equal(after(2 * time.Second)))
 		Expect(f.Next(after(3010 * time.Millisecond)).Kind).NotTo(Equal(relay.Ask))
-		Expect(f.Next(after(4500 * time.Millisecond)).Kind).To(Equal(relay.Watch), "it goes on trying")
+		Expect(f.Next(after(4500*time.Millisecond)).Kind).To(Equal(relay.Watch), "it goes on trying")
 	})
 
 	It("does not ask again and again when there is no time to wait for an answer", func() {
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -8,6 +8,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/policy"
 	"limpetspan/pkg/proxy/reportpb"
 )
 
@@ -28,6 +29,9 @@
 	catalog  *direct.Catalog
 	chosenBy int
 	of       map[core.GroupID][]core.DaemonID
+	// teamOrders keeps the order of daemons for a team in a group until either the daemons or
+	// the homes change: a statement asks for it.
+	teamOrders map[teamGroup][]core.DaemonID
 	// avoid is until when a daemon that did not answer is not asked again, avoidFor until
 	// when one is not asked for a group that it does not serve.
 	avoid    map[core.DaemonID]core.Time
@@ -36,6 +40,12 @@
 	heardAt map[core.DaemonID]core.Time
 }
 
+// teamGroup is a team in a group.
+type teamGroup struct {
+	group core.GroupID
+	team  core.TeamID
+}
+
 // groupAt is a group at a daemon.
 type groupAt struct {
 	group  core.GroupID
@@ -43,7 +53,7 @@
 }
 
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, ready: make(chan struct{}), of: make(map[core.GroupID][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), heardAt: make(map[core.DaemonID]core.Time)}
+	return &homes{p: p, ready: make(chan struct{}), of: make(map[core.GroupID][]core.DaemonID), teamOrders: make(map[teamGroup][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), heardAt: make(map[core.DaemonID]core.Time)}
 }
 
 // update chooses the homes anew from the daemons and groups that are known now, if
@@ -61,6 +71,7 @@
 		return
 	}
 	h.catalog, h.chosenBy, h.daemons = catalog, size, daemons
+	h.teamOrders = make(map[teamGroup][]core.DaemonID)
 	h.chooseWatchers(size)
 	if h.fixed || catalog == nil {
 		return
@@ -152,12 +163,55 @@
 	return h.decided
 }
 
-// is says whether a link to the daemon may stay: it is a home of the group, or
-// none of the homes can be asked now.
-func (h *homes) is(id core.GroupID, daemon core.DaemonID) bool {
+// gathers says whether the team's statements are to meet at one home of a group.
+func (h *homes) gathers(team core.TeamID) bool {
+	return team != "" && h.p.policy.Has(policy.GatherTeams)
+}
+
+// serves says whether this daemon is the one to run the team's statements for the group, as
+// far as it knows: it is a home, and where the team is gathered the first one.
+func (h *homes) serves(id core.GroupID, team core.TeamID) bool {
+	if !h.gathers(team) {
+		here, _ := h.here(id)
+		return here
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.first(now(), id, team) == h.p.settings.Daemon
+}
+
+// first is the best daemon in the team's order that can be asked; "": there is none. The
+// lock is held.
+func (h *homes) first(at core.Time, id core.GroupID, team core.TeamID) core.DaemonID {
+	for _, d := range h.teamOrder(id, team) {
+		if at >= h.avoid[d] && at >= h.avoidFor[groupAt{id, d}] {
+			return d
+		}
+	}
+	return ""
+}
+
+// teamOrder is the team's order in the group; the lock is held.
+func (h *homes) teamOrder(id core.GroupID, team core.TeamID) []core.DaemonID {
+	key := teamGroup{id, team}
+	order, ok := h.teamOrders[key]
+	if !ok {
+		order = direct.TeamOrder(id, team, h.of[id], h.daemons)
+		h.teamOrders[key] = order
+	}
+	return order
+}
+
+// is says whether a link to the daemon may stay: it is a home of the group, and of a
+// gathered team the first one, or none of the homes can be asked now.
+func (h *homes) is(id core.GroupID, team core.TeamID, daemon core.DaemonID) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	at := now()
+	if h.gathers(team) {
+		first := h.first(at, id, team)
+		return first == daemon || first == ""
+	}
 	if at < h.avoid[daemon] {
 		// It has answered nobody here. Each session that tried it once more would wait for
 		// the whole time of a statement.
@@ -175,12 +229,19 @@
 
 // order returns the daemons to ask for the group, best first, without those that
 // have just failed to answer.
-func (h *homes) order(id core.GroupID) []core.DaemonID {
+func (h *homes) order(id core.GroupID, team core.TeamID) []core.DaemonID {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	at := now()
-	list := direct.Order(id, h.p.settings.Daemon, h.p.settings.Zone, h.of[id], h.daemons)
-	return slices.DeleteFunc(list, func(d core.DaemonID) bool { return at < h.avoid[d] || at < h.avoidFor[groupAt{id, d}] })
+	var list []core.DaemonID
+	if h.gathers(team) {
+		list = slices.Clone(h.teamOrder(id, team))
+	} else {
+		list = direct.Order(id, h.p.settings.Daemon, h.p.settings.Zone, h.of[id], h.daemons)
+	}
+	return slices.DeleteFunc(list, func(d core.DaemonID) bool {
+		return d == h.p.settings.Daemon || at < h.avoid[d] || at < h.avoidFor[groupAt{id, d}]
+	})
 }
 
 // heard notes that the daemon has answered.
--- a/pkg/proxy/homes_test.go
+++ b/pkg/proxy/homes_test.go
@@ -54,14 +54,14 @@
 			h.of["ledger"] = []core.DaemonID{"edge-cut", home.s.Daemon}
 			h.daemons = []direct.Daemon{{ID: "edge-cut", Zone: "zone-1", Weight: 1}, {ID: home.s.Daemon, Zone: "zone-1", Weight: 1}}
 			h.mu.Unlock()
-			asked = string(h.order("ledger")[0])
+			asked = string(h.order("ledger", "")[0])
 		}
 		home.dial("db-own").persist("WRITE k 1")
 		for range 4 {
 			x := entry.dial("db-own")
 			Expect(x.query("READ k").rows).To(Equal([]string{"1"}))
 		}
-		Expect(h.is("ledger", "edge-cut")).To(BeFalse())
+		Expect(h.is("ledger", "", "edge-cut")).To(BeFalse())
 	})
 
 	// All of a group's members are overloaded, and an entry has one statement at its home,
@@ -78,7 +78,7 @@
 		// No statement is under way, so that no answer comes on the link.
 		Expect(l.await(s, time.Now().Add(2*homeSilence), false)).To(Succeed())
 		entry.p.checkHome(home.s.Daemon, now())
-		Expect(entry.p.homes.order("ledger")).To(HaveLen(1))
+		Expect(entry.p.homes.order("ledger", "")).To(HaveLen(1))
 	})
 
 	// A caller of a database that has just been added comes to an entry that has the new
@@ -88,10 +88,10 @@
 		h.of["g"], h.daemons = []core.DaemonID{"a"}, []direct.Daemon{{ID: "a"}}
 		h.p = &Proxy{}
 		h.refusedBy("a", "g", &refusal{reportpb.Refusal_REFUSAL_DATABASE, "no such database"})
-		Expect(h.order("g")).To(HaveLen(1))
+		Expect(h.order("g", "")).To(HaveLen(1))
 		h.refusedBy("a", "g", &refusal{reportpb.Refusal_REFUSAL_GROUP, "cut from the primary"})
-		Expect(h.order("g")).To(BeEmpty())
-		Expect(h.order("another")).To(HaveLen(1))
+		Expect(h.order("g", "")).To(BeEmpty())
+		Expect(h.order("another", "")).To(HaveLen(1))
 	})
 
 	It("is not one of which another session has had an answer meanwhile", func() {
@@ -100,10 +100,10 @@
 		sent := now()
 		h.heard("a")
 		h.silent("a", sent)
-		Expect(h.is("g", "a")).To(BeTrue(), "its member is slow, and it is not")
+		Expect(h.is("g", "", "a")).To(BeTrue(), "its member is slow, and it is not")
 		time.Sleep(time.Millisecond)
 		h.silent("a", now())
-		Expect(h.is("g", "a")).To(BeFalse())
+		Expect(h.is("g", "", "a")).To(BeFalse())
 	})
 })
 
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -39,12 +39,13 @@
 // old one has ended or its home is leaving. A daemon that is no home any more is
 // left as well: its connections to members come on top of the present homes'.
 func (s *session) connect(id core.GroupID, deadline core.Time) (*link, error) {
-	if s.link != nil && s.link.group == id && s.link.usable() && s.p.homes.is(id, s.link.home) {
+	team := s.p.access.team(s.key)
+	if s.link != nil && s.link.group == id && s.link.usable() && s.p.homes.is(id, team, s.link.home) {
 		return s.link.link, nil
 	}
 	s.unlink()
 	unknown := 0
-	for _, home := range s.p.homes.order(id) {
+	for _, home := range s.p.homes.order(id, team) {
 		if now() >= deadline {
 			break
 		}
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -24,7 +24,7 @@
 		for _, home := range homes {
 			// An entry that has not heard of the home yet would go elsewhere.
 			Eventually(func() bool {
-				return d == home || slices.Contains(d.p.homes.order("ledger"), home.s.Daemon)
+				return d == home || slices.Contains(d.p.homes.order("ledger", ""), home.s.Daemon)
 			}, waitLimit).Should(BeTrue())
 		}
 		h := d.p.homes
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -356,7 +356,7 @@
 	if s.linked {
 		return false
 	}
-	here, _ := s.p.homes.here(route.Group)
+	here := s.p.homes.serves(route.Group, s.p.access.team(s.key))
 	needsPrimary := writes || route.Consistency == direct.PrimaryReads
 	return !here || s.p.blind(route.Group) || needsPrimary && s.p.cut(route.Group)
 }
