--- a/core/auth/directory.go
+++ b/core/auth/directory.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
+	"slices"
 
 	"limpetspan/core"
 )
@@ -84,6 +86,9 @@
 	return t, ok
 }
 
+// IDs are the names of all teams, in no order.
+func (d *Directory) IDs() []core.TeamID { return slices.Collect(maps.Keys(d.teams)) }
+
 // Teams is how many teams there are.
 func (d *Directory) Teams() int { return len(d.teams) }
 
--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -4,8 +4,10 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 
 	"limpetspan/core"
+	"limpetspan/core/quota"
 	"limpetspan/core/spread"
 )
 
@@ -170,18 +172,20 @@
 	return order
 }
 
-// TeamOrder returns the daemons that an entry asks to serve the team's statements in the
-// group, best first, this daemon's own among them: homes in the team's order, which is the
-// same for all entries and groups, then further daemons in the group's.
+// TeamOrder returns the daemons that an entry asks to serve statements of the slot's teams in
+// the group, best first, this daemon's own among them: homes in the slot's order, which is
+// the same for all entries and groups, then further daemons in the group's. Teams of one slot
+// are counted at one daemon, so they have one order.
 //
 // A member's connection serves one team alone. Were each home to serve every team, each
 // would need connections of its own for all of them, of which there are fewer than teams.
 // Gathered at one home a team has few pools, and its statements are counted where they meet.
-func TeamOrder(group core.GroupID, team core.TeamID, homes []core.DaemonID, daemons []Daemon) []core.DaemonID {
+func TeamOrder(group core.GroupID, slot quota.Slot, homes []core.DaemonID, daemons []Daemon) []core.DaemonID {
+	slotName := core.GroupID("/slot/" + strconv.FormatUint(uint64(slot), 10))
 	list := make([]choice, 0, len(daemons))
 	for _, d := range daemons {
 		if slices.Contains(homes, d.ID) {
-			list = append(list, choice{d.ID, nearHome, draw(core.GroupID("team/"+string(team)), d)})
+			list = append(list, choice{d.ID, nearHome, draw(slotName, d)})
 		} else {
 			list = append(list, choice{d.ID, furtherDaemon, draw(group, d)})
 		}
--- a/core/direct/homes_test.go
+++ b/core/direct/homes_test.go
@@ -8,6 +8,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/quota"
 )
 
 func daemons(zones, perZone int) []direct.Daemon {
@@ -95,21 +96,21 @@
 	// have to know how much the others have run for it.
 	It("begins with the same home in all groups that have it", func() {
 		for i := range 50 {
-			team := core.TeamID(fmt.Sprintf("team-%d", i))
-			order := direct.TeamOrder("g1", team, homes, daemons(12))
+			slot := quota.Slot(i)
+			order := direct.TeamOrder("g1", slot, homes, daemons(12))
 			Expect(order).To(HaveLen(12))
 			Expect(homes).To(ContainElements(order[:8]))
-			Expect(direct.TeamOrder("g2", team, homes, daemons(12))[:8]).To(Equal(order[:8]))
+			Expect(direct.TeamOrder("g2", slot, homes, daemons(12))[:8]).To(Equal(order[:8]))
 		}
 	})
 
 	It("spreads teams over the homes, and moves only those of a home that goes", func() {
 		first := make(map[core.DaemonID]int)
 		for i := range 400 {
-			team := core.TeamID(fmt.Sprintf("team-%d", i))
-			before := direct.TeamOrder("g1", team, homes, daemons(12))[0]
+			slot := quota.Slot(i)
+			before := direct.TeamOrder("g1", slot, homes, daemons(12))[0]
 			first[before]++
-			after := direct.TeamOrder("g1", team, homes[1:], daemons(12))[0]
+			after := direct.TeamOrder("g1", slot, homes[1:], daemons(12))[0]
 			if before != "d0" {
 				Expect(after).To(Equal(before))
 			}
--- a/core/direct/statement.go
+++ b/core/direct/statement.go
@@ -56,8 +56,10 @@
 	Broken
 	// NotSent: the statement never left the daemon.
 	NotSent
-	// Barred: it was kept back, as its caller may not ask for it.
+	// Barred: it was kept back, as its caller may not ask for it; Unpaid: as its team is at
+	// its limit.
 	Barred
+	Unpaid
 )
 
 // Verdict is what a caller is told of a statement that did not succeed.
@@ -90,7 +92,7 @@
 	switch o {
 	case Succeeded, Failed:
 		return TellFailed
-	case Barred:
+	case Barred, Unpaid:
 		return TellNotRun
 	case NotSent, Busy, Behind, NotPrimary, WrongMember, NoRoom, NotPrepared:
 		if inTransaction {
--- /dev/null
+++ b/core/quota/holder.go
@@ -0,0 +1,304 @@
+package quota
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"limpetspan/core"
+)
+
+// Slots is how many parts the teams fall into. A slot's teams are counted at one daemon.
+// More than there are daemons to count in a fleet of any size, and few enough for one list.
+const Slots = 1024
+
+// Slot is a part of the teams.
+type Slot uint16
+
+// SlotOf is the slot of a team.
+func SlotOf(team core.TeamID) Slot {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(team))
+	return Slot(h.Sum64() % Slots)
+}
+
+// Owner is who holds a slot as the store tells it.
+type Owner struct {
+	Daemon core.DaemonID
+	// Boot tells one process of the daemon from another.
+	Boot int64
+	// Lease is the one to which the slot is bound.
+	Lease uint64
+	// Revision is that of the slot's key.
+	Revision uint64
+}
+
+// StepKind says what a daemon does next about its slots.
+type StepKind int
+
+// The kinds of steps.
+const (
+	// Pause does nothing for Wait, or until a slot is wanted.
+	Pause StepKind = iota
+	// Grant asks the store for a lease.
+	Grant
+	// Renew renews Lease.
+	Renew
+	// List reads who holds which slot.
+	List
+	// Take takes Slots under Lease; each key's revision is still as given, 0 for none.
+	Take
+	// Release removes the keys of Slots, which are used no more.
+	Release
+)
+
+// Step is what a daemon does next about its slots.
+type Step struct {
+	Kind  StepKind
+	Wait  time.Duration
+	Lease uint64
+	Slots map[Slot]uint64
+}
+
+// slot is what a daemon knows of one that it wants or holds.
+type slot struct {
+	held bool
+	// since is when this daemon took it.
+	since core.Time
+	// wantedAt is when it was last asked for.
+	wantedAt core.Time
+	// revision is that of the key that this daemon has written.
+	revision uint64
+	// leaving says that it is to be given back.
+	leaving bool
+}
+
+// Holder is which slots one daemon holds. It is not safe for concurrent use.
+type Holder struct {
+	self core.DaemonID
+	boot int64
+	// lease is the daemon's lease, good until the moment, and renewed when it was last
+	// asked for.
+	lease          uint64
+	until, renewed core.Time
+	slots          map[Slot]*slot
+	// owners is the list as it was last read, at listedAt; 0: it has to be read.
+	owners   map[Slot]Owner
+	listedAt core.Time
+	// wantedAt is when a slot was wanted that is not held.
+	wantedAt core.Time
+	retryAt  core.Time
+}
+
+// NewHolder returns a daemon that holds nothing. boot tells this process from others of the
+// daemon.
+func NewHolder(self core.DaemonID, boot int64) *Holder {
+	return &Holder{self: self, boot: boot, slots: make(map[Slot]*slot)}
+}
+
+// Holds says whether the daemon holds the slot now, and since when.
+func (h *Holder) Holds(now core.Time, id Slot) (since core.Time, ok bool) {
+	s := h.slots[id]
+	if s == nil || !s.held || s.leaving || now >= h.until {
+		return 0, false
+	}
+	return s.since, true
+}
+
+// Want asks for a slot, or says that it is in use.
+func (h *Holder) Want(now core.Time, id Slot) {
+	s := h.slots[id]
+	if s == nil {
+		s = &slot{}
+		h.slots[id] = s
+	}
+	s.wantedAt = now
+	if !s.held && h.wantedAt == 0 {
+		h.wantedAt = now
+	}
+}
+
+// Leave gives a slot back, which another daemon is to hold. From now on Holds denies it.
+func (h *Holder) Leave(id Slot) {
+	if s := h.slots[id]; s != nil && s.held {
+		s.leaving = true
+	}
+}
+
+// Held are the slots that the daemon holds and has not been asked for since.
+func (h *Holder) Held(unusedSince core.Time) (list []Slot) {
+	for id, s := range h.slots {
+		if s.held && !s.leaving && s.wantedAt < unusedSince {
+			list = append(list, id)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Wishes says whether a slot is wanted that is not held.
+func (h *Holder) Wishes() bool { return h.wantedAt != 0 }
+
+// Elsewhere says whether another daemon holds the slot by the last list.
+func (h *Holder) Elsewhere(id Slot) bool {
+	owner, ok := h.owners[id]
+	return ok && owner.Daemon != h.self
+}
+
+// Close ends all holdings for good, and returns the lease that binds them; 0: there is none.
+func (h *Holder) Close() (lease uint64) {
+	lease = h.lease
+	h.lease, h.until = 0, 0
+	h.slots = make(map[Slot]*slot)
+	return lease
+}
+
+// wishFor is for how long a wish for a slot counts.
+const wishFor = time.Second
+
+// Next is the step to take now.
+func (h *Holder) Next(now core.Time) Step {
+	if now < h.retryAt {
+		return Step{Kind: Pause, Wait: h.retryAt.Sub(now)}
+	}
+	if h.lease != 0 && now >= h.until {
+		// It may have ended at the store, and others may hold what it bound.
+		h.forget()
+	}
+	if leaving := h.which(func(s *slot) bool { return s.held && s.leaving }); len(leaving) > 0 {
+		return Step{Kind: Release, Slots: leaving}
+	}
+	h.dropOldWishes(now)
+	wanted := h.which(func(s *slot) bool { return !s.held })
+	if h.lease != 0 && now.Sub(h.renewed) >= RenewEvery && len(h.slots) > 0 {
+		return Step{Kind: Renew, Lease: h.lease}
+	}
+	if len(wanted) == 0 {
+		h.wantedAt = 0
+		return Step{Kind: Pause, Wait: RetryAfter}
+	}
+	if due := h.wantedAt.Add(GatherFor); h.wantedAt != 0 && now < due {
+		return Step{Kind: Pause, Wait: due.Sub(now)}
+	}
+	switch {
+	case h.lease == 0:
+		return Step{Kind: Grant}
+	case h.listedAt == 0:
+		return Step{Kind: List}
+	}
+	return h.take(now, wanted)
+}
+
+// dropOldWishes forgets slots that were wanted and are no more.
+func (h *Holder) dropOldWishes(now core.Time) {
+	for id, s := range h.slots {
+		if !s.held && now.Sub(s.wantedAt) >= wishFor {
+			delete(h.slots, id)
+		}
+	}
+}
+
+// which are the slots of which it is true, with the revisions that their keys have.
+func (h *Holder) which(is func(s *slot) bool) map[Slot]uint64 {
+	found := make(map[Slot]uint64)
+	for id, s := range h.slots {
+		if is(s) {
+			found[id] = s.revision
+		}
+	}
+	return found
+}
+
+// take takes those of the wanted slots that nobody else holds, or looks again later.
+func (h *Holder) take(now core.Time, wanted map[Slot]uint64) Step {
+	free := make(map[Slot]uint64)
+	for _, id := range slices.Sorted(maps.Keys(wanted)) {
+		owner, taken := h.owners[id]
+		if taken && owner.Daemon != h.self {
+			continue
+		}
+		if len(free) < mostPerCall {
+			free[id] = owner.Revision
+		}
+	}
+	if len(free) == 0 {
+		h.listedAt = 0
+		h.retryAt = now.Add(RetryAfter)
+		return Step{Kind: Pause, Wait: RetryAfter}
+	}
+	return Step{Kind: Take, Lease: h.lease, Slots: free}
+}
+
+// forget drops the lease and all that it bound.
+func (h *Holder) forget() {
+	h.lease, h.until, h.listedAt = 0, 0, 0
+	for id, s := range h.slots {
+		if s.leaving || s.held && s.wantedAt == 0 {
+			delete(h.slots, id)
+			continue
+		}
+		s.held, s.revision = false, 0
+	}
+}
+
+// Granted takes a new lease that was asked for at sent and lasts for ttl.
+func (h *Holder) Granted(sent core.Time, lease uint64, ttl time.Duration) {
+	h.lease = lease
+	h.Renewed(sent, ttl)
+}
+
+// Renewed takes that the lease lasts for ttl from sent at least.
+func (h *Holder) Renewed(sent core.Time, ttl time.Duration) {
+	h.renewed = sent
+	h.until = max(h.until, sent.Add(ttl-LeaseMargin))
+}
+
+// LeaseGone takes that the store knows the lease no more.
+func (h *Holder) LeaseGone() { h.forget() }
+
+// Listed takes who holds which slot, read at sent. What this process holds by the list and
+// does not know of, a call without an answer took: it is taken again if it is wanted, and
+// given back if not, as nobody else could have it for as long as the lease is renewed.
+func (h *Holder) Listed(sent core.Time, owners map[Slot]Owner) {
+	h.owners, h.listedAt = owners, sent
+	for id, owner := range owners {
+		if owner.Daemon == h.self && owner.Boot == h.boot && h.slots[id] == nil {
+			h.slots[id] = &slot{held: true, leaving: true, revision: owner.Revision}
+		}
+	}
+}
+
+// Taken takes that the slots are this daemon's, whose keys now have the revision. sent is
+// when they were asked for; nothing was run for them before now.
+func (h *Holder) Taken(now core.Time, slots map[Slot]uint64, revision uint64) {
+	for id := range slots {
+		s := h.slots[id]
+		if s == nil {
+			s = &slot{}
+			h.slots[id] = s
+		}
+		s.held, s.since, s.revision, s.leaving = true, now, revision, false
+	}
+	h.wantedAt = 0
+}
+
+// Conflict takes that a slot was not as it was listed.
+func (h *Holder) Conflict(now core.Time) {
+	h.listedAt = 0
+	h.retryAt = now.Add(RetryAfter / 4)
+}
+
+// Released takes that the keys of the slots are gone, or somebody else's.
+func (h *Holder) Released(slots map[Slot]uint64) {
+	for id := range slots {
+		delete(h.slots, id)
+	}
+	h.listedAt = 0
+}
+
+// Failed takes that a call was refused or not answered.
+func (h *Holder) Failed(now core.Time) {
+	h.listedAt = 0
+	h.retryAt = now.Add(RetryAfter)
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,139 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/quota"
+)
+
+func TestQuota(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "quota")
+}
+
+const start = core.Time(time.Hour)
+
+func after(d time.Duration) core.Time { return start.Add(d) }
+
+var _ = Describe("a bucket", func() {
+	It("runs a burst and then the rate", func() {
+		b := quota.NewBucket(start, quota.Limit{Rate: 10, Burst: 5}, 5)
+		for range 5 {
+			Expect(b.Take(start)).To(BeTrue())
+		}
+		Expect(b.Take(start)).To(BeFalse())
+		wait, ok := b.Until(start, 1)
+		Expect(ok).To(BeTrue())
+		Expect(wait).To(Equal(100 * time.Millisecond))
+		Expect(b.Take(after(wait))).To(BeTrue())
+		Expect(b.Take(after(wait))).To(BeFalse())
+	})
+
+	It("keeps no more than a new burst when the limit falls", func() {
+		b := quota.NewBucket(start, quota.Limit{Rate: 100, Burst: 100}, 100)
+		b.SetLimit(start, quota.Limit{Rate: 1, Burst: 2})
+		Expect(b.Take(start)).To(BeTrue())
+		Expect(b.Take(start)).To(BeTrue())
+		Expect(b.Take(start)).To(BeFalse())
+	})
+
+	It("never has a token where nothing is allowed", func() {
+		b := quota.NewBucket(start, quota.Limit{}, 5)
+		Expect(b.Take(after(time.Hour))).To(BeFalse())
+		_, ok := b.Until(start, 1)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("gains nothing by a clock that stands still or goes back", func() {
+		b := quota.NewBucket(start, quota.Limit{Rate: 10, Burst: 1}, 1)
+		Expect(b.Take(start)).To(BeTrue())
+		Expect(b.Take(start.Add(-time.Hour))).To(BeFalse())
+		Expect(b.Take(start)).To(BeFalse())
+	})
+})
+
+var _ = Describe("the holder of a slot", func() {
+	slots := func(revision uint64) map[quota.Slot]uint64 { return map[quota.Slot]uint64{7: revision} }
+
+	// taken returns a holder that took slot 7 at start.
+	taken := func() *quota.Holder {
+		h := quota.NewHolder("d", 1)
+		h.Want(start, 7)
+		at := after(quota.GatherFor)
+		Expect(h.Next(start).Kind).To(Equal(quota.Pause), "other teams may come in this moment")
+		Expect(h.Next(at).Kind).To(Equal(quota.Grant))
+		h.Granted(at, 3, quota.LeaseFor)
+		Expect(h.Next(at).Kind).To(Equal(quota.List))
+		h.Listed(at, nil)
+		Expect(h.Next(at)).To(Equal(quota.Step{Kind: quota.Take, Lease: 3, Slots: slots(0)}))
+		h.Taken(at, slots(0), 11)
+		return h
+	}
+
+	It("takes it once, and renews its lease", func() {
+		h := taken()
+		since, ok := h.Holds(after(time.Second), 7)
+		Expect(ok).To(BeTrue())
+		Expect(since).To(Equal(after(quota.GatherFor)))
+		Expect(h.Next(after(time.Second))).To(Equal(quota.Step{Kind: quota.Renew, Lease: 3}))
+	})
+
+	// The store is away. Another daemon may have the slot once the lease has ended there.
+	It("uses it no more when its lease may have ended", func() {
+		h := taken()
+		_, ok := h.Holds(after(quota.LeaseFor), 7)
+		Expect(ok).To(BeFalse())
+		h.Want(after(quota.LeaseFor), 7)
+		Expect(h.Next(after(quota.LeaseFor + 2*quota.GatherFor)).Kind).To(Equal(quota.Grant))
+	})
+
+	It("is another one until the key is gone", func() {
+		h := quota.NewHolder("d", 1)
+		h.Want(start, 7)
+		at := after(quota.GatherFor)
+		h.Granted(at, 3, quota.LeaseFor)
+		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "e", Revision: 5}})
+		Expect(h.Next(at).Kind).To(Equal(quota.Pause))
+		h.Want(at.Add(quota.RetryAfter), 7)
+		Expect(h.Next(at.Add(quota.RetryAfter)).Kind).To(Equal(quota.List))
+	})
+
+	// A process is killed and started again at once. Waiting for the lease of its former
+	// life would keep its teams from running for seconds.
+	It("takes the slots of its former life at once", func() {
+		h := quota.NewHolder("d", 2)
+		h.Want(start, 7)
+		at := after(quota.GatherFor)
+		h.Granted(at, 3, quota.LeaseFor)
+		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "d", Boot: 1, Revision: 5}})
+		Expect(h.Next(at)).To(Equal(quota.Step{Kind: quota.Take, Lease: 3, Slots: slots(5)}))
+	})
+
+	It("stops to use it before it gives it back", func() {
+		h := taken()
+		h.Leave(7)
+		_, ok := h.Holds(after(time.Second), 7)
+		Expect(ok).To(BeFalse())
+		Expect(h.Next(after(time.Second))).To(Equal(quota.Step{Kind: quota.Release, Slots: slots(11)}))
+		h.Failed(after(1100 * time.Millisecond))
+		Expect(h.Next(after(1400 * time.Millisecond)).Kind).To(Equal(quota.Release))
+		h.Released(slots(11))
+		Expect(h.Next(after(1400 * time.Millisecond)).Kind).To(Equal(quota.Pause))
+	})
+
+	// The answer to a call that took a slot is lost, and nobody wants it any more. Its key
+	// would stay for as long as the daemon renews the lease for others.
+	It("gives back what a call without an answer took", func() {
+		h := quota.NewHolder("d", 1)
+		h.Want(start, 8)
+		at := after(quota.GatherFor)
+		h.Granted(at, 3, quota.LeaseFor)
+		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "d", Boot: 1, Lease: 3, Revision: 5}})
+		Expect(h.Next(at)).To(Equal(quota.Step{Kind: quota.Release, Slots: slots(5)}))
+	})
+})
--- /dev/null
+++ b/core/quota/tuning.go
@@ -0,0 +1,50 @@
+package quota
+
+import "time"
+
+// Times of a Holder.
+const (
+	// LeaseFor is the lease of a daemon's slots. As long as an outage of the store in which
+	// callers can be served at all, whose keys must be proved; a daemon that dies without
+	// another process in its place keeps its teams from running for as long at most.
+	LeaseFor = 3 * time.Second
+	// RenewEvery is the pause between renewals: two of them may fail.
+	RenewEvery = 900 * time.Millisecond
+	// LeaseMargin of the lease is not used: what lies between the check and the member's
+	// socket.
+	LeaseMargin = 100 * time.Millisecond
+	// RetryAfter is the pause after a call that failed, and before slots that others hold are
+	// looked at again.
+	RetryAfter = 250 * time.Millisecond
+	// GatherFor is how long a wish for a slot waits for others: callers of many teams come
+	// in one moment when a daemon starts, and one call serves all.
+	GatherFor = 5 * time.Millisecond
+	// PaidFor is how long an operation that was paid for may wait before it is sent.
+	PaidFor = 250 * time.Millisecond
+	// mostPerCall is how many slots one call takes, the store's limit of a transaction.
+	mostPerCall = 32
+)
+
+// Parts of what the rule allows beyond rate x window + burst.
+const (
+	// rateShare of the overage goes into the rate. The rest pays for operations that come
+	// later than they were counted, up to PaidFor.
+	rateShare = 0.5
+	// startShare of the slack is what a daemon has that takes a slot: three that do so one
+	// after the other in one window, and some of the rest.
+	startShare = 0.25
+)
+
+// Rule is how much more than rate x window + burst may run in a window.
+type Rule struct {
+	// Overage is a share of that, Slack a number of operations on top.
+	Overage, Slack float64
+}
+
+// Limit is the bucket's limit for a team's.
+func (r Rule) Limit(rate, burst float64) Limit {
+	return Limit{Rate: rate * (1 + rateShare*r.Overage), Burst: burst}
+}
+
+// StartTokens is what a bucket begins with.
+func (r Rule) StartTokens() float64 { return startShare * r.Slack }
--- a/pkg/proxy/access.go
+++ b/pkg/proxy/access.go
@@ -155,10 +155,10 @@
 		s.answerError(platform.CodeUnknownKey, textUnknownKey)
 		return
 	}
-	s.answerError(platform.CodeBusy, "not run: "+s.barredBy.text()+comeBackIn(unprovedComeBack))
 	if s.barredBy.verdict == auth.Unproved {
 		s.sendElsewhere()
 	}
+	s.answerError(platform.CodeBusy, "not run: "+s.barredBy.text()+comeBackIn(unprovedComeBack))
 }
 
 // barredInTransaction rolls the open transaction back, as its statement may not be sent.
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -9,6 +9,7 @@
 	"limpetspan/core"
 	"limpetspan/core/direct"
 	"limpetspan/core/policy"
+	"limpetspan/core/quota"
 	"limpetspan/pkg/proxy/reportpb"
 )
 
@@ -29,21 +30,29 @@
 	catalog  *direct.Catalog
 	chosenBy int
 	of       map[core.GroupID][]core.DaemonID
-	// teamOrders keeps the order of daemons for a team in a group until either the daemons or
-	// the homes change: a statement asks for it.
-	teamOrders map[teamGroup][]core.DaemonID
+	// slotOrders keeps the order of daemons for a slot of teams in a group until the daemons
+	// or the homes change: each statement asks for it.
+	slotOrders map[slotGroup][]core.DaemonID
 	// avoid is until when a daemon that did not answer is not asked again, avoidFor until
 	// when one is not asked for a group that it does not serve.
 	avoid    map[core.DaemonID]core.Time
 	avoidFor map[groupAt]core.Time
+	// avoidTeam is until when a daemon is not asked for a team that it has declined.
+	avoidTeam map[teamAt]core.Time
 	// heardAt is when a daemon last answered on any link.
 	heardAt map[core.DaemonID]core.Time
 }
 
-// teamGroup is a team in a group.
-type teamGroup struct {
+// slotGroup is a slot of teams in a group.
+type slotGroup struct {
 	group core.GroupID
-	team  core.TeamID
+	slot  quota.Slot
+}
+
+// teamAt is a team at a daemon.
+type teamAt struct {
+	team   core.TeamID
+	daemon core.DaemonID
 }
 
 // groupAt is a group at a daemon.
@@ -53,7 +62,7 @@
 }
 
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, ready: make(chan struct{}), of: make(map[core.GroupID][]core.DaemonID), teamOrders: make(map[teamGroup][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), heardAt: make(map[core.DaemonID]core.Time)}
+	return &homes{p: p, ready: make(chan struct{}), of: make(map[core.GroupID][]core.DaemonID), slotOrders: make(map[slotGroup][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), avoidTeam: make(map[teamAt]core.Time), heardAt: make(map[core.DaemonID]core.Time)}
 }
 
 // update chooses the homes anew from the daemons and groups that are known now, if
@@ -71,7 +80,7 @@
 		return
 	}
 	h.catalog, h.chosenBy, h.daemons = catalog, size, daemons
-	h.teamOrders = make(map[teamGroup][]core.DaemonID)
+	h.slotOrders = make(map[slotGroup][]core.DaemonID)
 	h.chooseWatchers(size)
 	if h.fixed || catalog == nil {
 		return
@@ -163,9 +172,23 @@
 	return h.decided
 }
 
+// firstAnywhere says whether this daemon is the one to run the team's statements for some
+// group.
+func (h *homes) firstAnywhere(team core.TeamID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := now()
+	for id := range h.of {
+		if h.first(at, id, team) == h.p.settings.Daemon {
+			return true
+		}
+	}
+	return false
+}
+
 // gathers says whether the team's statements are to meet at one home of a group.
 func (h *homes) gathers(team core.TeamID) bool {
-	return team != "" && h.p.policy.Has(policy.GatherTeams)
+	return team != "" && (h.p.policy.Has(policy.GatherTeams) || h.p.limits.inForce)
 }
 
 // serves says whether this daemon is the one to run the team's statements for the group, as
@@ -184,7 +207,7 @@
 // lock is held.
 func (h *homes) first(at core.Time, id core.GroupID, team core.TeamID) core.DaemonID {
 	for _, d := range h.teamOrder(id, team) {
-		if at >= h.avoid[d] && at >= h.avoidFor[groupAt{id, d}] {
+		if h.asked(at, d, id, team) {
 			return d
 		}
 	}
@@ -193,11 +216,11 @@
 
 // teamOrder is the team's order in the group; the lock is held.
 func (h *homes) teamOrder(id core.GroupID, team core.TeamID) []core.DaemonID {
-	key := teamGroup{id, team}
-	order, ok := h.teamOrders[key]
+	key := slotGroup{id, quota.SlotOf(team)}
+	order, ok := h.slotOrders[key]
 	if !ok {
-		order = direct.TeamOrder(id, team, h.of[id], h.daemons)
-		h.teamOrders[key] = order
+		order = direct.TeamOrder(id, key.slot, h.of[id], h.daemons)
+		h.slotOrders[key] = order
 	}
 	return order
 }
@@ -240,7 +263,7 @@
 		list = direct.Order(id, h.p.settings.Daemon, h.p.settings.Zone, h.of[id], h.daemons)
 	}
 	return slices.DeleteFunc(list, func(d core.DaemonID) bool {
-		return d == h.p.settings.Daemon || at < h.avoid[d] || at < h.avoidFor[groupAt{id, d}]
+		return d == h.p.settings.Daemon || !h.asked(at, d, id, team)
 	})
 }
 
@@ -290,6 +313,20 @@
 	}
 }
 
+// declined keeps a daemon from being asked for a team for a moment that has told to ask
+// another one.
+func (h *homes) declined(id core.DaemonID, team core.TeamID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.avoidTeam[teamAt{team, id}] = now().Add(declinedFor)
+}
+
+// asked says whether the daemon can be asked for the team's statements in the group; the
+// lock is held.
+func (h *homes) asked(at core.Time, id core.DaemonID, group core.GroupID, team core.TeamID) bool {
+	return at >= h.avoid[id] && at >= h.avoidFor[groupAt{group, id}] && at >= h.avoidTeam[teamAt{team, id}]
+}
+
 // failed keeps a daemon from being asked for a while.
 func (h *homes) failed(id core.DaemonID) {
 	h.mu.Lock()
--- /dev/null
+++ b/pkg/proxy/limits.go
@@ -0,0 +1,425 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/auth"
+	"limpetspan/core/quota"
+	"limpetspan/platform"
+)
+
+// limits counts the operations of the teams of which this daemon holds the slots, and asks
+// the store for slots as core/quota decides.
+type limits struct {
+	p *Proxy
+	// inForce says that teams have limits.
+	inForce bool
+	rule    quota.Rule
+	// wake ends a pause when a slot is wanted.
+	wake chan struct{}
+
+	mu     sync.Mutex
+	holder *quota.Holder
+	counts map[core.TeamID]*teamCount
+	// changed is closed and replaced when slots were taken or listed.
+	changed chan struct{}
+}
+
+// teamCount is one team's operations here.
+type teamCount struct {
+	bucket *quota.Bucket
+	limit  quota.Limit
+	// since is when the slot was taken; another one begins with another bucket.
+	since core.Time
+	// refusing says that the team is at its limit, since the log has told so.
+	refusing       bool
+	refusedAt      core.Time
+	served, denied int64
+}
+
+func newLimits(p *Proxy) *limits {
+	return &limits{
+		p: p, inForce: p.settings.Limits, rule: p.settings.Limit, wake: make(chan struct{}, 1), changed: make(chan struct{}),
+		holder: quota.NewHolder(p.settings.Daemon, p.boot), counts: make(map[core.TeamID]*teamCount),
+	}
+}
+
+// payment is what came of paying for an operation.
+type payment int
+
+const (
+	// paid: it may run.
+	paid payment = iota
+	// overLimit: the team is at its limit.
+	overLimit
+	// countedElsewhere: this daemon does not hold the team's slot.
+	countedElsewhere
+)
+
+// pay pays for one of the team's operations, to be sent now. comeBack is when there will be
+// tokens if it is not paid for.
+func (l *limits) pay(team auth.Team) (result payment, comeBack time.Duration) {
+	if !l.inForce || !team.Limited {
+		return paid, 0
+	}
+	slot := quota.SlotOf(team.ID)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := now()
+	l.holder.Want(at, slot)
+	since, ok := l.holder.Holds(at, slot)
+	if !ok {
+		l.wakeUp()
+		return countedElsewhere, quota.RetryAfter
+	}
+	c := l.count(at, team, since)
+	if c.bucket.Take(at) {
+		c.served++
+		return paid, 0
+	}
+	c.denied++
+	return overLimit, l.comeBack(at, team.ID, c)
+}
+
+// count is the team's count since the slot was taken, under its present limit.
+func (l *limits) count(at core.Time, team auth.Team, since core.Time) *teamCount {
+	limit := l.rule.Limit(team.Rate, team.Burst)
+	c := l.counts[team.ID]
+	switch {
+	case c == nil || c.since != since:
+		c = &teamCount{bucket: quota.NewBucket(at, limit, l.rule.StartTokens()), limit: limit, since: since}
+		l.counts[team.ID] = c
+	case c.limit != limit:
+		c.bucket.SetLimit(at, limit)
+		c.limit = limit
+	}
+	if c.refusing && at.Sub(c.refusedAt) > refusingFor {
+		c.refusing = false
+		l.p.log.Info("team is within its limit again", "team", team.ID, "denied", c.denied)
+	}
+	return c
+}
+
+// Bounds of when callers over their limit are told to come back.
+const (
+	leastOverLimit = 100 * time.Millisecond
+	mostOverLimit  = 5 * time.Second
+	// refusingFor is how long after its last refusal a team counts as at its limit.
+	refusingFor = 2 * time.Second
+	// overLimitShare of a second's tokens are there when the first callers come back, and the
+	// same again for those that come after: fewer, and most of them would be refused again.
+	overLimitShare = 0.25
+)
+
+// comeBack is when there will be tokens for some of the team's callers, spread out so that
+// they do not come in one moment.
+func (l *limits) comeBack(at core.Time, team core.TeamID, c *teamCount) time.Duration {
+	if !c.refusing {
+		c.refusing = true
+		l.p.log.Warn("team is at its limit", "team", team, "rate", c.limit.Rate, "burst", c.limit.Burst, "served", c.served)
+	}
+	c.refusedAt = at
+	wait, ok := c.bucket.Until(at, max(1, overLimitShare*c.limit.Rate))
+	if !ok {
+		return mostOverLimit
+	}
+	wait = min(mostOverLimit, max(leastOverLimit, wait))
+	return wait + time.Duration(rand.Float64()*float64(wait))
+}
+
+// await waits until this daemon holds the team's slot, or knows who does, or the deadline.
+func (l *limits) await(team auth.Team, deadline core.Time) {
+	if !l.inForce || !team.Limited {
+		return
+	}
+	slot := quota.SlotOf(team.ID)
+	timer := time.NewTimer(until(deadline, 0))
+	defer timer.Stop()
+	for {
+		l.mu.Lock()
+		at := now()
+		l.holder.Want(at, slot)
+		_, holds := l.holder.Holds(at, slot)
+		elsewhere := l.holder.Elsewhere(slot)
+		changed := l.changed
+		l.mu.Unlock()
+		if holds || elsewhere {
+			return
+		}
+		l.wakeUp()
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-l.p.done:
+			return
+		}
+	}
+}
+
+func (l *limits) wakeUp() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run carries out the holder's steps until the daemon takes no new work any more, and gives
+// all slots back then.
+func (l *limits) run() {
+	if !l.inForce {
+		return
+	}
+	for !l.p.closing() {
+		l.leaveUnused()
+		l.wantAll()
+		l.mu.Lock()
+		step := l.holder.Next(now())
+		l.mu.Unlock()
+		if step.Kind == quota.Pause {
+			l.pause(step.Wait)
+			continue
+		}
+		err := l.carryOut(step)
+		l.p.dependency("slots of teams", err)
+	}
+	l.mu.Lock()
+	lease := l.holder.Close()
+	l.mu.Unlock()
+	if lease != 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		if err := l.p.client.End(ctx, lease); err != nil {
+			l.p.log.Warn("slots of teams stay until their lease ends", "error", err.Error())
+		}
+	}
+}
+
+// pause waits, but not for so long that unused slots stay.
+func (l *limits) pause(wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.wake:
+	case <-l.p.closed:
+	}
+}
+
+// wantAll has all slots that are this daemon's by the present list taken once one of them is
+// wanted: after a start its callers come one after the other within half a second, and each
+// new team among them would be a call to the store.
+func (l *limits) wantAll() {
+	l.mu.Lock()
+	wishes := l.holder.Wishes()
+	l.mu.Unlock()
+	if !wishes {
+		return
+	}
+	mine := l.mine()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := now()
+	for slot := range mine {
+		l.holder.Want(at, slot)
+	}
+}
+
+// mine are the slots that this daemon is the one to hold as far as it knows: none once it
+// stops.
+func (l *limits) mine() map[quota.Slot]bool {
+	mine := make(map[quota.Slot]bool)
+	catalog := l.p.catalog.Load()
+	if l.p.stopping.Load() || catalog == nil || catalog.Teams == nil {
+		return mine
+	}
+	for _, id := range catalog.Teams.IDs() {
+		if l.p.homes.firstAnywhere(id) {
+			mine[quota.SlotOf(id)] = true
+		}
+	}
+	return mine
+}
+
+// leaveUnused gives back the slots of teams that are another daemon's by the present list,
+// once nobody has asked for them here for unusedSlot; a daemon that stops gives back all.
+func (l *limits) leaveUnused() {
+	l.mu.Lock()
+	unused := l.holder.Held(now().Add(-unusedSlot))
+	l.mu.Unlock()
+	if len(unused) == 0 {
+		return
+	}
+	mine := l.mine()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, slot := range unused {
+		if !mine[slot] {
+			l.holder.Leave(slot)
+		}
+	}
+}
+
+// carryOut makes the call of a step and reports its outcome.
+func (l *limits) carryOut(step quota.Step) error {
+	ctx, cancel := context.WithTimeout(l.p.ctx, storeTimeout)
+	defer cancel()
+	sent := now()
+	report, err := l.call(ctx, step, sent)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.holder.Failed(now())
+		return err
+	}
+	report(l.holder)
+	if step.Kind == quota.List || step.Kind == quota.Take {
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
+	return nil
+}
+
+// call makes the call of a step, and returns what the holder is to be told.
+func (l *limits) call(ctx context.Context, step quota.Step, sent core.Time) (report func(h *quota.Holder), err error) {
+	switch step.Kind {
+	case quota.Grant:
+		lease, err := l.p.client.Grant(ctx, quota.LeaseFor)
+		return func(h *quota.Holder) { h.Granted(sent, lease, quota.LeaseFor) }, err
+	case quota.Renew:
+		err := l.p.client.Renew(ctx, step.Lease)
+		if errors.Is(err, platform.ErrNotFound) {
+			return (*quota.Holder).LeaseGone, nil
+		}
+		return func(h *quota.Holder) { h.Renewed(sent, quota.LeaseFor) }, err
+	case quota.List:
+		items, _, err := l.p.client.List(ctx, platform.LimitsPrefix)
+		return func(h *quota.Holder) { h.Listed(sent, l.owners(items)) }, err
+	case quota.Take:
+		return l.take(ctx, step)
+	}
+	return l.release(ctx, step)
+}
+
+// slotEntry is what a daemon writes of a slot into the store.
+type slotEntry struct {
+	Daemon core.DaemonID `json:"daemon"`
+	Boot   int64         `json:"boot"`
+}
+
+func slotKey(slot quota.Slot) string {
+	return platform.LimitsPrefix + strconv.FormatUint(uint64(slot), 10)
+}
+
+func conditionsOf(step quota.Step) (list []platform.Condition) {
+	for slot, revision := range step.Slots {
+		list = append(list, platform.Condition{Key: slotKey(slot), Revision: platform.Revision(revision)})
+	}
+	return list
+}
+
+func (l *limits) take(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
+	value, err := json.Marshal(slotEntry{l.p.settings.Daemon, l.p.boot})
+	if err != nil {
+		return nil, err
+	}
+	var writes []platform.Write
+	for slot := range step.Slots {
+		writes = append(writes, platform.Write{Key: slotKey(slot), Value: value, Lease: step.Lease})
+	}
+	revision, err := l.p.client.Put(ctx, conditionsOf(step), writes)
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		return func(h *quota.Holder) { h.Conflict(now()) }, nil
+	case errors.Is(err, platform.ErrNotFound):
+		return (*quota.Holder).LeaseGone, nil
+	case err != nil:
+		return nil, err
+	}
+	l.p.log.Info("slots of teams taken", "slots", len(step.Slots))
+	return func(h *quota.Holder) { h.Taken(now(), step.Slots, uint64(revision)) }, nil
+}
+
+func (l *limits) release(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
+	err = l.p.client.Remove(ctx, conditionsOf(step))
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return nil, err
+	}
+	return func(h *quota.Holder) { h.Released(step.Slots) }, nil
+}
+
+// owners decodes the list of slots. An entry that cannot be read is somebody's who is not
+// known: nobody takes the slot before its lease has ended.
+func (l *limits) owners(items []platform.Item) map[quota.Slot]quota.Owner {
+	owners := make(map[quota.Slot]quota.Owner, len(items))
+	for _, item := range items {
+		n, err := strconv.ParseUint(strings.TrimPrefix(item.Key, platform.LimitsPrefix), 10, 16)
+		if err != nil {
+			l.p.log.Warn("key of a slot cannot be read", "key", item.Key)
+			continue
+		}
+		var e slotEntry
+		if err := json.Unmarshal(item.Value, &e); err != nil {
+			l.p.log.Warn("entry of a slot cannot be read", "key", item.Key, "error", err.Error())
+		}
+		owners[quota.Slot(n)] = quota.Owner{Daemon: e.Daemon, Boot: e.Boot, Lease: item.Lease, Revision: uint64(item.Revision)}
+	}
+	return owners
+}
+
+// payFor pays for the operation of a job before it waits for a member, and again right before
+// it is sent if it has waited. false: it is refused; why it is, is kept for its answer.
+func (s *session) payFor(j *job) bool {
+	if !s.p.limits.inForce || j.paidAt != 0 && now().Sub(j.paidAt) < quota.PaidFor {
+		return true
+	}
+	team, v := s.p.access.check(s.database, s.key)
+	if v != auth.Granted {
+		// Whoever sends the statement finds out, and says so.
+		return true
+	}
+	result, comeBack := s.p.limits.pay(team)
+	if result == countedElsewhere && j.paidAt == 0 {
+		s.p.limits.await(team, min(j.holdUntil(), j.arrived.Add(slotWait)))
+		result, comeBack = s.p.limits.pay(team)
+	}
+	if result == paid {
+		j.paidAt = now()
+		return true
+	}
+	s.unpaid = unpaidReason{result, comeBack}
+	return false
+}
+
+// unpaidReason is why the last operation was not paid for.
+type unpaidReason struct {
+	result   payment
+	comeBack time.Duration
+}
+
+func (u unpaidReason) String() string {
+	if u.result == overLimit {
+		return "the team is at its limit"
+	}
+	return "the team's operations are counted elsewhere"
+}
+
+// refuseUnpaid refuses an operation of which nothing was sent. Where another daemon counts
+// the team's operations, the entry looks for it.
+func (s *session) refuseUnpaid(j *job) {
+	s.p.stats.unpaid.Add(s.unpaid.String(), 1)
+	s.debug("refused", "id", j.id, "reason", s.unpaid.String(), "key", s.key.String(), "team", s.p.access.team(s.key), "come_back_ms", s.unpaid.comeBack.Milliseconds())
+	if s.unpaid.result == countedElsewhere {
+		s.sendElsewhere()
+	}
+	s.answerError(platform.CodeBusy, fmt.Sprintf("not run: %v; retry after %d ms", s.unpaid, s.unpaid.comeBack.Milliseconds()))
+}
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -308,6 +308,16 @@
 			return
 		}
 		a, sent, err := l.run(s, j.id, []string{j.text}, j.limit(), j.writes)
+		if err == nil && l.declined(&a) {
+			s.debug("home declined", "id", j.id, "home", l.home, "text", a.Text)
+			s.p.homes.declined(l.home, s.p.access.team(s.key))
+			s.unlink()
+			if attempt == 1 {
+				// Once: where the home that could run it is gone, all others decline, and more
+				// tries would be load on all homes at a time when there is too much already.
+				continue
+			}
+		}
 		if err == nil {
 			s.forwarded(j, &a, true)
 			return
@@ -324,6 +334,10 @@
 	}
 }
 
+// declined says whether the home did not run a statement and has told this entry to ask
+// another one, which may.
+func (l *link) declined(a *platform.Answer) bool { return l.leaving && a.Code == platform.CodeBusy }
+
 // lostHome ends a link that has failed.
 func (s *session) lostHome(j *job, l *link, sent bool, err error) direct.Outcome {
 	s.p.stats.broken.Add(1)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -41,8 +41,9 @@
 	lifeChecks singleflight.Group
 	// policy is the mechanisms in use.
 	policy policy.Set
-	// access checks callers' keys.
+	// access checks callers' keys, limits counts what their teams ask.
 	access access
+	limits *limits
 	// sessionLimits bound what a session may have set.
 	sessionLimits SessionLimits
 	boot          int64
@@ -96,6 +97,7 @@
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.homes = newHomes(p)
 	p.access = newAccess(p)
+	p.limits = newLimits(p)
 	p.configuration = newConfiguration(p)
 	p.claims = &claims{p: p, seen: make(map[core.GroupID]seenLock)}
 	if s.MemoryLimit > 0 {
@@ -140,7 +142,7 @@
 	}
 	p.log.Info("started", "callers", p.settings.CallerAddr, "zone", p.settings.Zone, "switched_off", p.policy.Off())
 	var work errgroup.Group
-	for _, f := range []func(){p.configuration.run, p.followMembers, p.followDaemons, p.tick, p.peers.run, p.peers.receive} {
+	for _, f := range []func(){p.configuration.run, p.followMembers, p.followDaemons, p.tick, p.peers.run, p.peers.receive, p.limits.run} {
 		work.Go(func() error { f(); return nil })
 	}
 	go p.serveHTTP("readiness", ready, p.answerReady)
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -17,6 +17,8 @@
 	text    string
 	writes  bool
 	prepare *prepared
+	// paidAt is when its team paid for it; 0: it has not.
+	paidAt  core.Time
 	route   direct.Route
 	arrived core.Time
 }
@@ -65,6 +67,10 @@
 	if !s.admit(j) {
 		return
 	}
+	if !s.payFor(j) {
+		s.refuseUnpaid(j)
+		return
+	}
 	g := s.p.use(j.route.Group)
 	w := s.waiter(j, s.need(j.route, j.writes, j.arrived))
 	deadline := j.deadline()
@@ -80,10 +86,18 @@
 			s.succeed(g, conn, place, j, &a)
 			return
 		}
-		if o == direct.Barred {
+		switch o {
+		case direct.Barred:
 			g.release(conn)
 			s.barred(j)
 			return
+		case direct.Unpaid:
+			g.release(conn)
+			s.refuseUnpaid(j)
+			return
+		case direct.Broken, direct.Failed:
+			// It may have run, and counts.
+			j.paidAt = 0
 		}
 		verdict := direct.Settle(j.kind, j.writes, false, o)
 		s.debug("answer", "id", j.id, "member", place.Member, "outcome", int(o), "code", a.Code, "attempt", attempt, "ms", now().Sub(sent).Milliseconds())
@@ -164,6 +178,9 @@
 	if !s.allowed(conn.team) {
 		return platform.Answer{State: platform.StateIdle}, now(), direct.Barred
 	}
+	if !s.payFor(j) {
+		return platform.Answer{State: platform.StateIdle}, now(), direct.Unpaid
+	}
 	since := place.Since
 	if j.writes {
 		since = core.Position{}
@@ -232,14 +249,15 @@
 	s.noteRefusal(j.arrived)
 	args := []any{"id", j.id, "reason", why, "attempt", attempt, "ms", now().Sub(j.arrived).Milliseconds()}
 	s.debug("refused", append(args, inputs...)...)
-	s.answerError(platform.CodeBusy, "not run: "+why+comeBack(s.p.outage(j.route.Group)))
 	if s.p.cut(j.route.Group) {
 		s.sendElsewhere()
 	}
+	s.answerError(platform.CodeBusy, "not run: "+why+comeBack(s.p.outage(j.route.Group)))
 }
 
 // sendElsewhere has the entry of a linked session look for another home, which can do what
-// this one cannot.
+// this one cannot. It goes before the refusal: the entry sees that another home may run
+// the statement, and tries.
 func (s *session) sendElsewhere() {
 	if s.linked && s.tx == nil && !s.toldEntry.Load() {
 		s.toldEntry.Store(true)
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -32,6 +32,8 @@
 	// statement was not sent on account of it.
 	key      auth.Fingerprint
 	barredBy barrier
+	// unpaid is why its last operation was not paid for.
+	unpaid unpaidReason
 	sessionState
 	// last is the position of the session's last commit, lastAt when it was
 	// acknowledged.
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -17,7 +17,8 @@
 	replaced expvar.Int
 	// refusals are errors by code, barred statements that were refused on account of their
 	// callers' keys, by reason.
-	refusals, barred expvar.Map
+	// unpaid are operations that were refused on account of their teams' limits.
+	refusals, barred, unpaid expvar.Map
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
@@ -50,7 +51,7 @@
 
 // snapshot returns all figures for the metrics address.
 func (s *stats) snapshot() any {
-	refusals, barred := valuesOf(&s.refusals), valuesOf(&s.barred)
+	refusals, barred, unpaid := valuesOf(&s.refusals), valuesOf(&s.barred), valuesOf(&s.unpaid)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return map[string]any{
@@ -59,7 +60,7 @@
 		"orders_dropped": s.ordersDropped.Value(), "promotions": s.promotions.Value(),
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logDropped.Value(),
-		"refusals": refusals, "barred": barred,
+		"refusals": refusals, "barred": barred, "unpaid": unpaid,
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -48,6 +48,9 @@
 	if !s.admitTransaction(j) {
 		return false
 	}
+	if !s.payFor(j) {
+		return s.unpaidTransaction(j)
+	}
 	deadline := j.deadline()
 	primary := !tx.readOnly
 	w := s.waiter(j, s.need(tx.route, primary, tx.arrived))
@@ -55,7 +58,7 @@
 		// Nothing was sent for the transaction yet, so what matters is the lease now.
 		w.need.Arrived = j.arrived
 	}
-	begin := job{id: j.id, kind: direct.StatementBegin, text: tx.beginText(), route: tx.route, arrived: j.arrived}
+	begin := job{id: j.id, kind: direct.StatementBegin, text: tx.beginText(), route: tx.route, arrived: j.arrived, paidAt: j.paidAt}
 	if tx.readOnly {
 		begin.kind = direct.StatementBeginRead
 	}
@@ -69,10 +72,14 @@
 			tx.conn, tx.place = conn, place
 			return true
 		}
-		if o == direct.Barred {
+		switch o {
+		case direct.Barred:
 			tx.g.release(conn)
 			s.barredInTransaction(j)
 			return false
+		case direct.Unpaid:
+			tx.g.release(conn)
+			return s.unpaidTransaction(j)
 		}
 		s.debug("begin", "id", j.id, "member", place.Member, "outcome", int(o), "code", a.Code)
 		switch {
@@ -107,6 +114,16 @@
 	return false
 }
 
+// unpaidTransaction is notOpened for a team that may not begin another operation now.
+func (s *session) unpaidTransaction(j *job) bool {
+	s.tx.failed = true
+	if j.kind == direct.StatementCommit {
+		s.tx = nil
+	}
+	s.refuseUnpaid(j)
+	return false
+}
+
 // runInTransaction runs a statement of the open transaction.
 func (s *session) runInTransaction(j *job) {
 	tx := s.tx
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -76,6 +76,14 @@
 	// after one that brought none.
 	catchUpTimeout = homeDialTimeout / 2
 	catchUpRetry   = 250 * time.Millisecond
+	// declinedFor is how long a home is not asked for a group that has told to ask another one:
+	// two tries to take a slot of teams.
+	declinedFor = 500 * time.Millisecond
+	// unusedSlot is how long a slot of teams is kept that another daemon is to hold.
+	unusedSlot = 200 * time.Millisecond
+	// slotWait is how long a statement waits at most for this daemon to take its team's slot:
+	// three calls to the store in order, and one that fails.
+	slotWait = 600 * time.Millisecond
 	// newsEvery is the pause between questions for a newer configuration that callers with
 	// unknown keys cause: a key that has just been added works a quarter of a second later at
 	// the latest where such callers come all the time.
