--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -89,6 +89,8 @@
 	// wantedAt is when a slot was wanted that is not held.
 	wantedAt core.Time
 	retryAt  core.Time
+	// failing is set while the store does not answer.
+	failing bool
 }
 
 // NewHolder returns a daemon that holds nothing. boot tells this process from others of the
@@ -126,24 +128,35 @@
 	}
 }
 
-// Held are the slots that the daemon holds and has not been asked for since.
-func (h *Holder) Held(unusedSince core.Time) (list []Slot) {
+// Holding is a slot that a daemon holds.
+type Holding struct {
+	Slot Slot
+	// Since is when it was taken, UsedAt when it was last asked for.
+	Since, UsedAt core.Time
+}
+
+// Held are the slots that the daemon holds and keeps.
+func (h *Holder) Held() (list []Holding) {
 	for id, s := range h.slots {
-		if s.held && !s.leaving && s.wantedAt < unusedSince {
-			list = append(list, id)
+		if s.held && !s.leaving {
+			list = append(list, Holding{id, s.since, s.wantedAt})
 		}
 	}
-	slices.Sort(list)
 	return list
 }
 
+// Failing says whether the store has not answered the last call: no slot can be taken soon.
+func (h *Holder) Failing() bool { return h.failing }
+
 // Wishes says whether a slot is wanted that is not held.
 func (h *Holder) Wishes() bool { return h.wantedAt != 0 }
 
-// Elsewhere says whether another daemon holds the slot by the last list.
-func (h *Holder) Elsewhere(id Slot) bool {
-	owner, ok := h.owners[id]
-	return ok && owner.Daemon != h.self
+// Elsewhere is the other daemon that holds the slot by the last list; "": none does.
+func (h *Holder) Elsewhere(id Slot) core.DaemonID {
+	if owner := h.owners[id]; owner.Daemon != h.self {
+		return owner.Daemon
+	}
+	return ""
 }
 
 // Close ends all holdings for good, and returns the lease that binds them; 0: there is none.
@@ -167,7 +180,7 @@
 		h.forget()
 	}
 	if leaving := h.which(func(s *slot) bool { return s.held && s.leaving }); len(leaving) > 0 {
-		return Step{Kind: Release, Slots: leaving}
+		return Step{Kind: Release, Slots: some(leaving)}
 	}
 	h.dropOldWishes(now)
 	wanted := h.which(func(s *slot) bool { return !s.held })
@@ -213,21 +226,29 @@
 // take takes those of the wanted slots that nobody else holds, or looks again later.
 func (h *Holder) take(now core.Time, wanted map[Slot]uint64) Step {
 	free := make(map[Slot]uint64)
-	for _, id := range slices.Sorted(maps.Keys(wanted)) {
-		owner, taken := h.owners[id]
-		if taken && owner.Daemon != h.self {
-			continue
-		}
-		if len(free) < mostPerCall {
+	for id := range wanted {
+		if owner, taken := h.owners[id]; !taken || owner.Daemon == h.self {
 			free[id] = owner.Revision
 		}
 	}
 	if len(free) == 0 {
 		h.listedAt = 0
-		h.retryAt = now.Add(RetryAfter)
-		return Step{Kind: Pause, Wait: RetryAfter}
+		h.retryAt = now.Add(LookAgain)
+		return Step{Kind: Pause, Wait: LookAgain}
+	}
+	return Step{Kind: Take, Lease: h.lease, Slots: some(free)}
+}
+
+// some are as many of the slots as one call may name.
+func some(slots map[Slot]uint64) map[Slot]uint64 {
+	few := make(map[Slot]uint64, min(len(slots), MostPerCall))
+	for _, id := range slices.Sorted(maps.Keys(slots)) {
+		if len(few) == MostPerCall {
+			break
+		}
+		few[id] = slots[id]
 	}
-	return Step{Kind: Take, Lease: h.lease, Slots: free}
+	return few
 }
 
 // forget drops the lease and all that it bound.
@@ -250,6 +271,7 @@
 
 // Renewed takes that the lease lasts for ttl from sent at least.
 func (h *Holder) Renewed(sent core.Time, ttl time.Duration) {
+	h.failing = false
 	h.renewed = sent
 	h.until = max(h.until, sent.Add(ttl-LeaseMargin))
 }
@@ -261,7 +283,7 @@
 // does not know of, a call without an answer took: it is taken again if it is wanted, and
 // given back if not, as nobody else could have it for as long as the lease is renewed.
 func (h *Holder) Listed(sent core.Time, owners map[Slot]Owner) {
-	h.owners, h.listedAt = owners, sent
+	h.owners, h.listedAt, h.failing = owners, sent, false
 	for id, owner := range owners {
 		if owner.Daemon == h.self && owner.Boot == h.boot && h.slots[id] == nil {
 			h.slots[id] = &slot{held: true, leaving: true, revision: owner.Revision}
@@ -280,7 +302,6 @@
 		}
 		s.held, s.since, s.revision, s.leaving = true, now, revision, false
 	}
-	h.wantedAt = 0
 }
 
 // Conflict takes that a slot was not as it was listed.
@@ -299,6 +320,7 @@
 
 // Failed takes that a call was refused or not answered.
 func (h *Holder) Failed(now core.Time) {
+	h.failing = true
 	h.listedAt = 0
 	h.retryAt = now.Add(RetryAfter)
 }
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -84,6 +84,28 @@
 	})
 
 	// The store is away. Another daemon may have the slot once the lease has ended there.
+	// A daemon takes over from several others at once. A call for all of their slots is more
+	// than the store takes, and was refused again and again.
+	It("takes and gives back no more slots in a call than the store allows", func() {
+		h := quota.NewHolder("d", 1)
+		for slot := range quota.Slot(2*quota.MostPerCall + 1) {
+			h.Want(start, slot)
+		}
+		at := after(quota.GatherFor)
+		h.Granted(at, 3, quota.LeaseFor)
+		h.Listed(at, nil)
+		for _, n := range []int{quota.MostPerCall, quota.MostPerCall, 1} {
+			step := h.Next(at)
+			Expect(step.Kind).To(Equal(quota.Take))
+			Expect(step.Slots).To(HaveLen(n))
+			h.Taken(at, step.Slots, 11)
+		}
+		for slot := range quota.Slot(2*quota.MostPerCall + 1) {
+			h.Leave(slot)
+		}
+		Expect(h.Next(at).Slots).To(HaveLen(quota.MostPerCall))
+	})
+
 	It("uses it no more when its lease may have ended", func() {
 		h := taken()
 		_, ok := h.Holds(after(quota.LeaseFor), 7)
@@ -99,8 +121,8 @@
 		h.Granted(at, 3, quota.LeaseFor)
 		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "e", Revision: 5}})
 		Expect(h.Next(at).Kind).To(Equal(quota.Pause))
-		h.Want(at.Add(quota.RetryAfter), 7)
-		Expect(h.Next(at.Add(quota.RetryAfter)).Kind).To(Equal(quota.List))
+		h.Want(at.Add(quota.LookAgain), 7)
+		Expect(h.Next(at.Add(quota.LookAgain)).Kind).To(Equal(quota.List))
 	})
 
 	// A process is killed and started again at once. Waiting for the lease of its former
--- a/core/quota/tuning.go
+++ b/core/quota/tuning.go
@@ -13,16 +13,19 @@
 	// LeaseMargin of the lease is not used: what lies between the check and the member's
 	// socket.
 	LeaseMargin = 100 * time.Millisecond
-	// RetryAfter is the pause after a call that failed, and before slots that others hold are
-	// looked at again.
+	// RetryAfter is the pause after a call that failed.
 	RetryAfter = 250 * time.Millisecond
+	// LookAgain is the pause before slots that others hold are looked at again: a daemon that
+	// has died holds its slots for LeaseFor, and each look is paid for.
+	LookAgain = 600 * time.Millisecond
 	// GatherFor is how long a wish for a slot waits for others: callers of many teams come
 	// in one moment when a daemon starts, and one call serves all.
 	GatherFor = 5 * time.Millisecond
 	// PaidFor is how long an operation that was paid for may wait before it is sent.
 	PaidFor = 250 * time.Millisecond
-	// mostPerCall is how many slots one call takes, the store's limit of a transaction.
-	mostPerCall = 32
+	// MostPerCall is how many slots one call takes or gives back: each is a condition and a
+	// change, of which a transaction of the store has 32 together.
+	MostPerCall = 16
 )
 
 // Parts of what the rule allows beyond rate x window + burst.
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -33,6 +34,9 @@
 	// slotOrders keeps the order of daemons for a slot of teams in a group until the daemons
 	// or the homes change: each statement asks for it.
 	slotOrders map[slotGroup][]core.DaemonID
+	// owners are the daemons that are known to count the operations of slots of teams, where
+	// these are not the first in the order.
+	owners map[quota.Slot]core.DaemonID
 	// avoid is until when a daemon that did not answer is not asked again, avoidFor until
 	// when one is not asked for a group that it does not serve.
 	avoid    map[core.DaemonID]core.Time
@@ -62,7 +66,7 @@
 }
 
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, ready: make(chan struct{}), of: make(map[core.GroupID][]core.DaemonID), slotOrders: make(map[slotGroup][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), avoidTeam: make(map[teamAt]core.Time), heardAt: make(map[core.DaemonID]core.Time)}
+	return &homes{p: p, ready: make(chan struct{}), of: make(map[core.GroupID][]core.DaemonID), slotOrders: make(map[slotGroup][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), avoidTeam: make(map[teamAt]core.Time), owners: make(map[quota.Slot]core.DaemonID), heardAt: make(map[core.DaemonID]core.Time)}
 }
 
 // update chooses the homes anew from the daemons and groups that are known now, if
@@ -172,6 +176,18 @@
 	return h.decided
 }
 
+// anywhere says whether this daemon is a home of any group.
+func (h *homes) anywhere() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, list := range h.of {
+		if slices.Contains(list, h.p.settings.Daemon) {
+			return true
+		}
+	}
+	return false
+}
+
 // firstAnywhere says whether this daemon is the one to run the team's statements for some
 // group.
 func (h *homes) firstAnywhere(team core.TeamID) bool {
@@ -179,8 +195,13 @@
 	defer h.mu.Unlock()
 	at := now()
 	for id := range h.of {
-		if h.first(at, id, team) == h.p.settings.Daemon {
-			return true
+		for _, d := range h.teamOrder(id, team) {
+			if h.asked(at, d, id, team) {
+				if d == h.p.settings.Daemon {
+					return true
+				}
+				break
+			}
 		}
 	}
 	return false
@@ -206,6 +227,9 @@
 // first is the best daemon in the team's order that can be asked; "": there is none. The
 // lock is held.
 func (h *homes) first(at core.Time, id core.GroupID, team core.TeamID) core.DaemonID {
+	if owner := h.owners[quota.SlotOf(team)]; owner != "" && h.asked(at, owner, id, team) {
+		return owner
+	}
 	for _, d := range h.teamOrder(id, team) {
 		if h.asked(at, d, id, team) {
 			return d
@@ -259,6 +283,9 @@
 	var list []core.DaemonID
 	if h.gathers(team) {
 		list = slices.Clone(h.teamOrder(id, team))
+		if owner := h.owners[quota.SlotOf(team)]; owner != "" {
+			list = slices.Insert(list, 0, owner)
+		}
 	} else {
 		list = direct.Order(id, h.p.settings.Daemon, h.p.settings.Zone, h.of[id], h.daemons)
 	}
@@ -319,6 +346,19 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.avoidTeam[teamAt{team, id}] = now().Add(declinedFor)
+	if slot := quota.SlotOf(team); h.owners[slot] == id {
+		delete(h.owners, slot)
+	}
+}
+
+// countedAt notes who counts the team's operations. Its statements go there, whoever is
+// first in the order: lists of daemons differ for seconds after each change, and were each
+// entry to go by its own, the slots would move to and fro between homes all that time.
+func (h *homes) countedAt(team core.TeamID, owner core.DaemonID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.avoidTeam, teamAt{team, owner})
+	h.owners[quota.SlotOf(team)] = owner
 }
 
 // asked says whether the daemon can be asked for the team's statements in the group; the
@@ -331,6 +371,7 @@
 func (h *homes) failed(id core.DaemonID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	maps.DeleteFunc(h.owners, func(_ quota.Slot, owner core.DaemonID) bool { return owner == id })
 	h.avoid[id] = now().Add(avoidHome)
 }
 
--- a/pkg/proxy/limits.go
+++ b/pkg/proxy/limits.go
@@ -65,29 +65,61 @@
 	countedElsewhere
 )
 
-// pay pays for one of the team's operations, to be sent now. comeBack is when there will be
-// tokens if it is not paid for.
-func (l *limits) pay(team auth.Team) (result payment, comeBack time.Duration) {
+// receipt is what came of paying, when to come back if it was not paid for, and who counts
+// the team's operations if that is known to be another daemon.
+type receipt struct {
+	result   payment
+	comeBack time.Duration
+	owner    core.DaemonID
+}
+
+// textCountedAt precedes the daemon that counts a team's operations in a refusal; an entry
+// takes it from there.
+const textCountedAt = "the team's operations are counted at "
+
+func (r receipt) String() string {
+	switch {
+	case r.result == overLimit:
+		return "the team is at its limit"
+	case r.owner == "":
+		return "the team's operations are counted elsewhere"
+	}
+	return textCountedAt + string(r.owner)
+}
+
+// ownerIn is the daemon that a refusal names as the one that counts the team's operations;
+// "": it names none.
+func ownerIn(text string) core.DaemonID {
+	_, rest, _ := strings.Cut(text, textCountedAt)
+	owner, _, _ := strings.Cut(rest, ";")
+	return core.DaemonID(owner)
+}
+
+// pay pays for one of the team's operations, to be sent now.
+// wants says whether this daemon may take the slot to run it.
+func (l *limits) pay(team auth.Team, wants bool) receipt {
 	if !l.inForce || !team.Limited {
-		return paid, 0
+		return receipt{}
 	}
 	slot := quota.SlotOf(team.ID)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at := now()
-	l.holder.Want(at, slot)
 	since, ok := l.holder.Holds(at, slot)
+	if ok || wants {
+		l.holder.Want(at, slot)
+	}
 	if !ok {
 		l.wakeUp()
-		return countedElsewhere, quota.RetryAfter
+		return receipt{countedElsewhere, quota.RetryAfter, l.holder.Elsewhere(slot)}
 	}
 	c := l.count(at, team, since)
 	if c.bucket.Take(at) {
 		c.served++
-		return paid, 0
+		return receipt{}
 	}
 	c.denied++
-	return overLimit, l.comeBack(at, team.ID, c)
+	return receipt{result: overLimit, comeBack: l.comeBack(at, team.ID, c)}
 }
 
 // count is the team's count since the slot was taken, under its present limit.
@@ -136,7 +168,9 @@
 	return wait + time.Duration(rand.Float64()*float64(wait))
 }
 
-// await waits until this daemon holds the team's slot, or knows who does, or the deadline.
+// await waits until this daemon holds the team's slot, or knows that it will not soon, or the
+// deadline: a daemon that the store does not answer would otherwise make late what another
+// home can run at once.
 func (l *limits) await(team auth.Team, deadline core.Time) {
 	if !l.inForce || !team.Limited {
 		return
@@ -149,10 +183,10 @@
 		at := now()
 		l.holder.Want(at, slot)
 		_, holds := l.holder.Holds(at, slot)
-		elsewhere := l.holder.Elsewhere(slot)
+		hopeless := l.holder.Elsewhere(slot) != "" || l.holder.Failing()
 		changed := l.changed
 		l.mu.Unlock()
-		if holds || elsewhere {
+		if holds || hopeless {
 			return
 		}
 		l.wakeUp()
@@ -180,7 +214,7 @@
 		return
 	}
 	for !l.p.closing() {
-		l.leaveUnused()
+		l.leaveOthers()
 		l.wantAll()
 		l.mu.Lock()
 		step := l.holder.Next(now())
@@ -234,12 +268,11 @@
 	}
 }
 
-// mine are the slots that this daemon is the one to hold as far as it knows: none once it
-// stops.
+// mine are the slots that this daemon is the one to hold as far as it knows.
 func (l *limits) mine() map[quota.Slot]bool {
 	mine := make(map[quota.Slot]bool)
 	catalog := l.p.catalog.Load()
-	if l.p.stopping.Load() || catalog == nil || catalog.Teams == nil {
+	if catalog == nil || catalog.Teams == nil {
 		return mine
 	}
 	for _, id := range catalog.Teams.IDs() {
@@ -250,21 +283,23 @@
 	return mine
 }
 
-// leaveUnused gives back the slots of teams that are another daemon's by the present list,
-// once nobody has asked for them here for unusedSlot; a daemon that stops gives back all.
-func (l *limits) leaveUnused() {
+// leaveOthers gives back the slots that are another daemon's by the present list: a home's
+// once nobody has asked for them here for a while, as entries follow the holder wherever it
+// is; those of a daemon that stepped in while no home could be asked, soon.
+func (l *limits) leaveOthers() {
 	l.mu.Lock()
-	unused := l.holder.Held(now().Add(-unusedSlot))
+	held := l.holder.Held()
 	l.mu.Unlock()
-	if len(unused) == 0 {
+	if len(held) == 0 {
 		return
 	}
-	mine := l.mine()
+	mine, home, at := l.mine(), l.p.homes.anywhere(), now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, slot := range unused {
-		if !mine[slot] {
-			l.holder.Leave(slot)
+	for _, s := range held {
+		unused := at.Sub(s.UsedAt) >= unusedSlot
+		if !mine[s.Slot] && (unused || !home && at.Sub(s.Since) >= stepInFor) {
+			l.holder.Leave(s.Slot)
 		}
 	}
 }
@@ -387,39 +422,39 @@
 		// Whoever sends the statement finds out, and says so.
 		return true
 	}
-	result, comeBack := s.p.limits.pay(team)
-	if result == countedElsewhere && j.paidAt == 0 {
+	// A daemon that is no home runs only what entries send it that can ask no home. What its
+	// own callers ask after a cut, in which it could ask nobody, is for the homes: slots would
+	// move to all daemons that were cut off, and back again.
+	wants := s.linked || s.p.homes.anywhere()
+	s.receipt = s.p.limits.pay(team, wants)
+	if s.receipt.result == countedElsewhere && j.paidAt == 0 && wants {
 		s.p.limits.await(team, min(j.holdUntil(), j.arrived.Add(slotWait)))
-		result, comeBack = s.p.limits.pay(team)
+		s.receipt = s.p.limits.pay(team, wants)
 	}
-	if result == paid {
-		j.paidAt = now()
-		return true
+	if s.receipt.result != paid {
+		return false
 	}
-	s.unpaid = unpaidReason{result, comeBack}
-	return false
+	j.paidAt = now()
+	return true
 }
 
-// unpaidReason is why the last operation was not paid for.
-type unpaidReason struct {
-	result   payment
-	comeBack time.Duration
-}
-
-func (u unpaidReason) String() string {
-	if u.result == overLimit {
-		return "the team is at its limit"
-	}
-	return "the team's operations are counted elsewhere"
+// passOnUnpaid says whether a caller's own entry, which is a home as well, is to pass a
+// statement on to the daemon that counts the team's operations.
+func (s *session) passOnUnpaid() bool {
+	if s.linked || s.receipt.owner == "" {
+		return false
+	}
+	s.p.homes.countedAt(s.p.access.team(s.key), s.receipt.owner)
+	return true
 }
 
 // refuseUnpaid refuses an operation of which nothing was sent. Where another daemon counts
 // the team's operations, the entry looks for it.
 func (s *session) refuseUnpaid(j *job) {
-	s.p.stats.unpaid.Add(s.unpaid.String(), 1)
-	s.debug("refused", "id", j.id, "reason", s.unpaid.String(), "key", s.key.String(), "team", s.p.access.team(s.key), "come_back_ms", s.unpaid.comeBack.Milliseconds())
-	if s.unpaid.result == countedElsewhere {
+	s.p.stats.unpaid.Add([...]string{"", "over the limit", "counted elsewhere"}[s.receipt.result], 1)
+	s.debug("refused", "id", j.id, "reason", s.receipt.String(), "key", s.key.String(), "team", s.p.access.team(s.key), "come_back_ms", s.receipt.comeBack.Milliseconds())
+	if s.receipt.result == countedElsewhere {
 		s.sendElsewhere()
 	}
-	s.answerError(platform.CodeBusy, fmt.Sprintf("not run: %v; retry after %d ms", s.unpaid, s.unpaid.comeBack.Milliseconds()))
+	s.answerError(platform.CodeBusy, fmt.Sprintf("not run: %v; retry after %d ms", s.receipt, s.receipt.comeBack.Milliseconds()))
 }
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -309,9 +309,7 @@
 		}
 		a, sent, err := l.run(s, j.id, []string{j.text}, j.limit(), j.writes)
 		if err == nil && l.declined(&a) {
-			s.debug("home declined", "id", j.id, "home", l.home, "text", a.Text)
-			s.p.homes.declined(l.home, s.p.access.team(s.key))
-			s.unlink()
+			s.leaveDeclining(l, &a)
 			if attempt == 1 {
 				// Once: where the home that could run it is gone, all others decline, and more
 				// tries would be load on all homes at a time when there is too much already.
@@ -334,6 +332,17 @@
 	}
 }
 
+// leaveDeclining ends a link whose home has declined, and notes whom to ask instead.
+func (s *session) leaveDeclining(l *link, a *platform.Answer) {
+	s.debug("home declined", "home", l.home, "text", a.Text)
+	team := s.p.access.team(s.key)
+	s.p.homes.declined(l.home, team)
+	if owner := ownerIn(a.Text); owner != "" {
+		s.p.homes.countedAt(team, owner)
+	}
+	s.unlink()
+}
+
 // declined says whether the home did not run a statement and has told this entry to ask
 // another one, which may.
 func (l *link) declined(a *platform.Answer) bool { return l.leaving && a.Code == platform.CodeBusy }
@@ -393,6 +402,15 @@
 		return
 	}
 	a, sent, err := tx.home.run(s, j.id, texts, j.limit(), false)
+	if err == nil && len(texts) > 1 && tx.home.declined(&a) {
+		// Nothing of the transaction has run: it begins once more where it may.
+		s.leaveDeclining(tx.home, &a)
+		tx.home = nil
+		if texts, ok = s.begun(j); !ok {
+			return
+		}
+		a, sent, err = tx.home.run(s, j.id, texts, j.limit(), false)
+	}
 	if err != nil {
 		o := s.lostHome(j, tx.home, sent, err)
 		tx.home = nil
--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -12,9 +12,11 @@
 
 // job is one statement on its way through the proxy.
 type job struct {
-	id      string
-	kind    direct.StatementKind
-	text    string
+	id   string
+	kind direct.StatementKind
+	text string
+	// asked is the text as the caller sent it, which a home takes.
+	asked   string
 	writes  bool
 	prepare *prepared
 	// paidAt is when its team paid for it; 0: it has not.
@@ -68,6 +70,11 @@
 		return
 	}
 	if !s.payFor(j) {
+		if s.passOnUnpaid() {
+			j.text, j.prepare = j.asked, nil
+			s.forwardSingle(j)
+			return
+		}
 		s.refuseUnpaid(j)
 		return
 	}
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -32,8 +32,8 @@
 	// statement was not sent on account of it.
 	key      auth.Fingerprint
 	barredBy barrier
-	// unpaid is why its last operation was not paid for.
-	unpaid unpaidReason
+	// receipt is of the last operation that its team had to pay for.
+	receipt receipt
 	sessionState
 	// last is the position of the session's last commit, lastAt when it was
 	// acknowledged.
@@ -326,7 +326,7 @@
 
 // serveRun runs a read or write, inside or outside a transaction.
 func (s *session) serveRun(st *direct.Statement, route direct.Route, arrived core.Time) {
-	job := job{id: st.ID, kind: st.Kind, text: st.Text, writes: st.Writes, arrived: arrived}
+	job := job{id: st.ID, kind: st.Kind, text: st.Text, asked: st.Text, writes: st.Writes, arrived: arrived}
 	if st.Kind == direct.StatementExecute {
 		def, ok := s.prepared[st.Name]
 		if !ok {
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -76,11 +76,14 @@
 	// after one that brought none.
 	catchUpTimeout = homeDialTimeout / 2
 	catchUpRetry   = 250 * time.Millisecond
-	// declinedFor is how long a home is not asked for a group that has told to ask another one:
-	// two tries to take a slot of teams.
-	declinedFor = 500 * time.Millisecond
-	// unusedSlot is how long a slot of teams is kept that another daemon is to hold.
-	unusedSlot = 200 * time.Millisecond
+	// declinedFor is how long a home is not asked for a team that has told to ask another one:
+	// it is cut from the store, or another one holds the team's slot, for seconds.
+	declinedFor = avoidHome
+	// unusedSlot is how long a home keeps a slot of teams that another one is to hold and
+	// nobody asks for here, stepInFor how long another daemon keeps one that it took while no
+	// home could be asked.
+	unusedSlot = 5 * time.Second
+	stepInFor  = time.Second
 	// slotWait is how long a statement waits at most for this daemon to take its team's slot:
 	// three calls to the store in order, and one that fails.
 	slotWait = 600 * time.Millisecond
