--- a/core/direct/conns.go
+++ b/core/direct/conns.go
@@ -58,7 +58,7 @@
 	switch o {
 	case NoRoom:
 		g.heard(now, id, m)
-		m.blockedAt = now.Add(NoRoomBackoff)
+		m.fullUntil = now.Add(NoRoomBackoff)
 	case WrongMember:
 		g.answersElsewhere(now, m)
 	default:
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -44,6 +44,9 @@
 	doubtedAt core.Time
 	busyAt    core.Time
 	blockedAt core.Time // until when no connection is tried
+	// fullUntil is until when a connection is tried only in place of an own one: the member
+	// has refused one for want of room.
+	fullUntil core.Time
 	demoteAt  core.Time
 	// load is what the member has under way for all daemons.
 	load load
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -179,8 +179,10 @@
 		return reuse, true
 	case now < m.blockedAt:
 		return dial, false
-	case m.open < g.FairConns(m.ID) || g.conns(now, m.ID, m) < g.softLimit(m.ID):
+	case now >= m.fullUntil && (m.open < g.FairConns(m.ID) || g.conns(now, m.ID, m) < g.softLimit(m.ID)):
 		return dial, true
 	}
+	// Also at a full member: after a loss of power it counts the connections of the dead for
+	// seconds, and a home with idle ones of other teams would refuse all teams that have none.
 	return replace, m.idle > 0
 }
--- a/core/direct/place_test.go
+++ b/core/direct/place_test.go
@@ -216,3 +216,37 @@
 		Expect(ok).To(BeFalse())
 	})
 })
+
+var _ = Describe("a connection for a team", func() {
+	need := func(s *script, team core.TeamID) direct.Need {
+		return direct.Need{Primary: true, Arrived: s.at, Team: team}
+	}
+
+	It("is an idle one of the team, or a new one while there is room", func() {
+		s := newScript()
+		s.g.ConnOpened("a")
+		s.g.ConnIdle("a", "gates")
+		p, ok := s.g.Place(s.at, need(s, "gates"))
+		Expect(ok).To(BeTrue())
+		Expect(p.Dial).To(BeFalse())
+		p, ok = s.g.Place(s.at, need(s, "bays"))
+		Expect(ok).To(BeTrue())
+		Expect(p.Dial && !p.Replace).To(BeTrue())
+	})
+
+	// All hosts have lost power. The members count the connections of the dead for three
+	// seconds more and refuse new ones; a home has idle ones of other teams. It refused every
+	// team that had none, as a refused dial kept it from trying any.
+	It("takes the place of another team's while the member has no room", func() {
+		s := newScript()
+		s.g.ConnOpened("a")
+		s.g.ConnIdle("a", "gates")
+		s.g.ConnRefused(s.at, s.at, "a", direct.NoRoom)
+		p, ok := s.g.Place(s.at, need(s, "bays"))
+		Expect(ok).To(BeTrue())
+		Expect(p.Dial && p.Replace).To(BeTrue())
+		s.g.ConnTaken("a", "gates")
+		_, ok = s.g.Place(s.at, need(s, "bays"))
+		Expect(ok).To(BeFalse(), "none is idle")
+	})
+})
