--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -122,6 +122,8 @@
 		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "e", Revision: 5}})
 		Expect(h.Next(at).Kind).To(Equal(quota.Pause))
 		h.Want(at.Add(quota.LookAgain), 7)
+		Expect(h.Next(at.Add(quota.LookAgain)).Kind).To(Equal(quota.Renew), "its own lease")
+		h.Renewed(at.Add(quota.LookAgain), quota.LeaseFor)
 		Expect(h.Next(at.Add(quota.LookAgain)).Kind).To(Equal(quota.List))
 	})
 
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -240,10 +240,10 @@
 	case 1:
 		d.frozenUntil = s.now + seconds(6)
 	case 2:
-		d.cutUntil = s.now + seconds(9)
+		d.cutUntil = s.now + seconds(12)
 	case 3:
 		s.store.down = true
-		s.after(seconds(6), func() { s.store.down = false })
+		s.after(seconds(9), func() { s.store.down = false })
 	case 4:
 		for _, d := range s.daemons {
 			d.up = false
--- a/core/quota/tuning.go
+++ b/core/quota/tuning.go
@@ -4,12 +4,14 @@
 
 // Times of a Holder.
 const (
-	// LeaseFor is the lease of a daemon's slots. As long as an outage of the store in which
-	// callers can be served at all, whose keys must be proved; a daemon that dies without
-	// another process in its place keeps its teams from running for as long at most.
-	LeaseFor = 3 * time.Second
-	// RenewEvery is the pause between renewals: two of them may fail.
-	RenewEvery = 900 * time.Millisecond
+	// LeaseFor is the lease of a daemon's slots: as long as callers can be served without
+	// the store, whose keys have to be proved. A daemon that dies without another process in
+	// its place keeps its teams from running for as long at most; one that starts again does
+	// not, which is what nearly all do that die.
+	LeaseFor = 5 * time.Second
+	// RenewEvery is the pause between renewals. An outage of the store finds the lease as old
+	// as that at most.
+	RenewEvery = 500 * time.Millisecond
 	// LeaseMargin of the lease is not used: what lies between the check and the member's
 	// socket.
 	LeaseMargin = 100 * time.Millisecond
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -43,6 +43,8 @@
 	avoidFor map[groupAt]core.Time
 	// avoidTeam is until when a daemon is not asked for a team that it has declined.
 	avoidTeam map[teamAt]core.Time
+	// recheckAt is when it may be looked next whether a daemon that is avoided lives.
+	recheckAt map[core.DaemonID]core.Time
 	// heardAt is when a daemon last answered on any link.
 	heardAt map[core.DaemonID]core.Time
 }
@@ -66,7 +68,7 @@
 }
 
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, ready: make(chan struct{}), of: make(map[core.GroupID][]core.DaemonID), slotOrders: make(map[slotGroup][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), avoidTeam: make(map[teamAt]core.Time), owners: make(map[quota.Slot]core.DaemonID), heardAt: make(map[core.DaemonID]core.Time)}
+	return &homes{p: p, ready: make(chan struct{}), of: make(map[core.GroupID][]core.DaemonID), slotOrders: make(map[slotGroup][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), avoidTeam: make(map[teamAt]core.Time), owners: make(map[quota.Slot]core.DaemonID), heardAt: make(map[core.DaemonID]core.Time), recheckAt: make(map[core.DaemonID]core.Time)}
 }
 
 // update chooses the homes anew from the daemons and groups that are known now, if
@@ -359,6 +361,20 @@
 	defer h.mu.Unlock()
 	delete(h.avoidTeam, teamAt{team, owner})
 	h.owners[quota.SlotOf(team)] = owner
+	if at := now(); at < h.avoid[owner] && at >= h.recheckAt[owner] {
+		h.recheckAt[owner] = at.Add(recheckEvery)
+		go h.recheck(owner)
+	}
+}
+
+// recheck has a daemon asked again at once that lives. One that was killed is back within a
+// second, and nobody else may run what it counts; entries would leave it alone for longer.
+func (h *homes) recheck(id core.DaemonID) {
+	if h.p.lives(id) {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.avoid, id)
+	}
 }
 
 // asked says whether the daemon can be asked for the team's statements in the group; the
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -76,6 +76,8 @@
 	// after one that brought none.
 	catchUpTimeout = homeDialTimeout / 2
 	catchUpRetry   = 250 * time.Millisecond
+	// recheckEvery is the pause between looks whether a daemon lives again that counts a team.
+	recheckEvery = 200 * time.Millisecond
 	// declinedFor is how long a home is not asked for a team that has told to ask another one:
 	// it is cut from the store, or another one holds the team's slot, for seconds.
 	declinedFor = avoidHome
