--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -174,8 +174,8 @@
 
 // TeamOrder returns the daemons that an entry asks to serve statements of the slot's teams in
 // the group, best first, this daemon's own among them: homes in the slot's order, which is
-// the same for all entries and groups, then further daemons in the group's. Teams of one slot
-// are counted at one daemon, so they have one order.
+// the same for all entries and groups, then mostStepIn further daemons in the group's. Teams
+// of one slot are counted at one daemon, so they have one order.
 //
 // A member's connection serves one team alone. Were each home to serve every team, each
 // would need connections of its own for all of them, of which there are fewer than teams.
@@ -190,5 +190,11 @@
 			list = append(list, choice{d.ID, furtherDaemon, draw(group, d)})
 		}
 	}
-	return ordered(list)
+	order := ordered(list)
+	return order[:min(len(order), len(homes)+mostStepIn)]
 }
+
+// mostStepIn further daemons are asked for a team while no home answers. With each half of a
+// fleet cut from the other, entries that asked all of them made 10,000 links a second, and
+// none of these daemons could serve: what they count is counted at a home.
+const mostStepIn = 2
--- a/core/quota/tuning.go
+++ b/core/quota/tuning.go
@@ -8,7 +8,7 @@
 	// the store, whose keys have to be proved. A daemon that dies without another process in
 	// its place keeps its teams from running for as long at most; one that starts again does
 	// not, which is what nearly all do that die.
-	LeaseFor = 5 * time.Second
+	LeaseFor = 4 * time.Second
 	// RenewEvery is the pause between renewals. An outage of the store finds the lease as old
 	// as that at most.
 	RenewEvery = 500 * time.Millisecond
--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -221,7 +221,16 @@
 
 // Silent takes that a relay did not answer, or has no configuration.
 func (f *Follower) Silent(now core.Time, relay core.DaemonID) {
-	f.avoid[relay] = now.Add(avoidFor)
+	f.avoid[relay] = now.Add(f.avoidance(now))
+}
+
+// avoidance is for how long a relay is not asked that was silent: not for long once this
+// daemon's proof has run out, as it refuses callers until it hears from anybody.
+func (f *Follower) avoidance(now core.Time) time.Duration {
+	if now.Sub(f.proof) >= f.budget {
+		return avoidWithoutProof
+	}
+	return avoidFor
 }
 
 // draw is a number between 0 and 1 that differs between daemons and between n.
--- a/core/relay/tuning.go
+++ b/core/relay/tuning.go
@@ -26,6 +26,9 @@
 	leastAsk = 2 * answerTimeout
 	// avoidFor is how long a relay is left alone that did not answer or had an old proof.
 	avoidFor = 2 * time.Second
+	// avoidWithoutProof is that time for a daemon without a proof that counts. A question costs
+	// the relay nothing to speak of, and a store that is away nothing at all.
+	avoidWithoutProof = 500 * time.Millisecond
 	// mostAsked relays are asked before the store: both of the own zone, and one
 	// elsewhere should the zone be cut from the store.
 	mostAsked = 3
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"limpetspan/core"
+	"limpetspan/core/auth"
 	"limpetspan/core/direct"
 	"limpetspan/pkg/proxy/reportpb"
 	"limpetspan/platform"
@@ -299,8 +300,15 @@
 	return time.Now().Add(until(j.arrived.Add(j.route.StatementTimeout-answerMargin/2), time.Millisecond))
 }
 
-// forwardSingle has a home run a statement outside a transaction.
+// forwardSingle has a home run a statement outside a transaction. An entry that has heard
+// nothing of the configuration for so long that it could not run the statement itself is cut
+// from the homes as well: it refuses at once rather than dial all of them for each statement.
 func (s *session) forwardSingle(j *job) {
+	if !s.p.access.proved() {
+		s.barredBy = barrier{verdict: auth.Unproved}
+		s.barred(j)
+		return
+	}
 	for attempt := 1; ; attempt++ {
 		l, err := s.connect(j.route.Group, j.deadline())
 		if err != nil {
@@ -386,6 +394,11 @@
 	if tx.home != nil {
 		return []string{j.text}, true
 	}
+	if !s.p.access.proved() {
+		s.barredBy = barrier{verdict: auth.Unproved}
+		s.barredInTransaction(j)
+		return nil, false
+	}
 	l, err := s.connect(tx.route.Group, j.deadline())
 	if err != nil {
 		return nil, s.notOpened(j, err.Error(), 1)
