--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -32,6 +32,9 @@
 	Lease uint64
 	// Revision is that of the slot's key.
 	Revision uint64
+	// Open says that more than the calm part of some team's burst may have been used in the
+	// last window.
+	Open bool
 }
 
 // StepKind says what a daemon does next about its slots.
@@ -51,6 +54,9 @@
 	Take
 	// Release removes the keys of Slots, which are used no more.
 	Release
+	// Open writes that the bursts of Slots' teams may be used, Shut that they are not.
+	Open
+	Shut
 )
 
 // Step is what a daemon does next about its slots.
@@ -72,6 +78,11 @@
 	revision uint64
 	// leaving says that it is to be given back.
 	leaving bool
+	// calmBefore says that the last holder had used no burst.
+	calmBefore bool
+	// open says that the store has been told of the use of bursts; openWanted that it is to be
+	// told, shutting that it is to be told of the contrary, and that no burst is used now.
+	open, openWanted, shutting bool
 }
 
 // Holder is which slots one daemon holds. It is not safe for concurrent use.
@@ -99,13 +110,33 @@
 	return &Holder{self: self, boot: boot, slots: make(map[Slot]*slot)}
 }
 
-// Holds says whether the daemon holds the slot now, and since when.
-func (h *Holder) Holds(now core.Time, id Slot) (since core.Time, ok bool) {
+// Holds returns the daemon's holding of the slot; false: it has none now.
+func (h *Holder) Holds(now core.Time, id Slot) (Holding, bool) {
 	s := h.slots[id]
 	if s == nil || !s.held || s.leaving || now >= h.until {
-		return 0, false
+		return Holding{}, false
+	}
+	return s.holding(id), true
+}
+
+func (s *slot) holding(id Slot) Holding {
+	return Holding{Slot: id, Since: s.since, UsedAt: s.wantedAt, CalmBefore: s.calmBefore, Open: s.open && !s.shutting && !s.openWanted}
+}
+
+// WantOpen asks to tell the store that bursts are used in the slot. After a wish to the
+// contrary it has to be told in any case: a call that says so may be on its way.
+func (h *Holder) WantOpen(id Slot) {
+	if s := h.slots[id]; s != nil && s.held {
+		s.openWanted = s.openWanted || !s.open || s.shutting
+		s.shutting = false
+	}
+}
+
+// WantShut tells the store that no burst is used in the slot any more, as from now on.
+func (h *Holder) WantShut(id Slot) {
+	if s := h.slots[id]; s != nil && s.held && s.open {
+		s.shutting = true
 	}
-	return s.since, true
 }
 
 // Want asks for a slot, or says that it is in use.
@@ -133,13 +164,16 @@
 	Slot Slot
 	// Since is when it was taken, UsedAt when it was last asked for.
 	Since, UsedAt core.Time
+	// CalmBefore says that its last holder had not used the bursts of its teams, Open that
+	// this one may.
+	CalmBefore, Open bool
 }
 
 // Held are the slots that the daemon holds and keeps.
 func (h *Holder) Held() (list []Holding) {
 	for id, s := range h.slots {
 		if s.held && !s.leaving {
-			list = append(list, Holding{id, s.since, s.wantedAt})
+			list = append(list, s.holding(id))
 		}
 	}
 	return list
@@ -187,6 +221,9 @@
 	if h.lease != 0 && now.Sub(h.renewed) >= RenewEvery && len(h.slots) > 0 {
 		return Step{Kind: Renew, Lease: h.lease}
 	}
+	if step, ok := h.flag(); ok {
+		return step
+	}
 	if len(wanted) == 0 {
 		h.wantedAt = 0
 		return Step{Kind: Pause, Wait: RetryAfter}
@@ -212,6 +249,55 @@
 	}
 }
 
+// flag is the step that tells the store of the use of bursts. A slot whose key's revision is
+// not known, as a call has had no answer, is read first.
+func (h *Holder) flag() (Step, bool) {
+	for _, f := range []struct {
+		kind StepKind
+		is   func(s *slot) bool
+	}{
+		{Open, func(s *slot) bool { return s.held && s.openWanted }},
+		{Shut, func(s *slot) bool { return s.held && s.shutting && !s.openWanted }},
+	} {
+		slots := h.which(f.is)
+		if len(slots) == 0 {
+			continue
+		}
+		for _, revision := range slots {
+			if revision == 0 {
+				return Step{Kind: List}, true
+			}
+		}
+		return Step{Kind: f.kind, Lease: h.lease, Slots: some(slots)}, true
+	}
+	return Step{}, false
+}
+
+// Flagged takes that the keys of the slots tell of the use of bursts, or of the contrary, and
+// have the revision.
+func (h *Holder) Flagged(slots map[Slot]uint64, revision uint64, open bool) {
+	for id := range slots {
+		s := h.slots[id]
+		if s == nil || !s.held {
+			continue
+		}
+		s.revision, s.open, s.shutting = revision, open, false
+		s.openWanted = s.openWanted && !open
+	}
+}
+
+// FlagFailed takes that the keys of the slots were not as expected, or that the store did not
+// answer: what they tell is not known, and no burst is used until it is.
+func (h *Holder) FlagFailed(now core.Time, slots map[Slot]uint64) {
+	for id := range slots {
+		if s := h.slots[id]; s != nil && s.held {
+			s.revision = 0
+		}
+	}
+	h.listedAt = 0
+	h.retryAt = now.Add(RetryAfter / 4)
+}
+
 // which are the slots of which it is true, with the revisions that their keys have.
 func (h *Holder) which(is func(s *slot) bool) map[Slot]uint64 {
 	found := make(map[Slot]uint64)
@@ -259,7 +345,7 @@
 			delete(h.slots, id)
 			continue
 		}
-		s.held, s.revision = false, 0
+		*s = slot{wantedAt: s.wantedAt}
 	}
 }
 
@@ -285,8 +371,19 @@
 func (h *Holder) Listed(sent core.Time, owners map[Slot]Owner) {
 	h.owners, h.listedAt, h.failing = owners, sent, false
 	for id, owner := range owners {
-		if owner.Daemon == h.self && owner.Boot == h.boot && h.slots[id] == nil {
+		if owner.Daemon != h.self || owner.Boot != h.boot {
+			continue
+		}
+		if s := h.slots[id]; s == nil {
 			h.slots[id] = &slot{held: true, leaving: true, revision: owner.Revision}
+		} else if s.held {
+			s.revision = owner.Revision
+		}
+	}
+	for id, s := range h.slots {
+		if owner := owners[id]; s.held && (owner.Daemon != h.self || owner.Boot != h.boot) {
+			// The key has gone: the lease must have ended at the store.
+			s.held = false
 		}
 	}
 }
@@ -300,7 +397,8 @@
 			s = &slot{}
 			h.slots[id] = s
 		}
-		s.held, s.since, s.revision, s.leaving = true, now, revision, false
+		owner, known := h.owners[id]
+		*s = slot{held: true, since: now, wantedAt: s.wantedAt, revision: revision, open: true, calmBefore: known && !owner.Open}
 	}
 }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -22,7 +22,7 @@
 
 var _ = Describe("a bucket", func() {
 	It("runs a burst and then the rate", func() {
-		b := quota.NewBucket(start, quota.Limit{Rate: 10, Burst: 5}, 5)
+		b := quota.NewBucket(start, quota.Limit{Rate: 10, Burst: 5}, 5, true)
 		for range 5 {
 			Expect(b.Take(start)).To(BeTrue())
 		}
@@ -35,22 +35,37 @@
 	})
 
 	It("keeps no more than a new burst when the limit falls", func() {
-		b := quota.NewBucket(start, quota.Limit{Rate: 100, Burst: 100}, 100)
+		b := quota.NewBucket(start, quota.Limit{Rate: 100, Burst: 100}, 100, true)
 		b.SetLimit(start, quota.Limit{Rate: 1, Burst: 2})
 		Expect(b.Take(start)).To(BeTrue())
 		Expect(b.Take(start)).To(BeTrue())
 		Expect(b.Take(start)).To(BeFalse())
 	})
 
+	It("keeps to the calm part of its burst until the store knows of more", func() {
+		b := quota.NewBucket(start, quota.Limit{Rate: 10, Burst: 40}, 40, false)
+		for range 10 {
+			Expect(b.Take(start)).To(BeTrue())
+		}
+		Expect(b.Take(start)).To(BeFalse())
+		b.Open(start)
+		for range 30 {
+			Expect(b.Take(start)).To(BeTrue())
+		}
+		Expect(b.Take(start)).To(BeFalse())
+		Expect(b.CalmSince(after(2*time.Second))).To(Equal(after(2*time.Second)), "it has regained 20 of 30")
+		Expect(b.CalmSince(after(9 * time.Second))).To(Equal(after(3 * time.Second)))
+	})
+
 	It("never has a token where nothing is allowed", func() {
-		b := quota.NewBucket(start, quota.Limit{}, 5)
+		b := quota.NewBucket(start, quota.Limit{}, 5, true)
 		Expect(b.Take(after(time.Hour))).To(BeFalse())
 		_, ok := b.Until(start, 1)
 		Expect(ok).To(BeFalse())
 	})
 
 	It("gains nothing by a clock that stands still or goes back", func() {
-		b := quota.NewBucket(start, quota.Limit{Rate: 10, Burst: 1}, 1)
+		b := quota.NewBucket(start, quota.Limit{Rate: 10, Burst: 1}, 1, true)
 		Expect(b.Take(start)).To(BeTrue())
 		Expect(b.Take(start.Add(-time.Hour))).To(BeFalse())
 		Expect(b.Take(start)).To(BeFalse())
@@ -77,9 +92,9 @@
 
 	It("takes it once, and renews its lease", func() {
 		h := taken()
-		since, ok := h.Holds(after(time.Second), 7)
+		held, ok := h.Holds(after(time.Second), 7)
 		Expect(ok).To(BeTrue())
-		Expect(since).To(Equal(after(quota.GatherFor)))
+		Expect(held.Since).To(Equal(after(quota.GatherFor)))
 		Expect(h.Next(after(time.Second))).To(Equal(quota.Step{Kind: quota.Renew, Lease: 3}))
 	})
 
@@ -138,6 +153,41 @@
 		Expect(h.Next(at)).To(Equal(quota.Step{Kind: quota.Take, Lease: 3, Slots: slots(5)}))
 	})
 
+	// All hosts lose power. Callers of all teams come back at once, and a holder that could not
+	// know what its former life had run would have next to nothing for them.
+	It("knows whether its former life had used bursts", func() {
+		h := quota.NewHolder("d", 2)
+		h.Want(start, 7)
+		h.Want(start, 8)
+		at := after(quota.GatherFor)
+		h.Granted(at, 3, quota.LeaseFor)
+		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "d", Boot: 1, Revision: 5}, 8: {Daemon: "d", Boot: 1, Revision: 6, Open: true}})
+		h.Taken(at, map[quota.Slot]uint64{7: 5, 8: 6}, 11)
+		calm, _ := h.Holds(at, 7)
+		Expect(calm.CalmBefore).To(BeTrue())
+		busy, _ := h.Holds(at, 8)
+		Expect(busy.CalmBefore).To(BeFalse())
+	})
+
+	It("uses no burst from when it says so until the store has been told of the contrary", func() {
+		h := taken()
+		open := func() bool { held, _ := h.Holds(after(time.Second), 7); return held.Open }
+		h.Renewed(after(time.Second), quota.LeaseFor)
+		Expect(open()).To(BeTrue())
+		h.WantShut(7)
+		Expect(open()).To(BeFalse())
+		Expect(h.Next(after(time.Second))).To(Equal(quota.Step{Kind: quota.Shut, Lease: 3, Slots: slots(11)}))
+		h.WantOpen(7)
+		h.WantOpen(7)
+		Expect(open()).To(BeFalse(), "the store may be told that there is none a moment later")
+		h.FlagFailed(after(time.Second), slots(11))
+		Expect(h.Next(after(1100 * time.Millisecond)).Kind).To(Equal(quota.List))
+		h.Listed(after(1100*time.Millisecond), map[quota.Slot]quota.Owner{7: {Daemon: "d", Boot: 1, Lease: 3, Revision: 12}})
+		Expect(h.Next(after(1100 * time.Millisecond))).To(Equal(quota.Step{Kind: quota.Open, Lease: 3, Slots: slots(12)}))
+		h.Flagged(slots(12), 13, true)
+		Expect(open()).To(BeTrue())
+	})
+
 	It("stops to use it before it gives it back", func() {
 		h := taken()
 		h.Leave(7)
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -20,10 +20,10 @@
 // different lists of daemons can do.
 const (
 	simDaemons = 4
-	simFor     = 40 * time.Second
+	simFor     = 60 * time.Second
 	simTick    = 10 * time.Millisecond
 	simRate    = 40.0
-	simBurst   = 40.0
+	simBurst   = 120.0
 	simWindow  = 5 * time.Second
 	team       = core.TeamID("t")
 )
@@ -31,15 +31,17 @@
 // seedsVariable names the environment variable that says how many seeds to play.
 const seedsVariable = "LIMPETSPAN_QUOTA_SEEDS"
 
-var simRule = quota.Rule{Overage: 0.1, Slack: 20}
+var simRule = quota.Rule{Window: simWindow, Overage: 0.1, Slack: 20}
 
 // weakened takes a part of the argument away.
 type weakened int
 
 const (
 	whole weakened = iota
-	// fullStart has who takes a slot begin with a full bucket.
+	// fullStart has who takes a slot believe that the last holder used no burst.
 	fullStart
+	// earlyOpen has a holder use bursts before the store knows.
+	earlyOpen
 	// noLease has a holder go on when its lease has run out.
 	noLease
 )
@@ -76,10 +78,10 @@
 	frozenUntil time.Duration
 	cutUntil    time.Duration
 	h           *quota.Holder
-	b           *quota.Bucket
-	since       core.Time
+	count       quota.Count
 	calling     bool
-	// wasHeld is used by weakened daemons.
+	// last is the last holding, with which a weakened daemon goes on.
+	last     quota.Holding
 	heldOnce bool
 }
 
@@ -106,7 +108,7 @@
 
 func (s *sim) start(d *simDaemon) {
 	d.boot++
-	d.up, d.calling, d.b, d.heldOnce = true, false, nil, false
+	d.up, d.calling, d.count, d.heldOnce = true, false, quota.Count{}, false
 	d.h = quota.NewHolder(d.id, d.boot)
 }
 
@@ -134,7 +136,13 @@
 			report()
 		}
 	}
-	s.after(800*time.Millisecond, answer(func() { d.h.Failed(d.clock(s)) }))
+	s.after(800*time.Millisecond, answer(func() {
+		if step.Kind == quota.Open || step.Kind == quota.Shut {
+			d.h.FlagFailed(d.clock(s), step.Slots)
+			return
+		}
+		d.h.Failed(d.clock(s))
+	}))
 	lost := s.r.IntN(12) == 0 || s.now < d.cutUntil
 	way := time.Duration(1+s.r.IntN(6)) * time.Millisecond
 	if s.r.IntN(25) == 0 {
@@ -177,16 +185,19 @@
 			owners[slot] = *st.key
 		}
 		return func() { d.h.Listed(sent, owners) }
-	case quota.Take, quota.Release:
+	case quota.Take, quota.Release, quota.Open, quota.Shut:
 		revision := uint64(0)
 		if st.key != nil {
 			revision = st.key.Revision
 		}
 		if step.Slots[slot] != revision {
-			if step.Kind == quota.Release {
+			switch step.Kind {
+			case quota.Release:
 				return func() { d.h.Released(step.Slots) }
+			case quota.Take:
+				return func() { d.h.Conflict(d.clock(s)) }
 			}
-			return func() { d.h.Conflict(d.clock(s)) }
+			return func() { d.h.FlagFailed(d.clock(s), step.Slots) }
 		}
 		st.revision++
 		if step.Kind == quota.Release {
@@ -194,9 +205,14 @@
 			return func() { d.h.Released(step.Slots) }
 		}
 		if _, ok := st.leases[step.Lease]; !ok {
-			return failed
+			return func() { d.h.LeaseGone() }
 		}
-		taken := quota.Owner{Daemon: d.id, Boot: d.boot, Lease: step.Lease, Revision: st.revision}
+		if step.Kind != quota.Take {
+			st.key.Revision, st.key.Open = st.revision, step.Kind == quota.Open
+			told := *st.key
+			return func() { d.h.Flagged(step.Slots, told.Revision, told.Open) }
+		}
+		taken := quota.Owner{Daemon: d.id, Boot: d.boot, Lease: step.Lease, Revision: st.revision, Open: true}
 		st.key = &taken
 		return func() { d.h.Taken(d.clock(s), step.Slots, taken.Revision) }
 	}
@@ -208,26 +224,45 @@
 	at := d.clock(s)
 	slot := quota.SlotOf(team)
 	d.h.Want(at, slot)
-	since, holds := d.h.Holds(at, slot)
+	held, holds := d.h.Holds(at, slot)
 	if holds {
-		d.heldOnce = true
+		d.heldOnce, d.last = true, held
 	}
 	if s.weak == noLease && d.heldOnce {
-		holds = true
+		held, holds = d.last, true
+	}
+	if s.weak == fullStart {
+		held.CalmBefore = true
+	}
+	if s.weak == earlyOpen {
+		held.Open = true
 	}
 	if !holds {
 		return
 	}
-	if d.b == nil || since != 0 && since != d.since {
-		start := simRule.StartTokens()
-		if s.weak == fullStart {
-			start = simBurst
-		}
-		d.b, d.since = quota.NewBucket(at, simRule.Limit(simRate, simBurst), start), since
-	}
-	if d.b.Take(at) {
+	limit := simRule.Limit(simRate, simBurst)
+	ok, wantOpen := d.count.Take(at, held, limit, simRule)
+	if ok {
 		s.sent = append(s.sent, s.now)
 	}
+	if wantOpen {
+		d.h.WantOpen(slot)
+	}
+	if held.Open && at.Sub(held.Since) >= simWindow+quota.PaidFor && d.count.Calm(at, held, simRule) {
+		d.h.WantShut(slot)
+	}
+}
+
+// demand is how many operations come at each daemon in a tick: far too many at times, and a
+// tenth of the limit at others, in which holders give up their bursts.
+func (s *sim) demand() int {
+	if s.now/(7*time.Second)%3 == 0 {
+		return 4
+	}
+	if s.r.IntN(40) == 0 {
+		return 1
+	}
+	return 0
 }
 
 func (s *sim) fault() {
@@ -278,7 +313,7 @@
 			if !d.up || s.now < d.frozenUntil {
 				continue
 			}
-			for range 4 {
+			for range s.demand() {
 				s.ask(d)
 			}
 			if d.calling {
@@ -330,6 +365,11 @@
 		Expect(n).To(BeNumerically(">", 0))
 	})
 
+	It("would be if a holder used bursts before the store knows of it", func() {
+		n, _ := broken(earlyOpen)
+		Expect(n).To(BeNumerically(">", 0))
+	})
+
 	It("would be if a holder went on when its lease has run out", func() {
 		n, _ := broken(noLease)
 		Expect(n).To(BeNumerically(">", 0))
--- a/core/quota/tuning.go
+++ b/core/quota/tuning.go
@@ -40,8 +40,18 @@
 	startShare = 0.25
 )
 
+// Parts of a team's burst.
+const (
+	// calmShare of the burst, and leastCalm operations at least, are what a holder uses that
+	// has not told the store of more. Teams at 0.6 of their rates hardly ever use more.
+	calmShare = 0.25
+	leastCalm = 4.0
+)
+
 // Rule is how much more than rate x window + burst may run in a window.
 type Rule struct {
+	// Window is the span.
+	Window time.Duration
 	// Overage is a share of that, Slack a number of operations on top.
 	Overage, Slack float64
 }
@@ -51,5 +61,8 @@
 	return Limit{Rate: rate * (1 + rateShare*r.Overage), Burst: burst}
 }
 
-// StartTokens is what a bucket begins with.
+// StartTokens is what a bucket begins with whose team may have used its burst elsewhere.
 func (r Rule) StartTokens() float64 { return startShare * r.Slack }
+
+// Calm is the part of a limit's burst that a holder uses without telling the store.
+func (l Limit) Calm() float64 { return min(l.Burst, max(leastCalm, calmShare*l.Burst)) }
--- a/core/relay/tuning.go
+++ b/core/relay/tuning.go
@@ -29,9 +29,9 @@
 	// avoidWithoutProof is that time for a daemon without a proof that counts. A question costs
 	// the relay nothing to speak of, and a store that is away nothing at all.
 	avoidWithoutProof = 500 * time.Millisecond
-	// mostAsked relays are asked before the store: both of the own zone, and one
-	// elsewhere should the zone be cut from the store.
-	mostAsked = 3
+	// mostAsked relays are asked, both of the own zone first. The store may turn several away
+	// at once, and a daemon that hears of it by nobody refuses its callers.
+	mostAsked = 8
 )
 
 // Pauses after a failed read of the store, the first one and the longest.
--- a/pkg/proxy/limits.go
+++ b/pkg/proxy/limits.go
@@ -36,10 +36,8 @@
 
 // teamCount is one team's operations here.
 type teamCount struct {
-	bucket *quota.Bucket
-	limit  quota.Limit
-	// since is when the slot was taken; another one begins with another bucket.
-	since core.Time
+	quota.Count
+	limit quota.Limit
 	// refusing says that the team is at its limit, since the log has told so.
 	refusing       bool
 	refusedAt      core.Time
@@ -63,6 +61,8 @@
 	overLimit
 	// countedElsewhere: this daemon does not hold the team's slot.
 	countedElsewhere
+	// burstUntold: the store has to be told first that the team uses its burst.
+	burstUntold
 )
 
 // receipt is what came of paying, when to come back if it was not paid for, and who counts
@@ -73,6 +73,9 @@
 	owner    core.DaemonID
 }
 
+// waits says whether an operation is worth a wait for the store.
+func (r receipt) waits() bool { return r.result == countedElsewhere || r.result == burstUntold }
+
 // textCountedAt precedes the daemon that counts a team's operations in a refusal; an entry
 // takes it from there.
 const textCountedAt = "the team's operations are counted at "
@@ -81,6 +84,8 @@
 	switch {
 	case r.result == overLimit:
 		return "the team is at its limit"
+	case r.result == burstUntold:
+		return "the team's burst is not opened yet"
 	case r.owner == "":
 		return "the team's operations are counted elsewhere"
 	}
@@ -105,7 +110,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at := now()
-	since, ok := l.holder.Holds(at, slot)
+	held, ok := l.holder.Holds(at, slot)
 	if ok || wants {
 		l.holder.Want(at, slot)
 	}
@@ -113,27 +118,29 @@
 		l.wakeUp()
 		return receipt{countedElsewhere, quota.RetryAfter, l.holder.Elsewhere(slot)}
 	}
-	c := l.count(at, team, since)
-	if c.bucket.Take(at) {
+	c := l.count(at, team)
+	ok, wantOpen := c.Take(at, held, c.limit, l.rule)
+	if ok {
 		c.served++
 		return receipt{}
 	}
+	if wantOpen {
+		l.holder.WantOpen(slot)
+		l.wakeUp()
+		return receipt{result: burstUntold, comeBack: leastOverLimit}
+	}
 	c.denied++
 	return receipt{result: overLimit, comeBack: l.comeBack(at, team.ID, c)}
 }
 
-// count is the team's count since the slot was taken, under its present limit.
-func (l *limits) count(at core.Time, team auth.Team, since core.Time) *teamCount {
-	limit := l.rule.Limit(team.Rate, team.Burst)
+// count is the team's count here, with its present limit.
+func (l *limits) count(at core.Time, team auth.Team) *teamCount {
 	c := l.counts[team.ID]
-	switch {
-	case c == nil || c.since != since:
-		c = &teamCount{bucket: quota.NewBucket(at, limit, l.rule.StartTokens()), limit: limit, since: since}
+	if c == nil {
+		c = &teamCount{}
 		l.counts[team.ID] = c
-	case c.limit != limit:
-		c.bucket.SetLimit(at, limit)
-		c.limit = limit
 	}
+	c.limit = l.rule.Limit(team.Rate, team.Burst)
 	if c.refusing && at.Sub(c.refusedAt) > refusingFor {
 		c.refusing = false
 		l.p.log.Info("team is within its limit again", "team", team.ID, "denied", c.denied)
@@ -160,7 +167,7 @@
 		l.p.log.Warn("team is at its limit", "team", team, "rate", c.limit.Rate, "burst", c.limit.Burst, "served", c.served)
 	}
 	c.refusedAt = at
-	wait, ok := c.bucket.Until(at, max(1, overLimitShare*c.limit.Rate))
+	wait, ok := c.Until(at, max(1, overLimitShare*c.limit.Rate))
 	if !ok {
 		return mostOverLimit
 	}
@@ -168,10 +175,10 @@
 	return wait + time.Duration(rand.Float64()*float64(wait))
 }
 
-// await waits until this daemon holds the team's slot, or knows that it will not soon, or the
-// deadline: a daemon that the store does not answer would otherwise make late what another
+// await waits until this daemon holds the team's slot and may use its burst, or knows that it
+// will not soon, or the deadline: a daemon that the store does not answer would otherwise make late what another
 // home can run at once.
-func (l *limits) await(team auth.Team, deadline core.Time) {
+func (l *limits) await(team auth.Team, burst bool, deadline core.Time) {
 	if !l.inForce || !team.Limited {
 		return
 	}
@@ -182,7 +189,8 @@
 		l.mu.Lock()
 		at := now()
 		l.holder.Want(at, slot)
-		_, holds := l.holder.Holds(at, slot)
+		held, holds := l.holder.Holds(at, slot)
+		holds = holds && (held.Open || !burst)
 		hopeless := l.holder.Elsewhere(slot) != "" || l.holder.Failing()
 		changed := l.changed
 		l.mu.Unlock()
@@ -296,6 +304,7 @@
 	mine, home, at := l.mine(), l.p.homes.anywhere(), now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.shutCalm(at, held)
 	for _, s := range held {
 		unused := at.Sub(s.UsedAt) >= unusedSlot
 		if !mine[s.Slot] && (unused || !home && at.Sub(s.Since) >= stepInFor) {
@@ -304,6 +313,29 @@
 	}
 }
 
+// shutCalm has the store told of the slots whose teams have used no burst for a window: a
+// process that starts in this one's place then has their bursts for the callers that come
+// back all at once. The lock is held.
+func (l *limits) shutCalm(at core.Time, held []quota.Holding) {
+	busy := make(map[quota.Slot]bool)
+	bySlot := make(map[quota.Slot]quota.Holding, len(held))
+	for _, s := range held {
+		bySlot[s.Slot] = s
+		busy[s.Slot] = !s.Open || at.Sub(s.Since) < l.rule.Window+quota.PaidFor
+	}
+	for id, c := range l.counts {
+		slot := quota.SlotOf(id)
+		if s, ok := bySlot[slot]; ok && !busy[slot] && !c.Calm(at, s, l.rule) {
+			busy[slot] = true
+		}
+	}
+	for _, s := range held {
+		if !busy[s.Slot] {
+			l.holder.WantShut(s.Slot)
+		}
+	}
+}
+
 // carryOut makes the call of a step and reports its outcome.
 func (l *limits) carryOut(step quota.Step) error {
 	ctx, cancel := context.WithTimeout(l.p.ctx, storeTimeout)
@@ -312,12 +344,16 @@
 	report, err := l.call(ctx, step, sent)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err != nil {
+	switch {
+	case err != nil && (step.Kind == quota.Open || step.Kind == quota.Shut):
+		l.holder.FlagFailed(now(), step.Slots)
+		return err
+	case err != nil:
 		l.holder.Failed(now())
 		return err
 	}
 	report(l.holder)
-	if step.Kind == quota.List || step.Kind == quota.Take {
+	if step.Kind == quota.List || step.Kind == quota.Take || step.Kind == quota.Open {
 		close(l.changed)
 		l.changed = make(chan struct{})
 	}
@@ -341,6 +377,8 @@
 		return func(h *quota.Holder) { h.Listed(sent, l.owners(items)) }, err
 	case quota.Take:
 		return l.take(ctx, step)
+	case quota.Open, quota.Shut:
+		return l.flag(ctx, step)
 	}
 	return l.release(ctx, step)
 }
@@ -349,6 +387,8 @@
 type slotEntry struct {
 	Daemon core.DaemonID `json:"daemon"`
 	Boot   int64         `json:"boot"`
+	// Calm says that no team of the slot has used its burst for a window.
+	Calm bool `json:"calm,omitempty"`
 }
 
 func slotKey(slot quota.Slot) string {
@@ -363,25 +403,45 @@
 }
 
 func (l *limits) take(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
-	value, err := json.Marshal(slotEntry{l.p.settings.Daemon, l.p.boot})
-	if err != nil {
+	revision, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot})
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		return func(h *quota.Holder) { h.Conflict(now()) }, nil
+	case errors.Is(err, platform.ErrNotFound):
+		return (*quota.Holder).LeaseGone, nil
+	case err != nil:
 		return nil, err
 	}
+	l.p.log.Info("slots of teams taken", "slots", len(step.Slots))
+	return func(h *quota.Holder) { h.Taken(now(), step.Slots, uint64(revision)) }, nil
+}
+
+// write writes the entry of all slots of the step.
+func (l *limits) write(ctx context.Context, step quota.Step, e slotEntry) (platform.Revision, error) {
+	value, err := json.Marshal(e)
+	if err != nil {
+		return 0, err
+	}
 	var writes []platform.Write
 	for slot := range step.Slots {
 		writes = append(writes, platform.Write{Key: slotKey(slot), Value: value, Lease: step.Lease})
 	}
-	revision, err := l.p.client.Put(ctx, conditionsOf(step), writes)
+	return l.p.client.Put(ctx, conditionsOf(step), writes)
+}
+
+// flag tells the store of the use of bursts, or of the contrary.
+func (l *limits) flag(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
+	open := step.Kind == quota.Open
+	revision, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, Calm: !open})
 	switch {
 	case errors.Is(err, platform.ErrConflict):
-		return func(h *quota.Holder) { h.Conflict(now()) }, nil
+		return func(h *quota.Holder) { h.FlagFailed(now(), step.Slots) }, nil
 	case errors.Is(err, platform.ErrNotFound):
 		return (*quota.Holder).LeaseGone, nil
 	case err != nil:
 		return nil, err
 	}
-	l.p.log.Info("slots of teams taken", "slots", len(step.Slots))
-	return func(h *quota.Holder) { h.Taken(now(), step.Slots, uint64(revision)) }, nil
+	return func(h *quota.Holder) { h.Flagged(step.Slots, uint64(revision), open) }, nil
 }
 
 func (l *limits) release(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
@@ -406,7 +466,7 @@
 		if err := json.Unmarshal(item.Value, &e); err != nil {
 			l.p.log.Warn("entry of a slot cannot be read", "key", item.Key, "error", err.Error())
 		}
-		owners[quota.Slot(n)] = quota.Owner{Daemon: e.Daemon, Boot: e.Boot, Lease: item.Lease, Revision: uint64(item.Revision)}
+		owners[quota.Slot(n)] = quota.Owner{Daemon: e.Daemon, Boot: e.Boot, Lease: item.Lease, Revision: uint64(item.Revision), Open: !e.Calm}
 	}
 	return owners
 }
@@ -427,8 +487,8 @@
 	// move to all daemons that were cut off, and back again.
 	wants := s.linked || s.p.homes.anywhere()
 	s.receipt = s.p.limits.pay(team, wants)
-	if s.receipt.result == countedElsewhere && j.paidAt == 0 && wants {
-		s.p.limits.await(team, min(j.holdUntil(), j.arrived.Add(slotWait)))
+	if s.receipt.waits() && j.paidAt == 0 && wants {
+		s.p.limits.await(team, s.receipt.result == burstUntold, min(j.holdUntil(), j.arrived.Add(slotWait)))
 		s.receipt = s.p.limits.pay(team, wants)
 	}
 	if s.receipt.result != paid {
@@ -451,7 +511,7 @@
 // refuseUnpaid refuses an operation of which nothing was sent. Where another daemon counts
 // the team's operations, the entry looks for it.
 func (s *session) refuseUnpaid(j *job) {
-	s.p.stats.unpaid.Add([...]string{"", "over the limit", "counted elsewhere"}[s.receipt.result], 1)
+	s.p.stats.unpaid.Add([...]string{"", "over the limit", "counted elsewhere", "burst not opened"}[s.receipt.result], 1)
 	s.debug("refused", "id", j.id, "reason", s.receipt.String(), "key", s.key.String(), "team", s.p.access.team(s.key), "come_back_ms", s.receipt.comeBack.Milliseconds())
 	if s.receipt.result == countedElsewhere {
 		s.sendElsewhere()
