--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -97,6 +97,8 @@
 	// owners is the list as it was last read, at listedAt; 0: it has to be read.
 	owners   map[Slot]Owner
 	listedAt core.Time
+	// ownersAt is when the list was last read.
+	ownersAt core.Time
 	// wantedAt is when a slot was wanted that is not held.
 	wantedAt core.Time
 	retryAt  core.Time
@@ -193,6 +195,9 @@
 	return ""
 }
 
+// OwnersAge is how old the list is by which Elsewhere answers.
+func (h *Holder) OwnersAge(now core.Time) time.Duration { return now.Sub(h.ownersAt) }
+
 // Close ends all holdings for good, and returns the lease that binds them; 0: there is none.
 func (h *Holder) Close() (lease uint64) {
 	lease = h.lease
@@ -369,7 +374,7 @@
 // does not know of, a call without an answer took: it is taken again if it is wanted, and
 // given back if not, as nobody else could have it for as long as the lease is renewed.
 func (h *Holder) Listed(sent core.Time, owners map[Slot]Owner) {
-	h.owners, h.listedAt, h.failing = owners, sent, false
+	h.owners, h.listedAt, h.ownersAt, h.failing = owners, sent, sent, false
 	for id, owner := range owners {
 		if owner.Daemon != h.self || owner.Boot != h.boot {
 			continue
--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -50,8 +50,10 @@
 	failures int
 	failedAt core.Time
 	retryAt  core.Time
-	// consulted is set once a relay was asked after the latest failure.
-	consulted bool
+	// consulted is set once relays were asked after the latest failure: one had a young proof,
+	// or silentConsulted were silent.
+	consulted       bool
+	silentConsulted int
 	// avoid is until when a relay is not asked.
 	avoid map[core.DaemonID]core.Time
 }
@@ -103,6 +105,10 @@
 	for _, id := range f.relays {
 		if now >= f.avoid[id] {
 			wait := min(f.watchFor()+answerSlack, max(0, left-answerTimeout))
+			if now.Sub(f.proof) >= 2*f.watchFor() {
+				// Two watches have passed: another relay is behind as well, or tells at once.
+				wait = 0
+			}
 			return Step{Kind: Ask, Peer: id, Wait: wait, Timeout: wait + answerTimeout}
 		}
 		wakeAt = min(wakeAt, f.avoid[id])
@@ -176,7 +182,7 @@
 		f.failedAt = now
 	}
 	f.failures++
-	f.consulted = false
+	f.consulted, f.silentConsulted = false, 0
 	pause := f.pause(now)
 	f.retryAt = now.Add(pause - time.Duration(retryJitter*f.draw(f.failures)*float64(pause)))
 }
@@ -203,12 +209,13 @@
 }
 
 // Told takes a relay's proof, whose configuration has been accepted. A relay whose own
-// proof is older than two of its watches is cut from the store itself; another one may
-// not be.
+// proof is older than two of its watches, or that has none that is younger after the time
+// of a watch, is cut from the store itself; another one may not be.
 func (f *Follower) Told(now core.Time, relay core.DaemonID, proof core.Time) {
-	f.consulted = true
-	if now.Sub(proof) > 2*f.watchFor()+answerSlack {
-		f.avoid[relay] = now.Add(avoidFor)
+	f.consulted = now.Sub(proof) < f.budget/2
+	behind := now.Sub(proof) > 2*f.watchFor()+answerSlack || f.watches && !f.consulted
+	if behind || proof <= f.proof {
+		f.avoid[relay] = now.Add(f.avoidance(now))
 	}
 	if proof <= f.proof {
 		return
@@ -222,6 +229,8 @@
 // Silent takes that a relay did not answer, or has no configuration.
 func (f *Follower) Silent(now core.Time, relay core.DaemonID) {
 	f.avoid[relay] = now.Add(f.avoidance(now))
+	f.silentConsulted++
+	f.consulted = f.consulted || f.silentConsulted >= mostSilent
 }
 
 // avoidance is for how long a relay is not asked that was silent: not for long once this
--- a/core/relay/follower_test.go
+++ b/core/relay/follower_test.go
@@ -100,6 +100,31 @@
 		Expect(f.Next(after(4500*time.Millisecond)).Kind).To(Equal(relay.Watch), "it goes on trying")
 	})
 
+	// Both relays of a zone are cut from the store, and everyone there asks them first. Each
+	// was waited for as long as a watch takes, and by then the proof had run out.
+	It("leaves a relay at once that brings nothing new, and asks the others without waiting", func() {
+		f := following("a", "b", "c")
+		Expect(f.Next(after(time.Second)).Wait).To(BeNumerically(">", time.Second))
+		f.Told(after(3400*time.Millisecond), "a", start)
+		step := f.Next(after(3400 * time.Millisecond))
+		Expect(step.Peer).To(Equal(core.DaemonID("b")))
+		Expect(step.Wait).To(BeZero())
+		f.Told(after(3401*time.Millisecond), "b", start)
+		Expect(f.Next(after(3401 * time.Millisecond)).Peer).To(Equal(core.DaemonID("c")))
+		f.Told(after(3402*time.Millisecond), "c", after(2*time.Second))
+		Expect(f.Proof()).To(Equal(after(2 * time.Second)))
+	})
+
+	It("asks all others for a young proof if it watches and is turned away", func() {
+		f := relay.NewFollower("d", bound)
+		f.SetFleet(true, []core.DaemonID{"a", "b"})
+		f.Loaded(start)
+		f.StoreFailed(after(3 * time.Second))
+		Expect(f.Next(after(3 * time.Second)).Peer).To(Equal(core.DaemonID("a")))
+		f.Told(after(3*time.Second), "a", after(100*time.Millisecond))
+		Expect(f.Next(after(3*time.Second)).Peer).To(Equal(core.DaemonID("b")), "the first one is cut off as well")
+	})
+
 	It("does not ask again and again when there is no time to wait for an answer", func() {
 		f := following("a")
 		f.SetFleet(true, []core.DaemonID{"a"})
--- a/core/relay/tuning.go
+++ b/core/relay/tuning.go
@@ -26,6 +26,9 @@
 	leastAsk = 2 * answerTimeout
 	// avoidFor is how long a relay is left alone that did not answer or had an old proof.
 	avoidFor = 2 * time.Second
+	// mostSilent relays are waited for between two calls to the store by a daemon that watches
+	// it: one that is cut off from all would otherwise miss the store's return for seconds.
+	mostSilent = 2
 	// avoidWithoutProof is that time for a daemon without a proof that counts. A question costs
 	// the relay nothing to speak of, and a store that is away nothing at all.
 	avoidWithoutProof = 500 * time.Millisecond
--- a/pkg/proxy/limits.go
+++ b/pkg/proxy/limits.go
@@ -111,6 +111,9 @@
 	defer l.mu.Unlock()
 	at := now()
 	held, ok := l.holder.Holds(at, slot)
+	if owner := l.holder.Elsewhere(slot); !ok && owner != "" && l.holder.OwnersAge(at) < ownerKnownFor && l.p.peers.heardOf(owner) {
+		return receipt{countedElsewhere, quota.RetryAfter, owner}
+	}
 	if ok || wants {
 		l.holder.Want(at, slot)
 	}
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -168,6 +168,14 @@
 	return k
 }
 
+// heardOf says whether a report of the daemon has come lately: two of three may be lost.
+func (s *peers) heardOf(id core.DaemonID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.known[id]
+	return k != nil && now().Sub(k.seenAt) < 2*reportEvery
+}
+
 // homeAddr is where the daemon takes sessions of entries.
 func (s *peers) homeAddr(id core.DaemonID) (string, bool) {
 	s.mu.Lock()
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -78,6 +78,10 @@
 	catchUpRetry   = 250 * time.Millisecond
 	// recheckEvery is the pause between looks whether a daemon lives again that counts a team.
 	recheckEvery = 200 * time.Millisecond
+	// ownerKnownFor is how old a list of slots may be by which an entry is sent to a daemon
+	// that lives: entries that do not know yet who counts a team come all the time, and each
+	// look at the list is paid for.
+	ownerKnownFor = 3 * time.Second
 	// declinedFor is how long a home is not asked for a team that has told to ask another one:
 	// it is cut from the store, or another one holds the team's slot, for seconds.
 	declinedFor = avoidHome
