--- /dev/null
+++ b/pkg/proxy/limits_test.go
@@ -0,0 +1,154 @@
+package proxy
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/quota"
+	"limpetspan/platform"
+)
+
+// withLimits has teams with limits: the gates' is low, the bays' is never reached.
+func withLimits(f *fleet) {
+	withKeys(f)
+	keys := f.adjust
+	f.adjust = func(s *platform.Settings) {
+		keys(s)
+		s.Limits, s.Limit = true, quota.Rule{Window: time.Second, Overage: 0.1, Slack: 20}
+		// A proof must not run out while a test waits.
+		s.KeyBound = 30 * time.Second
+	}
+	gates, bays := team("gates", gatesKey), team("bays", baysKey)
+	gates["rate_per_s"], gates["burst"] = 5, 10
+	bays["rate_per_s"], bays["burst"] = 10_000, 10_000
+	f.teams = []map[string]any{gates, bays}
+}
+
+// most is how many operations of the gates may run in the time.
+func most(d time.Duration) int { return int((5*d.Seconds()+10)*1.1 + 20) }
+
+// runsOfTeam is how many statements have run in the team's name.
+func (f *fleet) runsOfTeam(name string) (n int) {
+	for _, m := range f.group.Members() {
+		for _, of := range m.RunsOf() {
+			if of == name {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// counter is the daemon that counts the team's operations, nil if none does.
+func (f *fleet) counter(name core.TeamID) *daemon {
+	for _, d := range f.daemons {
+		d.p.limits.mu.Lock()
+		c := d.p.limits.counts[name]
+		held := false
+		if c != nil {
+			_, held = d.p.limits.holder.Holds(now(), quota.SlotOf(name))
+		}
+		d.p.limits.mu.Unlock()
+		if held {
+			return d
+		}
+	}
+	return nil
+}
+
+var _ = Describe("a team's limit", func() {
+	// One team sends many times what it may, by all daemons at once. Members see no more than
+	// its limit, and another team is not in its way.
+	It("holds over all daemons, refuses truthfully and names when to come back", func() {
+		f := newFleet(3, withLimits)
+		began := time.Now()
+		refused := 0
+		for i := range 120 {
+			x := f.daemons[i%3].opened("db-primary", gatesKey)
+			if a := x.query(fmt.Sprintf("READ k%d", i)); !a.served() {
+				Expect(a.end).To(MatchRegexp(`^ERROR BUSY not run: .*; retry after \d+ ms$`))
+				Expect(f.ranFor(a.id)).To(BeEmpty())
+				refused++
+			}
+		}
+		Expect(f.runsOfTeam("gates")).To(BeNumerically("<=", most(time.Since(began))))
+		Expect(refused).To(BeNumerically(">", 0))
+		for _, d := range f.daemons {
+			x := d.opened("db-primary", baysKey)
+			for range 10 {
+				x.persist("READ k")
+			}
+		}
+	})
+
+	It("counts a transaction once, and cuts none that has begun", func() {
+		f := newFleet(1, withLimits)
+		x := f.daemons[0].opened("db-primary", gatesKey)
+		x.persist("READ k")
+		Expect(x.query("BEGIN").state).To(Equal("T"))
+		began := time.Now()
+		for i := range 4 * most(0) {
+			Expect(x.query(fmt.Sprintf("WRITE k%d 1", i)).state).To(Equal("T"))
+		}
+		Expect(x.query("COMMIT").served()).To(BeTrue())
+		Expect(time.Since(began)).To(BeNumerically("<", waitLimit))
+	})
+
+	// The daemon that counts a team is killed and starts again, and callers of the team go on
+	// sending by the other one. Nobody may count in its place before its lease has ended; the
+	// new process goes on at once, and over all of that members see no more than the limit.
+	It("holds when the daemon that counts is killed and starts again", func() {
+		f := newFleet(2, withLimits)
+		began := time.Now()
+		ask := func(d *daemon) { d.opened("db-primary", gatesKey).query("READ k") }
+		for range 20 {
+			ask(f.daemons[0])
+			ask(f.daemons[1])
+		}
+		old := f.counter("gates")
+		Expect(old).NotTo(BeNil())
+		other := f.daemons[0]
+		if other == old {
+			other = f.daemons[1]
+		}
+		old.kill()
+		for range 20 {
+			ask(other)
+		}
+		again := run(old.s, f.log)
+		f.daemons = append(f.daemons, again)
+		Eventually(again.started, waitLimit).Should(BeTrue())
+		ran := f.runsOfTeam("gates")
+		Eventually(func() int { ask(again); ask(other); return f.runsOfTeam("gates") }, waitLimit).Should(BeNumerically(">", ran))
+		Expect(f.runsOfTeam("gates")).To(BeNumerically("<=", most(time.Since(began))))
+	})
+
+	It("that is lowered is in force with the configuration", func() {
+		f := newFleet(1, withLimits)
+		x := f.daemons[0].opened("db-primary", baysKey)
+		for range 50 {
+			x.persist("READ k")
+		}
+		bays := team("bays", baysKey)
+		bays["rate_per_s"], bays["burst"] = 0, 0
+		f.setTeams(bays)
+		Eventually(func() string { return x.query("READ k").end }, waitLimit).Should(ContainSubstring("the team is at its limit"))
+	})
+
+	It("keeps nobody out where the store holds more slots than one call may take", func() {
+		f := newFleet(1, withLimits, func(f *fleet) {
+			for i := range 3 * quota.MostPerCall {
+				t := team(fmt.Sprintf("t%d", i), fmt.Sprintf("key-%d", i))
+				t["rate_per_s"], t["burst"] = 100, 100
+				f.teams = append(f.teams, t)
+			}
+		})
+		for i := range 3 * quota.MostPerCall {
+			f.daemons[0].opened("db-primary", fmt.Sprintf("key-%d", i)).persist("READ k")
+		}
+	})
+})
