--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -429,3 +429,30 @@
 	}
 	return old
 }
+
+// Pool is the connections to one member.
+type Pool struct {
+	Group  core.GroupID  `json:"group"`
+	Member core.MemberID `json:"member"`
+	// Idle are those that wait for a statement, by team; Waiting is how many statements of
+	// the group wait for a place on any member.
+	Idle    map[core.TeamID]int `json:"idle"`
+	Waiting int                 `json:"waiting"`
+}
+
+// pools lists the connections by member and team, for the metrics address.
+func (p *Proxy) pools() []Pool {
+	list := []Pool{}
+	for _, g := range p.activeGroups() {
+		g.mu.Lock()
+		for _, id := range slices.Sorted(maps.Keys(g.idle)) {
+			pool := Pool{Group: g.id, Member: id, Idle: make(map[core.TeamID]int), Waiting: g.queue.Len()}
+			for _, conn := range g.idle[id] {
+				pool.Idle[conn.team]++
+			}
+			list = append(list, pool)
+		}
+		g.mu.Unlock()
+	}
+	return list
+}
--- a/pkg/proxy/limits.go
+++ b/pkg/proxy/limits.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -178,6 +180,39 @@
 	return wait + time.Duration(rand.Float64()*float64(wait))
 }
 
+// TeamUse is what a team has asked of this daemon.
+type TeamUse struct {
+	Team           core.TeamID `json:"team"`
+	Served, Denied int64
+	// Rate and Burst are the limit that the daemon counts by.
+	Rate, Burst float64
+}
+
+// teamsShown bounds the teams that are published one by one; the rest are summed up.
+const teamsShown = 20
+
+// largest are the n teams that have asked most here, and the sum of the rest without a name.
+func (l *limits) largest(n int) []TeamUse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []TeamUse
+	for id, c := range l.counts {
+		all = append(all, TeamUse{id, c.served, c.denied, c.limit.Rate, c.limit.Burst})
+	}
+	slices.SortFunc(all, func(a, b TeamUse) int {
+		return cmp.Or(cmp.Compare(b.Served+b.Denied, a.Served+a.Denied), cmp.Compare(a.Team, b.Team))
+	})
+	if len(all) <= n {
+		return all
+	}
+	rest := TeamUse{}
+	for _, u := range all[n:] {
+		rest.Served += u.Served
+		rest.Denied += u.Denied
+	}
+	return append(all[:n:n], rest)
+}
+
 // await waits until this daemon holds the team's slot and may use its burst, or knows that it
 // will not soon, or the deadline: a daemon that the store does not answer would otherwise make late what another
 // home can run at once.
--- a/pkg/proxy/limits_test.go
+++ b/pkg/proxy/limits_test.go
@@ -83,6 +83,11 @@
 				x.persist("READ k")
 			}
 		}
+		counter := f.counter("gates")
+		Expect(counter).NotTo(BeNil())
+		uses := counter.p.limits.largest(1)
+		Expect(uses[0].Served).To(BeNumerically(">", 0))
+		Expect(counter.p.pools()).NotTo(BeEmpty())
 	})
 
 	It("counts a transaction once, and cuts none that has begun", func() {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -342,7 +342,8 @@
 	for _, g := range p.activeGroups() {
 		groups[g.id] = look(g, (*direct.Group).Belief)
 	}
-	all := map[string]any{"proxy": p.stats.snapshot(), "platform_calls": p.client.Calls(), "ready": p.ready(), "groups": groups}
+	all := map[string]any{"proxy": p.stats.snapshot(), "platform_calls": p.client.Calls(), "ready": p.ready(), "groups": groups,
+		"pools": p.pools(), "teams": p.limits.largest(teamsShown)}
 	if err := json.NewEncoder(w).Encode(all); err != nil {
 		p.log.Warn("metrics not sent", "error", err.Error())
 	}
