--- a/pkg/proxy/limits_test.go
+++ b/pkg/proxy/limits_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"limpetspan/core"
+	"limpetspan/core/auth"
 	"limpetspan/core/quota"
 	"limpetspan/platform"
 )
@@ -90,6 +91,25 @@
 		Expect(counter.p.pools()).NotTo(BeEmpty())
 	})
 
+	// A caller's own entry is a home and another home counts the caller's team. Each of its
+	// transactions was refused for as long as the slot was there.
+	It("is asked for at the daemon that counts, also by a transaction at another home", func() {
+		f := newFleet(2, withLimits)
+		entry, counter := f.daemons[0], f.daemons[1]
+		Eventually(func() bool { return len(entry.p.homes.order("ledger", "")) == 1 }, waitLimit).Should(BeTrue())
+		if !entry.p.homes.serves("ledger", "bays") {
+			entry, counter = counter, entry
+		}
+		counter.p.limits.await(auth.Team{ID: "bays", Limited: true}, false, now().Add(waitLimit))
+		x := entry.opened("db-primary", baysKey)
+		for i := range 5 {
+			Expect(x.query("BEGIN").state).To(Equal("T"))
+			Expect(x.query(fmt.Sprintf("WRITE k %d", i)).served()).To(BeTrue())
+			Expect(x.query("COMMIT").served()).To(BeTrue())
+		}
+		Expect(counter.p.stats.dials.Value()).To(BeNumerically(">", 0))
+	})
+
 	It("counts a transaction once, and cuts none that has begun", func() {
 		f := newFleet(1, withLimits)
 		x := f.daemons[0].opened("db-primary", gatesKey)
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -317,10 +317,7 @@
 		}
 		a, sent, err := l.run(s, j.id, []string{j.text}, j.limit(), j.writes)
 		if err == nil && l.declined(&a) {
-			s.leaveDeclining(l, &a)
-			if attempt == 1 {
-				// Once: where the home that could run it is gone, all others decline, and more
-				// tries would be load on all homes at a time when there is too much already.
+			if s.leaveDeclining(l, &a, attempt) {
 				continue
 			}
 		}
@@ -340,15 +337,24 @@
 	}
 }
 
-// leaveDeclining ends a link whose home has declined, and notes whom to ask instead.
-func (s *session) leaveDeclining(l *link, a *platform.Answer) {
+// mostDeclined homes at most decline a statement before its caller is told. The first one may
+// have lost what it counted, the second one knows who has it.
+const mostDeclined = 3
+
+// leaveDeclining ends a link whose home has declined, notes whom to ask instead, and says
+// whether to go on: at once where somebody is named, and once to a home that may know. Where
+// the home that could run it is gone all others decline, and more tries would be load on
+// all homes at a time when there is too much already.
+func (s *session) leaveDeclining(l *link, a *platform.Answer, attempt int) bool {
 	s.debug("home declined", "home", l.home, "text", a.Text)
 	team := s.p.access.team(s.key)
 	s.p.homes.declined(l.home, team)
-	if owner := ownerIn(a.Text); owner != "" {
+	owner := ownerIn(a.Text)
+	if owner != "" {
 		s.p.homes.countedAt(team, owner)
 	}
 	s.unlink()
+	return attempt == 1 || owner != "" && attempt < mostDeclined
 }
 
 // declined says whether the home did not run a statement and has told this entry to ask
@@ -415,9 +421,8 @@
 		return
 	}
 	a, sent, err := tx.home.run(s, j.id, texts, j.limit(), false)
-	if err == nil && len(texts) > 1 && tx.home.declined(&a) {
+	for attempt := 1; err == nil && len(texts) > 1 && tx.home.declined(&a) && s.leaveDeclining(tx.home, &a, attempt); attempt++ {
 		// Nothing of the transaction has run: it begins once more where it may.
-		s.leaveDeclining(tx.home, &a)
 		tx.home = nil
 		if texts, ok = s.begun(j); !ok {
 			return
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -114,8 +114,18 @@
 	return false
 }
 
-// unpaidTransaction is notOpened for a team that may not begin another operation now.
+// unpaidTransaction is notOpened for a team that may not begin another operation here. Where
+// another daemon counts the team's operations, the transaction begins there instead.
 func (s *session) unpaidTransaction(j *job) bool {
+	if s.passOnUnpaid() {
+		s.tx.forward, j.text, j.prepare = true, j.asked, nil
+		if j.kind == direct.StatementCommit {
+			s.forwardCommit(j)
+		} else {
+			s.forwardInTransaction(j)
+		}
+		return false
+	}
 	s.tx.failed = true
 	if j.kind == direct.StatementCommit {
 		s.tx = nil
@@ -218,7 +228,7 @@
 		s.answerError(platform.CodeMalformed, "no transaction is open")
 		return
 	}
-	j := &job{id: st.ID, kind: st.Kind, text: st.Text, route: tx.route, arrived: arrived}
+	j := &job{id: st.ID, kind: st.Kind, text: st.Text, asked: st.Text, route: tx.route, arrived: arrived}
 	if tx.forward {
 		s.forwardCommit(j)
 		return
