--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -264,9 +264,10 @@
 
 // sendElsewhere has the entry of a linked session look for another home, which can do what
 // this one cannot. It goes before the refusal: the entry sees that another home may run
-// the statement, and tries.
+// the statement, and tries. A transaction that has not begun at a member may begin there.
 func (s *session) sendElsewhere() {
-	if s.linked && s.tx == nil && !s.toldEntry.Load() {
+	begun := s.tx != nil && (s.tx.conn != nil || !s.tx.failed)
+	if s.linked && !begun && !s.toldEntry.Load() {
 		s.toldEntry.Store(true)
 		s.out = platform.AppendTerminate(s.out)
 	}
