--- /dev/null
+++ b/pkg/proxy/slots.go
@@ -0,0 +1,274 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strconv"
+	"strings"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/quota"
+	"limpetspan/platform"
+)
+
+// run carries out the holder's steps until the daemon takes no new work any more, and gives
+// all slots back then.
+func (l *limits) run() {
+	if !l.inForce {
+		return
+	}
+	var tidied core.Time
+	for !l.p.closing() {
+		if at := now(); at.Sub(tidied) >= tidyEvery {
+			tidied = at
+			l.leaveOthers()
+		}
+		l.wantAll()
+		l.mu.Lock()
+		step := l.holder.Next(now())
+		l.mu.Unlock()
+		if step.Kind == quota.Pause {
+			l.pause(step.Wait)
+			continue
+		}
+		err := l.carryOut(step)
+		l.p.dependency("slots of teams", err)
+	}
+	l.mu.Lock()
+	lease := l.holder.Close()
+	l.mu.Unlock()
+	if lease != 0 {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		if err := l.p.client.End(ctx, lease); err != nil {
+			l.p.log.Warn("slots of teams stay until their lease ends", "error", err.Error())
+		}
+	}
+}
+
+// pause waits, but not for so long that unused slots stay.
+func (l *limits) pause(wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-l.wake:
+	case <-l.p.closed:
+	}
+}
+
+// wantAll has all slots that are this daemon's by the present list taken once one of them is
+// wanted: after a start its callers come one after the other within half a second, and each
+// new team among them would be a call to the store.
+func (l *limits) wantAll() {
+	l.mu.Lock()
+	wishes := l.holder.Wishes()
+	l.mu.Unlock()
+	if !wishes {
+		return
+	}
+	mine := l.mine()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := now()
+	for slot := range mine {
+		l.holder.Want(at, slot)
+	}
+}
+
+// mine are the slots that this daemon is the one to hold as far as it knows.
+func (l *limits) mine() map[quota.Slot]bool {
+	mine := make(map[quota.Slot]bool)
+	catalog := l.p.catalog.Load()
+	if catalog == nil || catalog.Teams == nil {
+		return mine
+	}
+	for _, id := range catalog.Teams.IDs() {
+		if l.p.homes.firstAnywhere(id) {
+			mine[quota.SlotOf(id)] = true
+		}
+	}
+	return mine
+}
+
+// leaveOthers gives back the slots that are another daemon's by the present list: a home's
+// once nobody has asked for them here for a while, as entries follow the holder wherever it
+// is; those of a daemon that stepped in while no home could be asked, soon.
+func (l *limits) leaveOthers() {
+	l.mu.Lock()
+	held := l.holder.Held()
+	l.mu.Unlock()
+	if len(held) == 0 {
+		return
+	}
+	mine, home, at := l.mine(), l.p.homes.anywhere(), now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shutCalm(at, held)
+	for _, s := range held {
+		unused := at.Sub(s.UsedAt) >= unusedSlot
+		if !mine[s.Slot] && (unused || !home && at.Sub(s.Since) >= stepInFor) {
+			l.holder.Leave(s.Slot)
+		}
+	}
+}
+
+// shutCalm has the store told of the slots whose teams have used no burst for a window: a
+// process that starts in this one's place then has their bursts for the callers that come
+// back all at once. The lock is held.
+func (l *limits) shutCalm(at core.Time, held []quota.Holding) {
+	busy := make(map[quota.Slot]bool)
+	bySlot := make(map[quota.Slot]quota.Holding, len(held))
+	for _, s := range held {
+		bySlot[s.Slot] = s
+		busy[s.Slot] = !s.Open || at.Sub(s.Since) < l.rule.Window+quota.PaidFor
+	}
+	for id, c := range l.counts {
+		slot := quota.SlotOf(id)
+		if s, ok := bySlot[slot]; ok && !busy[slot] && !c.Calm(at, s, l.rule) {
+			busy[slot] = true
+		}
+	}
+	for _, s := range held {
+		if !busy[s.Slot] {
+			l.holder.WantShut(s.Slot)
+		}
+	}
+}
+
+// carryOut makes the call of a step and reports its outcome.
+func (l *limits) carryOut(step quota.Step) error {
+	ctx, cancel := context.WithTimeout(l.p.ctx, storeTimeout)
+	defer cancel()
+	sent := now()
+	report, err := l.call(ctx, step, sent)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err != nil && (step.Kind == quota.Open || step.Kind == quota.Shut):
+		l.holder.FlagFailed(now(), step.Slots)
+		return err
+	case err != nil:
+		l.holder.Failed(now())
+		return err
+	}
+	report(l.holder)
+	if step.Kind == quota.List || step.Kind == quota.Take || step.Kind == quota.Open {
+		close(l.changed)
+		l.changed = make(chan struct{})
+	}
+	return nil
+}
+
+// call makes the call of a step, and returns what the holder is to be told.
+func (l *limits) call(ctx context.Context, step quota.Step, sent core.Time) (report func(h *quota.Holder), err error) {
+	switch step.Kind {
+	case quota.Grant:
+		lease, err := l.p.client.Grant(ctx, quota.LeaseFor)
+		return func(h *quota.Holder) { h.Granted(sent, lease, quota.LeaseFor) }, err
+	case quota.Renew:
+		err := l.p.client.Renew(ctx, step.Lease)
+		if errors.Is(err, platform.ErrNotFound) {
+			return (*quota.Holder).LeaseGone, nil
+		}
+		return func(h *quota.Holder) { h.Renewed(sent, quota.LeaseFor) }, err
+	case quota.List:
+		items, _, err := l.p.client.List(ctx, platform.LimitsPrefix)
+		return func(h *quota.Holder) { h.Listed(sent, l.owners(items)) }, err
+	case quota.Take:
+		return l.take(ctx, step)
+	case quota.Open, quota.Shut:
+		return l.flag(ctx, step)
+	}
+	return l.release(ctx, step)
+}
+
+// slotEntry is what a daemon writes of a slot into the store.
+type slotEntry struct {
+	Daemon core.DaemonID `json:"daemon"`
+	Boot   int64         `json:"boot"`
+	// Calm says that no team of the slot has used its burst for a window.
+	Calm bool `json:"calm,omitempty"`
+}
+
+func slotKey(slot quota.Slot) string {
+	return platform.LimitsPrefix + strconv.FormatUint(uint64(slot), 10)
+}
+
+func conditionsOf(step quota.Step) (list []platform.Condition) {
+	for slot, revision := range step.Slots {
+		list = append(list, platform.Condition{Key: slotKey(slot), Revision: platform.Revision(revision)})
+	}
+	return list
+}
+
+func (l *limits) take(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
+	revision, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot})
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		return func(h *quota.Holder) { h.Conflict(now()) }, nil
+	case errors.Is(err, platform.ErrNotFound):
+		return (*quota.Holder).LeaseGone, nil
+	case err != nil:
+		return nil, err
+	}
+	l.p.log.Info("slots of teams taken", "slots", len(step.Slots))
+	return func(h *quota.Holder) { h.Taken(now(), step.Slots, uint64(revision)) }, nil
+}
+
+// write writes the entry of all slots of the step.
+func (l *limits) write(ctx context.Context, step quota.Step, e slotEntry) (platform.Revision, error) {
+	value, err := json.Marshal(e)
+	if err != nil {
+		return 0, err
+	}
+	var writes []platform.Write
+	for slot := range step.Slots {
+		writes = append(writes, platform.Write{Key: slotKey(slot), Value: value, Lease: step.Lease})
+	}
+	return l.p.client.Put(ctx, conditionsOf(step), writes)
+}
+
+// flag tells the store of the use of bursts, or of the contrary.
+func (l *limits) flag(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
+	open := step.Kind == quota.Open
+	revision, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, Calm: !open})
+	switch {
+	case errors.Is(err, platform.ErrConflict):
+		return func(h *quota.Holder) { h.FlagFailed(now(), step.Slots) }, nil
+	case errors.Is(err, platform.ErrNotFound):
+		return (*quota.Holder).LeaseGone, nil
+	case err != nil:
+		return nil, err
+	}
+	return func(h *quota.Holder) { h.Flagged(step.Slots, uint64(revision), open) }, nil
+}
+
+func (l *limits) release(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
+	err = l.p.client.Remove(ctx, conditionsOf(step))
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
+		return nil, err
+	}
+	return func(h *quota.Holder) { h.Released(step.Slots) }, nil
+}
+
+// owners decodes the list of slots. An entry that cannot be read is somebody's who is not
+// known: nobody takes the slot before its lease has ended.
+func (l *limits) owners(items []platform.Item) map[quota.Slot]quota.Owner {
+	owners := make(map[quota.Slot]quota.Owner, len(items))
+	for _, item := range items {
+		n, err := strconv.ParseUint(strings.TrimPrefix(item.Key, platform.LimitsPrefix), 10, 16)
+		if err != nil {
+			l.p.log.Warn("key of a slot cannot be read", "key", item.Key)
+			continue
+		}
+		var e slotEntry
+		if err := json.Unmarshal(item.Value, &e); err != nil {
+			l.p.log.Warn("entry of a slot cannot be read", "key", item.Key, "error", err.Error())
+		}
+		owners[quota.Slot(n)] = quota.Owner{Daemon: e.Daemon, Boot: e.Boot, Lease: item.Lease, Revision: uint64(item.Revision), Open: !e.Calm}
+	}
+	return owners
+}
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -85,6 +85,9 @@
 	// declinedFor is how long a home is not asked for a team that has told to ask another one:
 	// it is cut from the store, or another one holds the team's slot, for seconds.
 	declinedFor = avoidHome
+	// tidyEvery is the pause between looks at what slots are to be given back or shut. It goes
+	// over all teams, and the loop that does it is woken by each statement that finds no slot.
+	tidyEvery = 300 * time.Millisecond
 	// unusedSlot is how long a home keeps a slot of teams that another one is to hold and
 	// nobody asks for here, stepInFor how long another daemon keeps one that it took while no
 	// home could be asked.
