--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -101,7 +101,9 @@
 	ownersAt core.Time
 	// wantedAt is when a slot was wanted that is not held.
 	wantedAt core.Time
-	retryAt  core.Time
+	// lookAt is when the list is read again for slots that others held, retryAt when the store
+	// is called again after a call that failed.
+	lookAt, retryAt core.Time
 	// failing is set while the store does not answer.
 	failing bool
 }
@@ -239,7 +241,7 @@
 	switch {
 	case h.lease == 0:
 		return Step{Kind: Grant}
-	case h.listedAt == 0:
+	case h.listedAt == 0 && now >= h.lookAt:
 		return Step{Kind: List}
 	}
 	return h.take(now, wanted)
@@ -314,7 +316,9 @@
 	return found
 }
 
-// take takes those of the wanted slots that nobody else holds, or looks again later.
+// take takes those of the wanted slots that nobody else holds by the last list, or looks
+// again later. Until then others that come to be wanted are still taken: a daemon that waits
+// for the slot of one that has died must not keep all its other teams waiting.
 func (h *Holder) take(now core.Time, wanted map[Slot]uint64) Step {
 	free := make(map[Slot]uint64)
 	for id := range wanted {
@@ -323,9 +327,10 @@
 		}
 	}
 	if len(free) == 0 {
-		h.listedAt = 0
-		h.retryAt = now.Add(LookAgain)
-		return Step{Kind: Pause, Wait: LookAgain}
+		if h.listedAt != 0 {
+			h.listedAt, h.lookAt = 0, now.Add(LookAgain)
+		}
+		return Step{Kind: Pause, Wait: min(RetryAfter, h.lookAt.Sub(now))}
 	}
 	return Step{Kind: Take, Lease: h.lease, Slots: some(free)}
 }
@@ -409,7 +414,7 @@
 
 // Conflict takes that a slot was not as it was listed.
 func (h *Holder) Conflict(now core.Time) {
-	h.listedAt = 0
+	h.listedAt, h.lookAt = 0, 0
 	h.retryAt = now.Add(RetryAfter / 4)
 }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -142,6 +142,18 @@
 		Expect(h.Next(at.Add(quota.LookAgain)).Kind).To(Equal(quota.List))
 	})
 
+	// A daemon waits for the slot of one that has died, and teams of other slots come.
+	It("takes other slots while it waits for one", func() {
+		h := quota.NewHolder("d", 1)
+		h.Want(start, 7)
+		at := after(quota.GatherFor)
+		h.Granted(at, 3, quota.LeaseFor)
+		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "e", Revision: 5}})
+		Expect(h.Next(at).Kind).To(Equal(quota.Pause))
+		h.Want(at, 8)
+		Expect(h.Next(at.Add(quota.GatherFor))).To(Equal(quota.Step{Kind: quota.Take, Lease: 3, Slots: map[quota.Slot]uint64{8: 0}}))
+	})
+
 	// A process is killed and started again at once. Waiting for the lease of its former
 	// life would keep its teams from running for seconds.
 	It("takes the slots of its former life at once", func() {
