--- a/pkg/proxy/run.go
+++ b/pkg/proxy/run.go
@@ -177,17 +177,18 @@
 		g.discard(conn)
 		return platform.Answer{}, now(), direct.NotSent
 	}
-	// The lease is checked after everything that may have taken time: a read that
-	// is sent under it sees all commits that were acknowledged before it came.
+	if !s.payFor(j) {
+		return platform.Answer{State: platform.StateIdle}, now(), direct.Unpaid
+	}
+	// Lease and key are checked after everything that may have taken time, payment
+	// included, which may wait for the store: a read that is sent under the lease sees all
+	// commits that were acknowledged before it came.
 	if place.Primary && !g.leased(place.Member) {
 		return platform.Answer{State: platform.StateIdle}, now(), direct.NotPrimary
 	}
 	if !s.allowed(conn.team) {
 		return platform.Answer{State: platform.StateIdle}, now(), direct.Barred
 	}
-	if !s.payFor(j) {
-		return platform.Answer{State: platform.StateIdle}, now(), direct.Unpaid
-	}
 	since := place.Since
 	if j.writes {
 		since = core.Position{}
