--- a/pkg/proxy/limits_test.go
+++ b/pkg/proxy/limits_test.go
@@ -107,7 +107,7 @@
 	It("is asked for at the daemon that counts, also by a transaction at another home", func() {
 		f := newFleet(2, withLimits)
 		entry, counter := f.daemons[0], f.daemons[1]
-		Eventually(func() bool { return len(entry.p.homes.order("ledger", "")) == 1 }, waitLimit).Should(BeTrue())
+		f.acquainted()
 		if !entry.p.homes.serves("ledger", "bays") {
 			entry, counter = counter, entry
 		}
@@ -129,9 +129,7 @@
 			}
 			return nil
 		}
-		for _, d := range f.daemons {
-			Eventually(func() bool { return len(d.p.homes.order("ledger", "")) == 2 }, waitLimit).Should(BeTrue())
-		}
+		f.acquainted()
 		others := slices.DeleteFunc(slices.Clone(f.daemons), func(d *daemon) bool { return d == first() })
 		counter, entry := others[0], others[1]
 		counter.p.limits.await(auth.Team{ID: "bays", Limited: true}, false, now().Add(waitLimit))
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -38,6 +38,14 @@
 	}
 }
 
+// acquainted waits until each daemon knows all others. A daemon takes its list for complete
+// before, and one that knows of no home but a blind one has nobody to ask.
+func (f *fleet) acquainted() {
+	for _, d := range f.daemons {
+		Eventually(func() int { return len(d.p.homes.order("ledger", "")) }, waitLimit).Should(Equal(len(f.daemons) - 1))
+	}
+}
+
 var _ = Describe("a session at an entry", func() {
 	It("runs at a home, with its values, prepared statements and transactions", func() {
 		f := newFleet(2)
@@ -65,6 +73,7 @@
 	// for their home, were refused until the store was back.
 	It("runs at another home while the own one has no host list", func() {
 		f := newFleet(3)
+		f.acquainted()
 		blind := f.daemons[1]
 		blind.dial("db-own").persist("WRITE k 1")
 		time.Sleep(blindAfter)
