--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -16,7 +16,7 @@
 //
 // Teams fall into Slots. A slot is a key of the platform's store, bound to a lease of the
 // daemon that holds it. Statements of a team are gathered at one home of each group, the
-// first in an order that depends on the team alone, and that one asks for the slot when it
+// first in an order that depends on the slot alone, and that one asks for the slot when it
 // needs it. Whoever does not hold a slot runs nothing of its teams.
 //
 // A share for each daemon that may run a team's operations was weighed: safe without any
@@ -36,6 +36,13 @@
 // before it; only the one that held the slot at the beginning of the span has more, burst
 // at most. So nobody has to know what a daemon that died, froze or was cut off has run.
 //
+// Callers of all teams come back at once when a whole fleet has started again, and
+// StartTokens are next to nothing for them. So a holder uses the calm part of a burst only,
+// until the key of its slot tells of more, and tells of the contrary once it has used no
+// more for a window, from before the call that says so. Who takes a slot whose key told of
+// no burst has the rest of it at once: the calm part before and the rest after are one
+// burst. Its own key tells of the burst from when it is taken.
+//
 //   - Killed or without power, one or all: the next holder, also the same daemon started
 //     again, begins anew. A process that starts takes the slots of its own former life
 //     without waiting for their lease: two processes of one daemon do not live at a time.
@@ -55,5 +62,6 @@
 // once, when its first statement is about to be sent. One that a member refused without
 // running it is not paid for again; one that may have run is. What was paid for longer than
 // PaidFor ago, as it waited since, is paid for again: what runs later than it was counted
-// would come on top of what is counted then.
+// would come on top of what is counted then. Up to PaidFor of the rate comes late, also after
+// a lease has ended; half of the rule's overage is kept for that.
 package quota
--- a/core/quota/tuning.go
+++ b/core/quota/tuning.go
@@ -15,7 +15,7 @@
 	// LeaseMargin of the lease is not used: what lies between the check and the member's
 	// socket.
 	LeaseMargin = 100 * time.Millisecond
-	// RetryAfter is the pause after a call that failed.
+	// RetryAfter is the pause after a call that failed, and the longest one without a look.
 	RetryAfter = 250 * time.Millisecond
 	// LookAgain is the pause before slots that others hold are looked at again: a daemon that
 	// has died holds its slots for LeaseFor, and each look is paid for.
@@ -23,7 +23,8 @@
 	// GatherFor is how long a wish for a slot waits for others: callers of many teams come
 	// in one moment when a daemon starts, and one call serves all.
 	GatherFor = 5 * time.Millisecond
-	// PaidFor is how long an operation that was paid for may wait before it is sent.
+	// PaidFor is how long an operation that was paid for may wait before it is sent: as long
+	// as nearly all wait for a member.
 	PaidFor = 250 * time.Millisecond
 	// MostPerCall is how many slots one call takes or gives back: each is a condition and a
 	// change, of which a transaction of the store has 32 together.
--- a/pkg/proxy/limits.go
+++ b/pkg/proxy/limits.go
@@ -46,8 +46,8 @@
 	}
 }
 
-// pay pays for one of the team's operations, to be sent now.
-// wants says whether this daemon may take the slot to run it.
+// pay pays for one of the team's operations, to be sent now. wants says whether this daemon
+// may take the team's slot to run it.
 func (l *limits) pay(team auth.Team, wants bool) receipt {
 	if !l.inForce || !team.Limited {
 		return receipt{}
