--- a/core/auth/directory.go
+++ b/core/auth/directory.go
@@ -88,9 +88,3 @@
 
 // IDs are the names of all teams, in no order.
 func (d *Directory) IDs() []core.TeamID { return slices.Collect(maps.Keys(d.teams)) }
-
-// Teams is how many teams there are.
-func (d *Directory) Teams() int { return len(d.teams) }
-
-// Keys is how many keys the teams have together.
-func (d *Directory) Keys() int { return len(d.keys) }
--- a/pkg/proxy/access.go
+++ b/pkg/proxy/access.go
@@ -119,8 +119,8 @@
 	return textOtherTeam
 }
 
-// admit looks at a statement's key when it arrives; false: it is refused, and the caller
-// was told. A statement in a transaction is looked at before it is sent.
+// admit looks at the key of a statement that comes, or of the first one of a transaction;
+// false: it is refused, and the caller was told. Later ones are looked at before they are sent.
 func (s *session) admit(j *job) bool {
 	if !s.p.access.required {
 		return true
@@ -129,48 +129,42 @@
 	if v != auth.Granted {
 		s.barredBy = barrier{verdict: v}
 		s.barred(j)
-		return false
 	}
-	return true
+	return v == auth.Granted
 }
 
-// admitTransaction is admit for the first statement of a transaction, which has failed if
-// it is refused, or is over if this was its commit.
-func (s *session) admitTransaction(j *job) bool {
-	if !s.p.access.required {
+// admitForward refuses, at an entry that has heard nothing of the configuration for so long
+// that it could not run the statement itself: it is cut from the homes as well, and would
+// dial all of them for each statement.
+func (s *session) admitForward(j *job) bool {
+	if s.p.access.proved() {
 		return true
 	}
-	_, v := s.p.access.check(s.database, s.key)
-	if v != auth.Granted {
-		s.barredBy = barrier{verdict: v}
-		s.barredInTransaction(j)
-	}
-	return v == auth.Granted
+	s.barredBy = barrier{verdict: auth.Unproved}
+	s.barred(j)
+	return false
 }
 
-// barred refuses a statement outside a transaction, of which nothing was sent.
+// barred refuses a statement that may not be sent on account of its key. An open transaction
+// is rolled back, and nothing of it is kept; it is over if the statement was its commit.
 func (s *session) barred(j *job) {
 	s.noteBarred(j)
-	if s.barredBy.verdict == auth.Unknown {
+	b := s.barredBy
+	switch {
+	case s.tx != nil:
+		s.abort(s.tx)
+		if j.kind == direct.StatementCommit {
+			s.tx = nil
+		}
+		s.answerError(platform.CodeAborted, b.text()+"; the transaction is rolled back")
+		return
+	case b.verdict == auth.Unknown:
 		s.answerError(platform.CodeUnknownKey, textUnknownKey)
 		return
-	}
-	if s.barredBy.verdict == auth.Unproved {
+	case b.verdict == auth.Unproved:
 		s.sendElsewhere()
 	}
-	s.answerError(platform.CodeBusy, "not run: "+s.barredBy.text()+comeBackIn(unprovedComeBack))
-}
-
-// barredInTransaction rolls the open transaction back, as its statement may not be sent.
-// Nothing of it is kept, which its caller is told.
-func (s *session) barredInTransaction(j *job) {
-	s.noteBarred(j)
-	tx := s.tx
-	s.abort(tx)
-	if j.kind == direct.StatementCommit {
-		s.tx = nil
-	}
-	s.answerError(platform.CodeAborted, s.barredBy.text()+"; the transaction is rolled back")
+	s.answerError(platform.CodeBusy, "not run: "+b.text()+comeBackIn(unprovedComeBack))
 }
 
 func (s *session) noteBarred(j *job) {
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -197,13 +197,8 @@
 	defer h.mu.Unlock()
 	at := now()
 	for id := range h.of {
-		for _, d := range h.teamOrder(id, team) {
-			if h.asked(at, d, id, team) {
-				if d == h.p.settings.Daemon {
-					return true
-				}
-				break
-			}
+		if h.firstInOrder(at, id, team) == h.p.settings.Daemon {
+			return true
 		}
 	}
 	return false
@@ -226,12 +221,17 @@
 	return h.first(now(), id, team) == h.p.settings.Daemon
 }
 
-// first is the best daemon in the team's order that can be asked; "": there is none. The
-// lock is held.
+// first is the daemon that is known to count the team, else firstInOrder. The lock is held.
 func (h *homes) first(at core.Time, id core.GroupID, team core.TeamID) core.DaemonID {
 	if owner := h.owners[quota.SlotOf(team)]; owner != "" && h.asked(at, owner, id, team) {
 		return owner
 	}
+	return h.firstInOrder(at, id, team)
+}
+
+// firstInOrder is the best daemon in the team's order that can be asked; "": there is none.
+// The lock is held.
+func (h *homes) firstInOrder(at core.Time, id core.GroupID, team core.TeamID) core.DaemonID {
 	for _, d := range h.teamOrder(id, team) {
 		if h.asked(at, d, id, team) {
 			return d
--- a/pkg/proxy/outage.go
+++ b/pkg/proxy/outage.go
@@ -45,15 +45,16 @@
 }
 
 // comeBack ends the text of a refusal in an outage of that age: when to come back.
-func comeBack(age time.Duration) string {
-	after := admission.ComeBack(age, rand.Float64())
-	return "; retry after " + strconv.FormatInt(after.Milliseconds(), 10) + " ms"
-}
+func comeBack(age time.Duration) string { return retryAfter(admission.ComeBack(age, rand.Float64())) }
 
 // comeBackIn ends the text of a refusal: when to come back, spread out by half of that.
 func comeBackIn(after time.Duration) string {
-	after += time.Duration(rand.Float64() / 2 * float64(after))
-	return "; retry after " + strconv.FormatInt(after.Milliseconds(), 10) + " ms"
+	return retryAfter(after + time.Duration(rand.Float64()/2*float64(after)))
+}
+
+// retryAfter is how the text of a refusal says when to come back.
+func retryAfter(d time.Duration) string {
+	return "; retry after " + strconv.FormatInt(d.Milliseconds(), 10) + " ms"
 }
 
 // cut says whether this daemon is cut from the group's primary and another home is not.
--- a/pkg/proxy/payment.go
+++ b/pkg/proxy/payment.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"fmt"
 	"strings"
 	"time"
 
@@ -105,5 +104,5 @@
 	if s.receipt.result == countedElsewhere {
 		s.sendElsewhere()
 	}
-	s.answerError(platform.CodeBusy, fmt.Sprintf("not run: %v; retry after %d ms", s.receipt, s.receipt.comeBack.Milliseconds()))
+	s.answerError(platform.CodeBusy, "not run: "+s.receipt.String()+retryAfter(s.receipt.comeBack))
 }
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -45,7 +45,7 @@
 // could not be had, and the caller was told.
 func (s *session) open(j *job) bool {
 	tx := s.tx
-	if !s.admitTransaction(j) {
+	if !s.admit(j) {
 		return false
 	}
 	if !s.payFor(j) {
@@ -75,7 +75,7 @@
 		switch o {
 		case direct.Barred:
 			tx.g.release(conn)
-			s.barredInTransaction(j)
+			s.barred(j)
 			return false
 		case direct.Unpaid:
 			tx.g.release(conn)
@@ -147,7 +147,7 @@
 	}
 	a, o := s.runPinned(j, waitLimit)
 	if o == direct.Barred {
-		s.barredInTransaction(j)
+		s.barred(j)
 		return
 	}
 	if o == direct.Broken || o == direct.NotSent {
@@ -239,7 +239,7 @@
 	a, o := s.runPinned(j, tx.route.StatementTimeout-answerMargin)
 	switch o {
 	case direct.Barred:
-		s.barredInTransaction(j)
+		s.barred(j)
 		return
 	case direct.NotSent:
 		s.tx = nil
