Promote no member that has not heard of the leadership which ends

A primary (term 1) is cut off with three daemons at 6.68 s and replaced behind the cut (term 2). At 13.31 s one of the three claims the group, as it cannot reach the new primary; the store is out of its reach, and answers at 13.81 s, when the cut has ended and the primary has answered that daemon again. It goes on all the same: it demotes the primary and fences the others. The replica of term 2 has no room for a connection and refuses the fence for 1.3 s; by then, as the primary is demoted, one fence is enough, and the only fenced member is the primary of term 1, which has not reached its successor yet. It is promoted with its old log: 76 commits of term 2 are rolled back, and five of term 1, which had been rolled back, are there again. Every read since 8.9 s has missed those.

Change: a claim ends when its promotion lock comes and the primary answers again. A member that has not heard of the newest leadership leads next only if all others were asked since the claim began and none is better; one that is known to have rolled-back commits only if nobody else is left. A planned change waits for a replica that has heard.

The model judged a read when it ran, so that a commit which came back later was no fault, and its members always had room for orders.

Ruled out: a lease held too long.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -144,7 +144,7 @@
 	return 3*n >= g.knownPeers || !g.policy.Has(policy.SuspicionByThird)
 }
 
-// candidate is the replica that would take over; "": none can.
+// candidate is the replica that would take over from a primary that leaves; "": none can.
 func (g *Group) candidate(now core.Time) core.MemberID {
 	var best core.MemberID
 	for _, id := range g.order {
@@ -152,6 +152,9 @@
 		if id == g.primary || id == g.claim.old || m.leaving(now) || m.suspect || m.unreadable || m.statusAt == 0 {
 			continue
 		}
+		if !g.heardOfLeadership(m) && g.guarded(GuardHeard) {
+			continue
+		}
 		if best == "" || g.members[best].position.Less(m.position) {
 			best = id
 		}
@@ -267,6 +270,10 @@
 		g.endClaim(now, "fence removed")
 		return g.take()
 	}
+	if g.recovered(now) && g.guarded(GuardRecovered) {
+		g.endClaim(now, "the primary answers again")
+		return g.take()
+	}
 	if c.planned {
 		c.phase, c.orderedAt = demoting, now
 		g.emit(Effect{Kind: EffectDemote, Member: c.old, Term: c.term + 1})
--- a/core/direct/claim_test.go
+++ b/core/direct/claim_test.go
@@ -355,6 +355,72 @@
 		Expect(ended).To(ContainElement(HaveField("Reason", ContainSubstring("claim ended"))))
 	})
 
+	// Guards against a failover that is under way before anybody looks whether it is needed:
+	// the store was out of reach when the primary was silent, and answers once it is back.
+	It("ends before its first order if the primary answers again while the store is asked", func() {
+		s := newScript()
+		s.silence()
+		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
+		s.pass(400 * ms)
+		s.status("a", primary)
+		s.keep(s.g.Claimed(s.at, s.at.Add(-400*ms), direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
+		s.tick(40*ms, replicasAnswer)
+		orders := s.effects
+		Expect(orders).NotTo(ContainElement(HaveField("Kind", direct.EffectDemote)))
+		Expect(orders).NotTo(ContainElement(HaveField("Kind", direct.EffectFence)))
+		Expect(s.take(direct.EffectReleaseLock)).To(ConsistOf(HaveField("Token", uint64(7))))
+	})
+
+	// Guards against commits that come back after a promotion has rolled them back, and against
+	// the loss of all that was written since: a primary that was replaced behind a cut has
+	// its old log until it reaches the new one.
+	It("promotes no member that has not heard of the leadership which ends", func() {
+		s := newScript()
+		leading := direct.Status{Role: core.RolePrimary, Term: 2, Busy: slotsBusy, Position: core.Position{Term: 2, LSN: 90}}
+		follows := direct.Status{Role: core.RoleReplica, Term: 2, Position: leading.Position}
+		replaced := direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 19}}
+		s.status("a", leading)
+		s.status("b", follows)
+		s.status("c", replaced)
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{Term: 2, Leadership: true}))
+		answers := map[core.MemberID]direct.Status{"b": follows, "c": replaced}
+		s.tick(800*ms, answers)
+		s.keep(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 2, Suspect: true}))
+		s.tick(100*ms, answers)
+		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 3, Highest: 3}))
+		demoted := leading
+		demoted.Role = core.RoleReplica
+		s.status("a", demoted)
+		replaced.FencedTerm = 3
+		s.status("c", replaced)
+		s.keep(s.g.ProbeRefused(s.at, "b"))
+		s.tick(direct.RoleFor, map[core.MemberID]direct.Status{"a": demoted, "c": replaced})
+		Expect(s.take(direct.EffectPromote)).To(BeEmpty(), "b has no room for the order to fence it")
+		follows.FencedTerm = 3
+		s.status("b", follows)
+		s.tick(direct.LeaseFor, map[core.MemberID]direct.Status{"a": demoted, "b": follows, "c": replaced})
+		Expect(s.take(direct.EffectPromote)).To(ConsistOf(HaveField("Member", core.MemberID("b"))))
+	})
+
+	// The primary of a leadership is lost before anybody has heard of it there.
+	It("promotes a member of an older leadership if there is no other", func() {
+		s := newScript()
+		s.status("a", direct.Status{Role: core.RolePrimary, Term: 2, Position: core.Position{Term: 1, LSN: 10}})
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{Term: 2, Leadership: true}))
+		s.tick(800*ms, replicasAnswer)
+		s.keep(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 2, Suspect: true}))
+		s.tick(100*ms, replicasAnswer)
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 3, Highest: 3}))
+		alone := fenced
+		alone.FencedTerm = 3
+		s.status("b", alone)
+		s.status("c", alone)
+		s.effects = nil
+		s.tick(direct.LeaseFor, map[core.MemberID]direct.Status{"b": alone, "c": alone})
+		Expect(s.take(direct.EffectPromote)).To(HaveLen(1))
+	})
+
 	It("demotes a member that leads an older term", func() {
 		s := newScript()
 		s.probed("b", core.RolePrimary, 2)
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -25,8 +25,10 @@
 	samples samples
 	// longest is the furthest position of the primary in this term of which this daemon
 	// has heard, longestAt when it has.
-	longest       core.Position
-	longestAt     core.Time
+	longest   core.Position
+	longestAt core.Time
+	// began is the earliest known position of the primary in this term; Term is 0 if none is.
+	began         core.Position
 	peers         map[core.DaemonID]peerReport
 	knownPeers    int
 	claim         claim
@@ -166,6 +168,7 @@
 	g.lease, g.peerLease = 0, 0
 	g.samples.clear()
 	g.longest, g.longestAt = core.Position{}, 0
+	g.began = core.Position{}
 }
 
 // sample keeps a position of the primary that covers every commit acknowledged before
@@ -202,6 +205,7 @@
 	if st.Role == core.RolePrimary && st.Term == g.term && m.mayLead(st.Term) {
 		m.leads, m.refused = st.Term, 0
 		m.led.note(st.Term, sent)
+		g.noteBegan(st.Position)
 		g.leads(now, id)
 		g.noteEffect(sent, id)
 	} else if g.primary == id {
--- a/core/direct/guard.go
+++ b/core/direct/guard.go
@@ -35,6 +35,10 @@
 	GuardRestart
 	// GuardSettled: nobody promotes who may not know all members.
 	GuardSettled
+	// GuardRecovered: a change that is not needed any more ends before its first order.
+	GuardRecovered
+	// GuardHeard: no member is promoted that has not heard of the leadership which ends.
+	GuardHeard
 	// GuardSessionPosition: a session's reads cover its own commits.
 	GuardSessionPosition
 )
--- a/core/direct/promote.go
+++ b/core/direct/promote.go
@@ -127,7 +127,7 @@
 		g.endClaim(now, "the primary answers again")
 		return
 	}
-	if len(c.fenced) >= g.fencesNeeded(now) {
+	if len(c.fenced) >= g.fencesNeeded(now) && g.bestFenced(now) != "" {
 		c.phase = awaitingLeases
 		g.stepAwaitingLeases(now)
 		return
@@ -179,9 +179,56 @@
 	g.emit(Effect{Kind: EffectPromote, Member: c.candidate, Term: c.number, Token: c.token, Until: c.until})
 }
 
+// mayFollow says whether the member can lead next. One that has not heard of the leadership
+// which ends was not reached by its primary and lacks all that was written there. It leads
+// only if all others have been asked since the claim began, and none is better.
+func (g *Group) mayFollow(now core.Time, m *member) bool {
+	if g.heardOfLeadership(m) || !g.guarded(GuardHeard) {
+		return true
+	}
+	diverged := g.diverged(m)
+	for id, o := range g.members {
+		asked := o.statusAt >= g.claim.started
+		switch {
+		case o == m || !o.alive(now):
+		case id == g.claim.old:
+			if diverged {
+				return false
+			}
+		case !asked, g.heardOfLeadership(o), diverged && !g.diverged(o):
+			return false
+		}
+	}
+	return true
+}
+
+// heardOfLeadership says whether the member knows the newest leadership.
+func (g *Group) heardOfLeadership(m *member) bool { return m.statusAt != 0 && m.status.Term >= g.term }
+
+// diverged says whether the member has commits that the promotion to the newest leadership
+// has rolled back. Were it promoted, they would come back, and reads that were served
+// meanwhile would have missed them.
+func (g *Group) diverged(m *member) bool {
+	return !g.heardOfLeadership(m) && g.began.Term != 0 && g.began.LSN < m.position.LSN
+}
+
+// noteBegan takes a position of the primary of the newest leadership, in whose log the
+// leadership begins there at the latest.
+func (g *Group) noteBegan(p core.Position) {
+	if p.IsZero() {
+		return
+	}
+	if p.Term == g.term {
+		p.LSN--
+	}
+	if g.began.Term == 0 || p.LSN < g.began.LSN {
+		g.began = core.Position{Term: g.term, LSN: p.LSN}
+	}
+}
+
 // bestFenced is the fenced replica that has received most; one that stays is
 // preferred to one that is leaving, unless commits wait for replicas: then only
-// the furthest surely has all that were acknowledged.
+// the furthest surely has all that were acknowledged. "": none can lead next.
 func (g *Group) bestFenced(now core.Time) core.MemberID {
 	if g.syncMatters() {
 		return g.furthestFenced(now)
@@ -189,7 +236,7 @@
 	var best core.MemberID
 	for _, id := range g.order {
 		m := g.members[id]
-		if _, ok := g.claim.fenced[id]; !ok || m.suspect {
+		if _, ok := g.claim.fenced[id]; !ok || m.suspect || !g.mayFollow(now, m) {
 			continue
 		}
 		if best == "" || g.better(now, m, g.members[best]) {
--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -158,6 +158,7 @@
 		// The sender speaks of a life of the member that has ended.
 		return
 	}
+	g.noteBegan(r.Sample)
 	if g.primary == "" {
 		m.leads = r.Term
 		g.leads(now, r.Primary)
--- a/pkg/explore/promotions/daemon.go
+++ b/pkg/explore/promotions/daemon.go
@@ -188,6 +188,12 @@
 		if m.down {
 			return
 		}
+		if d.w.now < m.crowdedTill {
+			d.w.send(m.node(), d.node(), func() {
+				once(func() { finish(func(at core.Time) []direct.Effect { return d.g.ProbeRefused(at, id) }) })
+			})
+			return
+		}
 		d.reconnect(m)
 		st := m.order(e)
 		d.w.send(m.node(), d.node(), func() {
--- a/pkg/explore/promotions/fault.go
+++ b/pkg/explore/promotions/fault.go
@@ -1,6 +1,9 @@
 package promotions
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // scheduleFault draws the next fault, until the faults end.
 func (w *world) scheduleFault() {
@@ -41,6 +44,24 @@
 	kinds[w.random.IntN(len(kinds))]()
 }
 
+// crowdStream tells the draws of scheduleCrowd from the others', whose runs stay what they
+// are without it.
+const crowdStream = 2
+
+// scheduleCrowd has members without room for orders now and then.
+func (w *world) scheduleCrowd(random *rand.Rand) {
+	w.after(time.Duration(random.Int64N(int64(2*w.options.FaultEvery))), func() {
+		if w.now >= w.faultsEnd {
+			return
+		}
+		m := w.members[random.IntN(len(w.members))]
+		span := min(time.Duration(random.Int64N(int64(3*time.Second))), w.faultsEnd.Sub(w.now))
+		w.note("%s has no room for orders for %v", m.id, span)
+		m.crowdedTill = max(m.crowdedTill, w.now.Add(span))
+		w.scheduleCrowd(random)
+	})
+}
+
 // leader is the member that leads, as the model knows.
 func (w *world) leader() *member {
 	for _, m := range w.members {
--- a/pkg/explore/promotions/member.go
+++ b/pkg/explore/promotions/member.go
@@ -29,6 +29,8 @@
 	// life counts the member's starts; listed is the one that the host list names, which
 	// follows later.
 	life, listed int
+	// crowdedTill is until when it has no room for connections that carry orders.
+	crowdedTill core.Time
 	// reachedAt is since when a replaced primary reaches the one that leads.
 	reachedAt core.Time
 }
@@ -101,12 +103,14 @@
 func (m *member) startAnew() {
 	m.down, m.fenced, m.primary, m.log, m.term = false, 0, false, nil, 0
 	m.life++
+	m.w.logsLost = true
 	life := m.life
 	m.w.after(m.w.between(0, listDelay), func() { m.listed = max(m.listed, life) })
 }
 
 // promote has the member lead the next term with what it has received. It ends
-// all fences, also of replicas that do not hear of it.
+// all fences, also of replicas that do not hear of it. Commits that come back are a fault
+// unless a member has lost its log: then there may be no other that has any.
 func (w *world) promote(m *member) {
 	if m.down {
 		return
@@ -118,6 +122,9 @@
 	}
 	for _, c := range w.commits {
 		if m.has(c) {
+			if c.missed && !w.logsLost {
+				w.violate("stale", "the promotion of %s brings back commit %d, which reads have been served without", m.id, c.id)
+			}
 			continue
 		}
 		if w.options.Sync && c.acked && !c.lost {
--- a/pkg/explore/promotions/promotions_test.go
+++ b/pkg/explore/promotions/promotions_test.go
@@ -33,6 +33,16 @@
 		Expect(report.Counts["promotions"]).To(BeNumerically(">", 20))
 	})
 
+	// Guards against commits that come back after a promotion has rolled them back: a member
+	// that was cut off has the old log, and the others have no room for the order to fence them.
+	It("brings back no commit where members have no room for orders", func() {
+		o := promotions.DefaultOptions()
+		o.Runs, o.Crowded = 60, true
+		report := promotions.Run(context.Background(), o)
+		Expect(report.Violations).To(BeEmpty())
+		Expect(report.Counts["promotions"]).To(BeNumerically(">", 60))
+	})
+
 	It("repeats a run from its seed", func() {
 		o := promotions.DefaultOptions()
 		o.Runs, o.Seed = 1, 7
@@ -62,6 +72,7 @@
 		},
 		Entry(nil, "ack-lease", "replaced", uint64(420)),
 		Entry(nil, "fences", "replaced|stale"),
+		Entry(nil, "heard", "stale", uint64(320)),
 		Entry(nil, "outwait", "replaced|stale"),
 		Entry(nil, "restart", "stale"),
 		Entry(nil, "read-lease", "replaced|stale"),
--- a/pkg/explore/promotions/run.go
+++ b/pkg/explore/promotions/run.go
@@ -23,6 +23,8 @@
 	Duration, FaultEvery time.Duration
 	// Sync has commits wait for one replica; then no promotion may lose one.
 	Sync bool
+	// Crowded has members now and then without room for the connections that carry orders.
+	Crowded bool
 	// Disabled are checks of the reducer that are switched off, shell those of the
 	// code around it.
 	Disabled direct.Guard
@@ -55,13 +57,15 @@
 	name    string
 	reducer direct.Guard
 	shell   shellGuard
-	// sync: the check matters where commits wait for a replica.
-	sync bool
+	// sync: the check matters where commits wait for a replica, crowded: where members have
+	// no room for orders.
+	sync, crowded bool
 }
 
 var guards = []guard{
 	{name: "ack-lease", shell: shellAckLease},
 	{name: "fences", reducer: direct.GuardFences},
+	{name: "heard", reducer: direct.GuardHeard, crowded: true},
 	{name: "leads", reducer: direct.GuardLeads},
 	{name: "outrun", reducer: direct.GuardOutrun},
 	{name: "outwait", reducer: direct.GuardOutwait},
@@ -98,6 +102,7 @@
 		o.Disabled |= guards[i].reducer
 		o.shell |= guards[i].shell
 		o.Sync = o.Sync || guards[i].sync
+		o.Crowded = o.Crowded || guards[i].crowded
 	}
 	return nil
 }
@@ -163,6 +168,7 @@
 		broken := o
 		broken.Disabled, broken.shell, broken.Runs = g.reducer, g.shell, guardBatch
 		broken.Sync = broken.Sync || g.sync
+		broken.Crowded = broken.Crowded || g.crowded
 		result := GuardResult{Guard: g.name}
 		for result.Runs < o.Runs && result.Violation == nil && ctx.Err() == nil {
 			broken.Seed = o.Seed + uint64(result.Runs)
--- a/pkg/explore/promotions/statement.go
+++ b/pkg/explore/promotions/statement.go
@@ -128,14 +128,18 @@
 	}
 	life := d.life
 	var missing *commit
+	var passed []*commit
 	d.exchange(place, false, func(m *member) direct.Outcome {
 		if m.position().Less(place.Since) {
 			return direct.Behind
 		}
-		missing = d.w.missing(m, consistency, began, d, life)
+		missing, passed = d.w.missing(m, consistency, began, d, life)
 		return direct.Succeeded
 	}, func(core.Position) {
 		d.w.counts["read"]++
+		for _, c := range passed {
+			c.missed = true
+		}
 		if missing != nil && !missing.lost {
 			d.w.violate("stale", "%s read at %s (primary %v, since %v) without commit %d of %s, acknowledged %v before",
 				d.id, place.Member, place.Primary, place.Since, missing.id, missing.daemon.id, began.Sub(missing.ackedAt))
@@ -148,10 +152,11 @@
 	return primary == id && d.g.Leased(d.clock())
 }
 
-// missing is a commit that the read must see and the member's log lacks.
-func (w *world) missing(m *member, consistency direct.Consistency, began core.Time, d *daemon, life int) *commit {
+// missing is a commit that the read must see and the member's log lacks, and those that it
+// would have to see had no promotion rolled them back.
+func (w *world) missing(m *member, consistency direct.Consistency, began core.Time, d *daemon, life int) (missing *commit, passed []*commit) {
 	for _, c := range w.commits {
-		if !c.acked || c.lost || m.has(c) {
+		if !c.acked || m.has(c) {
 			continue
 		}
 		known := c.ackedAt < began
@@ -159,8 +164,14 @@
 		case consistency == direct.PrimaryReads && known,
 			known && began.Sub(c.ackedAt) > maxAge,
 			consistency == direct.ReadYourWrites && known && c.daemon == d && c.life == life:
-			return c
+		default:
+			continue
+		}
+		if c.lost {
+			passed = append(passed, c)
+		} else if missing == nil {
+			missing = c
 		}
 	}
-	return nil
+	return missing, passed
 }
--- a/pkg/explore/promotions/world.go
+++ b/pkg/explore/promotions/world.go
@@ -44,6 +44,7 @@
 // world is one run.
 type world struct {
 	options Options
+	seed    uint64
 	random  *rand.Rand
 	now     core.Time
 	agenda  agenda.Agenda
@@ -54,6 +55,8 @@
 	cut map[[2]node]core.Time
 	// leadership is the newest promotion that has taken effect.
 	leadership core.Term
+	// logsLost is set once a member has started anew without its log.
+	logsLost bool
 	// commits are all that were ever written, by identity.
 	commits []*commit
 	// highestToken is the newest one that came with an order.
@@ -76,13 +79,14 @@
 	daemon   *daemon
 	// life is the session: a daemon's life has one.
 	life int
-	// lost is set if a promotion rolled it back.
-	lost bool
+	// lost is set if a promotion rolled it back, missed if a read has then been served without
+	// it that would have had to see it.
+	lost, missed bool
 }
 
 func newWorld(seed uint64, o Options) *world {
 	w := &world{
-		options: o, random: rand.New(rand.NewPCG(seed, 1)), now: epoch, cut: make(map[[2]node]core.Time),
+		options: o, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), now: epoch, cut: make(map[[2]node]core.Time),
 		counts: make(map[string]int), leadership: 1, faultsEnd: epoch.Add(o.Duration), trace: o.Trace,
 	}
 	w.store.w = w
@@ -192,6 +196,9 @@
 	}
 	w.every(tick, w.replicate)
 	w.scheduleFault()
+	if w.options.Crowded {
+		w.scheduleCrowd(rand.New(rand.NewPCG(w.seed, crowdStream)))
+	}
 	end := w.faultsEnd.Add(settleFor)
 	for len(w.violations) == 0 && w.now < end {
 		at, do := w.agenda.Next()
