Bound the groups of one home, and keep only groups that are in use

Cause: each group had two homes a zone, twelve in six zones, whatever the number of groups. 1,000 groups with 60 strong hosts made 200 groups a home, each of which probed three members, kept connections and reported to eleven others for a fifth of a statement a second. Reports went to the 16 daemons with the lowest names, on all groups, so that most homes never heard of each other. Every daemon ranked all daemons for all groups with each change of either, and kept a reducer, 30 ms ticks and a log line for each group.

Change: a table of homes (direct.HomeTable) that gives a group as many homes as 32 groups a daemon allow, two at least and at most as many as before, and ranks one daemon for each group when one comes. Entries ask it for the groups of their callers alone. A report to a daemon is on the groups that both are homes of. A group exists here while it is in use; one log line a change of homes.

Sites of up to 20 groups keep the homes that they had.

--- a/core/direct/bench_test.go
+++ b/core/direct/bench_test.go
@@ -22,7 +22,7 @@
 // a group, in which order.
 func BenchmarkOrder(b *testing.B) {
 	all := daemons(6, 50)
-	homes := direct.Homes("g", 131, len(all), all)
+	homes := direct.Homes("g", 131, fleetOf(len(all), all))
 	b.ReportAllocs()
 	for b.Loop() {
 		if len(direct.Order("g", "d0-7", "0", homes, all)) != len(all)-1 {
--- a/core/direct/fleetsize_test.go
+++ b/core/direct/fleetsize_test.go
@@ -45,8 +45,8 @@
 	// them would be a home of all groups, and so would each daemon that reads such a list.
 	It("are as few as before", func() {
 		short := daemons(6, 2)
-		Expect(direct.Homes("g", 131, 12, daemons(6, 2))).To(HaveLen(12))
-		Expect(len(direct.Homes("g", 35, 295, short))).To(BeNumerically("<=", 6))
+		Expect(direct.Homes("g", 131, fleetOf(12, daemons(6, 2)))).To(HaveLen(12))
+		Expect(len(direct.Homes("g", 35, fleetOf(295, short)))).To(BeNumerically("<=", 6))
 	})
 
 	It("leave the configuration to few watchers", func() {
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -132,6 +132,20 @@
 	}
 }
 
+// Idle says whether this daemon has no connection to a member and no change of the primary
+// under way.
+func (g *Group) Idle() bool {
+	if g.claim.phase != noClaim {
+		return false
+	}
+	for _, m := range g.members {
+		if m.open > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // Known says whether the host list has had members of the group.
 func (g *Group) Known() bool { return len(g.members) > 0 }
 
--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -19,39 +19,13 @@
 	Weight float64
 }
 
-// Limits of the choice of homes.
-const (
-	// homeShare of a member's connections is divided among homes, each of which
-	// needs connsPerHome to have reads, writes and transactions under way at once.
-	homeShare    = 0.6
-	connsPerHome = 4
-	// connsPerDaemon is what each daemon needs if all of them reach the members
-	// themselves, which saves callers a hop; directShare of a member's connections
-	// may go there. It leaves room for hosts that are added before others go, so
-	// that a fleet does not change its ways in the middle of a replacement.
-	connsPerDaemon = 2
-	directShare    = 0.95
-	// mostDirect daemons at most reach all members: each reports to all others of
-	// the group several times a second, which grows with their number's square.
-	mostDirect = 16
-	// mostHomesPerZone bounds how far a group's load is spread. More homes probe
-	// and report more and have fewer connections each.
-	mostHomesPerZone = 2
-	// strongShare of the strongest host's weight makes a host fit to be a home.
-	strongShare = 0.5
-)
-
 // Homes returns the daemons that reach the members of the group; all others
-// pass their callers' sessions on to one of them. In a small fleet it returns
-// all; size is how large it is, whatever daemons lacks at the moment. Daemons that
-// know the same list choose alike; one that does not only uses a few connections more.
-func Homes(group core.GroupID, maxConns, size int, daemons []Daemon) []core.DaemonID {
-	if size <= mostDirect && float64(connsPerDaemon*len(daemons)) <= directShare*float64(maxConns) {
-		return ids(daemons)
-	}
-	zones := byZone(daemons)
-	budget := homeShare * float64(maxConns)
-	return chosen(group, zones, min(mostHomesPerZone, max(1, int(budget)/connsPerHome/len(zones))))
+// pass their callers' sessions on to one of them. Daemons that know the same fleet
+// choose alike; one that does not only uses a few connections more.
+func Homes(group core.GroupID, maxConns int, fleet Fleet) []core.DaemonID {
+	table := NewHomeTable()
+	table.Update(fleet)
+	return table.Homes(group, maxConns)
 }
 
 // configurationKey stands for the configuration where daemons are ranked for a group.
@@ -77,22 +51,25 @@
 	return Order(configurationKey, self, zone, watchers, list)
 }
 
+// byZone are the daemons of each zone that are fit to be homes.
 func byZone(daemons []Daemon) map[core.Zone][]Daemon {
 	zones := make(map[core.Zone][]Daemon)
 	for _, d := range daemons {
 		zones[d.Zone] = append(zones[d.Zone], d)
 	}
+	for zone, list := range zones {
+		zones[zone] = strong(list)
+	}
 	return zones
 }
 
-// chosen are the daemons with the highest ranks for the group, some in each zone, on
-// strong hosts.
+// chosen are the daemons with the highest ranks for the group, some in each zone.
 func chosen(group core.GroupID, zones map[core.Zone][]Daemon, perZone int) []core.DaemonID {
 	var best []core.DaemonID
 	for _, list := range zones {
-		list = strong(list)
-		slices.SortFunc(list, func(a, b Daemon) int { return cmp.Compare(draw(group, b), draw(group, a)) })
-		best = append(best, ids(list[:min(len(list), perZone)])...)
+		for _, r := range highest(group, list, perZone) {
+			best = append(best, r.id)
+		}
 	}
 	slices.Sort(best)
 	return best
--- a/core/direct/homes_test.go
+++ b/core/direct/homes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -25,27 +26,32 @@
 	return list
 }
 
+// fleetOf is a fleet with few groups.
+func fleetOf(size int, daemons []direct.Daemon) direct.Fleet {
+	return direct.Fleet{Daemons: slices.Clone(daemons), Size: size, Groups: 3}
+}
+
 var _ = Describe("Homes", func() {
 	It("are all daemons while the members' connections suffice", func() {
-		Expect(direct.Homes("g", 22, 6, daemons(3, 2))).To(HaveLen(6))
-		Expect(direct.Homes("g", 32, 8, daemons(4, 2))).To(HaveLen(8))
+		Expect(direct.Homes("g", 22, fleetOf(6, daemons(3, 2)))).To(HaveLen(6))
+		Expect(direct.Homes("g", 32, fleetOf(8, daemons(4, 2)))).To(HaveLen(8))
 	})
 
 	// A host is added before another goes. For the few seconds in between a fleet of
 	// eight must not turn to homes, and back.
 	It("are still all daemons while hosts are being replaced", func() {
-		Expect(direct.Homes("g", 22, 10, daemons(5, 2))).To(HaveLen(10))
+		Expect(direct.Homes("g", 22, fleetOf(10, daemons(5, 2)))).To(HaveLen(10))
 	})
 
 	// Members that take many connections would let 80 daemons reach them, and each
 	// would report to 79 others: on the users' installation of that size reports were
 	// a third of a day's worth in traffic between zones.
 	It("are not all of a large fleet even if connections suffice", func() {
-		Expect(len(direct.Homes("g", 170, 80, daemons(5, 16)))).To(BeNumerically("<=", 10))
+		Expect(len(direct.Homes("g", 170, fleetOf(80, daemons(5, 16))))).To(BeNumerically("<=", 10))
 	})
 
 	It("are few of a large fleet, some in each zone, on strong hosts", func() {
-		homes := direct.Homes("g", 35, 72, daemons(4, 18))
+		homes := direct.Homes("g", 35, fleetOf(72, daemons(4, 18)))
 		Expect(homes).To(HaveLen(4))
 		for _, id := range homes {
 			Expect(string(id)).To(Or(HaveSuffix("-0"), HaveSuffix("-1")))
@@ -59,8 +65,8 @@
 		moved := 0
 		for g := range 50 {
 			id := core.GroupID(fmt.Sprintf("g%d", g))
-			before := direct.Homes(id, 35, 72, append([]direct.Daemon(nil), all...))
-			after := direct.Homes(id, 35, 71, append([]direct.Daemon(nil), all[1:]...))
+			before := direct.Homes(id, 35, fleetOf(72, all))
+			after := direct.Homes(id, 35, fleetOf(71, all[1:]))
 			for _, home := range before {
 				if home != all[0].ID {
 					Expect(after).To(ContainElement(home))
@@ -74,7 +80,7 @@
 
 	It("of the own zone are asked first, then others, then any daemon", func() {
 		all := daemons(4, 18)
-		homes := direct.Homes("g", 35, 72, append([]direct.Daemon(nil), all...))
+		homes := direct.Homes("g", 35, fleetOf(72, all))
 		order := direct.Order("g", "d2-9", "2", homes, all)
 		Expect(order).To(HaveLen(len(all) - 1))
 		Expect(string(order[0])).To(HavePrefix("d2-"))
--- a/core/direct/order_test.go
+++ b/core/direct/order_test.go
@@ -20,7 +20,7 @@
 		for n := range 60 {
 			daemons = append(daemons, direct.Daemon{ID: core.DaemonID(fmt.Sprintf("d%02d", n)), Zone: core.Zone(fmt.Sprintf("zone-%d", n%3)), Weight: 1})
 		}
-		homes := direct.Homes("g", 22, len(daemons), slices.Clone(daemons))
+		homes := direct.Homes("g", 22, fleetOf(len(daemons), daemons))
 		first := make(map[core.DaemonID]int)
 		near := make(map[core.DaemonID]int)
 		for _, entry := range daemons {
--- a/pkg/proxy/configuration.go
+++ b/pkg/proxy/configuration.go
@@ -213,9 +213,13 @@
 	c.p.catalog.Store(catalog)
 	c.p.configuredAt.CompareAndSwap(0, int64(now()))
 	c.p.log.Info("configuration in force", "version", catalog.Version, "routes", len(catalog.Routes))
-	for id, spec := range catalog.Groups {
-		c.p.group(id).update(func(g *direct.Group, _ core.Time) []direct.Effect {
-			g.Configure(spec)
+	for _, g := range c.p.allGroups() {
+		spec, ok := catalog.Groups[g.id]
+		if !ok {
+			continue
+		}
+		g.update(func(r *direct.Group, _ core.Time) []direct.Effect {
+			r.Configure(spec)
 			return nil
 		})
 	}
--- a/pkg/proxy/control.go
+++ b/pkg/proxy/control.go
@@ -40,6 +40,8 @@
 		select {
 		case <-c.g.p.done:
 			return
+		case <-c.g.dropped:
+			return
 		case e := <-c.orders:
 			c.do(e)
 		}
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -29,6 +29,8 @@
 	controls map[core.MemberID]*control
 	// usedAt is when a statement was last run here.
 	usedAt core.Time
+	// dropped is closed when the group is not in use here any more.
+	dropped chan struct{}
 }
 
 // waiter is a statement that waits for a connection.
@@ -59,8 +61,12 @@
 func newGroup(p *Proxy, id core.GroupID) *group {
 	reducer := direct.NewGroup(id, p.settings.Daemon, p.settings.Zone)
 	reducer.SetPolicy(p.policy)
+	if catalog := p.catalog.Load(); catalog != nil {
+		reducer.Configure(catalog.Groups[id])
+	}
 	return &group{
-		p: p, id: id, core: reducer, queue: admission.NewQueue[*waiter](p.policy),
+		dropped: make(chan struct{}),
+		p:       p, id: id, core: reducer, queue: admission.NewQueue[*waiter](p.policy),
 		idle: make(map[core.MemberID][]*memberConn), controls: make(map[core.MemberID]*control), work: make(admission.Work),
 	}
 }
@@ -401,6 +407,14 @@
 	}
 }
 
+// unused says whether the group can be dropped: nobody has used it for a while, and nothing
+// of it is open.
+func (g *group) unused(at core.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return at.Sub(g.usedAt) >= unusedGroupKept && g.queue.Len() == 0 && g.core.Idle()
+}
+
 // leave closes the connections of a group whose members this daemon does not
 // reach any more: its homes need them.
 func (g *group) leave() {
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -14,6 +15,15 @@
 	"limpetspan/pkg/proxy/reportpb"
 )
 
+// homeTable says which daemons are homes of a group; direct.HomeTable is one.
+type homeTable interface {
+	Update(fleet direct.Fleet) (changed []core.GroupID)
+	Homes(group core.GroupID, maxConns int) []core.DaemonID
+	Forget(group core.GroupID)
+	Direct(maxConns int) bool
+	Fit(daemon core.DaemonID) bool
+}
+
 // homes knows which daemons reach the members of which group.
 type homes struct {
 	p  *Proxy
@@ -21,16 +31,18 @@
 	// decided is set once the list of daemons was read after this one joined it.
 	decided bool
 	// ready is closed once homes have been chosen for the first time.
-	ready chan struct{}
-	// fixed keeps the choice as it is.
-	fixed   bool
+	ready   chan struct{}
 	daemons []direct.Daemon
 	// size is how large the fleet is.
 	size direct.FleetSize
 	// catalog and chosenBy are the configuration and size by which homes were chosen last.
 	catalog  *direct.Catalog
 	chosenBy int
-	of       map[core.GroupID][]core.DaemonID
+	// leastConns is what the members of some group take at least.
+	leastConns int
+	table      homeTable
+	// own are the groups of which this daemon is a home.
+	own map[core.GroupID]bool
 	// slotOrders keeps the order of daemons for a slot of teams in a group until the daemons
 	// or the homes change: each statement asks for it.
 	slotOrders map[slotGroup][]core.DaemonID
@@ -68,44 +80,95 @@
 }
 
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, ready: make(chan struct{}), of: make(map[core.GroupID][]core.DaemonID), slotOrders: make(map[slotGroup][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), avoidTeam: make(map[teamAt]core.Time), owners: make(map[quota.Slot]core.DaemonID), heardAt: make(map[core.DaemonID]core.Time), recheckAt: make(map[core.DaemonID]core.Time)}
+	return &homes{p: p, ready: make(chan struct{}), table: direct.NewHomeTable(), own: make(map[core.GroupID]bool), slotOrders: make(map[slotGroup][]core.DaemonID), avoid: make(map[core.DaemonID]core.Time), avoidFor: make(map[groupAt]core.Time), avoidTeam: make(map[teamAt]core.Time), owners: make(map[quota.Slot]core.DaemonID), heardAt: make(map[core.DaemonID]core.Time), recheckAt: make(map[core.DaemonID]core.Time)}
 }
 
 // update chooses the homes anew from the daemons and groups that are known now, if
 // either has changed.
 func (h *homes) update() {
+	for _, id := range h.choose() {
+		// A home reaches the members before the first caller comes, and has to know them.
+		h.p.group(id)
+		h.p.wakeMembers()
+	}
+}
+
+// choose is update without its consequences; it returns the groups of which this daemon has
+// become a home.
+func (h *homes) choose() (gained []core.GroupID) {
 	catalog := h.p.catalog.Load()
 	daemons := h.p.peers.daemons()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.decided {
-		return
+		return nil
 	}
 	size := h.size.Counted(now(), len(daemons))
-	if h.catalog == catalog && h.chosenBy == size && slices.Equal(daemons, h.daemons) {
-		return
+	newCatalog := h.catalog != catalog
+	if !newCatalog && h.chosenBy == size && slices.Equal(daemons, h.daemons) {
+		return nil
 	}
 	h.catalog, h.chosenBy, h.daemons = catalog, size, daemons
 	h.slotOrders = make(map[slotGroup][]core.DaemonID)
 	h.chooseWatchers(size)
-	if h.fixed || catalog == nil {
-		return
+	if catalog == nil {
+		return nil
 	}
-	for id, spec := range catalog.Groups {
-		chosen := direct.Homes(id, spec.MaxConns, size, daemons)
-		here := slices.Contains(chosen, h.p.settings.Daemon)
-		if here && !slices.Contains(h.of[id], h.p.settings.Daemon) {
-			// Members that were not reached before have to be known at once.
-			h.p.wakeMembers()
+	changed := h.table.Update(direct.Fleet{Daemons: daemons, Size: size, Groups: len(catalog.Groups)})
+	if newCatalog {
+		changed = h.takeGroups(catalog)
+	}
+	gained = h.chooseOwn(changed)
+	if len(catalog.Groups) > 0 && !h.chosen() {
+		close(h.ready)
+	}
+	return gained
+}
+
+// takeGroups takes the groups of a new configuration, and returns all whose homes may have
+// changed by it. The lock is held.
+func (h *homes) takeGroups(catalog *direct.Catalog) []core.GroupID {
+	h.leastConns = math.MaxInt
+	for _, spec := range catalog.Groups {
+		h.leastConns = min(h.leastConns, spec.MaxConns)
+	}
+	return slices.AppendSeq(slices.Collect(maps.Keys(h.own)), maps.Keys(catalog.Groups))
+}
+
+// chooseOwn decides for each of the groups whether this daemon is a home of it, and returns
+// those of which it has become one. The lock is held.
+func (h *homes) chooseOwn(groups []core.GroupID) (gained []core.GroupID) {
+	self := h.p.settings.Daemon
+	fit := h.table.Fit(self)
+	lost := 0
+	for _, id := range groups {
+		_, configured := h.catalog.Groups[id]
+		if !configured {
+			h.table.Forget(id)
 		}
-		if !slices.Equal(chosen, h.of[id]) {
-			h.p.log.Info("homes", "group", id, "homes", len(chosen), "of", len(daemons), "here", here)
+		here := configured && fit && slices.Contains(h.homesOf(id), self)
+		switch {
+		case here && !h.own[id]:
+			h.own[id] = true
+			gained = append(gained, id)
+		case !here && h.own[id]:
+			delete(h.own, id)
+			lost++
 		}
-		h.of[id] = chosen
 	}
-	if len(h.of) > 0 && !h.chosen() {
-		close(h.ready)
+	if len(gained)+lost > 0 {
+		h.p.log.Info("homes", "gained", len(gained), "lost", lost, "own", len(h.own), "of", len(h.catalog.Groups), "daemons", len(h.daemons))
 	}
+	return gained
+}
+
+// homesOf are the group's homes; the lock is held.
+func (h *homes) homesOf(id core.GroupID) []core.DaemonID {
+	maxConns := 0
+	if h.catalog != nil {
+		maxConns = h.catalog.Groups[id].MaxConns
+	}
+	return h.table.Homes(id, maxConns)
 }
 
 // awaitChoice waits until homes have been chosen, but not beyond the deadline. A daemon
@@ -159,8 +222,7 @@
 func (h *homes) here(id core.GroupID) (bool, int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	list := h.of[id]
-	return slices.Contains(list, h.p.settings.Daemon), max(1, len(list))
+	return h.own[id], max(1, len(h.homesOf(id)))
 }
 
 // chosen says whether homes have been chosen at all.
@@ -170,38 +232,23 @@
 func (h *homes) everywhere() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, list := range h.of {
-		if len(list) < len(h.daemons) {
-			return false
-		}
-	}
-	return h.decided
+	return h.decided && (h.catalog == nil || h.table.Direct(h.leastConns))
 }
 
 // anywhere says whether this daemon is a home of any group.
 func (h *homes) anywhere() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, list := range h.of {
-		if slices.Contains(list, h.p.settings.Daemon) {
-			return true
-		}
-	}
-	return false
+	return len(h.own) > 0
 }
 
-// firstAnywhere says whether this daemon is the one to run the team's statements for some
-// group.
-func (h *homes) firstAnywhere(team core.TeamID) bool {
+// firstOfAny says whether this daemon is the one to run the team's statements for one of the
+// groups.
+func (h *homes) firstOfAny(groups []*group, team core.TeamID) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	at := now()
-	for id := range h.of {
-		if h.firstInOrder(at, id, team) == h.p.settings.Daemon {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(groups, func(g *group) bool { return h.firstInOrder(at, g.id, team) == h.p.settings.Daemon })
 }
 
 // gathers says whether the team's statements are to meet at one home of a group.
@@ -245,7 +292,7 @@
 	key := slotGroup{id, quota.SlotOf(team)}
 	order, ok := h.slotOrders[key]
 	if !ok {
-		order = direct.TeamOrder(id, key.slot, h.of[id], h.daemons)
+		order = direct.TeamOrder(id, key.slot, h.homesOf(id), h.daemons)
 		h.slotOrders[key] = order
 	}
 	return order
@@ -267,7 +314,7 @@
 		return false
 	}
 	asked := false
-	for _, home := range h.of[id] {
+	for _, home := range h.homesOf(id) {
 		if home == daemon {
 			return true
 		}
@@ -289,7 +336,7 @@
 			list = slices.Insert(list, 0, owner)
 		}
 	} else {
-		list = direct.Order(id, h.p.settings.Daemon, h.p.settings.Zone, h.of[id], h.daemons)
+		list = direct.Order(id, h.p.settings.Daemon, h.p.settings.Zone, h.homesOf(id), h.daemons)
 	}
 	return slices.DeleteFunc(list, func(d core.DaemonID) bool {
 		return d == h.p.settings.Daemon || !h.asked(at, d, id, team)
@@ -391,19 +438,19 @@
 	h.avoid[id] = now().Add(avoidHome)
 }
 
-// others are the daemons that share a group with this one as home.
-func (h *homes) others() map[core.DaemonID]bool {
+// partners are the daemons that share groups with this one as homes, and which of the groups.
+func (h *homes) partners(groups []core.GroupID) map[core.DaemonID][]core.GroupID {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	found := make(map[core.DaemonID]bool)
-	for _, list := range h.of {
-		if !slices.Contains(list, h.p.settings.Daemon) {
+	shared := make(map[core.DaemonID][]core.GroupID)
+	for _, id := range groups {
+		if !h.own[id] {
 			continue
 		}
-		for _, d := range list {
-			found[d] = true
+		for _, d := range h.homesOf(id) {
+			shared[d] = append(shared[d], id)
 		}
 	}
-	delete(found, h.p.settings.Daemon)
-	return found
+	delete(shared, h.p.settings.Daemon)
+	return shared
 }
--- a/pkg/proxy/homes_test.go
+++ b/pkg/proxy/homes_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,6 +15,24 @@
 	"limpetspan/pkg/proxy/reportpb"
 )
 
+// fixedHomes are homes that stay, whatever becomes of the fleet.
+type fixedHomes map[core.GroupID][]core.DaemonID
+
+func (t fixedHomes) Update(direct.Fleet) []core.GroupID           { return nil }
+func (t fixedHomes) Homes(id core.GroupID, _ int) []core.DaemonID { return t[id] }
+func (t fixedHomes) Forget(core.GroupID)                          {}
+func (t fixedHomes) Direct(int) bool                              { return false }
+func (t fixedHomes) Fit(core.DaemonID) bool                       { return true }
+
+// fix sets the homes of the group for good. The lock is held if there are other users.
+func (h *homes) fix(id core.GroupID, daemons ...core.DaemonID) {
+	h.table = fixedHomes{id: daemons}
+	delete(h.own, id)
+	if h.p != nil && slices.Contains(daemons, h.p.settings.Daemon) {
+		h.own[id] = true
+	}
+}
+
 // mute takes sessions of entries as a home does, and never answers a statement or a
 // question.
 func mute(l net.Listener) {
@@ -51,7 +70,7 @@
 			// The entry's own order decides which home it asks first.
 			h.mu.Lock()
 			h.p.settings.Daemon += "'"
-			h.of["ledger"] = []core.DaemonID{"edge-cut", home.s.Daemon}
+			h.fix("ledger", "edge-cut", home.s.Daemon)
 			h.daemons = []direct.Daemon{{ID: "edge-cut", Zone: "zone-1", Weight: 1}, {ID: home.s.Daemon, Zone: "zone-1", Weight: 1}}
 			h.mu.Unlock()
 			asked = string(h.order("ledger", "")[0])
@@ -85,7 +104,8 @@
 	// configuration, before its homes have it.
 	It("is not one that lacks a database for a moment", func() {
 		h := newHomes(nil)
-		h.of["g"], h.daemons = []core.DaemonID{"a"}, []direct.Daemon{{ID: "a"}}
+		h.fix("g", "a")
+		h.daemons = []direct.Daemon{{ID: "a"}}
 		h.p = &Proxy{}
 		h.refusedBy("a", "g", &refusal{reportpb.Refusal_REFUSAL_DATABASE, "no such database"})
 		Expect(h.order("g", "")).To(HaveLen(1))
@@ -96,7 +116,7 @@
 
 	It("is not one of which another session has had an answer meanwhile", func() {
 		h := newHomes(nil)
-		h.of["g"] = []core.DaemonID{"a", "b"}
+		h.fix("g", "a", "b")
 		sent := now()
 		h.heard("a")
 		h.silent("a", sent)
@@ -134,7 +154,7 @@
 			served <- h.chosen()
 		}()
 		h.mu.Lock()
-		h.of["g"] = []core.DaemonID{"a"}
+		h.fix("g", "a")
 		close(h.ready)
 		h.mu.Unlock()
 		Eventually(served, waitLimit).Should(Receive(BeTrue()))
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -33,7 +33,7 @@
 		for _, home := range homes {
 			ids = append(ids, home.s.Daemon)
 		}
-		h.of["ledger"], h.fixed = ids, true
+		h.fix("ledger", ids...)
 		h.mu.Unlock()
 	}
 }
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -224,24 +224,27 @@
 	addr  *net.UDPAddr
 	stamp int64
 	at    core.Time
+	// groups are those on which it is to be told.
+	groups []core.GroupID
 }
 
-func (s *peers) targets() []target {
-	others := s.p.homes.others()
+// targets are the daemons to report to on the groups: all in a small fleet, and in a larger
+// one for each group its other homes.
+func (s *peers) targets(groups []core.GroupID) []target {
+	partners := s.p.homes.partners(groups)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	large := s.large()
-	var ids []core.DaemonID
-	for id := range s.known {
-		if !large || others[id] {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
 	var targets []target
-	for _, id := range ids[:min(len(ids), maxPeers)] {
+	for _, id := range slices.Sorted(maps.Keys(s.known)) {
 		k := s.known[id]
-		targets = append(targets, target{k.addr, k.stamp, k.stampAt})
+		t := target{k.addr, k.stamp, k.stampAt, groups}
+		if large {
+			t.groups = partners[id]
+		}
+		if !large || len(t.groups) > 0 {
+			targets = append(targets, t)
+		}
 	}
 	return targets
 }
@@ -309,17 +312,26 @@
 // the time of sending: the receiver would take a sample for younger than it is, and
 // its reads would miss commits, or a lease for longer.
 func (s *peers) send(groups []*group, m *reportpb.Report) {
-	targets, began := s.targets(), now()
+	ids := make([]core.GroupID, 0, len(groups))
+	for _, g := range groups {
+		ids = append(ids, g.id)
+	}
+	targets, began := s.targets(ids), now()
 	m.Daemon = string(s.p.settings.Daemon)
+	reports := make(map[core.GroupID]*reportpb.Group, len(groups))
 	for _, g := range groups {
 		here, n := s.p.homes.here(g.id)
 		g.mu.Lock()
 		g.core.SetHomes(n, here)
 		r := g.core.Report(now())
 		g.mu.Unlock()
-		m.Groups = append(m.Groups, encodeReport(&r))
+		reports[g.id] = encodeReport(&r)
 	}
 	for _, t := range targets {
+		m.Groups = m.Groups[:0]
+		for _, id := range t.groups {
+			m.Groups = append(m.Groups, reports[id])
+		}
 		t.date(m, began)
 		s.sendTo(t, m)
 	}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -232,10 +232,15 @@
 	p.mu.Unlock()
 }
 
-// group returns the group, which is made if it is new.
+// group returns the group, which is made if it is new. Only those exist that are in use here.
 func (p *Proxy) group(id core.GroupID) *group {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.groupLocked(id)
+}
+
+// groupLocked is group; the lock is held.
+func (p *Proxy) groupLocked(id core.GroupID) *group {
 	g := p.groups[id]
 	if g == nil {
 		g = newGroup(p, id)
@@ -252,12 +257,8 @@
 
 // use returns the group for a statement that runs here.
 func (p *Proxy) use(id core.GroupID) *group {
-	g := p.group(id)
 	at := now()
-	g.mu.Lock()
-	fresh := at.Sub(g.usedAt) < usedGroupKept
-	g.usedAt = at
-	g.mu.Unlock()
+	g, fresh := p.used(id, at)
 	if fresh {
 		return g
 	}
@@ -267,6 +268,34 @@
 	return g
 }
 
+// used notes that the group is in use, and says whether it was before. Both locks are held
+// together so that forgetUnused cannot drop the group in between.
+func (p *Proxy) used(id core.GroupID, at core.Time) (g *group, before bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g = p.groupLocked(id)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before = at.Sub(g.usedAt) < usedGroupKept
+	g.usedAt = at
+	return g, before
+}
+
+// forgetUnused drops the groups that are not in use here any more.
+func (p *Proxy) forgetUnused(at core.Time) {
+	for _, g := range p.allGroups() {
+		if p.active(g, at) {
+			continue
+		}
+		p.mu.Lock()
+		if g.unused(at) {
+			delete(p.groups, g.id)
+			close(g.dropped)
+		}
+		p.mu.Unlock()
+	}
+}
+
 // active says whether this daemon reaches the group's members: as its home, or
 // because an entry has lately sent statements for it.
 func (p *Proxy) active(g *group, at core.Time) bool {
@@ -305,6 +334,7 @@
 func (p *Proxy) tick() {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
+	var swept core.Time
 	for {
 		select {
 		case <-p.done:
@@ -312,6 +342,10 @@
 		case <-t.C:
 		}
 		at := now()
+		if at.Sub(swept) >= sweepEvery {
+			swept = at
+			p.forgetUnused(at)
+		}
 		for _, g := range p.allGroups() {
 			if p.active(g, at) {
 				g.tick()
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -192,7 +192,8 @@
 	It("is read seldom while a relay has the same, and as often as before otherwise", func() {
 		p := &Proxy{}
 		p.homes = newHomes(p)
-		p.homes.of["g"], p.homes.daemons = []core.DaemonID{"a"}, []direct.Daemon{{ID: "a"}, {ID: "b"}}
+		p.homes.fix("g", "a")
+		p.homes.daemons = []direct.Daemon{{ID: "a"}, {ID: "b"}}
 		s := &peers{p: p, known: make(map[core.DaemonID]*peer)}
 		p.peers = s
 		p.settings.Daemon = "a"
--- a/pkg/proxy/slots.go
+++ b/pkg/proxy/slots.go
@@ -85,8 +85,9 @@
 	if catalog == nil || catalog.Teams == nil {
 		return mine
 	}
+	groups := l.p.activeGroups()
 	for _, id := range catalog.Teams.IDs() {
-		if l.p.homes.firstAnywhere(id) {
+		if l.p.homes.firstOfAny(groups, id) {
 			mine[quota.SlotOf(id)] = true
 		}
 	}
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -36,6 +36,10 @@
 	// its members after a statement: a little longer than entries leave a home alone that
 	// did not answer. Its connections are what the homes lack when they are back.
 	usedGroupKept = avoidHome + time.Second
+	// unusedGroupKept is how long what is known of a group is kept that is not in use here,
+	// and sweepEvery the pause between looks for such groups.
+	unusedGroupKept = 10 * time.Second
+	sweepEvery      = time.Second
 	// joinWait is how long a daemon waits at most, when a whole fleet starts, before
 	// it takes the list of daemons for complete, and joinPause the pause between reads.
 	joinWait  = time.Second
