Take both of two homes to replace a primary

Cause: a third of a group's homes has to find that the primary is silent, which of two homes is one: with two homes a group, a single daemon that is cut from a primary would replace it under the callers of the other one.

Change: of two homes both have to, unless the other one says nothing.

Result: scripts; the first one claimed before. Sites with more homes a group are not touched.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -133,15 +133,21 @@
 	return g.third(now, func(p *peerReport) bool { return p.primary == "" })
 }
 
-// third says whether a third of the daemons, this one among them, find the same.
+// third says whether a third of the daemons, this one among them, find the same; of two
+// homes both have to, unless the other one says nothing.
 func (g *Group) third(now core.Time, same func(p *peerReport) bool) bool {
-	n := 1
+	n, fresh := 1, 1
 	for _, p := range g.peers {
-		if p.fresh(now) && same(&p) {
+		if !p.fresh(now) {
+			continue
+		}
+		fresh++
+		if same(&p) {
 			n++
 		}
 	}
-	return 3*n >= g.knownPeers || !g.policy.Has(policy.SuspicionByThird)
+	agreed := 3*n >= g.knownPeers && (g.knownPeers != 2 || n == fresh)
+	return agreed || !g.policy.Has(policy.SuspicionByThird)
 }
 
 // candidate is the replica that would take over from a primary that leaves; "": none can.
--- a/core/direct/claim_test.go
+++ b/core/direct/claim_test.go
@@ -41,6 +41,43 @@
 		Expect(s.take(direct.EffectClaim)).To(BeEmpty())
 	})
 
+	// Guards against a failover because one of two homes is cut from a primary that the other
+	// one uses.
+	It("takes both of two homes, or one that hears nothing of the other", func() {
+		s := newScript()
+		s.g.SetHomes(2, true)
+		other := func(suspect bool) {
+			s.keep(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 1, Suspect: suspect}))
+		}
+		for range 4 {
+			other(false)
+			s.tick(500*ms, replicasAnswer)
+		}
+		Expect(s.take(direct.EffectClaim)).To(BeEmpty())
+		other(true)
+		s.tick(100*ms, replicasAnswer)
+		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
+	})
+
+	It("begins by one of two homes when the other says nothing", func() {
+		s := newScript()
+		s.g.SetHomes(2, true)
+		s.tick(1500*ms, replicasAnswer)
+		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
+	})
+
+	// Guards against a failure that is found out late: the other home asks seldom while it has
+	// no statement for the primary.
+	It("has the other of two homes ask at once", func() {
+		s := newScript()
+		s.g.SetHomes(2, true)
+		s.tick(direct.ProbeEvery/2, map[core.MemberID]direct.Status{"a": primary, "b": replica, "c": replica})
+		s.take(direct.EffectProbe)
+		s.keep(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 1, Suspect: true}))
+		s.keep(s.g.Tick(s.at))
+		Expect(s.take(direct.EffectProbe)).To(ContainElement(HaveField("Member", core.MemberID("a"))))
+	})
+
 	It("begins when a third of the daemons gets no answer", func() {
 		s := newScript()
 		s.silence()
--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -142,10 +142,23 @@
 		}
 	}
 	g.believe(now, sent, &r)
+	g.lookAfter(&r)
 	g.LeaseUntil(now)
 	return g.take()
 }
 
+// lookAfter has the primary asked at once that the other one of two homes suspects: both
+// have to agree before it is replaced.
+func (g *Group) lookAfter(r *Report) {
+	m := g.members[r.Primary]
+	if g.knownPeers != 2 || !r.Suspect || m == nil || r.Primary != g.primary || r.Term != g.term {
+		return
+	}
+	if !m.suspect && !m.probing {
+		m.probeAt = 0
+	}
+}
+
 // believe takes another daemon's word on the primary of the present term, and a
 // sample of its position. Both are true whoever has seen them; whether the
 // primary may be used still takes a lease.
