--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -216,14 +216,14 @@
 // long as entries that the store has lost take to come back. One that has just started
 // may see one replica of a group, would fence that alone and have it promoted, while
 // the others serve the primary's callers and confirm it.
-func (g *Group) settled(now core.Time) bool {
-	known := g.knownSince != 0 && now.Sub(g.knownSince) >= ListSettles
+func (g *Group) settled() bool {
+	known := g.knownSince != 0 && g.listedAsOf.Sub(g.knownSince) >= ListSettles
 	return known || !g.guarded(GuardSettled)
 }
 
 func (g *Group) maybeClaim(now core.Time) {
 	r := g.reason(now)
-	if r == noReason || !g.home || !g.settled(now) {
+	if r == noReason || !g.home || !g.settled() {
 		g.claim.wantedSince = 0
 		return
 	}
--- a/core/direct/claim_test.go
+++ b/core/direct/claim_test.go
@@ -204,7 +204,7 @@
 	// receives the rest of its log, so no acknowledged commit is lost.
 	It("that is planned waits for the rest of the log before it fences", func() {
 		s := newScript()
-		s.g.List(s.at, []direct.Member{
+		s.g.List(s.at, s.at, []direct.Member{
 			{ID: "a", Group: "g", Leaving: true}, {ID: "b", Group: "g"}, {ID: "c", Group: "g"},
 		})
 		s.tick(40*ms, replicasAnswer)
@@ -335,7 +335,7 @@
 	It("chooses among equally far replicas one that stays", func() {
 		s := newScript()
 		s.g.Configure(direct.GroupSpec{ID: "g", MaxConns: 22, SyncReplicas: 1})
-		s.g.List(s.at, []direct.Member{
+		s.g.List(s.at, s.at, []direct.Member{
 			{ID: "a", Group: "g"}, {ID: "b", Group: "g", Leaving: true}, {ID: "c", Group: "g"},
 		})
 		s.silence()
@@ -349,8 +349,8 @@
 		s := newScript()
 		s.g.Configure(direct.GroupSpec{ID: "g", MaxConns: 22, SyncReplicas: 1})
 		leaving := []direct.Member{{ID: "a", Group: "g", Leaving: true}, {ID: "b", Group: "g"}, {ID: "c", Group: "g"}}
-		s.g.List(s.at, append([]direct.Member{{ID: "gone", Group: "g"}}, leaving...))
-		s.g.List(s.at, leaving)
+		s.g.List(s.at, s.at, append([]direct.Member{{ID: "gone", Group: "g"}}, leaving...))
+		s.g.List(s.at, s.at, leaving)
 		s.tick(40*ms, replicasAnswer)
 		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
 		demoted := direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 12}}
--- a/core/direct/explain.go
+++ b/core/direct/explain.go
@@ -85,7 +85,7 @@
 // Belief returns the present belief.
 func (g *Group) Belief(now core.Time) Belief {
 	b := Belief{
-		Home: g.home, Settled: g.settled(now), Primary: g.primary, Term: g.term, LeaseLeftMS: max(0, g.LeaseUntil(now).Sub(now).Milliseconds()),
+		Home: g.home, Settled: g.settled(), Primary: g.primary, Term: g.term, LeaseLeftMS: max(0, g.LeaseUntil(now).Sub(now).Milliseconds()),
 		Claim: phaseNames[g.claim.phase], Ordered: g.ordered, LockTerm: g.promotionLock.term,
 		LockAgeMS: now.Sub(g.promotionLock.at).Milliseconds(), Members: make(map[core.MemberID]MemberBelief),
 	}
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -48,8 +48,8 @@
 	orderedAt          core.Time
 	effects            []Effect
 	// knownSince is since when this daemon has followed the host list without a pause,
-	// tickedAt when time last passed here.
-	knownSince, tickedAt core.Time
+	// listedAsOf as of when it knows the list, and tickedAt when time last passed here.
+	knownSince, listedAsOf, tickedAt core.Time
 	// unusableSince is since when the primary cannot be used here; 0: it can.
 	unusableSince core.Time
 	// policy is the mechanisms in use.
@@ -76,11 +76,9 @@
 	g.daemons, g.knownPeers, g.home = max(1, n), max(1, n), here
 }
 
-// List takes the host list's entries of the group.
-func (g *Group) List(now core.Time, listed []Member) []Effect {
-	if g.knownSince == 0 {
-		g.knownSince = now
-	}
+// List takes the host list's entries of the group, complete as of that moment.
+func (g *Group) List(now, asOf core.Time, listed []Member) []Effect {
+	g.Followed(asOf)
 	seen := make(map[core.MemberID]bool, len(listed))
 	for _, l := range listed {
 		seen[l.ID] = true
@@ -102,6 +100,14 @@
 	return g.take()
 }
 
+// Followed takes that the entries which were listed last are still complete as of that moment.
+func (g *Group) Followed(asOf core.Time) {
+	if g.knownSince == 0 {
+		g.knownSince = asOf
+	}
+	g.listedAsOf = max(g.listedAsOf, asOf)
+}
+
 // listOne takes one entry. An entry that cannot be read names nobody new. Of a member
 // that is known it says nothing: the primary goes on while it answers by itself, so
 // that a stray write into the host list costs no failover; replicas get no new reads.
--- a/core/direct/lease.go
+++ b/core/direct/lease.go
@@ -93,9 +93,10 @@
 // LockRead takes a read of the group's promotion lock that was sent at sent.
 func (g *Group) LockRead(now, sent core.Time, seen LockSeen) []Effect {
 	term := seen.Term
-	if sent > g.promotionLock.at {
-		g.promotionLock.term, g.promotionLock.leadership, g.promotionLock.at = term, seen.Leadership, sent
+	if sent < g.promotionLock.at {
+		return g.take()
 	}
+	g.promotionLock.term, g.promotionLock.leadership, g.promotionLock.at = term, seen.Leadership, sent
 	switch {
 	case term <= g.term:
 		g.promotionLock.aheadSince = 0
--- a/core/direct/lives_test.go
+++ b/core/direct/lives_test.go
@@ -17,7 +17,7 @@
 		id := core.MemberID(string(rune('a' + i)))
 		list = append(list, direct.Member{ID: id, Group: "g", Addr: string(id), Zone: "zone-1", Slots: 3, Started: started})
 	}
-	s.keep(s.g.List(s.at, list))
+	s.keep(s.g.List(s.at, s.at, list))
 }
 
 var _ = Describe("a member that starts again under its id", func() {
@@ -137,7 +137,7 @@
 	It("leaves the primary in use while it answers, and keeps new reads from a replica", func() {
 		s := newScript()
 		unreadable := func(id core.MemberID) direct.Member { return direct.Member{ID: id, Group: "g", Unreadable: true} }
-		s.keep(s.g.List(s.at, []direct.Member{unreadable("a"), unreadable("b"), unreadable("c"), unreadable("nobody")}))
+		s.keep(s.g.List(s.at, s.at, []direct.Member{unreadable("a"), unreadable("b"), unreadable("c"), unreadable("nobody")}))
 		s.tick(2*direct.VanishedGrace, map[core.MemberID]direct.Status{"a": primary, "b": replica, "c": replica})
 		Expect(s.take(direct.EffectClaim)).To(BeEmpty())
 		place, ok := s.g.Place(s.at, s.read(time.Second))
@@ -168,7 +168,7 @@
 // orderPlanned carries a planned change on to the order to promote, and returns the
 // replica that was not chosen.
 func (s *script) orderPlanned() (other core.MemberID) {
-	s.g.List(s.at, []direct.Member{{ID: "a", Group: "g", Leaving: true}, {ID: "b", Group: "g"}, {ID: "c", Group: "g"}})
+	s.g.List(s.at, s.at, []direct.Member{{ID: "a", Group: "g", Leaving: true}, {ID: "b", Group: "g"}, {ID: "c", Group: "g"}})
 	answering := map[core.MemberID]direct.Status{"a": replica, "b": replica, "c": replica}
 	s.tick(40*ms, answering)
 	s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
--- a/core/direct/load_test.go
+++ b/core/direct/load_test.go
@@ -21,7 +21,7 @@
 
 // zones puts the primary into this daemon's zone and the replicas into others.
 func (s *script) zones() {
-	s.keep(s.g.List(s.at, []direct.Member{
+	s.keep(s.g.List(s.at, s.at, []direct.Member{
 		{ID: "a", Group: "g", Addr: "a", Zone: "zone-1", Slots: 3},
 		{ID: "b", Group: "g", Addr: "b", Zone: "zone-2", Slots: 3},
 		{ID: "c", Group: "g", Addr: "c", Zone: "zone-3", Slots: 3},
@@ -88,7 +88,7 @@
 	// if they had to wait.
 	It("runs there all the same, and elsewhere once its slots are in use", func() {
 		s := newScript()
-		s.keep(s.g.List(s.at, []direct.Member{
+		s.keep(s.g.List(s.at, s.at, []direct.Member{
 			{ID: "a", Group: "g", Addr: "a", Zone: "zone-2", Slots: 3},
 			{ID: "b", Group: "g", Addr: "b", Zone: "zone-1", Slots: 3},
 			{ID: "c", Group: "g", Addr: "c", Zone: "zone-3", Slots: 3},
--- a/core/direct/suite_test.go
+++ b/core/direct/suite_test.go
@@ -37,6 +37,7 @@
 	s.g.SetHomes(6, true)
 	s.list("a", "b", "c")
 	s.at = origin
+	s.g.Followed(s.at)
 	s.probed("a", core.RolePrimary, 1)
 	// The lease is had by a read of the promotion lock that is almost too old; the replicas
 	// extend it.
@@ -52,7 +53,7 @@
 	for _, id := range ids {
 		members = append(members, direct.Member{ID: id, Group: "g", Addr: string(id), Zone: "zone-1", Slots: 3})
 	}
-	s.keep(s.g.List(s.at, members))
+	s.keep(s.g.List(s.at, s.at, members))
 }
 
 func (s *script) pass(d time.Duration) { s.at = s.at.Add(d) }
@@ -78,6 +79,7 @@
 func (s *script) tick(d time.Duration, answering map[core.MemberID]direct.Status) {
 	for end := s.at.Add(d); s.at < end; {
 		s.pass(20 * ms)
+		s.g.Followed(s.at)
 		for _, e := range s.g.Tick(s.at) {
 			s.effects = append(s.effects, e)
 			if st, ok := answering[e.Member]; ok && e.Kind == direct.EffectProbe {
--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -15,6 +15,8 @@
 const (
 	// Pause does nothing for Wait.
 	Pause StepKind = iota
+	// Look reads the list of daemons, which may be old: whom to ask is not known yet.
+	Look
 	// Load reads the configuration from the store.
 	Load
 	// Watch waits at the store for a change, for Wait at most.
@@ -42,6 +44,11 @@
 	// otherwise, best first. Until the fleet is known it does neither.
 	watches bool
 	relays  []core.DaemonID
+	// looksAt is when the list of daemons is read first. started is set once it was, and
+	// fleetAt when the daemon was told of the fleet; 0: it was not.
+	looksAt core.Time
+	started bool
+	fleetAt core.Time
 	// proof is the newest moment as of which the configuration was the store's
 	// newest; 0: there is none yet.
 	proof core.Time
@@ -52,6 +59,10 @@
 	failures int
 	failedAt core.Time
 	retryAt  core.Time
+	// hurried is set when the daemon needs more than it has.
+	hurried bool
+	// watchAt is when the next watch may be sent.
+	watchAt core.Time
 	// consulted is set once relays were asked after the latest failure: one had a young proof,
 	// or silentConsulted were silent.
 	consulted       bool
@@ -60,11 +71,11 @@
 	avoid map[core.DaemonID]core.Time
 }
 
-// NewFollower returns a follower that reads the store once per budget until it is told
-// of the fleet. bound is within what time a change has to be in force.
-func NewFollower(self core.DaemonID, bound time.Duration) *Follower {
+// NewFollower returns a follower that looks for other daemons at looksAt, and waits for
+// SetFleet then. bound is within what time a change has to be in force.
+func NewFollower(self core.DaemonID, bound time.Duration, looksAt core.Time) *Follower {
 	return &Follower{
-		self: self, budget: min(mostBudget, max(leastBudget, bound-OwnReadMargin)), parts: watchParts,
+		self: self, budget: min(mostBudget, max(leastBudget, bound-OwnReadMargin)), parts: watchParts, looksAt: looksAt,
 		avoid: make(map[core.DaemonID]core.Time),
 	}
 }
@@ -75,7 +86,10 @@
 func (f *Follower) KeepYoung() { f.parts = youngParts }
 
 // SetFleet says whether this daemon watches the store, and whom it may ask, best first.
-func (f *Follower) SetFleet(watches bool, relays []core.DaemonID) {
+func (f *Follower) SetFleet(now core.Time, watches bool, relays []core.DaemonID) {
+	if f.fleetAt == 0 {
+		f.fleetAt = now
+	}
 	f.watches = watches
 	f.relays = relays[:min(len(relays), mostAsked)]
 }
@@ -92,30 +106,34 @@
 	return f.relays[0], true
 }
 
+// Watches says whether this daemon watches the store.
+func (f *Follower) Watches() bool { return f.watches }
+
+// Hurry has the next step bring what the daemon lacks at once, whatever its proof.
+func (f *Follower) Hurry() {
+	f.hurried, f.watchable = true, false
+}
+
 // Next is the step to take now.
 func (f *Follower) Next(now core.Time) Step {
+	if f.fleetAt == 0 {
+		return f.start(now)
+	}
 	if peer, ok := f.consults(now); ok {
 		return Step{Kind: Ask, Peer: peer, Timeout: answerTimeout}
 	}
 	due := f.storeDue()
 	if now >= due {
-		if f.watches && f.watchable {
-			return Step{Kind: Watch, Wait: f.watchFor()}
-		}
-		return Step{Kind: Load}
+		return f.callStore(now)
 	}
 	left := due.Sub(now)
-	if f.proof != 0 && left < leastAsk {
+	if f.proof != 0 && left < leastAsk && !f.hurried {
 		return Step{Kind: Pause, Wait: left}
 	}
 	wakeAt := due
 	for _, id := range f.relays {
 		if now >= f.avoid[id] {
-			wait := min(f.watchFor()+answerSlack, max(0, left-answerTimeout))
-			if now.Sub(f.proof) >= 2*f.watchFor() {
-				// Two watches have passed: another relay is behind as well, or tells at once.
-				wait = 0
-			}
+			wait := f.askFor(now, left)
 			return Step{Kind: Ask, Peer: id, Wait: wait, Timeout: wait + answerTimeout}
 		}
 		wakeAt = min(wakeAt, f.avoid[id])
@@ -123,6 +141,52 @@
 	return Step{Kind: Pause, Wait: wakeAt.Sub(now)}
 }
 
+// start is the step of a daemon that does not know the fleet. It tries the store for all
+// that the daemon needs of it with one cheap read.
+func (f *Follower) start(now core.Time) Step {
+	due := max(f.looksAt, f.retryAt)
+	switch {
+	case f.started:
+		return Step{Kind: Pause, Wait: f.budget}
+	case now < due:
+		return Step{Kind: Pause, Wait: due.Sub(now)}
+	}
+	return Step{Kind: Look}
+}
+
+// Looked takes that the list of daemons was read. Whom to ask follows by SetFleet.
+func (f *Follower) Looked() {
+	f.started = true
+	f.failures, f.retryAt = 0, 0
+}
+
+func (f *Follower) callStore(now core.Time) Step {
+	switch {
+	case !f.watches || !f.watchable:
+		return Step{Kind: Load}
+	case now < f.watchAt:
+		return Step{Kind: Pause, Wait: f.watchAt.Sub(now)}
+	}
+	return Step{Kind: Watch, Wait: f.watchFor()}
+}
+
+// askFor is how long a relay may take to get a younger proof, if this daemon's own read is
+// due after left.
+func (f *Follower) askFor(now core.Time, left time.Duration) time.Duration {
+	wait := min(f.watchFor()+answerSlack, max(0, left-answerTimeout))
+	switch {
+	case f.hurried:
+		return 0
+	case f.proof == 0:
+		// The relay may have started just now as well; another one may have been faster.
+		return min(wait, emptyAsk)
+	case now.Sub(f.proof) >= 2*f.watchFor():
+		// Two watches have passed: another relay is behind as well, or tells at once.
+		return 0
+	}
+	return wait
+}
+
 // consults says whom a daemon asks that watches the store and gets no answer there: once
 // after each failure, as soon as its proof is as old as half of the budget. The store may
 // turn it away alone, and then others have a young proof; without one its callers' keys
@@ -143,8 +207,12 @@
 // relay that is cut from the store while its followers are not would keep a change from
 // them for as long as it goes on answering.
 func (f *Follower) storeDue() core.Time {
-	if f.watches || f.proof == 0 {
+	switch {
+	case f.watches, (f.proof == 0 || f.hurried) && len(f.relays) == 0:
 		return f.retryAt
+	case f.proof == 0:
+		// A fleet that starts would fill the store's link with copies of the configuration.
+		return max(f.retryAt, f.fleetAt.Add(relaysFirst+time.Duration(f.draw(0)*float64(relaysFirst))))
 	}
 	return max(f.retryAt, f.proof.Add(f.budget-f.early()))
 }
@@ -171,12 +239,18 @@
 	f.answered(sent)
 }
 
-// Watched takes that a watch sent at that time has ended, and that the configuration in
-// it, if any, has been accepted.
-func (f *Follower) Watched(sent core.Time) { f.answered(sent) }
+// Watched takes that a watch sent at that time has ended with so many events, which have
+// been accepted. After events the next watch waits for others: changes come in bursts, and
+// each that ended a watch of its own would be a call.
+func (f *Follower) Watched(now, sent core.Time, events int) {
+	f.answered(sent)
+	if events > 0 {
+		f.watchAt = now.Add(gatherFor)
+	}
+}
 
 func (f *Follower) answered(sent core.Time) {
-	f.failures, f.retryAt = 0, 0
+	f.failures, f.retryAt, f.hurried = 0, 0, false
 	f.proof = max(f.proof, sent)
 }
 
@@ -219,6 +293,7 @@
 // proof is older than two of its watches, or that has none that is younger after the time
 // of a watch, is cut from the store itself; another one may not be.
 func (f *Follower) Told(now core.Time, relay core.DaemonID, proof core.Time) {
+	f.hurried = false
 	f.consulted = now.Sub(proof) < f.budget/2
 	behind := now.Sub(proof) > 2*f.watchFor()+answerSlack || f.watches && !f.consulted
 	if behind || proof <= f.proof {
--- a/core/relay/follower_test.go
+++ b/core/relay/follower_test.go
@@ -20,39 +20,81 @@
 
 // following returns a follower of the relays that read the store at start.
 func following(relays ...core.DaemonID) *relay.Follower {
-	f := relay.NewFollower("d", bound)
-	f.SetFleet(false, relays)
+	f := relay.NewFollower("d", bound, 0)
+	f.SetFleet(start, false, relays)
 	f.Loaded(start)
 	return f
 }
 
 var _ = Describe("a daemon of a large fleet", func() {
-	It("reads the store once when it starts, and asks its relay from then on", func() {
-		f := relay.NewFollower("d", bound)
-		Expect(f.Next(start).Kind).To(Equal(relay.Load))
+	// Guards against a fleet that starts and fills the store's link with copies of the
+	// configuration, until no answer comes in time.
+	It("asks relays for its first copy, and the store only if none has one", func() {
+		f := relay.NewFollower("d", bound, after(time.Second))
+		Expect(f.Next(start)).To(Equal(relay.Step{Kind: relay.Pause, Wait: time.Second}))
+		Expect(f.Next(after(time.Second)).Kind).To(Equal(relay.Look))
+		f.Looked()
+		Expect(f.Next(after(time.Second)).Kind).To(Equal(relay.Pause), "the fleet is not known yet")
+		f.SetFleet(after(time.Second), false, []core.DaemonID{"a", "b"})
+		loadedAt := time.Duration(0)
+		for at := time.Second; loadedAt == 0; at += 100 * time.Millisecond {
+			switch step := f.Next(after(at)); step.Kind {
+			case relay.Ask:
+				Expect(step.Wait).To(BeNumerically("<", time.Second))
+				f.Silent(after(at), step.Peer)
+			case relay.Load:
+				loadedAt = at
+			}
+		}
+		Expect(loadedAt).To(BeNumerically(">=", 3*time.Second))
+		Expect(loadedAt).To(BeNumerically("<=", 5100*time.Millisecond))
+	})
+
+	It("tries a store that is away with the list of daemons, with growing pauses", func() {
+		f := relay.NewFollower("d", bound, start)
+		calls, at := 0, start
+		for at < after(20*time.Second) {
+			step := f.Next(at)
+			if step.Kind == relay.Pause {
+				at = at.Add(step.Wait)
+				continue
+			}
+			Expect(step.Kind).To(Equal(relay.Look))
+			calls++
+			f.StoreFailed(at)
+		}
+		Expect(calls).To(BeNumerically("<", 80))
+	})
+
+	// Guards against one call for each of the changes that come when many daemons restart.
+	It("gathers changes that come in a burst", func() {
+		f := relay.NewFollower("d", bound, start)
+		f.SetFleet(start, true, nil)
 		f.Loaded(start)
-		Expect(f.Next(after(time.Millisecond)).Kind).To(Equal(relay.Pause), "the fleet is not known yet")
-		f.SetFleet(false, []core.DaemonID{"a", "b"})
+		f.Watched(after(time.Second), start, 1)
 		step := f.Next(after(time.Second))
-		Expect(step.Kind).To(Equal(relay.Ask))
-		Expect(step.Peer).To(Equal(core.DaemonID("a")))
+		Expect(step.Kind).To(Equal(relay.Pause))
+		Expect(step.Wait).To(BeNumerically("<=", 250*time.Millisecond))
+		Expect(f.Next(after(time.Second + step.Wait)).Kind).To(Equal(relay.Watch))
+		f.Watched(after(3*time.Second), after(time.Second), 0)
+		Expect(f.Next(after(3 * time.Second)).Kind).To(Equal(relay.Watch))
 	})
 
 	It("watches for a third of its budget if others depend on it, and for all of it alone", func() {
-		f := relay.NewFollower("d", bound)
-		f.SetFleet(true, nil)
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, true, nil)
 		f.Loaded(start)
 		Expect(f.Next(start)).To(Equal(relay.Step{Kind: relay.Watch, Wait: 5 * time.Second}))
-		f.SetFleet(true, []core.DaemonID{"a"})
+		f.SetFleet(start, true, []core.DaemonID{"a"})
 		Expect(f.Next(start)).To(Equal(relay.Step{Kind: relay.Watch, Wait: 5 * time.Second / 3}))
 	})
 
 	// The store goes away. Callers whose keys nobody can check are refused from when the proof
 	// runs out, which is the sooner the older it was.
 	It("keeps its proof younger where callers are refused without one", func() {
-		f := relay.NewFollower("d", bound)
+		f := relay.NewFollower("d", bound, 0)
 		f.KeepYoung()
-		f.SetFleet(true, []core.DaemonID{"a"})
+		f.SetFleet(start, true, []core.DaemonID{"a"})
 		f.Loaded(start)
 		Expect(f.Next(start)).To(Equal(relay.Step{Kind: relay.Watch, Wait: time.Second}))
 	})
@@ -93,8 +135,8 @@
 	// The store turns one of the watchers away for seconds and serves the others. Its proof
 	// runs out, and it refuses every caller because their keys cannot be checked.
 	It("asks another one while the store turns it away, once after each failure", func() {
-		f := relay.NewFollower("d", bound)
-		f.SetFleet(true, []core.DaemonID{"a", "b"})
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, true, []core.DaemonID{"a", "b"})
 		f.Loaded(start)
 		f.StoreFailed(after(time.Second))
 		Expect(f.Next(after(time.Second)).Kind).To(Equal(relay.Pause), "its proof is young")
@@ -126,8 +168,8 @@
 	})
 
 	It("asks all others for a young proof if it watches and is turned away", func() {
-		f := relay.NewFollower("d", bound)
-		f.SetFleet(true, []core.DaemonID{"a", "b"})
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, true, []core.DaemonID{"a", "b"})
 		f.Loaded(start)
 		f.StoreFailed(after(3 * time.Second))
 		Expect(f.Next(after(3 * time.Second)).Peer).To(Equal(core.DaemonID("a")))
@@ -137,7 +179,7 @@
 
 	It("does not ask again and again when there is no time to wait for an answer", func() {
 		f := following("a")
-		f.SetFleet(true, []core.DaemonID{"a"})
+		f.SetFleet(start, true, []core.DaemonID{"a"})
 		f.StoreFailed(after(time.Second))
 		Expect(f.Next(after(time.Second)).Kind).To(Equal(relay.Pause))
 	})
@@ -147,8 +189,8 @@
 	It("comes to the store spread over a part of the budget, with growing pauses", func() {
 		var first, last, calls time.Duration
 		for i := range 300 {
-			f := relay.NewFollower(core.DaemonID(fmt.Sprintf("edge-%d", i)), bound)
-			f.SetFleet(false, nil)
+			f := relay.NewFollower(core.DaemonID(fmt.Sprintf("edge-%d", i)), bound, 0)
+			f.SetFleet(start, false, nil)
 			f.Loaded(start)
 			due := f.Next(after(time.Millisecond)).Wait
 			if i == 0 || due < first {
@@ -172,7 +214,8 @@
 	})
 
 	It("asks often while it has nothing, but not ever as often", func() {
-		f := relay.NewFollower("d", bound)
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, false, nil)
 		calls := 0
 		for at := start; at < after(10*time.Second); {
 			step := f.Next(at)
@@ -189,7 +232,7 @@
 
 	It("reads the store anew when the history for a watch is gone", func() {
 		f := following()
-		f.SetFleet(true, nil)
+		f.SetFleet(start, true, nil)
 		f.HistoryGone()
 		Expect(f.Next(start).Kind).To(Equal(relay.Load))
 	})
--- a/core/relay/tuning.go
+++ b/core/relay/tuning.go
@@ -24,6 +24,14 @@
 	answerSlack = 800 * time.Millisecond
 	// answerTimeout bounds the way to a relay and back.
 	answerTimeout = 400 * time.Millisecond
+	// gatherFor is how long a watch waits for more changes after one that has ended with some;
+	// a change is known later by as much.
+	gatherFor = 200 * time.Millisecond
+	// emptyAsk is how long a relay may take that has no copy itself yet.
+	emptyAsk = 400 * time.Millisecond
+	// relaysFirst is for how long a daemon that has just started asks relays alone, and up to
+	// as long again by its draw.
+	relaysFirst = 2 * time.Second
 	// leastAsk is what has to be left until the daemon's own read for a question to a
 	// relay: with less, answers that bring nothing new would follow each other at once.
 	leastAsk = 2 * answerTimeout
--- a/pkg/experiment/daemon.go
+++ b/pkg/experiment/daemon.go
@@ -45,10 +45,10 @@
 	d.queue, d.work = admission.NewQueue[*statement](d.w.policy), make(admission.Work)
 	d.idle, d.busy = make(map[core.MemberID]int), make(map[core.MemberID]bool)
 	d.orders = make(map[core.MemberID][]direct.Effect)
-	d.update(func(at core.Time) []direct.Effect { return d.g.List(at, d.w.listed()) })
+	d.update(func(at core.Time) []direct.Effect { return d.g.List(at, at, d.w.listed()) })
 	d.readLock()
 	d.repeat(tick, func() {
-		d.update(func(at core.Time) []direct.Effect { return append(d.g.List(at, d.w.listed()), d.g.Tick(at)...) })
+		d.update(func(at core.Time) []direct.Effect { return append(d.g.List(at, at, d.w.listed()), d.g.Tick(at)...) })
 	})
 	d.repeat(reportEvery, d.report)
 }
--- a/pkg/explore/promotions/daemon.go
+++ b/pkg/explore/promotions/daemon.go
@@ -91,7 +91,7 @@
 	if d.w.now < d.w.store.awayTill || !d.w.open(d.node(), storeNode) {
 		return
 	}
-	d.update(func(at core.Time) []direct.Effect { return d.g.List(at, d.w.listed()) })
+	d.update(func(at core.Time) []direct.Effect { return d.g.List(at, at, d.w.listed()) })
 }
 
 func (d *daemon) kill() {
--- a/pkg/explore/relays/relays_test.go
+++ b/pkg/explore/relays/relays_test.go
@@ -112,20 +112,29 @@
 func (d *node) start() {
 	d.life++
 	d.version, d.told = 0, make(map[core.DaemonID]core.Time)
-	d.f = relay.NewFollower(d.id, bound)
-	d.later(time.Second, func() {
-		watchers := d.w.daemons[:4]
+	d.f = relay.NewFollower(d.id, bound, d.clock())
+	d.step()
+}
+
+// look reads the list of daemons, and learns who watches.
+func (d *node) look() {
+	if d.w.now < d.storeCutTill {
+		d.later(callTimeout, func() { d.f.StoreFailed(d.clock()); d.step() })
+		return
+	}
+	d.later(d.w.between(2*time.Millisecond, 40*time.Millisecond), func() {
 		var relays []core.DaemonID
 		watches := false
-		for _, o := range watchers {
+		for _, o := range d.w.daemons[:4] {
 			watches = watches || o == d
 			if o != d {
 				relays = append(relays, o.id)
 			}
 		}
-		d.f.SetFleet(watches, relays)
+		d.f.Looked()
+		d.f.SetFleet(d.clock(), watches, relays)
+		d.step()
 	})
-	d.step()
 }
 
 // step carries out the next step, and then the one after it.
@@ -137,6 +146,8 @@
 	switch s.Kind {
 	case relay.Pause:
 		d.later(min(s.Wait, 500*time.Millisecond), d.step)
+	case relay.Look:
+		d.look()
 	case relay.Load:
 		d.load()
 	case relay.Watch:
@@ -180,7 +191,7 @@
 		case d.w.now < d.storeCutTill:
 			d.later(max(0, wait+callTimeout-d.w.now.Sub(began)), func() { d.f.StoreFailed(d.clock()); d.step() })
 		case version > had || d.w.now.Sub(began) >= wait:
-			d.later(d.w.between(time.Millisecond, 20*time.Millisecond), func() { d.accept(version); d.f.Watched(sent); d.step() })
+			d.later(d.w.between(time.Millisecond, 20*time.Millisecond), func() { d.accept(version); d.f.Watched(d.clock(), sent, version-had); d.step() })
 		default:
 			d.w.after(10*time.Millisecond, look)
 		}
--- a/pkg/proxy/access.go
+++ b/pkg/proxy/access.go
@@ -40,7 +40,7 @@
 	if !a.required {
 		return auth.Team{}, auth.Granted
 	}
-	proof, _ := a.p.configuration.proof()
+	proof, _ := a.p.metadata.Proof()
 	catalog := a.p.catalog.Load()
 	if catalog.Routes[database].Public {
 		t, _ := directory(catalog).Team(key)
@@ -51,7 +51,7 @@
 
 // proved says whether keys can be checked now, or need not be.
 func (a *access) proved() bool {
-	proof, _ := a.p.configuration.proof()
+	proof, _ := a.p.metadata.Proof()
 	return !a.required || a.gate.Proved(now(), proof)
 }
 
@@ -61,7 +61,7 @@
 	_, v := a.check(database, key)
 	if v == auth.Unknown {
 		// The key may be newer than this daemon's configuration.
-		a.p.configuration.askForNews()
+		a.p.metadata.AskForNews()
 		_, v = a.check(database, key)
 	}
 	if v == auth.Unproved {
@@ -169,7 +169,7 @@
 
 func (s *session) noteBarred(j *job) {
 	s.p.stats.barred.Add(s.barredBy.text(), 1)
-	proof, _ := s.p.configuration.proof()
+	proof, _ := s.p.metadata.Proof()
 	s.debug("refused", "id", j.id, "reason", s.barredBy.text(), "key", s.key.String(),
-		"configuration", s.p.configuration.version(), "proof_ms", now().Sub(proof).Milliseconds())
+		"configuration", s.p.metadata.Version(), "proof_ms", now().Sub(proof).Milliseconds())
 }
--- a/pkg/proxy/access_test.go
+++ b/pkg/proxy/access_test.go
@@ -100,7 +100,7 @@
 		Expect(x.query("WRITE k lost").served()).To(BeTrue())
 		version := f.version
 		f.setTeams(team("gates", "another"))
-		Eventually(func() int { return int(f.daemons[0].p.configuration.version()) }, waitLimit).Should(BeNumerically(">", version))
+		Eventually(func() int { return int(f.daemons[0].p.metadata.Version()) }, waitLimit).Should(BeNumerically(">", version))
 		Expect(x.query("COMMIT").end).To(HavePrefix("ERROR ABORTED"))
 		f.setTeams(team("gates", gatesKey))
 		Expect(x.persist("READ k").rows).NotTo(ContainElement("lost"))
@@ -131,7 +131,7 @@
 		f.setTeams(team("gates", gatesKey), team("bays", gatesKey))
 		Eventually(f.log, waitLimit).Should(gbytes.Say("part of the configuration cannot be used"))
 		Expect(string(f.log.Contents())).NotTo(ContainSubstring("key-of-"))
-		Expect(string(f.daemons[0].p.configuration.document.Load().value)).NotTo(ContainSubstring("key-of-"))
+		Expect(string(f.daemons[0].p.metadata.Document().Value)).NotTo(ContainSubstring("key-of-"))
 	})
 
 	It("is not asked for on a public route", func() {
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -11,6 +11,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/mirror"
 	"limpetspan/platform"
 )
 
@@ -26,7 +27,7 @@
 
 // seenLock is a promotion lock's revision and when this daemon first saw it.
 type seenLock struct {
-	revision platform.Revision
+	revision mirror.Revision
 	at       core.Time
 }
 
@@ -57,7 +58,7 @@
 }
 
 func (c *claims) take(ctx context.Context, id core.GroupID, e direct.Effect) (direct.PromotionLock, string) {
-	item, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
+	item, _, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return direct.PromotionLock{}, "store: " + err.Error()
 	}
@@ -73,14 +74,14 @@
 	}
 	record, taken := last.LockRecord.Claim(e)
 	next := promotionLock{LockRecord: record, Claim: c.claimed.Add(1)}
-	revision, err := c.put(ctx, id, item.Revision, next)
+	position, err := c.put(ctx, id, item.Revision, next)
 	if err != nil {
 		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnavailable) {
 			go c.withdraw(id, item.Revision, last.LockRecord, next)
 		}
 		return direct.PromotionLock{}, "store: " + err.Error()
 	}
-	taken.Token = uint64(revision)
+	taken.Token = uint64(position.Revision)
 	return taken, ""
 }
 
@@ -88,7 +89,7 @@
 // it, or may do so seconds later while its condition holds; the group would then
 // look claimed, and five seconds later as if a promotion had been ordered. Writing
 // what was there before takes the place of the claim, or makes its condition fail.
-func (c *claims) withdraw(id core.GroupID, revision platform.Revision, before direct.LockRecord, claim promotionLock) {
+func (c *claims) withdraw(id core.GroupID, revision mirror.Revision, before direct.LockRecord, claim promotionLock) {
 	back := promotionLock{LockRecord: before.Withdrawn(claim.LockRecord)}
 	if !c.persist(func(ctx context.Context) bool { return c.replace(ctx, id, revision, back, claim) }) {
 		c.p.log.Error("claim not withdrawn", "group", id, "term", claim.Term)
@@ -114,8 +115,8 @@
 
 // replace writes the promotion lock that was there before over the claim, or over what the
 // claim would be written over; false: the store did not answer.
-func (c *claims) replace(ctx context.Context, id core.GroupID, revision platform.Revision, before, claim promotionLock) bool {
-	item, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
+func (c *claims) replace(ctx context.Context, id core.GroupID, revision mirror.Revision, before, claim promotionLock) bool {
+	item, _, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		c.p.log.Warn("claim not withdrawn yet", "group", id, "step", "read", "error", err.Error())
 		return false
@@ -135,12 +136,12 @@
 }
 
 // put writes the group's promotion lock if its last change is the revision.
-func (c *claims) put(ctx context.Context, id core.GroupID, last platform.Revision, t promotionLock) (platform.Revision, error) {
+func (c *claims) put(ctx context.Context, id core.GroupID, last mirror.Revision, t promotionLock) (mirror.Position, error) {
 	key := platform.LocksPrefix + string(id)
 	t.Holder, t.Boot = c.p.settings.Daemon, c.p.boot
 	value, err := json.Marshal(t)
 	if err != nil {
-		return 0, err
+		return mirror.Position{}, err
 	}
 	return c.p.client.Put(ctx, []platform.Condition{{Key: key, Revision: last}}, []platform.Write{{Key: key, Value: value}})
 }
@@ -152,7 +153,7 @@
 	tries := 0
 	c.persist(func(ctx context.Context) bool {
 		tries++
-		_, err := c.put(ctx, id, platform.Revision(e.Token), promotionLock{LockRecord: e.Returned()})
+		_, err := c.put(ctx, id, mirror.Revision(e.Token), promotionLock{LockRecord: e.Returned()})
 		if err != nil {
 			c.p.log.Warn("promotion lock not given back", "group", id, "token", e.Token, "try", tries, "error", err.Error())
 		}
@@ -178,17 +179,31 @@
 		return
 	}
 	defer c.listing.Store(false)
-	if err := c.p.tellLocks(direct.LockReadEvery); err != nil {
+	if err := c.readAll(); err != nil {
 		c.p.decision("promotion locks not read", "error", err.Error())
 	}
 }
 
+// readAll reads the promotion locks as they are now: groups may use their primaries by what
+// they say.
+func (c *claims) readAll() error {
+	ctx, cancel := context.WithTimeout(c.p.ctx, direct.LockReadEvery)
+	defer cancel()
+	sent := now()
+	locks, _, err := c.p.client.List(ctx, platform.LocksPrefix)
+	if err == nil {
+		c.observe(locks)
+		c.tell(sent, locks)
+	}
+	return err
+}
+
 // readOne reads the promotion lock of one group.
 func (c *claims) readOne(g *group) {
 	ctx, cancel := context.WithTimeout(c.p.ctx, direct.LockReadEvery)
 	defer cancel()
 	sent := now()
-	item, err := c.p.client.Get(ctx, platform.LocksPrefix+string(g.id))
+	item, _, err := c.p.client.Get(ctx, platform.LocksPrefix+string(g.id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		c.p.decision("promotion lock not read", "group", g.id, "error", err.Error())
 		return
@@ -279,7 +294,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.p.ctx, min(promoteTimeout, left+time.Second))
 	defer cancel()
-	err := c.p.client.Promote(ctx, g.id, e.Member, c.p.settings.Daemon, platform.Revision(e.Token))
+	err := c.p.client.Promote(ctx, g.id, e.Member, c.p.settings.Daemon, e.Token)
 	c.p.log.Info("promote", "group", g.id, "member", e.Member, "term", e.Term, "token", e.Token, "error", errorText(err))
 	c.p.stats.promotions.Add(1)
 	if errors.Is(err, platform.ErrNotRunning) || errors.Is(err, platform.ErrUnavailable) {
--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -4,11 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"math"
 	"strings"
 	"time"
 
 	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/core/spread"
 	"limpetspan/platform"
 )
 
@@ -19,65 +22,104 @@
 	Weight float64   `json:"weight"`
 }
 
-// followDaemons keeps this daemon's own entry and the list of the others. It begins
-// once the store has answered a read of the configuration: while the store is away, that
-// one tries for all, as a fleet that starts would otherwise fall upon it with each of
-// its calls. It ends when a stop takes no new work any more. The entry is removed then
+// followDaemons has this daemon take part in the fleet, and keeps its own entry if it has
+// one. It ends when a stop takes no new work any more. The entry is removed then
 // and not at the end of the process: with the store slow or away that call would outlast
 // the grace time, and the process would be killed in it.
 func (p *Proxy) followDaemons() {
+	r := &registration{p: p}
 	select {
-	case <-p.configuration.reached:
+	case l := <-p.looked:
+		p.join(r, l)
 	case <-p.done:
 		return
 	}
-	var lease uint64
-	var renewed, listed core.Time
-	pause := firstRetry
-	for ; !p.closing(); p.await(pause, p.closed) {
+	for ; !p.closing(); p.await(fleetTick, p.closed) {
 		at := now()
-		if lease == 0 || at.Sub(renewed) >= renewalEvery {
-			lease = p.register(lease)
-			renewed = at
+		r.keep(at)
+		if p.peers.expire(at) {
+			p.homes.update()
 		}
-		switch {
-		case listed == 0:
-			if p.join(lease) {
-				listed, pause = at, 2*storeRetry
-			}
-		case at.Sub(listed) >= p.daemonsPause():
-			if p.relist() {
-				listed = at
-			}
+		l := p.view.daemonList()
+		r.reconsider(at, l)
+		if at.Sub(r.sizedAt) >= sizeEvery {
+			r.sizedAt = at
+			p.noteSize(l)
 		}
 	}
-	if lease != 0 {
-		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
-		defer cancel()
-		if err := p.client.End(ctx, lease); err != nil {
-			p.log.Warn("own entry stays until its lease ends", "error", err.Error())
+	r.end()
+}
+
+// self is this daemon as others see it.
+func (p *Proxy) self() direct.Daemon {
+	return direct.Daemon{ID: p.settings.Daemon, Zone: p.settings.Zone, Weight: p.settings.Weight}
+}
+
+// join decides how this daemon takes part in the fleet, of which l is a list that may be
+// old, and chooses homes by a list that is complete enough.
+func (p *Proxy) join(r *registration, l *daemonList) {
+	l = p.lookAgain(l)
+	if direct.Join(p.self(), l.daemons(), l.size) == direct.JoinAsEntry {
+		p.settle(l)
+		return
+	}
+	r.wanted = true
+	r.keep(now())
+	if !p.settings.FirstStart && l.complete() && l.size > 0 {
+		p.settle(l)
+		return
+	}
+	if !p.settings.FirstStart {
+		// Its own copy serves until it knows who watches the store.
+		p.metadata.SetFleet(true, nil)
+	}
+	for p.running() {
+		first, err := p.firstList()
+		if err == nil {
+			p.settle(first)
+			return
 		}
+		p.await(firstRetry, p.closed)
+		r.keep(now())
 	}
 }
 
-// join reads the list of daemons for the first time, chooses homes by it, and reads the
-// promotion locks if this daemon is one; false: the store did not answer.
-func (p *Proxy) join(lease uint64) bool {
-	l, err := p.firstList(lease)
-	if err != nil {
-		return false
+// lookAgain reads the list again while it lacks daemons that the fleet is known to have:
+// strong hosts, which register at once, come before weak ones decide.
+func (p *Proxy) lookAgain(l *daemonList) *daemonList {
+	for range mostLooks {
+		if direct.Join(p.self(), l.daemons(), l.size) != direct.JoinUndecided || !p.running() {
+			return l
+		}
+		p.sleep(direct.JoinDelay(p.self(), joinDelay))
+		if next, err := p.listDaemons(p.client.ListStale); err == nil {
+			l = next
+		}
 	}
+	return l
+}
+
+// settle chooses homes by the list.
+func (p *Proxy) settle(l *daemonList) {
 	p.peers.listed(l.entries)
 	p.homes.decide(l.size)
-	p.wakeMembers()
-	return len(p.activeGroups()) == 0 || p.tellLocks(storeTimeout) == nil
+}
+
+// fleetChanged takes a change of the list of daemons.
+func (p *Proxy) fleetChanged() {
+	p.peers.listed(p.view.daemonList().entries)
+	p.homes.update()
 }
 
 // firstList reads a list of daemons that is complete enough to choose homes by it.
-func (p *Proxy) firstList(lease uint64) (*daemonList, error) {
+func (p *Proxy) firstList() (*daemonList, error) {
 	if p.settings.FirstStart {
+		// Nobody is served yet, so that a list which may be old will do if it is complete.
 		p.sleep(joinWait)
-		return p.ownEntryListed(lease)
+		l, err := p.listDaemons(p.client.ListStale)
+		if _, listed := l.entry(p.settings.Daemon); err == nil && listed && l.complete() {
+			return l, nil
+		}
 	}
 	// After a loss of power of all hosts, with the leases lapsed, the first daemons would
 	// otherwise take a large fleet for a small one, and all would open connections to all
@@ -90,67 +132,57 @@
 	}
 }
 
-// ownEntryListed reads a list of daemons that may be old, but has this daemon's entry.
-// Nobody is served yet where the whole fleet starts for the first time. A daemon that
-// starts later pays for a current list at once: old ones lack it for some 0.2 s, in which
-// after a loss of power no caller is served.
-func (p *Proxy) ownEntryListed(lease uint64) (*daemonList, error) {
-	for range staleTries {
-		if lease == 0 || !p.running() {
-			break
-		}
-		if l, err := p.listDaemons(p.client.ListStale); err == nil && l.leases[p.settings.Daemon] == lease {
-			return l, nil
-		}
-		p.sleep(joinPause)
-	}
-	return p.listDaemons(p.listCurrent)
-}
-
 // listCurrent is a list that is not old.
 func (p *Proxy) listCurrent(ctx context.Context, prefix string) ([]platform.Item, error) {
 	items, _, err := p.client.List(ctx, prefix)
 	return items, err
 }
 
-// relist reads the list of daemons again, which may be old; false: the store did not
-// answer. Only homes promote, and only they look since when promotion locks have stood.
-func (p *Proxy) relist() bool {
-	l, err := p.listDaemons(p.client.ListStale)
+// listDaemons reads the list of daemons.
+func (p *Proxy) listDaemons(read func(context.Context, string) ([]platform.Item, error)) (*daemonList, error) {
+	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
+	defer cancel()
+	items, err := read(ctx, platform.FleetPrefix)
 	if err != nil {
-		return false
+		return nil, err
 	}
-	p.peers.listed(l.entries)
-	p.noteSize(l)
-	p.homes.update()
-	return len(p.activeGroups()) == 0 || p.observeLocks() == nil
+	return p.parseDaemons(items), nil
 }
 
-// daemonsPause is the pause between reads of the list of daemons. Where reports
-// reach all of them, the list tells little that is new; nor does it while a relay, which
-// goes on reading it, has the same.
-func (p *Proxy) daemonsPause() time.Duration {
-	switch {
-	case p.homes.everywhere():
-		return daemonsEvery
-	case p.peers.agrees():
-		return daemonsAgreed
+// registration is this daemon's own entry in the store.
+type registration struct {
+	p *Proxy
+	// wanted says that others are to know this daemon.
+	wanted bool
+	// neededSince is since when the list has lacked it; 0: it does not.
+	neededSince core.Time
+	// lease is that of the entry, 0: there is none; renewed is when it was last asked for.
+	lease   uint64
+	renewed core.Time
+	// sizedAt is when this daemon last looked whether the size of the fleet is to be written.
+	sizedAt core.Time
+}
+
+// keep writes the entry, or renews its lease when that is due.
+func (r *registration) keep(at core.Time) {
+	if !r.wanted || r.lease != 0 && at.Sub(r.renewed) < renewalEvery {
+		return
 	}
-	return daemonsEvery / 3
+	r.lease, r.renewed = r.register(), at
 }
 
-// register writes the own entry or renews its lease; it returns the lease, 0 if
-// there is none.
-func (p *Proxy) register(lease uint64) uint64 {
+// register writes the entry or renews its lease; it returns the lease, 0 if there is none.
+func (r *registration) register() uint64 {
+	p := r.p
 	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
-	if lease != 0 {
-		err := p.client.Renew(ctx, lease)
+	if r.lease != 0 {
+		_, err := p.client.Renew(ctx, r.lease)
 		if err == nil || !errors.Is(err, platform.ErrNotFound) {
-			return lease
+			return r.lease
 		}
 	}
-	lease, err := p.client.Grant(ctx, max(registrationLease, p.settings.MinLease))
+	lease, _, err := p.client.Grant(ctx, max(registrationLease, p.settings.MinLease))
 	if err != nil {
 		return 0
 	}
@@ -165,83 +197,118 @@
 	return lease
 }
 
+// reconsider registers a daemon that is not listed once the fleet lacks hosts that are fit
+// to be homes. Daemons differ by their draws, so that they do not come in one moment.
+func (r *registration) reconsider(at core.Time, l *daemonList) {
+	p := r.p
+	if r.wanted || !p.homes.chosen() {
+		return
+	}
+	if direct.Join(p.self(), l.daemons(), p.homes.fleetSize(len(l.entries))) == direct.JoinAsEntry {
+		r.neededSince = 0
+		return
+	}
+	if r.neededSince == 0 {
+		r.neededSince = at
+	}
+	wait := neededFor + time.Duration(spread.Unit("/needed", string(p.settings.Daemon))*float64(neededFor))
+	if at.Sub(r.neededSince) >= wait {
+		p.log.Info("daemon registers", "listed", len(l.entries))
+		r.wanted = true
+	}
+}
+
+// end removes the entry.
+func (r *registration) end() {
+	if r.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	if err := r.p.client.End(ctx, r.lease); err != nil {
+		r.p.log.Warn("own entry stays until its lease ends", "error", err.Error())
+	}
+}
+
 // daemonList is the store's list of daemons.
 type daemonList struct {
 	entries map[core.DaemonID]daemonEntry
-	// leases are those of the entries.
-	leases map[core.DaemonID]uint64
-	// size is how many there were when somebody last counted, sizeRevision that entry's.
-	size         int
-	sizeRevision platform.Revision
+	// size is how many there were when somebody last counted, sizeItem that entry.
+	size     int
+	sizeItem platform.Item
 }
 
-// complete says whether the list has about as many daemons as there last were.
-func (l *daemonList) complete() bool {
-	return float64(len(l.entries)) >= joinShare*float64(l.size)
+func newDaemonList() *daemonList {
+	return &daemonList{entries: make(map[core.DaemonID]daemonEntry)}
 }
 
-// listDaemons reads the list of daemons.
-func (p *Proxy) listDaemons(read func(context.Context, string) ([]platform.Item, error)) (*daemonList, error) {
-	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
-	defer cancel()
-	items, err := read(ctx, platform.FleetPrefix)
-	if err != nil {
-		return nil, err
+// entry is the daemon's entry; false: the list has none, or there is no list.
+func (l *daemonList) entry(id core.DaemonID) (daemonEntry, bool) {
+	if l == nil {
+		return daemonEntry{}, false
 	}
-	return p.parseDaemons(items), nil
+	e, ok := l.entries[id]
+	return e, ok
 }
 
-// observeLocks reads since when promotion locks have stood; what it reads may be old.
-func (p *Proxy) observeLocks() error {
-	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
-	defer cancel()
-	locks, err := p.client.ListStale(ctx, platform.LocksPrefix)
-	if err == nil {
-		p.claims.observe(locks)
-	}
-	return err
+func (l *daemonList) clone() *daemonList {
+	c := *l
+	c.entries = maps.Clone(l.entries)
+	return &c
 }
 
-// tellLocks reads the promotion locks as they are now: groups may use their primaries by what
-// they say.
-func (p *Proxy) tellLocks(timeout time.Duration) error {
-	ctx, cancel := context.WithTimeout(p.ctx, timeout)
-	defer cancel()
-	sent := now()
-	locks, _, err := p.client.List(ctx, platform.LocksPrefix)
-	if err == nil {
-		p.claims.observe(locks)
-		p.claims.tell(sent, locks)
+// daemons are the daemons of the list.
+func (l *daemonList) daemons() []direct.Daemon {
+	list := make([]direct.Daemon, 0, len(l.entries))
+	for id, e := range l.entries {
+		list = append(list, direct.Daemon{ID: id, Zone: e.Zone, Weight: e.Weight})
 	}
-	return err
+	return list
+}
+
+// complete says whether the list has about as many daemons as there last were.
+func (l *daemonList) complete() bool {
+	return float64(len(l.entries)) >= joinShare*float64(l.size)
 }
 
 // parseDaemons decodes the daemons' entries and the size of the fleet.
 func (p *Proxy) parseDaemons(items []platform.Item) *daemonList {
-	l := &daemonList{entries: make(map[core.DaemonID]daemonEntry), leases: make(map[core.DaemonID]uint64)}
+	l := newDaemonList()
 	for _, item := range items {
-		if item.Key == platform.FleetSizeKey {
-			if err := json.Unmarshal(item.Value, &l.size); err != nil {
-				p.log.Error("size of the fleet cannot be read", "error", err.Error())
-			}
-			l.sizeRevision = item.Revision
-			continue
-		}
-		var e daemonEntry
-		if err := json.Unmarshal(item.Value, &e); err != nil {
-			p.log.Error("daemon's entry cannot be read", "key", item.Key, "error", err.Error())
-			continue
-		}
-		id := core.DaemonID(strings.TrimPrefix(item.Key, platform.DaemonsPrefix))
-		l.entries[id], l.leases[id] = e, item.Lease
+		p.applyDaemon(l, item)
 	}
 	return l
 }
 
+// applyDaemon takes one item of the list.
+func (p *Proxy) applyDaemon(l *daemonList, item platform.Item) {
+	if item.Key == platform.FleetSizeKey {
+		l.size, l.sizeItem = 0, item
+		if err := json.Unmarshal(item.Value, &l.size); err != nil && !item.Deleted {
+			p.log.Error("size of the fleet cannot be read", "error", err.Error())
+		}
+		return
+	}
+	id := core.DaemonID(strings.TrimPrefix(item.Key, platform.DaemonsPrefix))
+	if item.Deleted {
+		delete(l.entries, id)
+		return
+	}
+	var e daemonEntry
+	if err := json.Unmarshal(item.Value, &e); err != nil {
+		p.log.Error("daemon's entry cannot be read", "key", item.Key, "error", err.Error())
+		return
+	}
+	l.entries[id] = e
+}
+
 // noteSize has the daemon with the lowest id write the fleet's size if it has
 // changed much. It is not written down with one short list: daemons that start would take
 // the fleet for a small one.
 func (p *Proxy) noteSize(l *daemonList) {
+	if _, listed := l.entries[p.settings.Daemon]; !listed {
+		return
+	}
 	for id := range l.entries {
 		if id < p.settings.Daemon {
 			return
@@ -255,7 +322,7 @@
 	defer cancel()
 	value, err := json.Marshal(size)
 	if err == nil {
-		_, err = p.client.Put(ctx, []platform.Condition{{Key: platform.FleetSizeKey, Revision: l.sizeRevision}},
+		_, err = p.client.Put(ctx, []platform.Condition{{Key: platform.FleetSizeKey, Revision: l.sizeItem.Revision}},
 			[]platform.Write{{Key: platform.FleetSizeKey, Value: value}})
 	}
 	p.log.Info("size of the fleet", "daemons", size, "before", l.size, "error", errorText(err))
--- a/pkg/proxy/failover_test.go
+++ b/pkg/proxy/failover_test.go
@@ -127,7 +127,7 @@
 		f.store.LoseWritesOf(platform.LocksPrefix, 1)
 		primary.SetDark(true)
 		promotionLock := func() (t promotionLock) {
-			item, err := f.daemons[0].p.client.Get(context.Background(), platform.LocksPrefix+"ledger")
+			item, _, err := f.daemons[0].p.client.Get(context.Background(), platform.LocksPrefix+"ledger")
 			if err == nil {
 				Expect(json.Unmarshal(item.Value, &t)).To(Succeed())
 			}
--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -176,16 +176,15 @@
 	return d
 }
 
-// loseStore cuts the daemon alone from the store, and returns once a read of the
-// host list has failed: none that was under way can come after it.
+// loseStore cuts the daemon alone from the store, and returns once a call has failed: none
+// that was under way can come after it.
 func (d *daemon) loseStore() {
 	nowhere := freeAddr(d.s.IP)
 	d.p.client.SetAddresses(nowhere, nowhere)
 	Eventually(func() bool {
-		d.p.wakeMembers()
 		d.p.depMu.Lock()
 		defer d.p.depMu.Unlock()
-		return d.p.lost["host list"]
+		return d.p.lost["store"]
 	}, waitLimit).Should(BeTrue())
 }
 
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -64,6 +64,10 @@
 	if catalog := p.catalog.Load(); catalog != nil {
 		reducer.Configure(catalog.Groups[id])
 	}
+	if listed, asOf, ok := p.view.membersOf(id); ok {
+		// The effects are given again by the next tick.
+		reducer.List(now(), asOf, listed)
+	}
 	return &group{
 		dropped: make(chan struct{}),
 		p:       p, id: id, core: reducer, queue: admission.NewQueue[*waiter](p.policy),
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -6,6 +6,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"limpetspan/core"
@@ -38,6 +39,8 @@
 	// catalog and chosenBy are the configuration and size by which homes were chosen last.
 	catalog  *direct.Catalog
 	chosenBy int
+	// lastSize is chosenBy for those who do not hold the lock.
+	lastSize atomic.Int64
 	// leastConns is what the members of some group take at least.
 	leastConns int
 	table      homeTable
@@ -88,8 +91,8 @@
 func (h *homes) update() {
 	for _, id := range h.choose() {
 		// A home reaches the members before the first caller comes, and has to know them.
+		h.p.metadata.Widen()
 		h.p.group(id)
-		h.p.wakeMembers()
 	}
 }
 
@@ -109,6 +112,7 @@
 		return nil
 	}
 	h.catalog, h.chosenBy, h.daemons = catalog, size, daemons
+	h.lastSize.Store(int64(size))
 	h.slotOrders = make(map[slotGroup][]core.DaemonID)
 	h.chooseWatchers(size)
 	if catalog == nil {
@@ -193,12 +197,12 @@
 	self := h.p.settings.Daemon
 	watchers := direct.Watchers(size, h.daemons)
 	if len(watchers) == len(h.daemons) {
-		h.p.configuration.setFleet(true, nil)
+		h.p.metadata.SetFleet(true, nil)
 		return
 	}
 	here := slices.Contains(watchers, self)
 	h.p.log.Info("configuration", "watchers", len(watchers), "of", len(h.daemons), "here", here)
-	h.p.configuration.setFleet(here, direct.WatcherOrder(self, h.p.settings.Zone, watchers, h.daemons))
+	h.p.metadata.SetFleet(here, direct.WatcherOrder(self, h.p.settings.Zone, watchers, h.daemons))
 }
 
 // decide allows the choice: the list of daemons is complete enough. size is how many
--- a/pkg/proxy/hostlist_test.go
+++ b/pkg/proxy/hostlist_test.go
@@ -33,6 +33,9 @@
 	return strings.Count(b.text.String(), text)
 }
 
+// listKnown is longer than a change of the host list takes to reach a daemon.
+const listKnown = 3 * time.Second
+
 var _ = Describe("the host list", func() {
 	// Somebody writes strange entries into it. Callers are served by the members whose
 	// entries hold, and the log names each strange entry once, not once for each read.
@@ -65,7 +68,7 @@
 		x := d.dial("db-own")
 		x.persist("WRITE k 1")
 		Expect(f.store.Put("servers/"+f.group.Primary().ID, "scribble")).To(Succeed())
-		time.Sleep(2*membersEvery + direct.VanishedGrace)
+		time.Sleep(listKnown + direct.VanishedGrace)
 		x.persist("WRITE k 2")
 		Expect(f.store.Orders()).To(BeEmpty())
 	})
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"limpetspan/core"
+	"limpetspan/pkg/proxy/metadata"
 	"limpetspan/pkg/proxy/reportpb"
 	"limpetspan/platform"
 )
@@ -117,7 +118,7 @@
 	_ = l.c.SetDeadline(time.Now().Add(timeout))
 	hello := &reportpb.Hello{
 		Database: s.database, Entry: string(s.p.settings.Daemon), Term: uint64(s.last.Term), Lsn: uint64(s.last.LSN),
-		Version: s.p.configuration.version(), Ip: s.p.settings.IP, KeyFingerprint: s.key[:],
+		Version: s.p.metadata.Version(), Ip: s.p.settings.IP, KeyFingerprint: s.key[:],
 	}
 	if _, err := protodelim.MarshalTo(l.c, hello); err != nil {
 		return err
@@ -130,7 +131,7 @@
 		if welcome.Refusal == reportpb.Refusal_REFUSAL_DATABASE {
 			// The database has been removed in a configuration that this entry lacks.
 			addr, _ := s.p.peers.homeAddr(l.home)
-			s.p.configuration.catchUp(addr, welcome.Version)
+			s.p.catchUp(addr, welcome.Version)
 		}
 		return &refusal{welcome.Refusal, welcome.Refused}
 	}
@@ -243,9 +244,9 @@
 	if !ok {
 		return false
 	}
-	_, err, _ := p.lifeChecks.Do(string(id), func() (any, error) { return nil, p.configuration.fetch(addr) })
+	_, err, _ := p.lifeChecks.Do(string(id), func() (any, error) { return nil, p.metadata.Fetch(addr) })
 	// A daemon that stops says that it has nothing to tell, and lives.
-	lives := err == nil || errors.Is(err, errUnknownConfiguration)
+	lives := err == nil || errors.Is(err, metadata.ErrUnknown)
 	if lives {
 		p.homes.heard(id)
 	}
@@ -333,10 +334,10 @@
 	if hello.Configuration {
 		// A stop waits for sessions, and this is none.
 		s.p.forget(s)
-		s.p.configuration.answer(s.c, s.r)
+		s.p.metadata.Serve(s.c, s.r, s.p.stopping.Load)
 		return
 	}
-	s.p.configuration.catchUp(s.p.settings.LinkAddr(hello.Ip), hello.Version)
+	s.p.catchUp(s.p.settings.LinkAddr(hello.Ip), hello.Version)
 	welcome := s.p.welcome(&hello)
 	if _, err := protodelim.MarshalTo(s.c, welcome); err != nil || welcome.Refused != "" {
 		s.end()
--- a/pkg/proxy/link_test.go
+++ b/pkg/proxy/link_test.go
@@ -82,6 +82,9 @@
 		g.mu.Lock()
 		g.core = direct.NewGroup("ledger", blind.s.Daemon, blind.s.Zone)
 		g.mu.Unlock()
+		blind.p.view.mu.Lock()
+		blind.p.view.hasMembers = false
+		blind.p.view.mu.Unlock()
 		Expect(blind.p.blind("ledger")).To(BeTrue())
 		Expect(blind.dial("db-own").query("READ k").rows).To(Equal([]string{"1"}))
 		f.split(blind)
@@ -125,7 +128,7 @@
 			}
 			list = append(list, direct.Member{ID: core.MemberID(m.ID), Group: "ledger", Addr: addr, Zone: "zone-1", Slots: 3})
 		}
-		g.core.List(now(), list)
+		g.core.List(now(), now(), list)
 		g.mu.Unlock()
 		g.leave()
 		Eventually(func() bool { return alone.p.cut("ledger") }, waitLimit).Should(BeTrue())
--- a/pkg/proxy/log.go
+++ b/pkg/proxy/log.go
@@ -72,17 +72,6 @@
 	p.log.Info("request", append([]any{"decision", decision}, args...)...)
 }
 
-// hostListDependency is the name of the host list among what a daemon depends on.
-const hostListDependency = "host list"
-
-// reaches says whether the last use of the dependency succeeded; false: there was none.
-func (p *Proxy) reaches(name string) bool {
-	p.depMu.Lock()
-	defer p.depMu.Unlock()
-	lost, used := p.lost[name]
-	return used && !lost
-}
-
 // dependency logs when a dependency is lost or regained.
 func (p *Proxy) dependency(name string, err error) {
 	p.depMu.Lock()
--- /dev/null
+++ b/pkg/proxy/metadata/copy.go
@@ -0,0 +1,377 @@
+package metadata
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"limpetspan/core"
+	"limpetspan/core/mirror"
+	"limpetspan/core/relay"
+	"limpetspan/pkg/proxy/reportpb"
+	"limpetspan/platform"
+)
+
+// Store is what the copy needs of the platform's store; platform.Client is one.
+type Store interface {
+	List(ctx context.Context, prefix string) ([]platform.Item, mirror.Position, error)
+	ListStale(ctx context.Context, prefix string) ([]platform.Item, error)
+	Watch(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) ([]platform.Item, mirror.Position, error)
+}
+
+// Owner is the daemon whose copy it is. All but Addr are called from one goroutine, or with
+// a configuration that was fetched by hand.
+type Owner interface {
+	// Addr is where another daemon answers questions.
+	Addr(id core.DaemonID) (string, bool)
+	// Looked takes the list of daemons as it was some time ago, before anything else.
+	Looked(daemons []platform.Item)
+	// Accept puts a configuration in force, unless its version is lower than that in force.
+	Accept(value []byte)
+	// Changed takes what has changed, apart from the configuration.
+	Changed(change Change)
+	// Proved takes that all that was told is complete as of then.
+	Proved(at core.Time)
+	// Dependency takes that a use of something outside has failed, or succeeded.
+	Dependency(name string, err error)
+}
+
+// Change is what has changed in the copy.
+type Change struct {
+	Items []platform.Item
+	// Whole says that the copy was filled or refilled; Items are what differs from before.
+	Whole bool
+	// Members says that the copy holds the members of groups and the promotion locks.
+	Members bool
+	// AsOf is the moment as of which the copy is complete.
+	AsOf core.Time
+}
+
+// Options are those of a copy.
+type Options struct {
+	Self  core.DaemonID
+	Store Store
+	Owner Owner
+	// Now reads the clock of proofs.
+	Now func() core.Time
+	// Bound is within what time a change has to be in force; KeepYoung says that callers are
+	// refused without a young proof.
+	Bound     time.Duration
+	KeepYoung bool
+	// LookAt is when the copy may call the store for the first time.
+	LookAt core.Time
+}
+
+// Copy is the daemon's copy.
+type Copy struct {
+	Options
+	ctx context.Context
+	// document is the configuration in force as the store has it.
+	document atomic.Pointer[Document]
+	// changed interrupts a pause when the fleet or the scope has changed.
+	changed chan struct{}
+	// source is the link to the daemon that was asked last. Only run uses it.
+	source *source
+
+	// catchingUp lets one session at a time fetch a newer configuration; the next try
+	// waits until nextCatchUp if the last one brought none.
+	catchingUp  sync.Mutex
+	nextCatchUp core.Time
+	// newsAsked lets all sessions that wait for news share one question; nextNews is the
+	// earliest moment of the next one.
+	newsAsked singleflight.Group
+	nextNews  atomic.Int64
+
+	mu       sync.Mutex
+	follower *relay.Follower
+	mirror   *mirror.Mirror
+	// scope is what the mirror holds, wanted what it is to hold.
+	scope, wanted reportpb.Scope
+	// asking is the connection on which an answer is waited for; nil: there is none.
+	asking net.Conn
+	// advanced is closed and replaced when there is a younger proof.
+	advanced chan struct{}
+}
+
+// Document is a configuration as the store has it.
+type Document struct {
+	Version uint64
+	Value   []byte
+}
+
+// New returns an empty copy. ctx ends all its calls.
+func New(ctx context.Context, o Options) *Copy {
+	c := &Copy{
+		Options: o, ctx: ctx, changed: make(chan struct{}, 1), advanced: make(chan struct{}),
+		follower: relay.NewFollower(o.Self, o.Bound, o.LookAt), mirror: mirror.New(), wanted: reportpb.Scope_SCOPE_DAEMONS,
+	}
+	if o.KeepYoung {
+		c.follower.KeepYoung()
+	}
+	return c
+}
+
+// Version is that of the configuration in force; 0: there is none.
+func (c *Copy) Version() uint64 {
+	if d := c.document.Load(); d != nil {
+		return d.Version
+	}
+	return 0
+}
+
+// Document is the configuration in force; nil: there is none.
+func (c *Copy) Document() *Document { return c.document.Load() }
+
+// SetDocument keeps the configuration that was put in force, to pass it on.
+func (c *Copy) SetDocument(d *Document) { c.document.Store(d) }
+
+// Run carries out the follower's steps until the process ends.
+func (c *Copy) Run() {
+	for c.ctx.Err() == nil {
+		c.mu.Lock()
+		step := c.follower.Next(c.Now())
+		c.mu.Unlock()
+		switch step.Kind {
+		case relay.Pause:
+			c.pause(step.Wait)
+		case relay.Look:
+			c.called(c.look())
+		case relay.Load:
+			c.called(c.load())
+		case relay.Watch:
+			c.called(c.watch(step.Wait))
+		case relay.Ask:
+			c.ask(step)
+		}
+	}
+	c.leaveSource()
+}
+
+func (c *Copy) pause(wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-c.ctx.Done():
+	case <-c.changed:
+	case <-timer.C:
+	}
+}
+
+// SetFleet tells who watches the store: this daemon, or whom it asks, best first.
+func (c *Copy) SetFleet(watches bool, relays []core.DaemonID) {
+	c.mu.Lock()
+	c.follower.SetFleet(c.Now(), watches, relays)
+	c.mu.Unlock()
+	c.interrupt()
+}
+
+// Widen has the copy hold the members of groups as well, from now on.
+func (c *Copy) Widen() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.wanted == reportpb.Scope_SCOPE_MEMBERS {
+		return
+	}
+	c.wanted = reportpb.Scope_SCOPE_MEMBERS
+	c.follower.Hurry()
+	if c.asking != nil {
+		_ = c.asking.SetDeadline(time.Unix(1, 0))
+	}
+	c.interrupt()
+}
+
+// interrupt ends a pause.
+func (c *Copy) interrupt() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Proof is the moment as of which the copy is complete, and a channel that is closed when
+// there is a younger one; 0: there is none.
+func (c *Copy) Proof() (core.Time, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.follower.Proof(), c.advanced
+}
+
+// Dismiss has those who wait for a younger proof look again: this process stops.
+func (c *Copy) Dismiss() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wake()
+}
+
+// wake ends the waits for a younger proof; the lock is held.
+func (c *Copy) wake() {
+	close(c.advanced)
+	c.advanced = make(chan struct{})
+}
+
+// learn reports an outcome to the follower. A younger proof is told to the owner first, and
+// then to those who wait for one.
+func (c *Copy) learn(report func(f *relay.Follower)) {
+	c.mu.Lock()
+	before := c.follower.Proof()
+	report(c.follower)
+	proof := c.follower.Proof()
+	if proof > before {
+		c.wake()
+	}
+	c.mu.Unlock()
+	if proof > before {
+		c.Owner.Proved(proof)
+	}
+}
+
+// Dependencies of the copy, by their names in the log.
+const (
+	storeDependency = "store"
+	relayDependency = "relay"
+)
+
+// called takes the outcome of a call to the store.
+func (c *Copy) called(err error) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	c.Owner.Dependency(storeDependency, err)
+	if err != nil {
+		c.learn(func(f *relay.Follower) { f.StoreFailed(c.Now()) })
+	}
+}
+
+// look reads the list of daemons, which may be old.
+func (c *Copy) look() error {
+	ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+	defer cancel()
+	daemons, err := c.Store.ListStale(ctx, platform.FleetPrefix)
+	if err != nil {
+		return err
+	}
+	c.learn(func(f *relay.Follower) { f.Looked() })
+	c.Owner.Looked(daemons)
+	return nil
+}
+
+// load reads the whole copy. A watch goes on from its position and needs no history from
+// before.
+func (c *Copy) load() error {
+	ctx, cancel := context.WithTimeout(c.ctx, loadTimeout)
+	defer cancel()
+	sent := c.Now()
+	scope := c.wants()
+	items, position, err := c.list(ctx, scope)
+	if err != nil {
+		return err
+	}
+	if err := c.take(scope, position, items, true, sent); err != nil {
+		return err
+	}
+	c.learn(func(f *relay.Follower) { f.Loaded(sent) })
+	return nil
+}
+
+// wants is the scope that a read of the store is to have. A daemon that watches the store
+// has everything, as others ask it.
+func (c *Copy) wants() reportpb.Scope {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.follower.Watches() {
+		c.wanted = reportpb.Scope_SCOPE_MEMBERS
+	}
+	return c.wanted
+}
+
+// list reads what belongs to the scope. The list of daemons may be old where it is all that
+// is kept beside the configuration: a daemon that is not listed yet is not missed.
+func (c *Copy) list(ctx context.Context, scope reportpb.Scope) ([]platform.Item, mirror.Position, error) {
+	if scope == reportpb.Scope_SCOPE_MEMBERS {
+		return c.Store.List(ctx, everything)
+	}
+	items, position, err := c.Store.List(ctx, platform.ConfigurationKey)
+	if err != nil {
+		return nil, position, err
+	}
+	daemons, err := c.Store.ListStale(ctx, platform.FleetPrefix)
+	return append(items, daemons...), position, err
+}
+
+// everything is the prefix of all keys. One watch of it costs what a watch of the
+// configuration alone would.
+const everything = ""
+
+// watch waits for the next changes.
+func (c *Copy) watch(wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(c.ctx, wait+storeTimeout)
+	defer cancel()
+	c.mu.Lock()
+	after := c.mirror.Position()
+	c.mu.Unlock()
+	sent := c.Now()
+	events, position, err := c.Store.Watch(ctx, everything, after, wait)
+	if err == nil {
+		err = c.take(reportpb.Scope_SCOPE_MEMBERS, position, events, false, sent)
+	}
+	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, mirror.ErrOtherEra) || errors.Is(err, mirror.ErrOlder) {
+		c.learn(func(f *relay.Follower) { f.HistoryGone() })
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	c.learn(func(f *relay.Follower) { f.Watched(c.Now(), sent, len(events)) })
+	return nil
+}
+
+// take brings the copy forward and tells the owner. What comes is complete as of the proof.
+func (c *Copy) take(scope reportpb.Scope, position mirror.Position, items []platform.Item, whole bool, proof core.Time) error {
+	for _, item := range items {
+		if item.Key == platform.ConfigurationKey && !item.Deleted {
+			c.Owner.Accept(item.Value)
+		}
+	}
+	c.mu.Lock()
+	changes, err := c.bring(scope, position, items, whole)
+	c.mu.Unlock()
+	if err == nil && (whole || len(changes) > 0) {
+		c.Owner.Changed(Change{Items: changes, Whole: whole, Members: scope == reportpb.Scope_SCOPE_MEMBERS, AsOf: proof})
+	}
+	return err
+}
+
+// bring changes the mirror; the lock is held.
+func (c *Copy) bring(scope reportpb.Scope, position mirror.Position, items []platform.Item, whole bool) ([]platform.Item, error) {
+	kept := make([]platform.Item, 0, len(items))
+	for _, item := range items {
+		if inScope(scope, item.Key) {
+			kept = append(kept, item)
+		}
+	}
+	if !whole {
+		return c.mirror.Apply(position, kept)
+	}
+	changes, err := c.mirror.Replace(position, kept)
+	if err == nil {
+		c.scope = scope
+	}
+	return changes, err
+}
+
+// inScope says whether a copy of the scope has the key. The configuration is kept apart.
+func inScope(scope reportpb.Scope, key string) bool {
+	switch scope {
+	case reportpb.Scope_SCOPE_DAEMONS:
+		return strings.HasPrefix(key, platform.FleetPrefix)
+	case reportpb.Scope_SCOPE_MEMBERS:
+		return strings.HasPrefix(key, platform.FleetPrefix) || strings.HasPrefix(key, platform.MembersPrefix) || strings.HasPrefix(key, platform.LocksPrefix)
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/proxy/metadata/metadata_test.go
@@ -0,0 +1,168 @@
+package metadata
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"limpetspan/core"
+	"limpetspan/core/mirror"
+	"limpetspan/pkg/proxy/reportpb"
+	"limpetspan/platform"
+)
+
+func TestMetadata(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "metadata")
+}
+
+const waitLimit = 20 * time.Second
+
+// owner keeps what it is told.
+type owner struct {
+	addrs   map[core.DaemonID]string
+	changes []Change
+}
+
+func (o *owner) Addr(id core.DaemonID) (string, bool) { a, ok := o.addrs[id]; return a, ok }
+func (o *owner) Looked([]platform.Item)               {}
+func (o *owner) Accept([]byte)                        {}
+func (o *owner) Changed(c Change)                     { o.changes = append(o.changes, c) }
+func (o *owner) Proved(core.Time)                     {}
+func (o *owner) Dependency(string, error)             {}
+
+var origin = time.Now()
+
+func now() core.Time { return core.Time(time.Since(origin) + time.Hour) }
+
+func newCopy(ctx context.Context, o *owner) *Copy {
+	return New(ctx, Options{Self: "d", Owner: o, Now: now, Bound: 6 * time.Second})
+}
+
+func item(key, value string, revision int) platform.Item {
+	return platform.Item{Key: key, Value: []byte(value), Revision: mirror.Revision(revision)}
+}
+
+func at(era, revision int) mirror.Position {
+	return mirror.Position{Era: mirror.Era(era), Revision: mirror.Revision(revision)}
+}
+
+var _ = Describe("a daemon that stops while another one owes it an answer", func() {
+	// Guards against a process that is still there at the end of its grace time: an answer may
+	// take seconds.
+	It("does not wait for it", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		ctx, stop := context.WithCancel(context.Background())
+		c := newCopy(ctx, &owner{})
+		asked := make(chan error, 1)
+		go func() {
+			s, err := c.open(l.Addr().String(), time.Now().Add(2*waitLimit))
+			if err == nil {
+				_, err = s.exchange(&reportpb.Question{WaitMs: uint64(waitLimit / time.Millisecond)})
+			}
+			asked <- err
+		}()
+		_, err = l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		stop()
+		Eventually(asked, waitLimit).Should(Receive(HaveOccurred()))
+	})
+})
+
+var _ = Describe("a relay's proof", func() {
+	It("counts from the sending of the question, and never from the future", func() {
+		sent := now()
+		came := sent.Add(30 * time.Millisecond)
+		Expect(proofFrom(sent, came, -int64(time.Second))).To(Equal(sent.Add(-time.Second)))
+		Expect(proofFrom(sent, came, int64(10*time.Millisecond))).To(Equal(sent.Add(10 * time.Millisecond)))
+		Expect(proofFrom(sent, came, int64(time.Hour))).To(Equal(came))
+	})
+})
+
+var _ = Describe("a daemon that is asked", func() {
+	var c *Copy
+	var ask func(scope reportpb.Scope) *reportpb.Answer
+	BeforeEach(func() {
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		c = newCopy(ctx, &owner{})
+		mine, theirs := net.Pipe()
+		go c.Serve(mine, bufio.NewReader(mine), func() bool { return false })
+		r := bufio.NewReader(theirs)
+		DeferCleanup(theirs.Close)
+		ask = func(scope reportpb.Scope) *reportpb.Answer {
+			_, err := protodelim.MarshalTo(theirs, &reportpb.Question{Scope: scope})
+			Expect(err).NotTo(HaveOccurred())
+			var a reportpb.Answer
+			Expect(protodelim.UnmarshalFrom(r, &a)).To(Succeed())
+			return &a
+		}
+	})
+	fill := func(position mirror.Position, items ...platform.Item) {
+		Expect(c.take(reportpb.Scope_SCOPE_MEMBERS, position, items, true, now())).To(Succeed())
+	}
+	change := func(position mirror.Position, items ...platform.Item) {
+		Expect(c.take(reportpb.Scope_SCOPE_MEMBERS, position, items, false, now())).To(Succeed())
+	}
+	prove := func() {
+		sent := now()
+		c.mu.Lock()
+		c.follower.Loaded(sent)
+		c.mu.Unlock()
+	}
+	keys := func(a *reportpb.Answer) (list []string) {
+		for _, i := range a.Items {
+			list = append(list, i.Key)
+		}
+		return list
+	}
+
+	It("tells everything once, and then what has changed", func() {
+		fill(at(1, 10), item("servers/a", "1", 3), item("limpetspan/daemon/x", "2", 4), item("limpetspan/limit/7", "3", 5))
+		prove()
+		a := ask(reportpb.Scope_SCOPE_MEMBERS)
+		Expect(a.Whole).To(BeTrue())
+		Expect(keys(a)).To(Equal([]string{"limpetspan/daemon/x", "servers/a"}))
+		change(at(1, 12), item("servers/b", "1", 11), platform.Item{Key: "servers/a", Revision: 12, Deleted: true})
+		a = ask(reportpb.Scope_SCOPE_MEMBERS)
+		Expect(a.Whole).To(BeFalse())
+		Expect(keys(a)).To(Equal([]string{"servers/b", "servers/a"}))
+		Expect(a.Revision).To(Equal(uint64(12)))
+		Expect(ask(reportpb.Scope_SCOPE_MEMBERS).Items).To(BeEmpty())
+	})
+
+	// Guards against entries that hold and are told of all members of a large fleet.
+	It("tells a daemon that reaches no members only of daemons", func() {
+		fill(at(1, 10), item("servers/a", "1", 3), item("limpetspan/daemon/x", "2", 4))
+		prove()
+		Expect(keys(ask(reportpb.Scope_SCOPE_DAEMONS))).To(Equal([]string{"limpetspan/daemon/x"}))
+		a := ask(reportpb.Scope_SCOPE_MEMBERS)
+		Expect(a.Whole).To(BeTrue(), "it has begun to reach members")
+		Expect(a.Items).To(HaveLen(2))
+	})
+
+	// Guards against changes of two eras in one answer: their revisions cannot be compared.
+	It("tells everything anew in a new era", func() {
+		fill(at(1, 10), item("servers/a", "1", 3))
+		prove()
+		ask(reportpb.Scope_SCOPE_MEMBERS)
+		fill(at(2, 6), item("servers/a", "1", 3), item("servers/b", "1", 5))
+		a := ask(reportpb.Scope_SCOPE_MEMBERS)
+		Expect(a.Whole).To(BeTrue())
+		Expect(a.Era).To(Equal(uint64(2)))
+	})
+
+	It("says that it lacks members if it does", func() {
+		Expect(c.take(reportpb.Scope_SCOPE_DAEMONS, at(1, 1), nil, true, now())).To(Succeed())
+		prove()
+		Expect(ask(reportpb.Scope_SCOPE_MEMBERS).Unknown).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/pkg/proxy/metadata/source.go
@@ -0,0 +1,227 @@
+package metadata
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"limpetspan/core"
+	"limpetspan/core/mirror"
+	"limpetspan/core/relay"
+	"limpetspan/pkg/proxy/reportpb"
+	"limpetspan/platform"
+)
+
+// source is a link to a daemon that is asked.
+type source struct {
+	id core.DaemonID
+	c  net.Conn
+	r  *bufio.Reader
+	// forget ends the watch for the end of the process.
+	forget func() bool
+}
+
+func (s *source) close() {
+	s.forget()
+	_ = s.c.Close()
+}
+
+// Errors of questions.
+var (
+	// ErrUnknown is told by a daemon that has just started, stops, or lacks what it is asked.
+	ErrUnknown = errors.New("the daemon has nothing to tell")
+	errNoAddr  = errors.New("the daemon's address is not known")
+)
+
+// ask asks another daemon, over the link to it if there is one already.
+func (c *Copy) ask(step relay.Step) {
+	c.mu.Lock()
+	wanted := c.wanted
+	c.mu.Unlock()
+	proof, err := c.question(step, wanted)
+	if err == nil {
+		c.Owner.Dependency(relayDependency, nil)
+		c.learn(func(f *relay.Follower) { f.Told(c.Now(), step.Peer, proof) })
+		return
+	}
+	c.leaveSource()
+	c.mu.Lock()
+	interrupted := c.wanted != wanted
+	c.mu.Unlock()
+	if interrupted {
+		return
+	}
+	c.Owner.Dependency(relayDependency, fmt.Errorf("%s: %w", step.Peer, err))
+	c.learn(func(f *relay.Follower) { f.Silent(c.Now(), step.Peer) })
+}
+
+// question asks, takes what is told, and returns the proof on this daemon's clock: the
+// other's is relative to the arrival of the question, which came after it was sent.
+func (c *Copy) question(step relay.Step, scope reportpb.Scope) (core.Time, error) {
+	deadline := time.Now().Add(step.Timeout)
+	if err := c.reach(step.Peer, deadline); err != nil {
+		return 0, err
+	}
+	_ = c.source.c.SetDeadline(deadline)
+	c.beginAsking(c.source.c, scope)
+	defer c.beginAsking(nil, scope)
+	sent := c.Now()
+	a, err := c.source.exchange(&reportpb.Question{Version: c.Version(), WaitMs: uint64(step.Wait / time.Millisecond), Scope: scope})
+	if err != nil {
+		return 0, err
+	}
+	proof := proofFrom(sent, c.Now(), a.ProofNs)
+	if len(a.Configuration) > 0 {
+		c.Owner.Accept(a.Configuration)
+	}
+	position := mirror.Position{Era: mirror.Era(a.Era), Revision: mirror.Revision(a.Revision)}
+	return proof, c.take(scope, position, decodeItems(a.Items), a.Whole, proof)
+}
+
+// beginAsking notes on which connection an answer is waited for, so that Widen can end the
+// wait; nil: on none. One for less than what is wanted by now ends at once.
+func (c *Copy) beginAsking(conn net.Conn, scope reportpb.Scope) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asking = conn
+	if conn != nil && c.wanted != scope {
+		_ = conn.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// exchange sends one question and reads the answer.
+func (s *source) exchange(q *reportpb.Question) (*reportpb.Answer, error) {
+	if _, err := protodelim.MarshalTo(s.c, q); err != nil {
+		return nil, err
+	}
+	var a reportpb.Answer
+	if err := (protodelim.UnmarshalOptions{MaxSize: mostAnswerBytes}).UnmarshalFrom(s.r, &a); err != nil {
+		return nil, err
+	}
+	if a.Unknown {
+		return nil, ErrUnknown
+	}
+	return &a, nil
+}
+
+// mostAnswerBytes bounds an answer: a whole copy with ten thousand members, and the
+// configuration.
+const mostAnswerBytes = 64 << 20
+
+// proofFrom dates an answer. One that claims to know the future is not to be believed.
+func proofFrom(sent, came core.Time, offset int64) core.Time {
+	return min(came, sent.Add(time.Duration(offset)))
+}
+
+// reach opens a link to the daemon unless there is one.
+func (c *Copy) reach(id core.DaemonID, deadline time.Time) error {
+	if c.source != nil && c.source.id == id {
+		return nil
+	}
+	c.leaveSource()
+	addr, ok := c.Owner.Addr(id)
+	if !ok {
+		return errNoAddr
+	}
+	s, err := c.open(addr, deadline)
+	if err == nil {
+		s.id = id
+		c.source = s
+	}
+	return err
+}
+
+// open opens a link for questions. The end of the process ends it: an answer may take
+// seconds, and a stop that waited for one would be killed at the end of its grace time.
+func (c *Copy) open(addr string, deadline time.Time) (*source, error) {
+	conn, err := net.DialTimeout("tcp", addr, min(dialTimeout, time.Until(deadline)))
+	if err != nil {
+		return nil, err
+	}
+	s := &source{c: conn, r: bufio.NewReader(conn)}
+	s.forget = context.AfterFunc(c.ctx, func() { _ = conn.Close() })
+	_ = conn.SetDeadline(deadline)
+	if _, err := protodelim.MarshalTo(conn, &reportpb.Hello{Entry: string(c.Self), Configuration: true}); err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (c *Copy) leaveSource() {
+	if c.source != nil {
+		c.source.close()
+		c.source = nil
+	}
+}
+
+// CatchUp fetches the configuration from the daemon at the address, which has a higher
+// version. Entry and home of a session learn of a change at different moments, at times a
+// second apart; a session for a database that is new has to be served all the same.
+func (c *Copy) CatchUp(addr string, version uint64) (tried bool, err error) {
+	if version <= c.Version() {
+		return false, nil
+	}
+	c.catchingUp.Lock()
+	defer c.catchingUp.Unlock()
+	if version <= c.Version() || c.Now() < c.nextCatchUp {
+		return false, nil
+	}
+	err = c.Fetch(addr)
+	if c.Version() < version {
+		c.nextCatchUp = c.Now().Add(catchUpRetry)
+	}
+	return true, err
+}
+
+// AskForNews fetches a newer configuration from the daemon that this one follows. Sessions
+// that come at the same time share the question, and newsEvery bounds how often it is
+// asked: keys that somebody guesses must not become load on others. A daemon that watches
+// the store hears of a change within milliseconds, and has nobody to ask.
+func (c *Copy) AskForNews() {
+	_, _, _ = c.newsAsked.Do("", func() (any, error) {
+		at := c.Now()
+		c.mu.Lock()
+		id, ok := c.follower.Source()
+		c.mu.Unlock()
+		if !ok || at < core.Time(c.nextNews.Load()) {
+			return nil, nil
+		}
+		c.nextNews.Store(int64(at.Add(newsEvery)))
+		addr, ok := c.Owner.Addr(id)
+		if !ok {
+			return nil, nil
+		}
+		if err := c.Fetch(addr); err != nil {
+			c.Owner.Dependency(relayDependency, fmt.Errorf("%s: %w", id, err))
+		}
+		return nil, nil
+	})
+}
+
+// Fetch asks the daemon at the address once, and accepts its configuration.
+func (c *Copy) Fetch(addr string) error {
+	s, err := c.open(addr, time.Now().Add(catchUpTimeout))
+	if err != nil {
+		return err
+	}
+	defer s.close()
+	a, err := s.exchange(&reportpb.Question{Version: c.Version()})
+	if err == nil && len(a.Configuration) > 0 {
+		c.Owner.Accept(a.Configuration)
+	}
+	return err
+}
+
+func decodeItems(list []*reportpb.Item) []platform.Item {
+	items := make([]platform.Item, 0, len(list))
+	for _, i := range list {
+		items = append(items, platform.Item{Key: i.Key, Value: i.Value, Revision: mirror.Revision(i.Revision), Lease: i.Lease, Deleted: i.Deleted})
+	}
+	return items
+}
--- a/pkg/proxy/outage.go
+++ b/pkg/proxy/outage.go
@@ -18,7 +18,7 @@
 // members, as soon as these were back, for ten seconds.
 func (p *Proxy) blind(id core.GroupID) bool {
 	since := core.Time(p.configuredAt.Load())
-	if since == 0 || now().Sub(since) < blindAfter || p.reaches(hostListDependency) {
+	if since == 0 || now().Sub(since) < blindAfter || p.view.current(now()) {
 		return false
 	}
 	g := p.known(id)
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"cmp"
-	"fmt"
-	"hash/fnv"
 	"maps"
 	"net"
 	"slices"
@@ -29,10 +27,6 @@
 	// whole report is.
 	news map[core.GroupID]bool
 	all  bool
-	// listDigest is a digest of the store's list of daemons; sameAt is when another daemon
-	// last had the same.
-	listDigest uint64
-	sameAt     core.Time
 }
 
 type peer struct {
@@ -91,7 +85,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := now()
-	s.listDigest = digestOf(entries)
 	for id, k := range s.known {
 		if _, ok := entries[id]; !ok {
 			k.unlist(at)
@@ -104,37 +97,18 @@
 	}
 }
 
-// digestOf tells one list of daemons from another.
-func digestOf(entries map[core.DaemonID]daemonEntry) uint64 {
-	h := fnv.New64a()
-	for _, id := range slices.Sorted(maps.Keys(entries)) {
-		_, _ = fmt.Fprintln(h, id, entries[id].IP)
-	}
-	return h.Sum64()
-}
-
-// digest is that of the list as it was last read.
-func (s *peers) digest() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.listDigest
-}
-
-// compare takes the digest of another daemon's list.
-func (s *peers) compare(digest uint64) {
+// expire ends the time for which daemons count that the list has lost, and says whether any
+// has gone by that.
+func (s *peers) expire(at core.Time) (gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sameAt = 0
-	if digest == s.listDigest {
-		s.sameAt = now()
+	for _, k := range s.known {
+		if k.listed && k.unlistedAt != 0 {
+			k.unlist(at)
+			gone = gone || !k.listed
+		}
 	}
-}
-
-// agrees says whether a relay has lately had the same list as this daemon.
-func (s *peers) agrees() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.sameAt != 0 && now().Sub(s.sameAt) < listAgreed
+	return gone
 }
 
 // unlist takes that the store's list lacks the daemon. It may only be cut from the
@@ -208,15 +182,15 @@
 	return list
 }
 
-// large says whether the fleet has more daemons than reports are sent to.
+// large says whether reports do not reach all daemons of the fleet. The lock is held.
 func (s *peers) large() bool {
-	n := 0
+	n := 1
 	for _, k := range s.known {
 		if k.listed {
 			n++
 		}
 	}
-	return n > maxPeers
+	return !direct.SmallFleet(max(n, int(s.p.homes.lastSize.Load())))
 }
 
 // target is a daemon to report to.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -22,6 +22,7 @@
 	"limpetspan/core"
 	"limpetspan/core/direct"
 	"limpetspan/core/policy"
+	"limpetspan/pkg/proxy/metadata"
 	"limpetspan/pkg/telemetry"
 	"limpetspan/platform"
 )
@@ -51,17 +52,16 @@
 	peers         *peers
 	homes         *homes
 	catalog       atomic.Pointer[direct.Catalog]
-	configuration *configuration
-	hostList      hostList
-	// membersListed is set once the host list was read.
-	membersListed atomic.Bool
+	// metadata is the copy of the store, view what it means.
+	metadata *metadata.Copy
+	view     *view
+	// looked brings the list of daemons as it was before this one took part.
+	looked chan *daemonList
 	// stopping is set when a planned stop has begun; closed is closed once it takes no new
 	// work, done at the end of the process.
 	stopping atomic.Bool
 	closed   chan struct{}
 	done     chan struct{}
-	// membersWanted asks for a read of the host list at once.
-	membersWanted chan struct{}
 	// ctx ends with the process, and with it all calls to the platform.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -89,7 +89,7 @@
 	st := newStats()
 	p := &Proxy{
 		settings: s, client: platform.NewClient(s.StoreAddr, s.PromoteAddr), stats: st, boot: time.Now().UnixNano(),
-		closed: make(chan struct{}), done: make(chan struct{}), membersWanted: make(chan struct{}, 1), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
+		closed: make(chan struct{}), done: make(chan struct{}), looked: make(chan *daemonList, 1), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
 		lost: make(map[string]bool), sessionLimits: DefaultSessionLimits, policy: policy.All,
 		log: telemetry.NewLogger(newAsyncWriter(w, st), "info", string(s.Daemon)),
 	}
@@ -98,7 +98,10 @@
 	p.homes = newHomes(p)
 	p.access = newAccess(p)
 	p.limits = newLimits(p)
-	p.configuration = newConfiguration(p)
+	p.view = newView(p)
+	p.metadata = metadata.New(p.ctx, metadata.Options{
+		Self: s.Daemon, Store: p.client, Owner: p.view, Now: now, Bound: s.ProofBound(), KeepYoung: s.KeyBound != 0, LookAt: p.lookAt(),
+	})
 	p.claims = &claims{p: p, seen: make(map[core.GroupID]seenLock)}
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryLimit)))
@@ -107,6 +110,15 @@
 	return p
 }
 
+// lookAt is when this daemon looks for others. When a fleet starts for the first time, strong
+// hosts come first, so that weak ones find them.
+func (p *Proxy) lookAt() core.Time {
+	if !p.settings.FirstStart {
+		return p.startedAt
+	}
+	return p.startedAt.Add(direct.JoinDelay(p.self(), firstStartDelay))
+}
+
 // SetPolicy says which mechanisms are in use, for measurements; before Run.
 func (p *Proxy) SetPolicy(set policy.Set) { p.policy = set }
 
@@ -142,7 +154,7 @@
 	}
 	p.log.Info("started", "callers", p.settings.CallerAddr, "zone", p.settings.Zone, "switched_off", p.policy.Off())
 	var work errgroup.Group
-	for _, f := range []func(){p.configuration.run, p.followMembers, p.followDaemons, p.tick, p.peers.run, p.peers.receive, p.limits.run} {
+	for _, f := range []func(){p.metadata.Run, p.followDaemons, p.tick, p.peers.run, p.peers.receive, p.limits.run} {
 		work.Go(func() error { f(); return nil })
 	}
 	go p.serveHTTP("readiness", ready, p.answerReady)
@@ -263,7 +275,7 @@
 		return g
 	}
 	if here, _ := p.homes.here(id); !here {
-		p.wakeMembers()
+		p.metadata.Widen()
 	}
 	return g
 }
@@ -360,7 +372,8 @@
 // list have been read once. Later trouble with the store does not change it, as
 // it would take all daemons out at once.
 func (p *Proxy) ready() bool {
-	return p.catalog.Load() != nil && p.membersListed.Load() && p.homes.chosen() && !p.stopping.Load()
+	listed := p.view.knowsMembers() || !p.homes.anywhere()
+	return p.catalog.Load() != nil && listed && p.homes.chosen() && !p.stopping.Load()
 }
 
 func (p *Proxy) answerReady(w http.ResponseWriter, _ *http.Request) {
@@ -410,7 +423,7 @@
 func (p *Proxy) stop(callers net.Listener) {
 	p.stopping.Store(true)
 	p.peers.kick()
-	p.configuration.dismiss()
+	p.metadata.Dismiss()
 	began := now()
 	p.log.Info("stopping", "sessions", p.countSessions())
 	p.endIdle(began.Add(share(p.settings.Grace, acceptShare)), stopIdleAfter, func() bool { return false })
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -1,14 +1,11 @@
 package proxy
 
 import (
-	"net"
 	"slices"
-	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"limpetspan/core"
 	"limpetspan/core/direct"
 )
 
@@ -76,14 +73,9 @@
 	// Each daemon that watches is a paid call every few seconds. With followers, calls to
 	// the store grow with zones and not with hosts.
 	It("is watched by two daemons of a zone, and told to all others", func() {
-		Eventually(func() bool {
-			for _, d := range followers {
-				if d.p.client.Calls()["/api/kv-watch"] > 0 && d.p.configuration.source == nil {
-					return false
-				}
-			}
-			return true
-		}, waitLimit).Should(BeTrue())
+		// A watch from before a daemon knew the others ends with the next change.
+		f.configure("db-own")
+		f.inForce(f.daemons)
 		before := make(map[*daemon]int64)
 		for _, d := range followers {
 			before[d] = d.p.client.Calls()["/api/kv-watch"]
@@ -151,67 +143,15 @@
 	})
 })
 
-var _ = Describe("a daemon that stops while a relay owes it an answer", func() {
-	// A relay answers a question when it has news, which may take seconds. The process of
-	// a daemon that had asked was still there at the end of its grace time.
-	It("does not wait for it", func() {
-		f := newFleet(2)
-		d := f.daemons[0]
-		silent := ownIP(98)
-		l, err := net.Listen("tcp", d.s.LinkAddr(silent))
-		Expect(err).NotTo(HaveOccurred())
-		defer l.Close()
-		asked := make(chan error, 1)
-		go func() {
-			source, err := d.p.configuration.open(d.s.LinkAddr(silent), time.Now().Add(2*waitLimit))
-			if err == nil {
-				_, err = source.exchange(d.p.configuration, waitLimit)
-			}
-			asked <- err
-		}()
-		_, err = l.Accept()
-		Expect(err).NotTo(HaveOccurred())
-		d.kill()
-		Eventually(asked, waitLimit).Should(Receive(HaveOccurred()))
-	})
-})
-
-var _ = Describe("a relay's proof", func() {
-	It("counts from the sending of the question, and never from the future", func() {
-		sent := now()
-		came := sent.Add(30 * time.Millisecond)
-		Expect(proofFrom(sent, came, -int64(time.Second))).To(Equal(sent.Add(-time.Second)))
-		Expect(proofFrom(sent, came, int64(10*time.Millisecond))).To(Equal(sent.Add(10 * time.Millisecond)))
-		Expect(proofFrom(sent, came, int64(time.Hour))).To(Equal(came))
-	})
-})
-
-var _ = Describe("the list of daemons", func() {
-	// Each of some hundred daemons read the whole list every few seconds, on days on which
-	// nobody came or went.
-	It("is read seldom while a relay has the same, and as often as before otherwise", func() {
-		p := &Proxy{}
-		p.homes = newHomes(p)
-		p.homes.fix("g", "a")
-		p.homes.daemons = []direct.Daemon{{ID: "a"}, {ID: "b"}}
-		s := &peers{p: p, known: make(map[core.DaemonID]*peer)}
-		p.peers = s
-		p.settings.Daemon = "a"
-		s.listed(map[core.DaemonID]daemonEntry{"a": {IP: "127.0.0.1"}, "b": {IP: "127.0.0.2"}})
-		Expect(p.daemonsPause()).To(Equal(daemonsEvery / 3))
-		s.compare(s.digest())
-		Expect(p.daemonsPause()).To(Equal(daemonsAgreed))
-		s.compare(digestOf(map[core.DaemonID]daemonEntry{"a": {IP: "127.0.0.1"}, "c": {IP: "127.0.0.3"}}))
-		Expect(p.daemonsPause()).To(Equal(daemonsEvery / 3))
-	})
-})
-
 var _ = Describe("a daemon that starts while others serve", func() {
 	// All hosts have lost power. Lists that may be old lack the daemon's own entry for some
 	// 0.2 s, and no caller was served before it was there.
-	It("pays for a list of daemons that is not old", func() {
+	It("does not wait for a list that may be old to show its own entry", func() {
 		f := newFleet(1)
-		Expect(f.daemons[0].p.client.Calls()).NotTo(HaveKey("/api/kv-range allow_stale"))
+		f.store.FreezeStale()
+		d := f.start(ownIP(9), 8, nextPort())
+		defer d.kill()
+		Eventually(d.started, waitLimit).Should(BeTrue())
 	})
 })
 
@@ -225,7 +165,7 @@
 		f.store.SetDown(true)
 		d = run(d.s, GinkgoWriter)
 		f.daemons[0] = d
-		Eventually(func() int64 { return d.p.client.Calls()["/api/kv-range"] }, waitLimit).Should(BeNumerically(">", 4))
+		Eventually(func() int64 { return d.p.client.Calls()["/api/kv-range allow_stale"] }, waitLimit).Should(BeNumerically(">", 4))
 		Expect(d.p.client.Calls()).To(HaveLen(1), "%v", d.p.client.Calls())
 		f.store.SetDown(false)
 		Eventually(d.started, waitLimit).Should(BeTrue())
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -140,7 +140,7 @@
 	switch s.p.access.open(s.database, s.key) {
 	case auth.Unknown:
 		s.p.stats.barred.Add(textUnknownKey, 1)
-		s.debug("session refused", "reason", textUnknownKey, "key", s.key.String(), "configuration", s.p.configuration.version())
+		s.debug("session refused", "reason", textUnknownKey, "key", s.key.String(), "configuration", s.p.metadata.Version())
 		return s.close(platform.CodeUnknownKey, textUnknownKey)
 	case auth.Unproved:
 		s.p.stats.barred.Add(textUnproved, 1)
--- a/pkg/proxy/slots.go
+++ b/pkg/proxy/slots.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"limpetspan/core"
+	"limpetspan/core/mirror"
 	"limpetspan/core/quota"
 	"limpetspan/platform"
 )
@@ -167,10 +168,10 @@
 func (l *limits) call(ctx context.Context, step quota.Step, sent core.Time) (report func(h *quota.Holder), err error) {
 	switch step.Kind {
 	case quota.Grant:
-		lease, err := l.p.client.Grant(ctx, quota.LeaseFor)
+		lease, _, err := l.p.client.Grant(ctx, quota.LeaseFor)
 		return func(h *quota.Holder) { h.Granted(sent, lease, quota.LeaseFor) }, err
 	case quota.Renew:
-		err := l.p.client.Renew(ctx, step.Lease)
+		_, err := l.p.client.Renew(ctx, step.Lease)
 		if errors.Is(err, platform.ErrNotFound) {
 			return (*quota.Holder).LeaseGone, nil
 		}
@@ -200,13 +201,13 @@
 
 func conditionsOf(step quota.Step) (list []platform.Condition) {
 	for slot, revision := range step.Slots {
-		list = append(list, platform.Condition{Key: slotKey(slot), Revision: platform.Revision(revision)})
+		list = append(list, platform.Condition{Key: slotKey(slot), Revision: mirror.Revision(revision)})
 	}
 	return list
 }
 
 func (l *limits) take(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
-	revision, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot})
+	position, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot})
 	switch {
 	case errors.Is(err, platform.ErrConflict):
 		return func(h *quota.Holder) { h.Conflict(now()) }, nil
@@ -216,14 +217,14 @@
 		return nil, err
 	}
 	l.p.log.Info("slots of teams taken", "slots", len(step.Slots))
-	return func(h *quota.Holder) { h.Taken(now(), step.Slots, uint64(revision)) }, nil
+	return func(h *quota.Holder) { h.Taken(now(), step.Slots, uint64(position.Revision)) }, nil
 }
 
 // write writes the entry of all slots of the step.
-func (l *limits) write(ctx context.Context, step quota.Step, e slotEntry) (platform.Revision, error) {
+func (l *limits) write(ctx context.Context, step quota.Step, e slotEntry) (mirror.Position, error) {
 	value, err := json.Marshal(e)
 	if err != nil {
-		return 0, err
+		return mirror.Position{}, err
 	}
 	var writes []platform.Write
 	for slot := range step.Slots {
@@ -235,7 +236,7 @@
 // flag tells the store of the use of bursts, or of the contrary.
 func (l *limits) flag(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
 	open := step.Kind == quota.Open
-	revision, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, Calm: !open})
+	position, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, Calm: !open})
 	switch {
 	case errors.Is(err, platform.ErrConflict):
 		return func(h *quota.Holder) { h.FlagFailed(now(), step.Slots) }, nil
@@ -244,7 +245,7 @@
 	case err != nil:
 		return nil, err
 	}
-	return func(h *quota.Holder) { h.Flagged(step.Slots, uint64(revision), open) }, nil
+	return func(h *quota.Holder) { h.Flagged(step.Slots, uint64(position.Revision), open) }, nil
 }
 
 func (l *limits) release(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -48,10 +48,12 @@
 	// at the latest, if the store answers: its entry is written, and the list is complete
 	// or was waited for.
 	startingFor = joinWait + storeTimeout
-	// staleTries is how often a daemon that joins reads a list of daemons that may be
-	// old before it pays for one that is not. Such a list is as good if it has the entry
-	// that this process has just written.
-	staleTries = 3
+	// firstStartDelay is how long a host with a whole processor waits when a whole fleet starts
+	// for the first time, weaker ones longer, and joinDelay the same where a fleet that has
+	// lost its list starts again. mostLooks bounds how often.
+	firstStartDelay = 300 * time.Millisecond
+	joinDelay       = 50 * time.Millisecond
+	mostLooks       = 4
 	// joinShare of the last known size makes a list complete enough.
 	joinShare = 0.7
 	// sizeChange is by what share the fleet has to change for its size to be
@@ -59,27 +61,22 @@
 	sizeChange = 0.25
 	// idleConnKeep is how long a connection beyond the fair share stays open unused.
 	idleConnKeep = 3 * time.Second
-	// membersEvery is the pause between reads of the host list: a leaving member
-	// gets no new work after 7 s, of which one read and one failed read are used.
-	membersEvery = 1500 * time.Millisecond
-	// daemonsEvery is the pause between reads of the list of daemons; once known,
-	// they tell of themselves in reports.
-	daemonsEvery = 10 * time.Second
-	// daemonsAgreed is that pause while a relay says that it has the same list, and
-	// listAgreed for how long that counts: two of a relay's answers.
-	daemonsAgreed = 3 * daemonsEvery
-	listAgreed    = 4 * time.Second
+	// membersCurrent is how old the copy of the host list may be for this daemon to count on
+	// what it lacks: two watches in which nothing has changed.
+	membersCurrent = 4 * time.Second
+	// fleetTick is the pause between looks at this daemon's part in the fleet, and sizeEvery
+	// that between looks whether the fleet's size is to be written.
+	fleetTick = 250 * time.Millisecond
+	sizeEvery = 5 * time.Second
+	// neededFor is how long the list has to lack fit hosts before a daemon that is not on it
+	// registers, up to twice as long by its draw.
+	neededFor = time.Second
 	// registrationLease is the lease of a daemon's own entry, renewalEvery the
 	// pause between its renewals: two of them may fail. Entries find out by themselves
 	// that a daemon has gone; a store that is away for longer than the lease loses the
 	// whole list, and renewals are most of what a calm fleet calls the store for.
 	registrationLease = 9 * time.Second
 	renewalEvery      = 3 * time.Second
-	// catchUpTimeout bounds fetching a newer configuration from the other end of a link,
-	// within which the entry waits for the home's welcome; catchUpRetry is the pause
-	// after one that brought none.
-	catchUpTimeout = homeDialTimeout / 2
-	catchUpRetry   = 250 * time.Millisecond
 	// recheckEvery is the pause between looks whether a daemon lives again that counts a team.
 	recheckEvery = 200 * time.Millisecond
 	// ownerKnownFor is how old a list of slots may be by which an entry is sent to a daemon
@@ -100,13 +97,6 @@
 	// slotWait is how long a statement waits at most for this daemon to take its team's slot:
 	// three calls to the store in order, and one that fails.
 	slotWait = 600 * time.Millisecond
-	// newsEvery is the pause between questions for a newer configuration that callers with
-	// unknown keys cause: a key that has just been added works a quarter of a second later at
-	// the latest where such callers come all the time.
-	newsEvery = 250 * time.Millisecond
-	// relayIdle is how long a relay keeps the link of a daemon that asks nothing, and
-	// waits for one that does not read: longer than any follower waits.
-	relayIdle = 10 * time.Second
 	// storeTimeout bounds other calls to the store, which answers in 4 ms.
 	storeTimeout = 800 * time.Millisecond
 	// storeRetry is the pause after a failed call to the store.
