Gather the changes of a burst, and let a watcher that is cut off ask others than watchers

The test "the configuration of a large fleet reaches the followers of daemons that are cut from the store" failed once in 81 specs, and showed the second: with both watchers cut off from the store between two watches, neither heard of a change that all their followers had read, as watchers asked each other alone. It had passed because a watch is hardly ever not under way.

Change: after events the next watch waits 0.2 s, twice as long while they go on, a sixth of the budget at most. The daemons that are asked are watchers first and then others.

--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -44,11 +44,11 @@
 	return chosen(configurationKey, byZone(daemons), watchersPerZone)
 }
 
-// WatcherOrder returns the watchers that a daemon in the zone asks for the
-// configuration, best first: those of its own zone, then others.
+// WatcherOrder returns the daemons that a daemon in the zone asks for the configuration,
+// best first: watchers of its own zone, other watchers, and others, which have read the
+// store themselves if all watchers are cut off from it.
 func WatcherOrder(self core.DaemonID, zone core.Zone, watchers []core.DaemonID, daemons []Daemon) []core.DaemonID {
-	list := slices.DeleteFunc(slices.Clone(daemons), func(d Daemon) bool { return !slices.Contains(watchers, d.ID) })
-	return Order(configurationKey, self, zone, watchers, list)
+	return Order(configurationKey, self, zone, watchers, daemons)
 }
 
 // byZone are the daemons of each zone that are fit to be homes.
--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -61,8 +61,9 @@
 	retryAt  core.Time
 	// hurried is set when the daemon needs more than it has.
 	hurried bool
-	// watchAt is when the next watch may be sent.
-	watchAt core.Time
+	// watchAt is when the next watch may be sent, gathering how long it waits after events.
+	watchAt   core.Time
+	gathering time.Duration
 	// consulted is set once relays were asked after the latest failure: one had a young proof,
 	// or silentConsulted were silent.
 	consulted       bool
@@ -244,9 +245,16 @@
 // each that ended a watch of its own would be a call.
 func (f *Follower) Watched(now, sent core.Time, events int) {
 	f.answered(sent)
-	if events > 0 {
-		f.watchAt = now.Add(gatherFor)
+	switch {
+	case events == 0:
+		f.gathering = 0
+		return
+	case now.Sub(sent) > 2*f.gathering:
+		f.gathering = gatherFor
+	default:
+		f.gathering = min(2*f.gathering, max(gatherFor, f.budget/gatherParts))
 	}
+	f.watchAt = now.Add(f.gathering)
 }
 
 func (f *Follower) answered(sent core.Time) {
--- a/core/relay/follower_test.go
+++ b/core/relay/follower_test.go
@@ -78,6 +78,18 @@
 		Expect(f.Next(after(time.Second + step.Wait)).Kind).To(Equal(relay.Watch))
 		f.Watched(after(3*time.Second), after(time.Second), 0)
 		Expect(f.Next(after(3 * time.Second)).Kind).To(Equal(relay.Watch))
+		calls, at := 0, 4*time.Second
+		for at < 14*time.Second {
+			step = f.Next(after(at))
+			if step.Kind == relay.Pause {
+				Expect(step.Wait).To(BeNumerically("<", time.Second), "a change is known soon all the same")
+				at += step.Wait
+				continue
+			}
+			calls++
+			f.Watched(after(at+5*time.Millisecond), after(at), 3)
+		}
+		Expect(calls).To(BeNumerically("<", 16), "50 with a pause of 0.2 s")
 	})
 
 	It("watches for a third of its budget if others depend on it, and for all of it alone", func() {
--- a/core/relay/tuning.go
+++ b/core/relay/tuning.go
@@ -24,9 +24,11 @@
 	answerSlack = 800 * time.Millisecond
 	// answerTimeout bounds the way to a relay and back.
 	answerTimeout = 400 * time.Millisecond
-	// gatherFor is how long a watch waits for more changes after one that has ended with some;
-	// a change is known later by as much.
-	gatherFor = 200 * time.Millisecond
+	// gatherFor is how long a watch waits for more changes after one that has ended with some,
+	// twice as long each time while they go on, and at most that part of the budget; a change
+	// is known later by as much.
+	gatherFor   = 200 * time.Millisecond
+	gatherParts = 6
 	// emptyAsk is how long a relay may take that has no copy itself yet.
 	emptyAsk = 400 * time.Millisecond
 	// relaysFirst is for how long a daemon that has just started asks relays alone, and up to
