Keep a roster of the fleet's strong hosts, so that a start after the loss of all is fast

Cause: the fleet's size counted all daemons.

Change: daemons remember a roster, which is how many there were, how many were fit, and the strongest host of each zone. A list is complete with most of the fit ones; a strong host knows at once that it registers, a weak one that it does not. Homes are chosen by the list that the look has brought, before the own entry is written.

Tests: core/direct/join_test.go. Tests of pkg/proxy that change homes by hand now wait until the roster is written, which has daemons choose anew; one makes its home serve before it loses the store, as a home without any lease gets none without it.

--- /dev/null
+++ b/core/direct/join_test.go
@@ -0,0 +1,78 @@
+package direct_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+)
+
+var _ = Describe("a daemon that starts", func() {
+	var strongHosts []direct.Daemon
+	for z := range 6 {
+		for i := range 10 {
+			strongHosts = append(strongHosts, direct.Daemon{ID: core.DaemonID(fmt.Sprintf("s%d-%d", z, i)), Zone: core.Zone(fmt.Sprint(z)), Weight: 1.6})
+		}
+	}
+	roster := direct.RosterOf(strongHosts)
+	weak := direct.Daemon{ID: "weak", Zone: "2", Weight: 0.2}
+
+	// Guards against lists that grow with hosts which no choice would take.
+	It("is not listed where it would never be a home", func() {
+		Expect(direct.Join(weak, strongHosts, roster)).To(Equal(direct.JoinAsEntry))
+		Expect(direct.Join(strongHosts[3], strongHosts[4:], roster)).To(Equal(direct.JoinAsHome))
+	})
+
+	It("is listed in a fleet of which all daemons may be homes", func() {
+		few := strongHosts[:8]
+		Expect(direct.Join(weak, few, direct.RosterOf(few))).To(Equal(direct.JoinAsHome))
+		var equal []direct.Daemon
+		for i := range 100 {
+			equal = append(equal, direct.Daemon{ID: core.DaemonID(fmt.Sprint(i)), Zone: "z", Weight: 0.4})
+		}
+		Expect(direct.Join(direct.Daemon{ID: "new", Zone: "z", Weight: 0.4}, equal, direct.RosterOf(equal))).To(Equal(direct.JoinAsHome))
+	})
+
+	// Guards against a thousand weak hosts that register at once when a fleet has lost its list:
+	// they know by the roster that strong ones are about to come.
+	It("waits for strong hosts that the fleet has had, if it is weak", func() {
+		Expect(direct.Join(weak, nil, roster)).To(Equal(direct.JoinUndecided))
+		Expect(direct.Join(strongHosts[0], nil, roster)).To(Equal(direct.JoinAsHome), "others wait for it")
+	})
+
+	// Guards against homes that wait in vain for weak hosts to be listed after a loss of power.
+	It("takes a list for complete by the hosts that can be homes", func() {
+		mixed := append([]direct.Daemon{}, strongHosts...)
+		for i := range 200 {
+			mixed = append(mixed, direct.Daemon{ID: core.DaemonID(fmt.Sprint("w", i)), Zone: "2", Weight: 0.2})
+		}
+		r := direct.RosterOf(mixed)
+		Expect(r.Fit).To(Equal(60))
+		Expect(r.Complete(strongHosts)).To(BeTrue())
+		Expect(r.Complete(strongHosts[:30])).To(BeFalse())
+		small := direct.RosterOf(strongHosts[:10])
+		Expect(small.Complete(strongHosts[:6])).To(BeFalse())
+		Expect(small.Complete(strongHosts[:7])).To(BeTrue())
+	})
+
+	// Guards against a fleet with few strong hosts that turns to the ways of a small one when its
+	// weak hosts, which are not listed any more, have restarted.
+	It("finds a large fleet that stays large", func() {
+		few := strongHosts[:8]
+		large := direct.Roster{Daemons: 71, Fit: 8, Strongest: map[core.Zone]float64{"0": 1.6, "2": 1.6}}
+		next := large.Next(few)
+		Expect(direct.SmallFleet(next.Daemons)).To(BeFalse())
+		Expect(next.Fit).To(Equal(8))
+		Expect(direct.SmallFleet(direct.Roster{Daemons: 9}.Next(few).Daemons)).To(BeTrue())
+	})
+
+	It("comes the sooner the stronger it is when a fleet starts for the first time", func() {
+		for _, d := range strongHosts {
+			Expect(direct.JoinDelay(d, time.Second)).To(BeNumerically("<", direct.JoinDelay(weak, time.Second)/4))
+		}
+	})
+})
--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -6,6 +6,7 @@
 	"errors"
 	"maps"
 	"math"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -42,9 +43,9 @@
 		}
 		l := p.view.daemonList()
 		r.reconsider(at, l)
-		if at.Sub(r.sizedAt) >= sizeEvery {
-			r.sizedAt = at
-			p.noteSize(l)
+		if at.Sub(r.rosterAt) >= rosterEvery && p.leads(l) {
+			r.rosterAt = at
+			p.noteRoster(l)
 		}
 	}
 	r.end()
@@ -58,21 +59,22 @@
 // join decides how this daemon takes part in the fleet, of which l is a list that may be
 // old, and chooses homes by a list that is complete enough.
 func (p *Proxy) join(r *registration, l *daemonList) {
-	l = p.lookAgain(l)
-	if direct.Join(p.self(), l.daemons(), l.least()) == direct.JoinAsEntry {
+	l, joining := p.lookAgain(l)
+	if joining == direct.JoinAsEntry {
 		p.settle(l)
 		return
 	}
 	r.wanted = true
-	r.keep(now())
-	if !p.settings.FirstStart && l.complete() && l.size > 0 {
+	if !p.settings.FirstStart && l.roster.Daemons > 0 && l.complete() {
 		p.settle(l)
+		r.keep(now())
 		return
 	}
 	if !p.settings.FirstStart {
 		// Its own copy serves until it knows who watches the store.
 		p.metadata.SetFleet(true, nil)
 	}
+	r.keep(now())
 	for p.running() {
 		first, err := p.firstList()
 		if err == nil {
@@ -84,25 +86,26 @@
 	}
 }
 
-// lookAgain reads the list again while it lacks daemons that the fleet is known to have:
-// strong hosts, which register at once, come before weak ones decide.
-func (p *Proxy) lookAgain(l *daemonList) *daemonList {
+// lookAgain says how to take part, and reads the list again while it lacks hosts that the
+// fleet is known to have.
+func (p *Proxy) lookAgain(l *daemonList) (*daemonList, direct.Joining) {
 	for range mostLooks {
-		if direct.Join(p.self(), l.daemons(), l.least()) != direct.JoinUndecided || !p.running() {
-			return l
+		joining := direct.Join(p.self(), l.daemons(), l.roster)
+		if joining != direct.JoinUndecided || !p.running() {
+			return l, joining
 		}
-		p.sleep(direct.JoinDelay(p.self(), joinDelay))
+		p.sleep(lookPause + time.Duration(rand.Float64()*float64(lookPause)))
 		if next, err := p.listDaemons(p.client.ListStale); err == nil {
 			l = next
 		}
 	}
-	return l
+	return l, direct.JoinAsHome
 }
 
 // settle chooses homes by the list.
 func (p *Proxy) settle(l *daemonList) {
 	p.peers.listed(l.entries)
-	p.homes.decide(l.size)
+	p.homes.decide(l.roster)
 }
 
 // fleetChanged takes a change of the list of daemons.
@@ -159,8 +162,8 @@
 	// lease is that of the entry, 0: there is none; renewed is when it was last asked for.
 	lease   uint64
 	renewed core.Time
-	// sizedAt is when this daemon last looked whether the size of the fleet is to be written.
-	sizedAt core.Time
+	// rosterAt is when this daemon last looked whether the roster is to be written.
+	rosterAt core.Time
 }
 
 // keep writes the entry, or renews its lease when that is due.
@@ -204,7 +207,7 @@
 	if r.wanted || !p.homes.chosen() {
 		return
 	}
-	if direct.Join(p.self(), l.daemons(), p.homes.fleetSize(len(l.entries))) == direct.JoinAsEntry {
+	if direct.Join(p.self(), l.daemons(), direct.Roster{Daemons: l.roster.LeastSize()}) == direct.JoinAsEntry {
 		r.neededSince = 0
 		return
 	}
@@ -233,9 +236,9 @@
 // daemonList is the store's list of daemons.
 type daemonList struct {
 	entries map[core.DaemonID]daemonEntry
-	// size is how many there were when somebody last counted, sizeItem that entry.
-	size     int
-	sizeItem platform.Item
+	// roster is what they were when somebody last looked, rosterItem that entry.
+	roster     direct.Roster
+	rosterItem platform.Item
 }
 
 func newDaemonList() *daemonList {
@@ -266,13 +269,8 @@
 	return list
 }
 
-// least is how many daemons the fleet has at least.
-func (l *daemonList) least() int { return max(l.size, len(l.entries)) }
-
-// complete says whether the list has about as many daemons as there last were.
-func (l *daemonList) complete() bool {
-	return float64(len(l.entries)) >= joinShare*float64(l.size)
-}
+// complete says whether the list has about all daemons that can be homes.
+func (l *daemonList) complete() bool { return l.roster.Complete(l.daemons()) }
 
 // parseDaemons decodes the daemons' entries and the size of the fleet.
 func (p *Proxy) parseDaemons(items []platform.Item) *daemonList {
@@ -285,10 +283,10 @@
 
 // applyDaemon takes one item of the list.
 func (p *Proxy) applyDaemon(l *daemonList, item platform.Item) {
-	if item.Key == platform.FleetSizeKey {
-		l.size, l.sizeItem = 0, item
-		if err := json.Unmarshal(item.Value, &l.size); err != nil && !item.Deleted {
-			p.log.Error("size of the fleet cannot be read", "error", err.Error())
+	if item.Key == platform.RosterKey {
+		l.roster, l.rosterItem = direct.Roster{}, item
+		if err := json.Unmarshal(item.Value, &l.roster); err != nil && !item.Deleted {
+			p.log.Error("roster of the fleet cannot be read", "error", err.Error())
 		}
 		return
 	}
@@ -305,28 +303,39 @@
 	l.entries[id] = e
 }
 
-// noteSize has the daemon with the lowest id write the fleet's size if it has
-// changed much. It is not written down with one short list: daemons that start would take
-// the fleet for a small one.
-func (p *Proxy) noteSize(l *daemonList) {
+// leads says whether this daemon is the one to write what all agree on: it has the lowest id
+// of those that are listed.
+func (p *Proxy) leads(l *daemonList) bool {
 	if _, listed := l.entries[p.settings.Daemon]; !listed {
-		return
+		return false
 	}
 	for id := range l.entries {
 		if id < p.settings.Daemon {
-			return
+			return false
 		}
 	}
-	size := p.homes.fleetSize(len(l.entries))
-	if math.Abs(float64(size-l.size)) <= sizeChange*float64(l.size) {
+	return true
+}
+
+// noteRoster writes the fleet's roster if it has changed much. It is not written down with one short list: daemons that start would take the fleet
+// for a small one.
+func (p *Proxy) noteRoster(l *daemonList) {
+	next := l.roster.Next(l.daemons())
+	if p.homes.fleetSize(next.Daemons) > next.Daemons || !changedMuch(l.roster, next) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
-	value, err := json.Marshal(size)
+	value, err := json.Marshal(next)
 	if err == nil {
-		_, err = p.client.Put(ctx, []platform.Condition{{Key: platform.FleetSizeKey, Revision: l.sizeItem.Revision}},
-			[]platform.Write{{Key: platform.FleetSizeKey, Value: value}})
+		_, err = p.client.Put(ctx, []platform.Condition{{Key: platform.RosterKey, Revision: l.rosterItem.Revision}},
+			[]platform.Write{{Key: platform.RosterKey, Value: value}})
 	}
-	p.log.Info("size of the fleet", "daemons", size, "before", l.size, "error", errorText(err))
+	p.log.Info("roster of the fleet", "daemons", next.Daemons, "fit", next.Fit, "before", l.roster.Daemons, "error", errorText(err))
+}
+
+// changedMuch says whether a daemon that starts would misjudge the fleet by the old roster.
+func changedMuch(old, next direct.Roster) bool {
+	differs := func(a, b int) bool { return math.Abs(float64(a-b)) > rosterChange*float64(a) }
+	return differs(old.Daemons, next.Daemons) || differs(old.Fit, next.Fit) || !maps.Equal(old.Strongest, next.Strongest)
 }
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -106,7 +106,7 @@
 	if !h.decided {
 		return nil
 	}
-	size := h.size.Counted(now(), len(daemons))
+	size := h.size.Counted(now(), max(len(daemons), h.p.view.daemonList().roster.LeastSize()))
 	newCatalog := h.catalog != catalog
 	if !newCatalog && h.chosenBy == size && slices.Equal(daemons, h.daemons) {
 		return nil
@@ -205,12 +205,11 @@
 	h.p.metadata.SetFleet(here, direct.WatcherOrder(self, h.p.settings.Zone, watchers, h.daemons))
 }
 
-// decide allows the choice: the list of daemons is complete enough. size is how many
-// there were when somebody last counted.
-func (h *homes) decide(size int) {
+// decide allows the choice: the list of daemons is complete enough.
+func (h *homes) decide(roster direct.Roster) {
 	h.mu.Lock()
 	h.decided = true
-	h.size.Counted(now(), size)
+	h.size.Counted(now(), roster.Daemons)
 	h.mu.Unlock()
 	h.update()
 }
--- a/pkg/proxy/homes_test.go
+++ b/pkg/proxy/homes_test.go
@@ -55,6 +55,7 @@
 	// of its time, and was refused, although another home could have served it.
 	It("is given up while there is time for another one, by all sessions", func() {
 		f := newFleet(2)
+		f.steady()
 		home, entry := f.daemons[0], f.daemons[1]
 		cut := ownIP(99)
 		l, err := net.Listen("tcp", home.s.LinkAddr(cut))
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -36,7 +36,8 @@
 	return watchers, followers
 }
 
-// joined waits until all daemons know all others.
+// joined waits until all daemons know all others, and have read of themselves: their lists
+// change no more.
 func (f *fleet) joined() {
 	for _, d := range f.daemons {
 		Eventually(func() int {
@@ -44,6 +45,15 @@
 			defer d.p.homes.mu.Unlock()
 			return len(d.p.homes.daemons)
 		}, waitLimit).Should(Equal(len(f.daemons)))
+		Eventually(func() int { return len(d.p.view.daemonList().entries) }, waitLimit).Should(Equal(len(f.daemons)))
+	}
+}
+
+// steady waits until nothing will have the daemons choose homes anew.
+func (f *fleet) steady() {
+	f.joined()
+	for _, d := range f.daemons {
+		Eventually(func() int { return d.p.view.daemonList().roster.Daemons }, waitLimit).Should(Equal(len(f.daemons)))
 	}
 }
 
@@ -126,6 +136,8 @@
 		home, entry := f.daemons[0], f.daemons[1]
 		f.split(home)
 		Eventually(func() int64 { return home.p.client.Calls()["/api/kv-watch"] }, waitLimit).Should(BeNumerically(">", 0))
+		// Without the store a home that has had no lease gets none.
+		home.dial("db-own").persist("WRITE k 0")
 		home.cutStore()
 		// A watch that was under way before may still bring this one.
 		f.configure("db-own")
--- a/pkg/proxy/tuning.go
+++ b/pkg/proxy/tuning.go
@@ -49,25 +49,23 @@
 	// or was waited for.
 	startingFor = joinWait + storeTimeout
 	// firstStartDelay is how long a host with a whole processor waits when a whole fleet starts
-	// for the first time, weaker ones longer, and joinDelay the same where a fleet that has
-	// lost its list starts again. mostLooks bounds how often.
+	// for the first time, weaker ones longer.
 	firstStartDelay = 300 * time.Millisecond
-	joinDelay       = 50 * time.Millisecond
-	mostLooks       = 4
-	// joinShare of the last known size makes a list complete enough.
-	joinShare = 0.7
-	// sizeChange is by what share the fleet has to change for its size to be
-	// written anew.
-	sizeChange = 0.25
+	// lookPause is the least pause before a weak host looks again for strong ones that the
+	// fleet has had, mostLooks how often it does before it registers.
+	lookPause = 150 * time.Millisecond
+	mostLooks = 10
+	// rosterChange is by what share the fleet has to change for its roster to be written anew.
+	rosterChange = 0.25
 	// idleConnKeep is how long a connection beyond the fair share stays open unused.
 	idleConnKeep = 3 * time.Second
 	// membersCurrent is how old the copy of the host list may be for this daemon to count on
 	// what it lacks: two watches in which nothing has changed.
 	membersCurrent = 4 * time.Second
-	// fleetTick is the pause between looks at this daemon's part in the fleet, and sizeEvery
-	// that between looks whether the fleet's size is to be written.
-	fleetTick = 250 * time.Millisecond
-	sizeEvery = 5 * time.Second
+	// fleetTick is the pause between looks at this daemon's part in the fleet, and rosterEvery
+	// that between looks whether the fleet's roster is to be written.
+	fleetTick   = 250 * time.Millisecond
+	rosterEvery = 5 * time.Second
 	// neededFor is how long the list has to lack fit hosts before a daemon that is not on it
 	// registers, up to twice as long by its draw.
 	neededFor = time.Second
@@ -99,8 +97,6 @@
 	slotWait = 600 * time.Millisecond
 	// storeTimeout bounds other calls to the store, which answers in 4 ms.
 	storeTimeout = 800 * time.Millisecond
-	// storeRetry is the pause after a failed call to the store.
-	storeRetry = 250 * time.Millisecond
 	// firstRetry is the pause while a daemon has no list of daemons: it serves nobody,
 	// and what calls cost is little beside that.
 	firstRetry = 80 * time.Millisecond
@@ -120,8 +116,6 @@
 	// was cut from the store registers anew within a few seconds. Entries find out by
 	// themselves whether it answers.
 	unlistedKept = 6 * time.Second
-	// maxPeers bounds to how many daemons reports are sent.
-	maxPeers = 16
 	// stopIdleAfter is after how long a stop ends idle sessions: the balancer needs
 	// two questions, a second apart, to send no new ones.
 	stopIdleAfter = 300 * time.Millisecond
