Watch often enough for keys that need young proofs, also without followers in the list

Cause: a watch proves what was in force when it was sent. A daemon that knows of nobody who asks it watched for its whole budget, so its proof was up to two budgets old: more than the bound on keys. Five seconds after a start of all hosts of shifted, where the 8 listed daemons are all watchers, all homes said "not serving" and the entries gave them up for two seconds: 1,420 tries of 1,753 were refused in seconds 40 to 42. A fleet was also taken for a small one because all of its listed daemons are watchers.

Change: where callers are refused without a young proof, a watch is a part of the budget whoever asks; and whether a fleet is small is decided by its size.

Test: "keeps its proof younger than the bound also where it knows no other daemon" fails before (a proof as old as the bound).

--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -224,10 +224,11 @@
 	return time.Duration(f.draw(0) * float64(f.budget) / 10)
 }
 
-// watchFor is how long a watch waits. Where others depend on it, it has to end so often
-// that their proofs stay young.
+// watchFor is how long a watch waits. A proof is as old as the watch that brought it when
+// the next one begins. Where others depend on it, or callers are refused without a young one,
+// it has to end early.
 func (f *Follower) watchFor() time.Duration {
-	if len(f.relays) == 0 {
+	if len(f.relays) == 0 && f.parts != youngParts {
 		return f.budget
 	}
 	return f.budget / f.parts
--- a/core/relay/follower_test.go
+++ b/core/relay/follower_test.go
@@ -111,6 +111,24 @@
 		Expect(f.Next(start)).To(Equal(relay.Step{Kind: relay.Watch, Wait: time.Second}))
 	})
 
+	// Guards against keys that nobody can check between two watches of a daemon that asks
+	// nobody else.
+	It("keeps its proof younger than the bound also where it knows no other daemon", func() {
+		f := relay.NewFollower("d", bound, 0)
+		f.KeepYoung()
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		at := start
+		for range 5 {
+			step := f.Next(at)
+			Expect(step.Kind).To(Equal(relay.Watch))
+			sent := at
+			at = at.Add(step.Wait)
+			Expect(at.Sub(f.Proof())).To(BeNumerically("<", bound))
+			f.Watched(at, sent, 0)
+		}
+	})
+
 	// A relay dies between two answers. Its followers would not hear of a change.
 	It("asks the next relay when one is silent, and the store when all are", func() {
 		f := following("a", "b")
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -196,7 +196,7 @@
 func (h *homes) chooseWatchers(size int) {
 	self := h.p.settings.Daemon
 	watchers := direct.Watchers(size, h.daemons)
-	if len(watchers) == len(h.daemons) {
+	if direct.SmallFleet(size) {
 		h.p.metadata.SetFleet(true, nil)
 		return
 	}
