--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -37,6 +37,9 @@
 	old    core.MemberID
 	term   core.Term
 	number core.Term
+	// left is the leadership that the last promotion lock left, if a repair took this one; this
+	// daemon may not have heard of it.
+	left core.Term
 	// highest is the highest term that a promotion lock has named.
 	highest core.Term
 	// token and until come with the promotion lock.
@@ -73,10 +76,11 @@
 	missing
 	withoutSuccessor
 	orphanedFence
+	lostLock
 )
 
 func (r reason) String() string {
-	return [...]string{"none", "primary does not answer", "primary is leaving", "no member leads", "a promotion had no effect", "a fence was left behind"}[r]
+	return [...]string{"none", "primary does not answer", "primary is leaving", "no member leads", "a promotion had no effect", "a fence was left behind", "the store has lost the promotion lock"}[r]
 }
 
 func (g *Group) reason(now core.Time) reason {
@@ -98,6 +102,9 @@
 			return orphanedFence
 		}
 	}
+	if g.promotionLock.lostSince != 0 && g.vouches(now) {
+		return lostLock
+	}
 	return noReason
 }
 
@@ -243,12 +250,13 @@
 	}
 	g.claim = claim{
 		phase: claiming, started: now, old: g.primary, term: g.term,
-		planned: r == leavingPrimary, repair: r == orphanedFence, fenced: make(map[core.MemberID]core.Time),
+		planned: r == leavingPrimary, repair: r == orphanedFence || r == lostLock, fenced: make(map[core.MemberID]core.Time),
 		least: g.knownLog(),
 	}
 	g.emit(Effect{Kind: EffectDecision, Member: g.primary, Term: g.term, Reason: "claim: " + r.String()})
-	if r == orphanedFence {
-		g.emit(Effect{Kind: EffectClaim, Member: g.primary, Term: g.term, Repair: true})
+	if g.claim.repair {
+		vouched := g.promotionLock.lostSince != 0 && g.vouches(now)
+		g.emit(Effect{Kind: EffectClaim, Member: g.primary, Term: g.term, Repair: true, Vouched: vouched})
 	} else {
 		g.emit(Effect{Kind: EffectClaim, Member: g.primary, Term: g.term + 1})
 	}
@@ -273,7 +281,10 @@
 	c.until, c.claimedAt = sent.Add(LockSendWindow), now
 	g.learnOrdered(now, t.Unresolved, "")
 	if c.repair {
-		g.endClaim(now, "fence removed")
+		if t.Unresolved == 0 {
+			c.left = t.Term
+		}
+		g.endClaim(now, "repaired")
 		return g.take()
 	}
 	if g.recovered(now) && g.guarded(GuardRecovered) {
@@ -298,6 +309,17 @@
 	return g.take()
 }
 
+// NewEra takes that the store has come back from an older copy of itself. A promotion lock
+// that this daemon held may be gone; nobody takes another one before this one has run out.
+// Members may be missing from the list until they have written their entries again.
+func (g *Group) NewEra(now core.Time) []Effect {
+	g.knownSince, g.listedAsOf = 0, 0
+	if p := g.claim.phase; p != noClaim && p != promoting {
+		g.endClaim(now, "the store has come back from an older copy")
+	}
+	return g.take()
+}
+
 // endClaim ends the attempt and removes the fences it may have left, while the
 // promotion lock is surely still its own: an order that comes later, or from a claim
 // without a promotion lock, would remove those of the next holder.
@@ -314,6 +336,7 @@
 		// Nothing can be ordered under the token any more, so nobody has to wait for
 		// its end before the next change.
 		back := Effect{Kind: EffectReleaseLock, Token: c.token, Term: g.term, Highest: c.highest}
+		back.Term = max(back.Term, c.left)
 		if g.superseded() {
 			back.Term, back.Pending = g.ordered, true
 		}
--- a/core/direct/effect.go
+++ b/core/direct/effect.go
@@ -17,7 +17,7 @@
 	EffectDemote
 	// EffectClaim asks the store for the group's promotion lock, for Term at least and more
 	// than any promotion lock before it has named; for Repair, which orders nothing, the same
-	// term will do.
+	// term will do. See Vouched.
 	EffectClaim
 	// EffectReadLock reads the group's promotion lock without taking it.
 	EffectReadLock
@@ -52,6 +52,8 @@
 	// Highest goes back with a promotion lock: the highest term that one has named.
 	Highest core.Term
 	Repair  bool
+	// Vouched: the earlier eras of the store have made no leadership after Term.
+	Vouched bool
 	Reason  string
 }
 
--- a/core/direct/guard.go
+++ b/core/direct/guard.go
@@ -39,6 +39,8 @@
 	GuardRecovered
 	// GuardHeard: no member is promoted that has not heard of the leadership which ends.
 	GuardHeard
+	// GuardLockEra: a promotion lock that the store has lost gives no lease.
+	GuardLockEra
 	// GuardSessionPosition: a session's reads cover its own commits.
 	GuardSessionPosition
 )
--- a/core/direct/lease.go
+++ b/core/direct/lease.go
@@ -16,6 +16,8 @@
 	askedAt core.Time
 	// aheadSince is since when reads name a newer term than any that leads.
 	aheadSince core.Time
+	// lostSince is since when reads show a record of an earlier era of the store.
+	lostSince core.Time
 }
 
 // LeaseUntil returns until when the primary may be used. Every event that can
@@ -96,6 +98,11 @@
 	if sent < g.promotionLock.at {
 		return g.take()
 	}
+	if seen.Lost && g.guarded(GuardLockEra) {
+		g.lockLost(now, term)
+		return g.take()
+	}
+	g.promotionLock.lostSince = 0
 	g.promotionLock.term, g.promotionLock.leadership, g.promotionLock.at = term, seen.Leadership, sent
 	switch {
 	case term <= g.term:
@@ -110,6 +117,40 @@
 	return g.take()
 }
 
+// lockLost takes a record of an earlier era of the store: the next one may have been taken,
+// and a promotion to the term or a lower one have been ordered, of which the store has lost
+// all. It gives no lease.
+func (g *Group) lockLost(now core.Time, term core.Term) {
+	l := &g.promotionLock
+	switch {
+	case l.lostSince == 0:
+		l.lostSince = now
+	case now.Sub(l.lostSince) > OrphanedFence && !g.peerClaims(now) && !g.vouches(now):
+		g.learnOrdered(now, term, "")
+	}
+}
+
+// vouches says whether it is known that no promotion after the present leadership was ordered
+// in an earlier era of the store. Such an order has taken effect by the time at which the
+// first lost record is taken, or never will. A lease that is held then was held since
+// before the promotion, which would have waited for its end; and a member that was
+// promoted would name its term.
+func (g *Group) vouches(now core.Time) bool {
+	if g.Leased(now) {
+		return true
+	}
+	p, since := g.usablePrimary(), g.promotionLock.lostSince
+	if p == nil || p.led.of(g.term) < since {
+		return false
+	}
+	for _, m := range g.members {
+		if m.statusAt < since || m.elsewhere || m.status.Term > g.term {
+			return false
+		}
+	}
+	return true
+}
+
 func (g *Group) leaseOfReplicas(now core.Time, p *member) core.Time {
 	need := g.size(now) / 2
 	if need == 0 {
--- a/core/direct/promotionlock.go
+++ b/core/direct/promotionlock.go
@@ -1,6 +1,9 @@
 package direct
 
-import "limpetspan/core"
+import (
+	"limpetspan/core"
+	"limpetspan/core/mirror"
+)
 
 // LockRecord is what the store keeps of a group's promotion lock, apart from whose it
 // is. The zero record is that of a group which has had none.
@@ -13,6 +16,8 @@
 	Free bool `json:"free,omitempty"`
 	// Pending: it was given back while an earlier order for Term was unresolved.
 	Pending bool `json:"pending,omitempty"`
+	// Era is that of the store in which the record was written.
+	Era mirror.Era `json:"era,omitempty"`
 }
 
 // LockSeen is what a read of the group's promotion lock shows; zero: there is none.
@@ -20,10 +25,17 @@
 	Term core.Term
 	// Leadership: Term is a leadership, as it was given back, rather than what a claim counts on.
 	Leadership bool
+	// Lost: the record is of an earlier era of the store, which has lost those after it. Term
+	// is the highest one that these can have named.
+	Lost bool
 }
 
-// Seen is what a read of the record shows.
-func (r LockRecord) Seen() LockSeen { return LockSeen{Term: r.Term, Leadership: r.Free && !r.Pending} }
+// Seen is what a read of the record in the era shows.
+func (r LockRecord) Seen(era mirror.Era) LockSeen {
+	lost := r.Era != era
+	r = r.asOf(era)
+	return LockSeen{Term: r.Term, Leadership: r.Free && !r.Pending, Lost: lost}
+}
 
 // Promotion lock is the right to order a promotion.
 type PromotionLock struct {
@@ -42,7 +54,12 @@
 
 // Claim is the record that EffectClaim writes over r, and the promotion lock that it makes;
 // its token comes with the write.
-func (r LockRecord) Claim(e Effect) (LockRecord, PromotionLock) {
+func (r LockRecord) Claim(e Effect, era mirror.Era) (LockRecord, PromotionLock) {
+	if highest := r.asOf(era).Highest; e.Vouched && r.Era != era {
+		r = LockRecord{Term: e.Term, Highest: highest, Free: true}
+	} else {
+		r = r.asOf(era)
+	}
 	term := max(e.Term, r.Highest+1)
 	if e.Repair {
 		term = max(e.Term, r.Term)
@@ -51,17 +68,30 @@
 	if !r.Free || r.Pending {
 		t.Unresolved = r.Term
 	}
-	return LockRecord{Term: term, Highest: t.Highest}, t
+	return LockRecord{Term: term, Highest: t.Highest, Era: era}, t
+}
+
+// lostTerms is more terms than the claims of one era can name that the next one has lost.
+const lostTerms = 100
+
+// asOf is the record as it may have been when an earlier era of the store ended, which has
+// lost the last ones: somebody may have claimed the group and ordered a promotion.
+func (r LockRecord) asOf(era mirror.Era) LockRecord {
+	if r.Era == era {
+		return r
+	}
+	r.Highest = max(r.Highest, r.Term) + core.Term(era-r.Era)*lostTerms
+	return LockRecord{Term: r.Highest, Highest: r.Highest, Era: era}
 }
 
 // Withdrawn is the record that takes the place of a claim on r which was not answered.
 func (r LockRecord) Withdrawn(claim LockRecord) LockRecord {
-	r.Free = r.Free || r == LockRecord{}
+	r.Free = r.Free || r == LockRecord{Era: r.Era}
 	r.Highest = claim.Highest
 	return r
 }
 
 // Returned is the record that EffectReleaseLock writes.
-func (e Effect) Returned() LockRecord {
-	return LockRecord{Term: e.Term, Highest: e.Highest, Free: true, Pending: e.Pending}
+func (e Effect) Returned(era mirror.Era) LockRecord {
+	return LockRecord{Term: e.Term, Highest: e.Highest, Free: true, Pending: e.Pending, Era: era}
 }
--- a/core/mirror/mirror_test.go
+++ b/core/mirror/mirror_test.go
@@ -155,3 +155,22 @@
 		Expect(changes).To(HaveLen(3))
 	})
 })
+
+var _ = Describe("a fencing token", func() {
+	// Guards against a promotion under a lower number than one that was ordered before the
+	// store came back from an older copy.
+	It("rises over eras, and names the write that it stands for", func() {
+		last := uint64(0)
+		for _, p := range []mirror.Position{at(0, 7), at(0, 900), at(1, 3), at(1, 4), at(2, 1), at(4000, 1<<39)} {
+			token, err := p.Token()
+			Expect(err).NotTo(HaveOccurred())
+			Expect(token).To(BeNumerically(">", last))
+			Expect(mirror.TokenPosition(token)).To(Equal(p))
+			last = token
+		}
+		_, err := at(1<<13, 1).Token()
+		Expect(err).To(HaveOccurred())
+		_, err = at(1, 1<<40).Token()
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -33,7 +33,7 @@
 	// Revision is that of the slot's key.
 	Revision uint64
 	// Open says that more than the calm part of some team's burst may have been used in the
-	// last window.
+	// last window. A key of an earlier era of the store may have told so without a trace.
 	Open bool
 }
 
@@ -80,6 +80,9 @@
 	leaving bool
 	// calmBefore says that the last holder had used no burst.
 	calmBefore bool
+	// outlivesEra is until when the slot is held by a lease of an earlier era of the store, which
+	// has lost it; 0: it is held by the daemon's lease.
+	outlivesEra core.Time
 	// open says that the store has been told of the use of bursts; openWanted that it is to be
 	// told, shutting that it is to be told of the contrary, and that no burst is used now.
 	open, openWanted, shutting bool
@@ -117,12 +120,40 @@
 // Holds returns the daemon's holding of the slot; false: it has none now.
 func (h *Holder) Holds(now core.Time, id Slot) (Holding, bool) {
 	s := h.slots[id]
-	if s == nil || !s.held || s.leaving || now >= h.until {
+	if s == nil || !s.held || s.leaving || now >= h.heldUntil(s) {
 		return Holding{}, false
 	}
 	return s.holding(id), true
 }
 
+// heldUntil is until when a slot that is held may be used.
+func (h *Holder) heldUntil(s *slot) core.Time {
+	if s.outlivesEra != 0 {
+		return s.outlivesEra
+	}
+	return h.until
+}
+
+// NewEra takes that the store has come back from an older copy, which may lack the lease, its
+// keys and what these told. What is held stays so until the end of the lease by this
+// daemon's clock, as nobody else takes a slot before: it is taken once more under a new
+// lease, under which its teams go on.
+func (h *Holder) NewEra(now core.Time) {
+	for id, s := range h.slots {
+		if !s.held || s.leaving || now >= h.heldUntil(s) {
+			*s = slot{wantedAt: s.wantedAt}
+			if s.wantedAt == 0 {
+				delete(h.slots, id)
+			}
+			continue
+		}
+		s.outlivesEra, s.revision = h.heldUntil(s), 0
+		s.openWanted, s.shutting = false, false
+	}
+	h.lease, h.until, h.listedAt, h.ownersAt, h.lookAt = 0, 0, 0, 0, 0
+	h.owners = nil
+}
+
 func (s *slot) holding(id Slot) Holding {
 	return Holding{Slot: id, Since: s.since, UsedAt: s.wantedAt, CalmBefore: s.calmBefore, Open: s.open && !s.shutting && !s.openWanted}
 }
@@ -211,8 +242,9 @@
 // wishFor is for how long a wish for a slot counts.
 const wishFor = time.Second
 
-// Next is the step to take now.
-func (h *Holder) Next(now core.Time) Step {
+// Next is the step to take now. settled says whether everything that an earlier era of the
+// store has given out has run out; before that nobody takes a slot that he does not hold.
+func (h *Holder) Next(now core.Time, settled bool) Step {
 	if now < h.retryAt {
 		return Step{Kind: Pause, Wait: h.retryAt.Sub(now)}
 	}
@@ -220,11 +252,12 @@
 		// It may have ended at the store, and others may hold what it bound.
 		h.forget()
 	}
+	h.dropOutlived(now)
 	if leaving := h.which(func(s *slot) bool { return s.held && s.leaving }); len(leaving) > 0 {
 		return Step{Kind: Release, Slots: some(leaving)}
 	}
 	h.dropOldWishes(now)
-	wanted := h.which(func(s *slot) bool { return !s.held })
+	wanted := h.which(func(s *slot) bool { return s.outlivesEra != 0 || settled && !s.held })
 	if h.lease != 0 && now.Sub(h.renewed) >= RenewEvery && len(h.slots) > 0 {
 		return Step{Kind: Renew, Lease: h.lease}
 	}
@@ -247,6 +280,15 @@
 	return h.take(now, wanted)
 }
 
+// dropOutlived ends what was held by a lease of an earlier era and could not be taken again.
+func (h *Holder) dropOutlived(now core.Time) {
+	for _, s := range h.slots {
+		if s.outlivesEra != 0 && now >= s.outlivesEra {
+			*s = slot{wantedAt: s.wantedAt}
+		}
+	}
+}
+
 // dropOldWishes forgets slots that were wanted and are no more.
 func (h *Holder) dropOldWishes(now core.Time) {
 	for id, s := range h.slots {
@@ -263,8 +305,8 @@
 		kind StepKind
 		is   func(s *slot) bool
 	}{
-		{Open, func(s *slot) bool { return s.held && s.openWanted }},
-		{Shut, func(s *slot) bool { return s.held && s.shutting && !s.openWanted }},
+		{Open, func(s *slot) bool { return s.held && s.openWanted && s.outlivesEra == 0 }},
+		{Shut, func(s *slot) bool { return s.held && s.shutting && !s.openWanted && s.outlivesEra == 0 }},
 	} {
 		slots := h.which(f.is)
 		if len(slots) == 0 {
@@ -322,7 +364,8 @@
 func (h *Holder) take(now core.Time, wanted map[Slot]uint64) Step {
 	free := make(map[Slot]uint64)
 	for id := range wanted {
-		if owner, taken := h.owners[id]; !taken || owner.Daemon == h.self {
+		// What the daemon holds by an earlier era is nobody else's, whoever the copy names.
+		if owner, taken := h.owners[id]; !taken || owner.Daemon == h.self || h.slots[id].outlivesEra != 0 {
 			free[id] = owner.Revision
 		}
 	}
@@ -351,11 +394,13 @@
 func (h *Holder) forget() {
 	h.lease, h.until, h.listedAt = 0, 0, 0
 	for id, s := range h.slots {
-		if s.leaving || s.held && s.wantedAt == 0 {
+		switch {
+		case s.outlivesEra != 0:
+		case s.leaving || s.held && s.wantedAt == 0:
 			delete(h.slots, id)
-			continue
+		default:
+			*s = slot{wantedAt: s.wantedAt}
 		}
-		*s = slot{wantedAt: s.wantedAt}
 	}
 }
 
@@ -386,12 +431,12 @@
 		}
 		if s := h.slots[id]; s == nil {
 			h.slots[id] = &slot{held: true, leaving: true, revision: owner.Revision}
-		} else if s.held {
+		} else if s.held && s.outlivesEra == 0 {
 			s.revision = owner.Revision
 		}
 	}
 	for id, s := range h.slots {
-		if owner := owners[id]; s.held && (owner.Daemon != h.self || owner.Boot != h.boot) {
+		if owner := owners[id]; s.held && s.outlivesEra == 0 && (owner.Daemon != h.self || owner.Boot != h.boot) {
 			// The key has gone: the lease must have ended at the store.
 			s.held = false
 		}
@@ -407,6 +452,10 @@
 			s = &slot{}
 			h.slots[id] = s
 		}
+		if s.outlivesEra != 0 && now < s.outlivesEra {
+			s.outlivesEra, s.revision, s.open = 0, revision, true
+			continue
+		}
 		owner, known := h.owners[id]
 		*s = slot{held: true, since: now, wantedAt: s.wantedAt, revision: revision, open: true, calmBefore: known && !owner.Open}
 	}
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -80,12 +80,12 @@
 		h := quota.NewHolder("d", 1)
 		h.Want(start, 7)
 		at := after(quota.GatherFor)
-		Expect(h.Next(start).Kind).To(Equal(quota.Pause), "other teams may come in this moment")
-		Expect(h.Next(at).Kind).To(Equal(quota.Grant))
+		Expect(h.Next(start, true).Kind).To(Equal(quota.Pause), "other teams may come in this moment")
+		Expect(h.Next(at, true).Kind).To(Equal(quota.Grant))
 		h.Granted(at, 3, quota.LeaseFor)
-		Expect(h.Next(at).Kind).To(Equal(quota.List))
+		Expect(h.Next(at, true).Kind).To(Equal(quota.List))
 		h.Listed(at, nil)
-		Expect(h.Next(at)).To(Equal(quota.Step{Kind: quota.Take, Lease: 3, Slots: slots(0)}))
+		Expect(h.Next(at, true)).To(Equal(quota.Step{Kind: quota.Take, Lease: 3, Slots: slots(0)}))
 		h.Taken(at, slots(0), 11)
 		return h
 	}
@@ -95,7 +95,7 @@
 		held, ok := h.Holds(after(time.Second), 7)
 		Expect(ok).To(BeTrue())
 		Expect(held.Since).To(Equal(after(quota.GatherFor)))
-		Expect(h.Next(after(time.Second))).To(Equal(quota.Step{Kind: quota.Renew, Lease: 3}))
+		Expect(h.Next(after(time.Second), true)).To(Equal(quota.Step{Kind: quota.Renew, Lease: 3}))
 	})
 
 	// The store is away. Another daemon may have the slot once the lease has ended there.
@@ -110,7 +110,7 @@
 		h.Granted(at, 3, quota.LeaseFor)
 		h.Listed(at, nil)
 		for _, n := range []int{quota.MostPerCall, quota.MostPerCall, 1} {
-			step := h.Next(at)
+			step := h.Next(at, true)
 			Expect(step.Kind).To(Equal(quota.Take))
 			Expect(step.Slots).To(HaveLen(n))
 			h.Taken(at, step.Slots, 11)
@@ -118,7 +118,7 @@
 		for slot := range quota.Slot(2*quota.MostPerCall + 1) {
 			h.Leave(slot)
 		}
-		Expect(h.Next(at).Slots).To(HaveLen(quota.MostPerCall))
+		Expect(h.Next(at, true).Slots).To(HaveLen(quota.MostPerCall))
 	})
 
 	It("uses it no more when its lease may have ended", func() {
@@ -126,7 +126,7 @@
 		_, ok := h.Holds(after(quota.LeaseFor), 7)
 		Expect(ok).To(BeFalse())
 		h.Want(after(quota.LeaseFor), 7)
-		Expect(h.Next(after(quota.LeaseFor + 2*quota.GatherFor)).Kind).To(Equal(quota.Grant))
+		Expect(h.Next(after(quota.LeaseFor+2*quota.GatherFor), true).Kind).To(Equal(quota.Grant))
 	})
 
 	It("is another one until the key is gone", func() {
@@ -135,11 +135,11 @@
 		at := after(quota.GatherFor)
 		h.Granted(at, 3, quota.LeaseFor)
 		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "e", Revision: 5}})
-		Expect(h.Next(at).Kind).To(Equal(quota.Pause))
+		Expect(h.Next(at, true).Kind).To(Equal(quota.Pause))
 		h.Want(at.Add(quota.LookAgain), 7)
-		Expect(h.Next(at.Add(quota.LookAgain)).Kind).To(Equal(quota.Renew), "its own lease")
+		Expect(h.Next(at.Add(quota.LookAgain), true).Kind).To(Equal(quota.Renew), "its own lease")
 		h.Renewed(at.Add(quota.LookAgain), quota.LeaseFor)
-		Expect(h.Next(at.Add(quota.LookAgain)).Kind).To(Equal(quota.List))
+		Expect(h.Next(at.Add(quota.LookAgain), true).Kind).To(Equal(quota.List))
 	})
 
 	// A daemon waits for the slot of one that has died, and teams of other slots come.
@@ -149,9 +149,9 @@
 		at := after(quota.GatherFor)
 		h.Granted(at, 3, quota.LeaseFor)
 		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "e", Revision: 5}})
-		Expect(h.Next(at).Kind).To(Equal(quota.Pause))
+		Expect(h.Next(at, true).Kind).To(Equal(quota.Pause))
 		h.Want(at, 8)
-		Expect(h.Next(at.Add(quota.GatherFor))).To(Equal(quota.Step{Kind: quota.Take, Lease: 3, Slots: map[quota.Slot]uint64{8: 0}}))
+		Expect(h.Next(at.Add(quota.GatherFor), true)).To(Equal(quota.Step{Kind: quota.Take, Lease: 3, Slots: map[quota.Slot]uint64{8: 0}}))
 	})
 
 	// A process is killed and started again at once. Waiting for the lease of its former
@@ -162,7 +162,7 @@
 		at := after(quota.GatherFor)
 		h.Granted(at, 3, quota.LeaseFor)
 		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "d", Boot: 1, Revision: 5}})
-		Expect(h.Next(at)).To(Equal(quota.Step{Kind: quota.Take, Lease: 3, Slots: slots(5)}))
+		Expect(h.Next(at, true)).To(Equal(quota.Step{Kind: quota.Take, Lease: 3, Slots: slots(5)}))
 	})
 
 	// All hosts lose power. Callers of all teams come back at once, and a holder that could not
@@ -188,14 +188,14 @@
 		Expect(open()).To(BeTrue())
 		h.WantShut(7)
 		Expect(open()).To(BeFalse())
-		Expect(h.Next(after(time.Second))).To(Equal(quota.Step{Kind: quota.Shut, Lease: 3, Slots: slots(11)}))
+		Expect(h.Next(after(time.Second), true)).To(Equal(quota.Step{Kind: quota.Shut, Lease: 3, Slots: slots(11)}))
 		h.WantOpen(7)
 		h.WantOpen(7)
 		Expect(open()).To(BeFalse(), "the store may be told that there is none a moment later")
 		h.FlagFailed(after(time.Second), slots(11))
-		Expect(h.Next(after(1100 * time.Millisecond)).Kind).To(Equal(quota.List))
+		Expect(h.Next(after(1100*time.Millisecond), true).Kind).To(Equal(quota.List))
 		h.Listed(after(1100*time.Millisecond), map[quota.Slot]quota.Owner{7: {Daemon: "d", Boot: 1, Lease: 3, Revision: 12}})
-		Expect(h.Next(after(1100 * time.Millisecond))).To(Equal(quota.Step{Kind: quota.Open, Lease: 3, Slots: slots(12)}))
+		Expect(h.Next(after(1100*time.Millisecond), true)).To(Equal(quota.Step{Kind: quota.Open, Lease: 3, Slots: slots(12)}))
 		h.Flagged(slots(12), 13, true)
 		Expect(open()).To(BeTrue())
 	})
@@ -205,11 +205,11 @@
 		h.Leave(7)
 		_, ok := h.Holds(after(time.Second), 7)
 		Expect(ok).To(BeFalse())
-		Expect(h.Next(after(time.Second))).To(Equal(quota.Step{Kind: quota.Release, Slots: slots(11)}))
+		Expect(h.Next(after(time.Second), true)).To(Equal(quota.Step{Kind: quota.Release, Slots: slots(11)}))
 		h.Failed(after(1100 * time.Millisecond))
-		Expect(h.Next(after(1400 * time.Millisecond)).Kind).To(Equal(quota.Release))
+		Expect(h.Next(after(1400*time.Millisecond), true).Kind).To(Equal(quota.Release))
 		h.Released(slots(11))
-		Expect(h.Next(after(1400 * time.Millisecond)).Kind).To(Equal(quota.Pause))
+		Expect(h.Next(after(1400*time.Millisecond), true).Kind).To(Equal(quota.Pause))
 	})
 
 	// The answer to a call that took a slot is lost, and nobody wants it any more. Its key
@@ -220,6 +220,42 @@
 		at := after(quota.GatherFor)
 		h.Granted(at, 3, quota.LeaseFor)
 		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "d", Boot: 1, Lease: 3, Revision: 5}})
-		Expect(h.Next(at)).To(Equal(quota.Step{Kind: quota.Release, Slots: slots(5)}))
+		Expect(h.Next(at, true)).To(Equal(quota.Step{Kind: quota.Release, Slots: slots(5)}))
+	})
+
+	// Guards against two daemons that count one team after the store has come back from an
+	// older copy and lost the holder's key, and against teams that stand still meanwhile.
+	It("goes on with its slots in a new era, and takes no others before it has settled", func() {
+		h := taken()
+		h.Want(after(time.Second), 7)
+		h.NewEra(after(time.Second))
+		_, ok := h.Holds(after(time.Second), 7)
+		Expect(ok).To(BeTrue(), "nobody else takes it now")
+		at := after(time.Second + 2*quota.GatherFor)
+		h.Want(at, 8)
+		Expect(h.Next(at, false).Kind).To(Equal(quota.Grant))
+		h.Granted(at, 9, quota.LeaseFor)
+		Expect(h.Next(at, false).Kind).To(Equal(quota.List))
+		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "another", Boot: 3, Revision: 4}})
+		Expect(h.Next(at, false)).To(Equal(quota.Step{Kind: quota.Take, Lease: 9, Slots: map[quota.Slot]uint64{7: 4}}), "the copy names an earlier holder")
+		h.Taken(at, map[quota.Slot]uint64{7: 4}, 12)
+		held, ok := h.Holds(after(quota.LeaseFor), 7)
+		Expect(ok).To(BeTrue(), "by the new lease")
+		Expect(held.Since).To(Equal(after(quota.GatherFor)), "its count goes on")
+		Expect(h.Next(at, false).Kind).To(Equal(quota.Pause))
+		h.Want(at, 8)
+		Expect(h.Next(at.Add(quota.GatherFor), true).Kind).To(Equal(quota.Take))
+	})
+
+	It("ends with the lease of the earlier era if it is not taken again", func() {
+		h := taken()
+		h.NewEra(after(time.Second))
+		h.Granted(after(2*time.Second), 9, quota.LeaseFor)
+		_, ok := h.Holds(after(quota.GatherFor+quota.LeaseFor-quota.LeaseMargin), 7)
+		Expect(ok).To(BeFalse(), "the new lease does not bind it")
+		h.Next(after(quota.LeaseFor), false)
+		h.Taken(after(quota.LeaseFor), map[quota.Slot]uint64{7: 4}, 12)
+		held, _ := h.Holds(after(quota.LeaseFor), 7)
+		Expect(held.Since).To(Equal(after(quota.LeaseFor)), "a holding of its own")
 	})
 })
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -12,6 +13,8 @@
 	. "github.com/onsi/gomega"
 
 	"limpetspan/core"
+	"limpetspan/core/era"
+	"limpetspan/core/mirror"
 	"limpetspan/core/quota"
 )
 
@@ -33,6 +36,14 @@
 
 var simRule = quota.Rule{Window: simWindow, Overage: 0.1, Slack: 20}
 
+// longRule has a window that is longer than a new era takes to settle, and less to spare.
+var longRule = quota.Rule{Window: 3 * simWindow, Overage: 0.02, Slack: simRule.Slack}
+
+// allowed is what members may see in a window of the rule.
+func allowed(r quota.Rule) float64 {
+	return (simRate*r.Window.Seconds()+simBurst)*(1+r.Overage) + r.Slack
+}
+
 // weakened takes a part of the argument away.
 type weakened int
 
@@ -44,6 +55,10 @@
 	earlyOpen
 	// noLease has a holder go on when its lease has run out.
 	noLease
+	// noSettling has daemons take slots as soon as a new era begins.
+	noSettling
+	// deafToEras has daemons rely on what the store said before it came back from a copy.
+	deafToEras
 )
 
 // simStore is the platform's store as far as slots need it.
@@ -52,6 +67,33 @@
 	leases   map[uint64]time.Duration // when they end
 	key      *quota.Owner
 	down     bool
+	// era is how often the store has come back from a copy, keyEra when the key was written,
+	// settled the era that a daemon has vouched for.
+	era, keyEra, settled mirror.Era
+	// copies are what the store was, every copyEvery.
+	copies []simStore
+}
+
+// copyEvery is the pause between copies of the store.
+const copyEvery = 50 * time.Millisecond
+
+// copied is the store as it is now, to come back from.
+func (s *simStore) copied() simStore {
+	c := *s
+	c.leases, c.copies = maps.Clone(s.leases), nil
+	if s.key != nil {
+		key := *s.key
+		c.key = &key
+	}
+	return c
+}
+
+// restore has the store come back as it was some time ago.
+func (s *simStore) restore(age time.Duration) {
+	i := max(0, len(s.copies)-1-int(age/copyEvery))
+	copies, next := s.copies[:i+1], s.era+1
+	*s = copies[i].copied()
+	s.era, s.copies, s.down = next, copies, false
 }
 
 func (s *simStore) pass(now time.Duration) {
@@ -78,6 +120,7 @@
 	frozenUntil time.Duration
 	cutUntil    time.Duration
 	h           *quota.Holder
+	eras        era.Tracker
 	count       quota.Count
 	calling     bool
 	// last is the last holding, with which a weakened daemon goes on.
@@ -93,6 +136,9 @@
 	events  []simEvent
 	sent    []time.Duration
 	weak    weakened
+	rule    quota.Rule
+	// restores has the store come back from older copies.
+	restores bool
 }
 
 type simEvent struct {
@@ -109,13 +155,48 @@
 func (s *sim) start(d *simDaemon) {
 	d.boot++
 	d.up, d.calling, d.count, d.heldOnce = true, false, quota.Count{}, false
-	d.h = quota.NewHolder(d.id, d.boot)
+	d.h, d.eras = quota.NewHolder(d.id, d.boot), era.Tracker{}
+	s.look(d, d.boot)
+}
+
+// lookEvery is the pause between other calls of a daemon to the store, by which it hears of
+// eras as well.
+const lookEvery = time.Second
+
+// look is one of these calls.
+func (s *sim) look(d *simDaemon, boot int64) {
+	if !d.up || d.boot != boot {
+		return
+	}
+	s.after(lookEvery, func() { s.look(d, boot) })
+	if s.store.down || s.now < d.cutUntil || s.now < d.frozenUntil {
+		return
+	}
+	answered, settled := s.store.era, s.store.settled
+	s.after(time.Duration(1+s.r.IntN(6))*time.Millisecond, func() {
+		if d.up && d.boot == boot && s.now >= d.frozenUntil {
+			s.hears(d, answered, answered, settled)
+		}
+	})
+}
+
+// hears takes the era of an answer and whether somebody vouches for it; false: the answer is
+// of an earlier era than the call, or of one that has ended.
+func (s *sim) hears(d *simDaemon, called, answered, settled mirror.Era) bool {
+	if s.weak == deafToEras {
+		return true
+	}
+	if d.eras.Saw(d.clock(s), answered) {
+		d.h.NewEra(d.clock(s))
+	}
+	d.eras.Vouch(settled)
+	return answered == d.eras.Current() && (called == answered || called == 0)
 }
 
 // call carries a step out at the store: on its way, executed, and answered, each of which
 // may fail. What gets no answer may be executed seconds later.
 func (s *sim) call(d *simDaemon, step quota.Step) {
-	sent, boot := d.clock(s), d.boot
+	sent, boot, called := d.clock(s), d.boot, d.eras.Current()
 	d.calling = true
 	answered := false
 	answer := func(report func()) func() {
@@ -155,9 +236,19 @@
 		if s.store.down {
 			return
 		}
-		report := s.execute(d, step, sent)
+		report, answered := s.execute(d, step, sent), s.store.era
+		if d.eras.Settled(d.clock(s)) && d.eras.Current() == s.store.era {
+			s.store.settled = s.store.era
+		}
+		settled := s.store.settled
 		if !lost {
-			s.after(time.Duration(1+s.r.IntN(6))*time.Millisecond, answer(report))
+			s.after(time.Duration(1+s.r.IntN(6))*time.Millisecond, answer(func() {
+				if s.hears(d, called, answered, settled) {
+					report()
+				} else {
+					d.h.Failed(d.clock(s))
+				}
+			}))
 		}
 	})
 }
@@ -182,7 +273,9 @@
 	case quota.List:
 		owners := make(map[quota.Slot]quota.Owner)
 		if st.key != nil {
-			owners[slot] = *st.key
+			owner := *st.key
+			owner.Open = owner.Open || st.keyEra != st.era
+			owners[slot] = owner
 		}
 		return func() { d.h.Listed(sent, owners) }
 	case quota.Take, quota.Release, quota.Open, quota.Shut:
@@ -208,12 +301,12 @@
 			return func() { d.h.LeaseGone() }
 		}
 		if step.Kind != quota.Take {
-			st.key.Revision, st.key.Open = st.revision, step.Kind == quota.Open
+			st.key.Revision, st.key.Open, st.keyEra = st.revision, step.Kind == quota.Open, st.era
 			told := *st.key
 			return func() { d.h.Flagged(step.Slots, told.Revision, told.Open) }
 		}
 		taken := quota.Owner{Daemon: d.id, Boot: d.boot, Lease: step.Lease, Revision: st.revision, Open: true}
-		st.key = &taken
+		st.key, st.keyEra = &taken, st.era
 		return func() { d.h.Taken(d.clock(s), step.Slots, taken.Revision) }
 	}
 	return failed
@@ -240,15 +333,15 @@
 	if !holds {
 		return
 	}
-	limit := simRule.Limit(simRate, simBurst)
-	ok, wantOpen := d.count.Take(at, held, limit, simRule)
+	limit := s.rule.Limit(simRate, simBurst)
+	ok, wantOpen := d.count.Take(at, held, limit, s.rule)
 	if ok {
 		s.sent = append(s.sent, s.now)
 	}
 	if wantOpen {
 		d.h.WantOpen(slot)
 	}
-	if held.Open && at.Sub(held.Since) >= simWindow+quota.PaidFor && d.count.Calm(at, held, simRule) {
+	if held.Open && at.Sub(held.Since) >= s.rule.Window+quota.PaidFor && d.count.Calm(at, held, s.rule) {
 		d.h.WantShut(slot)
 	}
 }
@@ -268,7 +361,11 @@
 func (s *sim) fault() {
 	d := s.daemons[s.r.IntN(len(s.daemons))]
 	seconds := func(most int) time.Duration { return time.Duration(s.r.IntN(most*1000)) * time.Millisecond }
-	switch s.r.IntN(6) {
+	kinds := 6
+	if s.restores {
+		kinds = 7
+	}
+	switch s.r.IntN(kinds) {
 	case 0:
 		d.up = false
 		s.after(seconds(3), func() { s.start(d) })
@@ -286,12 +383,19 @@
 		}
 	case 5:
 		d.h.Leave(quota.SlotOf(team))
+	case 6:
+		s.store.down = true
+		s.after(seconds(2), func() { s.store.restore(seconds(6)) })
 	}
 }
 
 // run plays a seed and returns the most operations that were sent in one window.
-func run(seed uint64, weak weakened) (most int) {
-	s := &sim{r: rand.New(rand.NewPCG(seed, 1)), weak: weak, store: simStore{revision: 10, leases: make(map[uint64]time.Duration)}}
+func run(seed uint64, weak weakened, rule quota.Rule, restores bool) (most int) {
+	s := &sim{r: rand.New(rand.NewPCG(seed, 1)), weak: weak, rule: rule, restores: restores, store: simStore{revision: 10, leases: make(map[uint64]time.Duration)}}
+	if restores {
+		// The first one that the store names, for which the fleet's first start has vouched.
+		s.store.era, s.store.settled = 1, 1
+	}
 	for i := range simDaemons {
 		d := &simDaemon{id: core.DaemonID(fmt.Sprintf("d%d", i)), offset: time.Duration(i+1) * time.Hour}
 		s.daemons = append(s.daemons, d)
@@ -306,6 +410,9 @@
 			}
 		}
 		s.store.pass(s.now)
+		if restores && s.now%copyEvery == 0 {
+			s.store.copies = append(s.store.copies, s.store.copied())
+		}
 		if s.r.IntN(120) == 0 {
 			s.fault()
 		}
@@ -319,13 +426,13 @@
 			if d.calling {
 				continue
 			}
-			if step := d.h.Next(d.clock(s)); step.Kind != quota.Pause {
+			if step := d.h.Next(d.clock(s), weak == noSettling || weak == deafToEras || d.eras.Settled(d.clock(s))); step.Kind != quota.Pause {
 				s.call(d, step)
 			}
 		}
 	}
 	for i, first := 0, 0; i < len(s.sent); i++ {
-		for s.sent[i]-s.sent[first] > simWindow {
+		for s.sent[i]-s.sent[first] > rule.Window {
 			first++
 		}
 		most = max(most, i-first+1)
@@ -334,21 +441,20 @@
 }
 
 var _ = Describe("a team's limit", func() {
-	allowed := (simRate*simWindow.Seconds()+simBurst)*(1+simRule.Overage) + simRule.Slack
 	seeds := uint64(300)
 	if n, err := strconv.ParseUint(os.Getenv(seedsVariable), 10, 64); err == nil {
 		seeds = n
 	}
 
-	exceeded := func(seed uint64, weak weakened) (bool, int) {
-		most := run(seed, weak)
-		return float64(most) > allowed, most
+	exceeded := func(seed uint64, weak weakened, rule quota.Rule, restores bool) (bool, int) {
+		most := run(seed, weak, rule, restores)
+		return float64(most) > allowed(rule), most
 	}
 
 	// breaks says whether some seed shows that the limit hangs on what is taken away.
-	breaks := func(weak weakened) bool {
+	breaks := func(weak weakened, rule quota.Rule, restores bool) bool {
 		for seed := range uint64(3000) {
-			if yes, _ := exceeded(seed, weak); yes {
+			if yes, _ := exceeded(seed, weak, rule, restores); yes {
 				return true
 			}
 		}
@@ -358,25 +464,37 @@
 	// Hosts are killed, lose power, freeze, are cut from the store, and the store is away,
 	// loses answers or executes calls late, while all daemons are asked at once for more
 	// than the team's limit. Members see no more than it allows in any window.
-	It("is never exceeded by the fleet, whatever fails", func() {
+	DescribeTable("is never exceeded by the fleet, whatever fails", func(rule quota.Rule, restores bool, used float64) {
 		served := 0
 		for seed := range seeds {
-			yes, most := exceeded(seed, whole)
-			Expect(yes).To(BeFalse(), "seed %d: %d in a window of %.0f", seed, most, allowed)
+			yes, most := exceeded(seed, whole, rule, restores)
+			Expect(yes).To(BeFalse(), "seed %d: %d in a window of %.0f", seed, most, allowed(rule))
 			served += most
 		}
-		Expect(served/int(seeds)).To(BeNumerically(">", int(simRate*simWindow.Seconds())), "a window is used")
-	})
+		Expect(float64(served)/float64(seeds)).To(BeNumerically(">", used*simRate*rule.Window.Seconds()), "a window is used")
+	},
+		Entry("and the store keeps what it has acknowledged", simRule, false, 1.0),
+		Entry("and the store comes back from older copies", simRule, true, 0.3),
+		Entry("and windows are longer than an era takes to settle", longRule, true, 0.3),
+	)
 
 	It("would be if who takes over began with a burst of its own", func() {
-		Expect(breaks(fullStart)).To(BeTrue())
+		Expect(breaks(fullStart, simRule, false)).To(BeTrue())
 	})
 
 	It("would be if a holder used bursts before the store knows of it", func() {
-		Expect(breaks(earlyOpen)).To(BeTrue())
+		Expect(breaks(earlyOpen, simRule, false)).To(BeTrue())
 	})
 
 	It("would be if a holder went on when its lease has run out", func() {
-		Expect(breaks(noLease)).To(BeTrue())
+		Expect(breaks(noLease, simRule, false)).To(BeTrue())
+	})
+
+	It("would be if a slot could be taken as soon as the store is back", func() {
+		Expect(breaks(noSettling, simRule, true)).To(BeTrue())
+	})
+
+	It("would be if daemons did not hear of a new era", func() {
+		Expect(breaks(deafToEras, simRule, true)).To(BeTrue())
 	})
 })
--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -52,6 +52,8 @@
 	// proof is the newest moment as of which the configuration was the store's
 	// newest; 0: there is none yet.
 	proof core.Time
+	// provesFrom is from when on answers of the store are proofs.
+	provesFrom core.Time
 	// watchable is set once a read has given a revision from which to watch.
 	watchable bool
 	// failures counts reads of the store that have failed in a row, since failedAt;
@@ -110,6 +112,10 @@
 // Watches says whether this daemon watches the store.
 func (f *Follower) Watches() bool { return f.watches }
 
+// ProveFrom says from when on answers of the store are proofs. A store that has come back
+// from an older copy may lack the newest configuration until the operator writes it again.
+func (f *Follower) ProveFrom(at core.Time) { f.provesFrom = at }
+
 // Hurry has the next step bring what the daemon lacks at once, whatever its proof.
 func (f *Follower) Hurry() {
 	f.hurried, f.watchable = true, false
@@ -260,7 +266,9 @@
 
 func (f *Follower) answered(sent core.Time) {
 	f.failures, f.retryAt, f.hurried = 0, 0, false
-	f.proof = max(f.proof, sent)
+	if sent >= f.provesFrom {
+		f.proof = max(f.proof, sent)
+	}
 }
 
 // HistoryGone takes that the store cannot go on from the revision of the last read.
--- a/pkg/experiment/daemon.go
+++ b/pkg/experiment/daemon.go
@@ -126,7 +126,7 @@
 	case direct.EffectReleaseLock:
 		d.w.after(storeTakes, func() {
 			if d.w.revision == e.Token {
-				d.w.promotionLock = e.Returned()
+				d.w.promotionLock = e.Returned(0)
 				d.w.revision++
 			}
 		})
@@ -176,7 +176,7 @@
 			d.update(func(at core.Time) []direct.Effect { return d.g.ClaimRefused(at, "another daemon has the lock") })
 			return
 		}
-		record, taken := d.w.promotionLock.Claim(e)
+		record, taken := d.w.promotionLock.Claim(e, 0)
 		d.w.revision++
 		d.w.promotionLock, taken.Token = record, d.w.revision
 		d.w.holder, d.w.writtenAt = d.id, d.w.now
@@ -187,7 +187,7 @@
 func (d *daemon) readLock() {
 	sent := d.w.now
 	d.w.after(storeTakes, d.mine(func() {
-		seen := d.w.promotionLock.Seen()
+		seen := d.w.promotionLock.Seen(0)
 		d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, seen) })
 	}))
 }
--- a/pkg/explore/promotions/daemon.go
+++ b/pkg/explore/promotions/daemon.go
@@ -5,6 +5,8 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/era"
+	"limpetspan/core/mirror"
 )
 
 // Paces of a daemon, as of the real one.
@@ -39,8 +41,9 @@
 	// stamps are the newest moments of other daemons' clocks that came, and when.
 	stamps map[core.DaemonID]stamp
 	kicked bool
+	eras   era.Tracker
 	// seen is the promotion lock's revision and since when it has stood.
-	seen     uint64
+	seen     mirror.Revision
 	seenAt   core.Time
 	last     core.Position
 	lastAt   core.Time
@@ -74,6 +77,7 @@
 	d.orders, d.busy = make(map[core.MemberID][]direct.Effect), make(map[core.MemberID]bool)
 	d.stamps = make(map[core.DaemonID]stamp)
 	d.seen, d.last, d.kicked = 0, core.Position{}, false
+	d.eras = era.Tracker{}
 	d.connected = make(map[core.MemberID]int)
 	d.list()
 	d.observe()
@@ -214,39 +218,77 @@
 	d.connected[m.id] = m.life
 }
 
+// hears takes the era of an answer and for which one somebody vouches; false: the answer is of
+// an earlier era.
+func (d *daemon) hears(e, settled mirror.Era) bool {
+	if d.eras.Saw(d.clock(), e) {
+		d.seen = 0
+		d.update(d.g.NewEra)
+		d.w.after(era.Settle, d.mine(d.observe))
+	}
+	d.eras.Vouch(settled)
+	return e == d.eras.Current()
+}
+
+// settled says whether claims and reads of promotion locks count.
+func (d *daemon) settled() bool {
+	return d.eras.Settled(d.clock()) || d.w.options.without(shellSettled)
+}
+
 // claim takes the promotion lock if it is free.
 func (d *daemon) claim(e direct.Effect) {
 	sent := d.clock()
 	refuse := func(why string) {
 		d.update(func(at core.Time) []direct.Effect { return d.g.ClaimRefused(at, why) })
 	}
-	d.w.store.get(d, func(t item, ok bool) {
+	if d.eras.Current() != 0 && !d.settled() {
+		refuse("the store's era has not settled")
+		return
+	}
+	d.w.store.get(d, func(t item, era mirror.Era, ok bool) {
 		switch {
-		case !ok:
+		case !ok || !d.settled():
 			refuse("store")
-		case !d.free(t):
+		case !d.free(t, era):
 			refuse("another daemon has the promotion lock")
 		default:
-			record, taken := t.LockRecord.Claim(e)
-			d.claims++
-			next := item{LockRecord: record, holder: d.id, life: d.life, claim: d.claims}
-			d.w.store.put(d, t.revision, next, func(revision uint64, ok bool) {
-				if !ok {
-					d.withdraw(t, next, releaseTries)
-					refuse("store")
-					return
-				}
-				taken.Token = revision
-				d.update(func(at core.Time) []direct.Effect { return d.g.Claimed(at, sent, taken) })
-			})
+			d.takeLock(sent, t, era, e, refuse)
 		}
 	})
 }
 
+// takeLock claims the group over the record t.
+func (d *daemon) takeLock(sent core.Time, t item, era mirror.Era, e direct.Effect, refuse func(why string)) {
+	before := t.LockRecord
+	if d.w.options.without(shellLostLocks) {
+		before.Era = era
+	}
+	record, taken := before.Claim(e, era)
+	d.claims++
+	next := item{LockRecord: record, holder: d.id, life: d.life, claim: d.claims}
+	d.w.store.put(d, t.revision, next, func(position mirror.Position, ok bool) {
+		if !ok || position.Era != era {
+			d.withdraw(t, next, releaseTries)
+			refuse("store")
+			return
+		}
+		token, err := position.Token()
+		if err != nil || d.w.options.without(shellEraToken) {
+			token = uint64(position.Revision)
+		}
+		taken.Token = token
+		d.update(func(at core.Time) []direct.Effect { return d.g.Claimed(at, sent, taken) })
+	})
+}
+
 // release gives the promotion lock back, again while the store does not answer. The write
 // has no effect once the promotion lock has changed.
 func (d *daemon) release(e direct.Effect, tries int) {
-	d.w.store.put(d, e.Token, item{LockRecord: e.Returned(), holder: d.id, life: d.life}, func(_ uint64, ok bool) {
+	taken := mirror.TokenPosition(e.Token)
+	if d.eras.Current() != taken.Era {
+		return
+	}
+	d.w.store.put(d, taken.Revision, item{LockRecord: e.Returned(taken.Era), holder: d.id, life: d.life}, func(_ mirror.Position, ok bool) {
 		if !ok && tries > 1 {
 			d.w.after(releaseRetry, d.mine(func() { d.release(e, tries-1) }))
 		}
@@ -260,14 +302,14 @@
 			d.w.after(releaseRetry, d.mine(func() { d.withdraw(before, claim, tries-1) }))
 		}
 	}
-	d.w.store.get(d, func(t item, ok bool) {
+	d.w.store.get(d, func(t item, era mirror.Era, ok bool) {
 		ours := t.holder == claim.holder && t.life == claim.life && t.claim == claim.claim
 		switch {
 		case !ok:
 			again()
-		case t.revision == before.revision || ours:
+		case t.revision == before.revision && era == claim.Era || ours:
 			back := item{LockRecord: before.Withdrawn(claim.LockRecord), holder: d.id, life: d.life}
-			d.w.store.put(d, t.revision, back, func(_ uint64, ok bool) {
+			d.w.store.put(d, t.revision, back, func(_ mirror.Position, ok bool) {
 				if !ok {
 					again()
 				}
@@ -276,8 +318,8 @@
 	})
 }
 
-func (d *daemon) free(t item) bool {
-	if t.revision == 0 || t.Free || t.holder == d.id && t.life == d.life || d.w.options.without(shellLockLife) {
+func (d *daemon) free(t item, era mirror.Era) bool {
+	if t.revision == 0 || t.Era != era || t.Free || t.holder == d.id && t.life == d.life || d.w.options.without(shellLockLife) {
 		return true
 	}
 	d.noteLock(t)
@@ -292,21 +334,23 @@
 
 func (d *daemon) observe() {
 	sent := d.clock()
-	d.w.store.get(d, func(t item, ok bool) {
+	d.w.store.get(d, func(t item, _ mirror.Era, ok bool) {
 		if !ok {
 			d.w.after(500*time.Millisecond, d.mine(d.observe))
 			return
 		}
 		d.noteLock(t)
-		d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, t.Seen()) })
+		if d.settled() {
+			d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, t.Seen(d.eras.Current())) })
+		}
 	})
 }
 
 func (d *daemon) readLock() {
 	sent := d.clock()
-	d.w.store.get(d, func(t item, ok bool) {
-		if ok && d.clock().Sub(sent) < direct.LockReadEvery {
-			d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, t.Seen()) })
+	d.w.store.get(d, func(t item, _ mirror.Era, ok bool) {
+		if ok && d.settled() && d.clock().Sub(sent) < direct.LockReadEvery {
+			d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, t.Seen(d.eras.Current())) })
 		}
 	})
 }
--- a/pkg/explore/promotions/fault.go
+++ b/pkg/explore/promotions/fault.go
@@ -44,9 +44,36 @@
 	kinds[w.random.IntN(len(kinds))]()
 }
 
-// crowdStream tells the draws of scheduleCrowd from the others', whose runs stay what they
-// are without it.
-const crowdStream = 2
+// The streams of draws tell those of faults that an option adds from the others', whose runs
+// stay what they are without it.
+const (
+	crowdStream   = 2
+	restoreStream = 3
+)
+
+// scheduleRestores has the store come back from an older copy now and then,
+// as it was up to six seconds before.
+func (w *world) scheduleRestores(random *rand.Rand) {
+	w.after(time.Duration(random.Int64N(int64(restoreEvery)))+restoreEvery/4, func() {
+		if w.now >= w.faultsEnd {
+			return
+		}
+		away := time.Duration(random.Int64N(int64(1500 * time.Millisecond)))
+		age := time.Duration(random.Int64N(int64(6 * time.Second)))
+		w.note("store away for %v", away)
+		w.store.awayTill = max(w.store.awayTill, w.now.Add(away))
+		w.after(away, func() {
+			w.store.restore(age)
+			for _, m := range w.members {
+				m.entryBack = max(m.entryBack, w.now.Add(time.Duration(random.Int64N(int64(2*time.Second)))))
+			}
+		})
+		w.scheduleRestores(random)
+	})
+}
+
+// restoreEvery is the mean pause between restores.
+const restoreEvery = 8 * time.Second
 
 // scheduleCrowd has members without room for orders now and then.
 func (w *world) scheduleCrowd(random *rand.Rand) {
--- a/pkg/explore/promotions/promotions_test.go
+++ b/pkg/explore/promotions/promotions_test.go
@@ -43,6 +43,27 @@
 		Expect(report.Counts["promotions"]).To(BeNumerically(">", 60))
 	})
 
+	// Guards against fencing tokens that go back, a lock that two daemons act on, and a lease by
+	// a lock that the store has lost.
+	It("keeps its promises where the store comes back from older copies", func() {
+		o := promotions.DefaultOptions()
+		o.Runs, o.Restores = 60, true
+		report := promotions.Run(context.Background(), o)
+		Expect(report.Violations).To(BeEmpty())
+		Expect(report.Counts["promotions"]).To(BeNumerically(">", 60))
+	})
+
+	// Guards against a claim that names a term which a lost claim has named before.
+	DescribeTable("keeps its promises over several older copies", func(seed uint64) {
+		o := promotions.DefaultOptions()
+		o.Runs, o.Seed, o.Restores, o.Crowded = 1, seed, true, true
+		Expect(promotions.Run(context.Background(), o).Violations).To(BeEmpty())
+	},
+		Entry(nil, uint64(1189)),
+		Entry(nil, uint64(1239)),
+		Entry(nil, uint64(1434)),
+	)
+
 	It("repeats a run from its seed", func() {
 		o := promotions.DefaultOptions()
 		o.Runs, o.Seed = 1, 7
@@ -81,6 +102,10 @@
 		Entry(nil, "sync", "lost"),
 		Entry(nil, "lock-life", "replaced|token"),
 		Entry(nil, "lock-term", "replaced|stale"),
+		Entry(nil, "lock-era", "progress", uint64(1370)),
+		Entry(nil, "era-settled", "stale", uint64(5360)),
+		Entry(nil, "era-token", "token"),
+		Entry(nil, "era-lost-locks", "replaced|progress", uint64(6190)),
 		Entry(nil, "unbroken-lease", "replaced|stale"),
 	)
 })
--- a/pkg/explore/promotions/run.go
+++ b/pkg/explore/promotions/run.go
@@ -25,6 +25,8 @@
 	Sync bool
 	// Crowded has members now and then without room for the connections that carry orders.
 	Crowded bool
+	// Restores has the store come back from older copies of itself.
+	Restores bool
 	// Disabled are checks of the reducer that are switched off, shell those of the
 	// code around it.
 	Disabled direct.Guard
@@ -48,6 +50,13 @@
 	shellSendWindow
 	// shellLockLife: a promotion lock that its holder has not given back is waited out.
 	shellLockLife
+	// shellSettled: nobody claims, or relies on a read of the promotion lock, before the store's
+	// era has settled.
+	shellSettled
+	// shellEraToken: fencing tokens rise over eras.
+	shellEraToken
+	// shellLostLocks: a promotion lock of an earlier era may not have been the last one.
+	shellLostLocks
 )
 
 func (o *Options) without(g shellGuard) bool { return o.shell&g != 0 }
@@ -58,8 +67,8 @@
 	reducer direct.Guard
 	shell   shellGuard
 	// sync: the check matters where commits wait for a replica, crowded: where members have
-	// no room for orders.
-	sync, crowded bool
+	// no room for orders, restores: where the store comes back from older copies.
+	sync, crowded, restores bool
 }
 
 var guards = []guard{
@@ -79,6 +88,10 @@
 	{name: "settled", reducer: direct.GuardSettled},
 	{name: "superseded", reducer: direct.GuardSuperseded},
 	{name: "lock-life", shell: shellLockLife},
+	{name: "lock-era", reducer: direct.GuardLockEra, restores: true},
+	{name: "era-settled", shell: shellSettled, restores: true},
+	{name: "era-token", shell: shellEraToken, restores: true},
+	{name: "era-lost-locks", shell: shellLostLocks, restores: true},
 	{name: "lock-term", reducer: direct.GuardLockTerm},
 	{name: "unbroken-lease", reducer: direct.GuardUnbrokenLease},
 }
@@ -103,6 +116,7 @@
 		o.shell |= guards[i].shell
 		o.Sync = o.Sync || guards[i].sync
 		o.Crowded = o.Crowded || guards[i].crowded
+		o.Restores = o.Restores || guards[i].restores
 	}
 	return nil
 }
@@ -169,6 +183,7 @@
 		broken.Disabled, broken.shell, broken.Runs = g.reducer, g.shell, guardBatch
 		broken.Sync = broken.Sync || g.sync
 		broken.Crowded = broken.Crowded || g.crowded
+		broken.Restores = broken.Restores || g.restores
 		result := GuardResult{Guard: g.name}
 		for result.Runs < o.Runs && result.Violation == nil && ctx.Err() == nil {
 			broken.Seed = o.Seed + uint64(result.Runs)
--- a/pkg/explore/promotions/store.go
+++ b/pkg/explore/promotions/store.go
@@ -5,12 +5,13 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/mirror"
 )
 
 // item is the group's promotion lock as the store holds it.
 type item struct {
 	direct.LockRecord
-	revision uint64
+	revision mirror.Revision
 	holder   core.DaemonID
 	life     int
 	// claim tells one claim of the holder from the next.
@@ -20,45 +21,87 @@
 // store holds the promotion lock. It may be away, and its answers may be lost, in which
 // case a write may also take effect later.
 type store struct {
-	w             *world
+	w        *world
+	kept     kept
+	awayTill core.Time
+	loseTill core.Time
+	// era is how often it has come back from an older copy; copies are what it was, every
+	// copyEvery.
+	era    mirror.Era
+	copies []kept
+}
+
+// kept is what a copy of the store has.
+type kept struct {
 	promotionLock item
-	revision      uint64
-	awayTill      core.Time
-	loseTill      core.Time
+	revision      mirror.Revision
+	// settled is the newest era for which a daemon has vouched.
+	settled mirror.Era
+}
+
+// copyEvery is the pause between copies of the store.
+const copyEvery = 100 * time.Millisecond
+
+// restore has the store come back as it was some time ago.
+func (s *store) restore(age time.Duration) {
+	i := max(0, len(s.copies)-1-int(age/copyEvery))
+	s.kept, s.copies = s.copies[i], s.copies[:i+1]
+	s.era++
+	s.w.note("store is back from a copy %v old, era %d", age, s.era)
 }
 
 // storeTimeout is when a daemon gives a call up.
 const storeTimeout = 800 * time.Millisecond
 
-// get answers a linearizable read; ok is false if no answer came.
-func (s *store) get(d *daemon, answer func(item, bool)) {
-	once := d.timeout(storeTimeout, func() { answer(item{}, false) })
+// get answers a linearizable read with the era in which it was made; ok is false if no answer
+// came.
+func (s *store) get(d *daemon, answer func(item, mirror.Era, bool)) {
+	once := d.timeout(storeTimeout, func() { answer(item{}, 0, false) })
 	s.call(d, func() {
-		read := s.promotionLock
-		s.reply(d, func() { once(func() { answer(read, true) }) })
+		read, era := s.kept, s.era
+		s.vouched(d)
+		s.reply(d, func() {
+			once(func() {
+				ok := d.hears(era, read.settled)
+				answer(read.promotionLock, era, ok)
+			})
+		})
 	})
 }
 
+// vouched keeps that an era has settled for a daemon that calls, as daemons write it.
+func (s *store) vouched(d *daemon) {
+	if d.eras.Current() == s.era && d.eras.Settled(d.clock()) {
+		s.kept.settled = s.era
+	}
+}
+
 // put writes the promotion lock if its revision is last.
-func (s *store) put(d *daemon, last uint64, next item, answer func(uint64, bool)) {
-	once := d.timeout(storeTimeout, func() { answer(0, false) })
-	apply := func() (uint64, bool) {
-		if s.promotionLock.revision != last {
-			return 0, false
+func (s *store) put(d *daemon, last mirror.Revision, next item, answer func(mirror.Position, bool)) {
+	once := d.timeout(storeTimeout, func() { answer(mirror.Position{}, false) })
+	apply := func() (mirror.Position, bool) {
+		if s.kept.promotionLock.revision != last {
+			return mirror.Position{}, false
 		}
-		s.revision++
-		next.revision = s.revision
-		s.promotionLock = next
+		s.kept.revision++
+		next.revision = s.kept.revision
+		s.kept.promotionLock = next
 		s.w.note("promotion lock %d: %s wants term %d, free %v", next.revision, next.holder, next.Term, next.Free)
-		return next.revision, true
+		return mirror.Position{Era: s.era, Revision: next.revision}, true
 	}
 	s.call(d, func() {
 		if s.w.now < s.loseTill && s.w.chance(500) {
 			s.w.after(s.w.between(0, 3*time.Second), func() { apply() })
 			return
 		}
-		revision, ok := apply()
-		s.reply(d, func() { once(func() { answer(revision, ok) }) })
+		position, ok := apply()
+		era, settled := s.era, s.kept.settled
+		s.reply(d, func() {
+			once(func() {
+				heard := d.hears(era, settled)
+				answer(position, ok && heard)
+			})
+		})
 	})
 }
 
--- a/pkg/explore/promotions/world.go
+++ b/pkg/explore/promotions/world.go
@@ -196,6 +196,10 @@
 	}
 	w.every(tick, w.replicate)
 	w.scheduleFault()
+	if w.options.Restores {
+		w.every(copyEvery, func() { w.store.copies = append(w.store.copies, w.store.kept) })
+		w.scheduleRestores(rand.New(rand.NewPCG(w.seed, restoreStream)))
+	}
 	if w.options.Crowded {
 		w.scheduleCrowd(rand.New(rand.NewPCG(w.seed, crowdStream)))
 	}
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -57,31 +57,45 @@
 	})
 }
 
+// errUnsettled refuses claims while somebody may still act on what an earlier era of the
+// store has given him.
+const errUnsettled = "the store's era has not settled"
+
 func (c *claims) take(ctx context.Context, id core.GroupID, e direct.Effect) (direct.PromotionLock, string) {
-	item, _, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
+	if !c.p.eras.settled() {
+		return direct.PromotionLock{}, errUnsettled
+	}
+	item, era, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return direct.PromotionLock{}, "store: " + err.Error()
 	}
 	var last promotionLock
 	if err == nil {
-		if !c.free(item) {
+		if !c.free(item, era) {
 			return direct.PromotionLock{}, "another daemon has the promotion lock"
 		}
 		var ok bool
 		if last, ok = c.parse(item); !ok {
 			return direct.PromotionLock{}, "the last promotion lock cannot be read"
 		}
+	} else {
+		last = c.p.eras.noLock()
 	}
-	record, taken := last.LockRecord.Claim(e)
+	record, taken := last.LockRecord.Claim(e, era)
 	next := promotionLock{LockRecord: record, Claim: c.claimed.Add(1)}
 	position, err := c.put(ctx, id, item.Revision, next)
+	if err == nil && position.Era != era {
+		err = errNewEra
+	}
+	if err == nil {
+		taken.Token, err = position.Token()
+	}
 	if err != nil {
 		if !errors.Is(err, platform.ErrConflict) && !errors.Is(err, platform.ErrUnavailable) {
 			go c.withdraw(id, item.Revision, last.LockRecord, next)
 		}
 		return direct.PromotionLock{}, "store: " + err.Error()
 	}
-	taken.Token = uint64(position.Revision)
 	return taken, ""
 }
 
@@ -116,12 +130,12 @@
 // replace writes the promotion lock that was there before over the claim, or over what the
 // claim would be written over; false: the store did not answer.
 func (c *claims) replace(ctx context.Context, id core.GroupID, revision mirror.Revision, before, claim promotionLock) bool {
-	item, _, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
+	item, era, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		c.p.log.Warn("claim not withdrawn yet", "group", id, "step", "read", "error", err.Error())
 		return false
 	}
-	if item.Revision != revision {
+	if item.Revision != revision || era != claim.Era {
 		t, ok := c.parse(item)
 		if !ok || t.Holder != c.p.settings.Daemon || t.Boot != c.p.boot || t.Claim != claim.Claim {
 			return true
@@ -149,11 +163,17 @@
 // release gives back a promotion lock under which nothing will be ordered any more. It is
 // tried again while the store does not answer: until a promotion lock is back, reads of it
 // give nobody a lease, and the next claim waits for its end.
+//
+// A promotion lock of an earlier era is gone, or somebody else's: its revision has been given
+// out again.
 func (c *claims) release(id core.GroupID, e direct.Effect) {
-	tries := 0
+	tries, taken := 0, mirror.TokenPosition(e.Token)
 	c.persist(func(ctx context.Context) bool {
+		if c.p.eras.current() != taken.Era {
+			return true
+		}
 		tries++
-		_, err := c.put(ctx, id, mirror.Revision(e.Token), promotionLock{LockRecord: e.Returned()})
+		_, err := c.put(ctx, id, taken.Revision, promotionLock{LockRecord: e.Returned(taken.Era)})
 		if err != nil {
 			c.p.log.Warn("promotion lock not given back", "group", id, "token", e.Token, "try", tries, "error", err.Error())
 		}
@@ -169,6 +189,10 @@
 // as after a loss of power or with replicas cut off, each group asks four times a second;
 // 18 homes of 20 groups made a thousand calls a second of it.
 func (c *claims) read(g *group) {
+	if !c.p.eras.settled() {
+		// What a read shows may lack a claim that is still acted on.
+		return
+	}
 	catalog := c.p.catalog.Load()
 	if catalog == nil || len(c.p.activeGroups()) <= 1+len(catalog.Groups)/locksPerPage {
 		c.readOne(g)
@@ -208,14 +232,15 @@
 		c.p.decision("promotion lock not read", "group", g.id, "error", err.Error())
 		return
 	}
-	var t promotionLock
+	t := c.p.eras.noLock()
 	if err == nil {
 		var ok bool
 		if t, ok = c.parse(item); !ok {
 			return
 		}
 	}
-	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.LockRead(at, sent, t.Seen()) })
+	seen := t.Seen(c.p.eras.current())
+	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.LockRead(at, sent, seen) })
 }
 
 // parse decodes a promotion lock; what cannot be read is logged, and its zero promotion lock is
@@ -235,8 +260,12 @@
 // free says whether the promotion lock may be taken over: it was given back, it is this
 // process's own, or it has not changed for so long that its holder can order
 // nothing under it. One that cannot be read counts as held.
-func (c *claims) free(item platform.Item) bool {
+func (c *claims) free(item platform.Item, era mirror.Era) bool {
 	t, _ := c.parse(item)
+	if t.Era != era {
+		// Whoever holds it by an earlier era can order nothing any more once this one has settled.
+		return true
+	}
 	if t.Free || t.Holder == c.p.settings.Daemon && t.Boot == c.p.boot {
 		return true
 	}
@@ -255,6 +284,13 @@
 	return c.seen[id].at
 }
 
+// forget drops since when promotion locks have stood: their revisions are given out again.
+func (c *claims) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.seen)
+}
+
 // observe remembers since when promotion locks have stood, so that an old one is not
 // waited for when it is needed.
 func (c *claims) observe(items []platform.Item) {
@@ -268,10 +304,12 @@
 // primary before they know who has claimed them.
 func (c *claims) tell(sent core.Time, items []platform.Item) {
 	seen := make(map[core.GroupID]direct.LockSeen)
+	current := c.p.eras.current()
+	none := c.p.eras.noLock().Seen(current)
 	unreadable := make(map[core.GroupID]bool)
 	for _, item := range items {
 		if t, ok := c.parse(item); ok {
-			seen[groupOfLock(item)] = t.Seen()
+			seen[groupOfLock(item)] = t.Seen(current)
 		} else {
 			unreadable[groupOfLock(item)] = true
 		}
@@ -280,7 +318,11 @@
 		if unreadable[g.id] {
 			continue
 		}
-		g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.LockRead(at, sent, seen[g.id]) })
+		of, ok := seen[g.id]
+		if !ok {
+			of = none
+		}
+		g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.LockRead(at, sent, of) })
 	}
 }
 
--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -12,6 +12,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/mirror"
 	"limpetspan/core/spread"
 	"limpetspan/platform"
 )
@@ -46,6 +47,7 @@
 		if at.Sub(r.rosterAt) >= rosterEvery && p.leads(l) {
 			r.rosterAt = at
 			p.noteRoster(l)
+			p.noteEra(l)
 		}
 	}
 	r.end()
@@ -168,6 +170,9 @@
 
 // keep writes the entry, or renews its lease when that is due.
 func (r *registration) keep(at core.Time) {
+	if r.p.registerAgain.Swap(false) {
+		r.lease = 0
+	}
 	if !r.wanted || r.lease != 0 && at.Sub(r.renewed) < renewalEvery {
 		return
 	}
@@ -239,6 +244,8 @@
 	// roster is what they were when somebody last looked, rosterItem that entry.
 	roster     direct.Roster
 	rosterItem platform.Item
+	// settledEra is the newest era of the store for which a daemon has vouched.
+	settledEra mirror.Era
 }
 
 func newDaemonList() *daemonList {
@@ -272,6 +279,19 @@
 // complete says whether the list has about all daemons that can be homes.
 func (l *daemonList) complete() bool { return l.roster.Complete(l.daemons()) }
 
+// parseEra decodes for which era of the store a daemon has vouched; 0: for none.
+func (p *Proxy) parseEra(item platform.Item) mirror.Era {
+	var note eraNote
+	if item.Deleted {
+		return 0
+	}
+	if err := json.Unmarshal(item.Value, &note); err != nil {
+		p.log.Error("settled era cannot be read", "error", err.Error())
+	}
+	p.eras.vouch(note)
+	return note.Settled
+}
+
 // parseDaemons decodes the daemons' entries and the size of the fleet.
 func (p *Proxy) parseDaemons(items []platform.Item) *daemonList {
 	l := newDaemonList()
@@ -283,6 +303,10 @@
 
 // applyDaemon takes one item of the list.
 func (p *Proxy) applyDaemon(l *daemonList, item platform.Item) {
+	if item.Key == platform.EraKey {
+		l.settledEra = p.parseEra(item)
+		return
+	}
 	if item.Key == platform.RosterKey {
 		l.roster, l.rosterItem = direct.Roster{}, item
 		if err := json.Unmarshal(item.Value, &l.roster); err != nil && !item.Deleted {
--- /dev/null
+++ b/pkg/proxy/eras_test.go
@@ -0,0 +1,156 @@
+package proxy
+
+import (
+	"net"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/auth"
+	"limpetspan/core/era"
+	"limpetspan/core/quota"
+	"limpetspan/platform"
+)
+
+// heardOfEra waits until all daemons have heard that the store came back for the nth time.
+func (f *fleet) heardOfEra(n int64) {
+	GinkgoHelper()
+	for _, d := range f.daemons {
+		Eventually(d.p.stats.eras.Value, waitLimit).Should(Equal(n), "%s", d.s.Daemon)
+	}
+}
+
+// promoted has the primary go silent, and waits until another member leads.
+func (f *fleet) promoted() {
+	GinkgoHelper()
+	old := f.group.Primary()
+	old.SetDark(true)
+	f.daemons[0].dial("db-primary").persist("WRITE k 1")
+	Expect(f.group.Primary()).NotTo(Equal(old))
+	old.SetDark(false)
+	Eventually(old.Leads, waitLimit).Should(BeFalse())
+}
+
+// takeSlot has the daemon want to count the team, and waits a moment for it.
+func (d *daemon) takeSlot(team core.TeamID) {
+	d.p.limits.await(auth.Team{ID: team, Limited: true}, false, now().Add(500*time.Millisecond))
+}
+
+func (d *daemon) holdsSlot(team core.TeamID) bool {
+	d.p.limits.mu.Lock()
+	defer d.p.limits.mu.Unlock()
+	_, held := d.p.limits.holder.Holds(now(), quota.SlotOf(team))
+	return held
+}
+
+var _ = Describe("a store that comes back from an older copy", func() {
+	// Guards against two promotions under one fencing token, and against a lock that is taken
+	// while its lost holder may still order.
+	It("gives higher fencing tokens, and none before locks of the earlier era have run out", func() {
+		f := newFleet(2)
+		f.store.Keep()
+		f.promoted()
+		before := len(f.store.Orders())
+		f.store.Restore(0)
+		restored := time.Now()
+		f.heardOfEra(1)
+		f.group.Primary().SetDark(true)
+		Consistently(func() int { return len(f.store.Orders()) }, era.Settle-time.Since(restored)-time.Second, 50*time.Millisecond).Should(Equal(before))
+		f.daemons[0].dial("db-primary").persist("WRITE k 2")
+		orders := f.store.Orders()
+		Expect(len(orders)).To(BeNumerically(">", before))
+		last := uint64(0)
+		for _, o := range orders {
+			Expect(o.Token).To(BeNumerically(">", last))
+			last = o.Token
+		}
+	})
+
+	// Guards against daemons that are no longer listed, or whose entry has no lease.
+	It("is told again which daemons run", func() {
+		f := newFleet(1)
+		f.store.Keep()
+		port := f.daemons[0].s.GossipPort
+		f.daemons = append(f.daemons, f.start(ownIP(3), 1, port))
+		Eventually(f.daemons[1].started, waitLimit).Should(BeTrue())
+		f.joined()
+		f.store.Restore(0)
+		f.heardOfEra(1)
+		key := platform.DaemonsPrefix + string(f.daemons[1].s.Daemon)
+		Eventually(func() error {
+			_, _, err := f.daemons[0].p.client.Get(f.daemons[0].p.ctx, key)
+			return err
+		}, waitLimit).Should(Succeed())
+		f.joined()
+	})
+
+	// Guards against a watch that goes on from a revision which has been given out again, and
+	// against a configuration that reverts.
+	It("is read anew, and never reverts the configuration", func() {
+		f := newFleet(2)
+		f.configure("db-primary", "db-own")
+		f.inForce(f.daemons)
+		f.store.Keep()
+		f.configure("db-primary", "db-own", "db-stale")
+		f.inForce(f.daemons)
+		f.store.Restore(time.Second)
+		// Its revisions soon pass those that the daemons have seen.
+		for range 40 {
+			Expect(f.store.Put("other/key", 1)).To(Succeed())
+		}
+		Consistently(func() uint64 { return min(f.daemons[0].version(), f.daemons[1].version()) }, time.Second).Should(Equal(uint64(f.version)))
+		f.heardOfEra(1)
+		f.configure("db-own")
+		f.inForce(f.daemons)
+	})
+
+	// Guards against a daemon that starts and takes what the copy has for the newest.
+	It("proves no key that was taken away before the operator has written again", func() {
+		f := newFleet(1, withKeys)
+		f.store.Keep()
+		f.setTeams(team("gates", "another"))
+		f.inForce(f.daemons)
+		f.store.Restore(time.Second)
+		f.heardOfEra(1)
+		d := f.start(ownIP(3), 1, f.daemons[0].s.GossipPort)
+		f.daemons = append(f.daemons, d)
+		Eventually(func() error {
+			_, err := net.Dial("tcp", d.s.CallerAddr)
+			return err
+		}, waitLimit).Should(Succeed())
+		Eventually(func() string {
+			x := d.dialWith("db-primary", gatesKey)
+			defer x.c.Close()
+			line := x.line()
+			if line == "READY I -" {
+				line = x.query("READ k").end
+			}
+			return line
+		}, waitLimit).Should(HavePrefix("ERROR AUTHFAIL"))
+		Expect(f.runsOfTeam("gates")).To(BeZero())
+	})
+
+	// Guards against two daemons that count one team: the store has lost who does, and that
+	// daemon counts on until its lease has ended by its own clock.
+	It("gives a team's slot to nobody before its lost holder has stopped", func() {
+		f := newFleet(2, withLimits)
+		f.acquainted()
+		f.store.Keep()
+		holder, other := f.daemons[0], f.daemons[1]
+		holder.takeSlot("gates")
+		Expect(holder.holdsSlot("gates")).To(BeTrue())
+		f.store.Restore(0)
+		restored := time.Now()
+		f.heardOfEra(1)
+		Consistently(func() bool {
+			other.takeSlot("gates")
+			return other.holdsSlot("gates")
+		}, era.Settle-time.Since(restored)-time.Second).Should(BeFalse())
+		Eventually(func() bool {
+			other.takeSlot("gates")
+			return holder.holdsSlot("gates") != other.holdsSlot("gates")
+		}, waitLimit).Should(BeTrue())
+	})
+})
--- a/pkg/proxy/limits.go
+++ b/pkg/proxy/limits.go
@@ -190,6 +190,16 @@
 	}
 }
 
+// newEra takes that the store has come back from an older copy, and returns how many slots
+// are held until this daemon has taken them again.
+func (l *limits) newEra(at core.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holder.NewEra(at)
+	l.wakeUp()
+	return len(l.holder.Held())
+}
+
 func (l *limits) wakeUp() {
 	select {
 	case l.wake <- struct{}{}:
--- a/pkg/proxy/metadata/copy.go
+++ b/pkg/proxy/metadata/copy.go
@@ -227,6 +227,22 @@
 	c.interrupt()
 }
 
+// ProveFrom says from when on answers of the store prove what is in force; 0: always.
+func (c *Copy) ProveFrom(at core.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.follower.ProveFrom(at)
+}
+
+// NewEra takes that the store has come back from an older copy: what the copy has of it is
+// read anew.
+func (c *Copy) NewEra() {
+	c.mu.Lock()
+	c.follower.HistoryGone()
+	c.mu.Unlock()
+	c.interrupt()
+}
+
 // interrupt ends a pause.
 func (c *Copy) interrupt() {
 	select {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -55,6 +55,10 @@
 	// metadata is the copy of the store, view what it means.
 	metadata *metadata.Copy
 	view     *view
+	// eras is the store's era; registerAgain is set when a new one may have lost this daemon's
+	// entry.
+	eras          *eras
+	registerAgain atomic.Bool
 	// looked brings the list of daemons as it was before this one took part.
 	looked chan *daemonList
 	// stopping is set when a planned stop has begun; closed is closed once it takes no new
@@ -99,6 +103,8 @@
 	p.access = newAccess(p)
 	p.limits = newLimits(p)
 	p.view = newView(p)
+	p.eras = &eras{p: p}
+	p.client.OnEra(p.eras.saw)
 	p.metadata = metadata.New(p.ctx, metadata.Options{
 		Self: s.Daemon, Store: p.client, Owner: p.view, Now: now, Bound: s.ProofBound(), KeepYoung: s.KeyBound != 0, LookAt: p.lookAt(),
 	})
--- a/pkg/proxy/slots.go
+++ b/pkg/proxy/slots.go
@@ -27,8 +27,9 @@
 			l.leaveOthers()
 		}
 		l.wantAll()
+		settled := l.p.eras.settled()
 		l.mu.Lock()
-		step := l.holder.Next(now())
+		step := l.holder.Next(now(), settled)
 		l.mu.Unlock()
 		if step.Kind == quota.Pause {
 			l.pause(step.Wait)
@@ -144,8 +145,11 @@
 func (l *limits) carryOut(step quota.Step) error {
 	ctx, cancel := context.WithTimeout(l.p.ctx, storeTimeout)
 	defer cancel()
-	sent := now()
+	sent, called := now(), l.p.eras.current()
 	report, err := l.call(ctx, step, sent)
+	if err == nil && l.p.eras.current() != called {
+		err = errNewEra
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
@@ -164,6 +168,9 @@
 	return nil
 }
 
+// errNewEra ends a call that began in an earlier era of the store: what it rested on is gone.
+var errNewEra = errors.New("the store has come back from an older copy meanwhile")
+
 // call makes the call of a step, and returns what the holder is to be told.
 func (l *limits) call(ctx context.Context, step quota.Step, sent core.Time) (report func(h *quota.Holder), err error) {
 	switch step.Kind {
@@ -193,6 +200,8 @@
 	Boot   int64         `json:"boot"`
 	// Calm says that no team of the slot has used its burst for a window.
 	Calm bool `json:"calm,omitempty"`
+	// Era is that of the store in which this was written.
+	Era mirror.Era `json:"era,omitempty"`
 }
 
 func slotKey(slot quota.Slot) string {
@@ -207,7 +216,7 @@
 }
 
 func (l *limits) take(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
-	position, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot})
+	position, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, Era: l.p.eras.current()})
 	switch {
 	case errors.Is(err, platform.ErrConflict):
 		return func(h *quota.Holder) { h.Conflict(now()) }, nil
@@ -236,7 +245,7 @@
 // flag tells the store of the use of bursts, or of the contrary.
 func (l *limits) flag(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
 	open := step.Kind == quota.Open
-	position, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, Calm: !open})
+	position, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, Calm: !open, Era: l.p.eras.current()})
 	switch {
 	case errors.Is(err, platform.ErrConflict):
 		return func(h *quota.Holder) { h.FlagFailed(now(), step.Slots) }, nil
@@ -257,8 +266,10 @@
 }
 
 // owners decodes the list of slots. An entry that cannot be read is somebody's who is not
-// known: nobody takes the slot before its lease has ended.
+// known: nobody takes the slot before its lease has ended. One of an earlier era of the store
+// may have told later that bursts are used, and the store has lost it.
 func (l *limits) owners(items []platform.Item) map[quota.Slot]quota.Owner {
+	current := l.p.eras.current()
 	owners := make(map[quota.Slot]quota.Owner, len(items))
 	for _, item := range items {
 		n, err := strconv.ParseUint(strings.TrimPrefix(item.Key, platform.LimitsPrefix), 10, 16)
@@ -270,7 +281,7 @@
 		if err := json.Unmarshal(item.Value, &e); err != nil {
 			l.p.log.Warn("entry of a slot cannot be read", "key", item.Key, "error", err.Error())
 		}
-		owners[quota.Slot(n)] = quota.Owner{Daemon: e.Daemon, Boot: e.Boot, Lease: item.Lease, Revision: uint64(item.Revision), Open: !e.Calm}
+		owners[quota.Slot(n)] = quota.Owner{Daemon: e.Daemon, Boot: e.Boot, Lease: item.Lease, Revision: uint64(item.Revision), Open: !e.Calm || e.Era != current}
 	}
 	return owners
 }
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -13,6 +13,8 @@
 	statements, malformed, broken, dials, dialFailures, probeFailures expvar.Int
 	ordersDropped, promotions, reportsUnsent, reportsMalformed        expvar.Int
 	onPrimary, onReplica, logDropped                                  expvar.Int
+	// eras are the ends of eras of the store.
+	eras expvar.Int
 	// replaced are idle connections that were closed for one of another team.
 	replaced expvar.Int
 	// refusals are errors by code, barred statements that were refused on account of their
@@ -60,7 +62,7 @@
 		"orders_dropped": s.ordersDropped.Value(), "promotions": s.promotions.Value(),
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logDropped.Value(),
-		"refusals": refusals, "barred": barred, "unpaid": unpaid,
+		"store_eras_ended": s.eras.Value(), "refusals": refusals, "barred": barred, "unpaid": unpaid,
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
--- a/pkg/proxy/view.go
+++ b/pkg/proxy/view.go
@@ -155,6 +155,8 @@
 		return
 	}
 	seen, readable := v.lockOf(g.id)
+	// Before the era has settled a copy may lack a claim that is still acted on.
+	readable = readable && v.p.eras.settled()
 	g.update(func(c *direct.Group, at core.Time) []direct.Effect {
 		effects := c.List(at, asOf, listed)
 		if lock && readable {
@@ -178,14 +180,15 @@
 
 // lockOf is the group's promotion lock; false: it cannot be read.
 func (v *view) lockOf(id core.GroupID) (direct.LockSeen, bool) {
+	current := v.p.eras.current()
 	v.mu.Lock()
 	item, ok := v.locks[id]
 	v.mu.Unlock()
 	if !ok || item.Deleted {
-		return direct.LockSeen{}, true
+		return v.p.eras.noLock().Seen(current), true
 	}
 	t, ok := v.p.claims.parse(item)
-	return t.Seen(), ok
+	return t.Seen(current), ok
 }
 
 // knowsMembers says whether the copy holds members.
