Tell other daemons where a leadership has begun

Cause: a member that has not heard of the newest leadership is not promoted if it has commits which that leadership has rolled back. A daemon judged that by the first position of the primary that it had seen itself; one that met the leadership late took the old primary's longer log for a part of the newest one. Its promotion brought the commits back after reads had been served without them.

Change: reports carry the earliest known position of the leadership (began_lsn, optional).

It stays as a test.

--- a/core/direct/claim_test.go
+++ b/core/direct/claim_test.go
@@ -458,6 +458,28 @@
 		Expect(s.take(direct.EffectPromote)).To(HaveLen(1))
 	})
 
+	// Guards against commits that come back: this daemon has met the leadership late, and
+	// takes the log of the primary before it for a part of the newest one's.
+	It("promotes no member that others know to have been rolled back", func() {
+		s := newScript()
+		s.status("a", direct.Status{Role: core.RolePrimary, Term: 2, Position: core.Position{Term: 2, LSN: 90}})
+		s.keep(s.g.LockRead(s.at, s.at, direct.LockSeen{Term: 2, Leadership: true}))
+		rolledBack, short := fenced, fenced
+		rolledBack.FencedTerm, rolledBack.Position.LSN = 0, 40
+		short.FencedTerm, short.Position.LSN = 0, 20
+		answers := map[core.MemberID]direct.Status{"b": rolledBack, "c": short}
+		s.tick(800*ms, answers)
+		s.keep(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 2, Suspect: true, Began: core.Position{Term: 2, LSN: 25}}))
+		s.tick(100*ms, answers)
+		s.keep(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 3, Highest: 3}))
+		rolledBack.FencedTerm, short.FencedTerm = 3, 3
+		s.status("b", rolledBack)
+		s.status("c", short)
+		s.effects = nil
+		s.tick(direct.LeaseFor, map[core.MemberID]direct.Status{"b": rolledBack, "c": short})
+		Expect(s.take(direct.EffectPromote)).To(ConsistOf(HaveField("Member", core.MemberID("c"))))
+	})
+
 	It("demotes a member that leads an older term", func() {
 		s := newScript()
 		s.probed("b", core.RolePrimary, 2)
--- a/core/direct/promote.go
+++ b/core/direct/promote.go
@@ -226,6 +226,13 @@
 	}
 }
 
+// toldBegan takes where another daemon knows the newest leadership to begin.
+func (g *Group) toldBegan(p core.Position) {
+	if p.Term == g.term && (g.began.Term == 0 || p.LSN < g.began.LSN) {
+		g.began = p
+	}
+}
+
 // bestFenced is the fenced replica that has received most; one that stays is
 // preferred to one that is leaving, unless commits wait for replicas: then only
 // the furthest surely has all that were acknowledged. "": none can lead next.
--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -72,7 +72,9 @@
 	// it was asked for; zero: none.
 	Sample    core.Position
 	SampleAge time.Duration
-	Members   []MemberReport
+	// Began is where the leadership of Term begins in the log at the latest; zero: not known.
+	Began   core.Position
+	Members []MemberReport
 }
 
 // MemberReport is what a daemon tells of one member.
@@ -94,6 +96,7 @@
 	r := Report{
 		Group: g.id, Primary: g.primary, Term: g.term,
 		Suspect: p != nil && p.suspect, Claiming: g.claim.phase != noClaim, Ordered: g.ordered, Successor: g.successor,
+		Began: g.began,
 	}
 	if p != nil {
 		r.PrimaryStarted = p.Started
@@ -172,6 +175,7 @@
 		return
 	}
 	g.noteBegan(r.Sample)
+	g.toldBegan(r.Began)
 	if g.primary == "" {
 		m.leads = r.Term
 		g.leads(now, r.Primary)
--- a/pkg/explore/promotions/promotions_test.go
+++ b/pkg/explore/promotions/promotions_test.go
@@ -53,6 +53,14 @@
 		Expect(report.Counts["promotions"]).To(BeNumerically(">", 60))
 	})
 
+	// Guards against a member that comes back with commits which a promotion has rolled back:
+	// the daemon that promotes it has met the newest leadership late.
+	It("tells others where a leadership has begun", func() {
+		o := promotions.DefaultOptions()
+		o.Runs, o.Seed, o.Restores = 1, 3537, true
+		Expect(promotions.Run(context.Background(), o).Violations).To(BeEmpty())
+	})
+
 	// Guards against a claim that names a term which a lost claim has named before.
 	DescribeTable("keeps its promises over several older copies", func(seed uint64) {
 		o := promotions.DefaultOptions()
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -328,6 +328,9 @@
 		LoadPercent: uint32(100 * r.Load), LoadAgeUs: microseconds(r.LoadAge),
 		SampleTerm: uint64(r.Sample.Term), SampleLsn: uint64(r.Sample.LSN), SampleAgeUs: microseconds(r.SampleAge),
 	}
+	if r.Began.Term == r.Term && r.Term != 0 {
+		out.BeganLsn = proto.Uint64(uint64(r.Began.LSN))
+	}
 	if r.Led {
 		out.LedAgeUs = proto.Uint64(microseconds(r.LedAge))
 	}
@@ -361,6 +364,9 @@
 		Sample:    core.Position{Term: core.Term(g.SampleTerm), LSN: core.LSN(g.SampleLsn)},
 		SampleAge: decodeAge(g.SampleAgeUs),
 	}
+	if g.BeganLsn != nil {
+		r.Began = core.Position{Term: r.Term, LSN: core.LSN(*g.BeganLsn)}
+	}
 	if g.LedAgeUs != nil {
 		r.Led, r.LedAge = true, decodeAge(*g.LedAgeUs)
 	}
