--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -1,5 +1,6 @@
-// Package relay decides how one daemon keeps its configuration current: by its own
-// watch of the platform's store, or through another daemon that watches.
+// Package relay decides how one daemon keeps its copy of the platform's store current: by
+// its own watch, or through another daemon that watches. The copy holds the configuration,
+// the list of daemons and, where it is needed, members and promotion locks.
 //
 // It does no I/O, reads no clock and draws no randomness. A Follower is asked for its
 // next Step, the caller carries it out and reports the outcome, and so on; there is one
@@ -8,10 +9,10 @@
 // # Load pattern
 //
 // A watch is a paid call that has to end within the bound of a change, as only its end
-// shows that its connection has gone silent. Were each daemon to watch, calls would grow
-// with the fleet: 59 a second with 295 daemons and a bound of six seconds, beside a store
-// that all of them fall upon when it comes back. So a large fleet has two watchers in
-// each zone, and everyone else asks one of those.
+// shows that its connection has gone silent. If each daemon watched, calls would grow with
+// the fleet, and bytes with the fleet times its lists; a store that comes back would be
+// read by all daemons at once. So a large fleet has two watchers in each zone, and all
+// others ask one of those, which answers with the changes since their position.
 //
 // # Proof
 //
@@ -39,9 +40,9 @@
 //     and end at the store.
 //
 // A configuration is replaced only by one of a higher version, so nothing goes back
-// whoever tells it. The package keeps no configuration; the caller accepts what comes
-// before it reports the proof.
+// whoever tells it. The package keeps no data; the caller accepts what comes before it
+// reports the proof.
 //
-// Relayed is the configuration alone. What needs a daemon's own call stays its own: its
-// registration, the lease on a primary, the promotion lock, the host list.
+// A daemon's registration, reads of a promotion lock for a lease, and claims stay its own
+// calls to the store.
 package relay
--- a/core/relay/tuning.go
+++ b/core/relay/tuning.go
@@ -4,70 +4,61 @@
 
 // Limits of the age of a proof.
 const (
-	// OwnReadMargin of the bound is left for the daemon's own read when its proof has
-	// become old: one read that is not answered, 0.8 s, and one that is.
+	// OwnReadMargin is the part of the bound that is left for the daemon's own read: one that
+	// times out and one that is answered.
 	OwnReadMargin = time.Second
-	// leastBudget and mostBudget bound the age at which a daemon reads the store itself.
-	// A shorter one would be all calls; a longer one gains little, and leaves a change
-	// unnoticed for longer than operators expect, whatever bound they set.
+	// leastBudget and mostBudget bound the age of a proof at which a daemon reads the store
+	// itself.
 	leastBudget = time.Second
 	mostBudget  = 5 * time.Second
-	// watchParts is how many watches of a relay fit into the budget of its followers. A
-	// proof is up to two watches old when the next one comes; the third part is for
-	// asking another relay.
+	// watchParts is how many watches of a relay fit into the budget of its followers. A proof
+	// is up to two watches old; the third part is for asking another relay.
 	watchParts = 3
-	// youngParts is that number where callers are refused without a young proof: with 0.8 s in
-	// place of 1.3 s for a watch a bound of five seconds leaves three of an outage, not two.
+	// youngParts is that number where callers are refused without a young proof: the age of a
+	// proof shortens the outage that they can be served through.
 	youngParts = 5
-	// answerSlack is how much later than usual a relay's next proof may be: the store is
-	// slow at times, and answers within this time or not at all.
+	// answerSlack is how much later than usual a relay's next proof may be.
 	answerSlack = 800 * time.Millisecond
 	// answerTimeout bounds the way to a relay and back.
 	answerTimeout = 400 * time.Millisecond
-	// gatherFor is how long a watch waits for more changes after one that has ended with some,
-	// twice as long each time while they go on, and at most that part of the budget; a change
-	// is known later by as much.
+	// gatherFor is the first pause after a watch that has ended with changes. It doubles while
+	// they go on, up to the budget over gatherParts.
 	gatherFor   = 200 * time.Millisecond
 	gatherParts = 6
-	// emptyAsk is how long a relay may take that has no copy itself yet.
+	// emptyAsk bounds a question of a daemon that has no copy yet.
 	emptyAsk = 400 * time.Millisecond
-	// relaysFirst is for how long a daemon that has just started asks relays alone, and up to
-	// as long again by its draw.
+	// relaysFirst is how long a daemon that starts asks relays only; a random share of the same
+	// length comes on top.
 	relaysFirst = 2 * time.Second
-	// leastAsk is what has to be left until the daemon's own read for a question to a
-	// relay: with less, answers that bring nothing new would follow each other at once.
+	// leastAsk is the least time before the daemon's own read in which it still asks a relay.
 	leastAsk = 2 * answerTimeout
-	// avoidFor is how long a relay is left alone that did not answer or had an old proof.
+	// avoidFor is the backoff from a relay that did not answer or had an old proof.
 	avoidFor = 2 * time.Second
-	// mostSilent relays are waited for between two calls to the store by a daemon that watches
-	// it: one that is cut off from all would otherwise miss the store's return for seconds.
+	// mostSilent bounds how many silent relays a watcher waits for between two calls to the
+	// store.
 	mostSilent = 2
-	// avoidWithoutProof is that time for a daemon without a proof that counts. A question costs
-	// the relay nothing to speak of, and a store that is away nothing at all.
+	// avoidWithoutProof is that backoff for a daemon without a valid proof.
 	avoidWithoutProof = 500 * time.Millisecond
-	// mostAsked relays are asked, both of the own zone first. The store may turn several away
-	// at once, and a daemon that hears of it by nobody refuses its callers.
+	// mostAsked bounds how many relays are asked, those of the own zone first.
 	mostAsked = 8
 )
 
 // Pauses after a failed read of the store, the first one and the longest.
 const (
-	// A daemon without a configuration serves nobody, so it asks often; its pauses grow
-	// with the outage to emptyShare of it, which is by how much an outage gets longer for
-	// callers at most.
+	// For a daemon without a configuration, which serves nobody. Its pauses are up to emptyShare
+	// of the outage, which bounds by how much it prolongs it.
 	emptyRetry     = 80 * time.Millisecond
 	emptyRetryMost = time.Second
 	emptyShare     = 0.1
-	// The followers of a relay wait for it.
+	// For a watcher, whose followers wait for it.
 	watcherRetry     = 250 * time.Millisecond
 	watcherRetryMost = time.Second
-	// Others have a configuration, and come all at once when the store is away: the second
-	// read has its place in OwnReadMargin, later ones are far apart.
+	// For a follower. The second read fits into OwnReadMargin, later ones are far apart: all
+	// followers read while the store is away.
 	followerRetry     = 500 * time.Millisecond
 	followerRetryMost = 4 * time.Second
 	followerGrowth    = 4
 	watcherGrowth     = 2
-	// retryJitter is the share of a pause by which daemons differ, so that a fleet does
-	// not ask in one moment again and again.
+	// retryJitter is the random share of a pause.
 	retryJitter = 0.5
 )
