Spread the writes of lost promotion locks over 20 s

Cause: once an era has settled, a home of each group that is in use writes the group's promotion lock again: two writes and a read, all within a second.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -5,6 +5,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/policy"
+	"limpetspan/core/spread"
 )
 
 // phase is how far a take-over of the group has come.
@@ -245,6 +246,9 @@
 	if r == missing {
 		wait += 3 * ProbeTimeout
 	}
+	if r == lostLock && !g.needsLock(now) {
+		wait += time.Duration(spread.Unit("/lost", string(g.id)) * float64(LostLockSpread))
+	}
 	if now < g.claim.retryAt || now.Sub(g.claim.wantedSince) < wait || g.peerClaims(now) {
 		return
 	}
--- a/core/direct/lease.go
+++ b/core/direct/lease.go
@@ -130,6 +130,12 @@
 	}
 }
 
+// needsLock says whether the lease is about to expire without a read of the promotion lock.
+func (g *Group) needsLock(now core.Time) bool {
+	asked := g.promotionLock.askedAt
+	return asked != 0 && now.Sub(asked) < 2*LockReadEvery
+}
+
 // vouches says whether it is known that no promotion after the present leadership was ordered
 // in an earlier era of the store. Such an order has taken effect by the time at which the
 // first lost record is taken, or never will. A lease that is held then was held since
--- a/core/direct/tuning.go
+++ b/core/direct/tuning.go
@@ -72,6 +72,9 @@
 	LockLife = 4 * time.Second
 	// OrphanedFence is the age at which a fence counts as left behind by a daemon that ended.
 	OrphanedFence = LockLife + time.Second
+	// LostLockSpread is the time over which the groups of a fleet write promotion locks again
+	// that the store has lost; it bounds the rate of these writes.
+	LostLockSpread = 20 * time.Second
 	// PeerFresh is how long another daemon's report counts; one full report may be lost.
 	PeerFresh = 2000 * time.Millisecond
 	// LagMargin is added to a replica's measured lag before it is asked for a position.
