--- a/pkg/proxy/metadata/tuning.go
+++ b/pkg/proxy/metadata/tuning.go
@@ -4,10 +4,10 @@
 
 // Times of the copy.
 const (
-	// storeTimeout bounds a call to the store, which answers in milliseconds.
+	// storeTimeout bounds a call to the store.
 	storeTimeout = 800 * time.Millisecond
-	// loadTimeout bounds the read of a whole copy of many pages. An answer that is given up
-	// has cost the store and the network as much as one that is used.
+	// loadTimeout bounds the read of a whole copy. It is longer than storeTimeout because an
+	// abandoned answer costs as much as one that is used.
 	loadTimeout = 3 * time.Second
 	// dialTimeout bounds opening a link to another daemon.
 	dialTimeout = 300 * time.Millisecond
@@ -16,11 +16,10 @@
 	// after one that brought none.
 	catchUpTimeout = dialTimeout / 2
 	catchUpRetry   = 250 * time.Millisecond
-	// newsEvery is the pause between questions for a newer configuration that callers with
-	// unknown keys cause: a key that has just been added works a quarter of a second later at
-	// the latest where such callers come all the time.
+	// newsEvery is the least pause between questions for a newer configuration on account of
+	// unknown keys.
 	newsEvery = 250 * time.Millisecond
-	// idleLink is how long a link of a daemon is kept that asks nothing, and one waited for
-	// that does not read: longer than any follower waits.
+	// idleLink is how long a link stays open that is idle or not read. It is longer than any
+	// follower waits.
 	idleLink = 10 * time.Second
 )
