Read a promotion lock, judge a fit host and write an entry by one piece of code each

Change, without one of behaviour but the two named below: - A promotion lock that the store has or has not was turned into what a read shows in three places (claims.readOne, claims.tell, view.lockOf), and a claim decoded it twice. claims.parse and claims.seenAs do it once. tell decodes only the locks of groups that are in use here, so that one which cannot be read is logged by daemons that use its group. - Who is fit to be a home was decided by direct.strong and by Roster.isFit; byZone asks the roster. - Each answer of the store told the copy from when on answers are proofs. It is told when that changes, under the lock that decides it, so that an older moment cannot come last. - Where a leadership has begun is kept by one function, whoever tells it; the released lock's term, the entry of a slot, the fleet's entries and the model's read of a lock likewise. - A lock that cannot be read is refused with that reason at once.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -339,8 +339,7 @@
 	if done := c.phase == promoting && g.primary == c.candidate && g.term > c.term; c.token != 0 && (done || c.phase != promoting) {
 		// Nothing can be ordered under the token any more, so nobody has to wait for
 		// its end before the next change.
-		back := Effect{Kind: EffectReleaseLock, Token: c.token, Term: g.term, Highest: c.highest}
-		back.Term = max(back.Term, c.left)
+		back := Effect{Kind: EffectReleaseLock, Token: c.token, Term: max(g.term, c.left), Highest: c.highest}
 		if g.superseded() {
 			back.Term, back.Pending = g.ordered, true
 		}
--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -53,12 +53,11 @@
 
 // byZone are the daemons of each zone that are fit to be homes.
 func byZone(daemons []Daemon) map[core.Zone][]Daemon {
-	zones := make(map[core.Zone][]Daemon)
+	zones, roster := make(map[core.Zone][]Daemon), RosterOf(daemons)
 	for _, d := range daemons {
-		zones[d.Zone] = append(zones[d.Zone], d)
-	}
-	for zone, list := range zones {
-		zones[zone] = strong(list)
+		if roster.isFit(d) {
+			zones[d.Zone] = append(zones[d.Zone], d)
+		}
 	}
 	return zones
 }
@@ -84,15 +83,6 @@
 	return list
 }
 
-// strong leaves out hosts that are much weaker than the strongest of the zone.
-func strong(daemons []Daemon) []Daemon {
-	top := 0.0
-	for _, d := range daemons {
-		top = max(top, d.Weight)
-	}
-	return slices.DeleteFunc(daemons, func(d Daemon) bool { return d.Weight < strongShare*top })
-}
-
 // draw is the daemon's rank for the group in weighted rendezvous hashing: a
 // change of the list moves only the groups of the daemons that came or went.
 func draw(group core.GroupID, d Daemon) float64 {
--- a/core/direct/promote.go
+++ b/core/direct/promote.go
@@ -221,9 +221,7 @@
 	if p.Term == g.term {
 		p.LSN--
 	}
-	if g.began.Term == 0 || p.LSN < g.began.LSN {
-		g.began = core.Position{Term: g.term, LSN: p.LSN}
-	}
+	g.toldBegan(core.Position{Term: g.term, LSN: p.LSN})
 }
 
 // toldBegan takes where another daemon knows the newest leadership to begin.
--- a/pkg/explore/promotions/daemon.go
+++ b/pkg/explore/promotions/daemon.go
@@ -340,21 +340,26 @@
 			return
 		}
 		d.noteLock(t)
-		if d.settled() {
-			d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, t.Seen(d.eras.Current())) })
-		}
+		d.tellLock(sent, t)
 	})
 }
 
 func (d *daemon) readLock() {
 	sent := d.clock()
 	d.w.store.get(d, func(t item, _ mirror.Era, ok bool) {
-		if ok && d.settled() && d.clock().Sub(sent) < direct.LockReadEvery {
-			d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, t.Seen(d.eras.Current())) })
+		if ok && d.clock().Sub(sent) < direct.LockReadEvery {
+			d.tellLock(sent, t)
 		}
 	})
 }
 
+// tellLock passes a read of the promotion lock on once the era has settled.
+func (d *daemon) tellLock(sent core.Time, t item) {
+	if d.settled() {
+		d.update(func(at core.Time) []direct.Effect { return d.g.LockRead(at, sent, t.Seen(d.eras.Current())) })
+	}
+}
+
 // promote gives the order, unless it could come after that of the next holder.
 func (d *daemon) promote(e direct.Effect) {
 	if d.clock() >= e.Until && !d.w.options.without(shellSendWindow) {
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -57,29 +57,24 @@
 	})
 }
 
-// errUnsettled refuses claims while somebody may still act on what an earlier era of the
+// textUnsettled refuses claims while somebody may still act on what an earlier era of the
 // store has given him.
-const errUnsettled = "the store's era has not settled"
+const textUnsettled = "the store's era has not settled"
 
 func (c *claims) take(ctx context.Context, id core.GroupID, e direct.Effect) (direct.PromotionLock, string) {
 	if !c.p.eras.settled() {
-		return direct.PromotionLock{}, errUnsettled
+		return direct.PromotionLock{}, textUnsettled
 	}
 	item, era, err := c.p.client.Get(ctx, platform.LocksPrefix+string(id))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return direct.PromotionLock{}, "store: " + err.Error()
 	}
-	var last promotionLock
-	if err == nil {
-		if !c.free(item, era) {
-			return direct.PromotionLock{}, "another daemon has the promotion lock"
-		}
-		var ok bool
-		if last, ok = c.parse(item); !ok {
-			return direct.PromotionLock{}, "the last promotion lock cannot be read"
-		}
-	} else {
-		last = c.p.eras.noLock()
+	last, readable := c.parse(item, err == nil)
+	switch {
+	case !readable:
+		return direct.PromotionLock{}, "the last promotion lock cannot be read"
+	case err == nil && !c.free(item, last, era):
+		return direct.PromotionLock{}, "another daemon has the promotion lock"
 	}
 	record, taken := last.LockRecord.Claim(e, era)
 	next := promotionLock{LockRecord: record, Claim: c.claimed.Add(1)}
@@ -136,7 +131,7 @@
 		return false
 	}
 	if item.Revision != revision || era != claim.Era {
-		t, ok := c.parse(item)
+		t, ok := c.parse(item, true)
 		if !ok || t.Holder != c.p.settings.Daemon || t.Boot != c.p.boot || t.Claim != claim.Claim {
 			return true
 		}
@@ -232,20 +227,17 @@
 		c.p.decision("promotion lock not read", "group", g.id, "error", err.Error())
 		return
 	}
-	t := c.p.eras.noLock()
-	if err == nil {
-		var ok bool
-		if t, ok = c.parse(item); !ok {
-			return
-		}
+	if seen, ok := c.seenAs(item, err == nil); ok {
+		g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.LockRead(at, sent, seen) })
 	}
-	seen := t.Seen(c.p.eras.current())
-	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.LockRead(at, sent, seen) })
 }
 
-// parse decodes a promotion lock; what cannot be read is logged, and its zero promotion lock is
-// nobody's and not free.
-func (c *claims) parse(item platform.Item) (t promotionLock, ok bool) {
+// parse decodes a group's promotion lock; found says whether the store has one. What cannot
+// be read is logged.
+func (c *claims) parse(item platform.Item, found bool) (t promotionLock, ok bool) {
+	if !found {
+		return c.p.eras.noLock(), true
+	}
 	if err := json.Unmarshal(item.Value, &t); err != nil {
 		c.p.log.Warn("promotion lock cannot be read", "key", item.Key, "error", err.Error())
 		return promotionLock{}, false
@@ -253,15 +245,20 @@
 	return t, true
 }
 
+// seenAs is what a read of the promotion lock shows; false: it cannot be read.
+func (c *claims) seenAs(item platform.Item, found bool) (direct.LockSeen, bool) {
+	t, ok := c.parse(item, found)
+	return t.Seen(c.p.eras.current()), ok
+}
+
 func groupOfLock(item platform.Item) core.GroupID {
 	return core.GroupID(strings.TrimPrefix(item.Key, platform.LocksPrefix))
 }
 
 // free says whether the promotion lock may be taken over: it was given back, it is this
 // process's own, or it has not changed for so long that its holder can order
-// nothing under it. One that cannot be read counts as held.
-func (c *claims) free(item platform.Item, era mirror.Era) bool {
-	t, _ := c.parse(item)
+// nothing under it.
+func (c *claims) free(item platform.Item, t promotionLock, era mirror.Era) bool {
 	if t.Era != era {
 		// Whoever holds it by an earlier era can order nothing any more once this one has settled.
 		return true
@@ -303,26 +300,15 @@
 // tell passes promotion locks that were read at sent on to the groups, which may use no
 // primary before they know who has claimed them.
 func (c *claims) tell(sent core.Time, items []platform.Item) {
-	seen := make(map[core.GroupID]direct.LockSeen)
-	current := c.p.eras.current()
-	none := c.p.eras.noLock().Seen(current)
-	unreadable := make(map[core.GroupID]bool)
+	locks := make(map[core.GroupID]platform.Item, len(items))
 	for _, item := range items {
-		if t, ok := c.parse(item); ok {
-			seen[groupOfLock(item)] = t.Seen(current)
-		} else {
-			unreadable[groupOfLock(item)] = true
-		}
+		locks[groupOfLock(item)] = item
 	}
 	for _, g := range c.p.allGroups() {
-		if unreadable[g.id] {
-			continue
-		}
-		of, ok := seen[g.id]
-		if !ok {
-			of = none
+		item, found := locks[g.id]
+		if seen, ok := c.seenAs(item, found); ok {
+			g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.LockRead(at, sent, seen) })
 		}
-		g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.LockRead(at, sent, of) })
 	}
 }
 
--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -348,14 +348,19 @@
 	if p.homes.fleetSize(next.Daemons) > next.Daemons || !changedMuch(l.roster, next) {
 		return
 	}
+	err := p.note(platform.RosterKey, next, platform.Condition{Key: platform.RosterKey, Revision: l.rosterItem.Revision})
+	p.log.Info("roster of the fleet", "daemons", next.Daemons, "fit", next.Fit, "before", l.roster.Daemons, "error", errorText(err))
+}
+
+// note writes an entry of the fleet as a whole, under the conditions.
+func (p *Proxy) note(key string, entry any, conditions ...platform.Condition) error {
 	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
-	value, err := json.Marshal(next)
+	value, err := json.Marshal(entry)
 	if err == nil {
-		_, err = p.client.Put(ctx, []platform.Condition{{Key: platform.RosterKey, Revision: l.rosterItem.Revision}},
-			[]platform.Write{{Key: platform.RosterKey, Value: value}})
+		_, err = p.client.Put(ctx, conditions, []platform.Write{{Key: key, Value: value}})
 	}
-	p.log.Info("roster of the fleet", "daemons", next.Daemons, "fit", next.Fit, "before", l.roster.Daemons, "error", errorText(err))
+	return err
 }
 
 // changedMuch says whether a daemon that starts would misjudge the fleet by the old roster.
--- a/pkg/proxy/eras.go
+++ b/pkg/proxy/eras.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
@@ -18,6 +16,8 @@
 	p       *Proxy
 	mu      sync.Mutex
 	tracker era.Tracker
+	// provesFrom is what the copy of the store was told last.
+	provesFrom core.Time
 	// begun is the era in which the fleet has started for the first time, if that is known.
 	begun mirror.Era
 }
@@ -34,9 +34,8 @@
 		e.tracker.Vouch(n)
 		e.begun = n
 	}
-	from := e.tracker.ProvesFrom()
+	e.tellProofs()
 	e.mu.Unlock()
-	e.p.metadata.ProveFrom(from)
 	if ended {
 		e.p.endEra(at, before, n)
 	}
@@ -49,9 +48,17 @@
 	if note.Begun != 0 {
 		e.begun = note.Begun
 	}
-	from := e.tracker.ProvesFrom()
+	e.tellProofs()
 	e.mu.Unlock()
-	e.p.metadata.ProveFrom(from)
+}
+
+// tellProofs has the copy of the store know from when on answers prove something, if that has
+// changed; the lock is held, so that an older moment does not replace a newer one.
+func (e *eras) tellProofs() {
+	if from := e.tracker.ProvesFrom(); from != e.provesFrom {
+		e.provesFrom = from
+		e.p.metadata.ProveFrom(from)
+	}
 }
 
 func (e *eras) begunIn() mirror.Era {
@@ -121,11 +128,6 @@
 	if current == l.settledEra || current == 0 || !p.eras.settled() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
-	defer cancel()
-	value, err := json.Marshal(eraNote{Settled: current, Begun: p.eras.begunIn()})
-	if err == nil {
-		_, err = p.client.Put(ctx, nil, []platform.Write{{Key: platform.EraKey, Value: value}})
-	}
+	err := p.note(platform.EraKey, eraNote{Settled: current, Begun: p.eras.begunIn()})
 	p.log.Info("era of the store has settled", "era", current, "error", errorText(err))
 }
--- a/pkg/proxy/slots.go
+++ b/pkg/proxy/slots.go
@@ -216,7 +216,7 @@
 }
 
 func (l *limits) take(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
-	position, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, Era: l.p.eras.current()})
+	position, err := l.write(ctx, step, false)
 	switch {
 	case errors.Is(err, platform.ErrConflict):
 		return func(h *quota.Holder) { h.Conflict(now()) }, nil
@@ -229,9 +229,9 @@
 	return func(h *quota.Holder) { h.Taken(now(), step.Slots, uint64(position.Revision)) }, nil
 }
 
-// write writes the entry of all slots of the step.
-func (l *limits) write(ctx context.Context, step quota.Step, e slotEntry) (mirror.Position, error) {
-	value, err := json.Marshal(e)
+// write writes this daemon's entry of all slots of the step.
+func (l *limits) write(ctx context.Context, step quota.Step, calm bool) (mirror.Position, error) {
+	value, err := json.Marshal(slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, Calm: calm, Era: l.p.eras.current()})
 	if err != nil {
 		return mirror.Position{}, err
 	}
@@ -245,7 +245,7 @@
 // flag tells the store of the use of bursts, or of the contrary.
 func (l *limits) flag(ctx context.Context, step quota.Step) (report func(h *quota.Holder), err error) {
 	open := step.Kind == quota.Open
-	position, err := l.write(ctx, step, slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, Calm: !open, Era: l.p.eras.current()})
+	position, err := l.write(ctx, step, !open)
 	switch {
 	case errors.Is(err, platform.ErrConflict):
 		return func(h *quota.Holder) { h.FlagFailed(now(), step.Slots) }, nil
--- a/pkg/proxy/view.go
+++ b/pkg/proxy/view.go
@@ -180,15 +180,10 @@
 
 // lockOf is the group's promotion lock; false: it cannot be read.
 func (v *view) lockOf(id core.GroupID) (direct.LockSeen, bool) {
-	current := v.p.eras.current()
 	v.mu.Lock()
 	item, ok := v.locks[id]
 	v.mu.Unlock()
-	if !ok || item.Deleted {
-		return v.p.eras.noLock().Seen(current), true
-	}
-	t, ok := v.p.claims.parse(item)
-	return t.Seen(current), ok
+	return v.p.claims.seenAs(item, ok && !item.Deleted)
 }
 
 // knowsMembers says whether the copy holds members.
