Prove "not run" before a refusal says so

Cause: a read whose connection or home was lost may have run, but if its next attempt found no member, was over its team's limit, had a revoked key or was refused by a second home, the caller was told "not run".

Change: core/execution keeps the sends of a statement with their outcomes and returns a proof of "not run" only if no send may have run. Refusals in pkg/proxy go through refusal.go and take that proof. Without it a read is answered TIMEOUT ("may have run; it changed nothing"), or with the error of the member that failed it, and a write INDOUBT. An entry replaces a home's BUSY or AUTHFAIL by TIMEOUT if an earlier send of the read may have run, and retries a read elsewhere whose home answers TIMEOUT with a request to move. New log line "refused without proof" with the sends, new counter refusals_unproved; refusals for a team's limit or key now log "attempt" and "ms" too, and all log "come_back_ms".

Result: before the change, eight of the new specs in pkg/proxy failed: seven reads that may have run got BUSY or AUTHFAIL, one was not retried. Each guard was removed once and made specs fail: the check of open sends, of sends that may have run, of a second outcome, the comparison with a home's answer, the outcome of a home's answer, the retry after TIMEOUT, and the outcome of a lost connection.

--- a/pkg/proxy/access.go
+++ b/pkg/proxy/access.go
@@ -151,10 +151,13 @@
 // refuseDenied refuses a statement that may not be sent because of its key. An open transaction
 // is rolled back, and it has ended if the statement was its commit.
 func (s *session) refuseDenied(j *job) {
-	s.recordDenial(j)
 	d := s.denial
+	s.p.stats.denied.Add(d.text(), 1)
+	proof, _ := s.p.metadata.Proof()
+	r := refusal{reason: d.text(), inputs: []any{"key", s.key.String(), "configuration", s.p.metadata.Version(), "proof_ms", now().Sub(proof).Milliseconds()}}
 	switch {
 	case s.tx != nil:
+		s.logRefusal(j, r, true)
 		s.abort(s.tx)
 		if j.kind == direct.StatementCommit {
 			s.tx = nil
@@ -162,18 +165,23 @@
 		s.answerError(platform.CodeAborted, d.text()+"; the transaction is rolled back")
 		return
 	case d.verdict == auth.Unknown:
-		s.answerError(platform.CodeUnknownKey, textUnknownKey)
+		s.refuseUnknownKey(j, r)
 		return
 	case d.verdict == auth.Unproved:
 		s.redirectEntry()
 	}
-	s.answerError(platform.CodeBusy, "not run: "+d.text()+jitteredRetryText(unprovedRetryAfter))
+	r.retryAfter = jittered(unprovedRetryAfter)
+	s.answerRefusal(j, r)
 }
 
-// recordDenial counts and logs a denial.
-func (s *session) recordDenial(j *job) {
-	s.p.stats.denied.Add(s.denial.text(), 1)
-	proof, _ := s.p.metadata.Proof()
-	s.logDecision("refused", "id", j.id, "reason", s.denial.text(), "key", s.key.String(),
-		"configuration", s.p.metadata.Version(), "proof_ms", now().Sub(proof).Milliseconds())
+// refuseUnknownKey refuses a statement whose key no team has. If an earlier attempt may have run, when
+// the key was still known, the answer says that first; the caller's next statement is told of the key.
+func (s *session) refuseUnknownKey(j *job, r refusal) {
+	_, proved := j.history.NotRun()
+	s.logRefusal(j, r, proved)
+	if !proved {
+		s.answerUnproved(j, r.reason)
+		return
+	}
+	s.answerError(platform.CodeUnknownKey, textUnknownKey)
 }
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -20,13 +20,14 @@
 		return
 	}
 	for attempt := 1; ; attempt++ {
+		j.attempt = attempt
 		l, err := s.connectHome(j.route.Group, j.deadline())
 		if err != nil {
-			s.refuse(j, err.Error(), attempt)
+			s.refuse(j, refusal{reason: err.Error()})
 			return
 		}
-		a, sent, err := l.run(s, j.id, []string{j.text}, j.forwardDeadline(), j.writes)
-		if err == nil && l.isDecline(&a) {
+		a, sent, err := s.runAtHome(j, l, []string{j.text}, j.writes)
+		if err == nil && (l.isDecline(&a) || !j.writes && l.isUnprovedDecline(&a)) {
 			if s.handleDecline(l, &a, attempt) {
 				continue
 			}
@@ -41,7 +42,7 @@
 			return
 		}
 		if attempt >= maxAttempts || now() >= j.deadline() {
-			s.refuse(j, "the home did not answer", attempt)
+			s.refuse(j, refusal{reason: "the home did not answer"})
 			return
 		}
 	}
@@ -74,6 +75,28 @@
 	return l.moveRequested && a.Code == platform.CodeBusy
 }
 
+// isUnprovedDecline is isDecline for a read that the home could not serve, without a proof that it
+// did not run. A read may run again.
+func (l *link) isUnprovedDecline(a *platform.Answer) bool {
+	return l.moveRequested && a.Code == platform.CodeTimeout
+}
+
+// runAtHome runs texts at the home, of which the last one is the job's statement, and records the
+// send in the job's history.
+func (s *session) runAtHome(j *job, l *link, texts []string, waitToDeadline bool) (platform.Answer, bool, error) {
+	send := j.history.Begin(string(l.home))
+	a, sent, err := l.run(s, j.id, texts, j.forwardDeadline(), waitToDeadline)
+	switch {
+	case err == nil:
+		j.history.End(send, homeOutcome(&a))
+	case sent:
+		j.history.End(send, direct.ConnLost)
+	default:
+		j.history.End(send, direct.NotSent)
+	}
+	return a, sent, err
+}
+
 // handleHomeLoss closes a link that has failed, and returns the outcome of its statement. A
 // home that has closed the link is not tried again for a while. A home that did not answer is
 // checked first.
@@ -95,6 +118,10 @@
 // relayHomeAnswer relays a home's answer. With commits set, the job commits its writes if it
 // succeeds, and the position of the commit is recorded.
 func (s *session) relayHomeAnswer(j *job, a *platform.Answer, commits bool) {
+	if j.contradictsHistory(a) {
+		s.answerContradicted(j, a)
+		return
+	}
 	if commits && j.writes && a.Code == "" {
 		s.lastCommit, s.lastCommitAt = a.Position, now()
 	}
@@ -122,7 +149,7 @@
 	}
 	l, err := s.connectHome(tx.route.Group, j.deadline())
 	if err != nil {
-		return nil, s.failBegin(j, err.Error(), 1)
+		return nil, s.failBegin(j, refusal{reason: err.Error()})
 	}
 	tx.homeLink = l
 	return []string{tx.beginText(), j.text}, true
@@ -135,14 +162,14 @@
 	if !ok {
 		return
 	}
-	a, sent, err := tx.homeLink.run(s, j.id, texts, j.forwardDeadline(), false)
+	a, sent, err := s.runAtHome(j, tx.homeLink, texts, false)
 	for attempt := 1; err == nil && len(texts) > 1 && tx.homeLink.isDecline(&a) && s.handleDecline(tx.homeLink, &a, attempt); attempt++ {
 		// Nothing of the transaction has run, so it can begin at another home.
 		tx.homeLink = nil
 		if texts, ok = s.homeTexts(j); !ok {
 			return
 		}
-		a, sent, err = tx.homeLink.run(s, j.id, texts, j.forwardDeadline(), false)
+		a, sent, err = s.runAtHome(j, tx.homeLink, texts, false)
 	}
 	if err != nil {
 		o := s.handleHomeLoss(j, tx.homeLink, sent, err)
@@ -165,7 +192,7 @@
 	if !ok {
 		return
 	}
-	a, sent, err := tx.homeLink.run(s, j.id, texts, j.forwardDeadline(), true)
+	a, sent, err := s.runAtHome(j, tx.homeLink, texts, true)
 	s.tx = nil
 	if err != nil {
 		s.handleHomeLoss(j, tx.homeLink, sent, err)
--- a/pkg/proxy/outage.go
+++ b/pkg/proxy/outage.go
@@ -49,16 +49,14 @@
 	})
 }
 
-// outageRetryText returns the end of a refusal's text, which says when to retry. age is how long the
-// outage has lasted.
-func outageRetryText(age time.Duration) string {
-	return retryAfterText(admission.RetryAfter(age, rand.Float64()))
+// outageRetryAfter returns when a caller should retry that is refused during an outage of this age.
+func outageRetryAfter(age time.Duration) time.Duration {
+	return admission.RetryAfter(age, rand.Float64())
 }
 
-// jitteredRetryText returns the end of a refusal's text, which says to retry after the duration plus
-// a random part of up to half of it.
-func jitteredRetryText(after time.Duration) string {
-	return retryAfterText(after + time.Duration(rand.Float64()/2*float64(after)))
+// jittered returns the duration plus a random part of up to half of it.
+func jittered(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Float64()/2*float64(d))
 }
 
 // retryAfterText returns the end of a refusal's text, which says to retry after the duration.
--- a/pkg/proxy/reservation.go
+++ b/pkg/proxy/reservation.go
@@ -7,7 +7,6 @@
 	"limpetspan/core"
 	"limpetspan/core/auth"
 	"limpetspan/core/quota"
-	"limpetspan/platform"
 )
 
 // reservationResult is the result of counting an operation against its team's limit.
@@ -103,13 +102,12 @@
 	return true
 }
 
-// refuseOverQuota refuses an operation that was not counted and of which nothing was sent. If
-// another daemon may count the team's operations, the entry is asked to choose another home.
+// refuseOverQuota refuses an operation that was not counted. Earlier attempts may have been counted
+// and sent. If another daemon may count the team's operations, the entry is asked to choose another home.
 func (s *session) refuseOverQuota(j *job) {
 	s.p.stats.overQuota.Add([...]string{"", "over the limit", "counted elsewhere", "burst not opened"}[s.quotaReservation.result], 1)
-	s.logDecision("refused", "id", j.id, "reason", s.quotaReservation.String(), "key", s.key.String(), "team", s.p.access.teamOf(s.key), "come_back_ms", s.quotaReservation.retryAfter.Milliseconds())
 	if s.quotaReservation.result == slotNotHeld {
 		s.redirectEntry()
 	}
-	s.answerError(platform.CodeBusy, "not run: "+s.quotaReservation.String()+retryAfterText(s.quotaReservation.retryAfter))
+	s.answerRefusal(j, refusal{s.quotaReservation.String(), s.quotaReservation.retryAfter, []any{"key", s.key.String(), "team", s.p.access.teamOf(s.key)}})
 }
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -137,7 +137,7 @@
 	_ = s.c.SetReadDeadline(time.Time{})
 	catalog := s.p.catalog.Load()
 	if catalog == nil {
-		return s.rejectStartup(platform.CodeBusy, "no configuration yet"+outageRetryText(now().Sub(s.p.startedAt)))
+		return s.rejectStartup(platform.CodeBusy, "no configuration yet"+retryAfterText(outageRetryAfter(now().Sub(s.p.startedAt))))
 	}
 	if _, ok := catalog.Routes[msg.Database]; !ok {
 		return s.rejectStartup(platform.CodeUnknownDatabase, "no such database")
@@ -150,7 +150,7 @@
 		return s.rejectStartup(platform.CodeUnknownKey, textUnknownKey)
 	case auth.Unproved:
 		s.p.stats.denied.Add(textUnproved, 1)
-		return s.rejectStartup(platform.CodeBusy, "not run: "+textUnproved+jitteredRetryText(unprovedRetryAfter))
+		return s.rejectStartupUnproved()
 	}
 	s.out = platform.AppendReady(s.out[:0], platform.StateIdle, "")
 	return s.flush()
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -1,11 +1,11 @@
 package proxy
 
 import (
-	"slices"
 	"time"
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/execution"
 	"limpetspan/core/policy"
 	"limpetspan/platform"
 )
@@ -25,6 +25,12 @@
 	reservedAt core.Time
 	route      direct.Route
 	arrived    core.Time
+	// history holds the statement's sends. It decides whether a refusal may say "not run".
+	history execution.History
+	// attempt is the number of the current attempt, 0 before the first.
+	attempt int
+	// failed is the last answer to a read that has failed on a member.
+	failed *failedRead
 }
 
 // deadline is the time by which a member must have answered, so that the answer reaches the
@@ -86,11 +92,11 @@
 	g := s.p.groupForStatement(j.route.Group)
 	w := s.newWaiter(j, s.requirement(j.route, j.writes, j.arrived))
 	deadline := j.deadline()
-	var failed *failedRead
 	for attempt := 1; ; attempt++ {
+		j.attempt = attempt
 		conn, place, ok := g.acquire(w, j.waitDeadline())
 		if !ok {
-			s.finishUnplaced(j, failed, reasonNoMember, attempt, "group", g.id, "members", g.explain(w))
+			s.finishUnplaced(j, refusal{reason: reasonNoMember, inputs: []any{"group", g.id, "members", g.explain(w)}})
 			return
 		}
 		a, sent, o := s.runOnMember(g, conn, place, j, j.id, deadline)
@@ -115,14 +121,14 @@
 		s.logDecision("answer", "id", j.id, "member", place.Member, "outcome", int(o), "code", a.Code, "attempt", attempt, "ms", now().Sub(sent).Milliseconds())
 		switch resolution {
 		case direct.ReportAnswer:
-			if j.writes || failed != nil || place.Primary {
+			if j.writes || j.failed != nil || place.Primary {
 				s.relayAnswer(conn, g, &a)
 				return
 			}
 			// A faulty replica may fail every read and still report that it is healthy.
 			// A read changes nothing, so another member runs it. If the read itself is
 			// wrong, that member fails it as well.
-			failed = newFailedRead(&a)
+			j.failed = newFailedRead(&a)
 		case direct.ReportUnknown:
 			s.answerError(platform.CodeInDoubt, "no whole answer from "+string(place.Member))
 			return
@@ -131,7 +137,7 @@
 			g.release(conn)
 		}
 		if attempt >= maxAttempts || now() >= deadline {
-			s.finishUnplaced(j, failed, "refused by the members", attempt)
+			s.finishUnplaced(j, refusal{reason: "refused by the members"})
 			return
 		}
 		w.requirement.Exclude = excludeMember(w.requirement.Exclude, place, o)
@@ -141,24 +147,12 @@
 // finishUnplaced answers a statement for which no further member is tried. A read that
 // has failed on a member is answered with that member's error. Any other statement is
 // refused.
-func (s *session) finishUnplaced(j *job, failed *failedRead, why string, attempt int, inputs ...any) {
-	if failed == nil {
-		s.refuse(j, why, attempt, inputs...)
+func (s *session) finishUnplaced(j *job, r refusal) {
+	if j.failed == nil {
+		s.refuse(j, r)
 		return
 	}
-	s.out = append(s.out, failed.body...)
-	s.out = platform.AppendReady(s.out, s.state(), failed.positionText)
-}
-
-// failedRead is a member's answer to a read that failed there. It is kept for the caller
-// while the read runs on another member.
-type failedRead struct {
-	body         []byte
-	positionText string
-}
-
-func newFailedRead(a *platform.Answer) *failedRead {
-	return &failedRead{slices.Clone(a.Body), a.PositionText}
+	s.relayFailedRead(j.failed)
 }
 
 // excludeMember excludes a replica from the next attempts of a read if the replica did not
@@ -203,21 +197,31 @@
 	}
 	sent := now()
 	end := s.startSpan("member.exchange", j.id, string(conn.member))
+	send := j.history.Begin(string(conn.member))
 	a, wrote, err := conn.exchange(id, j.text, minPosition, connDeadline)
 	end(outcomeText(a.Code, err))
+	o := exchangeOutcome(&a, wrote, err)
+	j.history.End(send, o)
 	if err != nil {
 		s.p.stats.connsBroken.Add(1)
 		g.statementUnanswered(conn, sent, err)
-		if !wrote {
-			return a, sent, direct.NotSent
-		}
-		return a, sent, direct.ConnLost
+		return a, sent, o
 	}
-	o := a.Outcome()
 	g.statementAnswered(conn.member, sent, &a, o, &j.route)
 	return a, sent, o
 }
 
+// exchangeOutcome returns the outcome of an exchange with a member.
+func exchangeOutcome(a *platform.Answer, wrote bool, err error) direct.Outcome {
+	switch {
+	case err == nil:
+		return a.Outcome()
+	case !wrote:
+		return direct.NotSent
+	}
+	return direct.ConnLost
+}
+
 // finishSingle relays the answer to a statement that succeeded. The answer to a write is
 // relayed only if the lease is held after the answer has arrived, which shows that the
 // member was the primary when the write ran.
@@ -259,30 +263,3 @@
 	s.out = platform.AppendReady(s.out, s.state(), a.PositionText)
 	g.release(conn)
 }
-
-// reasonNoMember is the reason for a refusal if no member can run the statement in time.
-const reasonNoMember = "no member for it in time"
-
-// refuse refuses a statement that did not run, and logs the inputs of the decision. Where
-// another home can reach the primary, the entry is asked to move the session there.
-func (s *session) refuse(j *job, why string, attempt int, inputs ...any) {
-	s.recordRefusal(j.arrived)
-	args := []any{"id", j.id, "reason", why, "attempt", attempt, "ms", now().Sub(j.arrived).Milliseconds()}
-	s.logDecision("refused", append(args, inputs...)...)
-	if s.p.isCutOff(j.route.Group) {
-		s.redirectEntry()
-	}
-	s.answerError(platform.CodeBusy, "not run: "+why+outageRetryText(s.p.outageDuration(j.route.Group)))
-}
-
-// redirectEntry asks the entry of a forwarded session to move it to another home. The
-// request precedes the refusal, so that the entry knows that another home may run the
-// statement, and retries it there. A transaction may move as long as it has not begun on a
-// member.
-func (s *session) redirectEntry() {
-	begun := s.tx != nil && (s.tx.conn != nil || !s.tx.failed)
-	if s.fromEntry && !begun && !s.entryNotified.Load() {
-		s.entryNotified.Store(true)
-		s.out = platform.AppendTerminate(s.out)
-	}
-}
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -65,9 +65,10 @@
 		begin.kind = direct.StatementBeginRead
 	}
 	for attempt := 1; ; attempt++ {
+		j.attempt = attempt
 		conn, place, ok := tx.group.acquire(w, j.waitDeadline())
 		if !ok {
-			return s.failBegin(j, reasonNoMember, attempt, "group", tx.group.id, "members", tx.group.explain(w))
+			return s.failBegin(j, refusal{reason: reasonNoMember, inputs: []any{"group", tx.group.id, "members", tx.group.explain(w)}})
 		}
 		a, _, o := s.runOnMember(tx.group, conn, place, &begin, platform.ProxyStatementID, deadline)
 		if o == direct.Succeeded && a.State == platform.StateInTransaction {
@@ -92,7 +93,7 @@
 			tx.group.discard(conn)
 		}
 		if attempt >= maxAttempts || now() >= deadline {
-			return s.failBegin(j, "refused by the members", attempt)
+			return s.failBegin(j, refusal{reason: "refused by the members"})
 		}
 		w.requirement.Exclude = excludeMember(w.requirement.Exclude, place, o)
 	}
@@ -108,12 +109,12 @@
 
 // failBegin refuses a statement because its transaction could not begin. The transaction
 // has failed, or has ended if the statement is its commit. failBegin returns false.
-func (s *session) failBegin(j *job, why string, attempt int, inputs ...any) bool {
+func (s *session) failBegin(j *job, r refusal) bool {
 	s.tx.failed = true
 	if j.kind == direct.StatementCommit {
 		s.tx = nil
 	}
-	s.refuse(j, why, attempt, inputs...)
+	s.refuse(j, r)
 	return false
 }
 
@@ -177,19 +178,18 @@
 	}
 	sent := now()
 	end := s.startSpan("member.exchange", j.id, string(tx.conn.member))
+	send := j.history.Begin(string(tx.conn.member))
 	a, wrote, err := tx.conn.exchange(j.id, j.text, core.Position{}, deadline)
 	end(outcomeText(a.Code, err))
+	o := exchangeOutcome(&a, wrote, err)
+	j.history.End(send, o)
 	if err != nil {
 		s.p.stats.connsBroken.Add(1)
 		s.logDecision("answer", "id", j.id, "member", tx.conn.member, "error", err, "ms", now().Sub(sent).Milliseconds())
 		tx.group.statementUnanswered(tx.conn, sent, err)
 		tx.conn = nil
-		if !wrote {
-			return a, direct.NotSent
-		}
-		return a, direct.ConnLost
+		return a, o
 	}
-	o := a.Outcome()
 	tx.group.statementAnswered(tx.conn.member, sent, &a, o, &tx.route)
 	return a, o
 }
