--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -27,6 +27,8 @@
 	// callers' keys, by reason, and overQuota the operations that were refused because of their
 	// teams' limits, by reason.
 	refusals, denied, overQuota expvar.Map
+	// refusalsUnproved counts statements that were not served and may have run.
+	refusalsUnproved expvar.Int
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
@@ -71,7 +73,7 @@
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"configuration_awaited": s.configurationAwaited.Value(),
-		"store_eras_ended":      s.erasEnded.Value(), "refusals": refusals, "barred": denied, "unpaid": overQuota,
+		"store_eras_ended":      s.erasEnded.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
