Keep the move of a read whose replica failed it, and check the proof of not run

Cause: a review of the proof found that a home which could no longer serve a read after one replica had failed it answered with the replica's error, so that the entry did not try another home; that a nil proof was accepted; that a commit refused in a transaction that had run statements was relayed as BUSY; and that an entry followed a decline after its time was up. Change: TIMEOUT once the entry was asked to move the session; execution.NotRun is a struct whose zero value proves nothing; one predicate, direct.Outcome.ProvesNotRun, for the proof and for the decision to retry; ABORTED for the refused commit; declines are followed only within the deadline. The spec of the commit fails without the change of forwardCommit.

--- a/core/direct/statement.go
+++ b/core/direct/statement.go
@@ -63,6 +63,15 @@
 	OverQuota
 )
 
+// ProvesNotRun reports whether a statement with this outcome certainly did not run.
+func (o Outcome) ProvesNotRun() bool {
+	switch o {
+	case Busy, Lagging, NotPrimary, WrongMember, ConnectionLimit, NotPrepared, NotSent, Denied, OverQuota:
+		return true
+	}
+	return false
+}
+
 // Resolution is what the daemon does about a statement's outcome: which result it reports to the
 // caller, or a retry.
 type Resolution uint8
@@ -95,13 +104,12 @@
 		return ReportAnswer
 	case Denied, OverQuota:
 		return ReportNotRun
-	case NotSent, Busy, Lagging, NotPrimary, WrongMember, ConnectionLimit, NotPrepared:
-		if inTransaction {
-			return ReportAborted
-		}
-		return RetryElsewhere
 	}
 	switch {
+	case o.ProvesNotRun() && inTransaction:
+		return ReportAborted
+	case o.ProvesNotRun():
+		return RetryElsewhere
 	case kind == StatementCommit:
 		return ReportUnknown
 	case inTransaction:
--- a/core/execution/doc.go
+++ b/core/execution/doc.go
@@ -2,8 +2,8 @@
 //
 // It does no I/O and reads no clock. A History holds every send of one statement, to a member or to
 // another daemon, with its outcome. It returns a NotRun, the proof that nothing ran, only if each
-// send was refused before it ran or never left this daemon. No other code can construct a NotRun, so
-// a refusal that needs one cannot be sent for a statement that may have run.
+// send was refused before it ran or never left this daemon. No other code can construct a valid
+// NotRun: a refusal that says "not run" takes one and checks it.
 //
 // # Load pattern
 //
--- a/core/execution/history.go
+++ b/core/execution/history.go
@@ -6,12 +6,16 @@
 	"limpetspan/core/direct"
 )
 
-// NotRun is the proof that a statement did not run. Only this package implements it.
-type NotRun interface{ notRun() }
+// NotRun is the proof that a statement did not run. Only this package can construct a valid one; the
+// zero value proves nothing.
+type NotRun struct{ proved bool }
 
-type proof struct{}
+// Proved reports whether the proof is valid.
+func (n NotRun) Proved() bool { return n.proved }
 
-func (proof) notRun() {}
+// NeverSent returns the proof for a request that is answered before a statement exists, such as a
+// session's startup.
+func NeverSent() NotRun { return NotRun{proved: true} }
 
 // Send identifies one send of a History.
 type Send int
@@ -59,7 +63,7 @@
 		h.open--
 		s.outcome = o
 	}
-	if !ProvesNotRun(o) {
+	if !o.ProvesNotRun() {
 		s.outcome = o
 		h.mayHaveRun = true
 	}
@@ -72,16 +76,8 @@
 	return &h.more[i-inlineSends]
 }
 
-// NotRun returns the proof that the statement did not run, and false if there is none.
-func (h *History) NotRun() (NotRun, bool) {
-	if h.open > 0 || h.mayHaveRun {
-		return nil, false
-	}
-	return proof{}, true
-}
-
-// Sends returns the number of sends.
-func (h *History) Sends() int { return h.count }
+// NotRun returns the proof that the statement did not run. It is not valid if a send may have run.
+func (h *History) NotRun() NotRun { return NotRun{proved: h.open == 0 && !h.mayHaveRun} }
 
 // String returns the sends and their outcomes, for the log.
 func (h *History) String() string {
@@ -101,16 +97,6 @@
 	return b.String()
 }
 
-// ProvesNotRun reports whether a send with this outcome certainly did not run.
-func ProvesNotRun(o direct.Outcome) bool {
-	switch o {
-	case direct.Busy, direct.Lagging, direct.NotPrimary, direct.WrongMember, direct.ConnectionLimit, direct.NotPrepared,
-		direct.NotSent, direct.Denied, direct.OverQuota:
-		return true
-	}
-	return false
-}
-
 func outcomeText(o direct.Outcome) string {
 	switch o {
 	case direct.Succeeded:
--- a/core/execution/history_test.go
+++ b/core/execution/history_test.go
@@ -24,10 +24,7 @@
 			for _, o := range outcomes {
 				h.End(h.Begin("i-1"), o)
 			}
-			proof, ok := h.NotRun()
-			Expect(ok).To(Equal(proved))
-			Expect(proof != nil).To(Equal(proved))
-			Expect(h.Sends()).To(Equal(len(outcomes)))
+			Expect(h.NotRun().Proved()).To(Equal(proved))
 		},
 		Entry("never sent", true),
 		Entry("refused each time", true, direct.Busy, direct.Lagging, direct.NotPrimary, direct.WrongMember, direct.ConnectionLimit, direct.NotPrepared),
@@ -40,6 +37,10 @@
 		Entry("an outcome that is not known", false, direct.Outcome(200)),
 	)
 
+	It("is proved by no zero value", func() {
+		Expect(execution.NotRun{}.Proved()).To(BeFalse())
+	})
+
 	// Guards against a proof while a send is under way, and against a second outcome of one send that
 	// hides the missing outcome of another.
 	It("proves nothing while a send has no outcome", func() {
@@ -49,12 +50,10 @@
 		h.End(first, direct.Busy)
 		h.End(first, direct.Busy)
 		h.End(third, direct.NotSent)
-		_, ok := h.NotRun()
-		Expect(ok).To(BeFalse())
+		Expect(h.NotRun().Proved()).To(BeFalse())
 		Expect(h.String()).To(Equal("i-1: refused, i-2: no outcome, edge-3: not sent"))
 		h.End(second, direct.Busy)
-		_, ok = h.NotRun()
-		Expect(ok).To(BeTrue())
+		Expect(h.NotRun().Proved()).To(BeTrue())
 	})
 
 	// Guards against a proof from a first outcome that a later one contradicts.
@@ -63,7 +62,6 @@
 		sent := h.Begin("i-1")
 		h.End(sent, direct.Busy)
 		h.End(sent, direct.Succeeded)
-		_, ok := h.NotRun()
-		Expect(ok).To(BeFalse())
+		Expect(h.NotRun().Proved()).To(BeFalse())
 	})
 })
--- a/pkg/proxy/access.go
+++ b/pkg/proxy/access.go
@@ -177,7 +177,7 @@
 // refuseUnknownKey refuses a statement whose key no team has. If an earlier attempt may have run, when
 // the key was still known, the answer says that first; the caller's next statement is told of the key.
 func (s *session) refuseUnknownKey(j *job, r refusal) {
-	_, proved := j.history.NotRun()
+	proved := j.history.NotRun().Proved()
 	s.logRefusal(j, r, proved)
 	if !proved {
 		s.answerUnproved(j, r.reason)
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -28,7 +28,7 @@
 		}
 		a, sent, err := s.runAtHome(j, l, []string{j.text}, j.writes)
 		if err == nil && (l.isDecline(&a) || !j.writes && l.isUnprovedDecline(&a)) {
-			if s.handleDecline(l, &a, attempt) {
+			if s.handleDecline(l, &a, attempt) && now() < j.deadline() {
 				continue
 			}
 		}
@@ -204,6 +204,12 @@
 		return
 	}
 	j.writes = tx.wrote
+	if begun := len(texts) == 1; begun && homeOutcome(&a).ProvesNotRun() {
+		// The commit did not run, but earlier statements of the transaction did.
+		s.forwardRollback(tx)
+		s.answerError(platform.CodeAborted, "the home refused the commit; the transaction is rolled back")
+		return
+	}
 	s.relayHomeAnswer(j, &a, true)
 	if a.State != platform.StateIdle {
 		// The home keeps the transaction open if it has refused the commit, but for
--- a/pkg/proxy/refusal.go
+++ b/pkg/proxy/refusal.go
@@ -30,8 +30,13 @@
 	textUnknown    = "may have run: "
 )
 
-// notRunText returns the text of a refusal that promises that nothing ran, which takes a proof.
-func notRunText(_ execution.NotRun, reason string) string { return textNotRun + reason }
+// notRunText returns the text of a refusal. It promises that nothing ran only with a valid proof.
+func notRunText(proof execution.NotRun, reason string) string {
+	if !proof.Proved() {
+		return textUnknown + reason
+	}
+	return textNotRun + reason
+}
 
 // refuse refuses a statement. Where another home can reach the primary, the entry is asked to move
 // the session there.
@@ -49,10 +54,10 @@
 // answerRefusal logs the refusal and answers the caller. The answer says that the statement did not
 // run only if its history proves that.
 func (s *session) answerRefusal(j *job, r refusal) {
-	proof, proved := j.history.NotRun()
-	s.logRefusal(j, r, proved)
+	proof := j.history.NotRun()
+	s.logRefusal(j, r, proof.Proved())
 	text := r.reason + retryAfterText(r.retryAfter)
-	if !proved {
+	if !proof.Proved() {
 		s.answerUnproved(j, text)
 		return
 	}
@@ -75,11 +80,12 @@
 }
 
 // answerUnproved answers a statement that is not served and may have run. A read that has failed on a
-// member is answered with that member's error.
+// member is answered with that member's error, unless the entry has been asked to move the session:
+// it retries a read elsewhere after a timeout, but not after a member's error.
 func (s *session) answerUnproved(j *job, text string) {
 	s.p.stats.refusalsUnproved.Add(1)
 	switch {
-	case j.failed != nil:
+	case j.failed != nil && !s.entryNotified.Load():
 		s.relayFailedRead(j.failed)
 	case j.writes || j.kind == direct.StatementCommit:
 		s.answerError(platform.CodeInDoubt, textUnknown+text)
@@ -91,9 +97,7 @@
 // rejectStartupUnproved answers the startup message of a caller whose key cannot be checked. The
 // session has sent no statement yet.
 func (s *session) rejectStartupUnproved() error {
-	var none execution.History
-	proof, _ := none.NotRun()
-	return s.rejectStartup(platform.CodeBusy, notRunText(proof, textUnproved)+retryAfterText(jittered(unprovedRetryAfter)))
+	return s.rejectStartup(platform.CodeBusy, notRunText(execution.NeverSent(), textUnproved)+retryAfterText(jittered(unprovedRetryAfter)))
 }
 
 // homeOutcome returns the outcome of a statement from a home's answer.
@@ -107,13 +111,15 @@
 // contradictsHistory reports whether a home's answer says that the statement did not run although an
 // earlier send of it may have run.
 func (j *job) contradictsHistory(a *platform.Answer) bool {
-	_, proved := j.history.NotRun()
-	return !proved && execution.ProvesNotRun(homeOutcome(a))
+	return !j.history.NotRun().Proved() && homeOutcome(a).ProvesNotRun()
 }
 
 // answerContradicted answers a statement that a home refused and that may have run elsewhere before.
 func (s *session) answerContradicted(j *job, a *platform.Answer) {
-	reason := strings.TrimPrefix(a.Text, textNotRun)
+	reason, proved := strings.CutPrefix(a.Text, textNotRun)
+	if !proved && a.Code != platform.CodeUnknownKey {
+		reason = a.Code + " " + a.Text
+	}
 	s.logRefusal(j, refusal{reason: reason}, false)
 	s.answerUnproved(j, reason)
 }
--- a/pkg/proxy/refusal_test.go
+++ b/pkg/proxy/refusal_test.go
@@ -202,6 +202,19 @@
 		Expect(entry.dial("db-own").query("READ k").result).To(HavePrefix("ERROR TIMEOUT may have run; it changed nothing: "))
 	})
 
+	// A replica has failed the read, and the home can no longer serve its team. Guards against an answer
+	// with the replica's error, after which the entry does not try another home.
+	It("is not answered with a member's error if the entry was asked to move the session", func() {
+		s := &session{p: &Proxy{stats: newStats()}, fromEntry: true}
+		j := &job{failed: &failedRead{body: []byte("ERROR FAILED\r\n")}}
+		s.answerUnproved(j, "x")
+		Expect(string(s.out)).To(HavePrefix("ERROR FAILED"))
+		s.out = nil
+		s.redirectEntry()
+		s.answerUnproved(j, "x")
+		Expect(string(s.out)).To(HavePrefix(requestMove + "ERROR TIMEOUT"))
+	})
+
 	// A home cannot prove that a read did not run, and asks for a move. Guards against an entry that
 	// gives up the read although another home can serve it.
 	It("runs again at another home if its home asks for a move", func() {
@@ -258,6 +271,25 @@
 		Expect(f.group.Commits()).To(HaveLen(1))
 	})
 
+	// Guards against "not run" for a transaction whose statements ran before its commit was refused.
+	It("is reported as aborted if its home refuses the commit", func() {
+		entry := entryOf(func(n int) string {
+			switch n {
+			case 0, 3:
+				return "COMPLETE -\r\nREADY T -\r\n"
+			case 1:
+				return "COMPLETE r.i-1.q\r\nREADY T -\r\n"
+			}
+			return "ERROR BUSY i-1\r\nREADY T -\r\n"
+		})
+		x := entry.dial("db-own")
+		x.query("BEGIN")
+		Expect(x.query("WRITE k 1").state).To(Equal("T"))
+		a := x.query("COMMIT")
+		Expect(a.result).To(HavePrefix("ERROR ABORTED"))
+		Expect(a.state).To(Equal("I"))
+	})
+
 	It("is in doubt if the answer to its commit was lost after it wrote", func() {
 		entry := entryOf(func(n int) string {
 			switch n {
