Give the places of silent statements to waiting requests

Cause: statements on connections that went silent hold all places of the primary (slots and SlotOverlap) until their deadlines. Everybody else waits for these, although the primary is idle and new connections work, and ends with 57014 at step home.queue.

At most as many places are given away as the member has; the connections stay within the budget. A member's status does not tell how many statements it runs, so a slow statement gives its place away as well. New counter places_released.

--- a/core/group/dispatch.go
+++ b/core/group/dispatch.go
@@ -121,6 +121,9 @@
 
 func (g *Group) dispatch(r *request, c *conn) {
 	m := c.member
+	if r.conn == nil && m.running >= g.statementCap() {
+		g.counters.PlacesReleased++
+	}
 	r.state, r.conn, r.dispatchedAt, r.term = stateRunning, c, g.now, g.leadership.term
 	r.positionRequested = !r.read || g.needsPosition(r, m)
 	c.state, c.request, c.stateSince = connRunning, r, g.now
--- a/core/group/fake_test.go
+++ b/core/group/fake_test.go
@@ -46,10 +46,12 @@
 	logs           []string
 	drained        bool
 	maxOpen        int
-	opinionsAsked  int
-	tickNo         int
-	arrivals       map[core.RequestID]*Arrived
-	ranOn          map[core.RequestID]ConnID
+	// silentConns: statements on connections with numbers up to this one are never answered.
+	silentConns   ConnID
+	opinionsAsked int
+	tickNo        int
+	arrivals      map[core.RequestID]*Arrived
+	ranOn         map[core.RequestID]ConnID
 	// nextStatus is the transaction status after a statement, unless status names
 	// another one for the request. nextResult is the result of the next statement,
 	// alwaysResult that of every statement.
@@ -374,7 +376,7 @@
 	m, a := h.net.member(d.Member), h.arrivals[d.Request]
 	h.running[d.Request] = d
 	h.servedBy[d.Request], h.ranOn[d.Request] = d.Member, d.Conn
-	if m.paused || m.unreachableFrom[h.id] {
+	if m.paused || m.unreachableFrom[h.id] || d.Conn <= h.silentConns {
 		return
 	}
 	h.net.after(ms, func() {
--- a/core/group/member.go
+++ b/core/group/member.go
@@ -81,6 +81,9 @@
 	// openBackoff is the current backoff.
 	openNotBefore core.Time
 	openBackoff   time.Duration
+	// silentFrom is the earliest time at which a statement that was running at the last check can be
+	// silent.
+	silentFrom core.Time
 	// serviceTime is the smoothed execution time of a statement.
 	serviceTime time.Duration
 }
--- a/core/group/pool.go
+++ b/core/group/pool.go
@@ -56,16 +56,19 @@
 // at a time.
 func (g *Group) statementCap() int { return max(1, g.slots) + g.tuning.SlotOverlap }
 
-func (g *Group) hasSlot(m *member) bool { return m.running < g.statementCap() }
+// hasSlot reports whether another statement may be dispatched to the member.
+func (g *Group) hasSlot(m *member) bool {
+	return m.running < g.statementCap() || m.running < g.statementCap()+g.releasedPlaces(m)
+}
 
 // connLimit returns a member's share of the budget. A replica gets the
-// connections that its slots can use; the primary gets the rest, because open
-// transactions hold connections there.
+// connections that its slots can use, and those for released places; the primary gets
+// the rest, because open transactions hold connections there.
 func (g *Group) connLimit(m *member) int {
 	size := max(1, g.size())
 	replica := max(1, min(g.statementCap(), g.budget()/size))
 	if m != g.leadership.primary {
-		return replica
+		return replica + g.releasedPlaces(m)
 	}
 	return max(1, g.budget()-replica*(size-1))
 }
@@ -76,12 +79,12 @@
 func (g *Group) mustDisconnect(m *member) bool { return m.removed || (m.leaving() && !g.isPrimary(m)) }
 
 // fillPool opens connections in advance: as many as the member's slots can use,
-// in addition to those held by open transactions.
+// in addition to those held by open transactions and by silent statements.
 func (g *Group) fillPool(m *member) {
 	if g.phase < phaseWaiting || g.mustDisconnect(m) || !(g.isPrimary(m) || g.isServing(m)) {
 		return
 	}
-	target := min(g.connLimit(m), g.statementCap()+m.pinned)
+	target := min(g.connLimit(m), g.statementCap()+m.pinned+g.releasedPlaces(m))
 	if m.conns >= target || !g.mayOpen(m) {
 		return
 	}
--- a/core/group/snapshot.go
+++ b/core/group/snapshot.go
@@ -24,9 +24,11 @@
 	ConnsOpened   uint64 `json:"conns_opened"`
 	ConnsLost     uint64 `json:"conns_lost"`
 	PinsExpired   uint64 `json:"pins_expired"`
-	Claims        uint64 `json:"claims"`
-	StepDowns     uint64 `json:"step_downs"`
-	Handovers     uint64 `json:"handovers"`
+	// PlacesReleased counts dispatches to places that silent statements hold.
+	PlacesReleased uint64 `json:"places_released"`
+	Claims         uint64 `json:"claims"`
+	StepDowns      uint64 `json:"step_downs"`
+	Handovers      uint64 `json:"handovers"`
 }
 
 // MemberSnapshot is the reducer's state of one member.
--- a/tests/process/primary_test.go
+++ b/tests/process/primary_test.go
@@ -38,9 +38,9 @@
 	// connections to the primary lost their way in between, new ones work, and
 	// a promotion would only add to the harm. What is on a silent connection may
 	// be running, so it ends with its deadline; nobody else waits for that.
-	It("is kept when its connections go silent while new ones work", func(ctx SpecContext) {
+	DescribeTable("is kept when its connections go silent while new ones work", func(ctx SpecContext, callers int) {
 		f := newFleet()
-		l := startLoadWithin("8s", 6, f.live)
+		l := startLoadWithin("8s", callers, f.live)
 		l.awaitProgress(5)
 		before := f.primary()
 		f.memberFault("silence", before.ID, "")
@@ -54,7 +54,11 @@
 		Expect(after.Status.Term).To(Equal(before.Status.Term), "a promotion was ordered")
 		others.verify(ctx, f.live()[0])
 		l.verify(ctx, f.live()[0])
-	})
+	},
+		Entry("with places to spare", 6),
+		// There are always more callers than places, so silent statements hold all of them.
+		Entry("with all places taken", 24),
+	)
 
 	// A member that is about to be switched off still gets check-outs, which
 	// then hang. The platform's list says so late, or the member itself does.
