Let entries use the heartbeat of a new home

Cause: the spec of a home that wakes up after its lease failed once: a write through another daemon right after the takeover got 08006 for the peer address of the frozen old home. A new home tells the other candidates by a heartbeat at once, but a daemon's entry knew homes from gossip only, which chooses its receivers at random, the frozen one among them. Until the announcement arrived the entry sent writes to the frozen home, over a connection that looks alive, and they ended as unknown.

Change: a daemon that receives a heartbeat of a newer term, or of a release, records it in its view of the fleet, which its entry uses. No message is added, and older heartbeats change nothing.

That the one failure had this cause is likely from the error, not proved: its logs are not kept. Entries that are no candidates of the group still depend on gossip.

--- a/pkg/daemon/calls.go
+++ b/pkg/daemon/calls.go
@@ -34,11 +34,18 @@
 	return nil, errs.New(errs.Unsupported, core.OutcomeNotRun, stepCall, string(d.id), "this daemon does not answer %T", call.GetCall())
 }
 
+// beat takes in a heartbeat of a home. It reaches the candidates before the announcement of a new home,
+// which spreads by gossip. Without it this daemon's entry sends writes to a frozen home for as long as
+// that takes, and these end as unknown although the new home serves.
 func (d *Daemon) beat(b *peerpb.HomeBeat) {
-	d.homes.HomeNews(fleet.Home{
+	home := fleet.Home{
 		Group: core.GroupID(b.GetGroup()), Daemon: core.DaemonID(b.GetHome()), Term: core.Term(b.GetTerm()),
 		Primary: core.MemberID(b.GetPrimary()), Released: b.GetReleased(),
-	}, true)
+	}
+	d.homes.HomeNews(home, true)
+	if known, ok := d.gossip.Home(home.Group); !ok || home.Term > known.Term || home.Term == known.Term && home.Released != known.Released {
+		d.gossip.AnnounceHome(home)
+	}
 }
 
 func (d *Daemon) opinion(ctx context.Context, c *peerpb.OpinionCall) (*peerpb.Reply, error) {
