Count no refusal for want of a connection against the primary

Change: such a refusal shows that the primary is alive. It is left out of account for up to IsolationTimeout (1.5 s), and the primary is probed again after ProbeInterval. A primary that takes no probe for longer is replaced as before.

Both new specs of core/group fail with the guard changed: always off, always on.

--- a/core/group/detect.go
+++ b/core/group/detect.go
@@ -44,8 +44,11 @@
 	// handedOverAt is when the group was last handed over because of an
 	// unreachable primary.
 	handedOverAt core.Time
-	heartbeatAt  core.Time
-	isolation    isolation
+	// busySince is when the primary began to refuse probes for want of a free
+	// connection; zero: it does not.
+	busySince   core.Time
+	heartbeatAt core.Time
+	isolation   isolation
 }
 
 // reset clears the state that belongs to a leadership that ends.
@@ -190,8 +193,24 @@
 	g.checkPrimaryLeaving()
 }
 
+// toleratesBusyPrimary reports whether a probe that the primary refused for want
+// of a free connection is left out of account.
+//
+// Guard: such a primary is alive. Connections that went silent stay open at the
+// member, so those that replace them may reach its limit for a while. A promotion
+// would then be needless. A primary that takes no probe for IsolationTimeout is
+// replaced, because its statements cannot be monitored.
+func (g *Group) toleratesBusyPrimary() bool {
+	d := &g.detect
+	if d.busySince == 0 {
+		d.busySince = g.now
+	}
+	return g.now.Sub(d.busySince) < g.tuning.IsolationTimeout
+}
+
 func (g *Group) primaryAnswered(m *member) {
 	d := &g.detect
+	d.busySince = 0
 	if d.suspicion != suspicionNone {
 		if d.suspicion == suspicionFresh && !d.pausedWhileProbing {
 			g.closeIdle(m) // These connections may hang as well.
--- a/core/group/detect_test.go
+++ b/core/group/detect_test.go
@@ -92,6 +92,27 @@
 		Expect(a.g.leadership.primary.ID).To(Equal(core.MemberID("a")))
 	})
 
+	ginkgo.It("is kept when the control connection hangs and it has no free connection for a while", func() {
+		// Silent connections stay open at the member, so that it refuses new ones. A promotion would
+		// needlessly lose unconfirmed writes.
+		n, a := newServingNet()
+		term := a.g.leadership.term
+		n.member("a").controlConnHangs, n.member("a").probesRefused = true, true
+		n.run(time.Second)
+		n.member("a").probesRefused = false
+		n.writeContinuously(2*time.Second, false)
+		Expect(a.g.leadership.term).To(Equal(term))
+		Expect(a.g.detect.busySince).To(BeZero())
+	})
+
+	ginkgo.It("is replaced when it has no free connection for a probe for long", func() {
+		// Nobody could tell whether it works.
+		n, a := newServingNet()
+		n.member("a").probesRefused = true
+		n.run(4 * time.Second)
+		Expect(a.g.counters.Claims).To(BeNumerically(">", 1))
+	})
+
 	ginkgo.It("keeps its connections when the home itself was paused", func() {
 		// The daemon gets no CPU time, so an answer appears to be late.
 		n, a := newServingNet()
--- a/core/group/fake_test.go
+++ b/core/group/fake_test.go
@@ -21,6 +21,7 @@
 	peersUnreachable  bool          // exchanges nothing with the other members
 	lag               time.Duration // replication lag
 	connsExhausted    bool          // has no free connection
+	probesRefused     bool          // has no free connection for a probe
 	losePromoteAnswer bool          // the answer of the next promote is lost
 	unreachableFrom   map[core.DaemonID]bool
 }
@@ -292,6 +293,9 @@
 	case *Probe:
 		v, sent := *e, h.net.now
 		h.call(v.Member, !v.Fresh, v.Timeout, func(m *fakeMember, err Failure) Event {
+			if err == FailureNone && m.probesRefused {
+				err = FailureBusy
+			}
 			return &Probed{Member: v.Member, SentAt: sent, Fresh: v.Fresh, Status: h.net.statusOf(m), Err: err}
 		})
 	case *Fence:
--- a/core/group/probe.go
+++ b/core/group/probe.go
@@ -163,6 +163,9 @@
 		m.probe.next = g.now.Add(g.tuning.ProbeInterval)
 		g.scheduleAt(m.probe.next)
 		g.checkPrimaryLeaving()
+	case g.isPrimary(m) && err == FailureBusy && g.toleratesBusyPrimary():
+		m.probe.next = g.now.Add(g.tuning.ProbeInterval)
+		g.scheduleAt(m.probe.next)
 	case g.isPrimary(m):
 		g.primaryProbeFailed(m, fresh)
 	case !fresh && g.leadership.term != 0:
