Take back the wait of callers for the first configuration

Cause: it was to serve callers that reconnect after the loss of all processes. Change: callers of a daemon without a configuration are refused at once again.

--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -22,11 +22,6 @@
 // statement can wait, with no recovery in progress, is rejected at once (OutageExceedsWait) with a
 // time to retry after.
 //
-// A restart of all daemons: callers connect again at once, and each daemon lacks the configuration
-// for some 200 ms, or for as long as the store is down. A caller that is rejected at once uses up its
-// attempts within milliseconds, so it waits for the first configuration (ConfigurationWait) as long
-// as the restart is young.
-//
 // # Cost
 //
 // Add and Remove are linear in the length of the queue, and so is Serve for each place that it
--- a/pkg/proxy/configuration.go
+++ b/pkg/proxy/configuration.go
@@ -1,10 +1,7 @@
 package proxy
 
 import (
-	"time"
-
 	"limpetspan/core"
-	"limpetspan/core/admission"
 	"limpetspan/core/direct"
 	"limpetspan/platform"
 )
@@ -33,9 +30,7 @@
 		p.log.Error("part of the configuration cannot be used", "version", catalog.Version, "problem", problem)
 	}
 	p.catalog.Store(catalog)
-	if p.configuredAt.CompareAndSwap(0, int64(now())) {
-		close(p.configured)
-	}
+	p.configuredAt.CompareAndSwap(0, int64(now()))
 	p.log.Info("configuration in force", "version", catalog.Version, "routes", len(catalog.Routes))
 	for _, g := range p.allGroups() {
 		spec, ok := catalog.Groups[g.id]
@@ -59,29 +54,3 @@
 		p.log.Info("configuration", "fetched_from", addr, "wanted", version, "has", p.metadata.Version(), "error", errorText(err))
 	}
 }
-
-// configurationWait returns how long a caller that connects now waits for the first configuration.
-// When a fleet starts for the first time, there are no callers yet whose attempts would be lost.
-func (p *Proxy) configurationWait() time.Duration {
-	if p.settings.FirstStart {
-		return 0
-	}
-	return admission.ConfigurationWait(now().Sub(p.startedAt))
-}
-
-// awaitCatalog returns the configuration in force. It waits at most as long as given for the first
-// one, and returns nil if there is none by then.
-func (p *Proxy) awaitCatalog(wait time.Duration) *direct.Catalog {
-	if catalog := p.catalog.Load(); catalog != nil {
-		return catalog
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-p.configured:
-		p.stats.configurationAwaited.Add(1)
-	case <-timer.C:
-	case <-p.done:
-	}
-	return p.catalog.Load()
-}
--- a/pkg/proxy/homes_test.go
+++ b/pkg/proxy/homes_test.go
@@ -163,26 +163,6 @@
 		Eventually(served, waitLimit).Should(Receive(BeTrue()))
 	})
 
-	// All daemons have been killed and callers reconnect before the store answers. Guards against
-	// rejections that use up all attempts of a caller within milliseconds.
-	It("makes callers wait until it has its first configuration", func() {
-		p := &Proxy{stats: newStats(), configured: make(chan struct{}), done: make(chan struct{})}
-		served := make(chan *direct.Catalog)
-		go func() { served <- p.awaitCatalog(waitLimit) }()
-		p.catalog.Store(&direct.Catalog{Version: 7})
-		close(p.configured)
-		Eventually(served, waitLimit).Should(Receive(HaveField("Version", uint64(7))))
-	})
-
-	It("makes callers wait no longer for a configuration once its start has taken long", func() {
-		p := &Proxy{startedAt: now().Add(-time.Minute)}
-		Expect(p.configurationWait()).To(BeZero())
-		p.startedAt = now()
-		Expect(p.configurationWait()).To(BeNumerically(">", 0))
-		p.settings.FirstStart = true
-		Expect(p.configurationWait()).To(BeZero(), "no caller connects before a first start has ended")
-	})
-
 	It("makes no statement wait longer than a start may take", func() {
 		p := &Proxy{}
 		p.configuredAt.Store(int64(now().Add(-time.Minute)))
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -35,12 +35,10 @@
 	startedAt core.Time
 	// configuredAt is when the first configuration took effect, as core.Time, and 0 before that.
 	configuredAt atomic.Int64
-	// configured is closed when the first configuration takes effect.
-	configured chan struct{}
-	log        hclog.Logger
-	stats      *stats
-	tracer     trace.Tracer
-	limiter    decisionLimiter
+	log          hclog.Logger
+	stats        *stats
+	tracer       trace.Tracer
+	limiter      decisionLimiter
 	// livenessChecks merges concurrent liveness checks of the same home.
 	livenessChecks singleflight.Group
 	// policy is the set of optional mechanisms that are switched on.
@@ -99,7 +97,7 @@
 	st := newStats()
 	p := &Proxy{
 		settings: s, client: platform.NewClient(s.StoreAddr, s.PromoteAddr), stats: st, boot: time.Now().UnixNano(),
-		configured: make(chan struct{}), closed: make(chan struct{}), done: make(chan struct{}), initialDaemons: make(chan *daemonList, 1), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
+		closed: make(chan struct{}), done: make(chan struct{}), initialDaemons: make(chan *daemonList, 1), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
 		lostDependencies: make(map[string]bool), sessionLimits: DefaultSessionLimits, policy: policy.All,
 		log: telemetry.NewLogger(newAsyncWriter(w, st), "info", string(s.Daemon)),
 	}
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -135,7 +135,7 @@
 		return platform.ErrMalformed
 	}
 	_ = s.c.SetReadDeadline(time.Time{})
-	catalog := s.p.awaitCatalog(s.p.configurationWait())
+	catalog := s.p.catalog.Load()
 	if catalog == nil {
 		return s.rejectStartup(platform.CodeBusy, "no configuration yet"+retryAfterText(outageRetryAfter(now().Sub(s.p.startedAt))))
 	}
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -18,9 +18,6 @@
 	onPrimary, onReplica, logLinesDropped                                  expvar.Int
 	// erasEnded counts the restores of the store from an older copy.
 	erasEnded expvar.Int
-	// configurationAwaited counts the callers that connected before this daemon had a configuration
-	// and waited until it had one.
-	configurationAwaited expvar.Int
 	// connsReplaced counts idle connections that were closed to open one for another team.
 	connsReplaced expvar.Int
 	// refusals counts errors by code, denied the statements that were refused because of their
@@ -72,8 +69,7 @@
 		"orders_dropped": s.commandsDropped.Value(), "promotions": s.promotions.Value(),
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
-		"configuration_awaited": s.configurationAwaited.Value(),
-		"store_eras_ended":      s.erasEnded.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
+		"store_eras_ended": s.erasEnded.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
