Place reads by the load of all homes where hosts or members are uneven

Cause: A home placed reads by its own statements on each member and by the mean of the last eight service times of all kinds. It saw a sixth to an eighth of a member's load, and took chance differences of service times for differences of the members.

Change: Homes report the mean number of statements that they have running on each member (report.Member.running_percent). core/placement derives from it the expected wait for a slot, and learns service times by member and kind; old differences fade, insignificant ones do not count. Between two reports a home assumes that the others have changed their load as it has itself. A member that leaves statements unanswered costs its answer timeout, a cold one up to twice its service time. The mechanism shared-load applies where a group has several homes that are not all daemons, and hosts differ in weight or members in slots; elsewhere decisions and reports are as before.

Result: The tests of core/placement, core/direct, core/policy, core/trace, pkg/proxy, pkg/cli and pkg/explore pass. Each new spec with a guard was run once with the guard removed and failed. Not measured on a fleet.

--- a/core/direct/bench_test.go
+++ b/core/direct/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"limpetspan/core"
 	"limpetspan/core/direct"
 )
 
@@ -18,6 +19,21 @@
 	}
 }
 
+// BenchmarkPlaceShared measures the cost of placing a read by the load of eight homes.
+func BenchmarkPlaceShared(b *testing.B) {
+	s := sharedScript()
+	for _, id := range []core.DaemonID{"d2", "d3", "d4", "d5", "d6", "d7", "d8"} {
+		s.peerRuns(id, 0.3, 0.2, 0.2)
+	}
+	req := s.read(10_000 * ms)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, ok := s.g.Place(s.at, req); !ok {
+			b.Fatal("no member")
+		}
+	}
+}
+
 // BenchmarkHomeOrder measures the cost of choosing the order of daemons when an entry in a fleet of
 // 300 opens a link.
 func BenchmarkHomeOrder(b *testing.B) {
--- a/core/direct/explain.go
+++ b/core/direct/explain.go
@@ -42,7 +42,7 @@
 	case id != g.primary && !g.canServeRead(now, id, m, required):
 		return fmt.Sprintf("behind by %d ms: at %v, requires %v, reported %d ms ago", m.lag.Milliseconds(), m.position, required.position, now.Sub(m.positionAt).Milliseconds())
 	case !hasConn:
-		return fmt.Sprintf("no connection available: %d of %d in use, window %.1f, %d open from all daemons", m.inUse(), m.open, m.window, g.knownConns(now, id, m))
+		return fmt.Sprintf("no connection available: %d of %d in use, window %.1f, %d open from all daemons", m.inUse(), m.open, m.window, g.knownConns(now, id, m)) + g.explainLoad(m)
 	}
 	return "available"
 }
@@ -57,6 +57,10 @@
 	Settled bool          `json:"settled"`
 	Primary core.MemberID `json:"primary"`
 	Term    core.Term     `json:"term"`
+	// SharedLoad is set if reads are placed by the load of all homes. ReadsOutOfZone counts the reads
+	// that were placed in another zone since then.
+	SharedLoad     bool  `json:"shared_load,omitempty"`
+	ReadsOutOfZone int64 `json:"reads_out_of_zone,omitempty"`
 	// LeaseLeftMS is how long the primary may still be used.
 	LeaseLeftMS int64 `json:"lease_left_ms"`
 	// Claim is the phase of this daemon's own change of the primary.
@@ -80,6 +84,20 @@
 	Open    int     `json:"open"`
 	InUse   int     `json:"in_use"`
 	Window  float64 `json:"window"`
+	// Load is what is known of the member's load, if load is shared.
+	Load *LoadView `json:"load,omitempty"`
+}
+
+// LoadView is the daemon's view of a member's load by all homes.
+type LoadView struct {
+	// Own is the mean number of this daemon's statements on the member, Others that of the other
+	// homes, of which Homes have reported.
+	Own    float64 `json:"own"`
+	Others float64 `json:"others"`
+	Homes  int     `json:"homes"`
+	// ServiceMS is the learned service time by kind of statement, WaitMS the expected wait for a slot.
+	ServiceMS map[string]float64 `json:"service_ms"`
+	WaitMS    float64            `json:"wait_ms"`
 }
 
 var phaseNames = [...]string{"none", "claiming", "demoting", "fencing", "awaiting leases", "promoting"}
@@ -87,6 +105,7 @@
 // View returns the current view.
 func (g *Group) View(now core.Time) GroupView {
 	v := GroupView{
+		SharedLoad: g.sharedLoad, ReadsOutOfZone: g.readsOutOfZone,
 		Home: g.isHome, Settled: g.knowsAllMembers(), Primary: g.primary, Term: g.term, LeaseLeftMS: max(0, g.LeaseExpiry(now).Sub(now).Milliseconds()),
 		Claim: phaseNames[g.claim.phase], Ordered: g.orderedTerm, LockTerm: g.promotionLock.term,
 		LockAgeMS: now.Sub(g.promotionLock.sentAt).Milliseconds(), Members: make(map[core.MemberID]MemberView),
@@ -94,7 +113,7 @@
 	for id, m := range g.members {
 		v.Members[id] = MemberView{
 			Role: m.status.Role, Term: m.status.Term, Position: fmt.Sprint(m.position), Problem: m.problem(now),
-			Open: m.open, InUse: m.inUse(), Window: m.window,
+			Open: m.open, InUse: m.inUse(), Window: m.window, Load: g.loadView(now, m),
 		}
 	}
 	return v
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"limpetspan/core"
+	"limpetspan/core/placement"
 	"limpetspan/core/policy"
 )
 
@@ -55,6 +56,17 @@
 	listedSince, listedAsOf, lastTickAt core.Time
 	// unusableSince is the time since which the primary cannot be used here; 0 if it can.
 	unusableSince core.Time
+	// sharedLoad is set if reads are placed by the load of all homes; variant is how, times are the
+	// group's service times.
+	sharedLoad bool
+	variant    placement.Variant
+	times      placement.GroupTimes
+	// candidates and costs are reused by each placement; placed counts the placements.
+	candidates []Placement
+	costs      []time.Duration
+	placed     uint64
+	// readsOutOfZone counts the reads that were placed in another zone while load was shared.
+	readsOutOfZone int64
 	// policy is the set of enabled mechanisms.
 	policy policy.Set
 	// disabled are the guards that model checking has switched off.
@@ -315,6 +327,7 @@
 func (g *Group) StatementUnanswered(now, sent core.Time, id core.MemberID) []Effect {
 	if m := g.members[id]; m != nil {
 		m.failures.record(now, true)
+		m.unanswered.record(now, true)
 		g.suspectIfSilent(now, sent, id, m)
 	}
 	return g.takeEffects()
@@ -340,10 +353,12 @@
 	}
 	switch o {
 	case Succeeded:
+		m.unanswered.record(now, false)
 		m.recordLatency(now.Sub(sent))
 		m.widenWindow()
 		m.failures.record(now, false)
 	case Failed:
+		m.unanswered.record(now, false)
 		m.failures.record(now, true)
 	case Busy:
 		if g.policy.Has(policy.BusyBackoff) {
--- a/core/direct/join.go
+++ b/core/direct/join.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"slices"
 	"time"
 
 	"limpetspan/core"
@@ -43,6 +44,12 @@
 	return d.Weight >= eligibleWeightShare*r.MaxWeights[d.Zone]
 }
 
+// HasUnevenHosts reports whether the listed hosts, or the fleet's hosts as the roster counts them,
+// differ in their weight. Most weak hosts of a large fleet are counted and not listed.
+func (r Roster) HasUnevenHosts(listed []Daemon) bool {
+	return r.Eligible < r.Daemons || slices.ContainsFunc(listed, func(d Daemon) bool { return d.Weight != listed[0].Weight })
+}
+
 func (r Roster) countEligible(daemons []Daemon) (n int) {
 	for _, d := range daemons {
 		if r.isEligible(d) {
--- a/core/direct/load.go
+++ b/core/direct/load.go
@@ -57,7 +57,11 @@
 	if m.load.at == 0 || now.Sub(m.load.at) > loadTTL {
 		return maxPrimaryReadCost
 	}
-	use := max(m.load.mean, float64(m.inUse())) / float64(max(1, m.Slots))
+	return costOfUse(max(m.load.mean, float64(m.inUse()))/float64(max(1, m.Slots)), latency)
+}
+
+// costOfUse returns primaryReadCost for the share of slots in use.
+func costOfUse(use float64, latency time.Duration) time.Duration {
 	if use >= 1 {
 		return maxPrimaryReadCost
 	}
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"limpetspan/core"
+	"limpetspan/core/placement"
 )
 
 // member is what the group knows about one target.
@@ -55,8 +56,15 @@
 	demoteSentAt core.Time
 	// load estimates the statements of all daemons on the member.
 	load loadEstimate
+	// running is the mean number of this daemon's statements on the member, others are those of the
+	// other homes, and times its service times. They are kept only for shared load.
+	running placement.Mean
+	others  placement.Others
+	times   placement.Times
 	// failures is the rate of recent failed answers.
 	failures failureRate
+	// unanswered is the part of failures that got no answer at all.
+	unanswered failureRate
 	// latency is the mean time of a statement.
 	latency time.Duration
 	// open and idle count connections for statements; idleInTransaction counts those whose
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"limpetspan/core"
+	"limpetspan/core/placement"
 	"limpetspan/core/policy"
 )
 
@@ -24,6 +25,8 @@
 	Exclude []core.MemberID
 	// Team is the team whose connections can be used.
 	Team core.TeamID
+	// Kind is the kind of statement whose service time is learned.
+	Kind string
 }
 
 // Placement is the member on which a statement is to run.
@@ -42,6 +45,7 @@
 
 // Place returns the member on which the statement can run now, and false if there is none.
 func (g *Group) Place(now core.Time, req Requirement) (Placement, bool) {
+	g.observeRunning(now)
 	if req.Primary {
 		return g.placePrimary(now, req)
 	}
@@ -95,10 +99,8 @@
 }
 
 func (g *Group) placeRead(now core.Time, req Requirement, required sample) (Placement, bool) {
-	var best Placement
-	var bestCost time.Duration
-	found := false
 	minRate := g.minFailureRate(now)
+	found, costs := g.candidates[:0], g.costs[:0]
 	for _, id := range g.order {
 		m := g.members[id]
 		if slices.Contains(req.Exclude, id) || !g.canServeRead(now, id, m, required) {
@@ -108,15 +110,19 @@
 		if !ok {
 			continue
 		}
-		cost := g.cost(now, id, m, minRate)
-		if !found || cost < bestCost {
-			best, bestCost, found = Placement{Member: id, MinPosition: required.position, Dial: source != reuseConn, Replace: source == replaceConn, AnswerTimeout: m.answerTimeout()}, cost, true
-		}
+		found = append(found, Placement{Member: id, MinPosition: required.position, Dial: source != reuseConn, Replace: source == replaceConn, AnswerTimeout: m.answerTimeout()})
+		costs = append(costs, g.readCost(now, id, m, minRate, req.Kind))
+	}
+	g.candidates, g.costs = found, costs
+	if len(found) == 0 {
+		return Placement{}, false
 	}
-	if found && best.Member == g.primary {
+	best := found[placement.Choose(g.variant, costs, g.draw(now))]
+	g.countOutOfZone(best.Member)
+	if best.Member == g.primary {
 		best.MinPosition, best.Primary = g.requiredPrimaryPosition(), true
 	}
-	return best, found
+	return best, true
 }
 
 func (g *Group) canServeRead(now core.Time, id core.MemberID, m *member, required sample) bool {
--- a/core/direct/probe.go
+++ b/core/direct/probe.go
@@ -12,6 +12,8 @@
 	g.checkFollowGap(now)
 	g.LeaseExpiry(now)
 	g.updateUsability(now)
+	g.observeRunning(now)
+	g.expireOthers(now)
 	g.sendDueProbes(now)
 	g.renewLeaseByLock(now)
 	g.demoteStalePrimaries(now)
--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -19,6 +19,8 @@
 	claiming bool
 	// openConns counts the daemon's connections by member.
 	openConns map[core.MemberID]int
+	// hidesLoad is set if the daemon has connections and does not report what runs on them.
+	hidesLoad bool
 }
 
 // isFresh reports whether the report is recent enough to be used.
@@ -76,7 +78,9 @@
 	SampleAge time.Duration
 	// TermStart is an upper bound of the position at which Term begins in the log; zero if unknown.
 	TermStart core.Position
-	Members   []MemberReport
+	// SharesLoad is set if the sender reports what it has running on the members.
+	SharesLoad bool
+	Members    []MemberReport
 }
 
 // MemberReport is what a daemon reports about one member.
@@ -86,6 +90,9 @@
 	Started int64
 	// OpenConns is how many connections the sender has to the member.
 	OpenConns int
+	// Running is the mean number of statements that the sender has had running on the member during
+	// the last second, if Report.SharesLoad is set.
+	Running float64
 	// ConfirmedTerm, if not 0, is the term that the member confirmed as a replica: when it was
 	// probed, ConfirmationAge before the report, it knew no newer term and was not fenced.
 	ConfirmedTerm   core.Term
@@ -98,8 +105,9 @@
 	r := Report{
 		Group: g.id, Primary: g.primary, Term: g.term,
 		Suspect: p != nil && p.suspect, Claiming: g.claim.phase != noClaim, OrderedTerm: g.orderedTerm, Successor: g.successor,
-		TermStart: g.termStart,
+		TermStart: g.termStart, SharesLoad: g.sharedLoad,
 	}
+	g.observeRunning(now)
 	if p != nil {
 		r.PrimaryStarted = p.Started
 		if p.load.at != 0 {
@@ -115,7 +123,7 @@
 	}
 	for _, id := range g.order {
 		m := g.members[id]
-		out := MemberReport{Member: id, Started: m.Started, OpenConns: m.open}
+		out := MemberReport{Member: id, Started: m.Started, OpenConns: m.open, Running: m.running.Value()}
 		if m.confirmsTerm(g.term) && !g.mayHaveLostFence(m) && now.Sub(m.statusAt) < LeaseDuration {
 			out.ConfirmedTerm, out.ConfirmationAge = g.term, now.Sub(m.statusAt)
 		}
@@ -132,12 +140,14 @@
 	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, leased: r.LeaseRemaining > 0, openConns: make(map[core.MemberID]int)}
 	for _, x := range r.Members {
 		p.openConns[x.Member] = x.OpenConns
+		p.hidesLoad = p.hidesLoad || x.OpenConns > 0 && !r.SharesLoad
 		if m := g.members[x.Member]; m != nil && x.ConfirmedTerm != 0 && x.Started == m.Started && g.policy.Has(policy.RelayedConfirmations) {
 			// The confirmation of another incarnation of the member says nothing about this one.
 			m.peerConfirmed.update(x.ConfirmedTerm, sent.Add(-x.ConfirmationAge))
 		}
 	}
 	g.peers[from] = p
+	g.recordPeerRunning(now, from, &r)
 	g.recordOrder(now, r.OrderedTerm, r.Successor)
 	if r.Term > g.term {
 		// The reported primary leads; the one that this daemon has used no longer does.
--- /dev/null
+++ b/core/direct/sharedload_test.go
@@ -0,0 +1,152 @@
+package direct_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/core/policy"
+)
+
+// sharedScript returns the script of a group whose primary has no free slot and whose replica b is
+// in this daemon's zone.
+func sharedScript() *script {
+	s := newScript()
+	s.record(s.g.UpdateMembers(s.at, s.at, []direct.Member{
+		{ID: "a", Group: "g", Addr: "a", Zone: "zone-2", Slots: 3},
+		{ID: "b", Group: "g", Addr: "b", Zone: "zone-1", Slots: 3},
+		{ID: "c", Group: "g", Addr: "c", Zone: "zone-3", Slots: 3},
+	}))
+	s.setPrimaryLoad(4)
+	s.g.SetSharedLoad(true)
+	return s
+}
+
+// peerRuns makes another home report what it has running on the members.
+func (s *script) peerRuns(id core.DaemonID, a, b, c float64) {
+	s.record(s.g.PeerReported(s.at, s.at, id, direct.Report{Group: "g", Primary: "a", Term: 1, SharesLoad: true, Members: []direct.MemberReport{
+		{Member: "a", OpenConns: 1, Running: a}, {Member: "b", OpenConns: 1, Running: b}, {Member: "c", OpenConns: 1, Running: c}}}))
+}
+
+var _ = Describe("a read where load is shared", func() {
+	// Guards against a member that all homes send statements to although each sees only its own: the
+	// replica in this zone has none of this daemon's, and all its slots are in use.
+	It("leaves its zone when other homes use the slots there", func() {
+		s := sharedScript()
+		s.peerRuns("d2", 3, 1, 0)
+		Expect(s.placeRead()).To(Equal(core.MemberID("b")), "there are free slots")
+		s.peerRuns("d3", 3, 3, 0)
+		Expect(s.placeRead()).To(Equal(core.MemberID("c")))
+	})
+
+	// Guards against traffic between zones that gains less than it costs.
+	It("stays in its zone when the other zone's member is a little less busy", func() {
+		s := sharedScript()
+		s.peerRuns("d2", 3, 0.8, 0)
+		Expect(s.placeRead()).To(Equal(core.MemberID("b")))
+	})
+
+	// Guards against a primary that fills up with reads of homes that each have none there.
+	It("runs on the primary only while all homes together leave it free slots", func() {
+		s := newScript()
+		s.placeInZones()
+		s.setPrimaryLoad(1)
+		s.g.SetSharedLoad(true)
+		s.peerRuns("d2", 0.2, 0.5, 0.5)
+		Expect(s.placeRead()).To(Equal(core.MemberID("a")))
+		s.peerRuns("d2", 1.3, 0.2, 0.2)
+		Expect(s.placeRead()).NotTo(Equal(core.MemberID("a")))
+	})
+
+	// Guards against filling the primary during an upgrade, when homes of the earlier version do not
+	// report their load. The primary's status counts their statements.
+	It("does not run on a full primary while some home does not share its load", func() {
+		s := newScript()
+		s.placeInZones()
+		s.setPrimaryLoad(4)
+		s.g.SetSharedLoad(true)
+		s.peerRuns("d2", 0, 0, 0)
+		Expect(s.placeRead()).To(Equal(core.MemberID("a")))
+		s.record(s.g.PeerReported(s.at, s.at, "d3", direct.Report{Group: "g", Primary: "a", Term: 1, Members: []direct.MemberReport{{Member: "a", OpenConns: 3}}}))
+		Expect(s.placeRead()).NotTo(Equal(core.MemberID("a")))
+	})
+
+	// Guards against reports of a lost home that keep reads away from a member.
+	It("ignores a home that reports no more", func() {
+		s := sharedScript()
+		s.peerRuns("d2", 3, 4, 0)
+		s.tick(direct.PeerReportTTL+100*ms, map[core.MemberID]direct.Status{"a": primary, "b": replica, "c": replica})
+		s.peerRuns("d3", 3, 0, 0)
+		Expect(s.placeRead()).To(Equal(core.MemberID("b")))
+	})
+
+	// Guards against reads that each wait for the answer timeout of a member that hangs on part of its
+	// work and answers the rest fast.
+	It("avoids a member that leaves statements unanswered more than one that fails them", func() {
+		staysAfter := func(outcome func(s *script)) bool {
+			s := sharedScript()
+			s.answerAt("b", 10)
+			outcome(s)
+			for range 6 {
+				s.answerAt("b", 10)
+			}
+			s.peerRuns("d2", 3, 0, 2.5)
+			return s.placeRead() == "b"
+		}
+		Expect(staysAfter(func(s *script) {
+			s.record(s.g.StatementAnswered(s.at, s.at, "b", core.Position{Term: 1, LSN: 10}, direct.Failed))
+		})).To(BeTrue())
+		Expect(staysAfter(func(s *script) { s.record(s.g.StatementUnanswered(s.at, s.at, "b")) })).To(BeFalse())
+	})
+
+	It("reports the mean number of its statements", func() {
+		s := sharedScript()
+		s.g.ConnOpened("b")
+		for range 100 {
+			s.advance(30 * ms)
+			s.record(s.g.Tick(s.at))
+		}
+		r := s.g.Report(s.at)
+		Expect(r.SharesLoad).To(BeTrue())
+		Expect(r.Members[len(r.Members)-1].Running).To(BeNumerically("~", 1, 0.1))
+	})
+
+	DescribeTable("is placed as before, and shares nothing,",
+		func(off func(s *script)) {
+			s := sharedScript()
+			off(s)
+			s.peerRuns("d2", 3, 4, 0)
+			Expect(s.placeRead()).To(Equal(core.MemberID("b")))
+			Expect(s.g.Report(s.at).SharesLoad).To(BeFalse())
+		},
+		Entry("where the condition is not met", func(s *script) { s.g.SetSharedLoad(false) }),
+		Entry("with the mechanism switched off", func(s *script) {
+			set, err := policy.All.Without("shared-load")
+			Expect(err).NotTo(HaveOccurred())
+			s.g.SetPolicy(set)
+			s.g.SetSharedLoad(true)
+		}),
+	)
+})
+
+var _ = Describe("the condition of shared load", func() {
+	daemon := func(id core.DaemonID, weight float64) direct.Daemon {
+		return direct.Daemon{ID: id, Zone: "zone-1", Weight: weight}
+	}
+
+	It("is that hosts differ, also if the weak ones are only counted", func() {
+		even := []direct.Daemon{daemon("d1", 0.8), daemon("d2", 0.8)}
+		Expect(direct.NewRoster(even).HasUnevenHosts(even)).To(BeFalse())
+		Expect(direct.Roster{Daemons: 17, Eligible: 2}.HasUnevenHosts(even)).To(BeTrue())
+		uneven := append(even, daemon("d3", 0.5))
+		Expect(direct.NewRoster(uneven).HasUnevenHosts(uneven)).To(BeTrue())
+	})
+
+	It("is that members differ in their slots", func() {
+		s := newScript()
+		Expect(s.g.HasUnevenMembers()).To(BeFalse())
+		s.record(s.g.UpdateMembers(s.at, s.at, []direct.Member{{ID: "a", Group: "g", Slots: 3}, {ID: "b", Group: "g", Slots: 6}}))
+		Expect(s.g.HasUnevenMembers()).To(BeTrue())
+	})
+})
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -54,6 +54,9 @@
 	AvoidFailing
 	// GatherTeams lets one home of each group serve all statements of a team.
 	GatherTeams
+	// SharedLoad places reads by what all homes have running on the members, where members or hosts
+	// are uneven.
+	SharedLoad
 	end
 )
 
@@ -64,6 +67,7 @@
 	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
 	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
+	"shared-load",
 }
 
 // renamed maps the old name of a mechanism to its present name.
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -383,6 +383,7 @@
 			took := at.Sub(sent)
 			g.serviceTimes.Observe(r.Database, took)
 			c.RecordLatency(id, took, r.LatencyGoal)
+			c.RecordService(at, id, r.Database, took)
 		}
 		return c.StatementAnswered(at, sent, id, a.Position, o)
 	})
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -230,6 +230,19 @@
 	return h.ownGroups[id], max(1, len(h.homesOf(id)))
 }
 
+// sharesLoad reports whether the group's homes may tell each other their load of its members: the
+// group has several homes that are not all daemons. unevenHosts is set if hosts of the fleet differ in
+// their weight.
+func (h *homes) sharesLoad(id core.GroupID) (severalHomes, unevenHosts bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.catalog == nil || !h.fleetKnown {
+		return false, false
+	}
+	severalHomes = !h.table.IsDirect(h.catalog.Groups[id].MaxConns) && len(h.homesOf(id)) > 1
+	return severalHomes, h.p.view.daemonList().roster.HasUnevenHosts(h.daemons)
+}
+
 // chosen reports whether homes have been chosen at least once.
 func (h *homes) chosen() bool { return isClosed(h.ready) }
 
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -305,11 +306,17 @@
 	reports := make(map[core.GroupID]*reportpb.Group, len(groups))
 	for _, g := range groups {
 		isHome, homes := s.p.homes.ownRole(g.id)
+		severalHomes, unevenHosts := s.p.homes.sharesLoad(g.id)
 		g.mu.Lock()
 		g.core.SetHomes(homes, isHome)
+		sharing := severalHomes && (unevenHosts || g.core.HasUnevenMembers())
+		changed := g.core.SetSharedLoad(sharing)
 		r := g.core.Report(now())
 		g.mu.Unlock()
 		reports[g.id] = encodeReport(&r)
+		if changed {
+			s.p.log.Info("placement by the load of all homes", "group", g.id, "on", sharing, "homes", homes, "uneven_hosts", unevenHosts)
+		}
 	}
 	for _, to := range recipients {
 		m.Groups = m.Groups[:0]
@@ -345,9 +352,13 @@
 		out.LedAgeUs = proto.Uint64(microseconds(r.PrimarySeenAge))
 	}
 	for _, m := range r.Members {
-		out.Members = append(out.Members, &reportpb.Member{
+		member := &reportpb.Member{
 			Member: string(m.Member), Started: m.Started, Open: uint32(m.OpenConns), Confirmed: uint64(m.ConfirmedTerm), AgeUs: microseconds(m.ConfirmationAge),
-		})
+		}
+		if r.SharesLoad {
+			member.RunningPercent = proto.Uint32(uint32(math.Round(100 * m.Running)))
+		}
+		out.Members = append(out.Members, member)
 	}
 	return out
 }
@@ -362,6 +373,10 @@
 // the future would give a lease that does not end.
 const maxReportedAge = time.Minute
 
+// maxRunningPercent bounds the reported number of statements on a member: no member has more slots
+// than a few thousand, and a greater number is an error of the sender.
+const maxRunningPercent = 100 * 4096
+
 func decodeAge(us uint64) time.Duration {
 	return time.Duration(min(us, uint64(maxReportedAge/time.Microsecond))) * time.Microsecond
 }
@@ -381,9 +396,10 @@
 		r.PrimarySeen, r.PrimarySeenAge = true, decodeAge(*g.LedAgeUs)
 	}
 	for _, m := range g.Members {
+		r.SharesLoad = r.SharesLoad || m.RunningPercent != nil
 		r.Members = append(r.Members, direct.MemberReport{
 			Member: core.MemberID(m.Member), Started: m.Started, OpenConns: int(m.Open), ConfirmedTerm: core.Term(m.Confirmed),
-			ConfirmationAge: decodeAge(m.AgeUs),
+			ConfirmationAge: decodeAge(m.AgeUs), Running: float64(min(m.GetRunningPercent(), maxRunningPercent)) / 100,
 		})
 	}
 	return r
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -39,7 +39,7 @@
 
 // requirement returns what a statement of the session requires of a member.
 func (s *session) requirement(route direct.Route, primary bool, arrived core.Time) direct.Requirement {
-	required := direct.Requirement{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived, Team: s.p.access.teamOf(s.key)}
+	required := direct.Requirement{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived, Team: s.p.access.teamOf(s.key), Kind: route.Database}
 	if route.Consistency == direct.ReadYourWrites {
 		required.Session, required.SessionAt = s.lastCommit, s.lastCommitAt
 	}
