Model uneven members and homes, and compare two ways of placement

Cause: The model of load patterns had equal members and daemons, and did not show how evenly members are used.

Change: A pattern may give the first member other slots and the first daemon a larger share of the operations, and may share load between daemons. A result tells how much busier the busiest member is than the mean.

--- a/pkg/experiment/caller.go
+++ b/pkg/experiment/caller.go
@@ -58,7 +58,7 @@
 // attempt begins the operation, again after a refusal, at any daemon.
 func (op *operation) attempt() {
 	w := op.w
-	op.d = w.daemons[w.random.IntN(len(w.daemons))]
+	op.d = w.pick()
 	op.statements = 1
 	if op.transaction {
 		op.statements = 3
@@ -75,6 +75,14 @@
 	d.acquire(op.statement())
 }
 
+// pick draws the daemon for an attempt.
+func (w *world) pick() *daemon {
+	if w.p.FirstShare > 0 && w.chance(w.p.FirstShare) {
+		return w.daemons[0]
+	}
+	return w.daemons[w.random.IntN(len(w.daemons))]
+}
+
 // watch notices that the daemon has lost its power while it held the operation.
 func (op *operation) watch(d *daemon, life, attempt int) {
 	if op.d == nil || op.attempts != attempt {
@@ -93,7 +101,7 @@
 	needsPrimary := op.writes || op.transaction && op.writes || op.kind.Consistency == direct.PrimaryReads
 	s := &statement{op: op, needsPrimary: needsPrimary, writes: op.writes, begins: op.transaction,
 		deadline: w.now.Add(op.kind.Timeout - answerMargin), holdUntil: w.now.Add(time.Duration(holdShare * float64(op.kind.Timeout)))}
-	s.need = direct.Requirement{Primary: needsPrimary, MaxAge: op.kind.MaxAge, Arrived: w.now}
+	s.need = direct.Requirement{Primary: needsPrimary, MaxAge: op.kind.MaxAge, Arrived: w.now, Kind: op.kind.Name}
 	s.wait = admission.Waiter[*statement]{Arrived: w.now, Aim: op.began.Add(op.kind.Aim), Database: op.kind.Name, Primary: needsPrimary, Priority: op.kind.Priority}
 	return s
 }
--- a/pkg/experiment/daemon.go
+++ b/pkg/experiment/daemon.go
@@ -42,6 +42,8 @@
 	d.g.SetPolicy(d.w.policy)
 	d.g.Configure(direct.GroupSpec{ID: groupID, MaxConns: d.w.p.Members.Connections})
 	d.g.SetHomes(d.w.p.Daemons, true)
+	d.g.SetSharedLoad(d.w.p.SharedLoad)
+	d.g.SetPlacement(d.w.p.Placement)
 	d.queue, d.work = admission.NewQueue[*statement](d.w.policy), make(admission.ServiceTimes)
 	d.idle, d.busy = make(map[core.MemberID]int), make(map[core.MemberID]bool)
 	d.orders = make(map[core.MemberID][]direct.Effect)
@@ -63,7 +65,7 @@
 func (w *world) listed() []direct.Member {
 	var list []direct.Member
 	for _, m := range w.members {
-		list = append(list, direct.Member{ID: m.id, Group: groupID, Addr: string(m.id), Zone: m.zone, Slots: w.p.Members.Slots, Leaving: m.leaving})
+		list = append(list, direct.Member{ID: m.id, Group: groupID, Addr: string(m.id), Zone: m.zone, Slots: m.slots, Leaving: m.leaving})
 	}
 	return list
 }
@@ -341,6 +343,7 @@
 // answered handles the member's answer.
 func (d *daemon) answered(s *statement, place direct.Placement, m *member, sent core.Time, o direct.Outcome, p core.Position) {
 	if o == direct.Succeeded {
+		d.g.RecordService(d.w.now, m.id, s.op.kind.Name, d.w.now.Sub(sent))
 		d.work.Observe(s.op.kind.Name, d.w.now.Sub(sent))
 		d.g.RecordLatency(m.id, d.w.now.Sub(sent), s.op.kind.Aim)
 	}
--- a/pkg/experiment/experiment_test.go
+++ b/pkg/experiment/experiment_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"limpetspan/core/placement"
 	"limpetspan/core/policy"
 	"limpetspan/pkg/experiment"
 )
@@ -82,6 +83,31 @@
 		Expect(d.Value.Mean).To(BeNumerically(">", 0))
 	})
 
+	// Homes that know only their own statements treat chance differences of service times as
+	// differences of members, and send half of the statements to another zone.
+	It("keeps reads in their zone by the load of all homes", func() {
+		for _, pattern := range []string{"bounded-reads", "status-reads"} {
+			d := worth(pattern, "shared-load")
+			Expect(d.Crossings.Mean).To(BeNumerically("<", -0.05), pattern)
+			Expect(d.Value.Mean).To(BeNumerically(">", -0.004), pattern)
+		}
+	})
+
+	// A primary with half of the other members' slots. Two choices sends a third of the reads that
+	// could stay to another zone, because their own zone's member was not drawn.
+	It("uses members in proportion to their slots, in fewer zones than two choices does", func() {
+		p, err := experiment.Load("bounded-reads")
+		Expect(err).NotTo(HaveOccurred())
+		p.Members.FirstSlots = 3
+		two := p
+		two.Placement = placement.TwoChoices
+		for seed := range uint64(seeds) {
+			least := experiment.Run(&p, policy.All, seed)
+			Expect(least.Imbalance()).To(BeNumerically("<", 1.2))
+			Expect(least.Crossings()).To(BeNumerically("<", experiment.Run(&two, policy.All, seed).Crossings()-0.05))
+		}
+	})
+
 	It("repeats from its seed", func() {
 		p, err := experiment.Load("power-loss")
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/experiment/member.go
+++ b/pkg/experiment/member.go
@@ -25,6 +25,9 @@
 
 	conns   int
 	running int
+	slots   int
+	// worked is the time for which the member's slots were in use.
+	worked  time.Duration
 	waiting []job
 }
 
@@ -47,7 +50,7 @@
 
 // submit runs work in a slot; false: the queue is full.
 func (m *member) submit(work time.Duration, done func()) bool {
-	if m.running >= m.w.p.Members.Slots && len(m.waiting) >= m.w.p.Members.Queue {
+	if m.running >= m.slots && len(m.waiting) >= m.w.p.Members.Queue {
 		return false
 	}
 	m.waiting = append(m.waiting, job{work, done})
@@ -57,12 +60,14 @@
 
 // next starts what waits, as far as there are slots.
 func (m *member) next() {
-	for m.running < m.w.p.Members.Slots && len(m.waiting) > 0 {
+	for m.running < m.slots && len(m.waiting) > 0 {
 		j := m.waiting[0]
 		m.waiting = m.waiting[1:]
 		m.running++
-		m.w.after(time.Duration(m.factor*float64(j.work)), func() {
+		took := time.Duration(m.factor * float64(j.work))
+		m.w.after(took, func() {
 			m.running--
+			m.worked += took
 			j.done()
 			m.next()
 		})
--- a/pkg/experiment/pattern.go
+++ b/pkg/experiment/pattern.go
@@ -13,6 +13,7 @@
 	"gopkg.in/ini.v1"
 
 	"limpetspan/core/direct"
+	"limpetspan/core/placement"
 )
 
 //go:embed patterns/*.ini
@@ -26,14 +27,22 @@
 	Daemons int
 	// Crossing is the time of one way between zones.
 	Crossing time.Duration
-	Members  Members
-	Callers  []Callers
-	Events   []Event
+	// FirstShare is the share of the operations that the first daemon gets; 0 if all get the same.
+	FirstShare float64
+	// SharedLoad is set if daemons use each other's load of the members.
+	SharedLoad bool
+	// Placement is how daemons choose a member by its cost.
+	Placement placement.Variant
+	Members   Members
+	Callers   []Callers
+	Events    []Event
 }
 
 // Members are what each of a group's members can do.
 type Members struct {
 	Count, Slots, Queue, Connections int
+	// FirstSlots is the number of slots of the first member, if it differs from the others.
+	FirstSlots int
 	// Handshake is how long opening a connection takes a slot.
 	Handshake time.Duration
 	// Lag is the replica lag, Promotion how long a promotion takes.
@@ -42,6 +51,14 @@
 	Linger time.Duration
 }
 
+// slotsOf returns the number of slots of the i-th member.
+func (m *Members) slotsOf(i int) int {
+	if i == 0 && m.FirstSlots > 0 {
+		return m.FirstSlots
+	}
+	return m.Slots
+}
+
 // Callers are one kind of callers.
 type Callers struct {
 	Name string
@@ -131,7 +148,11 @@
 			r.known()
 		case "pattern":
 			p.Seconds, p.Daemons, p.Crossing = r.count("seconds", 20), r.count("daemons", 6), r.time("crossing", 900*time.Microsecond)
-			r.known("seconds", "daemons", "crossing")
+			p.FirstShare, p.SharedLoad = r.number("first_share", 0), r.section.Key("shared_load").MustBool(false)
+			if r.section.Key("placement").MustString("least-cost") == "two-choices" {
+				p.Placement = placement.TwoChoices
+			}
+			r.known("seconds", "daemons", "crossing", "first_share", "shared_load", "placement")
 		case "members":
 			p.Members = r.members()
 		case "callers":
@@ -215,9 +236,9 @@
 }
 
 func (r *reader) members() Members {
-	r.known("count", "slots", "queue", "connections", "handshake", "lag", "promotion", "linger")
+	r.known("count", "slots", "first_slots", "queue", "connections", "handshake", "lag", "promotion", "linger")
 	return Members{
-		Count: r.count("count", 3), Slots: r.count("slots", 2), Queue: r.count("queue", 16), Connections: r.count("connections", 16),
+		Count: r.count("count", 3), Slots: r.count("slots", 2), FirstSlots: r.count("first_slots", 0), Queue: r.count("queue", 16), Connections: r.count("connections", 16),
 		Handshake: r.time("handshake", 12*time.Millisecond), Lag: r.time("lag", 20*time.Millisecond),
 		Promotion: r.time("promotion", 500*time.Millisecond), Linger: r.time("linger", 3*time.Second),
 	}
--- a/pkg/experiment/result.go
+++ b/pkg/experiment/result.go
@@ -20,7 +20,10 @@
 	// heldTooLong counts refusals that came later than a quarter of the aim.
 	heldTooLong                          int
 	dials, resets, crossings, statements int
-	latencies                            map[string][]time.Duration
+	// work is the time for which each member's slots were in use, slots their number.
+	work      []time.Duration
+	slots     []int
+	latencies map[string][]time.Duration
 }
 
 // Count is what became of operations.
@@ -106,6 +109,17 @@
 	return float64(r.heldTooLong) / float64(max(1, asked))
 }
 
+// Imbalance is the largest use of a member's slots divided by the mean of all slots.
+func (r *Result) Imbalance() float64 {
+	busiest, work, slots := 0.0, 0.0, 0.0
+	for i, w := range r.work {
+		busiest = max(busiest, float64(w)/float64(r.slots[i]))
+		work += float64(w)
+		slots += float64(r.slots[i])
+	}
+	return busiest / max(1, work) * slots
+}
+
 // Resets is how many connections members refused at their limit.
 func (r *Result) Resets() int { return r.resets }
 
--- a/pkg/experiment/world.go
+++ b/pkg/experiment/world.go
@@ -64,7 +64,7 @@
 func Run(p *Pattern, set policy.Set, seed uint64) *Result {
 	w := &world{p: p, policy: set, random: rand.New(rand.NewPCG(seed, 1)), now: epoch, term: 1, load: 1, result: newResult(p)}
 	for i := range p.Members.Count {
-		w.members = append(w.members, &member{w: w, id: core.MemberID(fmt.Sprintf("m%d", i+1)), zone: zone(i), term: 1, primary: i == 0, factor: 1, lag: p.Members.Lag})
+		w.members = append(w.members, &member{w: w, id: core.MemberID(fmt.Sprintf("m%d", i+1)), zone: zone(i), term: 1, primary: i == 0, factor: 1, lag: p.Members.Lag, slots: p.Members.slotsOf(i)})
 	}
 	for i := range p.Daemons {
 		w.daemons = append(w.daemons, &daemon{w: w, id: core.DaemonID(fmt.Sprintf("d%d", i+1)), zone: zone(i)})
@@ -85,6 +85,10 @@
 		w.now = at
 		do()
 	}
+	for _, m := range w.members {
+		w.result.work = append(w.result.work, m.worked)
+		w.result.slots = append(w.result.slots, m.slots)
+	}
 	return w.result
 }
 
