Give overloaded hosts a smaller share as homes where hosts are uneven

Cause: The homes of a group and the entries that use each of them followed only the declared weight of hosts. A host that is slow or busy for long kept its share, and its sessions.

Change: A home measures its processor time and how late its ticks are, and derives from them a burden of 0 to 2 with hysteresis, which it writes into its entry in the store when it changes. Each step halves the host's weight in the choice of homes and in the order in which entries ask them. Sessions of an overloaded home move between statements when their entry asks another one first. A zone whose homes are all overloaded gets one more, if the members' connections suffice. Teams, watchers and eligibility do not change. The mechanism is homes-by-load; without uneven hosts, or where all daemons are homes, no burden is written.

Result: The tests of core/direct, core/policy, pkg/proxy, pkg/experiment, pkg/cli and pkg/explore/relays pass, the new ones and those of moving sessions with the race detector as well. Each new spec was run once with its guard removed and failed. The effect on a fleet is not measured.

--- a/core/direct/homes.go
+++ b/core/direct/homes.go
@@ -17,6 +17,9 @@
 	Zone core.Zone
 	// Weight is the computing power of the host, in processors.
 	Weight float64
+	// Burden reduces the weight in the choice of homes. It does not affect which hosts are eligible, nor
+	// the homes of teams, because a team is not served while its slot moves.
+	Burden Burden
 }
 
 // Homes returns the daemons that connect to the members of the group; all others forward their
@@ -49,7 +52,7 @@
 // first: watchers of its own zone, other watchers, then all others, which read the store themselves
 // if all watchers are cut off from it.
 func WatcherOrder(self core.DaemonID, zone core.Zone, watchers []core.DaemonID, daemons []Daemon) []core.DaemonID {
-	return HomeOrder(configurationKey, self, zone, watchers, daemons)
+	return HomeOrder(configurationKey, self, zone, watchers, withoutBurden(daemons))
 }
 
 // byZone returns the daemons of each zone that are eligible as homes.
@@ -67,7 +70,7 @@
 func topPerZone(group core.GroupID, zones map[core.Zone][]Daemon, perZone int) []core.DaemonID {
 	var best []core.DaemonID
 	for _, list := range zones {
-		for _, r := range topScored(group, list, perZone) {
+		for _, r := range topScored(group, withoutBurden(list), perZone) {
 			best = append(best, r.id)
 		}
 	}
@@ -75,6 +78,16 @@
 	return best
 }
 
+// withoutBurden returns the daemons as if none were overloaded. Watching the store is little work, and
+// each change of the watchers costs reads of it.
+func withoutBurden(daemons []Daemon) []Daemon {
+	list := slices.Clone(daemons)
+	for i := range list {
+		list[i].Burden = 0
+	}
+	return list
+}
+
 func sortedIDs(daemons []Daemon) []core.DaemonID {
 	list := make([]core.DaemonID, 0, len(daemons))
 	for _, d := range daemons {
@@ -117,9 +130,9 @@
 		switch home := slices.Contains(homes, d.ID); {
 		case d.ID == self:
 		case home && d.Zone == zone:
-			list = append(list, askedDaemon{d.ID, sameZoneHome, rankScore(entry, d)})
+			list = append(list, askedDaemon{d.ID, sameZoneHome, homeScore(entry, d)})
 		case home:
-			list = append(list, askedDaemon{d.ID, otherZoneHome, rankScore(entry, d)})
+			list = append(list, askedDaemon{d.ID, otherZoneHome, homeScore(entry, d)})
 		default:
 			list = append(list, askedDaemon{d.ID, fallbackDaemon, rankScore(group, d)})
 		}
--- a/core/direct/hometable.go
+++ b/core/direct/hometable.go
@@ -63,23 +63,27 @@
 type homePlan struct {
 	// direct is set if all daemons are homes.
 	direct bool
-	// total is the number of homes, perZone the maximum in each zone.
+	// total is the number of homes, perZone the maximum in each zone, while no home is overloaded.
 	total, perZone int
+	// mayExtend is set if the members' connections suffice for one more home in each zone.
+	mayExtend bool
 }
 
 // groupHomes are the homes of one group.
 type groupHomes struct {
 	maxConns int
 	plan     homePlan
-	// best holds the daemons of each zone with the highest scores, in descending order.
+	// best holds the daemons of each zone with the highest scores, in descending order, and one more
+	// than are homes unless some are overloaded.
 	best  map[core.Zone][]scoredDaemon
 	homes []core.DaemonID
 }
 
 // scoredDaemon is a daemon with its score for a group.
 type scoredDaemon struct {
-	id    core.DaemonID
-	score float64
+	id     core.DaemonID
+	score  float64
+	burden Burden
 }
 
 func (r scoredDaemon) compare(o scoredDaemon) int {
@@ -186,7 +190,8 @@
 	}
 	perZone := min(maxHomesPerZone, max(1, int(homeConnShare*float64(maxConns))/connsPerHome/zones))
 	total := min(zones*perZone, max(minHomes, groupsPerHome*eligible/max(1, f.Groups)))
-	return homePlan{total: total, perZone: min(perZone, (total+zones-1)/zones)}
+	mayExtend := float64((total+zones)*connsPerHome) <= homeConnShare*float64(maxConns)
+	return homePlan{total: total, perZone: min(perZone, (total+zones-1)/zones), mayExtend: mayExtend}
 }
 
 // recompute scores all daemons for the group.
@@ -205,7 +210,7 @@
 
 func (t *HomeTable) rankZone(id core.GroupID, g *groupHomes, zone core.Zone) {
 	t.scored += len(t.zones[zone])
-	g.best[zone] = topScored(id, t.zones[zone], g.plan.perZone)
+	g.best[zone] = topScored(id, t.zones[zone], g.plan.perZone+1)
 }
 
 // applyChanges updates the group's homes after daemons were added and removed.
@@ -217,23 +222,28 @@
 	}
 	for _, d := range added {
 		t.scored++
-		r, list := scoredDaemon{d.ID, rankScore(id, d)}, g.best[d.Zone]
+		r, list := scoredDaemon{d.ID, homeScore(id, d), d.Burden}, g.best[d.Zone]
 		if i, known := slices.BinarySearchFunc(list, r, scoredDaemon.compare); !known {
 			list = slices.Insert(list, i, r)
 		}
-		g.best[d.Zone] = list[:min(len(list), g.plan.perZone)]
+		g.best[d.Zone] = list[:min(len(list), g.plan.perZone+1)]
 	}
 	g.selectHomes()
 }
 
-// selectHomes chooses the highest scores among the best of the zones.
+// selectHomes chooses the highest scores among the best of the zones, and one more daemon in each
+// zone whose homes are all overloaded.
 func (g *groupHomes) selectHomes() {
 	var all []scoredDaemon
+	homes := make([]core.DaemonID, 0, g.plan.total)
 	for _, list := range g.best {
-		all = append(all, list...)
+		usual := list[:min(len(list), g.plan.perZone)]
+		all = append(all, usual...)
+		if len(list) > len(usual) && g.plan.mayExtend && !slices.ContainsFunc(usual, func(d scoredDaemon) bool { return d.burden == 0 }) {
+			homes = append(homes, list[len(usual)].id)
+		}
 	}
 	slices.SortFunc(all, scoredDaemon.compare)
-	homes := make([]core.DaemonID, 0, g.plan.total)
 	for _, r := range all[:min(len(all), g.plan.total)] {
 		homes = append(homes, r.id)
 	}
@@ -245,7 +255,7 @@
 func topScored(group core.GroupID, daemons []Daemon, n int) []scoredDaemon {
 	list := make([]scoredDaemon, 0, len(daemons))
 	for _, d := range daemons {
-		list = append(list, scoredDaemon{d.ID, rankScore(group, d)})
+		list = append(list, scoredDaemon{d.ID, homeScore(group, d), d.Burden})
 	}
 	slices.SortFunc(list, scoredDaemon.compare)
 	return list[:min(len(list), n)]
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -57,6 +57,8 @@
 	// SharedLoad places reads by what all homes have running on the members, where members or hosts
 	// are uneven.
 	SharedLoad
+	// HomesByLoad gives overloaded hosts fewer groups and sessions as homes, where hosts are uneven.
+	HomesByLoad
 	end
 )
 
@@ -67,7 +69,7 @@
 	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
 	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
-	"shared-load",
+	"shared-load", "homes-by-load",
 }
 
 // renamed maps the old name of a mechanism to its present name.
--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -22,6 +22,8 @@
 	IP     string    `json:"ip"`
 	Zone   core.Zone `json:"zone"`
 	Weight float64   `json:"weight"`
+	// Burden is absent while the daemon's host is not overloaded.
+	Burden direct.Burden `json:"burden,omitempty"`
 }
 
 // runRegistration joins the fleet, maintains this daemon's entry if it has one, and writes the
@@ -39,6 +41,7 @@
 	for ; !p.closing(); p.sleepInterruptible(fleetCheckInterval, p.closed) {
 		at := now()
 		r.maintain(at)
+		r.updateBurden(at, p.hostLoad.observe(at))
 		if p.peers.expireUnlisted(at) {
 			p.homes.update()
 		}
@@ -170,6 +173,9 @@
 	renewedAt core.Time
 	// rosterCheckedAt is when this daemon last checked whether to write the roster.
 	rosterCheckedAt core.Time
+	// burden is the burden in the entry, burdenTriedAt when this daemon last tried to change it.
+	burden        direct.Burden
+	burdenTriedAt core.Time
 }
 
 // maintain writes the entry if it is required, and renews its lease when that is due.
@@ -198,7 +204,7 @@
 	if err != nil {
 		return 0
 	}
-	value, err := json.Marshal(daemonEntry{IP: p.settings.IP, Zone: p.settings.Zone, Weight: p.settings.Weight})
+	value, err := json.Marshal(r.entry(r.burden))
 	if err != nil {
 		return 0
 	}
@@ -276,7 +282,7 @@
 func (l *daemonList) daemons() []direct.Daemon {
 	list := make([]direct.Daemon, 0, len(l.entries))
 	for id, e := range l.entries {
-		list = append(list, direct.Daemon{ID: id, Zone: e.Zone, Weight: e.Weight})
+		list = append(list, direct.Daemon{ID: id, Zone: e.Zone, Weight: e.Weight, Burden: e.Burden})
 	}
 	return list
 }
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -50,6 +50,10 @@
 	// slotOrders caches the order of daemons for a slot of teams in a group, which each statement
 	// needs, until the daemons or the homes change.
 	slotOrders map[groupSlot][]core.DaemonID
+	// homeOrders holds the order in which daemons are asked for a group without team affinity, and
+	// burdened the daemons whose hosts are overloaded.
+	homeOrders map[core.GroupID][]core.DaemonID
+	burdened   map[core.DaemonID]bool
 	// slotOwners holds the daemons that are known to count the operations of a slot's teams. They may
 	// differ from the first daemon in the slot's order.
 	slotOwners map[quota.Slot]core.DaemonID
@@ -114,6 +118,7 @@
 	h.catalog, h.chosenForSize, h.daemons = catalog, size, daemons
 	h.lastChosenSize.Store(int64(size))
 	h.slotOrders = make(map[groupSlot][]core.DaemonID)
+	h.updateBurdened()
 	h.updateWatchers(size)
 	if catalog == nil {
 		return nil
@@ -338,13 +343,50 @@
 	available := false
 	for _, home := range h.homesOf(id) {
 		if home == daemon {
-			return true
+			return !h.burdened[daemon] || h.firstHome(at, id) == daemon
 		}
 		available = available || at >= h.backoffUntil[home]
 	}
 	return !available
 }
 
+// firstHome returns the first available daemon in the group's order, "" if there is none. The lock is
+// held.
+func (h *homes) firstHome(at core.Time, id core.GroupID) core.DaemonID {
+	order, ok := h.homeOrders[id]
+	if !ok {
+		order = direct.HomeOrder(id, h.p.settings.Daemon, h.p.settings.Zone, h.homesOf(id), h.daemons)
+		h.homeOrders[id] = order
+	}
+	for _, d := range order {
+		if h.isAvailable(at, d, id, "") {
+			return d
+		}
+	}
+	return ""
+}
+
+// updateBurdened records the overloaded daemons. The lock is held.
+func (h *homes) updateBurdened() {
+	h.homeOrders, h.burdened = make(map[core.GroupID][]core.DaemonID), make(map[core.DaemonID]bool)
+	for _, d := range h.daemons {
+		if d.Burden > 0 {
+			h.burdened[d.ID] = true
+		}
+	}
+}
+
+// areHomesByLoad reports whether this daemon is a home in a fleet in which homes are chosen by load:
+// not all daemons are homes, and hosts differ in their weight.
+func (h *homes) areHomesByLoad() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.catalog == nil || !h.fleetKnown || len(h.ownGroups) == 0 || h.table.IsDirect(h.minMaxConns) {
+		return false
+	}
+	return h.p.view.daemonList().roster.HasUnevenHosts(h.daemons)
+}
+
 // candidates returns the available other daemons to ask for the group, best first.
 func (h *homes) candidates(id core.GroupID, team core.TeamID) []core.DaemonID {
 	h.mu.Lock()
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -13,6 +13,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/policy"
 	"limpetspan/pkg/proxy/reportpb"
 )
 
@@ -36,6 +37,8 @@
 	ip     string
 	zone   core.Zone
 	weight float64
+	// burden is that of the daemon's entry in the store.
+	burden direct.Burden
 	addr   *net.UDPAddr
 	// lastSeen is when its last report was received.
 	lastSeen core.Time
@@ -98,7 +101,7 @@
 	}
 	for id, e := range entries {
 		if k := s.ensurePeer(id, e.IP); k != nil {
-			k.zone, k.weight, k.listed, k.unlistedAt = e.Zone, e.Weight, true, 0
+			k.zone, k.weight, k.burden, k.listed, k.unlistedAt = e.Zone, e.Weight, e.Burden, true, 0
 		}
 	}
 }
@@ -174,18 +177,24 @@
 // reports are sent to all daemons, a daemon counts while its reports arrive. In a large fleet it also
 // counts while it is listed. A daemon whose reports do not arrive and that is not listed is forgotten.
 func (s *peers) daemons() []direct.Daemon {
+	own, _ := s.p.view.daemonList().entry(s.p.settings.Daemon)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := now()
 	large := s.isLargeFleet()
-	list := []direct.Daemon{{ID: s.p.settings.Daemon, Zone: s.p.settings.Zone, Weight: s.p.settings.Weight}}
+	list := []direct.Daemon{{ID: s.p.settings.Daemon, Zone: s.p.settings.Zone, Weight: s.p.settings.Weight, Burden: own.Burden}}
 	for id, k := range s.known {
 		fresh := at.Sub(k.lastSeen) <= peerRetention
 		if !fresh && !k.listed {
 			delete(s.known, id)
 		}
 		if fresh || large && k.listed {
-			list = append(list, direct.Daemon{ID: id, Zone: k.zone, Weight: k.weight})
+			list = append(list, direct.Daemon{ID: id, Zone: k.zone, Weight: k.weight, Burden: k.burden})
+		}
+	}
+	if !s.p.policy.Has(policy.HomesByLoad) {
+		for i := range list {
+			list[i].Burden = 0
 		}
 	}
 	slices.SortFunc(list, func(a, b direct.Daemon) int { return cmp.Compare(a.ID, b.ID) })
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -59,7 +59,8 @@
 	metadata *metadata.Copy
 	view     *view
 	// eras tracks the store's era.
-	eras *eras
+	eras     *eras
+	hostLoad *hostLoad
 	// reregister is set if a restore of the store may have removed this daemon's entry.
 	reregister atomic.Bool
 	// initialDaemons receives the list of daemons as it was before this one joined the fleet.
@@ -108,6 +109,7 @@
 	p.limits = newLimits(p)
 	p.view = newView(p)
 	p.eras = &eras{p: p}
+	p.hostLoad = &hostLoad{p: p}
 	p.client.OnEra(p.eras.observe)
 	p.metadata = metadata.New(p.ctx, metadata.Options{
 		Self: s.Daemon, Store: p.client, Owner: p.view, Now: now, MaxProofAge: s.MaxProofAge(), ShortWatches: s.KeyRevocationBound != 0, ListAt: p.firstListAt(),
@@ -368,6 +370,7 @@
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
 	var lastEviction core.Time
+	lastTick := now()
 	for {
 		select {
 		case <-p.done:
@@ -375,6 +378,8 @@
 		case <-t.C:
 		}
 		at := now()
+		p.hostLoad.recordTick(at.Sub(lastTick))
+		lastTick = at
 		if at.Sub(lastEviction) >= evictionInterval {
 			lastEviction = at
 			p.evictUnusedGroups(at)
@@ -413,7 +418,7 @@
 		groups[g.id] = inspect(g, (*direct.Group).View)
 	}
 	all := map[string]any{"proxy": p.stats.snapshot(), "platform_calls": p.client.Calls(), "ready": p.ready(), "groups": groups,
-		"pools": p.pools(), "teams": p.limits.busiestTeams(maxPublishedTeams)}
+		"pools": p.pools(), "host_load": p.hostLoad.snapshot(), "teams": p.limits.busiestTeams(maxPublishedTeams)}
 	if err := json.NewEncoder(w).Encode(all); err != nil {
 		p.log.Warn("metrics could not be sent", "error", err.Error())
 	}
