Describe uneven load in the documentation of package direct

Cause: The package's documentation did not name the load patterns that its newer parts handle.

Change: It names them and refers to the package placement and to docs/design/HOMES.md.

Result: The tests of core/direct pass.

--- a/core/direct/doc.go
+++ b/core/direct/doc.go
@@ -32,4 +32,14 @@
 // that write is the fencing token. The holder may send orders for
 // LockSendWindow by its own clock. Other daemons take the lock over only after
 // the holder has released it or after they have seen it unchanged for LockTTL.
+//
+// # Uneven load
+//
+// Several homes send reads to the same few members, of which some are slow,
+// restarted, or have fewer slots. Where load is shared (SetSharedLoad), reads
+// are placed by what all homes have running there; see the package placement.
+//
+// A host serves more sessions as a home than its processor can, or its processor
+// is taken by others, for many seconds. BurdenMeter derives the host's Burden,
+// which reduces its share of groups and sessions; see docs/design/HOMES.md.
 package direct
