--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -12,6 +13,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/policy"
 	"limpetspan/pkg/proxy/reportpb"
 )
 
@@ -35,6 +37,8 @@
 	ip     string
 	zone   core.Zone
 	weight float64
+	// burden is that of the daemon's entry in the store.
+	burden direct.Burden
 	addr   *net.UDPAddr
 	// lastSeen is when its last report was received.
 	lastSeen core.Time
@@ -97,7 +101,7 @@
 	}
 	for id, e := range entries {
 		if k := s.ensurePeer(id, e.IP); k != nil {
-			k.zone, k.weight, k.listed, k.unlistedAt = e.Zone, e.Weight, true, 0
+			k.zone, k.weight, k.burden, k.listed, k.unlistedAt = e.Zone, e.Weight, e.Burden, true, 0
 		}
 	}
 }
@@ -173,18 +177,24 @@
 // reports are sent to all daemons, a daemon counts while its reports arrive. In a large fleet it also
 // counts while it is listed. A daemon whose reports do not arrive and that is not listed is forgotten.
 func (s *peers) daemons() []direct.Daemon {
+	own, _ := s.p.view.daemonList().entry(s.p.settings.Daemon)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at := now()
 	large := s.isLargeFleet()
-	list := []direct.Daemon{{ID: s.p.settings.Daemon, Zone: s.p.settings.Zone, Weight: s.p.settings.Weight}}
+	list := []direct.Daemon{{ID: s.p.settings.Daemon, Zone: s.p.settings.Zone, Weight: s.p.settings.Weight, Burden: own.Burden}}
 	for id, k := range s.known {
 		fresh := at.Sub(k.lastSeen) <= peerRetention
 		if !fresh && !k.listed {
 			delete(s.known, id)
 		}
 		if fresh || large && k.listed {
-			list = append(list, direct.Daemon{ID: id, Zone: k.zone, Weight: k.weight})
+			list = append(list, direct.Daemon{ID: id, Zone: k.zone, Weight: k.weight, Burden: k.burden})
+		}
+	}
+	if !s.p.policy.Has(policy.HomesByLoad) {
+		for i := range list {
+			list[i].Burden = 0
 		}
 	}
 	slices.SortFunc(list, func(a, b direct.Daemon) int { return cmp.Compare(a.ID, b.ID) })
@@ -305,11 +315,17 @@
 	reports := make(map[core.GroupID]*reportpb.Group, len(groups))
 	for _, g := range groups {
 		isHome, homes := s.p.homes.ownRole(g.id)
+		severalHomes, unevenHosts := s.p.homes.sharesLoad(g.id)
 		g.mu.Lock()
 		g.core.SetHomes(homes, isHome)
+		sharing := severalHomes && (unevenHosts || g.core.HasUnevenMembers())
+		changed := g.core.SetSharedLoad(sharing)
 		r := g.core.Report(now())
 		g.mu.Unlock()
 		reports[g.id] = encodeReport(&r)
+		if changed {
+			s.p.log.Info("placement by the load of all homes", "group", g.id, "on", sharing, "homes", homes, "uneven_hosts", unevenHosts)
+		}
 	}
 	for _, to := range recipients {
 		m.Groups = m.Groups[:0]
@@ -345,9 +361,13 @@
 		out.LedAgeUs = proto.Uint64(microseconds(r.PrimarySeenAge))
 	}
 	for _, m := range r.Members {
-		out.Members = append(out.Members, &reportpb.Member{
+		member := &reportpb.Member{
 			Member: string(m.Member), Started: m.Started, Open: uint32(m.OpenConns), Confirmed: uint64(m.ConfirmedTerm), AgeUs: microseconds(m.ConfirmationAge),
-		})
+		}
+		if r.SharesLoad {
+			member.RunningPercent = proto.Uint32(uint32(math.Round(100 * m.Running)))
+		}
+		out.Members = append(out.Members, member)
 	}
 	return out
 }
@@ -362,6 +382,10 @@
 // the future would give a lease that does not end.
 const maxReportedAge = time.Minute
 
+// maxRunningPercent bounds the reported number of statements on a member: no member has more slots
+// than a few thousand, and a greater number is an error of the sender.
+const maxRunningPercent = 100 * 4096
+
 func decodeAge(us uint64) time.Duration {
 	return time.Duration(min(us, uint64(maxReportedAge/time.Microsecond))) * time.Microsecond
 }
@@ -381,9 +405,10 @@
 		r.PrimarySeen, r.PrimarySeenAge = true, decodeAge(*g.LedAgeUs)
 	}
 	for _, m := range g.Members {
+		r.SharesLoad = r.SharesLoad || m.RunningPercent != nil
 		r.Members = append(r.Members, direct.MemberReport{
 			Member: core.MemberID(m.Member), Started: m.Started, OpenConns: int(m.Open), ConfirmedTerm: core.Term(m.Confirmed),
-			ConfirmationAge: decodeAge(m.AgeUs),
+			ConfirmationAge: decodeAge(m.AgeUs), Running: float64(min(m.GetRunningPercent(), maxRunningPercent)) / 100,
 		})
 	}
 	return r
