Limit reads on the primary by its own status also where load is shared

Cause: while homes were partitioned from each other and all reached the primary, the load of the silent ones was missing in the sum, and the primary's status was used only if no home or a home of an earlier version reported. A status that was missing or too old did not limit the reads either. Change: the additional cost of a read on the primary is never less than by the primary's own status. The flag for homes that do not share their load is not needed any more. The spec of such a home expected a read on a primary whose status shows no free slot; it now starts from a status with free slots. The effect on placement under load was not measured.

--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -19,8 +19,6 @@
 	claiming bool
 	// openConns counts the daemon's connections by member.
 	openConns map[core.MemberID]int
-	// hidesLoad is set if the daemon has connections and does not report what runs on them.
-	hidesLoad bool
 }
 
 // isFresh reports whether the report is recent enough to be used.
@@ -140,7 +138,6 @@
 	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, leased: r.LeaseRemaining > 0, openConns: make(map[core.MemberID]int)}
 	for _, x := range r.Members {
 		p.openConns[x.Member] = x.OpenConns
-		p.hidesLoad = p.hidesLoad || x.OpenConns > 0 && !r.SharesLoad
 		if m := g.members[x.Member]; m != nil && x.ConfirmedTerm != 0 && x.Started == m.Started && g.policy.Has(policy.RelayedConfirmations) {
 			// The confirmation of another incarnation of the member says nothing about this one.
 			m.peerConfirmed.update(x.ConfirmedTerm, sent.Add(-x.ConfirmationAge))
--- a/core/direct/sharedload.go
+++ b/core/direct/sharedload.go
@@ -121,28 +121,14 @@
 	return time.Duration((rate - lowest) * float64(max(0, m.answerTimeout()-failureCost)))
 }
 
-// sharedPrimaryReadCost is primaryReadCost with the load that all homes report. While the load of some
-// home is unknown, it is not less than by the primary's own status.
+// sharedPrimaryReadCost is primaryReadCost with the load that all homes report. It is never less than by
+// the primary's own status, which also counts the statements of homes whose reports do not arrive.
 func (g *Group) sharedPrimaryReadCost(now core.Time, m *member, service time.Duration) time.Duration {
 	if !g.policy.Has(policy.PlaceByLoad) {
 		return maxPrimaryReadCost
 	}
 	use := (float64(m.inUse()) + m.others.Expected(m.running.Value())) / float64(max(1, m.Slots))
-	cost := costOfUse(use, service)
-	if m.others.Homes() == 0 || g.isLoadHidden(now) {
-		cost = max(cost, g.primaryReadCost(now, m, service))
-	}
-	return cost
-}
-
-// isLoadHidden reports whether another home does not report its load, as those of earlier versions.
-func (g *Group) isLoadHidden(now core.Time) bool {
-	for _, p := range g.peers {
-		if p.hidesLoad && p.isFresh(now) {
-			return true
-		}
-	}
-	return false
+	return max(costOfUse(use, service), g.primaryReadCost(now, m, service))
 }
 
 // countOutOfZone counts a read that is placed on the member, if that is in another zone.
--- a/core/direct/sharedload_test.go
+++ b/core/direct/sharedload_test.go
@@ -64,14 +64,43 @@
 	It("does not run on a full primary while some home does not share its load", func() {
 		s := newScript()
 		s.placeInZones()
-		s.setPrimaryLoad(4)
+		s.setPrimaryLoad(1)
 		s.g.SetSharedLoad(true)
 		s.peerRuns("d2", 0, 0, 0)
 		Expect(s.placeRead()).To(Equal(core.MemberID("a")))
+		s.setPrimaryLoad(4)
 		s.record(s.g.PeerReported(s.at, s.at, "d3", direct.Report{Group: "g", Primary: "a", Term: 1, Members: []direct.MemberReport{{Member: "a", OpenConns: 3}}}))
 		Expect(s.placeRead()).NotTo(Equal(core.MemberID("a")))
 	})
 
+	// Guards against filling the primary while homes are partitioned from each other and all reach it:
+	// the load of the silent home is missing in the sum, but not in the primary's status.
+	It("does not run on a full primary while a home is silent", func() {
+		s := newScript()
+		s.g.SetHomes(3, true)
+		s.placeInZones()
+		s.g.SetSharedLoad(true)
+		s.peerRuns("d3", 3, 0, 0)
+		s.tick(direct.PeerReportTTL+100*ms, map[core.MemberID]direct.Status{"a": primary, "b": replica, "c": replica})
+		s.peerRuns("d2", 0, 0, 0)
+		Expect(s.placeRead()).NotTo(Equal(core.MemberID("a")))
+	})
+
+	// Guards against reads on a primary whose load is not known.
+	It("does not run on the primary without a recent status", func() {
+		s := newScript()
+		s.placeInZones()
+		s.setPrimaryLoad(1)
+		s.g.SetSharedLoad(true)
+		s.peerRuns("d2", 0, 0, 0)
+		Expect(s.placeRead()).To(Equal(core.MemberID("a")))
+		s.advance(3*direct.RoleProbeInterval + ms)
+		s.record(s.g.LockRead(s.at, s.at, direct.LockState{}))
+		s.peerRuns("d2", 0, 0, 0)
+		Expect(s.g.HasLease(s.at)).To(BeTrue())
+		Expect(s.placeRead()).NotTo(Equal(core.MemberID("a")))
+	})
+
 	// Guards against reports of a lost home that keep reads away from a member.
 	It("ignores a home that reports no more", func() {
 		s := sharedScript()
