Discard outdated differences of service times when a member answers again

Cause: a member's learned difference from the group faded with the age of its last answer, but the next answer restored nearly all of it. A member that was slow and had recovered was avoided for several further answers, each of them seconds apart. Result: go test ./core/placement ./core/direct passes; the new spec fails without the change. The effect under load was not measured.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -103,6 +103,17 @@
 		Expect(a.Of(later, &group, "read")).To(BeNumerically("<", b.Of(later, &group, "read")+15*ms), "it is tried again")
 	})
 
+	// Guards against avoiding a member long after it has recovered: its first answer after a pause must
+	// not count together with those from before the pause.
+	It("is about the group's once a member that was slow answers fast again", func() {
+		for range 8 {
+			observe(&a, "read", 150*ms)
+		}
+		at = at.Add(20 * time.Second)
+		observe(&a, "read", 25*ms)
+		Expect(a.Of(at, &group, "read")).To(BeNumerically("~", b.Of(at, &group, "read"), 3*ms))
+	})
+
 	// Guards against sending a member that has just restarted a full share at once.
 	It("is longer on a member that has answered little", func() {
 		var cold placement.Times
--- a/core/placement/times.go
+++ b/core/placement/times.go
@@ -74,9 +74,12 @@
 	if m == nil {
 		// A member's first answer does not say how much its answers vary; it starts as the group.
 		mean := group.mean(kind)
-		m = &memberTime{mean: mean, variance: mean * mean}
+		m = &memberTime{mean: mean, variance: mean * mean, at: now}
 		t.kinds[kind] = m
 	}
+	// A difference that no longer counts must not return with the next answer.
+	mean := group.mean(kind)
+	m.mean = mean + (m.mean-mean)*m.freshness(now)
 	delta := x - m.mean
 	m.mean += delta / memberWeight
 	m.variance += (delta*delta*(1-1.0/memberWeight) - m.variance) / memberWeight
@@ -109,8 +112,7 @@
 	mean := group.mean(kind)
 	expected := mean
 	if m := t.kinds[kind]; m != nil {
-		age := float64(now.Sub(m.at))
-		expected += m.difference(mean) * float64(retention) / (float64(retention) + age)
+		expected += m.difference(mean) * m.freshness(now)
 	}
 	if cold := coldCount - t.answers; cold > 0 && group.all.answers > 2*coldCount {
 		expected += mean * float64(cold) / coldCount
@@ -118,6 +120,11 @@
 	return time.Duration(expected)
 }
 
+// freshness returns the share of the member's difference from the group that still counts.
+func (m *memberTime) freshness(now core.Time) float64 {
+	return math.Exp2(-float64(now.Sub(m.at)) / float64(retention))
+}
+
 // difference returns by how much the member's mean certainly differs from the group's.
 func (m *memberTime) difference(group float64) float64 {
 	d := m.mean - group
