Bound the expected load of other homes for each home

Cause: the change of this home's own load since the others' reports was subtracted from the sum over all homes. A home that had left a member took it for idle although another one had just reported it to be busy, as a third one's report from before the change made the sum negative. Change: each home counts with at least no statement. The homes are a sorted list in place of a map. Result: go test ./core/placement ./core/direct passes; the new spec fails without the change.

--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -1,7 +1,9 @@
 package placement
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"limpetspan/core"
@@ -34,45 +36,32 @@
 
 // Others is the load of one member by the other homes.
 type Others struct {
-	homes map[core.DaemonID]homeLoad
-	// reported and ownThen are the sums over homes, ownThen of this home's mean at their reports.
-	reported, ownThen float64
+	// homes is sorted by id, so that sums do not depend on the order of reports. It is a list, as it
+	// is read for each placement and has few entries.
+	homes []homeLoad
 }
 
+// homeLoad is another home's mean, received at at while this home's mean was ownThen.
 type homeLoad struct {
+	id            core.DaemonID
 	mean, ownThen float64
 	at            core.Time
 }
 
 // Reported records another home's mean, received at now while this home's mean is own.
 func (o *Others) Reported(now core.Time, from core.DaemonID, mean, own float64) {
-	if o.homes == nil {
-		o.homes = make(map[core.DaemonID]homeLoad)
+	load := homeLoad{from, mean, own, now}
+	i, known := slices.BinarySearchFunc(o.homes, from, func(h homeLoad, id core.DaemonID) int { return cmp.Compare(h.id, id) })
+	if known {
+		o.homes[i] = load
+		return
 	}
-	o.homes[from] = homeLoad{mean, own, now}
-	o.sum()
+	o.homes = slices.Insert(o.homes, i, load)
 }
 
 // Expire removes the reports from before the given time.
 func (o *Others) Expire(before core.Time) {
-	expired := false
-	for id, h := range o.homes {
-		if h.at < before {
-			delete(o.homes, id)
-			expired = true
-		}
-	}
-	if expired {
-		o.sum()
-	}
-}
-
-func (o *Others) sum() {
-	o.reported, o.ownThen = 0, 0
-	for _, h := range o.homes {
-		o.reported += h.mean
-		o.ownThen += h.ownThen
-	}
+	o.homes = slices.DeleteFunc(o.homes, func(h homeLoad) bool { return h.at < before })
 }
 
 // Homes returns the number of other homes that have reported their load.
@@ -80,9 +69,13 @@
 
 // Expected returns how many statements of the other homes are expected on the member now, while this
 // home's mean is own. Each home is assumed to have changed its load since its report as this one
-// has; see the package's comment on herding.
-func (o *Others) Expected(own float64) float64 {
-	return max(0, o.reported+own*float64(len(o.homes))-o.ownThen)
+// has, but to have no fewer than none; see the package's comment on herding.
+func (o *Others) Expected(own float64) (n float64) {
+	for i := range o.homes {
+		h := &o.homes[i]
+		n += max(0, h.mean+own-h.ownThen)
+	}
+	return n
 }
 
 // Wait is what a further statement on a member is expected to find there.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -54,6 +54,15 @@
 		Expect(o.Expected(own(1, 900*ms))).To(BeNumerically(">", 3), "seven others with about half a statement each")
 	})
 
+	// Guards against taking a member for idle that another home has just reported to be busy, because
+	// this home has left it since the report of a third one.
+	It("counts no home as having fewer statements than none", func() {
+		var o placement.Others
+		o.Reported(start, "d2", 0, 3)
+		o.Reported(start.Add(900*ms), "d3", 3, 0)
+		Expect(o.Expected(0)).To(BeNumerically("~", 3))
+	})
+
 	// Guards against counting the statements of a home that was lost.
 	It("forgets homes that report no more", func() {
 		var o placement.Others
