Expect other homes to use a member that has restarted or joined

Cause: the loads that other homes had reported were discarded with a member's earlier incarnation, and a new member had none. Until the next reports each home took the member for idle and sent it reads as if no other one did. A report about an earlier incarnation counted for the current one. Change: homes that share their load are entered for such a member with no statement, so that their load follows this home's own change; this home's mean is kept over a restart. What a report contains about another incarnation is ignored if both starts are known. Result: go test ./core/direct passes; the three new specs fail without the change. The effect under load was not measured.

--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -135,6 +135,7 @@
 		m.unreadable = true
 	case m == nil:
 		m = &member{Member: l, lastSeen: now, window: maxWindow}
+		g.assumeIdleAtPeers(now, m)
 		g.members[l.ID] = m
 		g.order = append(g.order, l.ID)
 	default:
--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -19,6 +19,8 @@
 	claiming bool
 	// openConns counts the daemon's connections by member.
 	openConns map[core.MemberID]int
+	// sharesLoad is set if the daemon reports what it has running on the members.
+	sharesLoad bool
 }
 
 // isFresh reports whether the report is recent enough to be used.
@@ -135,7 +137,7 @@
 // PeerReported handles another daemon's report. sent is a time of this daemon's clock that is not
 // later than the sending of the report; 0 if none is known.
 func (g *Group) PeerReported(now, sent core.Time, from core.DaemonID, r Report) []Effect {
-	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, leased: r.LeaseRemaining > 0, openConns: make(map[core.MemberID]int)}
+	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, leased: r.LeaseRemaining > 0, sharesLoad: r.SharesLoad, openConns: make(map[core.MemberID]int)}
 	for _, x := range r.Members {
 		p.openConns[x.Member] = x.OpenConns
 		if m := g.members[x.Member]; m != nil && x.ConfirmedTerm != 0 && x.Started == m.Started && g.policy.Has(policy.RelayedConfirmations) {
--- a/core/direct/restart.go
+++ b/core/direct/restart.go
@@ -82,7 +82,9 @@
 		// Daemons that have not noticed the restart may still report that it leads; only its own
 		// status counts.
 		refusedTerm: g.term, lostLogTerm: m.lostLogTerm,
+		running: m.running,
 	}
+	g.assumeIdleAtPeers(now, m)
 	if wasPrimary {
 		g.primary = ""
 		g.leaseExpiry, g.peerLeaseExpiry = 0, 0
--- a/core/direct/sharedload.go
+++ b/core/direct/sharedload.go
@@ -50,23 +50,44 @@
 	}
 }
 
+// assumeIdleAtPeers enters the other homes for a member that is new or has restarted, as if they had
+// reported no statement there. All of them find it idle, and each would otherwise send it reads until
+// their next reports show that it is not.
+func (g *Group) assumeIdleAtPeers(now core.Time, m *member) {
+	if !g.sharedLoad {
+		return
+	}
+	for id, p := range g.peers {
+		if p.sharesLoad && p.isFresh(now) {
+			m.others.Reported(p.at, id, 0, 0)
+		}
+	}
+}
+
 // recordPeerRunning records what another home has running on the members. A member that its report
 // does not contain has no statement of that home. The report of a home that does not share its load
-// is ignored.
+// is ignored, and so is what it reports about another incarnation of a member.
 func (g *Group) recordPeerRunning(now core.Time, from core.DaemonID, r *Report) {
 	if !g.sharedLoad || !r.SharesLoad {
 		return
 	}
 	g.observeRunning(now)
 	for id, m := range g.members {
-		mean := 0.0
-		for _, x := range r.Members {
-			if x.Member == id {
-				mean = x.Running
-			}
+		if mean, ok := m.runningIn(id, r); ok {
+			m.others.Reported(now, from, mean, m.running.Value())
+		}
+	}
+}
+
+// runningIn returns what the report contains about the member, false if that is about another
+// incarnation.
+func (m *member) runningIn(id core.MemberID, r *Report) (mean float64, ok bool) {
+	for i := range r.Members {
+		if x := &r.Members[i]; x.Member == id {
+			return x.Running, x.Started == 0 || m.Started == 0 || x.Started == m.Started
 		}
-		m.others.Reported(now, from, mean, m.running.Value())
 	}
+	return 0, true
 }
 
 // RecordService records that a statement of the kind succeeded on the member. Its connection still
--- a/core/direct/sharedload_test.go
+++ b/core/direct/sharedload_test.go
@@ -29,6 +29,9 @@
 		{Member: "a", OpenConns: 1, Running: a}, {Member: "b", OpenConns: 1, Running: b}, {Member: "c", OpenConns: 1, Running: c}}}))
 }
 
+// loadOf returns the view of the member's load.
+func (s *script) loadOf(id core.MemberID) *direct.LoadView { return s.g.View(s.at).Members[id].Load }
+
 var _ = Describe("a read where load is shared", func() {
 	// Guards against a member that all homes send statements to although each sees only its own: the
 	// replica in this zone has none of this daemon's, and all its slots are in use.
@@ -110,6 +113,41 @@
 		Expect(s.placeRead()).To(Equal(core.MemberID("b")))
 	})
 
+	// Guards against herding on a member that has just restarted or joined: every home finds it idle,
+	// and would send it reads until the next reports.
+	DescribeTable("expects other homes to use a member as this one does after it",
+		func(id core.MemberID, started int64) {
+			s := sharedScript()
+			s.record(s.g.UpdateMembers(s.at, s.at, []direct.Member{{ID: "b", Group: "g", Addr: "b", Zone: "zone-1", Slots: 3, Started: 1}}))
+			for _, peer := range []core.DaemonID{"d2", "d3", "d4"} {
+				s.peerRuns(peer, 3, 0, 0)
+			}
+			s.record(s.g.UpdateMembers(s.at, s.at, []direct.Member{{ID: id, Group: "g", Addr: "b2", Zone: "zone-1", Slots: 3, Started: started}}))
+			s.record(s.g.Tick(s.at))
+			s.g.ConnOpened(id)
+			s.advance(900 * ms)
+			s.record(s.g.Tick(s.at))
+			Expect(s.loadOf(id).Others).To(BeNumerically("~", 3*s.loadOf(id).Own, 0.01))
+			Expect(s.loadOf(id).Own).To(BeNumerically(">", 0.4))
+		},
+		Entry("restarts", core.MemberID("b"), int64(2)),
+		Entry("joins", core.MemberID("new"), int64(1)),
+	)
+
+	// Guards against counting statements that ended with a member's earlier incarnation.
+	It("ignores what ran on another incarnation of a member", func() {
+		s := sharedScript()
+		report := func(started int64) {
+			s.record(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 1, SharesLoad: true,
+				Members: []direct.MemberReport{{Member: "b", Started: started, OpenConns: 4, Running: 4}}}))
+		}
+		s.record(s.g.UpdateMembers(s.at, s.at, []direct.Member{{ID: "b", Group: "g", Addr: "b", Zone: "zone-1", Slots: 3, Started: 2}}))
+		report(1)
+		Expect(s.loadOf("b").Others).To(BeZero())
+		report(2)
+		Expect(s.loadOf("b").Others).To(BeNumerically("~", 4))
+	})
+
 	// Guards against reads that each wait for the answer timeout of a member that hangs on part of its
 	// work and answers the rest fast.
 	It("avoids a member that leaves statements unanswered more than one that fails them", func() {
