Recognize uneven hosts by a field of the roster

Cause: the roster of a large fleet keeps its number of daemons after the fleet has shrunk, and its eligible daemons are those listed. Twenty equal hosts of which ten had left counted as uneven, and reads were placed by shared load. Weights that were not reported or not valid counted as different. Change: the roster has the optional field uneven, set from a list with different weights, or by a daemon that joins as an entry; without it, hosts do not differ. Weights that are not finite and positive are ignored. The spec that expected uneven hosts from the roster's counts expects them from the field. The specs of the shrunk fleet, of unlisted weak hosts and of invalid weights fail without their guards.

--- a/core/direct/join.go
+++ b/core/direct/join.go
@@ -1,7 +1,7 @@
 package direct
 
 import (
-	"slices"
+	"math"
 	"time"
 
 	"limpetspan/core"
@@ -16,16 +16,26 @@
 	Eligible int `json:"fit"`
 	// MaxWeights holds the largest weight of a host in each zone.
 	MaxWeights map[core.Zone]float64 `json:"strongest,omitempty"`
+	// Uneven is set if hosts of the fleet, listed or not, are known to differ in their weight.
+	Uneven bool `json:"uneven,omitempty"`
 }
 
 // Updated returns the roster of the listed daemons. A fleet that was large still counts as large,
-// because its weak hosts are no longer listed.
+// because its weak hosts are no longer listed, and for the same reason it still counts as uneven.
 func (r Roster) Updated(listed []Daemon) Roster {
 	next := NewRoster(listed)
 	next.Daemons = max(next.Daemons, r.MinSize())
+	next.Uneven = next.Uneven || r.Uneven && !IsSmallFleet(next.Daemons)
 	return next
 }
 
+// WithEntry returns the roster of a fleet that the daemon has joined as an entry: its host is weaker
+// than listed ones, and the list does not contain it.
+func (r Roster) WithEntry(d Daemon) Roster {
+	r.Uneven = r.Uneven || IsValidWeight(d.Weight)
+	return r
+}
+
 // MinSize returns a lower bound of the number of daemons in the fleet, listed or not.
 func (r Roster) MinSize() int { return min(r.Daemons, maxDirectDaemons+1) }
 
@@ -36,19 +46,38 @@
 		r.MaxWeights[d.Zone] = max(r.MaxWeights[d.Zone], d.Weight)
 	}
 	r.Eligible = r.countEligible(daemons)
+	r.Uneven = differInWeight(daemons)
 	return r
 }
 
+// IsValidWeight reports whether the weight of a host is finite and positive.
+func IsValidWeight(w float64) bool { return w > 0 && !math.IsInf(w, 1) }
+
+// differInWeight reports whether the daemons' hosts differ in their weight. Invalid weights, which are
+// those of daemons that have not reported one, are ignored.
+func differInWeight(daemons []Daemon) bool {
+	first := 0.0
+	for _, d := range daemons {
+		switch {
+		case !IsValidWeight(d.Weight):
+		case first == 0:
+			first = d.Weight
+		case d.Weight != first:
+			return true
+		}
+	}
+	return false
+}
+
 // isEligible reports whether the daemon's host is not much weaker than others of its zone.
 func (r Roster) isEligible(d Daemon) bool {
 	return d.Weight >= eligibleWeightShare*r.MaxWeights[d.Zone]
 }
 
-// HasUnevenHosts reports whether the listed hosts, or the fleet's hosts as the roster counts them,
-// differ in their weight. Most weak hosts of a large fleet are counted and not listed.
-func (r Roster) HasUnevenHosts(listed []Daemon) bool {
-	return r.Eligible < r.Daemons || slices.ContainsFunc(listed, func(d Daemon) bool { return d.Weight != listed[0].Weight })
-}
+// HasUnevenHosts reports whether the listed hosts differ in their weight, or the fleet's hosts by the
+// roster. Most weak hosts of a large fleet are not listed. The roster's counts do not show it: its
+// number of daemons may include equal hosts that have left.
+func (r Roster) HasUnevenHosts(listed []Daemon) bool { return r.Uneven || differInWeight(listed) }
 
 func (r Roster) countEligible(daemons []Daemon) (n int) {
 	for _, d := range daemons {
--- a/core/direct/sharedload_test.go
+++ b/core/direct/sharedload_test.go
@@ -1,6 +1,9 @@
 package direct_test
 
 import (
+	"fmt"
+	"math"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -205,11 +208,40 @@
 	It("is that hosts differ, also if the weak ones are only counted", func() {
 		even := []direct.Daemon{daemon("d1", 0.8), daemon("d2", 0.8)}
 		Expect(direct.NewRoster(even).HasUnevenHosts(even)).To(BeFalse())
-		Expect(direct.Roster{Daemons: 17, Eligible: 2}.HasUnevenHosts(even)).To(BeTrue())
+		Expect(direct.Roster{Daemons: 17, Eligible: 2}.WithEntry(daemon("weak", 0.2)).HasUnevenHosts(even)).To(BeTrue())
 		uneven := append(even, daemon("d3", 0.5))
 		Expect(direct.NewRoster(uneven).HasUnevenHosts(uneven)).To(BeTrue())
 	})
 
+	// Guards against sharing load in a fleet of equal hosts that has shrunk: its roster counts more
+	// daemons than are eligible.
+	It("is not met by equal hosts of which some have left", func() {
+		var hosts []direct.Daemon
+		for i := range 20 {
+			hosts = append(hosts, daemon(core.DaemonID(fmt.Sprint("d", i)), 0.8))
+		}
+		roster := direct.NewRoster(hosts).Updated(hosts[:10])
+		Expect(roster.Eligible).To(BeNumerically("<", roster.Daemons))
+		Expect(roster.HasUnevenHosts(hosts[:10])).To(BeFalse())
+	})
+
+	// Guards against ending it when the weak hosts of a large fleet are no longer listed.
+	It("is still met in a large fleet whose weak hosts are no longer listed", func() {
+		var hosts []direct.Daemon
+		for i := range 20 {
+			hosts = append(hosts, daemon(core.DaemonID(fmt.Sprint("d", i)), 0.2+0.6*float64(i%2)))
+		}
+		roster := direct.NewRoster(hosts).Updated(nil)
+		Expect(roster.HasUnevenHosts(nil)).To(BeTrue())
+		Expect(direct.NewRoster(hosts[:10]).Updated(nil).HasUnevenHosts(nil)).To(BeFalse(), "a small fleet lists all")
+	})
+
+	// Guards against counting daemons that have not reported a weight, or a wrong one, as different.
+	It("ignores weights that are not finite and positive", func() {
+		hosts := []direct.Daemon{daemon("d1", 0), daemon("d2", 0.8), daemon("d3", math.NaN()), daemon("d4", math.Inf(1)), daemon("d5", -1), daemon("d6", 0.8)}
+		Expect(direct.Roster{}.HasUnevenHosts(hosts)).To(BeFalse())
+	})
+
 	It("is that members differ in their slots", func() {
 		s := newScript()
 		Expect(s.g.HasUnevenMembers()).To(BeFalse())
--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -168,7 +168,8 @@
 	lease uint64
 	// renewedAt is when this daemon last tried to write the entry or to renew its lease.
 	renewedAt core.Time
-	// rosterCheckedAt is when this daemon last checked whether to write the roster.
+	// rosterCheckedAt is when this daemon last checked the roster and did not have to write it, or
+	// wrote it.
 	rosterCheckedAt core.Time
 }
 
@@ -219,6 +220,7 @@
 	}
 	if direct.ChooseJoinMode(p.asDaemon(), l.daemons(), direct.Roster{Daemons: l.roster.MinSize()}) == direct.JoinAsEntry {
 		r.neededSince = 0
+		r.recordUneven(at, l)
 		return
 	}
 	if r.neededSince == 0 {
@@ -231,6 +233,24 @@
 	}
 }
 
+// recordUneven records in the roster that the fleet has weak hosts such as this daemon's, which the
+// list does not contain. The delay depends on a hash of the daemon's ID, so that one daemon writes and
+// most others see it.
+func (r *registration) recordUneven(at core.Time, l *daemonList) {
+	p := r.p
+	next := l.roster.WithEntry(p.asDaemon())
+	if l.roster.Daemons == 0 || next.Uneven == l.roster.Uneven || r.rosterCheckedAt == 0 {
+		r.rosterCheckedAt = at
+		return
+	}
+	wait := rosterCheckInterval + time.Duration(spread.Unit("/uneven", string(p.settings.Daemon))*float64(rosterCheckInterval))
+	if at.Sub(r.rosterCheckedAt) < wait {
+		return
+	}
+	r.rosterCheckedAt = at
+	p.putRoster(l, next)
+}
+
 // remove removes the entry by revoking its lease.
 func (r *registration) remove() {
 	if r.lease == 0 {
@@ -356,8 +376,13 @@
 	if p.homes.observeSize(next.Daemons) > next.Daemons || !rosterDiffers(l.roster, next) {
 		return
 	}
+	p.putRoster(l, next)
+}
+
+// putRoster writes the fleet's roster if it has not changed since the list was read.
+func (p *Proxy) putRoster(l *daemonList, next direct.Roster) {
 	err := p.writeFleetRecord(platform.RosterKey, next, platform.Condition{Key: platform.RosterKey, Revision: l.rosterItem.Revision})
-	p.log.Info("roster of the fleet", "daemons", next.Daemons, "fit", next.Eligible, "before", l.roster.Daemons, "error", errorText(err))
+	p.log.Info("roster of the fleet", "daemons", next.Daemons, "fit", next.Eligible, "uneven", next.Uneven, "before", l.roster.Daemons, "error", errorText(err))
 }
 
 // writeFleetRecord writes a record of the fleet, under the conditions.
@@ -374,5 +399,5 @@
 // rosterDiffers reports whether the old roster would mislead a starting daemon.
 func rosterDiffers(old, next direct.Roster) bool {
 	differs := func(a, b int) bool { return math.Abs(float64(a-b)) > rosterChangeThreshold*float64(a) }
-	return differs(old.Daemons, next.Daemons) || differs(old.Eligible, next.Eligible) || !maps.Equal(old.MaxWeights, next.MaxWeights)
+	return differs(old.Daemons, next.Daemons) || differs(old.Eligible, next.Eligible) || old.Uneven != next.Uneven || !maps.Equal(old.MaxWeights, next.MaxWeights)
 }
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -478,7 +478,10 @@
 	k := s.known[from]
 	if m.Ip != "" {
 		if k = s.ensurePeer(from, m.Ip); k != nil {
-			k.zone, k.weight = core.Zone(m.Zone), m.Weight
+			k.zone = core.Zone(m.Zone)
+			if direct.IsValidWeight(m.Weight) {
+				k.weight = m.Weight
+			}
 		}
 	}
 	// A report of changes has no address, so its sender may be unknown.
--- a/pkg/proxy/peers_test.go
+++ b/pkg/proxy/peers_test.go
@@ -6,6 +6,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/platform"
 )
 
 var _ = Describe("a report of the load of members", func() {
@@ -46,3 +47,32 @@
 		Expect(several).To(BeFalse())
 	})
 })
+
+var _ = Describe("a daemon that is not listed because its host is weak", func() {
+	// Guards against strong homes, all of equal weight, that never learn of the weak hosts of the fleet.
+	It("records in the roster that hosts differ, unless that is recorded", func() {
+		p := newFleet(1, func(f *fleet) { f.adjustSettings = func(s *platform.Settings) { s.Weight = 0.2 } }).daemons[0].p
+		roster := func() direct.Roster { return p.view.daemonList().roster }
+		Eventually(func() int { return roster().Daemons }, waitLimit).Should(Equal(1))
+		Expect(roster().Uneven).To(BeFalse())
+		r, at := registration{p: p}, core.Time(rosterCheckInterval)
+		r.recordUneven(at, p.view.daemonList())
+		r.recordUneven(at.Add(2*rosterCheckInterval), p.view.daemonList())
+		Eventually(func() bool { return roster().Uneven }, waitLimit, "10ms").Should(BeTrue())
+		Expect(roster().Daemons).To(Equal(1))
+	})
+
+	// Guards against entries that all write to the store at once, or again and again.
+	It("writes nothing before its delay has passed, and nothing if the roster has the field", func() {
+		r, at := registration{}, core.Time(rosterCheckInterval)
+		r.p = &Proxy{settings: platform.Settings{Daemon: "d1", Weight: 0.2}}
+		l := newDaemonList()
+		l.roster.Daemons = 17
+		// A write would fail on the missing client.
+		r.recordUneven(at, l)
+		r.recordUneven(at.Add(rosterCheckInterval-1), l)
+		l.roster.Uneven = true
+		r.recordUneven(at.Add(10*rosterCheckInterval), l)
+		Expect(r.rosterCheckedAt).To(Equal(at.Add(10 * rosterCheckInterval)))
+	})
+})
