Learn service times from reads, with the wait expected at placement

Cause: a measured time was divided by the wait that other homes' reports showed when the answer arrived, without a bound. Reports that were too high, or arrived after the statement, made a slow member look fast. A home's report could claim more running statements than it has connections. Statements of transactions and writes counted in the same mean as reads of their database. Change: a placement contains the expected wait, and at most half of a measured time counts as wait. Reported numbers are limited to the reported connections. Only reads outside transactions are measured. The specs' reports of load name as many connections as statements. The restriction to reads has no spec of its own.

--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -41,6 +41,8 @@
 	Dial, Replace bool
 	// AnswerTimeout is how long to wait for the answer if the statement can be retried.
 	AnswerTimeout time.Duration
+	// Wait is the expected wait for a slot, if load is shared.
+	Wait placement.Wait
 }
 
 // Place returns the member on which the statement can run now, and false if there is none.
@@ -62,7 +64,7 @@
 		return Placement{}, false
 	}
 	source, ok := g.findConn(now, m, req.Team)
-	return Placement{Member: m.ID, MinPosition: g.requiredPrimaryPosition(), Primary: true, Dial: source != reuseConn, Replace: source == replaceConn, AnswerTimeout: m.answerTimeout()}, ok
+	return Placement{Member: m.ID, MinPosition: g.requiredPrimaryPosition(), Primary: true, Dial: source != reuseConn, Replace: source == replaceConn, AnswerTimeout: m.answerTimeout(), Wait: g.waitAtPlacement(m)}, ok
 }
 
 // hasOwnStatus reports whether this daemon itself has a status of the primary's current
@@ -118,6 +120,7 @@
 		return Placement{}, false
 	}
 	best := found[placement.Choose(g.variant, costs, g.draw(now))]
+	best.Wait = g.waitAtPlacement(g.members[best.Member])
 	g.countOutOfZone(best.Member)
 	if best.Member == g.primary {
 		best.MinPosition, best.Primary = g.requiredPrimaryPosition(), true
--- a/core/direct/sharedload.go
+++ b/core/direct/sharedload.go
@@ -84,21 +84,26 @@
 func (m *member) runningIn(id core.MemberID, r *Report) (mean float64, ok bool) {
 	for i := range r.Members {
 		if x := &r.Members[i]; x.Member == id {
-			return x.Running, x.Started == 0 || m.Started == 0 || x.Started == m.Started
+			// No more statements can be running than the sender has connections.
+			return min(x.Running, float64(x.OpenConns)), x.Started == 0 || m.Started == 0 || x.Started == m.Started
 		}
 	}
 	return 0, true
 }
 
-// RecordService records that a statement of the kind succeeded on the member. Its connection still
-// counts as in use.
-func (g *Group) RecordService(now core.Time, id core.MemberID, kind string, took time.Duration) {
-	m := g.members[id]
-	if m == nil || !g.sharedLoad {
-		return
+// RecordService records that a read of the kind succeeded where it was placed.
+func (g *Group) RecordService(now core.Time, p *Placement, kind string, took time.Duration) {
+	if m := g.members[p.Member]; m != nil && g.sharedLoad {
+		m.times.Observe(now, &g.times, kind, took, p.Wait)
 	}
-	g.observeRunning(now)
-	m.times.Observe(now, &g.times, kind, took, m.expectedWait(m.inUse()-1))
+}
+
+// waitAtPlacement returns the expected wait on the member, zero if load is not shared.
+func (g *Group) waitAtPlacement(m *member) (w placement.Wait) {
+	if g.sharedLoad {
+		w = m.expectedWait(m.inUse())
+	}
+	return w
 }
 
 // expectedWait returns the expected wait on the member behind own statements of this daemon and those
--- a/core/direct/sharedload_test.go
+++ b/core/direct/sharedload_test.go
@@ -29,7 +29,7 @@
 // peerRuns makes another home report what it has running on the members.
 func (s *script) peerRuns(id core.DaemonID, a, b, c float64) {
 	s.record(s.g.PeerReported(s.at, s.at, id, direct.Report{Group: "g", Primary: "a", Term: 1, SharesLoad: true, Members: []direct.MemberReport{
-		{Member: "a", OpenConns: 1, Running: a}, {Member: "b", OpenConns: 1, Running: b}, {Member: "c", OpenConns: 1, Running: c}}}))
+		{Member: "a", OpenConns: 4, Running: a}, {Member: "b", OpenConns: 4, Running: b}, {Member: "c", OpenConns: 4, Running: c}}}))
 }
 
 // loadOf returns the view of the member's load.
@@ -151,6 +151,29 @@
 		Expect(s.loadOf("b").Others).To(BeNumerically("~", 4))
 	})
 
+	// Guards against a wrong report that makes a member look idle or busy beyond what its sender can run.
+	It("counts no more statements of another home than it has connections", func() {
+		s := sharedScript()
+		s.record(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 1, SharesLoad: true,
+			Members: []direct.MemberReport{{Member: "b", OpenConns: 2, Running: 400}}}))
+		Expect(s.loadOf("b").Others).To(BeNumerically("~", 2))
+	})
+
+	// Guards against service times that are divided by a wait that was reported only after the statement
+	// had run.
+	It("learns the service time with the wait that was expected when the read was placed", func() {
+		s := sharedScript()
+		s.peerRuns("d2", 3, 0, 0)
+		p, ok := s.g.Place(s.at, s.read(10_000*ms))
+		Expect(ok).To(BeTrue())
+		Expect(p.Member).To(Equal(core.MemberID("b")))
+		for _, peer := range []core.DaemonID{"d3", "d4", "d5"} {
+			s.peerRuns(peer, 3, 4, 0)
+		}
+		s.g.RecordService(s.at, &p, "read", 40*ms)
+		Expect(s.loadOf("c").ServiceMS["read"]).To(BeNumerically("~", 40, 0.5))
+	})
+
 	// Guards against reads that each wait for the answer timeout of a member that hangs on part of its
 	// work and answers the rest fast.
 	It("avoids a member that leaves statements unanswered more than one that fails them", func() {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -112,6 +112,15 @@
 		Expect(a.Of(later, &group, "read")).To(BeNumerically("<", b.Of(later, &group, "read")+15*ms), "it is tried again")
 	})
 
+	// Guards against a slow member that looks fast because other homes report too much load there.
+	It("is at least half of what statements took", func() {
+		for range 40 {
+			at = at.Add(10 * ms)
+			a.Observe(at, &group, "read", 400*ms, placement.Wait{Turns: 20})
+		}
+		Expect(a.Of(at, &group, "read")).To(BeNumerically(">", b.Of(at, &group, "read")+30*ms))
+	})
+
 	// Guards against avoiding a member long after it has recovered: its first answer after a pause must
 	// not count together with those from before the pause.
 	It("is about the group's once a member that was slow answers fast again", func() {
--- a/core/placement/times.go
+++ b/core/placement/times.go
@@ -25,6 +25,10 @@
 	// group still counts. Probes show only that a member answers, not how fast it runs statements, so
 	// a read must try it again within seconds.
 	retention = 2 * time.Second
+	// maxTurns bounds the wait that is taken out of a measured time. The expected wait comes from what
+	// other homes report; if that is too high, at most half of the measured time counts as wait, and a
+	// slow member still counts as slow.
+	maxTurns = 1.0
 	// defaultTime is assumed before the first measurement.
 	defaultTime = 15 * time.Millisecond
 	// coldCount is the number of answers of a member before it counts as warm. While it is cold, its
@@ -61,10 +65,10 @@
 	t.mean += (x - t.mean) / float64(min(t.answers, groupWeight))
 }
 
-// Observe records that a statement of the kind took that long on the member, apart from its expected
-// wait for a slot.
+// Observe records that a statement of the kind took that long on the member. The wait for a slot that
+// was expected when it was placed is not part of its service time.
 func (t *Times) Observe(now core.Time, group *GroupTimes, kind string, took time.Duration, wait Wait) {
-	x := float64(took) / (1 + wait.Turns)
+	x := float64(took) / (1 + min(wait.Turns, maxTurns))
 	group.observe(kind, x)
 	t.answers++
 	if t.kinds == nil {
--- a/pkg/experiment/daemon.go
+++ b/pkg/experiment/daemon.go
@@ -343,7 +343,9 @@
 // answered handles the member's answer.
 func (d *daemon) answered(s *statement, place direct.Placement, m *member, sent core.Time, o direct.Outcome, p core.Position) {
 	if o == direct.Succeeded {
-		d.g.RecordService(d.w.now, m.id, s.op.kind.Name, d.w.now.Sub(sent))
+		if !s.writes && !s.op.transaction {
+			d.g.RecordService(d.w.now, &place, s.op.kind.Name, d.w.now.Sub(sent))
+		}
 		d.work.Observe(s.op.kind.Name, d.w.now.Sub(sent))
 		d.g.RecordLatency(m.id, d.w.now.Sub(sent), s.op.kind.Aim)
 	}
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -376,14 +376,17 @@
 }
 
 // statementAnswered reports a member's answer to the reducer, and the latency if the statement
-// succeeded.
-func (g *group) statementAnswered(id core.MemberID, sent core.Time, a *platform.Answer, o direct.Outcome, r *direct.Route) {
+// succeeded. read is the placement of a read outside transactions, nil for other statements: their
+// times would not tell how long a read takes.
+func (g *group) statementAnswered(id core.MemberID, sent core.Time, a *platform.Answer, o direct.Outcome, r *direct.Route, read *direct.Placement) {
 	g.update(func(c *direct.Group, at core.Time) []direct.Effect {
 		if o == direct.Succeeded {
 			took := at.Sub(sent)
 			g.serviceTimes.Observe(r.Database, took)
 			c.RecordLatency(id, took, r.LatencyGoal)
-			c.RecordService(at, id, r.Database, took)
+			if read != nil {
+				c.RecordService(at, read, r.Database, took)
+			}
 		}
 		return c.StatementAnswered(at, sent, id, a.Position, o)
 	})
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -214,7 +214,11 @@
 		return a, sent, direct.ConnLost
 	}
 	o := a.Outcome()
-	g.statementAnswered(conn.member, sent, &a, o, &j.route)
+	var read *direct.Placement
+	if !j.writes && id != platform.ProxyStatementID {
+		read = &place
+	}
+	g.statementAnswered(conn.member, sent, &a, o, &j.route, read)
 	return a, sent, o
 }
 
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -190,7 +190,7 @@
 		return a, direct.ConnLost
 	}
 	o := a.Outcome()
-	tx.group.statementAnswered(tx.conn.member, sent, &a, o, &tx.route)
+	tx.group.statementAnswered(tx.conn.member, sent, &a, o, &tx.route, nil)
 	return a, o
 }
 
