Report that load is shared also without connections

Cause: whether a home shares its load was visible only by its listed members. A home without connections lists none, so it did not count as a home that shares its load. A listed member's load shows it as before, for homes of the earlier version. A daemon that is neither a home nor connected to a member does not set it, so that it is not assumed to send reads to the members.

--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -105,7 +105,7 @@
 	r := Report{
 		Group: g.id, Primary: g.primary, Term: g.term,
 		Suspect: p != nil && p.suspect, Claiming: g.claim.phase != noClaim, OrderedTerm: g.orderedTerm, Successor: g.successor,
-		TermStart: g.termStart, SharesLoad: g.sharedLoad,
+		TermStart: g.termStart,
 	}
 	g.observeRunning(now)
 	if p != nil {
@@ -131,6 +131,8 @@
 			r.Members = append(r.Members, out)
 		}
 	}
+	// A daemon that is neither a home nor connected to a member must not be counted as a home.
+	r.SharesLoad = g.sharedLoad && (g.isHome || !g.IsIdle())
 	return r
 }
 
--- a/core/direct/sharedload_test.go
+++ b/core/direct/sharedload_test.go
@@ -205,6 +205,16 @@
 		Expect(r.Members[len(r.Members)-1].Running).To(BeNumerically("~", 1, 0.1))
 	})
 
+	// Guards against assuming that daemons which are no homes send reads to the members.
+	It("shares no load from a daemon that is no home and has no connection", func() {
+		s := sharedScript()
+		Expect(s.g.Report(s.at).SharesLoad).To(BeTrue())
+		s.g.SetHomes(6, false)
+		Expect(s.g.Report(s.at).SharesLoad).To(BeFalse())
+		s.g.ConnOpened("b")
+		Expect(s.g.Report(s.at).SharesLoad).To(BeTrue())
+	})
+
 	DescribeTable("is placed as before, and shares nothing,",
 		func(off func(s *script)) {
 			s := sharedScript()
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -344,6 +344,7 @@
 		LeaseLeftUs: uint64(r.LeaseRemaining / time.Microsecond),
 		LoadPercent: uint32(100 * r.Load), LoadAgeUs: microseconds(r.LoadAge),
 		SampleTerm: uint64(r.Sample.Term), SampleLsn: uint64(r.Sample.LSN), SampleAgeUs: microseconds(r.SampleAge),
+		SharesLoad: r.SharesLoad,
 	}
 	if r.TermStart.Term == r.Term && r.Term != 0 {
 		out.BeganLsn = proto.Uint64(uint64(r.TermStart.LSN))
@@ -387,7 +388,7 @@
 		Suspect: g.Suspect, Claiming: g.Claiming, OrderedTerm: core.Term(g.Ordered), Successor: core.MemberID(g.Successor), LeaseRemaining: decodeAge(g.LeaseLeftUs),
 		Load: float64(g.LoadPercent) / 100, LoadAge: decodeAge(g.LoadAgeUs),
 		Sample:    core.Position{Term: core.Term(g.SampleTerm), LSN: core.LSN(g.SampleLsn)},
-		SampleAge: decodeAge(g.SampleAgeUs),
+		SampleAge: decodeAge(g.SampleAgeUs), SharesLoad: g.SharesLoad,
 	}
 	if g.BeganLsn != nil {
 		r.TermStart = core.Position{Term: r.Term, LSN: core.LSN(*g.BeganLsn)}
--- a/pkg/proxy/peers_test.go
+++ b/pkg/proxy/peers_test.go
@@ -17,6 +17,20 @@
 		Expect(decodeReport(encodeReport(&report))).To(Equal(report))
 	})
 
+	// Guards against taking a home without connections for one that does not share its load.
+	It("is known to be none if the sender has no connection", func() {
+		none := direct.Report{Group: "g", SharesLoad: true}
+		Expect(decodeReport(encodeReport(&none)).SharesLoad).To(BeTrue())
+	})
+
+	// Guards against losing the load of a home of the version without the field.
+	It("is known by a member's load alone", func() {
+		r := direct.Report{Group: "g", SharesLoad: true, Members: report.Members}
+		encoded := encodeReport(&r)
+		encoded.SharesLoad = false
+		Expect(decodeReport(encoded).SharesLoad).To(BeTrue())
+	})
+
 	// Guards against taking a home of an earlier version for one without statements.
 	It("is absent where load is not shared", func() {
 		report.SharesLoad = false
