Compute whether hosts differ when homes are chosen

Cause: each report compared the weights of all known daemons for each of its groups. Change: the result is kept from the choice of homes, which follows changes of the list and the roster. The spec of the condition passes its daemons to that step. Result: the specs of the condition in ./pkg/proxy pass. The saved time was not measured.

--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -35,6 +35,8 @@
 	ready chan struct{}
 	// daemons are the known daemons, as of the last choice of homes.
 	daemons []direct.Daemon
+	// unevenHosts is set if hosts of the fleet differ in their weight.
+	unevenHosts bool
 	// size estimates the size of the fleet.
 	size direct.FleetSize
 	// catalog and chosenForSize are the configuration and the fleet size of the last choice.
@@ -107,6 +109,8 @@
 		return nil
 	}
 	size := h.size.Observe(now(), max(len(daemons), h.p.view.daemonList().roster.MinSize()))
+	// The roster may change while the known daemons do not.
+	h.updateUnevenHosts(daemons)
 	newCatalog := h.catalog != catalog
 	if !newCatalog && h.chosenForSize == size && slices.Equal(daemons, h.daemons) {
 		return nil
@@ -230,6 +234,11 @@
 	return h.ownGroups[id], max(1, len(h.homesOf(id)))
 }
 
+// updateUnevenHosts updates whether hosts differ. The lock is held.
+func (h *homes) updateUnevenHosts(daemons []direct.Daemon) {
+	h.unevenHosts = h.p.view.daemonList().roster.HasUnevenHosts(daemons)
+}
+
 // sharesLoad reports whether the group's homes may tell each other their load of its members: the
 // group has several homes that are not all daemons. unevenHosts is set if hosts of the fleet differ in
 // their weight.
@@ -240,7 +249,7 @@
 		return false, false
 	}
 	severalHomes = !h.table.IsDirect(h.catalog.Groups[id].MaxConns) && len(h.homesOf(id)) > 1
-	return severalHomes, h.p.view.daemonList().roster.HasUnevenHosts(h.daemons)
+	return severalHomes, h.unevenHosts
 }
 
 // chosen reports whether homes have been chosen at least once.
--- a/pkg/proxy/peers_test.go
+++ b/pkg/proxy/peers_test.go
@@ -45,13 +45,14 @@
 	// every daemon is a home.
 	It("are several homes of a group in a fleet of uneven hosts", func() {
 		uneven := []direct.Daemon{{ID: "d1", Weight: 0.8}, {ID: "d2", Weight: 0.2}}
-		h := &homes{p: &Proxy{view: &view{daemons: newDaemonList()}}, fleetKnown: true, catalog: &direct.Catalog{}, daemons: uneven,
+		h := &homes{p: &Proxy{view: &view{daemons: newDaemonList()}}, fleetKnown: true, catalog: &direct.Catalog{},
 			table: staticHomes{"g": []core.DaemonID{"d1", "d3"}, "single": []core.DaemonID{"d1"}}}
+		h.updateUnevenHosts(uneven)
 		several, hosts := h.sharesLoad("g")
 		Expect(several && hosts).To(BeTrue())
 		several, _ = h.sharesLoad("single")
 		Expect(several).To(BeFalse())
-		h.daemons = uneven[:1]
+		h.updateUnevenHosts(uneven[:1])
 		_, hosts = h.sharesLoad("g")
 		Expect(hosts).To(BeFalse())
 		table := direct.NewHomeTable()
