Refuse unknown placements in patterns, and state what a mean observes

Cause: a pattern with a misspelt placement ran with the default one, and the comment of Mean.Observe said that the number had not changed since the last observation, which some events do not ensure. Change: such a pattern is refused with the name; the comments say what an observation stands for. Result: go test ./core/placement and the specs of refused patterns in ./pkg/experiment pass.

--- a/core/placement/load.go
+++ b/core/placement/load.go
@@ -13,13 +13,14 @@
 // is outdated when it is used, a longer one hides what changed since the previous report.
 const meanTime = time.Second
 
-// Mean is the time-weighted mean of a number that is observed from time to time.
+// Mean is the time-weighted mean of a number that is observed from time to time. Between two
+// observations the number counts as the later one shows it, so short changes in between are missed.
 type Mean struct {
 	value float64
 	at    core.Time
 }
 
-// Observe records that the number has been n since the last observation.
+// Observe records that the number is n now, which stands for the time since the last observation.
 func (m *Mean) Observe(now core.Time, n int) {
 	if m.at == 0 {
 		m.value, m.at = float64(n), now
--- a/pkg/experiment/experiment_test.go
+++ b/pkg/experiment/experiment_test.go
@@ -144,6 +144,7 @@
 			Expect(err).To(MatchError(ContainSubstring(why)))
 		},
 		Entry("an unknown section", "[weather]\n", "[weather] is unknown"),
+		Entry("an unknown placement", "[pattern]\nplacement = best\n", `"best" is neither`),
 		Entry("an unknown key", "[callers b]\nspeed = 3\n", `key "speed"`),
 		Entry("no rate", "[callers b]\nwork = 5ms\n", "need a rate"),
 		Entry("a time without a unit", "[callers b]\nrate = 3\nwork = 5\n", "no time such as 20ms"),
--- a/pkg/experiment/pattern.go
+++ b/pkg/experiment/pattern.go
@@ -149,8 +149,12 @@
 		case "pattern":
 			p.Seconds, p.Daemons, p.Crossing = r.count("seconds", 20), r.count("daemons", 6), r.time("crossing", 900*time.Microsecond)
 			p.FirstShare, p.SharedLoad = r.number("first_share", 0), r.section.Key("shared_load").MustBool(false)
-			if r.section.Key("placement").MustString("least-cost") == "two-choices" {
+			switch name := r.section.Key("placement").MustString("least-cost"); name {
+			case "least-cost":
+			case "two-choices":
 				p.Placement = placement.TwoChoices
+			default:
+				r.fail("placement %q is neither least-cost nor two-choices", name)
 			}
 			r.known("seconds", "daemons", "crossing", "first_share", "shared_load", "placement")
 		case "members":
