Count a connection closed by the member as a failure and not as silence

Cause: a statement whose connection the member closed counted as unanswered, which costs reads on that member its answer timeout. The caller learns of a closed connection at once. Change: such a statement counts as a failure only. Result: go test ./core/direct ./core/placement passes; the extended spec fails without the change.

--- a/core/direct/claim_test.go
+++ b/core/direct/claim_test.go
@@ -430,9 +430,9 @@
 	It("is not caused by a statement that could wait only briefly", func() {
 		s := newScript()
 		s.advance(400 * ms)
-		s.record(s.g.StatementUnanswered(s.at.Add(2*ms), s.at, "a"))
+		s.record(s.g.StatementUnanswered(s.at.Add(2*ms), s.at, "a", false))
 		Expect(s.g.Report(s.at).Suspect).To(BeFalse())
-		s.record(s.g.StatementUnanswered(s.at.Add(direct.ProbeTimeout), s.at, "a"))
+		s.record(s.g.StatementUnanswered(s.at.Add(direct.ProbeTimeout), s.at, "a", false))
 		Expect(s.g.Report(s.at).Suspect).To(BeTrue())
 	})
 })
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -324,11 +324,15 @@
 	g.emit(Effect{Kind: EffectDecision, Member: id, Term: g.term, Reason: "answers again"})
 }
 
-// StatementUnanswered records that a statement sent at sent got no complete answer.
-func (g *Group) StatementUnanswered(now, sent core.Time, id core.MemberID) []Effect {
+// StatementUnanswered records that a statement sent at sent got no complete answer. closed is set if
+// the member's side closed the connection: that costs a read no answer timeout, so it counts as a
+// failure and not as silence.
+func (g *Group) StatementUnanswered(now, sent core.Time, id core.MemberID, closed bool) []Effect {
 	if m := g.members[id]; m != nil {
 		m.failures.record(now, true)
-		m.unanswered.record(now, true)
+		if !closed {
+			m.unanswered.record(now, true)
+		}
 		g.suspectIfSilent(now, sent, id, m)
 	}
 	return g.takeEffects()
--- a/core/direct/sharedload_test.go
+++ b/core/direct/sharedload_test.go
@@ -190,7 +190,8 @@
 		Expect(staysAfter(func(s *script) {
 			s.record(s.g.StatementAnswered(s.at, s.at, "b", core.Position{Term: 1, LSN: 10}, direct.Failed))
 		})).To(BeTrue())
-		Expect(staysAfter(func(s *script) { s.record(s.g.StatementUnanswered(s.at, s.at, "b")) })).To(BeFalse())
+		Expect(staysAfter(func(s *script) { s.record(s.g.StatementUnanswered(s.at, s.at, "b", true)) })).To(BeTrue(), "it closed the connection")
+		Expect(staysAfter(func(s *script) { s.record(s.g.StatementUnanswered(s.at, s.at, "b", false)) })).To(BeFalse())
 	})
 
 	It("reports the mean number of its statements", func() {
--- a/pkg/experiment/daemon.go
+++ b/pkg/experiment/daemon.go
@@ -376,7 +376,7 @@
 	m.conns--
 	d.update(func(at core.Time) []direct.Effect {
 		d.g.ConnClosed(m.id)
-		return d.g.StatementUnanswered(at, sent, m.id)
+		return d.g.StatementUnanswered(at, sent, m.id, false)
 	})
 	if s.writes && !s.begins {
 		s.unknown()
--- a/pkg/explore/promotions/statement.go
+++ b/pkg/explore/promotions/statement.go
@@ -38,7 +38,7 @@
 	life := m.life
 	once := d.timeout(exchangeTimeout, func() {
 		d.g.ConnClosed(m.id)
-		d.update(func(at core.Time) []direct.Effect { return d.g.StatementUnanswered(at, sent, m.id) })
+		d.update(func(at core.Time) []direct.Effect { return d.g.StatementUnanswered(at, sent, m.id, false) })
 	})
 	d.w.send(d.node(), m.node(), func() {
 		if m.down || m.life != life {
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -338,11 +338,12 @@
 // that to the reducer.
 func (g *group) statementUnanswered(conn *memberConn, sent core.Time, err error) {
 	g.discard(conn)
-	if closedByPeer(err) {
+	closed := closedByPeer(err)
+	if closed {
 		g.connBroken(conn.member)
 	}
 	g.update(func(c *direct.Group, at core.Time) []direct.Effect {
-		return c.StatementUnanswered(at, sent, conn.member)
+		return c.StatementUnanswered(at, sent, conn.member, closed)
 	})
 }
 
