--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -19,8 +19,8 @@
 	claiming bool
 	// openConns counts the daemon's connections by member.
 	openConns map[core.MemberID]int
-	// hidesLoad is set if the daemon has connections and does not report what runs on them.
-	hidesLoad bool
+	// sharesLoad is set if the daemon reports what it has running on the members.
+	sharesLoad bool
 }
 
 // isFresh reports whether the report is recent enough to be used.
@@ -105,7 +105,7 @@
 	r := Report{
 		Group: g.id, Primary: g.primary, Term: g.term,
 		Suspect: p != nil && p.suspect, Claiming: g.claim.phase != noClaim, OrderedTerm: g.orderedTerm, Successor: g.successor,
-		TermStart: g.termStart, SharesLoad: g.sharedLoad,
+		TermStart: g.termStart,
 	}
 	g.observeRunning(now)
 	if p != nil {
@@ -131,16 +131,17 @@
 			r.Members = append(r.Members, out)
 		}
 	}
+	// A daemon that is neither a home nor connected to a member must not be counted as a home.
+	r.SharesLoad = g.sharedLoad && (g.isHome || !g.IsIdle())
 	return r
 }
 
 // PeerReported handles another daemon's report. sent is a time of this daemon's clock that is not
 // later than the sending of the report; 0 if none is known.
 func (g *Group) PeerReported(now, sent core.Time, from core.DaemonID, r Report) []Effect {
-	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, leased: r.LeaseRemaining > 0, openConns: make(map[core.MemberID]int)}
+	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, leased: r.LeaseRemaining > 0, sharesLoad: r.SharesLoad, openConns: make(map[core.MemberID]int)}
 	for _, x := range r.Members {
 		p.openConns[x.Member] = x.OpenConns
-		p.hidesLoad = p.hidesLoad || x.OpenConns > 0 && !r.SharesLoad
 		if m := g.members[x.Member]; m != nil && x.ConfirmedTerm != 0 && x.Started == m.Started && g.policy.Has(policy.RelayedConfirmations) {
 			// The confirmation of another incarnation of the member says nothing about this one.
 			m.peerConfirmed.update(x.ConfirmedTerm, sent.Add(-x.ConfirmationAge))
--- a/core/direct/sharedload.go
+++ b/core/direct/sharedload.go
@@ -50,34 +50,60 @@
 	}
 }
 
+// assumeIdleAtPeers enters the other homes for a member that is new or has restarted, as if they had
+// reported no statement there. All of them find it idle, and each would otherwise send it reads until
+// their next reports show that it is not.
+func (g *Group) assumeIdleAtPeers(now core.Time, m *member) {
+	if !g.sharedLoad {
+		return
+	}
+	for id, p := range g.peers {
+		if p.sharesLoad && p.isFresh(now) {
+			m.others.Reported(p.at, id, 0, 0)
+		}
+	}
+}
+
 // recordPeerRunning records what another home has running on the members. A member that its report
 // does not contain has no statement of that home. The report of a home that does not share its load
-// is ignored.
+// is ignored, and so is what it reports about another incarnation of a member.
 func (g *Group) recordPeerRunning(now core.Time, from core.DaemonID, r *Report) {
 	if !g.sharedLoad || !r.SharesLoad {
 		return
 	}
 	g.observeRunning(now)
 	for id, m := range g.members {
-		mean := 0.0
-		for _, x := range r.Members {
-			if x.Member == id {
-				mean = x.Running
-			}
+		if mean, ok := m.runningIn(id, r); ok {
+			m.others.Reported(now, from, mean, m.running.Value())
 		}
-		m.others.Reported(now, from, mean, m.running.Value())
 	}
 }
 
-// RecordService records that a statement of the kind succeeded on the member. Its connection still
-// counts as in use.
-func (g *Group) RecordService(now core.Time, id core.MemberID, kind string, took time.Duration) {
-	m := g.members[id]
-	if m == nil || !g.sharedLoad {
-		return
+// runningIn returns what the report contains about the member, false if that is about another
+// incarnation.
+func (m *member) runningIn(id core.MemberID, r *Report) (mean float64, ok bool) {
+	for i := range r.Members {
+		if x := &r.Members[i]; x.Member == id {
+			// No more statements can be running than the sender has connections.
+			return min(x.Running, float64(x.OpenConns)), x.Started == 0 || m.Started == 0 || x.Started == m.Started
+		}
 	}
-	g.observeRunning(now)
-	m.times.Observe(now, &g.times, kind, took, m.expectedWait(m.inUse()-1))
+	return 0, true
+}
+
+// RecordService records that a read of the kind succeeded where it was placed.
+func (g *Group) RecordService(now core.Time, p *Placement, kind string, took time.Duration) {
+	if m := g.members[p.Member]; m != nil && g.sharedLoad {
+		m.times.Observe(now, &g.times, kind, took, p.Wait)
+	}
+}
+
+// waitAtPlacement returns the expected wait on the member, zero if load is not shared.
+func (g *Group) waitAtPlacement(m *member) (w placement.Wait) {
+	if g.sharedLoad {
+		w = m.expectedWait(m.inUse())
+	}
+	return w
 }
 
 // expectedWait returns the expected wait on the member behind own statements of this daemon and those
@@ -121,28 +147,14 @@
 	return time.Duration((rate - lowest) * float64(max(0, m.answerTimeout()-failureCost)))
 }
 
-// sharedPrimaryReadCost is primaryReadCost with the load that all homes report. While the load of some
-// home is unknown, it is not less than by the primary's own status.
+// sharedPrimaryReadCost is primaryReadCost with the load that all homes report. It is never less than by
+// the primary's own status, which also counts the statements of homes whose reports do not arrive.
 func (g *Group) sharedPrimaryReadCost(now core.Time, m *member, service time.Duration) time.Duration {
 	if !g.policy.Has(policy.PlaceByLoad) {
 		return maxPrimaryReadCost
 	}
 	use := (float64(m.inUse()) + m.others.Expected(m.running.Value())) / float64(max(1, m.Slots))
-	cost := costOfUse(use, service)
-	if m.others.Homes() == 0 || g.isLoadHidden(now) {
-		cost = max(cost, g.primaryReadCost(now, m, service))
-	}
-	return cost
-}
-
-// isLoadHidden reports whether another home does not report its load, as those of earlier versions.
-func (g *Group) isLoadHidden(now core.Time) bool {
-	for _, p := range g.peers {
-		if p.hidesLoad && p.isFresh(now) {
-			return true
-		}
-	}
-	return false
+	return max(costOfUse(use, service), g.primaryReadCost(now, m, service))
 }
 
 // countOutOfZone counts a read that is placed on the member, if that is in another zone.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -54,6 +54,15 @@
 		Expect(o.Expected(own(1, 900*ms))).To(BeNumerically(">", 3), "seven others with about half a statement each")
 	})
 
+	// Guards against taking a member for idle that another home has just reported to be busy, because
+	// this home has left it since the report of a third one.
+	It("counts no home as having fewer statements than none", func() {
+		var o placement.Others
+		o.Reported(start, "d2", 0, 3)
+		o.Reported(start.Add(900*ms), "d3", 3, 0)
+		Expect(o.Expected(0)).To(BeNumerically("~", 3))
+	})
+
 	// Guards against counting the statements of a home that was lost.
 	It("forgets homes that report no more", func() {
 		var o placement.Others
@@ -103,6 +112,26 @@
 		Expect(a.Of(later, &group, "read")).To(BeNumerically("<", b.Of(later, &group, "read")+15*ms), "it is tried again")
 	})
 
+	// Guards against a slow member that looks fast because other homes report too much load there.
+	It("is at least half of what statements took", func() {
+		for range 40 {
+			at = at.Add(10 * ms)
+			a.Observe(at, &group, "read", 400*ms, placement.Wait{Turns: 20})
+		}
+		Expect(a.Of(at, &group, "read")).To(BeNumerically(">", b.Of(at, &group, "read")+30*ms))
+	})
+
+	// Guards against avoiding a member long after it has recovered: its first answer after a pause must
+	// not count together with those from before the pause.
+	It("is about the group's once a member that was slow answers fast again", func() {
+		for range 8 {
+			observe(&a, "read", 150*ms)
+		}
+		at = at.Add(20 * time.Second)
+		observe(&a, "read", 25*ms)
+		Expect(a.Of(at, &group, "read")).To(BeNumerically("~", b.Of(at, &group, "read"), 3*ms))
+	})
+
 	// Guards against sending a member that has just restarted a full share at once.
 	It("is longer on a member that has answered little", func() {
 		var cold placement.Times
--- a/core/placement/times.go
+++ b/core/placement/times.go
@@ -25,6 +25,10 @@
 	// group still counts. Probes show only that a member answers, not how fast it runs statements, so
 	// a read must try it again within seconds.
 	retention = 2 * time.Second
+	// maxTurns bounds the wait that is taken out of a measured time. The expected wait comes from what
+	// other homes report; if that is too high, at most half of the measured time counts as wait, and a
+	// slow member still counts as slow.
+	maxTurns = 1.0
 	// defaultTime is assumed before the first measurement.
 	defaultTime = 15 * time.Millisecond
 	// coldCount is the number of answers of a member before it counts as warm. While it is cold, its
@@ -61,10 +65,10 @@
 	t.mean += (x - t.mean) / float64(min(t.answers, groupWeight))
 }
 
-// Observe records that a statement of the kind took that long on the member, apart from its expected
-// wait for a slot.
+// Observe records that a statement of the kind took that long on the member. The wait for a slot that
+// was expected when it was placed is not part of its service time.
 func (t *Times) Observe(now core.Time, group *GroupTimes, kind string, took time.Duration, wait Wait) {
-	x := float64(took) / (1 + wait.Turns)
+	x := float64(took) / (1 + min(wait.Turns, maxTurns))
 	group.observe(kind, x)
 	t.answers++
 	if t.kinds == nil {
@@ -74,9 +78,12 @@
 	if m == nil {
 		// A member's first answer does not say how much its answers vary; it starts as the group.
 		mean := group.mean(kind)
-		m = &memberTime{mean: mean, variance: mean * mean}
+		m = &memberTime{mean: mean, variance: mean * mean, at: now}
 		t.kinds[kind] = m
 	}
+	// A difference that no longer counts must not return with the next answer.
+	mean := group.mean(kind)
+	m.mean = mean + (m.mean-mean)*m.freshness(now)
 	delta := x - m.mean
 	m.mean += delta / memberWeight
 	m.variance += (delta*delta*(1-1.0/memberWeight) - m.variance) / memberWeight
@@ -109,8 +116,7 @@
 	mean := group.mean(kind)
 	expected := mean
 	if m := t.kinds[kind]; m != nil {
-		age := float64(now.Sub(m.at))
-		expected += m.difference(mean) * float64(retention) / (float64(retention) + age)
+		expected += m.difference(mean) * m.freshness(now)
 	}
 	if cold := coldCount - t.answers; cold > 0 && group.all.answers > 2*coldCount {
 		expected += mean * float64(cold) / coldCount
@@ -118,6 +124,11 @@
 	return time.Duration(expected)
 }
 
+// freshness returns the share of the member's difference from the group that still counts.
+func (m *memberTime) freshness(now core.Time) float64 {
+	return math.Exp2(-float64(now.Sub(m.at)) / float64(retention))
+}
+
 // difference returns by how much the member's mean certainly differs from the group's.
 func (m *memberTime) difference(group float64) float64 {
 	d := m.mean - group
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -207,7 +207,11 @@
 		g.statementUnanswered(conn, sent, err)
 		return a, sent, o
 	}
-	g.statementAnswered(conn.member, sent, &a, o, &j.route)
+	var read *direct.Placement
+	if !j.writes && id != platform.ProxyStatementID {
+		read = &place
+	}
+	g.statementAnswered(conn.member, sent, &a, o, &j.route, read)
 	return a, sent, o
 }
 
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -190,7 +190,7 @@
 		tx.conn = nil
 		return a, o
 	}
-	tx.group.statementAnswered(tx.conn.member, sent, &a, o, &tx.route)
+	tx.group.statementAnswered(tx.conn.member, sent, &a, o, &tx.route, nil)
 	return a, o
 }
 
