Use the primary's status for placement only while a home's report is missing

Cause: the status limited reads on the primary at all times. Change: the status counts while fewer homes than the group has report their load. A primary without a recent status keeps the maximum cost in all cases.

--- a/core/direct/load.go
+++ b/core/direct/load.go
@@ -37,6 +37,11 @@
 	}
 }
 
+// isRecent reports whether a recent status is in the mean.
+func (l *loadEstimate) isRecent(now core.Time) bool {
+	return l.at != 0 && now.Sub(l.at) <= loadTTL
+}
+
 // queueDelay returns how long a statement waits for a slot. A member with free slots runs it at
 // once. Otherwise each statement that must finish before it adds latency divided by the number of
 // slots.
@@ -54,7 +59,7 @@
 // a queue with few servers, that is close to nothing at a quarter, half a statement at 0.4, and
 // more than any alternative at 0.8. Without a recent status it is maxPrimaryReadCost.
 func (g *Group) primaryReadCost(now core.Time, m *member, latency time.Duration) time.Duration {
-	if m.load.at == 0 || now.Sub(m.load.at) > loadTTL {
+	if !m.load.isRecent(now) {
 		return maxPrimaryReadCost
 	}
 	return costOfUse(max(m.load.mean, float64(m.inUse()))/float64(max(1, m.Slots)), latency)
--- a/core/direct/sharedload.go
+++ b/core/direct/sharedload.go
@@ -147,14 +147,28 @@
 	return time.Duration((rate - lowest) * float64(max(0, m.answerTimeout()-failureCost)))
 }
 
-// sharedPrimaryReadCost is primaryReadCost with the load that all homes report. It is never less than by
-// the primary's own status, which also counts the statements of homes whose reports do not arrive.
+// sharedPrimaryReadCost is primaryReadCost with the load that all homes report. While the report of some
+// home is missing, it is not less than by the primary's own status, which counts the statements of all;
+// without a recent status it is maxPrimaryReadCost. The status alone, a mean over 3 s, follows changes
+// later than the reports.
 func (g *Group) sharedPrimaryReadCost(now core.Time, m *member, service time.Duration) time.Duration {
 	if !g.policy.Has(policy.PlaceByLoad) {
 		return maxPrimaryReadCost
 	}
 	use := (float64(m.inUse()) + m.others.Expected(m.running.Value())) / float64(max(1, m.Slots))
-	return max(costOfUse(use, service), g.primaryReadCost(now, m, service))
+	cost := costOfUse(use, service)
+	if m.others.Homes() < g.otherHomes() || !m.load.isRecent(now) {
+		cost = max(cost, g.primaryReadCost(now, m, service))
+	}
+	return cost
+}
+
+// otherHomes returns the number of the group's homes without this daemon.
+func (g *Group) otherHomes() int {
+	if g.isHome {
+		return g.homeCount - 1
+	}
+	return g.homeCount
 }
 
 // countOutOfZone counts a read that is placed on the member, if that is in another zone.
