--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -45,7 +45,7 @@
 
 // requirement returns what a statement of the session requires of a member.
 func (s *session) requirement(route direct.Route, primary bool, arrived core.Time) direct.Requirement {
-	required := direct.Requirement{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived, Team: s.p.access.teamOf(s.key)}
+	required := direct.Requirement{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived, Team: s.p.access.teamOf(s.key), Kind: route.Database}
 	if route.Consistency == direct.ReadYourWrites {
 		required.Session, required.SessionAt = s.lastCommit, s.lastCommitAt
 	}
@@ -207,7 +207,11 @@
 		g.statementUnanswered(conn, sent, err)
 		return a, sent, o
 	}
-	g.statementAnswered(conn.member, sent, &a, o, &j.route)
+	var read *direct.Placement
+	if !j.writes && id != platform.ProxyStatementID {
+		read = &place
+	}
+	g.statementAnswered(conn.member, sent, &a, o, &j.route, read)
 	return a, sent, o
 }
 
