Split a team's limit between two holders in core/quota

Cause: while the holder of a team's slot is lost, the team runs nothing for up to 4 s, and callers that cannot reach the holder run nothing at all.

Both keys use the lease, records and steps that slots use today, so the argument for one key holds for each part, and the parts add up to the limit. A second slot is not taken beside a holder that gives out whole limits. NewHolder decides as before. The model covers the two parts with all faults; it keeps its keys by slot, and the guards of the unsplit limit moved into a table with the same seeds and bounds.

Without each of six guards, a seed of the split model exceeds the limit: the nearly empty start, the record of bursts, the end with the lease, settling, eras, and the parts themselves. Effect on a fleet: not measured.

--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -68,6 +68,48 @@
 //   - A limit is lowered: the new limit applies from when the holder has the configuration, and
 //     the Bucket then keeps no more tokens than the new burst.
 //
+// # Split limits
+//
+// While the holder of a slot is lost, none of its teams could run anything for up to LeaseTTL, and
+// callers that cannot reach it could run nothing at all. Where limits are split, a second daemon
+// gives out a fixed part of each limit without a call to the store at that moment. A slot then has
+// two keys: its own, whose holder gives out the first part of each limit, and that of its second
+// slot, whose holder gives out the second part (Limit.Of). Each key is held, renewed, recorded and
+// released as described above, with a bucket of its own for each team, and knows nothing of the
+// other. In any span w, all daemons together send at most
+//
+//	  rate1 x w + burst1 + StartTokens1 x (number of daemons that took the slot in the span)
+//	+ rate2 x w + burst2 + StartTokens2 x (number of daemons that took the second slot in the span)
+//
+// operations of a team. Argument:
+//
+//   - The argument above holds for each key by itself, with the key's part in place of the limit.
+//     It does not use who holds the other key, whether the holders reach each other, or on which
+//     side of a partition they are. One daemon may hold both keys; it counts each part in its own
+//     bucket.
+//   - rate1 + rate2 = rate, and burst1 + burst2 <= burst + 1: each part of a burst of at least one
+//     operation is at least one operation, as a smaller part could never be used.
+//   - StartTokens1 + StartTokens2 = StartTokens. A change of both holders therefore costs the slack
+//     no more than a change of the holder of an unsplit limit. If each holder changes three times in
+//     a window, three quarters of the slack and one operation are used; the rest covers the operation
+//     by which the bursts may exceed the whole burst.
+//   - ReservationTTL x rate1 + ReservationTTL x rate2 operations may be sent late, as many as with
+//     one key.
+//   - Both parts grow with the limit. While the holders have different configurations, each part is
+//     at most that of the larger limit, so the sum is at most that of the larger limit.
+//   - What a key records of bursts concerns only its own part, and the part of the burst that is
+//     unreported is a share of it.
+//
+// All daemons of a fleet must split limits, or none. A daemon that does not know second slots gives
+// out the whole limit. Therefore the key of a slot records whether its holder splits limits; a
+// second slot is not taken beside a holder that does not, and is released as soon as a list shows
+// such a holder. This does not cover a daemon that takes a slot, without splitting its limits,
+// after the second slot was taken and before its holder lists the owners again.
+//
+// The alternative, that an old holder writes a release when it hands a slot over, helps only if the
+// old holder reaches the store, and therefore not when it is lost. A second key that gives out the
+// whole limit once the first holder is suspected would exceed the limit, as the first may run on.
+//
 // Clocks of different daemons are not compared, and steps of the wall clock have no effect.
 //
 // # Operations
--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -36,6 +36,8 @@
 	// in the last window. It is also set for a key written in an earlier era of the store, as the
 	// store may have lost a later record.
 	BurstInUse bool
+	// Split is set if the holder gives out only one part of each limit.
+	Split bool
 }
 
 // StepKind is the kind of a Step.
@@ -96,6 +98,8 @@
 type Holder struct {
 	self core.DaemonID
 	boot int64
+	// split is set if limits are split and this daemon takes second slots.
+	split bool
 	// lease is the daemon's lease, 0 if there is none. It may be used until expiresAt; renewedAt
 	// is when the last successful renewal was sent.
 	lease                uint64
@@ -122,6 +126,14 @@
 	return &Holder{self: self, boot: boot, slots: make(map[Slot]*slot)}
 }
 
+// NewSplitHolder returns the Holder of a daemon that gives out only one part of a limit for each
+// slot that it holds.
+func NewSplitHolder(self core.DaemonID, boot int64) *Holder {
+	h := NewHolder(self, boot)
+	h.split = true
+	return h
+}
+
 // Holds returns the daemon's holding of the slot. It returns false if the daemon may not use the
 // slot now.
 func (h *Holder) Holds(now core.Time, id Slot) (Holding, bool) {
@@ -373,15 +385,26 @@
 // takeStep takes the requested slots that no other daemon holds according to the last list. If
 // there are none, the owners are listed again later. Until then, slots that are newly requested
 // are still taken: waiting for the slot of a dead daemon must not delay all other teams.
+//
+// A call takes either slots or second slots: a conflict about a second slot must not delay the
+// teams of other slots.
 func (h *Holder) takeStep(now core.Time, requested map[Slot]uint64) Step {
-	free := make(map[Slot]uint64)
+	free, freeSecond := make(map[Slot]uint64), make(map[Slot]uint64)
 	for id := range requested {
 		// A slot held under a lease of an earlier era belongs to no other daemon, whichever owner
 		// the restored store names.
 		if owner, taken := h.owners[id]; !taken || owner.Daemon == h.self || h.slots[id].priorEraUntil != 0 {
-			free[id] = owner.Revision
+			switch {
+			case !id.IsSecond():
+				free[id] = owner.Revision
+			case !h.firstIsWhole(id):
+				freeSecond[id] = owner.Revision
+			}
 		}
 	}
+	if len(free) == 0 {
+		free = freeSecond
+	}
 	if len(free) == 0 {
 		if h.listedAt != 0 {
 			h.listedAt, h.relistAt = 0, now.Add(RelistInterval)
@@ -391,6 +414,13 @@
 	return Step{Kind: Take, Lease: h.lease, Slots: batch(free)}
 }
 
+// firstIsWhole reports whether, according to the last list, a daemon gives out whole limits for the
+// slot whose second slot is id.
+func (h *Holder) firstIsWhole(id Slot) bool {
+	owner, taken := h.owners[id.first()]
+	return taken && !owner.Split && owner.Daemon != h.self
+}
+
 // batch returns as many of the slots as one call may name, lowest first.
 func batch(slots map[Slot]uint64) map[Slot]uint64 {
 	few := make(map[Slot]uint64, min(len(slots), MaxSlotsPerCall))
@@ -456,6 +486,9 @@
 			// The key is gone, so the lease must have ended at the store.
 			s.held = false
 		}
+		if s.held && id.IsSecond() && h.firstIsWhole(id) {
+			s.releasing = true
+		}
 	}
 }
 
@@ -474,7 +507,7 @@
 			continue
 		}
 		owner, known := h.owners[id]
-		*s = slot{held: true, since: now, requestedAt: s.requestedAt, revision: revision, burstRecorded: true, previousBurstUnused: known && !owner.BurstInUse}
+		*s = slot{held: true, since: now, requestedAt: s.requestedAt, revision: revision, burstRecorded: true, previousBurstUnused: known && !owner.BurstInUse && owner.Split == h.split}
 	}
 }
 
--- a/core/quota/quota_test.go
+++ b/core/quota/quota_test.go
@@ -261,3 +261,81 @@
 		Expect(held.Since).To(Equal(after(quota.LeaseTTL)), "a new holding")
 	})
 })
+
+var _ = Describe("a split limit", func() {
+	// Guards against holders that give out more than the limit while one of them has not yet got a
+	// new configuration, and against a part that allows nothing at all.
+	It("adds up to the larger limit while its holders have different configurations", func() {
+		bursts := []float64{0, 0.5, 1, 1.5, 2, 5, 8, 9, 10, 16, 20, 120}
+		for _, a := range bursts {
+			for _, b := range bursts {
+				first, second := quota.Limit{Rate: 4 * a, Burst: a}.Of(quota.FirstPart), quota.Limit{Rate: 4 * b, Burst: b}.Of(quota.SecondPart)
+				Expect(first.Rate + second.Rate).To(BeNumerically("<=", 4*max(a, b)+1e-9))
+				Expect(first.Burst + second.Burst).To(BeNumerically("<=", max(a, b)+1))
+				Expect(min(first.Burst, a)).To(BeNumerically(">=", min(a, 1)))
+				Expect(min(second.Burst, b)).To(BeNumerically(">=", min(b, 1)))
+			}
+		}
+		whole := quota.Limit{Rate: 10, Burst: 20}
+		Expect(whole.Of(quota.FirstPart).Rate + whole.Of(quota.SecondPart).Rate).To(BeNumerically("~", whole.Rate))
+		Expect(whole.Of(quota.FirstPart).Burst + whole.Of(quota.SecondPart).Burst).To(BeNumerically("~", whole.Burst))
+		Expect(whole.Of(quota.Whole)).To(Equal(whole))
+		t := quota.Tolerance{Slack: 20}
+		Expect(t.Of(quota.FirstPart).StartTokens() + t.Of(quota.SecondPart).StartTokens()).To(BeNumerically("~", t.StartTokens()))
+	})
+
+	It("has its second part at the best home besides the first holder, or at a single home", func() {
+		Expect(quota.SecondHolder([]core.DaemonID{"a", "b", "c"}, "a")).To(Equal(core.DaemonID("b")))
+		Expect(quota.SecondHolder([]core.DaemonID{"a", "b", "c"}, "c")).To(Equal(core.DaemonID("a")))
+		Expect(quota.SecondHolder([]core.DaemonID{"a"}, "a")).To(Equal(core.DaemonID("a")))
+	})
+
+	at := after(quota.BatchDelay)
+	// listed returns a holder that requests slots 7 and 8 and the second slot of 7, after it has
+	// read the owners.
+	listed := func(owners map[quota.Slot]quota.Owner) *quota.Holder {
+		h := quota.NewSplitHolder("d", 1)
+		for _, slot := range []quota.Slot{7, 8, quota.Slot(7).Second()} {
+			h.Request(start, slot)
+		}
+		h.Granted(at, 3, quota.LeaseTTL)
+		h.Listed(at, owners)
+		return h
+	}
+
+	// Guards against a conflict about a second slot that delays teams for which no daemon counts.
+	It("takes slots before second slots, in calls of their own", func() {
+		h := listed(map[quota.Slot]quota.Owner{7: {Daemon: "e", Split: true, Revision: 5}})
+		Expect(h.Next(at, true).Slots).To(Equal(map[quota.Slot]uint64{8: 0}))
+		h.Taken(at, map[quota.Slot]uint64{8: 0}, 11)
+		Expect(h.Next(at, true).Slots).To(Equal(map[quota.Slot]uint64{quota.Slot(7).Second(): 0}))
+	})
+
+	// A daemon of an older version gives out the whole limit. Guards against a second holder that
+	// adds its part to that.
+	It("has no second holder beside a daemon that gives out whole limits", func() {
+		second := quota.Slot(7).Second()
+		h := listed(map[quota.Slot]quota.Owner{7: {Daemon: "old", Revision: 5}})
+		h.Taken(at, map[quota.Slot]uint64{8: 0}, 11)
+		Expect(h.Next(at, true).Kind).To(Equal(quota.Pause))
+		h = listed(nil)
+		h.Taken(at, map[quota.Slot]uint64{second: 0}, 11)
+		_, holds := h.Holds(at, second)
+		Expect(holds).To(BeTrue())
+		h.Listed(at, map[quota.Slot]quota.Owner{7: {Daemon: "old", Revision: 12}, second: {Daemon: "d", Boot: 1, Revision: 11, Split: true}})
+		_, holds = h.Holds(at, second)
+		Expect(holds).To(BeFalse())
+		Expect(h.Next(at, true)).To(Equal(quota.Step{Kind: quota.Release, Slots: map[quota.Slot]uint64{second: 11}}))
+	})
+
+	// All daemons restart, and split limits from now on. Guards against a holder that uses the rest
+	// of a part's burst although more than the part's unreported burst may have been used before.
+	It("starts nearly empty after a holder that gave out whole limits", func() {
+		for _, split := range []bool{false, true} {
+			h := listed(map[quota.Slot]quota.Owner{8: {Daemon: "d", Split: split, Revision: 5}})
+			h.Taken(at, map[quota.Slot]uint64{8: 5}, 11)
+			held, _ := h.Holds(at, 8)
+			Expect(held.PreviousBurstUnused).To(Equal(split))
+		}
+	})
+})
--- a/core/quota/sim_test.go
+++ b/core/quota/sim_test.go
@@ -40,10 +40,9 @@
 // overage.
 var longWindowTolerance = quota.Tolerance{Window: 3 * simWindow, Overage: 0.02, Slack: simTolerance.Slack}
 
-// allowed returns how many operations members may receive in a window of the tolerance.
-func allowed(t quota.Tolerance) float64 {
-	return (simRate*t.Window.Seconds()+simBurst)*(1+t.Overage) + t.Slack
-}
+// largeBurst is a burst that is larger than the operations of a window at the rate. A fault of the
+// count of one part of a split limit then exceeds the tolerance by itself.
+const largeBurst = 300.0
 
 // omission disables one of the mechanisms on which the contract rests.
 type omission int
@@ -61,32 +60,50 @@
 	omitSettling
 	// omitEras lets daemons rely on responses that the store sent before it was restored.
 	omitEras
+	// omitParts lets each holder of a slot or of its second slot give out the whole limit.
+	omitParts
 )
 
+// simMode selects what a simulated fleet does, besides the faults of all modes.
+type simMode struct {
+	tolerance quota.Tolerance
+	burst     float64
+	// restores adds restores of the store from snapshots to the faults.
+	restores bool
+	// split splits the limits between the holders of slots and of second slots.
+	split bool
+}
+
+// allowed returns how many operations members may receive in a window of the tolerance.
+func (m simMode) allowed() float64 {
+	return (simRate*m.tolerance.Window.Seconds()+m.burst)*(1+m.tolerance.Overage) + m.tolerance.Slack
+}
+
 // simStore models the part of the platform's store that slots use.
 type simStore struct {
 	revision uint64
 	leases   map[uint64]time.Duration // end of each lease
-	key      *quota.Owner
+	keys     map[quota.Slot]simKey
 	down     bool
-	// era counts the restores of the store, keyEra is the era in which the key was written, and
-	// settled is the era that a daemon has attested.
-	era, keyEra, settled mirror.Era
+	// era counts the restores of the store, and settled is the era that a daemon has attested.
+	era, settled mirror.Era
 	// snapshots are earlier states of the store, one per snapshotInterval.
 	snapshots []simStore
 }
 
+// simKey is the key of a slot, and the era in which it was written.
+type simKey struct {
+	quota.Owner
+	era mirror.Era
+}
+
 // snapshotInterval is the interval between snapshots of the store.
 const snapshotInterval = 50 * time.Millisecond
 
 // snapshot returns a copy of the store's present state.
 func (s *simStore) snapshot() simStore {
 	c := *s
-	c.leases, c.snapshots = maps.Clone(s.leases), nil
-	if s.key != nil {
-		key := *s.key
-		c.key = &key
-	}
+	c.leases, c.keys, c.snapshots = maps.Clone(s.leases), maps.Clone(s.keys), nil
 	return c
 }
 
@@ -107,9 +124,7 @@
 			continue
 		}
 		delete(s.leases, lease)
-		if s.key != nil && s.key.Lease == lease {
-			s.key = nil
-		}
+		maps.DeleteFunc(s.keys, func(_ quota.Slot, key simKey) bool { return key.Lease == lease })
 	}
 }
 
@@ -123,24 +138,27 @@
 	partitionedUntil time.Duration
 	h                *quota.Holder
 	eras             era.Tracker
-	count            quota.Counter
+	parts            map[quota.Part]*simPart
 	calling          bool
+}
+
+// simPart counts the operations of one part of the team's limit at a daemon.
+type simPart struct {
+	count quota.Counter
 	// last is the last holding, with which a daemon continues under omitLeaseExpiry.
 	last     quota.Holding
 	heldOnce bool
 }
 
 type sim struct {
-	r         *rand.Rand
-	now       time.Duration
-	store     simStore
-	daemons   []*simDaemon
-	events    []simEvent
-	sent      []time.Duration
-	omitted   omission
-	tolerance quota.Tolerance
-	// restores adds restores of the store from snapshots to the faults.
-	restores bool
+	r       *rand.Rand
+	now     time.Duration
+	store   simStore
+	daemons []*simDaemon
+	events  []simEvent
+	sent    []time.Duration
+	omitted omission
+	simMode
 }
 
 type simEvent struct {
@@ -156,8 +174,11 @@
 
 func (s *sim) start(d *simDaemon) {
 	d.boot++
-	d.up, d.calling, d.count, d.heldOnce = true, false, quota.Counter{}, false
+	d.up, d.calling, d.parts = true, false, map[quota.Part]*simPart{quota.Whole: {}, quota.FirstPart: {}, quota.SecondPart: {}}
 	d.h, d.eras = quota.NewHolder(d.id, d.boot), era.Tracker{}
+	if s.split {
+		d.h = quota.NewSplitHolder(d.id, d.boot)
+	}
 	s.poll(d, d.boot)
 }
 
@@ -259,7 +280,6 @@
 // daemon.
 func (s *sim) execute(d *simDaemon, step quota.Step, sent core.Time) func() {
 	st := &s.store
-	slot := quota.SlotOf(team)
 	failed := func() { d.h.Failed(d.clock(s)) }
 	switch step.Kind {
 	case quota.Grant:
@@ -275,18 +295,16 @@
 		return func() { d.h.Renewed(sent, quota.LeaseTTL) }
 	case quota.List:
 		owners := make(map[quota.Slot]quota.Owner)
-		if st.key != nil {
-			owner := *st.key
-			owner.BurstInUse = owner.BurstInUse || st.keyEra != st.era
-			owners[slot] = owner
+		for slot, key := range st.keys {
+			key.BurstInUse = key.BurstInUse || key.era != st.era
+			owners[slot] = key.Owner
 		}
 		return func() { d.h.Listed(sent, owners) }
 	case quota.Take, quota.Release, quota.RecordBurst, quota.ClearBurst:
-		revision := uint64(0)
-		if st.key != nil {
-			revision = st.key.Revision
-		}
-		if step.Slots[slot] != revision {
+		for slot, revision := range step.Slots {
+			if st.keys[slot].Revision == revision {
+				continue
+			}
 			switch step.Kind {
 			case quota.Release:
 				return func() { d.h.Released(step.Slots) }
@@ -297,35 +315,52 @@
 		}
 		st.revision++
 		if step.Kind == quota.Release {
-			st.key = nil
+			maps.DeleteFunc(st.keys, func(slot quota.Slot, _ simKey) bool { _, ok := step.Slots[slot]; return ok })
 			return func() { d.h.Released(step.Slots) }
 		}
 		if _, ok := st.leases[step.Lease]; !ok {
 			return func() { d.h.LeaseGone() }
 		}
+		revision := st.revision
+		for slot := range step.Slots {
+			st.keys[slot] = simKey{quota.Owner{Daemon: d.id, Boot: d.boot, Lease: step.Lease, Revision: revision, BurstInUse: step.Kind != quota.ClearBurst, Split: s.split}, st.era}
+		}
 		if step.Kind != quota.Take {
-			st.key.Revision, st.key.BurstInUse, st.keyEra = st.revision, step.Kind == quota.RecordBurst, st.era
-			recorded := *st.key
-			return func() { d.h.BurstRecorded(step.Slots, recorded.Revision, recorded.BurstInUse) }
+			return func() { d.h.BurstRecorded(step.Slots, revision, step.Kind == quota.RecordBurst) }
 		}
-		taken := quota.Owner{Daemon: d.id, Boot: d.boot, Lease: step.Lease, Revision: st.revision, BurstInUse: true}
-		st.key, st.keyEra = &taken, st.era
-		return func() { d.h.Taken(d.clock(s), step.Slots, taken.Revision) }
+		return func() { d.h.Taken(d.clock(s), step.Slots, revision) }
 	}
 	return failed
 }
 
-// request handles one operation of a caller at the daemon.
+// request handles one operation of a caller at the daemon. A daemon that does not hold the slot
+// requests its second slot; now and then the slot's holder does as well.
 func (s *sim) request(d *simDaemon) {
 	at := d.clock(s)
 	slot := quota.SlotOf(team)
 	d.h.Request(at, slot)
+	if !s.split {
+		s.count(d, slot, quota.Whole)
+		return
+	}
+	if _, holds := d.h.Holds(at, slot); !holds || s.r.IntN(400) == 0 {
+		d.h.Request(at, slot.Second())
+	}
+	if !s.count(d, slot, quota.FirstPart) {
+		s.count(d, slot.Second(), quota.SecondPart)
+	}
+}
+
+// count counts an operation against the part of the team's limit that the slot stands for, and
+// reports whether it was sent.
+func (s *sim) count(d *simDaemon, slot quota.Slot, part quota.Part) bool {
+	at, p := d.clock(s), d.parts[part]
 	held, holds := d.h.Holds(at, slot)
 	if holds {
-		d.heldOnce, d.last = true, held
+		p.heldOnce, p.last = true, held
 	}
-	if s.omitted == omitLeaseExpiry && d.heldOnce {
-		held, holds = d.last, true
+	if s.omitted == omitLeaseExpiry && p.heldOnce {
+		held, holds = p.last, true
 	}
 	if s.omitted == omitStartTokens {
 		held.PreviousBurstUnused = true
@@ -334,19 +369,23 @@
 		held.FullBurst = true
 	}
 	if !holds {
-		return
+		return false
+	}
+	if s.omitted == omitParts {
+		part = quota.Whole
 	}
-	limit := s.tolerance.Limit(simRate, simBurst)
-	ok, needsBurst := d.count.Take(at, held, limit, s.tolerance)
+	limit, tolerance := s.tolerance.Limit(simRate, s.burst).Of(part), s.tolerance.Of(part)
+	ok, needsBurst := p.count.Take(at, held, limit, tolerance)
 	if ok {
 		s.sent = append(s.sent, s.now)
 	}
 	if needsBurst {
 		d.h.RequestBurst(slot)
 	}
-	if held.FullBurst && at.Sub(held.Since) >= s.tolerance.Window+quota.ReservationTTL && d.count.BurstUnused(at, held, s.tolerance) {
+	if held.FullBurst && at.Sub(held.Since) >= s.tolerance.Window+quota.ReservationTTL && p.count.BurstUnused(at, held, tolerance) {
 		d.h.ReleaseBurst(slot)
 	}
+	return ok
 }
 
 // demand returns the number of operations that a daemon receives in a tick. Phases in which each
@@ -387,6 +426,9 @@
 		}
 	case 5:
 		d.h.Release(quota.SlotOf(team))
+		if s.split && s.r.IntN(2) == 0 {
+			d.h.Release(quota.SlotOf(team).Second())
+		}
 	case 6:
 		s.store.down = true
 		s.after(seconds(2), func() { s.store.restore(seconds(6)) })
@@ -394,9 +436,9 @@
 }
 
 // run simulates a seed and returns the highest number of operations sent in one window.
-func run(seed uint64, omitted omission, tolerance quota.Tolerance, restores bool) (peak int) {
-	s := &sim{r: rand.New(rand.NewPCG(seed, 1)), omitted: omitted, tolerance: tolerance, restores: restores, store: simStore{revision: 10, leases: make(map[uint64]time.Duration)}}
-	if restores {
+func run(seed uint64, omitted omission, mode simMode) (peak int) {
+	s := &sim{r: rand.New(rand.NewPCG(seed, 1)), omitted: omitted, simMode: mode, store: simStore{revision: 10, leases: make(map[uint64]time.Duration), keys: make(map[quota.Slot]simKey)}}
+	if s.restores {
 		// The first era that the store names, attested at the fleet's first start.
 		s.store.era, s.store.settled = 1, 1
 	}
@@ -414,7 +456,7 @@
 			}
 		}
 		s.store.expireLeases(s.now)
-		if restores && s.now%snapshotInterval == 0 {
+		if s.restores && s.now%snapshotInterval == 0 {
 			s.store.snapshots = append(s.store.snapshots, s.store.snapshot())
 		}
 		if s.r.IntN(120) == 0 {
@@ -436,7 +478,7 @@
 		}
 	}
 	for i, first := 0, 0; i < len(s.sent); i++ {
-		for s.sent[i]-s.sent[first] > tolerance.Window {
+		for s.sent[i]-s.sent[first] > s.tolerance.Window {
 			first++
 		}
 		peak = max(peak, i-first+1)
@@ -450,15 +492,15 @@
 		seeds = n
 	}
 
-	exceeded := func(seed uint64, omitted omission, tolerance quota.Tolerance, restores bool) (bool, int) {
-		peak := run(seed, omitted, tolerance, restores)
-		return float64(peak) > allowed(tolerance), peak
+	exceeded := func(seed uint64, omitted omission, mode simMode) (bool, int) {
+		peak := run(seed, omitted, mode)
+		return float64(peak) > mode.allowed(), peak
 	}
 
 	// anySeedExceeds reports whether some seed exceeds the limit under the omission.
-	anySeedExceeds := func(omitted omission, tolerance quota.Tolerance, restores bool) bool {
+	anySeedExceeds := func(omitted omission, mode simMode) bool {
 		for seed := range uint64(3000) {
-			if yes, _ := exceeded(seed, omitted, tolerance, restores); yes {
+			if yes, _ := exceeded(seed, omitted, mode); yes {
 				return true
 			}
 		}
@@ -469,37 +511,44 @@
 	// down, loses responses or executes calls late, while all daemons together receive more
 	// operations than the team's limit allows. Members receive no more than the limit allows in
 	// any window.
-	DescribeTable("is never exceeded by the fleet, whatever fails", func(tolerance quota.Tolerance, restores bool, used float64) {
+	DescribeTable("is never exceeded by the fleet, whatever fails", func(mode simMode, used float64) {
 		served := 0
 		for seed := range seeds {
-			yes, peak := exceeded(seed, omitNothing, tolerance, restores)
-			Expect(yes).To(BeFalse(), "seed %d: %d operations in a window, %.0f are allowed", seed, peak, allowed(tolerance))
+			yes, peak := exceeded(seed, omitNothing, mode)
+			Expect(yes).To(BeFalse(), "seed %d: %d operations in a window, %.0f are allowed", seed, peak, mode.allowed())
 			served += peak
 		}
-		Expect(float64(served)/float64(seeds)).To(BeNumerically(">", used*simRate*tolerance.Window.Seconds()), "operations in the busiest window of a seed, on average")
+		Expect(float64(served)/float64(seeds)).To(BeNumerically(">", used*simRate*mode.tolerance.Window.Seconds()), "operations in the busiest window of a seed, on average")
 	},
-		Entry("while the store keeps all acknowledged writes", simTolerance, false, 1.0),
-		Entry("while the store is restored from older copies", simTolerance, true, 0.3),
-		Entry("with windows longer than an era takes to settle", longWindowTolerance, true, 0.3),
+		Entry("while the store keeps all acknowledged writes", simMode{tolerance: simTolerance, burst: simBurst}, 1.0),
+		Entry("while the store is restored from older copies", simMode{tolerance: simTolerance, burst: simBurst, restores: true}, 0.3),
+		Entry("with windows longer than an era takes to settle", simMode{tolerance: longWindowTolerance, burst: simBurst, restores: true}, 0.3),
+		Entry("with split limits", simMode{tolerance: simTolerance, burst: simBurst, split: true}, 1.0),
+		Entry("with split limits and a large burst", simMode{tolerance: simTolerance, burst: largeBurst, split: true}, 1.0),
+		Entry("with split limits, while the store is restored from older copies", simMode{tolerance: simTolerance, burst: simBurst, restores: true, split: true}, 0.3),
+		Entry("with split limits and windows longer than an era takes to settle", simMode{tolerance: longWindowTolerance, burst: simBurst, restores: true, split: true}, 0.3),
 	)
 
-	It("would be exceeded if each new holder started with a full burst", func() {
-		Expect(anySeedExceeds(omitStartTokens, simTolerance, false)).To(BeTrue())
-	})
-
-	It("would be exceeded if a holder used its full burst before the store records it", func() {
-		Expect(anySeedExceeds(omitBurstRecord, simTolerance, false)).To(BeTrue())
-	})
-
-	It("would be exceeded if a holder continued after its lease has expired", func() {
-		Expect(anySeedExceeds(omitLeaseExpiry, simTolerance, false)).To(BeTrue())
-	})
-
-	It("would be exceeded if a slot could be taken as soon as the store is restored", func() {
-		Expect(anySeedExceeds(omitSettling, simTolerance, true)).To(BeTrue())
-	})
+	DescribeTable("would be exceeded", func(burst float64, split bool) {
+		for _, guard := range []struct {
+			without  string
+			omitted  omission
+			restores bool
+		}{
+			{"a nearly empty bucket of each new holder", omitStartTokens, false},
+			{"the store's record of a full burst before its use", omitBurstRecord, false},
+			{"the end of a holding with its lease", omitLeaseExpiry, false},
+			{"waiting until a restored store is settled", omitSettling, true},
+			{"noticing a new era", omitEras, true},
+		} {
+			Expect(anySeedExceeds(guard.omitted, simMode{tolerance: simTolerance, burst: burst, restores: guard.restores, split: split})).To(BeTrue(), "without %s", guard.without)
+		}
+	},
+		Entry("without one of the guards", simBurst, false),
+		Entry("without one of the guards of split limits", largeBurst, true),
+	)
 
-	It("would be exceeded if daemons did not notice a new era", func() {
-		Expect(anySeedExceeds(omitEras, simTolerance, true)).To(BeTrue())
+	It("would be exceeded if both holders of a split limit gave out the whole limit", func() {
+		Expect(anySeedExceeds(omitParts, simMode{tolerance: simTolerance, burst: simBurst, split: true})).To(BeTrue())
 	})
 })
