Serve a team's second part when its first holder is lost or at its part

Cause: entries follow the holder of a team's slot. While it is lost, partitioned or unreachable, each other home declines the team's statements.

Change: with overload control and limits, homes take the second slots of the slots for which they are the next home in the order, in the calls that take slots. An entry that cannot use the first holder asks the next home and says so in Hello.second_part (15). A statement refused at the limit is sent to the other holder once, or run by the entry itself if it holds the second slot; its session stays there for 2 s. Mechanism split-limits; metrics on_second_part and sent_to_other_part. Elsewhere decisions and the store's contents are as before.

Result: go test ./pkg/proxy ./core/policy ./cmd/limpetspand passes. The new specs fail with their guards removed: without the second part at a home, the lost daemon's key is gone when the team is served; without sending on, the second holder counts nothing; without the condition, the store has second slots. Faults of a whole fleet: not measured.

--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -54,6 +54,9 @@
 	AvoidFailing
 	// GatherTeams lets one home of each group serve all statements of a team.
 	GatherTeams
+	// SplitLimits lets a second daemon give out a part of each team's limit, so that teams are served
+	// while the holder of their slot is lost.
+	SplitLimits
 	end
 )
 
@@ -63,7 +66,7 @@
 var names = [...]string{
 	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
-	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
+	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams", "split-limits",
 }
 
 // renamed maps the old name of a mechanism to its present name.
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -26,10 +26,12 @@
 			return
 		}
 		a, sent, err := l.run(s, j.id, []string{j.text}, j.forwardDeadline(), j.writes)
-		if err == nil && l.isDecline(&a) {
-			if s.handleDecline(l, &a, attempt) {
-				continue
-			}
+		if err == nil && s.runsSecondPart(j, &a) {
+			s.runSingle(j)
+			return
+		}
+		if err == nil && s.shouldAskElsewhere(j, l, &a, attempt) {
+			continue
 		}
 		if err == nil {
 			s.relayHomeAnswer(j, &a, true)
@@ -59,6 +61,9 @@
 func (s *session) handleDecline(l *link, a *platform.Answer, attempt int) bool {
 	s.logDecision("home declined", "home", l.home, "text", a.Text)
 	team := s.p.access.teamOf(s.key)
+	if attempt == 1 && s.askForSecondPart(l, a, team) {
+		return true
+	}
 	s.p.homes.teamDeclined(l.home, team)
 	owner := parseSlotOwner(a.Text)
 	if owner != "" {
@@ -136,7 +141,7 @@
 		return
 	}
 	a, sent, err := tx.homeLink.run(s, j.id, texts, j.forwardDeadline(), false)
-	for attempt := 1; err == nil && len(texts) > 1 && tx.homeLink.isDecline(&a) && s.handleDecline(tx.homeLink, &a, attempt); attempt++ {
+	for attempt := 1; err == nil && len(texts) > 1 && s.shouldAskElsewhere(j, tx.homeLink, &a, attempt); attempt++ {
 		// Nothing of the transaction has run, so it can begin at another home.
 		tx.homeLink = nil
 		if texts, ok = s.homeTexts(j); !ok {
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -60,6 +60,8 @@
 	groupBackoffUntil map[groupDaemon]core.Time
 	// teamBackoffUntil is the time until which a daemon is not asked for a team that it declined.
 	teamBackoffUntil map[teamDaemon]core.Time
+	// overLimit holds the daemons to which no statements over another part of a team's limit are sent.
+	overLimit map[teamDaemon]overLimitBackoff
 	// nextRecheck is the earliest time of the next liveness check of a daemon in backoff.
 	nextRecheck map[core.DaemonID]core.Time
 	// lastSeen is when a daemon last answered on any link.
@@ -85,7 +87,7 @@
 }
 
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, ready: make(chan struct{}), table: direct.NewHomeTable(), ownGroups: make(map[core.GroupID]bool), slotOrders: make(map[groupSlot][]core.DaemonID), backoffUntil: make(map[core.DaemonID]core.Time), groupBackoffUntil: make(map[groupDaemon]core.Time), teamBackoffUntil: make(map[teamDaemon]core.Time), slotOwners: make(map[quota.Slot]core.DaemonID), lastSeen: make(map[core.DaemonID]core.Time), nextRecheck: make(map[core.DaemonID]core.Time)}
+	return &homes{p: p, ready: make(chan struct{}), table: direct.NewHomeTable(), ownGroups: make(map[core.GroupID]bool), slotOrders: make(map[groupSlot][]core.DaemonID), backoffUntil: make(map[core.DaemonID]core.Time), groupBackoffUntil: make(map[groupDaemon]core.Time), teamBackoffUntil: make(map[teamDaemon]core.Time), overLimit: make(map[teamDaemon]overLimitBackoff), slotOwners: make(map[quota.Slot]core.DaemonID), lastSeen: make(map[core.DaemonID]core.Time), nextRecheck: make(map[core.DaemonID]core.Time)}
 }
 
 // update chooses the homes again if the known daemons or groups have changed.
--- a/pkg/proxy/limits.go
+++ b/pkg/proxy/limits.go
@@ -17,7 +17,9 @@
 type limits struct {
 	p *Proxy
 	// enabled is set if teams have limits.
-	enabled   bool
+	enabled bool
+	// split is set if each limit is split between the holders of a slot and of its second slot.
+	split     bool
 	tolerance quota.Tolerance
 	// signal ends a pause of run when there is something to do.
 	signal chan struct{}
@@ -25,6 +27,10 @@
 	mu       sync.Mutex
 	holder   *quota.Holder
 	counters map[core.TeamID]*teamCounter
+	// secondCounters count operations against the second parts of split limits.
+	secondCounters map[core.TeamID]*teamCounter
+	// secondRequestedAt is when second slots were last requested without need.
+	secondRequestedAt core.Time
 	// slotsChanged is closed and replaced when slots were taken or listed.
 	slotsChanged chan struct{}
 }
@@ -41,15 +47,18 @@
 }
 
 func newLimits(p *Proxy) *limits {
-	return &limits{
+	l := &limits{
 		p: p, enabled: p.settings.LimitsEnabled, tolerance: p.settings.QuotaTolerance, signal: make(chan struct{}, 1), slotsChanged: make(chan struct{}),
-		holder: quota.NewHolder(p.settings.Daemon, p.boot), counters: make(map[core.TeamID]*teamCounter),
+		counters: make(map[core.TeamID]*teamCounter), secondCounters: make(map[core.TeamID]*teamCounter), secondRequestedAt: now(),
 	}
+	l.setSplit()
+	return l
 }
 
 // reserve counts one of the team's operations, which is to be sent now, against the team's limit.
-// mayTakeSlot says whether this daemon may take the team's slot to run it.
-func (l *limits) reserve(team auth.Team, mayTakeSlot bool) quotaReservation {
+// mayTakeSlot says whether this daemon may take the team's slot to run it, useSecond whether the
+// slot's holder cannot be asked or is over its part of the limit.
+func (l *limits) reserve(team auth.Team, mayTakeSlot, useSecond bool) quotaReservation {
 	if !l.enabled || !team.Limited {
 		return quotaReservation{}
 	}
@@ -58,6 +67,10 @@
 	defer l.mu.Unlock()
 	at := now()
 	held, ok := l.holder.Holds(at, slot)
+	if !ok && useSecond && l.holdsSecond(at, slot) {
+		l.requestLost(at, slot, mayTakeSlot)
+		return l.reserveSecond(at, team)
+	}
 	if owner := l.holder.OtherOwner(slot); !ok && owner != "" && l.holder.OwnersAge(at) < maxOwnersAge && l.p.peers.seenRecently(owner) {
 		return quotaReservation{slotNotHeld, quota.RetryDelay, owner}
 	}
@@ -66,16 +79,31 @@
 	}
 	if !ok {
 		l.notify()
+		if l.holdsSecond(at, slot) {
+			return l.reserveSecond(at, team)
+		}
 		return quotaReservation{slotNotHeld, quota.RetryDelay, l.holder.OtherOwner(slot)}
 	}
-	c := l.counterFor(at, team)
-	ok, needsBurst := c.Take(at, held, c.limit, l.tolerance)
+	if l.split {
+		if r := l.count(at, held, team, quota.FirstPart); r.result != overLimit || !l.holdsSecond(at, slot) {
+			return r
+		}
+		return l.reserveSecond(at, team)
+	}
+	return l.count(at, held, team, quota.Whole)
+}
+
+// count counts an operation of the team against the part of its limit that the holding stands for.
+// The lock is held.
+func (l *limits) count(at core.Time, held quota.Holding, team auth.Team, part quota.Part) quotaReservation {
+	c := l.counterFor(at, team, part)
+	ok, needsBurst := c.Take(at, held, c.limit, l.tolerance.Of(part))
 	if ok {
 		c.served++
 		return quotaReservation{}
 	}
 	if needsBurst {
-		l.holder.RequestBurst(slot)
+		l.holder.RequestBurst(held.Slot)
 		l.notify()
 		return quotaReservation{result: burstNotRecorded, retryAfter: minOverLimitRetry}
 	}
@@ -83,14 +111,19 @@
 	return quotaReservation{result: overLimit, retryAfter: l.retryAfter(at, team.ID, c)}
 }
 
-// counterFor returns the team's counter, updated to the team's current limit. The lock is held.
-func (l *limits) counterFor(at core.Time, team auth.Team) *teamCounter {
-	c := l.counters[team.ID]
+// counterFor returns the team's counter for the part, updated to the team's current limit. The lock
+// is held.
+func (l *limits) counterFor(at core.Time, team auth.Team, part quota.Part) *teamCounter {
+	counters := l.counters
+	if part == quota.SecondPart {
+		counters = l.secondCounters
+	}
+	c := counters[team.ID]
 	if c == nil {
 		c = &teamCounter{}
-		l.counters[team.ID] = c
+		counters[team.ID] = c
 	}
-	c.limit = l.tolerance.Limit(team.Rate, team.Burst)
+	c.limit = l.tolerance.Limit(team.Rate, team.Burst).Of(part)
 	if c.atLimit && at.Sub(c.deniedAt) > atLimitDuration {
 		c.atLimit = false
 		l.p.log.Info("team is within its limit again", "team", team.ID, "denied", c.denied)
@@ -145,7 +178,12 @@
 	defer l.mu.Unlock()
 	var all []TeamUsage
 	for id, c := range l.counters {
-		all = append(all, TeamUsage{id, c.served, c.denied, c.limit.Rate, c.limit.Burst})
+		all = append(all, c.usage(id, l.secondCounters[id]))
+	}
+	for id, c := range l.secondCounters {
+		if l.counters[id] == nil {
+			all = append(all, c.usage(id, nil))
+		}
 	}
 	slices.SortFunc(all, func(a, b TeamUsage) int {
 		return cmp.Or(cmp.Compare(b.Served+b.Denied, a.Served+a.Denied), cmp.Compare(a.Team, b.Team))
@@ -176,6 +214,9 @@
 		at := now()
 		l.holder.Request(at, slot)
 		held, holds := l.holder.Holds(at, slot)
+		if !holds && l.holdsSecond(at, slot) {
+			held, holds = l.holder.Holds(at, slot.Second())
+		}
 		holds = holds && (held.FullBurst || !burst)
 		unavailable := l.holder.OtherOwner(slot) != "" || l.holder.StoreFailing()
 		changed := l.slotsChanged
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -41,19 +41,23 @@
 // current link leads to a daemon that is no longer a home, because that daemon's
 // connections to the members add to those of the current homes.
 func (s *session) connectHome(id core.GroupID, deadline core.Time) (*link, error) {
-	team := s.p.access.teamOf(s.key)
-	if s.link != nil && s.link.group == id && s.link.isUsable() && s.p.homes.mayKeepLink(id, team, s.link.home) {
+	team, overflow := s.p.access.teamOf(s.key), s.overflowHome
+	s.overflowHome = ""
+	if s.link != nil && s.link.group == id && s.link.isUsable() && (s.staysAtOtherHolder() || s.p.homes.mayKeepLink(id, team, s.link.home)) {
 		return s.link.link, nil
 	}
 	s.closeLink()
 	unknown := 0
-	for _, home := range s.p.homes.candidates(id, team) {
+	for _, home := range preferHome(s.p.homes.candidates(id, team), overflow) {
 		if now() >= deadline {
 			break
 		}
-		l, err := s.dialHome(home, deadline)
+		l, err := s.dialHome(home, deadline, s.asksForSecondPart(id, team, home, overflow))
 		if err == nil {
 			s.link = &groupLink{group: id, link: l}
+			if home == overflow {
+				s.link.overflowUntil = now().Add(overflowRetention)
+			}
 			return l, nil
 		}
 		s.logDecision("home connect failed", "home", home, "error", err)
@@ -90,6 +94,9 @@
 type groupLink struct {
 	*link
 	group core.GroupID
+	// overflowUntil is when a session that was moved to the other holder of its team's split limit
+	// may move back; 0: it was not moved.
+	overflowUntil core.Time
 }
 
 func (s *session) closeLink() {
@@ -99,7 +106,7 @@
 	}
 }
 
-func (s *session) dialHome(home core.DaemonID, deadline core.Time) (*link, error) {
+func (s *session) dialHome(home core.DaemonID, deadline core.Time, secondPart bool) (*link, error) {
 	addr, ok := s.p.peers.homeAddr(home)
 	if !ok {
 		return nil, errNoHome
@@ -110,7 +117,7 @@
 		return nil, err
 	}
 	l := &link{home: home, c: c, r: bufio.NewReaderSize(c, 1024), values: map[string]string{}, prepared: map[string]preparedStatement{}}
-	if err := l.handshake(s, timeout); err != nil {
+	if err := l.handshake(s, timeout, secondPart); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
@@ -118,11 +125,11 @@
 }
 
 // handshake opens the session at the home.
-func (l *link) handshake(s *session, timeout time.Duration) error {
+func (l *link) handshake(s *session, timeout time.Duration, secondPart bool) error {
 	_ = l.c.SetDeadline(time.Now().Add(timeout))
 	hello := &reportpb.Hello{
 		Database: s.database, Entry: string(s.p.settings.Daemon), Term: uint64(s.lastCommit.Term), Lsn: uint64(s.lastCommit.LSN),
-		Version: s.p.metadata.Version(), Ip: s.p.settings.IP, KeyFingerprint: s.key[:],
+		Version: s.p.metadata.Version(), Ip: s.p.settings.IP, KeyFingerprint: s.key[:], SecondPart: secondPart,
 	}
 	if _, err := protodelim.MarshalTo(l.c, hello); err != nil {
 		return err
@@ -357,6 +364,7 @@
 	_ = s.c.SetReadDeadline(time.Time{})
 	s.database = hello.Database
 	copy(s.key[:], hello.KeyFingerprint)
+	s.secondPart = hello.SecondPart
 	s.lastCommit = core.Position{Term: core.Term(hello.Term), LSN: core.LSN(hello.Lsn)}
 	s.lastCommitAt = now()
 	s.serveMessages()
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -131,7 +131,10 @@
 
 // SetPolicy sets which optional mechanisms are switched on, so that a measurement can show the effect
 // of each. It must be called before Run.
-func (p *Proxy) SetPolicy(set policy.Set) { p.policy = set }
+func (p *Proxy) SetPolicy(set policy.Set) {
+	p.policy = set
+	p.limits.setSplit()
+}
 
 // SetSessionLimits bounds the state that a session may set. It must be called before Run.
 func (p *Proxy) SetSessionLimits(l SessionLimits) error {
--- a/pkg/proxy/reservation.go
+++ b/pkg/proxy/reservation.go
@@ -38,6 +38,10 @@
 	return r.result == slotNotHeld || r.result == burstNotRecorded
 }
 
+// textAtLimit is the reason of a refusal if the team is at its limit, or at the part of its limit that
+// the daemon gives out. Entries look for it in the refusals of homes.
+const textAtLimit = "the team is at its limit"
+
 // textSlotOwner precedes the daemon that counts a team's operations in a refusal. Entries parse
 // the daemon from the text.
 const textSlotOwner = "the team's operations are counted at "
@@ -46,7 +50,7 @@
 func (r quotaReservation) String() string {
 	switch {
 	case r.result == overLimit:
-		return "the team is at its limit"
+		return textAtLimit
 	case r.result == burstNotRecorded:
 		return "the team's burst is not opened yet"
 	case r.owner == "":
@@ -80,10 +84,11 @@
 	// daemon, the homes run their statements again. Otherwise slots would move to all daemons that
 	// were cut off, and back again.
 	mayTakeSlot := s.fromEntry || s.p.homes.isHomeOfAny()
-	s.quotaReservation = s.p.limits.reserve(team, mayTakeSlot)
+	useSecond := j.overflowed || s.mayUseSecondPart(team.ID)
+	s.quotaReservation = s.p.limits.reserve(team, mayTakeSlot, useSecond)
 	if s.quotaReservation.dependsOnStore() && j.reservedAt == 0 && mayTakeSlot {
 		s.p.limits.awaitSlot(team, s.quotaReservation.result == burstNotRecorded, min(j.waitDeadline(), j.arrived.Add(slotWaitTimeout)))
-		s.quotaReservation = s.p.limits.reserve(team, mayTakeSlot)
+		s.quotaReservation = s.p.limits.reserve(team, mayTakeSlot, useSecond)
 	}
 	if s.quotaReservation.result != reserved {
 		return false
@@ -94,8 +99,12 @@
 
 // shouldForwardToSlotOwner reports whether a caller's own entry, which is a home as well, forwards
 // a refused statement to the daemon that counts the team's operations. It records that daemon as
-// the slot's owner.
-func (s *session) shouldForwardToSlotOwner() bool {
+// the slot's owner. A statement over this daemon's part of the limit is forwarded to the other
+// holder.
+func (s *session) shouldForwardToSlotOwner(j *job) bool {
+	if !s.fromEntry && s.quotaReservation.result == overLimit {
+		return s.overflowTo(j, s.p.settings.Daemon)
+	}
 	if s.fromEntry || s.quotaReservation.owner == "" {
 		return false
 	}
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -36,6 +36,10 @@
 	// quotaReservation is the result of the last attempt to count an operation
 	// against the limit of the session's team.
 	quotaReservation quotaReservation
+	// overflowHome is the home to ask next, because it gives out another part of the team's limit.
+	// secondPart is set if the entry asks for the second part, as it cannot use the first.
+	overflowHome core.DaemonID
+	secondPart   bool
 	sessionState
 	// lastCommit is the position of the session's last commit, lastCommitAt the
 	// time at which it was acknowledged.
@@ -352,6 +356,7 @@
 		job.prepared, job.writes = &def, def.writes
 		job.text = platform.TextExecute(def.writes, def.shape, st.Argument)
 	}
+	job.memberText = job.text
 	switch {
 	case s.tx != nil && s.tx.forwarded:
 		job.text, job.route = st.Text, s.tx.route
--- a/pkg/proxy/slots.go
+++ b/pkg/proxy/slots.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -72,12 +73,14 @@
 		return
 	}
 	assigned := l.assignedSlots()
+	second := l.assignedSecondSlots()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at := now()
 	for slot := range assigned {
 		l.holder.Request(at, slot)
 	}
+	l.requestFreeSecond(at, second)
 }
 
 // assignedSlots returns the slots that this daemon should hold according to its list of daemons.
@@ -104,10 +107,12 @@
 	l.mu.Lock()
 	held := l.holder.Held()
 	l.mu.Unlock()
-	if len(held) == 0 {
+	isHome := l.p.homes.isHomeOfAny()
+	if len(held) == 0 && !(l.split && isHome) {
 		return
 	}
-	assigned, isHome, at := l.assignedSlots(), l.p.homes.isHomeOfAny(), now()
+	assigned, second, at := l.assignedSlots(), l.assignedSecondSlots(), now()
+	maps.Copy(assigned, second)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.releaseUnusedBursts(at, held)
@@ -117,6 +122,7 @@
 			l.holder.Release(s.Slot)
 		}
 	}
+	l.requestMissingSecond(at, second)
 }
 
 // releaseUnusedBursts ends the use of bursts in slots whose teams have used none for a window, and
@@ -129,12 +135,17 @@
 		bySlot[s.Slot] = s
 		skip[s.Slot] = !s.FullBurst || at.Sub(s.Since) < l.tolerance.Window+quota.ReservationTTL
 	}
-	for id, c := range l.counters {
-		slot := quota.SlotOf(id)
+	skipUsed := func(slot quota.Slot, c *teamCounter) {
 		if s, ok := bySlot[slot]; ok && !skip[slot] && !c.BurstUnused(at, s, l.tolerance) {
 			skip[slot] = true
 		}
 	}
+	for id, c := range l.counters {
+		skipUsed(quota.SlotOf(id), c)
+	}
+	for id, c := range l.secondCounters {
+		skipUsed(quota.SlotOf(id).Second(), c)
+	}
 	for _, s := range held {
 		if !skip[s.Slot] {
 			l.holder.ReleaseBurst(s.Slot)
@@ -204,6 +215,8 @@
 	BurstUnused bool `json:"calm,omitempty"`
 	// Era is the store's era in which the entry was written.
 	Era mirror.Era `json:"era,omitempty"`
+	// Split is set if the holder gives out only one part of each limit.
+	Split bool `json:"split,omitempty"`
 }
 
 // slotKey returns the slot's key in the store.
@@ -231,13 +244,13 @@
 	case err != nil:
 		return nil, err
 	}
-	l.p.log.Info("slots of teams taken", "slots", len(step.Slots))
+	l.p.log.Info("slots of teams taken", "slots", len(step.Slots), "second", countSecond(step.Slots))
 	return func(h *quota.Holder) { h.Taken(now(), step.Slots, uint64(position.Revision)) }, nil
 }
 
 // writeEntries writes this daemon's entries of all slots of the step.
 func (l *limits) writeEntries(ctx context.Context, step quota.Step, burstUnused bool) (mirror.Position, error) {
-	value, err := json.Marshal(slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, BurstUnused: burstUnused, Era: l.p.eras.current()})
+	value, err := json.Marshal(slotEntry{Daemon: l.p.settings.Daemon, Boot: l.p.boot, BurstUnused: burstUnused, Era: l.p.eras.current(), Split: l.split})
 	if err != nil {
 		return mirror.Position{}, err
 	}
@@ -289,7 +302,7 @@
 		if err := json.Unmarshal(item.Value, &entry); err != nil {
 			l.p.log.Warn("entry of a slot cannot be decoded", "key", item.Key, "error", err.Error())
 		}
-		owners[quota.Slot(n)] = quota.Owner{Daemon: entry.Daemon, Boot: entry.Boot, Lease: item.Lease, Revision: uint64(item.Revision), BurstInUse: !entry.BurstUnused || entry.Era != current}
+		owners[quota.Slot(n)] = quota.Owner{Daemon: entry.Daemon, Boot: entry.Boot, Lease: item.Lease, Revision: uint64(item.Revision), BurstInUse: !entry.BurstUnused || entry.Era != current, Split: entry.Split}
 	}
 	return owners
 }
--- /dev/null
+++ b/pkg/proxy/split_test.go
@@ -0,0 +1,132 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/policy"
+	"limpetspan/core/quota"
+	"limpetspan/platform"
+)
+
+// withSplitLimits configures teams with limits that are split between two holders.
+func withSplitLimits(f *fleet) {
+	withLimits(f)
+	limits := f.adjustSettings
+	f.adjustSettings = func(s *platform.Settings) {
+		limits(s)
+		s.OverloadControl = true
+	}
+}
+
+// holderOf returns the running daemon that holds the slot, nil if there is none.
+func (f *fleet) holderOf(slot quota.Slot) *daemon {
+	for _, d := range f.daemons {
+		d.p.limits.mu.Lock()
+		_, holds := d.p.limits.holder.Holds(now(), slot)
+		d.p.limits.mu.Unlock()
+		if holds && !d.p.closing() {
+			return d
+		}
+	}
+	return nil
+}
+
+// awaitBothHolders waits until two daemons hold the team's slot and its second slot. It returns them
+// and a third daemon.
+func (f *fleet) awaitBothHolders(team core.TeamID) (first, second, third *daemon) {
+	slot := quota.SlotOf(team)
+	Eventually(func() bool {
+		first, second = f.holderOf(slot), f.holderOf(slot.Second())
+		return first != nil && second != nil && first != second
+	}, waitLimit).Should(BeTrue())
+	for _, d := range f.daemons {
+		if d != first && d != second {
+			third = d
+		}
+	}
+	return first, second, third
+}
+
+// slotValues returns the values of all slots' keys in the store.
+func (f *fleet) slotValues() map[string]string {
+	items, _, err := f.daemons[0].p.client.List(context.Background(), platform.LimitsPrefix)
+	Expect(err).NotTo(HaveOccurred())
+	values := make(map[string]string)
+	for _, item := range items {
+		values[item.Key] = string(item.Value)
+	}
+	return values
+}
+
+var _ = Describe("a team's split limit", func() {
+	// The holder of a team's slot is lost for good. Guards against a team that is not served until
+	// the lost daemon's lease has ended.
+	It("serves the team's second part while the holder of its slot is lost", func() {
+		f := newFleet(3, withSplitLimits)
+		f.awaitAllDiscovered()
+		f.daemons[0].openSession("db-primary", baysKey).queryUntilServed("READ k")
+		first, second, third := f.awaitBothHolders("bays")
+		x := third.openSession("db-primary", baysKey)
+		x.queryUntilServed("READ k")
+		first.cutStore()
+		first.kill()
+		x.queryUntilServed("READ k")
+		Expect(f.slotValues()).To(HaveKeyWithValue(slotKey(quota.SlotOf("bays")), ContainSubstring(string(first.s.Daemon))), "the lost daemon's lease has not ended")
+		Expect(second.p.stats.onSecondPart.Value()).To(BeNumerically(">", 0))
+	})
+
+	// A team sends more than one part of its limit through each daemon. Guards against a team that
+	// does not get its whole limit in a calm fleet, and against members that run more than that.
+	It("serves the team's whole limit in a calm fleet, and no more", func() {
+		f := newFleet(3, withSplitLimits)
+		f.awaitAllDiscovered()
+		f.daemons[0].openSession("db-primary", gatesKey).queryUntilServed("READ k")
+		first, second, _ := f.awaitBothHolders("gates")
+		began := now()
+		for i := range 30 {
+			for _, d := range f.daemons {
+				x := d.openSession("db-primary", gatesKey)
+				x.query(fmt.Sprintf("READ k%d", i))
+				x.runTransaction()
+			}
+		}
+		Expect(f.statementsOf("gates")).To(BeNumerically("<=", 4*maxStatements(now().Sub(began))), "a transaction has up to four statements")
+		Expect(first.p.limits.counters["gates"].served).To(BeNumerically(">", 0))
+		Expect(second.p.stats.onSecondPart.Value()).To(BeNumerically(">", 0), "sent on from the first holder")
+		Expect(first.p.limits.counters["gates"].limit.Rate + second.p.limits.secondCounters["gates"].limit.Rate).To(BeNumerically("~", first.p.limits.tolerance.Limit(5, 10).Rate))
+	})
+
+	// Guards against further keys and changed values in the store of a deployment that does not split
+	// limits.
+	DescribeTable("changes nothing in the store where limits are not split", func(options ...func(f *fleet)) {
+		f := newFleet(2, options...)
+		f.awaitAllDiscovered()
+		for _, d := range f.daemons {
+			d.p.limits.requestAssigned()
+			d.openSession("db-primary", baysKey).queryUntilServed("READ k")
+			Expect(d.p.limits.assignedSecondSlots()).To(BeEmpty())
+		}
+		for key, value := range f.slotValues() {
+			Expect(key).To(BeElementOf(slotKey(quota.SlotOf("bays")), slotKey(quota.SlotOf("gates"))))
+			Expect(strings.Contains(value, "split")).To(BeFalse())
+		}
+	},
+		Entry("without overload control", withLimits),
+	)
+
+	It("is not split if the mechanism is switched off", func() {
+		p := &Proxy{settings: platform.Settings{LimitsEnabled: true, OverloadControl: true}, policy: policy.All}
+		p.limits = newLimits(p)
+		Expect(p.limits.split).To(BeTrue())
+		set, err := policy.All.Without("split-limits")
+		Expect(err).NotTo(HaveOccurred())
+		p.SetPolicy(set)
+		Expect(p.limits.split).To(BeFalse())
+	})
+})
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -16,6 +16,8 @@
 	kind direct.StatementKind
 	// text is what a member runs.
 	text string
+	// memberText is the text that a member of this daemon's groups runs, also if text is forwarded.
+	memberText string
 	// callerText is the text that the caller sent. It is what a home receives.
 	callerText string
 	writes     bool
@@ -23,6 +25,8 @@
 	// reservedAt is when the statement was counted against its team's limit, 0 if it
 	// was not.
 	reservedAt core.Time
+	// overflowed is set once the other holder of the team's split limit has been asked.
+	overflowed bool
 	route      direct.Route
 	arrived    core.Time
 }
@@ -75,7 +79,7 @@
 		return
 	}
 	if !s.reserveQuota(j) {
-		if s.shouldForwardToSlotOwner() {
+		if s.shouldForwardToSlotOwner(j) {
 			j.text, j.prepared = j.callerText, nil
 			s.forwardSingle(j)
 			return
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -24,6 +24,9 @@
 	// callers' keys, by reason, and overQuota the operations that were refused because of their
 	// teams' limits, by reason.
 	refusals, denied, overQuota expvar.Map
+	// onSecondPart counts the operations counted against the second part of a split limit, overflowed
+	// the statements over one part that were sent to the holder of the other.
+	onSecondPart, overflowed expvar.Int
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
@@ -68,6 +71,7 @@
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"store_eras_ended": s.erasEnded.Value(), "refusals": refusals, "barred": denied, "unpaid": overQuota,
+		"on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -120,7 +120,7 @@
 // failBeginOverQuota is failBegin for an operation whose quota reservation was refused. If
 // another daemon counts the team's operations, the transaction is forwarded to it instead.
 func (s *session) failBeginOverQuota(j *job) bool {
-	if s.shouldForwardToSlotOwner() {
+	if s.shouldForwardToSlotOwner(j) {
 		s.tx.forwarded, j.text, j.prepared = true, j.callerText, nil
 		if j.kind == direct.StatementCommit {
 			s.forwardCommit(j)
