Test a split limit at an entry that cannot reach the first holder

Cause: no spec covers a holder that only one entry cannot reach. Daemons that are no home also compute which second slots they should hold.

Change: add the spec; daemons that are no home skip that computation; reword the argument about slack.

Result: go test ./pkg/proxy ./core/quota ./core/policy ./core/direct passes. The new spec fails if entries do not ask for the second part.

--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -91,8 +91,8 @@
 //     operation is at least one operation, as a smaller part could never be used.
 //   - StartTokens1 + StartTokens2 = StartTokens. A change of both holders therefore costs the slack
 //     no more than a change of the holder of an unsplit limit. If each holder changes three times in
-//     a window, three quarters of the slack and one operation are used; the rest covers the operation
-//     by which the bursts may exceed the whole burst.
+//     a window, three quarters of the slack are used. The rest also covers the operation by which
+//     the bursts may exceed the whole burst.
 //   - ReservationTTL x rate1 + ReservationTTL x rate2 operations may be sent late, as many as with
 //     one key.
 //   - Both parts grow with the limit. While the holders have different configurations, each part is
--- a/pkg/proxy/split.go
+++ b/pkg/proxy/split.go
@@ -82,7 +82,7 @@
 func (l *limits) assignedSecondSlots() map[quota.Slot]bool {
 	assigned := make(map[quota.Slot]bool)
 	catalog := l.p.catalog.Load()
-	if !l.split || catalog == nil || catalog.Teams == nil {
+	if !l.split || catalog == nil || catalog.Teams == nil || !l.p.homes.isHomeOfAny() {
 		return assigned
 	}
 	groups := l.p.activeGroups()
--- a/pkg/proxy/split_test.go
+++ b/pkg/proxy/split_test.go
@@ -81,6 +81,30 @@
 		Expect(second.p.stats.onSecondPart.Value()).To(BeNumerically(">", 0))
 	})
 
+	// An entry cannot reach the holder of a team's slot, but all other daemons can. Guards against a
+	// second holder that declines the entry's statements in favour of the holder.
+	It("serves the team's second part at an entry that cannot reach the holder of its slot", func() {
+		f := newFleet(3, withSplitLimits)
+		f.awaitAllDiscovered()
+		f.daemons[0].openSession("db-primary", baysKey).queryUntilServed("READ k")
+		first, second, entry := f.awaitBothHolders("bays")
+		// The list by which the second holder knows the holder is new, so that it would decline.
+		l := second.p.limits
+		l.mu.Lock()
+		l.holder.Listed(now(), map[quota.Slot]quota.Owner{
+			quota.SlotOf("bays"):          {Daemon: first.s.Daemon, Split: true},
+			quota.SlotOf("bays").Second(): {Daemon: second.s.Daemon, Boot: second.p.boot, Split: true},
+		})
+		l.mu.Unlock()
+		h := entry.p.homes
+		h.mu.Lock()
+		h.backoffUntil[first.s.Daemon] = now().Add(waitLimit)
+		h.nextRecheck[first.s.Daemon] = now().Add(waitLimit)
+		h.mu.Unlock()
+		Expect(entry.openSession("db-primary", baysKey).query("READ k").isServed()).To(BeTrue())
+		Expect(second.p.stats.onSecondPart.Value()).To(BeNumerically(">", 0))
+	})
+
 	// A team sends more than one part of its limit through each daemon. Guards against a team that
 	// does not get its whole limit in a calm fleet, and against members that run more than that.
 	It("serves the team's whole limit in a calm fleet, and no more", func() {
