--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -27,10 +27,12 @@
 			return
 		}
 		a, sent, err := s.runAtHome(j, l, []string{j.text}, j.writes)
-		if err == nil && (l.isDecline(&a) || !j.writes && l.isUnprovedDecline(&a)) {
-			if s.handleDecline(l, &a, attempt) && now() < j.deadline() {
-				continue
-			}
+		if err == nil && s.runsSecondPart(j, &a) {
+			s.runSingle(j)
+			return
+		}
+		if err == nil && s.shouldAskElsewhere(j, l, &a, attempt) && now() < j.deadline() {
+			continue
 		}
 		if err == nil {
 			s.relayHomeAnswer(j, &a, true)
@@ -60,6 +62,9 @@
 func (s *session) handleDecline(l *link, a *platform.Answer, attempt int) bool {
 	s.logDecision("home declined", "home", l.home, "text", a.Text)
 	team := s.p.access.teamOf(s.key)
+	if attempt == 1 && s.askForSecondPart(l, a, team) {
+		return true
+	}
 	s.p.homes.teamDeclined(l.home, team)
 	owner := parseSlotOwner(a.Text)
 	if owner != "" {
@@ -163,7 +168,7 @@
 		return
 	}
 	a, sent, err := s.runAtHome(j, tx.homeLink, texts, false)
-	for attempt := 1; err == nil && len(texts) > 1 && tx.homeLink.isDecline(&a) && s.handleDecline(tx.homeLink, &a, attempt); attempt++ {
+	for attempt := 1; err == nil && len(texts) > 1 && s.shouldAskElsewhere(j, tx.homeLink, &a, attempt); attempt++ {
 		// Nothing of the transaction has run, so it can begin at another home.
 		tx.homeLink = nil
 		if texts, ok = s.homeTexts(j); !ok {
