Run a second part with the statement, slot and members that it needs

Cause: A statement that returned to its entry for the second part of a team's limit lost its prepared statement, so an EXECUTE failed on the member. A daemon gave out the second part also for statements that it had forwarded because it is no home of the group, knows no members or cannot reach the primary. The second holder did not wait for its own record of the burst while the store's list named another holder of the slot, so bursts were refused.

Change: A job keeps the prepared statement beside the member's text, and both are restored. runsSecondPart requires what running here requires. A reservation names the slot whose record of the burst is missing, and the wait is for that slot.

--- a/pkg/proxy/limits.go
+++ b/pkg/proxy/limits.go
@@ -72,7 +72,7 @@
 		return l.reserveSecond(at, team)
 	}
 	if owner := l.holder.OtherOwner(slot); !ok && owner != "" && l.holder.OwnersAge(at) < maxOwnersAge && l.p.peers.seenRecently(owner) {
-		return quotaReservation{slotNotHeld, quota.RetryDelay, owner}
+		return quotaReservation{result: slotNotHeld, retryAfter: quota.RetryDelay, owner: owner}
 	}
 	if ok || mayTakeSlot {
 		l.holder.Request(at, slot)
@@ -82,7 +82,7 @@
 		if l.holdsSecond(at, slot) {
 			return l.reserveSecond(at, team)
 		}
-		return quotaReservation{slotNotHeld, quota.RetryDelay, l.holder.OtherOwner(slot)}
+		return quotaReservation{result: slotNotHeld, retryAfter: quota.RetryDelay, owner: l.holder.OtherOwner(slot)}
 	}
 	if l.split {
 		if r := l.count(at, held, team, quota.FirstPart); r.result != overLimit || !l.holdsSecond(at, slot) {
@@ -105,7 +105,7 @@
 	if needsBurst {
 		l.holder.RequestBurst(held.Slot)
 		l.notify()
-		return quotaReservation{result: burstNotRecorded, retryAfter: minOverLimitRetry}
+		return quotaReservation{result: burstNotRecorded, retryAfter: minOverLimitRetry, slot: held.Slot}
 	}
 	c.denied++
 	return quotaReservation{result: overLimit, retryAfter: l.retryAfter(at, team.ID, c)}
@@ -199,14 +199,29 @@
 	return append(all[:n:n], rest)
 }
 
+// awaitReservation waits until this daemon holds the slot of the team, or may use the full burst of
+// the part of the limit that the reservation lacked.
+func (l *limits) awaitReservation(team auth.Team, r quotaReservation, deadline core.Time) {
+	if r.result == burstNotRecorded {
+		l.await(r.slot, true, deadline)
+		return
+	}
+	l.awaitSlot(team, false, deadline)
+}
+
 // awaitSlot waits until this daemon holds the team's slot and, if burst is set, may use the full
-// burst. It returns early if another daemon holds the slot or the store does not answer: another
-// home may be able to run the operation at once. It waits no longer than until the deadline.
+// burst.
 func (l *limits) awaitSlot(team auth.Team, burst bool, deadline core.Time) {
-	if !l.enabled || !team.Limited {
-		return
+	if l.enabled && team.Limited {
+		l.await(quota.SlotOf(team.ID), burst, deadline)
 	}
-	slot := quota.SlotOf(team.ID)
+}
+
+// await waits until this daemon holds the slot and, if burst is set, may use the full bursts of its
+// teams. Without burst, holding the slot's second slot is enough. It returns early if another daemon
+// holds the slot or the store does not answer: another home may be able to run the operation at
+// once. It waits no longer than until the deadline.
+func (l *limits) await(slot quota.Slot, burst bool, deadline core.Time) {
 	timer := time.NewTimer(until(deadline, 0))
 	defer timer.Stop()
 	for {
@@ -214,14 +229,11 @@
 		at := now()
 		l.holder.Request(at, slot)
 		held, holds := l.holder.Holds(at, slot)
-		if !holds && l.holdsSecond(at, slot) {
-			held, holds = l.holder.Holds(at, slot.Second())
-		}
-		holds = holds && (held.FullBurst || !burst)
-		unavailable := l.holder.OtherOwner(slot) != "" || l.holder.StoreFailing()
+		done := holds && (held.FullBurst || !burst) || !burst && l.holdsSecond(at, slot)
+		unavailable := !holds && l.holder.OtherOwner(slot) != "" || l.holder.StoreFailing()
 		changed := l.slotsChanged
 		l.mu.Unlock()
-		if holds || unavailable {
+		if done || unavailable {
 			return
 		}
 		l.notify()
--- a/pkg/proxy/outage.go
+++ b/pkg/proxy/outage.go
@@ -69,3 +69,10 @@
 	g := p.existingGroup(id)
 	return g != nil && inspect(g, (*direct.Group).IsCutOff)
 }
+
+// lacksMembersFor reports whether this daemon cannot run statements of the route while another home
+// may: it knows no host list, or it cannot reach the primary that the statements require.
+func (p *Proxy) lacksMembersFor(route direct.Route, writes bool) bool {
+	needsPrimary := writes || route.Consistency == direct.PrimaryReads
+	return p.lacksMembers(route.Group) || needsPrimary && p.isCutOff(route.Group)
+}
--- a/pkg/proxy/reservation.go
+++ b/pkg/proxy/reservation.go
@@ -25,11 +25,12 @@
 
 // quotaReservation describes whether an operation was counted. If it was not, retryAfter is when
 // its caller should try again, and owner is the daemon that counts the team's operations, if that
-// is known to be another one.
+// is known to be another one. slot is the slot whose record of the burst is missing.
 type quotaReservation struct {
 	result     reservationResult
 	retryAfter time.Duration
 	owner      core.DaemonID
+	slot       quota.Slot
 }
 
 // dependsOnStore reports whether the operation may be counted after a call to the store.
@@ -86,7 +87,7 @@
 	useSecond := j.overflowed || s.mayUseSecondPart(team.ID)
 	s.quotaReservation = s.p.limits.reserve(team, mayTakeSlot, useSecond)
 	if s.quotaReservation.dependsOnStore() && j.reservedAt == 0 && mayTakeSlot {
-		s.p.limits.awaitSlot(team, s.quotaReservation.result == burstNotRecorded, min(j.waitDeadline(), j.arrived.Add(slotWaitTimeout)))
+		s.p.limits.awaitReservation(team, s.quotaReservation, min(j.waitDeadline(), j.arrived.Add(slotWaitTimeout)))
 		s.quotaReservation = s.p.limits.reserve(team, mayTakeSlot, useSecond)
 	}
 	if s.quotaReservation.result != reserved {
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -356,7 +356,7 @@
 		job.prepared, job.writes = &def, def.writes
 		job.text = platform.TextExecute(def.writes, def.shape, st.Argument)
 	}
-	job.memberText = job.text
+	job.memberText, job.memberPrepared = job.text, job.prepared
 	switch {
 	case s.tx != nil && s.tx.forwarded:
 		job.text, job.route = st.Text, s.tx.route
@@ -380,9 +380,7 @@
 	if s.fromEntry {
 		return false
 	}
-	here := s.p.homes.servesTeam(route.Group, s.p.access.teamOf(s.key))
-	needsPrimary := writes || route.Consistency == direct.PrimaryReads
-	return !here || s.p.lacksMembers(route.Group) || needsPrimary && s.p.isCutOff(route.Group)
+	return !s.p.homes.servesTeam(route.Group, s.p.access.teamOf(s.key)) || s.p.lacksMembersFor(route, writes)
 }
 
 // logDecision logs a decision about one of the session's requests. The rate of such lines is limited.
--- a/pkg/proxy/split.go
+++ b/pkg/proxy/split.go
@@ -283,18 +283,22 @@
 }
 
 // runsSecondPart reports whether this daemon itself gives out the second part of the limit for a
-// statement over the first, and prepares the statement to run here.
+// statement over the first, and prepares the statement to run here. A daemon that is no home of the
+// group, or that forwarded the statement because it lacks the members for it, does not run it.
 func (s *session) runsSecondPart(j *job, a *platform.Answer) bool {
 	if j.overflowed || !s.isAtLimit(a) {
 		return false
 	}
+	if isHome, _ := s.p.homes.ownRole(j.route.Group); !isHome || s.p.lacksMembersFor(j.route, j.writes) {
+		return false
+	}
 	l := s.p.limits
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.holdsSecond(now(), quota.SlotOf(s.p.access.teamOf(s.key))) {
 		return false
 	}
-	j.overflowed, j.text = true, j.memberText
+	j.overflowed, j.text, j.prepared = true, j.memberText, j.memberPrepared
 	s.p.stats.overflowed.Add(1)
 	return true
 }
--- a/pkg/proxy/split_test.go
+++ b/pkg/proxy/split_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/gomega"
 
 	"limpetspan/core"
+	"limpetspan/core/auth"
+	"limpetspan/core/direct"
 	"limpetspan/core/policy"
 	"limpetspan/core/quota"
 	"limpetspan/platform"
@@ -126,6 +128,67 @@
 		Expect(first.p.limits.counters["gates"].limit.Rate + second.p.limits.secondCounters["gates"].limit.Rate).To(BeNumerically("~", first.p.limits.tolerance.Limit(5, 10).Rate))
 	})
 
+	// Another home has refused a forwarded EXECUTE at its part of the limit. Guards against an EXECUTE
+	// that then runs here without its prepared statement.
+	It("runs an EXECUTE with its prepared statement when the statement returns to its entry", func() {
+		f := newFleet(3, withSplitLimits)
+		f.awaitAllDiscovered()
+		f.daemons[0].openSession("db-own", baysKey).queryUntilServed("READ k")
+		_, second, _ := f.awaitBothHolders("bays")
+		s := &session{p: second.p, database: "db-own", key: auth.FingerprintOf(baysKey)}
+		route := second.p.catalog.Load().Routes["db-own"]
+		def := preparedStatement{shape: "q1"}
+		j := &job{id: "e1", kind: direct.StatementExecute, text: "EXECUTE r k", callerText: "EXECUTE r k", memberText: platform.TextExecute(false, "q1", "k"), memberPrepared: &def, route: route, arrived: now()}
+		Expect(s.runsSecondPart(j, &platform.Answer{Code: platform.CodeBusy, Text: "not run: " + textAtLimit})).To(BeTrue())
+		s.runSingle(j)
+		Expect(string(s.out)).To(ContainSubstring("COMPLETE r."))
+	})
+
+	// Guards against a statement that runs at a daemon which forwarded it because it is no home of the
+	// group.
+	It("is not given out for a statement that this daemon forwards for want of members", func() {
+		f := newFleet(3, withSplitLimits)
+		f.awaitAllDiscovered()
+		f.daemons[0].openSession("db-primary", baysKey).queryUntilServed("READ k")
+		first, second, third := f.awaitBothHolders("bays")
+		s := &session{p: second.p, key: auth.FingerprintOf(baysKey)}
+		atLimit := &platform.Answer{Code: platform.CodeBusy, Text: "not run: " + textAtLimit}
+		runs := func() bool {
+			return s.runsSecondPart(&job{route: direct.Route{Group: "ledger"}}, atLimit)
+		}
+		Expect(runs()).To(BeTrue())
+		second.p.homes.mu.Lock()
+		second.p.homes.setStaticHomes("ledger", first.s.Daemon, third.s.Daemon)
+		second.p.homes.mu.Unlock()
+		Expect(runs()).To(BeFalse())
+		Expect(f.holderOf(quota.SlotOf("bays").Second())).To(Equal(second), "it still holds the second slot")
+	})
+
+	// Guards against a second holder that refuses a team's burst because it does not wait for its own
+	// record of it while another daemon holds the slot.
+	It("waits for the record of the second part's burst while another daemon holds the slot", func() {
+		f := newFleet(3, withSplitLimits)
+		f.awaitAllDiscovered()
+		f.daemons[0].openSession("db-primary", baysKey).queryUntilServed("READ k")
+		first, second, _ := f.awaitBothHolders("bays")
+		l, slot := second.p.limits, quota.SlotOf("bays")
+		l.mu.Lock()
+		Expect(l.holder.OtherOwner(slot)).To(Equal(first.s.Daemon))
+		l.holder.ReleaseBurst(slot.Second())
+		l.mu.Unlock()
+		team := auth.Team{ID: "bays", Limited: true, Rate: 10_000, Burst: 10_000}
+		r := l.reserve(team, false, true)
+		for r.result == reserved {
+			r = l.reserve(team, false, true)
+		}
+		Expect(r.result).To(Equal(burstNotRecorded))
+		l.awaitReservation(team, r, now().Add(waitLimit))
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		held, _ := l.holder.Holds(now(), slot.Second())
+		Expect(held.FullBurst).To(BeTrue())
+	})
+
 	// Guards against further keys and changed values in the store of a deployment that does not split
 	// limits.
 	DescribeTable("changes nothing in the store where limits are not split", func(options ...func(f *fleet)) {
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -16,8 +16,10 @@
 	kind direct.StatementKind
 	// text is what a member runs.
 	text string
-	// memberText is the text that a member of this daemon's groups runs, also if text is forwarded.
-	memberText string
+	// memberText and memberPrepared are the text and the prepared statement that a member of this
+	// daemon's groups runs, also if the statement was forwarded before.
+	memberText     string
+	memberPrepared *preparedStatement
 	// callerText is the text that the caller sent. It is what a home receives.
 	callerText string
 	writes     bool
