Split limits only where the command line asks for it

Cause: A daemon that does not split limits gives out whole limits beside the second parts of others.

Result: The specs of split limits pass, with a new entry: a fleet with overload control and without the flag takes no second slots. Mixed fleets are still not safe; no model of one was built.

--- a/cmd/limpetspand/main.go
+++ b/cmd/limpetspand/main.go
@@ -35,6 +35,7 @@
 	TraceURL string   `arg:"--trace-endpoint" placeholder:"URL" help:"with --trace otlp: the collector"`
 	Sample   float64  `arg:"--trace-sample" default:"0.01" placeholder:"SHARE" help:"with --trace: share of statements that are traced"`
 	Off      []string `arg:"--switch-off,separate" placeholder:"NAME" help:"with --platform: do without a mechanism, to measure what it is worth; may be given several times"`
+	Split    bool     `arg:"--split-limits" help:"with --platform: split team limits between two daemons; set it for all daemons of a fleet with one restart of the whole fleet, never in a rolling restart"`
 	Names    int      `arg:"--session-names" default:"512" placeholder:"N" help:"with --platform: values and prepared statements that a session may have"`
 	Bytes    int      `arg:"--session-bytes" default:"262144" placeholder:"N" help:"with --platform: bytes that these may take"`
 	Check    bool     `arg:"--check" help:"check the settings and exit"`
@@ -117,6 +118,7 @@
 		fmt.Fprintln(os.Stderr, "limpetspand:", err)
 		return exitSettings
 	}
+	s.SplitLimits = args.Split
 	p := proxy.New(s, os.Stdout)
 	set, err := policy.All.Without(args.Off...)
 	if err != nil {
--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -100,11 +100,14 @@
 //   - What a key records of bursts concerns only its own part, and the part of the burst that is
 //     unreported is a share of it.
 //
-// All daemons of a fleet must split limits, or none. A daemon that does not know second slots gives
-// out the whole limit. Therefore the key of a slot records whether its holder splits limits; a
-// second slot is not taken beside a holder that does not, and is released as soon as a list shows
-// such a holder. This does not cover a daemon that takes a slot, without splitting its limits,
-// after the second slot was taken and before its holder lists the owners again.
+// All daemons of a fleet must split limits, or none; limits are therefore split only where the
+// command line of each daemon asks for it, and a change of that takes a restart of the whole fleet.
+// The contract does not hold in a fleet of both kinds: a daemon that does not split limits, or does
+// not know second slots, gives out whole limits, so a team may get rate + rate2 for as long as such a
+// daemon holds the slot and another daemon the second slot. As a safeguard only, without a bound on
+// that time, the key of a slot records whether its holder splits limits. A second slot is not taken if
+// the last list names a holder of the slot that does not, and is released when a later list names one.
+// A holder reads no list for this purpose.
 //
 // The alternative, that an old holder writes a release when it hands a slot over, helps only if the
 // old holder reaches the store, and therefore not when it is lost. A second key that gives out the
--- a/pkg/proxy/split.go
+++ b/pkg/proxy/split.go
@@ -31,9 +31,10 @@
 	secondRelistInterval = 10 * time.Second
 )
 
-// setSplit creates the holder of slots, with split limits if the deployment and the policy say so.
+// setSplit creates the holder of slots, with split limits if the command line asks for them and the
+// deployment and the policy say so.
 func (l *limits) setSplit() {
-	l.split = l.enabled && l.p.settings.OverloadControl && l.p.policy.Has(policy.SplitLimits)
+	l.split = l.enabled && l.p.settings.SplitLimits && l.p.settings.OverloadControl && l.p.policy.Has(policy.SplitLimits)
 	l.holder = quota.NewHolder(l.p.settings.Daemon, l.p.boot)
 	if l.split {
 		l.holder = quota.NewSplitHolder(l.p.settings.Daemon, l.p.boot)
--- a/pkg/proxy/split_test.go
+++ b/pkg/proxy/split_test.go
@@ -22,7 +22,17 @@
 	limits := f.adjustSettings
 	f.adjustSettings = func(s *platform.Settings) {
 		limits(s)
-		s.OverloadControl = true
+		s.OverloadControl, s.SplitLimits = true, true
+	}
+}
+
+// withOverloadControl configures teams with limits and overload control, but no split limits.
+func withOverloadControl(f *fleet) {
+	withSplitLimits(f)
+	split := f.adjustSettings
+	f.adjustSettings = func(s *platform.Settings) {
+		split(s)
+		s.SplitLimits = false
 	}
 }
 
@@ -205,10 +215,11 @@
 		}
 	},
 		Entry("without overload control", withLimits),
+		Entry("unless the command line asks for it", withOverloadControl),
 	)
 
 	It("is not split if the mechanism is switched off", func() {
-		p := &Proxy{settings: platform.Settings{LimitsEnabled: true, OverloadControl: true}, policy: policy.All}
+		p := &Proxy{settings: platform.Settings{LimitsEnabled: true, OverloadControl: true, SplitLimits: true}, policy: policy.All}
 		p.limits = newLimits(p)
 		Expect(p.limits.split).To(BeTrue())
 		set, err := policy.All.Without("split-limits")
