--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -274,17 +274,19 @@
 		// The lease may have ended at the store, and other daemons may hold its slots.
 		h.dropLease()
 	}
-	h.dropExpiredPriorEra(now)
-	if releasing := h.slotsWhere(func(s *slot) bool { return s.held && s.releasing }); len(releasing) > 0 {
-		return Step{Kind: Release, Slots: batch(releasing)}
+	releasing, recording := h.dropExpiredPriorEra(now)
+	if releasing {
+		return Step{Kind: Release, Slots: batch(h.slotsWhere(func(s *slot) bool { return s.held && s.releasing }))}
 	}
 	h.dropStaleRequests(now)
 	requested := h.slotsWhere(func(s *slot) bool { return s.priorEraUntil != 0 || settled && !s.held })
 	if h.lease != 0 && now.Sub(h.renewedAt) >= RenewInterval && len(h.slots) > 0 {
 		return Step{Kind: Renew, Lease: h.lease}
 	}
-	if step, ok := h.burstStep(); ok {
-		return step
+	if recording {
+		if step, ok := h.burstStep(); ok {
+			return step
+		}
 	}
 	if len(requested) == 0 {
 		h.requestedAt = 0
@@ -303,13 +305,18 @@
 }
 
 // dropExpiredPriorEra ends the holdings under a lease of an earlier era that has expired before
-// the slots could be taken again.
-func (h *Holder) dropExpiredPriorEra(now core.Time) {
+// the slots could be taken again. It reports whether a held slot is to be released, and whether a
+// record of bursts is to be changed, as Next is called for each request and the state of each slot is
+// read only once for both.
+func (h *Holder) dropExpiredPriorEra(now core.Time) (releasing, recording bool) {
 	for _, s := range h.slots {
 		if s.priorEraUntil != 0 && now >= s.priorEraUntil {
 			*s = slot{requestedAt: s.requestedAt}
 		}
+		releasing = releasing || s.held && s.releasing
+		recording = recording || s.held && (s.recordRequested || s.clearRequested)
 	}
+	return releasing, recording
 }
 
 // dropStaleRequests removes slots that are not held and whose request has expired.
@@ -371,11 +378,15 @@
 	h.retryAt = now.Add(RetryDelay / 4)
 }
 
-// slotsWhere returns the slots that satisfy the condition, with the revisions of their keys.
+// slotsWhere returns the slots that satisfy the condition, with the revisions of their keys; nil if
+// there are none.
 func (h *Holder) slotsWhere(is func(s *slot) bool) map[Slot]uint64 {
-	found := make(map[Slot]uint64)
+	var found map[Slot]uint64
 	for id, s := range h.slots {
 		if is(s) {
+			if found == nil {
+				found = make(map[Slot]uint64)
+			}
 			found[id] = s.revision
 		}
 	}
--- a/core/quota/split.go
+++ b/core/quota/split.go
@@ -23,9 +23,10 @@
 	// 0.6 of a limit that teams usually use, including a variation of the load by a sixth, so that
 	// calm teams stay at one home.
 	secondRateShare = 0.3
-	// secondBurstShare is the second part's share of the burst. When the first holder is lost, the
-	// second one has this many operations at once, which bridge most of LeaseTTL for a team at 0.6
-	// of its limit whose burst is two seconds of its rate.
+	// secondBurstShare is the second part's share of the burst. When the first holder is lost, a second
+	// holder that has held its slot for a window and whose bucket is full has this many operations,
+	// which bridge most of LeaseTTL for a team at 0.6 of its limit whose burst is two seconds of its
+	// rate. Until its key records the use of the burst it gives out only the unreported part.
 	secondBurstShare = 0.5
 	// firstMinBurst is the number of operations of a burst that the first part keeps before the
 	// second part gets more than one. With less, the operations of a small team would often find
