Back off only the daemon that a statement over its limit was sent to

Cause: A statement that was sent on to another holder, declined there and refused by the first holder again started a backoff for the first holder. Backoffs were never removed, and this daemon recorded them against itself.

Change: A job records where it was sent on, and only that daemon is backed off. Backoffs that no longer matter are removed when another begins. Comments say what the code does.

Relaying the first refusal after a decline is not done.

--- a/pkg/proxy/limits.go
+++ b/pkg/proxy/limits.go
@@ -56,8 +56,9 @@
 }
 
 // reserve counts one of the team's operations, which is to be sent now, against the team's limit.
-// mayTakeSlot says whether this daemon may take the team's slot to run it, useSecond whether the
-// slot's holder cannot be asked or is over its part of the limit.
+// mayTakeSlot says whether this daemon may take the team's slot to run it. useSecond says that the
+// second part of the limit, if this daemon gives it out, may be used although another daemon holds the
+// slot: the entry cannot reach that daemon, or has been refused there.
 func (l *limits) reserve(team auth.Team, mayTakeSlot, useSecond bool) quotaReservation {
 	if !l.enabled || !team.Limited {
 		return quotaReservation{}
--- a/pkg/proxy/split.go
+++ b/pkg/proxy/split.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -173,7 +174,8 @@
 }
 
 // otherHolder returns the daemon that probably gives out the other part of the team's limit than the
-// given one, "" if it is this daemon, cannot be asked, or was over its part a moment ago.
+// given one, "" if it is this daemon, cannot be asked, or refused a statement of the team that was
+// sent on to it within the last backoff of up to maxOverLimitBackoff.
 func (h *homes) otherHolder(id core.GroupID, team core.TeamID, not core.DaemonID) core.DaemonID {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -221,12 +223,16 @@
 	length time.Duration
 }
 
-// backOffOverLimit starts a backoff for a daemon that had no token for a statement of the team that was
-// sent on to it.
+// backOffOverLimit starts a backoff for a daemon that refused a statement of the team that was sent on
+// to it, as the team was at the daemon's part of the limit. Entries that no longer affect the length of
+// a backoff are removed.
 func (h *homes) backOffOverLimit(id core.DaemonID, team core.TeamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	key, at := teamDaemon{team, id}, now()
+	maps.DeleteFunc(h.overLimit, func(k teamDaemon, b overLimitBackoff) bool {
+		return k != key && at.Sub(b.until) >= maxOverLimitBackoff
+	})
 	b := h.overLimit[key]
 	if at.Sub(b.until) < b.length {
 		b.length = min(maxOverLimitBackoff, 2*b.length)
@@ -326,14 +332,16 @@
 	}
 	team := s.p.access.teamOf(s.key)
 	if j.overflowed {
-		s.p.homes.backOffOverLimit(over, team)
+		if over == j.overflowHome {
+			s.p.homes.backOffOverLimit(over, team)
+		}
 		return false
 	}
 	other := s.p.homes.otherHolder(j.route.Group, team, over)
 	if other == "" {
 		return false
 	}
-	j.overflowed = true
+	j.overflowed, j.overflowHome = true, other
 	s.overflowHome = other
 	s.p.stats.overflowed.Add(1)
 	s.logDecision("over one part of the limit", "id", j.id, "team", team, "at", over, "next", other)
--- a/pkg/proxy/split_test.go
+++ b/pkg/proxy/split_test.go
@@ -199,6 +199,24 @@
 		Expect(held.FullBurst).To(BeTrue())
 	})
 
+	// A statement was refused by one holder, sent on to another daemon that declined it, and refused by
+	// the first again. Guards against an entry that then stops sending statements to the first holder,
+	// and against backoffs that are kept for ever.
+	It("backs off only the daemon to which a statement over the limit was sent on", func() {
+		p := &Proxy{settings: platform.Settings{LimitsEnabled: true, OverloadControl: true, SplitLimits: true}, policy: policy.All}
+		p.limits, p.homes, p.access = newLimits(p), newHomes(p), access{p: p}
+		s, j := &session{p: p}, &job{overflowed: true, overflowHome: "edge-2"}
+		Expect(s.overflowTo(j, "edge-1")).To(BeFalse())
+		Expect(p.homes.overLimit).To(BeEmpty())
+		Expect(s.overflowTo(j, "edge-2")).To(BeFalse())
+		key := teamDaemon{"", "edge-2"}
+		Expect(p.homes.overLimit).To(HaveLen(1))
+		Expect(p.homes.overLimit).To(HaveKey(key))
+		p.homes.overLimit[key] = overLimitBackoff{until: now().Add(-maxOverLimitBackoff), length: maxOverLimitBackoff}
+		p.homes.backOffOverLimit("edge-3", "")
+		Expect(p.homes.overLimit).NotTo(HaveKey(key))
+	})
+
 	// Guards against further keys and changed values in the store of a deployment that does not split
 	// limits.
 	DescribeTable("changes nothing in the store where limits are not split", func(options ...func(f *fleet)) {
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -27,10 +27,12 @@
 	// reservedAt is when the statement was counted against its team's limit, 0 if it
 	// was not.
 	reservedAt core.Time
-	// overflowed is set once the other holder of the team's split limit has been asked.
-	overflowed bool
-	route      direct.Route
-	arrived    core.Time
+	// overflowed is set once the other holder of the team's split limit has been asked. overflowHome is
+	// that holder, "" if it is this daemon.
+	overflowed   bool
+	overflowHome core.DaemonID
+	route        direct.Route
+	arrived      core.Time
 	// history holds the statement's sends. It decides whether a refusal may say "not run".
 	history execution.History
 	// attempt is the number of the current attempt, 0 before the first.
