--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -59,6 +59,9 @@
 	SharedLoad
 	// HomesByLoad gives overloaded hosts fewer groups and sessions as homes, where hosts are uneven.
 	HomesByLoad
+	// SplitLimits lets a second daemon give out a part of each team's limit, so that teams are served
+	// while the holder of their slot is lost.
+	SplitLimits
 	end
 )
 
@@ -68,8 +71,7 @@
 var names = [...]string{
 	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
-	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
-	"shared-load", "homes-by-load",
+	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams", "shared-load", "homes-by-load", "split-limits",
 }
 
 // renamed maps the old name of a mechanism to its present name.
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -16,6 +16,10 @@
 	kind direct.StatementKind
 	// text is what a member runs.
 	text string
+	// memberText and memberPrepared are the text and the prepared statement that a member of this
+	// daemon's groups runs, also if the statement was forwarded before.
+	memberText     string
+	memberPrepared *preparedStatement
 	// callerText is the text that the caller sent. It is what a home receives.
 	callerText string
 	writes     bool
@@ -23,8 +27,12 @@
 	// reservedAt is when the statement was counted against its team's limit, 0 if it
 	// was not.
 	reservedAt core.Time
-	route      direct.Route
-	arrived    core.Time
+	// overflowed is set once the other holder of the team's split limit has been asked. overflowHome is
+	// that holder, "" if it is this daemon.
+	overflowed   bool
+	overflowHome core.DaemonID
+	route        direct.Route
+	arrived      core.Time
 	// history holds the statement's sends. It decides whether a refusal may say "not run".
 	history execution.History
 	// attempt is the number of the current attempt, 0 before the first.
@@ -81,7 +89,7 @@
 		return
 	}
 	if !s.reserveQuota(j) {
-		if s.shouldForwardToSlotOwner() {
+		if s.shouldForwardToSlotOwner(j) {
 			j.text, j.prepared = j.callerText, nil
 			s.forwardSingle(j)
 			return
