Share one verdict about each home among all sessions of an entry

Change: core/health decides from answers, refused connections and echoes, which are datagrams on the report port that the receive loop answers at once. A check starts only when a statement is overdue, one per home at a time. The verdict interrupts all waits on the home. Backoffs, also after a decline of a team, grow from 100 ms to 2 s and end with a trial of one session or an echo; without any other candidate the least recently failed one is tried, and other sessions wait for the outcome. Result: go test -p 3 ./pkg/proxy passes. With all test routes at 1.3 s, so that every spec runs with the mechanism, 90 of 90 specs pass under -race. With -race and routes at 2 s all specs pass and one race is reported, in the older spec of homes_test.go that changes the daemon's ID. Nine guards of core/health (late step, silence floor, echo peak, repeated echoes, earlier versions, last candidate, one trial, counting failures once, trial by echo) and two in pkg/proxy (interruption of waits, last candidate) were removed one at a time, and their tests failed. Times under load: not measured.

--- /dev/null
+++ b/core/health/check.go
@@ -0,0 +1,73 @@
+package health
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// Step is what a check does next.
+type Step struct {
+	// Echo is set if an echo is to be sent now.
+	Echo bool
+	// Wait is the time until Continue is to be called. It is 0 at the end of the check.
+	Wait time.Duration
+	// Lost is set if the check has ended with the verdict that the peer is lost. Silence is for how
+	// long it answered no echo, Limit the silence after which it counts as lost.
+	Lost           bool
+	Silence, Limit time.Duration
+	// AskConfiguration is set instead of Lost if it is unknown whether the peer answers echoes. It may
+	// run an earlier version, and is to be asked for its configuration.
+	AskConfiguration bool
+}
+
+// BeginCheck begins a check of the peer. It returns false if one is running.
+func (t *Table) BeginCheck(now core.Time, id core.DaemonID) (Step, bool) {
+	p := t.peer(id)
+	if p.check != nil {
+		return Step{}, false
+	}
+	p.check = &check{began: now, deadline: now.Add(p.lostAfter())}
+	return p.sendEcho(now), true
+}
+
+// ContinueCheck continues the check of the peer.
+func (t *Table) ContinueCheck(now core.Time, id core.DaemonID) Step {
+	p := t.peer(id)
+	c := p.check
+	if c == nil {
+		return Step{}
+	}
+	if p.heardAt >= c.began {
+		p.endCheck(now)
+		return Step{}
+	}
+	if now.Sub(c.dueAt) > lateStep && c.postponements < maxPostponements {
+		c.postponements++
+		c.deadline = max(c.deadline, now.Add(PauseGrace))
+		return p.sendEcho(now)
+	}
+	if now < c.deadline {
+		return p.sendEcho(now)
+	}
+	p.endCheck(now)
+	step := Step{Silence: now.Sub(c.began), Limit: p.lostAfter()}
+	if !p.answersEchoes {
+		step.AskConfiguration = true
+		return step
+	}
+	step.Lost = true
+	return step
+}
+
+// sendEcho returns the step that sends the next echo. The steps are at most an echo's share of the
+// check apart, and none is after the deadline.
+func (p *peer) sendEcho(now core.Time) Step {
+	c := p.check
+	c.echoes++
+	wait := min(p.lostAfter()/echoesPerCheck, max(time.Millisecond, c.deadline.Sub(now)))
+	c.dueAt = now.Add(wait)
+	return Step{Echo: true, Wait: wait}
+}
+
+func (p *peer) endCheck(now core.Time) { p.check, p.checkedAt = nil, now }
--- /dev/null
+++ b/core/health/health_test.go
@@ -0,0 +1,230 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/health"
+)
+
+func TestHealth(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "health")
+}
+
+const start = core.Time(time.Hour)
+
+// run plays a check that begins at the given time. late is how much later than planned each step
+// runs, and answer returns in how long an echo is answered, negative if never. It returns the last
+// step and its time.
+func run(t *health.Table, at core.Time, late func(step int) time.Duration, answer func(echo int) time.Duration) (health.Step, core.Time) {
+	type echo struct{ sent, answered core.Time }
+	var pending []echo
+	step, begun := t.BeginCheck(at, "a")
+	Expect(begun).To(BeTrue())
+	for n := 0; step.Wait > 0; n++ {
+		if step.Echo {
+			if in := answer(n); in >= 0 {
+				pending = append(pending, echo{at, at.Add(in)})
+			}
+		}
+		due := at.Add(step.Wait)
+		at = due.Add(late(n))
+		// While this process is paused it reads nothing, and a step may run before the read.
+		for _, e := range pending {
+			if e.answered <= due {
+				t.Echoed(due, "a", e.sent)
+			}
+		}
+		step = t.ContinueCheck(at, "a")
+	}
+	return step, at
+}
+
+func never(int) time.Duration    { return -1 }
+func punctual(int) time.Duration { return 0 }
+
+// newTable returns a table in which peer a is known to answer echoes.
+func newTable() *health.Table {
+	t := health.NewTable()
+	t.Echoed(start, "a", start.Add(-time.Millisecond))
+	return t
+}
+
+var _ = Describe("a check of a peer", func() {
+	It("finds a lost peer within 160 ms of the statement, and starts only once", func() {
+		t := newTable()
+		sent := start.Add(time.Second)
+		overdue := t.OverdueIn(sent, "a", sent)
+		Expect(overdue).To(Equal(health.OverdueFloor))
+		began := sent.Add(overdue)
+		_, begun := t.BeginCheck(began, "b")
+		Expect(begun).To(BeTrue())
+		_, begun = t.BeginCheck(began, "b")
+		Expect(begun).To(BeFalse(), "one check per peer at a time")
+		step, at := run(t, began, punctual, never)
+		Expect(step.Lost).To(BeTrue())
+		Expect(at.Sub(sent)).To(BeNumerically("<=", 165*time.Millisecond))
+	})
+
+	// Guards against leaving a home whose processor quota pauses it: it answers all echoes at the end
+	// of a pause of 100 ms.
+	It("does not find a peer lost that is paused for 100 ms", func() {
+		step, _ := run(newTable(), start.Add(time.Second), punctual, func(int) time.Duration { return 110 * time.Millisecond })
+		Expect(step.Lost).To(BeFalse())
+	})
+
+	// Guards against leaving a host that has become many times slower: the silence that counts as a
+	// loss grows with the slowest echoes.
+	It("grants a peer that answers echoes slowly more time", func() {
+		t, at := newTable(), start.Add(time.Second)
+		t.Echoed(at, "a", at.Add(-150*time.Millisecond))
+		step, _ := run(t, at.Add(time.Second), punctual, func(int) time.Duration { return 200 * time.Millisecond })
+		Expect(step.Lost).To(BeFalse())
+	})
+
+	// Guards against leaving a live home because datagrams are lost.
+	It("needs only one of its echoes to be answered", func() {
+		step, _ := run(newTable(), start.Add(time.Second), punctual, func(n int) time.Duration {
+			if n == 3 {
+				return time.Millisecond
+			}
+			return -1
+		})
+		Expect(step.Lost).To(BeFalse())
+	})
+
+	// Guards against an entry that was frozen for 4 s, or paused by its own quota, and leaves all homes
+	// when it wakes up.
+	It("postpones the verdict if this process was paused", func() {
+		late := func(n int) time.Duration {
+			if n == 0 {
+				return 4 * time.Second
+			}
+			return 0
+		}
+		answer := func(n int) time.Duration {
+			if n == 0 {
+				return -1 // The answer was lost while this host was frozen.
+			}
+			return time.Millisecond
+		}
+		step, _ := run(newTable(), start.Add(time.Second), late, answer)
+		Expect(step.Lost).To(BeFalse())
+		always := func(int) time.Duration { return 90 * time.Millisecond }
+		step, at := run(newTable(), start.Add(time.Second), always, never)
+		Expect(step.Lost).To(BeTrue(), "pauses do not postpone it for ever")
+		Expect(at.Sub(start.Add(time.Second))).To(BeNumerically("<", time.Second))
+	})
+
+	// Guards against a rolling upgrade in which entries leave all homes of the earlier version.
+	It("asks a peer for its configuration that has never answered an echo", func() {
+		step, _ := run(health.NewTable(), start, punctual, never)
+		Expect(step.Lost).To(BeFalse())
+		Expect(step.AskConfiguration).To(BeTrue())
+	})
+
+	It("is repeated no sooner than RecheckInterval while the peer answers echoes", func() {
+		t, sent := newTable(), start.Add(time.Second)
+		_, at := run(t, sent.Add(time.Second), punctual, punctual)
+		Expect(t.OverdueIn(at, "a", sent)).To(Equal(health.RecheckInterval))
+		for range 100 {
+			t.Answered(at, "a", 500*time.Millisecond)
+		}
+		Expect(t.OverdueIn(at, "b", at)).To(Equal(health.OverdueFloor))
+		Expect(t.OverdueIn(at, "a", at)).To(Equal(health.OverdueCeiling), "the usual response time is long")
+	})
+})
+
+var _ = Describe("a peer that has failed", func() {
+	scope := health.Scope{Group: "g"}
+	order := []core.DaemonID{"a", "b", "c"}
+
+	It("is left alone for 100 ms, twice as long after each failed trial, and at most 2 s", func() {
+		t, at := newTable(), start
+		for _, length := range []time.Duration{100, 200, 400, 800, 1600, 2000, 2000} {
+			for range 5 {
+				// Sessions that fail at the same time count once.
+				t.Failed(at, "a", health.Refused)
+			}
+			at = at.Add(length*time.Millisecond - 1)
+			Expect(t.Phase(at, "a", scope)).To(Equal(health.Open))
+			at++
+			Expect(t.Phase(at, "a", scope)).To(Equal(health.HalfOpen))
+		}
+		t.Connected(at, "a", time.Millisecond)
+		Expect(t.Phase(at, "a", scope)).To(Equal(health.Closed))
+		t.Failed(at, "a", health.Refused)
+		Expect(t.Phase(at.Add(health.MinBackoff), "a", scope)).To(Equal(health.HalfOpen), "it begins anew")
+	})
+
+	It("is tried by one session at a time once its backoff has ended", func() {
+		t, at := newTable(), start
+		t.Failed(at, "a", health.Refused)
+		Expect(t.Choose(at, order, scope).Ask).To(Equal([]core.DaemonID{"b", "c"}))
+		at = at.Add(health.MinBackoff)
+		c := t.Choose(at, order, scope)
+		Expect(c.Ask).To(Equal(order))
+		Expect(c.Trial).To(Equal(core.DaemonID("a")))
+		Expect(t.Choose(at, order, scope).Ask).To(Equal([]core.DaemonID{"b", "c"}))
+		t.Connected(at, "a", time.Millisecond)
+		Expect(t.Choose(at, order, scope)).To(Equal(health.Choice{Ask: order}))
+	})
+
+	// Guards against statements that wait for a lost peer although others are there: an echo tells
+	// whether it is back.
+	It("is tried by an echo if it was silent and others can be asked", func() {
+		t, at := newTable(), start
+		t.Failed(at, "a", health.Silent)
+		at = at.Add(health.MinBackoff)
+		Expect(t.AwaitsEcho(at, "a")).To(BeTrue())
+		Expect(t.Choose(at, order, scope).Ask).To(Equal([]core.DaemonID{"b", "c"}))
+		Expect(t.Echoed(at, "a", at.Add(-time.Millisecond))).To(BeTrue())
+		Expect(t.Choose(at, order, scope).Ask).To(Equal(order))
+	})
+
+	// Guards against refusals after 0 ms because every candidate is in backoff: 1,918 statements of
+	// the lender were refused this way in 15 s.
+	It("is tried at once by one session if all others have failed after it", func() {
+		for name, fail := range map[string]func(t *health.Table, at core.Time, id core.DaemonID){
+			"lost":              func(t *health.Table, at core.Time, id core.DaemonID) { t.Failed(at, id, health.Silent) },
+			"declined the team": func(t *health.Table, at core.Time, id core.DaemonID) { t.TeamDeclined(at, id, "team") },
+			"refused the group": func(t *health.Table, at core.Time, id core.DaemonID) { t.GroupRefused(at, id, "g") },
+			"for several causes": func(t *health.Table, at core.Time, id core.DaemonID) {
+				t.Failed(at, id, health.Refused)
+				t.TeamDeclined(at, id, "team")
+			},
+		} {
+			t, s := newTable(), health.Scope{Group: "g", Team: "team"}
+			for i, id := range []core.DaemonID{"b", "a", "c"} {
+				fail(t, start.Add(time.Duration(i)*time.Millisecond), id)
+			}
+			at := start.Add(2 * time.Millisecond)
+			c := t.Choose(at, order, s)
+			Expect(c.Ask).To(BeEmpty(), name)
+			at = at.Add(c.Wait)
+			Expect(at).To(Equal(start.Add(health.LastTrialInterval)))
+			c = t.Choose(at, order, s)
+			Expect(c.Ask).To(Equal([]core.DaemonID{"b"}), name)
+			other := t.Choose(at, order, s)
+			Expect(other.Ask).To(BeEmpty(), "another session waits for the outcome")
+			Expect(other.Wait).To(BeNumerically(">", 0), name)
+			fail(t, at, "b")
+			Expect(t.Choose(at.Add(time.Millisecond), order, s).Ask).To(Equal([]core.DaemonID{"a"}), name)
+		}
+		Expect(newTable().Choose(start, nil, scope)).To(Equal(health.Choice{}), "without candidates nobody waits")
+	})
+
+	It("is not failed by single links that open slowly while it answers echoes", func() {
+		t := newTable()
+		Expect(t.DialTimedOut(start, "a")).To(BeFalse())
+		t.Connected(start, "a", time.Second)
+		Expect(t.DialTimedOut(start, "a")).To(BeFalse())
+		Expect(t.DialTimedOut(start, "a")).To(BeFalse())
+		Expect(t.DialTimedOut(start, "a")).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/core/health/table.go
@@ -0,0 +1,180 @@
+package health
+
+import (
+	"time"
+
+	"limpetspan/core"
+)
+
+// Table holds what one daemon knows of the health of all others. It is not safe for concurrent use.
+type Table struct {
+	peers map[core.DaemonID]*peer
+	// down holds backoffs of peers, groups those of groups that a peer refused, and teams those of
+	// teams whose operations a peer declined to count.
+	down   backoffs[core.DaemonID]
+	groups backoffs[groupAt]
+	teams  backoffs[teamAt]
+}
+
+type groupAt struct {
+	group core.GroupID
+	peer  core.DaemonID
+}
+
+type teamAt struct {
+	team core.TeamID
+	peer core.DaemonID
+}
+
+// NewTable returns a table in which all peers are considered alive.
+func NewTable() *Table {
+	return &Table{
+		peers: make(map[core.DaemonID]*peer), down: make(backoffs[core.DaemonID]),
+		groups: make(backoffs[groupAt]), teams: make(backoffs[teamAt]),
+	}
+}
+
+func (t *Table) peer(id core.DaemonID) *peer {
+	p := t.peers[id]
+	if p == nil {
+		p = &peer{}
+		t.peers[id] = p
+	}
+	return p
+}
+
+// Retain forgets all peers that keep does not accept.
+func (t *Table) Retain(keep func(core.DaemonID) bool) {
+	for id := range t.peers {
+		if !keep(id) {
+			delete(t.peers, id)
+			delete(t.down, id)
+		}
+	}
+	for k := range t.groups {
+		if !keep(k.peer) {
+			delete(t.groups, k)
+		}
+	}
+	for k := range t.teams {
+		if !keep(k.peer) {
+			delete(t.teams, k)
+		}
+	}
+}
+
+// Answered records that the peer has answered a statement that took so long. It returns whether
+// this ended a backoff.
+func (t *Table) Answered(now core.Time, id core.DaemonID, took time.Duration) (revived bool) {
+	p := t.peer(id)
+	updateMedian(&p.median, took)
+	p.heardAt, p.dialTimeouts = now, 0
+	// A daemon that stops serves its present sessions and refuses new ones.
+	return p.cause != Refused && t.revive(id)
+}
+
+// Echoed records the answer to an echo that was sent at the given time. It returns whether this ended
+// a backoff.
+func (t *Table) Echoed(now core.Time, id core.DaemonID, sent core.Time) (revived bool) {
+	took := now.Sub(sent)
+	if took < 0 {
+		return false
+	}
+	p := t.peer(id)
+	updatePeak(&p.echoPeak, min(took, SilenceCeiling))
+	p.answersEchoes = true
+	if took > SilenceCeiling {
+		// It was alive when it answered, which may be long ago.
+		return false
+	}
+	p.heardAt = now
+	return p.cause.endsWithEcho() && t.revive(id)
+}
+
+// Connected records that a link was opened, which took so long. It returns whether this ended a
+// backoff.
+func (t *Table) Connected(now core.Time, id core.DaemonID, took time.Duration) (revived bool) {
+	p := t.peer(id)
+	updatePeak(&p.dialPeak, took)
+	p.heardAt, p.dialTimeouts = now, 0
+	return t.revive(id)
+}
+
+// HeardSince reports whether the peer has answered anything since the given time.
+func (t *Table) HeardSince(id core.DaemonID, since core.Time) bool {
+	return t.peer(id).heardAt >= since
+}
+
+// NeedsFirstEcho reports whether it is unknown if the peer answers echoes.
+func (t *Table) NeedsFirstEcho(id core.DaemonID) bool { return !t.peer(id).answersEchoes }
+
+func (t *Table) revive(id core.DaemonID) bool {
+	if t.down[id] == nil {
+		return false
+	}
+	delete(t.down, id)
+	return true
+}
+
+// Failed records a verdict that the peer cannot be used.
+func (t *Table) Failed(now core.Time, id core.DaemonID, cause Cause) {
+	p := t.peer(id)
+	p.cause, p.downAt, p.dialTimeouts = cause, now, 0
+	if cause == Unreachable {
+		// Another version may run there next.
+		p.answersEchoes = false
+	}
+	t.down.fail(now, id)
+}
+
+// DialTimedOut records that a link was not opened in time, although the peer is not lost. It returns
+// whether the peer is left alone for a while because of it.
+func (t *Table) DialTimedOut(now core.Time, id core.DaemonID) (failed bool) {
+	p := t.peer(id)
+	p.dialTimeouts++
+	if t.down[id] == nil && p.dialTimeouts < maxDialTimeouts {
+		return false
+	}
+	t.Failed(now, id, DialSlow)
+	return true
+}
+
+// DialLimit returns how long opening a link to the peer may take.
+func (t *Table) DialLimit(id core.DaemonID) time.Duration { return t.peer(id).dialLimit() }
+
+// GroupRefused records that the peer does not serve the group for now.
+func (t *Table) GroupRefused(now core.Time, id core.DaemonID, group core.GroupID) {
+	t.groups.fail(now, groupAt{group, id})
+}
+
+// GroupAccepted records that the peer has accepted a session of the group.
+func (t *Table) GroupAccepted(id core.DaemonID, group core.GroupID) {
+	delete(t.groups, groupAt{group, id})
+}
+
+// TeamDeclined records that the peer does not count the team's operations.
+func (t *Table) TeamDeclined(now core.Time, id core.DaemonID, team core.TeamID) {
+	t.teams.fail(now, teamAt{team, id})
+}
+
+// TeamAccepted records that the peer has run a statement of the team, or is said to count its
+// operations. It returns whether this ended a backoff.
+func (t *Table) TeamAccepted(id core.DaemonID, team core.TeamID) (revived bool) {
+	k := teamAt{team, id}
+	revived = t.teams[k] != nil
+	delete(t.teams, k)
+	return revived
+}
+
+// IsDownSince reports whether the peer has been found lost at or after the given time.
+func (t *Table) IsDownSince(id core.DaemonID, since core.Time) bool {
+	return t.down[id] != nil && t.peer(id).downAt >= since
+}
+
+// OverdueIn returns in how long the peer is to be checked if a statement that was sent at the given
+// time is not answered, at most 0 if it is overdue.
+func (t *Table) OverdueIn(now core.Time, id core.DaemonID, sent core.Time) time.Duration {
+	p := t.peer(id)
+	overdue := max(sent, p.heardAt).Add(p.overdueAfter())
+	return max(overdue, p.checkedAt.Add(RecheckInterval)).Sub(now)
+}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -54,6 +54,9 @@
 	AvoidFailing
 	// GatherTeams lets one home of each group serve all statements of a team.
 	GatherTeams
+	// SharedHealth lets all sessions of an entry share one verdict about each home, which needs
+	// silence towards echoes, and a backoff that grows from a tenth of a second.
+	SharedHealth
 	end
 )
 
@@ -64,6 +67,7 @@
 	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
 	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
+	"shared-health",
 }
 
 // renamed maps the old name of a mechanism to its present name.
--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -47,6 +47,9 @@
 	version int
 	// teams are the teams of the next configuration, nil if it has no list of teams.
 	teams []map[string]any
+	// timeoutMS is the statement timeout of all databases; 0 means 2,000. firstTimeoutMS is that of the
+	// first one, if it differs.
+	timeoutMS, firstTimeoutMS int
 	// adjustSettings changes the settings of daemons before they start.
 	adjustSettings func(s *platform.Settings)
 	// log is the log of all daemons.
@@ -117,6 +120,12 @@
 	var routes []map[string]any
 	for _, name := range databases {
 		r := routeTo(name, "ledger")
+		if f.timeoutMS != 0 {
+			r["timeout_ms"] = f.timeoutMS
+		}
+		if f.firstTimeoutMS != 0 && len(routes) == 0 {
+			r["timeout_ms"] = f.firstTimeoutMS
+		}
 		switch name {
 		case "db-own":
 			r["type"], r["max_staleness_ms"] = "read_your_writes", 2500
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -80,9 +80,12 @@
 func (s *session) handleHomeLoss(j *job, l *link, sent bool, err error) direct.Outcome {
 	s.p.stats.connsBroken.Add(1)
 	s.logDecision("home lost", "id", j.id, "home", l.home, "sent", sent, "error", err)
-	if closedByPeer(err) {
+	switch {
+	case s.p.homes.health.enabled():
+		// The next attempt to open a link, or the check that has begun, gives the verdict.
+	case closedByPeer(err):
 		s.p.homes.backOff(l.home)
-	} else {
+	default:
 		go s.p.checkHome(l.home, j.arrived)
 	}
 	s.closeLink()
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -11,6 +11,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/health"
 	"limpetspan/core/policy"
 	"limpetspan/core/quota"
 	"limpetspan/pkg/proxy/reportpb"
@@ -64,6 +65,10 @@
 	nextRecheck map[core.DaemonID]core.Time
 	// lastSeen is when a daemon last answered on any link.
 	lastSeen map[core.DaemonID]core.Time
+	// health replaces the backoffs above where shared health is in use. homeOrders caches the order
+	// of daemons for a group until the daemons or the homes change.
+	health     *peerHealth
+	homeOrders map[core.GroupID][]core.DaemonID
 }
 
 // groupSlot identifies a slot of teams in a group.
@@ -85,7 +90,7 @@
 }
 
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, ready: make(chan struct{}), table: direct.NewHomeTable(), ownGroups: make(map[core.GroupID]bool), slotOrders: make(map[groupSlot][]core.DaemonID), backoffUntil: make(map[core.DaemonID]core.Time), groupBackoffUntil: make(map[groupDaemon]core.Time), teamBackoffUntil: make(map[teamDaemon]core.Time), slotOwners: make(map[quota.Slot]core.DaemonID), lastSeen: make(map[core.DaemonID]core.Time), nextRecheck: make(map[core.DaemonID]core.Time)}
+	return &homes{p: p, ready: make(chan struct{}), table: direct.NewHomeTable(), ownGroups: make(map[core.GroupID]bool), slotOrders: make(map[groupSlot][]core.DaemonID), backoffUntil: make(map[core.DaemonID]core.Time), groupBackoffUntil: make(map[groupDaemon]core.Time), teamBackoffUntil: make(map[teamDaemon]core.Time), slotOwners: make(map[quota.Slot]core.DaemonID), lastSeen: make(map[core.DaemonID]core.Time), nextRecheck: make(map[core.DaemonID]core.Time), health: newPeerHealth(p), homeOrders: make(map[core.GroupID][]core.DaemonID)}
 }
 
 // update chooses the homes again if the known daemons or groups have changed.
@@ -114,6 +119,8 @@
 	h.catalog, h.chosenForSize, h.daemons = catalog, size, daemons
 	h.lastChosenSize.Store(int64(size))
 	h.slotOrders = make(map[groupSlot][]core.DaemonID)
+	h.homeOrders = make(map[core.GroupID][]core.DaemonID)
+	h.health.retain(daemons)
 	h.updateWatchers(size)
 	if catalog == nil {
 		return nil
@@ -317,7 +324,7 @@
 		preferred := h.preferredDaemon(at, id, team)
 		return preferred == daemon || preferred == ""
 	}
-	if at < h.backoffUntil[daemon] {
+	if !h.isReachable(at, daemon) {
 		// Each session that asked the unresponsive daemon again would wait for its statement's whole
 		// timeout.
 		return false
@@ -327,11 +334,47 @@
 		if home == daemon {
 			return true
 		}
-		available = available || at >= h.backoffUntil[home]
+		available = available || h.isReachable(at, home)
 	}
 	return !available
 }
 
+// isReachable reports whether no backoff of the daemon itself applies. The lock is held.
+func (h *homes) isReachable(at core.Time, id core.DaemonID) bool {
+	if h.health.enabled() {
+		return h.health.isUsable(at, id, health.Scope{})
+	}
+	return at >= h.backoffUntil[id]
+}
+
+// healthScope returns what a session of the team asks a daemon for.
+func (h *homes) healthScope(id core.GroupID, team core.TeamID) health.Scope {
+	if !h.teamAffinity(team) {
+		team = ""
+	}
+	return health.Scope{Group: id, Team: team}
+}
+
+// order returns the other daemons that may be asked for the group, best first, whether or not they are
+// in backoff.
+func (h *homes) order(id core.GroupID, team core.TeamID) []core.DaemonID {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.teamAffinity(team) {
+		order, ok := h.homeOrders[id]
+		if !ok {
+			order = direct.HomeOrder(id, h.p.settings.Daemon, h.p.settings.Zone, h.homesOf(id), h.daemons)
+			h.homeOrders[id] = order
+		}
+		return order
+	}
+	list := slices.Clone(h.teamOrder(id, team))
+	if owner := h.slotOwners[quota.SlotOf(team)]; owner != "" {
+		list = slices.Insert(slices.DeleteFunc(list, func(d core.DaemonID) bool { return d == owner }), 0, owner)
+	}
+	return slices.DeleteFunc(list, func(d core.DaemonID) bool { return d == h.p.settings.Daemon })
+}
+
 // candidates returns the available other daemons to ask for the group, best first.
 func (h *homes) candidates(id core.GroupID, team core.TeamID) []core.DaemonID {
 	h.mu.Lock()
@@ -351,6 +394,14 @@
 	})
 }
 
+// answered records that the daemon has answered a statement that was sent at the given time.
+func (h *homes) answered(id core.DaemonID, sent core.Time) {
+	h.markSeen(id)
+	if h.health.enabled() {
+		h.health.answered(id, sent)
+	}
+}
+
 // markSeen records that the daemon has answered.
 func (h *homes) markSeen(id core.DaemonID) {
 	h.mu.Lock()
@@ -385,6 +436,10 @@
 // are not homes, which connect to the members as well, and members would refuse connections for
 // seconds.
 func (h *homes) sessionRefused(id core.DaemonID, group core.GroupID, err error) {
+	if h.health.enabled() {
+		h.health.sessionRefused(id, group, err)
+		return
+	}
 	var r *linkRefusal
 	if !errors.As(err, &r) || r.kind == reportpb.Refusal_REFUSAL_DAEMON {
 		h.backOff(id)
@@ -402,7 +457,11 @@
 func (h *homes) teamDeclined(id core.DaemonID, team core.TeamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.teamBackoffUntil[teamDaemon{team, id}] = now().Add(declineBackoff)
+	if h.health.enabled() {
+		h.health.teamDeclined(id, team)
+	} else {
+		h.teamBackoffUntil[teamDaemon{team, id}] = now().Add(declineBackoff)
+	}
 	if slot := quota.SlotOf(team); h.slotOwners[slot] == id {
 		delete(h.slotOwners, slot)
 	}
@@ -417,6 +476,10 @@
 	defer h.mu.Unlock()
 	delete(h.teamBackoffUntil, teamDaemon{team, owner})
 	h.slotOwners[quota.SlotOf(team)] = owner
+	if h.health.enabled() {
+		h.health.ownerNamed(owner, team)
+		return
+	}
 	if at := now(); at < h.backoffUntil[owner] && at >= h.nextRecheck[owner] {
 		h.nextRecheck[owner] = at.Add(homeRecheckInterval)
 		go h.recheck(owner)
@@ -436,6 +499,9 @@
 // isAvailable reports whether the daemon may be asked for the team's statements in the group, which
 // is the case if no backoff applies. The lock is held.
 func (h *homes) isAvailable(at core.Time, id core.DaemonID, group core.GroupID, team core.TeamID) bool {
+	if h.health.enabled() {
+		return h.health.isUsable(at, id, h.healthScope(group, team))
+	}
 	return at >= h.backoffUntil[id] && at >= h.groupBackoffUntil[groupDaemon{group, id}] && at >= h.teamBackoffUntil[teamDaemon{team, id}]
 }
 
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -46,6 +46,9 @@
 		return s.link.link, nil
 	}
 	s.closeLink()
+	if s.p.homes.health.enabled() {
+		return s.connectWatched(id, deadline)
+	}
 	unknown := 0
 	for _, home := range s.p.homes.candidates(id, team) {
 		if now() >= deadline {
@@ -104,8 +107,12 @@
 	if !ok {
 		return nil, errNoHome
 	}
-	timeout := min(homeDialTimeout, until(deadline, 20*time.Millisecond))
-	c, err := net.DialTimeout("tcp", addr, timeout)
+	limit, dial := homeDialTimeout, dialLink
+	if h := s.p.homes.health; h.enabled() {
+		limit, dial = h.dialLimit(home), h.dial
+	}
+	timeout := min(limit, until(deadline, 20*time.Millisecond))
+	c, err := dial(home, addr, timeout)
 	if err != nil {
 		return nil, err
 	}
@@ -117,6 +124,11 @@
 	return l, nil
 }
 
+// dialLink opens a connection to a home.
+func dialLink(_ core.DaemonID, addr string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", addr, timeout)
+}
+
 // handshake opens the session at the home.
 func (l *link) handshake(s *session, timeout time.Duration) error {
 	_ = l.c.SetDeadline(time.Now().Add(timeout))
@@ -184,6 +196,7 @@
 		precedingCount++
 	}
 	l.out = platform.AppendStatement(l.out, id, texts[len(texts)-1], core.Position{})
+	began := now()
 	_ = l.c.SetDeadline(deadline)
 	if n, err := l.c.Write(l.out); err != nil {
 		return a, n > 0, err
@@ -202,7 +215,10 @@
 	}
 	a, err = l.readAnswer()
 	if err == nil {
-		s.p.homes.markSeen(l.home)
+		s.p.homes.answered(l.home, began)
+		if !l.isDecline(&a) {
+			s.p.homes.health.teamAccepted(l.home, s.p.access.teamOf(s.key))
+		}
 	}
 	return a, true, err
 }
@@ -218,7 +234,7 @@
 // members are overloaded. Daemons that are not homes would then use up the members'
 // connections, and the overload would sustain itself.
 func (l *link) awaitAnswer(s *session, deadline time.Time, waitToDeadline bool) error {
-	if waitToDeadline || time.Until(deadline) <= homeSilenceTimeout {
+	if _, watched := l.c.(*watchedConn); watched || waitToDeadline || time.Until(deadline) <= homeSilenceTimeout {
 		return nil
 	}
 	sent := now()
--- /dev/null
+++ b/pkg/proxy/peerhealth.go
@@ -0,0 +1,360 @@
+package proxy
+
+import (
+	"errors"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/direct"
+	"limpetspan/core/health"
+	"limpetspan/core/policy"
+	"limpetspan/core/quota"
+	"limpetspan/pkg/proxy/metadata"
+	"limpetspan/pkg/proxy/reportpb"
+)
+
+// errHomeDown ends the wait for a home that has been found lost.
+var errHomeDown = errors.New("the home does not answer")
+
+// interruptible is a wait for a peer that can be ended early.
+type interruptible interface{ interrupt() }
+
+// peerHealth carries out the decisions of a health.Table: it runs checks, wakes the sessions that
+// wait for a lost peer, and lets sessions wait while all candidates are in backoff.
+type peerHealth struct {
+	p *Proxy
+	// shortRoutes caches for a configuration whether shared health applies to it.
+	shortRoutes atomic.Pointer[routeLimits]
+
+	mu    sync.Mutex
+	table *health.Table
+	// waits are the sessions that wait for a peer.
+	waits map[core.DaemonID]map[interruptible]struct{}
+	// changed is closed and replaced when a backoff begins or ends.
+	changed chan struct{}
+}
+
+// routeLimits says whether a configuration has a route whose statements cannot outlast the loss of a
+// home.
+type routeLimits struct {
+	catalog *direct.Catalog
+	short   bool
+}
+
+func newPeerHealth(p *Proxy) *peerHealth {
+	return &peerHealth{p: p, table: health.NewTable(), waits: make(map[core.DaemonID]map[interruptible]struct{}), changed: make(chan struct{})}
+}
+
+// lostHomeCost is what a lost home costs a statement without shared health.
+const lostHomeCost = homeDialTimeout + homeSilenceTimeout
+
+// enabled reports whether shared health is in use: it is not switched off, and the configuration has
+// a route whose statement timeout is less than twice lostHomeCost.
+func (h *peerHealth) enabled() bool {
+	if h.p == nil || !h.p.policy.Has(policy.SharedHealth) {
+		return false
+	}
+	catalog := h.p.catalog.Load()
+	limits := h.shortRoutes.Load()
+	if limits == nil || limits.catalog != catalog {
+		limits = &routeLimits{catalog: catalog, short: hasShortRoute(catalog)}
+		h.shortRoutes.Store(limits)
+	}
+	return limits.short
+}
+
+func hasShortRoute(catalog *direct.Catalog) bool {
+	if catalog == nil {
+		return false
+	}
+	for _, route := range catalog.Routes {
+		if route.StatementTimeout < 2*lostHomeCost {
+			return true
+		}
+	}
+	return false
+}
+
+// notify wakes the sessions that wait for a candidate. The lock is held.
+func (h *peerHealth) notify() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// choose returns the peers that a session asks, and a channel that is closed once another choice is
+// possible.
+func (h *peerHealth) choose(order []core.DaemonID, s health.Scope) (health.Choice, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := now()
+	h.checkEnded(at, order)
+	return h.table.Choose(at, order, s), h.changed
+}
+
+// isUsable reports whether a session would be given the peer. It starts a check of a peer whose
+// backoff has ended and which an echo would make usable again.
+func (h *peerHealth) isUsable(at core.Time, id core.DaemonID, s health.Scope) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.AwaitsEcho(at, id) {
+		h.startCheck(at, id)
+	}
+	return h.table.IsUsable(at, id, s)
+}
+
+// checkEnded starts checks of the peers whose backoff has ended and which an echo would make usable
+// again. The lock is held.
+func (h *peerHealth) checkEnded(at core.Time, order []core.DaemonID) {
+	for _, id := range order {
+		if h.table.AwaitsEcho(at, id) {
+			h.startCheck(at, id)
+		}
+	}
+}
+
+// startCheck starts a check of the peer unless one is running. The lock is held.
+func (h *peerHealth) startCheck(at core.Time, id core.DaemonID) {
+	if step, begun := h.table.BeginCheck(at, id); begun {
+		h.p.stats.health.Add("checks", 1)
+		go h.runCheck(id, step)
+	}
+}
+
+// checkIfOverdue starts a check of the peer if a statement that was sent at the given time is
+// overdue, and returns in how long to look again.
+func (h *peerHealth) checkIfOverdue(id core.DaemonID, sent core.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := now()
+	wait := h.table.OverdueIn(at, id, sent)
+	if wait > 0 {
+		return wait
+	}
+	h.startCheck(at, id)
+	return health.RecheckInterval
+}
+
+// runCheck carries out the steps of a check.
+func (h *peerHealth) runCheck(id core.DaemonID, step health.Step) {
+	for step.Wait > 0 {
+		if step.Echo {
+			h.p.peers.sendProbe(id)
+		}
+		h.p.sleep(step.Wait)
+		if !h.p.running() {
+			return
+		}
+		h.mu.Lock()
+		step = h.table.ContinueCheck(now(), id)
+		if step.Lost {
+			h.failed(id, health.Silent, "silence_ms", step.Silence.Milliseconds(), "limit_ms", step.Limit.Milliseconds())
+		}
+		h.mu.Unlock()
+	}
+	if step.AskConfiguration {
+		h.askConfiguration(id, step.Silence)
+	}
+}
+
+// askConfiguration checks a peer that may be of a version that answers no echoes.
+func (h *peerHealth) askConfiguration(id core.DaemonID, silence time.Duration) {
+	began := now()
+	addr, known := h.p.peers.homeAddr(id)
+	err := errNoHome
+	if known {
+		err = h.p.metadata.Fetch(addr)
+	}
+	if err == nil || errors.Is(err, metadata.ErrUnavailable) {
+		h.connected(id, began)
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.failed(id, failureCause(err), "silence_ms", silence.Milliseconds(), "error", err.Error())
+}
+
+// failed applies the verdict that a peer is not to be used: its waiting sessions go elsewhere. The
+// lock is held.
+func (h *peerHealth) failed(id core.DaemonID, cause health.Cause, inputs ...any) {
+	at := now()
+	already := h.table.IsDownSince(id, 0)
+	h.table.Failed(at, id, cause)
+	h.p.stats.health.Add("verdicts "+cause.String(), 1)
+	if !already {
+		waiting := len(h.waits[id])
+		h.p.log.Info("peer", append([]any{"verdict", "down", "peer", id, "cause", cause.String(), "waiting", waiting}, inputs...)...)
+	}
+	if cause == health.Silent || cause == health.Unreachable {
+		for w := range h.waits[id] {
+			w.interrupt()
+		}
+	}
+	h.notify()
+	go h.p.homes.forgetSlots(id)
+}
+
+// revived logs that a backoff of the peer has ended. The lock is held.
+func (h *peerHealth) revived(id core.DaemonID, by string) {
+	h.p.stats.health.Add("revived", 1)
+	h.p.log.Info("peer", "verdict", "up", "peer", id, "by", by)
+	h.notify()
+}
+
+// echoed handles the answer to an echo that was sent at the given time.
+func (h *peerHealth) echoed(id core.DaemonID, sent core.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.Echoed(now(), id, sent) {
+		h.revived(id, "echo")
+	}
+}
+
+// connected records that a link to the peer, which was begun at the given time, was opened.
+func (h *peerHealth) connected(id core.DaemonID, began core.Time) {
+	h.mu.Lock()
+	at := now()
+	if h.table.Connected(at, id, at.Sub(began)) {
+		h.revived(id, "link")
+	}
+	first := h.table.NeedsFirstEcho(id)
+	h.mu.Unlock()
+	if first {
+		h.p.peers.sendProbe(id)
+	}
+}
+
+// answered records that the peer has answered a statement that was sent at the given time.
+func (h *peerHealth) answered(id core.DaemonID, sent core.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := now()
+	if h.table.Answered(at, id, at.Sub(sent)) {
+		h.revived(id, "answer")
+	}
+}
+
+// accepted records that the peer serves the group or the team.
+func (h *peerHealth) groupAccepted(id core.DaemonID, group core.GroupID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.GroupAccepted(id, group)
+}
+
+func (h *peerHealth) teamAccepted(id core.DaemonID, team core.TeamID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.TeamAccepted(id, team) {
+		h.notify()
+	}
+}
+
+func (h *peerHealth) teamDeclined(id core.DaemonID, team core.TeamID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.TeamDeclined(now(), id, team)
+	h.notify()
+}
+
+// sessionRefused records a failure to open a link to the peer.
+func (h *peerHealth) sessionRefused(id core.DaemonID, group core.GroupID, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var r *linkRefusal
+	switch {
+	case errors.Is(err, errHomeDown):
+	case errors.As(err, &r) && r.kind == reportpb.Refusal_REFUSAL_GROUP:
+		h.table.GroupRefused(now(), id, group)
+		h.notify()
+	case errors.As(err, &r) && r.kind != reportpb.Refusal_REFUSAL_DAEMON:
+	case isTimeout(err):
+		if h.table.DialTimedOut(now(), id) {
+			h.failed(id, health.DialSlow, "error", err.Error())
+		}
+	default:
+		h.failed(id, failureCause(err), "error", err.Error())
+	}
+}
+
+// failureCause returns why a peer to which no link could be opened is left alone.
+func failureCause(err error) health.Cause {
+	var r *linkRefusal
+	switch {
+	case errors.As(err, &r) || errors.Is(err, errNoHome):
+		return health.Refused
+	case isTimeout(err):
+		return health.Silent
+	}
+	return health.Unreachable
+}
+
+func isTimeout(err error) bool {
+	var t interface{ Timeout() bool }
+	return errors.As(err, &t) && t.Timeout()
+}
+
+// dialLimit returns how long opening a link to the peer may take.
+func (h *peerHealth) dialLimit(id core.DaemonID) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.DialLimit(id)
+}
+
+// await registers a wait for the peer's answer to something that was sent at the given time. It
+// returns false if the peer has been found lost since.
+func (h *peerHealth) await(id core.DaemonID, w interruptible, sent core.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.IsDownSince(id, sent) {
+		return false
+	}
+	waits := h.waits[id]
+	if waits == nil {
+		waits = make(map[interruptible]struct{})
+		h.waits[id] = waits
+	}
+	waits[w] = struct{}{}
+	return true
+}
+
+// endAwait removes a wait.
+func (h *peerHealth) endAwait(id core.DaemonID, w interruptible) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.waits[id], w)
+}
+
+// retain forgets peers that are no longer known.
+func (h *peerHealth) retain(daemons []direct.Daemon) {
+	known := make(map[core.DaemonID]bool, len(daemons))
+	for _, d := range daemons {
+		known[d.ID] = true
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.Retain(func(id core.DaemonID) bool { return known[id] })
+	maps.DeleteFunc(h.waits, func(_ core.DaemonID, w map[interruptible]struct{}) bool { return len(w) == 0 })
+}
+
+// forgetSlots forgets which slots a daemon owns that cannot be used.
+func (h *homes) forgetSlots(id core.DaemonID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	maps.DeleteFunc(h.slotOwners, func(_ quota.Slot, owner core.DaemonID) bool { return owner == id })
+}
+
+// ownerNamed starts a check of a slot's owner that is in backoff, as no other daemon may run the
+// statements that it counts.
+func (h *peerHealth) ownerNamed(id core.DaemonID, team core.TeamID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := now()
+	if h.table.TeamAccepted(id, team) {
+		h.notify()
+	}
+	if h.table.IsDownSince(id, 0) {
+		h.startCheck(at, id)
+	}
+}
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -405,7 +405,7 @@
 func (s *peers) receive() {
 	buf := make([]byte, maxReportBytes)
 	for {
-		n, _, err := s.conn.ReadFrom(buf)
+		n, from, err := s.conn.ReadFrom(buf)
 		if err != nil {
 			if !s.p.running() {
 				return
@@ -419,6 +419,9 @@
 			s.p.stats.reportsMalformed.Add(1)
 			continue
 		}
+		if s.handleProbe(&m, from) {
+			continue
+		}
 		s.handleReport(&m)
 	}
 }
--- /dev/null
+++ b/pkg/proxy/watchedlink.go
@@ -0,0 +1,174 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/health"
+)
+
+// watchedConn is the connection of a link whose reads start a check of the home when its answer is
+// overdue, and end at once when the home is found lost.
+type watchedConn struct {
+	*net.TCPConn
+	health *peerHealth
+	home   core.DaemonID
+	// deadline is the time until which a read waits. sent is when it was set, which is before
+	// anything is sent whose answer is read then.
+	deadline time.Time
+	sent     core.Time
+	down     atomic.Bool
+}
+
+func (c *watchedConn) SetDeadline(t time.Time) error {
+	c.deadline, c.sent = t, now()
+	return c.TCPConn.SetDeadline(t)
+}
+
+// interrupt ends the read in progress.
+func (c *watchedConn) interrupt() {
+	c.down.Store(true)
+	_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(b []byte) (int, error) {
+	c.down.Store(false)
+	if !c.health.await(c.home, c, c.sent) {
+		return c.readArrived(b)
+	}
+	defer c.health.endAwait(c.home, c)
+	for {
+		next := time.Now().Add(max(time.Millisecond, c.health.checkIfOverdue(c.home, c.sent)))
+		if c.deadline.Before(next) {
+			next = c.deadline
+		}
+		_ = c.TCPConn.SetReadDeadline(next)
+		if c.down.Load() {
+			// interrupt may have come before the deadline was set.
+			_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
+		}
+		n, err := c.TCPConn.Read(b)
+		switch {
+		case n > 0 || !errors.Is(err, os.ErrDeadlineExceeded):
+			return n, err
+		case c.down.Load():
+			return c.readArrived(b)
+		case !time.Now().Before(c.deadline):
+			return 0, err
+		}
+	}
+}
+
+// readArrived reads what has arrived from a home that was found lost. A read whose deadline has passed
+// misses it.
+func (c *watchedConn) readArrived(b []byte) (int, error) {
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(finalReadTimeout))
+	n, err := c.TCPConn.Read(b)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	return 0, errHomeDown
+}
+
+// dialWait is the wait for a connection to a peer.
+type dialWait struct {
+	cancel context.CancelFunc
+	down   atomic.Bool
+}
+
+func (w *dialWait) interrupt() {
+	w.down.Store(true)
+	w.cancel()
+}
+
+// dial opens a connection to the peer. It starts a check of the peer if that takes long, and gives up
+// when the peer is found lost.
+func (h *peerHealth) dial(id core.DaemonID, addr string, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	w, sent := &dialWait{cancel: cancel}, now()
+	if !h.await(id, w, sent) {
+		return nil, errHomeDown
+	}
+	defer h.endAwait(id, w)
+	timer := time.AfterFunc(health.OverdueFloor, func() { h.checkUnlessHeard(id, sent) })
+	defer timer.Stop()
+	c, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		if w.down.Load() {
+			return nil, errHomeDown
+		}
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return &watchedConn{TCPConn: tcp, health: h, home: id}, nil
+}
+
+// checkUnlessHeard starts a check of a peer that has answered nothing since the given time.
+func (h *peerHealth) checkUnlessHeard(id core.DaemonID, sent core.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := now()
+	if !h.table.HeardSince(id, sent) {
+		h.startCheck(at, id)
+	}
+}
+
+// connectWatched returns a link to one of the candidates. While all of them are in backoff, one
+// session at a time tries one of them, and the others wait for the outcome, for most of the time to
+// the deadline.
+func (s *session) connectWatched(id core.GroupID, deadline core.Time) (*link, error) {
+	waitDeadline := now().Add(fractionOf(until(deadline, 0), maxWaitShare))
+	scope := s.p.homes.healthScope(id, s.p.access.teamOf(s.key))
+	unknown := 0
+	for {
+		choice, changed := s.p.homes.health.choose(s.p.homes.order(id, scope.Team), scope)
+		for _, home := range choice.Ask {
+			if now() >= deadline {
+				return nil, errNoHome
+			}
+			l, err := s.tryHome(home, scope, deadline)
+			if err == nil {
+				return l, nil
+			}
+			if isUnknownDatabase(err) {
+				unknown++
+			}
+			if unknown >= maxUnknownDatabase {
+				return nil, err
+			}
+		}
+		at := now()
+		if at >= waitDeadline || len(choice.Ask) == 0 && choice.Wait <= 0 {
+			return nil, errNoHome
+		}
+		s.p.sleepInterruptible(min(max(choice.Wait, time.Millisecond), waitDeadline.Sub(at)), changed)
+		if !s.p.running() {
+			return nil, errNoHome
+		}
+	}
+}
+
+// tryHome opens a link to the home and reports the outcome.
+func (s *session) tryHome(home core.DaemonID, scope health.Scope, deadline core.Time) (*link, error) {
+	began := now()
+	l, err := s.dialHome(home, deadline)
+	if err != nil {
+		s.logDecision("home connect failed", "home", home, "error", err)
+		s.p.homes.sessionRefused(home, scope.Group, err)
+		return nil, err
+	}
+	s.p.homes.health.connected(home, began)
+	s.p.homes.health.groupAccepted(home, scope.Group)
+	s.link = &groupLink{group: scope.Group, link: l}
+	return l, nil
+}
