--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -29,6 +29,8 @@
 	refusals, denied, overQuota expvar.Map
 	// refusalsUnproved counts statements that were not served and may have run.
 	refusalsUnproved expvar.Int
+	// health counts the checks of other daemons, the verdicts by cause, and the backoffs that ended.
+	health expvar.Map
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
@@ -72,8 +74,9 @@
 		"orders_dropped": s.commandsDropped.Value(), "promotions": s.promotions.Value(),
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
-		"configuration_awaited": s.configurationAwaited.Value(),
-		"store_eras_ended":      s.erasEnded.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
+		"configuration_awaited": s.configurationAwaited.Value(), "store_eras_ended": s.erasEnded.Value(),
+		"refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
+		"peer_health": valuesOf(&s.health),
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
