End waits for a home only if it is silent towards echoes that were sent

Cause: a home that stops as planned is removed from the known daemons, so no echo was sent to it and its silence became a verdict. Any verdict ended the next wait on an open link, and one reset or local error while opening a link counted as a proof that the home is lost. Running writes became INDOUBT and transactions ABORTED at homes that worked. Change: an entry keeps the address of a peer while links to it are open, and a check in which an echo was not sent is decided by the configuration request. Only the verdict 'silent' ends waits, and only ECONNREFUSED is 'unreachable'. Other errors while opening a link count like a timeout and start a check. A request for the configuration that was answered counts as alive, whatever the answer. Latency and load not measured.

--- a/core/health/check.go
+++ b/core/health/check.go
@@ -16,8 +16,8 @@
 	// long it answered no echo, Limit the silence after which it counts as lost.
 	Lost           bool
 	Silence, Limit time.Duration
-	// AskConfiguration is set instead of Lost if it is unknown whether the peer answers echoes. It may
-	// run an earlier version, and is to be asked for its configuration.
+	// AskConfiguration is set instead of Lost if it is unknown whether the peer answers echoes, as it may
+	// run an earlier version, or if not all echoes were sent. It is to be asked for its configuration.
 	AskConfiguration bool
 }
 
@@ -52,7 +52,7 @@
 	}
 	p.endCheck(now)
 	step := Step{Silence: now.Sub(c.began), Limit: p.lostAfter()}
-	if !p.answersEchoes {
+	if !p.answersEchoes || c.unsent {
 		step.AskConfiguration = true
 		return step
 	}
@@ -64,10 +64,17 @@
 // check apart, and none is after the deadline.
 func (p *peer) sendEcho(now core.Time) Step {
 	c := p.check
-	c.echoes++
 	wait := min(p.lostAfter()/echoesPerCheck, max(time.Millisecond, c.deadline.Sub(now)))
 	c.dueAt = now.Add(wait)
 	return Step{Echo: true, Wait: wait}
 }
 
+// EchoUnsent records that an echo of the running check could not be sent, so that its silence proves
+// nothing.
+func (t *Table) EchoUnsent(id core.DaemonID) {
+	if c := t.peer(id).check; c != nil {
+		c.unsent = true
+	}
+}
+
 func (p *peer) endCheck(now core.Time) { p.check, p.checkedAt = nil, now }
--- a/core/health/peer.go
+++ b/core/health/peer.go
@@ -50,7 +50,7 @@
 const (
 	// Silent: the peer did not answer echoes.
 	Silent Cause = iota
-	// Unreachable: a connection was refused or failed at once.
+	// Unreachable: a connection was refused, as nothing listens there.
 	Unreachable
 	// DialSlow: links could not be opened in time, although echoes were answered.
 	DialSlow
@@ -77,9 +77,9 @@
 	dialTimeouts int
 	// answersEchoes is set once it has answered an echo. Daemons of earlier versions do not.
 	answersEchoes bool
-	// cause and downAt describe the last failure.
+	// cause is why it failed last. lostAt is when it was found silent, 0 if it has been heard since.
 	cause  Cause
-	downAt core.Time
+	lostAt core.Time
 	check  *check
 	// checkedAt is when the last check ended.
 	checkedAt core.Time
@@ -88,7 +88,9 @@
 // check is a running check of a peer.
 type check struct {
 	began, dueAt, deadline core.Time
-	postponements, echoes  int
+	postponements          int
+	// unsent is set if one of its echoes could not be sent.
+	unsent bool
 }
 
 // peakDecay is the share by which a peak moves towards a lower observation. A peak is halved after
--- a/core/health/table.go
+++ b/core/health/table.go
@@ -100,6 +100,14 @@
 	return t.revive(id)
 }
 
+// Alive records that the peer has answered a request for its configuration. It returns whether this
+// ended a backoff.
+func (t *Table) Alive(now core.Time, id core.DaemonID) (revived bool) {
+	p := t.peer(id)
+	p.heardAt = now
+	return p.cause.endsWithEcho() && t.revive(id)
+}
+
 // HeardSince reports whether the peer has answered anything since the given time.
 func (t *Table) HeardSince(id core.DaemonID, since core.Time) bool {
 	return t.peer(id).heardAt >= since
@@ -113,14 +121,18 @@
 		return false
 	}
 	delete(t.down, id)
+	t.peer(id).lostAt = 0
 	return true
 }
 
 // Failed records a verdict that the peer cannot be used.
 func (t *Table) Failed(now core.Time, id core.DaemonID, cause Cause) {
 	p := t.peer(id)
-	p.cause, p.downAt, p.dialTimeouts = cause, now, 0
-	if cause == Unreachable {
+	p.cause, p.dialTimeouts = cause, 0
+	switch cause {
+	case Silent:
+		p.lostAt = now
+	case Unreachable:
 		// Another version may run there next.
 		p.answersEchoes = false
 	}
@@ -166,9 +178,15 @@
 	return revived
 }
 
-// IsDownSince reports whether the peer has been found lost at or after the given time.
-func (t *Table) IsDownSince(id core.DaemonID, since core.Time) bool {
-	return t.down[id] != nil && t.peer(id).downAt >= since
+// IsDown reports whether the peer is in backoff, for whatever cause.
+func (t *Table) IsDown(id core.DaemonID) bool { return t.down[id] != nil }
+
+// IsLostSince reports whether the peer has been found silent at or after the given time. Other causes
+// of a backoff do not end the waits for its answers: a peer that refuses new sessions, or opens links
+// slowly, may still answer on those that it has.
+func (t *Table) IsLostSince(id core.DaemonID, since core.Time) bool {
+	p := t.peer(id)
+	return p.lostAt != 0 && p.lostAt >= since
 }
 
 // OverdueIn returns in how long the peer is to be checked if a statement that was sent at the given
--- a/pkg/proxy/peerhealth.go
+++ b/pkg/proxy/peerhealth.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"io"
 	"maps"
+	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"limpetspan/core"
@@ -12,7 +15,6 @@
 	"limpetspan/core/health"
 	"limpetspan/core/policy"
 	"limpetspan/core/quota"
-	"limpetspan/pkg/proxy/metadata"
 	"limpetspan/pkg/proxy/reportpb"
 )
 
@@ -33,10 +35,20 @@
 	table *health.Table
 	// waits are the sessions that wait for a peer.
 	waits map[core.DaemonID]map[interruptible]struct{}
+	// links are the open links to each peer. A peer that stops as planned is removed from the known
+	// daemons at once, and still answers on its links and answers echoes.
+	links map[core.DaemonID]*peerLinks
 	// changed is closed and replaced when a backoff begins or ends.
 	changed chan struct{}
 }
 
+// peerLinks are the open links to a peer.
+type peerLinks struct {
+	// ip is the address to which the last one was opened.
+	ip   string
+	open int
+}
+
 // routeLimits says whether a configuration has a route whose statements cannot outlast the loss of a
 // home.
 type routeLimits struct {
@@ -45,7 +57,7 @@
 }
 
 func newPeerHealth(p *Proxy) *peerHealth {
-	return &peerHealth{p: p, table: health.NewTable(), waits: make(map[core.DaemonID]map[interruptible]struct{}), changed: make(chan struct{})}
+	return &peerHealth{p: p, table: health.NewTable(), waits: make(map[core.DaemonID]map[interruptible]struct{}), links: make(map[core.DaemonID]*peerLinks), changed: make(chan struct{})}
 }
 
 // lostHomeCost is what a lost home costs a statement without shared health.
@@ -137,11 +149,51 @@
 	return health.RecheckInterval
 }
 
+// ip returns the address of the peer, also if it is leaving and links to it are open, "" if it is
+// unknown.
+func (h *peerHealth) ip(id core.DaemonID) string {
+	if ip := h.p.peers.ip(id); ip != "" {
+		return ip
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l := h.links[id]; l != nil {
+		return l.ip
+	}
+	return ""
+}
+
+// linkOpened records an open link to the peer at the address.
+func (h *peerHealth) linkOpened(id core.DaemonID, ip string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := h.links[id]
+	if l == nil {
+		l = &peerLinks{}
+		h.links[id] = l
+	}
+	l.ip = ip
+	l.open++
+}
+
+// linkClosed records that a link to the peer has been closed.
+func (h *peerHealth) linkClosed(id core.DaemonID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if l := h.links[id]; l != nil {
+		if l.open--; l.open == 0 {
+			delete(h.links, id)
+		}
+	}
+}
+
 // runCheck carries out the steps of a check.
 func (h *peerHealth) runCheck(id core.DaemonID, step health.Step) {
 	for step.Wait > 0 {
-		if step.Echo {
-			h.p.peers.sendProbe(id)
+		if step.Echo && !h.p.peers.sendProbe(h.ip(id)) {
+			h.mu.Lock()
+			h.table.EchoUnsent(id)
+			h.mu.Unlock()
 		}
 		h.p.sleep(step.Wait)
 		if !h.p.running() {
@@ -159,35 +211,49 @@
 	}
 }
 
-// askConfiguration checks a peer that may be of a version that answers no echoes.
+// askConfiguration checks a peer that may be of a version that answers no echoes. There is a verdict
+// only if the request was sent and not answered in time, or if nothing listens at the peer.
 func (h *peerHealth) askConfiguration(id core.DaemonID, silence time.Duration) {
-	began := now()
-	addr, known := h.p.peers.homeAddr(id)
-	err := errNoHome
-	if known {
-		err = h.p.metadata.Fetch(addr)
-	}
-	if err == nil || errors.Is(err, metadata.ErrUnavailable) {
-		h.connected(id, began)
+	ip := h.ip(id)
+	if ip == "" {
 		return
 	}
+	err := h.p.metadata.Fetch(h.p.settings.LinkAddr(ip))
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.failed(id, failureCause(err), "silence_ms", silence.Milliseconds(), "error", err.Error())
+	switch inputs := []any{"silence_ms", silence.Milliseconds(), "error", errorText(err)}; {
+	case hasAnswered(err):
+		if h.table.Alive(now(), id) {
+			h.revived(id, "configuration")
+		}
+	case errors.Is(err, syscall.ECONNREFUSED):
+		h.failed(id, health.Unreachable, inputs...)
+	case isTimeout(err):
+		h.failed(id, health.Silent, inputs...)
+	default:
+		h.p.log.Info("peer", append([]any{"verdict", "none", "peer", id}, inputs...)...)
+	}
+}
+
+// hasAnswered reports whether the peer has answered a request that ended with the error. Errors other
+// than those of the connection arise from an answer.
+func hasAnswered(err error) bool {
+	var ofConn net.Error
+	return !errors.As(err, &ofConn) && !errors.Is(err, io.EOF)
 }
 
 // failed applies the verdict that a peer is not to be used: its waiting sessions go elsewhere. The
 // lock is held.
 func (h *peerHealth) failed(id core.DaemonID, cause health.Cause, inputs ...any) {
 	at := now()
-	already := h.table.IsDownSince(id, 0)
+	already := h.table.IsDown(id)
 	h.table.Failed(at, id, cause)
 	h.p.stats.health.Add("verdicts "+cause.String(), 1)
 	if !already {
 		waiting := len(h.waits[id])
 		h.p.log.Info("peer", append([]any{"verdict", "down", "peer", id, "cause", cause.String(), "waiting", waiting}, inputs...)...)
 	}
-	if cause == health.Silent || cause == health.Unreachable {
+	if cause == health.Silent {
 		for w := range h.waits[id] {
 			w.interrupt()
 		}
@@ -222,7 +288,7 @@
 	first := h.table.NeedsFirstEcho(id)
 	h.mu.Unlock()
 	if first {
-		h.p.peers.sendProbe(id)
+		h.p.peers.sendProbe(h.ip(id))
 	}
 }
 
@@ -269,25 +335,18 @@
 		h.table.GroupRefused(now(), id, group)
 		h.notify()
 	case errors.As(err, &r) && r.kind != reportpb.Refusal_REFUSAL_DAEMON:
-	case isTimeout(err):
-		if h.table.DialTimedOut(now(), id) {
+	case errors.As(err, &r) || errors.Is(err, errNoHome):
+		h.failed(id, health.Refused, "error", err.Error())
+	case errors.Is(err, syscall.ECONNREFUSED):
+		h.failed(id, health.Unreachable, "error", err.Error())
+	default:
+		// A timeout, a reset or a local error does not tell whether the peer is lost. A check does.
+		at := now()
+		if h.table.DialTimedOut(at, id) {
 			h.failed(id, health.DialSlow, "error", err.Error())
 		}
-	default:
-		h.failed(id, failureCause(err), "error", err.Error())
-	}
-}
-
-// failureCause returns why a peer to which no link could be opened is left alone.
-func failureCause(err error) health.Cause {
-	var r *linkRefusal
-	switch {
-	case errors.As(err, &r) || errors.Is(err, errNoHome):
-		return health.Refused
-	case isTimeout(err):
-		return health.Silent
+		h.startCheck(at, id)
 	}
-	return health.Unreachable
 }
 
 func isTimeout(err error) bool {
@@ -303,11 +362,11 @@
 }
 
 // await registers a wait for the peer's answer to something that was sent at the given time. It
-// returns false if the peer has been found lost since.
+// returns false if the peer has been found silent since.
 func (h *peerHealth) await(id core.DaemonID, w interruptible, sent core.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.table.IsDownSince(id, sent) {
+	if h.table.IsLostSince(id, sent) {
 		return false
 	}
 	waits := h.waits[id]
@@ -334,7 +393,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.table.Retain(func(id core.DaemonID) bool { return known[id] })
+	h.table.Retain(func(id core.DaemonID) bool { return known[id] || h.links[id] != nil })
 	maps.DeleteFunc(h.waits, func(_ core.DaemonID, w map[interruptible]struct{}) bool { return len(w) == 0 })
 }
 
@@ -354,7 +413,7 @@
 	if h.table.TeamAccepted(id, team) {
 		h.notify()
 	}
-	if h.table.IsDownSince(id, 0) {
+	if h.table.IsDown(id) {
 		h.startCheck(at, id)
 	}
 }
--- a/pkg/proxy/peerhealth_test.go
+++ b/pkg/proxy/peerhealth_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"slices"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +14,7 @@
 	"limpetspan/core"
 	"limpetspan/core/direct"
 	"limpetspan/core/policy"
+	"limpetspan/pkg/proxy/reportpb"
 )
 
 // withShortRoute gives the first database, which these tests do not use, a timeout that puts shared
@@ -56,6 +59,45 @@
 	return v.String()
 }
 
+// awaitFirstEcho waits until the home has answered the echo that follows the first link to it.
+func (d *daemon) awaitFirstEcho(home *daemon) {
+	Eventually(func() bool {
+		h := d.p.homes.health
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.table.NeedsFirstEcho(home.s.Daemon)
+	}, waitLimit).Should(BeFalse())
+}
+
+func (h *peerHealth) countWaits(id core.DaemonID) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.waits[id])
+}
+
+// newWatchedLink returns a link of an entry to a home that answers echoes. The test writes the answers
+// on the other end.
+func newWatchedLink() (link *watchedConn, peer net.Conn, h *peerHealth) {
+	f := newFleet(2, withShortRoute)
+	f.awaitStable()
+	home, entry := f.daemons[0], f.daemons[1]
+	f.useHomes(home)
+	l, err := net.Listen("tcp", home.s.IP+":0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	h = entry.p.homes.health
+	c, err := h.dial(home.s.Daemon, l.Addr().String(), waitLimit)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(c.Close)
+	peer, err = l.Accept()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(peer.Close)
+	Expect(c.SetDeadline(time.Now().Add(waitLimit))).To(Succeed())
+	h.connected(home.s.Daemon, now())
+	entry.awaitFirstEcho(home)
+	return c.(*watchedConn), peer, h
+}
+
 var _ = Describe("the shared verdict about a home", func() {
 	// Guards against sessions that each wait for a lost home on their own, and against a write that is
 	// held until its timeout although its home is lost.
@@ -104,12 +146,7 @@
 		f.useHomes(home)
 		x := entry.dial("db-own")
 		x.queryUntilServed("WRITE k 1")
-		Eventually(func() bool {
-			h := entry.p.homes.health
-			h.mu.Lock()
-			defer h.mu.Unlock()
-			return h.table.NeedsFirstEcho(home.s.Daemon)
-		}, waitLimit).Should(BeFalse(), "the home answers the echo that follows the first link")
+		entry.awaitFirstEcho(home)
 		f.group.SetStatementDelay(time.Second)
 		Expect(x.query("WRITE k 2").isServed()).To(BeTrue())
 		Expect(entry.healthCount("checks")).NotTo(Equal("0"), "the statement was overdue")
@@ -145,6 +182,73 @@
 		}
 	})
 
+	// Guards against a planned stop that interrupts statements: the entry forgets the address of a home
+	// that leaves, and must not take its own unsent echoes for the home's silence.
+	It("is not that it is lost if it stops as planned", func() {
+		f := newFleet(2, withShortRoute)
+		f.awaitStable()
+		home, entry := f.daemons[0], f.daemons[1]
+		f.useHomes(home)
+		x := entry.dial("db-own")
+		x.queryUntilServed("WRITE k 1")
+		entry.awaitFirstEcho(home)
+		f.group.SetStatementDelay(500 * time.Millisecond)
+		answers := make(chan answer, 1)
+		go func() {
+			defer GinkgoRecover()
+			answers <- x.query("WRITE k 2")
+		}()
+		Eventually(home.p.countOpenTransactions, waitLimit).Should(Equal(1))
+		home.stop()
+		var a answer
+		Eventually(answers, waitLimit).Should(Receive(&a))
+		Expect(a.isServed()).To(BeTrue(), "%s %s", a.result, f.logTail())
+		Expect(entry.healthCount("verdicts silent")).To(Equal("0"))
+	})
+
+	// Guards against statements that are in doubt although their home works: the home refuses another
+	// session between two answers on a link.
+	It("does not end waits on a home's open links if it refuses new sessions", func() {
+		c, peer, h := newWatchedLink()
+		_, err := peer.Write([]byte("a"))
+		Expect(err).NotTo(HaveOccurred())
+		b := make([]byte, 1)
+		Expect(c.Read(b)).To(Equal(1))
+		h.sessionRefused(c.home, "ledger", &linkRefusal{reportpb.Refusal_REFUSAL_DAEMON, "not serving"})
+		read := make(chan error, 1)
+		go func() {
+			_, err := c.Read(b)
+			read <- err
+		}()
+		Eventually(func() int { return h.countWaits(c.home) }, waitLimit).Should(Equal(1))
+		_, err = peer.Write([]byte("b"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(read, waitLimit).Should(Receive(BeNil()))
+	})
+
+	// Guards against one reset, or a local error, that interrupts the statements of all sessions.
+	It("is not that it is lost if one link to it cannot be opened", func() {
+		c, peer, h := newWatchedLink()
+		read := make(chan error, 1)
+		go func() {
+			_, err := c.Read(make([]byte, 1))
+			read <- err
+		}()
+		Eventually(func() int { return h.countWaits(c.home) }, waitLimit).Should(Equal(1))
+		for _, err := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EMFILE, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ECONNREFUSED} {
+			before := h.p.stats.health.String()
+			h.sessionRefused(c.home, "ledger", &net.OpError{Op: "dial", Err: err})
+			Expect(c.down.Load()).To(BeFalse(), err.Error())
+			if err != syscall.ECONNREFUSED {
+				Expect(h.p.stats.health.Get("verdicts unreachable")).To(BeNil(), "%s %s", err, before)
+			}
+		}
+		Expect(h.countWaits(c.home)).To(Equal(1))
+		_, err := peer.Write([]byte("a"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(read, waitLimit).Should(Receive(BeNil()))
+	})
+
 	It("is not in use without a route with a short timeout, or if switched off", func() {
 		p := &Proxy{policy: policy.All}
 		p.homes = newHomes(p)
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -169,6 +169,16 @@
 	return s.p.settings.LinkAddr(k.ip), true
 }
 
+// ip returns the daemon's IP address, "" if it is unknown.
+func (s *peers) ip(id core.DaemonID) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k := s.known[id]; k != nil {
+		return k.ip
+	}
+	return ""
+}
+
 // daemons returns all known daemons including this one, sorted by ID. In a small fleet, where
 // reports are sent to all daemons, a daemon counts while its reports arrive. In a large fleet it also
 // counts while it is listed. A daemon whose reports do not arrive and that is not listed is forgotten.
--- a/pkg/proxy/probe.go
+++ b/pkg/proxy/probe.go
@@ -9,15 +9,14 @@
 	"limpetspan/pkg/proxy/reportpb"
 )
 
-// sendProbe sends a liveness check to the daemon. It is a datagram, and may be lost.
-func (s *peers) sendProbe(id core.DaemonID) {
-	s.mu.Lock()
-	k := s.known[id]
-	s.mu.Unlock()
-	if k == nil {
-		return
+// sendProbe sends a liveness check to the daemon at the address. It is a datagram, and may be lost. It
+// returns false if it could not be sent.
+func (s *peers) sendProbe(ip string) bool {
+	addr, err := net.ResolveUDPAddr("udp4", s.p.settings.GossipAddr(ip))
+	if err != nil {
+		return false
 	}
-	s.sendProbeMessage(k.addr, &reportpb.Report{Probe: int64(now())})
+	return s.sendProbeMessage(addr, &reportpb.Report{Probe: int64(now())})
 }
 
 // handleProbe answers a liveness check, or handles the answer to one. It returns false for a report.
@@ -37,14 +36,16 @@
 // sendProbeMessage sends a liveness check or an answer to one. The stamp is for daemons of earlier
 // versions, which take the datagram for a report: a report without one would make them date this
 // daemon's next reports too early.
-func (s *peers) sendProbeMessage(to net.Addr, m *reportpb.Report) {
+func (s *peers) sendProbeMessage(to net.Addr, m *reportpb.Report) (sent bool) {
 	m.Daemon, m.Stamp = string(s.p.settings.Daemon), int64(now())
 	data, err := proto.Marshal(m)
 	if err != nil {
 		s.p.log.Error("liveness check cannot be encoded", "error", err.Error())
-		return
+		return false
 	}
 	if _, err := s.conn.WriteTo(data, to); err != nil {
 		s.p.stats.reportsUnsent.Add(1)
+		return false
 	}
+	return true
 }
--- a/pkg/proxy/watchedlink.go
+++ b/pkg/proxy/watchedlink.go
@@ -23,6 +23,15 @@
 	deadline time.Time
 	sent     core.Time
 	down     atomic.Bool
+	closed   atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *watchedConn) Close() error {
+	if !c.closed.Swap(true) {
+		c.health.linkClosed(c.home)
+	}
+	return c.TCPConn.Close()
 }
 
 func (c *watchedConn) SetDeadline(t time.Time) error {
@@ -110,6 +119,9 @@
 	if !ok {
 		return c, nil
 	}
+	if ip, _, err := net.SplitHostPort(addr); err == nil {
+		h.linkOpened(id, ip)
+	}
 	return &watchedConn{TCPConn: tcp, health: h, home: id}, nil
 }
 
