Release trials, and let sessions ask slow homes without waiting for each other

Cause: the claim of a trial covered the peer, the group and the team, and its outcome released one of them, so all sessions of a team waited for 500 ms. Opening a link could take 1 s twice. An answer on an open link hid that new links did not open, and slow links made sessions leave working ones and wait for one trial at a time, for example after all processes had started together. The mechanism was also in use where all daemons are homes of all groups. Change: the session that owns a trial ends it, whatever its outcome. One limit covers connection and handshake, and half of the time beyond 300 ms is left for other candidates. A home that is slow to connect keeps its links and is asked by all sessions if there is no better one; a failed trial does not change why a home is left. Timeouts shorter than 300 ms are not the home's. The mechanism needs homes that are not all daemons, and a statement timeout of 0 is not short. Result: new tests fail with their guards removed; the tests of core/health and pkg/proxy pass. Latency and load not measured.

--- a/core/health/backoff.go
+++ b/core/health/backoff.go
@@ -16,9 +16,9 @@
 	// LastTrialInterval is the least time between a failure and a trial before the backoff has
 	// ended, which happens only while no other candidate is left.
 	LastTrialInterval = 50 * time.Millisecond
-	// TrialTimeout is the time after which a trial without a reported outcome no longer excludes
-	// others. The session that made it may have ended.
-	TrialTimeout = 500 * time.Millisecond
+	// TrialTimeout is the time after which a trial without an outcome no longer excludes others. Opening
+	// a link takes no longer unless links to this peer usually take long.
+	TrialTimeout = DialFloor
 	// failureMemory is how long after the end of a backoff the next failure still doubles it.
 	failureMemory = 4 * time.Second
 )
--- a/core/health/choice.go
+++ b/core/health/choice.go
@@ -69,20 +69,36 @@
 	return false
 }
 
+// IsSlowToConnect reports whether the peer is in backoff only because links to it opened slowly. That
+// makes sessions prefer others, and neither leave the links that they have nor wait for a trial.
+func (t *Table) IsSlowToConnect(now core.Time, id core.DaemonID, s Scope) bool {
+	list := t.applicable(id, s)
+	return list[0] != nil && t.peer(id).cause == DialSlow && list[1].phase(now) == Closed && list[2].phase(now) == Closed
+}
+
 // Choose returns the peers that a session asks, of those in order. A peer whose backoff has ended is
-// tried by one session at a time, if there is no better one. Without any other peer, the one whose
-// last failure is the oldest is tried even before the end of its backoff.
+// tried by one session at a time, if there is no better one. Peers that are slow to connect are asked
+// without a limit if there is no better one: while all are slow, each session must go on opening links.
+// Without any other peer, the one whose last failure is the oldest is tried even before the end of its
+// backoff. The session calls TrialEnded for a trial, whatever its outcome.
 func (t *Table) Choose(now core.Time, order []core.DaemonID, s Scope) Choice {
 	var c Choice
+	closed := false
 	for _, id := range order {
 		switch {
 		case t.Phase(now, id, s) == Closed:
+			closed = true
 			c.Ask = append(c.Ask, id)
 		case len(c.Ask) == 0 && c.Trial == "" && t.IsUsable(now, id, s):
 			c.Trial = id
 			c.Ask = append(c.Ask, id)
 		}
 	}
+	for _, id := range order {
+		if !closed && id != c.Trial && t.IsSlowToConnect(now, id, s) {
+			c.Ask = append(c.Ask, id)
+		}
+	}
 	if len(c.Ask) == 0 {
 		c.Trial, c.Wait = t.lastCandidate(now, order, s)
 		if c.Trial != "" {
@@ -125,6 +141,16 @@
 	return failedAt, tryingUntil
 }
 
+// TrialEnded releases the claim on a trial that Choose gave to a session. The failures that the trial
+// showed are recorded before.
+func (t *Table) TrialEnded(id core.DaemonID, s Scope) {
+	for _, b := range t.applicable(id, s) {
+		if b != nil {
+			b.tryingUntil = 0
+		}
+	}
+}
+
 // claim records that a session tries the peer.
 func (t *Table) claim(now core.Time, id core.DaemonID, s Scope) {
 	t.down.claim(now, id)
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -219,6 +219,75 @@
 		Expect(newTable().Choose(start, nil, scope)).To(Equal(health.Choice{}), "without candidates nobody waits")
 	})
 
+	// Guards against sessions that all wait for a trial that has ended: its failure was recorded for the
+	// peer, and the claims for the group and the team stayed.
+	It("is tried by others once a trial has ended, whatever its outcome", func() {
+		t, s := newTable(), health.Scope{Group: "g", Team: "team"}
+		t.TeamDeclined(start, "a", "team")
+		t.GroupRefused(start, "a", "g")
+		t.Failed(start, "a", health.Refused)
+		at := start.Add(health.MinBackoff)
+		only := []core.DaemonID{"a"}
+		Expect(t.Choose(at, only, s).Trial).To(Equal(core.DaemonID("a")))
+		Expect(t.Choose(at, only, s).Ask).To(BeEmpty())
+		t.Failed(at, "a", health.Refused)
+		t.TrialEnded("a", s)
+		Expect(t.Choose(at.Add(health.LastTrialInterval), only, s).Trial).To(Equal(core.DaemonID("a")))
+		t.TrialEnded("a", s)
+		Expect(t.Choose(at.Add(health.LastTrialInterval), only, s).Trial).To(Equal(core.DaemonID("a")))
+	})
+
+	// Guards against an entry that opens one link at a time while all homes are slow, for example just
+	// after all processes have started.
+	It("is asked by all sessions if it is only slow to connect and no better one is left", func() {
+		t := newTable()
+		for _, id := range order {
+			t.Failed(start, id, health.DialSlow)
+		}
+		for range 3 {
+			Expect(t.Choose(start, order, scope)).To(Equal(health.Choice{Ask: order}))
+		}
+		t.Failed(start, "b", health.Silent)
+		Expect(t.Choose(start, order, scope).Ask).To(Equal([]core.DaemonID{"a", "c"}))
+		t.Connected(start, "c", time.Millisecond)
+		Expect(t.Choose(start, order, scope).Ask).To(Equal([]core.DaemonID{"c"}))
+		Expect(t.IsSlowToConnect(start, "a", scope)).To(BeTrue(), "sessions keep their links to it")
+		Expect(t.IsSlowToConnect(start, "b", scope)).To(BeFalse())
+	})
+
+	// Guards against a lost peer that all sessions ask, because a failed trial made it slow to connect.
+	It("stays lost if a link to it is not opened in time", func() {
+		t := newTable()
+		t.Failed(start, "a", health.Silent)
+		for range 5 {
+			Expect(t.DialTimedOut(start, "a")).To(BeFalse())
+		}
+		Expect(t.IsSlowToConnect(start, "a", scope)).To(BeFalse())
+		Expect(t.IsLostSince("a", start+1)).To(BeFalse(), "what was sent after the verdict waits for the next check")
+	})
+
+	// Guards against links that stay slow to open unnoticed, as answers on older links hid it.
+	It("stays slow to connect although it answers on an open link", func() {
+		t := newTable()
+		t.DialTimedOut(start, "a")
+		t.DialTimedOut(start, "a")
+		Expect(t.Answered(start, "a", time.Millisecond)).To(BeFalse())
+		Expect(t.DialTimedOut(start, "a")).To(BeTrue())
+		t.Failed(start, "a", health.DialSlow)
+		Expect(t.Answered(start, "a", time.Millisecond)).To(BeFalse())
+		Expect(t.IsDown("a")).To(BeTrue())
+	})
+
+	// Guards against one slow home that takes all of a statement's time while another would answer.
+	It("gets at most half of the time for opening a link, but as long as any link takes, if there is another", func() {
+		t := newTable()
+		t.Connected(start, "a", time.Second)
+		Expect(t.DialLimit("a", time.Second, false)).To(Equal(health.DialCeiling))
+		Expect(t.DialLimit("a", 900*time.Millisecond, true)).To(Equal(450 * time.Millisecond))
+		Expect(t.DialLimit("a", 400*time.Millisecond, true)).To(Equal(health.DialFloor))
+		Expect(t.DialLimit("a", 100*time.Millisecond, true)).To(Equal(100 * time.Millisecond))
+	})
+
 	It("is not failed by single links that open slowly while it answers echoes", func() {
 		t := newTable()
 		Expect(t.DialTimedOut(start, "a")).To(BeFalse())
--- a/core/health/peer.go
+++ b/core/health/peer.go
@@ -33,7 +33,7 @@
 	// receive loop reads the answers that have arrived meanwhile. maxPostponements bounds how often.
 	PauseGrace       = 30 * time.Millisecond
 	maxPostponements = 3
-	// DialFloor and DialCeiling bound the time for opening a link to a peer that answers echoes. In
+	// DialFloor and DialCeiling bound the time for opening a link, which includes the handshake. In
 	// between, it is dialFactor times the slowest recent ones.
 	DialFloor   = 300 * time.Millisecond
 	DialCeiling = time.Second
--- a/core/health/table.go
+++ b/core/health/table.go
@@ -68,9 +68,9 @@
 func (t *Table) Answered(now core.Time, id core.DaemonID, took time.Duration) (revived bool) {
 	p := t.peer(id)
 	updateMedian(&p.median, took)
-	p.heardAt, p.dialTimeouts = now, 0
-	// A daemon that stops serves its present sessions and refuses new ones.
-	return p.cause != Refused && t.revive(id)
+	p.heardAt = now
+	// An answer on an open link does not tell whether the peer accepts new ones.
+	return p.cause == Silent && t.revive(id)
 }
 
 // Echoed records the answer to an echo that was sent at the given time. It returns whether this ended
@@ -139,20 +139,28 @@
 	t.down.fail(now, id)
 }
 
-// DialTimedOut records that a link was not opened in time, although the peer is not lost. It returns
-// whether the peer is left alone for a while because of it.
-func (t *Table) DialTimedOut(now core.Time, id core.DaemonID) (failed bool) {
-	p := t.peer(id)
-	p.dialTimeouts++
-	if t.down[id] == nil && p.dialTimeouts < maxDialTimeouts {
+// DialTimedOut records that a link was not opened in time, although the peer is not known to be lost.
+// It returns whether the peer is to be considered slow to connect because of it. The cause of a backoff
+// that the peer is in stays: this is a failed trial.
+func (t *Table) DialTimedOut(now core.Time, id core.DaemonID) (slow bool) {
+	if t.down[id] != nil {
+		t.down.fail(now, id)
 		return false
 	}
-	t.Failed(now, id, DialSlow)
-	return true
+	p := t.peer(id)
+	p.dialTimeouts++
+	return p.dialTimeouts >= maxDialTimeouts
 }
 
-// DialLimit returns how long opening a link to the peer may take.
-func (t *Table) DialLimit(id core.DaemonID) time.Duration { return t.peer(id).dialLimit() }
+// DialLimit returns how long opening a link to the peer may take, with its handshake. remaining is the
+// time that the statement has left. If others can be asked, half of it is left for them.
+func (t *Table) DialLimit(id core.DaemonID, remaining time.Duration, others bool) time.Duration {
+	limit := t.peer(id).dialLimit()
+	if others {
+		limit = min(limit, max(DialFloor, remaining/2))
+	}
+	return min(limit, remaining)
+}
 
 // GroupRefused records that the peer does not serve the group for now.
 func (t *Table) GroupRefused(now core.Time, id core.DaemonID, group core.GroupID) {
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -129,6 +129,7 @@
 	if newCatalog {
 		changed = h.applyGroups(catalog)
 	}
+	h.health.forwards.Store(!h.table.IsDirect(h.minMaxConns))
 	gained = h.updateOwnGroups(changed)
 	if len(catalog.Groups) > 0 && !h.chosen() {
 		close(h.ready)
@@ -322,9 +323,9 @@
 	at := now()
 	if h.teamAffinity(team) {
 		preferred := h.preferredDaemon(at, id, team)
-		return preferred == daemon || preferred == ""
+		return preferred == daemon || preferred == "" || h.isFirstIfSlow(at, id, team, daemon)
 	}
-	if !h.isReachable(at, daemon) {
+	if !h.isReachable(at, daemon) && !h.isSlowToConnect(at, daemon, health.Scope{}) {
 		// Each session that asked the unresponsive daemon again would wait for its statement's whole
 		// timeout.
 		return false
@@ -339,6 +340,29 @@
 	return !available
 }
 
+// isFirstIfSlow reports whether the daemon is slow to connect and would be the preferred one for the team
+// otherwise. The lock is held.
+func (h *homes) isFirstIfSlow(at core.Time, id core.GroupID, team core.TeamID, daemon core.DaemonID) bool {
+	if !h.isSlowToConnect(at, daemon, h.healthScope(id, team)) {
+		return false
+	}
+	if owner := h.slotOwners[quota.SlotOf(team)]; owner == daemon || owner != "" && h.isAvailable(at, owner, id, team) {
+		return owner == daemon
+	}
+	for _, d := range h.teamOrder(id, team) {
+		if d == daemon || h.isAvailable(at, d, id, team) {
+			return d == daemon
+		}
+	}
+	return false
+}
+
+// isSlowToConnect reports whether nothing is known against the daemon but that links to it opened
+// slowly, which concerns new links only. The lock is held.
+func (h *homes) isSlowToConnect(at core.Time, id core.DaemonID, s health.Scope) bool {
+	return h.health.enabled() && h.health.isSlowToConnect(at, id, s)
+}
+
 // isReachable reports whether no backoff of the daemon itself applies. The lock is held.
 func (h *homes) isReachable(at core.Time, id core.DaemonID) bool {
 	if h.health.enabled() {
--- a/pkg/proxy/homes_test.go
+++ b/pkg/proxy/homes_test.go
@@ -28,6 +28,7 @@
 // goroutines use h.
 func (h *homes) setStaticHomes(id core.GroupID, daemons ...core.DaemonID) {
 	h.table = staticHomes{id: daemons}
+	h.health.forwards.Store(true)
 	h.homeOrders = make(map[core.GroupID][]core.DaemonID)
 	delete(h.ownGroups, id)
 	if h.p != nil && slices.Contains(daemons, h.p.settings.Daemon) {
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -103,27 +103,35 @@
 }
 
 func (s *session) dialHome(home core.DaemonID, deadline core.Time) (*link, error) {
+	timeout := min(homeDialTimeout, until(deadline, minDialTimeout))
+	return s.openLink(home, dialLink, timeout, func() time.Duration { return timeout })
+}
+
+// minDialTimeout is the time for opening a link that a statement is given in any case.
+const minDialTimeout = 20 * time.Millisecond
+
+// openLink opens a link to the home. handshakeTimeout returns the time for the handshake once the
+// connection is there.
+func (s *session) openLink(home core.DaemonID, dial dialFunc, timeout time.Duration, handshakeTimeout func() time.Duration) (*link, error) {
 	addr, ok := s.p.peers.homeAddr(home)
 	if !ok {
 		return nil, errNoHome
 	}
-	limit, dial := homeDialTimeout, dialLink
-	if h := s.p.homes.health; h.enabled() {
-		limit, dial = h.dialLimit(home), h.dial
-	}
-	timeout := min(limit, until(deadline, 20*time.Millisecond))
 	c, err := dial(home, addr, timeout)
 	if err != nil {
 		return nil, err
 	}
 	l := &link{home: home, c: c, r: bufio.NewReaderSize(c, 1024), values: map[string]string{}, prepared: map[string]preparedStatement{}}
-	if err := l.handshake(s, timeout); err != nil {
+	if err := l.handshake(s, handshakeTimeout()); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
 	return l, nil
 }
 
+// dialFunc opens a connection to a home.
+type dialFunc func(home core.DaemonID, addr string, timeout time.Duration) (net.Conn, error)
+
 // dialLink opens a connection to a home.
 func dialLink(_ core.DaemonID, addr string, timeout time.Duration) (net.Conn, error) {
 	return net.DialTimeout("tcp", addr, timeout)
--- a/pkg/proxy/peerhealth.go
+++ b/pkg/proxy/peerhealth.go
@@ -28,6 +28,9 @@
 // wait for a lost peer, and lets sessions wait while all candidates are in backoff.
 type peerHealth struct {
 	p *Proxy
+	// forwards is set while not all daemons are homes of all groups. It caches !homes.allAreHomes, as
+	// some callers of enabled hold the lock of homes.
+	forwards atomic.Bool
 	// shortRoutes caches for a configuration whether shared health applies to it.
 	shortRoutes atomic.Pointer[routeLimits]
 
@@ -63,10 +66,11 @@
 // lostHomeCost is what a lost home costs a statement without shared health.
 const lostHomeCost = homeDialTimeout + homeSilenceTimeout
 
-// enabled reports whether shared health is in use: it is not switched off, and the configuration has
-// a route whose statement timeout is less than twice lostHomeCost.
+// enabled reports whether shared health is in use: it is not switched off, not all daemons are homes of
+// all groups, and the configuration has a route whose statement timeout is less than twice
+// lostHomeCost.
 func (h *peerHealth) enabled() bool {
-	if h.p == nil || !h.p.policy.Has(policy.SharedHealth) {
+	if h.p == nil || !h.forwards.Load() || !h.p.policy.Has(policy.SharedHealth) {
 		return false
 	}
 	catalog := h.p.catalog.Load()
@@ -83,7 +87,7 @@
 		return false
 	}
 	for _, route := range catalog.Routes {
-		if route.StatementTimeout < 2*lostHomeCost {
+		if route.StatementTimeout > 0 && route.StatementTimeout < 2*lostHomeCost {
 			return true
 		}
 	}
@@ -117,6 +121,21 @@
 	return h.table.IsUsable(at, id, s)
 }
 
+// trialEnded releases the claim on a trial, and wakes the sessions that wait for it.
+func (h *peerHealth) trialEnded(id core.DaemonID, s health.Scope) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.TrialEnded(id, s)
+	h.notify()
+}
+
+// isSlowToConnect reports whether nothing is known against the peer but that links opened slowly.
+func (h *peerHealth) isSlowToConnect(at core.Time, id core.DaemonID, s health.Scope) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.IsSlowToConnect(at, id, s)
+}
+
 // checkEnded starts checks of the peers whose backoff has ended and which an echo would make usable
 // again. The lock is held.
 func (h *peerHealth) checkEnded(at core.Time, order []core.DaemonID) {
@@ -354,11 +373,11 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// dialLimit returns how long opening a link to the peer may take.
-func (h *peerHealth) dialLimit(id core.DaemonID) time.Duration {
+// dialLimit returns how long opening a link to the peer may take, with its handshake.
+func (h *peerHealth) dialLimit(id core.DaemonID, remaining time.Duration, others bool) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.table.DialLimit(id)
+	return h.table.DialLimit(id, remaining, others)
 }
 
 // await registers a wait for the peer's answer to something that was sent at the given time. It
--- a/pkg/proxy/peerhealth_test.go
+++ b/pkg/proxy/peerhealth_test.go
@@ -13,6 +13,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/health"
 	"limpetspan/core/policy"
 	"limpetspan/pkg/proxy/reportpb"
 )
@@ -249,10 +250,33 @@
 		Eventually(read, waitLimit).Should(Receive(BeNil()))
 	})
 
+	// Guards against sessions that wait for a trial which its session gave up.
+	It("releases a trial for which its session has no time left", func() {
+		f := newFleet(2, withShortRoute)
+		f.awaitStable()
+		home, entry := f.daemons[0], f.daemons[1]
+		f.useHomes(home)
+		h := entry.p.homes.health
+		h.sessionRefused(home.s.Daemon, "ledger", &linkRefusal{reportpb.Refusal_REFUSAL_DAEMON, "not serving"})
+		scope := health.Scope{Group: "ledger"}
+		phase := func() health.Phase {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return h.table.Phase(now(), home.s.Daemon, scope)
+		}
+		Eventually(phase, waitLimit).Should(Equal(health.HalfOpen))
+		s := &session{p: entry.p, database: "db-own", sessionState: newSessionState()}
+		_, err := s.connectHome("ledger", now())
+		Expect(err).To(HaveOccurred())
+		Expect(phase()).To(Equal(health.HalfOpen))
+	})
+
 	It("is not in use without a route with a short timeout, or if switched off", func() {
 		p := &Proxy{policy: policy.All}
 		p.homes = newHomes(p)
 		Expect(p.homes.health.enabled()).To(BeFalse())
+		p.homes.health.forwards.Store(true)
+		Expect(p.homes.health.enabled()).To(BeFalse())
 		routes := func(timeout time.Duration) map[string]direct.Route {
 			return map[string]direct.Route{"long": {StatementTimeout: 3 * time.Second}, "d": {StatementTimeout: timeout}}
 		}
@@ -260,6 +284,12 @@
 		Expect(p.homes.health.enabled()).To(BeFalse())
 		p.catalog.Store(&direct.Catalog{Routes: routes(1399 * time.Millisecond)})
 		Expect(p.homes.health.enabled()).To(BeTrue())
+		p.homes.health.forwards.Store(false)
+		Expect(p.homes.health.enabled()).To(BeFalse(), "all daemons are homes of all groups")
+		p.homes.health.forwards.Store(true)
+		p.catalog.Store(&direct.Catalog{Routes: map[string]direct.Route{"none": {}}})
+		Expect(p.homes.health.enabled()).To(BeFalse(), "no timeout is not a short one")
+		p.catalog.Store(&direct.Catalog{Routes: routes(1399 * time.Millisecond)})
 		p.policy &^= policy.SharedHealth
 		Expect(p.homes.health.enabled()).To(BeFalse())
 		Expect(slices.Contains(policy.Names(), "shared-health")).To(BeTrue())
--- a/pkg/proxy/watchedlink.go
+++ b/pkg/proxy/watchedlink.go
@@ -85,6 +85,9 @@
 	return 0, errHomeDown
 }
 
+// errNoTimeLeft ends an attempt to open a link after the statement's deadline.
+var errNoTimeLeft = errors.New("no time is left to ask a home")
+
 // dialWait is the wait for a connection to a peer.
 type dialWait struct {
 	cancel context.CancelFunc
@@ -144,39 +147,68 @@
 	unknown := 0
 	for {
 		choice, changed := s.p.homes.health.choose(s.p.homes.order(id, scope.Team), scope)
-		for _, home := range choice.Ask {
-			if now() >= deadline {
-				return nil, errNoHome
-			}
-			l, err := s.tryHome(home, scope, deadline)
-			if err == nil {
-				return l, nil
-			}
-			if isUnknownDatabase(err) {
-				unknown++
-			}
-			if unknown >= maxUnknownDatabase {
-				return nil, err
-			}
+		began := now()
+		l, err := s.askHomes(choice, scope, deadline, &unknown)
+		if l != nil || err != nil {
+			return l, err
 		}
 		at := now()
-		if at >= waitDeadline || len(choice.Ask) == 0 && choice.Wait <= 0 {
+		switch {
+		case at >= waitDeadline || len(choice.Ask) == 0 && choice.Wait <= 0:
 			return nil, errNoHome
+		case len(choice.Ask) > 0:
+			s.p.sleep(min(began.Add(askInterval).Sub(at), waitDeadline.Sub(at)))
+		default:
+			s.p.sleepInterruptible(min(max(choice.Wait, time.Millisecond), waitDeadline.Sub(at)), changed)
 		}
-		s.p.sleepInterruptible(min(max(choice.Wait, time.Millisecond), waitDeadline.Sub(at)), changed)
 		if !s.p.running() {
 			return nil, errNoHome
 		}
 	}
 }
 
-// tryHome opens a link to the home and reports the outcome.
-func (s *session) tryHome(home core.DaemonID, scope health.Scope, deadline core.Time) (*link, error) {
+// askInterval is the least time between the beginnings of two passes over the candidates of one
+// session. Homes may fail at once, for example by closing each connection.
+const askInterval = 20 * time.Millisecond
+
+// askHomes opens a link to the first of the chosen homes that accepts it. It returns neither a link nor
+// an error if none of them does and others may be chosen. unknown counts the homes that did not know
+// the database.
+func (s *session) askHomes(choice health.Choice, scope health.Scope, deadline core.Time, unknown *int) (*link, error) {
+	for i, home := range choice.Ask {
+		l, err := s.tryHome(home, scope, deadline, i+1 < len(choice.Ask))
+		if home == choice.Trial {
+			s.p.homes.health.trialEnded(home, scope)
+		}
+		if err == nil {
+			return l, nil
+		}
+		if isUnknownDatabase(err) {
+			*unknown++
+		}
+		if *unknown >= maxUnknownDatabase {
+			return nil, err
+		}
+	}
+	return nil, nil
+}
+
+// tryHome opens a link to the home and reports the outcome. others is set if the session has another
+// home to ask.
+func (s *session) tryHome(home core.DaemonID, scope health.Scope, deadline core.Time, others bool) (*link, error) {
 	began := now()
-	l, err := s.dialHome(home, deadline)
+	if began >= deadline {
+		return nil, errNoTimeLeft
+	}
+	h := s.p.homes.health
+	timeout := max(minDialTimeout, h.dialLimit(home, deadline.Sub(began), others))
+	l, err := s.openLink(home, h.dial, timeout, func() time.Duration { return max(time.Millisecond, began.Add(timeout).Sub(now())) })
 	if err != nil {
 		s.logDecision("home connect failed", "home", home, "error", err)
-		s.p.homes.sessionRefused(home, scope.Group, err)
+		if !isTimeout(err) || timeout >= health.DialFloor {
+			// A timeout is the home's only if the statement left it as long as any link takes.
+			s.p.homes.sessionRefused(home, scope.Group, err)
+		}
 		return nil, err
 	}
 	s.p.homes.health.connected(home, began)
