--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -46,6 +46,9 @@
 		return s.link.link, nil
 	}
 	s.closeLink()
+	if s.p.homes.health.enabled() {
+		return s.connectWatched(id, deadline)
+	}
 	unknown := 0
 	for _, home := range s.p.homes.candidates(id, team) {
 		if now() >= deadline {
@@ -100,23 +103,40 @@
 }
 
 func (s *session) dialHome(home core.DaemonID, deadline core.Time) (*link, error) {
+	timeout := min(homeDialTimeout, until(deadline, minDialTimeout))
+	return s.openLink(home, dialLink, timeout, func() time.Duration { return timeout })
+}
+
+// minDialTimeout is the time for opening a link that a statement is given in any case.
+const minDialTimeout = 20 * time.Millisecond
+
+// openLink opens a link to the home. handshakeTimeout returns the time for the handshake once the
+// connection is there.
+func (s *session) openLink(home core.DaemonID, dial dialFunc, timeout time.Duration, handshakeTimeout func() time.Duration) (*link, error) {
 	addr, ok := s.p.peers.homeAddr(home)
 	if !ok {
 		return nil, errNoHome
 	}
-	timeout := min(homeDialTimeout, until(deadline, 20*time.Millisecond))
-	c, err := net.DialTimeout("tcp", addr, timeout)
+	c, err := dial(home, addr, timeout)
 	if err != nil {
 		return nil, err
 	}
 	l := &link{home: home, c: c, r: bufio.NewReaderSize(c, 1024), values: map[string]string{}, prepared: map[string]preparedStatement{}}
-	if err := l.handshake(s, timeout); err != nil {
+	if err := l.handshake(s, handshakeTimeout()); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
 	return l, nil
 }
 
+// dialFunc opens a connection to a home.
+type dialFunc func(home core.DaemonID, addr string, timeout time.Duration) (net.Conn, error)
+
+// dialLink opens a connection to a home.
+func dialLink(_ core.DaemonID, addr string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", addr, timeout)
+}
+
 // handshake opens the session at the home.
 func (l *link) handshake(s *session, timeout time.Duration) error {
 	_ = l.c.SetDeadline(time.Now().Add(timeout))
@@ -184,6 +204,7 @@
 		precedingCount++
 	}
 	l.out = platform.AppendStatement(l.out, id, texts[len(texts)-1], core.Position{})
+	began := now()
 	_ = l.c.SetDeadline(deadline)
 	if n, err := l.c.Write(l.out); err != nil {
 		return a, n > 0, err
@@ -202,7 +223,10 @@
 	}
 	a, err = l.readAnswer()
 	if err == nil {
-		s.p.homes.markSeen(l.home)
+		s.p.homes.answered(l.home, began)
+		if !l.isDecline(&a) {
+			s.p.homes.health.teamAccepted(l.home, s.p.access.teamOf(s.key))
+		}
 	}
 	return a, true, err
 }
@@ -218,7 +242,7 @@
 // members are overloaded. Daemons that are not homes would then use up the members'
 // connections, and the overload would sustain itself.
 func (l *link) awaitAnswer(s *session, deadline time.Time, waitToDeadline bool) error {
-	if waitToDeadline || time.Until(deadline) <= homeSilenceTimeout {
+	if _, watched := l.c.(*watchedConn); watched || waitToDeadline || time.Until(deadline) <= homeSilenceTimeout {
 		return nil
 	}
 	sent := now()
