--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -57,6 +57,11 @@
 	// SharedHealth lets all sessions of an entry share one verdict about each home, which needs
 	// silence towards echoes, and a backoff that grows from a tenth of a second.
 	SharedHealth
+	// SharedLoad places reads by what all homes have running on the members, where members or hosts
+	// are uneven.
+	SharedLoad
+	// HomesByLoad gives overloaded hosts fewer groups and sessions as homes, where hosts are uneven.
+	HomesByLoad
 	end
 )
 
@@ -68,6 +73,7 @@
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
 	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
 	"shared-health",
+	"shared-load", "homes-by-load",
 }
 
 // renamed maps the old name of a mechanism to its present name.
--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -22,6 +22,8 @@
 	IP     string    `json:"ip"`
 	Zone   core.Zone `json:"zone"`
 	Weight float64   `json:"weight"`
+	// Burden is absent while the daemon's host is not overloaded.
+	Burden direct.Burden `json:"burden,omitempty"`
 }
 
 // runRegistration joins the fleet, maintains this daemon's entry if it has one, and writes the
@@ -39,6 +41,7 @@
 	for ; !p.closing(); p.sleepInterruptible(fleetCheckInterval, p.closed) {
 		at := now()
 		r.maintain(at)
+		r.updateBurden(at, p.hostLoad.observe(at))
 		if p.peers.expireUnlisted(at) {
 			p.homes.update()
 		}
@@ -168,8 +171,12 @@
 	lease uint64
 	// renewedAt is when this daemon last tried to write the entry or to renew its lease.
 	renewedAt core.Time
-	// rosterCheckedAt is when this daemon last checked whether to write the roster.
+	// rosterCheckedAt is when this daemon last checked the roster and did not have to write it, or
+	// wrote it.
 	rosterCheckedAt core.Time
+	// burden is the burden in the entry, burdenTriedAt when this daemon last tried to change it.
+	burden        direct.Burden
+	burdenTriedAt core.Time
 }
 
 // maintain writes the entry if it is required, and renews its lease when that is due.
@@ -198,7 +205,7 @@
 	if err != nil {
 		return 0
 	}
-	value, err := json.Marshal(daemonEntry{IP: p.settings.IP, Zone: p.settings.Zone, Weight: p.settings.Weight})
+	value, err := json.Marshal(r.entry(r.burden))
 	if err != nil {
 		return 0
 	}
@@ -219,6 +226,7 @@
 	}
 	if direct.ChooseJoinMode(p.asDaemon(), l.daemons(), direct.Roster{Daemons: l.roster.MinSize()}) == direct.JoinAsEntry {
 		r.neededSince = 0
+		r.recordUneven(at, l)
 		return
 	}
 	if r.neededSince == 0 {
@@ -231,6 +239,24 @@
 	}
 }
 
+// recordUneven records in the roster that the fleet has weak hosts such as this daemon's, which the
+// list does not contain. The delay depends on a hash of the daemon's ID, so that one daemon writes and
+// most others see it.
+func (r *registration) recordUneven(at core.Time, l *daemonList) {
+	p := r.p
+	next := l.roster.WithEntry(p.asDaemon())
+	if l.roster.Daemons == 0 || next.Uneven == l.roster.Uneven || r.rosterCheckedAt == 0 {
+		r.rosterCheckedAt = at
+		return
+	}
+	wait := rosterCheckInterval + time.Duration(spread.Unit("/uneven", string(p.settings.Daemon))*float64(rosterCheckInterval))
+	if at.Sub(r.rosterCheckedAt) < wait {
+		return
+	}
+	r.rosterCheckedAt = at
+	p.putRoster(l, next)
+}
+
 // remove removes the entry by revoking its lease.
 func (r *registration) remove() {
 	if r.lease == 0 {
@@ -276,7 +302,7 @@
 func (l *daemonList) daemons() []direct.Daemon {
 	list := make([]direct.Daemon, 0, len(l.entries))
 	for id, e := range l.entries {
-		list = append(list, direct.Daemon{ID: id, Zone: e.Zone, Weight: e.Weight})
+		list = append(list, direct.Daemon{ID: id, Zone: e.Zone, Weight: e.Weight, Burden: e.Burden})
 	}
 	return list
 }
@@ -356,8 +382,13 @@
 	if p.homes.observeSize(next.Daemons) > next.Daemons || !rosterDiffers(l.roster, next) {
 		return
 	}
+	p.putRoster(l, next)
+}
+
+// putRoster writes the fleet's roster if it has not changed since the list was read.
+func (p *Proxy) putRoster(l *daemonList, next direct.Roster) {
 	err := p.writeFleetRecord(platform.RosterKey, next, platform.Condition{Key: platform.RosterKey, Revision: l.rosterItem.Revision})
-	p.log.Info("roster of the fleet", "daemons", next.Daemons, "fit", next.Eligible, "before", l.roster.Daemons, "error", errorText(err))
+	p.log.Info("roster of the fleet", "daemons", next.Daemons, "fit", next.Eligible, "uneven", next.Uneven, "before", l.roster.Daemons, "error", errorText(err))
 }
 
 // writeFleetRecord writes a record of the fleet, under the conditions.
@@ -374,5 +405,5 @@
 // rosterDiffers reports whether the old roster would mislead a starting daemon.
 func rosterDiffers(old, next direct.Roster) bool {
 	differs := func(a, b int) bool { return math.Abs(float64(a-b)) > rosterChangeThreshold*float64(a) }
-	return differs(old.Daemons, next.Daemons) || differs(old.Eligible, next.Eligible) || !maps.Equal(old.MaxWeights, next.MaxWeights)
+	return differs(old.Daemons, next.Daemons) || differs(old.Eligible, next.Eligible) || old.Uneven != next.Uneven || !maps.Equal(old.MaxWeights, next.MaxWeights)
 }
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -338,11 +338,12 @@
 // that to the reducer.
 func (g *group) statementUnanswered(conn *memberConn, sent core.Time, err error) {
 	g.discard(conn)
-	if closedByPeer(err) {
+	closed := closedByPeer(err)
+	if closed {
 		g.connBroken(conn.member)
 	}
 	g.update(func(c *direct.Group, at core.Time) []direct.Effect {
-		return c.StatementUnanswered(at, sent, conn.member)
+		return c.StatementUnanswered(at, sent, conn.member, closed)
 	})
 }
 
@@ -376,13 +377,17 @@
 }
 
 // statementAnswered reports a member's answer to the reducer, and the latency if the statement
-// succeeded.
-func (g *group) statementAnswered(id core.MemberID, sent core.Time, a *platform.Answer, o direct.Outcome, r *direct.Route) {
+// succeeded. read is the placement of a read outside transactions, nil for other statements: their
+// times would not tell how long a read takes.
+func (g *group) statementAnswered(id core.MemberID, sent core.Time, a *platform.Answer, o direct.Outcome, r *direct.Route, read *direct.Placement) {
 	g.update(func(c *direct.Group, at core.Time) []direct.Effect {
 		if o == direct.Succeeded {
 			took := at.Sub(sent)
 			g.serviceTimes.Observe(r.Database, took)
 			c.RecordLatency(id, took, r.LatencyGoal)
+			if read != nil {
+				c.RecordService(at, read, r.Database, took)
+			}
 		}
 		return c.StatementAnswered(at, sent, id, a.Position, o)
 	})
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -36,6 +36,8 @@
 	ready chan struct{}
 	// daemons are the known daemons, as of the last choice of homes.
 	daemons []direct.Daemon
+	// unevenHosts is set if hosts of the fleet differ in their weight.
+	unevenHosts bool
 	// size estimates the size of the fleet.
 	size direct.FleetSize
 	// catalog and chosenForSize are the configuration and the fleet size of the last choice.
@@ -51,6 +53,10 @@
 	// slotOrders caches the order of daemons for a slot of teams in a group, which each statement
 	// needs, until the daemons or the homes change.
 	slotOrders map[groupSlot][]core.DaemonID
+	// homeOrders holds the order in which daemons are asked for a group without team affinity, and
+	// burdened the daemons whose hosts are overloaded, until the daemons or the homes change.
+	homeOrders map[core.GroupID][]core.DaemonID
+	burdened   map[core.DaemonID]bool
 	// slotOwners holds the daemons that are known to count the operations of a slot's teams. They may
 	// differ from the first daemon in the slot's order.
 	slotOwners map[quota.Slot]core.DaemonID
@@ -65,10 +71,8 @@
 	nextRecheck map[core.DaemonID]core.Time
 	// lastSeen is when a daemon last answered on any link.
 	lastSeen map[core.DaemonID]core.Time
-	// health replaces the backoffs above where shared health is in use. homeOrders caches the order
-	// of daemons for a group until the daemons or the homes change.
-	health     *peerHealth
-	homeOrders map[core.GroupID][]core.DaemonID
+	// health replaces the backoffs above where shared health is in use.
+	health *peerHealth
 }
 
 // groupSlot identifies a slot of teams in a group.
@@ -112,6 +116,8 @@
 		return nil
 	}
 	size := h.size.Observe(now(), max(len(daemons), h.p.view.daemonList().roster.MinSize()))
+	// The roster may change while the known daemons do not.
+	h.updateUnevenHosts(daemons)
 	newCatalog := h.catalog != catalog
 	if !newCatalog && h.chosenForSize == size && slices.Equal(daemons, h.daemons) {
 		return nil
@@ -119,7 +125,7 @@
 	h.catalog, h.chosenForSize, h.daemons = catalog, size, daemons
 	h.lastChosenSize.Store(int64(size))
 	h.slotOrders = make(map[groupSlot][]core.DaemonID)
-	h.homeOrders = make(map[core.GroupID][]core.DaemonID)
+	h.updateBurdened()
 	h.health.retain(daemons)
 	h.updateWatchers(size)
 	if catalog == nil {
@@ -238,6 +244,24 @@
 	return h.ownGroups[id], max(1, len(h.homesOf(id)))
 }
 
+// updateUnevenHosts updates whether hosts differ. The lock is held.
+func (h *homes) updateUnevenHosts(daemons []direct.Daemon) {
+	h.unevenHosts = h.p.view.daemonList().roster.HasUnevenHosts(daemons)
+}
+
+// sharesLoad reports whether the group's homes may tell each other their load of its members: the
+// group has several homes that are not all daemons. unevenHosts is set if hosts of the fleet differ in
+// their weight.
+func (h *homes) sharesLoad(id core.GroupID) (severalHomes, unevenHosts bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.catalog == nil || !h.fleetKnown {
+		return false, false
+	}
+	severalHomes = !h.table.IsDirect(h.catalog.Groups[id].MaxConns) && len(h.homesOf(id)) > 1
+	return severalHomes, h.unevenHosts
+}
+
 // chosen reports whether homes have been chosen at least once.
 func (h *homes) chosen() bool { return isClosed(h.ready) }
 
@@ -333,7 +357,7 @@
 	available := false
 	for _, home := range h.homesOf(id) {
 		if home == daemon {
-			return true
+			return !h.burdened[daemon] || h.firstHome(at, id) == daemon
 		}
 		available = available || h.isReachable(at, home)
 	}
@@ -385,12 +409,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.teamAffinity(team) {
-		order, ok := h.homeOrders[id]
-		if !ok {
-			order = direct.HomeOrder(id, h.p.settings.Daemon, h.p.settings.Zone, h.homesOf(id), h.daemons)
-			h.homeOrders[id] = order
-		}
-		return order
+		return h.homeOrder(id)
 	}
 	list := slices.Clone(h.teamOrder(id, team))
 	if owner := h.slotOwners[quota.SlotOf(team)]; owner != "" {
@@ -399,6 +418,49 @@
 	return slices.DeleteFunc(list, func(d core.DaemonID) bool { return d == h.p.settings.Daemon })
 }
 
+// homeOrder returns the order in which daemons are asked for the group without team affinity. The lock
+// is held.
+func (h *homes) homeOrder(id core.GroupID) []core.DaemonID {
+	order, ok := h.homeOrders[id]
+	if !ok {
+		order = direct.HomeOrder(id, h.p.settings.Daemon, h.p.settings.Zone, h.homesOf(id), h.daemons)
+		h.homeOrders[id] = order
+	}
+	return order
+}
+
+// firstHome returns the first available daemon in the group's order, "" if there is none. The lock is
+// held.
+func (h *homes) firstHome(at core.Time, id core.GroupID) core.DaemonID {
+	for _, d := range h.homeOrder(id) {
+		if h.isAvailable(at, d, id, "") {
+			return d
+		}
+	}
+	return ""
+}
+
+// updateBurdened records the overloaded daemons. The lock is held.
+func (h *homes) updateBurdened() {
+	h.homeOrders, h.burdened = make(map[core.GroupID][]core.DaemonID), make(map[core.DaemonID]bool)
+	for _, d := range h.daemons {
+		if d.Burden > 0 {
+			h.burdened[d.ID] = true
+		}
+	}
+}
+
+// areHomesByLoad reports whether this daemon is a home in a fleet in which homes are chosen by load:
+// not all daemons are homes, and hosts differ in their weight.
+func (h *homes) areHomesByLoad() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.catalog == nil || !h.fleetKnown || len(h.ownGroups) == 0 || h.table.IsDirect(h.minMaxConns) {
+		return false
+	}
+	return h.p.view.daemonList().roster.HasUnevenHosts(h.daemons)
+}
+
 // candidates returns the available other daemons to ask for the group, best first.
 func (h *homes) candidates(id core.GroupID, team core.TeamID) []core.DaemonID {
 	h.mu.Lock()
