Open links to a home that is up again in growing numbers

A late failure could forget a slot whose owner had been named since. Change: each entry opens one link to such a home, and twice as many with each that was opened, for 300 ms at most; a session whose time to wait has ended connects nevertheless. Slots are forgotten only when a home goes down. Comments and the design note state which verdicts end waits. The herd itself, latency and load are not measured.

--- a/core/health/choice.go
+++ b/core/health/choice.go
@@ -19,6 +19,9 @@
 	Ask []core.DaemonID
 	// Trial is the peer in Ask that is asked although it failed before, "" if there is none.
 	Trial core.DaemonID
+	// Busy are the peers that are up again and to which other sessions open links, if Ask is empty. A
+	// session whose time to wait has ended asks them nevertheless.
+	Busy []core.DaemonID
 	// Wait is set if Ask is empty: after that time, or as soon as a backoff ends, the session is to
 	// choose again. It is 0 if there are no candidates at all.
 	Wait time.Duration
@@ -86,6 +89,8 @@
 	closed := false
 	for _, id := range order {
 		switch {
+		case t.Phase(now, id, s) == Closed && t.isFull(now, id):
+			c.Busy = append(c.Busy, id)
 		case t.Phase(now, id, s) == Closed:
 			closed = true
 			c.Ask = append(c.Ask, id)
@@ -99,7 +104,12 @@
 			c.Ask = append(c.Ask, id)
 		}
 	}
-	if len(c.Ask) == 0 {
+	switch {
+	case len(c.Ask) > 0:
+		c.Busy = nil
+	case len(c.Busy) > 0:
+		c.Wait = LastTrialInterval
+	default:
 		c.Trial, c.Wait = t.lastCandidate(now, order, s)
 		if c.Trial != "" {
 			c.Ask = append(c.Ask, c.Trial)
--- a/core/health/doc.go
+++ b/core/health/doc.go
@@ -19,12 +19,19 @@
 // The silence needed grows with the slowest echoes that this peer has answered.
 //
 // A slow entry: this process itself was paused or frozen, and answers wait in its socket. A step of
-// a check that runs late sends another echo and postpones the verdict by PauseGrace.
+// a check that runs late sends another echo and postpones the verdict by PauseGrace. There is no verdict
+// before this process has read an echo to itself, which waits behind those answers.
 //
-// A restarted home: its host refuses connections at once. That is a proof, and no check is needed.
+// A restarted home: its host refuses connections at once, so no session tries it until its backoff has
+// ended. That ends no waits on open links: the listener may be closed while a planned stop goes on, and
+// the kernel resets the links of a process that has died.
 //
 // An outage of all homes: every candidate is in backoff. The least recently failed one is tried, one
-// session at a time, and the other sessions wait for the outcome.
+// session at a time, and the other sessions wait for the outcome. Links to a home that is up again are
+// opened in growing numbers.
+//
+// All homes slow at once, for example after all processes have started: peers that are only slow to
+// connect are asked by all sessions if there is no better one.
 //
 // # Cost
 //
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -352,6 +352,39 @@
 		Expect(t.DialLimit("a", 100*time.Millisecond, true)).To(Equal(100 * time.Millisecond))
 	})
 
+	// Guards against a home that has just come back and is asked by all waiting sessions at once.
+	It("gets links in growing numbers when it is up again, and for DialFloor at most", func() {
+		t, only := newTable(), []core.DaemonID{"a"}
+		t.Failed(start, "a", health.Silent)
+		Expect(t.Echoed(start, "a", start.Add(-time.Millisecond))).To(BeTrue())
+		dial := func() (n int) {
+			for t.Choose(start, only, scope).Ask != nil {
+				counted, ok := t.BeginDial(start, "a")
+				if !ok || !counted {
+					return -1
+				}
+				n++
+			}
+			return n
+		}
+		Expect(dial()).To(Equal(1))
+		Expect(t.Choose(start, only, scope)).To(Equal(health.Choice{Busy: only, Wait: health.LastTrialInterval}))
+		Expect(t.Choose(start, order, scope).Ask).To(Equal([]core.DaemonID{"b", "c"}))
+		t.EndDial("a", true)
+		Expect(dial()).To(Equal(2))
+		t.EndDial("a", true)
+		Expect(dial()).To(Equal(3), "four at the same time")
+		t.EndDial("a", false)
+		Expect(dial()).To(Equal(1), "a failure releases only its own place")
+		Expect(t.Choose(start.Add(health.DialFloor), only, scope).Ask).To(Equal(only), "nobody waits longer")
+		for range 4 {
+			t.EndDial("a", true)
+		}
+		counted, ok := t.BeginDial(start, "a")
+		Expect(counted).To(BeFalse(), "there is no limit any more")
+		Expect(ok).To(BeTrue())
+	})
+
 	It("is not failed by single links that open slowly while it answers echoes", func() {
 		t := newTable()
 		Expect(t.DialTimedOut(start, "a")).To(BeFalse())
--- a/core/health/peer.go
+++ b/core/health/peer.go
@@ -90,6 +90,7 @@
 	check  *check
 	// checkedAt is when the last check ended.
 	checkedAt core.Time
+	admission admission
 }
 
 // check is a running check of a peer.
--- a/core/health/table.go
+++ b/core/health/table.go
@@ -72,7 +72,7 @@
 	updateMedian(&p.median, took)
 	p.heardAt = now
 	// An answer on an open link does not tell whether the peer accepts new ones.
-	return p.cause == Silent && t.revive(id)
+	return p.cause == Silent && t.revive(now, id)
 }
 
 // Echoed records the answer to an echo that was sent at the given time. It returns whether this ended
@@ -90,7 +90,7 @@
 		return false
 	}
 	p.heardAt = now
-	return p.cause.endsWithEcho() && t.revive(id)
+	return p.cause.endsWithEcho() && t.revive(now, id)
 }
 
 // Connected records that a link was opened, which took so long. It returns whether this ended a
@@ -99,7 +99,7 @@
 	p := t.peer(id)
 	updatePeak(&p.dialPeak, took)
 	p.heardAt, p.dialTimeouts = now, 0
-	if !t.revive(id) {
+	if !t.revive(now, id) {
 		return false
 	}
 	t.Replaced(id)
@@ -115,7 +115,7 @@
 func (t *Table) Alive(now core.Time, id core.DaemonID) (revived bool) {
 	p := t.peer(id)
 	p.heardAt, p.answersEchoes = now, false
-	return p.cause.endsWithEcho() && t.revive(id)
+	return p.cause.endsWithEcho() && t.revive(now, id)
 }
 
 // HeardSince reports whether the peer has answered anything since the given time.
@@ -126,19 +126,24 @@
 // NeedsFirstEcho reports whether it is unknown if the peer answers echoes.
 func (t *Table) NeedsFirstEcho(id core.DaemonID) bool { return !t.peer(id).answersEchoes }
 
-func (t *Table) revive(id core.DaemonID) bool {
+func (t *Table) revive(now core.Time, id core.DaemonID) bool {
 	if t.down[id] == nil {
 		return false
 	}
 	delete(t.down, id)
-	t.peer(id).lostAt = 0
+	p := t.peer(id)
+	p.lostAt = 0
+	if p.cause != DialSlow {
+		// Nobody waits for a peer that is slow to connect.
+		p.admit(now)
+	}
 	return true
 }
 
 // Failed records a verdict that the peer cannot be used.
 func (t *Table) Failed(now core.Time, id core.DaemonID, cause Cause) {
 	p := t.peer(id)
-	p.cause, p.dialTimeouts = cause, 0
+	p.cause, p.dialTimeouts, p.admission = cause, 0, admission{}
 	switch cause {
 	case Silent:
 		p.lostAt = now
@@ -177,8 +182,11 @@
 }
 
 // GroupAccepted records that the peer has accepted a session of the group.
-func (t *Table) GroupAccepted(id core.DaemonID, group core.GroupID) {
-	delete(t.groups, groupAt{group, id})
+func (t *Table) GroupAccepted(now core.Time, id core.DaemonID, group core.GroupID) {
+	if k := (groupAt{group, id}); t.groups[k] != nil {
+		delete(t.groups, k)
+		t.peer(id).admit(now)
+	}
 }
 
 // TeamDeclined records that the peer does not count the team's operations.
--- a/pkg/proxy/peerhealth.go
+++ b/pkg/proxy/peerhealth.go
@@ -284,7 +284,10 @@
 		}
 	}
 	h.notify()
-	go h.p.homes.forgetSlots(id)
+	if !already {
+		// Later, it could forget a slot that another home has named since.
+		go h.p.homes.forgetSlots(id)
+	}
 }
 
 // replaced records that another version may run at the peer from now on.
@@ -341,13 +344,31 @@
 	}
 }
 
-// accepted records that the peer serves the group or the team.
+// beginDial records that a session opens a link to the peer. It returns false if it is not to for the
+// moment. If counted is set, endDial is to be called.
+func (h *peerHealth) beginDial(id core.DaemonID) (counted, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.BeginDial(now(), id)
+}
+
+// endDial records the outcome of a counted attempt to open a link, and wakes the sessions that wait for
+// it.
+func (h *peerHealth) endDial(id core.DaemonID, opened bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.EndDial(id, opened)
+	h.notify()
+}
+
+// groupAccepted records that the peer has accepted a session of the group.
 func (h *peerHealth) groupAccepted(id core.DaemonID, group core.GroupID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.table.GroupAccepted(id, group)
+	h.table.GroupAccepted(now(), id, group)
 }
 
+// teamAccepted records that the peer has run a statement of the team.
 func (h *peerHealth) teamAccepted(id core.DaemonID, team core.TeamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -356,6 +377,7 @@
 	}
 }
 
+// teamDeclined records that the peer does not count the team's operations.
 func (h *peerHealth) teamDeclined(id core.DaemonID, team core.TeamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/pkg/proxy/peerhealth_test.go
+++ b/pkg/proxy/peerhealth_test.go
@@ -89,7 +89,7 @@
 	h = entry.p.homes.health
 	c, err := h.dial(home.s.Daemon, l.Addr().String(), waitLimit)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(c.Close)
+	DeferCleanup(func() { _ = c.Close() })
 	peer, err = l.Accept()
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(peer.Close)
@@ -207,6 +207,27 @@
 		Expect(entry.healthCount("verdicts silent")).To(Equal("0"))
 	})
 
+	// Guards against a home that cannot be checked, or whose answered echoes are forgotten, while sessions
+	// still use their links to it: it is removed from the known daemons when it starts to leave.
+	It("can be checked while links to it are open, although it has left", func() {
+		c, _, h := newWatchedLink()
+		ip, _, err := net.SplitHostPort(c.RemoteAddr().String())
+		Expect(err).NotTo(HaveOccurred())
+		// A report of the home would make it known again.
+		Expect(h.p.peers.conn.Close()).To(Succeed())
+		h.p.peers.mu.Lock()
+		delete(h.p.peers.known, c.home)
+		h.p.peers.mu.Unlock()
+		h.retain(nil)
+		Expect(h.ip(c.home)).To(Equal(ip))
+		h.mu.Lock()
+		forgotten := h.table.NeedsFirstEcho(c.home)
+		h.mu.Unlock()
+		Expect(forgotten).To(BeFalse())
+		Expect(c.Close()).To(Succeed())
+		Expect(h.ip(c.home)).To(BeEmpty())
+	})
+
 	// Guards against statements that are in doubt although their home works: the home refuses another
 	// session between two answers on a link.
 	It("does not end waits on a home's open links if it refuses new sessions", func() {
@@ -250,6 +271,58 @@
 		Eventually(read, waitLimit).Should(Receive(BeNil()))
 	})
 
+	// Guards against statements that are refused without an attempt, because others connect to a home that
+	// has just come back.
+	It("lets a session with little time left ask a home to which others open links", func() {
+		f := newFleet(2, withShortRoute)
+		f.awaitStable()
+		home, entry := f.daemons[0], f.daemons[1]
+		f.useHomes(home)
+		h := entry.p.homes.health
+		s := &session{p: entry.p, database: "db-own", sessionState: newSessionState()}
+		l, err := s.connectHome("ledger", now().Add(waitLimit))
+		Expect(err).NotTo(HaveOccurred())
+		s.closeLink()
+		h.mu.Lock()
+		at := now().Add(waitLimit)
+		h.table.Failed(at, l.home, health.Silent)
+		revived := h.table.Echoed(at, l.home, at)
+		_, _ = h.table.BeginDial(at, l.home)
+		choice := h.table.Choose(at, []core.DaemonID{l.home}, health.Scope{Group: "ledger"})
+		h.mu.Unlock()
+		Expect(revived).To(BeTrue())
+		Expect(choice.Busy).To(HaveLen(1))
+		_, err = s.connectHome("ledger", now().Add(4*time.Second))
+		Expect(err).NotTo(HaveOccurred())
+		s.closeLink()
+	})
+
+	// Guards against a home that is left without end: a daemon that answers no echoes may run there next.
+	It("does not rely on echoes of a home that has left or closed a link", func() {
+		f := newFleet(2, withShortRoute)
+		f.awaitStable()
+		home, entry := f.daemons[0], f.daemons[1]
+		f.useHomes(home)
+		needsFirstEcho := func() bool {
+			h := entry.p.homes.health
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return h.table.NeedsFirstEcho(home.s.Daemon)
+		}
+		s := &session{p: entry.p, database: "db-own", sessionState: newSessionState()}
+		l, err := s.connectHome("ledger", now().Add(waitLimit))
+		Expect(err).NotTo(HaveOccurred())
+		entry.awaitFirstEcho(home)
+		s.handleHomeLoss(&job{id: "q"}, l, true, io.EOF)
+		Expect(needsFirstEcho()).To(BeTrue())
+		_, err = s.connectHome("ledger", now().Add(waitLimit))
+		Expect(err).NotTo(HaveOccurred())
+		defer s.closeLink()
+		entry.awaitFirstEcho(home)
+		entry.p.peers.updateSender(home.s.Daemon, &reportpb.Report{Leaving: true})
+		Expect(needsFirstEcho()).To(BeTrue())
+	})
+
 	// Guards against sessions that wait for a trial which its session gave up.
 	It("releases a trial for which its session has no time left", func() {
 		f := newFleet(2, withShortRoute)
--- a/pkg/proxy/watchedlink.go
+++ b/pkg/proxy/watchedlink.go
@@ -88,6 +88,10 @@
 // errNoTimeLeft ends an attempt to open a link after the statement's deadline.
 var errNoTimeLeft = errors.New("no time is left to ask a home")
 
+// errHomeBusy ends an attempt to open a link to a home that is up again, and to which other sessions
+// open links.
+var errHomeBusy = errors.New("other sessions are connecting to the home")
+
 // dialWait is the wait for a connection to a peer.
 type dialWait struct {
 	cancel context.CancelFunc
@@ -148,13 +152,17 @@
 	for {
 		choice, changed := s.p.homes.health.choose(s.p.homes.order(id, scope.Team), scope)
 		began := now()
+		lastPass := len(choice.Busy) > 0 && began >= waitDeadline
+		if lastPass {
+			choice.Ask = choice.Busy
+		}
 		l, err := s.askHomes(choice, scope, deadline, &unknown)
 		if l != nil || err != nil {
 			return l, err
 		}
 		at := now()
 		switch {
-		case at >= waitDeadline || len(choice.Ask) == 0 && choice.Wait <= 0:
+		case lastPass || at >= waitDeadline && len(choice.Busy) == 0 || len(choice.Ask) == 0 && choice.Wait <= 0:
 			return nil, errNoHome
 		case len(choice.Ask) > 0:
 			s.p.sleep(min(began.Add(askInterval).Sub(at), waitDeadline.Sub(at)))
@@ -176,7 +184,7 @@
 // the database.
 func (s *session) askHomes(choice health.Choice, scope health.Scope, deadline core.Time, unknown *int) (*link, error) {
 	for i, home := range choice.Ask {
-		l, err := s.tryHome(home, scope, deadline, i+1 < len(choice.Ask))
+		l, err := s.tryHome(home, scope, deadline, i+1 < len(choice.Ask), len(choice.Busy) > 0)
 		if home == choice.Trial {
 			s.p.homes.health.trialEnded(home, scope)
 		}
@@ -194,13 +202,21 @@
 }
 
 // tryHome opens a link to the home and reports the outcome. others is set if the session has another
-// home to ask.
-func (s *session) tryHome(home core.DaemonID, scope health.Scope, deadline core.Time, others bool) (*link, error) {
+// home to ask, and busy if it is to ask the home although other sessions open links to it.
+func (s *session) tryHome(home core.DaemonID, scope health.Scope, deadline core.Time, others, busy bool) (*link, error) {
 	began := now()
 	if began >= deadline {
 		return nil, errNoTimeLeft
 	}
 	h := s.p.homes.health
+	counted, ok := h.beginDial(home)
+	if !ok && !busy {
+		return nil, errHomeBusy
+	}
+	opened := false
+	if counted {
+		defer func() { h.endDial(home, opened) }()
+	}
 	timeout := max(minDialTimeout, h.dialLimit(home, deadline.Sub(began), others))
 	l, err := s.openLink(home, h.dial, timeout, func() time.Duration { return max(time.Millisecond, began.Add(timeout).Sub(now())) })
 	if err != nil {
@@ -211,8 +227,9 @@
 		}
 		return nil, err
 	}
-	s.p.homes.health.connected(home, began)
-	s.p.homes.health.groupAccepted(home, scope.Group)
+	opened = true
+	h.connected(home, began)
+	h.groupAccepted(home, scope.Group)
 	s.link = &groupLink{group: scope.Group, link: l}
 	return l, nil
 }
