--- a/pkg/proxy/peerhealth.go
+++ b/pkg/proxy/peerhealth.go
@@ -214,6 +214,9 @@
 			h.table.EchoUnsent(id)
 			h.mu.Unlock()
 		}
+		if step.SelfEcho {
+			h.p.peers.sendProbe(h.p.settings.IP)
+		}
 		h.p.sleep(step.Wait)
 		if !h.p.running() {
 			return
@@ -233,13 +236,16 @@
 // askConfiguration checks a peer that may be of a version that answers no echoes. There is a verdict
 // only if the request was sent and not answered in time, or if nothing listens at the peer.
 func (h *peerHealth) askConfiguration(id core.DaemonID, silence time.Duration) {
-	ip := h.ip(id)
-	if ip == "" {
-		return
+	ip, err := h.ip(id), error(nil)
+	if ip != "" {
+		_, err, _ = h.p.livenessChecks.Do(string(id), func() (any, error) { return nil, h.p.metadata.Fetch(h.p.settings.LinkAddr(ip)) })
 	}
-	err := h.p.metadata.Fetch(h.p.settings.LinkAddr(ip))
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.table.EndCheck(now(), id)
+	if ip == "" {
+		return
+	}
 	switch inputs := []any{"silence_ms", silence.Milliseconds(), "error", errorText(err)}; {
 	case hasAnswered(err):
 		if h.table.Alive(now(), id) {
@@ -278,7 +284,17 @@
 		}
 	}
 	h.notify()
-	go h.p.homes.forgetSlots(id)
+	if !already {
+		// Later, it could forget a slot that another home has named since.
+		go h.p.homes.forgetSlots(id)
+	}
+}
+
+// replaced records that another version may run at the peer from now on.
+func (h *peerHealth) replaced(id core.DaemonID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.Replaced(id)
 }
 
 // revived logs that a backoff of the peer has ended. The lock is held.
@@ -297,6 +313,13 @@
 	}
 }
 
+// selfEchoed handles an echo that this daemon sent to itself at the given time.
+func (h *peerHealth) selfEchoed(sent core.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.SelfEchoed(sent)
+}
+
 // connected records that a link to the peer, which was begun at the given time, was opened.
 func (h *peerHealth) connected(id core.DaemonID, began core.Time) {
 	h.mu.Lock()
@@ -321,13 +344,31 @@
 	}
 }
 
-// accepted records that the peer serves the group or the team.
+// beginDial records that a session opens a link to the peer. It returns false if it is not to for the
+// moment. If counted is set, endDial is to be called.
+func (h *peerHealth) beginDial(id core.DaemonID) (counted, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.BeginDial(now(), id)
+}
+
+// endDial records the outcome of a counted attempt to open a link, and wakes the sessions that wait for
+// it.
+func (h *peerHealth) endDial(id core.DaemonID, opened bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.EndDial(id, opened)
+	h.notify()
+}
+
+// groupAccepted records that the peer has accepted a session of the group.
 func (h *peerHealth) groupAccepted(id core.DaemonID, group core.GroupID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.table.GroupAccepted(id, group)
+	h.table.GroupAccepted(now(), id, group)
 }
 
+// teamAccepted records that the peer has run a statement of the team.
 func (h *peerHealth) teamAccepted(id core.DaemonID, team core.TeamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -336,6 +377,7 @@
 	}
 }
 
+// teamDeclined records that the peer does not count the team's operations.
 func (h *peerHealth) teamDeclined(id core.DaemonID, team core.TeamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
