Leave a home that neither opens a link nor answers, and show homes in backoff

Cause: a home that never answered an echo was tried for three links of 300 ms before it was left, and the log did not say how long a home had been lost. An entry that is paused again and again postponed a verdict for up to 0.4 s. Change: a link that does not open in time is a verdict unless something was heard of the home meanwhile. peers_down at the metrics address lists the homes in backoff with cause and age; the line of a home that is back has down_ms. A verdict is postponed at most twice.

--- a/core/health/check.go
+++ b/core/health/check.go
@@ -60,6 +60,14 @@
 	return step
 }
 
+// IsSuspect reports whether a check of the peer runs that has had no answer for half of the time to
+// the verdict.
+func (t *Table) IsSuspect(now core.Time, id core.DaemonID) bool {
+	p := t.peer(id)
+	c := p.check
+	return c != nil && p.heardAt < c.began && now.Sub(c.began) >= p.lostAfter()/2
+}
+
 // sendEcho returns the step that sends the next echo. The steps are at most an echo's share of the
 // check apart, and none is after the deadline.
 func (p *peer) sendEcho(now core.Time) Step {
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -221,10 +221,16 @@
 
 	It("is not failed by single links that open slowly while it answers echoes", func() {
 		t := newTable()
-		Expect(t.DialTimedOut(start, "a")).To(BeFalse())
+		timeOut := func(began core.Time) bool {
+			_, failed := t.DialTimedOut("a", began)
+			return failed
+		}
+		Expect(timeOut(start)).To(BeFalse())
+		t.Connected(start, "a", time.Second)
+		Expect(timeOut(start)).To(BeFalse())
+		Expect(timeOut(start)).To(BeFalse())
+		Expect(timeOut(start)).To(BeTrue())
 		t.Connected(start, "a", time.Second)
-		Expect(t.DialTimedOut(start, "a")).To(BeFalse())
-		Expect(t.DialTimedOut(start, "a")).To(BeFalse())
-		Expect(t.DialTimedOut(start, "a")).To(BeTrue())
+		Expect(timeOut(start+1)).To(BeTrue(), "nothing was heard of it since")
 	})
 })
--- a/core/health/peer.go
+++ b/core/health/peer.go
@@ -32,7 +32,7 @@
 	// PauseGrace is how long the verdict is postponed after a pause of this process, in which its
 	// receive loop reads the answers that have arrived meanwhile. maxPostponements bounds how often.
 	PauseGrace       = 30 * time.Millisecond
-	maxPostponements = 3
+	maxPostponements = 2
 	// DialFloor and DialCeiling bound the time for opening a link to a peer that answers echoes. In
 	// between, it is dialFactor times the slowest recent ones.
 	DialFloor   = 300 * time.Millisecond
@@ -77,10 +77,10 @@
 	dialTimeouts int
 	// answersEchoes is set once it has answered an echo. Daemons of earlier versions do not.
 	answersEchoes bool
-	// cause and downAt describe the last failure.
-	cause  Cause
-	downAt core.Time
-	check  *check
+	// cause and downAt describe the last failure, downSince is when the peer was last usable.
+	cause             Cause
+	downAt, downSince core.Time
+	check             *check
 	// checkedAt is when the last check ended.
 	checkedAt core.Time
 }
--- a/core/health/table.go
+++ b/core/health/table.go
@@ -119,6 +119,9 @@
 // Failed records a verdict that the peer cannot be used.
 func (t *Table) Failed(now core.Time, id core.DaemonID, cause Cause) {
 	p := t.peer(id)
+	if t.down[id] == nil {
+		p.downSince = now
+	}
 	p.cause, p.downAt, p.dialTimeouts = cause, now, 0
 	if cause == Unreachable {
 		// Another version may run there next.
@@ -127,16 +130,16 @@
 	t.down.fail(now, id)
 }
 
-// DialTimedOut records that a link was not opened in time, although the peer is not lost. It returns
-// whether the peer is left alone for a while because of it.
-func (t *Table) DialTimedOut(now core.Time, id core.DaemonID) (failed bool) {
+// DialTimedOut records that a link, which was begun at the given time, was not opened in time. It
+// returns whether that is a reason to leave the peer alone, and the cause. A peer that has answered
+// anything meanwhile may be slow, and is given maxDialTimeouts links.
+func (t *Table) DialTimedOut(id core.DaemonID, began core.Time) (cause Cause, failed bool) {
 	p := t.peer(id)
-	p.dialTimeouts++
-	if t.down[id] == nil && p.dialTimeouts < maxDialTimeouts {
-		return false
+	if p.heardAt < began {
+		return Silent, true
 	}
-	t.Failed(now, id, DialSlow)
-	return true
+	p.dialTimeouts++
+	return DialSlow, t.down[id] != nil || p.dialTimeouts >= maxDialTimeouts
 }
 
 // DialLimit returns how long opening a link to the peer may take.
@@ -171,6 +174,31 @@
 	return t.down[id] != nil && t.peer(id).downAt >= since
 }
 
+// DownPeer describes a peer that is in backoff.
+type DownPeer struct {
+	Cause string `json:"cause"`
+	// DownMs is how long ago it was last usable, BackoffMs the length of its present backoff.
+	DownMs    int64 `json:"down_ms"`
+	BackoffMs int64 `json:"backoff_ms"`
+	// EchoMs is the slowest of its recent echoes, 0 if unknown.
+	EchoMs int64 `json:"echo_ms"`
+}
+
+// Down describes the peers that are in backoff.
+func (t *Table) Down(now core.Time) map[core.DaemonID]DownPeer {
+	list := make(map[core.DaemonID]DownPeer, len(t.down))
+	for id, b := range t.down {
+		p := t.peer(id)
+		list[id] = DownPeer{p.cause.String(), now.Sub(p.downSince).Milliseconds(), b.length.Milliseconds(), p.echoPeak.Milliseconds()}
+	}
+	return list
+}
+
+// DownFor returns how long ago the peer was last found lost or refused after it had been usable.
+func (t *Table) DownFor(now core.Time, id core.DaemonID) time.Duration {
+	return now.Sub(t.peer(id).downSince)
+}
+
 // OverdueIn returns in how long the peer is to be checked if a statement that was sent at the given
 // time is not answered, at most 0 if it is overdue.
 func (t *Table) OverdueIn(now core.Time, id core.DaemonID, sent core.Time) time.Duration {
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -436,10 +436,6 @@
 // are not homes, which connect to the members as well, and members would refuse connections for
 // seconds.
 func (h *homes) sessionRefused(id core.DaemonID, group core.GroupID, err error) {
-	if h.health.enabled() {
-		h.health.sessionRefused(id, group, err)
-		return
-	}
 	var r *linkRefusal
 	if !errors.As(err, &r) || r.kind == reportpb.Refusal_REFUSAL_DAEMON {
 		h.backOff(id)
--- a/pkg/proxy/peerhealth.go
+++ b/pkg/proxy/peerhealth.go
@@ -199,7 +199,7 @@
 // revived logs that a backoff of the peer has ended. The lock is held.
 func (h *peerHealth) revived(id core.DaemonID, by string) {
 	h.p.stats.health.Add("revived", 1)
-	h.p.log.Info("peer", "verdict", "up", "peer", id, "by", by)
+	h.p.log.Info("peer", "verdict", "up", "peer", id, "by", by, "down_ms", h.table.DownFor(now(), id).Milliseconds())
 	h.notify()
 }
 
@@ -258,8 +258,8 @@
 	h.notify()
 }
 
-// sessionRefused records a failure to open a link to the peer.
-func (h *peerHealth) sessionRefused(id core.DaemonID, group core.GroupID, err error) {
+// sessionRefused records a failure to open a link to the peer, which was begun at the given time.
+func (h *peerHealth) sessionRefused(id core.DaemonID, group core.GroupID, began core.Time, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var r *linkRefusal
@@ -270,8 +270,8 @@
 		h.notify()
 	case errors.As(err, &r) && r.kind != reportpb.Refusal_REFUSAL_DAEMON:
 	case isTimeout(err):
-		if h.table.DialTimedOut(now(), id) {
-			h.failed(id, health.DialSlow, "error", err.Error())
+		if cause, failed := h.table.DialTimedOut(id, began); failed {
+			h.failed(id, cause, "error", err.Error())
 		}
 	default:
 		h.failed(id, failureCause(err), "error", err.Error())
@@ -295,6 +295,13 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
+// down describes the peers in backoff for the metrics endpoint.
+func (h *peerHealth) down() map[core.DaemonID]health.DownPeer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Down(now())
+}
+
 // dialLimit returns how long opening a link to the peer may take.
 func (h *peerHealth) dialLimit(id core.DaemonID) time.Duration {
 	h.mu.Lock()
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -413,7 +413,7 @@
 		groups[g.id] = inspect(g, (*direct.Group).View)
 	}
 	all := map[string]any{"proxy": p.stats.snapshot(), "platform_calls": p.client.Calls(), "ready": p.ready(), "groups": groups,
-		"pools": p.pools(), "teams": p.limits.busiestTeams(maxPublishedTeams)}
+		"pools": p.pools(), "teams": p.limits.busiestTeams(maxPublishedTeams), "peers_down": p.homes.health.down()}
 	if err := json.NewEncoder(w).Encode(all); err != nil {
 		p.log.Warn("metrics could not be sent", "error", err.Error())
 	}
--- a/pkg/proxy/watchedlink.go
+++ b/pkg/proxy/watchedlink.go
@@ -164,7 +164,7 @@
 	l, err := s.dialHome(home, deadline)
 	if err != nil {
 		s.logDecision("home connect failed", "home", home, "error", err)
-		s.p.homes.sessionRefused(home, scope.Group, err)
+		s.p.homes.health.sessionRefused(home, scope.Group, began, err)
 		return nil, err
 	}
 	s.p.homes.health.connected(home, began)
