Send a read to a second home if the first one does not answer in time

Cause: a read at a home that is lost, or alive and stuck, was held until the verdict or until its timeout, although another home could answer it. Change: core/hedge decides when a read is sent to a second home: when its home is suspected, or when it takes longer than 95 % of its database's reads. A budget of 5 % of the answered reads, less refusals because of load, bounds hedges. The first complete answer other than BUSY counts; the other link is closed. Attempts of such a read end with its time, not after six. If a home that received it did not answer, the read ends with TIMEOUT rather than with a refusal as not run. Reads whose team's operations are counted at one home are not hedged. The mechanisms are hedged-reads and hedge-at-percentile, in use where shared-health is. Result: go test -p 3 ./pkg/proxy ./core/... passes. The specs of hedges and shared verdicts pass 5 of 5 times with -race and GOMAXPROCS=1. Guards removed one at a time, each with a failing spec: the budget, the cost of refusals, the share of the delay, closing the first link, interrupting its wait, remembering that a home may have run the read, the suspicion. With all test routes at 1.3 s and -race, 93 of 94 specs pass; the other one, on sessions at a home that accepts links and answers nothing, expects a verdict that hedges make needless. The two variants have not been compared under load.

--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -57,6 +57,11 @@
 	// SharedHealth lets all sessions of an entry share one verdict about each home, which needs
 	// silence towards echoes, and a backoff that grows from a tenth of a second.
 	SharedHealth
+	// HedgedReads sends a read to a second home if the first one does not answer it in time.
+	HedgedReads
+	// HedgeAtPercentile hedges reads that take longer than nearly all others. Without it, only reads at
+	// a home that is suspected to be lost are hedged.
+	HedgeAtPercentile
 	end
 )
 
@@ -67,7 +72,7 @@
 	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
 	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
-	"shared-health",
+	"shared-health", "hedged-reads", "hedge-at-percentile",
 }
 
 // renamed maps the old name of a mechanism to its present name.
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -19,6 +19,10 @@
 	if !s.checkForward(j) {
 		return
 	}
+	if s.mayHedge(j) {
+		s.forwardHedged(j)
+		return
+	}
 	for attempt := 1; ; attempt++ {
 		l, err := s.connectHome(j.route.Group, j.deadline())
 		if err != nil {
--- /dev/null
+++ b/pkg/proxy/hedge_test.go
@@ -0,0 +1,149 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/encoding/protodelim"
+
+	"limpetspan/core"
+	"limpetspan/pkg/proxy/reportpb"
+)
+
+// serveLate accepts sessions like a home, and answers a statement only once the next one has arrived on
+// the same connection.
+func serveLate(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			r := bufio.NewReader(c)
+			var hello reportpb.Hello
+			if protodelim.UnmarshalFrom(r, &hello) != nil || hello.Configuration {
+				return
+			}
+			_, _ = protodelim.MarshalTo(c, &reportpb.Welcome{})
+			for last := ""; ; {
+				line, err := r.ReadString('\n')
+				if err != nil {
+					return
+				}
+				if last != "" {
+					_, _ = fmt.Fprintf(c, "DATAROW late\r\nCOMPLETE r.late.%s\r\nREADY I 1.1\r\n", last)
+				}
+				last = strings.Fields(line)[1]
+			}
+		}()
+	}
+}
+
+// keepAlive makes the entry believe until the end of the test that the home answers echoes.
+func (d *daemon) keepAlive(home core.DaemonID) {
+	stop := make(chan struct{})
+	DeferCleanup(func() { close(stop) })
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+				d.p.homes.health.echoed(home, now())
+			}
+		}
+	}()
+}
+
+func (d *daemon) hedgeCount(name string) string {
+	v := d.p.stats.hedges.Get(name)
+	if v == nil {
+		return "0"
+	}
+	return v.String()
+}
+
+// observeFastReads makes reads that take longer than some milliseconds slower than usual.
+func (d *daemon) observeFastReads(database string) {
+	for range 100 {
+		d.p.homes.hedging.answered(database, time.Millisecond)
+	}
+}
+
+var _ = Describe("a read that is hedged", func() {
+	// Guards against a read that waits for its whole timeout at a home that is alive and stuck, and
+	// against taking the late answer to it for that of the session's next statement.
+	It("is answered by another home, and the late answer of the first one is never taken", func() {
+		f := newFleet(2, withShortRoute)
+		f.awaitStable()
+		home, entry := f.daemons[0], f.daemons[1]
+		home.dial("db-own").queryUntilServed("WRITE k 1")
+		entry.keepAlive(f.addSilentHome(entry, home, serveLate))
+		entry.observeFastReads("db-own")
+		x := entry.dial("db-own")
+		for range 3 {
+			a := x.query("READ k")
+			Expect(a.isServed()).To(BeTrue(), a.result)
+			Expect(a.rows).To(Equal([]string{"1"}))
+		}
+		Expect(entry.hedgeCount("slower than usual")).To(Equal("3"))
+		Expect(entry.hedgeCount("won")).To(Equal("3"))
+	})
+
+	// Guards against reads that a lost home holds until the verdict, although some echoes without an
+	// answer show before that something is wrong.
+	It("is sent to another home as soon as its home is suspected", func() {
+		f := newFleet(2, withShortRoute)
+		f.awaitStable()
+		home, entry := f.daemons[0], f.daemons[1]
+		home.dial("db-own").queryUntilServed("WRITE k 1")
+		f.addSilentHome(entry, home, serveSilently)
+		answers := make(chan answer, 8)
+		for range cap(answers) {
+			x := entry.dial("db-own")
+			go func() {
+				defer GinkgoRecover()
+				answers <- x.query("READ k")
+			}()
+		}
+		for range cap(answers) {
+			var a answer
+			Eventually(answers, waitLimit).Should(Receive(&a))
+			Expect(a.isServed()).To(BeTrue(), a.result)
+		}
+		Expect(entry.hedgeCount("home suspected")).NotTo(Equal("0"))
+		Expect(entry.hedgeCount("slower than usual")).To(Equal("0"))
+	})
+
+	// Guards against telling the caller that a read was not run because the last home says so, although
+	// another one may have run it.
+	It("is not refused as not run if a home that received it did not answer", func() {
+		f := newFleet(2, withShortRoute)
+		f.awaitStable()
+		home, entry := f.daemons[0], f.daemons[1]
+		home.dial("db-primary").queryUntilServed("WRITE k 1")
+		entry.keepAlive(f.addSilentHome(entry, home, serveSilently))
+		entry.observeFastReads("db-primary")
+		f.group.SetStatementDelay(waitLimit / 5)
+		a := entry.dial("db-primary").query("READ k")
+		Expect(a.result).To(HavePrefix("ERROR TIMEOUT"))
+		Expect(a.state).To(Equal("I"))
+		Expect(entry.hedgeCount("slower than usual")).To(Equal("1"))
+	})
+
+	It("is not a write", func() {
+		f := newFleet(2, withShortRoute)
+		f.awaitStable()
+		home, entry := f.daemons[0], f.daemons[1]
+		f.useHomes(home)
+		entry.observeFastReads("db-own")
+		s := &session{p: entry.p, database: "db-own", sessionState: newSessionState()}
+		Expect(s.mayHedge(&job{})).To(BeTrue())
+		Expect(s.mayHedge(&job{writes: true})).To(BeFalse())
+	})
+})
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -68,6 +68,7 @@
 	// health replaces the backoffs above where shared health is in use. homeOrders caches the order
 	// of daemons for a group until the daemons or the homes change.
 	health     *peerHealth
+	hedging    *hedger
 	homeOrders map[core.GroupID][]core.DaemonID
 }
 
@@ -90,7 +91,7 @@
 }
 
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, ready: make(chan struct{}), table: direct.NewHomeTable(), ownGroups: make(map[core.GroupID]bool), slotOrders: make(map[groupSlot][]core.DaemonID), backoffUntil: make(map[core.DaemonID]core.Time), groupBackoffUntil: make(map[groupDaemon]core.Time), teamBackoffUntil: make(map[teamDaemon]core.Time), slotOwners: make(map[quota.Slot]core.DaemonID), lastSeen: make(map[core.DaemonID]core.Time), nextRecheck: make(map[core.DaemonID]core.Time), health: newPeerHealth(p), homeOrders: make(map[core.GroupID][]core.DaemonID)}
+	return &homes{p: p, ready: make(chan struct{}), table: direct.NewHomeTable(), ownGroups: make(map[core.GroupID]bool), slotOrders: make(map[groupSlot][]core.DaemonID), backoffUntil: make(map[core.DaemonID]core.Time), groupBackoffUntil: make(map[groupDaemon]core.Time), teamBackoffUntil: make(map[teamDaemon]core.Time), slotOwners: make(map[quota.Slot]core.DaemonID), lastSeen: make(map[core.DaemonID]core.Time), nextRecheck: make(map[core.DaemonID]core.Time), health: newPeerHealth(p), hedging: newHedger(), homeOrders: make(map[core.GroupID][]core.DaemonID)}
 }
 
 // update chooses the homes again if the known daemons or groups have changed.
@@ -127,6 +128,7 @@
 	}
 	changed := h.table.Update(direct.Fleet{Daemons: daemons, Size: size, Groups: len(catalog.Groups)})
 	if newCatalog {
+		h.hedging.retain(catalog.Routes)
 		changed = h.applyGroups(catalog)
 	}
 	gained = h.updateOwnGroups(changed)
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -189,30 +189,50 @@
 func (l *link) run(s *session, id string, texts []string, deadline time.Time, waitToDeadline bool) (a platform.Answer, sent bool, err error) {
 	end := s.startSpan("home.link", id, string(l.home))
 	defer func() { end(outcomeText(a.Code, err)) }()
+	precedingCount, sent, err := l.send(s, id, texts, deadline)
+	if err != nil {
+		return a, sent, err
+	}
+	began := now()
+	if err := l.awaitAnswer(s, deadline, waitToDeadline); err != nil {
+		return a, true, err
+	}
+	a, err = l.receive(s, precedingCount, began, nil)
+	return a, true, err
+}
+
+// send sends what run runs. It returns the number of answers that precede that of the caller's
+// statement.
+func (l *link) send(s *session, id string, texts []string, deadline time.Time) (precedingCount int, sent bool, err error) {
 	l.out = l.out[:0]
-	precedingCount := l.syncState(s)
+	precedingCount = l.syncState(s)
 	for _, text := range texts[:len(texts)-1] {
 		l.out = platform.AppendStatement(l.out, entryStatementID, text, core.Position{})
 		precedingCount++
 	}
 	l.out = platform.AppendStatement(l.out, id, texts[len(texts)-1], core.Position{})
-	began := now()
 	_ = l.c.SetDeadline(deadline)
-	if n, err := l.c.Write(l.out); err != nil {
-		return a, n > 0, err
-	}
-	if err := l.awaitAnswer(s, deadline, waitToDeadline); err != nil {
-		return a, true, err
+	n, err := l.c.Write(l.out)
+	return precedingCount, n > 0, err
+}
+
+// receive reads the answers to what was sent, and returns the last one. It calls ready before each,
+// if ready is not nil.
+func (l *link) receive(s *session, precedingCount int, began core.Time, ready func()) (a platform.Answer, err error) {
+	if ready == nil {
+		ready = func() {}
 	}
 	for range precedingCount {
+		ready()
 		a, err = l.readAnswer()
 		if err == nil && a.Code != "" {
 			err = errors.New(a.Code + " " + a.Text)
 		}
 		if err != nil {
-			return a, true, err
+			return a, err
 		}
 	}
+	ready()
 	a, err = l.readAnswer()
 	if err == nil {
 		s.p.homes.answered(l.home, began)
@@ -220,7 +240,7 @@
 			s.p.homes.health.teamAccepted(l.home, s.p.access.teamOf(s.key))
 		}
 	}
-	return a, true, err
+	return a, err
 }
 
 // awaitAnswer waits for the first byte of an answer. It returns an error after homeSilenceTimeout
--- a/pkg/proxy/peerhealth.go
+++ b/pkg/proxy/peerhealth.go
@@ -19,8 +19,12 @@
 // errHomeDown ends the wait for a home that has been found lost.
 var errHomeDown = errors.New("the home does not answer")
 
-// interruptible is a wait for a peer that can be ended early.
-type interruptible interface{ interrupt() }
+// interruptible is a wait for a peer. interrupt ends it, as the peer has been found lost; suspect
+// tells it that the peer may be lost.
+type interruptible interface {
+	interrupt()
+	suspect()
+}
 
 // peerHealth carries out the decisions of a health.Table: it runs checks, wakes the sessions that
 // wait for a lost peer, and lets sessions wait while all candidates are in backoff.
@@ -151,6 +155,10 @@
 		step = h.table.ContinueCheck(now(), id)
 		if step.Lost {
 			h.failed(id, health.Silent, "silence_ms", step.Silence.Milliseconds(), "limit_ms", step.Limit.Milliseconds())
+		} else if h.table.IsSuspect(now(), id) {
+			for w := range h.waits[id] {
+				w.suspect()
+			}
 		}
 		h.mu.Unlock()
 	}
@@ -302,6 +310,15 @@
 	return h.table.Down(now())
 }
 
+// isUnsuspected reports whether no backoff applies to the peer and no check of it has been unanswered
+// for long.
+func (h *peerHealth) isUnsuspected(id core.DaemonID, s health.Scope) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := now()
+	return h.table.Phase(at, id, s) == health.Closed && !h.table.IsSuspect(at, id)
+}
+
 // dialLimit returns how long opening a link to the peer may take.
 func (h *peerHealth) dialLimit(id core.DaemonID) time.Duration {
 	h.mu.Lock()
--- a/pkg/proxy/peerhealth_test.go
+++ b/pkg/proxy/peerhealth_test.go
@@ -18,14 +18,14 @@
 // health in use, and the others one that no test reaches.
 func withShortRoute(f *fleet) { f.firstTimeoutMS, f.timeoutMS = 1000, 20_000 }
 
-// addSilentHome makes the entry ask a home first that accepts sessions and answers nothing, as if it
-// were lost after the link was opened. The home is known to have answered echoes.
-func (f *fleet) addSilentHome(entry, home *daemon) (lost core.DaemonID) {
+// addSilentHome makes the entry ask a home first that serve serves and that answers no echoes, as if it
+// were lost after the link was opened. It is known to have answered echoes before.
+func (f *fleet) addSilentHome(entry, home *daemon, serve func(net.Listener)) (lost core.DaemonID) {
 	ip := processIP(99)
 	l, err := net.Listen("tcp", entry.s.LinkAddr(ip))
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
-	go serveSilently(l)
+	go serve(l)
 	f.useHomes(home)
 	// The order depends on the ids of the entry and the homes.
 	var daemons []direct.Daemon
@@ -64,7 +64,7 @@
 		f.awaitStable()
 		home, entry := f.daemons[0], f.daemons[1]
 		home.dial("db-own").queryUntilServed("WRITE k 1")
-		lost := f.addSilentHome(entry, home)
+		lost := f.addSilentHome(entry, home, serveSilently)
 		const sessions = 12
 		answers := make(chan answer, sessions)
 		for n := range sessions {
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -26,6 +26,8 @@
 	refusals, denied, overQuota expvar.Map
 	// health counts the checks of other daemons, the verdicts by cause, and the backoffs that ended.
 	health expvar.Map
+	// hedges counts the reads sent to a second home, by reason and by outcome.
+	hedges expvar.Map
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
@@ -69,7 +71,7 @@
 		"orders_dropped": s.commandsDropped.Value(), "promotions": s.promotions.Value(),
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
-		"store_eras_ended": s.erasEnded.Value(), "refusals": refusals, "barred": denied, "unpaid": overQuota, "peer_health": valuesOf(&s.health),
+		"store_eras_ended": s.erasEnded.Value(), "refusals": refusals, "barred": denied, "unpaid": overQuota, "peer_health": valuesOf(&s.health), "hedges": valuesOf(&s.hedges),
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
--- a/pkg/proxy/watchedlink.go
+++ b/pkg/proxy/watchedlink.go
@@ -23,10 +23,12 @@
 	deadline time.Time
 	sent     core.Time
 	down     atomic.Bool
+	hedging
 }
 
 func (c *watchedConn) SetDeadline(t time.Time) error {
 	c.deadline, c.sent = t, now()
+	c.superseded.Store(false)
 	return c.TCPConn.SetDeadline(t)
 }
 
@@ -48,9 +50,12 @@
 		if c.deadline.Before(next) {
 			next = c.deadline
 		}
+		if c.hedgeable.Load() && !c.hedgeAt.IsZero() && c.hedgeAt.Before(next) {
+			next = c.hedgeAt
+		}
 		_ = c.TCPConn.SetReadDeadline(next)
-		if c.down.Load() {
-			// interrupt may have come before the deadline was set.
+		if c.down.Load() || c.superseded.Load() || c.isHedgeDue() {
+			// The interruption may have come before the deadline was set.
 			_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 		}
 		n, err := c.TCPConn.Read(b)
@@ -59,6 +64,10 @@
 			return n, err
 		case c.down.Load():
 			return c.readArrived(b)
+		case c.superseded.Load():
+			return 0, errSuperseded
+		case c.isHedgeDue():
+			return 0, errHedgeDue
 		case !time.Now().Before(c.deadline):
 			return 0, err
 		}
@@ -82,6 +91,8 @@
 	down   atomic.Bool
 }
 
+func (w *dialWait) suspect() {}
+
 func (w *dialWait) interrupt() {
 	w.down.Store(true)
 	w.cancel()
