Let a decline hold for sessions without a team, and keep the links of others

Cause: with shared health, a home that declined a statement of a session without a team, as it was cut off from the primary, had no backoff for such sessions and was asked again at once. Any answer ended a decline's backoff early. Change: declines are kept for the empty team as well. An answer ends a decline's backoff only after its time or in a trial; naming the owner of a slot still ends it at once. Links of other sessions depend on the home's own backoff alone.

--- a/core/health/choice.go
+++ b/core/health/choice.go
@@ -9,7 +9,7 @@
 // Scope is what a peer is asked for.
 type Scope struct {
 	Group core.GroupID
-	// Team is empty if any home may serve the statement.
+	// Team is empty if the session has none.
 	Team core.TeamID
 }
 
@@ -44,11 +44,13 @@
 
 // applicable returns the backoffs that apply to the peer, nil for those that do not exist.
 func (t *Table) applicable(id core.DaemonID, s Scope) [3]*backoff {
-	list := [3]*backoff{t.down[id], t.groups[groupAt{s.Group, id}]}
-	if s.Team != "" {
-		list[2] = t.teams[teamAt{s.Team, id}]
-	}
-	return list
+	return [3]*backoff{t.down[id], t.groups[groupAt{s.Group, id}], t.teams[teamAt{s.Team, id}]}
+}
+
+// IsReachable reports whether the peer itself is not in backoff, whatever it has refused or declined.
+func (t *Table) IsReachable(now core.Time, id core.DaemonID) bool {
+	phase := t.down[id].phase(now)
+	return phase == Closed || phase == HalfOpen && !t.AwaitsEcho(now, id)
 }
 
 // AwaitsEcho reports whether the peer's backoff has ended and an answered echo would end its trial,
@@ -129,7 +131,5 @@
 func (t *Table) claim(now core.Time, id core.DaemonID, s Scope) {
 	t.down.claim(now, id)
 	t.groups.claim(now, groupAt{s.Group, id})
-	if s.Team != "" {
-		t.teams.claim(now, teamAt{s.Team, id})
-	}
+	t.teams.claim(now, teamAt{s.Team, id})
 }
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -219,6 +219,21 @@
 		Expect(newTable().Choose(start, nil, scope)).To(Equal(health.Choice{}), "without candidates nobody waits")
 	})
 
+	// Guards against an entry without teams that asks a home again at once which is cut off from the
+	// primary and has declined: the statement would be refused after the second decline.
+	It("is left alone after a decline by sessions without a team, too, until a trial succeeds", func() {
+		t, at := newTable(), start
+		t.TeamDeclined(at, "a", "")
+		Expect(t.Choose(at, order, scope).Ask).To(Equal([]core.DaemonID{"b", "c"}))
+		Expect(t.TeamAccepted(at, "a", "")).To(BeFalse(), "it serves reads of other sessions")
+		Expect(t.IsReachable(at, "a")).To(BeTrue(), "their links stay")
+		Expect(t.Choose(at, order, scope).Ask).To(Equal([]core.DaemonID{"b", "c"}))
+		at = at.Add(health.MinBackoff)
+		Expect(t.Choose(at, order, scope).Trial).To(Equal(core.DaemonID("a")))
+		Expect(t.TeamAccepted(at, "a", "")).To(BeTrue())
+		Expect(t.Phase(at, "a", scope)).To(Equal(health.Closed))
+	})
+
 	It("is not failed by single links that open slowly while it answers echoes", func() {
 		t := newTable()
 		timeOut := func(began core.Time) bool {
--- a/core/health/table.go
+++ b/core/health/table.go
@@ -155,14 +155,28 @@
 	delete(t.groups, groupAt{group, id})
 }
 
-// TeamDeclined records that the peer does not count the team's operations.
+// TeamDeclined records that the peer does not run the team's statements: it does not count the team's
+// operations, or is cut off from the primary. The team is empty for sessions without one.
 func (t *Table) TeamDeclined(now core.Time, id core.DaemonID, team core.TeamID) {
 	t.teams.fail(now, teamAt{team, id})
 }
 
-// TeamAccepted records that the peer has run a statement of the team, or is said to count its
-// operations. It returns whether this ended a backoff.
-func (t *Table) TeamAccepted(id core.DaemonID, team core.TeamID) (revived bool) {
+// TeamAccepted records that the peer has run a statement of the team. It returns whether this ended a
+// backoff. Before the end of the backoff it does not: the statement may be one that the peer would not
+// have declined, such as a read at a peer that is cut off from the primary.
+func (t *Table) TeamAccepted(now core.Time, id core.DaemonID, team core.TeamID) (revived bool) {
+	k := teamAt{team, id}
+	b := t.teams[k]
+	if b == nil || now < b.until && b.tryingUntil == 0 {
+		return false
+	}
+	delete(t.teams, k)
+	return true
+}
+
+// OwnerNamed records that the peer is said to count the team's operations. It returns whether this
+// ended a backoff.
+func (t *Table) OwnerNamed(id core.DaemonID, team core.TeamID) (revived bool) {
 	k := teamAt{team, id}
 	revived = t.teams[k] != nil
 	delete(t.teams, k)
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -234,13 +234,13 @@
 
 // otherHome returns the home that is asked for a hedge of a read at the given home, "" if there is
 // none. Daemons that are no homes are not asked, as they would connect to the members for it.
-func (h *homes) otherHome(id core.GroupID, first core.DaemonID) core.DaemonID {
-	order := h.order(id, "")
+func (h *homes) otherHome(id core.GroupID, team core.TeamID, first core.DaemonID) core.DaemonID {
+	order := h.order(id, team)
 	h.mu.Lock()
 	list := h.homesOf(id)
 	h.mu.Unlock()
 	for _, home := range order {
-		if home != first && slices.Contains(list, home) && h.health.isUnsuspected(home, health.Scope{Group: id}) {
+		if home != first && slices.Contains(list, home) && h.health.isUnsuspected(home, health.Scope{Group: id, Team: team}) {
 			return home
 		}
 	}
@@ -254,7 +254,7 @@
 	if c.suspected.Load() {
 		reason = hedge.OnSuspicion
 	}
-	home := s.p.homes.otherHome(r.j.route.Group, l.home)
+	home := s.p.homes.otherHome(r.j.route.Group, s.p.access.teamOf(s.key), l.home)
 	if home == "" {
 		return nil
 	}
@@ -281,7 +281,7 @@
 	s.p.stats.hedges.Add("won", 1)
 	s.logDecision("hedge won", "id", r.j.id, "home", first.home, "second", second.home, "ms", took.Milliseconds())
 	s.closeLink()
-	if s.p.homes.mayKeepLink(r.j.route.Group, "", first.home) {
+	if s.p.homes.mayKeepLink(r.j.route.Group, s.p.access.teamOf(s.key), first.home) {
 		_ = second.link.c.Close()
 	} else {
 		s.link = &groupLink{group: r.j.route.Group, link: second.link}
@@ -317,7 +317,7 @@
 // run runs the read at the second home.
 func (a *secondAttempt) run(shadow *session, j job, deadline time.Time) {
 	defer close(a.done)
-	scope := health.Scope{Group: j.route.Group}
+	scope := health.Scope{Group: j.route.Group, Team: shadow.p.access.teamOf(shadow.key)}
 	a.link, a.err = shadow.tryHome(a.home, scope, j.deadline())
 	if a.err != nil {
 		return
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -344,19 +344,11 @@
 // isReachable reports whether no backoff of the daemon itself applies. The lock is held.
 func (h *homes) isReachable(at core.Time, id core.DaemonID) bool {
 	if h.health.enabled() {
-		return h.health.isUsable(at, id, health.Scope{})
+		return h.health.isReachable(at, id)
 	}
 	return at >= h.backoffUntil[id]
 }
 
-// healthScope returns what a session of the team asks a daemon for.
-func (h *homes) healthScope(id core.GroupID, team core.TeamID) health.Scope {
-	if !h.teamAffinity(team) {
-		team = ""
-	}
-	return health.Scope{Group: id, Team: team}
-}
-
 // order returns the other daemons that may be asked for the group, best first, whether or not they are
 // in backoff.
 func (h *homes) order(id core.GroupID, team core.TeamID) []core.DaemonID {
@@ -498,7 +490,7 @@
 // is the case if no backoff applies. The lock is held.
 func (h *homes) isAvailable(at core.Time, id core.DaemonID, group core.GroupID, team core.TeamID) bool {
 	if h.health.enabled() {
-		return h.health.isUsable(at, id, h.healthScope(group, team))
+		return h.health.isUsable(at, id, health.Scope{Group: group, Team: team})
 	}
 	return at >= h.backoffUntil[id] && at >= h.groupBackoffUntil[groupDaemon{group, id}] && at >= h.teamBackoffUntil[teamDaemon{team, id}]
 }
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -236,7 +236,7 @@
 	a, err = l.readAnswer()
 	if err == nil {
 		s.p.homes.answered(l.home, began)
-		if !l.isDecline(&a) {
+		if !l.isDecline(&a) && s.p.homes.health.enabled() {
 			s.p.homes.health.teamAccepted(l.home, s.p.access.teamOf(s.key))
 		}
 	}
--- a/pkg/proxy/peerhealth.go
+++ b/pkg/proxy/peerhealth.go
@@ -98,6 +98,17 @@
 	return h.table.Choose(at, order, s), h.changed
 }
 
+// isReachable reports whether sessions may keep their links to the peer. It starts a check like
+// isUsable.
+func (h *peerHealth) isReachable(at core.Time, id core.DaemonID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.AwaitsEcho(at, id) {
+		h.startCheck(at, id)
+	}
+	return h.table.IsReachable(at, id)
+}
+
 // isUsable reports whether a session would be given the peer. It starts a check of a peer whose
 // backoff has ended and which an echo would make usable again.
 func (h *peerHealth) isUsable(at core.Time, id core.DaemonID, s health.Scope) bool {
@@ -244,21 +255,23 @@
 	}
 }
 
-// accepted records that the peer serves the group or the team.
+// groupAccepted records that the peer has accepted a session of the group.
 func (h *peerHealth) groupAccepted(id core.DaemonID, group core.GroupID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.table.GroupAccepted(id, group)
 }
 
+// teamAccepted records that the peer has run a statement of the team.
 func (h *peerHealth) teamAccepted(id core.DaemonID, team core.TeamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.table.TeamAccepted(id, team) {
+	if h.table.TeamAccepted(now(), id, team) {
 		h.notify()
 	}
 }
 
+// teamDeclined records that the peer has declined a statement of the team.
 func (h *peerHealth) teamDeclined(id core.DaemonID, team core.TeamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -375,7 +388,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	at := now()
-	if h.table.TeamAccepted(id, team) {
+	if h.table.OwnerNamed(id, team) {
 		h.notify()
 	}
 	if h.table.IsDownSince(id, 0) {
--- a/pkg/proxy/watchedlink.go
+++ b/pkg/proxy/watchedlink.go
@@ -139,7 +139,7 @@
 // the deadline.
 func (s *session) connectWatched(id core.GroupID, deadline core.Time) (*link, error) {
 	waitDeadline := now().Add(fractionOf(until(deadline, 0), maxWaitShare))
-	scope := s.p.homes.healthScope(id, s.p.access.teamOf(s.key))
+	scope := health.Scope{Group: id, Team: s.p.access.teamOf(s.key)}
 	unknown := 0
 	for {
 		choice, changed := s.p.homes.health.choose(s.p.homes.order(id, scope.Team), scope)
