--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -288,6 +288,33 @@
 		Expect(t.DialLimit("a", 100*time.Millisecond, true)).To(Equal(100 * time.Millisecond))
 	})
 
+	// Guards against an entry without teams that asks a home again at once which is cut off from the
+	// primary and has declined: the statement would be refused after the second decline.
+	It("is left alone after a decline by sessions without a team, too, until a trial succeeds", func() {
+		t, at := newTable(), start
+		t.TeamDeclined(at, "a", "")
+		Expect(t.Choose(at, order, scope).Ask).To(Equal([]core.DaemonID{"b", "c"}))
+		Expect(t.TeamAccepted(at, "a", "")).To(BeFalse(), "it serves reads of other sessions")
+		Expect(t.IsReachable(at, "a")).To(BeTrue(), "their links stay")
+		Expect(t.Choose(at, order, scope).Ask).To(Equal([]core.DaemonID{"b", "c"}))
+		at = at.Add(health.MinBackoff)
+		Expect(t.Choose(at, order, scope).Trial).To(Equal(core.DaemonID("a")))
+		Expect(t.TeamAccepted(at, "a", "")).To(BeTrue())
+		Expect(t.Phase(at, "a", scope)).To(Equal(health.Closed))
+	})
+
+	// Guards against sessions that go on asking the only home one at a time after it has run a statement: the
+	// trial ends when the link is open, before the statement is answered.
+	It("is asked by all again once it has answered after a trial before the end of its backoff", func() {
+		t, only := newTable(), []core.DaemonID{"a"}
+		t.TeamDeclined(start, "a", "")
+		at := start.Add(health.LastTrialInterval)
+		Expect(t.Choose(at, only, scope).Trial).To(Equal(core.DaemonID("a")))
+		t.TrialEnded("a", scope)
+		Expect(t.TeamAccepted(at, "a", "")).To(BeTrue())
+		Expect(t.Choose(at, only, scope)).To(Equal(health.Choice{Ask: only}))
+	})
+
 	It("is not failed by single links that open slowly while it answers echoes", func() {
 		t := newTable()
 		Expect(t.DialTimedOut(start, "a")).To(BeFalse())
--- a/core/health/peer.go
+++ b/core/health/peer.go
@@ -78,9 +78,10 @@
 	// answersEchoes is set once it has answered an echo. Daemons of earlier versions do not.
 	answersEchoes bool
 	// cause is why it failed last. lostAt is when it was found silent, 0 if it has been heard since.
-	cause  Cause
-	lostAt core.Time
-	check  *check
+	// downSince is when it was last usable.
+	cause             Cause
+	lostAt, downSince core.Time
+	check             *check
 	// checkedAt is when the last check ended.
 	checkedAt core.Time
 }
--- a/core/health/table.go
+++ b/core/health/table.go
@@ -128,6 +128,9 @@
 // Failed records a verdict that the peer cannot be used.
 func (t *Table) Failed(now core.Time, id core.DaemonID, cause Cause) {
 	p := t.peer(id)
+	if t.down[id] == nil {
+		p.downSince = now
+	}
 	p.cause, p.dialTimeouts = cause, 0
 	switch cause {
 	case Silent:
@@ -172,14 +175,29 @@
 	delete(t.groups, groupAt{group, id})
 }
 
-// TeamDeclined records that the peer does not count the team's operations.
+// TeamDeclined records that the peer does not run the team's statements: it does not count the team's
+// operations, or is cut off from the primary. The team is empty for sessions without one.
 func (t *Table) TeamDeclined(now core.Time, id core.DaemonID, team core.TeamID) {
 	t.teams.fail(now, teamAt{team, id})
 }
 
-// TeamAccepted records that the peer has run a statement of the team, or is said to count its
-// operations. It returns whether this ended a backoff.
-func (t *Table) TeamAccepted(id core.DaemonID, team core.TeamID) (revived bool) {
+// TeamAccepted records that the peer has run a statement of the team. It returns whether this ended a
+// backoff. Before the end of the backoff it does not, unless a session has tried the peer since: the
+// statement may be one that the peer would not have declined, such as a read at a peer that is cut off
+// from the primary.
+func (t *Table) TeamAccepted(now core.Time, id core.DaemonID, team core.TeamID) (revived bool) {
+	k := teamAt{team, id}
+	b := t.teams[k]
+	if b == nil || now < b.until && !b.tried {
+		return false
+	}
+	delete(t.teams, k)
+	return true
+}
+
+// OwnerNamed records that the peer is said to count the team's operations. It returns whether this
+// ended a backoff.
+func (t *Table) OwnerNamed(id core.DaemonID, team core.TeamID) (revived bool) {
 	k := teamAt{team, id}
 	revived = t.teams[k] != nil
 	delete(t.teams, k)
@@ -197,6 +215,31 @@
 	return p.lostAt != 0 && p.lostAt >= since
 }
 
+// DownPeer describes a peer that is in backoff.
+type DownPeer struct {
+	Cause string `json:"cause"`
+	// DownMs is how long ago it was last usable, BackoffMs the length of its present backoff.
+	DownMs    int64 `json:"down_ms"`
+	BackoffMs int64 `json:"backoff_ms"`
+	// EchoMs is the slowest of its recent echoes, 0 if unknown.
+	EchoMs int64 `json:"echo_ms"`
+}
+
+// Down describes the peers that are in backoff.
+func (t *Table) Down(now core.Time) map[core.DaemonID]DownPeer {
+	list := make(map[core.DaemonID]DownPeer, len(t.down))
+	for id, b := range t.down {
+		p := t.peer(id)
+		list[id] = DownPeer{p.cause.String(), now.Sub(p.downSince).Milliseconds(), b.length.Milliseconds(), p.echoPeak.Milliseconds()}
+	}
+	return list
+}
+
+// DownFor returns how long ago the peer was last found lost or refused after it had been usable.
+func (t *Table) DownFor(now core.Time, id core.DaemonID) time.Duration {
+	return now.Sub(t.peer(id).downSince)
+}
+
 // OverdueIn returns in how long the peer is to be checked if a statement that was sent at the given
 // time is not answered, at most 0 if it is overdue.
 func (t *Table) OverdueIn(now core.Time, id core.DaemonID, sent core.Time) time.Duration {
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -62,6 +62,11 @@
 	SharedLoad
 	// HomesByLoad gives overloaded hosts fewer groups and sessions as homes, where hosts are uneven.
 	HomesByLoad
+	// HedgedReads sends a read to a second home if the first one does not answer it in time.
+	HedgedReads
+	// HedgeAtPercentile hedges reads that take longer than nearly all others. Without it, only reads at
+	// a home that is suspected to be lost are hedged.
+	HedgeAtPercentile
 	end
 )
 
@@ -74,6 +79,7 @@
 	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
 	"shared-health",
 	"shared-load", "homes-by-load",
+	"hedged-reads", "hedge-at-percentile",
 }
 
 // renamed maps the old name of a mechanism to its present name.
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -19,6 +19,10 @@
 	if !s.checkForward(j) {
 		return
 	}
+	if s.mayHedge(j) {
+		s.forwardHedged(j)
+		return
+	}
 	for attempt := 1; ; attempt++ {
 		j.attempt = attempt
 		l, err := s.connectHome(j.route.Group, j.deadline())
@@ -86,15 +90,19 @@
 func (s *session) runAtHome(j *job, l *link, texts []string, waitToDeadline bool) (platform.Answer, bool, error) {
 	send := j.history.Begin(string(l.home))
 	a, sent, err := l.run(s, j.id, texts, j.forwardDeadline(), waitToDeadline)
+	j.history.End(send, sendOutcome(&a, sent, err))
+	return a, sent, err
+}
+
+// sendOutcome returns the outcome of a statement that was to be sent to a home.
+func sendOutcome(a *platform.Answer, sent bool, err error) direct.Outcome {
 	switch {
 	case err == nil:
-		j.history.End(send, homeOutcome(&a))
+		return homeOutcome(a)
 	case sent:
-		j.history.End(send, direct.ConnLost)
-	default:
-		j.history.End(send, direct.NotSent)
+		return direct.ConnLost
 	}
-	return a, sent, err
+	return direct.NotSent
 }
 
 // handleHomeLoss closes a link that has failed, and returns the outcome of its statement. A
--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -72,7 +72,8 @@
 	// lastSeen is when a daemon last answered on any link.
 	lastSeen map[core.DaemonID]core.Time
 	// health replaces the backoffs above where shared health is in use.
-	health *peerHealth
+	health  *peerHealth
+	hedging *hedger
 }
 
 // groupSlot identifies a slot of teams in a group.
@@ -94,7 +95,7 @@
 }
 
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, ready: make(chan struct{}), table: direct.NewHomeTable(), ownGroups: make(map[core.GroupID]bool), slotOrders: make(map[groupSlot][]core.DaemonID), backoffUntil: make(map[core.DaemonID]core.Time), groupBackoffUntil: make(map[groupDaemon]core.Time), teamBackoffUntil: make(map[teamDaemon]core.Time), slotOwners: make(map[quota.Slot]core.DaemonID), lastSeen: make(map[core.DaemonID]core.Time), nextRecheck: make(map[core.DaemonID]core.Time), health: newPeerHealth(p), homeOrders: make(map[core.GroupID][]core.DaemonID)}
+	return &homes{p: p, ready: make(chan struct{}), table: direct.NewHomeTable(), ownGroups: make(map[core.GroupID]bool), slotOrders: make(map[groupSlot][]core.DaemonID), backoffUntil: make(map[core.DaemonID]core.Time), groupBackoffUntil: make(map[groupDaemon]core.Time), teamBackoffUntil: make(map[teamDaemon]core.Time), slotOwners: make(map[quota.Slot]core.DaemonID), lastSeen: make(map[core.DaemonID]core.Time), nextRecheck: make(map[core.DaemonID]core.Time), health: newPeerHealth(p), hedging: newHedger(), homeOrders: make(map[core.GroupID][]core.DaemonID)}
 }
 
 // update chooses the homes again if the known daemons or groups have changed.
@@ -133,6 +134,7 @@
 	}
 	changed := h.table.Update(direct.Fleet{Daemons: daemons, Size: size, Groups: len(catalog.Groups)})
 	if newCatalog {
+		h.hedging.retain(catalog.Routes)
 		changed = h.applyGroups(catalog)
 	}
 	h.health.forwards.Store(!h.table.IsDirect(h.minMaxConns))
@@ -367,7 +369,7 @@
 // isFirstIfSlow reports whether the daemon is slow to connect and would be the preferred one for the team
 // otherwise. The lock is held.
 func (h *homes) isFirstIfSlow(at core.Time, id core.GroupID, team core.TeamID, daemon core.DaemonID) bool {
-	if !h.isSlowToConnect(at, daemon, h.healthScope(id, team)) {
+	if !h.isSlowToConnect(at, daemon, health.Scope{Group: id, Team: team}) {
 		return false
 	}
 	if owner := h.slotOwners[quota.SlotOf(team)]; owner == daemon || owner != "" && h.isAvailable(at, owner, id, team) {
@@ -390,19 +392,11 @@
 // isReachable reports whether no backoff of the daemon itself applies. The lock is held.
 func (h *homes) isReachable(at core.Time, id core.DaemonID) bool {
 	if h.health.enabled() {
-		return h.health.isUsable(at, id, health.Scope{})
+		return h.health.isReachable(at, id)
 	}
 	return at >= h.backoffUntil[id]
 }
 
-// healthScope returns what a session of the team asks a daemon for.
-func (h *homes) healthScope(id core.GroupID, team core.TeamID) health.Scope {
-	if !h.teamAffinity(team) {
-		team = ""
-	}
-	return health.Scope{Group: id, Team: team}
-}
-
 // order returns the other daemons that may be asked for the group, best first, whether or not they are
 // in backoff.
 func (h *homes) order(id core.GroupID, team core.TeamID) []core.DaemonID {
@@ -586,7 +580,7 @@
 // is the case if no backoff applies. The lock is held.
 func (h *homes) isAvailable(at core.Time, id core.DaemonID, group core.GroupID, team core.TeamID) bool {
 	if h.health.enabled() {
-		return h.health.isUsable(at, id, h.healthScope(group, team))
+		return h.health.isUsable(at, id, health.Scope{Group: group, Team: team})
 	}
 	return at >= h.backoffUntil[id] && at >= h.groupBackoffUntil[groupDaemon{group, id}] && at >= h.teamBackoffUntil[teamDaemon{team, id}]
 }
