Test the history of hedged reads and the pause of hedges under overload

Cause: no spec has two homes that both received a read and of which one refused it, nor one for hedges of a database whose reads are refused because of load.

--- a/pkg/proxy/hedge_test.go
+++ b/pkg/proxy/hedge_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -45,6 +47,34 @@
 	}
 }
 
+// hedgingEntry returns an entry of two homes that answer echoes, and for which reads that take longer than
+// some milliseconds are slower than usual. The homes answer the n-th statement with the text that respond
+// returns, and not at all if that is empty. They serve links at the same time.
+func hedgingEntry(respond func(n int) string) *daemon {
+	var n atomic.Int64
+	n.Store(-1)
+	serveLink := func(c net.Conn) {
+		r := bufio.NewReader(c)
+		var hello reportpb.Hello
+		if protodelim.UnmarshalFrom(r, &hello) != nil || hello.Configuration {
+			return
+		}
+		_, _ = protodelim.MarshalTo(c, &reportpb.Welcome{})
+		for _, err := r.ReadString('\n'); err == nil; _, err = r.ReadString('\n') {
+			_, _ = io.WriteString(c, respond(int(n.Add(1))))
+		}
+	}
+	entry := entryServedBy(func(l net.Listener) {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			go serveLink(c)
+		}
+	}, withShortRoute)
+	entry.keepAlive("edge-8")
+	entry.keepAlive("edge-9")
+	entry.observeFastReads("db-primary")
+	return entry
+}
+
 // keepAlive makes the entry believe until the end of the test that the home answers echoes.
 func (d *daemon) keepAlive(home core.DaemonID) {
 	stop := make(chan struct{})
@@ -137,6 +167,69 @@
 		Expect(entry.hedgeCount("slower than usual")).To(Equal("1"))
 	})
 
+	// Guards against "not run" from one home's refusal while the other one has received the read as well.
+	DescribeTable("is not refused as not run if only one home refuses it", func(refusing int) {
+		bothReceived := make(chan struct{})
+		entry := hedgingEntry(func(n int) string {
+			if n == 1 {
+				close(bothReceived)
+			}
+			<-bothReceived
+			if n == refusing {
+				return homeBusy
+			}
+			return ""
+		})
+		a := entry.dial("db-primary").query("READ k")
+		Expect(a.result).To(HavePrefix("ERROR TIMEOUT may have run; it changed nothing: "))
+		Expect(entry.hedgeCount("slower than usual")).To(Equal("1"))
+	}, Entry("the first", 0), Entry("the second", 1))
+
+	// Guards against TIMEOUT for a read that both homes have certainly not run.
+	It("is refused as not run if both homes refuse it", func() {
+		bothReceived := make(chan struct{})
+		entry := hedgingEntry(func(n int) string {
+			if n == 1 {
+				close(bothReceived)
+			}
+			<-bothReceived
+			return homeBusy
+		})
+		a := entry.dial("db-primary").query("READ k")
+		Expect(a.result).To(HavePrefix("ERROR BUSY not run: "))
+		Expect(entry.hedgeCount("failed")).To(Equal("1"))
+	})
+
+	// Guards against hedges that add load to members that already refuse reads.
+	It("is sent to one home only while reads of its database are refused because of load", func() {
+		var entry *daemon
+		hedged, ready := false, make(chan struct{})
+		entry = hedgingEntry(func(n int) string {
+			switch n {
+			case 0:
+				return homeBusy
+			case 1:
+				<-ready
+				for range 1000 {
+					if entry.hedgeCount("over budget") != "0" {
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
+				return "COMPLETE r\r\nREADY I -\r\n"
+			}
+			hedged = true
+			return ""
+		})
+		close(ready)
+		x := entry.dial("db-primary")
+		Expect(x.query("READ k").result).To(HavePrefix("ERROR BUSY"))
+		x.query("READ k")
+		Expect(entry.hedgeCount("over budget")).To(Equal("1"))
+		Expect(entry.hedgeCount("slower than usual")).To(Equal("0"))
+		Expect(hedged).To(BeFalse())
+	})
+
 	It("is not a write", func() {
 		f := newFleet(2, withShortRoute)
 		f.awaitStable()
--- a/pkg/proxy/refusal_test.go
+++ b/pkg/proxy/refusal_test.go
@@ -71,14 +71,19 @@
 
 // entryOf returns a fleet with one daemon and makes it an entry of two homes that answer with respond.
 func entryOf(respond func(n int) string) *daemon {
-	f := newFleet(1)
+	return entryServedBy(func(l net.Listener) { serveAsHome(l, respond) })
+}
+
+// entryServedBy returns a fleet with one daemon and makes it an entry of two homes that serve serves.
+func entryServedBy(serve func(net.Listener), options ...func(f *fleet)) *daemon {
+	f := newFleet(1, options...)
 	f.awaitStable()
 	entry := f.daemons[0]
 	ip := processIP(99)
 	l, err := net.Listen("tcp", entry.s.LinkAddr(ip))
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(l.Close)
-	go serveAsHome(l, respond)
+	go serve(l)
 	entry.p.peers.mu.Lock()
 	entry.p.peers.ensurePeer("edge-8", ip)
 	entry.p.peers.ensurePeer("edge-9", ip)
