--- a/core/health/table.go
+++ b/core/health/table.go
@@ -14,6 +14,8 @@
 	down   backoffs[core.DaemonID]
 	groups backoffs[groupAt]
 	teams  backoffs[teamAt]
+	// selfEchoed is when the last echo was sent that this daemon has read from itself.
+	selfEchoed core.Time
 }
 
 type groupAt struct {
@@ -70,7 +72,7 @@
 	updateMedian(&p.median, took)
 	p.heardAt = now
 	// An answer on an open link does not tell whether the peer accepts new ones.
-	return p.cause == Silent && t.revive(id)
+	return p.cause == Silent && t.revive(now, id)
 }
 
 // Echoed records the answer to an echo that was sent at the given time. It returns whether this ended
@@ -88,7 +90,7 @@
 		return false
 	}
 	p.heardAt = now
-	return p.cause.endsWithEcho() && t.revive(id)
+	return p.cause.endsWithEcho() && t.revive(now, id)
 }
 
 // Connected records that a link was opened, which took so long. It returns whether this ended a
@@ -97,15 +99,23 @@
 	p := t.peer(id)
 	updatePeak(&p.dialPeak, took)
 	p.heardAt, p.dialTimeouts = now, 0
-	return t.revive(id)
+	if !t.revive(now, id) {
+		return false
+	}
+	t.Replaced(id)
+	return true
 }
 
-// Alive records that the peer has answered a request for its configuration. It returns whether this
-// ended a backoff.
+// Replaced records that another version may run at the peer from now on, which may answer no echoes: it
+// is leaving, has closed a link, or accepts sessions again.
+func (t *Table) Replaced(id core.DaemonID) { t.peer(id).answersEchoes = false }
+
+// Alive records that the peer has answered a request for its configuration after it answered no echoes.
+// It returns whether this ended a backoff.
 func (t *Table) Alive(now core.Time, id core.DaemonID) (revived bool) {
 	p := t.peer(id)
-	p.heardAt = now
-	return p.cause.endsWithEcho() && t.revive(id)
+	p.heardAt, p.answersEchoes = now, false
+	return p.cause.endsWithEcho() && t.revive(now, id)
 }
 
 // HeardSince reports whether the peer has answered anything since the given time.
@@ -116,12 +126,17 @@
 // NeedsFirstEcho reports whether it is unknown if the peer answers echoes.
 func (t *Table) NeedsFirstEcho(id core.DaemonID) bool { return !t.peer(id).answersEchoes }
 
-func (t *Table) revive(id core.DaemonID) bool {
+func (t *Table) revive(now core.Time, id core.DaemonID) bool {
 	if t.down[id] == nil {
 		return false
 	}
 	delete(t.down, id)
-	t.peer(id).lostAt = 0
+	p := t.peer(id)
+	p.lostAt = 0
+	if p.cause != DialSlow {
+		// Nobody waits for a peer that is slow to connect.
+		p.admit(now)
+	}
 	return true
 }
 
@@ -131,13 +146,12 @@
 	if t.down[id] == nil {
 		p.downSince = now
 	}
-	p.cause, p.dialTimeouts = cause, 0
+	p.cause, p.dialTimeouts, p.admission = cause, 0, admission{}
 	switch cause {
 	case Silent:
 		p.lostAt = now
 	case Unreachable:
-		// Another version may run there next.
-		p.answersEchoes = false
+		t.Replaced(id)
 	}
 	t.down.fail(now, id)
 }
@@ -171,8 +185,11 @@
 }
 
 // GroupAccepted records that the peer has accepted a session of the group.
-func (t *Table) GroupAccepted(id core.DaemonID, group core.GroupID) {
-	delete(t.groups, groupAt{group, id})
+func (t *Table) GroupAccepted(now core.Time, id core.DaemonID, group core.GroupID) {
+	if k := (groupAt{group, id}); t.groups[k] != nil {
+		delete(t.groups, k)
+		t.peer(id).admit(now)
+	}
 }
 
 // TeamDeclined records that the peer does not run the team's statements: it does not count the team's
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -337,7 +337,7 @@
 // run runs the read at the second home.
 func (a *secondAttempt) run(shadow *session, scope health.Scope, dialDeadline core.Time, deadline time.Time) {
 	defer close(a.done)
-	a.link, a.err = shadow.tryHome(a.home, scope, dialDeadline, false)
+	a.link, a.err = shadow.tryHome(a.home, scope, dialDeadline, false, false)
 	if a.err != nil {
 		return
 	}
