--- a/core/health/backoff.go
+++ b/core/health/backoff.go
@@ -44,6 +44,8 @@
 	length          time.Duration
 	// tryingUntil is the time until which a claimed trial excludes others, 0 if there is none.
 	tryingUntil core.Time
+	// tried is set once a trial was claimed after the last failure, also if that trial has ended.
+	tried bool
 }
 
 func (b *backoff) phase(now core.Time) Phase {
@@ -73,12 +75,12 @@
 		b.length = min(2*b.length, MaxBackoff)
 		b.until = now.Add(b.length)
 	}
-	b.failedAt, b.tryingUntil = now, 0
+	b.failedAt, b.tryingUntil, b.tried = now, 0, false
 }
 
 // claim records that a session tries.
 func (m backoffs[K]) claim(now core.Time, key K) {
 	if b := m[key]; b != nil {
-		b.tryingUntil = now.Add(TrialTimeout)
+		b.tryingUntil, b.tried = now.Add(TrialTimeout), true
 	}
 }
--- a/core/health/check.go
+++ b/core/health/check.go
@@ -69,6 +69,14 @@
 	return step
 }
 
+// IsSuspect reports whether a check of the peer runs that has had no answer for half of the time to
+// the verdict.
+func (t *Table) IsSuspect(now core.Time, id core.DaemonID) bool {
+	p := t.peer(id)
+	c := p.check
+	return c != nil && p.heardAt < c.began && now.Sub(c.began) >= p.lostAfter()/2
+}
+
 // isSecondTrial reports whether the peer's backoff has ended and was not its first one. Its length doubles
 // with each failed trial, so this is so at most once per backoff.
 func (t *Table) isSecondTrial(now core.Time, id core.DaemonID) bool {
--- a/pkg/proxy/peerhealth.go
+++ b/pkg/proxy/peerhealth.go
@@ -21,8 +21,12 @@
 // errHomeDown ends the wait for a home that has been found lost.
 var errHomeDown = errors.New("the home does not answer")
 
-// interruptible is a wait for a peer that can be ended early.
-type interruptible interface{ interrupt() }
+// interruptible is a wait for a peer. interrupt ends it, as the peer has been found lost; suspect
+// tells it that the peer may be lost.
+type interruptible interface {
+	interrupt()
+	suspect()
+}
 
 // peerHealth carries out the decisions of a health.Table: it runs checks, wakes the sessions that
 // wait for a lost peer, and lets sessions wait while all candidates are in backoff.
@@ -110,6 +114,17 @@
 	return h.table.Choose(at, order, s), h.changed
 }
 
+// isReachable reports whether sessions may keep their links to the peer. It starts a check like
+// isUsable.
+func (h *peerHealth) isReachable(at core.Time, id core.DaemonID) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.table.AwaitsEcho(at, id) {
+		h.startCheck(at, id)
+	}
+	return h.table.IsReachable(at, id)
+}
+
 // isUsable reports whether a session would be given the peer. It starts a check of a peer whose
 // backoff has ended and which an echo would make usable again.
 func (h *peerHealth) isUsable(at core.Time, id core.DaemonID, s health.Scope) bool {
@@ -225,6 +240,10 @@
 		step = h.table.ContinueCheck(now(), id)
 		if step.Lost {
 			h.failed(id, health.Silent, "silence_ms", step.Silence.Milliseconds(), "limit_ms", step.Limit.Milliseconds())
+		} else if h.table.IsSuspect(now(), id) {
+			for w := range h.waits[id] {
+				w.suspect()
+			}
 		}
 		h.mu.Unlock()
 	}
@@ -300,7 +319,7 @@
 // revived logs that a backoff of the peer has ended. The lock is held.
 func (h *peerHealth) revived(id core.DaemonID, by string) {
 	h.p.stats.health.Add("revived", 1)
-	h.p.log.Info("peer", "verdict", "up", "peer", id, "by", by)
+	h.p.log.Info("peer", "verdict", "up", "peer", id, "by", by, "down_ms", h.table.DownFor(now(), id).Milliseconds())
 	h.notify()
 }
 
@@ -372,12 +391,12 @@
 func (h *peerHealth) teamAccepted(id core.DaemonID, team core.TeamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.table.TeamAccepted(id, team) {
+	if h.table.TeamAccepted(now(), id, team) {
 		h.notify()
 	}
 }
 
-// teamDeclined records that the peer does not count the team's operations.
+// teamDeclined records that the peer has declined a statement of the team.
 func (h *peerHealth) teamDeclined(id core.DaemonID, team core.TeamID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -415,6 +434,22 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
+// down describes the peers in backoff for the metrics endpoint.
+func (h *peerHealth) down() map[core.DaemonID]health.DownPeer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Down(now())
+}
+
+// isUnsuspected reports whether no backoff applies to the peer and no check of it has been unanswered
+// for long.
+func (h *peerHealth) isUnsuspected(id core.DaemonID, s health.Scope) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := now()
+	return h.table.Phase(at, id, s) == health.Closed && !h.table.IsSuspect(at, id)
+}
+
 // dialLimit returns how long opening a link to the peer may take, with its handshake.
 func (h *peerHealth) dialLimit(id core.DaemonID, remaining time.Duration, others bool) time.Duration {
 	h.mu.Lock()
@@ -471,7 +506,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	at := now()
-	if h.table.TeamAccepted(id, team) {
+	if h.table.OwnerNamed(id, team) {
 		h.notify()
 	}
 	if h.table.IsDown(id) {
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -28,6 +28,8 @@
 	refusalsUnproved expvar.Int
 	// health counts the checks of other daemons, the verdicts by cause, and the backoffs that ended.
 	health expvar.Map
+	// hedges counts the reads sent to a second home, by reason and by outcome.
+	hedges expvar.Map
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
@@ -72,7 +74,7 @@
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"store_eras_ended": s.erasEnded.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
-		"peer_health": valuesOf(&s.health),
+		"peer_health": valuesOf(&s.health), "hedges": valuesOf(&s.hedges),
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
--- a/pkg/proxy/watchedlink.go
+++ b/pkg/proxy/watchedlink.go
@@ -24,6 +24,7 @@
 	sent     core.Time
 	down     atomic.Bool
 	closed   atomic.Bool
+	hedging
 }
 
 // Close implements net.Conn.
@@ -36,6 +37,7 @@
 
 func (c *watchedConn) SetDeadline(t time.Time) error {
 	c.deadline, c.sent = t, now()
+	c.superseded.Store(false)
 	return c.TCPConn.SetDeadline(t)
 }
 
@@ -57,9 +59,12 @@
 		if c.deadline.Before(next) {
 			next = c.deadline
 		}
+		if c.hedgeable.Load() && !c.hedgeAt.IsZero() && c.hedgeAt.Before(next) {
+			next = c.hedgeAt
+		}
 		_ = c.TCPConn.SetReadDeadline(next)
-		if c.down.Load() {
-			// interrupt may have come before the deadline was set.
+		if c.down.Load() || c.superseded.Load() || c.isHedgeDue() {
+			// The interruption may have come before the deadline was set.
 			_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0))
 		}
 		n, err := c.TCPConn.Read(b)
@@ -68,6 +73,10 @@
 			return n, err
 		case c.down.Load():
 			return c.readArrived(b)
+		case c.superseded.Load():
+			return 0, errSuperseded
+		case c.isHedgeDue():
+			return 0, errHedgeDue
 		case !time.Now().Before(c.deadline):
 			return 0, err
 		}
@@ -98,6 +107,8 @@
 	down   atomic.Bool
 }
 
+func (w *dialWait) suspect() {}
+
 func (w *dialWait) interrupt() {
 	w.down.Store(true)
 	w.cancel()
@@ -147,7 +158,7 @@
 // the deadline.
 func (s *session) connectWatched(id core.GroupID, deadline core.Time) (*link, error) {
 	waitDeadline := now().Add(fractionOf(until(deadline, 0), maxWaitShare))
-	scope := s.p.homes.healthScope(id, s.p.access.teamOf(s.key))
+	scope := health.Scope{Group: id, Team: s.p.access.teamOf(s.key)}
 	unknown := 0
 	for {
 		choice, changed := s.p.homes.health.choose(s.p.homes.order(id, scope.Team), scope)
