--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -54,6 +54,9 @@
 	AvoidFailing
 	// GatherTeams lets one home of each group serve all statements of a team.
 	GatherTeams
+	// SharedHealth lets all sessions of an entry share one verdict about each home, which needs
+	// silence towards echoes, and a backoff that grows from a tenth of a second.
+	SharedHealth
 	// SharedLoad places reads by what all homes have running on the members, where members or hosts
 	// are uneven.
 	SharedLoad
@@ -62,6 +65,11 @@
 	// SplitLimits lets a second daemon give out a part of each team's limit, so that teams are served
 	// while the holder of their slot is lost.
 	SplitLimits
+	// HedgedReads sends a read to a second home if the first one does not answer it in time.
+	HedgedReads
+	// HedgeAtPercentile hedges reads that take longer than nearly all others. Without it, only reads at
+	// a home that is suspected to be lost are hedged.
+	HedgeAtPercentile
 	end
 )
 
@@ -71,7 +79,8 @@
 var names = [...]string{
 	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
-	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams", "shared-load", "homes-by-load", "split-limits",
+	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
+	"shared-health", "shared-load", "homes-by-load", "split-limits", "hedged-reads", "hedge-at-percentile",
 }
 
 // renamed maps the old name of a mechanism to its present name.
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -19,6 +19,10 @@
 	if !s.checkForward(j) {
 		return
 	}
+	if s.mayHedge(j) {
+		s.forwardHedged(j)
+		return
+	}
 	for attempt := 1; ; attempt++ {
 		j.attempt = attempt
 		l, err := s.connectHome(j.route.Group, j.deadline())
@@ -91,15 +95,19 @@
 func (s *session) runAtHome(j *job, l *link, texts []string, waitToDeadline bool) (platform.Answer, bool, error) {
 	send := j.history.Begin(string(l.home))
 	a, sent, err := l.run(s, j.id, texts, j.forwardDeadline(), waitToDeadline)
+	j.history.End(send, sendOutcome(&a, sent, err))
+	return a, sent, err
+}
+
+// sendOutcome returns the outcome of a statement that was to be sent to a home.
+func sendOutcome(a *platform.Answer, sent bool, err error) direct.Outcome {
 	switch {
 	case err == nil:
-		j.history.End(send, homeOutcome(&a))
+		return homeOutcome(a)
 	case sent:
-		j.history.End(send, direct.ConnLost)
-	default:
-		j.history.End(send, direct.NotSent)
+		return direct.ConnLost
 	}
-	return a, sent, err
+	return direct.NotSent
 }
 
 // handleHomeLoss closes a link that has failed, and returns the outcome of its statement. A
@@ -108,9 +116,15 @@
 func (s *session) handleHomeLoss(j *job, l *link, sent bool, err error) direct.Outcome {
 	s.p.stats.connsBroken.Add(1)
 	s.logDecision("home lost", "id", j.id, "home", l.home, "sent", sent, "error", err)
-	if closedByPeer(err) {
+	switch {
+	case s.p.homes.health.enabled():
+		// The next attempt to open a link, or the check that has begun, gives the verdict.
+		if closedByPeer(err) {
+			s.p.homes.health.replaced(l.home)
+		}
+	case closedByPeer(err):
 		s.p.homes.backOff(l.home)
-	} else {
+	default:
 		go s.p.checkHome(l.home, j.arrived)
 	}
 	s.closeLink()
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -42,11 +42,14 @@
 // connections to the members add to those of the current homes.
 func (s *session) connectHome(id core.GroupID, deadline core.Time) (*link, error) {
 	team, overflow := s.p.access.teamOf(s.key), s.overflowHome
-	s.overflowHome = ""
+	defer func() { s.overflowHome = "" }()
 	if s.link != nil && s.link.group == id && s.link.isUsable() && (s.staysAtOtherHolder() || s.p.homes.mayKeepLink(id, team, s.link.home)) {
 		return s.link.link, nil
 	}
 	s.closeLink()
+	if s.p.homes.health.enabled() {
+		return s.connectWatched(id, deadline)
+	}
 	unknown := 0
 	for _, home := range preferHome(s.p.homes.candidates(id, team), overflow) {
 		if now() >= deadline {
@@ -107,23 +110,40 @@
 }
 
 func (s *session) dialHome(home core.DaemonID, deadline core.Time, secondPart bool) (*link, error) {
+	timeout := min(homeDialTimeout, until(deadline, minDialTimeout))
+	return s.openLink(home, dialLink, timeout, secondPart, func() time.Duration { return timeout })
+}
+
+// minDialTimeout is the time for opening a link that a statement is given in any case.
+const minDialTimeout = 20 * time.Millisecond
+
+// openLink opens a link to the home. secondPart asks for the second part of the team's split limit.
+// handshakeTimeout returns the time for the handshake once the connection is there.
+func (s *session) openLink(home core.DaemonID, dial dialFunc, timeout time.Duration, secondPart bool, handshakeTimeout func() time.Duration) (*link, error) {
 	addr, ok := s.p.peers.homeAddr(home)
 	if !ok {
 		return nil, errNoHome
 	}
-	timeout := min(homeDialTimeout, until(deadline, 20*time.Millisecond))
-	c, err := net.DialTimeout("tcp", addr, timeout)
+	c, err := dial(home, addr, timeout)
 	if err != nil {
 		return nil, err
 	}
 	l := &link{home: home, c: c, r: bufio.NewReaderSize(c, 1024), values: map[string]string{}, prepared: map[string]preparedStatement{}}
-	if err := l.handshake(s, timeout, secondPart); err != nil {
+	if err := l.handshake(s, handshakeTimeout(), secondPart); err != nil {
 		_ = c.Close()
 		return nil, err
 	}
 	return l, nil
 }
 
+// dialFunc opens a connection to a home.
+type dialFunc func(home core.DaemonID, addr string, timeout time.Duration) (net.Conn, error)
+
+// dialLink opens a connection to a home.
+func dialLink(_ core.DaemonID, addr string, timeout time.Duration) (net.Conn, error) {
+	return net.DialTimeout("tcp", addr, timeout)
+}
+
 // handshake opens the session at the home.
 func (l *link) handshake(s *session, timeout time.Duration, secondPart bool) error {
 	_ = l.c.SetDeadline(time.Now().Add(timeout))
@@ -184,34 +204,58 @@
 func (l *link) run(s *session, id string, texts []string, deadline time.Time, waitToDeadline bool) (a platform.Answer, sent bool, err error) {
 	end := s.startSpan("home.link", id, string(l.home))
 	defer func() { end(outcomeText(a.Code, err)) }()
+	precedingCount, sent, err := l.send(s, id, texts, deadline)
+	if err != nil {
+		return a, sent, err
+	}
+	began := now()
+	if err := l.awaitAnswer(s, deadline, waitToDeadline); err != nil {
+		return a, true, err
+	}
+	a, err = l.receive(s, precedingCount, began, nil)
+	return a, true, err
+}
+
+// send sends what run runs. It returns the number of answers that precede that of the caller's
+// statement.
+func (l *link) send(s *session, id string, texts []string, deadline time.Time) (precedingCount int, sent bool, err error) {
 	l.out = l.out[:0]
-	precedingCount := l.syncState(s)
+	precedingCount = l.syncState(s)
 	for _, text := range texts[:len(texts)-1] {
 		l.out = platform.AppendStatement(l.out, entryStatementID, text, core.Position{})
 		precedingCount++
 	}
 	l.out = platform.AppendStatement(l.out, id, texts[len(texts)-1], core.Position{})
 	_ = l.c.SetDeadline(deadline)
-	if n, err := l.c.Write(l.out); err != nil {
-		return a, n > 0, err
-	}
-	if err := l.awaitAnswer(s, deadline, waitToDeadline); err != nil {
-		return a, true, err
+	n, err := l.c.Write(l.out)
+	return precedingCount, n > 0, err
+}
+
+// receive reads the answers to what was sent, and returns the last one. It calls ready before each,
+// if ready is not nil.
+func (l *link) receive(s *session, precedingCount int, began core.Time, ready func()) (a platform.Answer, err error) {
+	if ready == nil {
+		ready = func() {}
 	}
 	for range precedingCount {
+		ready()
 		a, err = l.readAnswer()
 		if err == nil && a.Code != "" {
 			err = errors.New(a.Code + " " + a.Text)
 		}
 		if err != nil {
-			return a, true, err
+			return a, err
 		}
 	}
+	ready()
 	a, err = l.readAnswer()
 	if err == nil {
-		s.p.homes.markSeen(l.home)
+		s.p.homes.answered(l.home, began)
+		if !l.isDecline(&a) && s.p.homes.health.enabled() {
+			s.p.homes.health.teamAccepted(l.home, s.p.access.teamOf(s.key))
+		}
 	}
-	return a, true, err
+	return a, err
 }
 
 // awaitAnswer waits for the first byte of an answer. It returns an error after homeSilenceTimeout
@@ -225,7 +269,7 @@
 // members are overloaded. Daemons that are not homes would then use up the members'
 // connections, and the overload would sustain itself.
 func (l *link) awaitAnswer(s *session, deadline time.Time, waitToDeadline bool) error {
-	if waitToDeadline || time.Until(deadline) <= homeSilenceTimeout {
+	if _, watched := l.c.(*watchedConn); watched || waitToDeadline || time.Until(deadline) <= homeSilenceTimeout {
 		return nil
 	}
 	sent := now()
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -173,6 +173,16 @@
 	return s.p.settings.LinkAddr(k.ip), true
 }
 
+// ip returns the daemon's IP address, "" if it is unknown.
+func (s *peers) ip(id core.DaemonID) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if k := s.known[id]; k != nil {
+		return k.ip
+	}
+	return ""
+}
+
 // daemons returns all known daemons including this one, sorted by ID. In a small fleet, where
 // reports are sent to all daemons, a daemon counts while its reports arrive. In a large fleet it also
 // counts while it is listed. A daemon whose reports do not arrive and that is not listed is forgotten.
@@ -427,11 +437,28 @@
 	}
 }
 
-// receive handles reports of other daemons until the connection is closed.
+// maxWaitingReports bounds the received reports that wait to be handled. Further ones wait in the
+// socket.
+const maxWaitingReports = 32
+
+// receive handles reports of other daemons until the connection is closed. Reports are handled in a
+// goroutine of their own, as they wait for locks of groups. Liveness checks must be answered meanwhile,
+// or this daemon would be taken for lost.
 func (s *peers) receive() {
+	reports, handled := make(chan *reportpb.Report, maxWaitingReports), make(chan struct{})
+	go func() {
+		defer close(handled)
+		for m := range reports {
+			s.handleReport(m)
+		}
+	}()
+	defer func() {
+		close(reports)
+		<-handled
+	}()
 	buf := make([]byte, maxReportBytes)
 	for {
-		n, _, err := s.conn.ReadFrom(buf)
+		n, from, err := s.conn.ReadFrom(buf)
 		if err != nil {
 			if !s.p.running() {
 				return
@@ -445,7 +472,10 @@
 			s.p.stats.reportsMalformed.Add(1)
 			continue
 		}
-		s.handleReport(&m)
+		if s.handleProbe(&m, from) {
+			continue
+		}
+		reports <- &m
 	}
 }
 
@@ -481,6 +511,7 @@
 		s.mu.Lock()
 		delete(s.known, from)
 		s.mu.Unlock()
+		s.p.homes.health.replaced(from)
 		return
 	}
 	s.mu.Lock()
--- a/pkg/proxy/split.go
+++ b/pkg/proxy/split.go
@@ -160,7 +160,7 @@
 		}
 		homes := h.homesOf(g.id)
 		order := slices.DeleteFunc(slices.Clone(h.teamOrder(g.id, team)), func(d core.DaemonID) bool {
-			return !slices.Contains(homes, d) || at < h.backoffUntil[d]
+			return !slices.Contains(homes, d) || !h.isReachable(at, d)
 		})
 		if len(order) == 0 {
 			return false
@@ -209,11 +209,11 @@
 	return len(order) > 0 && order[0] == daemon
 }
 
-// isReachable reports whether no backoff applies to the daemon.
-func (h *homes) isReachable(id core.DaemonID) bool {
+// canReach reports whether no backoff applies to the daemon.
+func (h *homes) canReach(id core.DaemonID) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return now() >= h.backoffUntil[id]
+	return h.isReachable(now(), id)
 }
 
 // overLimitBackoff is the time until which no statement of a team is sent on to a daemon, and the
@@ -248,13 +248,14 @@
 	if first == "" {
 		return list
 	}
-	return slices.Insert(slices.DeleteFunc(list, func(d core.DaemonID) bool { return d == first }), 0, first)
+	// The list may be a cached order.
+	return slices.Insert(slices.DeleteFunc(slices.Clone(list), func(d core.DaemonID) bool { return d == first }), 0, first)
 }
 
 // staysAtOtherHolder reports whether the session was moved to the other holder of its team's limit
 // and stays there for now.
 func (s *session) staysAtOtherHolder() bool {
-	return now() < s.link.overflowUntil && s.p.homes.isReachable(s.link.home)
+	return now() < s.link.overflowUntil && s.p.homes.canReach(s.link.home)
 }
 
 // countSecond returns the number of second slots among the slots.
@@ -280,7 +281,7 @@
 		return s.secondPart
 	}
 	owner := s.p.limits.slotOwner(team)
-	return owner != "" && !s.p.homes.isReachable(owner)
+	return owner != "" && !s.p.homes.canReach(owner)
 }
 
 // isAtLimit reports whether a home has refused a statement because it has no token of its part of the
@@ -353,7 +354,7 @@
 // daemon can be asked.
 func (s *session) askForSecondPart(l *link, a *platform.Answer, team core.TeamID) bool {
 	owner := parseSlotOwner(a.Text)
-	if !s.p.limits.split || owner == "" || s.p.homes.isReachable(owner) {
+	if !s.p.limits.split || owner == "" || s.p.homes.canReach(owner) {
 		return false
 	}
 	s.p.homes.setSlotOwner(team, owner)
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -29,6 +29,10 @@
 	// onSecondPart counts the operations counted against the second part of a split limit, overflowed
 	// the statements over one part that were sent to the holder of the other.
 	onSecondPart, overflowed expvar.Int
+	// health counts the checks of other daemons, the verdicts by cause, and the backoffs that ended.
+	health expvar.Map
+	// hedges counts the reads sent to a second home, by reason and by outcome.
+	hedges expvar.Map
 
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
@@ -74,6 +78,7 @@
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"store_eras_ended": s.erasEnded.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
 		"on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
+		"peer_health": valuesOf(&s.health), "hedges": valuesOf(&s.hedges),
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
