End the specs of overload control that wait by mistake

Cause: with the refusal on arrival broken, two specs of pkg/proxy waited until the timeout of go test, and hid the results of all other specs.

Change: both have a spec timeout of 20 s. It decides nothing about a spec whose statement is refused.

Result: the three specs of overload control pass in 0.03 s; with the refusal removed, exactly these two are reported as timed out. The rest of pkg/proxy was not run again.

--- a/pkg/proxy/overload_test.go
+++ b/pkg/proxy/overload_test.go
@@ -41,6 +41,9 @@
 	return p
 }
 
+// hangTimeout ends a spec whose statement is admitted by mistake and waits for minutes.
+const hangTimeout = 20 * time.Second
+
 // runLoan runs a statement on a session of its own and returns the answer.
 func runLoan(p *Proxy, timeout time.Duration) string {
 	s := &session{p: p}
@@ -53,7 +56,7 @@
 var _ = Describe("overload control", func() {
 	// A queue in which statements wait for minutes. Guards against a statement that takes a quota
 	// reservation or waits until its deadline for a refusal that is known when it arrives.
-	It("refuses a statement by its forecast on arrival, with the time of its return", func() {
+	It("refuses a statement by its forecast on arrival, with the time of its return", SpecTimeout(hangTimeout), GracePeriod(time.Second), func(SpecContext) {
 		p := overloadedGroup(true, 20)
 		answer := runLoan(p, 15*time.Minute)
 		Expect(answer).To(ContainSubstring("BUSY not run: " + reasonForecast + "; retry after "))
@@ -62,7 +65,7 @@
 		Expect(p.existingGroup("g").queue.Len()).To(Equal(20))
 	})
 
-	It("tells callers of the same kind different times", func() {
+	It("tells callers of the same kind different times", SpecTimeout(hangTimeout), GracePeriod(time.Second), func(SpecContext) {
 		p := overloadedGroup(true, 20)
 		retry := regexp.MustCompile(`retry after (\d+) ms`)
 		var times []int
