--- a/pkg/proxy/refusal.go
+++ b/pkg/proxy/refusal.go
@@ -45,6 +45,9 @@
 	if s.p.isCutOff(j.route.Group) {
 		s.redirectEntry()
 	}
+	if after, inputs := s.scheduleReturn(j); r.retryAfter == 0 {
+		r.retryAfter, r.inputs = after, append(r.inputs, inputs...)
+	}
 	if r.retryAfter == 0 {
 		r.retryAfter = outageRetryAfter(s.p.outageDuration(j.route.Group))
 	}
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -27,6 +27,9 @@
 	// refusalsUnproved counts statements that were not served and may have run.
 	refusalsUnproved expvar.Int
 
+	// overload holds the counters of overload control.
+	overload *overloadStats
+
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
 }
@@ -39,7 +42,7 @@
 )
 
 func newStats() *stats {
-	return &stats{latency: hdrhistogram.New(minLatencyUs, maxLatencyUs, latencyDigits)}
+	return &stats{overload: newOverloadStats(), latency: hdrhistogram.New(minLatencyUs, maxLatencyUs, latencyDigits)}
 }
 
 // countRefusal counts an error answer under its code.
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -49,6 +49,9 @@
 	if !s.checkKey(j) {
 		return false
 	}
+	if inputs, ok := s.admit(j, !tx.readOnly); !ok {
+		return s.failBegin(j, refusal{reason: reasonForecast, inputs: inputs})
+	}
 	if !s.reserveQuota(j) {
 		return s.failBeginOverQuota(j)
 	}
@@ -122,7 +125,7 @@
 // another daemon counts the team's operations, the transaction is forwarded to it instead.
 func (s *session) failBeginOverQuota(j *job) bool {
 	if s.shouldForwardToSlotOwner() {
-		s.tx.forwarded, j.text, j.prepared = true, j.callerText, nil
+		s.tx.forwarded, j.text, j.prepared, j.waiter = true, j.callerText, nil, nil
 		if j.kind == direct.StatementCommit {
 			s.forwardCommit(j)
 		} else {
