Forecast waits in the order in which the queue serves

Cause: The forecast counted late waiters before statements that are served before them, work for the primary at the replicas' places, and statements that were refused as arrivals. It learned only from waits that ended with a place, and for all kinds together. Statements for the primary were refused during a change of the primary, because reads were still served. Callers who returned as promised were late by then and were served last. Change: A statement that can be in time counts only such waiters; a late one counts them all and the arrivals of all kinds. Work for the primary takes no more than the primary's places. Arrivals are counted when a statement is placed or starts to wait. Waits that end without a place are lower bounds, while others are served. Corrections and errors are kept by kind and by whether the primary is needed, and so is whether waiters are served in order of arrival and not shed. A forecast needs a steady group and recent service of statements that need the primary or not, as the new one does. Promised waiters go first also if they are late.

--- a/core/admission/forecast_test.go
+++ b/core/admission/forecast_test.go
@@ -115,6 +115,80 @@
 		Expect(q.Forecast(at, newForecastWaiter(at, "posting", 0, 40*ms, true), places).Wait).To(BeNumerically("~", 3*before, before/10))
 	})
 
+	// Postings wait past their goal. Guards against refusals of newcomers that are served before all of
+	// them because they can still be in time.
+	It("counts late waiters only before a statement that will be late as well", func() {
+		q, at := newForecastingQueue(admission.LimitDeadline)
+		for range 120 {
+			w := newForecastWaiter(at, "posting", 0, 40*ms, true)
+			w.Aim = at
+			q.Add(at, w)
+		}
+		newcomer := q.Forecast(at, newForecastWaiter(at, "posting", 0, 40*ms, true), places)
+		Expect(newcomer.Position).To(BeZero())
+		Expect(newcomer.TooLate).To(BeFalse())
+		late := newForecastWaiter(at, "posting", 0, 40*ms, true)
+		late.Aim = at
+		Expect(q.Forecast(at, late, places).TooLate).To(BeTrue())
+	})
+
+	// Both replicas serve reads while the primary hangs. Guards against refusals of postings by a forecast
+	// that takes the reads' places for their own.
+	It("refuses no statement for the primary while only others are served", func() {
+		q, at := newForecastingQueue(admission.LimitDeadline)
+		add(q, at, 200)
+		at = at.Add(admission.ServingWindow + ms)
+		q.Add(at, newForecastWaiter(at, "read", 2, 20*ms, false))
+		q.Serve(at, func(w *waiter) bool { return !w.Primary })
+		Expect(q.Forecast(at, newForecastWaiter(at, "posting", 0, 40*ms, true), places).TooLate).To(BeFalse())
+	})
+
+	// The primary is full, replicas are not. Guards against refusals of reads because of statements that
+	// use none of the replicas' places.
+	It("counts work for the primary at no other member", func() {
+		q, at := newForecastingQueue(admission.LimitDeadline)
+		read := newForecastWaiter(at, "read", 2, 40*ms, false)
+		add(q, at, 100)
+		Expect(q.Forecast(at, read, places).Wait).To(BeNumerically("~", 5*ms, ms), "its own work at eight places")
+		for range 500 {
+			q.ObserveArrival(at, newForecastWaiter(at, "posting", 0, 40*ms, true))
+		}
+		Expect(q.Forecast(at, read, places).Wait).To(BeNumerically("<", 10*ms), "they take a third of the places at most")
+	})
+
+	// Late statements end at their deadline, and only those that are served quickly are seen to get a place.
+	// Guards against forecasts that stay too short because of that.
+	It("learns from waits that end without a place, while others are served", func() {
+		expire := func(serving bool) time.Duration {
+			q, at := newForecastingQueue(admission.LimitDeadline)
+			for range 30 {
+				w := newForecastWaiter(at, "posting", 0, 40*ms, true)
+				q.Forecast(at, w, places)
+				q.Add(at, w)
+				at = at.Add(850 * ms)
+				if serving {
+					q.Add(at, newForecastWaiter(at, "posting", 0, 40*ms, true))
+					q.Serve(at, func(o *waiter) bool { return o != w })
+				}
+				q.Expire(at, w)
+			}
+			return q.Forecast(at, newForecastWaiter(at, "posting", 0, 40*ms, true), places).Wait
+		}
+		Expect(expire(true)).To(BeNumerically("~", 40*ms, ms), "four times 10 ms, the largest correction")
+		Expect(expire(false)).To(BeNumerically("~", 10*ms, ms))
+	})
+
+	// Guards against refusals of reads because postings wait longer than forecast.
+	It("learns for each kind separately", func() {
+		q, at := newForecastingQueue(admission.LimitDeadline)
+		for range 200 {
+			q.Add(at, newForecastWaiter(at, "read", 0, 40*ms, true))
+		}
+		q.Serve(at, func(w *waiter) bool { return w.Database == "read" && q.Len() > 190 })
+		Expect(q.Forecast(at, newForecastWaiter(at, "read", 0, 40*ms, true), places).TooLate).To(BeFalse(), "no wait of a read was seen")
+		Expect(q.Forecast(at, newForecastWaiter(at, "posting", 0, 40*ms, true), places).TooLate).To(BeTrue())
+	})
+
 	It("allows for the statements that will arrive and go before", func() {
 		q, at := newForecastingQueue(admission.LimitDeadline)
 		read := newForecastWaiter(at, "read", 2, 40*ms, true)
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -53,9 +53,11 @@
 	// Priority orders waiters; 0 is the highest.
 	Priority int
 	// Promised is set if the caller was told to retry at this time. It goes before the newcomers of
-	// its kind.
+	// its kind, and is not served after those that can be in time if it is late itself.
 	Promised bool
 
+	// counted is set once the statement has been counted as an arrival.
+	counted bool
 	// forecastAt is when the wait was forecast, 0 if it was not; forecastRaw is the forecast before
 	// its correction by earlier waits, forecastWait the one after.
 	forecastAt                core.Time
@@ -109,16 +111,27 @@
 
 // Add adds a waiter.
 func (q *Queue[T]) Add(at core.Time, w *Waiter[T]) {
-	standing := q.isStanding(at)
+	newest := q.newestFirst(at, w)
 	i := len(q.waiters)
-	for i > 0 && q.goesBefore(w, q.waiters[i-1], standing) {
+	for i > 0 && q.goesBefore(w, q.waiters[i-1], newest) {
 		i--
 	}
 	q.waiters = slices.Insert(q.waiters, i, w)
 }
 
-// goesBefore reports whether the waiter w, which is newer, goes before o.
-func (q *Queue[T]) goesBefore(w, o *Waiter[T], standing bool) bool {
+// newestFirst reports whether the waiter goes before older ones of its kind.
+func (q *Queue[T]) newestFirst(at core.Time, w *Waiter[T]) bool {
+	return q.isStanding(at) && q.policy.Has(policy.NewestFirst) && !q.isBounded(at, w)
+}
+
+// goesFirst reports whether the waiter is served before those that cannot be in time.
+func (q *Queue[T]) goesFirst(at core.Time, w *Waiter[T]) bool {
+	return w.Promised || w.canBeInTime(at) || !q.policy.Has(policy.InTimeFirst)
+}
+
+// goesBefore reports whether the waiter w, which is newer, goes before o. newest is set if it goes
+// before older ones of its kind.
+func (q *Queue[T]) goesBefore(w, o *Waiter[T], newest bool) bool {
 	switch {
 	case w.Priority != o.Priority:
 		return w.Priority < o.Priority
@@ -127,7 +140,7 @@
 	case w.Promised != o.Promised:
 		return w.Promised
 	}
-	return standing && q.policy.Has(policy.NewestFirst) && !q.forecasts()
+	return newest
 }
 
 // Remove removes a waiter that was not served.
@@ -146,10 +159,10 @@
 	if slices.ContainsFunc(q.waiters, func(w *Waiter[T]) bool { return w.waitedHalf(at) }) {
 		q.noteStanding(at)
 	}
-	q.serveIf(at, place, func(w *Waiter[T]) bool { return w.canBeInTime(at) || !q.policy.Has(policy.InTimeFirst) })
+	q.serveIf(at, place, func(w *Waiter[T]) bool { return q.goesFirst(at, w) })
 	q.serveIf(at, place, func(*Waiter[T]) bool { return true })
 	overloaded := q.isStanding(at) && at.Sub(q.standingSince) >= ShedDelay && at.Sub(q.servedAt) < ServingWindow
-	if !overloaded || !q.policy.Has(policy.Shedding) || q.forecasts() && q.forecaster.isTrained(at) {
+	if !overloaded || !q.policy.Has(policy.Shedding) {
 		return nil
 	}
 	return q.shed(at)
@@ -173,7 +186,7 @@
 // example, all keep waiting.
 func (q *Queue[T]) shed(at core.Time) (rejected []*Waiter[T]) {
 	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter[T]) bool {
-		if at.Sub(w.Arrived) < MinWait || w.canBeInTime(at) && !w.isOverdue(at) {
+		if at.Sub(w.Arrived) < MinWait || w.canBeInTime(at) && !w.isOverdue(at) || q.isBounded(at, w) {
 			return false
 		}
 		rejected = append(rejected, w)
@@ -204,7 +217,11 @@
 
 // observeWait learns from the wait of a waiter whose time in the queue was forecast.
 func (q *Queue[T]) observeWait(at core.Time, w *Waiter[T]) {
-	if q.forecaster != nil && w.forecastAt != 0 {
-		q.forecaster.observe(at, w.forecastAt, w.forecastRaw, w.forecastWait)
+	if q.forecaster == nil {
+		return
+	}
+	q.forecaster.servedAt[index(w.Primary)] = at
+	if w.forecastAt != 0 {
+		q.forecaster.observe(at, w.Database, w.Primary, w.forecastAt, w.forecastRaw, w.forecastWait)
 	}
 }
--- a/core/admission/returns.go
+++ b/core/admission/returns.go
@@ -62,7 +62,7 @@
 	if !q.policy.Has(policy.ScheduledReturns) {
 		return Promise{After: RetryAfter(0, draw)}
 	}
-	free := 1 - q.forecaster.overtaking(at, w.Database, w.Priority, w.ServiceTime, w.Primary, places)
+	free := 1 - min(maxOvertaking, places.use(w.Primary, q.arrivingBefore(at, w, true)))
 	rate := returnShare * free * places.of(w.Primary) / max(time.Millisecond, w.ServiceTime).Seconds()
 	earliest := at.Add(max(minReturn, f.Wait-f.Allowed))
 	due, ok := k.returns.Promise(earliest, at.Add(horizon), rate)
--- a/core/admission/returns_test.go
+++ b/core/admission/returns_test.go
@@ -66,4 +66,21 @@
 		})
 		Expect(order).To(Equal([]*waiter{other, promised, newcomer}))
 	})
+
+	// A refused caller returns after its goal, which runs from its first attempt. Guards against a promise
+	// that is kept only after all newcomers are served.
+	It("go before newcomers although their aim has passed", func() {
+		q := newQueue()
+		newcomer := newForecastWaiter(start, "posting", 0, 40*ms, true)
+		q.Add(start, newcomer)
+		promised := newForecastWaiter(start, "posting", 0, 40*ms, true)
+		promised.Promised, promised.Aim = true, start.Add(-ms)
+		q.Add(start, promised)
+		var order []*waiter
+		q.Serve(start, func(w *waiter) bool {
+			order = append(order, w)
+			return true
+		})
+		Expect(order).To(Equal([]*waiter{promised, newcomer}))
+	})
 })
--- a/pkg/experiment/daemon.go
+++ b/pkg/experiment/daemon.go
@@ -258,9 +258,9 @@
 func (d *daemon) acquire(s *statement) {
 	if s.waits == 0 && s.attempts == 0 {
 		s.wait.ServiceTime = d.work.Of(s.op.kind.Name)
-		d.queue.ObserveArrival(d.w.now, &s.wait)
 	}
 	if d.try(s) {
+		d.queue.ObserveArrival(d.w.now, &s.wait)
 		return
 	}
 	wait := s.holdUntil.Sub(d.w.now)
@@ -274,13 +274,14 @@
 		d.refuse(s)
 		return
 	}
+	d.queue.ObserveArrival(d.w.now, &s.wait)
 	d.queue.Add(d.w.now, &s.wait)
 	s.waits++
 	waits := s.waits
 	d.w.after(wait, d.mine(func() {
 		if s.waits == waits && s.waiting {
 			s.waiting = false
-			d.queue.Remove(&s.wait)
+			d.queue.Expire(d.w.now, &s.wait)
 			d.refuse(s)
 		}
 	}))
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -160,6 +160,7 @@
 	at := now()
 	g.mu.Lock()
 	if gr, ok := g.tryPlace(at, w); ok {
+		g.observeArrival(at, w)
 		g.mu.Unlock()
 		return gr, true
 	}
@@ -168,6 +169,7 @@
 		return grant{}, false
 	}
 	w.granted, w.ServiceTime = make(chan grant, 1), g.serviceTimes.Of(w.Database)
+	g.observeArrival(at, w)
 	g.forecastWait(at, w)
 	g.queue.Add(at, &w.Waiter)
 	g.mu.Unlock()
@@ -185,7 +187,7 @@
 		return gr, ok
 	default:
 	}
-	g.queue.Remove(&w.Waiter)
+	g.queue.Expire(now(), &w.Waiter)
 	return grant{}, false
 }
 
--- a/pkg/proxy/overload.go
+++ b/pkg/proxy/overload.go
@@ -85,6 +85,14 @@
 	return admission.Places{Primary: primary, All: all}
 }
 
+// observeArrival counts a statement that is placed or starts to wait. The lock is held.
+func (g *group) observeArrival(at core.Time, w *waiter) {
+	if g.queue.HasOverloadControl() {
+		w.ServiceTime = g.serviceTimes.Of(w.Database)
+		g.queue.ObserveArrival(at, &w.Waiter)
+	}
+}
+
 // forecastWait records in the waiter when it would get a place, so that the queue learns from the
 // actual wait. The lock is held.
 func (g *group) forecastWait(at core.Time, w *waiter) {
@@ -95,18 +103,17 @@
 }
 
 // admit reports whether a statement that has arrived may wait for a place. It may if it can be placed
-// now, if its forecast is in time, and in an outage, which is not handled by forecast.
+// now, if its forecast is in time, and if there is no sound forecast, as during a change of the primary.
 func (g *group) admit(at core.Time, w *waiter) (admission.Forecast, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.queue.HasOverloadControl() {
 		return admission.Forecast{}, true
 	}
-	w.ServiceTime = g.serviceTimes.Of(w.Database)
-	g.queue.ObserveArrival(at, &w.Waiter)
-	if g.queue.Len() == 0 || g.core.OutageDuration(at, w.requirement) > 0 {
+	if g.queue.Len() == 0 || !g.core.IsSteady(at, w.requirement) {
 		return admission.Forecast{}, true
 	}
+	w.ServiceTime = g.serviceTimes.Of(w.Database)
 	if _, ok := g.core.Place(at, w.requirement); ok {
 		return admission.Forecast{}, true
 	}
@@ -115,11 +122,12 @@
 }
 
 // promise returns when the caller of a refused statement is to retry because of load. It returns
-// false if the refusal has another cause: an outage, or no statement that is served here.
+// false if the refusal has another cause: no usable primary, a member that refuses statements, or no
+// statement that is served here.
 func (g *group) promise(at core.Time, w *waiter, horizon time.Duration) (admission.Promise, admission.Forecast, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.queue.HasOverloadControl() || !g.queue.IsServing(at, &w.Waiter) || g.core.OutageDuration(at, w.requirement) > 0 {
+	if !g.queue.HasOverloadControl() || !g.queue.IsServing(at, &w.Waiter) || !g.core.IsSteady(at, w.requirement) {
 		return admission.Promise{}, admission.Forecast{}, false
 	}
 	places := g.places()
--- a/pkg/proxy/overload_test.go
+++ b/pkg/proxy/overload_test.go
@@ -12,7 +12,6 @@
 	"limpetspan/core"
 	"limpetspan/core/admission"
 	"limpetspan/core/direct"
-	"limpetspan/core/policy"
 	"limpetspan/platform"
 )
 
@@ -20,11 +19,8 @@
 // which n statements wait. The times are so long that the test's own duration changes no decision.
 func overloadedGroup(control bool, n int) *Proxy {
 	p := New(platform.Settings{Daemon: "d", OverloadControl: control}, io.Discard)
-	// The group has no members, which is an outage unless the mechanism is off.
-	set, err := policy.All.Without("refuse-hopeless")
-	Expect(err).NotTo(HaveOccurred())
-	p.SetPolicy(set)
 	g := p.group("g")
+	fillPrimary(g)
 	g.serviceTimes["loans"] = time.Minute
 	// add adds n statements, each of which is forecast as if it were the first one.
 	add := func(at core.Time, n int) {
@@ -41,6 +37,18 @@
 	return p
 }
 
+// fillPrimary gives the group a primary with one connection, which is in use.
+func fillPrimary(g *group) {
+	at := now()
+	g.core.Configure(direct.GroupSpec{ID: "g", MaxConns: 1})
+	// The test may take longer than a lease.
+	g.core.DisableGuards(direct.GuardReadLease)
+	g.core.UpdateMembers(at, at, []direct.Member{{ID: "a", Group: "g", Addr: "a", Slots: 1}})
+	g.core.ConfirmMembers(at)
+	g.core.Probed(at, at, "a", direct.Status{Role: core.RolePrimary, Term: 1, Position: core.Position{Term: 1, LSN: 1}})
+	g.core.ConnOpened("a")
+}
+
 // hangTimeout ends a spec whose statement is admitted by mistake and waits for minutes.
 const hangTimeout = 20 * time.Second
 
@@ -65,6 +73,18 @@
 		Expect(p.existingGroup("g").queue.Len()).To(Equal(20))
 	})
 
+	// Another daemon replaces the primary. Guards against callers whose attempts are used up when the change
+	// ends, although their statements could have waited for it.
+	It("refuses nothing during a change of the primary", func() {
+		p := overloadedGroup(true, 20)
+		g := p.existingGroup("g")
+		at := now()
+		g.core.PeerReported(at, at, "d2", direct.Report{Group: "g", Primary: "a", Term: 1, Claiming: true})
+		Expect(runLoan(p, 100*time.Millisecond)).To(ContainSubstring("BUSY not run: " + reasonNoMember))
+		Expect(p.stats.overload.byForecast.Value()).To(BeZero())
+		Expect(p.stats.overload.promised.Value()).To(BeZero())
+	})
+
 	It("tells callers of the same kind different times", SpecTimeout(hangTimeout), GracePeriod(time.Second), func(SpecContext) {
 		p := overloadedGroup(true, 20)
 		retry := regexp.MustCompile(`retry after (\d+) ms`)
@@ -78,6 +98,25 @@
 		Expect(times[2]).To(BeNumerically(">", times[1]))
 	})
 
+	// Callers of one kind are refused again and again. Guards against refusals of other kinds because of
+	// statements that never take a place.
+	It("does not count refused statements as arrivals", SpecTimeout(hangTimeout), GracePeriod(time.Second), func(SpecContext) {
+		p := overloadedGroup(true, 20)
+		g := p.existingGroup("g")
+		forecast := func() time.Duration {
+			at := now()
+			read := &waiter{}
+			read.Arrived, read.Aim, read.Deadline, read.Database, read.Primary = at, at.Add(time.Hour), at.Add(time.Hour), "reads", true
+			read.Priority, read.ServiceTime = 2, time.Minute
+			return g.queue.Forecast(at, &read.Waiter, g.places()).Wait
+		}
+		before := forecast()
+		for range 10 {
+			Expect(runLoan(p, 15*time.Minute)).To(ContainSubstring(reasonForecast))
+		}
+		Expect(forecast()).To(Equal(before))
+	})
+
 	It("does nothing where the settings do not ask for it", func() {
 		p := overloadedGroup(false, 20)
 		Expect(runLoan(p, 10*time.Millisecond)).To(ContainSubstring("BUSY not run: " + reasonNoMember))
