Leave statements that are counted elsewhere out of the forecast

Cause: A busy home that does not hold a team's slot refused the team's statements by its own forecast, and their sessions did not move to the holder. Refusals promised returns that no session uses: with a retry time of another cause, after the entry was asked to move the session, and without a proof that nothing ran. Change: A statement that would be refused by forecast is left to its quota reservation if another reachable daemon holds the slot, which is asked without I/O. A return is scheduled only where it is sent and can be kept. The log line of a refusal holds forecast, margin and position. The rest of pkg/proxy was not run.

--- a/pkg/proxy/limits.go
+++ b/pkg/proxy/limits.go
@@ -58,7 +58,7 @@
 	defer l.mu.Unlock()
 	at := now()
 	held, ok := l.holder.Holds(at, slot)
-	if owner := l.holder.OtherOwner(slot); !ok && owner != "" && l.holder.OwnersAge(at) < maxOwnersAge && l.p.peers.seenRecently(owner) {
+	if owner := l.otherHolder(at, slot); !ok && owner != "" {
 		return quotaReservation{slotNotHeld, quota.RetryDelay, owner}
 	}
 	if ok || mayTakeSlot {
@@ -83,6 +83,30 @@
 	return quotaReservation{result: overLimit, retryAfter: l.retryAfter(at, team.ID, c)}
 }
 
+// otherHolder returns the other daemon that is known to hold the slot and to be reachable, "" if there is
+// none. The lock is held.
+func (l *limits) otherHolder(at core.Time, slot quota.Slot) core.DaemonID {
+	owner := l.holder.OtherOwner(slot)
+	if owner == "" || l.holder.OwnersAge(at) >= maxOwnersAge || !l.p.peers.seenRecently(owner) {
+		return ""
+	}
+	return owner
+}
+
+// isCountedElsewhere reports whether the team's operations are counted at another daemon, so that reserve
+// would refuse them here.
+func (l *limits) isCountedElsewhere(team auth.Team) bool {
+	if !l.enabled || !team.Limited {
+		return false
+	}
+	slot := quota.SlotOf(team.ID)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	at := now()
+	_, ok := l.holder.Holds(at, slot)
+	return !ok && l.otherHolder(at, slot) != ""
+}
+
 // counterFor returns the team's counter, updated to the team's current limit. The lock is held.
 func (l *limits) counterFor(at core.Time, team auth.Team) *teamCounter {
 	c := l.counters[team.ID]
--- a/pkg/proxy/overload.go
+++ b/pkg/proxy/overload.go
@@ -10,6 +10,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/admission"
+	"limpetspan/core/auth"
 	"limpetspan/core/policy"
 )
 
@@ -151,11 +152,23 @@
 	}
 	g := s.p.groupForStatement(j.route.Group)
 	f, ok := g.admit(now(), w)
-	if ok {
+	if ok || s.isCountedElsewhere() {
+		// A statement that is counted elsewhere does not wait here: its quota reservation is refused, and
+		// the session moves to the daemon that counts it.
 		return nil, true
 	}
 	s.p.stats.overload.byForecast.Add(1)
-	return []any{"group", g.id, "members", g.explain(w), "allowed_ms", f.Allowed.Milliseconds()}, false
+	return []any{"group", g.id, "members", g.explain(w), "forecast_ms", f.Wait.Milliseconds(),
+		"margin_ms", f.Margin.Milliseconds(), "position", f.Position, "allowed_ms", f.Allowed.Milliseconds()}, false
+}
+
+// isCountedElsewhere reports whether the operations of the session's team are counted at another daemon.
+func (s *session) isCountedElsewhere() bool {
+	if !s.p.limits.enabled {
+		return false
+	}
+	team, verdict := s.p.access.check(s.database, s.key)
+	return verdict == auth.Granted && s.p.limits.isCountedElsewhere(team)
 }
 
 // scheduleReturn returns when the caller of a statement that is refused because of load is to retry,
@@ -177,6 +190,5 @@
 	if promise.Due != 0 {
 		s.p.stats.overload.promised.Add(1)
 	}
-	return promise.After, []any{"forecast_ms", f.Wait.Milliseconds(), "margin_ms", f.Margin.Milliseconds(), "position", f.Position,
-		"retry_ms", promise.After.Milliseconds(), "promised", promise.Due != 0}
+	return promise.After, []any{"return_forecast_ms", f.Wait.Milliseconds(), "retry_ms", promise.After.Milliseconds(), "promised", promise.Due != 0}
 }
--- a/pkg/proxy/overload_test.go
+++ b/pkg/proxy/overload_test.go
@@ -11,7 +11,9 @@
 
 	"limpetspan/core"
 	"limpetspan/core/admission"
+	"limpetspan/core/auth"
 	"limpetspan/core/direct"
+	"limpetspan/core/quota"
 	"limpetspan/platform"
 )
 
@@ -85,6 +87,35 @@
 		Expect(p.stats.overload.promised.Value()).To(BeZero())
 	})
 
+	// Another home counts the team's operations. Guards against callers that are told to come back to a busy
+	// home which cannot run their statements.
+	It("leaves statements that are counted elsewhere to their quota reservation", SpecTimeout(hangTimeout), GracePeriod(time.Second), func(SpecContext) {
+		p := overloadedGroup(true, 20)
+		teams := auth.NewDirectory()
+		teams.Add(auth.Team{ID: "t", Limited: true, Rate: 1, Burst: 1}, []auth.Fingerprint{{}})
+		p.catalog.Store(&direct.Catalog{Routes: map[string]direct.Route{"": {Public: true}}, Teams: teams})
+		p.access.required, p.limits.enabled = true, true
+		p.limits.holder.Listed(now(), map[quota.Slot]quota.Owner{quota.SlotOf("t"): {Daemon: "other", Boot: 1, Lease: 1}})
+		p.peers = &peers{known: map[core.DaemonID]*peer{"other": {lastSeen: now().Add(time.Hour)}}}
+		s := &session{p: p, fromEntry: true}
+		s.runSingle(&job{id: "1", kind: direct.StatementWrite, writes: true, arrived: now(),
+			route: direct.Route{Database: "loans", Group: "g", StatementTimeout: 15 * time.Minute, LatencyGoal: time.Minute}})
+		Expect(string(s.out)).To(ContainSubstring(textSlotOwner + "other"))
+		Expect(s.entryNotified.Load()).To(BeTrue(), "the entry moves the session")
+		Expect(p.stats.overload.byForecast.Value()).To(BeZero())
+	})
+
+	// Guards against a promise that takes a time from other callers and is never kept.
+	It("promises no return to a session that moves", SpecTimeout(hangTimeout), GracePeriod(time.Second), func(SpecContext) {
+		p := overloadedGroup(true, 20)
+		s := &session{p: p}
+		s.entryNotified.Store(true)
+		s.runSingle(&job{id: "1", kind: direct.StatementWrite, writes: true, arrived: now(),
+			route: direct.Route{Database: "loans", Group: "g", StatementTimeout: 15 * time.Minute, LatencyGoal: time.Minute}})
+		Expect(string(s.out)).To(ContainSubstring("BUSY not run: " + reasonForecast))
+		Expect(p.stats.overload.promised.Value()).To(BeZero())
+	})
+
 	It("tells callers of the same kind different times", SpecTimeout(hangTimeout), GracePeriod(time.Second), func(SpecContext) {
 		p := overloadedGroup(true, 20)
 		retry := regexp.MustCompile(`retry after (\d+) ms`)
--- a/pkg/proxy/refusal.go
+++ b/pkg/proxy/refusal.go
@@ -45,7 +45,9 @@
 	if s.p.isCutOff(j.route.Group) {
 		s.redirectEntry()
 	}
-	if after, inputs := s.scheduleReturn(j); r.retryAfter == 0 {
+	// A caller whose statement may have run, or whose session moves, does not return here as promised.
+	if r.retryAfter == 0 && !s.entryNotified.Load() && j.history.NotRun().Proved() {
+		after, inputs := s.scheduleReturn(j)
 		r.retryAfter, r.inputs = after, append(r.inputs, inputs...)
 	}
 	if r.retryAfter == 0 {
