Schedule returns by the whole time that they can wait

Cause: The time of a return assumed that the statement can wait then only as long as the refused one could still wait, which is nothing after its deadline, so callers came back later than needed. Change: The time from arrival to deadline is used. Result: The specs of core/admission pass, and the new one fails with the earlier rule.

--- a/core/admission/returns.go
+++ b/core/admission/returns.go
@@ -64,7 +64,8 @@
 	}
 	free := 1 - min(maxOvertaking, places.use(w.Primary, q.arrivingBefore(at, w, true)))
 	rate := returnShare * free * places.of(w.Primary) / max(time.Millisecond, w.ServiceTime).Seconds()
-	earliest := at.Add(max(minReturn, f.Wait-f.Allowed))
+	// The statement returns with its whole time to wait.
+	earliest := at.Add(max(minReturn, f.Wait-w.Deadline.Sub(w.Arrived)))
 	due, ok := k.returns.Promise(earliest, at.Add(horizon), rate)
 	if !ok {
 		return Promise{After: seconds(horizon.Seconds() * (1 + draw) / 2)}
--- a/core/admission/returns_test.go
+++ b/core/admission/returns_test.go
@@ -35,6 +35,19 @@
 		Expect(refuse(q, at.Add(horizon/2)).Due).NotTo(BeZero(), "there is room again")
 	})
 
+	// A statement waits until its deadline and is refused. Guards against a return that comes so late that
+	// it would wait for nothing, as if it had no time to wait then.
+	It("allow for the wait of the returning statement", func() {
+		q, at := newForecastingQueue(admission.LimitDeadline)
+		for range 80 {
+			q.Add(at, newForecastWaiter(at, "posting", 0, 40*ms, true))
+		}
+		w := newForecastWaiter(at.Add(-850*ms), "posting", 0, 40*ms, true)
+		f := q.Forecast(at, w, places)
+		Expect(f.Wait).To(BeNumerically("~", 810*ms, ms))
+		Expect(q.Promise(at, w, f, places, horizon, 0.5).After).To(Equal(admission.MinWait))
+	})
+
 	It("are as before if they are switched off", func() {
 		q, at := newForecastingQueue(admission.LimitDeadline, "scheduled-returns")
 		Expect(refuse(q, at)).To(Equal(admission.Promise{After: admission.RetryAfter(0, 0.5)}))
