Keep a promised return for the kind of statement it was made for

Cause: A promise belonged to the session, so its next statement of any kind went before newcomers of its kind. Change: The session keeps group, database and whether the primary is needed with the promise; only such a statement uses it. Result: The specs of overload control pass, and the new one fails without the comparison. The rest of pkg/proxy was not run.

--- a/pkg/proxy/overload.go
+++ b/pkg/proxy/overload.go
@@ -136,6 +136,20 @@
 	return g.queue.Promise(at, &w.Waiter, f, places, horizon, rand.Float64()), f, true
 }
 
+// promisedReturn is the time at which a session was told to retry a statement of one kind.
+type promisedReturn struct {
+	due      core.Time
+	group    core.GroupID
+	database string
+	// primary is set if the statement needs the primary.
+	primary bool
+}
+
+// isFor reports whether the promise was made for a statement of the job's kind.
+func (p promisedReturn) isFor(j *job, w *waiter) bool {
+	return p.group == j.route.Group && p.database == j.route.Database && p.primary == w.Primary
+}
+
 // admit reports whether the job's statement, which requires the primary or not, may wait for a place.
 // If not, it has to be refused, and nothing has been taken for it: no quota reservation, no connection
 // and no place. inputs are those of the decision, for the log.
@@ -145,8 +159,10 @@
 	}
 	w := s.newWaiter(j, s.requirement(j.route, primary, j.arrived))
 	j.waiter = w
-	w.Promised = s.p.policy.Has(policy.ScheduledReturns) && admission.IsKept(j.arrived, s.promisedReturn)
-	s.promisedReturn = 0
+	if p := s.promised; p.isFor(j, w) && s.p.policy.Has(policy.ScheduledReturns) {
+		w.Promised = admission.IsKept(j.arrived, p.due)
+		s.promised = promisedReturn{}
+	}
 	if w.Promised {
 		s.p.stats.overload.kept.Add(1)
 	}
@@ -186,7 +202,7 @@
 	if !ok {
 		return 0, nil
 	}
-	s.promisedReturn = promise.Due
+	s.promised = promisedReturn{due: promise.Due, group: j.route.Group, database: j.route.Database, primary: j.waiter.Primary}
 	if promise.Due != 0 {
 		s.p.stats.overload.promised.Add(1)
 	}
--- a/pkg/proxy/overload_test.go
+++ b/pkg/proxy/overload_test.go
@@ -116,6 +116,24 @@
 		Expect(p.stats.overload.promised.Value()).To(BeZero())
 	})
 
+	// A session runs statements of several kinds. Guards against a promise that is used up by a statement of
+	// another kind, which goes before statements that it has no place promised before.
+	It("keeps a promise for the kind of statement that was refused", func() {
+		p := overloadedGroup(true, 0)
+		at := now()
+		s := &session{p: p, promised: promisedReturn{due: at, group: "g", database: "loans", primary: true}}
+		admit := func(database string, primary bool) bool {
+			j := &job{arrived: at, route: direct.Route{Database: database, Group: "g", Consistency: direct.ReadYourWrites, StatementTimeout: time.Minute}}
+			_, ok := s.admit(j, primary)
+			Expect(ok).To(BeTrue())
+			return j.waiter.Promised
+		}
+		Expect(admit("reads", true)).To(BeFalse())
+		Expect(admit("loans", false)).To(BeFalse())
+		Expect(admit("loans", true)).To(BeTrue())
+		Expect(admit("loans", true)).To(BeFalse(), "it was kept")
+	})
+
 	It("tells callers of the same kind different times", SpecTimeout(hangTimeout), GracePeriod(time.Second), func(SpecContext) {
 		p := overloadedGroup(true, 20)
 		retry := regexp.MustCompile(`retry after (\d+) ms`)
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -47,8 +47,8 @@
 	// transaction was served by a member. refusedSince is the arrival of the first
 	// statement in the current series of refusals.
 	refusedAt, refusedSince core.Time
-	// promisedReturn is when the session was promised a place with its last refusal, 0 if it was not.
-	promisedReturn core.Time
+	// promised is the return that the session was promised with its last refusal, zero if it was not.
+	promised promisedReturn
 	// link is the connection to a home if statements are forwarded. fromEntry is
 	// set if an entry forwards the session to this daemon.
 	link      *groupLink
