Describe what a forecast counts and when it is not used

Some comments spoke of kept places, although no place is reserved. The specs of core/admission pass.

--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -23,9 +23,10 @@
 // time to retry after.
 //
 // Competition for seconds: with overload control (EnableOverloadControl), the queue forecasts on arrival
-// when a statement would get a place, and those that would get it too late are refused at once. Refused
-// callers are promised different times to return, as many in an interval as there is capacity for, and
-// go before newcomers of their kind if they come then.
+// when a statement would get a place, and those that would almost certainly get it too late are refused at
+// once. Where too little is known, as after a change of the primary, none is refused. Refused callers are
+// promised different times to return, as many in an interval as there is capacity for, and go before
+// newcomers of their kind if they come then.
 //
 // # Cost
 //
--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -52,8 +52,8 @@
 	Primary bool
 	// Priority orders waiters; 0 is the highest.
 	Priority int
-	// Promised is set if the caller was told to retry at this time. It goes before the newcomers of
-	// its kind, and is not served after those that can be in time if it is late itself.
+	// Promised is set if the caller was told to retry at this time. The statement goes before newcomers
+	// of its kind, and before late waiters also if it is late itself.
 	Promised bool
 
 	// counted is set once the statement has been counted as an arrival.
--- a/core/admission/returns.go
+++ b/core/admission/returns.go
@@ -56,11 +56,12 @@
 type Promise struct {
 	// After is how long the caller is to wait.
 	After time.Duration
-	// Due is when it was promised a place, 0 if the schedule is full.
+	// Due is when it goes before newcomers of its kind if it returns then, 0 if the schedule is full.
 	Due core.Time
 }
 
-// IsKept reports whether a session that returns now keeps the promise that it was given.
+// IsKept reports whether a session that returns at the time does so when it was told to, within the
+// tolerances.
 func IsKept(at, due core.Time) bool {
 	return due != 0 && at >= due.Add(-earlyTolerance) && at <= due.Add(returnTolerance)
 }
