--- a/pkg/proxy/overload.go
+++ b/pkg/proxy/overload.go
@@ -10,6 +10,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/admission"
+	"limpetspan/core/auth"
 	"limpetspan/core/policy"
 )
 
@@ -85,6 +86,14 @@
 	return admission.Places{Primary: primary, All: all}
 }
 
+// observeArrival counts a statement that is placed or starts to wait. The lock is held.
+func (g *group) observeArrival(at core.Time, w *waiter) {
+	if g.queue.HasOverloadControl() {
+		w.ServiceTime = g.serviceTimes.Of(w.Database)
+		g.queue.ObserveArrival(at, &w.Waiter)
+	}
+}
+
 // forecastWait records in the waiter when it would get a place, so that the queue learns from the
 // actual wait. The lock is held.
 func (g *group) forecastWait(at core.Time, w *waiter) {
@@ -95,18 +104,17 @@
 }
 
 // admit reports whether a statement that has arrived may wait for a place. It may if it can be placed
-// now, if its forecast is in time, and in an outage, which is not handled by forecast.
+// now, if its forecast is in time, and if there is no sound forecast, as during a change of the primary.
 func (g *group) admit(at core.Time, w *waiter) (admission.Forecast, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !g.queue.HasOverloadControl() {
 		return admission.Forecast{}, true
 	}
-	w.ServiceTime = g.serviceTimes.Of(w.Database)
-	g.queue.ObserveArrival(at, &w.Waiter)
-	if g.queue.Len() == 0 || g.core.OutageDuration(at, w.requirement) > 0 {
+	if g.queue.Len() == 0 || !g.core.IsSteady(at, w.requirement) {
 		return admission.Forecast{}, true
 	}
+	w.ServiceTime = g.serviceTimes.Of(w.Database)
 	if _, ok := g.core.Place(at, w.requirement); ok {
 		return admission.Forecast{}, true
 	}
@@ -115,11 +123,12 @@
 }
 
 // promise returns when the caller of a refused statement is to retry because of load. It returns
-// false if the refusal has another cause: an outage, or no statement that is served here.
+// false if the refusal has another cause: no usable primary, a member that refuses statements, or no
+// statement that is served here.
 func (g *group) promise(at core.Time, w *waiter, horizon time.Duration) (admission.Promise, admission.Forecast, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.queue.HasOverloadControl() || !g.queue.IsServing(at, &w.Waiter) || g.core.OutageDuration(at, w.requirement) > 0 {
+	if !g.queue.HasOverloadControl() || !g.queue.IsServing(at, &w.Waiter) || !g.core.IsSteady(at, w.requirement) {
 		return admission.Promise{}, admission.Forecast{}, false
 	}
 	places := g.places()
@@ -127,6 +136,20 @@
 	return g.queue.Promise(at, &w.Waiter, f, places, horizon, rand.Float64()), f, true
 }
 
+// promisedReturn is the time at which a session was told to retry a statement of one kind.
+type promisedReturn struct {
+	due      core.Time
+	group    core.GroupID
+	database string
+	// primary is set if the statement needs the primary.
+	primary bool
+}
+
+// isFor reports whether the promise was made for a statement of the job's kind.
+func (p promisedReturn) isFor(j *job, w *waiter) bool {
+	return p.group == j.route.Group && p.database == j.route.Database && p.primary == w.Primary
+}
+
 // admit reports whether the job's statement, which requires the primary or not, may wait for a place.
 // If not, it has to be refused, and nothing has been taken for it: no quota reservation, no connection
 // and no place. inputs are those of the decision, for the log.
@@ -136,18 +159,32 @@
 	}
 	w := s.newWaiter(j, s.requirement(j.route, primary, j.arrived))
 	j.waiter = w
-	w.Promised = s.p.policy.Has(policy.ScheduledReturns) && admission.IsKept(j.arrived, s.promisedReturn)
-	s.promisedReturn = 0
+	if p := s.promised; p.isFor(j, w) && s.p.policy.Has(policy.ScheduledReturns) {
+		w.Promised = admission.IsKept(j.arrived, p.due)
+		s.promised = promisedReturn{}
+	}
 	if w.Promised {
 		s.p.stats.overload.kept.Add(1)
 	}
 	g := s.p.groupForStatement(j.route.Group)
 	f, ok := g.admit(now(), w)
-	if ok {
+	if ok || s.isCountedElsewhere() {
+		// A statement that is counted elsewhere does not wait here: its quota reservation is refused, and
+		// the session moves to the daemon that counts it.
 		return nil, true
 	}
 	s.p.stats.overload.byForecast.Add(1)
-	return []any{"group", g.id, "members", g.explain(w), "allowed_ms", f.Allowed.Milliseconds()}, false
+	return []any{"group", g.id, "members", g.explain(w), "forecast_ms", f.Wait.Milliseconds(),
+		"margin_ms", f.Margin.Milliseconds(), "position", f.Position, "allowed_ms", f.Allowed.Milliseconds()}, false
+}
+
+// isCountedElsewhere reports whether the operations of the session's team are counted at another daemon.
+func (s *session) isCountedElsewhere() bool {
+	if !s.p.limits.enabled {
+		return false
+	}
+	team, verdict := s.p.access.check(s.database, s.key)
+	return verdict == auth.Granted && s.p.limits.isCountedElsewhere(team)
 }
 
 // scheduleReturn returns when the caller of a statement that is refused because of load is to retry,
@@ -165,10 +202,9 @@
 	if !ok {
 		return 0, nil
 	}
-	s.promisedReturn = promise.Due
+	s.promised = promisedReturn{due: promise.Due, group: j.route.Group, database: j.route.Database, primary: j.waiter.Primary}
 	if promise.Due != 0 {
 		s.p.stats.overload.promised.Add(1)
 	}
-	return promise.After, []any{"forecast_ms", f.Wait.Milliseconds(), "margin_ms", f.Margin.Milliseconds(), "position", f.Position,
-		"retry_ms", promise.After.Milliseconds(), "promised", promise.Due != 0}
+	return promise.After, []any{"return_forecast_ms", f.Wait.Milliseconds(), "retry_ms", promise.After.Milliseconds(), "promised", promise.Due != 0}
 }
