--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -60,6 +60,11 @@
 	// ScheduledReturns tells rejected callers to retry when there is capacity for them, and serves
 	// those that do before newcomers of their kind.
 	ScheduledReturns
+	// SharedLoad places reads by what all homes have running on the members, where members or hosts
+	// are uneven.
+	SharedLoad
+	// HomesByLoad gives overloaded hosts fewer groups and sessions as homes, where hosts are uneven.
+	HomesByLoad
 	end
 )
 
@@ -70,7 +75,7 @@
 	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
 	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
-	"forecast", "scheduled-returns",
+	"forecast", "scheduled-returns", "shared-load", "homes-by-load",
 }
 
 // renamed maps the old name of a mechanism to its present name.
