Test that forecasts learn separately for statements that need the primary

Cause: No spec failed with one correction for all statements of a database. Result: The specs of core/admission pass; the extended one fails with one correction per database.

--- a/core/admission/forecast_test.go
+++ b/core/admission/forecast_test.go
@@ -187,6 +187,11 @@
 		q.Serve(at, func(w *waiter) bool { return w.Database == "read" && q.Len() > 190 })
 		Expect(q.Forecast(at, newForecastWaiter(at, "read", 0, 40*ms, true), places).TooLate).To(BeFalse(), "no wait of a read was seen")
 		Expect(q.Forecast(at, newForecastWaiter(at, "posting", 0, 40*ms, true), places).TooLate).To(BeTrue())
+		for range 400 {
+			q.Add(at, newForecastWaiter(at, "posting", 0, 40*ms, false))
+		}
+		q.Serve(at, func(w *waiter) bool { return !w.Primary && q.Len() > 580 })
+		Expect(q.Forecast(at, newForecastWaiter(at, "posting", 0, 40*ms, false), places).TooLate).To(BeFalse(), "no wait for a replica was seen")
 	})
 
 	It("allows for the statements that will arrive and go before", func() {
