--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -56,6 +56,8 @@
 	listedSince, listedAsOf, lastTickAt core.Time
 	// unusableSince is the time since which the primary cannot be used here; 0 if it can.
 	unusableSince core.Time
+	// unsteadyAt is when the primary was last seen to be unusable here or being changed, 0 if it was not.
+	unsteadyAt core.Time
 	// sharedLoad is set if reads are placed by the load of all homes; variant is how, times are the
 	// group's service times.
 	sharedLoad bool
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -57,6 +57,12 @@
 	// SharedHealth lets all sessions of an entry share one verdict about each home, which needs
 	// silence towards echoes, and a backoff that grows from a tenth of a second.
 	SharedHealth
+	// Forecast rejects a statement on arrival that would get a place too late. Where it is in force,
+	// it takes the place of NewestFirst and Shedding.
+	Forecast
+	// ScheduledReturns tells rejected callers to retry when there is capacity for them, and serves
+	// those that do before newcomers of their kind.
+	ScheduledReturns
 	// SharedLoad places reads by what all homes have running on the members, where members or hosts
 	// are uneven.
 	SharedLoad
@@ -80,7 +86,7 @@
 	"window-by-refusals", "window-by-aim-share", "busy-backoff", "order-by-work", "in-time-first", "newest-first", "shedding",
 	"answer-timeouts", "relayed-confirmations", "suspicion-by-third", "pass-on-when-cut", "claim-again",
 	"place-by-load", "place-by-slots", "refuse-hopeless", "avoid-failing", "gather-teams",
-	"shared-health", "shared-load", "homes-by-load", "split-limits", "hedged-reads", "hedge-at-percentile",
+	"shared-health", "forecast", "scheduled-returns", "shared-load", "homes-by-load", "split-limits", "hedged-reads", "hedge-at-percentile",
 }
 
 // renamed maps the old name of a mechanism to its present name.
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -70,11 +70,13 @@
 		// The effects are dropped here; the next tick returns them again.
 		reducer.UpdateMembers(now(), asOf, listed)
 	}
-	return &group{
+	g := &group{
 		evicted: make(chan struct{}),
 		p:       p, id: id, core: reducer, queue: admission.NewQueue[*waiter](p.policy),
 		idle: make(map[core.MemberID][]*memberConn), controls: make(map[core.MemberID]*control), serviceTimes: make(admission.ServiceTimes),
 	}
+	g.enableOverloadControl()
+	return g
 }
 
 // update passes an event to the reducer, serves the queue, and executes the event's effects.
@@ -158,6 +160,7 @@
 	at := now()
 	g.mu.Lock()
 	if gr, ok := g.tryPlace(at, w); ok {
+		g.observeArrival(at, w)
 		g.mu.Unlock()
 		return gr, true
 	}
@@ -166,6 +169,8 @@
 		return grant{}, false
 	}
 	w.granted, w.ServiceTime = make(chan grant, 1), g.serviceTimes.Of(w.Database)
+	g.observeArrival(at, w)
+	g.forecastWait(at, w)
 	g.queue.Add(at, &w.Waiter)
 	g.mu.Unlock()
 	timer := time.NewTimer(deadline.Sub(at))
@@ -182,7 +187,7 @@
 		return gr, ok
 	default:
 	}
-	g.queue.Remove(&w.Waiter)
+	g.queue.Expire(now(), &w.Waiter)
 	return grant{}, false
 }
 
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -39,6 +39,8 @@
 	attempt int
 	// failed is the last answer to a read that has failed on a member.
 	failed *failedRead
+	// waiter is the statement's queue entry once admit has made it, under overload control only.
+	waiter *waiter
 }
 
 // deadline is the time by which a member must have answered, so that the answer reaches the
@@ -64,12 +66,17 @@
 // within retryWindow counts as its retry. Its latency goal then runs from the first
 // refused statement, so that it counts as late however soon it runs.
 func (s *session) newWaiter(j *job, requirement direct.Requirement) *waiter {
+	if j.waiter != nil {
+		j.waiter.requirement = requirement
+		return j.waiter
+	}
 	since := j.arrived
 	if s.refusedAt != 0 && j.arrived.Sub(s.refusedAt) < retryWindow {
 		since = s.refusedSince
 	}
 	w := newWaiter(s, requirement)
 	w.Arrived, w.Aim, w.Database, w.Priority = j.arrived, since.Add(j.route.LatencyGoal), j.route.Database, j.route.Priority
+	w.Deadline = j.waitDeadline()
 	w.prepare = j.prepared
 	return w
 }
@@ -88,9 +95,13 @@
 	if !s.checkKey(j) {
 		return
 	}
+	if inputs, ok := s.admit(j, j.writes); !ok {
+		s.refuse(j, refusal{reason: reasonForecast, inputs: inputs})
+		return
+	}
 	if !s.reserveQuota(j) {
 		if s.shouldForwardToSlotOwner(j) {
-			j.text, j.prepared = j.callerText, nil
+			j.text, j.prepared, j.waiter = j.callerText, nil, nil
 			s.forwardSingle(j)
 			return
 		}
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -34,6 +34,9 @@
 	// hedges counts the reads sent to a second home, by reason and by outcome.
 	hedges expvar.Map
 
+	// overload holds the counters of overload control.
+	overload *overloadStats
+
 	mu      sync.Mutex
 	latency *hdrhistogram.Histogram
 }
@@ -46,7 +49,7 @@
 )
 
 func newStats() *stats {
-	return &stats{latency: hdrhistogram.New(minLatencyUs, maxLatencyUs, latencyDigits)}
+	return &stats{overload: newOverloadStats(), latency: hdrhistogram.New(minLatencyUs, maxLatencyUs, latencyDigits)}
 }
 
 // countRefusal counts an error answer under its code.
