Use shared health of homes only where teams have no limits

Cause: with limits, one home serves a team. Entries that left it sooner asked daemons that are no homes sooner, and these opened connections to members on top. Change: shared health, and with it hedged reads, are in use only without limits. The spec of the condition fails without it.

--- a/pkg/proxy/peerhealth.go
+++ b/pkg/proxy/peerhealth.go
@@ -72,9 +72,11 @@
 
 // enabled reports whether shared health is in use: it is not switched off, not all daemons are homes of
 // all groups, and the configuration has a route whose statement timeout is less than twice
-// lostHomeCost.
+// lostHomeCost. Where teams have limits it is not: only the holder of a team's slot can run the team's
+// statements, so sessions that leave it soon reach daemons that decline them or that are no homes, and
+// these use up the members' connections.
 func (h *peerHealth) enabled() bool {
-	if h.p == nil || !h.forwards.Load() || !h.p.policy.Has(policy.SharedHealth) {
+	if h.p == nil || h.p.settings.LimitsEnabled || !h.forwards.Load() || !h.p.policy.Has(policy.SharedHealth) {
 		return false
 	}
 	catalog := h.p.catalog.Load()
--- a/pkg/proxy/peerhealth_test.go
+++ b/pkg/proxy/peerhealth_test.go
@@ -344,7 +344,7 @@
 		Expect(phase()).To(Equal(health.HalfOpen))
 	})
 
-	It("is not in use without a route with a short timeout, or if switched off", func() {
+	It("is not in use without a route with a short timeout, where teams have limits, or if switched off", func() {
 		p := &Proxy{policy: policy.All}
 		p.homes = newHomes(p)
 		Expect(p.homes.health.enabled()).To(BeFalse())
@@ -363,6 +363,9 @@
 		p.catalog.Store(&direct.Catalog{Routes: map[string]direct.Route{"none": {}}})
 		Expect(p.homes.health.enabled()).To(BeFalse(), "no timeout is not a short one")
 		p.catalog.Store(&direct.Catalog{Routes: routes(1399 * time.Millisecond)})
+		p.settings.LimitsEnabled = true
+		Expect(p.homes.health.enabled()).To(BeFalse(), "teams have limits")
+		p.settings.LimitsEnabled = false
 		p.policy &^= policy.SharedHealth
 		Expect(p.homes.health.enabled()).To(BeFalse())
 		Expect(slices.Contains(policy.Names(), "shared-health")).To(BeTrue())
