--- a/pkg/proxy/homes.go
+++ b/pkg/proxy/homes.go
@@ -97,7 +97,23 @@
 }
 
 func newHomes(p *Proxy) *homes {
-	return &homes{p: p, ready: make(chan struct{}), table: direct.NewHomeTable(), ownGroups: make(map[core.GroupID]bool), slotOrders: make(map[groupSlot][]core.DaemonID), backoffUntil: make(map[core.DaemonID]core.Time), groupBackoffUntil: make(map[groupDaemon]core.Time), teamBackoffUntil: make(map[teamDaemon]core.Time), slotOwners: make(map[quota.Slot]core.DaemonID), lastSeen: make(map[core.DaemonID]core.Time), nextRecheck: make(map[core.DaemonID]core.Time), health: newPeerHealth(p), hedging: newHedger(), homeOrders: make(map[core.GroupID][]core.DaemonID), overLimit: make(map[teamDaemon]overLimitBackoff)}
+	return &homes{
+		p:                 p,
+		ready:             make(chan struct{}),
+		table:             direct.NewHomeTable(),
+		ownGroups:         make(map[core.GroupID]bool),
+		slotOrders:        make(map[groupSlot][]core.DaemonID),
+		backoffUntil:      make(map[core.DaemonID]core.Time),
+		groupBackoffUntil: make(map[groupDaemon]core.Time),
+		teamBackoffUntil:  make(map[teamDaemon]core.Time),
+		slotOwners:        make(map[quota.Slot]core.DaemonID),
+		lastSeen:          make(map[core.DaemonID]core.Time),
+		nextRecheck:       make(map[core.DaemonID]core.Time),
+		health:            newPeerHealth(p),
+		hedging:           newHedger(),
+		homeOrders:        make(map[core.GroupID][]core.DaemonID),
+		overLimit:         make(map[teamDaemon]overLimitBackoff),
+	}
 }
 
 // update chooses the homes again if the known daemons or groups have changed.
