--- a/review/2/main.go
+++ b/review/2/main.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,7 +24,10 @@
 	// afterTakeOver is how long the cut lasts after another daemon's promotion was ordered.
 	afterTakeOver = 3 * time.Second
 	// afterHeal is how long callers go on after the cut.
-	afterHeal = 4 * time.Second
+	afterHeal      = 4 * time.Second
+	promotionDelay = time.Second
+	// oldPrimaryGoesOn is how long a primary goes on after it can reach the one that replaces it.
+	oldPrimaryGoesOn = time.Second
 )
 
 // Exit codes of a case.
@@ -56,8 +58,9 @@
 	// holder is the daemon whose first order is held back, -1 before that.
 	holder atomic.Int32
 
-	mu    sync.Mutex
-	acked []string
+	mu sync.Mutex
+	// acked are the acknowledged writes.
+	acked map[string]bool
 }
 
 func run(folder string, trouble bool) (int, error) {
@@ -70,7 +73,7 @@
 		return notRun, err
 	}
 	defer os.RemoveAll(dir)
-	w := &world{record: record, trouble: trouble}
+	w := &world{record: record, trouble: trouble, acked: make(map[string]bool)}
 	w.holder.Store(-1)
 	defer w.end()
 	if err := w.start(dir); err != nil {
@@ -106,7 +109,7 @@
 	if w.group, err = standin.NewGroup(groupName, 3); err != nil {
 		return err
 	}
-	w.group.Lag, w.group.PromotionDelay = 20*time.Millisecond, time.Second
+	w.group.Lag, w.group.PromotionDelay = 20*time.Millisecond, promotionDelay
 	w.group.SetStatementDelay(6 * time.Millisecond)
 	for i, m := range w.group.Members() {
 		m.Zone = zone(i)
@@ -197,9 +200,18 @@
 		}
 		time.Sleep(afterTakeOver)
 		i := w.holder.Load()
+		p, terms := w.group.Primary(), w.group.TermCount()
+		// The stand-in's primary becomes a replica at once when another member leads, unless it receives
+		// no log. By the protocol it goes on for a second.
+		p.SetReplicationPaused(true)
+		defer p.SetReplicationPaused(false)
 		w.record.Announce("the cut of %s ends", w.daemons[i].Name)
 		w.links[i][0].Heal()
 		w.links[i][1].Heal()
+		for end := time.Now().Add(2 * promotionDelay); time.Now().Before(end) && w.group.TermCount() == terms; {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(oldPrimaryGoesOn)
 		return nil
 	}
 	return fmt.Errorf("no other daemon ordered a promotion within %v", maxCut)
@@ -238,7 +250,7 @@
 		w.record.Add("%s %s: %s", d.Name, id, a)
 		if a.Code == "" {
 			w.mu.Lock()
-			w.acked = append(w.acked, id)
+			w.acked[id] = true
 			w.mu.Unlock()
 		}
 	}
@@ -259,6 +271,10 @@
 		w.record.Announce("no promotion was ordered")
 		return notRun
 	}
+	if n := w.ackedAtOldPrimary(); n > 0 {
+		w.record.Announce("ONE is broken: %d writes were committed at the old primary after a promote had taken effect, and acknowledged", n)
+		code = broken
+	}
 	w.recordLosses()
 	if code == held {
 		w.record.Announce("ONE held")
@@ -266,6 +282,25 @@
 	return code
 }
 
+// ackedAtOldPrimary returns the number of acknowledged writes that were committed in a term after a
+// newer one had begun.
+func (w *world) ackedAtOldPrimary() (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	checks := w.group.Checks()
+	for term, began := range checks.TermStarts {
+		w.record.Add("term %d began at %s", term, began.Format("15:04:05.000"))
+	}
+	for _, c := range checks.Commits {
+		began, replaced := checks.TermStarts[c.Term+1]
+		if w.acked[c.ID] && replaced && c.At.After(began) {
+			w.record.Add("%s was committed at %s in term %d, %v after term %d had begun, and acknowledged", c.ID, c.Member, c.Term, c.At.Sub(began), c.Term+1)
+			n++
+		}
+	}
+	return n
+}
+
 // recordLosses records how many acknowledged writes the present primary lacks. It decides nothing: the
 // members don't wait for replicas.
 func (w *world) recordLosses() {
@@ -275,11 +310,14 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	lost := slices.DeleteFunc(slices.Clone(w.acked), func(id string) bool { return kept[id] })
-	w.record.Announce("%d writes were acknowledged, %d of them are not in the log of the present primary %s (information only)", len(w.acked), len(lost), w.group.Primary().ID)
-	for _, id := range lost {
-		w.record.Add("not in the log: %s", id)
+	lost := 0
+	for id := range w.acked {
+		if !kept[id] {
+			lost++
+			w.record.Add("not in the log: %s", id)
+		}
 	}
+	w.record.Announce("%d writes were acknowledged, %d of them are not in the log of the present primary %s (information only)", len(w.acked), lost, w.group.Primary().ID)
 }
 
 func (w *world) end() {
