review: show reads that miss a write of their own session

review/3/run.sh replaces machines of a deployment of six, two at a time, while replicas are behind. A session's link to a home stays open while its daemon runs writes itself, and the home does not learn of them.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review/case-3 ] || bash review/build.sh || exit 2
+exec timeout -k 5 110 target/review/case-3 review/3
