--- a/review/3/main.go
+++ b/review/3/main.go
@@ -50,6 +50,7 @@
 )
 
 func main() {
+	harness.EndOnSignal(notRun)
 	code, err := run(os.Args[1], os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Println("the case could not run:", err)
--- a/review/harness/daemon.go
+++ b/review/harness/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
@@ -82,8 +83,32 @@
 	return d, os.WriteFile(d.settings, data, 0o600)
 }
 
+// running holds the daemons that were started and not ended yet.
+var running = struct {
+	sync.Mutex
+	all map[*Daemon]bool
+}{all: make(map[*Daemon]bool)}
+
+// EndOnSignal ends all daemons, removes their folders and exits with the code when this process is told
+// to stop.
+func EndOnSignal(code int) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		running.Lock()
+		for d := range running.all {
+			d.Signal(syscall.SIGKILL)
+			_ = os.RemoveAll(filepath.Dir(d.settings))
+		}
+		os.Exit(code)
+	}()
+}
+
 // Start runs the process with the command of deploy/system.toml.
 func (d *Daemon) Start() error {
+	running.Lock()
+	defer running.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out, err := os.OpenFile(d.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -98,9 +123,13 @@
 	}
 	ended := make(chan struct{})
 	d.cmd, d.ended = cmd, ended
+	running.all[d] = true
 	go func() {
 		_ = cmd.Wait()
 		_ = out.Close()
+		running.Lock()
+		delete(running.all, d)
+		running.Unlock()
 		close(ended)
 	}()
 	return nil
