--- a/review/2/main.go
+++ b/review/2/main.go
@@ -22,7 +22,7 @@
 	// maxCut bounds the cut; the case needs the time in which another daemon takes over.
 	maxCut = 40 * time.Second
 	// afterTakeOver is how long the cut lasts after another daemon's promotion was ordered.
-	afterTakeOver = 3 * time.Second
+	afterTakeOver = 2200 * time.Millisecond
 	// afterHeal is how long callers go on after the cut.
 	afterHeal      = 4 * time.Second
 	promotionDelay = time.Second
