proxy: reset the connection of a promotion request that is given up

What callers saw: writes that were acknowledged and then lost, without a fault at the time.

Cause: the HTTP transport closes the connection of a call whose context ends. After a usual close the kernel goes on delivering what was written, however long a partition lasts. The argument that the request of the lock's next holder comes later (LockTTL) assumed that a call that has ended sends nothing more. It holds for members, whose connections are reset, but not for the platform.

The log line "promote" names the outcome and the time taken; "promotion_outcomes" counts the outcomes.

The model of promotions delivered each request at once, which is why it did not find the fault. It now holds them up during a cut, and has the guard "order-reset".

--- a/pkg/explore/promotions/daemon.go
+++ b/pkg/explore/promotions/daemon.go
@@ -368,7 +368,12 @@
 		d.update(func(at core.Time) []direct.Effect { return d.g.PromoteRefused(at, "the promotion lock ran out") })
 		return
 	}
-	d.w.after(d.w.delay(), func() { d.w.ordered(d, e) })
+	limit := d.w.now.Add(orderHeld)
+	if d.w.options.without(shellOrderReset) {
+		limit = d.w.now.Add(time.Hour)
+	}
+	// The promotion endpoint is cut off whenever the store is.
+	d.w.deliver(d.node(), storeNode, limit, d.w.delay(), func() { d.w.ordered(d, e) })
 }
 
 // ordered handles a promotion request as the platform does.
--- a/pkg/explore/promotions/run.go
+++ b/pkg/explore/promotions/run.go
@@ -48,6 +48,8 @@
 	shellAckLease shellGuard = 1 << iota
 	// shellSendWindow: no promotion request is sent once another daemon could hold its promotion lock.
 	shellSendWindow
+	// shellOrderReset: a promotion request that a cut holds up is discarded when its call ends.
+	shellOrderReset
 	// shellLockLife: a promotion lock that its holder has not released counts as held until it has
 	// expired.
 	shellLockLife
@@ -89,6 +91,7 @@
 	{name: "sync", reducer: direct.GuardSync, sync: true},
 	{name: "settled", reducer: direct.GuardMemberList},
 	{name: "superseded", reducer: direct.GuardSuperseded},
+	{name: "order-reset", shell: shellOrderReset},
 	{name: "lock-life", shell: shellLockLife},
 	{name: "lock-era", reducer: direct.GuardLockEra, restores: true},
 	{name: "era-settled", shell: shellSettled, restores: true},
--- a/pkg/explore/promotions/world.go
+++ b/pkg/explore/promotions/world.go
@@ -29,6 +29,8 @@
 	tick = 20 * time.Millisecond
 	// held is how long a sender waits for data that a cut delays before it drops the connection.
 	held = 400 * time.Millisecond
+	// orderHeld is the same for a promotion request.
+	orderHeld = 700 * time.Millisecond
 	// listDelay bounds the time until daemons see a new incarnation of a member.
 	listDelay = 1500 * time.Millisecond
 	// replicationDelay is the replica lag.
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -321,7 +321,8 @@
 }
 
 // promote requests the promotion from the platform. It sends the request by e.SendDeadline and ends
-// the call at most a second later, so that a request of the lock's next holder comes after it.
+// the call at most a second later. A request that was given up is not received after that, so that a
+// request of the lock's next holder comes after it.
 func (c *claims) promote(g *group, e direct.Effect) {
 	remaining := e.SendDeadline.Sub(now())
 	if remaining <= 0 {
@@ -330,16 +331,40 @@
 	}
 	ctx, cancel := context.WithTimeout(c.p.ctx, min(promoteTimeout, remaining+time.Second))
 	defer cancel()
-	err := c.p.client.Promote(ctx, g.id, e.Member, c.p.settings.Daemon, e.Token)
-	c.p.log.Info("promote", "group", g.id, "member", e.Member, "term", e.Term, "token", e.Token, "error", errorText(err))
+	sent := now()
+	err := c.p.client.Promote(ctx, platform.Promotion{
+		Group: g.id, Member: e.Member, Holder: c.p.settings.Daemon, Token: e.Token, MaySend: func() bool { return now() <= e.SendDeadline },
+	})
 	c.p.stats.promotions.Add(1)
-	if errors.Is(err, platform.ErrNotRunning) || errors.Is(err, platform.ErrUnavailable) {
+	c.p.stats.promotionOutcomes.Add(promotionOutcome(err), 1)
+	c.p.log.Info("promote", "group", g.id, "member", e.Member, "term", e.Term, "token", e.Token, "outcome", promotionOutcome(err),
+		"ms", now().Sub(sent).Milliseconds(), "error", errorText(err))
+	if isPromotionRefused(err) {
 		c.promoteRefused(g, err.Error())
 	}
 	// After any other error the request may have been received: the member's status shows whether
 	// the promotion takes effect.
 }
 
+// isPromotionRefused reports whether the error says that the request has no effect.
+func isPromotionRefused(err error) bool {
+	return errors.Is(err, platform.ErrNotRunning) || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrExpired)
+}
+
+// promotionOutcome names the outcome of a promotion request for the log and the counters.
+func promotionOutcome(err error) string {
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.Is(err, platform.ErrExpired):
+		return "expired"
+	case isPromotionRefused(err):
+		return "refused"
+	}
+	// The connection was reset.
+	return "given up"
+}
+
 // promoteRefused reports to the reducer that the promotion was not requested.
 func (c *claims) promoteRefused(g *group, reason string) {
 	g.update(func(r *direct.Group, at core.Time) []direct.Effect { return r.PromoteRefused(at, reason) })
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -31,6 +31,8 @@
 	onSecondPart, overflowed expvar.Int
 	// health counts the checks of other daemons, the verdicts by cause, and the backoffs that ended.
 	health expvar.Map
+	// promotionOutcomes counts the requests to promote a member by outcome.
+	promotionOutcomes expvar.Map
 	// hedges counts the reads sent to a second home, by reason and by outcome.
 	hedges expvar.Map
 
@@ -76,7 +78,7 @@
 	return map[string]any{
 		"statements": s.statements.Value(), "malformed": s.malformed.Value(), "broken": s.connsBroken.Value(),
 		"dials": s.dials.Value(), "conns_replaced": s.connsReplaced.Value(), "dial_failures": s.dialFailures.Value(), "probe_failures": s.probeFailures.Value(),
-		"orders_dropped": s.commandsDropped.Value(), "promotions": s.promotions.Value(),
+		"orders_dropped": s.commandsDropped.Value(), "promotions": s.promotions.Value(), "promotion_outcomes": valuesOf(&s.promotionOutcomes),
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"store_eras_ended": s.erasEnded.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
