proxy: let no order to a member take effect after it was given up

RESUME names no term, so a late one also removes the fence of the promotion lock's next holder; a replica without a fence then confirms the old primary.

- An order waits in its member's queue behind up to seven commands of up to 1.2 s each.
The reducer checked the send window when it emitted the order, nobody when it was sent.
Orders now carry the end of their window, and are checked when they are written; "orders_expired" counts those not sent.
- The promotion lock was released while removals of fences were still queued, so that another daemon could fence the same replicas before them.
The release now waits until they have ended.
- Connections to members were reset when the daemon closed them, but not when it was killed, and a stopped daemon gave up nothing.
They now have SO_LINGER 0 from the start, and TCP_USER_TIMEOUT while an order is on its way.
- Links to homes were closed in the usual way: a home ran a forwarded write after its entry had reported it as in doubt.
They are reset, too.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -304,7 +304,7 @@
 	}
 	if c.planned {
 		c.phase, c.orderedAt = demoting, now
-		g.emit(Effect{Kind: EffectDemote, Member: c.old, Term: c.term + 1})
+		g.emit(Effect{Kind: EffectDemote, Member: c.old, Term: c.term + 1, SendDeadline: c.sendDeadline})
 		return g.takeEffects()
 	}
 	g.sendFences(now)
@@ -340,7 +340,7 @@
 	for _, id := range g.order {
 		m := g.members[id]
 		if owned && (m.status.FencedTerm > 0 || c.fenced[id] != 0) {
-			g.emit(Effect{Kind: EffectUnfence, Member: id})
+			g.emit(Effect{Kind: EffectUnfence, Member: id, SendDeadline: c.sendDeadline})
 		}
 	}
 	if done := c.phase == promoting && g.primary == c.candidate && g.term > c.term; c.token != 0 && (done || c.phase != promoting) {
--- a/core/direct/effect.go
+++ b/core/direct/effect.go
@@ -22,6 +22,8 @@
 	// EffectReadLock reads the group's promotion lock without acquiring it.
 	EffectReadLock
 	// EffectReleaseLock releases the promotion lock Token, under which no more orders will be sent.
+	// It must wait until the removals of fences that precede it have ended, with or without success:
+	// after the release, another daemon may fence the same replicas.
 	// Term is the term in which the group is left. Daemons that start later therefore do not mistake
 	// an abandoned claim for a promotion; see also Pending.
 	EffectReleaseLock
@@ -43,7 +45,8 @@
 	Member core.MemberID
 	Term   core.Term
 	Token  uint64
-	// SendDeadline is the latest time at which an order to promote may be sent.
+	// SendDeadline is the latest time at which an order to promote, fence, unfence or demote may be
+	// sent; 0: it may be sent at any time.
 	SendDeadline core.Time
 	// Pending is stored with a released promotion lock: a promotion to Term was ordered earlier and
 	// is not known to have taken effect.
--- a/core/direct/promote.go
+++ b/core/direct/promote.go
@@ -18,11 +18,11 @@
 			continue
 		}
 		if _, done := c.fenced[id]; !done {
-			g.emit(Effect{Kind: EffectFence, Member: id, Term: c.term + 1})
+			g.emit(Effect{Kind: EffectFence, Member: id, Term: c.term + 1, SendDeadline: c.sendDeadline})
 		}
 	}
 	if c.old != "" && !c.demoted {
-		g.emit(Effect{Kind: EffectDemote, Member: c.old, Term: c.term + 1})
+		g.emit(Effect{Kind: EffectDemote, Member: c.old, Term: c.term + 1, SendDeadline: c.sendDeadline})
 	}
 }
 
--- a/pkg/explore/promotions/daemon.go
+++ b/pkg/explore/promotions/daemon.go
@@ -36,6 +36,10 @@
 	// orders are the queued commands by member; busy marks the members to which one is in progress.
 	orders map[core.MemberID][]direct.Effect
 	busy   map[core.MemberID]bool
+	// unfencing counts the queued removals of fences, and releases are the promotion locks to release
+	// after them.
+	unfencing int
+	releases  []direct.Effect
 	// connected holds, by member, the incarnation to which the daemon has a connection.
 	connected map[core.MemberID]int
 	// stamps are the newest timestamps received from other daemons.
@@ -75,6 +79,7 @@
 	d.g.Configure(spec)
 	d.g.SetHomes(daemonCount, true)
 	d.orders, d.busy = make(map[core.MemberID][]direct.Effect), make(map[core.MemberID]bool)
+	d.unfencing, d.releases = 0, nil
 	d.stamps = make(map[core.DaemonID]stamp)
 	d.seen, d.last, d.kicked = 0, core.Position{}, false
 	d.eras = era.Tracker{}
@@ -155,6 +160,9 @@
 func (d *daemon) effect(e direct.Effect) {
 	switch e.Kind {
 	case direct.EffectProbe, direct.EffectFence, direct.EffectUnfence, direct.EffectDemote:
+		if e.Kind == direct.EffectUnfence {
+			d.unfencing++
+		}
 		d.orders[e.Member] = append(d.orders[e.Member], e)
 		d.nextOrder(e.Member)
 	case direct.EffectClaim:
@@ -162,7 +170,10 @@
 	case direct.EffectReadLock:
 		d.readLock()
 	case direct.EffectReleaseLock:
-		d.release(e, releaseTries)
+		d.releases = append(d.releases, e)
+		if d.unfencing == 0 || d.w.options.without(shellOrderExpiry) {
+			d.releasePending()
+		}
 	case direct.EffectPromote:
 		d.promote(e)
 	case direct.EffectReport:
@@ -181,8 +192,15 @@
 	e := waiting[0]
 	d.orders[id], d.busy[id] = waiting[1:], true
 	m, sent := d.w.member(id), d.clock()
+	if e.SendDeadline != 0 && sent > e.SendDeadline && !d.w.options.without(shellOrderExpiry) {
+		d.busy[id] = false
+		d.orderEnded(e)
+		d.nextOrder(id)
+		return
+	}
 	finish := func(event func(at core.Time) []direct.Effect) {
 		d.busy[id] = false
+		d.orderEnded(e)
 		d.update(event)
 		d.nextOrder(id)
 	}
@@ -210,6 +228,24 @@
 	})
 }
 
+// orderEnded releases the promotion locks that waited for the end of the last removal of a fence.
+func (d *daemon) orderEnded(e direct.Effect) {
+	if e.Kind != direct.EffectUnfence {
+		return
+	}
+	if d.unfencing--; d.unfencing == 0 {
+		d.releasePending()
+	}
+}
+
+func (d *daemon) releasePending() {
+	waiting := d.releases
+	d.releases = nil
+	for _, e := range waiting {
+		d.release(e, releaseTries)
+	}
+}
+
 // reconnect reports the daemon's connection to the member as broken if it led to an earlier
 // incarnation of the member.
 func (d *daemon) reconnect(m *member) {
--- a/pkg/explore/promotions/run.go
+++ b/pkg/explore/promotions/run.go
@@ -50,6 +50,8 @@
 	shellSendWindow
 	// shellOrderReset: a promotion request that a cut holds up is discarded when its call ends.
 	shellOrderReset
+	// shellOrderExpiry: no order to a member is sent once another daemon could hold the promotion lock.
+	shellOrderExpiry
 	// shellLockLife: a promotion lock that its holder has not released counts as held until it has
 	// expired.
 	shellLockLife
@@ -92,6 +94,7 @@
 	{name: "settled", reducer: direct.GuardMemberList},
 	{name: "superseded", reducer: direct.GuardSuperseded},
 	{name: "order-reset", shell: shellOrderReset},
+	{name: "order-expiry", shell: shellOrderExpiry},
 	{name: "lock-life", shell: shellLockLife},
 	{name: "lock-era", reducer: direct.GuardLockEra, restores: true},
 	{name: "era-settled", shell: shellSettled, restores: true},
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"syscall"
@@ -9,15 +10,17 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/pkg/resetconn"
 	"limpetspan/platform"
 )
 
-// memberConn is a connection to a member. Only one goroutine may use it at a time.
+// memberConn is a connection to a member. Only one goroutine may use it at a time. It is reset when it
+// ends, so that the member cannot receive a statement after the proxy has abandoned it.
 type memberConn struct {
 	member core.MemberID
 	// team is the team whose statements run on the connection.
 	team core.TeamID
-	c    net.Conn
+	c    *net.TCPConn
 	r    *bufio.Reader
 	out  []byte
 	body []byte
@@ -44,7 +47,7 @@
 // dialMember opens a connection for the team to the member that is expected at the address.
 func dialMember(addr string, group core.GroupID, id core.MemberID, team core.TeamID, timeout time.Duration) (*memberConn, *connError) {
 	deadline := time.Now().Add(timeout)
-	c, err := net.DialTimeout("tcp", addr, timeout)
+	c, err := resetconn.Dial(context.Background(), addr, resetconn.Options{Timeout: timeout})
 	if err != nil {
 		return nil, &connError{direct.NotSent, errors.Is(err, syscall.ECONNREFUSED), err}
 	}
@@ -76,14 +79,7 @@
 	return a.Outcome()
 }
 
-// close resets the connection, which discards data that is still unsent, so that the
-// member cannot receive a statement after the proxy has abandoned it.
-func (m *memberConn) close() {
-	if tcp, ok := m.c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = m.c.Close()
-}
+func (m *memberConn) close() { _ = m.c.Close() }
 
 // exchange sends the statement and reads its complete answer. After an error the
 // connection must be closed. sent is false if nothing can have reached the member.
@@ -99,6 +95,18 @@
 	return a, true, err
 }
 
+// runOrder runs an order that must not take effect late, also if this process is stopped meanwhile.
+func (m *memberConn) runOrder(text string) (platform.Answer, error) {
+	if err := resetconn.SetUnackedTimeout(m.c, probeTimeout); err != nil {
+		return platform.Answer{}, err
+	}
+	a, err := m.runProxyStatement(text, time.Now().Add(probeTimeout))
+	if err == nil {
+		err = resetconn.SetUnackedTimeout(m.c, 0)
+	}
+	return a, err
+}
+
 // runProxyStatement runs a statement that the proxy issues itself.
 func (m *memberConn) runProxyStatement(text string, deadline time.Time) (platform.Answer, error) {
 	a, _, err := m.exchange(platform.ProxyStatementID, text, core.Position{}, deadline)
--- a/pkg/proxy/control.go
+++ b/pkg/proxy/control.go
@@ -9,31 +9,47 @@
 	"limpetspan/platform"
 )
 
-var errUnknownMember = errors.New("member is not in the host list")
+var (
+	errUnknownMember = errors.New("member is not in the host list")
+	errOrderExpired  = errors.New("the send window of the promotion lock has ended")
+)
 
 // control executes commands on one member, one after the other. It uses an idle connection of the
 // group's pool if there is one. The connections that it opens become part of the pool.
 type control struct {
 	g        *group
 	id       core.MemberID
-	commands chan direct.Effect
+	commands chan command
+}
+
+// command is an order to a member, or a request for its status.
+type command struct {
+	direct.Effect
+	// ended is closed when the command has ended, with or without success, or was dropped.
+	ended chan struct{}
 }
 
+// isExpired reports whether the command may not be sent any more.
+func (c command) isExpired() bool { return c.SendDeadline != 0 && now() > c.SendDeadline }
+
 // maxQueuedCommands bounds the commands that wait. Further ones are dropped; the reducer issues them
 // again.
 const maxQueuedCommands = 8
 
 func newControl(g *group, id core.MemberID) *control {
-	return &control{g: g, id: id, commands: make(chan direct.Effect, maxQueuedCommands)}
+	return &control{g: g, id: id, commands: make(chan command, maxQueuedCommands)}
 }
 
 // enqueue queues the command of an effect, or drops it if the queue is full.
-func (c *control) enqueue(e direct.Effect) {
+func (c *control) enqueue(e direct.Effect) command {
+	cmd := command{e, make(chan struct{})}
 	select {
-	case c.commands <- e:
+	case c.commands <- cmd:
 	default:
 		c.g.p.stats.commandsDropped.Add(1)
+		close(cmd.ended)
 	}
+	return cmd
 }
 
 func (c *control) run() {
@@ -43,8 +59,9 @@
 			return
 		case <-c.g.evicted:
 			return
-		case e := <-c.commands:
-			c.execute(e)
+		case cmd := <-c.commands:
+			c.execute(cmd)
+			close(cmd.ended)
 		}
 	}
 }
@@ -64,7 +81,7 @@
 
 // execute runs one command. A command that fails on a pooled connection is run again on a new one,
 // as the pooled connection may have been lost unnoticed.
-func (c *control) execute(e direct.Effect) {
+func (c *control) execute(e command) {
 	sent := now()
 	st, reused, err := c.exchange(e, true)
 	if err != nil && reused {
@@ -75,9 +92,13 @@
 		st, _, err = c.exchange(e, false)
 	}
 	if e.Kind != direct.EffectProbe {
-		c.g.p.log.Info("order", "group", c.g.id, "member", c.id, "order", commandText(e),
+		c.g.p.log.Info("order", "group", c.g.id, "member", c.id, "order", commandText(e.Effect),
 			"role", st.Role, "term", st.Term, "fenced", st.FencedTerm, "position", st.Position, "error", errorText(err))
 	}
+	if errors.Is(err, errOrderExpired) {
+		c.g.p.stats.ordersExpired.Add(1)
+		return
+	}
 	if err != nil {
 		c.handleFailure(sent, err)
 		return
@@ -111,7 +132,7 @@
 
 // exchange sends the command and parses the member's status. It takes a pooled connection if reuse
 // is set and there is one; reused says whether it did.
-func (c *control) exchange(e direct.Effect, reuse bool) (st direct.Status, reused bool, err error) {
+func (c *control) exchange(e command, reuse bool) (st direct.Status, reused bool, err error) {
 	var conn *memberConn
 	if reuse {
 		conn = c.g.takeAnyIdle(c.id)
@@ -122,7 +143,11 @@
 			return st, false, err
 		}
 	}
-	a, err := conn.runProxyStatement(commandText(e), time.Now().Add(probeTimeout))
+	a, err := c.send(conn, e)
+	if errors.Is(err, errOrderExpired) {
+		c.g.release(conn)
+		return st, false, err
+	}
 	if err != nil {
 		c.g.discard(conn)
 		return st, reused, err
@@ -136,6 +161,19 @@
 	return st, reused, err
 }
 
+// send runs the command on the connection, unless it may not be sent any more. It may have waited
+// behind others and for the connection.
+func (c *control) send(conn *memberConn, e command) (platform.Answer, error) {
+	text := commandText(e.Effect)
+	switch {
+	case e.isExpired():
+		return platform.Answer{}, errOrderExpired
+	case e.SendDeadline != 0:
+		return conn.runOrder(text)
+	}
+	return conn.runProxyStatement(text, time.Now().Add(probeTimeout))
+}
+
 // errorText returns the error's text, "" for nil.
 func errorText(err error) string {
 	if err == nil {
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -91,14 +91,17 @@
 
 // runEffects executes effects of the reducer.
 func (g *group) runEffects(effects []direct.Effect) {
+	var unfences []command
 	for _, e := range effects {
 		switch e.Kind {
-		case direct.EffectProbe, direct.EffectFence, direct.EffectUnfence, direct.EffectDemote:
+		case direct.EffectProbe, direct.EffectFence, direct.EffectDemote:
 			g.control(e.Member).enqueue(e)
+		case direct.EffectUnfence:
+			unfences = append(unfences, g.control(e.Member).enqueue(e))
 		case direct.EffectClaim:
 			go g.p.claims.claim(g, e)
 		case direct.EffectReleaseLock:
-			go g.p.claims.release(g.id, e)
+			go g.releaseLock(e, slices.Clone(unfences))
 		case direct.EffectReadLock:
 			go g.p.claims.read(g)
 		case direct.EffectPromote:
@@ -113,6 +116,20 @@
 	}
 }
 
+// releaseLock releases the promotion lock after the fences made under it have been removed. A removal
+// that took effect later could remove a fence of the lock's next holder.
+func (g *group) releaseLock(e direct.Effect, unfences []command) {
+	for _, cmd := range unfences {
+		select {
+		case <-cmd.ended:
+		case <-g.evicted:
+		case <-g.p.done:
+			return
+		}
+	}
+	g.p.claims.release(g.id, e)
+}
+
 // control returns the control connection of the member. It is created on first use.
 func (g *group) control(id core.MemberID) *control {
 	g.mu.Lock()
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"net"
 	"os"
@@ -15,6 +16,7 @@
 	"limpetspan/core"
 	"limpetspan/pkg/proxy/metadata"
 	"limpetspan/pkg/proxy/reportpb"
+	"limpetspan/pkg/resetconn"
 	"limpetspan/platform"
 )
 
@@ -139,9 +141,14 @@
 // dialFunc opens a connection to a home.
 type dialFunc func(home core.DaemonID, addr string, timeout time.Duration) (net.Conn, error)
 
-// dialLink opens a connection to a home.
+// dialLink opens a connection to a home. It is reset when it ends, so that the home cannot receive a
+// statement after this entry has abandoned it.
 func dialLink(_ core.DaemonID, addr string, timeout time.Duration) (net.Conn, error) {
-	return net.DialTimeout("tcp", addr, timeout)
+	c, err := resetconn.Dial(context.Background(), addr, resetconn.Options{Timeout: timeout})
+	if err != nil {
+		return nil, err
+	}
+	return c, nil
 }
 
 // handshake opens the session at the home.
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -15,7 +15,10 @@
 	// failed sends and receives of reports.
 	statements, malformed, connsBroken, dials, dialFailures, probeFailures expvar.Int
 	commandsDropped, promotions, reportsUnsent, reportsMalformed           expvar.Int
-	onPrimary, onReplica, logLinesDropped                                  expvar.Int
+	// ordersExpired counts orders to members that were not sent, because another daemon could hold the
+	// promotion lock by then.
+	ordersExpired                         expvar.Int
+	onPrimary, onReplica, logLinesDropped expvar.Int
 	// erasEnded counts the restores of the store from an older copy.
 	erasEnded expvar.Int
 	// connsReplaced counts idle connections that were closed to open one for another team.
@@ -78,7 +81,7 @@
 	return map[string]any{
 		"statements": s.statements.Value(), "malformed": s.malformed.Value(), "broken": s.connsBroken.Value(),
 		"dials": s.dials.Value(), "conns_replaced": s.connsReplaced.Value(), "dial_failures": s.dialFailures.Value(), "probe_failures": s.probeFailures.Value(),
-		"orders_dropped": s.commandsDropped.Value(), "promotions": s.promotions.Value(), "promotion_outcomes": valuesOf(&s.promotionOutcomes),
+		"orders_dropped": s.commandsDropped.Value(), "orders_expired": s.ordersExpired.Value(), "promotions": s.promotions.Value(), "promotion_outcomes": valuesOf(&s.promotionOutcomes),
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"store_eras_ended": s.erasEnded.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
--- a/pkg/proxy/watchedlink.go
+++ b/pkg/proxy/watchedlink.go
@@ -10,6 +10,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/health"
+	"limpetspan/pkg/resetconn"
 )
 
 // watchedConn is the connection of a link whose reads start a check of the home when its answer is
@@ -126,21 +127,17 @@
 	defer h.endAwait(id, w)
 	timer := time.AfterFunc(health.OverdueFloor, func() { h.checkUnlessHeard(id, sent) })
 	defer timer.Stop()
-	c, err := new(net.Dialer).DialContext(ctx, "tcp", addr)
+	c, err := resetconn.Dial(ctx, addr, resetconn.Options{})
 	if err != nil {
 		if w.down.Load() {
 			return nil, errHomeDown
 		}
 		return nil, err
 	}
-	tcp, ok := c.(*net.TCPConn)
-	if !ok {
-		return c, nil
-	}
 	if ip, _, err := net.SplitHostPort(addr); err == nil {
 		h.linkOpened(id, ip)
 	}
-	return &watchedConn{TCPConn: tcp, health: h, home: id}, nil
+	return &watchedConn{TCPConn: c, health: h, home: id}, nil
 }
 
 // checkUnlessHeard starts a check of a peer that has answered nothing since the given time.
