proxy: open a new link to a home that does not know the session's last commit

Cause: a home learns the position of a session's last commit when the link is opened, and from the commits that it runs itself. While the entry serves the session, because it has become a home or holds the second part of a team's limit, the link stays open, and the home does not learn of commits there. When the entry forwards again, it uses the open link, and the home places reads by the old position.

Change: a link remembers the position that its home knows. connectHome, through which each use of a link goes, opens a new link if the session has committed elsewhere since; the Hello carries the position, so homes of all versions understand it. "links_outdated" counts these links, and a line "home link outdated" names both positions.

A session now keeps its last commit for each group, as the configuration can move its database: the position of another group's log was required of the new one, and the commit in the first group was forgotten.

--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		if err == nil {
-			s.relayHomeAnswer(j, &a, true)
+			s.relayHomeAnswer(j, l, &a, true)
 			return
 		}
 		o := s.handleHomeLoss(j, l, sent, err)
@@ -136,13 +136,14 @@
 
 // relayHomeAnswer relays a home's answer. With commits set, the job commits its writes if it
 // succeeds, and the position of the commit is recorded.
-func (s *session) relayHomeAnswer(j *job, a *platform.Answer, commits bool) {
+func (s *session) relayHomeAnswer(j *job, l *link, a *platform.Answer, commits bool) {
 	if j.contradictsHistory(a) {
 		s.answerContradicted(j, a)
 		return
 	}
 	if commits && j.writes && a.Code == "" {
-		s.lastCommit, s.lastCommitAt = a.Position, now()
+		l.commit = a.Position
+		s.commits.record(groupCommit{j.route.Group, a.Position, now()})
 	}
 	if a.Code != "" {
 		s.p.stats.countRefusal(a.Code)
@@ -198,7 +199,7 @@
 	}
 	tx.wrote = tx.wrote || j.writes
 	tx.failed = a.State != platform.StateInTransaction
-	s.relayHomeAnswer(j, &a, false)
+	s.relayHomeAnswer(j, tx.homeLink, &a, false)
 	if a.State == platform.StateFailed {
 		s.forwardRollback(tx)
 	}
@@ -229,7 +230,7 @@
 		s.answerError(platform.CodeAborted, "the home refused the commit; the transaction is rolled back")
 		return
 	}
-	s.relayHomeAnswer(j, &a, true)
+	s.relayHomeAnswer(j, tx.homeLink, &a, true)
 	if a.State != platform.StateIdle {
 		// The home keeps the transaction open if it has refused the commit, but for
 		// the caller it has ended.
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -144,7 +144,7 @@
 			if l.isRetriable(&a) && s.handleDecline(l, &a, attempt) && now() < j.deadline() {
 				continue
 			}
-			s.relayHomeAnswer(j, &a, true)
+			s.relayHomeAnswer(j, l, &a, true)
 			return
 		}
 		if now() >= j.deadline() {
@@ -282,7 +282,7 @@
 	s.logDecision("hedge", "id", r.j.id, "reason", reason.String(), "home", l.home, "second", home, "ms", now().Sub(began).Milliseconds())
 	second := &secondAttempt{home: home, id: r.j.id, text: r.j.text, first: c, send: r.j.history.Begin(string(home)), done: make(chan struct{})}
 	// The second attempt may outlast the statement, and reads nothing that the session changes.
-	shadow := &session{p: s.p, database: s.database, key: s.key, lastCommit: s.lastCommit, lastCommitAt: s.lastCommitAt, sessionState: s.sessionState}
+	shadow := &session{p: s.p, database: s.database, key: s.key, commits: slices.Clone(s.commits), sessionState: s.sessionState}
 	shadow.values, shadow.prepared = maps.Clone(s.values), maps.Clone(s.prepared)
 	go second.run(shadow, health.Scope{Group: r.j.route.Group, Team: s.p.access.teamOf(s.key)}, r.j.deadline(), deadline)
 	return second
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -31,6 +31,8 @@
 	// values and prepared are the session state at the home.
 	values   map[string]string
 	prepared map[string]preparedStatement
+	// commit is the position of the session's last commit that the home knows.
+	commit core.Position
 	// moveRequested is set once the home has asked the entry to move the session to
 	// another home.
 	moveRequested bool
@@ -41,12 +43,17 @@
 // connectHome returns the session's link to a home of the group. It opens a new link if
 // the current one has been closed or its home has asked for a move. It also does so if the
 // current link leads to a daemon that is no longer a home, because that daemon's
-// connections to the members add to those of the current homes.
+// connections to the members add to those of the current homes, or if the session has
+// committed elsewhere since, which the home learns only when a link is opened.
 func (s *session) connectHome(id core.GroupID, deadline core.Time) (*link, error) {
 	team, overflow := s.p.access.teamOf(s.key), s.overflowHome
 	defer func() { s.overflowHome = "" }()
 	if s.link != nil && s.link.group == id && s.link.isUsable() && (s.staysAtOtherHolder() || s.p.homes.mayKeepLink(id, team, s.link.home)) {
-		return s.link.link, nil
+		if s.link.commit == s.commits.in(id).position {
+			return s.link.link, nil
+		}
+		s.p.stats.linksOutdated.Add(1)
+		s.logDecision("home link outdated", "home", s.link.home, "known", s.link.commit, "committed", s.commits.in(id).position)
 	}
 	s.closeLink()
 	if s.p.homes.health.enabled() {
@@ -57,7 +64,7 @@
 		if now() >= deadline {
 			break
 		}
-		l, err := s.dialHome(home, deadline, s.asksForSecondPart(id, team, home, overflow))
+		l, err := s.dialHome(id, home, deadline, s.asksForSecondPart(id, team, home, overflow))
 		if err == nil {
 			s.link = &groupLink{group: id, link: l}
 			if home == overflow {
@@ -111,17 +118,17 @@
 	}
 }
 
-func (s *session) dialHome(home core.DaemonID, deadline core.Time, secondPart bool) (*link, error) {
+func (s *session) dialHome(id core.GroupID, home core.DaemonID, deadline core.Time, secondPart bool) (*link, error) {
 	timeout := min(homeDialTimeout, until(deadline, minDialTimeout))
-	return s.openLink(home, dialLink, timeout, secondPart, func() time.Duration { return timeout })
+	return s.openLink(id, home, dialLink, timeout, secondPart, func() time.Duration { return timeout })
 }
 
 // minDialTimeout is the time for opening a link that a statement is given in any case.
 const minDialTimeout = 20 * time.Millisecond
 
-// openLink opens a link to the home. secondPart asks for the second part of the team's split limit.
+// openLink opens a link to a home of the group. secondPart asks for the second part of the team's split limit.
 // handshakeTimeout returns the time for the handshake once the connection is there.
-func (s *session) openLink(home core.DaemonID, dial dialFunc, timeout time.Duration, secondPart bool, handshakeTimeout func() time.Duration) (*link, error) {
+func (s *session) openLink(id core.GroupID, home core.DaemonID, dial dialFunc, timeout time.Duration, secondPart bool, handshakeTimeout func() time.Duration) (*link, error) {
 	addr, ok := s.p.peers.homeAddr(home)
 	if !ok {
 		return nil, errNoHome
@@ -130,7 +137,10 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &link{home: home, c: c, r: bufio.NewReaderSize(c, 1024), values: map[string]string{}, prepared: map[string]preparedStatement{}}
+	l := &link{
+		home: home, c: c, r: bufio.NewReaderSize(c, 1024), values: map[string]string{}, prepared: map[string]preparedStatement{},
+		commit: s.commits.in(id).position,
+	}
 	if err := l.handshake(s, handshakeTimeout(), secondPart); err != nil {
 		_ = c.Close()
 		return nil, err
@@ -155,7 +165,7 @@
 func (l *link) handshake(s *session, timeout time.Duration, secondPart bool) error {
 	_ = l.c.SetDeadline(time.Now().Add(timeout))
 	hello := &reportpb.Hello{
-		Database: s.database, Entry: string(s.p.settings.Daemon), Term: uint64(s.lastCommit.Term), Lsn: uint64(s.lastCommit.LSN),
+		Database: s.database, Entry: string(s.p.settings.Daemon), Term: uint64(l.commit.Term), Lsn: uint64(l.commit.LSN),
 		Version: s.p.metadata.Version(), Ip: s.p.settings.IP, KeyFingerprint: s.key[:], SecondPart: secondPart,
 	}
 	if _, err := protodelim.MarshalTo(l.c, hello); err != nil {
@@ -416,7 +426,16 @@
 	s.database = hello.Database
 	copy(s.key[:], hello.KeyFingerprint)
 	s.secondPart = hello.SecondPart
-	s.lastCommit = core.Position{Term: core.Term(hello.Term), LSN: core.LSN(hello.Lsn)}
-	s.lastCommitAt = now()
+	s.recordEntryCommit(core.Position{Term: core.Term(hello.Term), LSN: core.LSN(hello.Lsn)})
 	s.serveMessages()
 }
+
+// recordEntryCommit records the session's last commit, which it made at its entry or at another home.
+func (s *session) recordEntryCommit(position core.Position) {
+	if position.IsZero() {
+		return
+	}
+	if route, ok := s.p.catalog.Load().Routes[s.database]; ok {
+		s.commits.record(groupCommit{route.Group, position, now()})
+	}
+}
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -41,10 +41,8 @@
 	overflowHome core.DaemonID
 	secondPart   bool
 	sessionState
-	// lastCommit is the position of the session's last commit, lastCommitAt the
-	// time at which it was acknowledged.
-	lastCommit   core.Position
-	lastCommitAt core.Time
+	// commits are the session's last commits, wherever they were executed.
+	commits sessionCommits
 	// tx is the open transaction, nil outside one.
 	tx *transaction
 	// refusedAt is the time of the last refusal, 0 after a statement outside a
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -57,7 +57,8 @@
 func (s *session) requirement(route direct.Route, primary bool, arrived core.Time) direct.Requirement {
 	required := direct.Requirement{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived, Team: s.p.access.teamOf(s.key), Kind: route.Database}
 	if route.Consistency == direct.ReadYourWrites {
-		required.Session, required.SessionAt = s.lastCommit, s.lastCommitAt
+		commit := s.commits.in(route.Group)
+		required.Session, required.SessionAt = commit.position, commit.at
 	}
 	return required
 }
@@ -269,7 +270,7 @@
 		}
 		time.Sleep(tickInterval)
 	}
-	s.lastCommit, s.lastCommitAt = a.Position, now()
+	s.commits.record(groupCommit{g.id, a.Position, now()})
 	return true
 }
 
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -23,6 +23,8 @@
 	erasEnded expvar.Int
 	// connsReplaced counts idle connections that were closed to open one for another team.
 	connsReplaced expvar.Int
+	// linksOutdated counts links to homes that were replaced because the session had committed elsewhere.
+	linksOutdated expvar.Int
 	// refusals counts errors by code, denied the statements that were refused because of their
 	// callers' keys, by reason, and overQuota the operations that were refused because of their
 	// teams' limits, by reason.
@@ -85,7 +87,7 @@
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"store_eras_ended": s.erasEnded.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
-		"on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
+		"links_outdated": s.linksOutdated.Value(), "on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
 		"peer_health": valuesOf(&s.health), "hedges": valuesOf(&s.hedges),
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
--- a/pkg/proxy/watchedlink.go
+++ b/pkg/proxy/watchedlink.go
@@ -226,7 +226,7 @@
 		defer func() { h.endDial(home, opened) }()
 	}
 	timeout := max(minDialTimeout, h.dialLimit(home, deadline.Sub(began), others))
-	l, err := s.openLink(home, h.dial, timeout, s.asksForSecondPart(scope.Group, scope.Team, home, s.overflowHome), func() time.Duration { return max(time.Millisecond, began.Add(timeout).Sub(now())) })
+	l, err := s.openLink(scope.Group, home, h.dial, timeout, s.asksForSecondPart(scope.Group, scope.Team, home, s.overflowHome), func() time.Duration { return max(time.Millisecond, began.Add(timeout).Sub(now())) })
 	if err != nil {
 		s.logDecision("home connect failed", "home", home, "error", err)
 		if !isTimeout(err) || timeout >= health.DialFloor {
