direct: end a promotion request before another member is promoted instead

What callers could have seen: acknowledged writes at a replaced primary.

Cause: a daemon whose promoted member is silent claims again and promotes another one. Its first call could still be waiting behind a partition, and the platform takes 0.3 to 1 s for a promotion. The first request was received at 3.604 s, the second one at 4.050 s; the second took effect at 4.408 s, the first at 4.564 s, without a wait for the leases on the second member.

Change: claiming again ends the call of the first request, which resets its connection, and the second request follows 0.7 s later at the earliest, so that a first one that was received has its effect before. For takers-over of an expired lock, 4 s suffice: 2.5 s to send, 1 s to receive, 1 s to take effect, against 4.4 s until the next request and 0.3 s until its effect.

Tests: core "ends the call of the first order, and gives the second one so late that the first has its effect before" (fails without the delay), proxy "end the call of an order that is followed by another one".

--- a/core/direct/effect.go
+++ b/core/direct/effect.go
@@ -29,6 +29,9 @@
 	EffectReleaseLock
 	// EffectPromote orders the promotion of the member, under Token.
 	EffectPromote
+	// EffectEndPromote ends the call of the order Token if it is still in progress. The order has no
+	// effect if it has not been received by then.
+	EffectEndPromote
 	// EffectDropConns closes the idle connections to the member, which belong to an earlier
 	// incarnation.
 	EffectDropConns
--- a/core/direct/promote.go
+++ b/core/direct/promote.go
@@ -332,19 +332,24 @@
 // after the second one is acquired, and the second promotion takes effect no earlier. No fence of
 // the first claim is relied on: all are made again.
 //
+// The call of the first order is ended, and the second order is given so late that the first one, if it
+// was received before, has its effect first. Otherwise it would replace the second member without a
+// wait for the leases on that one.
+//
 // A primary that was demoted is a replica now and is fenced like the others; otherwise it could
 // confirm the lost member's leadership. It was last seen as primary before its demotion, and every
 // lease on it ends at most RoleTTL after that, whichever replica confirms it.
 func (g *Group) restartClaim(now core.Time) {
 	lost := g.claim
+	g.emit(Effect{Kind: EffectEndPromote, Member: lost.candidate, Token: lost.token})
 	g.emit(Effect{Kind: EffectDecision, Member: lost.candidate, Term: lost.term, Reason: "claiming again: the promoted member is silent"})
 	g.claim = claim{
 		phase: claiming, started: now, old: lost.old, term: g.term, minPosition: lost.minPosition,
-		earliestOrder: lost.earliestOrder, fenced: make(map[core.MemberID]core.Time),
+		earliestOrder: max(lost.earliestOrder, now.Add(MaxPromoteDuration-MinPromoteDuration)), fenced: make(map[core.MemberID]core.Time),
 	}
 	if lost.demoted {
 		g.claim.old = ""
-		g.claim.earliestOrder = lost.demotedAt.Add(RoleTTL - MinPromoteDuration)
+		g.claim.earliestOrder = max(g.claim.earliestOrder, lost.demotedAt.Add(RoleTTL-MinPromoteDuration))
 	}
 	g.emit(Effect{Kind: EffectClaim, Member: lost.old, Term: g.term + 1})
 }
--- a/core/direct/restart_test.go
+++ b/core/direct/restart_test.go
@@ -1,6 +1,7 @@
 package direct_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -205,6 +206,32 @@
 		Expect(s.at.Sub(ordered)).To(BeNumerically("<", 2*time.Second))
 	})
 
+	// Guards against a first order that has its effect after the second one, and replaces the second
+	// member while leases on it are valid.
+	It("ends the call of the first order, and gives the second one so late that the first has its effect before", func() {
+		s := newScript()
+		other := s.orderPlannedPromotion()
+		// tickUntil ticks until the effect is emitted, and returns it.
+		tickUntil := func(kind direct.EffectKind, a direct.Status) direct.Effect {
+			for end := s.at.Add(direct.ClaimTimeout); s.at < end; {
+				s.tick(20*ms, map[core.MemberID]direct.Status{"a": a, other: fenced})
+				if found := slices.IndexFunc(s.effects, func(e direct.Effect) bool { return e.Kind == kind }); found >= 0 {
+					return s.effects[found]
+				}
+			}
+			Fail("the effect was not emitted")
+			return direct.Effect{}
+		}
+		Expect(tickUntil(direct.EffectEndPromote, replica)).To(HaveField("Token", uint64(7)))
+		restarted := s.at
+		s.record(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 9, Term: 3, Highest: 3, Unresolved: 2}))
+		s.status("a", fenced)
+		s.status(other, fenced)
+		s.effects = nil
+		Expect(tickUntil(direct.EffectPromote, fenced)).To(HaveField("Token", uint64(9)))
+		Expect(s.at.Sub(restarted) + direct.MinPromoteDuration).To(BeNumerically(">=", direct.MaxPromoteDuration))
+	})
+
 	// The second candidate's fence alone must not be enough: the old primary would confirm the
 	// leadership of the first candidate, which some daemon may be using by then.
 	It("is not followed while the old primary is not fenced", func() {
--- a/core/direct/tuning.go
+++ b/core/direct/tuning.go
@@ -48,6 +48,9 @@
 	// MinPromoteDuration is a lower bound of the time between the order to promote and its effect.
 	// Leases may still expire during that time.
 	MinPromoteDuration = 300 * time.Millisecond
+	// MaxPromoteDuration is an upper bound of the same time, counted from the arrival of the order at
+	// the platform.
+	MaxPromoteDuration = time.Second
 	// PromoteTimeout bounds the wait for an ordered promotion to take effect.
 	PromoteTimeout = 2500 * time.Millisecond
 	// PromotePollInterval is the time between probes of a member that is being promoted.
--- a/pkg/explore/promotions/daemon.go
+++ b/pkg/explore/promotions/daemon.go
@@ -39,7 +39,9 @@
 	// unfencing counts the queued removals of fences, and releases are the promotion locks to release
 	// after them.
 	unfencing int
-	releases  []direct.Effect
+	// order is the token of the last promotion request whose call has not been ended.
+	order    uint64
+	releases []direct.Effect
 	// connected holds, by member, the incarnation to which the daemon has a connection.
 	connected map[core.MemberID]int
 	// stamps are the newest timestamps received from other daemons.
@@ -176,6 +178,8 @@
 		}
 	case direct.EffectPromote:
 		d.promote(e)
+	case direct.EffectEndPromote:
+		d.order = 0
 	case direct.EffectReport:
 		d.kick()
 	case direct.EffectDecision:
@@ -408,8 +412,18 @@
 	if d.w.options.without(shellOrderReset) {
 		limit = d.w.now.Add(time.Hour)
 	}
-	// The promotion endpoint is cut off whenever the store is.
-	d.w.deliver(d.node(), storeNode, limit, d.w.delay(), func() { d.w.ordered(d, e) })
+	d.order = e.Token
+	var arrive func()
+	arrive = func() {
+		// The promotion endpoint is cut off whenever the store is.
+		switch {
+		case d.w.open(d.node(), storeNode):
+			d.w.ordered(d, e)
+		case d.w.now < limit && (d.order == e.Token || d.w.options.without(shellOrderReset)):
+			d.w.after(tick, arrive)
+		}
+	}
+	d.w.after(d.w.delay(), arrive)
 }
 
 // ordered handles a promotion request as the platform does.
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -41,6 +41,8 @@
 	readingAll atomic.Bool
 	mu         sync.Mutex
 	observed   map[core.GroupID]observedLock
+	// promotions are the promotion requests in progress.
+	promotions map[core.GroupID]*promotionCall
 }
 
 // claim acquires the group's promotion lock, and reports the lock or the reason of the refusal to
@@ -320,19 +322,46 @@
 	}
 }
 
-// promote requests the promotion from the platform. It sends the request by e.SendDeadline and ends
-// the call at most a second later. A request that was given up is not received after that, so that a
-// request of the lock's next holder comes after it.
-func (c *claims) promote(g *group, e direct.Effect) {
-	remaining := e.SendDeadline.Sub(now())
-	if remaining <= 0 {
+// promotionCall is a promotion request to the platform. A request that was given up is not received
+// later, so that a request of the lock's next holder comes after it.
+type promotionCall struct {
+	c      *claims
+	g      *group
+	effect direct.Effect
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// newPromotionCall returns the call of an order. It has to be run.
+func (c *claims) newPromotionCall(g *group, e direct.Effect) *promotionCall {
+	call := &promotionCall{c: c, g: g, effect: e}
+	// The request is sent by e.SendDeadline and ended at most a second later.
+	call.ctx, call.cancel = context.WithTimeout(c.p.ctx, min(promoteTimeout, e.SendDeadline.Sub(now())+time.Second))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.promotions[g.id] = call
+	return call
+}
+
+// endPromote ends the call of the order with the token, if it is in progress.
+func (c *claims) endPromote(id core.GroupID, token uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if call := c.promotions[id]; call != nil && call.effect.Token == token {
+		call.cancel()
+	}
+}
+
+// run makes the call and reports a refusal to the reducer.
+func (call *promotionCall) run() {
+	c, g, e := call.c, call.g, call.effect
+	defer call.end()
+	if now() > e.SendDeadline {
 		c.promoteRefused(g, "the send window of the promotion lock has ended")
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.p.ctx, min(promoteTimeout, remaining+time.Second))
-	defer cancel()
 	sent := now()
-	err := c.p.client.Promote(ctx, platform.Promotion{
+	err := c.p.client.Promote(call.ctx, platform.Promotion{
 		Group: g.id, Member: e.Member, Holder: c.p.settings.Daemon, Token: e.Token, MaySend: func() bool { return now() <= e.SendDeadline },
 	})
 	c.p.stats.promotions.Add(1)
@@ -346,6 +375,15 @@
 	// the promotion takes effect.
 }
 
+func (call *promotionCall) end() {
+	call.cancel()
+	call.c.mu.Lock()
+	defer call.c.mu.Unlock()
+	if call.c.promotions[call.g.id] == call {
+		delete(call.c.promotions, call.g.id)
+	}
+}
+
 // isPromotionRefused reports whether the error says that the request has no effect.
 func isPromotionRefused(err error) bool {
 	return errors.Is(err, platform.ErrNotRunning) || errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrExpired)
--- a/pkg/proxy/claims_test.go
+++ b/pkg/proxy/claims_test.go
@@ -1,15 +1,39 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"limpetspan/core"
+	"limpetspan/core/direct"
 	"limpetspan/platform/standin"
 )
 
 var _ = Describe("the promotion locks of a daemon's groups", func() {
+	// Guards against a promotion request that a partition delivers after its daemon has claimed again for
+	// another member, while the call would still wait.
+	It("end the call of an order that is followed by another one", func(ctx SpecContext) {
+		f := newFleet(1)
+		d := f.daemons[0]
+		link, err := standin.NewHeldLink(f.store.Addr())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(link.Close)
+		d.p.client.SetAddresses(f.store.Addr(), link.Addr())
+		d.dial("db-primary").queryUntilServed("WRITE k 1")
+		g := d.p.existingGroup("ledger")
+		order := direct.Effect{Kind: direct.EffectPromote, Member: core.MemberID(f.group.Members()[1].ID), Token: 7, SendDeadline: now().Add(waitLimit)}
+		call := d.p.claims.newPromotionCall(g, order)
+		call.ctx, call.cancel = context.WithCancel(ctx)
+		go call.run()
+		Expect(link.AwaitData(ctx)).To(Succeed())
+		g.runEffects([]direct.Effect{{Kind: direct.EffectEndPromote, Token: 7}})
+		Expect(link.Deliver(ctx)).To(BeZero())
+		Expect(f.store.PromoteRequests()).To(BeEmpty())
+	}, SpecTimeout(waitLimit))
+
 	// Guards against one call for each group. The replicas are unreachable, so the daemon's leases on the
 	// primaries need reads of the promotion locks. Homes of many groups would make a thousand calls a
 	// second, especially when the store has just become available again.
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -105,7 +105,9 @@
 		case direct.EffectReadLock:
 			go g.p.claims.read(g)
 		case direct.EffectPromote:
-			go g.p.claims.promote(g, e)
+			go g.p.claims.newPromotionCall(g, e).run()
+		case direct.EffectEndPromote:
+			g.p.claims.endPromote(g.id, e.Token)
 		case direct.EffectDropConns:
 			g.closeIdle(e.Member)
 		case direct.EffectReport:
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -114,7 +114,7 @@
 	p.metadata = metadata.New(p.ctx, metadata.Options{
 		Self: s.Daemon, Store: p.client, Owner: p.view, Now: now, MaxProofAge: s.MaxProofAge(), ShortWatches: s.KeyRevocationBound != 0, ListAt: p.firstListAt(),
 	})
-	p.claims = &claims{p: p, observed: make(map[core.GroupID]observedLock)}
+	p.claims = &claims{p: p, observed: make(map[core.GroupID]observedLock), promotions: make(map[core.GroupID]*promotionCall)}
 	if s.MemoryLimit > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryLimit)))
 	}
