proxy: name the check for an outdated link

The condition of connectHome had become hard to read. No change of behaviour: proxy "the last commit of a session" and "orders to a member" pass.

--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -48,12 +48,8 @@
 func (s *session) connectHome(id core.GroupID, deadline core.Time) (*link, error) {
 	team, overflow := s.p.access.teamOf(s.key), s.overflowHome
 	defer func() { s.overflowHome = "" }()
-	if s.link != nil && s.link.group == id && s.link.isUsable() && (s.staysAtOtherHolder() || s.p.homes.mayKeepLink(id, team, s.link.home)) {
-		if s.link.commit == s.commits.in(id).position {
-			return s.link.link, nil
-		}
-		s.p.stats.linksOutdated.Add(1)
-		s.logDecision("home link outdated", "home", s.link.home, "known", s.link.commit, "committed", s.commits.in(id).position)
+	if s.link != nil && s.link.group == id && s.link.isUsable() && (s.staysAtOtherHolder() || s.p.homes.mayKeepLink(id, team, s.link.home)) && !s.isLinkOutdated() {
+		return s.link.link, nil
 	}
 	s.closeLink()
 	if s.p.homes.health.enabled() {
@@ -84,6 +80,18 @@
 	return nil, errNoHome
 }
 
+// isLinkOutdated reports whether the session has committed elsewhere since its link's home has last
+// learned of a commit. Reads at that home could lack the session's own commit.
+func (s *session) isLinkOutdated() bool {
+	committed := s.commits.in(s.link.group).position
+	if s.link.commit == committed {
+		return false
+	}
+	s.p.stats.linksOutdated.Add(1)
+	s.logDecision("home link outdated", "home", s.link.home, "known", s.link.commit, "committed", committed)
+	return true
+}
+
 // maxUnknownDatabase bounds how many homes may answer that they do not know the database,
 // before the statement is refused. Such a database has just been added or removed, and all
 // daemons have the new configuration within moments.
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -17,7 +17,8 @@
 	commandsDropped, promotions, reportsUnsent, reportsMalformed           expvar.Int
 	// ordersExpired counts orders to members that were not sent, because another daemon could hold the
 	// promotion lock by then.
-	ordersExpired                         expvar.Int
+	ordersExpired expvar.Int
+
 	onPrimary, onReplica, logLinesDropped expvar.Int
 	// erasEnded counts the restores of the store from an older copy.
 	erasEnded expvar.Int
