proxy: use what is there instead of writing it again, and split what had grown

- The model's promotion request had a loop of its own beside deliver. deliver now takes the condition under which a message waits, and both use it.
The hour that stood for "never" is gone.
- pkg/target and pkg/resetconn set TCP_USER_TIMEOUT with the same lines: resetconn.SetRawUnackedTimeout.
- A session's last commits are data without I/O: direct.SessionCommits, beside the requirement that reads them.

--- a/pkg/explore/promotions/daemon.go
+++ b/pkg/explore/promotions/daemon.go
@@ -39,9 +39,9 @@
 	// unfencing counts the queued removals of fences, and releases are the promotion locks to release
 	// after them.
 	unfencing int
+	releases  []direct.Effect
 	// order is the token of the last promotion request whose call has not been ended.
-	order    uint64
-	releases []direct.Effect
+	order uint64
 	// connected holds, by member, the incarnation to which the daemon has a connection.
 	connected map[core.MemberID]int
 	// stamps are the newest timestamps received from other daemons.
@@ -409,21 +409,12 @@
 		return
 	}
 	limit := d.w.now.Add(orderHeld)
-	if d.w.options.without(shellOrderReset) {
-		limit = d.w.now.Add(time.Hour)
-	}
 	d.order = e.Token
-	var arrive func()
-	arrive = func() {
-		// The promotion endpoint is cut off whenever the store is.
-		switch {
-		case d.w.open(d.node(), storeNode):
-			d.w.ordered(d, e)
-		case d.w.now < limit && (d.order == e.Token || d.w.options.without(shellOrderReset)):
-			d.w.after(tick, arrive)
-		}
+	waits := func() bool {
+		return d.w.options.without(shellOrderReset) || d.w.now < limit && d.order == e.Token
 	}
-	d.w.after(d.w.delay(), arrive)
+	// The promotion endpoint is cut off whenever the store is.
+	d.w.deliver(d.node(), storeNode, waits, d.w.delay(), func() { d.w.ordered(d, e) })
 }
 
 // ordered handles a promotion request as the platform does.
--- a/pkg/explore/promotions/world.go
+++ b/pkg/explore/promotions/world.go
@@ -151,16 +151,18 @@
 // send carries a message over a connection. A cut holds it up, and it arrives
 // after the cut's end unless its sender has given the connection up by then.
 func (w *world) send(from, to node, arrive func()) {
-	w.deliver(from, to, w.now.Add(held), w.delay(), arrive)
+	limit := w.now.Add(held)
+	w.deliver(from, to, func() bool { return w.now < limit }, w.delay(), arrive)
 }
 
-func (w *world) deliver(from, to node, limit core.Time, delay time.Duration, arrive func()) {
+// deliver carries a message as long as waits returns true while a cut holds it up.
+func (w *world) deliver(from, to node, waits func() bool, delay time.Duration, arrive func()) {
 	w.after(delay, func() {
 		switch {
 		case w.open(from, to):
 			arrive()
-		case w.now < limit:
-			w.deliver(from, to, limit, tick, arrive)
+		case waits():
+			w.deliver(from, to, waits, tick, arrive)
 		}
 	})
 }
--- a/pkg/proxy/control.go
+++ b/pkg/proxy/control.go
@@ -66,6 +66,20 @@
 	}
 }
 
+// releaseLock releases the promotion lock after the fences made under it have been removed. A removal
+// that took effect later could remove a fence of the lock's next holder.
+func (g *group) releaseLock(e direct.Effect, unfences []command) {
+	for _, cmd := range unfences {
+		select {
+		case <-cmd.ended:
+		case <-g.evicted:
+		case <-g.p.done:
+			return
+		}
+	}
+	g.p.claims.release(g.id, e)
+}
+
 // commandText returns the text of the effect's command to the member.
 func commandText(e direct.Effect) string {
 	switch e.Kind {
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -143,7 +143,7 @@
 	}
 	if commits && j.writes && a.Code == "" {
 		l.commit = a.Position
-		s.commits.record(groupCommit{j.route.Group, a.Position, now()})
+		s.commits.Record(direct.SessionCommit{Group: j.route.Group, Position: a.Position, At: now()})
 	}
 	if a.Code != "" {
 		s.p.stats.countRefusal(a.Code)
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -118,20 +118,6 @@
 	}
 }
 
-// releaseLock releases the promotion lock after the fences made under it have been removed. A removal
-// that took effect later could remove a fence of the lock's next holder.
-func (g *group) releaseLock(e direct.Effect, unfences []command) {
-	for _, cmd := range unfences {
-		select {
-		case <-cmd.ended:
-		case <-g.evicted:
-		case <-g.p.done:
-			return
-		}
-	}
-	g.p.claims.release(g.id, e)
-}
-
 // control returns the control connection of the member. It is created on first use.
 func (g *group) control(id core.MemberID) *control {
 	g.mu.Lock()
@@ -493,30 +479,3 @@
 	}
 	return surplus
 }
-
-// Pool describes the idle connections to one member, for the metrics.
-type Pool struct {
-	Group  core.GroupID  `json:"group"`
-	Member core.MemberID `json:"member"`
-	// Idle is the number of idle connections by team.
-	Idle map[core.TeamID]int `json:"idle"`
-	// Waiting is the number of the group's statements that wait for a connection to any member.
-	Waiting int `json:"waiting"`
-}
-
-// pools returns the idle connections by member and team.
-func (p *Proxy) pools() []Pool {
-	list := []Pool{}
-	for _, g := range p.activeGroups() {
-		g.mu.Lock()
-		for _, id := range slices.Sorted(maps.Keys(g.idle)) {
-			pool := Pool{Group: g.id, Member: id, Idle: make(map[core.TeamID]int), Waiting: g.queue.Len()}
-			for _, conn := range g.idle[id] {
-				pool.Idle[conn.team]++
-			}
-			list = append(list, pool)
-		}
-		g.mu.Unlock()
-	}
-	return list
-}
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"limpetspan/core"
+	"limpetspan/core/direct"
 	"limpetspan/pkg/proxy/metadata"
 	"limpetspan/pkg/proxy/reportpb"
 	"limpetspan/pkg/resetconn"
@@ -83,7 +84,7 @@
 // isLinkOutdated reports whether the session has committed elsewhere since its link's home has last
 // learned of a commit. Reads at that home could lack the session's own commit.
 func (s *session) isLinkOutdated() bool {
-	committed := s.commits.in(s.link.group).position
+	committed := s.commits.In(s.link.group).Position
 	if s.link.commit == committed {
 		return false
 	}
@@ -147,7 +148,7 @@
 	}
 	l := &link{
 		home: home, c: c, r: bufio.NewReaderSize(c, 1024), values: map[string]string{}, prepared: map[string]preparedStatement{},
-		commit: s.commits.in(id).position,
+		commit: s.commits.In(id).Position,
 	}
 	if err := l.handshake(s, handshakeTimeout(), secondPart); err != nil {
 		_ = c.Close()
@@ -444,6 +445,6 @@
 		return
 	}
 	if route, ok := s.p.catalog.Load().Routes[s.database]; ok {
-		s.commits.record(groupCommit{route.Group, position, now()})
+		s.commits.Record(direct.SessionCommit{Group: route.Group, Position: position, At: now()})
 	}
 }
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -42,7 +42,7 @@
 	secondPart   bool
 	sessionState
 	// commits are the session's last commits, wherever they were executed.
-	commits sessionCommits
+	commits direct.SessionCommits
 	// tx is the open transaction, nil outside one.
 	tx *transaction
 	// refusedAt is the time of the last refusal, 0 after a statement outside a
--- a/pkg/proxy/sessioncommits_test.go
+++ b/pkg/proxy/sessioncommits_test.go
@@ -37,14 +37,6 @@
 // has every commit.
 const readsAfterMove = 20
 
-// expectReads expects that reads of the session return the data.
-func (x *caller) expectReads(item, data string) {
-	GinkgoHelper()
-	for range readsAfterMove {
-		Expect(x.queryUntilServed("READ " + item).rows).To(Equal([]string{data}))
-	}
-}
-
 var _ = Describe("the last commit of a session", func() {
 	writeData := func(x *caller, data string) {
 		GinkgoHelper()
@@ -66,7 +58,9 @@
 	}
 	read := func(x *caller, data string) {
 		GinkgoHelper()
-		x.expectReads("k", data)
+		for range readsAfterMove {
+			Expect(x.queryUntilServed("READ k").rows).To(Equal([]string{data}))
+		}
 	}
 
 	// Guards against reads that lack a commit of their own session: the daemon that runs them served the
@@ -122,7 +116,7 @@
 		again, err := s.connectHome("ledger", deadline)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(again.home).To(Equal(home.s.Daemon))
-		Expect(again.commit).To(Equal(s.commits.in("ledger").position))
+		Expect(again.commit).To(Equal(s.commits.In("ledger").Position))
 		Expect(again.commit.IsZero()).To(BeFalse())
 		Expect(entry.p.stats.linksOutdated.Value()).To(BeEquivalentTo(1))
 	})
@@ -151,12 +145,12 @@
 		required := func(id core.GroupID) core.Position {
 			return s.requirement(direct.Route{Group: id, Consistency: direct.ReadYourWrites}, false, 0).Session
 		}
-		s.commits.record(groupCommit{"first", first, 1})
+		s.commits.Record(direct.SessionCommit{Group: "first", Position: first, At: 1})
 		Expect(required("second")).To(BeZero())
-		s.commits.record(groupCommit{"second", second, 2})
+		s.commits.Record(direct.SessionCommit{Group: "second", Position: second, At: 2})
 		Expect(required("second")).To(Equal(second))
 		Expect(required("first")).To(Equal(first))
-		s.commits.record(groupCommit{"first", core.Position{Term: 3, LSN: 51}, 3})
+		s.commits.Record(direct.SessionCommit{Group: "first", Position: core.Position{Term: 3, LSN: 51}, At: 3})
 		Expect(required("first")).To(Equal(core.Position{Term: 3, LSN: 51}))
 		Expect(s.commits).To(HaveLen(2))
 	})
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -57,8 +57,8 @@
 func (s *session) requirement(route direct.Route, primary bool, arrived core.Time) direct.Requirement {
 	required := direct.Requirement{Primary: primary || route.Consistency == direct.PrimaryReads, MaxAge: route.MaxAge, Arrived: arrived, Team: s.p.access.teamOf(s.key), Kind: route.Database}
 	if route.Consistency == direct.ReadYourWrites {
-		commit := s.commits.in(route.Group)
-		required.Session, required.SessionAt = commit.position, commit.at
+		commit := s.commits.In(route.Group)
+		required.Session, required.SessionAt = commit.Position, commit.At
 	}
 	return required
 }
@@ -270,7 +270,7 @@
 		}
 		time.Sleep(tickInterval)
 	}
-	s.commits.record(groupCommit{g.id, a.Position, now()})
+	s.commits.Record(direct.SessionCommit{Group: g.id, Position: a.Position, At: now()})
 	return true
 }
 
--- a/pkg/resetconn/dial.go
+++ b/pkg/resetconn/dial.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -53,8 +54,13 @@
 	if err != nil {
 		return err
 	}
+	return SetRawUnackedTimeout(raw, d)
+}
+
+// SetRawUnackedTimeout is SetUnackedTimeout for a socket that may not be connected yet.
+func SetRawUnackedTimeout(raw syscall.RawConn, d time.Duration) error {
 	var optErr error
-	err = raw.Control(func(fd uintptr) {
+	err := raw.Control(func(fd uintptr) {
 		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	return errors.Join(err, optErr)
--- a/pkg/target/socket.go
+++ b/pkg/target/socket.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"limpetspan/pkg/resetconn"
 )
 
 // Keepalive settings of member connections: a peer that vanished without a
@@ -38,14 +40,7 @@
 	if timeout <= 0 {
 		timeout = DefaultUserTimeout
 	}
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return setErr
+	return resetconn.SetRawUnackedTimeout(raw, timeout)
 }
 
 // readiness asks the kernel whether a socket has anything to read: bytes, an
