--- a/review/harness2/daemon.go
+++ b/review/harness2/daemon.go
@@ -8,10 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -152,18 +149,6 @@
 	return nil
 }
 
-func (d *daemon) pid() int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.cmd.Process.Pid
-}
-
-func (d *daemon) signal(s syscall.Signal) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_ = d.cmd.Process.Signal(s)
-}
-
 // end kills the process for good.
 func (d *daemon) end() {
 	d.mu.Lock()
@@ -189,18 +174,3 @@
 	defer resp.Body.Close()
 	return resp.StatusCode == http.StatusOK
 }
-
-// residentMB returns the process's resident memory in megabytes.
-func (d *daemon) residentMB() float64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.pid()))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		if f := strings.Fields(line); len(f) >= 2 && f[0] == "VmRSS:" {
-			kb, _ := strconv.ParseFloat(f[1], 64)
-			return kb * 1024 / 1e6
-		}
-	}
-	return 0
-}
