proxy: name prepared statements at members by a digest of their definition

What callers saw: a caller that prepared WRITE "fees READ open" got a success, and the member ran a read of another shape.

Cause: the name on a connection to a member was "lw_" or "lr_" followed by the whole shape. A shape is the last field of PREPARE and may contain blanks, but a name is a field in the middle of PREPARE and EXECUTE: the member read "lw_fees" as the name and the rest as another definition. The proxy's own record did not notice, as its key was the whole name.

Two hypotheses gave the same symptom: the name, or a caller's own name that leaks to the member. The member's record of the definition that ran decided it: it was "open WRITE fees READ open", which is the end of our own message.

It has no blank, is 44 bytes long whatever the shape, and differs for a read and a write and for any two shapes; replacing the blanks would have let "fees by station" and "fees_by_station" share a name. It is computed once, at PREPARE. An EXECUTE whose arguments fill a message up to the last 100 bytes or so may not fit any more under the longer name, or behind a position; it is answered with TOOBIG at once.

The stand-in now records the definition of each prepared statement that ran, and refuses a malformed PREPARE.

--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -135,8 +135,8 @@
 		}
 	}
 	if prepare != nil {
-		if name := platform.PreparedName(prepare.writes, prepare.shape); !m.prepared[name] {
-			m.out = platform.AppendProxyStatement(m.out, platform.TextPrepare(prepare.writes, prepare.shape))
+		if name := prepare.memberName; !m.prepared[name] {
+			m.out = platform.AppendProxyStatement(m.out, platform.TextPrepare(name, prepare.writes, prepare.shape))
 			m.prepared[name] = true
 			sent++
 		}
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -365,7 +365,7 @@
 	}
 	for name, def := range s.prepared {
 		if l.prepared[name] != def {
-			appendStatement(platform.TextPrepareAs(name, def.writes, def.shape))
+			appendStatement(platform.TextPrepare(name, def.writes, def.shape))
 			l.prepared[name] = def
 		}
 	}
--- /dev/null
+++ b/pkg/proxy/prepared_test.go
@@ -0,0 +1,57 @@
+package proxy
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/platform"
+)
+
+// executed returns the definition of the prepared statement that ran for the answer.
+func (f *fleet) executed(a answer) string {
+	for _, m := range f.group.Members() {
+		if definition := m.Executed(a.id); definition != "" {
+			return definition
+		}
+	}
+	return ""
+}
+
+var _ = Describe("a prepared statement", func() {
+	// Guards against two shapes, or a read and a write of one shape, that share a name on a connection.
+	It("runs the shape that its caller has prepared, whatever the shape contains", func() {
+		f := newFleet(1)
+		d := f.daemons[0]
+		definitions := []string{
+			"WRITE fees", "WRITE fees READ open", "READ fees", "READ open WRITE fees READ open", "WRITE fees by station", "WRITE fees  by station",
+			"WRITE fees_by_station", "WRITE " + strings.Repeat("x", 2000), "WRITE " + strings.Repeat("x", 2001), "READ READ", "WRITE lw_fees",
+		}
+		var callers []*caller
+		for range definitions {
+			callers = append(callers, d.dial("db-primary"))
+		}
+		callers[0].queryUntilServed("WRITE k 1")
+		for range 2 {
+			for i, definition := range definitions {
+				Expect(callers[i].query("PREPARE s1 " + definition).result).To(Equal("COMPLETE -"))
+				a := callers[i].query("EXECUTE s1 k v")
+				Expect(a.isServed()).To(BeTrue(), "%.60s: %s", definition, a.result)
+				Expect(f.executed(a)).To(Equal(definition))
+			}
+		}
+	})
+
+	// Guards against a message that the member refuses as too long, because the name on the connection
+	// is longer than the caller's.
+	It("is refused at once if its arguments fill a message", func() {
+		f := newFleet(1)
+		x := f.daemons[0].dial("db-primary")
+		x.queryUntilServed("WRITE k 1")
+		x.query("PREPARE s WRITE fees")
+		fill := func(size int) string { return "EXECUTE s k " + strings.Repeat("v", size) }
+		Expect(x.query(fill(platform.MaxMessage - 60)).result).To(HavePrefix("ERROR TOOBIG"))
+		Expect(x.query(fill(platform.MaxMessage - 200)).isServed()).To(BeTrue())
+	})
+})
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -20,6 +20,12 @@
 type preparedStatement struct {
 	writes bool
 	shape  string
+	// memberName is its name on connections to members.
+	memberName string
+}
+
+func newPreparedStatement(writes bool, shape string) preparedStatement {
+	return preparedStatement{writes, shape, platform.PreparedName(writes, shape)}
 }
 
 // session is one caller's connection, served by a goroutine of its own.
@@ -354,7 +360,11 @@
 			return
 		}
 		job.prepared, job.writes = &def, def.writes
-		job.text = platform.TextExecute(def.writes, def.shape, st.Argument)
+		job.text = platform.TextExecute(def.memberName, st.Argument)
+	}
+	if !platform.FitsMessage(job.id, job.text) && st.Kind != direct.StatementWrite {
+		s.answerError(platform.CodeTooLarge, "the statement leaves no room for the name and position that precede it at a member")
+		return
 	}
 	job.memberText, job.memberPrepared = job.text, job.prepared
 	switch {
--- a/pkg/proxy/sessionstate.go
+++ b/pkg/proxy/sessionstate.go
@@ -93,7 +93,7 @@
 	if st.Kind == direct.StatementSet {
 		err = s.set(st.Name, st.Argument, s.p.sessionLimits)
 	} else {
-		err = s.prepare(st.Name, preparedStatement{st.Writes, st.Argument}, s.p.sessionLimits)
+		err = s.prepare(st.Name, newPreparedStatement(st.Writes, st.Argument), s.p.sessionLimits)
 	}
 	if err != nil {
 		s.logDecision("session state refused", "id", st.ID, "reason", err.Error())
--- a/pkg/proxy/split_test.go
+++ b/pkg/proxy/split_test.go
@@ -147,8 +147,8 @@
 		_, second, _ := f.awaitBothHolders("bays")
 		s := &session{p: second.p, database: "db-own", key: auth.FingerprintOf(baysKey)}
 		route := second.p.catalog.Load().Routes["db-own"]
-		def := preparedStatement{shape: "q1"}
-		j := &job{id: "e1", kind: direct.StatementExecute, text: "EXECUTE r k", callerText: "EXECUTE r k", memberText: platform.TextExecute(false, "q1", "k"), memberPrepared: &def, route: route, arrived: now()}
+		def := newPreparedStatement(false, "q1")
+		j := &job{id: "e1", kind: direct.StatementExecute, text: "EXECUTE r k", callerText: "EXECUTE r k", memberText: platform.TextExecute(def.memberName, "k"), memberPrepared: &def, route: route, arrived: now()}
 		Expect(s.runsSecondPart(j, &platform.Answer{Code: platform.CodeBusy, Text: "not run: " + textAtLimit})).To(BeTrue())
 		s.runSingle(j)
 		Expect(string(s.out)).To(ContainSubstring("COMPLETE r."))
