proxy: bound the prepared statements of a connection to a member

Cause: a connection kept the name of each statement that was ever prepared on it for as long as it lived, and so did the member, which was never told to drop one. With digests as names this grows more slowly, but still without a bound, and at the member by the whole shape.

Change: core/stmtcache decides what a connection holds: at most 128 statements whose shapes have 256 KiB, the least recently used ones are dropped. They are deallocated at the member in the same round trip that prepares the new one. A statement that a member does not know (NOSUCHSTMT) is forgotten, so that the next attempt prepares it; before, each further EXECUTE on that connection failed and was refused with BUSY.

--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -10,6 +10,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/stmtcache"
 	"limpetspan/pkg/resetconn"
 	"limpetspan/platform"
 )
@@ -26,13 +27,17 @@
 	body []byte
 	// values and prepared are the session state at the member.
 	values   map[string]string
-	prepared map[string]bool
+	prepared *stmtcache.Cache
 	// idleSince is when the connection was last returned to the pool.
 	idleSince core.Time
 	// idleInTransaction is set while its transaction waits for the caller.
 	idleInTransaction bool
 }
 
+// connStatementLimits bound the prepared statements of a connection to a member. A session's statement
+// always fits.
+var connStatementLimits = stmtcache.Limits{Statements: 128, Bytes: DefaultSessionLimits.Bytes}
+
 // connError is the error of a connection that could not be opened. refused is set if the
 // member's host has refused it.
 type connError struct {
@@ -51,7 +56,7 @@
 	if err != nil {
 		return nil, &connError{direct.NotSent, errors.Is(err, syscall.ECONNREFUSED), err}
 	}
-	m := &memberConn{member: id, team: team, c: c, r: platform.NewReader(c), values: map[string]string{}, prepared: map[string]bool{}}
+	m := &memberConn{member: id, team: team, c: c, r: platform.NewReader(c), values: map[string]string{}, prepared: stmtcache.New(connStatementLimits)}
 	_ = c.SetDeadline(deadline)
 	m.out = platform.AppendStartup(m.out[:0], group, team, id)
 	if _, err := c.Write(m.out); err != nil {
@@ -122,7 +127,7 @@
 		if _, ok := values[name]; !ok {
 			m.out = platform.AppendProxyStatement(m.out, platform.TextDiscard)
 			clear(m.values)
-			clear(m.prepared)
+			m.prepared.Clear()
 			sent++
 			break
 		}
@@ -135,11 +140,7 @@
 		}
 	}
 	if prepare != nil {
-		if name := prepare.memberName; !m.prepared[name] {
-			m.out = platform.AppendProxyStatement(m.out, platform.TextPrepare(name, prepare.writes, prepare.shape))
-			m.prepared[name] = true
-			sent++
-		}
+		sent += m.appendPrepare(prepare)
 	}
 	if sent == 0 {
 		return nil
@@ -147,6 +148,28 @@
 	return m.sendProxyStatements(sent, deadline)
 }
 
+// appendPrepare appends the statements that prepare the statement on the connection, and returns their
+// number.
+func (m *memberConn) appendPrepare(p *preparedStatement) int {
+	dropped, prepare := m.prepared.Use(p.memberName, len(p.shape))
+	if !prepare {
+		return 0
+	}
+	for _, name := range dropped {
+		m.out = platform.AppendProxyStatement(m.out, platform.TextDeallocate(name))
+	}
+	m.out = platform.AppendProxyStatement(m.out, platform.TextPrepare(p.memberName, p.writes, p.shape))
+	return len(dropped) + 1
+}
+
+// forgetPrepared records that the member does not know the prepared statement, so that it is prepared
+// again.
+func (m *memberConn) forgetPrepared(p *preparedStatement) {
+	if p != nil {
+		m.prepared.Forget(p.memberName)
+	}
+}
+
 // sendProxyStatements sends the n proxy statements in out and reads their answers.
 func (m *memberConn) sendProxyStatements(n int, deadline time.Time) error {
 	_ = m.c.SetDeadline(deadline)
--- a/pkg/proxy/prepared_test.go
+++ b/pkg/proxy/prepared_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -43,6 +44,39 @@
 		}
 	})
 
+	// Guards against a member and a process whose memory grows with each new shape for as long as a
+	// connection lives.
+	It("is dropped from a connection that has not used it for longest, and then prepared again", func() {
+		f := newFleet(1)
+		x := f.daemons[0].dial("db-primary")
+		x.queryUntilServed("WRITE k 1")
+		for round := range 2 {
+			for i := range 300 {
+				definition := fmt.Sprintf("WRITE shape-%d", i)
+				Expect(x.query("PREPARE s1 " + definition).result).To(Equal("COMPLETE -"))
+				a := x.query("EXECUTE s1 k v")
+				Expect(a.isServed()).To(BeTrue(), "round %d, %s: %s", round, definition, a.result)
+				Expect(f.executed(a)).To(Equal(definition))
+			}
+		}
+		Expect(f.group.Primary().MaxPrepared()).To(BeNumerically("<", 300))
+	})
+
+	// Guards against a connection that fails each further use of a statement which its member does not
+	// know any more.
+	It("is prepared again on a connection whose member does not know it", func() {
+		f := newFleet(1)
+		x := f.daemons[0].dial("db-primary")
+		x.queryUntilServed("WRITE k 1")
+		x.query("PREPARE s1 WRITE fees")
+		Expect(x.query("EXECUTE s1 k v").isServed()).To(BeTrue())
+		for _, m := range f.group.Members() {
+			m.ForgetPrepared()
+		}
+		a := x.query("EXECUTE s1 k v")
+		Expect(a.isServed()).To(BeTrue(), a.result)
+	})
+
 	// Guards against a message that the member refuses as too long, because the name on the connection
 	// is longer than the caller's.
 	It("is refused at once if its arguments fill a message", func() {
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -222,6 +222,9 @@
 	end(outcomeText(a.Code, err))
 	o := exchangeOutcome(&a, wrote, err)
 	j.history.End(send, o)
+	if o == direct.NotPrepared {
+		conn.forgetPrepared(j.prepared)
+	}
 	if err != nil {
 		s.p.stats.connsBroken.Add(1)
 		g.statementUnanswered(conn, sent, err)
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -186,6 +186,9 @@
 	end(outcomeText(a.Code, err))
 	o := exchangeOutcome(&a, wrote, err)
 	j.history.End(send, o)
+	if o == direct.NotPrepared {
+		tx.conn.forgetPrepared(j.prepared)
+	}
 	if err != nil {
 		s.p.stats.connsBroken.Add(1)
 		s.logDecision("answer", "id", j.id, "member", tx.conn.member, "error", err, "ms", now().Sub(sent).Milliseconds())
