proxy: change the state of a forwarded session in an order that fits the limits

What callers saw: a caller whose statements run at a home of another daemon drops a long prepared statement and prepares another long one under a name that it has used before. Its next EXECUTE is answered with INDOUBT, and the member has run the old shape (PINNED).

The entry sent new statements before it dropped old ones, and all changes in the order of a map, so that the home could exceed the limit in between. It refused the change, but went on with the EXECUTE that was already on the connection and had the old shape under that name.

Change: the entry first drops what is gone, then sends changes that take less room than before, then the others; so the state never exceeds what it is at the end.

--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -350,32 +350,55 @@
 }
 
 // syncState appends the statements that bring the session at the home to the caller's
-// values and prepared statements, and returns their number.
+// values and prepared statements, and returns their number. The home limits the state as the entry
+// does, so what frees room comes first: otherwise the state may exceed the limit in between.
 func (l *link) syncState(s *session) int {
 	n := 0
-	appendStatement := func(text string) {
-		l.out = platform.AppendStatement(l.out, entryStatementID, text, core.Position{})
-		n++
+	for name := range l.prepared {
+		if _, ok := s.prepared[name]; !ok {
+			l.appendEntryStatement(platform.TextDeallocate(name))
+			delete(l.prepared, name)
+			n++
+		}
+	}
+	shrinking, growing := l.appendChanges(s, false)
+	n += shrinking
+	if growing > 0 {
+		l.appendChanges(s, true)
+	}
+	return n + growing
+}
+
+// appendChanges appends the changed values and prepared statements, either those that take more room
+// than before or the others, and returns the number of changes that it appended and that it left out.
+func (l *link) appendChanges(s *session, growing bool) (appended, left int) {
+	selects := func(known bool, old, size int) bool {
+		if grows := !known || size > old; grows != growing {
+			left++
+			return false
+		}
+		appended++
+		return true
 	}
 	for name, value := range s.values {
-		if l.values[name] != value {
-			appendStatement(platform.TextSet(name, value))
+		old, known := l.values[name]
+		if (!known || old != value) && selects(known, len(old), len(value)) {
+			l.appendEntryStatement(platform.TextSet(name, value))
 			l.values[name] = value
 		}
 	}
 	for name, def := range s.prepared {
-		if l.prepared[name] != def {
-			appendStatement(platform.TextPrepare(name, def.writes, def.shape))
+		old, known := l.prepared[name]
+		if old != def && selects(known, len(old.shape), len(def.shape)) {
+			l.appendEntryStatement(platform.TextPrepare(name, def.writes, def.shape))
 			l.prepared[name] = def
 		}
 	}
-	for name := range l.prepared {
-		if _, ok := s.prepared[name]; !ok {
-			appendStatement(platform.TextDeallocate(name))
-			delete(l.prepared, name)
-		}
-	}
-	return n
+	return appended, left
+}
+
+func (l *link) appendEntryStatement(text string) {
+	l.out = platform.AppendStatement(l.out, entryStatementID, text, core.Position{})
 }
 
 // serveLink serves a connection of another daemon: a session that it forwards as an entry,
--- a/pkg/proxy/prepared_test.go
+++ b/pkg/proxy/prepared_test.go
@@ -89,3 +89,34 @@
 		Expect(x.query(fill(platform.MaxMessage - 200)).isServed()).To(BeTrue())
 	})
 })
+
+var _ = Describe("the state of a forwarded session", func() {
+	// The session state at the entry fits into the limits. Guards against a home that refuses a change
+	// because it is applied before the change that makes room for it, and that runs the old shape.
+	It("runs the new shape if statements are replaced up to the limit", func() {
+		f := newFleet(2)
+		home, entry := f.daemons[0], f.daemons[1]
+		f.useHomes(home)
+		for _, d := range f.daemons {
+			Expect(d.p.SetSessionLimits(SessionLimits{Names: 2, Bytes: 2000})).To(Succeed())
+		}
+		for i := range 20 {
+			x := entry.dial("db-primary")
+			x.queryUntilServed("WRITE k 1")
+			long := func(word string) string { return "WRITE " + word + " " + strings.Repeat("x", 1500) }
+			x.query("PREPARE a WRITE old")
+			x.query("PREPARE b " + long("b"))
+			Expect(x.query("EXECUTE a k v").isServed()).To(BeTrue())
+			if i%2 == 0 {
+				Expect(x.query("DEALLOCATE b").result).To(Equal("COMPLETE -"))
+			} else {
+				Expect(x.query("PREPARE b WRITE short").result).To(Equal("COMPLETE -"))
+			}
+			Expect(x.query("PREPARE a " + long("new")).result).To(Equal("COMPLETE -"))
+			a := x.query("EXECUTE a k v")
+			Expect(a.isServed()).To(BeTrue(), "%s, and the member ran %.20q", a.result, f.executed(a))
+			Expect(f.executed(a)).To(Equal(long("new")))
+			_ = x.c.Close()
+		}
+	})
+})
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -281,7 +281,10 @@
 	}
 	switch st.Kind {
 	case direct.StatementSet, direct.StatementPrepare:
-		s.changeState(st)
+		if !s.changeState(st) && s.fromEntry {
+			// The statement that needs this state follows, and must not run without it.
+			return errors.Join(s.flush(), errSessionEnded)
+		}
 	case direct.StatementDeallocate:
 		s.deallocate(st)
 	case direct.StatementBegin, direct.StatementBeginRead:
--- a/pkg/proxy/sessionstate.go
+++ b/pkg/proxy/sessionstate.go
@@ -87,8 +87,9 @@
 	return nil
 }
 
-// changeState runs a statement that changes only the session's state, and answers it.
-func (s *session) changeState(st *direct.Statement) {
+// changeState runs a statement that changes only the session's state, and answers it. It reports
+// whether the state was changed.
+func (s *session) changeState(st *direct.Statement) bool {
 	var err error
 	if st.Kind == direct.StatementSet {
 		err = s.set(st.Name, st.Argument, s.p.sessionLimits)
@@ -98,7 +99,8 @@
 	if err != nil {
 		s.logDecision("session state refused", "id", st.ID, "reason", err.Error())
 		s.answerError(platform.CodeTooLarge, err.Error())
-		return
+		return false
 	}
 	s.answerComplete()
+	return true
 }
