proxy: keep no more of a caller's message than is used

What could be seen: a session that sets 64 values of five bytes and prepares 64 short statements, each in a message whose id fills it, holds 128 MiB, although its state counts as 2 KB against the limit of 256 KiB. Three such sessions exceed the memory of a process (284 MB). A log line with the id of a statement or a member's error text, a span, and the counter of a member's error code could each be as long as a message, 1 MiB; 512 lines may wait.

Cause: the parts of a parsed message share its memory.

Change: a session copies what it keeps (values, prepared statements), and uses the configuration's text of its database. Log lines about requests and spans show at most 200 bytes of a text. Codes that the protocol does not have are counted together.

With the bound of texts taken out, the spec on log lines fails. The specs on sessions pass.

--- a/pkg/proxy/log.go
+++ b/pkg/proxy/log.go
@@ -70,7 +70,34 @@
 		p.stats.logLinesDropped.Add(1)
 		return
 	}
-	p.log.Info("request", append([]any{"decision", decision}, args...)...)
+	p.log.Info("request", append([]any{"decision", decision}, boundTexts(args)...)...)
+}
+
+// maxLoggedText bounds the texts of callers and members in log lines and spans. The id of a statement
+// or the text of an error may be as long as a message.
+const maxLoggedText = 200
+
+// boundTexts returns the arguments of a log line with bounded texts.
+func boundTexts(args []any) []any {
+	bounded := make([]any, len(args))
+	for i, arg := range args {
+		switch v := arg.(type) {
+		case string:
+			bounded[i] = boundText(v)
+		case error:
+			bounded[i] = boundText(v.Error())
+		default:
+			bounded[i] = arg
+		}
+	}
+	return bounded
+}
+
+func boundText(text string) string {
+	if len(text) <= maxLoggedText {
+		return text
+	}
+	return text[:maxLoggedText] + "..."
 }
 
 // reportDependency records whether a use of the dependency failed, and logs when the dependency is
--- a/pkg/proxy/prepared_test.go
+++ b/pkg/proxy/prepared_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -120,3 +121,45 @@
 		}
 	})
 })
+
+var _ = Describe("the memory of a session", func() {
+	// Guards against a short value that keeps its whole message, up to 1 MiB, in memory.
+	It("does not hold the messages that its state came from", func() {
+		s := newSessionState()
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		for i := range 64 {
+			line := fmt.Sprintf("QUERY %s SET name-%d value", strings.Repeat("q", platform.MaxMessage-100), i)
+			msg, err := platform.ParseCaller(line)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.set(msg.Statement.Name, msg.Statement.Argument, DefaultSessionLimits)).To(Succeed())
+			line = fmt.Sprintf("QUERY %s PREPARE name-%d READ shape", strings.Repeat("q", platform.MaxMessage-100), i)
+			msg, err = platform.ParseCaller(line)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.prepare(msg.Statement.Name, preparedStatement{shape: msg.Statement.Argument}, DefaultSessionLimits)).To(Succeed())
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", 8<<20))
+		runtime.KeepAlive(s)
+	})
+
+	// Guards against log lines, spans and counters that hold a caller's or member's text of 1 MiB.
+	It("is not taken by long texts in log lines and counters", func() {
+		f := newFleet(1)
+		d := f.daemons[0]
+		x := d.dial("db-primary")
+		x.queryUntilServed("WRITE k 1")
+		f.group.Primary().DropAnswers(1)
+		id := strings.Repeat("i", platform.MaxMessage/2)
+		x.send("QUERY " + id + " WRITE k 2")
+		Expect(x.line()).To(HavePrefix("ERROR INDOUBT"))
+		Eventually(f.log.Contents, waitLimit).Should(ContainSubstring(id[:maxLoggedText] + "..."))
+		Expect(string(f.log.Contents())).NotTo(ContainSubstring(id[:maxLoggedText+1]))
+		for _, code := range []string{"NEW", id, platform.CodeBusy} {
+			d.p.stats.countRefusal(code)
+		}
+		Expect(valuesOf(&d.p.stats.refusals)).To(And(HaveKeyWithValue("other", "2"), HaveKey(platform.CodeBusy), Not(HaveKey(id))))
+	})
+})
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -149,10 +149,12 @@
 	if catalog == nil {
 		return s.rejectStartup(platform.CodeBusy, "no configuration yet"+retryAfterText(outageRetryAfter(now().Sub(s.p.startedAt))))
 	}
-	if _, ok := catalog.Routes[msg.Database]; !ok {
+	route, ok := catalog.Routes[msg.Database]
+	if !ok {
 		return s.rejectStartup(platform.CodeUnknownDatabase, "no such database")
 	}
-	s.database, s.key = msg.Database, auth.FingerprintOf(msg.Key)
+	// The message's own text would keep the whole message in memory.
+	s.database, s.key = route.Database, auth.FingerprintOf(msg.Key)
 	switch s.p.access.checkSession(s.database, s.key) {
 	case auth.Unknown:
 		s.p.stats.denied.Add(textUnknownKey, 1)
--- a/pkg/proxy/sessionstate.go
+++ b/pkg/proxy/sessionstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"limpetspan/core/direct"
 	"limpetspan/platform"
@@ -46,7 +47,8 @@
 	if err := s.updateSize(name, len(value), len(old), known, l); err != nil {
 		return err
 	}
-	s.values[name] = value
+	// A part of a message must not keep the whole message in memory.
+	s.values[strings.Clone(name)] = strings.Clone(value)
 	return nil
 }
 
@@ -56,7 +58,8 @@
 	if err := s.updateSize(name, len(p.shape), len(old.shape), known, l); err != nil {
 		return err
 	}
-	s.prepared[name] = p
+	p.shape = strings.Clone(p.shape)
+	s.prepared[strings.Clone(name)] = p
 	return nil
 }
 
--- a/pkg/proxy/spans.go
+++ b/pkg/proxy/spans.go
@@ -26,10 +26,10 @@
 		parent = context.Background()
 	}
 	ctx, span := s.p.tracer.Start(parent, name, trace.WithAttributes(
-		attribute.String("limpetspan.request", id), attribute.String("limpetspan.database", s.database), attribute.String("limpetspan.peer", peer)))
+		attribute.String("limpetspan.request", boundText(id)), attribute.String("limpetspan.database", s.database), attribute.String("limpetspan.peer", peer)))
 	s.ctx = ctx
 	return func(outcome string) {
-		span.SetAttributes(attribute.String("limpetspan.outcome", outcome))
+		span.SetAttributes(attribute.String("limpetspan.outcome", boundText(outcome)))
 		span.End()
 		s.ctx = parent
 	}
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"limpetspan/platform"
 )
 
 // stats holds the counters that a running daemon publishes under "proxy".
@@ -60,8 +62,17 @@
 	return &stats{overload: newOverloadStats(), latency: hdrhistogram.New(minLatencyUs, maxLatencyUs, latencyDigits)}
 }
 
-// countRefusal counts an error answer under its code.
-func (s *stats) countRefusal(code string) { s.refusals.Add(code, 1) }
+// countRefusal counts an error answer under its code. Codes that the protocol does not have share one
+// counter, as a counter is kept for as long as the process lives.
+func (s *stats) countRefusal(code string) {
+	if !platform.IsCode(code) {
+		code = otherCodes
+	}
+	s.refusals.Add(code, 1)
+}
+
+// otherCodes is the name of the counter of codes that the protocol does not have.
+const otherCodes = "other"
 
 // recordServed counts a served statement and records its latency.
 func (s *stats) recordServed(primary bool, d time.Duration) {
