proxy: log why a dependency is still lost, and publish the age of the proof

Now there is a line "dependency still lost" each 5 s with the current error, the failures so far and for how long; "dependency regained" has the latter two as well. The metrics have "copy": the version of the configuration, the age of its proof, and failed calls by path and cause.

--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -201,11 +201,7 @@
 func (d *daemon) cutStoreAndWait() {
 	nowhere := freeAddr(d.s.IP)
 	d.p.client.SetAddresses(nowhere, nowhere)
-	Eventually(func() bool {
-		d.p.depMu.Lock()
-		defer d.p.depMu.Unlock()
-		return d.p.lostDependencies["store"]
-	}, waitLimit).Should(BeTrue())
+	Eventually(func() bool { return d.p.dependencies.isLost("store") }, waitLimit).Should(BeTrue())
 }
 
 // kill ends the daemon without a planned stop.
--- a/pkg/proxy/log.go
+++ b/pkg/proxy/log.go
@@ -99,18 +99,3 @@
 	}
 	return text[:maxLoggedText] + "..."
 }
-
-// reportDependency records whether a use of the dependency failed, and logs when the dependency is
-// lost or regained.
-func (p *Proxy) reportDependency(name string, err error) {
-	p.depMu.Lock()
-	lost := p.lostDependencies[name]
-	p.lostDependencies[name] = err != nil
-	p.depMu.Unlock()
-	switch {
-	case err != nil && !lost:
-		p.log.Warn("dependency lost", "dependency", name, "error", err.Error())
-	case err == nil && lost:
-		p.log.Info("dependency regained", "dependency", name)
-	}
-}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -78,9 +78,7 @@
 	groups   map[core.GroupID]*group
 	sessions map[*session]struct{}
 
-	depMu sync.Mutex
-	// lostDependencies holds the dependencies whose last call failed.
-	lostDependencies map[string]bool
+	dependencies *dependencies
 }
 
 // Memory settings of the process.
@@ -99,9 +97,10 @@
 	p := &Proxy{
 		settings: s, client: platform.NewClient(s.StoreAddr, s.PromoteAddr), stats: st, boot: time.Now().UnixNano(),
 		closed: make(chan struct{}), done: make(chan struct{}), initialDaemons: make(chan *daemonList, 1), groups: make(map[core.GroupID]*group), sessions: make(map[*session]struct{}),
-		lostDependencies: make(map[string]bool), sessionLimits: DefaultSessionLimits, policy: policy.All,
+		sessionLimits: DefaultSessionLimits, policy: policy.All,
 		log: telemetry.NewLogger(newAsyncWriter(w, st), "info", string(s.Daemon)),
 	}
+	p.dependencies = newDependencies(p.log)
 	p.startedAt = now()
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.homes = newHomes(p)
@@ -422,7 +421,7 @@
 	}
 	all := map[string]any{"proxy": p.stats.snapshot(), "platform_calls": p.client.Calls(), "ready": p.ready(), "groups": groups,
 		"pools": p.pools(), "host_load": p.hostLoad.snapshot(), "teams": p.limits.busiestTeams(maxPublishedTeams),
-		"peers_down": p.homes.health.down()}
+		"peers_down": p.homes.health.down(), "copy": p.copyState()}
 	if p.settings.OverloadControl {
 		all["overload"], all["queues"] = p.stats.overload.snapshot(), p.queueLengths()
 	}
@@ -431,6 +430,15 @@
 	}
 }
 
+// copyState returns the state of this daemon's copy of the store for the metrics.
+func (p *Proxy) copyState() map[string]any {
+	state := map[string]any{"version": p.metadata.Version(), "failed_calls": p.client.Failures()}
+	if proof, _ := p.metadata.Proof(); proof != 0 {
+		state["proof_age_ms"] = now().Sub(proof).Milliseconds()
+	}
+	return state
+}
+
 // serveHTTP serves h on l until l is closed.
 func (p *Proxy) serveHTTP(what string, l net.Listener, h http.HandlerFunc) {
 	server := &http.Server{ReadHeaderTimeout: startupTimeout, Handler: h}
--- a/pkg/proxy/slots.go
+++ b/pkg/proxy/slots.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		err := l.execute(step)
-		l.p.reportDependency("slots of teams", err)
+		l.p.dependencies.report("slots of teams", now(), err)
 	}
 	l.mu.Lock()
 	lease := l.holder.Close()
--- a/pkg/proxy/view.go
+++ b/pkg/proxy/view.go
@@ -44,7 +44,7 @@
 func (v *view) Addr(id core.DaemonID) (string, bool) { return v.p.peers.homeAddr(id) }
 
 // ReportDependency implements metadata.Owner.
-func (v *view) ReportDependency(name string, err error) { v.p.reportDependency(name, err) }
+func (v *view) ReportDependency(name string, err error) { v.p.dependencies.report(name, now(), err) }
 
 // DaemonsListed implements metadata.Owner.
 func (v *view) DaemonsListed(items []platform.Item) {
