relay: load the copy when a watch of the store cannot be used

Change, of the mechanism rather than the limit: - pkg/boundedread reads up to a limit and says ErrTooLong beyond it; an answer that announces too much is not read. The clients of the platform, of the product's own store and of the operator address use it. - The limit of the platform's client follows from the longest page of a list (value_bytes of the settings), so that a list always fits. A watch need not. - A watch that is answered but cannot be used (too long, malformed, history gone, other era, behind) is not repeated: the copy is loaded, in pages, at once and then with growing delays of up to a second. - A watcher that has followed nothing for its budget tries a load with every other call, whatever the reason, with a timeout that grows from 0.8 s. - A watch after a failure, a freeze or a cut does not wait for changes, so that a call that was sent while the store was unreachable costs 0.8 s and not up to 5.8 s.

Line "watch of the store cannot be used; the copy is loaded", counters watches_unusable and copy/failed_calls.

The model breaks if an unusable watch is repeated and nothing else is tried.

--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -30,7 +30,8 @@
 	Kind StepKind
 	Peer core.DaemonID
 	Wait time.Duration
-	// Timeout is the time after which a question to Peer is aborted.
+	// Timeout is the time after which a question to Peer or a load is aborted. For a load, 0 means
+	// that the caller decides.
 	Timeout time.Duration
 }
 
@@ -63,6 +64,8 @@
 	failures int
 	failedAt core.Time
 	retryAt  core.Time
+	// unusableWatches counts the watches since the last usable one whose response could not be used.
+	unusableWatches int
 	// refreshNow is set if the daemon needs data that its copy lacks.
 	refreshNow bool
 	// watchAt is when the next watch may be sent. batchDelay is the delay of a watch after events.
@@ -177,12 +180,26 @@
 	switch {
 	case !f.watcher || !f.watchable:
 		return Step{Kind: Load}
+	case f.triesOtherCall(now):
+		return Step{Kind: Load, Timeout: time.Duration(f.failures) * trialLoadTimeout / minFailuresOfOneCall}
 	case now < f.watchAt:
 		return Step{Kind: Pause, Wait: f.watchAt.Sub(now)}
+	case f.failures > 0 || now.Sub(f.proof) > f.budget+answerSlack:
+		// This daemon has failed to reach the store or was frozen. If the store does not answer, a call
+		// that waits for changes takes as long to fail. One that does not wait returns what was missed,
+		// and proves as much.
+		return Step{Kind: Watch}
 	}
 	return Step{Kind: Watch, Wait: f.watchDuration()}
 }
 
+// triesOtherCall reports whether a watcher loads the copy, although it could watch. If it has followed
+// nothing for its budget, the reason may be the watch itself rather than the store, and so every other
+// call is a load. Its timeout grows, as it fails too if the store is unreachable.
+func (f *Follower) triesOtherCall(now core.Time) bool {
+	return f.failures >= minFailuresOfOneCall && f.failures%2 == 0 && now.Sub(f.proof) >= f.budget
+}
+
 // askWait returns how long a relay may wait for a younger proof if this daemon's own read is due
 // after left.
 func (f *Follower) askWait(now core.Time, left time.Duration) time.Duration {
@@ -258,6 +275,7 @@
 // were accepted. After events the next watch is delayed: changes come in bursts, and without a
 // delay each of them would end a watch and cost a call.
 func (f *Follower) Watched(now, sent core.Time, events int) {
+	f.unusableWatches = 0
 	f.storeAnswered(sent)
 	switch {
 	case events == 0:
@@ -281,6 +299,18 @@
 // HistoryGone records that the store can no longer watch from the revision of the last read.
 func (f *Follower) HistoryGone() { f.watchable = false }
 
+// WatchUnusable records that the store answered a watch with something that cannot be used, such as
+// that the history is gone, or more changes than a response may hold. The same watch would be
+// answered in the same way, so the copy is loaded: at once the first time, and with growing delays
+// if the watch after a load cannot be used either.
+func (f *Follower) WatchUnusable(now core.Time) {
+	f.watchable = false
+	if f.unusableWatches > 0 {
+		f.retryAt = now.Add(exponentialDelay(watcherRetry, watcherRetryMax, watcherGrowth, f.unusableWatches))
+	}
+	f.unusableWatches++
+}
+
 // StoreFailed records that a call to the store was rejected or got no response.
 func (f *Follower) StoreFailed(now core.Time) {
 	if f.failures == 0 {
--- a/core/relay/follower_test.go
+++ b/core/relay/follower_test.go
@@ -267,4 +267,116 @@
 		f.HistoryGone()
 		Expect(f.Next(start).Kind).To(Equal(relay.Load))
 	})
+
+	// Guards against a daemon that repeats a watch whose response is too long, until the store has
+	// discarded that history.
+	It("loads the copy at once when a watch cannot be used, and then watches again", func() {
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		f.WatchUnusable(after(time.Second))
+		Expect(f.Next(after(time.Second)).Kind).To(Equal(relay.Load))
+		f.Loaded(after(time.Second))
+		Expect(f.Next(after(time.Second)).Kind).To(Equal(relay.Watch))
+		f.Watched(after(2*time.Second), after(time.Second), 0)
+		f.WatchUnusable(after(3 * time.Second))
+		Expect(f.Next(after(3*time.Second)).Kind).To(Equal(relay.Load), "a new series")
+	})
+
+	// Guards against calls without a pause to a store that answers no watch, and against a daemon that
+	// follows nothing there.
+	It("loads the copy at least once a second if no watch can be used", func() {
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		loads, at := 0, start
+		for at < after(20*time.Second) {
+			Expect(at.Sub(f.Proof())).To(BeNumerically("<=", 1100*time.Millisecond))
+			switch step := f.Next(at); step.Kind {
+			case relay.Pause:
+				at = at.Add(step.Wait)
+			case relay.Load:
+				loads++
+				f.Loaded(at)
+			case relay.Watch:
+				at = at.Add(5 * time.Millisecond)
+				f.WatchUnusable(at)
+			}
+		}
+		Expect(loads).To(BeNumerically("<", 30))
+	})
+
+	// Guards against a daemon whose watches get no response although its loads do.
+	It("loads the copy if its watches have got no response for its budget", func() {
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		for at := start; at < after(time.Minute); {
+			step := f.Next(at)
+			switch step.Kind {
+			case relay.Load:
+				f.Loaded(at)
+			case relay.Watch:
+				at = at.Add(step.Wait + time.Second)
+				f.StoreFailed(at)
+			default:
+				at = at.Add(step.Wait)
+			}
+			Expect(at.Sub(f.Proof())).To(BeNumerically("<", 15*time.Second), "two watches of six seconds, and their delays")
+		}
+	})
+
+	// Guards against a daemon that has begun to load, and cannot, although it could watch again.
+	It("goes on watching if its loads get no response either", func() {
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		for at := start; f.Proof() < after(20*time.Second); {
+			Expect(at).To(BeNumerically("<", after(30*time.Second)))
+			switch step := f.Next(at); {
+			case step.Kind == relay.Pause:
+				at = at.Add(step.Wait)
+			case step.Kind == relay.Watch && at >= after(20*time.Second):
+				f.Watched(at, at, 0)
+			default:
+				at = at.Add(time.Second)
+				f.StoreFailed(at)
+			}
+		}
+	})
+
+	// Guards against a daemon that is reachable again and still waits for the answer to a call that it
+	// made while it was not.
+	It("makes only short calls to a store that does not answer, for the first seconds", func() {
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		f.StoreFailed(after(5800 * time.Millisecond))
+		for at := after(5800 * time.Millisecond); at < after(11*time.Second); {
+			step := f.Next(at)
+			if step.Kind == relay.Pause {
+				Expect(step.Wait).To(BeNumerically("<=", time.Second))
+				at = at.Add(step.Wait)
+				continue
+			}
+			took := max(step.Wait, step.Timeout)
+			Expect(took).To(BeNumerically("<=", 1600*time.Millisecond))
+			at = at.Add(max(took, 800*time.Millisecond))
+			f.StoreFailed(at)
+		}
+	})
+
+	It("keeps to the watch while a failing store may come back soon", func() {
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		for at := start; at < after(4*time.Second); {
+			step := f.Next(at)
+			Expect(step.Kind).NotTo(Equal(relay.Load))
+			if step.Kind == relay.Watch {
+				f.StoreFailed(at)
+			}
+			at = at.Add(max(step.Wait, 10*time.Millisecond))
+		}
+	})
 })
--- a/core/relay/tuning.go
+++ b/core/relay/tuning.go
@@ -37,6 +37,10 @@
 	// maxFailedConsults bounds how many relays that do not answer a watcher asks between two calls
 	// to the store.
 	maxFailedConsults = 2
+	// minFailuresOfOneCall is the number of failures after which a watcher also tries to load the copy.
+	minFailuresOfOneCall = 2
+	// trialLoadTimeout bounds the first load of a watcher whose calls fail.
+	trialLoadTimeout = 800 * time.Millisecond
 	// relayRetryDelayWithoutProof replaces relayRetryDelay for a daemon without a valid proof.
 	relayRetryDelayWithoutProof = 500 * time.Millisecond
 	// maxRelays bounds the number of relays that are asked, those of the daemon's zone first.
--- a/pkg/explore/relays/relays_test.go
+++ b/pkg/explore/relays/relays_test.go
@@ -32,6 +32,8 @@
 	modelDaemons = 12
 	// callTimeout ends a call that is not answered, as the real one does.
 	callTimeout = 800 * time.Millisecond
+	// maxWatched is exceeded after most cuts from the store.
+	maxWatched = 2
 	// inTouch is how long a daemon must have run and reached the store before the bound applies to
 	// it.
 	inTouch = 6 * time.Second
@@ -50,7 +52,14 @@
 	dateByArrival bool
 	// trustRelays omits the daemon's own reads of the store once it has a proof.
 	trustRelays bool
-	broken      []string
+	// allWatch makes all daemons watch and ask no other one, as in a small fleet.
+	allWatch bool
+	// maxWatched is the number of changes that the response of a watch may hold.
+	maxWatched int
+	// repeatWatches repeats a watch whose response holds more, as if the store had not answered, and
+	// never loads the copy again.
+	repeatWatches bool
+	broken        []string
 }
 
 // node is one daemon.
@@ -133,6 +142,9 @@
 			}
 		}
 		d.f.DaemonsListed()
+		if d.w.allWatch {
+			watches, relays = true, nil
+		}
 		d.f.SetFleet(d.clock(), watches, relays)
 		d.step()
 	})
@@ -144,6 +156,9 @@
 	if d.w.trustRelays && s.Kind == relay.Load && d.f.Proof() != 0 {
 		s = relay.Step{Kind: relay.Ask, Peer: "d0", Wait: time.Second, Timeout: 1400 * time.Millisecond}
 	}
+	if d.w.repeatWatches && s.Kind == relay.Load && d.f.Proof() != 0 {
+		s = relay.Step{Kind: relay.Watch}
+	}
 	switch s.Kind {
 	case relay.Pause:
 		d.later(min(s.Wait, 500*time.Millisecond), d.step)
@@ -191,6 +206,10 @@
 		case d.life != life:
 		case d.w.now < d.storeCutTill:
 			d.later(max(0, wait+callTimeout-d.w.now.Sub(began)), func() { d.f.StoreFailed(d.clock()); d.step() })
+		case version-had > d.w.maxWatched && d.w.repeatWatches:
+			d.later(d.w.between(time.Millisecond, 20*time.Millisecond), func() { d.f.StoreFailed(d.clock()); d.step() })
+		case version-had > d.w.maxWatched:
+			d.later(d.w.between(time.Millisecond, 20*time.Millisecond), func() { d.f.WatchUnusable(d.clock()); d.step() })
 		case version > had || d.w.now.Sub(began) >= wait:
 			d.later(d.w.between(time.Millisecond, 20*time.Millisecond), func() { d.accept(version); d.f.Watched(d.clock(), sent, version-had); d.step() })
 		default:
@@ -305,7 +324,7 @@
 
 // play runs the model with the seed and returns the violations.
 func play(seed uint64, arm func(w *world)) []string {
-	w := &world{now: start, random: rand.New(rand.NewPCG(seed, 1))}
+	w := &world{now: start, random: rand.New(rand.NewPCG(seed, 1)), maxWatched: maxWatched}
 	arm(w)
 	for i := range modelDaemons {
 		w.daemons = append(w.daemons, &node{w: w, id: core.DaemonID(fmt.Sprintf("d%d", i)), offset: w.between(0, time.Hour)})
@@ -336,7 +355,7 @@
 
 	It("is in force within the bound at every daemon in touch, and no proof is too young", func() {
 		for seed := range uint64(days) {
-			Expect(play(seed, func(*world) {})).To(BeEmpty(), "seed %d", seed)
+			Expect(play(seed, func(w *world) { w.allWatch = seed%3 == 0 })).To(BeEmpty(), "seed %d", seed)
 		}
 	})
 
@@ -354,6 +373,10 @@
 		Expect(broken(func(w *world) { w.trustRelays = true })).To(BeNumerically(">", 0))
 	})
 
+	It("would not be if a watch whose response is too long were repeated and nothing else tried", func() {
+		Expect(broken(func(w *world) { w.allWatch, w.repeatWatches = true, true })).To(BeNumerically(">", 0))
+	})
+
 	It("would not be were answers dated by their arrival", func() {
 		Expect(broken(func(w *world) { w.dateByArrival = true })).To(BeNumerically(">", 0))
 	})
--- a/pkg/operator/client.go
+++ b/pkg/operator/client.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/url"
 	"strings"
+
+	"limpetspan/pkg/boundedread"
 )
 
 // maxAnswer bounds an answer; a fleet view of 1,700 daemons is near 300 kB.
@@ -60,14 +62,17 @@
 		return fmt.Errorf("daemon %s: %w", addr, err)
 	}
 	defer resp.Body.Close()
-	body := io.LimitReader(resp.Body, maxAnswer)
 	if resp.StatusCode/100 != 2 {
-		return fmt.Errorf("daemon %s: %s: %s", addr, resp.Status, refusal(body))
+		return fmt.Errorf("daemon %s: %s: %s", addr, resp.Status, refusal(resp.Body))
 	}
 	if answer == nil {
 		return nil
 	}
-	if err := json.NewDecoder(body).Decode(answer); err != nil {
+	data, err := boundedread.All(resp.Body, resp.ContentLength, maxAnswer)
+	if err == nil {
+		err = json.Unmarshal(data, answer)
+	}
+	if err != nil {
 		return fmt.Errorf("daemon %s: answer: %w", addr, err)
 	}
 	return nil
--- a/pkg/proxy/metadata/copy.go
+++ b/pkg/proxy/metadata/copy.go
@@ -44,6 +44,9 @@
 	Changed(change Change)
 	// ProofAdvanced handles a new proof: everything that was reported is complete as of that time.
 	ProofAdvanced(at core.Time)
+	// WatchUnusable records that the store's answer to a watch cannot be used, so that the copy is
+	// loaded.
+	WatchUnusable(reason error)
 	// ReportDependency records the outcome of a call to a dependency, nil if it succeeded.
 	ReportDependency(name string, err error)
 }
@@ -192,7 +195,7 @@
 		case relay.ListDaemons:
 			c.storeCallDone(c.listDaemons())
 		case relay.Load:
-			c.storeCallDone(c.load())
+			c.storeCallDone(c.load(step.Timeout))
 		case relay.Watch:
 			c.storeCallDone(c.watch(step.Wait))
 		case relay.Ask:
@@ -328,10 +331,13 @@
 	return nil
 }
 
-// load reads the whole copy. The next watch starts at its position, so it needs no earlier
-// history.
-func (c *Copy) load() error {
-	ctx, cancel := context.WithTimeout(c.ctx, loadTimeout)
+// load reads the whole copy within the timeout, at most loadTimeout, which 0 stands for. The next watch
+// starts at its position, so it needs no earlier history.
+func (c *Copy) load(timeout time.Duration) error {
+	if timeout == 0 {
+		timeout = loadTimeout
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, min(timeout, loadTimeout))
 	defer cancel()
 	sent := c.Now()
 	scope := c.scopeToLoad()
@@ -387,8 +393,9 @@
 	if err == nil {
 		err = c.apply(reportpb.Scope_SCOPE_MEMBERS, position, events, false, sent)
 	}
-	if errors.Is(err, platform.ErrCompacted) || errors.Is(err, mirror.ErrOtherEra) || errors.Is(err, mirror.ErrBehind) {
-		c.updateFollower(func(f *relay.Follower) { f.HistoryGone() })
+	if isUnusable(err) {
+		c.Owner.WatchUnusable(err)
+		c.updateFollower(func(f *relay.Follower) { f.WatchUnusable(c.Now()) })
 		return nil
 	}
 	if err != nil {
@@ -398,6 +405,17 @@
 	return nil
 }
 
+// isUnusable reports whether the store answered a watch with something that the same watch would
+// bring again.
+func isUnusable(err error) bool {
+	for _, target := range []error{platform.ErrCompacted, platform.ErrUnusable, mirror.ErrOtherEra, mirror.ErrBehind} {
+		if errors.Is(err, target) {
+			return true
+		}
+	}
+	return false
+}
+
 // apply updates the copy and notifies the owner. The items are all items of the scope if full is
 // set, else changes. They are complete as of the proof.
 func (c *Copy) apply(scope reportpb.Scope, position mirror.Position, items []platform.Item, full bool, proof core.Time) error {
--- a/pkg/proxy/metadata/metadata_test.go
+++ b/pkg/proxy/metadata/metadata_test.go
@@ -37,6 +37,7 @@
 func (o *recordingOwner) InstallCatalog(*direct.Catalog)       {}
 func (o *recordingOwner) Changed(c Change)                     { o.changes = append(o.changes, c) }
 func (o *recordingOwner) ProofAdvanced(core.Time)              {}
+func (o *recordingOwner) WatchUnusable(error)                  {}
 func (o *recordingOwner) ReportDependency(string, error)       {}
 
 var origin = time.Now()
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -110,6 +110,7 @@
 	p.eras = &eras{p: p}
 	p.hostLoad = &hostLoad{p: p}
 	p.client.OnEra(p.eras.observe)
+	p.client.SetMaxValueBytes(s.MaxValueBytes)
 	p.metadata = metadata.New(p.ctx, metadata.Options{
 		Self: s.Daemon, Store: p.client, Owner: p.view, Now: now, MaxProofAge: s.MaxProofAge(), ShortWatches: s.KeyRevocationBound != 0, ListAt: p.firstListAt(),
 	})
--- a/pkg/proxy/relay_test.go
+++ b/pkg/proxy/relay_test.go
@@ -1,12 +1,14 @@
 package proxy
 
 import (
+	"fmt"
 	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"limpetspan/core/direct"
+	"limpetspan/platform"
 )
 
 // largeFleetSize is a fleet size at which not all daemons watch the configuration.
@@ -184,3 +186,49 @@
 		Eventually(d.isStarted, waitLimit).Should(BeTrue())
 	})
 })
+
+var _ = Describe("a daemon that was cut off from the store while its contents changed", func() {
+	// Guards against a daemon that asks again and again for more changes than a response may hold, and
+	// follows no configuration meanwhile. The store keeps all history here.
+	It("follows again, however long the changes are together", func() {
+		f := newFleet(1)
+		d := f.daemons[0]
+		d.cutStoreAndWait()
+		for range 12 {
+			f.configureLarge(maxValueBytes * 9 / 10)
+		}
+		d.p.client.SetAddresses(f.store.Addr(), f.store.Addr())
+		f.awaitConfiguration(f.daemons)
+		Expect(d.p.stats.watchesUnusable.Value()).To(BeNumerically(">", 0))
+		Expect(string(f.log.Contents())).To(ContainSubstring("watch of the store cannot be used; the copy is loaded"))
+		Expect(d.p.client.Failures()).To(HaveKey("/api/kv-watch: response is too long"))
+		f.configure("db-own")
+		f.awaitConfiguration(f.daemons)
+	})
+
+	// Guards against a limit of responses that is below the largest value of the store, so that no
+	// call brings the configuration.
+	It("follows a configuration as large as the store accepts", func() {
+		const large = 6 << 20
+		f := newFleet(1, func(f *fleet) { f.adjustSettings = func(s *platform.Settings) { s.MaxValueBytes = large } })
+		d := f.daemons[0]
+		d.cutStoreAndWait()
+		for range 3 {
+			f.configureLarge(large * 9 / 10)
+		}
+		d.p.client.SetAddresses(f.store.Addr(), f.store.Addr())
+		f.awaitConfiguration(f.daemons)
+	})
+})
+
+// maxValueBytes is the size of the largest value of a store with the usual settings.
+const maxValueBytes = 1 << 20
+
+// configureLarge writes the next version of the configuration, which has about the given size.
+func (f *fleet) configureLarge(size int) {
+	names := []string{"db-own"}
+	for i := range size / 200 {
+		names = append(names, fmt.Sprintf("station-%05d", i))
+	}
+	f.configure(names...)
+}
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -22,6 +22,8 @@
 	ordersExpired expvar.Int
 
 	onPrimary, onReplica, logLinesDropped expvar.Int
+	// watchesUnusable counts the watches of the store whose answer could not be used.
+	watchesUnusable expvar.Int
 	// erasEnded counts the restores of the store from an older copy.
 	erasEnded expvar.Int
 	// connsReplaced counts idle connections that were closed to open one for another team.
@@ -98,7 +100,7 @@
 		"orders_dropped": s.commandsDropped.Value(), "orders_expired": s.ordersExpired.Value(), "promotions": s.promotions.Value(), "promotion_outcomes": valuesOf(&s.promotionOutcomes),
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
-		"store_eras_ended": s.erasEnded.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
+		"store_eras_ended": s.erasEnded.Value(), "watches_unusable": s.watchesUnusable.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
 		"links_outdated": s.linksOutdated.Value(), "on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
 		"peer_health": valuesOf(&s.health), "hedges": valuesOf(&s.hedges),
 		"latency_us": map[string]int64{
--- a/pkg/proxy/view.go
+++ b/pkg/proxy/view.go
@@ -46,6 +46,12 @@
 // ReportDependency implements metadata.Owner.
 func (v *view) ReportDependency(name string, err error) { v.p.dependencies.report(name, now(), err) }
 
+// WatchUnusable implements metadata.Owner.
+func (v *view) WatchUnusable(reason error) {
+	v.p.stats.watchesUnusable.Add(1)
+	v.p.log.Warn("watch of the store cannot be used; the copy is loaded", "reason", boundText(reason.Error()))
+}
+
 // DaemonsListed implements metadata.Owner.
 func (v *view) DaemonsListed(items []platform.Item) {
 	v.p.initialDaemons <- v.p.parseDaemons(items)
--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -15,6 +15,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"limpetspan/pkg/boundedread"
 )
 
 // Defaults of Options.
@@ -126,7 +128,7 @@
 		return c.failed(k, err)
 	}
 	defer body.Close()
-	data, err := io.ReadAll(io.LimitReader(body, maxAnswer))
+	data, err := boundedread.All(body, boundedread.UnknownSize, maxAnswer)
 	if err == nil {
 		err = json.Unmarshal(data, resp)
 	}
