--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -38,6 +38,10 @@
 //   - A daemon that reaches the store but no relay reads the store once per budget.
 //   - A daemon that reaches a relay but not the store continues through the relay. So does a
 //     watcher, which keeps retrying the store meanwhile.
+//   - A watch whose answer cannot be used, for example because it holds more changes than a response
+//     may, delays a watcher by one load: the same watch would be answered in the same way.
+//   - A watcher whose calls get no answer tries watches and loads by turns once its proof is as old as
+//     its budget, each with a short timeout, so that no single kind of call keeps it behind.
 //   - Followers that ask each other in a circle exchange proofs that only grow older, and finally
 //     read the store.
 //
