--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -55,6 +55,8 @@
 	// proof is the latest time as of which the configuration was the newest one in the store; 0:
 	// there is no proof yet.
 	proof core.Time
+	// answered is when the latest call to the store was sent that was answered.
+	answered core.Time
 	// proofValidFrom is the time from which calls to the store give a proof.
 	proofValidFrom core.Time
 	// watchable is set once a read has returned a revision from which to watch.
@@ -184,7 +186,7 @@
 		return Step{Kind: Load, Timeout: time.Duration(f.failures) * trialLoadTimeout / minFailuresOfOneCall}
 	case now < f.watchAt:
 		return Step{Kind: Pause, Wait: f.watchAt.Sub(now)}
-	case f.failures > 0 || now.Sub(f.proof) > f.budget+answerSlack:
+	case f.failures > 0 || now.Sub(f.answered) > f.budget+answerSlack:
 		// This daemon has failed to reach the store or was frozen. If the store does not answer, a call
 		// that waits for changes takes as long to fail. One that does not wait returns what was missed,
 		// and proves as much.
@@ -290,7 +292,7 @@
 }
 
 func (f *Follower) storeAnswered(sent core.Time) {
-	f.failures, f.retryAt, f.refreshNow = 0, 0, false
+	f.failures, f.retryAt, f.refreshNow, f.answered = 0, 0, false, sent
 	if sent >= f.proofValidFrom {
 		f.proof = max(f.proof, sent)
 	}
--- a/core/relay/follower_test.go
+++ b/core/relay/follower_test.go
@@ -366,6 +366,24 @@
 		}
 	})
 
+	// Guards against calls without a pause while the answers of a restored store give no proof.
+	It("waits for changes when its proof is old but the store answers", func() {
+		f := relay.NewFollower("d", bound, 0)
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		f.SetProofValidFrom(after(time.Minute))
+		calls, at := 0, after(10*time.Second)
+		for at < after(40*time.Second) {
+			step := f.Next(at)
+			Expect(step.Kind).To(Equal(relay.Watch))
+			calls++
+			sent := at
+			at = at.Add(step.Wait + 5*time.Millisecond)
+			f.Watched(at, sent, 0)
+		}
+		Expect(calls).To(BeNumerically("<", 10))
+	})
+
 	It("keeps to the watch while a failing store may come back soon", func() {
 		f := relay.NewFollower("d", bound, 0)
 		f.SetFleet(start, true, nil)
