relay: give a watch after a failure a wait of 50 ms

The page of the platform's store says what wait_ms may be at most, and not whether 0 means no wait. A store that takes 0 for a default would let each watch after a failure run into its time-out. core/relay and the model of relays pass.

--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -188,9 +188,9 @@
 		return Step{Kind: Pause, Wait: f.watchAt.Sub(now)}
 	case f.failures > 0 || now.Sub(f.answered) > f.budget+answerSlack:
 		// This daemon has failed to reach the store or was frozen. If the store does not answer, a call
-		// that waits for changes takes as long to fail. One that does not wait returns what was missed,
-		// and proves as much.
-		return Step{Kind: Watch}
+		// that waits for changes takes as long to fail. A short one returns what was missed, and proves
+		// as much.
+		return Step{Kind: Watch, Wait: shortWatch}
 	}
 	return Step{Kind: Watch, Wait: f.watchDuration()}
 }
--- a/core/relay/tuning.go
+++ b/core/relay/tuning.go
@@ -37,6 +37,8 @@
 	// maxFailedConsults bounds how many relays that do not answer a watcher asks between two calls
 	// to the store.
 	maxFailedConsults = 2
+	// shortWatch is how long a watch waits after a failure or a freeze.
+	shortWatch = 50 * time.Millisecond
 	// minFailuresOfOneCall is the number of failures after which a watcher also tries to load the copy.
 	minFailuresOfOneCall = 2
 	// trialLoadTimeout bounds the first load of a watcher whose calls fail.
