proxy: count messages that end at LF and those cut at a deadline

Added before any change of logic, as the log and the counters could not tell the hypotheses of cut messages apart.

platform.Reader takes the place of ReadLine and a bufio.Reader, reads as before, and says whether the last message ended at an LF without CR and how much of a message was read when a read failed. Sessions of callers and of entries count both ("messages_ended_at_lf", "messages_cut_at_deadline"), with a log line each whose rate is limited. Answers of members are not counted.

--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -22,7 +21,7 @@
 	// team is the team whose statements run on the connection.
 	team core.TeamID
 	c    *net.TCPConn
-	r    *bufio.Reader
+	r    *platform.Reader
 	out  []byte
 	body []byte
 	// values and prepared are the session state at the member.
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -26,7 +25,7 @@
 type link struct {
 	home core.DaemonID
 	c    net.Conn
-	r    *bufio.Reader
+	r    *platform.Reader
 	out  []byte
 	body []byte
 	// values and prepared are the session state at the home.
@@ -147,7 +146,7 @@
 		return nil, err
 	}
 	l := &link{
-		home: home, c: c, r: bufio.NewReaderSize(c, 1024), values: map[string]string{}, prepared: map[string]preparedStatement{},
+		home: home, c: c, r: platform.NewReader(c), values: map[string]string{}, prepared: map[string]preparedStatement{},
 		commit: s.commits.In(id).Position,
 	}
 	if err := l.handshake(s, handshakeTimeout(), secondPart); err != nil {
--- a/pkg/proxy/metadata/serve.go
+++ b/pkg/proxy/metadata/serve.go
@@ -1,7 +1,6 @@
 package metadata
 
 import (
-	"bufio"
 	"net"
 	"time"
 
@@ -26,7 +25,7 @@
 // Serve answers a follower's questions until the link ends or this process stops. It does not wait
 // for the end of a planned stop, so that followers can find another relay before their proofs are
 // too old.
-func (c *Copy) Serve(conn net.Conn, r *bufio.Reader, stopping func() bool) {
+func (c *Copy) Serve(conn net.Conn, r protodelim.Reader, stopping func() bool) {
 	defer conn.Close()
 	var f followerState
 	for {
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -32,7 +31,7 @@
 type session struct {
 	p        *Proxy
 	c        net.Conn
-	r        *bufio.Reader
+	r        *platform.Reader
 	out      []byte
 	database string
 	// key is the fingerprint of the key that the caller presented. denial is why the
@@ -134,7 +133,7 @@
 // startup reads the caller's startup message and answers it.
 func (s *session) startup() error {
 	_ = s.c.SetReadDeadline(time.Now().Add(startupTimeout))
-	line, err := platform.ReadLine(s.r)
+	line, err := s.readLine()
 	if err != nil {
 		s.rejectMessage(err)
 		return err
@@ -193,7 +192,7 @@
 	} else if s.tx.conn != nil || s.tx.homeLink != nil {
 		_ = s.c.SetReadDeadline(time.Now().Add(s.p.idleTransactionTimeout()))
 	}
-	line, err := platform.ReadLine(s.r)
+	line, err := s.readLine()
 	s.idleSince.Store(0)
 	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && s.r.Buffered() == 0 {
 		line, err = s.readAfterTimeout()
@@ -207,6 +206,20 @@
 	return platform.ParseCaller(line)
 }
 
+// readLine reads the next message, and counts those that are cut.
+func (s *session) readLine() (string, error) {
+	line, err := s.r.ReadMessage()
+	switch {
+	case err == nil && s.r.BareLineFeed():
+		s.p.stats.endedAtLF.Add(1)
+		s.logDecision("message ended at LF", "length", len(line))
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.r.Dropped() > 0:
+		s.p.stats.cutAtDeadline.Add(1)
+		s.logDecision("message cut at a deadline", "read", s.r.Dropped(), "in_transaction", s.tx != nil, "from_entry", s.fromEntry)
+	}
+	return line, err
+}
+
 // finalReadTimeout bounds the last read of a session that is being ended.
 const finalReadTimeout = 2 * time.Millisecond
 
@@ -227,18 +240,18 @@
 		_ = s.c.SetReadDeadline(time.Time{})
 		s.idleSince.Store(int64(now()))
 		defer s.idleSince.Store(0)
-		return platform.ReadLine(s.r)
+		return s.readLine()
 	}
 	if s.tx == nil {
 		_ = s.c.SetReadDeadline(time.Now().Add(finalReadTimeout))
-		line, err := platform.ReadLine(s.r)
+		line, err := s.readLine()
 		_ = s.c.SetReadDeadline(time.Time{})
 		return line, err
 	}
 	s.logDecision("transaction ended", "reason", "idle")
 	s.abort(s.tx)
 	_ = s.c.SetReadDeadline(time.Time{})
-	return platform.ReadLine(s.r)
+	return s.readLine()
 }
 
 // endIfIdle ends the session if it has waited for a message outside a transaction
