standin: end a message at CR LF only

The stand-in member and the callers of the specs ended a message at each LF and trimmed line ends, as the code under test did. No spec could show a text that is cut there: both sides cut it at the same byte.

--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -244,13 +244,18 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
+// line returns the next message, which only CR LF ends.
 func (x *caller) line() string {
 	Expect(x.c.SetReadDeadline(time.Now().Add(waitLimit))).To(Succeed())
-	line, err := x.r.ReadString('\n')
-	if err != nil {
-		return "closed"
+	line := ""
+	for !strings.HasSuffix(line, "\r\n") {
+		part, err := x.r.ReadString('\n')
+		if err != nil {
+			return "closed"
+		}
+		line += part
 	}
-	return strings.TrimRight(line, "\r\n")
+	return strings.TrimSuffix(line, "\r\n")
 }
 
 // answer is a complete answer to a statement: the rows, the line after them, and the transaction state
