platform: end a message at CR LF and nowhere else

What callers saw: a write of "paid until March<LF>refund the rest" was acknowledged, and the member had run "paid until March". The line "QUERY c9.1 WRITE fine-77 waived" of a text ran as a statement that nobody had sent.

Cause: a message ended at each LF, with or without CR before it, for sessions, links and connections to members alike.

Change: platform.Reader searches for CR LF in a buffer of its own. A single CR or LF belongs to the text.

The counter of messages that end at LF is replaced by one of messages whose text contains a line break.

--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -206,20 +207,23 @@
 	return platform.ParseCaller(line)
 }
 
-// readLine reads the next message, and counts those that are cut.
+// readLine reads the next message, and counts those that are incomplete at a deadline.
 func (s *session) readLine() (string, error) {
 	line, err := s.r.ReadMessage()
 	switch {
-	case err == nil && s.r.BareLineFeed():
-		s.p.stats.endedAtLF.Add(1)
-		s.logDecision("message ended at LF", "length", len(line))
-	case errors.Is(err, os.ErrDeadlineExceeded) && s.r.Dropped() > 0:
-		s.p.stats.cutAtDeadline.Add(1)
-		s.logDecision("message cut at a deadline", "read", s.r.Dropped(), "in_transaction", s.tx != nil, "from_entry", s.fromEntry)
+	case err == nil && containsLineBreak(line):
+		s.p.stats.withLineBreak.Add(1)
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.r.Partial():
+		s.p.stats.incompleteAtDeadline.Add(1)
+		s.logDecision("message incomplete at a deadline", "read", s.r.Buffered(), "in_transaction", s.tx != nil, "from_entry", s.fromEntry)
 	}
 	return line, err
 }
 
+func containsLineBreak(line string) bool {
+	return strings.IndexByte(line, '\n') >= 0 || strings.IndexByte(line, '\r') >= 0
+}
+
 // finalReadTimeout bounds the last read of a session that is being ended.
 const finalReadTimeout = 2 * time.Millisecond
 
