--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -73,6 +74,18 @@
 	return m, nil
 }
 
+// errEmptyAnswer is the error of a READY that nothing precedes.
+var errEmptyAnswer = fmt.Errorf("%w: READY without an answer", platform.ErrMalformed)
+
+// readAnswer reads the answer to a statement.
+func readAnswer(r *platform.Reader, body []byte) (platform.Answer, error) {
+	a, err := platform.ReadAnswer(r, body)
+	if err == nil && a.Empty {
+		err = errEmptyAnswer
+	}
+	return a, err
+}
+
 // startupOutcome returns the outcome of a startup that failed with this error code. The code is
 // empty if the member sent no answer that can be read.
 func startupOutcome(code string) direct.Outcome {
@@ -94,7 +107,7 @@
 	if err != nil {
 		return a, n > 0, err
 	}
-	a, err = platform.ReadAnswer(m.r, m.body)
+	a, err = readAnswer(m.r, m.body)
 	m.body = a.Body
 	return a, true, err
 }
@@ -176,7 +189,7 @@
 		return err
 	}
 	for range n {
-		a, err := platform.ReadAnswer(m.r, m.body)
+		a, err := readAnswer(m.r, m.body)
 		m.body = a.Body
 		if err != nil {
 			return err
--- a/pkg/proxy/framing_test.go
+++ b/pkg/proxy/framing_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"limpetspan/platform"
 	"limpetspan/platform/standin"
 )
 
@@ -77,6 +78,14 @@
 		}))
 	})...)
 
+	// Guards against a READY that is taken for the answer to a statement.
+	It("takes no READY alone for an answer", func() {
+		_, err := readAnswer(platform.NewReader(strings.NewReader("READY I -\r\n")), nil)
+		Expect(err).To(MatchError(errEmptyAnswer))
+		entry := entryOf(func(int) string { return "READY I -\r\n" })
+		Expect(entry.dial("db-primary").query("WRITE k 1").result).To(HavePrefix("ERROR INDOUBT"))
+	})
+
 	// Guards against a row that ends its answer, so that the rest is read as the answer to the next
 	// statement.
 	DescribeTable("takes no line of a row for the end of its answer", onBothPaths(func(f *fleet, d *daemon) {
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -339,10 +339,10 @@
 
 // readAnswer reads an answer, and a request to move the session that may precede it.
 func (l *link) readAnswer() (platform.Answer, error) {
-	a, err := platform.ReadAnswer(l.r, l.body)
+	a, err := readAnswer(l.r, l.body)
 	if errors.Is(err, platform.ErrTerminate) {
 		l.moveRequested = true
-		a, err = platform.ReadAnswer(l.r, a.Body)
+		a, err = readAnswer(l.r, a.Body)
 	}
 	l.body = a.Body
 	return a, err
