proxy: continue a message that is incomplete at a deadline

Cause: a read that timed out dropped what it had read, and the session went on with the next byte.

Change: the reader keeps the part (commit before), and each read of a session after a time-out continues it. - At a planned stop the rest is waited for, for 0.3 of the grace period, so that the statement can run before its end. If it does not come, the session ends and none of it runs. - At the idle time-out the transaction is rolled back, and the message is answered like any other one of a failed transaction. - An entry that is asked to move its session is served as before. - A startup message or a handshake that is incomplete ends its session. - A time-out that comes while such a read goes on no longer ends the session of an entry or a transaction. Reads of answers end their connection at a deadline, as before.

"messages_incomplete_at_deadline" counts kept and dropped messages in place of those cut, with a log line. The reads of a session move to a file of their own.

The specs let the deadline pass at each byte of a message, over a pipe, and no time decides. On the logic before, 4 of the 6 fail: the member ran "q.9 WRITE fine waived", the end of another statement's data, for callers and for entries, and an idle transaction was ended by "QUERY q.9 ROLLBACK" out of a text. With a reader that drops its part all 6 fail, without the wait at a stop 3.

--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -267,9 +267,17 @@
 	state  string
 }
 
+func nextStatementID() string { return fmt.Sprintf("q%d", lastStatementID.Add(1)) }
+
 func (x *caller) query(text string) answer {
-	a := answer{id: fmt.Sprintf("q%d", lastStatementID.Add(1))}
-	x.send("QUERY " + a.id + " " + text)
+	id := nextStatementID()
+	x.send("QUERY " + id + " " + text)
+	return x.answerTo(id)
+}
+
+// answerTo reads the answer to the statement.
+func (x *caller) answerTo(id string) answer {
+	a := answer{id: id}
 	for {
 		word, rest, _ := strings.Cut(x.line(), " ")
 		switch word {
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"os"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -136,6 +134,7 @@
 	_ = s.c.SetReadDeadline(time.Now().Add(startupTimeout))
 	line, err := s.readLine()
 	if err != nil {
+		s.countIfIncomplete(err, messageDropped)
 		s.rejectMessage(err)
 		return err
 	}
@@ -180,98 +179,6 @@
 	return err
 }
 
-// readMessage reads the next message. A planned stop ends the session here if no
-// transaction is open, unless an entry forwards the session. A transaction that holds a
-// connection to a member or a link to a home is rolled back if its caller sends nothing
-// for too long.
-func (s *session) readMessage() (platform.CallerMessage, error) {
-	if s.tx == nil {
-		if s.p.closing() && s.r.Buffered() == 0 && !s.fromEntry {
-			return platform.CallerMessage{}, errSessionEnded
-		}
-		s.idleSince.Store(int64(now()))
-	} else if s.tx.conn != nil || s.tx.homeLink != nil {
-		_ = s.c.SetReadDeadline(time.Now().Add(s.p.idleTransactionTimeout()))
-	}
-	line, err := s.readLine()
-	s.idleSince.Store(0)
-	if err != nil && errors.Is(err, os.ErrDeadlineExceeded) && s.r.Buffered() == 0 {
-		line, err = s.readAfterTimeout()
-	}
-	if err != nil {
-		return platform.CallerMessage{}, err
-	}
-	if s.tx != nil {
-		_ = s.c.SetReadDeadline(time.Time{})
-	}
-	return platform.ParseCaller(line)
-}
-
-// readLine reads the next message, and counts those that are incomplete at a deadline.
-func (s *session) readLine() (string, error) {
-	line, err := s.r.ReadMessage()
-	switch {
-	case err == nil && containsLineBreak(line):
-		s.p.stats.withLineBreak.Add(1)
-	case errors.Is(err, os.ErrDeadlineExceeded) && s.r.Partial():
-		s.p.stats.incompleteAtDeadline.Add(1)
-		s.logDecision("message incomplete at a deadline", "read", s.r.Buffered(), "in_transaction", s.tx != nil, "from_entry", s.fromEntry)
-	}
-	return line, err
-}
-
-func containsLineBreak(line string) bool {
-	return strings.IndexByte(line, '\n') >= 0 || strings.IndexByte(line, '\r') >= 0
-}
-
-// finalReadTimeout bounds the last read of a session that is being ended.
-const finalReadTimeout = 2 * time.Millisecond
-
-// readAfterTimeout handles a read that has timed out, and returns the next line.
-// In a transaction the caller was idle for too long: the transaction is rolled
-// back, and the session goes on. Outside a transaction a planned stop has
-// interrupted the read. An entry is asked to move its session to another home, and
-// its statements are served until it has done so. For a caller one more short read
-// is made, because a read whose deadline has passed misses a message that has
-// already arrived.
-func (s *session) readAfterTimeout() (string, error) {
-	if s.tx == nil && s.fromEntry && !s.entryNotified.Load() {
-		s.entryNotified.Store(true)
-		s.out = platform.AppendTerminate(s.out[:0])
-		if err := s.flush(); err != nil {
-			return "", err
-		}
-		_ = s.c.SetReadDeadline(time.Time{})
-		s.idleSince.Store(int64(now()))
-		defer s.idleSince.Store(0)
-		return s.readLine()
-	}
-	if s.tx == nil {
-		_ = s.c.SetReadDeadline(time.Now().Add(finalReadTimeout))
-		line, err := s.readLine()
-		_ = s.c.SetReadDeadline(time.Time{})
-		return line, err
-	}
-	s.logDecision("transaction ended", "reason", "idle")
-	s.abort(s.tx)
-	_ = s.c.SetReadDeadline(time.Time{})
-	return s.readLine()
-}
-
-// endIfIdle ends the session if it has waited for a message outside a transaction
-// for at least the time idle. A positive time spares sessions that have just been
-// opened, whose callers are about to send the first statement. endIfIdle only
-// makes the session's read time out; readAfterTimeout handles the time-out.
-func (s *session) endIfIdle(at core.Time, idle time.Duration) {
-	since := core.Time(s.idleSince.Load())
-	if s.entryNotified.Load() {
-		return
-	}
-	if since != 0 && at.Sub(since) >= idle {
-		_ = s.c.SetReadDeadline(time.Now())
-	}
-}
-
 // serveStatement runs one statement and answers it.
 func (s *session) serveStatement(st *direct.Statement) error {
 	end := s.startSpan("entry.statement", st.ID, "")
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -28,9 +28,11 @@
 	erasEnded expvar.Int
 	// connsReplaced counts idle connections that were closed to open one for another team.
 	connsReplaced expvar.Int
-	// withLineBreak counts the messages whose text contains a CR or LF, incompleteAtDeadline those of
-	// which a part was read when a deadline passed.
-	withLineBreak, incompleteAtDeadline expvar.Int
+	// withLineBreak counts the messages whose text contains a CR or LF.
+	withLineBreak expvar.Int
+	// incomplete counts the messages of which a part was read when a deadline passed, by what became of
+	// them.
+	incomplete expvar.Map
 	// linksOutdated counts links to homes that were replaced because the session had committed elsewhere.
 	linksOutdated expvar.Int
 	// refusals counts errors by code, denied the statements that were refused because of their
@@ -106,7 +108,7 @@
 		"store_eras_ended": s.erasEnded.Value(), "watches_unusable": s.watchesUnusable.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
 		"links_outdated": s.linksOutdated.Value(), "on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
 		"peer_health": valuesOf(&s.health), "hedges": valuesOf(&s.hedges),
-		"messages_with_line_break": s.withLineBreak.Value(), "messages_incomplete_at_deadline": s.incompleteAtDeadline.Value(),
+		"messages_with_line_break": s.withLineBreak.Value(), "messages_incomplete_at_deadline": valuesOf(&s.incomplete),
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
 		},
