--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -244,13 +244,18 @@
 	Expect(err).NotTo(HaveOccurred())
 }
 
+// line returns the next message, which only CR LF ends.
 func (x *caller) line() string {
 	Expect(x.c.SetReadDeadline(time.Now().Add(waitLimit))).To(Succeed())
-	line, err := x.r.ReadString('\n')
-	if err != nil {
-		return "closed"
+	line := ""
+	for !strings.HasSuffix(line, "\r\n") {
+		part, err := x.r.ReadString('\n')
+		if err != nil {
+			return "closed"
+		}
+		line += part
 	}
-	return strings.TrimRight(line, "\r\n")
+	return strings.TrimSuffix(line, "\r\n")
 }
 
 // answer is a complete answer to a statement: the rows, the line after them, and the transaction state
@@ -262,9 +267,17 @@
 	state  string
 }
 
+func nextStatementID() string { return fmt.Sprintf("q%d", lastStatementID.Add(1)) }
+
 func (x *caller) query(text string) answer {
-	a := answer{id: fmt.Sprintf("q%d", lastStatementID.Add(1))}
-	x.send("QUERY " + a.id + " " + text)
+	id := nextStatementID()
+	x.send("QUERY " + id + " " + text)
+	return x.answerTo(id)
+}
+
+// answerTo reads the answer to the statement.
+func (x *caller) answerTo(id string) answer {
+	a := answer{id: id}
 	for {
 		word, rest, _ := strings.Cut(x.line(), " ")
 		switch word {
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"net"
@@ -26,7 +25,7 @@
 type link struct {
 	home core.DaemonID
 	c    net.Conn
-	r    *bufio.Reader
+	r    *platform.Reader
 	out  []byte
 	body []byte
 	// values and prepared are the session state at the home.
@@ -147,7 +146,7 @@
 		return nil, err
 	}
 	l := &link{
-		home: home, c: c, r: bufio.NewReaderSize(c, 1024), values: map[string]string{}, prepared: map[string]preparedStatement{},
+		home: home, c: c, r: platform.NewReader(c), values: map[string]string{}, prepared: map[string]preparedStatement{},
 		commit: s.commits.In(id).Position,
 	}
 	if err := l.handshake(s, handshakeTimeout(), secondPart); err != nil {
@@ -340,10 +339,10 @@
 
 // readAnswer reads an answer, and a request to move the session that may precede it.
 func (l *link) readAnswer() (platform.Answer, error) {
-	a, err := platform.ReadAnswer(l.r, l.body)
+	a, err := readAnswer(l.r, l.body)
 	if errors.Is(err, platform.ErrTerminate) {
 		l.moveRequested = true
-		a, err = platform.ReadAnswer(l.r, a.Body)
+		a, err = readAnswer(l.r, a.Body)
 	}
 	l.body = a.Body
 	return a, err
