correlate: decide which request an answer belongs to

Answers of members name no request, and a member may give one again, after the next statement was sent. Nothing in the proxy could tell such a repeat from the answer to the next statement.

The new package judges each answer of a connection by what it names: a new receipt belongs to the statement, a repeated one or an answer of a kind that the statement cannot have does not, and a refusal or a status row proves nothing until the answers to a marker follow it. It does no I/O. Nothing uses it yet.

--- /dev/null
+++ b/core/correlate/confirmation.go
@@ -0,0 +1,71 @@
+package correlate
+
+// Progress is the state of a Confirmation.
+type Progress uint8
+
+// The states of a Confirmation.
+const (
+	// Pending: further answers are needed.
+	Pending Progress = iota
+	// Dropped: the answer just judged was surplus, and further ones are needed.
+	Dropped
+	// Confirmed: the unproved answer belongs to the request.
+	Confirmed
+	// Superseded: the answer just judged belongs to the request, the unproved one to an earlier request.
+	Superseded
+	// Refuted: no answer is known to belong to the request.
+	Refuted
+)
+
+// Confirmation judges the answers that follow an unproved one up to the end of a marker.
+type Confirmation struct {
+	matcher  *Matcher
+	request  Expected
+	unproved Answer
+	// remaining are the expected answers to the marker's requests. beginRefused is set if the request before
+	// was refused to begin a transaction.
+	remaining    []Expected
+	beginRefused bool
+}
+
+// Confirm begins the confirmation of an unproved answer to the request. expected are the answers to the
+// requests that follow it.
+func (m *Matcher) Confirm(request Expected, unproved Answer, expected []Expected) *Confirmation {
+	return &Confirmation{matcher: m, request: request, unproved: unproved, remaining: expected}
+}
+
+// Judge returns the state after the next answer.
+func (c *Confirmation) Judge(a Answer) Progress {
+	if c.accepts(a) {
+		c.beginRefused = a.Kind == Refusal && c.remaining[0].InTransaction
+		c.remaining = c.remaining[1:]
+		if len(c.remaining) == 0 {
+			return Confirmed
+		}
+		return Pending
+	}
+	c.matcher.surplus = true
+	switch {
+	case a.Kind == Receipt && c.matcher.isRepeated(a.Content), a.Kind == Greeting:
+		return Dropped
+	case a.Kind == Receipt && c.request.Kind == Receipt && !a.InTransaction:
+		return Superseded
+	case a.Kind == c.unproved.Kind && a.Content == c.unproved.Content:
+		// One of the two answers the request, and both say the same.
+		return Dropped
+	}
+	return Refuted
+}
+
+// accepts reports whether the answer fits the marker's next request. A peer that is busy may refuse to begin a
+// transaction, and then there is none to roll back.
+func (c *Confirmation) accepts(a Answer) bool {
+	e := c.remaining[0]
+	switch a.Kind {
+	case Acknowledgement:
+		return a.InTransaction == e.InTransaction
+	case Refusal:
+		return e.InTransaction || c.beginRefused
+	}
+	return false
+}
--- /dev/null
+++ b/core/correlate/matcher.go
@@ -0,0 +1,130 @@
+package correlate
+
+import (
+	"hash/maphash"
+	"slices"
+)
+
+// Kind is what an answer consists of.
+type Kind uint8
+
+// The kinds of answers.
+const (
+	// Receipt: the request ran, and the answer names the run.
+	Receipt Kind = iota
+	// Acknowledgement: the request was executed, and the answer names nothing.
+	Acknowledgement
+	// Report: rows without a receipt.
+	Report
+	// Refusal: an error.
+	Refusal
+	// Greeting: the answer to the opening of the connection.
+	Greeting
+)
+
+// String returns the kind's name in metrics and log lines.
+func (k Kind) String() string {
+	switch k {
+	case Receipt:
+		return "receipt"
+	case Acknowledgement:
+		return "acknowledgement"
+	case Report:
+		return "report"
+	case Refusal:
+		return "refusal"
+	case Greeting:
+		return "greeting"
+	}
+	return "unknown"
+}
+
+// Answer is what a Matcher looks at.
+type Answer struct {
+	Kind Kind
+	// Content is the receipt, the code of the refusal or the first row of the report.
+	Content string
+	// InTransaction is set if a transaction is open after the request.
+	InTransaction bool
+}
+
+// Expected is the answer to a request that was executed. InTransaction counts only for an
+// acknowledgement.
+type Expected struct {
+	Kind          Kind
+	InTransaction bool
+}
+
+// Verdict says to which request an answer belongs.
+type Verdict uint8
+
+// The verdicts.
+const (
+	// Own: the answer belongs to the request, or has the same meaning for it.
+	Own Verdict = iota
+	// Surplus: the answer belongs to an earlier request.
+	Surplus
+	// Unproved: the answer belongs to the request or to an earlier one. A Marker tells which.
+	Unproved
+)
+
+// RememberedReceipts is the number of receipts that a Matcher remembers.
+const RememberedReceipts = 256
+
+// Matcher matches the answers of one connection. Its zero value is ready for use.
+type Matcher struct {
+	// seen holds the hashes of the last receipts, the oldest one at next once it is full.
+	seen []uint64
+	next int
+	// surplus is set once an answer was surplus.
+	surplus bool
+}
+
+var hashSeed = maphash.MakeSeed()
+
+// Judge returns the verdict about the next answer of the connection.
+func (m *Matcher) Judge(e Expected, a Answer) Verdict {
+	v := m.judge(e, a)
+	if v == Surplus {
+		m.surplus = true
+	}
+	return v
+}
+
+func (m *Matcher) judge(e Expected, a Answer) Verdict {
+	switch {
+	case a.Kind == Receipt && e.Kind == Receipt:
+		if m.isRepeated(a.Content) {
+			return Surplus
+		}
+		return Own
+	case a.Kind == Refusal:
+		return Unproved
+	case a.Kind != e.Kind:
+		return Surplus
+	case a.Kind == Acknowledgement && a.InTransaction != e.InTransaction:
+		return Surplus
+	case a.Kind == Report:
+		return Unproved
+	}
+	return Own
+}
+
+// isRepeated reports whether the receipt was given before, and remembers it.
+func (m *Matcher) isRepeated(receipt string) bool {
+	h := maphash.String(hashSeed, receipt)
+	if slices.Contains(m.seen, h) {
+		return true
+	}
+	if len(m.seen) < RememberedReceipts {
+		m.seen = append(m.seen, h)
+		return false
+	}
+	m.seen[m.next] = h
+	m.next = (m.next + 1) % RememberedReceipts
+	return false
+}
+
+// InStep reports whether no answer was surplus so far. A connection that is not in step serves the request
+// or transaction in progress, and then ends.
+func (m *Matcher) InStep() bool { return !m.surplus }
