proxy: count the answers of members that fit no statement

What callers saw: answers to other statements, without any line break in a text. Two hypotheses gave the same symptom: messages that are cut, and members that give an answer twice. Neither left a trace, as each answer was taken for that of the statement that awaited one.

Connections to members move from pkg/proxy into a package of their own, pkg/memberconn, and pass each answer to core/correlate.

--- /dev/null
+++ b/pkg/memberconn/conn.go
@@ -0,0 +1,173 @@
+package memberconn
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"limpetspan/core"
+	"limpetspan/core/correlate"
+	"limpetspan/core/direct"
+	"limpetspan/core/stmtcache"
+	"limpetspan/pkg/resetconn"
+	"limpetspan/platform"
+)
+
+var (
+	errEmptyAnswer   = fmt.Errorf("%w: READY without an answer", platform.ErrMalformed)
+	errNotRolledBack = errors.New("the transaction is open after ROLLBACK")
+)
+
+// Conn is a connection to a member.
+type Conn struct {
+	c       *net.TCPConn
+	r       *platform.Reader
+	out     []byte
+	body    []byte
+	matcher correlate.Matcher
+	// inTransaction is set while a transaction is open.
+	inTransaction bool
+	// values and prepared are the session state at the member.
+	values   map[string]string
+	prepared *stmtcache.Cache
+	observer Observer
+}
+
+// Observer is told about answers that do not belong to the statement that awaits one. It is called by the
+// goroutine that uses the connection.
+type Observer interface {
+	// SurplusAnswer is called for an answer that was read while one of the expected kind was awaited.
+	SurplusAnswer(got, expected correlate.Kind)
+}
+
+// DialError is the error of a connection that could not be opened. Refused is set if the member's host has
+// refused it.
+type DialError struct {
+	Outcome direct.Outcome
+	Refused bool
+	Err     error
+}
+
+func (e *DialError) Error() string { return e.Err.Error() }
+func (e *DialError) Unwrap() error { return e.Err }
+
+// Target is the member to which a connection is opened, and the team for which it is.
+type Target struct {
+	Addr   string
+	Group  core.GroupID
+	Member core.MemberID
+	Team   core.TeamID
+}
+
+// Dial opens a connection to the member that is expected at the address. limits bound its prepared
+// statements.
+func Dial(t Target, limits stmtcache.Limits, observer Observer, timeout time.Duration) (*Conn, *DialError) {
+	deadline := time.Now().Add(timeout)
+	c, err := resetconn.Dial(context.Background(), t.Addr, resetconn.Options{Timeout: timeout})
+	if err != nil {
+		return nil, &DialError{direct.NotSent, errors.Is(err, syscall.ECONNREFUSED), err}
+	}
+	m := &Conn{c: c, r: platform.NewReader(c), values: map[string]string{}, prepared: stmtcache.New(limits), observer: observer}
+	outcome, err := m.startup(t, deadline)
+	if err != nil {
+		m.Close()
+		return nil, &DialError{outcome, false, err}
+	}
+	return m, nil
+}
+
+// startup opens the session at the member.
+func (m *Conn) startup(t Target, deadline time.Time) (direct.Outcome, error) {
+	_ = m.c.SetDeadline(deadline)
+	m.out = platform.AppendStartup(m.out[:0], t.Group, t.Team, t.Member)
+	if _, err := m.c.Write(m.out); err != nil {
+		return direct.NotSent, err
+	}
+	a, err := platform.ReadStartup(m.r)
+	switch {
+	case err != nil:
+		return direct.NotSent, err
+	case a.Code != "":
+		return a.Outcome(), answerError(&a)
+	}
+	return direct.Succeeded, nil
+}
+
+func answerError(a *platform.Answer) error { return errors.New(a.Code + " " + a.Text) }
+
+// Close closes the connection.
+func (m *Conn) Close() { _ = m.c.Close() }
+
+// TCPConn returns the underlying connection.
+func (m *Conn) TCPConn() *net.TCPConn { return m.c }
+
+// Statement is a statement to run.
+type Statement struct {
+	ID, Text string
+	// MinPosition is the position that the member's log must contain, zero for none.
+	MinPosition core.Position
+}
+
+// Run runs a caller's read, write or commit and returns its answer. sent is false if nothing can have reached the member.
+func (m *Conn) Run(s Statement, deadline time.Time) (a platform.Answer, sent bool, err error) {
+	return m.exchange(s, correlate.Expected{Kind: correlate.Receipt}, deadline)
+}
+
+// Begin begins a transaction.
+func (m *Conn) Begin(text string, minPosition core.Position, deadline time.Time) (a platform.Answer, sent bool, err error) {
+	s := Statement{ID: platform.ProxyStatementID, Text: text, MinPosition: minPosition}
+	a, sent, err = m.exchange(s, correlate.Expected{Kind: correlate.Acknowledgement, InTransaction: true}, deadline)
+	return a, sent, err
+}
+
+// Rollback ends the transaction. Anything but success is an error.
+func (m *Conn) Rollback(deadline time.Time) error {
+	s := Statement{ID: platform.ProxyStatementID, Text: platform.TextRollback}
+	a, _, err := m.exchange(s, correlate.Expected{Kind: correlate.Acknowledgement}, deadline)
+	switch {
+	case err == nil && a.Code != "":
+		err = answerError(&a)
+	case err == nil && a.State != platform.StateIdle:
+		err = errNotRolledBack
+	}
+	return err
+}
+
+func (m *Conn) exchange(s Statement, e correlate.Expected, deadline time.Time) (a platform.Answer, sent bool, err error) {
+	m.out = platform.AppendStatement(m.out[:0], s.ID, s.Text, s.MinPosition)
+	_ = m.c.SetDeadline(deadline)
+	n, err := m.c.Write(m.out)
+	if err != nil {
+		return a, n > 0, err
+	}
+	a, err = m.receive(e)
+	if err == nil {
+		m.inTransaction = a.State == platform.StateInTransaction
+	}
+	return a, true, err
+}
+
+// Command runs a statement that the proxy issues itself, whose answer is the member's status.
+func (m *Conn) Command(text string, deadline time.Time) (platform.Answer, error) {
+	m.out = platform.AppendProxyStatement(m.out[:0], text)
+	_ = m.c.SetDeadline(deadline)
+	if _, err := m.c.Write(m.out); err != nil {
+		return platform.Answer{}, err
+	}
+	return m.receive(correlate.Expected{Kind: correlate.Report})
+}
+
+// Order runs a command that must not take effect late, also if this process is stopped meanwhile.
+func (m *Conn) Order(text string, timeout time.Duration) (platform.Answer, error) {
+	if err := resetconn.SetUnackedTimeout(m.c, timeout); err != nil {
+		return platform.Answer{}, err
+	}
+	a, err := m.Command(text, time.Now().Add(timeout))
+	if err == nil {
+		err = resetconn.SetUnackedTimeout(m.c, 0)
+	}
+	return a, err
+}
--- a/pkg/proxy/control.go
+++ b/pkg/proxy/control.go
@@ -6,6 +6,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/pkg/memberconn"
 	"limpetspan/platform"
 )
 
@@ -128,19 +129,19 @@
 // handleFailure reports a failed command to the reducer.
 func (c *control) handleFailure(sent core.Time, err error) {
 	c.g.p.stats.probeFailures.Add(1)
-	var connErr *connError
-	isConnError := errors.As(err, &connErr)
-	if isConnError && connErr.refused || closedByPeer(err) {
+	var dialErr *memberconn.DialError
+	isDialError := errors.As(err, &dialErr)
+	if isDialError && dialErr.Refused || closedByPeer(err) {
 		c.g.connBroken(c.id)
 	}
 	c.g.update(func(g *direct.Group, at core.Time) []direct.Effect {
 		switch {
-		case isConnError && (connErr.outcome == direct.ConnectionLimit || connErr.outcome == direct.Busy):
+		case isDialError && (dialErr.Outcome == direct.ConnectionLimit || dialErr.Outcome == direct.Busy):
 			return g.ProbeRefused(at, c.id)
-		case isConnError && connErr.outcome == direct.WrongMember:
-			return g.ConnFailed(at, sent, c.id, connErr.outcome)
+		case isDialError && dialErr.Outcome == direct.WrongMember:
+			return g.ConnFailed(at, sent, c.id, dialErr.Outcome)
 		}
-		return g.ProbeFailed(at, sent, c.id, isConnError && connErr.refused)
+		return g.ProbeFailed(at, sent, c.id, isDialError && dialErr.Refused)
 	})
 }
 
@@ -169,7 +170,7 @@
 	text := a.FirstRow
 	c.g.release(conn)
 	if a.Code != "" {
-		return st, reused, &connError{outcome: a.Outcome(), err: errors.New(a.Code + " " + a.Text)}
+		return st, reused, &memberconn.DialError{Outcome: a.Outcome(), Err: errors.New(a.Code + " " + a.Text)}
 	}
 	st, err = platform.ParseStatus(text)
 	return st, reused, err
@@ -183,9 +184,9 @@
 	case e.isExpired():
 		return platform.Answer{}, errOrderExpired
 	case e.SendDeadline != 0:
-		return conn.runOrder(text)
+		return conn.Order(text, probeTimeout)
 	}
-	return conn.runProxyStatement(text, time.Now().Add(probeTimeout))
+	return conn.Command(text, time.Now().Add(probeTimeout))
 }
 
 // errorText returns the error's text, "" for nil.
--- a/pkg/proxy/control_test.go
+++ b/pkg/proxy/control_test.go
@@ -11,6 +11,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/pkg/memberconn"
 	"limpetspan/platform"
 	"limpetspan/platform/standin"
 )
@@ -78,9 +79,9 @@
 	// Guards against orders and statements that arrive after their daemon was killed.
 	It("and forwarded statements use connections that are reset with the process", func() {
 		f := newFleet(2)
-		conn, connErr := dialMember(f.group.Members()[0].Addr(), "ledger", "", "", waitLimit)
+		conn, connErr := dialMember(memberconn.Target{Addr: f.group.Members()[0].Addr(), Group: "ledger"}, connObserver{}, waitLimit)
 		Expect(connErr).To(BeNil())
-		defer conn.close()
+		defer conn.Close()
 		peer := f.daemons[1].s
 		link, err := dialLink(peer.Daemon, peer.LinkAddr(peer.IP), waitLimit)
 		Expect(err).NotTo(HaveOccurred())
@@ -88,7 +89,7 @@
 		watched, err := f.daemons[0].p.homes.health.dial(peer.Daemon, peer.LinkAddr(peer.IP), waitLimit)
 		Expect(err).NotTo(HaveOccurred())
 		defer watched.Close()
-		for _, c := range []*net.TCPConn{conn.c, link.(*net.TCPConn), watched.(*watchedConn).TCPConn} {
+		for _, c := range []*net.TCPConn{conn.TCPConn(), link.(*net.TCPConn), watched.(*watchedConn).TCPConn} {
 			Expect(lingerOf(c)).To(HaveValue(Equal(unix.Linger{Onoff: 1, Linger: 0})))
 		}
 	})
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -12,6 +12,7 @@
 	"limpetspan/core"
 	"limpetspan/core/admission"
 	"limpetspan/core/direct"
+	"limpetspan/pkg/memberconn"
 	"limpetspan/platform"
 )
 
@@ -143,7 +144,7 @@
 			return gr.conn, gr.placement, true
 		}
 		if gr.replaced != nil {
-			gr.replaced.close()
+			gr.replaced.Close()
 		}
 		sent := now()
 		conn, err := g.open(gr.placement.Member, w.requirement.Team, deadline)
@@ -154,7 +155,7 @@
 		w.session.logDecision("dial", "member", gr.placement.Member, "error", err)
 		g.update(func(c *direct.Group, at core.Time) []direct.Effect {
 			c.ConnClosed(gr.placement.Member)
-			return c.ConnFailed(at, sent, gr.placement.Member, err.outcome)
+			return c.ConnFailed(at, sent, gr.placement.Member, err.Outcome)
 		})
 	}
 }
@@ -282,15 +283,16 @@
 }
 
 // open opens a connection to the member. The caller has counted it in the reducer.
-func (g *group) open(id core.MemberID, team core.TeamID, deadline core.Time) (*memberConn, *connError) {
+func (g *group) open(id core.MemberID, team core.TeamID, deadline core.Time) (*memberConn, *memberconn.DialError) {
 	g.mu.Lock()
 	addr, ok := g.core.Addr(id)
 	g.mu.Unlock()
 	if !ok {
-		return nil, &connError{outcome: direct.NotSent, err: errUnknownMember}
+		return nil, &memberconn.DialError{Outcome: direct.NotSent, Err: errUnknownMember}
 	}
 	g.p.stats.dials.Add(1)
-	return dialMember(addr, g.id, id, team, min(dialTimeout, until(deadline, 20*time.Millisecond)))
+	target := memberconn.Target{Addr: addr, Group: g.id, Member: id, Team: team}
+	return dialMember(target, connObserver{g.p, g.id, id}, min(dialTimeout, until(deadline, 20*time.Millisecond)))
 }
 
 // release returns a healthy connection, on which no transaction is open, to the pool of idle ones.
@@ -335,7 +337,7 @@
 
 // discard closes a connection that must not be used again.
 func (g *group) discard(conn *memberConn) {
-	conn.close()
+	conn.Close()
 	at := now()
 	g.mu.Lock()
 	g.markResumedLocked(conn)
@@ -382,7 +384,7 @@
 	}
 	g.mu.Unlock()
 	for _, conn := range old {
-		conn.close()
+		conn.Close()
 	}
 }
 
@@ -437,7 +439,7 @@
 		return c.Tick(at)
 	})
 	for _, conn := range old {
-		conn.close()
+		conn.Close()
 	}
 }
 
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 	"strconv"
@@ -337,6 +338,18 @@
 	return alive
 }
 
+// errEmptyAnswer is the error of a READY that nothing precedes.
+var errEmptyAnswer = fmt.Errorf("%w: READY without an answer", platform.ErrMalformed)
+
+// readAnswer reads the answer to a statement.
+func readAnswer(r *platform.Reader, body []byte) (platform.Answer, error) {
+	a, err := platform.ReadAnswer(r, body)
+	if err == nil && a.Empty {
+		err = errEmptyAnswer
+	}
+	return a, err
+}
+
 // readAnswer reads an answer, and a request to move the session that may precede it.
 func (l *link) readAnswer() (platform.Answer, error) {
 	a, err := readAnswer(l.r, l.body)
--- a/pkg/proxy/session_test.go
+++ b/pkg/proxy/session_test.go
@@ -129,7 +129,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		for _, conn := range g.idle[core.MemberID(f.group.Primary().ID)] {
-			Expect(conn.values).To(BeEmpty(), "y, which has no values, used it last")
+			Expect(conn.Values()).To(BeEmpty(), "y, which has no values, used it last")
 		}
 	})
 
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -7,6 +7,7 @@
 	"limpetspan/core/direct"
 	"limpetspan/core/execution"
 	"limpetspan/core/policy"
+	"limpetspan/pkg/memberconn"
 	"limpetspan/platform"
 )
 
@@ -194,7 +195,7 @@
 			connDeadline = answerDeadline
 		}
 	}
-	if err := conn.syncState(s.values, j.prepared, connDeadline); err != nil {
+	if err := conn.SyncState(s.values, j.prepared.forMember(), connDeadline); err != nil {
 		s.logDecision("session state not set", "id", j.id, "member", conn.member, "error", err)
 		g.discard(conn)
 		return platform.Answer{}, now(), direct.NotSent
@@ -218,12 +219,12 @@
 	sent := now()
 	end := s.startSpan("member.exchange", j.id, string(conn.member))
 	send := j.history.Begin(string(conn.member))
-	a, wrote, err := conn.exchange(id, j.text, minPosition, connDeadline)
+	a, wrote, err := runOn(conn, memberconn.Statement{ID: id, Text: j.text, MinPosition: minPosition}, connDeadline)
 	end(outcomeText(a.Code, err))
 	o := exchangeOutcome(&a, wrote, err)
 	j.history.End(send, o)
 	if o == direct.NotPrepared {
-		conn.forgetPrepared(j.prepared)
+		conn.ForgetPrepared(j.prepared.forMember())
 	}
 	if err != nil {
 		s.p.stats.connsBroken.Add(1)
@@ -238,6 +239,14 @@
 	return a, sent, o
 }
 
+// runOn runs the statement on the connection. The proxy itself issues only those that begin a transaction.
+func runOn(conn *memberConn, st memberconn.Statement, deadline time.Time) (a platform.Answer, sent bool, err error) {
+	if st.ID == platform.ProxyStatementID {
+		return conn.Begin(st.Text, st.MinPosition, deadline)
+	}
+	return conn.Run(st, deadline)
+}
+
 // exchangeOutcome returns the outcome of an exchange with a member.
 func exchangeOutcome(a *platform.Answer, wrote bool, err error) direct.Outcome {
 	switch {
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -6,6 +6,7 @@
 	"limpetspan/core"
 	"limpetspan/core/direct"
 	"limpetspan/core/policy"
+	"limpetspan/pkg/memberconn"
 	"limpetspan/platform"
 )
 
@@ -170,7 +171,7 @@
 func (s *session) runPinned(j *job, answerTimeout time.Duration) (platform.Answer, direct.Outcome) {
 	tx := s.tx
 	deadline := time.Now().Add(max(time.Millisecond, answerTimeout-now().Sub(j.arrived)))
-	if err := tx.conn.syncState(s.values, j.prepared, deadline); err != nil {
+	if err := tx.conn.SyncState(s.values, j.prepared.forMember(), deadline); err != nil {
 		s.logDecision("session state not set", "id", j.id, "member", tx.conn.member, "error", err)
 		s.discardConn(tx)
 		return platform.Answer{}, direct.NotSent
@@ -182,12 +183,12 @@
 	sent := now()
 	end := s.startSpan("member.exchange", j.id, string(tx.conn.member))
 	send := j.history.Begin(string(tx.conn.member))
-	a, wrote, err := tx.conn.exchange(j.id, j.text, core.Position{}, deadline)
+	a, wrote, err := tx.conn.Run(memberconn.Statement{ID: j.id, Text: j.text}, deadline)
 	end(outcomeText(a.Code, err))
 	o := exchangeOutcome(&a, wrote, err)
 	j.history.End(send, o)
 	if o == direct.NotPrepared {
-		tx.conn.forgetPrepared(j.prepared)
+		tx.conn.ForgetPrepared(j.prepared.forMember())
 	}
 	if err != nil {
 		s.p.stats.connsBroken.Add(1)
@@ -314,8 +315,7 @@
 	if tx.conn == nil {
 		return
 	}
-	a, err := tx.conn.runProxyStatement(platform.TextRollback, time.Now().Add(rollbackTimeout))
-	if err != nil || a.State != platform.StateIdle {
+	if err := tx.conn.Rollback(time.Now().Add(rollbackTimeout)); err != nil {
 		s.discardConn(tx)
 		return
 	}
