memberconn: match answers to statements

What callers saw: the answer to another statement. A member gave an answer twice, and the second one, which came before or after the next statement was sent, was taken for the next statement's answer; from then on every answer on the connection was one behind. A refusal that was repeated told a caller "not run" of a write that ran, and a status row that was repeated dated an old state as new, on which leases and promotions rest.

Cause: a connection returned to the pool after each whole answer, though nothing showed that the next answer would belong to the next statement. Answers name no statement. Only a receipt names its run.

Change: an answer with a new receipt belongs to the statement, one with a repeated receipt or of an impossible kind is dropped, and a refusal or a status row is confirmed by a marker: eight statements without cost for the member whose acknowledgements spell random bits. A command carries its marker in the same write, a refusal is followed by one. A connection that had a surplus answer serves the statement or transaction in progress and ends. If nothing is certain, it ends at once: reads run elsewhere, writes and commits are in doubt, transactions are aborted. A refusal now ends its transaction, as its code promises that nothing of the attempt is kept. A statement that ran though its transaction was not open is in doubt.

--- a/core/correlate/confirmation.go
+++ b/core/correlate/confirmation.go
@@ -22,10 +22,8 @@
 	matcher  *Matcher
 	request  Expected
 	unproved Answer
-	// remaining are the expected answers to the marker's requests. beginRefused is set if the request before
-	// was refused to begin a transaction.
-	remaining    []Expected
-	beginRefused bool
+	// remaining are the expected answers to the marker's requests.
+	remaining []Expected
 }
 
 // Confirm begins the confirmation of an unproved answer to the request. expected are the answers to the
@@ -37,7 +35,6 @@
 // Judge returns the state after the next answer.
 func (c *Confirmation) Judge(a Answer) Progress {
 	if c.accepts(a) {
-		c.beginRefused = a.Kind == Refusal && c.remaining[0].InTransaction
 		c.remaining = c.remaining[1:]
 		if len(c.remaining) == 0 {
 			return Confirmed
@@ -57,15 +54,15 @@
 	return Refuted
 }
 
-// accepts reports whether the answer fits the marker's next request. A peer that is busy may refuse to begin a
-// transaction, and then there is none to roll back.
+// accepts reports whether the answer fits the marker's next request. A busy peer may refuse to begin a
+// transaction, as it refused the request. Another refusal could be the answer to the request.
 func (c *Confirmation) accepts(a Answer) bool {
 	e := c.remaining[0]
 	switch a.Kind {
 	case Acknowledgement:
 		return a.InTransaction == e.InTransaction
 	case Refusal:
-		return e.InTransaction || c.beginRefused
+		return e.InTransaction && (c.unproved.Kind == Report || a.Content == c.unproved.Content)
 	}
 	return false
 }
--- a/pkg/memberconn/answer.go
+++ b/pkg/memberconn/answer.go
@@ -1,29 +1,36 @@
 package memberconn
 
 import (
+	"bytes"
+
 	"limpetspan/core/correlate"
 	"limpetspan/platform"
 )
 
-// receive reads the next answer.
-func (m *Conn) receive(e correlate.Expected) (platform.Answer, error) {
-	a, err := m.readAnswer()
-	if err == nil {
+// maxSurplus bounds the answers that are read while one is awaited.
+const maxSurplus = 64
+
+// receive reads answers up to the first one that is not surplus.
+func (m *Conn) receive(e correlate.Expected) (platform.Answer, correlate.Verdict, error) {
+	for range maxSurplus {
+		a, err := m.readAnswer()
+		if err != nil {
+			return a, correlate.Unproved, err
+		}
 		got := classify(&a)
-		if m.matcher.Judge(e, got) == correlate.Surplus {
-			m.observer.SurplusAnswer(got.Kind, e.Kind)
+		verdict := m.matcher.Judge(e, got)
+		if verdict != correlate.Surplus {
+			return a, verdict, nil
 		}
+		m.observer.SurplusAnswer(got.Kind, e.Kind)
 	}
-	return a, err
+	return platform.Answer{}, correlate.Unproved, ErrOutOfStep
 }
 
 // readAnswer reads the next answer. Its body is valid until the next call.
 func (m *Conn) readAnswer() (platform.Answer, error) {
 	a, err := platform.ReadAnswer(m.r, m.body)
 	m.body = a.Body
-	if err == nil && a.Empty {
-		err = errEmptyAnswer
-	}
 	return a, err
 }
 
@@ -44,3 +51,51 @@
 	}
 	return c
 }
+
+// confirmRefusal has a marker confirm that the refusal answers the statement, and returns the answer to the
+// statement. It ends the transaction that the refusal leaves open.
+func (m *Conn) confirmRefusal(refusal platform.Answer, e correlate.Expected) (platform.Answer, error) {
+	refusal.Body = bytes.Clone(refusal.Body)
+	// The next answer must not overwrite the refusal, which is returned.
+	m.out = m.out[:0]
+	var expected []correlate.Expected
+	if refusal.State != platform.StateIdle {
+		m.out = platform.AppendProxyStatement(m.out, platform.TextRollback)
+		expected = append(expected, correlate.Rollback.Expected())
+		refusal.State = platform.StateIdle
+	}
+	expected = m.appendMarker(expected)
+	if _, err := m.c.Write(m.out); err != nil {
+		return refusal, err
+	}
+	return m.confirm(refusal, e, expected)
+}
+
+// confirm reads the answers to the marker that follows an unproved answer, and returns the answer to the
+// statement.
+func (m *Conn) confirm(unproved platform.Answer, e correlate.Expected, expected []correlate.Expected) (platform.Answer, error) {
+	content := classify(&unproved)
+	confirmation := m.matcher.Confirm(e, content, expected)
+	for range maxSurplus {
+		a, err := m.readAnswer()
+		if err != nil {
+			return unproved, err
+		}
+		got := classify(&a)
+		switch confirmation.Judge(got) {
+		case correlate.Confirmed:
+			m.observer.Confirmed(content.Kind)
+			return unproved, nil
+		case correlate.Superseded:
+			m.observer.SurplusAnswer(content.Kind, e.Kind)
+			return a, nil
+		case correlate.Refuted:
+			m.observer.Refuted(content, got)
+			return unproved, ErrOutOfStep
+		case correlate.Dropped:
+			m.observer.SurplusAnswer(got.Kind, e.Kind)
+		case correlate.Pending:
+		}
+	}
+	return unproved, ErrOutOfStep
+}
--- a/pkg/memberconn/conn.go
+++ b/pkg/memberconn/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"syscall"
 	"time"
@@ -16,10 +15,8 @@
 	"limpetspan/platform"
 )
 
-var (
-	errEmptyAnswer   = fmt.Errorf("%w: READY without an answer", platform.ErrMalformed)
-	errNotRolledBack = errors.New("the transaction is open after ROLLBACK")
-)
+// ErrOutOfStep means that the answers of the connection do not show which of them belongs to the statement.
+var ErrOutOfStep = errors.New("the answers on the connection do not fit its statements")
 
 // Conn is a connection to a member.
 type Conn struct {
@@ -39,8 +36,12 @@
 // Observer is told about answers that do not belong to the statement that awaits one. It is called by the
 // goroutine that uses the connection.
 type Observer interface {
-	// SurplusAnswer is called for an answer that was read while one of the expected kind was awaited.
+	// SurplusAnswer is called for an answer that was dropped while one of the expected kind was awaited.
 	SurplusAnswer(got, expected correlate.Kind)
+	// Confirmed is called after a marker has confirmed an answer.
+	Confirmed(got correlate.Kind)
+	// Refuted is called if another answer came in place of one to the marker.
+	Refuted(got, instead correlate.Answer)
 }
 
 // DialError is the error of a connection that could not be opened. Refused is set if the member's host has
@@ -104,6 +105,9 @@
 // TCPConn returns the underlying connection.
 func (m *Conn) TCPConn() *net.TCPConn { return m.c }
 
+// IsReusable reports whether another statement may follow outside a transaction.
+func (m *Conn) IsReusable() bool { return m.matcher.InStep() && m.r.Buffered() == 0 }
+
 // Statement is a statement to run.
 type Statement struct {
 	ID, Text string
@@ -111,7 +115,8 @@
 	MinPosition core.Position
 }
 
-// Run runs a caller's read, write or commit and returns its answer. sent is false if nothing can have reached the member.
+// Run runs a caller's read, write or commit and returns its answer. A refusal ends the transaction if one
+// is open. sent is false if nothing can have reached the member.
 func (m *Conn) Run(s Statement, deadline time.Time) (a platform.Answer, sent bool, err error) {
 	return m.exchange(s, correlate.Expected{Kind: correlate.Receipt}, deadline)
 }
@@ -120,6 +125,10 @@
 func (m *Conn) Begin(text string, minPosition core.Position, deadline time.Time) (a platform.Answer, sent bool, err error) {
 	s := Statement{ID: platform.ProxyStatementID, Text: text, MinPosition: minPosition}
 	a, sent, err = m.exchange(s, correlate.Expected{Kind: correlate.Acknowledgement, InTransaction: true}, deadline)
+	// An acknowledgement may be older than the statement, and so may its position.
+	if a.Code == "" {
+		a.Position = core.Position{}
+	}
 	return a, sent, err
 }
 
@@ -127,11 +136,8 @@
 func (m *Conn) Rollback(deadline time.Time) error {
 	s := Statement{ID: platform.ProxyStatementID, Text: platform.TextRollback}
 	a, _, err := m.exchange(s, correlate.Expected{Kind: correlate.Acknowledgement}, deadline)
-	switch {
-	case err == nil && a.Code != "":
+	if err == nil && a.Code != "" {
 		err = answerError(&a)
-	case err == nil && a.State != platform.StateIdle:
-		err = errNotRolledBack
 	}
 	return err
 }
@@ -143,7 +149,10 @@
 	if err != nil {
 		return a, n > 0, err
 	}
-	a, err = m.receive(e)
+	a, verdict, err := m.receive(e)
+	if err == nil && verdict == correlate.Unproved {
+		a, err = m.confirmRefusal(a, e)
+	}
 	if err == nil {
 		m.inTransaction = a.State == platform.StateInTransaction
 	}
@@ -153,11 +162,17 @@
 // Command runs a statement that the proxy issues itself, whose answer is the member's status.
 func (m *Conn) Command(text string, deadline time.Time) (platform.Answer, error) {
 	m.out = platform.AppendProxyStatement(m.out[:0], text)
+	expected := m.appendMarker(nil)
 	_ = m.c.SetDeadline(deadline)
 	if _, err := m.c.Write(m.out); err != nil {
 		return platform.Answer{}, err
 	}
-	return m.receive(correlate.Expected{Kind: correlate.Report})
+	e := correlate.Expected{Kind: correlate.Report}
+	a, _, err := m.receive(e)
+	if err != nil {
+		return a, err
+	}
+	return m.confirm(a, e, expected)
 }
 
 // Order runs a command that must not take effect late, also if this process is stopped meanwhile.
--- a/pkg/memberconn/state.go
+++ b/pkg/memberconn/state.go
@@ -73,7 +73,7 @@
 		return err
 	}
 	for range n {
-		a, err := m.receive(correlate.Expected{Kind: correlate.Acknowledgement, InTransaction: m.inTransaction})
+		a, _, err := m.receive(correlate.Expected{Kind: correlate.Acknowledgement, InTransaction: m.inTransaction})
 		if err == nil && a.Code != "" {
 			err = answerError(&a)
 		}
--- a/pkg/proxy/conn.go
+++ b/pkg/proxy/conn.go
@@ -34,7 +34,7 @@
 	return &memberConn{Conn: c, member: t.Member, team: t.Team}, nil
 }
 
-// connObserver counts and logs the answers of a member that do not belong to the statement that awaits one.
+// connObserver counts and logs the answers of a member that belong to no statement that awaits one.
 type connObserver struct {
 	p      *Proxy
 	group  core.GroupID
@@ -47,6 +47,16 @@
 	o.p.logDecision("surplus answer", "group", o.group, "member", o.member, "got", got.String(), "expected", expected.String())
 }
 
+// Confirmed implements memberconn.Observer.
+func (o connObserver) Confirmed(got correlate.Kind) { o.p.stats.answersConfirmed.Add(got.String(), 1) }
+
+// Refuted implements memberconn.Observer.
+func (o connObserver) Refuted(got, instead correlate.Answer) {
+	o.p.stats.answersUnproved.Add(got.Kind.String(), 1)
+	o.p.logDecision("unproved answer", "group", o.group, "member", o.member, "got", got.Kind.String(), "content", got.Content,
+		"instead", instead.Kind.String(), "instead_content", instead.Content)
+}
+
 // forMember returns the statement as it is prepared at members, none for nil.
 func (p *preparedStatement) forMember() memberconn.Prepared {
 	if p == nil {
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -295,8 +295,14 @@
 	return dialMember(target, connObserver{g.p, g.id, id}, min(dialTimeout, until(deadline, 20*time.Millisecond)))
 }
 
-// release returns a healthy connection, on which no transaction is open, to the pool of idle ones.
+// release returns a healthy connection, on which no transaction is open, to the pool of idle ones. It closes
+// one on which another answer may come than that to the next statement.
 func (g *group) release(conn *memberConn) {
+	if !conn.IsReusable() {
+		g.p.stats.connsOutOfStep.Add(1)
+		g.discard(conn)
+		return
+	}
 	at := now()
 	conn.idleSince = at
 	g.mu.Lock()
@@ -350,12 +356,13 @@
 // that to the reducer.
 func (g *group) statementUnanswered(conn *memberConn, sent core.Time, err error) {
 	g.discard(conn)
-	closed := closedByPeer(err)
-	if closed {
+	if closedByPeer(err) {
 		g.connBroken(conn.member)
 	}
+	// A member that closed the connection, or whose answers do not fit, is not silent.
+	silent := !closedByPeer(err) && !errors.Is(err, memberconn.ErrOutOfStep)
 	g.update(func(c *direct.Group, at core.Time) []direct.Effect {
-		return c.StatementUnanswered(at, sent, conn.member, closed)
+		return c.StatementUnanswered(at, sent, conn.member, !silent)
 	})
 }
 
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -34,7 +34,10 @@
 	// them.
 	incomplete expvar.Map
 	// answersSurplus counts answers of members that belonged to no statement that awaited one, by kind.
-	answersSurplus expvar.Map
+	// answersConfirmed and answersUnproved count the answers that a marker has confirmed or has not, by kind,
+	// and connsOutOfStep the connections that were closed after a surplus answer.
+	answersSurplus, answersConfirmed, answersUnproved expvar.Map
+	connsOutOfStep                                    expvar.Int
 	// linksOutdated counts links to homes that were replaced because the session had committed elsewhere.
 	linksOutdated expvar.Int
 	// refusals counts errors by code, denied the statements that were refused because of their
@@ -108,8 +111,8 @@
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"store_eras_ended": s.erasEnded.Value(), "watches_unusable": s.watchesUnusable.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
-		"answers_surplus": valuesOf(&s.answersSurplus),
-		"links_outdated":  s.linksOutdated.Value(), "on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
+		"answers_surplus": valuesOf(&s.answersSurplus), "answers_confirmed": valuesOf(&s.answersConfirmed), "answers_unproved": valuesOf(&s.answersUnproved), "conns_out_of_step": s.connsOutOfStep.Value(),
+		"links_outdated": s.linksOutdated.Value(), "on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
 		"peer_health": valuesOf(&s.health), "hedges": valuesOf(&s.hedges),
 		"messages_with_line_break": s.withLineBreak.Value(), "messages_incomplete_at_deadline": valuesOf(&s.incomplete),
 		"latency_us": map[string]int64{
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -23,6 +23,8 @@
 	// wrote is set once a write has been sent.
 	wrote  bool
 	failed bool
+	// ranOutside is set if a statement ran although the member had no transaction open.
+	ranOutside bool
 	// forwarded is set if a home runs the transaction. homeLink is the link to it,
 	// nil before the first statement.
 	forwarded bool
@@ -162,12 +164,16 @@
 		s.answerAborted(j, o)
 		return
 	}
+	if tx.ranOutside {
+		s.answerRanOutside(j)
+		return
+	}
 	tx.wrote = tx.wrote || j.writes
 	s.relayPinnedAnswer(&a)
 }
 
 // runPinned runs a statement on the transaction's connection. After ConnLost and
-// NotSent the connection is closed.
+// NotSent the connection is closed. A refusal ends the transaction at the member.
 func (s *session) runPinned(j *job, answerTimeout time.Duration) (platform.Answer, direct.Outcome) {
 	tx := s.tx
 	deadline := time.Now().Add(max(time.Millisecond, answerTimeout-now().Sub(j.arrived)))
@@ -198,9 +204,19 @@
 		return a, o
 	}
 	tx.group.statementAnswered(tx.conn.member, sent, &a, o, &tx.route, nil)
+	tx.ranOutside = o == direct.Succeeded && j.kind != direct.StatementCommit && a.State == platform.StateIdle
 	return a, o
 }
 
+// answerRanOutside answers that the outcome of a statement is in doubt, because it ran although its
+// transaction was not open.
+func (s *session) answerRanOutside(j *job) {
+	s.discardConn(s.tx)
+	s.tx.failed = true
+	s.logDecision("statement ran outside its transaction", "id", j.id)
+	s.answerError(platform.CodeInDoubt, "the member ran it outside its transaction")
+}
+
 // relayPinnedAnswer relays an answer inside the transaction. Its state shows whether
 // the transaction has failed.
 func (s *session) relayPinnedAnswer(a *platform.Answer) {
