memberconn: drop what arrives before a statement is sent

What callers could see: an answer that a member sent while a connection rested, with a receipt that no statement had, was taken for the answer to the next statement.

Cause: nothing looked at a connection before the next statement was sent. A receipt that is new to the connection counts as the statement's own.

Change: whatever has arrived before a statement is sent belongs to no statement that is still awaited. It is read and dropped, and the connection then ends with the statement or transaction in progress. If a refusal arrives so in a transaction, it may be that of the transaction's beginning, and the statement is not sent. A connection that the member has closed is noticed before a write is sent on it, so such a write is tried again and no longer in doubt.

The three new specs fail without the check.

--- a/core/correlate/correlate_test.go
+++ b/core/correlate/correlate_test.go
@@ -57,6 +57,8 @@
 		Entry("an acknowledgement outside a transaction where one was begun", begun, acknowledgement(false), correlate.Surplus),
 		Entry("an acknowledgement in a transaction where none is open", acknowledged, acknowledgement(true), correlate.Surplus),
 		Entry("a report", reportExpected, report("primary"), correlate.Unproved),
+		Entry("a new receipt while nothing is expected", correlate.Expected{Kind: correlate.Nothing}, receipt("r2"), correlate.Surplus),
+		Entry("a refusal while nothing is expected", correlate.Expected{Kind: correlate.Nothing}, refusal("BUSY"), correlate.Surplus),
 		Entry("an acknowledgement where a report belongs", reportExpected, acknowledgement(false), correlate.Surplus),
 	)
 
--- a/core/correlate/doc.go
+++ b/core/correlate/doc.go
@@ -15,7 +15,7 @@
 // # Contract
 //
 // A receipt names the run of a request: an answer with a receipt that was not given before on the connection
-// belongs to the request that awaits one. A receipt that was given before, or an answer of a kind that the
+// belongs to the request that awaits one, unless it came before the request was sent. A receipt that was given before, or an answer of a kind that the
 // request cannot have, belongs to an earlier request. It is dropped, and the connection is not used for
 // another caller.
 //
--- a/core/correlate/matcher.go
+++ b/core/correlate/matcher.go
@@ -20,6 +20,8 @@
 	Refusal
 	// Greeting: the answer to the opening of the connection.
 	Greeting
+	// Nothing is expected while no request is outstanding.
+	Nothing
 )
 
 // String returns the kind's name in metrics and log lines.
@@ -35,6 +37,8 @@
 		return "refusal"
 	case Greeting:
 		return "greeting"
+	case Nothing:
+		return "nothing"
 	}
 	return "unknown"
 }
@@ -92,12 +96,10 @@
 }
 
 func (m *Matcher) judge(e Expected, a Answer) Verdict {
+	repeated := a.Kind == Receipt && m.isRepeated(a.Content)
 	switch {
-	case a.Kind == Receipt && e.Kind == Receipt:
-		if m.isRepeated(a.Content) {
-			return Surplus
-		}
-		return Own
+	case e.Kind == Nothing || repeated:
+		return Surplus
 	case a.Kind == Refusal:
 		return Unproved
 	case a.Kind != e.Kind:
--- a/pkg/memberconn/conn.go
+++ b/pkg/memberconn/conn.go
@@ -21,6 +21,7 @@
 // Conn is a connection to a member.
 type Conn struct {
 	c       *net.TCPConn
+	raw     syscall.RawConn
 	r       *platform.Reader
 	out     []byte
 	body    []byte
@@ -36,7 +37,8 @@
 // Observer is told about answers that do not belong to the statement that awaits one. It is called by the
 // goroutine that uses the connection.
 type Observer interface {
-	// SurplusAnswer is called for an answer that was dropped while one of the expected kind was awaited.
+	// SurplusAnswer is called for an answer that was dropped while one of the expected kind was awaited,
+	// or correlate.Nothing.
 	SurplusAnswer(got, expected correlate.Kind)
 	// Confirmed is called after a marker has confirmed an answer.
 	Confirmed(got correlate.Kind)
@@ -71,7 +73,12 @@
 	if err != nil {
 		return nil, &DialError{direct.NotSent, errors.Is(err, syscall.ECONNREFUSED), err}
 	}
-	m := &Conn{c: c, r: platform.NewReader(c), values: map[string]string{}, prepared: stmtcache.New(limits), observer: observer}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		_ = c.Close()
+		return nil, &DialError{direct.NotSent, false, err}
+	}
+	m := &Conn{c: c, raw: raw, r: platform.NewReader(c), values: map[string]string{}, prepared: stmtcache.New(limits), observer: observer}
 	outcome, err := m.startup(t, deadline)
 	if err != nil {
 		m.Close()
@@ -144,10 +151,9 @@
 
 func (m *Conn) exchange(s Statement, e correlate.Expected, deadline time.Time) (a platform.Answer, sent bool, err error) {
 	m.out = platform.AppendStatement(m.out[:0], s.ID, s.Text, s.MinPosition)
-	_ = m.c.SetDeadline(deadline)
-	n, err := m.c.Write(m.out)
+	sent, err = m.send(deadline)
 	if err != nil {
-		return a, n > 0, err
+		return a, sent, err
 	}
 	a, verdict, err := m.receive(e)
 	if err == nil && verdict == correlate.Unproved {
@@ -163,8 +169,7 @@
 func (m *Conn) Command(text string, deadline time.Time) (platform.Answer, error) {
 	m.out = platform.AppendProxyStatement(m.out[:0], text)
 	expected := m.appendMarker(nil)
-	_ = m.c.SetDeadline(deadline)
-	if _, err := m.c.Write(m.out); err != nil {
+	if _, err := m.send(deadline); err != nil {
 		return platform.Answer{}, err
 	}
 	e := correlate.Expected{Kind: correlate.Report}
--- a/pkg/memberconn/conn_test.go
+++ b/pkg/memberconn/conn_test.go
@@ -171,6 +171,50 @@
 		Expect(a.Receipt).To(Equal(m.receipts["c1.1"]))
 	})
 
+	// Guards against an answer with a receipt that no statement had, which has come while the connection rested.
+	It("gets its own answer after one that nobody asked for", func() {
+		_, err := m.conn().Write([]byte("DATAROW 1\r\nCOMPLETE unasked\r\nREADY I 3.1\r\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(c.HasUnread, waitLimit).Should(BeTrue())
+		a, err := c.run("c1.1", "READ k")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Receipt).To(Equal(m.receipts["c1.1"]))
+		Expect(c.events).To(Equal([]string{"surplus receipt for nothing"}))
+		Expect(c.IsReusable()).To(BeFalse())
+	})
+
+	// Guards against a write in doubt that was sent on a connection which the member had closed.
+	It("is not sent on a connection that the member has closed", func() {
+		Expect(m.conn().Close()).To(Succeed())
+		Eventually(func() error { _, err := c.HasUnread(); return err }, waitLimit).Should(HaveOccurred())
+		_, sent, err := c.Run(memberconn.Statement{ID: "c1.1", Text: "WRITE k 1"}, deadline())
+		Expect(err).To(HaveOccurred())
+		Expect(sent).To(BeFalse())
+	})
+
+	// Guards against a write that runs by itself because an older acknowledgement hid that its transaction was
+	// refused.
+	It("is not sent in a transaction whose beginning was refused", func() {
+		_, _, err := c.Begin(platform.TextBegin, core.Position{}, deadline())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Rollback(deadline())).To(Succeed())
+		m.refuses = func(_, text string) string { return map[string]string{platform.TextBegin: "BUSY"}[text] }
+		repeated := false
+		m.surplus = func(given []string, text, _ string) (before, after []string) {
+			if text == platform.TextBegin && !repeated {
+				repeated = true
+				return given[1:2], nil
+			}
+			return nil, nil
+		}
+		_, _, err = c.Begin(platform.TextBegin, core.Position{}, deadline())
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(c.HasUnread, waitLimit).Should(BeTrue())
+		_, sent, err := c.Run(memberconn.Statement{ID: "c1.1", Text: "WRITE k 1"}, deadline())
+		Expect(err).To(MatchError(memberconn.ErrOutOfStep))
+		Expect(sent).To(BeFalse())
+	})
+
 	// Guards against a commit whose answer is taken for that of the transaction's beginning.
 	It("ends its transaction with its own receipt", func() {
 		m.surplus = drawSurplus(rand.New(rand.NewPCG(7, 1)), 0.4)
--- a/pkg/memberconn/member_test.go
+++ b/pkg/memberconn/member_test.go
@@ -25,6 +25,8 @@
 	receipts, codes map[string]string
 	runs            int
 	status          atomic.Int64
+	// conns are the open connections.
+	conns []net.Conn
 }
 
 func startMember() *fakeMember {
@@ -43,6 +45,9 @@
 		if err != nil {
 			return
 		}
+		m.mu.Lock()
+		m.conns = append(m.conns, c)
+		m.mu.Unlock()
 		go m.serve(c)
 	}
 }
@@ -75,6 +80,13 @@
 	}
 }
 
+// conn returns the connection that was accepted last.
+func (m *fakeMember) conn() net.Conn {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.conns[len(m.conns)-1]
+}
+
 // answer runs a statement. The lock is held.
 func (m *fakeMember) answer(id, text string, state *string) string {
 	word, _, _ := strings.Cut(text, " ")
--- a/pkg/memberconn/state.go
+++ b/pkg/memberconn/state.go
@@ -68,8 +68,7 @@
 
 // sendStateChanges sends the n statements in out and reads their answers.
 func (m *Conn) sendStateChanges(n int, deadline time.Time) error {
-	_ = m.c.SetDeadline(deadline)
-	if _, err := m.c.Write(m.out); err != nil {
+	if _, err := m.send(deadline); err != nil {
 		return err
 	}
 	for range n {
--- /dev/null
+++ b/pkg/memberconn/unread.go
@@ -0,0 +1,70 @@
+package memberconn
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"limpetspan/core/correlate"
+)
+
+// send drops what has arrived unasked, and sends what is in out. sent is false if nothing can have reached the
+// member.
+func (m *Conn) send(deadline time.Time) (sent bool, err error) {
+	_ = m.c.SetDeadline(deadline)
+	if err := m.dropUnread(); err != nil {
+		return false, err
+	}
+	n, err := m.c.Write(m.out)
+	return n > 0, err
+}
+
+// dropUnread drops the answers that have arrived while nothing was expected.
+func (m *Conn) dropUnread() error {
+	nothing := correlate.Expected{Kind: correlate.Nothing}
+	for range maxSurplus {
+		unread, err := m.HasUnread()
+		if err != nil || !unread {
+			return err
+		}
+		a, err := m.readAnswer()
+		if err != nil {
+			return err
+		}
+		got := classify(&a)
+		m.matcher.Judge(nothing, got)
+		m.observer.SurplusAnswer(got.Kind, nothing.Kind)
+		if m.inTransaction && got.Kind == correlate.Refusal {
+			// It may be that of the transaction's beginning.
+			return ErrOutOfStep
+		}
+	}
+	return ErrOutOfStep
+}
+
+// HasUnread reports whether data has arrived that was not read. It returns io.EOF if the member has closed the
+// connection.
+func (m *Conn) HasUnread() (unread bool, err error) {
+	if m.r.Buffered() > 0 {
+		return true, nil
+	}
+	var n int
+	var peekErr error
+	err = m.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	switch {
+	case err != nil:
+		return false, err
+	case errors.Is(peekErr, unix.EAGAIN) || errors.Is(peekErr, unix.EINTR):
+		return false, nil
+	case peekErr != nil:
+		return false, peekErr
+	case n == 0:
+		return false, io.EOF
+	}
+	return true, nil
+}
