--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -153,8 +153,8 @@
 	}
 }
 
-// keep records a statement that runs at a member. A receipt is "r", the member and
-// the statement's id.
+// keep records a statement that runs at a member. A receipt is "r", the member, the number of the
+// run and the statement's id.
 func (x *caller) keep(text string, sent time.Time, a *reply) {
 	word, _, _ := strings.Cut(text, " ")
 	if word != "READ" && word != "WRITE" && word != "COMMIT" {
@@ -167,7 +167,7 @@
 	case a.promise():
 		outcome = record.NotRun
 	}
-	member := strings.TrimSuffix(strings.TrimPrefix(a.end, "COMPLETE r."), "."+a.id)
+	member, _, _ := strings.Cut(strings.TrimPrefix(a.end, "COMPLETE r."), ".")
 	x.recorder.Statement(sent, outcome, word == "READ", a.served() && x.replica(member))
 }
 
