--- a/pkg/proxy/control_test.go
+++ b/pkg/proxy/control_test.go
@@ -78,7 +78,8 @@
 	// Guards against orders and statements that arrive after their daemon was killed.
 	It("and forwarded statements use connections that are reset with the process", func() {
 		f := newFleet(2)
-		conn, connErr := dialMember(f.group.Members()[0].Addr(), "ledger", "", "", waitLimit)
+		member := f.group.Members()[0]
+		conn, connErr := dialMember(member.Addr(), "ledger", core.MemberID(member.ID), "", waitLimit)
 		Expect(connErr).To(BeNil())
 		defer conn.close()
 		peer := f.daemons[1].s
