--- a/pkg/proxy/control_test.go
+++ b/pkg/proxy/control_test.go
@@ -79,7 +79,9 @@
 	// Guards against orders and statements that arrive after their daemon was killed.
 	It("and forwarded statements use connections that are reset with the process", func() {
 		f := newFleet(2)
-		conn, connErr := dialMember(memberconn.Target{Addr: f.group.Members()[0].Addr(), Group: "ledger"}, connObserver{}, waitLimit)
+		member := f.group.Members()[0]
+		target := memberconn.Target{Addr: member.Addr(), Group: "ledger", Member: core.MemberID(member.ID)}
+		conn, connErr := dialMember(target, connObserver{}, waitLimit)
 		Expect(connErr).To(BeNil())
 		defer conn.Close()
 		peer := f.daemons[1].s
