memberconn: keep a connection whose surplus answers are repeats

What it cost: each repeated answer ended its connection.

Cause: a surplus answer counted as a sign that the connection is out of step. If it is a repeat of what the connection has given before, it is not: receipts and markers tell it apart however often it comes.

Change: a connection ends after a surplus answer only if that cannot be a repeat: a new receipt that nothing awaited, or an answer of a kind that the connection has not given. After the statement's own answer came behind a repeated refusal, the rest of the marker is read and the connection stays. A marker begins with a pair that cannot be refused, so that a repeated refusal is not taken for its first answer.

--- a/core/correlate/confirmation.go
+++ b/core/correlate/confirmation.go
@@ -9,9 +9,10 @@
 	Pending Progress = iota
 	// Dropped: the answer just judged was surplus, and further ones are needed.
 	Dropped
-	// Confirmed: the unproved answer belongs to the request.
+	// Confirmed: the unproved answer, or the one that has superseded it, belongs to the request.
 	Confirmed
-	// Superseded: the answer just judged belongs to the request, the unproved one to an earlier request.
+	// Superseded: the answer just judged belongs to the request, the unproved one to an earlier request. The
+	// rest of the marker's answers are still to come.
 	Superseded
 	// Refuted: no answer is known to belong to the request.
 	Refuted
@@ -35,22 +36,24 @@
 // Judge returns the state after the next answer.
 func (c *Confirmation) Judge(a Answer) Progress {
 	if c.accepts(a) {
+		c.matcher.given[a.Kind] = true
 		c.remaining = c.remaining[1:]
 		if len(c.remaining) == 0 {
 			return Confirmed
 		}
 		return Pending
 	}
-	c.matcher.surplus = true
 	switch {
-	case a.Kind == Receipt && c.matcher.isRepeated(a.Content), a.Kind == Greeting:
+	case a.Kind == Receipt && c.matcher.isRepeated(a), a.Kind == Greeting:
 		return Dropped
 	case a.Kind == Receipt && c.request.Kind == Receipt && !a.InTransaction:
+		c.request = Expected{Kind: Nothing}
 		return Superseded
 	case a.Kind == c.unproved.Kind && a.Content == c.unproved.Content:
 		// One of the two answers the request, and both say the same.
 		return Dropped
 	}
+	c.matcher.outOfStep = true
 	return Refuted
 }
 
--- a/core/correlate/doc.go
+++ b/core/correlate/doc.go
@@ -15,9 +15,9 @@
 // # Contract
 //
 // A receipt names the run of a request: an answer with a receipt that was not given before on the connection
-// belongs to the request that awaits one, unless it came before the request was sent. A receipt that was given before, or an answer of a kind that the
-// request cannot have, belongs to an earlier request. It is dropped, and the connection is not used for
-// another caller.
+// belongs to the request that awaits one, unless it came before the request was sent. A receipt that was given
+// before, or an answer of a kind that the request cannot have, is surplus and dropped. If it cannot be a repeat
+// either, the connection ends with the request or transaction in progress.
 //
 // An acknowledgement is accepted if it fits, as a request whose acknowledgement comes too early is executed
 // before the next one all the same. Nothing else may be concluded from it.
--- a/core/correlate/marker.go
+++ b/core/correlate/marker.go
@@ -17,21 +17,25 @@
 }
 
 // MarkerBits is the number of random bits in a Marker.
-const MarkerBits = 4
+const MarkerBits = 3
 
 // Marker is a sequence of requests that are executed outside a transaction. Each of its bits is a pair of
 // requests: an empty transaction, or a statement that is prepared and dropped.
 type Marker uint8
 
-// Steps returns the requests of the marker in order.
-func (m Marker) Steps() [2 * MarkerBits]Step {
-	var steps [2 * MarkerBits]Step
+// markerSteps is the number of requests in a Marker.
+const markerSteps = 2 + 2*MarkerBits
+
+// Steps returns the requests of the marker in order. The first pair cannot be refused, so that a refusal before
+// its answers is not one of the marker.
+func (m Marker) Steps() [markerSteps]Step {
+	steps := [markerSteps]Step{Prepare, Deallocate}
 	for i := range MarkerBits {
 		pair := [2]Step{Prepare, Deallocate}
 		if m>>i&1 == 1 {
 			pair = [2]Step{BeginRead, Rollback}
 		}
-		steps[2*i], steps[2*i+1] = pair[0], pair[1]
+		copy(steps[2+2*i:], pair[:])
 	}
 	return steps
 }
--- a/core/correlate/matcher.go
+++ b/core/correlate/matcher.go
@@ -22,6 +22,7 @@
 	Greeting
 	// Nothing is expected while no request is outstanding.
 	Nothing
+	kinds
 )
 
 // String returns the kind's name in metrics and log lines.
@@ -80,25 +81,28 @@
 	// seen holds the hashes of the last receipts, the oldest one at next once it is full.
 	seen []uint64
 	next int
-	// surplus is set once an answer was surplus.
-	surplus bool
+	// given are the kinds of the connection's answers so far.
+	given [kinds]bool
+	// outOfStep is set once an answer was surplus and no repeat.
+	outOfStep bool
 }
 
 var hashSeed = maphash.MakeSeed()
 
 // Judge returns the verdict about the next answer of the connection.
 func (m *Matcher) Judge(e Expected, a Answer) Verdict {
-	v := m.judge(e, a)
-	if v == Surplus {
-		m.surplus = true
+	repeated := m.isRepeated(a)
+	v := judge(e, a, repeated)
+	if v == Surplus && !repeated {
+		m.outOfStep = true
 	}
+	m.given[a.Kind] = true
 	return v
 }
 
-func (m *Matcher) judge(e Expected, a Answer) Verdict {
-	repeated := a.Kind == Receipt && m.isRepeated(a.Content)
+func judge(e Expected, a Answer, repeated bool) Verdict {
 	switch {
-	case e.Kind == Nothing || repeated:
+	case e.Kind == Nothing, a.Kind == Receipt && repeated:
 		return Surplus
 	case a.Kind == Refusal:
 		return Unproved
@@ -112,8 +116,16 @@
 	return Own
 }
 
-// isRepeated reports whether the receipt was given before, and remembers it.
-func (m *Matcher) isRepeated(receipt string) bool {
+// isRepeated reports whether the answer can be the repeat of an earlier one. Only a receipt names it.
+func (m *Matcher) isRepeated(a Answer) bool {
+	if a.Kind == Receipt {
+		return m.isReceiptRepeated(a.Content)
+	}
+	return a.Kind == Greeting || m.given[a.Kind]
+}
+
+// isReceiptRepeated reports whether the receipt was given before, and remembers it.
+func (m *Matcher) isReceiptRepeated(receipt string) bool {
 	h := maphash.String(hashSeed, receipt)
 	if slices.Contains(m.seen, h) {
 		return true
@@ -127,6 +139,6 @@
 	return false
 }
 
-// InStep reports whether no answer was surplus so far. A connection that is not in step serves the request
-// or transaction in progress, and then ends.
-func (m *Matcher) InStep() bool { return !m.surplus }
+// InStep reports whether each answer so far belonged to a request. A connection that is not in step ends with
+// the request or transaction in progress.
+func (m *Matcher) InStep() bool { return !m.outOfStep }
--- a/pkg/memberconn/answer.go
+++ b/pkg/memberconn/answer.go
@@ -76,26 +76,38 @@
 func (m *Conn) confirm(unproved platform.Answer, e correlate.Expected, expected []correlate.Expected) (platform.Answer, error) {
 	content := classify(&unproved)
 	confirmation := m.matcher.Confirm(e, content, expected)
+	answer, proved := unproved, false
 	for range maxSurplus {
 		a, err := m.readAnswer()
 		if err != nil {
-			return unproved, err
+			return answer, m.unconfirmed(proved, err)
 		}
 		got := classify(&a)
 		switch confirmation.Judge(got) {
 		case correlate.Confirmed:
 			m.observer.Confirmed(content.Kind)
-			return unproved, nil
+			return answer, nil
 		case correlate.Superseded:
 			m.observer.SurplusAnswer(content.Kind, e.Kind)
-			return a, nil
+			a.Body = bytes.Clone(a.Body)
+			answer, proved = a, true
 		case correlate.Refuted:
 			m.observer.Refuted(content, got)
-			return unproved, ErrOutOfStep
+			return answer, m.unconfirmed(proved, ErrOutOfStep)
 		case correlate.Dropped:
 			m.observer.SurplusAnswer(got.Kind, e.Kind)
 		case correlate.Pending:
 		}
 	}
-	return unproved, ErrOutOfStep
+	return answer, m.unconfirmed(proved, ErrOutOfStep)
+}
+
+// unconfirmed returns the error of a confirmation that failed, nil if the answer is proved without it. The
+// connection ends in either case.
+func (m *Conn) unconfirmed(proved bool, err error) error {
+	m.ended = true
+	if proved {
+		return nil
+	}
+	return err
 }
--- a/pkg/memberconn/conn.go
+++ b/pkg/memberconn/conn.go
@@ -26,8 +26,8 @@
 	out     []byte
 	body    []byte
 	matcher correlate.Matcher
-	// inTransaction is set while a transaction is open.
-	inTransaction bool
+	// inTransaction is set while a transaction is open, ended once the connection must not be used again.
+	inTransaction, ended bool
 	// values and prepared are the session state at the member.
 	values   map[string]string
 	prepared *stmtcache.Cache
@@ -113,7 +113,7 @@
 func (m *Conn) TCPConn() *net.TCPConn { return m.c }
 
 // IsReusable reports whether another statement may follow outside a transaction.
-func (m *Conn) IsReusable() bool { return m.matcher.InStep() && m.r.Buffered() == 0 }
+func (m *Conn) IsReusable() bool { return !m.ended && m.matcher.InStep() && m.r.Buffered() == 0 }
 
 // Statement is a statement to run.
 type Statement struct {
