memberconn: take no old position from a refusal that is repeated

What callers could see: none of it, but the position of a repeated refusal, older than the statement, was dated by when the statement was sent. The lag of a replica and the restart of a member are concluded from such positions.

Cause: of two equal refusals the first one was returned, and either may be the older one.

Change: a refusal that was confirmed beside an equal one has no position.

Found by a review of the change; the new spec fails without the check (the position was 3.1 in place of 3.9 or none).

--- a/pkg/memberconn/answer.go
+++ b/pkg/memberconn/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 
+	"limpetspan/core"
 	"limpetspan/core/correlate"
 	"limpetspan/platform"
 )
@@ -96,6 +97,10 @@
 			return answer, m.unconfirmed(proved, ErrOutOfStep)
 		case correlate.Dropped:
 			m.observer.SurplusAnswer(got.Kind, e.Kind)
+			if !proved {
+				// Either of the two answers may be the older one.
+				answer.Position = core.Position{}
+			}
 		case correlate.Pending:
 		}
 	}
--- /dev/null
+++ b/pkg/memberconn/late_test.go
@@ -0,0 +1,93 @@
+package memberconn_test
+
+import (
+	"bufio"
+	"net"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"limpetspan/core"
+	"limpetspan/core/stmtcache"
+	"limpetspan/pkg/memberconn"
+	"limpetspan/platform"
+)
+
+// serveScript answers the statements of one connection as reply says.
+func serveScript(reply func(text string, write func(answer string))) *memberconn.Conn {
+	GinkgoHelper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		write := func(answer string) { _, _ = c.Write([]byte(answer)) }
+		r := bufio.NewReader(c)
+		for {
+			line, err := r.ReadString('\n')
+			if err != nil {
+				return
+			}
+			if strings.HasPrefix(line, "STARTUP") {
+				write("READY I 3.1\r\n")
+				continue
+			}
+			_, text, _ := strings.Cut(strings.TrimPrefix(strings.TrimSuffix(line, "\r\n"), "QUERY "), " ")
+			reply(text, write)
+		}
+	}()
+	c, dialErr := memberconn.Dial(memberconn.Target{Addr: l.Addr().String(), Group: "ledger", Member: "i-1"}, stmtcache.Limits{Statements: 8, Bytes: 1 << 10}, &observer{}, waitLimit)
+	Expect(dialErr).To(BeNil())
+	DeferCleanup(c.Close)
+	return c
+}
+
+// acknowledge returns a function that answers the statements that the proxy issues itself, at a position.
+func acknowledge(position func() string) func(text string, write func(string)) {
+	state := "I"
+	return func(text string, write func(string)) {
+		switch {
+		case strings.HasPrefix(text, "BEGIN"):
+			state = "T"
+		case text == platform.TextRollback:
+			state = "I"
+		}
+		write("COMPLETE -\r\nREADY " + state + " " + position() + "\r\n")
+	}
+}
+
+func atStart() string { return "3.1" }
+
+var _ = Describe("answers that are repeated late", func() {
+	const busy = "ERROR BUSY i-1\r\nREADY I 3.1\r\n"
+
+	// Guards against a position that is older than the statement and is dated by when it was sent.
+	It("give a refusal no position from before the statement", func() {
+		const later = "ERROR BUSY i-1\r\nREADY I 3.9\r\n"
+		writes := 0
+		other := acknowledge(atStart)
+		c := serveScript(func(text string, write func(string)) {
+			if !strings.HasPrefix(text, "WRITE") {
+				other(text, write)
+				return
+			}
+			if writes++; writes == 1 {
+				write(busy)
+				return
+			}
+			write(busy)
+			write(later)
+		})
+		_, _, err := c.Run(memberconn.Statement{ID: "c1.1", Text: "WRITE k 1"}, deadline())
+		Expect(err).NotTo(HaveOccurred())
+		a, _, err := c.Run(memberconn.Statement{ID: "c2.1", Text: "WRITE k 2"}, deadline())
+		if err == nil {
+			Expect(a.Position).To(BeElementOf(core.Position{}, core.Position{Term: 3, LSN: 9}))
+		}
+	})
+})
