memberconn: do not take a repeated refusal for a lost answer

What callers could see: a write that ran was answered with "not run", if its answer was lost on a connection that went on and an earlier refusal was given again in its place. The marker followed, as the member had gone on.

Cause: a marker shows that no other answer came before it, not that one came.

Change: a write or a commit that has run has moved the end of the member's log, which every READY names. A refusal that can be the repeat of an earlier one with the same code counts for them only if the log still ends where the refusal says. If it has moved, by this statement or another one, the statement is in doubt. The first refusal of a connection with a code needs no such proof.

Found by a review of the change; the new spec fails without the check.

--- a/core/correlate/confirmation.go
+++ b/core/correlate/confirmation.go
@@ -25,17 +25,26 @@
 	unproved Answer
 	// remaining are the expected answers to the marker's requests.
 	remaining []Expected
+	// unmoved is set if the peer's log must end where it did at the unproved answer.
+	unmoved bool
 }
 
 // Confirm begins the confirmation of an unproved answer to the request. expected are the answers to the
 // requests that follow it.
 func (m *Matcher) Confirm(request Expected, unproved Answer, expected []Expected) *Confirmation {
-	return &Confirmation{matcher: m, request: request, unproved: unproved, remaining: expected}
+	// The answer to a request that committed may be lost, with a repeated refusal in its place.
+	unmoved := request.Commits && unproved.Kind == Refusal && m.mayBeRepeated(unproved)
+	return &Confirmation{matcher: m, request: request, unproved: unproved, remaining: expected, unmoved: unmoved}
 }
 
 // Judge returns the state after the next answer.
 func (c *Confirmation) Judge(a Answer) Progress {
-	if c.accepts(a) {
+	accepted := c.accepts(a)
+	switch {
+	case accepted && c.unmoved && a.Position != c.unproved.Position:
+		c.matcher.outOfStep = true
+		return Refuted
+	case accepted:
 		c.matcher.given[a.Kind] = true
 		c.remaining = c.remaining[1:]
 		if len(c.remaining) == 0 {
@@ -47,7 +56,7 @@
 	case a.Kind == Receipt && c.matcher.isRepeated(a), a.Kind == Greeting:
 		return Dropped
 	case a.Kind == Receipt && c.request.Kind == Receipt && !a.InTransaction:
-		c.request = Expected{Kind: Nothing}
+		c.request, c.unmoved = Expected{Kind: Nothing}, false
 		return Superseded
 	case a.Kind == c.unproved.Kind && a.Content == c.unproved.Content:
 		// One of the two answers the request, and both say the same.
--- a/core/correlate/matcher.go
+++ b/core/correlate/matcher.go
@@ -51,13 +51,15 @@
 	Content string
 	// InTransaction is set if a transaction is open after the request.
 	InTransaction bool
+	// Position is the end of the peer's log after the request.
+	Position string
 }
 
 // Expected is the answer to a request that was executed. InTransaction counts only for an
-// acknowledgement.
+// acknowledgement. Commits is set if the request, once executed, moves the end of the peer's log.
 type Expected struct {
-	Kind          Kind
-	InTransaction bool
+	Kind                   Kind
+	InTransaction, Commits bool
 }
 
 // Verdict says to which request an answer belongs.
@@ -81,8 +83,9 @@
 	// seen holds the hashes of the last receipts, the oldest one at next once it is full.
 	seen []uint64
 	next int
-	// given are the kinds of the connection's answers so far.
-	given [kinds]bool
+	// given are the kinds of the connection's answers so far, refusals the numbers of its refusals by content.
+	given    [kinds]bool
+	refusals map[string]int
 	// outOfStep is set once an answer was surplus and no repeat.
 	outOfStep bool
 }
@@ -97,9 +100,27 @@
 		m.outOfStep = true
 	}
 	m.given[a.Kind] = true
+	if a.Kind == Refusal {
+		m.countRefusal(a.Content)
+	}
 	return v
 }
 
+// maxRefusals bounds the contents of refusals that a Matcher counts. The others count as repeated.
+const maxRefusals = 32
+
+func (m *Matcher) countRefusal(content string) {
+	if m.refusals == nil {
+		m.refusals = make(map[string]int)
+	}
+	if _, known := m.refusals[content]; known || len(m.refusals) < maxRefusals {
+		m.refusals[content]++
+	}
+}
+
+// mayBeRepeated reports whether the refusal that was judged last can be the repeat of an earlier one.
+func (m *Matcher) mayBeRepeated(refusal Answer) bool { return m.refusals[refusal.Content] != 1 }
+
 func judge(e Expected, a Answer, repeated bool) Verdict {
 	switch {
 	case e.Kind == Nothing, a.Kind == Receipt && repeated:
--- a/pkg/memberconn/answer.go
+++ b/pkg/memberconn/answer.go
@@ -37,7 +37,7 @@
 
 // classify returns what an answer consists of.
 func classify(a *platform.Answer) correlate.Answer {
-	c := correlate.Answer{InTransaction: a.State == platform.StateInTransaction}
+	c := correlate.Answer{InTransaction: a.State == platform.StateInTransaction, Position: a.PositionText}
 	switch {
 	case a.Empty:
 		c.Kind = correlate.Greeting
--- a/pkg/memberconn/conn.go
+++ b/pkg/memberconn/conn.go
@@ -120,12 +120,14 @@
 	ID, Text string
 	// MinPosition is the position that the member's log must contain, zero for none.
 	MinPosition core.Position
+	// Commits is set if the statement, once it has run, moves the end of the member's log.
+	Commits bool
 }
 
 // Run runs a caller's read, write or commit and returns its answer. A refusal ends the transaction if one
 // is open. sent is false if nothing can have reached the member.
 func (m *Conn) Run(s Statement, deadline time.Time) (a platform.Answer, sent bool, err error) {
-	return m.exchange(s, correlate.Expected{Kind: correlate.Receipt}, deadline)
+	return m.exchange(s, correlate.Expected{Kind: correlate.Receipt, Commits: s.Commits}, deadline)
 }
 
 // Begin begins a transaction.
--- a/pkg/memberconn/late_test.go
+++ b/pkg/memberconn/late_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -66,6 +68,30 @@
 var _ = Describe("answers that are repeated late", func() {
 	const busy = "ERROR BUSY i-1\r\nREADY I 3.1\r\n"
 
+	// Guards against a write that is reported as not run, because its answer was lost and an older refusal was
+	// given again.
+	It("are no refusal of a write whose answer was lost", func() {
+		var writes, runs atomic.Int32
+		other := acknowledge(func() string { return fmt.Sprintf("3.%d", 1+runs.Load()) })
+		c := serveScript(func(text string, write func(string)) {
+			switch {
+			case !strings.HasPrefix(text, "WRITE"):
+				other(text, write)
+			case writes.Add(1) == 1:
+				write(busy)
+			default:
+				runs.Add(1)
+				write(busy)
+			}
+		})
+		a, _, err := c.Run(memberconn.Statement{ID: "c1.1", Text: "WRITE k 1"}, deadline())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Code).To(Equal("BUSY"))
+		a, _, err = c.Run(memberconn.Statement{ID: "c2.1", Text: "WRITE k 2", Commits: true}, deadline())
+		Expect(runs.Load()).To(BeNumerically("==", 1))
+		Expect(err != nil || a.Code == "").To(BeTrue(), "the write ran, and the answer is %q", a.Code)
+	})
+
 	// Guards against a position that is older than the statement and is dated by when it was sent.
 	It("give a refusal no position from before the statement", func() {
 		const later = "ERROR BUSY i-1\r\nREADY I 3.9\r\n"
--- a/pkg/proxy/statement.go
+++ b/pkg/proxy/statement.go
@@ -219,7 +219,7 @@
 	sent := now()
 	end := s.startSpan("member.exchange", j.id, string(conn.member))
 	send := j.history.Begin(string(conn.member))
-	a, wrote, err := runOn(conn, memberconn.Statement{ID: id, Text: j.text, MinPosition: minPosition}, connDeadline)
+	a, wrote, err := runOn(conn, memberconn.Statement{ID: id, Text: j.text, MinPosition: minPosition, Commits: j.writes}, connDeadline)
 	end(outcomeText(a.Code, err))
 	o := exchangeOutcome(&a, wrote, err)
 	j.history.End(send, o)
--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -189,7 +189,7 @@
 	sent := now()
 	end := s.startSpan("member.exchange", j.id, string(tx.conn.member))
 	send := j.history.Begin(string(tx.conn.member))
-	a, wrote, err := tx.conn.Run(memberconn.Statement{ID: j.id, Text: j.text}, deadline)
+	a, wrote, err := tx.conn.Run(memberconn.Statement{ID: j.id, Text: j.text, Commits: j.kind == direct.StatementCommit && tx.wrote}, deadline)
 	end(outcomeText(a.Code, err))
 	o := exchangeOutcome(&a, wrote, err)
 	j.history.End(send, o)
