memberconn: prove that a transaction has begun

What callers could see: a write of a transaction that ran by itself, if the member refused to begin the transaction and an older acknowledgement of another one came in its place. It was found only when the write's answer had come, and not at all if that was lost: the caller was then told ABORTED.

Cause: the acknowledgement of BEGIN was accepted if it fitted.

Change: BEGIN carries a pair of statements in the same write, a statement that is prepared and dropped. Their acknowledgements show that the transaction is open; for a repeat to pass, three answers have to be repeated in order. No round trip more. The check for a refusal that arrives in a transaction while nothing is expected is not needed any more, and its spec now expects that the beginning fails.

The new spec, in which the member refuses a moment later, fails without the pair, as the member runs the write.

--- a/pkg/memberconn/answer.go
+++ b/pkg/memberconn/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"slices"
 
 	"limpetspan/core"
 	"limpetspan/core/correlate"
@@ -55,11 +56,12 @@
 
 // confirmRefusal has a marker confirm that the refusal answers the statement, and returns the answer to the
 // statement. It ends the transaction that the refusal leaves open.
-func (m *Conn) confirmRefusal(refusal platform.Answer, e correlate.Expected) (platform.Answer, error) {
+// outstanding are the answers to statements that were sent behind the refused one.
+func (m *Conn) confirmRefusal(refusal platform.Answer, e correlate.Expected, outstanding []correlate.Expected) (platform.Answer, error) {
 	refusal.Body = bytes.Clone(refusal.Body)
 	// The next answer must not overwrite the refusal, which is returned.
 	m.out = m.out[:0]
-	var expected []correlate.Expected
+	expected := slices.Clone(outstanding)
 	if refusal.State != platform.StateIdle {
 		m.out = platform.AppendProxyStatement(m.out, platform.TextRollback)
 		expected = append(expected, correlate.Rollback.Expected())
@@ -72,6 +74,20 @@
 	return m.confirm(refusal, e, expected)
 }
 
+// confirmBegin reads the answers to the pair of statements behind a BEGIN, which run in its transaction.
+func (m *Conn) confirmBegin() error {
+	for range pairSteps {
+		_, verdict, err := m.receive(correlate.Expected{Kind: correlate.Acknowledgement, InTransaction: true})
+		if err == nil && verdict != correlate.Own {
+			err = ErrOutOfStep
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // confirm reads the answers to the marker that follows an unproved answer, and returns the answer to the
 // statement.
 func (m *Conn) confirm(unproved platform.Answer, e correlate.Expected, expected []correlate.Expected) (platform.Answer, error) {
--- a/pkg/memberconn/conn.go
+++ b/pkg/memberconn/conn.go
@@ -127,39 +127,44 @@
 // Run runs a caller's read, write or commit and returns its answer. A refusal ends the transaction if one
 // is open. sent is false if nothing can have reached the member.
 func (m *Conn) Run(s Statement, deadline time.Time) (a platform.Answer, sent bool, err error) {
-	return m.exchange(s, correlate.Expected{Kind: correlate.Receipt, Commits: s.Commits}, deadline)
+	m.out = platform.AppendStatement(m.out[:0], s.ID, s.Text, s.MinPosition)
+	return m.exchange(correlate.Expected{Kind: correlate.Receipt, Commits: s.Commits}, nil, deadline)
 }
 
-// Begin begins a transaction.
+// Begin begins a transaction. A pair of statements runs in it, which shows that it is open.
 func (m *Conn) Begin(text string, minPosition core.Position, deadline time.Time) (a platform.Answer, sent bool, err error) {
-	s := Statement{ID: platform.ProxyStatementID, Text: text, MinPosition: minPosition}
-	a, sent, err = m.exchange(s, correlate.Expected{Kind: correlate.Acknowledgement, InTransaction: true}, deadline)
-	// An acknowledgement may be older than the statement, and so may its position.
-	if a.Code == "" {
-		a.Position = core.Position{}
+	m.out = platform.AppendStatement(m.out[:0], platform.ProxyStatementID, text, minPosition)
+	// They run outside if the transaction is refused.
+	refused := m.appendPair(nil)
+	a, sent, err = m.exchange(correlate.Expected{Kind: correlate.Acknowledgement, InTransaction: true}, refused, deadline)
+	if err != nil || a.Code != "" {
+		return a, sent, err
 	}
-	return a, sent, err
+	// An acknowledgement may be older than the statement, and so may its position.
+	a.Position = core.Position{}
+	return a, true, m.confirmBegin()
 }
 
 // Rollback ends the transaction. Anything but success is an error.
 func (m *Conn) Rollback(deadline time.Time) error {
-	s := Statement{ID: platform.ProxyStatementID, Text: platform.TextRollback}
-	a, _, err := m.exchange(s, correlate.Expected{Kind: correlate.Acknowledgement}, deadline)
+	m.out = platform.AppendProxyStatement(m.out[:0], platform.TextRollback)
+	a, _, err := m.exchange(correlate.Expected{Kind: correlate.Acknowledgement}, nil, deadline)
 	if err == nil && a.Code != "" {
 		err = answerError(&a)
 	}
 	return err
 }
 
-func (m *Conn) exchange(s Statement, e correlate.Expected, deadline time.Time) (a platform.Answer, sent bool, err error) {
-	m.out = platform.AppendStatement(m.out[:0], s.ID, s.Text, s.MinPosition)
+// exchange sends what is in out and returns the answer to its first statement. After a refusal the answers to
+// the others have been read as well.
+func (m *Conn) exchange(e correlate.Expected, others []correlate.Expected, deadline time.Time) (a platform.Answer, sent bool, err error) {
 	sent, err = m.send(deadline)
 	if err != nil {
 		return a, sent, err
 	}
 	a, verdict, err := m.receive(e)
 	if err == nil && verdict == correlate.Unproved {
-		a, err = m.confirmRefusal(a, e)
+		a, err = m.confirmRefusal(a, e, others)
 	}
 	if err == nil {
 		m.inTransaction = a.State == platform.StateInTransaction
--- a/pkg/memberconn/conn_test.go
+++ b/pkg/memberconn/conn_test.go
@@ -193,25 +193,27 @@
 
 	// Guards against a write that runs by itself because an older acknowledgement hid that its transaction was
 	// refused.
-	It("is not sent in a transaction whose beginning was refused", func() {
+	It("does not run in a transaction whose beginning was refused", func() {
 		_, _, err := c.Begin(platform.TextBegin, core.Position{}, deadline())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(c.Rollback(deadline())).To(Succeed())
 		m.refuses = func(_, text string) string { return map[string]string{platform.TextBegin: "BUSY"}[text] }
-		repeated := false
 		m.surplus = func(given []string, text, _ string) (before, after []string) {
-			if text == platform.TextBegin && !repeated {
-				repeated = true
+			if text == platform.TextBegin {
 				return given[1:2], nil
 			}
 			return nil, nil
 		}
 		_, _, err = c.Begin(platform.TextBegin, core.Position{}, deadline())
-		Expect(err).NotTo(HaveOccurred())
-		Eventually(c.HasUnread, waitLimit).Should(BeTrue())
-		_, sent, err := c.Run(memberconn.Statement{ID: "c1.1", Text: "WRITE k 1"}, deadline())
 		Expect(err).To(MatchError(memberconn.ErrOutOfStep))
-		Expect(sent).To(BeFalse())
+	})
+
+	It("does not run in a transaction that is refused", func() {
+		m.refuses = func(_, text string) string { return map[string]string{platform.TextBegin: "READONLY"}[text] }
+		a, _, err := c.Begin(platform.TextBegin, core.Position{}, deadline())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(a.Code).To(Equal("READONLY"))
+		Expect(c.IsReusable()).To(BeTrue())
 	})
 
 	// Guards against a commit whose answer is taken for that of the transaction's beginning.
--- a/pkg/memberconn/late_test.go
+++ b/pkg/memberconn/late_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -92,6 +93,36 @@
 		Expect(err != nil || a.Code == "").To(BeTrue(), "the write ran, and the answer is %q", a.Code)
 	})
 
+	// Guards against a write that runs by itself because an older acknowledgement came before the refusal of its
+	// transaction's beginning.
+	It("do not begin a transaction that the member refuses a moment later", func() {
+		var begins, outside atomic.Int32
+		other := acknowledge(atStart)
+		c := serveScript(func(text string, write func(string)) {
+			switch {
+			case text == platform.TextBegin && begins.Add(1) > 1:
+				write("COMPLETE -\r\nREADY T 3.1\r\n")
+				time.Sleep(20 * time.Millisecond)
+				write(busy)
+			case strings.HasPrefix(text, "WRITE"):
+				if begins.Load() > 1 {
+					outside.Add(1)
+				}
+				write("COMPLETE 7.1\r\nREADY I 3.2\r\n")
+			default:
+				other(text, write)
+			}
+		})
+		_, _, err := c.Begin(platform.TextBegin, core.Position{}, deadline())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Rollback(deadline())).To(Succeed())
+		a, _, err := c.Begin(platform.TextBegin, core.Position{}, deadline())
+		if err == nil && a.Code == "" {
+			_, _, _ = c.Run(memberconn.Statement{ID: "c1.1", Text: "WRITE k 1"}, deadline())
+		}
+		Consistently(outside.Load, 100*time.Millisecond).Should(BeNumerically("==", 0))
+	})
+
 	// Guards against a position that is older than the statement and is dated by when it was sent.
 	It("give a refusal no position from before the statement", func() {
 		const later = "ERROR BUSY i-1\r\nREADY I 3.9\r\n"
--- a/pkg/memberconn/unread.go
+++ b/pkg/memberconn/unread.go
@@ -36,10 +36,6 @@
 		got := classify(&a)
 		m.matcher.Judge(nothing, got)
 		m.observer.SurplusAnswer(got.Kind, nothing.Kind)
-		if m.inTransaction && got.Kind == correlate.Refusal {
-			// It may be that of the transaction's beginning.
-			return ErrOutOfStep
-		}
 	}
 	return ErrOutOfStep
 }
