--- a/core/correlate/correlate_test.go
+++ b/core/correlate/correlate_test.go
@@ -139,6 +139,25 @@
 		Entry("a receipt, though none is awaited", begun, refusal("BUSY"), before(receipt("r2")), correlate.Refuted),
 	)
 
+	// Guards against a refusal that is given again in place of the lost answer to a request that committed.
+	DescribeTable("is no proof that a request did not commit once the log has moved",
+		func(earlier, position string, end correlate.Progress) {
+			var m correlate.Matcher
+			at := func(a correlate.Answer, position string) correlate.Answer {
+				a.Position = position
+				return a
+			}
+			commit := correlate.Expected{Kind: correlate.Receipt, Commits: true}
+			m.Judge(commit, at(refusal(earlier), "3.1"))
+			m.Judge(commit, at(refusal("BUSY"), "3.1"))
+			c := m.Confirm(commit, at(refusal("BUSY"), "3.1"), marker[:1])
+			Expect(c.Judge(at(answered[0], position))).To(Equal(end))
+		},
+		Entry("after the same refusal", "BUSY", "3.2", correlate.Refuted),
+		Entry("after the same refusal, with an unmoved log", "BUSY", "3.1", correlate.Confirmed),
+		Entry("after another refusal", "READONLY", "3.2", correlate.Confirmed),
+	)
+
 	It("is replaced by the statement's own answer, after which the marker's come", func() {
 		var m correlate.Matcher
 		c := m.Confirm(receiptExpected, refusal("BUSY"), marker)
