--- a/pkg/proxy/transaction.go
+++ b/pkg/proxy/transaction.go
@@ -6,6 +6,7 @@
 	"limpetspan/core"
 	"limpetspan/core/direct"
 	"limpetspan/core/policy"
+	"limpetspan/pkg/memberconn"
 	"limpetspan/platform"
 )
 
@@ -22,6 +23,8 @@
 	// wrote is set once a write has been sent.
 	wrote  bool
 	failed bool
+	// ranOutside is set if a statement ran although the member had no transaction open.
+	ranOutside bool
 	// forwarded is set if a home runs the transaction. homeLink is the link to it,
 	// nil before the first statement.
 	forwarded bool
@@ -161,16 +164,20 @@
 		s.answerAborted(j, o)
 		return
 	}
+	if tx.ranOutside {
+		s.answerRanOutside(j)
+		return
+	}
 	tx.wrote = tx.wrote || j.writes
 	s.relayPinnedAnswer(&a)
 }
 
 // runPinned runs a statement on the transaction's connection. After ConnLost and
-// NotSent the connection is closed.
+// NotSent the connection is closed. A refusal ends the transaction at the member.
 func (s *session) runPinned(j *job, answerTimeout time.Duration) (platform.Answer, direct.Outcome) {
 	tx := s.tx
 	deadline := time.Now().Add(max(time.Millisecond, answerTimeout-now().Sub(j.arrived)))
-	if err := tx.conn.syncState(s.values, j.prepared, deadline); err != nil {
+	if err := tx.conn.SyncState(s.values, j.prepared.forMember(), deadline); err != nil {
 		s.logDecision("session state not set", "id", j.id, "member", tx.conn.member, "error", err)
 		s.discardConn(tx)
 		return platform.Answer{}, direct.NotSent
@@ -182,12 +189,12 @@
 	sent := now()
 	end := s.startSpan("member.exchange", j.id, string(tx.conn.member))
 	send := j.history.Begin(string(tx.conn.member))
-	a, wrote, err := tx.conn.exchange(j.id, j.text, core.Position{}, deadline)
+	a, wrote, err := tx.conn.Run(memberconn.Statement{ID: j.id, Text: j.text, Commits: j.kind == direct.StatementCommit && tx.wrote}, deadline)
 	end(outcomeText(a.Code, err))
 	o := exchangeOutcome(&a, wrote, err)
 	j.history.End(send, o)
 	if o == direct.NotPrepared {
-		tx.conn.forgetPrepared(j.prepared)
+		tx.conn.ForgetPrepared(j.prepared.forMember())
 	}
 	if err != nil {
 		s.p.stats.connsBroken.Add(1)
@@ -197,9 +204,19 @@
 		return a, o
 	}
 	tx.group.statementAnswered(tx.conn.member, sent, &a, o, &tx.route, nil)
+	tx.ranOutside = o == direct.Succeeded && j.kind != direct.StatementCommit && a.State == platform.StateIdle
 	return a, o
 }
 
+// answerRanOutside answers that the outcome of a statement is in doubt, because it ran although its
+// transaction was not open.
+func (s *session) answerRanOutside(j *job) {
+	s.discardConn(s.tx)
+	s.tx.failed = true
+	s.logDecision("statement ran outside its transaction", "id", j.id)
+	s.answerError(platform.CodeInDoubt, "the member ran it outside its transaction")
+}
+
 // relayPinnedAnswer relays an answer inside the transaction. Its state shows whether
 // the transaction has failed.
 func (s *session) relayPinnedAnswer(a *platform.Answer) {
@@ -314,8 +331,7 @@
 	if tx.conn == nil {
 		return
 	}
-	a, err := tx.conn.runProxyStatement(platform.TextRollback, time.Now().Add(rollbackTimeout))
-	if err != nil || a.State != platform.StateIdle {
+	if err := tx.conn.Rollback(time.Now().Add(rollbackTimeout)); err != nil {
 		s.discardConn(tx)
 		return
 	}
