proxy: number the answers on links between daemons

What callers could see: if a home answered a statement of a link twice, late or unasked, the session's next statement got that answer, and each later one that of the statement before it. A write that ran was answered with the "not run" of the write before it (REFUSED), a COMMIT with the receipt of the transaction's WRITE, a read with the row of another one (MIXED). Not seen in a fleet; shown with homes that answer so.

Cause: answers name no request. An entry matched them by their order alone, also the answers to SET, PREPARE, DEALLOCATE, BEGIN and ROLLBACK that it sends itself. It looked for surplus data only before a statement outside a transaction; inside one, before a ROLLBACK and on a new link anything unread was the next answer.

Change: Hello says that the entry accepts numbered answers, Welcome that the home sends them. Both count the statements of the link, and the home puts a line "ANSWER N" before each answer. core/pipeline accepts an answer only under the number of the oldest statement without one; anything else ends the link, and the statement counts as sent without an answer: INDOUBT, ABORTED, or a read that runs again. Before anything is sent, an unread answer ends the link as well, and the statement counts as not sent.

--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -245,14 +245,23 @@
 		return
 	}
 	tx.homeLink = nil
-	l.out = platform.AppendStatement(l.out[:0], entryStatementID, platform.TextRollback, core.Position{})
-	_ = l.c.SetDeadline(time.Now().Add(rollbackTimeout))
-	_, err := l.c.Write(l.out)
-	if err == nil {
-		_, err = l.readAnswer()
-	}
-	if err != nil {
+	if err := l.rollback(s); err != nil {
 		s.logDecision("rollback not answered", "home", l.home, "error", err)
 		s.closeLink()
 	}
 }
+
+// rollback rolls back the transaction that is open on the link.
+func (l *link) rollback(s *session) error {
+	if err := l.checkUnread(s); err != nil {
+		return err
+	}
+	l.out = platform.AppendStatement(l.out[:0], entryStatementID, platform.TextRollback, core.Position{})
+	l.requests.Sent(1)
+	_ = l.c.SetDeadline(time.Now().Add(rollbackTimeout))
+	if _, err := l.c.Write(l.out); err != nil {
+		return err
+	}
+	_, err := l.readAnswer(s)
+	return err
+}
--- a/pkg/proxy/link.go
+++ b/pkg/proxy/link.go
@@ -7,14 +7,13 @@
 	"net"
 	"os"
 	"strconv"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/pipeline"
 	"limpetspan/pkg/proxy/metadata"
 	"limpetspan/pkg/proxy/reportpb"
 	"limpetspan/pkg/resetconn"
@@ -29,6 +28,8 @@
 	r    *bufio.Reader
 	out  []byte
 	body []byte
+	// requests matches the home's answers to the statements.
+	requests pipeline.Requests
 	// values and prepared are the session state at the home.
 	values   map[string]string
 	prepared map[string]preparedStatement
@@ -49,7 +50,7 @@
 func (s *session) connectHome(id core.GroupID, deadline core.Time) (*link, error) {
 	team, overflow := s.p.access.teamOf(s.key), s.overflowHome
 	defer func() { s.overflowHome = "" }()
-	if s.link != nil && s.link.group == id && s.link.isUsable() && (s.staysAtOtherHolder() || s.p.homes.mayKeepLink(id, team, s.link.home)) && !s.isLinkOutdated() {
+	if s.link != nil && s.link.group == id && s.link.isUsable(s) && (s.staysAtOtherHolder() || s.p.homes.mayKeepLink(id, team, s.link.home)) && !s.isLinkOutdated() {
 		return s.link.link, nil
 	}
 	s.closeLink()
@@ -176,6 +177,7 @@
 	hello := &reportpb.Hello{
 		Database: s.database, Entry: string(s.p.settings.Daemon), Term: uint64(l.commit.Term), Lsn: uint64(l.commit.LSN),
 		Version: s.p.metadata.Version(), Ip: s.p.settings.IP, KeyFingerprint: s.key[:], SecondPart: secondPart,
+		NumberedAnswers: true,
 	}
 	if _, err := protodelim.MarshalTo(l.c, hello); err != nil {
 		return err
@@ -193,31 +195,19 @@
 		}
 		return &linkRefusal{welcome.Refusal, welcome.Refused}
 	}
+	l.requests = pipeline.NewRequests(welcome.NumberedAnswers)
 	return nil
 }
 
-// isUsable reports whether the link is open and the home has not asked for a move. A
-// write that is sent on a link that the home has closed would be reported as in doubt,
-// although it never ran.
-func (l *link) isUsable() bool {
-	if l.moveRequested || l.r.Buffered() > 0 {
+// isUsable reports whether the link is open, each statement on it has its answer, and the home has not asked for a
+// move. A write that is sent on a link that the home has closed would be reported as in doubt, although it never ran.
+func (l *link) isUsable(s *session) bool {
+	if l.moveRequested || !l.requests.Idle() {
 		return false
 	}
-	sc, ok := l.c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = errors.Is(err, unix.EAGAIN)
-	})
-	return err == nil && idle
+	unread, err := l.peekUnread()
+	s.reportOutOfTurn(l, unsolicited(unread))
+	return err == nil && len(unread) == 0
 }
 
 // entryStatementID is the id of statements that the entry itself issues.
@@ -243,8 +233,11 @@
 }
 
 // send sends what run runs. It returns the number of answers that precede that of the caller's
-// statement.
+// statement. It sends nothing if an answer has arrived that no statement awaits.
 func (l *link) send(s *session, id string, texts []string, deadline time.Time) (precedingCount int, sent bool, err error) {
+	if err := l.checkUnread(s); err != nil {
+		return 0, false, err
+	}
 	l.out = l.out[:0]
 	precedingCount = l.syncState(s)
 	for _, text := range texts[:len(texts)-1] {
@@ -252,6 +245,7 @@
 		precedingCount++
 	}
 	l.out = platform.AppendStatement(l.out, id, texts[len(texts)-1], core.Position{})
+	l.requests.Sent(precedingCount + 1)
 	_ = l.c.SetDeadline(deadline)
 	n, err := l.c.Write(l.out)
 	return precedingCount, n > 0, err
@@ -265,7 +259,7 @@
 	}
 	for range precedingCount {
 		ready()
-		a, err = l.readAnswer()
+		a, err = l.readAnswer(s)
 		if err == nil && a.Code != "" {
 			err = errors.New(a.Code + " " + a.Text)
 		}
@@ -274,7 +268,7 @@
 		}
 	}
 	ready()
-	a, err = l.readAnswer()
+	a, err = l.readAnswer(s)
 	if err == nil {
 		s.p.homes.answered(l.home, began)
 		if !l.isDecline(&a) && s.p.homes.health.enabled() {
@@ -338,17 +332,6 @@
 	return alive
 }
 
-// readAnswer reads an answer, and a request to move the session that may precede it.
-func (l *link) readAnswer() (platform.Answer, error) {
-	a, err := platform.ReadAnswer(l.r, l.body)
-	if errors.Is(err, platform.ErrTerminate) {
-		l.moveRequested = true
-		a, err = platform.ReadAnswer(l.r, a.Body)
-	}
-	l.body = a.Body
-	return a, err
-}
-
 // syncState appends the statements that bring the session at the home to the caller's
 // values and prepared statements, and returns their number. The home limits the state as the entry
 // does, so what frees room comes first: otherwise the state may exceed the limit in between.
@@ -450,6 +433,8 @@
 	}
 	s.p.catchUp(s.p.settings.LinkAddr(hello.Ip), hello.Version)
 	welcome := s.p.welcome(&hello)
+	welcome.NumberedAnswers = hello.NumberedAnswers
+	s.answers = pipeline.NewAnswers(hello.NumberedAnswers)
 	if _, err := protodelim.MarshalTo(s.c, welcome); err != nil || welcome.Refused != "" {
 		s.end()
 		return
--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -12,6 +12,7 @@
 	"limpetspan/core"
 	"limpetspan/core/auth"
 	"limpetspan/core/direct"
+	"limpetspan/core/pipeline"
 	"limpetspan/platform"
 )
 
@@ -61,6 +62,8 @@
 	// set if an entry forwards the session to this daemon.
 	link      *groupLink
 	fromEntry bool
+	// answers numbers the answers to an entry that has asked for numbers.
+	answers pipeline.Answers
 	// ctx carries the span of the current hop, if hops are traced.
 	ctx context.Context
 	// entryNotified is set once the entry was asked to move the session.
@@ -108,9 +111,11 @@
 func (s *session) rejectMessage(err error) {
 	switch {
 	case errors.Is(err, platform.ErrTooLong):
-		s.out = platform.AppendError(s.out[:0], platform.CodeTooLarge, "message is longer than 1 MiB")
+		s.beginAnswer()
+		s.out = platform.AppendError(s.out, platform.CodeTooLarge, "message is longer than 1 MiB")
 	case errors.Is(err, platform.ErrMalformed):
-		s.out = platform.AppendError(s.out[:0], platform.CodeMalformed, err.Error())
+		s.beginAnswer()
+		s.out = platform.AppendError(s.out, platform.CodeMalformed, err.Error())
 	default:
 		return
 	}
@@ -267,7 +272,7 @@
 func (s *session) answerStatement(st *direct.Statement) error {
 	s.p.stats.statements.Add(1)
 	arrived := now()
-	s.out = s.out[:0]
+	s.beginAnswer()
 	catalog := s.p.catalog.Load()
 	route, ok := catalog.Routes[s.database]
 	if !ok && s.tx == nil {
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -30,6 +30,9 @@
 	connsReplaced expvar.Int
 	// linksOutdated counts links to homes that were replaced because the session had committed elsewhere.
 	linksOutdated expvar.Int
+	// linkAnswersOutOfTurn counts answers of homes that belonged to another statement than the one that awaited
+	// an answer, or to none.
+	linkAnswersOutOfTurn expvar.Int
 	// refusals counts errors by code, denied the statements that were refused because of their
 	// callers' keys, by reason, and overQuota the operations that were refused because of their
 	// teams' limits, by reason.
@@ -101,7 +104,7 @@
 		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"store_eras_ended": s.erasEnded.Value(), "watches_unusable": s.watchesUnusable.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
-		"links_outdated": s.linksOutdated.Value(), "on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
+		"links_outdated": s.linksOutdated.Value(), "link_answers_out_of_turn": s.linkAnswersOutOfTurn.Value(), "on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
 		"peer_health": valuesOf(&s.health), "hedges": valuesOf(&s.hedges),
 		"latency_us": map[string]int64{
 			"p50": s.latency.ValueAtQuantile(50), "p99": s.latency.ValueAtQuantile(99), "max": s.latency.Max(), "count": s.latency.TotalCount(),
