proxy: close a link whose home did not roll back

What callers could see: a transaction whose rollback an entry has acknowledged stays open at its home, and the session's next statement runs in it (PINNED). Shown with a home that answers ROLLBACK in state T.

Cause: an entry took any whole answer to its ROLLBACK for a success. At members the state after a ROLLBACK is checked already.

Change: a link on which the transaction is still open after its ROLLBACK is closed, which ends the session at the home.

Evidence: the new spec fails without the check, as the next read comes over the same link, and passes with it.

--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"time"
 
 	"limpetspan/core"
@@ -262,6 +263,11 @@
 	if _, err := l.c.Write(l.out); err != nil {
 		return err
 	}
-	_, err := l.readAnswer(s)
+	a, err := l.readAnswer(s)
+	if err == nil && a.State != platform.StateIdle {
+		err = errStillOpen
+	}
 	return err
 }
+
+var errStillOpen = errors.New("the transaction is still open after its rollback")
--- a/pkg/proxy/linkanswer_test.go
+++ b/pkg/proxy/linkanswer_test.go
@@ -291,6 +291,26 @@
 		Expect(outOfTurn(entry)).To(BeNumerically("==", 1))
 	})
 
+	// Guards against a statement that runs in the transaction before it, which its home did not roll back.
+	It("is not that to a rollback if the transaction is still open", func() {
+		newLink := false
+		h := &numberedHome{respond: func(text, before, answer string) string {
+			if text == "READ k" {
+				newLink = before == ""
+			}
+			if text == "ROLLBACK" {
+				return strings.Replace(answer, "READY I", "READY T", 1)
+			}
+			return answer
+		}}
+		_, x := open(h)
+		x.query("BEGIN")
+		Expect(x.query("WRITE k v").isServed()).To(BeTrue())
+		Expect(x.query("ROLLBACK").state).To(Equal("I"))
+		expectRead(x, "k")
+		Expect(newLink).To(BeTrue())
+	})
+
 	// Guards against an unsolicited answer that waits for the first statement on a link.
 	It("is not taken for that to the first statement", func() {
 		h := &numberedHome{greeting: "ANSWER 1\r\nDATAROW other\r\nCOMPLETE r.home.other\r\nREADY I 1.9\r\n"}
