peer: number the exchanges and calls of a stream

What callers could see: if a home answered an exchange twice, the next exchange on the same stream got that answer. Streams are pooled over callers, so it could be another caller's rows (MIXED). The same held for the replies to calls. Not seen between daemons; shown with a daemon that answers so.

Cause: the one of links: answers name no request, and a stream returned to the pool once one whole answer had been read.

Change: the client numbers the requests of a stream in ExchangeHeader and Call, the server sends the number before the answer, or in the Reply. Another number ends the stream, and the request has no answer: its outcome is unknown, as after any loss behind the send.

--- a/core/pipeline/doc.go
+++ b/core/pipeline/doc.go
@@ -10,7 +10,8 @@
 // set the session's state precede the caller's statement in the same write, so several answers are
 // outstanding at a time. A home may answer a statement twice, late, in part, or unasked, before or
 // after the next statement is sent. By their order alone, the surplus answer would be that of the next
-// statement, and each later answer that of the statement before it.
+// statement, and each later answer that of the statement before it. A pooled stream between daemons carries
+// the requests of many callers, so there it would be another caller's.
 //
 // # Contract
 //
--- a/pkg/peer/call.go
+++ b/pkg/peer/call.go
@@ -39,7 +39,8 @@
 }
 
 func (x *stream) call(call *peerpb.Call) (*peerpb.Reply, error) {
-	buf, err := appendMessage(x.sendBuf, frameCall, call)
+	numbered := &peerpb.Call{Call: call.GetCall(), Number: x.number()}
+	buf, err := appendMessage(x.sendBuf, frameCall, numbered)
 	x.sendBuf = buf
 	if err != nil {
 		return nil, err
@@ -56,7 +57,14 @@
 		return nil, fmt.Errorf("%w %q", errUnexpectedFrame, kind)
 	}
 	reply := &peerpb.Reply{}
-	return reply, proto.Unmarshal(payload, reply)
+	if err := proto.Unmarshal(payload, reply); err != nil {
+		return nil, err
+	}
+	if err := x.accept(reply.GetNumber()); err != nil {
+		return nil, err
+	}
+	x.requests.Complete()
+	return reply, nil
 }
 
 // Cancel ends what the caller is running in the group at the daemon at addr.
--- a/pkg/peer/doc.go
+++ b/pkg/peer/doc.go
@@ -7,10 +7,14 @@
 // (4 bytes, big endian, of what follows), type (1 byte), payload.
 //
 //	client → server   header, messages..., run    the request
-//	server → client   data..., end                its answer
+//	server → client   number, data..., end        its answer
 //	client → server   call
 //	server → client   reply
 //
+// Client and server give each request on a stream the same number, counted from 1. The client takes an
+// answer only under the number of its request; any other one ends the stream, and the request has no
+// answer. A server of an earlier version sends no numbers.
+//
 // The server starts an exchange only when the run frame has arrived completely.
 // Hence the client may report "not run" exactly when it knows that a part of
 // the request was never handed to the connection, and must report "unknown"
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -116,7 +116,9 @@
 }
 
 func (x *stream) sendRequest(req *exchange.Request, now core.Time) error {
-	buf, err := appendMessage(x.sendBuf, frameHeader, headerToProto(req, now))
+	header := headerToProto(req, now)
+	header.Number = x.number()
+	buf, err := appendMessage(x.sendBuf, frameHeader, header)
 	if err != nil {
 		return errors.Join(errNotSent, err)
 	}
@@ -150,13 +152,8 @@
 // receive passes the answer on until its end.
 func (x *stream) receive(s *session, w exchange.Writer) (*peerpb.ExchangeEnd, error) {
 	var written error
-	for {
-		kind, payload, err := readFrame(x, x.frameBuf)
-		x.frameBuf = payload
-		if err != nil {
-			return nil, err
-		}
-		s.noteHeard()
+	kind, payload, err := x.beginAnswer(s)
+	for ; err == nil; kind, payload, err = x.nextFrame(s) {
 		switch kind {
 		case frameData:
 			// A caller that is gone does not end the exchange: the stream
@@ -165,12 +162,14 @@
 				_, written = w.Write(payload)
 			}
 		case frameEnd:
+			x.requests.Complete()
 			end := &peerpb.ExchangeEnd{}
 			return end, proto.Unmarshal(payload, end)
 		default:
 			return nil, errUnexpectedFrame
 		}
 	}
+	return nil, err
 }
 
 // answerLost classifies a failure after the request was sent.
--- a/pkg/peer/frame.go
+++ b/pkg/peer/frame.go
@@ -24,6 +24,9 @@
 	frameMessages byte = 'M'
 	// frameRun are the last raw frontend messages of the request.
 	frameRun byte = 'R'
+	// frameNumber is the number of the exchange that the answer belongs to, as a varint. It precedes
+	// the answer.
+	frameNumber byte = 'N'
 	// frameData are complete backend messages of the answer.
 	frameData byte = 'D'
 	// frameEnd is an ExchangeEnd.
--- a/pkg/peer/serverstream.go
+++ b/pkg/peer/serverstream.go
@@ -32,6 +32,8 @@
 	readBuf  []byte
 	messages []byte
 	sendBuf  []byte
+	// number is that of the present exchange on the stream, 0 if the client accepts none.
+	number uint64
 }
 
 func (s *Server) serveStream(ctx context.Context, session *serverSession, raw *yamux.Stream) {
@@ -84,6 +86,7 @@
 	}
 	x.server.begin()
 	defer x.server.end()
+	x.sendBuf = appendNumber(x.sendBuf, x.number)
 	result, err := x.server.options.Handler.Do(ctx, req, x)
 	x.server.noteTransaction(x.session, req.Caller, req.TxStatus, statusAfter(result))
 	x.sendBuf, err = appendMessage(x.sendBuf, frameEnd, endToProto(result, err))
@@ -107,6 +110,7 @@
 	if err := proto.Unmarshal(payload, header); err != nil {
 		return nil, fmt.Errorf("exchange header: %w", err)
 	}
+	x.number = header.GetNumber()
 	req := headerFromProto(header, x.server.options.Now())
 	req.Messages, err = x.readMessages()
 	return req, err
@@ -189,6 +193,7 @@
 	if err != nil {
 		reply = &peerpb.Reply{Error: errorToProto(err)}
 	}
+	reply.Number = call.GetNumber()
 	if x.sendBuf, err = appendMessage(x.sendBuf, frameReply, reply); err != nil {
 		return err
 	}
--- a/pkg/peer/session.go
+++ b/pkg/peer/session.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"limpetspan/core"
+	"limpetspan/core/pipeline"
 )
 
 const (
@@ -53,8 +54,10 @@
 // stream is one yamux stream and its reused buffers.
 type stream struct {
 	*yamux.Stream
-	kind     byte
-	lastUse  core.Time
+	kind    byte
+	lastUse core.Time
+	// requests matches the answers to the requests.
+	requests pipeline.Requests
 	sendBuf  []byte
 	frameBuf []byte
 }
