target: accept as a position only the answer to the position query

What callers could see: a member that repeats an answer late answers an exchange with the one before it, although the position query behind it shows that something is wrong (MIXED), and the position of that exchange counts as zero.

Cause: any answer with a row passed for that to the position query. One row behind, it is the caller's own.

Change: the answer has to be one row that is a position; otherwise the connection is broken and the outcome is unknown. Exchanges without a position query still match answers by their order alone.

--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -23,7 +23,9 @@
 	// codes are those of the first parts of the answer.
 	codes [maxReplyParts]string
 
+	// rows counts the rows, positions those among them that are positions.
 	rows        int
+	positions   int
 	position    core.Position
 	positionErr error
 }
@@ -42,6 +44,9 @@
 	return ""
 }
 
+// isPosition reports whether the answer is that to a PositionQuery alone.
+func (r *Reply) isPosition() bool { return r.rows == 1 && r.positions == 1 }
+
 // Position returns the position of a PositionQuery among the statements, zero
 // without one.
 func (r *Reply) Position() core.Position { return r.position }
@@ -123,6 +128,7 @@
 	}
 	r.reply.rows++
 	if len(r.row.Values) == positionColumns {
+		r.reply.positions++
 		r.reply.position, r.reply.positionErr = parsePosition(r.row.Values)
 	} else if len(r.row.Values) > 0 {
 		r.reply.Value = string(r.row.Values[0])
--- a/pkg/target/run.go
+++ b/pkg/target/run.go
@@ -138,7 +138,7 @@
 	if !idle {
 		return nil
 	}
-	if r.reply.positionErr != nil || r.reply.Code != "" || r.reply.rows == 0 {
+	if r.reply.positionErr != nil || r.reply.Code != "" || !r.reply.isPosition() {
 		// An unknown position must not pass for "unchanged": the session's next
 		// read would be served by a replica that lacks this write.
 		return errors.Join(fmt.Errorf("the member gave no position (SQLSTATE %q)", r.reply.Code), r.reply.positionErr)
