--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"time"
 
 	"limpetspan/core"
@@ -245,14 +246,28 @@
 		return
 	}
 	tx.homeLink = nil
+	if err := l.rollback(s); err != nil {
+		s.logDecision("rollback not answered", "home", l.home, "error", err)
+		s.closeLink()
+	}
+}
+
+// rollback rolls back the transaction that is open on the link.
+func (l *link) rollback(s *session) error {
+	if err := l.checkUnread(s); err != nil {
+		return err
+	}
 	l.out = platform.AppendStatement(l.out[:0], entryStatementID, platform.TextRollback, core.Position{})
+	l.requests.Sent(1)
 	_ = l.c.SetDeadline(time.Now().Add(rollbackTimeout))
-	_, err := l.c.Write(l.out)
-	if err == nil {
-		_, err = l.readAnswer()
+	if _, err := l.c.Write(l.out); err != nil {
+		return err
 	}
-	if err != nil {
-		s.logDecision("rollback not answered", "home", l.home, "error", err)
-		s.closeLink()
+	a, err := l.readAnswer(s)
+	if err == nil && a.State != platform.StateIdle {
+		err = errStillOpen
 	}
+	return err
 }
+
+var errStillOpen = errors.New("the transaction is still open after its rollback")
