--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -40,6 +40,9 @@
 	connsOutOfStep                                    expvar.Int
 	// linksOutdated counts links to homes that were replaced because the session had committed elsewhere.
 	linksOutdated expvar.Int
+	// linkAnswersOutOfTurn counts answers of homes that belonged to another statement than the one that awaited
+	// an answer, or to none.
+	linkAnswersOutOfTurn expvar.Int
 	// refusals counts errors by code, denied the statements that were refused because of their
 	// callers' keys, by reason, and overQuota the operations that were refused because of their
 	// teams' limits, by reason.
@@ -112,7 +115,7 @@
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"store_eras_ended": s.erasEnded.Value(), "watches_unusable": s.watchesUnusable.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
 		"answers_surplus": valuesOf(&s.answersSurplus), "answers_confirmed": valuesOf(&s.answersConfirmed), "answers_unproved": valuesOf(&s.answersUnproved), "conns_out_of_step": s.connsOutOfStep.Value(),
-		"links_outdated": s.linksOutdated.Value(), "on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
+		"links_outdated": s.linksOutdated.Value(), "link_answers_out_of_turn": s.linkAnswersOutOfTurn.Value(), "on_second_part": s.onSecondPart.Value(), "sent_to_other_part": s.overflowed.Value(),
 		"peer_health": valuesOf(&s.health), "hedges": valuesOf(&s.hedges),
 		"messages_with_line_break": s.withLineBreak.Value(), "messages_incomplete_at_deadline": valuesOf(&s.incomplete),
 		"latency_us": map[string]int64{
