correlate: replace a refusal by a receipt only if it can be a repeat

What callers could see: a statement that ran although a state change before it was refused, if an older acknowledgement came in the refusal's place: the refusal counted as a repeat, and the statement's receipt replaced it. Not shown; members do not refuse state changes.

Change: only a refusal whose code the connection has given before can be a repeat. Otherwise nothing is known, and the connection ends.

Found by a review of the change. The new spec fails without the condition; the specs of replaced refusals give the refusal twice now, as a repeat is.

--- a/core/correlate/confirmation.go
+++ b/core/correlate/confirmation.go
@@ -55,7 +55,7 @@
 	switch {
 	case a.Kind == Receipt && c.matcher.isRepeated(a), a.Kind == Greeting:
 		return Dropped
-	case a.Kind == Receipt && c.request.Kind == Receipt && !a.InTransaction:
+	case a.Kind == Receipt && c.request.Kind == Receipt && !a.InTransaction && c.matcher.mayBeRepeated(c.unproved):
 		c.request, c.unmoved = Expected{Kind: Nothing}, false
 		return Superseded
 	case a.Kind == c.unproved.Kind && a.Content == c.unproved.Content:
--- a/core/correlate/correlate_test.go
+++ b/core/correlate/correlate_test.go
@@ -106,6 +106,7 @@
 		func(e correlate.Expected, a correlate.Answer, follows []correlate.Answer, end correlate.Progress) {
 			var m correlate.Matcher
 			Expect(m.Judge(receiptExpected, receipt("r1"))).To(Equal(correlate.Own))
+			m.Judge(e, a)
 			Expect(m.Judge(e, a)).To(Equal(correlate.Unproved))
 			c := m.Confirm(e, a, marker)
 			var progress correlate.Progress
@@ -139,6 +140,13 @@
 		Entry("a receipt, though none is awaited", begun, refusal("BUSY"), before(receipt("r2")), correlate.Refuted),
 	)
 
+	// Guards against a statement that counts as served although a state change before it was refused.
+	It("is not replaced if it can be no repeat", func() {
+		var m correlate.Matcher
+		m.Judge(receiptExpected, refusal("BUSY"))
+		Expect(m.Confirm(receiptExpected, refusal("BUSY"), marker).Judge(receipt("r2"))).To(Equal(correlate.Refuted))
+	})
+
 	// Guards against a refusal that is given again in place of the lost answer to a request that committed.
 	DescribeTable("is no proof that a request did not commit once the log has moved",
 		func(earlier, position string, end correlate.Progress) {
@@ -160,6 +168,8 @@
 
 	It("is replaced by the statement's own answer, after which the marker's come", func() {
 		var m correlate.Matcher
+		m.Judge(receiptExpected, refusal("BUSY"))
+		m.Judge(receiptExpected, refusal("BUSY"))
 		c := m.Confirm(receiptExpected, refusal("BUSY"), marker)
 		Expect(c.Judge(receipt("r2"))).To(Equal(correlate.Superseded))
 		for _, a := range answered[:3] {
