memberconn: prove the beginning of a transaction twice over

One pair of statements behind BEGIN leaves three equal acknowledgements to be repeated. Two pairs leave five, in the same write.

--- a/core/correlate/matcher.go
+++ b/core/correlate/matcher.go
@@ -76,7 +76,7 @@
 )
 
 // RememberedReceipts is the number of receipts that a Matcher remembers.
-const RememberedReceipts = 256
+const RememberedReceipts = 1024
 
 // Matcher matches the answers of one connection. Its zero value is ready for use.
 type Matcher struct {
--- a/pkg/memberconn/answer.go
+++ b/pkg/memberconn/answer.go
@@ -74,9 +74,9 @@
 	return m.confirm(refusal, e, expected)
 }
 
-// confirmBegin reads the answers to the pair of statements behind a BEGIN, which run in its transaction.
+// confirmBegin reads the answers to the statements behind a BEGIN, which run in its transaction.
 func (m *Conn) confirmBegin() error {
-	for range pairSteps {
+	for range beginSteps {
 		_, verdict, err := m.receive(correlate.Expected{Kind: correlate.Acknowledgement, InTransaction: true})
 		if err == nil && verdict != correlate.Own {
 			err = ErrOutOfStep
--- a/pkg/memberconn/conn.go
+++ b/pkg/memberconn/conn.go
@@ -131,11 +131,10 @@
 	return m.exchange(correlate.Expected{Kind: correlate.Receipt, Commits: s.Commits}, nil, deadline)
 }
 
-// Begin begins a transaction. A pair of statements runs in it, which shows that it is open.
+// Begin begins a transaction. Statements that run in it show that it is open.
 func (m *Conn) Begin(text string, minPosition core.Position, deadline time.Time) (a platform.Answer, sent bool, err error) {
 	m.out = platform.AppendStatement(m.out[:0], platform.ProxyStatementID, text, minPosition)
-	// They run outside if the transaction is refused.
-	refused := m.appendPair(nil)
+	refused := m.appendBeginSteps()
 	a, sent, err = m.exchange(correlate.Expected{Kind: correlate.Acknowledgement, InTransaction: true}, refused, deadline)
 	if err != nil || a.Code != "" {
 		return a, sent, err
--- a/pkg/memberconn/conn_test.go
+++ b/pkg/memberconn/conn_test.go
@@ -216,6 +216,31 @@
 		Expect(c.IsReusable()).To(BeTrue())
 	})
 
+	// Guards against a transaction that stays open at the member after a refusal, so that the next one cannot begin.
+	It("ends its transaction when it is refused", func() {
+		m.refuses = func(id, _ string) string { return map[string]string{"c1.1": "BUSY"}[id] }
+		for n := range 2 {
+			_, _, err := c.Begin(platform.TextBegin, core.Position{}, deadline())
+			Expect(err).NotTo(HaveOccurred(), "transaction %d", n)
+			a, err := c.run("c1.1", "WRITE k 1")
+			Expect(err).NotTo(HaveOccurred())
+			Expect([]any{a.Code, a.State}).To(Equal([]any{"BUSY", byte(platform.StateIdle)}))
+			Expect(c.IsReusable()).To(BeTrue())
+		}
+	})
+
+	// Guards against markers that are equal, so that the repeat of one passes for the next.
+	It("is confirmed by markers that differ", func() {
+		sequences := map[string]bool{}
+		for range 64 {
+			before := len(m.texts)
+			_, err := c.Command("STATUS", deadline())
+			Expect(err).NotTo(HaveOccurred())
+			sequences[strings.Join(m.texts[before:], "; ")] = true
+		}
+		Expect(len(sequences)).To(BeNumerically(">", 2))
+	})
+
 	// Guards against a commit whose answer is taken for that of the transaction's beginning.
 	It("ends its transaction with its own receipt", func() {
 		m.surplus = drawSurplus(rand.New(rand.NewPCG(7, 1)), 0.4)
--- a/pkg/memberconn/late_test.go
+++ b/pkg/memberconn/late_test.go
@@ -96,16 +96,17 @@
 	// Guards against a write that runs by itself because an older acknowledgement came before the refusal of its
 	// transaction's beginning.
 	It("do not begin a transaction that the member refuses a moment later", func() {
-		var begins, outside atomic.Int32
+		var refuses atomic.Bool
+		var outside atomic.Int32
 		other := acknowledge(atStart)
 		c := serveScript(func(text string, write func(string)) {
 			switch {
-			case text == platform.TextBegin && begins.Add(1) > 1:
+			case text == platform.TextBegin && refuses.Load():
 				write("COMPLETE -\r\nREADY T 3.1\r\n")
 				time.Sleep(20 * time.Millisecond)
 				write(busy)
 			case strings.HasPrefix(text, "WRITE"):
-				if begins.Load() > 1 {
+				if refuses.Load() {
 					outside.Add(1)
 				}
 				write("COMPLETE 7.1\r\nREADY I 3.2\r\n")
@@ -116,6 +117,7 @@
 		_, _, err := c.Begin(platform.TextBegin, core.Position{}, deadline())
 		Expect(err).NotTo(HaveOccurred())
 		Expect(c.Rollback(deadline())).To(Succeed())
+		refuses.Store(true)
 		a, _, err := c.Begin(platform.TextBegin, core.Position{}, deadline())
 		if err == nil && a.Code == "" {
 			_, _, _ = c.Run(memberconn.Statement{ID: "c1.1", Text: "WRITE k 1"}, deadline())
--- a/pkg/memberconn/marker.go
+++ b/pkg/memberconn/marker.go
@@ -18,17 +18,17 @@
 	correlate.Deallocate: platform.TextDeallocate(markerStatement),
 }
 
-// pairSteps is the number of statements of a pair.
-const pairSteps = 2
+// beginSteps are the statements behind a BEGIN that show that its transaction is open.
+var beginSteps = [...]correlate.Step{correlate.Prepare, correlate.Deallocate, correlate.Prepare, correlate.Deallocate}
 
-// appendPair appends a statement that is prepared and dropped to out, and their answers outside a transaction
-// to expected.
-func (m *Conn) appendPair(expected []correlate.Expected) []correlate.Expected {
-	for _, step := range [pairSteps]correlate.Step{correlate.Prepare, correlate.Deallocate} {
+// appendBeginSteps appends the statements behind a BEGIN to out, and returns their answers for a BEGIN that is
+// refused.
+func (m *Conn) appendBeginSteps() (refused []correlate.Expected) {
+	for _, step := range beginSteps {
 		m.out = platform.AppendProxyStatement(m.out, stepTexts[step])
-		expected = append(expected, step.Expected())
+		refused = append(refused, step.Expected())
 	}
-	return expected
+	return refused
 }
 
 // appendMarker appends the statements of a new marker to out, and their answers to expected.
--- a/pkg/memberconn/member_test.go
+++ b/pkg/memberconn/member_test.go
@@ -24,7 +24,9 @@
 	// receipts and codes are the answers by the IDs of callers' statements.
 	receipts, codes map[string]string
 	runs            int
-	status          atomic.Int64
+	// texts are the statements in their order.
+	texts  []string
+	status atomic.Int64
 	// conns are the open connections.
 	conns []net.Conn
 }
@@ -90,6 +92,7 @@
 // answer runs a statement. The lock is held.
 func (m *fakeMember) answer(id, text string, state *string) string {
 	word, _, _ := strings.Cut(text, " ")
+	m.texts = append(m.texts, text)
 	if code := m.refuses(id, text); code != "" {
 		m.codes[id] = code
 		return fmt.Sprintf("ERROR %s i-1\r\nREADY %s 3.1\r\n", code, *state)
--- a/pkg/memberconn/unread.go
+++ b/pkg/memberconn/unread.go
@@ -14,22 +14,29 @@
 // member.
 func (m *Conn) send(deadline time.Time) (sent bool, err error) {
 	_ = m.c.SetDeadline(deadline)
-	if err := m.dropUnread(); err != nil {
+	if err := m.dropUnread(deadline); err != nil {
 		return false, err
 	}
 	n, err := m.c.Write(m.out)
 	return n > 0, err
 }
 
+// surplusTimeout bounds the wait for the rest of an answer that nothing awaits.
+const surplusTimeout = 20 * time.Millisecond
+
 // dropUnread drops the answers that have arrived while nothing was expected.
-func (m *Conn) dropUnread() error {
+func (m *Conn) dropUnread(deadline time.Time) error {
 	nothing := correlate.Expected{Kind: correlate.Nothing}
 	for range maxSurplus {
 		unread, err := m.HasUnread()
 		if err != nil || !unread {
 			return err
 		}
+		if limit := time.Now().Add(surplusTimeout); limit.Before(deadline) {
+			_ = m.c.SetReadDeadline(limit)
+		}
 		a, err := m.readAnswer()
+		_ = m.c.SetReadDeadline(deadline)
 		if err != nil {
 			return err
 		}
