Count and log each revision of an item that cannot be decoded once

An entry that cannot be decoded was logged at each change, and a promotion lock or a slot at each read: another writer that repeats its entry with each heartbeat, or writes thousands, filled the log, and the text of a decoder's error could quote a number of any length.

Now such an item is reported in one place: counted by its kind ("unreadable_items" in the metrics), and logged once for each revision, ten lines a second at most, with its key in printable form and bounded texts.

--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -79,6 +79,8 @@
 	sessions map[*session]struct{}
 
 	dependencies *dependencies
+	// unreadable records the store's items that cannot be decoded.
+	unreadable *unreadableItems
 }
 
 // Memory settings of the process.
@@ -101,6 +103,7 @@
 		log: telemetry.NewLogger(newAsyncWriter(w, st), "info", string(s.Daemon)),
 	}
 	p.dependencies = newDependencies(p.log)
+	p.unreadable = newUnreadableItems(p)
 	p.startedAt = now()
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.homes = newHomes(p)
@@ -422,7 +425,7 @@
 	}
 	all := map[string]any{"proxy": p.stats.snapshot(), "platform_calls": p.client.Calls(), "ready": p.ready(), "groups": groups,
 		"pools": p.pools(), "host_load": p.hostLoad.snapshot(), "teams": p.limits.busiestTeams(maxPublishedTeams),
-		"peers_down": p.homes.health.down(), "copy": p.copyState()}
+		"peers_down": p.homes.health.down(), "copy": p.copyState(), "unreadable_items": valuesOf(&p.unreadable.counts)}
 	if p.settings.OverloadControl {
 		all["overload"], all["queues"] = p.stats.overload.snapshot(), p.queueLengths()
 	}
--- a/pkg/proxy/view.go
+++ b/pkg/proxy/view.go
@@ -125,7 +125,7 @@
 	}
 	m, err := platform.ParseMember(item.Key, item.Value)
 	if err != nil {
-		v.p.log.Error("host list entry cannot be read", "revision", item.Revision, "error", err.Error())
+		v.p.unreadable.report(kindMember, item, err)
 		if !known {
 			return
 		}
