Leave odd parts of a configuration out in place of the whole

One route, service or limit with a number that its type cannot hold, or of another type, made the whole configuration unusable: a new database was not served (NODB), and neither was any other change of that version.

Cause: the document was decoded and validated as a whole.

Parts that cannot be used are left out, described in the problems, counted, and logged with bounded texts, 20 at most; the others take effect. The configuration in force still stays if the version or the lists cannot be decoded. A document that cannot be decoded is logged once, however often it is read.

--- a/pkg/proxy/configuration.go
+++ b/pkg/proxy/configuration.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"crypto/sha256"
+
 	"limpetspan/core"
 	"limpetspan/core/direct"
 	"limpetspan/platform"
@@ -10,12 +12,27 @@
 func (v *view) InstallDocument(value []byte) {
 	catalog, err := platform.ParseConfiguration(value)
 	if err != nil {
-		v.p.log.Error("configuration cannot be parsed", "error", err.Error())
+		v.reportUnreadable(value, err)
 		return
 	}
 	v.InstallCatalog(catalog)
 }
 
+// reportUnreadable records a document that cannot be decoded, once however often it is read. The
+// configuration in force stays.
+func (v *view) reportUnreadable(document []byte, err error) {
+	digest := sha256.Sum256(document)
+	v.mu.Lock()
+	known := v.unreadable == digest
+	v.unreadable = digest
+	v.mu.Unlock()
+	if known {
+		return
+	}
+	v.p.unreadable.counts.Add(kindConfiguration, 1)
+	v.p.log.Error("configuration cannot be parsed", "error", boundText(err.Error()))
+}
+
 // InstallCatalog implements metadata.Owner. It ignores a configuration whose version is not higher
 // than that in force: another daemon may have an older one, and so may the store after a restore or
 // an interrupted watch.
@@ -26,9 +43,7 @@
 	if old := p.catalog.Load(); old != nil && old.Version >= catalog.Version {
 		return
 	}
-	for _, problem := range catalog.Problems {
-		p.log.Error("part of the configuration cannot be used", "version", catalog.Version, "problem", problem)
-	}
+	p.reportProblems(catalog)
 	p.catalog.Store(catalog)
 	p.configuredAt.CompareAndSwap(0, int64(now()))
 	p.log.Info("configuration in force", "version", catalog.Version, "routes", len(catalog.Routes))
@@ -46,6 +61,16 @@
 	p.homes.update()
 }
 
+// maxLoggedProblems bounds the log lines about the parts of one configuration that cannot be used.
+const maxLoggedProblems = 20
+
+func (p *Proxy) reportProblems(catalog *direct.Catalog) {
+	p.unreadable.counts.Add(kindConfigurationPart, int64(len(catalog.Problems)))
+	for _, problem := range catalog.Problems[:min(len(catalog.Problems), maxLoggedProblems)] {
+		p.log.Error("part of the configuration cannot be used", "version", catalog.Version, "problem", problem, "problems", len(catalog.Problems))
+	}
+}
+
 // catchUp fetches the configuration from the daemon at the address, which has announced a higher
 // version.
 func (p *Proxy) catchUp(addr string, version uint64) {
--- a/pkg/proxy/view.go
+++ b/pkg/proxy/view.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"crypto/sha256"
 	"maps"
 	"slices"
 	"strings"
@@ -31,6 +32,8 @@
 	// hasMembers is set once the copy holds members. asOf is the time as of which the copy is complete.
 	hasMembers bool
 	asOf       core.Time
+	// unreadable is the digest of the last configuration that cannot be decoded.
+	unreadable [sha256.Size]byte
 }
 
 func newView(p *Proxy) *view {
