Validate the records of the fleet, and write overwritten ones again

Records that another writer leaves among those of the daemons were taken as they were. An entry with a weight of 1e300 made every real host of its zone too weak to be a home; one with a host name as its address was looked up by name under a lock; an entry under a key such as limpetspan/daemonX became a daemon; the entry with the lowest name, under no lease, stopped the writing of the roster; a roster with 9,000,000,000 daemons made a small fleet a large one for good; an attestation that names a later first era than the store's let the terms of promotion locks be counted below zero, to numbers that no group reaches. A daemon whose own entry was replaced or removed renewed its lease and never wrote the entry again.

Cause: the records were decoded and not validated, and a registration followed its lease only.

Now a record has to be one that a daemon can have written: a known key, a lease, an IPv4 address, a weight up to 4,096, up to 131,072 daemons, an era not later than the store's. While the roster cannot be decoded, the previous one stays and the roster is written again. A daemon that misses its entry in a list younger than its last write writes it at its next renewal. Addresses are never looked up by name.

"names a burden only if there is one" in hostload_test.go gives its entry an address and a lease, without which it is no entry any more; what it compares is unchanged.

--- a/pkg/proxy/daemons.go
+++ b/pkg/proxy/daemons.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"limpetspan/core"
@@ -17,15 +16,6 @@
 	"limpetspan/platform"
 )
 
-// daemonEntry is a daemon's entry in the store.
-type daemonEntry struct {
-	IP     string    `json:"ip"`
-	Zone   core.Zone `json:"zone"`
-	Weight float64   `json:"weight"`
-	// Burden is absent while the daemon's host is not overloaded.
-	Burden direct.Burden `json:"burden,omitempty"`
-}
-
 // runRegistration joins the fleet, maintains this daemon's entry if it has one, and writes the
 // records of the fleet if this daemon is the one to do so. It ends once a planned stop accepts no
 // more work, and then removes the entry. At the end of the process that would be too late: if the
@@ -169,8 +159,9 @@
 	neededSince core.Time
 	// lease is the lease of the entry, 0 if there is no entry.
 	lease uint64
-	// renewedAt is when this daemon last tried to write the entry or to renew its lease.
-	renewedAt core.Time
+	// renewedAt is when this daemon last tried to write the entry or to renew its lease. writtenAt is when
+	// it last wrote the entry.
+	renewedAt, writtenAt core.Time
 	// rosterCheckedAt is when this daemon last checked the roster and did not have to write it, or
 	// wrote it.
 	rosterCheckedAt core.Time
@@ -197,6 +188,9 @@
 	defer cancel()
 	if r.lease != 0 {
 		_, err := p.client.Renew(ctx, r.lease)
+		if err == nil && r.isOverwritten() {
+			return r.write(ctx, r.lease)
+		}
 		if err == nil || !errors.Is(err, platform.ErrNotFound) {
 			return r.lease
 		}
@@ -205,14 +199,28 @@
 	if err != nil {
 		return 0
 	}
+	return r.write(ctx, lease)
+}
+
+// isOverwritten reports whether a list that was read after this daemon wrote its entry lacks the entry:
+// another writer has removed it, or has replaced it by something that cannot be decoded.
+func (r *registration) isOverwritten() bool {
+	l, asOf := r.p.view.daemonListAsOf()
+	_, listed := l.entry(r.p.settings.Daemon)
+	return !listed && asOf > r.writtenAt
+}
+
+// write writes the entry under the lease. It returns the lease, 0 if the entry was not written.
+func (r *registration) write(ctx context.Context, lease uint64) uint64 {
 	value, err := json.Marshal(r.entry(r.burden))
-	if err != nil {
-		return 0
+	if err == nil {
+		_, err = r.p.client.Put(ctx, nil, []platform.Write{{Key: platform.DaemonsPrefix + string(r.p.settings.Daemon), Value: value, Lease: lease}})
 	}
-	if _, err := p.client.Put(ctx, nil, []platform.Write{{Key: platform.DaemonsPrefix + string(p.settings.Daemon), Value: value, Lease: lease}}); err != nil {
-		p.log.Warn("the daemon's own entry was not written", "error", err.Error())
+	if err != nil {
+		r.p.log.Warn("the daemon's own entry was not written", "error", err.Error())
 		return 0
 	}
+	r.writtenAt = now()
 	return lease
 }
 
@@ -275,6 +283,8 @@
 	// roster is the fleet's last recorded roster, and rosterItem its item in the store.
 	roster     direct.Roster
 	rosterItem platform.Item
+	// rosterUnreadable is set if rosterItem cannot be decoded; roster is then an earlier one.
+	rosterUnreadable bool
 	// settledEra is the newest era of the store that a daemon has attested as settled.
 	settledEra mirror.Era
 }
@@ -310,20 +320,6 @@
 // isComplete reports whether the list has nearly all daemons that can be homes.
 func (l *daemonList) isComplete() bool { return l.roster.IsComplete(l.daemons()) }
 
-// applyEra handles an item with a daemon's attestation that an era of the store has settled. It
-// returns that era, 0 if there is none.
-func (p *Proxy) applyEra(item platform.Item) mirror.Era {
-	var record eraRecord
-	if item.Deleted {
-		return 0
-	}
-	if err := json.Unmarshal(item.Value, &record); err != nil {
-		p.log.Error("settled era cannot be read", "error", err.Error())
-	}
-	p.eras.attest(record)
-	return record.Settled
-}
-
 // parseDaemons decodes the items under platform.FleetPrefix.
 func (p *Proxy) parseDaemons(items []platform.Item) *daemonList {
 	l := newDaemonList()
@@ -336,28 +332,14 @@
 // applyDaemon applies one item under platform.FleetPrefix to the list: a daemon's entry, the roster or
 // the settled era.
 func (p *Proxy) applyDaemon(l *daemonList, item platform.Item) {
-	if item.Key == platform.EraKey {
+	switch item.Key {
+	case platform.EraKey:
 		l.settledEra = p.applyEra(item)
-		return
-	}
-	if item.Key == platform.RosterKey {
-		l.roster, l.rosterItem = direct.Roster{}, item
-		if err := json.Unmarshal(item.Value, &l.roster); err != nil && !item.Deleted {
-			p.log.Error("roster of the fleet cannot be read", "error", err.Error())
-		}
-		return
-	}
-	id := core.DaemonID(strings.TrimPrefix(item.Key, platform.DaemonsPrefix))
-	if item.Deleted {
-		delete(l.entries, id)
-		return
-	}
-	var e daemonEntry
-	if err := json.Unmarshal(item.Value, &e); err != nil {
-		p.log.Error("entry of a daemon cannot be read", "key", item.Key, "error", err.Error())
-		return
+	case platform.RosterKey:
+		p.applyRoster(l, item)
+	default:
+		p.applyEntry(l, item)
 	}
-	l.entries[id] = e
 }
 
 // isFleetWriter reports whether this daemon writes the records of the fleet. The listed daemon with
@@ -379,7 +361,7 @@
 // list, starting daemons would otherwise treat the fleet as a small one.
 func (p *Proxy) writeRoster(l *daemonList) {
 	next := l.roster.Updated(l.daemons())
-	if p.homes.observeSize(next.Daemons) > next.Daemons || !rosterDiffers(l.roster, next) {
+	if p.homes.observeSize(next.Daemons) > next.Daemons || !l.rosterUnreadable && !rosterDiffers(l.roster, next) {
 		return
 	}
 	p.putRoster(l, next)
--- a/pkg/proxy/hostload_test.go
+++ b/pkg/proxy/hostload_test.go
@@ -126,9 +126,10 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(string(plain)).To(Equal(`{"ip":"","zone":"z","weight":1000}`))
 		l := newDaemonList()
+		r.p.settings.IP = "10.0.0.1"
 		value, err := json.Marshal(r.entry(2))
 		Expect(err).NotTo(HaveOccurred())
-		r.p.applyDaemon(l, platform.Item{Key: platform.DaemonsPrefix + "self", Value: value})
+		r.p.applyDaemon(l, platform.Item{Key: platform.DaemonsPrefix + "self", Value: value, Lease: 1})
 		Expect(l.daemons()).To(Equal([]direct.Daemon{{ID: "self", Zone: "z", Weight: 1000, Burden: 2}}))
 	})
 })
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -142,9 +142,9 @@
 	if k != nil && k.ip == ip {
 		return k
 	}
-	addr, err := net.ResolveUDPAddr("udp4", s.p.settings.GossipAddr(ip))
-	if err != nil {
-		s.p.log.Error("malformed address of a daemon", "daemon", id, "ip", ip, "error", err.Error())
+	addr := s.gossipAddr(ip)
+	if addr == nil {
+		s.p.stats.reportsMalformed.Add(1)
 		return nil
 	}
 	k = &peer{ip: ip, addr: addr, lastSeen: now()}
--- a/pkg/proxy/probe.go
+++ b/pkg/proxy/probe.go
@@ -12,8 +12,8 @@
 // sendProbe sends a liveness check to the daemon at the address. It is a datagram, and may be lost. It
 // returns false if it could not be sent.
 func (s *peers) sendProbe(ip string) bool {
-	addr, err := net.ResolveUDPAddr("udp4", s.p.settings.GossipAddr(ip))
-	if err != nil {
+	addr := s.gossipAddr(ip)
+	if addr == nil {
 		return false
 	}
 	return s.sendProbeMessage(addr, &reportpb.Report{Probe: int64(now())})
--- a/pkg/proxy/view.go
+++ b/pkg/proxy/view.go
@@ -216,3 +216,10 @@
 	defer v.mu.Unlock()
 	return v.daemons
 }
+
+// daemonListAsOf returns the current list of daemons and the time as of which it is complete.
+func (v *view) daemonListAsOf() (*daemonList, core.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.daemons, v.asOf
+}
