Replace a promotion lock that another writer has overwritten

A promotion lock that cannot be decoded gave no lease and was claimed by nobody: the primary of the group was never replaced, and after a restart of the fleet nobody served the group. A lock with the largest term was taken as it was, so that no claim could name a higher one and each promotion counted as outdated. An empty object counted as a lock that nobody has claimed, and gave a lease. One of a later era than the store's gave a term below zero, as a huge number.

Cause: a claim was refused for a lock that cannot be decoded, and the range of terms and eras was not checked.

Now a lock has to name its holder, and terms and an era in range. The revision is the condition of each write, so tokens rise as before.

control_test.go decodes the lock with parseLock, as claims.parse has other parameters; its check is unchanged.

--- a/core/direct/lease.go
+++ b/core/direct/lease.go
@@ -16,7 +16,8 @@
 	requestedAt core.Time
 	// aheadSince is the time since which reads have shown a newer term than the current one.
 	aheadSince core.Time
-	// lostSince is the time since which reads have shown a record of an earlier era of the store.
+	// lostSince is the time since which reads have shown a record of an earlier era of the store, or one
+	// that was overwritten.
 	lostSince core.Time
 }
 
@@ -98,6 +99,9 @@
 		return g.takeEffects()
 	}
 	if state.EarlierEra && g.enforces(GuardLockEra) {
+		if state.Overwritten {
+			term = max(term, g.term+maxLostTerms)
+		}
 		g.handleLostLock(now, term)
 		return g.takeEffects()
 	}
@@ -116,9 +120,9 @@
 	return g.takeEffects()
 }
 
-// handleLostLock handles a read that shows a record of an earlier era of the store. The store may
-// have lost a later lock, and a promotion to this term or a lower one may have been ordered under
-// it. Such a read gives no lease.
+// handleLostLock handles a read that shows a record of an earlier era of the store, or one that another
+// writer has overwritten. The store may have lost a later lock, and a promotion to this term or a lower
+// one may have been ordered under it. Such a read gives no lease.
 func (g *Group) handleLostLock(now core.Time, term core.Term) {
 	l := &g.promotionLock
 	switch {
--- a/core/direct/promotionlock.go
+++ b/core/direct/promotionlock.go
@@ -18,6 +18,18 @@
 	Pending bool `json:"pending,omitempty"`
 	// Era is the era of the store in which the record was written.
 	Era mirror.Era `json:"era,omitempty"`
+	// Overwritten is set if another writer has replaced the record by something that cannot be decoded.
+	// The other fields are then those of the last record that this daemon has seen.
+	Overwritten bool `json:"-"`
+}
+
+// MaxLockTerm bounds the terms of a promotion lock, far above every term that groups reach and far enough
+// below the largest number that claims can name higher ones.
+const MaxLockTerm core.Term = 1 << 48
+
+// IsValidIn reports whether a daemon can have written the record by the given era of the store.
+func (r LockRecord) IsValidIn(era mirror.Era) bool {
+	return r.Term <= MaxLockTerm && r.Highest <= MaxLockTerm && r.Era <= era
 }
 
 // LockState is what a read of the group's promotion lock shows; zero if there is no lock.
@@ -29,13 +41,15 @@
 	// EarlierEra is set if the record was written in an earlier era of the store, which may have
 	// lost later records. Term is then the highest term that these can have named.
 	EarlierEra bool
+	// Overwritten is set in addition if there was no record that could be decoded. Term is then a guess.
+	Overwritten bool
 }
 
 // StateIn returns what a read of the record shows in the era.
 func (r LockRecord) StateIn(era mirror.Era) LockState {
-	lost := r.Era != era
+	lost, overwritten := r.isLostIn(era), r.Overwritten
 	r = r.asOfEra(era)
-	return LockState{Term: r.Term, IsLeadership: r.Released && !r.Pending, EarlierEra: lost}
+	return LockState{Term: r.Term, IsLeadership: r.Released && !r.Pending, EarlierEra: lost, Overwritten: overwritten}
 }
 
 // PromotionLock is the right to order a promotion.
@@ -55,7 +69,10 @@
 // Claim returns the record that EffectClaim writes over r, and the promotion lock that results. The
 // lock's token is set by the write.
 func (r LockRecord) Claim(e Effect, era mirror.Era) (LockRecord, PromotionLock) {
-	if highest := r.asOfEra(era).Highest; e.Attested && r.Era != era {
+	if r.Overwritten {
+		r.Highest = max(r.Highest, e.Term)
+	}
+	if highest := r.asOfEra(era).Highest; e.Attested && r.isLostIn(era) {
 		r = LockRecord{Term: e.Term, Highest: highest, Released: true}
 	} else {
 		r = r.asOfEra(era)
@@ -75,19 +92,30 @@
 // the store can lose.
 const maxLostTerms = 100
 
-// asOfEra returns the record as it may have been when its era of the store ended. The store may
-// have lost later records: the group may have been claimed and a promotion ordered.
+// isLostIn reports whether later records may have existed that the store no longer has in the era.
+func (r LockRecord) isLostIn(era mirror.Era) bool { return r.Era != era || r.Overwritten }
+
+// asOfEra returns the record as it may have been when its era of the store ended, or when it was
+// overwritten. The store may have lost later records: the group may have been claimed and a promotion
+// ordered.
 func (r LockRecord) asOfEra(era mirror.Era) LockRecord {
-	if r.Era == era {
+	if !r.isLostIn(era) {
 		return r
 	}
-	r.Highest = max(r.Highest, r.Term) + core.Term(era-r.Era)*maxLostTerms
+	lostEras := core.Term(era - min(r.Era, era))
+	if r.Overwritten {
+		lostEras++
+	}
+	r.Highest = max(r.Highest, r.Term) + lostEras*maxLostTerms
 	return LockRecord{Term: r.Highest, Highest: r.Highest, Era: era}
 }
 
 // RevertClaim returns the record that replaces claim if the store did not answer the write of claim
 // over r. It keeps the highest term that claim has named.
 func (r LockRecord) RevertClaim(claim LockRecord) LockRecord {
+	if r.Overwritten {
+		r = r.asOfEra(claim.Era)
+	}
 	r.Released = r.Released || r == LockRecord{Era: r.Era}
 	r.Highest = claim.Highest
 	return r
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/core/era"
 	"limpetspan/core/mirror"
 	"limpetspan/platform"
 )
@@ -29,6 +32,8 @@
 type observedLock struct {
 	revision  mirror.Revision
 	firstSeen core.Time
+	// record is the last record that could be decoded.
+	record direct.LockRecord
 }
 
 // claims acquires and releases promotion locks, and requests promotions from the platform.
@@ -74,11 +79,8 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return direct.PromotionLock{}, "store: " + err.Error()
 	}
-	current, readable := c.parse(item, err == nil)
-	switch {
-	case !readable:
-		return direct.PromotionLock{}, "the promotion lock cannot be decoded"
-	case err == nil && !c.isFree(item, current, era):
+	current := c.parse(item, err == nil, era)
+	if err == nil && !c.isFree(item, current, era) {
 		return direct.PromotionLock{}, "another daemon has the promotion lock"
 	}
 	record, lock := current.LockRecord.Claim(e, era)
@@ -138,8 +140,8 @@
 		return false
 	}
 	if item.Revision != revision || era != claim.Era {
-		lock, ok := c.parse(item, true)
-		if !ok || lock.Holder != c.p.settings.Daemon || lock.Boot != c.p.boot || lock.Claim != claim.Claim {
+		lock := c.parse(item, true, era)
+		if lock.Overwritten || lock.Holder != c.p.settings.Daemon || lock.Boot != c.p.boot || lock.Claim != claim.Claim {
 			return true
 		}
 	}
@@ -239,23 +241,70 @@
 	}
 }
 
-// parse decodes a group's promotion lock; found says whether the store has one. It logs a lock that
-// cannot be decoded and returns false.
-func (c *claims) parse(item platform.Item, found bool) (lock promotionLock, ok bool) {
+// parse decodes a group's promotion lock, which was read in that era; found says whether the store has one.
+// A lock that cannot be decoded counts as overwritten.
+func (c *claims) parse(item platform.Item, found bool, readIn mirror.Era) promotionLock {
 	if !found {
-		return c.p.eras.missingLock(), true
+		return c.p.eras.missingLock()
 	}
-	if err := json.Unmarshal(item.Value, &lock); err != nil {
-		c.p.log.Warn("promotion lock cannot be decoded", "key", item.Key, "error", err.Error())
-		return promotionLock{}, false
+	lock, err := parseLock(item.Value, readIn)
+	if err != nil {
+		c.p.unreadable.report(kindLock, item, err)
+		return promotionLock{LockRecord: c.lastRecord(item)}
 	}
-	return lock, true
+	c.remember(item, lock.LockRecord)
+	return lock
 }
 
-// lockState returns what a read of the promotion lock shows, false if the lock cannot be decoded.
+// parseLock decodes a promotion lock that was read in that era.
+func parseLock(value []byte, readIn mirror.Era) (lock promotionLock, err error) {
+	if err := decodeRecord(value, &lock); err != nil {
+		return promotionLock{}, err
+	}
+	switch {
+	case !isName(string(lock.Holder)):
+		return promotionLock{}, errors.New("holder is missing or malformed")
+	case !lock.IsValidIn(readIn):
+		return promotionLock{}, fmt.Errorf("term %d, highest term %d or era %d is out of range", lock.Term, lock.Highest, lock.Era)
+	}
+	return lock, nil
+}
+
+// lockState returns what a read of the promotion lock shows, false if it must not be acted on: an
+// overwritten lock may hide a claim whose holder can still have a promotion ordered.
 func (c *claims) lockState(item platform.Item, found bool) (direct.LockState, bool) {
-	lock, ok := c.parse(item, found)
-	return lock.StateIn(c.p.eras.current()), ok
+	current := c.p.eras.current()
+	lock := c.parse(item, found, current)
+	if lock.Overwritten && !c.isSettled(item) {
+		return direct.LockState{}, false
+	}
+	return lock.StateIn(current), true
+}
+
+// isSettled reports whether this daemon has observed an overwritten promotion lock for so long that no
+// promotion that was ordered under an earlier lock is still to take effect.
+func (c *claims) isSettled(item platform.Item) bool {
+	at := now()
+	return at.Sub(c.firstSeen(item, at)) >= era.SettleDuration
+}
+
+// remember records the promotion lock's record for the case that it is overwritten.
+func (c *claims) remember(item platform.Item, record direct.LockRecord) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	id := groupOfLock(item)
+	o := c.observed[id]
+	o.record = record
+	c.observed[id] = o
+}
+
+// lastRecord returns the record of the overwritten promotion lock that was last remembered.
+func (c *claims) lastRecord(item platform.Item) direct.LockRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	record := c.observed[groupOfLock(item)].record
+	record.Overwritten = true
+	return record
 }
 
 // groupOfLock returns the group of a promotion lock's key.
@@ -266,6 +315,9 @@
 // isFree reports whether the promotion lock may be acquired: it was released, it is this process's
 // own, or it has not changed for so long that its holder can no longer request a promotion under it.
 func (c *claims) isFree(item platform.Item, lock promotionLock, era mirror.Era) bool {
+	if lock.Overwritten {
+		return c.isSettled(item)
+	}
 	if lock.Era != era {
 		// The current era has settled: the holder of a lock of an earlier era can no longer request a
 		// promotion.
@@ -284,10 +336,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	id := groupOfLock(item)
-	if c.observed[id].revision != item.Revision {
-		c.observed[id] = observedLock{item.Revision, at}
+	o, ok := c.observed[id]
+	if !ok || o.revision != item.Revision {
+		o.revision, o.firstSeen = item.Revision, at
+		c.observed[id] = o
 	}
-	return c.observed[id].firstSeen
+	return o.firstSeen
 }
 
 // forgetObserved removes the observed revisions, as a restored store assigns them again.
@@ -302,10 +356,35 @@
 func (c *claims) observe(items []platform.Item) {
 	at := now()
 	for _, item := range items {
+		if item.Deleted {
+			c.forget(item)
+			continue
+		}
 		c.firstSeen(item, at)
 	}
 }
 
+// forget removes what is known of a promotion lock that was deleted.
+func (c *claims) forget(item platform.Item) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.observed, groupOfLock(item))
+}
+
+// recheckOverwritten passes the group's promotion lock to the group again once an overwritten lock may be
+// acted on. A daemon that holds a lease reads the lock at no other time.
+func (c *claims) recheckOverwritten(item platform.Item) {
+	id := groupOfLock(item)
+	if item.Deleted || c.p.existingGroup(id) == nil || !c.parse(item, true, c.p.eras.current()).Overwritten {
+		return
+	}
+	time.AfterFunc(era.SettleDuration, func() {
+		if g := c.p.existingGroup(id); g != nil && c.p.running() {
+			c.p.view.updateGroup(g, true)
+		}
+	})
+}
+
 // notifyGroups passes promotion locks to the groups. They were read by a call that was sent at the
 // given time. A group uses no primary before it knows who holds its lock.
 func (c *claims) notifyGroups(sent core.Time, items []platform.Item) {
--- a/pkg/proxy/control_test.go
+++ b/pkg/proxy/control_test.go
@@ -68,9 +68,9 @@
 		replica.SetProxyStatementDelay(probeTimeout / 2)
 		g.runEffects([]direct.Effect{unfence(replica, now().Add(waitLimit)), {Kind: direct.EffectReleaseLock, Token: lock.Token, Term: 1, Highest: 2}})
 		Eventually(func() bool {
-			item, _, err := d.p.client.Get(context.Background(), platform.LocksPrefix+string(g.id))
+			item, era, err := d.p.client.Get(context.Background(), platform.LocksPrefix+string(g.id))
 			Expect(err).NotTo(HaveOccurred())
-			current, _ := d.p.claims.parse(item, true)
+			current, _ := parseLock(item.Value, era)
 			return current.Released
 		}, waitLimit, time.Millisecond).Should(BeTrue())
 		Expect(replica.FencedTerm()).To(BeZero())
--- a/pkg/proxy/view.go
+++ b/pkg/proxy/view.go
@@ -82,6 +82,11 @@
 			v.updateGroup(g, e.locks[g.id])
 		}
 	}
+	for _, item := range change.Items {
+		if strings.HasPrefix(item.Key, platform.LocksPrefix) {
+			v.p.claims.recheckOverwritten(item)
+		}
+	}
 }
 
 // apply decodes the items of a change and returns what it affects.
@@ -96,7 +101,10 @@
 			v.applyMember(item, e.members)
 		case strings.HasPrefix(item.Key, platform.LocksPrefix):
 			id := groupOfLock(item)
-			v.locks[id], e.locks[id] = item, true
+			e.locks[id] = true
+			if v.locks[id] = item; item.Deleted {
+				delete(v.locks, id)
+			}
 			locks = append(locks, item)
 		default:
 			if !e.daemons {
@@ -188,12 +196,12 @@
 	return list, v.asOf, v.hasMembers
 }
 
-// lockState returns the state of the group's promotion lock, false if it cannot be decoded.
+// lockState returns the state of the group's promotion lock, false if it must not be acted on.
 func (v *view) lockState(id core.GroupID) (direct.LockState, bool) {
 	v.mu.Lock()
 	item, ok := v.locks[id]
 	v.mu.Unlock()
-	return v.p.claims.lockState(item, ok && !item.Deleted)
+	return v.p.claims.lockState(item, ok)
 }
 
 // membersKnown reports whether the copy holds members.
