Take a slot of teams whose entry no daemon can have written

The teams of a slot whose entry cannot be decoded, or names a holder under no lease, were not served for as long as the entry was there. An entry under another spelling of the number, such as 007, hid the state of slot 7, and the slot was never taken, as each write failed for its condition.

Cause: only the end of the entry's lease freed a slot, and a key was parsed as a number in any form.

Now such an entry has an unknown owner, and the daemon that should hold the slot takes it once the entry has been unchanged for the 4 s of a lease. Keys in another form are ignored and reported.

Not covered: a holder whose key is overwritten counts on until it lists the slots again, as with a key that is removed.

--- a/core/quota/holder.go
+++ b/core/quota/holder.go
@@ -38,6 +38,9 @@
 	BurstInUse bool
 	// Split is set if the holder gives out only one part of each limit.
 	Split bool
+	// Unknown is set if no daemon can have written the key as it is: it cannot be decoded, or is bound to
+	// no lease. The key of a daemon that may still hold the slot was overwritten.
+	Unknown bool
 }
 
 // StepKind is the kind of a Step.
@@ -94,6 +97,12 @@
 	burstRecorded, recordRequested, clearRequested bool
 }
 
+// overwrittenKey is the revision of a key with an unknown owner, and when a list first showed it.
+type overwrittenKey struct {
+	revision uint64
+	since    core.Time
+}
+
 // Holder decides which slots one daemon holds. It is not safe for concurrent use.
 type Holder struct {
 	self core.DaemonID
@@ -111,6 +120,8 @@
 	listedAt core.Time
 	// ownersAt is when owners was last read; unlike listedAt it is not reset.
 	ownersAt core.Time
+	// overwritten holds the slots with an unknown owner.
+	overwritten map[Slot]overwrittenKey
 	// requestedAt is when a slot that is not held was first requested; 0: no request is pending.
 	requestedAt core.Time
 	// relistAt is when the owners are next read because other daemons hold requested slots.
@@ -169,7 +180,7 @@
 		s.recordRequested, s.clearRequested = false, false
 	}
 	h.lease, h.expiresAt, h.listedAt, h.ownersAt, h.relistAt = 0, 0, 0, 0, 0
-	h.owners = nil
+	h.owners, h.overwritten = nil, nil
 }
 
 func (s *slot) holding(id Slot) Holding {
@@ -404,7 +415,7 @@
 	for id := range requested {
 		// A slot held under a lease of an earlier era belongs to no other daemon, whichever owner
 		// the restored store names.
-		if owner, taken := h.owners[id]; !taken || owner.Daemon == h.self || h.slots[id].priorEraUntil != 0 {
+		if owner, taken := h.owners[id]; !taken || owner.Daemon == h.self || h.slots[id].priorEraUntil != 0 || h.isAbandoned(now, id) {
 			switch {
 			case !id.IsSecond():
 				free[id] = owner.Revision
@@ -425,6 +436,14 @@
 	return Step{Kind: Take, Lease: h.lease, Slots: batch(free)}
 }
 
+// isAbandoned reports whether the slot's key has been overwritten for so long that the lease of its last
+// holder has ended, unless that one still renews it. Without this, an entry that nobody removes would
+// leave the slot's teams unserved for good.
+func (h *Holder) isAbandoned(now core.Time, id Slot) bool {
+	key, ok := h.overwritten[id]
+	return ok && now.Sub(key.since) >= LeaseTTL
+}
+
 // firstIsWhole reports whether, according to the last list, a daemon gives out whole limits for the
 // slot whose second slot is id.
 func (h *Holder) firstIsWhole(id Slot) bool {
@@ -482,6 +501,7 @@
 // have it for as long as the lease is renewed.
 func (h *Holder) Listed(sent core.Time, owners map[Slot]Owner) {
 	h.owners, h.listedAt, h.ownersAt, h.storeFailing = owners, sent, sent, false
+	h.recordOverwritten(sent, owners)
 	for id, owner := range owners {
 		if owner.Daemon != h.self || owner.Boot != h.boot {
 			continue
@@ -503,6 +523,25 @@
 	}
 }
 
+// recordOverwritten records which keys have an unknown owner, and since when they are unchanged.
+func (h *Holder) recordOverwritten(sent core.Time, owners map[Slot]Owner) {
+	known := h.overwritten
+	h.overwritten = nil
+	for id, owner := range owners {
+		if !owner.Unknown {
+			continue
+		}
+		if h.overwritten == nil {
+			h.overwritten = make(map[Slot]overwrittenKey)
+		}
+		key, ok := known[id]
+		if !ok || key.revision != owner.Revision {
+			key = overwrittenKey{owner.Revision, sent}
+		}
+		h.overwritten[id] = key
+	}
+}
+
 // Taken records that this daemon now holds the slots and that their keys have the revision. A slot
 // that it still held under a lease of an earlier era keeps its state. Any other holding begins now:
 // nothing was run under it before.
--- a/pkg/proxy/slots.go
+++ b/pkg/proxy/slots.go
@@ -286,23 +286,49 @@
 	return func(h *quota.Holder) { h.Released(step.Slots) }, nil
 }
 
-// owners decodes the list of slots. A slot whose entry cannot be decoded has an unknown owner, and
-// no daemon takes it before the entry's lease has expired. An entry of an earlier era counts as
-// using bursts: its holder may have recorded their use later, and the store has lost that write.
+// owners decodes the list of slots. A slot whose entry cannot be decoded, or is bound to no lease, has an
+// unknown owner. An entry of an earlier era counts as using bursts: its holder may have recorded their use
+// later, and the store has lost that write.
 func (l *limits) owners(items []platform.Item) map[quota.Slot]quota.Owner {
 	current := l.p.eras.current()
 	owners := make(map[quota.Slot]quota.Owner, len(items))
 	for _, item := range items {
-		n, err := strconv.ParseUint(strings.TrimPrefix(item.Key, platform.LimitsPrefix), 10, 16)
+		slot, err := parseSlotKey(item.Key)
 		if err != nil {
-			l.p.log.Warn("key of a slot is invalid", "key", item.Key)
+			l.p.unreadable.report(kindSlot, item, err)
 			continue
 		}
-		var entry slotEntry
-		if err := json.Unmarshal(item.Value, &entry); err != nil {
-			l.p.log.Warn("entry of a slot cannot be decoded", "key", item.Key, "error", err.Error())
+		entry, err := parseSlotEntry(item)
+		if err != nil {
+			l.p.unreadable.report(kindSlot, item, err)
+			owners[slot] = quota.Owner{Revision: uint64(item.Revision), BurstInUse: true, Unknown: true}
+			continue
 		}
-		owners[quota.Slot(n)] = quota.Owner{Daemon: entry.Daemon, Boot: entry.Boot, Lease: item.Lease, Revision: uint64(item.Revision), BurstInUse: !entry.BurstUnused || entry.Era != current, Split: entry.Split}
+		owners[slot] = quota.Owner{Daemon: entry.Daemon, Boot: entry.Boot, Lease: item.Lease, Revision: uint64(item.Revision), BurstInUse: !entry.BurstUnused || entry.Era != current, Split: entry.Split}
 	}
 	return owners
 }
+
+// parseSlotKey returns the slot of a key. A key that slotKey does not return, such as one with leading
+// zeros, is not the key of a slot, and its revision is not that of the slot's key.
+func parseSlotKey(key string) (quota.Slot, error) {
+	n, err := strconv.ParseUint(strings.TrimPrefix(key, platform.LimitsPrefix), 10, 16)
+	if slot := quota.Slot(n); err == nil && slotKey(slot) == key && n < 2*quota.SlotCount {
+		return slot, nil
+	}
+	return 0, errors.New("the key contains no number of a slot")
+}
+
+// parseSlotEntry decodes the entry of a slot, which its holder writes under a lease.
+func parseSlotEntry(item platform.Item) (entry slotEntry, err error) {
+	if err := decodeRecord(item.Value, &entry); err != nil {
+		return slotEntry{}, err
+	}
+	switch {
+	case !isName(string(entry.Daemon)):
+		return slotEntry{}, errors.New("daemon is missing or malformed")
+	case item.Lease == 0:
+		return slotEntry{}, errors.New("the entry is bound to no lease")
+	}
+	return entry, nil
+}
