Drop reports of terms that no group can have reached

One datagram with the largest term left its group without a primary: every member led in a lower term, and none could reach a higher one. A sample of a later term than the report's would have let replicas wait for a position that does not exist, and a weight of 1e300 would have made other hosts too weak to be homes.

Cause: terms, weights and names in reports were not checked; ages were.

Now such a report, or its part about the group, is dropped and counted among the malformed ones.

Before, writes were not served for 20 s after the datagrams.

--- a/pkg/proxy/fleetrecords.go
+++ b/pkg/proxy/fleetrecords.go
@@ -11,6 +11,7 @@
 	"limpetspan/core"
 	"limpetspan/core/direct"
 	"limpetspan/core/mirror"
+	"limpetspan/pkg/proxy/reportpb"
 	"limpetspan/platform"
 )
 
@@ -188,3 +189,14 @@
 	}
 	return &net.UDPAddr{IP: addr, Port: s.p.settings.GossipPort}
 }
+
+// hasPlausibleTerms reports whether a group can have reached the terms of its report. A term beyond these
+// would be higher than that of every later primary, so that no member would ever be used again.
+func hasPlausibleTerms(r *reportpb.Group) bool {
+	for _, m := range r.Members {
+		if core.Term(m.Confirmed) > direct.MaxLockTerm {
+			return false
+		}
+	}
+	return core.Term(max(r.Term, r.Ordered)) <= direct.MaxLockTerm && r.SampleTerm <= r.Term
+}
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -468,7 +468,7 @@
 			continue
 		}
 		var m reportpb.Report
-		if err := proto.Unmarshal(buf[:n], &m); err != nil || m.Daemon == "" {
+		if err := proto.Unmarshal(buf[:n], &m); err != nil || !isName(m.Daemon) {
 			s.p.stats.reportsMalformed.Add(1)
 			continue
 		}
@@ -497,6 +497,10 @@
 		if g == nil {
 			continue
 		}
+		if !hasPlausibleTerms(r) {
+			s.p.stats.reportsMalformed.Add(1)
+			continue
+		}
 		g.update(func(c *direct.Group, at core.Time) []direct.Effect {
 			return c.PeerReported(at, min(sent, at), from, decodeReport(r))
 		})
@@ -519,8 +523,10 @@
 	k := s.known[from]
 	if m.Ip != "" {
 		if k = s.ensurePeer(from, m.Ip); k != nil {
-			k.zone = core.Zone(m.Zone)
-			if direct.IsValidWeight(m.Weight) {
+			if isName(m.Zone) {
+				k.zone = core.Zone(m.Zone)
+			}
+			if direct.IsValidWeight(m.Weight) && m.Weight <= maxHostWeight {
 				k.weight = m.Weight
 			}
 		}
