Reject a configuration out of range from another daemon

What the operators' document is checked for was not checked in the form in which daemons pass it on: a timeout of zero or below, a group without connections, a rate that is not a number. It would have stayed in force until a higher version.

--- a/pkg/proxy/metadata/catalog.go
+++ b/pkg/proxy/metadata/catalog.go
@@ -85,6 +85,9 @@
 	if base.Version != in.Base {
 		return nil, fmt.Errorf("configuration version %d was sent as a change to version %d, but this daemon has version %d", in.Version, in.Base, base.Version)
 	}
+	if in.Version == 0 || in.IdleTransactionNs < 0 {
+		return nil, fmt.Errorf("configuration version %d has an idle time of %d ns", in.Version, in.IdleTransactionNs)
+	}
 	c := &direct.Catalog{
 		Version: in.Version, IdleTransaction: time.Duration(in.IdleTransactionNs),
 		Routes: cloneWithRoom(base.Routes, len(in.Routes)), Groups: cloneWithRoom(base.Groups, len(in.Groups)),
@@ -93,13 +96,20 @@
 		delete(c.Routes, name)
 	}
 	for _, r := range in.Routes {
-		c.Routes[r.Database] = decodeRoute(r)
+		route := decodeRoute(r)
+		if !isUsableRoute(&route) {
+			return nil, fmt.Errorf("route %.40q of configuration version %d is out of range", r.Database, in.Version)
+		}
+		c.Routes[r.Database] = route
 	}
 	for _, id := range in.GoneGroups {
 		delete(c.Groups, core.GroupID(id))
 	}
 	for _, g := range in.Groups {
 		id := core.GroupID(g.Group)
+		if g.Group == "" || g.MaxConns < 1 || g.SyncReplicas < 0 {
+			return nil, fmt.Errorf("group %.40q of configuration version %d is out of range", g.Group, in.Version)
+		}
 		c.Groups[id] = direct.GroupSpec{ID: id, MaxConns: int(g.MaxConns), SyncReplicas: int(g.SyncReplicas)}
 	}
 	var err error
@@ -107,6 +117,11 @@
 	return c, err
 }
 
+// isUsableRoute reports whether a daemon can have read the route from the operators' configuration.
+func isUsableRoute(r *direct.Route) bool {
+	return r.Database != "" && r.Group != "" && r.StatementTimeout > 0 && r.LatencyGoal >= 0 && r.MaxAge >= 0
+}
+
 // cloneWithRoom copies the map, which may be nil, with room for extra keys.
 func cloneWithRoom[K comparable, V any](m map[K]V, extra int) map[K]V {
 	c := make(map[K]V, len(m)+extra)
@@ -140,6 +155,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if !(t.Rate >= 0 && t.Burst >= 0) {
+			return nil, fmt.Errorf("team %.40q has a rate of %v and a burst of %v", t.Team, t.Rate, t.Burst)
+		}
 		d.Add(auth.Team{ID: id, Limited: t.Limited, Rate: t.Rate, Burst: t.Burst}, keys)
 	}
 	if before == nil {
