Claim a promotion lock above its term if it names a lower highest one

FuzzRecords found it: over a lock with term 10 and highest term 0, which no daemon writes, a claim named term 7. The highest term now counts as at least the term.

--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -267,6 +267,8 @@
 	case !lock.IsValidIn(readIn):
 		return promotionLock{}, fmt.Errorf("term %d, highest term %d or era %d is out of range", lock.Term, lock.Highest, lock.Era)
 	}
+	// A claim names a term above the highest one, which no daemon writes lower than the term.
+	lock.Highest = max(lock.Highest, lock.Term)
 	return lock, nil
 }
 
