--- a/pkg/proxy/view.go
+++ b/pkg/proxy/view.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"crypto/sha256"
 	"maps"
 	"slices"
 	"strings"
@@ -31,6 +32,8 @@
 	// hasMembers is set once the copy holds members. asOf is the time as of which the copy is complete.
 	hasMembers bool
 	asOf       core.Time
+	// unreadable is the digest of the last configuration that cannot be decoded.
+	unreadable [sha256.Size]byte
 }
 
 func newView(p *Proxy) *view {
@@ -79,6 +82,11 @@
 			v.updateGroup(g, e.locks[g.id])
 		}
 	}
+	for _, item := range change.Items {
+		if strings.HasPrefix(item.Key, platform.LocksPrefix) {
+			v.p.claims.recheckOverwritten(item)
+		}
+	}
 }
 
 // apply decodes the items of a change and returns what it affects.
@@ -93,7 +101,10 @@
 			v.applyMember(item, e.members)
 		case strings.HasPrefix(item.Key, platform.LocksPrefix):
 			id := groupOfLock(item)
-			v.locks[id], e.locks[id] = item, true
+			e.locks[id] = true
+			if v.locks[id] = item; item.Deleted {
+				delete(v.locks, id)
+			}
 			locks = append(locks, item)
 		default:
 			if !e.daemons {
@@ -125,7 +136,7 @@
 	}
 	m, err := platform.ParseMember(item.Key, item.Value)
 	if err != nil {
-		v.p.log.Error("host list entry cannot be read", "revision", item.Revision, "error", err.Error())
+		v.p.unreadable.report(kindMember, item, err)
 		if !known {
 			return
 		}
@@ -185,12 +196,12 @@
 	return list, v.asOf, v.hasMembers
 }
 
-// lockState returns the state of the group's promotion lock, false if it cannot be decoded.
+// lockState returns the state of the group's promotion lock, false if it must not be acted on.
 func (v *view) lockState(id core.GroupID) (direct.LockState, bool) {
 	v.mu.Lock()
 	item, ok := v.locks[id]
 	v.mu.Unlock()
-	return v.p.claims.lockState(item, ok && !item.Deleted)
+	return v.p.claims.lockState(item, ok)
 }
 
 // membersKnown reports whether the copy holds members.
@@ -213,3 +224,10 @@
 	defer v.mu.Unlock()
 	return v.daemons
 }
+
+// daemonListAsOf returns the current list of daemons and the time as of which it is complete.
+func (v *view) daemonListAsOf() (*daemonList, core.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.daemons, v.asOf
+}
