--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -59,6 +59,8 @@
 type world struct {
 	seed   uint64
 	random *rand.Rand
+	// answerRandom draws the faults of answers, so that the other faults of a seed stay the same.
+	answerRandom *rand.Rand
 	// fragments are what the callers' texts are made of.
 	fragments []string
 	store     *standin.Store
@@ -73,7 +75,7 @@
 }
 
 func newWorld(seed uint64, binary, dir string) (*world, error) {
-	w := &world{seed: seed, random: rand.New(rand.NewPCG(seed, 1)), fragments: byteFragments, version: 1}
+	w := &world{seed: seed, random: rand.New(rand.NewPCG(seed, 1)), answerRandom: rand.New(rand.NewPCG(seed, 2)), fragments: byteFragments, version: 1}
 	var err error
 	if w.store, err = standin.NewStore(); err != nil {
 		return nil, err
@@ -341,6 +343,18 @@
 		}
 	})
 
+	// Guards against an answer that is taken for the answer to another statement.
+	DescribeTable("keeps its promises to callers if answers come twice", func(fault func(w *world, m *standin.Member)) {
+		seeds(func(seed uint64) { play(seed, throughout(shortLength, fault)) })
+	},
+		Entry("late, one in twelve", func(w *world, m *standin.Member) { w.repeatOneIn(m, 12, lateRepeat, isAny) }),
+		Entry("each refusal", func(w *world, m *standin.Member) {
+			w.refuseOneIn(m, 10)
+			w.repeatOneIn(m, 1, anyRepeat, isBusy)
+		}),
+		Entry("one in three of STATUS and PAUSE", func(w *world, m *standin.Member) { w.repeatOneIn(m, 3, anyRepeat, isStatusOrPause) }),
+	)
+
 	// Guards against messages that are cut at a line break, or where they look like another message.
 	It("passes on texts of any bytes", func() {
 		seeds(func(seed uint64) {
