tests/soak: check whether statements run inside their transactions

A statement that ran inside a transaction which nobody knew of, or outside its own, was seen only by what it lost later. Members keep whether a run was inside a transaction, and the soak compares it with the session (PINNED).

Without the comparison the two new specs of the check fail.

--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -122,7 +122,7 @@
 	e := exchange{id: fmt.Sprintf("%s.%d", x.name, x.next), text: text, database: x.database, values: x.values, definition: x.definition(text), sent: time.Now()}
 	e.began = e.sent
 	if !x.txBegan.IsZero() {
-		e.began = x.txBegan
+		e.began, e.inTransaction = x.txBegan, true
 	}
 	if x.c == nil {
 		return e
--- a/tests/soak/checks_test.go
+++ b/tests/soak/checks_test.go
@@ -21,12 +21,16 @@
 			ok: true, end: end, rows: rows, state: 'I'}
 	}
 	prepared := done("c0.6", "EXECUTE p1 tx-c0 two", "COMPLETE r.i-1.3.c0.6", 20)
-	prepared.definition = "WRITE q\n2"
+	prepared.definition, prepared.inTransaction = "WRITE q\n2", true
+	commit := done("c0.7", "COMMIT", "COMPLETE r.i-1.4.c0.7", 24)
+	commit.inTransaction = true
 	run := func(id, text string, receipt string, number uint64, rows ...string) standin.Run {
 		return standin.Run{Member: "i-1", ID: id, Text: text, Values: map[string]string{"who": "c0"}, Receipt: receipt, Rows: rows, Term: 1, Number: number}
 	}
 	execute := run("c0.6", "EXECUTE lHash tx-c0 two", "r.i-1.3.c0.6", 1)
-	execute.Definition = "WRITE q\n2"
+	execute.Definition, execute.InTransaction = "WRITE q\n2", true
+	commitRun := run("c0.7", "COMMIT", "r.i-1.4.c0.7", 1)
+	commitRun.InTransaction = true
 	first, second := standin.Commit{ID: "c0.2", Item: "key-c0", Data: "one", Member: "i-1", Term: 1, Number: 1}, standin.Commit{ID: "c0.6", Item: "tx-c0", Data: "two", Member: "i-1", Term: 1, Number: 2}
 	return &history{
 		exchanges: []exchange{
@@ -35,12 +39,12 @@
 			done("c0.3", "READ key-c0", "COMPLETE r.i-1.2.c0.3", 10, "one"),
 			done("c0.4", "PREPARE p1 WRITE q\n2", "COMPLETE -", 14),
 			done("c0.5", "BEGIN", "COMPLETE -", 18), prepared,
-			done("c0.7", "COMMIT", "COMPLETE r.i-1.4.c0.7", 24),
+			commit,
 			done("c0.8", "READ tx-c0", "ERROR BUSY i-1", 28),
 		},
 		writes: []write{{"c0.2", "one", acknowledged, at(6)}, {"c0.6", "two", acknowledged, at(26)}, {"c0.9", "three", notRun, at(30)}},
 		runs: []standin.Run{run("c0.2", "WRITE key-c0 one", "r.i-1.1.c0.2", 0), run("c0.3", "READ key-c0", "r.i-1.2.c0.3", 1, "one"),
-			execute, run("c0.7", "COMMIT", "r.i-1.4.c0.7", 1)},
+			execute, commitRun},
 		commits:    []standin.TimedCommit{{Commit: first, At: at(5)}, {Commit: second, At: at(25)}},
 		log:        []standin.Commit{first, second},
 		termStarts: map[uint64]time.Time{1: at(0)},
@@ -76,6 +80,8 @@
 		Entry("a missing value", pinned, func(h *history) { h.runs[1].Values = nil }),
 		Entry("another value", pinned, func(h *history) { h.runs[1].Values["who"] = "c1" }),
 		Entry("a value too many", pinned, func(h *history) { h.runs[1].Values["v"] = "1" }),
+		Entry("a statement inside a transaction of another session", pinned, func(h *history) { h.runs[0].InTransaction = true }),
+		Entry("a statement outside its transaction", pinned, func(h *history) { h.runs[2].InTransaction = false }),
 		Entry("another shape", pinned, func(h *history) { h.runs[2].Definition = "WRITE q" }),
 		Entry("a prepared statement that is unknown", pinned, func(h *history) { h.exchanges[5].end = "ERROR NOSUCHSTMT p1" }),
 		Entry("a refused write that took effect", refused, func(h *history) { h.writes[0].verdict = notRun }),
--- a/tests/soak/exchange_test.go
+++ b/tests/soak/exchange_test.go
@@ -12,6 +12,8 @@
 	// of that name. values are those that the session was told it has.
 	definition string
 	values     map[string]string
+	// inTransaction is set if the statement is part of a transaction.
+	inTransaction bool
 	// began is when the statement, or the transaction that it is part of, was sent.
 	sent, began, answered time.Time
 	// ok is set if a whole answer came; end is the message before its READY.
--- a/tests/soak/history_test.go
+++ b/tests/soak/history_test.go
@@ -113,7 +113,8 @@
 	return a == b
 }
 
-// pinned finds runs with other values or another prepared statement than the session was told it has.
+// pinned finds runs with other values, another prepared statement or another state of the transaction
+// than the session was told it has.
 func (h *history) pinned() (list []violation) {
 	sent := h.byID()
 	for _, run := range h.runs {
@@ -124,6 +125,9 @@
 		if !maps.Equal(run.Values, e.values) {
 			list = append(list, violation{pinned, fmt.Sprintf("%s %q ran with the values %q, and its session has %q", run.ID, run.Text, run.Values, e.values)})
 		}
+		if run.InTransaction != e.inTransaction {
+			list = append(list, violation{pinned, fmt.Sprintf("%s %q ran inside a transaction: %v, and its session has one: %v", run.ID, run.Text, run.InTransaction, e.inTransaction)})
+		}
 		if strings.HasPrefix(e.text, "EXECUTE ") && run.Definition != e.definition {
 			list = append(list, violation{pinned, fmt.Sprintf("%s %q ran %q, and its session has prepared %q", run.ID, run.Text, run.Definition, e.definition)})
 		}
