proxy: fail a spec whose daemons break the protocol at a member

What the stand-in's members report was looked at in the soak only. Each spec that plays a fleet now also expects that they have reported nothing.

--- a/pkg/proxy/fleet_test.go
+++ b/pkg/proxy/fleet_test.go
@@ -103,6 +103,7 @@
 		d.kill()
 	}
 	f.store.Close()
+	Expect(f.group.Checks().Violations).To(BeEmpty())
 }
 
 // logTail returns the last lines of the daemons' log, for the message of a failed test.
