--- a/tests/soak/exchange_test.go
+++ b/tests/soak/exchange_test.go
@@ -54,6 +54,15 @@
 	return e.rows[0]
 }
 
+// code returns the code of an error, "none" if no whole answer came.
+func (e *exchange) code() string {
+	if !e.ok {
+		return "none"
+	}
+	code, _, _ := strings.Cut(strings.TrimPrefix(e.end, "ERROR "), " ")
+	return code
+}
+
 // promised reports whether the answer promises that nothing of the attempt is kept.
 func (e *exchange) promised() bool {
 	for _, code := range []string{"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"} {
--- a/tests/soak/scenario_test.go
+++ b/tests/soak/scenario_test.go
@@ -32,13 +32,17 @@
 	// statements are those that members run; succeeded and inDoubt are their answers.
 	statements, succeeded, inDoubt, acknowledged int
 	startups                                     int
+	// errors counts the other answers by code; "none" is a connection that ended.
+	errors map[string]int
 }
 
 func (s summary) String() string {
-	return fmt.Sprintf("%d statements, %d succeeded, %d in doubt, %d writes acknowledged, %d connections at members", s.statements, s.succeeded, s.inDoubt, s.acknowledged, s.startups)
+	return fmt.Sprintf("%d statements, %d succeeded, %d in doubt, %d writes acknowledged, %d connections at members, errors %v",
+		s.statements, s.succeeded, s.inDoubt, s.acknowledged, s.startups, s.errors)
 }
 
 func summarize(h *history, g *standin.Group) (s summary) {
+	s.errors = make(map[string]int)
 	for i := range h.exchanges {
 		e := &h.exchanges[i]
 		if !e.runsAtMember() {
@@ -47,6 +51,8 @@
 		s.statements++
 		if e.succeeded() {
 			s.succeeded++
+		} else {
+			s.errors[e.code()]++
 		}
 		if e.inDoubt() {
 			s.inDoubt++
