--- a/pkg/memberconn/answer.go
+++ b/pkg/memberconn/answer.go
@@ -55,11 +55,11 @@
 }
 
 // confirmRefusal has a marker confirm that the refusal answers the statement, and returns the answer to the
-// statement. It ends the transaction that the refusal leaves open.
-// outstanding are the answers to statements that were sent behind the refused one.
+// statement. It ends the transaction that the refusal leaves open. outstanding are the answers to statements that
+// were sent behind the refused one.
 func (m *Conn) confirmRefusal(refusal platform.Answer, e correlate.Expected, outstanding []correlate.Expected) (platform.Answer, error) {
+	// The answers that are read next overwrite the body.
 	refusal.Body = bytes.Clone(refusal.Body)
-	// The next answer must not overwrite the refusal, which is returned.
 	m.out = m.out[:0]
 	expected := slices.Clone(outstanding)
 	if refusal.State != platform.StateIdle {
