correlate: say what a marker does not show

The contract held that each request was answered exactly once, which is not so if an answer is lost; the rule for requests that commit exists because of that. Comment only; the specs of core/correlate and pkg/memberconn pass.

--- a/core/correlate/doc.go
+++ b/core/correlate/doc.go
@@ -23,9 +23,10 @@
 // before the next one all the same. Nothing else may be concluded from it.
 //
 // A refusal or a report proves nothing by itself. The owner then sends a Marker, a random sequence of requests
-// whose acknowledgements show the transaction state. If its answers follow, the peer has answered each
-// request before it exactly once, and the refusal or the report is the answer to the last of them. For a
-// repeat to pass, an answer to each request of an equal earlier marker would have to be repeated, in order, in
+// whose acknowledgements show the transaction state. If its answers follow, no other answer to a request before
+// it is still to come. The refusal or the report is then the answer to the last of them, unless that one was lost and
+// a repeat came in its place: for a request that commits, the end of the peer's log excludes that. For a repeat to pass
+// beside the answer, an answer to each request of an equal earlier marker would have to be repeated, in order, in
 // the time that the answer takes. If they do not follow, nothing is known of the request but what a receipt
 // shows, and the connection ends.
 //
