resetconn: one look for unread data

Links between daemons and connections to members looked for data that came unasked with the same code. Clients of other daemons and of the store need it as well.

No change of behaviour, except that a link treats an interrupted look as one that found nothing, as connections to members did. pkg/resetconn, pkg/memberconn and the specs "out of turn" of pkg/proxy pass.

--- a/pkg/memberconn/unread.go
+++ b/pkg/memberconn/unread.go
@@ -1,13 +1,10 @@
 package memberconn
 
 import (
-	"errors"
-	"io"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"limpetspan/core/correlate"
+	"limpetspan/pkg/resetconn"
 )
 
 // send drops what has arrived unasked, and sends what is in out. sent is false if nothing can have reached the
@@ -53,21 +50,7 @@
 	if m.r.Buffered() > 0 {
 		return true, nil
 	}
-	var n int
-	var peekErr error
-	err = m.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, peekErr = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	switch {
-	case err != nil:
-		return false, err
-	case errors.Is(peekErr, unix.EAGAIN) || errors.Is(peekErr, unix.EINTR):
-		return false, nil
-	case peekErr != nil:
-		return false, peekErr
-	case n == 0:
-		return false, io.EOF
-	}
-	return true, nil
+	var b [1]byte
+	n, err := resetconn.PeekUnread(m.raw, b[:])
+	return n > 0, err
 }
--- a/pkg/proxy/linkanswer.go
+++ b/pkg/proxy/linkanswer.go
@@ -3,14 +3,12 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"strconv"
 	"strings"
 	"syscall"
 
-	"golang.org/x/sys/unix"
-
 	"limpetspan/core/pipeline"
+	"limpetspan/pkg/resetconn"
 	"limpetspan/platform"
 )
 
@@ -130,22 +128,8 @@
 		return nil, err
 	}
 	b := make([]byte, maxPeeked)
-	var n int
-	var peekErr error
-	err = raw.Control(func(fd uintptr) {
-		n, _, peekErr = unix.Recvfrom(int(fd), b, unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	switch {
-	case err != nil:
-		return nil, err
-	case errors.Is(peekErr, unix.EAGAIN):
-		return nil, nil
-	case peekErr != nil:
-		return nil, peekErr
-	case n == 0:
-		return nil, io.EOF
-	}
-	return b[:n], nil
+	n, err := resetconn.PeekUnread(raw, b)
+	return b[:n], err
 }
 
 // reportOutOfTurn counts and logs the error of a link if it is that of an answer out of turn.
--- a/pkg/resetconn/doc.go
+++ b/pkg/resetconn/doc.go
@@ -4,4 +4,6 @@
 // way, for as long as a partition lasts. A request whose sender has given it up, or has been killed,
 // then takes effect many seconds later. A reset discards the data that the peer has not received.
 // The option is set when the connection is opened, so it also covers a process that is killed.
+//
+// PeekUnread finds answers that came unasked, before a connection is used for the next request.
 package resetconn
