metadata: number the questions to a relay

A daemon that got a relay's answer twice took the second one for the answer to its next question. The proof counts from that question's sending, so that a copy without news for a minute passed for one of this moment: a caller could read by a configuration older than its bound, and each later answer was one behind. Shown with a scripted relay, not seen in a fleet.

Cause: answers were matched by their order alone.

The question carries its number on the link and the answer repeats it; the first answer shows whether the relay does so. A link with unread data is replaced before the next question, also at relays of earlier versions, which go on being served. Without numbers, a repeat that comes after the next question was sent is still believed.

--- a/pkg/proxy/metadata/metadata_test.go
+++ b/pkg/proxy/metadata/metadata_test.go
@@ -92,22 +92,28 @@
 
 var _ = Describe("a relay", func() {
 	var c *Copy
+	var followerEnd net.Conn
+	var receive func() *reportpb.Answer
 	var ask func(scope reportpb.Scope) *reportpb.Answer
 	BeforeEach(func() {
 		ctx, stop := context.WithCancel(context.Background())
 		DeferCleanup(stop)
 		c = newCopy(ctx, &recordingOwner{})
-		relayEnd, followerEnd := net.Pipe()
+		var relayEnd net.Conn
+		relayEnd, followerEnd = net.Pipe()
 		go c.Serve(relayEnd, bufio.NewReader(relayEnd), func() bool { return false })
 		r := bufio.NewReader(followerEnd)
 		DeferCleanup(followerEnd.Close)
-		ask = func(scope reportpb.Scope) *reportpb.Answer {
-			_, err := protodelim.MarshalTo(followerEnd, &reportpb.Question{Scope: scope})
-			Expect(err).NotTo(HaveOccurred())
+		receive = func() *reportpb.Answer {
 			var a reportpb.Answer
 			Expect(protodelim.UnmarshalFrom(r, &a)).To(Succeed())
 			return &a
 		}
+		ask = func(scope reportpb.Scope) *reportpb.Answer {
+			_, err := protodelim.MarshalTo(followerEnd, &reportpb.Question{Scope: scope})
+			Expect(err).NotTo(HaveOccurred())
+			return receive()
+		}
 	})
 	fill := func(position mirror.Position, items ...platform.Item) {
 		Expect(c.apply(reportpb.Scope_SCOPE_MEMBERS, position, items, true, now())).To(Succeed())
@@ -163,6 +169,15 @@
 		Expect(a.Era).To(Equal(uint64(2)))
 	})
 
+	It("puts the number of the question into its answer", func() {
+		prove()
+		for _, number := range []uint64{1, 2, 0} {
+			_, err := protodelim.MarshalTo(followerEnd, &reportpb.Question{WaitMs: 1, Number: number})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(receive().Number).To(Equal(number), "0 is that of a follower of an earlier version")
+		}
+	})
+
 	It("answers that members are unknown if its copy lacks them", func() {
 		Expect(c.apply(reportpb.Scope_SCOPE_DAEMONS, at(1, 1), nil, true, now())).To(Succeed())
 		prove()
--- a/pkg/proxy/metadata/serve.go
+++ b/pkg/proxy/metadata/serve.go
@@ -39,6 +39,7 @@
 		a := c.answer(&q, &f)
 		a.Unknown = a.Unknown || f.proof == 0 || stopping()
 		a.ProofNs = int64(f.proof.Sub(arrived))
+		a.Number = q.Number
 		_ = conn.SetWriteDeadline(time.Now().Add(idleLinkTimeout))
 		if _, err := protodelim.MarshalTo(conn, a); err != nil || a.Unknown {
 			return
--- a/pkg/proxy/metadata/source.go
+++ b/pkg/proxy/metadata/source.go
@@ -6,14 +6,17 @@
 	"errors"
 	"fmt"
 	"net"
+	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protodelim"
 
 	"limpetspan/core"
 	"limpetspan/core/mirror"
+	"limpetspan/core/pipeline"
 	"limpetspan/core/relay"
 	"limpetspan/pkg/proxy/reportpb"
+	"limpetspan/pkg/resetconn"
 	"limpetspan/platform"
 )
 
@@ -22,6 +25,8 @@
 	id     core.DaemonID
 	conn   net.Conn
 	reader *bufio.Reader
+	// requests matches the relay's answers to the questions.
+	requests pipeline.Requests
 	// stopCancelHook removes the hook that closes the link when the copy's context ends.
 	stopCancelHook func() bool
 }
@@ -37,6 +42,7 @@
 	// not hold the requested scope.
 	ErrUnavailable = errors.New("the daemon cannot provide the requested data")
 	errNoAddr      = errors.New("the daemon's address is not known")
+	errUnsolicited = errors.New("an answer came while no question awaits one")
 )
 
 // askRelay executes a step that asks a relay.
@@ -96,8 +102,10 @@
 	}
 }
 
-// exchange sends one question and reads the answer.
+// exchange sends one question and reads the answer. After an error the link must be closed.
 func (s *source) exchange(q *reportpb.Question) (*reportpb.Answer, error) {
+	s.requests.Sent(1)
+	q.Number = s.requests.Expected()
 	if _, err := protodelim.MarshalTo(s.conn, q); err != nil {
 		return nil, err
 	}
@@ -105,12 +113,48 @@
 	if err := (protodelim.UnmarshalOptions{MaxSize: maxAnswerBytes}).UnmarshalFrom(s.reader, &a); err != nil {
 		return nil, err
 	}
+	if err := s.accept(a.Number); err != nil {
+		return nil, err
+	}
 	if a.Unknown {
 		return nil, ErrUnavailable
 	}
 	return &a, nil
 }
 
+// accept returns an error unless the answer with the number is that to the question. number is 0 if the answer has
+// none. The first answer on a link shows whether the relay numbers its answers.
+func (s *source) accept(number uint64) error {
+	if s.requests.Expected() == 1 {
+		s.requests = pipeline.NewRequests(number != 0)
+		s.requests.Sent(1)
+	}
+	err := s.requests.Accept(number)
+	s.requests.Complete()
+	return err
+}
+
+// checkUnread returns an error if the relay has closed the link, or if an answer has arrived that no question awaits.
+func (s *source) checkUnread() error {
+	if s.reader.Buffered() > 0 {
+		return errUnsolicited
+	}
+	c, ok := s.conn.(syscall.Conn)
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var b [1]byte
+	n, err := resetconn.PeekUnread(raw, b[:])
+	if err == nil && n > 0 {
+		err = errUnsolicited
+	}
+	return err
+}
+
 // maxAnswerBytes bounds an answer. A full copy with ten thousand members and the configuration is
 // smaller.
 const maxAnswerBytes = 64 << 20
@@ -125,10 +169,16 @@
 	return min(received, sent.Add(time.Duration(offset)))
 }
 
-// connect opens a link to the daemon, unless it is open already.
+// connect opens a link to the daemon, unless one is open on which the next answer is that to the next question.
 func (c *Copy) connect(id core.DaemonID, deadline time.Time) error {
 	if c.source != nil && c.source.id == id {
-		return nil
+		err := c.source.checkUnread()
+		if err == nil {
+			return nil
+		}
+		if errors.Is(err, errUnsolicited) {
+			c.Owner.ReportDependency(relayDependency, fmt.Errorf("%s: %w", id, err))
+		}
 	}
 	c.closeSource()
 	addr, ok := c.Owner.Addr(id)
