confstore: load a configuration despite one odd entry

One group, kind or take-over that another writer had overwritten with something that cannot be decoded made each load of the configuration fail: a daemon that started without peers served nobody, one that was more than 16 revisions behind stayed there, and operators could not change anything. One odd change in the history held a daemon the same way. Shown with specs, not seen in a fleet.

Cause: what is read was decoded as a whole.

An odd entry has the value of the last change that set it (config.Past), found by the chain of changes from head back, or in the configuration in force; one that no change has set is left out. An odd change is passed over by a full load. Each revision of such a value is counted (config_unreadable) and logged. If the last change is not known, the load fails as before and the configuration in force stays: an entry that is merely left out would be missing at peers that pull the document and in a write-back to the store, and a take-over that is left out would send flipped buckets to their old group.

--- a/core/config/change.go
+++ b/core/config/change.go
@@ -45,6 +45,8 @@
 	// ErrMissing is returned if the change removes or updates an entry that does
 	// not exist.
 	ErrMissing = errors.New("config: the change names an entry that does not exist")
+	// ErrUnknownPast is returned by Past if a change that led to the document is not known.
+	ErrUnknownPast = errors.New("config: the change is not known")
 )
 
 // EmptyDocument returns the document before the first change.
--- a/pkg/confstore/editor.go
+++ b/pkg/confstore/editor.go
@@ -57,12 +57,12 @@
 func (e *Editor) Calls() *Calls { return &e.reader.calls }
 
 // Load reads the full document; it is empty before the first change.
-func (e *Editor) Load(ctx context.Context) (*config.Document, error) { return e.reader.load(ctx) }
+func (e *Editor) Load(ctx context.Context) (*config.Document, error) { return e.reader.load(ctx, nil) }
 
 // Latest returns the document in the store, reading only what base lacks.
 func (e *Editor) Latest(ctx context.Context, base *config.Document) (*config.Document, error) {
 	if base == nil {
-		return e.reader.load(ctx)
+		return e.reader.load(ctx, nil)
 	}
 	h, _, err := e.reader.head(ctx)
 	if err != nil {
--- a/pkg/confstore/follower.go
+++ b/pkg/confstore/follower.go
@@ -113,6 +113,7 @@
 	if f.logger == nil {
 		f.logger = hclog.NewNullLogger()
 	}
+	f.reader.unreadable.log = f.logger
 	return f
 }
 
--- a/pkg/confstore/reader.go
+++ b/pkg/confstore/reader.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strings"
 
-	"limpetspan/core"
 	"limpetspan/core/config"
 	"limpetspan/pkg/store"
 )
@@ -27,6 +26,8 @@
 	ErrNotKept = errors.New("confstore: the revision is not in the history")
 	// ErrBusy: changes came faster than the document could be read.
 	ErrBusy = errors.New("confstore: the configuration changed too often while it was read")
+	// errUnreadable: a change in the history cannot be decoded.
+	errUnreadable = errors.New("confstore: the change cannot be decoded")
 )
 
 // reader reads the configuration from the store and counts its calls.
@@ -34,6 +35,8 @@
 	store store.Store
 	keys  keys
 	calls Calls
+	// unreadable are the values that could not be decoded.
+	unreadable unreadableValues
 }
 
 // head returns the head and the store revision of its last change; both are
@@ -70,8 +73,8 @@
 
 // load reads the full document: five calls. Every change swaps head, so a
 // head that is the same before and after proves that the lists between belong
-// to one revision.
-func (r *reader) load(ctx context.Context) (*config.Document, error) {
+// to one revision. known is an earlier document or nil, see past.
+func (r *reader) load(ctx context.Context, known *config.Document) (*config.Document, error) {
 	before, at, err := r.head(ctx)
 	for range loadAttempts {
 		if err != nil {
@@ -80,7 +83,7 @@
 		if before.Restoring {
 			return nil, ErrRestoring
 		}
-		doc, err := r.entries(ctx, before)
+		doc, err := r.entries(ctx, before, known)
 		if err != nil {
 			return nil, err
 		}
@@ -96,33 +99,41 @@
 	return nil, ErrBusy
 }
 
-func (r *reader) entries(ctx context.Context, h head) (*config.Document, error) {
+func (r *reader) entries(ctx context.Context, h head, known *config.Document) (*config.Document, error) {
 	doc := h.document()
+	p := &past{reader: r, head: h, known: known}
 	var err error
-	if doc.Groups, err = listEntries[core.GroupID, config.Group](ctx, r, r.keys.groups()); err != nil {
+	if doc.Groups, err = listEntries(ctx, r, r.keys.groups(), p, (*config.Past).Group); err != nil {
 		return nil, err
 	}
-	if doc.Kinds, err = listEntries[string, config.Kind](ctx, r, r.keys.kinds()); err != nil {
+	if doc.Kinds, err = listEntries(ctx, r, r.keys.kinds(), p, (*config.Past).Kind); err != nil {
 		return nil, err
 	}
-	if doc.Takeovers, err = listEntries[string, config.Takeover](ctx, r, r.keys.takeovers()); err != nil {
+	if doc.Takeovers, err = listEntries(ctx, r, r.keys.takeovers(), p, (*config.Past).Takeover); err != nil {
 		return nil, err
 	}
 	return doc, nil
 }
 
-func listEntries[K ~string, V any](ctx context.Context, r *reader, prefix string) (map[K]*V, error) {
+// listEntries reads the entries under the prefix. One that cannot be decoded has the value that past returns.
+func listEntries[K ~string, V any](ctx context.Context, r *reader, prefix string, p *past, value func(*config.Past, K) (*V, error)) (map[K]*V, error) {
 	kvs, _, err := r.list(ctx, prefix)
 	if err != nil {
 		return nil, err
 	}
 	entries := make(map[K]*V, len(kvs))
 	for _, kv := range kvs {
-		entry := new(V)
-		if err := config.Decode(kv.Value, maxValueSize, entry); err != nil {
-			return nil, fmt.Errorf("confstore: %s: %w", kv.Key, err)
+		name := K(strings.TrimPrefix(kv.Key, prefix))
+		entry, err := decodeEntry[V](kv.Value)
+		if err != nil {
+			r.noteUnreadable(&kv, err)
+			if entry, err = pastValue(ctx, p, name, value, err); err != nil {
+				return nil, fmt.Errorf("confstore: %s: %w", kv.Key, err)
+			}
+		}
+		if entry != nil {
+			entries[name] = entry
 		}
-		entries[K(strings.TrimPrefix(kv.Key, prefix))] = entry
 	}
 	return entries, nil
 }
@@ -136,7 +147,7 @@
 	if kv == nil {
 		return nil, fmt.Errorf("%w: %d", ErrNotKept, revision)
 	}
-	record, err := decodeRecord(kv)
+	record, err := r.decodeRecord(kv)
 	if err != nil {
 		return nil, err
 	}
@@ -146,10 +157,11 @@
 	return record, nil
 }
 
-func decodeRecord(kv *store.KeyValue) (*Record, error) {
+func (r *reader) decodeRecord(kv *store.KeyValue) (*Record, error) {
 	var record Record
 	if err := config.Decode(kv.Value, maxRecordSize, &record); err != nil {
-		return nil, fmt.Errorf("confstore: %s: %w", kv.Key, err)
+		r.noteUnreadable(kv, err)
+		return nil, fmt.Errorf("%w: %s: %w", errUnreadable, kv.Key, err)
 	}
 	return &record, nil
 }
@@ -161,7 +173,7 @@
 		return nil, nil, ErrRestoring
 	}
 	if to.Revision < doc.Revision || to.Revision-doc.Revision > maxAdvance {
-		full, err := r.load(ctx)
+		full, err := r.load(ctx, doc)
 		return full, nil, err
 	}
 	var changes []config.Change
@@ -170,7 +182,7 @@
 			return next, changes, nil
 		}
 		record, err := r.record(ctx, next.Revision+1)
-		if err != nil && !errors.Is(err, ErrNotKept) {
+		if err != nil && !errors.Is(err, ErrNotKept) && !errors.Is(err, errUnreadable) {
 			return nil, nil, err
 		}
 		if err == nil {
@@ -178,7 +190,7 @@
 			next, err = config.Apply(next, &record.Change)
 		}
 		if err != nil {
-			full, err := r.load(ctx)
+			full, err := r.load(ctx, doc)
 			return full, nil, err
 		}
 	}
--- a/pkg/confstore/watch.go
+++ b/pkg/confstore/watch.go
@@ -111,11 +111,8 @@
 	if event.Deleted {
 		return nil
 	}
-	record, err := decodeRecord(&event.KeyValue)
-	if err != nil {
-		return err
-	}
-	if f.take([]config.Change{record.Change}, "store watch") {
+	record, err := f.reader.decodeRecord(&event.KeyValue)
+	if err == nil && f.take([]config.Change{record.Change}, "store watch") {
 		return nil
 	}
 	return f.readHead(ctx)
--- a/pkg/daemon/metrics.go
+++ b/pkg/daemon/metrics.go
@@ -22,6 +22,7 @@
 		c := d.follower.Calls()
 		return map[string]int64{"reads": c.Reads.Load(), "writes": c.Writes.Load(), "watches": c.Watches.Load()}
 	}))
+	vars.Set("config_unreadable", expvar.Func(func() any { return d.follower.Calls().Unreadable.Load() }))
 	vars.Set("groups", expvar.Func(func() any { return d.homes.Snapshot() }))
 	vars.Set("uptime_s", expvar.Func(func() any { return int64(time.Since(d.started).Seconds()) }))
 	if client, ok := d.store.(*store.Client); ok {
