config: reject an entry that is null

A change with {"set_buckets":{"NAME":null}} in the history of the product's configuration store ended each daemon that watched it; a group, kind or take-over that is null came into force and stayed there until the next full load. A change in the slot of another revision could hide that revision's change when an odd entry was looked up. Shown with specs.

Cause: JSON decodes null into a nil pointer, and nothing looked for it.

Decode rejects null entries of documents, changes and records, so such a change is passed over like one that cannot be decoded, and one in a foreign slot does not count.

On the code before, the four entries of "an entry that is null" (core/config) and five specs of pkg/confstore fail, "in their progress" with a nil pointer dereference in the daemon's goroutine. With the change core/config and pkg/confstore pass, also with the race detector, and pkg/cli and pkg/daemon.

--- a/core/config/change_test.go
+++ b/core/config/change_test.go
@@ -149,6 +149,23 @@
 	})
 })
 
+var _ = Describe("an entry that is null", func() {
+	// Guards against a process that ends when it uses the entry.
+	DescribeTable("is rejected", func(section string) {
+		_, err := config.DecodeChange([]byte(`{"revision":1,"change_id":"a","set_` + section + `":{"x":null}}`))
+		Expect(err).To(MatchError(config.ErrNullEntry))
+		if section != "buckets" {
+			_, err = config.DecodeDocument([]byte(`{"revision":1,"change_id":"a","` + section + `":{"x":null}}`))
+			Expect(err).To(MatchError(config.ErrNullEntry))
+		}
+	},
+		Entry("in the groups", "groups"),
+		Entry("in the kinds", "kinds"),
+		Entry("in the take-overs", "takeovers"),
+		Entry("in their progress", "buckets"),
+	)
+})
+
 var _ = Describe("Overlap", func() {
 	It("returns the entries that both changes touch", func() {
 		a := &config.Change{RemoveGroups: []core.GroupID{"x", "y"}, SetKinds: map[string]*config.Kind{"k": {}}}
--- a/core/config/codec.go
+++ b/core/config/codec.go
@@ -18,6 +18,9 @@
 // ErrTooLarge is returned for an encoded value above its limit.
 var ErrTooLarge = errors.New("config: too large")
 
+// ErrNullEntry is returned for a document or change with an entry that is null.
+var ErrNullEntry = errors.New("config: an entry is null")
+
 // Encode returns the JSON of a document, a change or an entry. It is
 // deterministic: struct fields keep their order and encoding/json sorts map keys.
 func Encode(v any) ([]byte, error) {
@@ -28,7 +31,30 @@
 	return data, nil
 }
 
-// Decode reads one JSON value and rejects unknown fields, data after the value,
+// entryChecker is a value with entries that must not be null.
+type entryChecker interface{ CheckEntries() error }
+
+// CheckEntries returns ErrNullEntry if an entry is null.
+func (d *Document) CheckEntries() error {
+	return errors.Join(checkEntries("groups", d.Groups), checkEntries("kinds", d.Kinds), checkEntries("takeovers", d.Takeovers))
+}
+
+// CheckEntries returns ErrNullEntry if an entry is null.
+func (c *Change) CheckEntries() error {
+	return errors.Join(checkEntries("groups", c.SetGroups), checkEntries("kinds", c.SetKinds),
+		checkEntries("takeovers", c.SetTakeovers), checkEntries("buckets", c.SetBuckets))
+}
+
+func checkEntries[K ~string, V any](section string, entries map[K]*V) error {
+	for key, entry := range entries {
+		if entry == nil {
+			return fmt.Errorf("%w: %s.%s", ErrNullEntry, section, key)
+		}
+	}
+	return nil
+}
+
+// Decode reads one JSON value and rejects unknown fields, entries that are null, data after the value,
 // and input above limit bytes. A field unknown to this version would otherwise be
 // dropped silently and be missing from the next change.
 func Decode(data []byte, limit int, v any) error {
@@ -43,6 +69,9 @@
 	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return errors.New("config: decode: data after the value")
 	}
+	if checked, ok := v.(entryChecker); ok {
+		return checked.CheckEntries()
+	}
 	return nil
 }
 
--- a/pkg/confstore/odd_test.go
+++ b/pkg/confstore/odd_test.go
@@ -141,6 +141,33 @@
 		expectLatest(follower.Current())
 	})
 
+	// Guards against a daemon that ends when another writer puts a change into the history.
+	DescribeTable("is followed past a change with an entry that is null", func(section string) {
+		follower := follow(confstore.Options{Store: fake.Client})
+		Eventually(revisionOf(follower), bound).Should(Equal(latest.Revision))
+		next := latest.Revision + 1
+		overwrite(fmt.Sprintf("%s%04d", changes, next),
+			fmt.Sprintf(`{"change":{"revision":%d,"change_id":"bob-1","parent":%q,"set_%s":{"records":null}},"undo":{"revision":0,"change_id":""}}`, next, latest.ChangeID, section))
+		Eventually(follower.Calls().Unreadable.Load, bound).Should(BeEquivalentTo(1))
+		commit(func(doc *config.Document) { doc.DefaultGroup = "g1" })
+		Eventually(revisionOf(follower), bound).Should(Equal(latest.Revision))
+		expectLatest(follower.Current())
+	},
+		Entry("in the groups", "groups"),
+		Entry("in the kinds", "kinds"),
+		Entry("in the take-overs", "takeovers"),
+		Entry("in their progress", "buckets"),
+	)
+
+	// Guards against a change that is hidden by another one of the same revision in a slot that is not its own.
+	It("is loaded despite a change in the slot of another one", func() {
+		overwrite(changes+"0900", `{"change":{"revision":2,"change_id":"bob-1"},"undo":{"revision":0,"change_id":""}}`)
+		overwrite(groups+"g1", "{")
+		loaded, err := editor.Load(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		expectLatest(loaded)
+	})
+
 	// Guards against an entry that is left out, or taken from another history: a record would be served by a group that
 	// does not own it.
 	It("is not loaded if the entry's last change is not known", func() {
--- a/pkg/confstore/past.go
+++ b/pkg/confstore/past.go
@@ -46,7 +46,8 @@
 	}
 	changes := make(map[config.Revision]*config.Change, len(kvs))
 	for _, kv := range kvs {
-		if record, err := p.reader.decodeRecord(&kv); err == nil {
+		record, err := p.reader.decodeRecord(&kv)
+		if err == nil && kv.Key == p.reader.keys.change(record.Change.Revision) {
 			changes[record.Change.Revision] = &record.Change
 		}
 	}
--- a/pkg/confstore/record.go
+++ b/pkg/confstore/record.go
@@ -1,6 +1,8 @@
 package confstore
 
 import (
+	"errors"
+
 	"limpetspan/core"
 	"limpetspan/core/config"
 )
@@ -55,3 +57,8 @@
 	// Undo leads back to the revision before; its ids are of no use.
 	Undo config.Change `json:"undo"`
 }
+
+// CheckEntries returns config.ErrNullEntry if an entry is null.
+func (r *Record) CheckEntries() error {
+	return errors.Join(r.Change.CheckEntries(), r.Undo.CheckEntries())
+}
