store: use a connection to the gateway for one call only

A swap that lost against another one counted as made, so a change of the configuration or a claim could seem accepted that was not; an old value counted as the present one. Shown with a gateway of the spec, not seen in a fleet.

Cause: a response names no request, and connections were kept.

Each call has a connection of its own. A transport that a caller provides is used as it is.

Spec "a gateway that gives responses twice": 2 of 2 fail before, none after. pkg/store, pkg/cli, pkg/daemon, pkg/embedded, pkg/hostlist, pkg/takeover, tests/process and tests/takeover pass.

--- a/pkg/store/client.go
+++ b/pkg/store/client.go
@@ -27,9 +27,7 @@
 
 const (
 	dialTimeout = time.Second
-	// idleConnTimeout is short, as an idle connection may have gone silent.
-	idleConnTimeout = 30 * time.Second
-	maxAnswer       = 64 << 20
+	maxAnswer   = 64 << 20
 )
 
 // Options configure a Client.
@@ -43,7 +41,7 @@
 	// connection which went silent hides all later changes: such a connection
 	// reports no error, and the gateway sends no heartbeat on a watch.
 	WatchIdle time.Duration
-	// Transport replaces the HTTP transport, for tests and TLS.
+	// Transport replaces the HTTP transport, for tests and TLS. It should use each connection for one call.
 	Transport http.RoundTripper
 }
 
@@ -86,11 +84,13 @@
 	return c, nil
 }
 
+// newTransport returns a transport that uses each connection for one call. A response names no request, so one that
+// comes twice on a kept connection would be taken for that to the next call. A kept connection may also have gone
+// silent.
 func newTransport() *http.Transport {
 	return &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     idleConnTimeout,
+		MaxIdleConnsPerHost: -1,
 	}
 }
 
