direct: ignore a report with a term far above the known ones

One datagram that named term 2^40 as a group's newest took the primary away from the group: no member ever leads in such a term, and daemons pass it on. In the spec a caller's write was not served within the 20 s that it waits. A term of an order had the same effect on statements, and a confirmed term hid the true confirmations that others report.

Cause: terms of reports were bounded by 2^48 only.

A report with a term more than 65,536 above every term that the daemon knows is dropped and counted (reports_malformed). Reports are datagrams, so a dropped one counts as lost; a daemon that is really so far behind learns the term from the members. A daemon that knows no term of the group yet believes the report as before, and so does any daemon if the false term is nearer.

--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -136,9 +136,29 @@
 	return r
 }
 
-// PeerReported handles another daemon's report. sent is a time of this daemon's clock that is not
-// later than the sending of the report; 0 if none is known.
+// maxTermGap exceeds the number of promotions of a group that a daemon can have missed: a promotion names one term
+// more, a restored store maxLostTerms more, and each takes a second or longer.
+const maxTermGap core.Term = 1 << 16
+
+// IsPlausible reports whether the group can have reached the terms in the report, as far as this daemon knows. Reports are
+// datagrams, so one that is ignored counts as lost, and a probe of a member shows the true term.
+func (g *Group) IsPlausible(r *Report) bool {
+	if g.term == 0 {
+		return true
+	}
+	highest := max(r.Term, r.OrderedTerm)
+	for i := range r.Members {
+		highest = max(highest, r.Members[i].ConfirmedTerm)
+	}
+	return highest <= max(g.term, g.orderedTerm, g.promotionLock.term)+maxTermGap
+}
+
+// PeerReported handles another daemon's report and ignores one that is not plausible. sent is a time of this daemon's
+// clock that is not later than the sending of the report; 0 if none is known.
 func (g *Group) PeerReported(now, sent core.Time, from core.DaemonID, r Report) []Effect {
+	if !g.IsPlausible(&r) {
+		return nil
+	}
 	p := peerReport{at: now, suspect: r.Suspect, primary: r.Primary, term: r.Term, claiming: r.Claiming, leased: r.LeaseRemaining > 0, sharesLoad: r.SharesLoad, openConns: make(map[core.MemberID]int)}
 	for _, x := range r.Members {
 		p.openConns[x.Member] = x.OpenConns
--- a/pkg/proxy/odddatagram_test.go
+++ b/pkg/proxy/odddatagram_test.go
@@ -32,6 +32,8 @@
 			{Daemon: "odd", Ip: "host.example", Zone: "z", Weight: 1e300},
 			{Daemon: "odd", Groups: []*reportpb.Group{{Group: "ledger", Term: 1<<64 - 1}}},
 			{Daemon: "odd", Groups: []*reportpb.Group{{Group: "ledger", Ordered: 1<<64 - 1}}},
+			{Daemon: "odd", Groups: []*reportpb.Group{{Group: "ledger", Term: 1 << 40}}},
+			{Daemon: "odd", Groups: []*reportpb.Group{{Group: "ledger", Ordered: 1 << 40}}},
 			{Daemon: "odd", Stamp: -1, Echo: 1<<63 - 1, EchoAgeUs: 1<<64 - 1, Groups: []*reportpb.Group{{Group: "ledger", Primary: f.group.Primary().ID, Term: uint64(term), SampleTerm: 1<<64 - 1}}},
 			{Daemon: "odd", Probe: -1}, {Daemon: "odd", ProbeAnswer: -1 << 63}, {Daemon: "a\nb"},
 		}
@@ -41,7 +43,7 @@
 			_, err = conn.Write(data)
 			Expect(err).NotTo(HaveOccurred())
 		}
-		Eventually(d.p.stats.reportsMalformed.Value, waitLimit).Should(BeNumerically(">=", 5))
+		Eventually(d.p.stats.reportsMalformed.Value, waitLimit).Should(BeNumerically(">=", 7))
 		x.queryUntilServed("WRITE k 2")
 		Expect(x.query("READ k").rows).To(Equal([]string{"2"}))
 		Expect(f.store.PromoteRequests()).To(BeEmpty())
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -502,7 +502,11 @@
 			continue
 		}
 		g.update(func(c *direct.Group, at core.Time) []direct.Effect {
-			return c.PeerReported(at, min(sent, at), from, decodeReport(r))
+			report := decodeReport(r)
+			if !c.IsPlausible(&report) {
+				s.p.stats.reportsMalformed.Add(1)
+			}
+			return c.PeerReported(at, min(sent, at), from, report)
 		})
 	}
 }
