front: end without an error when stopped before serving

Cause: the planned stop calls Shutdown on a server whose Serve, started in a goroutine of its own, had not been called yet; Serve took that for a mistake of its caller. Serve now closes the listener and returns nil, as it does when Shutdown comes later.

--- a/pkg/daemon/fleet_test.go
+++ b/pkg/daemon/fleet_test.go
@@ -92,9 +92,9 @@
 	return uint64(doc.Revision)
 }
 
-// start runs a daemon in the zone until the test ends; change may alter its
-// settings and options first.
-func (w *world) start(id string, zone string, change ...func(*settings.Settings, *daemon.Options)) *running {
+// create returns a daemon in the zone that does not run yet; change may alter
+// its settings and options first.
+func (w *world) create(id string, zone string, change ...func(*settings.Settings, *daemon.Options)) *daemon.Daemon {
 	GinkgoHelper()
 	s := settings.Default()
 	s.Daemon = settings.Daemon{ID: id, Zone: zone, Region: "r"}
@@ -116,6 +116,13 @@
 	}
 	d, err := daemon.New(s, options)
 	Expect(err).NotTo(HaveOccurred())
+	return d
+}
+
+// start runs a daemon that create returns, until the test ends.
+func (w *world) start(id string, zone string, change ...func(*settings.Settings, *daemon.Options)) *running {
+	GinkgoHelper()
+	d := w.create(id, zone, change...)
 	if w.seed == "" {
 		w.seed = d.Addrs().Gossip
 	}
--- a/pkg/front/failure_test.go
+++ b/pkg/front/failure_test.go
@@ -41,6 +41,18 @@
 		Eventually(stopped, waitLimit).Should(Receive(BeNil()))
 	})
 
+	// A planned stop may begin before the daemon's start has come to serving callers. Guards against
+	// a daemon that ends with an error although it was asked to stop.
+	It("ends without an error when it begins before serving", func() {
+		server, err := New(Options{Handler: newFakeHandler(), Daemon: "d1", Users: NewUsers()})
+		Expect(err).NotTo(HaveOccurred())
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(server.Shutdown(context.Background())).To(Succeed())
+		Expect(server.Serve(context.Background(), listener)).To(Succeed())
+		Expect(net.Dial("tcp", listener.Addr().String())).Error().To(HaveOccurred())
+	})
+
 	It("cuts off what has not ended in time", func() {
 		r := startRig(trust)
 		stuck := r.connectRaw()
--- a/pkg/front/server.go
+++ b/pkg/front/server.go
@@ -114,12 +114,12 @@
 }
 
 // Serve accepts callers from the listener until Shutdown is called, and
-// returns nil when the last of them has gone. When ctx ends, callers are cut
-// off; a graceful stop keeps ctx alive until Shutdown has returned.
+// returns nil when the last of them has gone, or at once if Shutdown was
+// called before. When ctx ends, callers are cut off; a graceful stop keeps ctx
+// alive until Shutdown has returned.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	if !s.open(listener) {
-		listener.Close()
-		return errors.New("front: Serve after Shutdown")
+		return listener.Close()
 	}
 	stop := context.AfterFunc(ctx, func() {
 		listener.Close()
@@ -135,6 +135,7 @@
 	return errors.Join(err, watch.Wait())
 }
 
+// open registers the listener. It reports false after Shutdown.
 func (s *Server) open(listener net.Listener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
