limpetspand: handle signals before the settings are read

A process that got SIGTERM or SIGHUP while it read its settings or prepared its start was ended by the signal's default action: a planned stop, or a change of the settings, looked like a crash.

Cause: the handlers were installed after the settings had been read. They now come first.

--- a/cmd/limpetspand/main.go
+++ b/cmd/limpetspand/main.go
@@ -78,12 +78,16 @@
 		return exitFailed
 	}
 	parser.MustParse(os.Args[1:])
+	// The signals are handled before the settings are read: their default action
+	// would end a process that is starting as if it had crashed.
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	if args.Settings {
 		fmt.Print(settings.Markdown())
 		return exitOK
 	}
 	if args.Platform {
-		return servePlatform(&args)
+		return servePlatform(ctx, &args)
 	}
 	if args.Config == "" {
 		fmt.Fprintln(os.Stderr, "limpetspand: --config is required; see --help")
@@ -101,18 +105,21 @@
 		fmt.Println(args.Config + ": settings are valid")
 		return exitOK
 	}
-	return serve(s)
+	// After the first signal the default action is back, so that a second one
+	// ends the process.
+	context.AfterFunc(ctx, stop)
+	return serve(ctx, s)
 }
 
 // servePlatform runs the daemon that reaches the platform's members itself.
-func servePlatform(args *arguments) int {
+func servePlatform(ctx context.Context, args *arguments) int {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "limpetspand:", err)
 		return exitSettings
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	provider, err := args.provider(ctx, &s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "limpetspand:", err)
@@ -133,8 +140,6 @@
 	if provider.Enabled() {
 		p.SetTracer(provider.Tracer("limpetspan/proxy"))
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
 	go func() {
 		for range reload {
 			p.Reload(platform.LoadSettings(os.Getenv(platform.SettingsVariable)))
@@ -165,12 +170,7 @@
 		settings.Daemon{ID: string(s.Daemon), Zone: string(s.Zone)}, os.Stdout)
 }
 
-func serve(s *settings.Settings) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	// After the first signal the default action is back, so that a second one
-	// ends the process.
-	context.AfterFunc(ctx, stop)
+func serve(ctx context.Context, s *settings.Settings) int {
 	d, err := daemon.New(s, daemon.Options{})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "limpetspand:", err)
--- a/cmd/limpetspand/platform_test.go
+++ b/cmd/limpetspand/platform_test.go
@@ -86,6 +86,27 @@
 		Eventually(ended, waitLimit).Should(Receive(BeNil()))
 	})
 
+	// The platform may signal at any moment of the start. Guards against the default action, which
+	// ends the process with a status other than 0 and makes a planned stop look like a crash.
+	It("ends as asked when the signals come while it reads its settings", func() {
+		store, err := standin.NewStore()
+		Expect(err).NotTo(HaveOccurred())
+		defer store.Close()
+		data, err := os.ReadFile(platformSettings(GinkgoT().TempDir(), store.Addr(), "127.0.0.1:0"))
+		Expect(err).NotTo(HaveOccurred())
+		file := filepath.Join(GinkgoT().TempDir(), "settings.fifo")
+		Expect(syscall.Mkfifo(file, 0o600)).To(Succeed())
+		cmd, ended := start(file)
+		// The FIFO can be opened for writing once the process reads it.
+		settings, err := os.OpenFile(file, os.O_WRONLY, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+		Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+		Expect(settings.Write(data)).Error().NotTo(HaveOccurred())
+		Expect(settings.Close()).To(Succeed())
+		Eventually(ended, waitLimit).Should(Receive(BeNil()))
+	})
+
 	It("names the missing key of its settings", func() {
 		file := filepath.Join(GinkgoT().TempDir(), "settings.json")
 		Expect(os.WriteFile(file, []byte(`{"node_name": "edge-1"}`), 0o600)).To(Succeed())
