--- a/core/direct/explain.go
+++ b/core/direct/explain.go
@@ -29,6 +29,8 @@
 	switch {
 	case slices.Contains(req.Exclude, id):
 		return "already tried"
+	case id == g.primary && g.isDrained(now, m):
+		return "leaving for " + milliseconds(now.Sub(m.goneSince())) + " without a successor"
 	case m.isLeaving(now):
 		return "leaving"
 	case m.suspect:
--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -69,6 +69,9 @@
 	placed     uint64
 	// readsOutOfZone counts the reads that were placed in another zone while load was shared.
 	readsOutOfZone int64
+	// drainLimit is how long a leaving primary without a successor gets new work; 0 means for as long
+	// as it answers.
+	drainLimit time.Duration
 	// policy is the set of enabled mechanisms.
 	policy policy.Set
 	// disabled are the guards that model checking has switched off.
@@ -87,6 +90,10 @@
 // Configure sets the configuration of the group.
 func (g *Group) Configure(spec GroupSpec) { g.spec = spec }
 
+// SetDrainLimit sets how long a leaving primary without a successor gets new work. By default there
+// is no limit.
+func (g *Group) SetDrainLimit(d time.Duration) { g.drainLimit = d }
+
 // SetHomes sets how many daemons share the group's connections, and whether this daemon is one of
 // them.
 func (g *Group) SetHomes(n int, isHome bool) {
@@ -146,6 +153,7 @@
 		g.updateEntry(now, m, l)
 	}
 	m.unlistedAt = 0
+	m.trackLeaving(now)
 }
 
 func (g *Group) removeMember(id core.MemberID) {
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -12,6 +12,8 @@
 	Member
 	// unlistedAt is when the entry disappeared from the host list; 0 if it is listed.
 	unlistedAt core.Time
+	// leavingSince is the time since which its entry has said that it is leaving; 0 if it does not.
+	leavingSince core.Time
 	// status is the answer to the last probe, statusAt the time at which that probe was sent.
 	status   Status
 	statusAt core.Time
@@ -116,6 +118,26 @@
 	return m.Leaving || m.unlistedAt != 0 && now.Sub(m.unlistedAt) > UnlistedGrace
 }
 
+// trackLeaving records since when the host list has shown that the member is leaving. An entry that
+// takes it back permits new work again.
+func (m *member) trackLeaving(now core.Time) {
+	switch {
+	case !m.Leaving:
+		m.leavingSince = 0
+	case m.leavingSince == 0:
+		m.leavingSince = now
+	}
+}
+
+// goneSince returns the time since which the host list has shown that the member is leaving or
+// gone, and 0 if it does not.
+func (m *member) goneSince() core.Time {
+	if m.leavingSince == 0 {
+		return m.unlistedAt
+	}
+	return m.leavingSince
+}
+
 // isAlive reports whether the member counts towards the majority of its group. The store may lose
 // entries during an outage. A daemon that ignored such members would fence too few, and an
 // uncounted replica could confirm a replaced primary to other daemons.
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -60,13 +60,28 @@
 
 func (g *Group) placePrimary(now core.Time, req Requirement) (Placement, bool) {
 	m := g.members[g.primary]
-	if m == nil || !g.HasLease(now) || !g.hasOwnStatus(m) || m.isBusy(now) {
+	if m == nil || !g.HasLease(now) || !g.hasOwnStatus(m) || m.isBusy(now) || g.isDrained(now, m) {
 		return Placement{}, false
 	}
 	source, ok := g.findConn(now, m, req.Team)
 	return Placement{Member: m.ID, MinPosition: g.requiredPrimaryPosition(), Primary: true, Dial: source != reuseConn, Replace: source == replaceConn, AnswerTimeout: m.answerTimeout(), Wait: g.waitAtPlacement(m)}, ok
 }
 
+// isDrained reports whether the member has been leaving for so long that it must get no new work,
+// even if no other member can take it over.
+func (g *Group) isDrained(now core.Time, m *member) bool {
+	since := m.goneSince()
+	return g.drainLimit > 0 && since != 0 && now.Sub(since) >= g.drainLimit
+}
+
+// IsPrimaryDrained reports whether the requirement cannot be served because the primary is leaving,
+// gets no new work any more and has no successor. When a member will be able to take over is not
+// known.
+func (g *Group) IsPrimaryDrained(now core.Time, req Requirement) bool {
+	p := g.members[g.primary]
+	return p != nil && g.isDrained(now, p) && !g.isChangingPrimary(now) && !g.canReplicaServe(now, req)
+}
+
 // hasOwnStatus reports whether this daemon itself has a status of the primary's current
 // incarnation. Reports of other daemons may be about an earlier incarnation, and without a position
 // of its own to compare with the daemon would not detect an empty log.
--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -232,6 +232,9 @@
 // if the primary is being changed, because a statement can wait until the change has ended.
 func (g *Group) OutageDuration(now core.Time, req Requirement) time.Duration {
 	g.updateUsability(now)
+	if g.IsPrimaryDrained(now, req) {
+		return now.Sub(g.members[g.primary].goneSince().Add(g.drainLimit))
+	}
 	if g.unusableSince == 0 || g.isChangingPrimary(now) || !g.policy.Has(policy.RefuseHopeless) || g.canReplicaServe(now, req) {
 		return 0
 	}
@@ -252,7 +255,7 @@
 	if g.unusableSince == 0 && (g.isChangingPrimary(now) || !g.hasOwnStatus(g.members[g.primary])) {
 		g.unsteadyAt = now
 	}
-	if g.unsteadyAt != 0 && now.Sub(g.unsteadyAt) < SteadyDelay {
+	if g.unsteadyAt != 0 && now.Sub(g.unsteadyAt) < SteadyDelay || g.IsPrimaryDrained(now, req) {
 		return false
 	}
 	for id, m := range g.members {
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -64,6 +64,7 @@
 func newGroup(p *Proxy, id core.GroupID) *group {
 	reducer := direct.NewGroup(id, p.settings.Daemon, p.settings.Zone)
 	reducer.SetPolicy(p.policy)
+	reducer.SetDrainLimit(p.settings.DrainLimit())
 	if catalog := p.catalog.Load(); catalog != nil {
 		reducer.Configure(catalog.Groups[id])
 	}
@@ -170,7 +171,7 @@
 		g.mu.Unlock()
 		return gr, true
 	}
-	if at >= deadline || admission.OutageExceedsWait(g.core.OutageDuration(at, w.requirement), deadline.Sub(at)) {
+	if at >= deadline || g.core.IsPrimaryDrained(at, w.requirement) || admission.OutageExceedsWait(g.core.OutageDuration(at, w.requirement), deadline.Sub(at)) {
 		g.mu.Unlock()
 		return grant{}, false
 	}
