target: end each exchange with a marker that proves its answer

What callers saw: a PostgreSQL target that answers an exchange twice gave the next exchange on the connection the older answer, and each later one the answer before its own, unless a position query followed. The same held for the statements of the must-not-repeat guard, such as its COMMIT.

Cause: answers were matched to exchanges by their order alone. Only the shape of a position's row could show that one had come in between. If it did, the code of the older answer was taken as the exchange's: a 57P03 would have told that the exchange had not run.

Change: an exchange, and a statement of the proxy itself, ends with a marker in the same write: Parse of an empty statement, Describe and Sync. The types of its parameters say a number that counts up on the connection, and the target describes it with the same types, in every state of a transaction. Anything else in its place ends the connection and leaves the exchange in doubt, without a code. Up to 32 KiB of an answer are kept until it is proved. Behind a text that may be a COPY FROM STDIN the marker follows in a round trip of its own, since the target would read it as data. The stand-in describes an empty statement with the types it was given, as PostgreSQL does.

Not covered: an answer above 32 KiB is still passed on as it comes, and its caller gets an error behind it; an answer that is lost while an older one comes in its place; control connections.

What the marker costs a target was not measured, and no PostgreSQL server was asked.

--- a/pkg/home/do_bench_test.go
+++ b/pkg/home/do_bench_test.go
@@ -40,8 +40,14 @@
 	}
 }
 
+// A marker ends with the types of its parameters, Describe and Sync.
+const (
+	markerTypesLen = 4 * 8
+	markerEndLen   = 7 + 5
+)
+
 // serveCanned answers each piece of input on the first connection with the same
-// bytes, and allocates nothing meanwhile.
+// bytes and the answer to its marker, and allocates nothing meanwhile.
 func serveCanned(listener net.Listener, canned []byte) {
 	conn, err := listener.Accept()
 	if err != nil {
@@ -57,12 +63,18 @@
 	if backend.Flush() != nil {
 		return
 	}
-	buffer := make([]byte, 64<<10)
+	buffer, reply := make([]byte, 64<<10), make([]byte, 0, 64<<10)
 	for {
-		if _, err := conn.Read(buffer); err != nil {
+		n, err := conn.Read(buffer)
+		if err != nil || n < markerTypesLen+markerEndLen {
 			return
 		}
-		if _, err := conn.Write(canned); err != nil {
+		types := buffer[n-markerEndLen-markerTypesLen : n-markerEndLen]
+		reply = append(reply[:0], canned...)
+		reply = append(reply, '1', 0, 0, 0, 4, 't', 0, 0, 0, 4+2+markerTypesLen, 0, markerTypesLen/4)
+		reply = append(reply, types...)
+		reply = append(reply, 'n', 0, 0, 0, 4, 'Z', 0, 0, 0, 5, 'I')
+		if _, err := conn.Write(reply); err != nil {
 			return
 		}
 	}
--- a/pkg/home/fake_member_test.go
+++ b/pkg/home/fake_member_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,7 @@
 	backend  *pgproto3.Backend
 	status   byte
 	prepared map[string]string
+	oids     map[string][]uint32
 	bound    string
 	failed   bool
 }
@@ -59,7 +61,7 @@
 			return
 		}
 		s := &fakeSession{
-			member: m, conn: conn, status: 'I', prepared: make(map[string]string),
+			member: m, conn: conn, status: 'I', prepared: make(map[string]string), oids: make(map[string][]uint32),
 			backend: pgproto3.NewBackend(conn, conn),
 		}
 		m.mu.Lock()
@@ -160,8 +162,13 @@
 			s.fail("42P05", "prepared statement exists: "+m.Name)
 			return true
 		}
-		s.prepared[m.Name] = m.Query
+		s.prepared[m.Name], s.oids[m.Name] = m.Query, slices.Clone(m.ParameterOIDs)
 		s.backend.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Describe:
+		if m.ObjectType == 'S' {
+			s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: s.oids[m.Name]})
+		}
+		s.backend.Send(&pgproto3.NoData{})
 	case *pgproto3.Close:
 		delete(s.prepared, m.Name)
 		s.backend.Send(&pgproto3.CloseComplete{})
--- a/pkg/target/batch.go
+++ b/pkg/target/batch.go
@@ -20,6 +20,9 @@
 	streamThreshold = 4 << 10
 	// MaxHeld bounds the held end of an answer.
 	MaxHeld = 1 << 20
+	// unprovedLimit bounds what is kept of an answer until its marker proves that it is the exchange's. A longer
+	// answer is passed on as it comes.
+	unprovedLimit = 32 << 10
 	// copyThreshold is the size up to which a batch is sent in one write.
 	copyThreshold = 64 << 10
 	// maxKept bounds the memory a pooled Runner keeps.
@@ -71,8 +74,11 @@
 	// Tail is the end of the answer that was not written to Out.
 	Tail []byte
 
-	reader   *pgframe.Reader
-	send     []byte
+	reader *pgframe.Reader
+	send   []byte
+	// behind follows the messages of an exchange.
+	behind   []byte
+	proof    []byte
 	expected []byte
 	row      pgproto3.DataRow
 
@@ -81,8 +87,10 @@
 	answer Answer
 	stream stream
 	writes chan error
-	copies copyState
-	reply  Reply
+	sent   behind
+	// copyRefused: the next error is the member's answer to the refusal of a COPY.
+	copyRefused bool
+	reply       Reply
 }
 
 var runners = sync.Pool{New: func() any {
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync/atomic"
 	"syscall"
@@ -35,6 +36,8 @@
 
 	txStatus byte
 	prepared preparedSet
+	// marker is the number of the last marker.
+	marker uint32
 	// stateful is set once a statement changed the session's own state, such
 	// as a setting, which the next caller must not inherit.
 	stateful bool
@@ -52,7 +55,7 @@
 	}
 	c := &Conn{
 		dialer: d, addr: addr, net: h.Conn, socket: socket,
-		processID: h.PID, secret: h.SecretKey, txStatus: h.TxStatus,
+		processID: h.PID, secret: h.SecretKey, txStatus: h.TxStatus, marker: rand.Uint32(),
 	}
 	control, ok := socket.(syscall.Conn)
 	if !ok {
--- a/pkg/target/message.go
+++ b/pkg/target/message.go
@@ -11,6 +11,7 @@
 	msgBind         = 'B'
 	msgExecute      = 'E'
 	msgClose        = 'C'
+	msgDescribe     = 'D'
 	msgSync         = 'S'
 	msgFunctionCall = 'F'
 	msgTerminate    = 'X'
--- a/pkg/target/plan.go
+++ b/pkg/target/plan.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"strings"
 
 	"limpetspan/pkg/pgframe"
 )
@@ -26,6 +27,8 @@
 	// leads is set when a statement begins with a keyword after which another
 	// statement must not be sent at once, see leadingKeywords.
 	leads bool
+	// copies is set when a statement may be COPY FROM STDIN.
+	copies bool
 }
 
 // definition is a prepared statement that the messages define or close.
@@ -72,6 +75,7 @@
 	case msgQuery:
 		p.Executes++
 		p.leads = p.leads || hasLeadingKeyword(body)
+		p.copies = p.copies || mentionsCopy(body)
 		p.groups = append(p.groups, msgQuery)
 	case msgFunctionCall:
 		p.Executes++
@@ -84,7 +88,7 @@
 		return p.define(message)
 	case msgClose:
 		p.closes(body)
-	case 'D':
+	case msgDescribe:
 		p.DescribesStatement = p.DescribesStatement || (len(body) > 0 && body[0] == closeStatement)
 	case msgBind, 'H', 'd', 'c', msgCopyFail:
 	default:
@@ -99,6 +103,7 @@
 		return fmt.Errorf("%w: Parse without a name", ErrBadMessages)
 	}
 	p.leads = p.leads || hasLeadingKeyword(sql)
+	p.copies = p.copies || mentionsCopy(sql)
 	if len(name) > 0 {
 		p.definitions = append(p.definitions, definition{name: string(name), hash: hashParse(message)})
 	}
@@ -140,6 +145,20 @@
 	return false
 }
 
+// mentionsCopy reports whether sql may hold a COPY that the caller's messages feed, anywhere in it: COPY FROM STDIN,
+// or FROM STDOUT, which a server takes for the same.
+func mentionsCopy(sql []byte) bool { return containsFold(sql, "copy") && containsFold(sql, "std") }
+
+// containsFold reports whether text contains word, which is in lower case.
+func containsFold(text []byte, word string) bool {
+	for i := range len(text) - len(word) + 1 {
+		if text[i]|0x20 == word[0] && strings.EqualFold(string(text[i:i+len(word)]), word) {
+			return true
+		}
+	}
+	return false
+}
+
 // skipBlank skips white space and comments at the beginning of sql.
 func skipBlank(sql []byte) []byte {
 	for {
--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -64,12 +64,16 @@
 	if err := c.Check(); err != nil {
 		return Reply{}, r.fail(err, false)
 	}
-	if n, err := c.net.Write(messages); err != nil {
+	r.send = r.appendBehind(append(r.send[:0], messages...), false)
+	if n, err := c.net.Write(r.send); err != nil {
 		return Reply{}, r.fail(err, n > 0 || c.net != c.socket)
 	}
 	if err := r.ask(groups); err != nil {
 		return Reply{}, r.fail(err, true)
 	}
+	if err := r.readMarker(r.reply.TxStatus); err != nil {
+		return Reply{}, r.fail(err, true)
+	}
 	if r.reader.Buffered() > 0 {
 		return Reply{}, r.fail(errors.New("the member sent more than the answer"), true)
 	}
--- a/pkg/target/run.go
+++ b/pkg/target/run.go
@@ -18,12 +18,11 @@
 	if err := c.Check(); err != nil {
 		return r.answer, r.fail(err, false)
 	}
-	asked := b.WantPosition && c.txStatus == pgframe.StatusIdle && !r.Plan.leads
-	r.compose(asked)
+	r.compose()
 	if err := r.write(); err != nil {
 		return r.answer, err
 	}
-	if err := r.read(asked); err != nil {
+	if err := r.read(); err != nil {
 		return r.answer, r.fail(err, true)
 	}
 	c.prepared.settle(r.Plan.definitions, r.answer.Code != "")
@@ -36,24 +35,53 @@
 	r.answer = Answer{TxStatus: c.txStatus}
 	r.Tail = r.Tail[:0]
 	r.stream = stream{}
-	r.copies = copyState{}
+	r.sent = behind{}
+	r.copyRefused = false
 }
 
-// compose builds the prefix that the connection lacks, the messages and the
-// position query in r.send, so that they leave in one write. Large messages are
-// not copied.
-func (r *Runner) compose(asked bool) {
+// behind is what was sent behind the messages of an exchange, in the same write.
+type behind struct{ position, marker bool }
+
+// mayCopy reports whether the exchange may begin a COPY FROM STDIN. The member would read what follows as its data.
+func (r *Runner) mayCopy() bool {
+	if r.Plan.copies {
+		return true
+	}
+	for i := range r.batch.Prepared {
+		if mentionsCopy(r.batch.Prepared[i].Parse) {
+			return true
+		}
+	}
+	return false
+}
+
+// appendBehind appends the position query, if it is wanted, and a marker.
+func (r *Runner) appendBehind(dst []byte, position bool) []byte {
+	if position {
+		dst = append(dst, positionQuery...)
+	}
+	r.conn.marker++
+	return appendMarker(dst, r.conn.marker)
+}
+
+// compose builds the prefix that the connection lacks, the messages, the
+// position query and the marker in r.send, so that they leave in one write.
+// Large messages are not copied.
+func (r *Runner) compose() {
 	c, b := r.conn, r.batch
-	r.send, r.expected = r.send[:0], r.expected[:0]
+	r.send, r.expected, r.behind = r.send[:0], r.expected[:0], r.behind[:0]
+	if !r.mayCopy() {
+		r.sent.marker = true
+		r.sent.position = b.WantPosition && c.txStatus == pgframe.StatusIdle && !r.Plan.leads
+		r.behind = r.appendBehind(r.behind, r.sent.position)
+	}
 	r.send, r.expected = c.prepared.appendMissing(r.send, r.expected, &r.Plan, b.Prepared)
 	r.send, r.expected = c.prepared.appendClosed(r.send, r.expected, &r.Plan, b.Prepared)
 	if len(b.Messages) > copyThreshold {
 		return
 	}
 	r.send = append(r.send, b.Messages...)
-	if asked {
-		r.send = append(r.send, positionQuery...)
-	}
+	r.send = append(r.send, r.behind...)
 }
 
 // write sends the batch. A large one is sent beside the reading: the member may
@@ -67,30 +95,23 @@
 		return nil
 	}
 	r.writes = make(chan error, 1)
-	asked := r.batch.WantPosition && c.txStatus == pgframe.StatusIdle && !r.Plan.leads
-	prefix, done := r.send, r.writes
-	go func() { done <- writeAll(c, prefix, messages, asked) }()
+	prefix, behind, done := r.send, r.behind, r.writes
+	go func() { done <- writeAll(c, prefix, messages, behind) }()
 	return nil
 }
 
-func writeAll(c *Conn, prefix, messages []byte, asked bool) error {
-	if _, err := c.net.Write(prefix); err != nil {
-		return err
-	}
-	if _, err := c.net.Write(messages); err != nil {
-		return err
-	}
-	if !asked {
-		return nil
+func writeAll(c *Conn, parts ...[]byte) error {
+	for _, part := range parts {
+		if _, err := c.net.Write(part); err != nil {
+			return err
+		}
 	}
-	_, err := c.net.Write(positionQuery)
-	return err
+	return nil
 }
 
 // read reads the complete answer: that of the prefix, which is nobody's, then the
-// caller's, then that of the position query.
-func (r *Runner) read(asked bool) error {
-	r.copies.asked = asked
+// caller's, then what proves it.
+func (r *Runner) read() error {
 	if err := r.readPrefix(); err != nil {
 		return err
 	}
@@ -100,7 +121,9 @@
 	if err := r.finishWrite(); err != nil {
 		return err
 	}
-	if err := r.readPosition(asked); err != nil {
+	if err := r.readBehind(); err != nil {
+		// The code may be that of another exchange, and must not tell that this one did not run.
+		r.answer.Code = ""
 		return err
 	}
 	if r.reader.Buffered() > 0 {
@@ -119,23 +142,42 @@
 	return err
 }
 
-// readPosition reads the answer of the position query, and asks for it in a
-// round trip of its own when it was not sent along. Inside a transaction the
-// position says nothing.
-func (r *Runner) readPosition(asked bool) error {
-	idle := r.answer.TxStatus == pgframe.StatusIdle
-	if !r.batch.WantPosition || (!asked && !idle) {
+// readBehind reads the answers of what was sent behind the messages, and sends
+// in a round trip of its own what could not be sent along.
+func (r *Runner) readBehind() error {
+	if r.sent.marker {
+		if err := r.readProof(r.sent.position); err != nil {
+			return err
+		}
+	}
+	position := r.batch.WantPosition && !r.sent.position && r.answer.TxStatus == pgframe.StatusIdle
+	if r.sent.marker && !position {
 		return nil
 	}
-	if !asked {
-		if _, err := r.conn.net.Write(positionQuery); err != nil {
+	r.behind = r.appendBehind(r.behind[:0], position)
+	if _, err := r.conn.net.Write(r.behind); err != nil {
+		return err
+	}
+	return r.readProof(position)
+}
+
+// readProof reads the answer of the position query, if there was one, and that of the marker.
+func (r *Runner) readProof(position bool) error {
+	if position {
+		if err := r.readPosition(); err != nil {
 			return err
 		}
 	}
+	return r.readMarker(r.answer.TxStatus)
+}
+
+// readPosition reads the answer of the position query. Inside a transaction the
+// position says nothing.
+func (r *Runner) readPosition() error {
 	if err := r.ask(1); err != nil {
 		return err
 	}
-	if !idle {
+	if r.answer.TxStatus != pgframe.StatusIdle {
 		return nil
 	}
 	if r.reply.positionErr != nil || r.reply.Code != "" || !r.reply.isPosition() {
--- a/pkg/target/stream.go
+++ b/pkg/target/stream.go
@@ -158,8 +158,8 @@
 		return fmt.Errorf("the member ended the connection: %s", fields.message)
 	}
 	r.stream.open = partial
-	if r.copies.refused {
-		r.copies.refused = false
+	if r.copyRefused {
+		r.copyRefused = false
 		r.stream.discard = partial
 		r.keep(r.copyError())
 		return nil
@@ -173,13 +173,12 @@
 	if len(part) == 0 {
 		return
 	}
-	direct := len(r.Tail) == 0 && len(part) >= streamThreshold && r.mayWrite()
-	if direct {
+	if len(r.Tail) == 0 && r.mayWrite(len(part), streamThreshold) {
 		r.writeOut(part)
 		return
 	}
 	r.keep(part)
-	if len(r.Tail) >= streamThreshold && r.mayWrite() {
+	if r.mayWrite(len(r.Tail), streamThreshold) {
 		r.flush()
 	}
 }
@@ -196,15 +195,19 @@
 	}
 }
 
-// mayWrite reports whether the answer may go out as far as it came: it has
-// begun, it is not held, and what is there ends with a complete message.
-func (r *Runner) mayWrite() bool {
-	return r.stream.begun && !r.stream.holding && !r.stream.open
+// mayWrite reports whether the n bytes of the answer that are there may go out:
+// the answer has begun, it is not held, they end with a complete message and are
+// at least least. The first ones are also too many to be kept for the proof.
+func (r *Runner) mayWrite(n, least int) bool {
+	if !r.answer.Streamed {
+		least = unprovedLimit
+	}
+	return n >= least && r.stream.begun && !r.stream.holding && !r.stream.open
 }
 
 // flushBeforeWait passes rows on before the next ones have to be waited for.
 func (r *Runner) flushBeforeWait() {
-	if len(r.Tail) > 0 && r.reader.Buffered() == 0 && r.mayWrite() {
+	if r.reader.Buffered() == 0 && r.mayWrite(len(r.Tail), 1) {
 		r.flush()
 	}
 }
@@ -230,22 +233,14 @@
 	return false
 }
 
-// copyState is the state of a refused COPY.
-type copyState struct {
-	// asked: the position query was sent behind the messages.
-	asked bool
-	// refused: the next error is the member's answer to the refusal.
-	refused bool
-}
-
 // refuseCopy ends a COPY FROM STDIN without data, as its data would come in
 // further messages of the caller. In the extended protocol the member has
 // skipped the Sync, so that another one is sent.
 func (r *Runner) refuseCopy(group int) error {
-	if r.copies.asked || group != len(r.Plan.groups)-1 {
+	if r.sent.marker || group != len(r.Plan.groups)-1 {
 		return errors.New("COPY FROM STDIN is not carried, and more was sent behind it")
 	}
-	r.copies.refused = true
+	r.copyRefused = true
 	packet := []byte{msgCopyFail, 0, 0, 0, 5, 0}
 	if r.Plan.groups[group] == msgSync {
 		packet = append(packet, msgSync, 0, 0, 0, 4)
--- a/standin/target/describe.go
+++ b/standin/target/describe.go
@@ -48,6 +48,8 @@
 		if err := s.describeQuery(p); err != nil {
 			return err
 		}
+	case verbEmpty:
+		p.params = p.given
 	case verbConstant:
 		p.describeConstant()
 	case verbState:
