Take no era for settled because the fleet starts for the first time

What callers saw: a key that was taken away was served again 6 s later, where 5 s are allowed.

Cause: a process that the platform starts with "bootstrap" took each answer that ended no era for one of the era in which the fleet starts for the first time. The first answer of a new era ended the old one, the second one attested the new era: the copy proved the configuration at once, promotion locks and slots of teams were taken without the wait, locks that the store had lost counted as never taken, and the attestation was written for other daemons.

Change: "bootstrap" settles no era. Nor would it do for the first answer of a process alone: core/era has the two orders of events, another daemon that has started just before the restore, and a process that is started again with unchanged settings. A missing promotion lock is a lost one in every era but 0. The era of the first start in records of earlier versions is still validated, and not acted on.

Tests: pkg/proxy, four specs with "bootstrap": a removed key, an era that is neither settled nor attested (in a daemon that runs, and in one that is started again), a missing lock. "odd entries change nothing in a small fleet" asked for the era of the first start, which is gone; it now asks that the odd record attests no era at any daemon, which includes that.

--- a/core/era/era.go
+++ b/core/era/era.go
@@ -19,6 +19,21 @@
 // another daemon attests the era: a daemon that has observed an era for SettleDuration writes an
 // attestation to the store, which a restored copy lacks. Era 0 needs no attestation, as no era
 // precedes it.
+//
+// # First start
+//
+// The platform tells a process if the whole fleet starts for the first time. That settles no era but
+// era 0. In an era e > 0, the process cannot exclude either of these orders of events:
+//
+//   - Daemon a starts, takes a lock or slot in era e-1, and acts on it. The store is restored from a
+//     copy without it. Daemon b, which started at the same time, gets its first response now, from
+//     era e. If b did not wait, it would take the same lock or slot while a still acts on it.
+//   - The fleet has started in era e-1. A daemon is started again in era e with unchanged settings.
+//     The restored copy may be older than the first start, so that it holds nothing of the fleet.
+//
+// In both, the store holds no trace of what it has lost, as it would after a first start in era e.
+// For the same reason a missing promotion lock may have been lost, except in era 0. What callers wait
+// for if a fleet starts for the first time in a later era is what they wait for after a restore.
 package era
 
 import (
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -245,7 +245,8 @@
 // A lock that cannot be decoded counts as overwritten.
 func (c *claims) parse(item platform.Item, found bool, readIn mirror.Era) promotionLock {
 	if !found {
-		return c.p.eras.missingLock()
+		// The zero record is of era 0: in any later one, the store may have lost the group's lock.
+		return promotionLock{}
 	}
 	lock, err := parseLock(item.Value, readIn)
 	if err != nil {
--- a/pkg/proxy/eras.go
+++ b/pkg/proxy/eras.go
@@ -18,22 +18,16 @@
 	tracker era.Tracker
 	// proofValidFrom is the value that was last passed to the copy of the store.
 	proofValidFrom core.Time
-	// firstStart is the era in which the fleet started for the first time, 0 if not known.
-	firstStart mirror.Era
 }
 
 // observe handles the era of an answer of the store. It is called before the answer is used, so that
-// everything that depends on an earlier era is reset first.
+// everything that depends on an earlier era is reset first. That the fleet starts for the first time
+// (Settings.FirstStart) does not settle an era, see package era.
 func (e *eras) observe(next mirror.Era) {
 	at := now()
 	e.mu.Lock()
 	previous := e.tracker.Current()
 	ended := e.tracker.Observe(at, next)
-	if e.p.settings.FirstStart && !ended {
-		// The fleet has held no locks or slots before.
-		e.tracker.Attest(next)
-		e.firstStart = next
-	}
 	e.updateProofStart()
 	e.mu.Unlock()
 	if ended {
@@ -45,9 +39,6 @@
 func (e *eras) attest(record eraRecord) {
 	e.mu.Lock()
 	e.tracker.Attest(record.Settled)
-	if record.FirstStart != 0 {
-		e.firstStart = record.FirstStart
-	}
 	e.updateProofStart()
 	e.mu.Unlock()
 }
@@ -61,13 +52,6 @@
 	}
 }
 
-// firstStartEra returns the era in which the fleet started for the first time, 0 if not known.
-func (e *eras) firstStartEra() mirror.Era {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.firstStart
-}
-
 // current returns the newest era that this daemon has observed.
 func (e *eras) current() mirror.Era {
 	e.mu.Lock()
@@ -75,15 +59,6 @@
 	return e.tracker.Current()
 }
 
-// missingLock returns the promotion lock to assume for a group that has none in the store. An
-// earlier era may have lost it, unless the fleet started for the first time in the current one.
-func (e *eras) missingLock() (lock promotionLock) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	lock.Era = e.firstStart
-	return lock
-}
-
 // isSettled reports whether all leases of earlier eras have expired.
 func (e *eras) isSettled() bool {
 	e.mu.Lock()
@@ -122,7 +97,7 @@
 // eraRecord is the attestation in the store that an era has settled.
 type eraRecord struct {
 	Settled mirror.Era `json:"settled"`
-	// FirstStart is the era in which the fleet started for the first time, 0 if not known.
+	// FirstStart is in records of earlier versions and not acted on: no daemon can know it.
 	FirstStart mirror.Era `json:"begun,omitempty"`
 }
 
@@ -133,6 +108,6 @@
 	if current == l.settledEra || current == 0 || !p.eras.isSettled() {
 		return
 	}
-	err := p.writeFleetRecord(platform.EraKey, eraRecord{Settled: current, FirstStart: p.eras.firstStartEra()})
+	err := p.writeFleetRecord(platform.EraKey, eraRecord{Settled: current})
 	p.log.Info("era of the store has settled", "era", current, "error", errorText(err))
 }
--- a/pkg/proxy/eras_test.go
+++ b/pkg/proxy/eras_test.go
@@ -33,6 +33,26 @@
 	Eventually(old.IsPrimary, waitLimit).Should(BeFalse())
 }
 
+// withFirstStart tells daemons that the fleet starts for the first time.
+func withFirstStart(f *fleet) {
+	adjust := f.adjustSettings
+	f.adjustSettings = func(s *platform.Settings) {
+		adjust(s)
+		s.FirstStart = true
+	}
+}
+
+// read reads an item in a session of its own with the key, and returns the result or the refusal.
+func (d *daemon) read(database, key string) string {
+	x := d.dialWith(database, key)
+	defer x.c.Close()
+	line := x.line()
+	if line == "READY I -" {
+		line = x.query("READ k").result
+	}
+	return line
+}
+
 // requestSlot requests the team's slot for the daemon, and waits up to half a second for it.
 func (d *daemon) requestSlot(team core.TeamID) {
 	d.p.limits.awaitSlot(auth.Team{ID: team, Limited: true}, false, now().Add(500*time.Millisecond))
@@ -122,18 +142,66 @@
 			_, err := net.Dial("tcp", d.s.CallerAddr)
 			return err
 		}, waitLimit).Should(Succeed())
-		Eventually(func() string {
-			x := d.dialWith("db-primary", gatesKey)
-			defer x.c.Close()
-			line := x.line()
-			if line == "READY I -" {
-				line = x.query("READ k").result
-			}
-			return line
-		}, waitLimit).Should(HavePrefix("ERROR AUTHFAIL"))
+		Eventually(func() string { return d.read("db-primary", gatesKey) }, waitLimit).Should(HavePrefix("ERROR AUTHFAIL"))
 		Expect(f.statementsOf("gates")).To(BeZero())
 	})
 
+	// Guards against a daemon that serves a key which was taken away: its settings tell that the fleet
+	// starts for the first time, and it takes the era that follows a restore for that of the first start.
+	It("does not prove a removed key to a daemon that has started with the fleet", func() {
+		f := newFleet(1, withKeys, withFirstStart)
+		d := f.daemons[0]
+		d.openSession("db-primary", gatesKey).queryUntilServed("READ k")
+		f.store.TakeSnapshot()
+		d.cutStoreAndWait()
+		f.setTeams(teamEntry("gates", "another"))
+		Eventually(func() string { return d.read("db-primary", gatesKey) }, waitLimit).Should(HavePrefix("ERROR"))
+		before := f.statementsOf("gates")
+		f.store.RestoreSnapshot(time.Second)
+		d.p.client.SetAddresses(d.s.StoreAddr, d.s.PromoteAddr)
+		f.awaitRestores(1)
+		Eventually(func() string { return d.read("db-primary", gatesKey) }, waitLimit).Should(HavePrefix("ERROR AUTHFAIL"))
+		Expect(f.statementsOf("gates")).To(Equal(before))
+	})
+
+	// Guards against a daemon that attests an era to others, or takes locks and slots in it, before it
+	// has settled: its settings tell that the fleet starts for the first time.
+	DescribeTable("is not settled for a daemon whose settings tell that the fleet starts for the first time", func(restarts bool) {
+		f := newFleet(1, withFirstStart)
+		f.store.TakeSnapshot()
+		if restarts {
+			f.daemons[0].kill()
+		}
+		f.store.RestoreSnapshot(0)
+		restored := time.Now()
+		if restarts {
+			f.daemons[0] = run(f.daemons[0].s, f.log)
+			Eventually(f.daemons[0].isStarted, waitLimit).Should(BeTrue())
+		} else {
+			f.awaitRestores(1)
+		}
+		d := f.daemons[0]
+		isSettled := func() bool {
+			_, _, err := d.p.client.Get(d.p.ctx, platform.EraKey)
+			return err == nil || d.p.eras.isSettled()
+		}
+		Consistently(isSettled, era.SettleDuration-time.Since(restored)-time.Second, 50*time.Millisecond).Should(BeFalse())
+		Eventually(isSettled, waitLimit).Should(BeTrue())
+	},
+		Entry("and that runs when the store is restored", false),
+		Entry("and that starts in the later era", true),
+	)
+
+	// Guards against a promotion lock that counts as never taken, although the store may have lost it.
+	It("has lost locks that it lacks, also for a daemon that has started with the fleet", func() {
+		f := newFleet(1, withFirstStart)
+		f.store.TakeSnapshot()
+		f.store.RestoreSnapshot(0)
+		f.awaitRestores(1)
+		state, _ := f.daemons[0].p.claims.lockState(platform.Item{Key: platform.LocksPrefix + "ledger"}, false)
+		Expect(state.EarlierEra).To(BeTrue())
+	})
+
 	// Guards against two daemons that count one team. The store has lost the holder's key of the slot,
 	// and the holder continues until its lease has expired by its own clock.
 	It("gives a team's slot to no daemon before the lease of its lost holder has expired", func() {
--- a/pkg/proxy/oddentries_test.go
+++ b/pkg/proxy/oddentries_test.go
@@ -74,7 +74,9 @@
 		Eventually(func() int { return f.daemons[0].p.view.daemonList().roster.Daemons }, waitLimit).Should(Equal(3))
 		Eventually(func() bool { return f.daemons[0].p.view.daemonList().rosterUnreadable }, waitLimit).Should(BeFalse())
 		Expect(f.daemons[0].p.homes.lastChosenSize.Load()).To(BeNumerically("==", 3))
-		Expect(f.daemons[0].p.eras.firstStartEra()).To(BeZero())
+		for _, d := range f.daemons {
+			Expect(d.p.view.daemonList().settledEra).To(BeZero())
+		}
 	})
 
 	It("do not keep a daemon from starting", func() {
