direct: believe no report about a member's earlier incarnation

Cause: a daemon without a primary adopts the one that another daemon reports. Only a later start in the host list, or a status that goes back, made it refuse a report about the incarnation before; this daemon had only seen the new one. A report now counts only if the member was seen to lead after this daemon's own status of it was requested, unless that status says that it leads.

--- a/core/direct/report.go
+++ b/core/direct/report.go
@@ -189,7 +189,7 @@
 	}
 	g.observeTermStart(r.Sample)
 	g.updateTermStart(r.TermStart)
-	if g.primary == "" {
+	if g.primary == "" && !g.deniesLeading(m, sent, r) {
 		m.leadsTerm = r.Term
 		g.setPrimary(now, r.Primary)
 	}
--- a/core/direct/restart.go
+++ b/core/direct/restart.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// deniesLeading reports whether the member's own status, requested after the report's sender last saw
+// it lead, shows that it does not lead: it has restarted, and the report is about the previous
+// incarnation. Used as the primary, it would answer reads from its empty log.
+func (g *Group) deniesLeading(m *member, sent core.Time, r *Report) bool {
+	leads := m.status.Role == core.RolePrimary && m.status.Term == r.Term
+	if m.statusAt == 0 || leads || !g.enforces(GuardRestart) {
+		return false
+	}
+	return sent == 0 || !r.PrimarySeen || sent.Add(-r.PrimarySeenAge) < m.statusAt
+}
+
 // mayHaveLostFence reports whether the member's last confirmation may come from an incarnation that
 // has lost a fence. A read of the promotion lock that was sent after the connection broke and shows
 // that nobody has claimed the group proves that there was no fence. After OrphanedFenceAge an
--- a/core/direct/restart_test.go
+++ b/core/direct/restart_test.go
@@ -149,6 +149,30 @@
 	})
 })
 
+var _ = Describe("a primary that has restarted without its log before this daemon started", func() {
+	// Guards against reads from an empty log: another daemon has not noticed the restart and reports
+	// that the member leads.
+	It("is not used because of a report about its previous incarnation", func() {
+		s := &script{g: direct.NewGroup("g", "d1", "zone-1"), at: startTime}
+		s.listMembers("a", "b", "c")
+		s.status("a", direct.Status{Role: core.RoleReplica})
+		s.record(s.g.LockRead(s.at, s.at, direct.LockState{Term: 3, IsLeadership: true}))
+		s.advance(100 * ms)
+		report := direct.Report{Group: "g", Primary: "a", Term: 3, PrimarySeen: true, PrimarySeenAge: 1500 * ms}
+		s.record(s.g.PeerReported(s.at, s.at.Add(-20*ms), "d2", report))
+		s.record(s.g.LockRead(s.at, s.at, direct.LockState{Term: 3, IsLeadership: true}))
+		primary, _ := s.g.Primary()
+		Expect(primary).To(BeEmpty())
+		_, ok := s.g.Place(s.at, direct.Requirement{Primary: true})
+		Expect(ok).To(BeFalse())
+
+		report.PrimarySeenAge = 0
+		s.record(s.g.PeerReported(s.at, s.at.Add(-20*ms), "d2", report))
+		primary, _ = s.g.Primary()
+		Expect(primary).To(Equal(core.MemberID("a")), "it was promoted after the status")
+	})
+})
+
 var _ = Describe("a member at whose address another one answers", func() {
 	// A member is gone and its address was given to another one. All daemons sent it a demotion
 	// every 0.4 s, for seconds, and the other member refused each.
