direct: keep the starts of earlier terms to find a diverged member

Cause: a member that has not seen the newest term is ruled out if its log is longer than the bound at which that term begins. Only the newest term's bound was kept, and the newest primary's log may have grown beyond that of the member by then. The bounds of up to 16 earlier terms are kept now.

--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -32,7 +32,9 @@
 	// termStart is the lowest known upper bound of the position at which the term begins; its Term
 	// is 0 if none is known.
 	termStart core.Position
-	peers     map[core.DaemonID]peerReport
+	// earlierStarts are such bounds of earlier terms, the oldest first.
+	earlierStarts []core.Position
+	peers         map[core.DaemonID]peerReport
 	// homeCount is the number of the group's homes, whose agreement a change of the primary needs.
 	homeCount     int
 	claim         claim
@@ -213,7 +215,7 @@
 	g.leaseExpiry, g.peerLeaseExpiry = 0, 0
 	g.samples.clear()
 	g.maxPosition, g.maxPositionAt = core.Position{}, 0
-	g.termStart = core.Position{}
+	g.keepTermStart()
 }
 
 // addSample records a position of the primary that covers every commit acknowledged before at and
--- a/core/direct/promote.go
+++ b/core/direct/promote.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"limpetspan/core"
 	"limpetspan/core/policy"
@@ -209,10 +210,30 @@
 // knowsCurrentTerm reports whether the member knows the newest term.
 func (g *Group) knowsCurrentTerm(m *member) bool { return m.statusAt != 0 && m.status.Term >= g.term }
 
-// hasDiverged reports whether the member has commits that the promotion to the newest term rolled
-// back. If it were promoted, these commits would reappear after reads that did not see them.
+// hasDiverged reports whether the member has commits that the promotion to a term which it does not
+// know rolled back. If it were promoted, these commits would reappear after reads that did not see
+// them.
 func (g *Group) hasDiverged(m *member) bool {
-	return !g.knowsCurrentTerm(m) && g.termStart.Term != 0 && g.termStart.LSN < m.position.LSN
+	if g.knowsCurrentTerm(m) {
+		return false
+	}
+	rolledBack := func(start core.Position) bool {
+		return start.Term > m.status.Term && start.LSN < m.position.LSN
+	}
+	return rolledBack(g.termStart) || slices.ContainsFunc(g.earlierStarts, rolledBack)
+}
+
+// maxEarlierStarts bounds Group.earlierStarts. A member that has missed more promotions may be taken
+// for one that has not diverged.
+const maxEarlierStarts = 16
+
+// keepTermStart moves the bound of the term that has just ended to those of the earlier terms.
+func (g *Group) keepTermStart() {
+	if g.termStart.Term != 0 {
+		g.earlierStarts = append(g.earlierStarts, g.termStart)
+		g.earlierStarts = g.earlierStarts[max(0, len(g.earlierStarts)-maxEarlierStarts):]
+	}
+	g.termStart = core.Position{}
 }
 
 // observeTermStart derives an upper bound of the newest term's start from a position of its
--- a/core/direct/promote_test.go
+++ b/core/direct/promote_test.go
@@ -80,4 +80,30 @@
 		s.tick(direct.LeaseDuration, map[core.MemberID]direct.Status{"b": rolledBack, "c": short})
 		Expect(s.take(direct.EffectPromote)).To(ConsistOf(HaveField("Member", core.MemberID("c"))))
 	})
+
+	// Guards against rolled-back commits that reappear: c has missed two promotions, the first of which
+	// rolled its last commits back, and the log of the newest primary is longer than that of c.
+	It("promotes no member that an earlier promotion has rolled back", func() {
+		s := newScript()
+		s.status("b", direct.Status{Role: core.RolePrimary, Term: 2, Position: core.Position{Term: 2, LSN: 26}})
+		s.status("a", direct.Status{Role: core.RolePrimary, Term: 3, Position: core.Position{Term: 3, LSN: 60}})
+		s.record(s.g.LockRead(s.at, s.at, direct.LockState{Term: 3, IsLeadership: true}))
+		follows := direct.Status{Role: core.RoleReplica, Term: 2, Position: core.Position{Term: 2, LSN: 30}}
+		rolledBack := direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 40}}
+		s.record(s.g.UpdateMembers(s.at, s.at, []direct.Member{{ID: "a", Group: "g"}, {ID: "b", Group: "g", Leaving: true}, {ID: "c", Group: "g"}}))
+		s.status("b", follows)
+		s.status("c", rolledBack)
+		answers := map[core.MemberID]direct.Status{"b": follows, "c": rolledBack}
+		s.tick(800*ms, answers)
+		s.record(s.g.PeerReported(s.at, s.at, "d2", direct.Report{Group: "g", Primary: "a", Term: 3, Suspect: true}))
+		s.tick(100*ms, answers)
+		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
+		s.record(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 4, Highest: 4}))
+		follows.FencedTerm, rolledBack.FencedTerm = 4, 4
+		s.status("b", follows)
+		s.status("c", rolledBack)
+		s.effects = nil
+		s.tick(direct.LeaseDuration, map[core.MemberID]direct.Status{"b": follows, "c": rolledBack})
+		Expect(s.take(direct.EffectPromote)).To(ConsistOf(HaveField("Member", core.MemberID("b"))))
+	})
 })
