experiment: close surplus idle connections as the product does

Package proxy closes connections that have been idle for 3 s and exceed what is guaranteed to the daemon, and the model does so now.

--- a/pkg/experiment/daemon.go
+++ b/pkg/experiment/daemon.go
@@ -28,7 +28,9 @@
 	g     *direct.Group
 	queue *admission.Queue[*statement]
 	work  admission.ServiceTimes
-	idle  map[core.MemberID]int
+	// idle holds, for each idle connection to a member, since when it has been idle; the last one is
+	// taken first.
+	idle map[core.MemberID][]core.Time
 	// busy marks members to which a command is in progress; orders are the commands that wait for it.
 	busy   map[core.MemberID]bool
 	orders map[core.MemberID][]direct.Effect
@@ -48,11 +50,12 @@
 	if d.w.p.OverloadControl {
 		d.queue.EnableOverloadControl(d.w.p.Limit, func(time.Duration) {})
 	}
-	d.idle, d.busy = make(map[core.MemberID]int), make(map[core.MemberID]bool)
+	d.idle, d.busy = make(map[core.MemberID][]core.Time), make(map[core.MemberID]bool)
 	d.orders = make(map[core.MemberID][]direct.Effect)
 	d.update(func(at core.Time) []direct.Effect { return d.g.UpdateMembers(at, at, d.w.listed()) })
 	d.readLock()
 	d.repeat(tick, func() {
+		d.closeSurplus()
 		d.update(func(at core.Time) []direct.Effect {
 			return append(d.g.UpdateMembers(at, at, d.w.listed()), d.g.Tick(at)...)
 		})
@@ -317,7 +320,7 @@
 		d.dial(s, place, m)
 		return true
 	}
-	d.idle[m.id]--
+	d.idle[m.id] = d.idle[m.id][:len(d.idle[m.id])-1]
 	d.g.ConnTaken(m.id, "")
 	d.w.after(0, d.mine(func() { d.exchange(s, place, m) }))
 	return true
@@ -438,7 +441,22 @@
 
 // release returns a connection to the pool.
 func (d *daemon) release(m *member) {
-	d.idle[m.id]++
+	d.idle[m.id] = append(d.idle[m.id], d.w.now)
 	d.g.ConnIdle(m.id, "")
 	d.dispatch()
 }
+
+// closeSurplus closes connections that have been idle for idleConnRetention and exceed the number that
+// is guaranteed to the daemon.
+func (d *daemon) closeSurplus() {
+	for _, m := range d.w.members {
+		list := d.idle[m.id]
+		for len(list) > d.g.GuaranteedConns(m.id) && d.w.now.Sub(list[0]) > idleConnRetention {
+			list = list[1:]
+			m.conns--
+			d.g.ConnTaken(m.id, "")
+			d.g.ConnClosed(m.id)
+		}
+		d.idle[m.id] = list
+	}
+}
--- a/pkg/experiment/experiment_test.go
+++ b/pkg/experiment/experiment_test.go
@@ -151,6 +151,17 @@
 		}
 	})
 
+	// Guards against a daemon without a connection to the new primary: the others have opened more than
+	// their share at the same moment and keep those that they no longer use.
+	It("serves the callers of all daemons after a long outage", func() {
+		p, err := experiment.Load("long-outage")
+		Expect(err).NotTo(HaveOccurred())
+		for seed := range uint64(seeds) {
+			last := experiment.Run(&p, policy.All, seed).Times[p.Seconds-2]
+			Expect(float64(last.InAim)).To(BeNumerically(">", 0.9*float64(last.Asked)), "seed %d", seed)
+		}
+	})
+
 	It("draws what callers got", func() {
 		p, err := experiment.Load("power-loss")
 		Expect(err).NotTo(HaveOccurred())
--- a/pkg/experiment/world.go
+++ b/pkg/experiment/world.go
@@ -23,6 +23,8 @@
 	tick        = 30 * time.Millisecond
 	reportEvery = 900 * time.Millisecond
 	reportGap   = 10 * time.Millisecond
+	// idleConnRetention is that of package proxy.
+	idleConnRetention = 3 * time.Second
 	// inZone is the time of one way within a zone.
 	inZone = 100 * time.Microsecond
 	// storeTakes is what a call to the store takes.
