proxy: do not let the deadline of a planned stop pass in a transaction

What callers saw: a transaction whose BEGIN arrived while a planned stop interrupted its idle session was rolled back as idle, and its first statement was refused.

Cause: endIfIdle looked whether the session waits outside a transaction and then set the read deadline. A BEGIN that was read in between, or after it and before the read timed out, was served with the deadline in place. A transaction without a statement sets no deadline of its own, so that its next read timed out at once, and a time-out in a transaction means that its caller was idle for too long.

Change: looking and setting are one step under a mutex, which the session takes as well when it ceases to wait; it then removes the deadline of a planned stop. A session that is idle again is found by the next look.

Tests: the connection of the spec delivers a BEGIN while endIfIdle sets the deadline, without any timing, at an entry and at a home.

--- a/pkg/proxy/session.go
+++ b/pkg/proxy/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -69,6 +70,10 @@
 	// idleSince is when the session began to wait for a message outside a
 	// transaction, 0 while it does not wait.
 	idleSince atomic.Int64
+	// idleMu is held while a planned stop sets the read deadline of an idle session, which it notes in
+	// interrupted, and while the session ceases to be idle.
+	idleMu      sync.Mutex
+	interrupted bool
 }
 
 // errSessionEnded ends a session without a further answer.
--- a/pkg/proxy/sessionread.go
+++ b/pkg/proxy/sessionread.go
@@ -24,7 +24,7 @@
 		_ = s.c.SetReadDeadline(time.Now().Add(s.p.idleTransactionTimeout()))
 	}
 	line, err := s.readLine()
-	s.idleSince.Store(0)
+	s.endIdle()
 	for errors.Is(err, os.ErrDeadlineExceeded) && (s.tx != nil || s.fromEntry) {
 		line, err = s.readAfterTimeout(err)
 	}
@@ -120,16 +120,31 @@
 	return line, err
 }
 
+// endIdle notes that the session has ceased to wait for a message outside a transaction, and removes the
+// deadline of a planned stop: it would pass in a transaction that the message opens.
+func (s *session) endIdle() {
+	s.idleMu.Lock()
+	defer s.idleMu.Unlock()
+	s.idleSince.Store(0)
+	if s.interrupted {
+		s.interrupted = false
+		_ = s.c.SetReadDeadline(time.Time{})
+	}
+}
+
 // endIfIdle ends the session if it has waited for a message outside a transaction
 // for at least the time idle. A positive time spares sessions that have just been
 // opened, whose callers are about to send the first statement. endIfIdle only
 // makes the session's read time out; readMessage handles the time-out.
 func (s *session) endIfIdle(at core.Time, idle time.Duration) {
+	s.idleMu.Lock()
+	defer s.idleMu.Unlock()
 	since := core.Time(s.idleSince.Load())
 	if s.entryNotified.Load() {
 		return
 	}
 	if since != 0 && at.Sub(since) >= idle {
+		s.interrupted = true
 		_ = s.c.SetReadDeadline(time.Now())
 	}
 }
--- a/pkg/proxy/sessionread_test.go
+++ b/pkg/proxy/sessionread_test.go
@@ -59,6 +59,19 @@
 	return x, held
 }
 
+// messageAtStop is a connection on which a message arrives while a planned stop sets the read deadline.
+type messageAtStop struct {
+	net.Conn
+	arrive func()
+}
+
+func (c messageAtStop) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() && !t.After(time.Now()) {
+		c.arrive()
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 func (x *caller) write(data string) {
 	_, err := io.WriteString(x.c, data)
 	Expect(err).NotTo(HaveOccurred())
@@ -179,3 +192,47 @@
 		Expect(f.group.Commits()).To(Equal(commits))
 	})
 })
+
+// Guards against a transaction that is rolled back as idle because its BEGIN arrived while a planned stop looked for
+// idle sessions.
+var _ = Describe("a BEGIN that arrives while a planned stop interrupts its session", func() {
+	expectServed := func(s *session, x *caller, id string) {
+		GinkgoHelper()
+		Eventually(s.idleSince.Load, waitLimit, time.Millisecond).ShouldNot(BeZero())
+		s.endIfIdle(now(), 0)
+		Expect(x.answerTo(id).state).To(Equal("T"))
+		Expect(x.query("WRITE k 2").isServed()).To(BeTrue())
+		Expect(x.query("COMMIT").isServed()).To(BeTrue())
+	}
+	// sessionAtStop returns a session over a pipe on which the BEGIN arrives.
+	sessionAtStop := func(d *daemon) (s *session, x *caller, id string) {
+		near, far := net.Pipe()
+		DeferCleanup(near.Close)
+		x, id = &caller{c: pipeEnd{near}, r: bufio.NewReader(near)}, nextStatementID()
+		s = d.p.newSession(messageAtStop{Conn: far, arrive: func() { x.write("QUERY " + id + " BEGIN\r\n") }})
+		return s, x, id
+	}
+	var d *daemon
+	BeforeEach(func() {
+		d = newFleet(1).daemons[0]
+		d.dial("db-primary").queryUntilServed("WRITE k 1")
+	})
+
+	It("is served with its transaction", func() {
+		s, x, id := sessionAtStop(d)
+		go s.run()
+		x.send("STARTUP db-primary me")
+		Expect(x.line()).To(Equal("READY I -"))
+		expectServed(s, x, id)
+	})
+
+	It("is served with its transaction at a home", func() {
+		s, x, id := sessionAtStop(d)
+		s.fromEntry = true
+		go s.runFromEntry()
+		_, err := protodelim.MarshalTo(x.c, &reportpb.Hello{Database: "db-primary", Entry: "edge-9"})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(protodelim.UnmarshalFrom(x.r, &reportpb.Welcome{})).To(Succeed())
+		expectServed(s, x, id)
+	})
+})
