home: count and log members that answer out of step

What callers saw: an error in doubt when a PostgreSQL target repeats an answer. What operators saw: a dropped connection among others, without a reason.

Cause: the error of the connection was classified and then dropped.

Change: target.ErrOutOfStep is in each error for something that came in place of an awaited answer. The home counts it as connections_out_of_step and logs the member and what came.

Test: "that the member answers out of step is in doubt and counted", for a write and for one with a must-not-repeat key, whose caller gets nothing of the older answer. Both fail without the count (go test ./pkg/home -ginkgo.focus "out of step", one run). The tests of pkg/target, pkg/home and pkg/daemon pass, one run each.

--- a/pkg/home/classify.go
+++ b/pkg/home/classify.go
@@ -53,6 +53,15 @@
 	return r
 }
 
+// noteBroken counts and logs a connection that ended because its answers were out of step.
+func (s *Shard) noteBroken(member core.MemberID, err error) {
+	if !errors.Is(err, target.ErrOutOfStep) {
+		return
+	}
+	s.metrics.outOfStep.Add(1)
+	s.logger.Warn("member answered out of step", "member", string(member), "error", err)
+}
+
 // failError makes the caller's error out of the reducer's.
 func failError(f *group.Fail) *errs.Error {
 	kind, text := reasonKind(f)
--- a/pkg/home/do.go
+++ b/pkg/home/do.go
@@ -183,6 +183,7 @@
 	}
 	answer, err := c.runner.Run(v.conn.conn, &c.batch)
 	if err != nil {
+		c.shard.noteBroken(v.dispatch.Member, err)
 		return classifyBroken(err, &answer)
 	}
 	return classifyAnswer(answer, idle)
--- a/pkg/home/do_test.go
+++ b/pkg/home/do_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"strings"
 	"time"
 
@@ -220,6 +221,22 @@
 		Expect(r.reducer.results).To(Equal([]group.Result{group.ResultLost}))
 	})
 
+	// Guards against the answer to another request, and against a member that repeats answers unnoticed.
+	DescribeTable("that the member answers out of step is in doubt and counted", func(once string) {
+		start(1)
+		req := r.request(1, query("AGAIN"))
+		req.Once = once
+		a, _, err := r.do(req)
+		Expect(errs.As(err).Outcome).To(Equal(core.OutcomeUnknown))
+		Expect(a.types()).To(BeEmpty())
+		Expect(r.member.count("AGAIN")).To(Equal(1))
+		shard := expvar.Get("limpetspan.home").(*expvar.Map).Get("d1/g").(*expvar.Map)
+		Expect(shard.Get("connections_out_of_step").String()).To(Equal("1"))
+	},
+		Entry("a write", ""),
+		Entry("a write with a must-not-repeat key", "k-1"),
+	)
+
 	// A stand reads a listing, and the connection breaks after some rows. Lost reads
 	// are repeated; the rows that the stand has already would come twice.
 	It("that was half answered is not tried again", func() {
--- a/pkg/home/fake_member_test.go
+++ b/pkg/home/fake_member_test.go
@@ -15,7 +15,7 @@
 
 // fakeMember is a PostgreSQL server whose statements are texts with a meaning
 // for the tests: "WAIT name" waits until the gate of that name is opened,
-// "DIE" ends the connection, "HALF" after a row, "FAIL code" and "FATAL code" answer an error, BEGIN, COMMIT and ROLLBACK do as they say, and
+// "DIE" ends the connection, "HALF" after a row, "AGAIN" gives an older answer first, "FAIL code" and "FATAL code" answer an error, BEGIN, COMMIT and ROLLBACK do as they say, and
 // everything is counted. Answers repeat the statement's text.
 type fakeMember struct {
 	listener net.Listener
@@ -212,6 +212,10 @@
 		return false
 	case "COPY":
 		return s.copyIn()
+	case "AGAIN":
+		s.row("the answer to another statement")
+		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+		s.ready()
 	case "WAIT":
 		<-s.member.gate(rest)
 	case "BEGIN":
--- a/pkg/home/liveness.go
+++ b/pkg/home/liveness.go
@@ -42,6 +42,7 @@
 	if err == nil {
 		return run{}, true
 	}
+	c.shard.noteBroken(v.dispatch.Member, err)
 	r := classifyBroken(err, &c.ran.answer)
 	r.silent = r.result == group.ResultNotSent
 	return r, false
--- a/pkg/home/metrics.go
+++ b/pkg/home/metrics.go
@@ -34,7 +34,9 @@
 	failed               [len(reasonNames)]expvar.Int
 	// open is the number of caller-work connections; dropped counts those that
 	// were given up because their state was not known.
-	open, dropped       expvar.Int
+	open, dropped expvar.Int
+	// outOfStep counts connections that ended because something came in place of an awaited answer.
+	outOfStep           expvar.Int
 	dials, dialFailures expvar.Int
 	cancels             expvar.Int
 	// onceRepeated counts requests whose must-not-repeat key had run.
@@ -50,6 +52,7 @@
 	vars.Set("dispatched", &m.dispatched)
 	vars.Set("connections_open", &m.open)
 	vars.Set("connections_dropped", &m.dropped)
+	vars.Set("connections_out_of_step", &m.outOfStep)
 	vars.Set("dials", &m.dials)
 	vars.Set("dial_failures", &m.dialFailures)
 	vars.Set("cancels", &m.cancels)
--- a/pkg/home/once.go
+++ b/pkg/home/once.go
@@ -129,7 +129,11 @@
 }
 
 func (o *onceRun) ask(messages []byte, groups int) (target.Reply, error) {
-	return o.runner.Ask(o.conn, messages, groups)
+	reply, err := o.runner.Ask(o.conn, messages, groups)
+	if err != nil {
+		o.shard.noteBroken(o.member, err)
+	}
+	return reply, err
 }
 
 // runFirst runs the caller's messages behind the claim. Their answer is held
@@ -140,6 +144,7 @@
 	}
 	answer, err := o.runner.Run(o.conn, &o.batch)
 	if err != nil {
+		o.shard.noteBroken(o.member, err)
 		return o.lost(answer)
 	}
 	switch {
--- a/pkg/target/broken.go
+++ b/pkg/target/broken.go
@@ -1,6 +1,13 @@
 package target
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrOutOfStep says that something came in place of the answer that was awaited. The answers of the connection
+// cannot be matched to exchanges any more.
+var ErrOutOfStep = errors.New("target: the member answered out of step")
 
 // Broken says that a connection ended, or left the protocol, before a batch was
 // complete. The connection is not to be used again.
--- a/pkg/target/marker.go
+++ b/pkg/target/marker.go
@@ -71,7 +71,7 @@
 		}
 		next, ok := bytes.CutPrefix(rest, message)
 		if !ok {
-			return fmt.Errorf("the answer may be another exchange's: message %q in place of the marker's answer", message.Type())
+			return fmt.Errorf("%w: message %q in place of the marker's answer", ErrOutOfStep, message.Type())
 		}
 		rest = next
 	}
--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -75,7 +75,7 @@
 		return Reply{}, r.fail(err, true)
 	}
 	if r.reader.Buffered() > 0 {
-		return Reply{}, r.fail(errors.New("the member sent more than the answer"), true)
+		return Reply{}, r.fail(fmt.Errorf("%w: more than the answer", ErrOutOfStep), true)
 	}
 	c.txStatus = r.reply.TxStatus
 	return r.reply, nil
@@ -172,7 +172,7 @@
 			r.conn.prepared.forget(r.batch.Prepared)
 			return r.takeError(message, false)
 		default:
-			return fmt.Errorf("message %q in place of %q", message.Type(), r.expected[i])
+			return fmt.Errorf("%w: message %q in place of %q", ErrOutOfStep, message.Type(), r.expected[i])
 		}
 	}
 	return nil
--- a/pkg/target/run.go
+++ b/pkg/target/run.go
@@ -127,7 +127,7 @@
 		return err
 	}
 	if r.reader.Buffered() > 0 {
-		return errors.New("the member sent more than the answer")
+		return fmt.Errorf("%w: more than the answer", ErrOutOfStep)
 	}
 	return nil
 }
@@ -180,7 +180,10 @@
 	if r.answer.TxStatus != pgframe.StatusIdle {
 		return nil
 	}
-	if r.reply.positionErr != nil || r.reply.Code != "" || !r.reply.isPosition() {
+	if r.reply.Code == "" && !r.reply.isPosition() {
+		return fmt.Errorf("%w: another answer in place of the position", ErrOutOfStep)
+	}
+	if r.reply.positionErr != nil || r.reply.Code != "" {
 		// An unknown position must not pass for "unchanged": the session's next
 		// read would be served by a replica that lacks this write.
 		return errors.Join(fmt.Errorf("the member gave no position (SQLSTATE %q)", r.reply.Code), r.reply.positionErr)
--- a/pkg/target/stream.go
+++ b/pkg/target/stream.go
@@ -122,7 +122,7 @@
 	case msgReadyForQuery:
 		return true, r.takeReady(message)
 	default:
-		return false, fmt.Errorf("message %q has no place in an answer", chunk.Last)
+		return false, fmt.Errorf("%w: message %q has no place in an answer", ErrOutOfStep, chunk.Last)
 	}
 }
 
