proxy: date no report by a time of another boot

Callers saw reads of bounded_stale databases that lacked commits older than their bound, after hosts had lost power while others were cut off.

Cause: a report sends back a time of the receiver's clock and counts from it. A loss of power restarts that clock, and a daemon that was cut off goes on sending back a time of the earlier boot. Where it lay in the future it was cut to the time of receipt, so content that had waited in the socket of a frozen daemon counted as new: samples of the primary and the rest of a lease. A time of the earlier boot that lies in the past of the new clock was used as it is.

Change: reports name the process that wrote their stamp (boot, 18) and that whose stamp they send back (echo_boot, 19). Echo.SentAt in core/direct dates nothing by a stamp of another process, nor by a time before the start of this one or in the future. An echo from an earlier version, which names no boot, is dropped as well if its age is the greatest that counts.

Tests changed: "is dated by a time before its content was read" also expects the boot.

--- a/pkg/proxy/hostlist_test.go
+++ b/pkg/proxy/hostlist_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"limpetspan/core"
 	"limpetspan/core/direct"
 	"limpetspan/pkg/proxy/reportpb"
 )
@@ -80,18 +81,19 @@
 	// sample of the primary's position would seem two seconds too young.
 	It("is dated by a time before its content was read", func() {
 		received := now()
-		t := recipient{stamp: 77, stampAt: received}
+		t := recipient{stamp: direct.Stamp{Boot: 5, At: 77}, stampAt: received}
 		began := received.Add(30 * time.Millisecond)
 		var m reportpb.Report
 		t.addTimestamps(&m, began)
 		Expect(m.Echo).To(Equal(int64(77)))
+		Expect(m.EchoBoot).To(Equal(int64(5)))
 		Expect(m.EchoAgeUs).To(Equal(uint64(30_000)), "whenever it is sent")
 		Expect(m.Stamp).To(Equal(int64(began)))
 	})
 
 	It("is never dated before the receiver's timestamp was received", func() {
 		received := now()
-		t := recipient{stamp: 77, stampAt: received}
+		t := recipient{stamp: direct.Stamp{Boot: 5, At: 77}, stampAt: received}
 		var m reportpb.Report
 		t.addTimestamps(&m, received.Add(-time.Second))
 		Expect(m.EchoAgeUs).To(BeZero())
@@ -101,7 +103,7 @@
 // FuzzReport checks that no datagram crashes the process or yields a lease or confirmation that is
 // dated in the future.
 func FuzzReport(f *testing.F) {
-	complete, err := proto.Marshal(&reportpb.Report{Daemon: "d2", Ip: "10.0.0.2", Stamp: 5, Echo: 7, EchoAgeUs: 3, Groups: []*reportpb.Group{{
+	complete, err := proto.Marshal(&reportpb.Report{Daemon: "d2", Ip: "10.0.0.2", Stamp: 5, Boot: 2, Echo: 7, EchoBoot: 1, EchoAgeUs: 3, Groups: []*reportpb.Group{{
 		Group: "g", Primary: "a", Term: 1, LeaseLeftUs: 600_000, LedAgeUs: proto.Uint64(5), SampleTerm: 1, SampleLsn: 9, SampleAgeUs: 5,
 		Members: []*reportpb.Member{{Member: "b", Open: 2, Confirmed: 1, AgeUs: 1 << 63}},
 	}}})
@@ -117,6 +119,10 @@
 		if proto.Unmarshal(data, &m) != nil {
 			return
 		}
+		received := core.Time(time.Hour)
+		if sent, _ := decodeEcho(&m).SentAt(received, direct.Process{Boot: m.EchoBoot}); sent < 0 || sent > received {
+			t.Errorf("%x is dated %v, received at %v", data, sent, received)
+		}
 		for _, g := range m.Groups {
 			r := decodeReport(g)
 			if r.LeaseRemaining < 0 || r.SampleAge < 0 || r.PrimarySeenAge < 0 {
--- a/pkg/proxy/peers.go
+++ b/pkg/proxy/peers.go
@@ -48,8 +48,10 @@
 	unlistedAt core.Time
 	// stamp is the timestamp in its last report, on its own clock. The report was received at
 	// stampAt.
-	stamp   int64
+	stamp   direct.Stamp
 	stampAt core.Time
+	// echoFault is that of its last report.
+	echoFault direct.EchoFault
 }
 
 // maxReportBytes bounds a report. A report of a few hundred groups is smaller.
@@ -226,7 +228,7 @@
 // recipient is a daemon that receives a report, with the last timestamp received from it.
 type recipient struct {
 	addr    *net.UDPAddr
-	stamp   int64
+	stamp   direct.Stamp
 	stampAt core.Time
 	// groups are the groups that its report contains.
 	groups []core.GroupID
@@ -321,7 +323,7 @@
 		ids = append(ids, g.id)
 	}
 	recipients, began := s.recipients(ids), now()
-	m.Daemon = string(s.p.settings.Daemon)
+	m.Daemon, m.Boot = string(s.p.settings.Daemon), s.p.boot
 	reports := make(map[core.GroupID]*reportpb.Group, len(groups))
 	for _, g := range groups {
 		isHome, homes := s.p.homes.ownRole(g.id)
@@ -352,7 +354,7 @@
 // report on its own clock. began is a time before anything in the report was read and after the
 // receiver's timestamp was received.
 func (r *recipient) addTimestamps(m *reportpb.Report, began core.Time) {
-	m.Stamp, m.Echo = int64(began), r.stamp
+	m.Stamp, m.Echo, m.EchoBoot = int64(began), int64(r.stamp.At), r.stamp.Boot
 	m.EchoAgeUs = uint64(max(0, began.Sub(r.stampAt)) / time.Microsecond)
 }
 
@@ -391,7 +393,7 @@
 // maxReportedAge bounds the ages in a received report. No greater age is useful. A number beyond the
 // range of time.Duration would otherwise become a time in the future, and a confirmation dated in
 // the future would give a lease that does not end.
-const maxReportedAge = time.Minute
+const maxReportedAge = direct.MaxEchoAge
 
 // maxRunningPercent bounds the reported number of statements on a member: no member has more slots
 // than a few thousand, and a greater number is an error of the sender.
@@ -486,12 +488,11 @@
 		return
 	}
 	s.updateSender(from, m)
-	// sent is a time, on this daemon's clock, before the content of the report was read. It is 0 if the
-	// report echoes no timestamp.
-	var sent core.Time
-	if m.Echo != 0 {
-		sent = core.Time(m.Echo).Add(decodeAge(m.EchoAgeUs))
-	}
+	// sent is a time, on this daemon's clock, before the content of the report was read; 0 if none is
+	// known.
+	echo := decodeEcho(m)
+	sent, fault := echo.SentAt(now(), direct.Process{Boot: s.p.boot, StartedAt: s.p.startedAt})
+	s.recordEchoFault(from, echo, fault)
 	for _, r := range m.Groups {
 		g := s.p.existingGroup(core.GroupID(r.Group))
 		if g == nil {
@@ -502,11 +503,35 @@
 			continue
 		}
 		g.update(func(c *direct.Group, at core.Time) []direct.Effect {
-			return c.PeerReported(at, min(sent, at), from, decodeReport(r))
+			return c.PeerReported(at, sent, from, decodeReport(r))
 		})
 	}
 }
 
+// decodeEcho returns the report's echo. A sender that names its own boot is of a version that sends
+// back the boot of a stamp.
+func decodeEcho(m *reportpb.Report) direct.Echo {
+	return direct.Echo{Stamp: direct.Stamp{Boot: m.EchoBoot, At: core.Time(m.Echo)}, Age: decodeAge(m.EchoAgeUs), NamesBoot: m.Boot != 0}
+}
+
+// recordEchoFault counts a report that its echo does not date, and logs the first of several from a
+// known sender.
+func (s *peers) recordEchoFault(from core.DaemonID, e direct.Echo, fault direct.EchoFault) {
+	if fault != "" {
+		s.p.stats.reportsUndated.Add(string(fault), 1)
+	}
+	s.mu.Lock()
+	k := s.known[from]
+	changed := k != nil && k.echoFault != fault
+	if changed {
+		k.echoFault = fault
+	}
+	s.mu.Unlock()
+	if changed && fault != "" {
+		s.p.log.Info("report not dated", "peer", from, "reason", fault, "echo", e.At, "echo_boot", e.Boot, "boot", s.p.boot, "now", now())
+	}
+}
+
 // updateSender records the sender's address and timestamp, or removes a sender that is leaving.
 // Reports may arrive out of order. A timestamp that is older than the previous one is valid, too: the
 // sender only dates the content of this daemon's next report earlier than necessary.
@@ -533,6 +558,6 @@
 	}
 	// A report of changes has no address, so its sender may be unknown.
 	if k != nil {
-		k.lastSeen, k.stamp, k.stampAt = now(), m.Stamp, now()
+		k.lastSeen, k.stamp, k.stampAt = now(), direct.Stamp{Boot: m.Boot, At: core.Time(m.Stamp)}, now()
 	}
 }
--- a/pkg/proxy/peers_test.go
+++ b/pkg/proxy/peers_test.go
@@ -1,14 +1,95 @@
 package proxy
 
 import (
+	"expvar"
+	"io"
+	"net"
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/gbytes"
+	"google.golang.org/protobuf/proto"
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/pkg/proxy/reportpb"
 	"limpetspan/platform"
 )
 
+var _ = Describe("a report that sends back a time", func() {
+	const lease = 600 * time.Millisecond
+	var p *Proxy
+	// leaseAfter returns how long the lease on the primary lasts after a report of another daemon's lease.
+	leaseAfter := func(m *reportpb.Report) time.Duration {
+		m.Daemon = "d2"
+		m.Groups = []*reportpb.Group{{Group: "g", Primary: "a", Term: 1, LeaseLeftUs: uint64(lease.Microseconds())}}
+		before := now()
+		p.peers.handleReport(m)
+		return inspect(p.existingGroup("g"), func(c *direct.Group, at core.Time) time.Duration { return c.LeaseExpiry(at).Sub(before) })
+	}
+
+	BeforeEach(func() {
+		p = New(platform.Settings{Daemon: "d"}, io.Discard)
+		p.startedAt = p.startedAt.Add(-time.Hour)
+		p.peers = &peers{p: p, known: make(map[core.DaemonID]*peer)}
+		at, g := now(), p.group("g")
+		g.core.UpdateMembers(at, at, []direct.Member{{ID: "a", Group: "g", Addr: "a"}, {ID: "b", Group: "g", Addr: "b"}, {ID: "c", Group: "g", Addr: "c"}})
+		g.core.ConfirmMembers(at)
+		g.core.Probed(at, at, "a", direct.Status{Role: core.RolePrimary, Term: 1, Position: core.Position{Term: 1, LSN: 1}})
+	})
+
+	It("counts from that time", func() {
+		sent := now().Add(-200 * time.Millisecond)
+		Expect(leaseAfter(&reportpb.Report{Boot: 2, Echo: int64(sent), EchoBoot: p.boot})).To(And(BeNumerically(">", 0), BeNumerically("<=", 400*time.Millisecond)))
+		Expect(p.stats.reportsUndated.String()).To(Equal("{}"))
+	})
+
+	// Guards against old content that counts as new. The receiver has lost power, and the sender sends back a
+	// time of the earlier boot. The report has waited in the receiver's socket.
+	DescribeTable("gives no lease if the time is of an earlier boot",
+		func(at time.Duration, boot, echoBoot int64, reason direct.EchoFault) {
+			Expect(leaseAfter(&reportpb.Report{Boot: boot, Echo: int64(now().Add(at)), EchoBoot: echoBoot})).To(BeNumerically("<=", 0))
+			Expect(p.stats.reportsUndated.Get(string(reason))).NotTo(BeNil())
+		},
+		Entry("in the future", time.Hour, int64(2), int64(1), direct.EchoOfOtherBoot),
+		Entry("in the past", -50*time.Millisecond, int64(2), int64(1), direct.EchoOfOtherBoot),
+		Entry("in the future, from a sender of an earlier version", time.Hour, int64(0), int64(0), direct.EchoImpossible),
+	)
+})
+
+var _ = Describe("daemons that report to each other", func() {
+	// Guards against reports that date nothing any more after the receiver was started again.
+	It("drop times of a process that has ended, and use those of the next one", func() {
+		f := newFleet(2)
+		first, second := f.daemons[0], f.daemons[1]
+		knows := func(d, other *daemon) func() bool {
+			return func() bool {
+				d.p.peers.mu.Lock()
+				defer d.p.peers.mu.Unlock()
+				k := d.p.peers.known[other.s.Daemon]
+				return k != nil && k.stamp.Boot == other.p.boot && k.echoFault == ""
+			}
+		}
+		Eventually(knows(first, second), waitLimit).Should(BeTrue())
+		Eventually(knows(second, first), waitLimit).Should(BeTrue())
+
+		conn, err := net.Dial("udp4", first.s.GossipAddr(first.s.IP))
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		earlier, err := proto.Marshal(&reportpb.Report{Daemon: string(second.s.Daemon), Boot: second.p.boot - 1, Stamp: int64(now())})
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() expvar.Var {
+			_, err := conn.Write(earlier)
+			Expect(err).NotTo(HaveOccurred())
+			return second.p.stats.reportsUndated.Get(string(direct.EchoOfOtherBoot))
+		}, waitLimit).ShouldNot(BeNil())
+		Eventually(f.log, waitLimit).Should(gbytes.Say("report not dated"))
+		Eventually(knows(first, second), waitLimit).Should(BeTrue())
+		Eventually(knows(second, first), waitLimit).Should(BeTrue())
+	})
+})
+
 var _ = Describe("a report of the load of members", func() {
 	report := direct.Report{Group: "g", Members: []direct.MemberReport{{Member: "a", OpenConns: 2, Running: 1.25}, {Member: "b", OpenConns: 1}}}
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -49,7 +49,7 @@
 	limits *limits
 	// sessionLimits bounds the state that a session may set.
 	sessionLimits SessionLimits
-	// boot identifies this run of the process in promotion locks and slots.
+	// boot identifies this run of the process in promotion locks, slots and reports.
 	boot    int64
 	claims  *claims
 	peers   *peers
--- a/pkg/proxy/stats.go
+++ b/pkg/proxy/stats.go
@@ -17,6 +17,8 @@
 	// failed sends and receives of reports.
 	statements, malformed, connsBroken, dials, dialFailures, probeFailures expvar.Int
 	commandsDropped, promotions, reportsUnsent, reportsMalformed           expvar.Int
+	// reportsUndated counts the reports whose echo does not date them, by reason.
+	reportsUndated expvar.Map
 	// ordersExpired counts orders to members that were not sent, because another daemon could hold the
 	// promotion lock by then.
 	ordersExpired expvar.Int
@@ -111,7 +113,7 @@
 		"statements": s.statements.Value(), "malformed": s.malformed.Value(), "broken": s.connsBroken.Value(),
 		"dials": s.dials.Value(), "conns_replaced": s.connsReplaced.Value(), "dial_failures": s.dialFailures.Value(), "probe_failures": s.probeFailures.Value(),
 		"orders_dropped": s.commandsDropped.Value(), "orders_expired": s.ordersExpired.Value(), "promotions": s.promotions.Value(), "promotion_outcomes": valuesOf(&s.promotionOutcomes),
-		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(),
+		"reports_unsent": s.reportsUnsent.Value(), "reports_malformed": s.reportsMalformed.Value(), "reports_undated": valuesOf(&s.reportsUndated),
 		"on_primary": s.onPrimary.Value(), "on_replica": s.onReplica.Value(), "log_lines_dropped": s.logLinesDropped.Value(),
 		"store_eras_ended": s.erasEnded.Value(), "watches_unusable": s.watchesUnusable.Value(), "refusals": refusals, "refusals_unproved": s.refusalsUnproved.Value(), "barred": denied, "unpaid": overQuota,
 		"answers_surplus": valuesOf(&s.answersSurplus), "answers_confirmed": valuesOf(&s.answersConfirmed), "answers_unproved": valuesOf(&s.answersUnproved), "conns_out_of_step": s.connsOutOfStep.Value(),
