health: take no time in the future for this daemon's own echo

A check of a home gives a verdict once the daemon has read an echo that it sent to itself, so that answers which wait in its socket count. The newest time of such an echo was kept, whatever it was. One datagram under the daemon's own name with a time in the future ended this wait for as long as the daemon ran: a home whose answers had arrived could be found lost.

Now a time in the future is ignored.

--- a/core/health/check.go
+++ b/core/health/check.go
@@ -97,8 +97,12 @@
 }
 
 // SelfEchoed records that this daemon has read an echo that it sent to itself at the given time. It has
-// then read all answers that had arrived before.
-func (t *Table) SelfEchoed(sent core.Time) { t.selfEchoed = max(t.selfEchoed, sent) }
+// then read all answers that had arrived before. A time in the future is not of this process.
+func (t *Table) SelfEchoed(now, sent core.Time) {
+	if sent <= now {
+		t.selfEchoed = max(t.selfEchoed, sent)
+	}
+}
 
 // EchoUnsent records that an echo of the running check could not be sent, so that its silence proves
 // nothing.
--- a/core/health/health_test.go
+++ b/core/health/health_test.go
@@ -52,7 +52,7 @@
 // reads nothing.
 func selfEcho(t *health.Table, sent core.Time) {
 	if readsSocket {
-		t.SelfEchoed(sent)
+		t.SelfEchoed(sent, sent)
 	}
 }
 
@@ -154,6 +154,19 @@
 		Expect(at).To(BeNumerically(">", answered))
 	})
 
+	// Guards against verdicts without the daemon's own echo, for as long as it runs, after a datagram under
+	// its name with a time of another boot.
+	It("waits for its own echo after one from the future, too", func() {
+		readsSocket = false
+		DeferCleanup(func() { readsSocket = true })
+		_, want := run(newTable(), start.Add(time.Second), punctual, never)
+		t := newTable()
+		t.SelfEchoed(start, start.Add(time.Hour))
+		step, at := run(t, start.Add(time.Second), punctual, never)
+		Expect(step.Lost).To(BeTrue())
+		Expect(at).To(Equal(want))
+	})
+
 	// Guards against a rolling upgrade in which entries leave all homes of the earlier version.
 	It("asks a peer for its configuration that has never answered an echo", func() {
 		step, _ := run(health.NewTable(), start, punctual, never)
--- a/pkg/proxy/peerhealth.go
+++ b/pkg/proxy/peerhealth.go
@@ -338,7 +338,7 @@
 func (h *peerHealth) selfEchoed(sent core.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.table.SelfEchoed(sent)
+	h.table.SelfEchoed(now(), sent)
 }
 
 // connected records that a link to the peer, which was begun at the given time, was opened.
