Give no lease on a primary for its own answers alone

A group of which a daemon counts one living member needed floor(1/2) = 0 confirmations, so each answer of the primary extended the lease, and the promotion lock was never read. The members that do not count may only be away: another daemon fences and promotes them, and no fence meets the empty set.

There the lease now rests on reads of the promotion lock, dated by when they were sent.

--- a/core/direct/guard.go
+++ b/core/direct/guard.go
@@ -44,6 +44,8 @@
 	GuardLockEra
 	// GuardSessionPosition: a session's reads cover its own commits.
 	GuardSessionPosition
+	// GuardLoneMember: the answers of the only known member extend no lease.
+	GuardLoneMember
 )
 
 // DisableGuards switches guards off.
--- a/core/direct/lease.go
+++ b/core/direct/lease.go
@@ -162,11 +162,16 @@
 }
 
 // replicaLeaseExpiry returns the expiry of the lease given by the confirmations of floor(n/2)
-// replicas. In a group of one, which has no replica, every answer of the primary counts.
+// replicas. In a group of one no replica confirms, and the lease rests on the promotion lock alone:
+// the other members may only be away, and another daemon may reach, fence and promote them without
+// this daemon or the primary being asked.
 func (g *Group) replicaLeaseExpiry(now core.Time, p *member) core.Time {
 	need := g.majoritySize(now) / 2
 	if need == 0 {
-		return p.lastSeen.Add(LeaseDuration)
+		if !g.enforces(GuardLoneMember) {
+			return p.lastSeen.Add(LeaseDuration)
+		}
+		return 0
 	}
 	var at []core.Time
 	for id, m := range g.members {
--- a/core/direct/probe.go
+++ b/core/direct/probe.go
@@ -48,13 +48,23 @@
 	if p == nil || p.suspect || g.claim.phase != noClaim || p.isLeaving(now) && g.isPeerClaiming(now) {
 		return
 	}
-	if g.LeaseExpiry(now).Sub(now) >= LockReadMargin || now.Sub(g.promotionLock.requestedAt) < LockReadInterval || g.isSuperseded() {
+	if g.LeaseExpiry(now).Sub(now) >= g.lockReadMargin(now) || now.Sub(g.promotionLock.requestedAt) < LockReadInterval || g.isSuperseded() {
 		return
 	}
 	g.promotionLock.requestedAt = now
 	g.emit(Effect{Kind: EffectReadLock})
 }
 
+// lockReadMargin returns how long before the lease expires the promotion lock is read. In a group of
+// one, where nothing else extends the lease, the daemon that is first by rank reads it earlier, so that
+// its reports normally serve all.
+func (g *Group) lockReadMargin(now core.Time) time.Duration {
+	if g.majoritySize(now) > 1 {
+		return LockReadMargin
+	}
+	return max(LockReadMargin, LoneLockReadMargin-ProbeStagger*time.Duration(g.rank(now)))
+}
+
 // dueProbes returns the members to probe: those without a known role, a silent primary, and
 // replicas whose confirmation the lease needs.
 func (g *Group) dueProbes(now core.Time) []core.MemberID {
--- a/core/direct/suite_test.go
+++ b/core/direct/suite_test.go
@@ -111,4 +111,6 @@
 	primary = direct.Status{Role: core.RolePrimary, Term: 1, RunningStatements: allSlotsBusy, Position: core.Position{Term: 1, LSN: 10}}
 	replica = direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 10}}
 	fenced  = direct.Status{Role: core.RoleReplica, Term: 1, FencedTerm: 2, Position: core.Position{Term: 1, LSN: 10}}
+
+	onlyPrimaryAnswers = map[core.MemberID]direct.Status{"a": primary}
 )
--- a/core/direct/tuning.go
+++ b/core/direct/tuning.go
@@ -45,6 +45,9 @@
 	// LockReadInterval the time between such reads.
 	LockReadMargin   = 280 * time.Millisecond
 	LockReadInterval = 250 * time.Millisecond
+	// LoneLockReadMargin is the largest LockReadMargin in a group of one. Two reads fit into
+	// LeaseDuration, so that one may be lost.
+	LoneLockReadMargin = LeaseDuration - ProbeInterval
 	// MinPromoteDuration is a lower bound of the time between the order to promote and its effect.
 	// Leases may still expire during that time.
 	MinPromoteDuration = 300 * time.Millisecond
--- a/pkg/explore/promotions/fault.go
+++ b/pkg/explore/promotions/fault.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"limpetspan/core/direct"
 )
 
 // scheduleFault draws the next fault, until the faults end.
@@ -11,7 +13,9 @@
 		if w.now >= w.faultsEnd {
 			return
 		}
-		w.fault()
+		if w.now >= w.splitTill {
+			w.fault()
+		}
 		w.scheduleFault()
 	})
 }
@@ -49,6 +53,7 @@
 const (
 	crowdStream   = 2
 	restoreStream = 3
+	splitStream   = 4
 )
 
 // scheduleRestores restores the store at random times from a copy that is up to six seconds old.
@@ -88,6 +93,74 @@
 	})
 }
 
+// scheduleSplits lets replicas return behind a partition at random times.
+func (w *world) scheduleSplits(random *rand.Rand) {
+	w.after(time.Duration(random.Int64N(int64(2*splitEvery))), func() {
+		if w.faultsEnd.Sub(w.now) < maxSplit {
+			return
+		}
+		w.splitTill = w.now.Add(maxSplit)
+		w.split(random)
+		w.after(maxSplit, func() { w.scheduleSplits(random) })
+	})
+}
+
+// Times of a split.
+const (
+	// splitEvery is the mean pause before a split, maxSplit its longest duration. No other fault begins
+	// meanwhile.
+	splitEvery = 4 * time.Second
+	maxSplit   = 15 * time.Second
+	// entryTTL is how long the store keeps the entry of a member that it does not reach.
+	entryTTL = 1500 * time.Millisecond
+)
+
+// split makes all replicas dark, until daemons no longer count them. Shortly before they return, the
+// primary and some of the daemons are cut off from everything else.
+func (w *world) split(random *rand.Rand) {
+	dark := entryTTL + direct.UnlistedGrace + time.Duration(random.Int64N(int64(4*time.Second)))
+	p := w.leader()
+	for _, m := range w.members {
+		if m == p {
+			continue
+		}
+		w.note("%s dark for %v", m.id, dark)
+		for _, d := range w.daemons {
+			w.sever(m.node(), d.node(), dark)
+		}
+		w.after(entryTTL, func() { m.entryBack = max(m.entryBack, w.now.Add(dark-entryTTL)) })
+	}
+	beside := 1 + random.IntN(len(w.daemons)-1)
+	first := random.IntN(len(w.daemons))
+	span := 3*time.Second + time.Duration(random.Int64N(int64(3*time.Second)))
+	w.after(dark-time.Duration(random.Int64N(int64(2*time.Second))), func() {
+		w.note("%s and %d daemons from %s on alone for %v", p.id, beside, w.daemons[first].id, span)
+		island := map[node]bool{p.node(): true}
+		for i := range beside {
+			island[w.daemons[(first+i)%len(w.daemons)].node()] = true
+		}
+		w.isolate(island, span)
+	})
+}
+
+// isolate cuts the nodes of the island from all others.
+func (w *world) isolate(island map[node]bool, span time.Duration) {
+	all := []node{storeNode}
+	for _, d := range w.daemons {
+		all = append(all, d.node())
+	}
+	for _, m := range w.members {
+		all = append(all, m.node())
+	}
+	for i, a := range all {
+		for _, b := range all[:i] {
+			if island[a] != island[b] {
+				w.sever(a, b, span)
+			}
+		}
+	}
+}
+
 // leader is the primary of the newest term in the model.
 func (w *world) leader() *member {
 	for _, m := range w.members {
--- a/pkg/explore/promotions/run.go
+++ b/pkg/explore/promotions/run.go
@@ -27,6 +27,9 @@
 	Crowded bool
 	// Restores lets the store be restored from older copies of itself.
 	Restores bool
+	// Splits lets all replicas be away for so long that the store drops their entries, and return while
+	// the primary and some daemons are cut off from the store and from everything else.
+	Splits bool
 	// Disabled are checks of the reducer that are switched off, shell those of the
 	// code around it.
 	Disabled direct.Guard
@@ -72,9 +75,9 @@
 	reducer direct.Guard
 	shell   shellGuard
 	// sync is set if the check matters only when commits wait for a replica, crowded if only when
-	// members refuse connections for commands, and restores if only when the store is restored from
-	// older copies.
-	sync, crowded, restores bool
+	// members refuse connections for commands, restores if only when the store is restored from older
+	// copies, and splits if only when replicas return behind a partition.
+	sync, crowded, restores, splits bool
 }
 
 var guards = []guard{
@@ -82,6 +85,7 @@
 	{name: "fences", reducer: direct.GuardFences},
 	{name: "heard", reducer: direct.GuardKnownTerm, crowded: true},
 	{name: "leads", reducer: direct.GuardPrimaryRole},
+	{name: "lone-member", reducer: direct.GuardLoneMember, splits: true},
 	{name: "outrun", reducer: direct.GuardNewerTerm},
 	{name: "outwait", reducer: direct.GuardLeaseWait},
 	{name: "own-fences", reducer: direct.GuardOwnFences},
@@ -125,6 +129,7 @@
 		o.Sync = o.Sync || guards[i].sync
 		o.Crowded = o.Crowded || guards[i].crowded
 		o.Restores = o.Restores || guards[i].restores
+		o.Splits = o.Splits || guards[i].splits
 	}
 	return nil
 }
@@ -192,6 +197,7 @@
 		broken.Sync = broken.Sync || g.sync
 		broken.Crowded = broken.Crowded || g.crowded
 		broken.Restores = broken.Restores || g.restores
+		broken.Splits = broken.Splits || g.splits
 		result := GuardResult{Guard: g.name}
 		for result.Runs < o.Runs && result.Violation == nil && ctx.Err() == nil {
 			broken.Seed = o.Seed + uint64(result.Runs)
--- a/pkg/explore/promotions/world.go
+++ b/pkg/explore/promotions/world.go
@@ -63,9 +63,11 @@
 	// highestToken is the highest fencing token of all promotion requests.
 	highestToken uint64
 	faultsEnd    core.Time
-	violations   []explore.Violation
-	counts       map[string]int
-	trace        func(string)
+	// splitTill is when the current split has ended.
+	splitTill  core.Time
+	violations []explore.Violation
+	counts     map[string]int
+	trace      func(string)
 }
 
 // commit is one write.
@@ -206,6 +208,9 @@
 	if w.options.Crowded {
 		w.scheduleCrowd(rand.New(rand.NewPCG(w.seed, crowdStream)))
 	}
+	if w.options.Splits {
+		w.scheduleSplits(rand.New(rand.NewPCG(w.seed, splitStream)))
+	}
 	end := w.faultsEnd.Add(settleFor)
 	for len(w.violations) == 0 && w.now < end {
 		at, do := w.agenda.Next()
