Let the lock of a repair name a leadership

A claim may be made to remove abandoned fences. Its record names the term in which the group was left, as a claimed term. The platform numbers terms by promotions that took effect, so after two claims for one promotion the leadership's term can equal the term that the first claim named. A daemon that knew only the first promotion took the record for its order, which had taken effect, and had a lease on the member of that promotion.

The record says now that it is a repair, and a read of it shows a leadership, unless an earlier order is unresolved. Processes of before ignore the field and read the record as they did.

--- a/core/direct/promotionlock.go
+++ b/core/direct/promotionlock.go
@@ -16,6 +16,9 @@
 	Released bool `json:"free,omitempty"`
 	// Pending is set if the lock was released while an earlier order for Term was unresolved.
 	Pending bool `json:"pending,omitempty"`
+	// Repair is set if no promotion is ordered under the lock and Term is the term in which the group was
+	// left.
+	Repair bool `json:"repair,omitempty"`
 	// Era is the era of the store in which the record was written.
 	Era mirror.Era `json:"era,omitempty"`
 	// Overwritten is set if another writer has replaced the record by something that cannot be decoded.
@@ -36,7 +39,7 @@
 type LockState struct {
 	Term core.Term
 	// IsLeadership is set if Term is the term in which the group was left when the lock was
-	// released, and not a claimed term.
+	// released, or claimed for a repair, and not the claimed term of a promotion.
 	IsLeadership bool
 	// EarlierEra is set if the record was written in an earlier era of the store, which may have
 	// lost later records. Term is then the highest term that these can have named.
@@ -49,9 +52,13 @@
 func (r LockRecord) StateIn(era mirror.Era) LockState {
 	lost, overwritten := r.isLostIn(era), r.Overwritten
 	r = r.asOfEra(era)
-	return LockState{Term: r.Term, IsLeadership: r.Released && !r.Pending, EarlierEra: lost, Overwritten: overwritten}
+	return LockState{Term: r.Term, IsLeadership: r.namesLeadership(), EarlierEra: lost, Overwritten: overwritten}
 }
 
+// namesLeadership reports whether Term is the term in which the group was left, and no order under the
+// lock or an earlier one is unresolved.
+func (r LockRecord) namesLeadership() bool { return (r.Released || r.Repair) && !r.Pending }
+
 // PromotionLock is the right to order a promotion.
 type PromotionLock struct {
 	// Token is the fencing token, which increases from one promotion lock to the next.
@@ -82,10 +89,10 @@
 		term = max(e.Term, r.Term)
 	}
 	lock := PromotionLock{Term: term, Highest: max(term, r.Highest)}
-	if !r.Released || r.Pending {
+	if !r.namesLeadership() {
 		lock.Unresolved = r.Term
 	}
-	return LockRecord{Term: term, Highest: lock.Highest, Era: era}, lock
+	return LockRecord{Term: term, Highest: lock.Highest, Repair: e.Repair && lock.Unresolved == 0, Era: era}, lock
 }
 
 // maxLostTerms exceeds the number of terms that claims can name in one era and that the restore of
--- a/pkg/explore/promotions/promotions_test.go
+++ b/pkg/explore/promotions/promotions_test.go
@@ -63,6 +63,16 @@
 		Expect(report.Counts["promotions"]).To(BeNumerically(">", 60))
 	})
 
+	// Guards against a lease on a replaced primary from the lock of a repair.
+	DescribeTable("keeps its promises where fences are repaired after a partition", func(seed uint64) {
+		o := promotions.DefaultOptions()
+		o.Runs, o.Seed, o.Splits = 1, seed, true
+		Expect(promotions.Run(context.Background(), o).Violations).To(BeEmpty())
+	},
+		Entry(nil, uint64(436)),
+		Entry(nil, uint64(10520)),
+	)
+
 	// Guards against the promotion of a member that still has commits which an earlier promotion
 	// rolled back: the daemon that promotes it has seen the newest term late.
 	It("tells others where a leadership has begun", func() {
