--- a/pkg/explore/promotions/promotions_test.go
+++ b/pkg/explore/promotions/promotions_test.go
@@ -135,7 +135,7 @@
 		Entry(nil, "lone-member", "replaced"),
 		Entry(nil, "era-settled", "stale|replaced", uint64(7180)),
 		Entry(nil, "era-token", "token"),
-		Entry(nil, "era-lost-locks", "replaced|progress", uint64(2520)),
+		Entry(nil, "era-lost-locks", "replaced|progress", uint64(760)),
 		Entry(nil, "unbroken-lease", "replaced|stale", uint64(340)),
 	)
 })
