End a planned change whose replicas cannot succeed the primary

A planned change demotes the leaving primary and waits until a replica that knows the term has the rest of the log. If no replica knows the term any more, as both have started again without their logs, that wait had no bound: no member leads, so none can learn the term, and no other daemon claims while this one does.

After CatchUpTimeout the replicas are now fenced whether there is such a successor or not. Fencing has its bounds, and promotes a member of an older term only if no other can lead.

--- a/core/direct/claim_test.go
+++ b/core/direct/claim_test.go
@@ -221,6 +221,31 @@
 		Expect(s.take(direct.EffectFence)).To(HaveLen(2))
 	})
 
+	// Guards against a group that stays without a primary: the replicas started again without their logs
+	// when the primary had been demoted, and no other daemon claims while this one does.
+	It("goes on if no replica knows the term any more after the old primary was demoted", func() {
+		s := newScript()
+		s.g.UpdateMembers(s.at, s.at, []direct.Member{
+			{ID: "a", Group: "g", Leaving: true}, {ID: "b", Group: "g"}, {ID: "c", Group: "g"},
+		})
+		s.tick(40*ms, replicasAnswer)
+		s.record(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
+		demoted := direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 12}}
+		s.status("a", demoted)
+		s.advance(ms)
+		anew := direct.Status{Role: core.RoleReplica}
+		s.status("b", anew)
+		s.status("c", anew)
+		s.effects = nil
+		s.tick(direct.CatchUpTimeout+40*ms, map[core.MemberID]direct.Status{"a": demoted, "b": anew, "c": anew})
+		Expect(s.take(direct.EffectFence)).To(HaveLen(2))
+		anew.FencedTerm = 2
+		s.status("b", anew)
+		s.status("c", anew)
+		s.tick(direct.LeaseDuration, map[core.MemberID]direct.Status{"a": demoted, "b": anew, "c": anew})
+		Expect(s.take(direct.EffectPromote)).To(HaveLen(1))
+	})
+
 	// A daemon fenced both replicas and was killed. No daemon has a lease, although the primary
 	// works.
 	It("repairs fences of another daemon after that daemon's promotion lock has expired", func() {
--- a/core/direct/promote.go
+++ b/core/direct/promote.go
@@ -55,8 +55,10 @@
 		}
 		return
 	}
+	// With no successor left, fences show which member can lead: replicas that do not know the term
+	// cannot learn it while no member leads.
 	s := g.members[g.plannedSuccessor(now)]
-	if s != nil && (!s.position.Less(c.finalPosition) || waited >= CatchUpTimeout) {
+	if waited >= CatchUpTimeout || s != nil && !s.position.Less(c.finalPosition) {
 		g.sendFences(now)
 		return
 	}
--- a/pkg/explore/promotions/promotions_test.go
+++ b/pkg/explore/promotions/promotions_test.go
@@ -73,6 +73,13 @@
 		Entry(nil, uint64(10520)),
 	)
 
+	// Guards against a planned change that never ends, as no replica can succeed the demoted primary.
+	It("accepts writes again after the only replicas have restarted in a planned change", func() {
+		o := promotions.DefaultOptions()
+		o.Runs, o.Seed, o.Splits = 1, 191, true
+		Expect(promotions.Run(context.Background(), o).Violations).To(BeEmpty())
+	})
+
 	// Guards against the promotion of a member that still has commits which an earlier promotion
 	// rolled back: the daemon that promotes it has seen the newest term late.
 	It("tells others where a leadership has begun", func() {
