--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -32,7 +32,9 @@
 	// termStart is the lowest known upper bound of the position at which the term begins; its Term
 	// is 0 if none is known.
 	termStart core.Position
-	peers     map[core.DaemonID]peerReport
+	// earlierStarts are such bounds of earlier terms, the oldest first.
+	earlierStarts []core.Position
+	peers         map[core.DaemonID]peerReport
 	// homeCount is the number of the group's homes, whose agreement a change of the primary needs.
 	homeCount     int
 	claim         claim
@@ -69,6 +71,9 @@
 	placed     uint64
 	// readsOutOfZone counts the reads that were placed in another zone while load was shared.
 	readsOutOfZone int64
+	// drainLimit is how long a leaving primary without a successor gets new work; 0 means for as long
+	// as it answers.
+	drainLimit time.Duration
 	// policy is the set of enabled mechanisms.
 	policy policy.Set
 	// disabled are the guards that model checking has switched off.
@@ -87,6 +92,10 @@
 // Configure sets the configuration of the group.
 func (g *Group) Configure(spec GroupSpec) { g.spec = spec }
 
+// SetDrainLimit sets how long a leaving primary without a successor gets new work. By default there
+// is no limit.
+func (g *Group) SetDrainLimit(d time.Duration) { g.drainLimit = d }
+
 // SetHomes sets how many daemons share the group's connections, and whether this daemon is one of
 // them.
 func (g *Group) SetHomes(n int, isHome bool) {
@@ -146,6 +155,7 @@
 		g.updateEntry(now, m, l)
 	}
 	m.unlistedAt = 0
+	m.trackLeaving(now)
 }
 
 func (g *Group) removeMember(id core.MemberID) {
@@ -205,7 +215,7 @@
 	g.leaseExpiry, g.peerLeaseExpiry = 0, 0
 	g.samples.clear()
 	g.maxPosition, g.maxPositionAt = core.Position{}, 0
-	g.termStart = core.Position{}
+	g.keepTermStart()
 }
 
 // addSample records a position of the primary that covers every commit acknowledged before at and
--- a/pkg/home/fake_member_test.go
+++ b/pkg/home/fake_member_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -14,7 +15,7 @@
 
 // fakeMember is a PostgreSQL server whose statements are texts with a meaning
 // for the tests: "WAIT name" waits until the gate of that name is opened,
-// "DIE" ends the connection, "HALF" after a row, "FAIL code" and "FATAL code" answer an error, BEGIN, COMMIT and ROLLBACK do as they say, and
+// "DIE" ends the connection, "HALF" after a row, "AGAIN" gives an older answer first, "FAIL code" and "FATAL code" answer an error, BEGIN, COMMIT and ROLLBACK do as they say, and
 // everything is counted. Answers repeat the statement's text.
 type fakeMember struct {
 	listener net.Listener
@@ -33,6 +34,7 @@
 	backend  *pgproto3.Backend
 	status   byte
 	prepared map[string]string
+	oids     map[string][]uint32
 	bound    string
 	failed   bool
 }
@@ -59,7 +61,7 @@
 			return
 		}
 		s := &fakeSession{
-			member: m, conn: conn, status: 'I', prepared: make(map[string]string),
+			member: m, conn: conn, status: 'I', prepared: make(map[string]string), oids: make(map[string][]uint32),
 			backend: pgproto3.NewBackend(conn, conn),
 		}
 		m.mu.Lock()
@@ -160,8 +162,13 @@
 			s.fail("42P05", "prepared statement exists: "+m.Name)
 			return true
 		}
-		s.prepared[m.Name] = m.Query
+		s.prepared[m.Name], s.oids[m.Name] = m.Query, slices.Clone(m.ParameterOIDs)
 		s.backend.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Describe:
+		if m.ObjectType == 'S' {
+			s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: s.oids[m.Name]})
+		}
+		s.backend.Send(&pgproto3.NoData{})
 	case *pgproto3.Close:
 		delete(s.prepared, m.Name)
 		s.backend.Send(&pgproto3.CloseComplete{})
@@ -205,6 +212,10 @@
 		return false
 	case "COPY":
 		return s.copyIn()
+	case "AGAIN":
+		s.row("the answer to another statement")
+		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+		s.ready()
 	case "WAIT":
 		<-s.member.gate(rest)
 	case "BEGIN":
--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -64,14 +64,18 @@
 	if err := c.Check(); err != nil {
 		return Reply{}, r.fail(err, false)
 	}
-	if n, err := c.net.Write(messages); err != nil {
+	r.send = r.appendBehind(append(r.send[:0], messages...), false)
+	if n, err := c.net.Write(r.send); err != nil {
 		return Reply{}, r.fail(err, n > 0 || c.net != c.socket)
 	}
 	if err := r.ask(groups); err != nil {
 		return Reply{}, r.fail(err, true)
 	}
+	if err := r.readMarker(r.reply.TxStatus); err != nil {
+		return Reply{}, r.fail(err, true)
+	}
 	if r.reader.Buffered() > 0 {
-		return Reply{}, r.fail(errors.New("the member sent more than the answer"), true)
+		return Reply{}, r.fail(fmt.Errorf("%w: more than the answer", ErrOutOfStep), true)
 	}
 	c.txStatus = r.reply.TxStatus
 	return r.reply, nil
@@ -168,7 +172,7 @@
 			r.conn.prepared.forget(r.batch.Prepared)
 			return r.takeError(message, false)
 		default:
-			return fmt.Errorf("message %q in place of %q", message.Type(), r.expected[i])
+			return fmt.Errorf("%w: message %q in place of %q", ErrOutOfStep, message.Type(), r.expected[i])
 		}
 	}
 	return nil
