direct: keep the leadership that a promotion lock names when a claim fails

A replaced primary could be used again: a daemon that had not seen the newest promotion claimed the group, failed, and released the lock with the lower term that it knew. Another daemon that knew only the old primary then read a lock that named no newer term, and had a lease on it (ONE, STALE).

Cause: only a claim for a repair kept the term in which the previous lock had left the group. Each claim keeps it now.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -40,8 +40,8 @@
 	old      core.MemberID
 	term     core.Term
 	lockTerm core.Term
-	// releasedTerm is the term with which the previous promotion lock was released, if this claim
-	// is a repair. This daemon may not have seen that term.
+	// releasedTerm is the term in which the previous promotion lock left the group, 0 if that is not
+	// known. This daemon may not have seen that term.
 	releasedTerm core.Term
 	// highest is the highest term that a promotion lock has named.
 	highest core.Term
@@ -291,10 +291,8 @@
 	c.token, c.lockTerm, c.highest = lock.Token, lock.Term, lock.Highest
 	c.sendDeadline, c.claimedAt = sent.Add(LockSendWindow), now
 	g.recordOrder(now, lock.Unresolved, "")
+	c.releasedTerm = lock.Leadership
 	if c.repair {
-		if lock.Unresolved == 0 {
-			c.releasedTerm = lock.Term
-		}
 		g.endClaim(now, "repaired")
 		return g.takeEffects()
 	}
--- a/core/direct/promotionlock.go
+++ b/core/direct/promotionlock.go
@@ -71,6 +71,8 @@
 	// Unresolved is the term of the previous promotion lock if that was not released: its holder
 	// may have ordered a promotion that is not known here.
 	Unresolved core.Term
+	// Leadership is the term in which the previous promotion lock left the group; 0 if that is not known.
+	Leadership core.Term
 }
 
 // Claim returns the record that EffectClaim writes over r, and the promotion lock that results. The
@@ -89,7 +91,9 @@
 		term = max(e.Term, r.Term)
 	}
 	lock := PromotionLock{Term: term, Highest: max(term, r.Highest)}
-	if !r.namesLeadership() {
+	if r.namesLeadership() {
+		lock.Leadership = r.Term
+	} else {
 		lock.Unresolved = r.Term
 	}
 	return LockRecord{Term: term, Highest: lock.Highest, Repair: e.Repair && lock.Unresolved == 0, Era: era}, lock
