direct: promote no member without the log in a planned change with synchronous replicas

Acknowledged commits could be lost: since a planned change without a successor goes on to fence, replicas that had restarted without their logs could be promoted, although the demoted primary answers and has every commit.

Cause: the change that ends such a wait did not ask whether commits wait for replicas. There the change now waits for a replica that knows the term, as before. The spec failed before.

--- a/core/direct/promote.go
+++ b/core/direct/promote.go
@@ -57,9 +57,10 @@
 		return
 	}
 	// With no successor left, fences show which member can lead: replicas that do not know the term
-	// cannot learn it while no member leads.
+	// cannot learn it while no member leads. Where commits wait for replicas, such a replica may lack
+	// acknowledged ones, which the demoted primary has.
 	s := g.members[g.plannedSuccessor(now)]
-	if waited >= CatchUpTimeout || s != nil && !s.position.Less(c.finalPosition) {
+	if s != nil && !s.position.Less(c.finalPosition) || waited >= CatchUpTimeout && (s != nil || !g.mustKeepSyncCommits()) {
 		g.sendFences(now)
 		return
 	}
--- a/core/direct/promote_test.go
+++ b/core/direct/promote_test.go
@@ -1,6 +1,8 @@
 package direct_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -107,3 +109,29 @@
 		Expect(s.take(direct.EffectPromote)).To(ConsistOf(HaveField("Member", core.MemberID("b"))))
 	})
 })
+
+var _ = Describe("a planned change whose replicas have restarted without their logs", func() {
+	// Guards against the loss of acknowledged commits: the demoted primary answers and has them all.
+	It("does not promote a member without the acknowledged commits where commits wait for a replica", func() {
+		s := newScript()
+		s.g.Configure(direct.GroupSpec{ID: "g", MaxConns: 22, SyncReplicas: 1})
+		s.g.UpdateMembers(s.at, s.at, []direct.Member{
+			{ID: "a", Group: "g", Leaving: true}, {ID: "b", Group: "g"}, {ID: "c", Group: "g"},
+		})
+		s.tick(40*ms, replicasAnswer)
+		s.record(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 2, Highest: 2}))
+		demoted := direct.Status{Role: core.RoleReplica, Term: 1, Position: core.Position{Term: 1, LSN: 12}}
+		s.status("a", demoted)
+		s.advance(ms)
+		anew := direct.Status{Role: core.RoleReplica}
+		s.status("b", anew)
+		s.status("c", anew)
+		s.tick(direct.CatchUpTimeout+40*ms, map[core.MemberID]direct.Status{"a": demoted, "b": anew, "c": anew})
+		anew.FencedTerm = 2
+		s.status("b", anew)
+		s.status("c", anew)
+		s.effects = nil
+		s.tick(2*time.Second, map[core.MemberID]direct.Status{"a": demoted, "b": anew, "c": anew})
+		Expect(s.take(direct.EffectPromote)).To(BeEmpty())
+	})
+})
