direct: count a leaving primary's time from when its entry was last known to stay

And reads that a replica could serve some milliseconds later were refused at once.

Cause: the time counted from the read of the list, and a replica that is behind counted as one that cannot serve. The time counts from when the entries were last complete without the leaving, and a read waits if a replica that stays answers.

--- a/core/direct/group.go
+++ b/core/direct/group.go
@@ -104,11 +104,12 @@
 
 // UpdateMembers handles the host list's entries of the group, which are complete as of asOf.
 func (g *Group) UpdateMembers(now, asOf core.Time, listed []Member) []Effect {
+	complete := g.listedAsOf
 	g.ConfirmMembers(asOf)
 	seen := make(map[core.MemberID]bool, len(listed))
 	for _, l := range listed {
 		seen[l.ID] = true
-		g.updateMember(now, l)
+		g.updateMember(now, complete, l)
 	}
 	slices.Sort(g.order)
 	for _, id := range slices.Clone(g.order) {
@@ -134,10 +135,11 @@
 	g.listedAsOf = max(g.listedAsOf, asOf)
 }
 
-// updateMember handles one entry. An entry that cannot be parsed adds no member. For a known member
+// updateMember handles one entry; complete is the time as of which the entries of before were complete,
+// 0 if there were none. An entry that cannot be parsed adds no member. For a known member
 // it carries no information: the primary stays in use while it answers, so that a mistaken write to
 // the host list does not cause a failover, and replicas get no new reads.
-func (g *Group) updateMember(now core.Time, l Member) {
+func (g *Group) updateMember(now, complete core.Time, l Member) {
 	m := g.members[l.ID]
 	switch {
 	case l.Unreadable && m == nil:
@@ -155,7 +157,7 @@
 		g.updateEntry(now, m, l)
 	}
 	m.unlistedAt = 0
-	m.trackLeaving(now)
+	m.trackLeaving(now, complete)
 }
 
 func (g *Group) removeMember(id core.MemberID) {
--- a/core/direct/member.go
+++ b/core/direct/member.go
@@ -12,7 +12,7 @@
 	Member
 	// unlistedAt is when the entry disappeared from the host list; 0 if it is listed.
 	unlistedAt core.Time
-	// leavingSince is the time since which its entry has said that it is leaving; 0 if it does not.
+	// leavingSince is the time since which it may have been leaving; 0 if its entry does not say that it is.
 	leavingSince core.Time
 	// status is the answer to the last probe, statusAt the time at which that probe was sent.
 	status   Status
@@ -118,13 +118,17 @@
 	return m.Leaving || m.unlistedAt != 0 && now.Sub(m.unlistedAt) > UnlistedGrace
 }
 
-// trackLeaving records since when the host list has shown that the member is leaving. An entry that
-// takes it back permits new work again.
-func (m *member) trackLeaving(now core.Time) {
+// trackLeaving records since when the member may have been leaving: its entry was not when the entries
+// were last complete. A daemon that was cut off from the store learns late of a change. An entry that
+// takes the leaving back permits new work again.
+func (m *member) trackLeaving(now, complete core.Time) {
 	switch {
 	case !m.Leaving:
 		m.leavingSince = 0
-	case m.leavingSince == 0:
+	case m.leavingSince != 0:
+	case complete != 0:
+		m.leavingSince = min(now, complete)
+	default:
 		m.leavingSince = now
 	}
 }
--- a/core/direct/place.go
+++ b/core/direct/place.go
@@ -76,10 +76,24 @@
 
 // IsPrimaryDrained reports whether the requirement cannot be served because the primary is leaving,
 // gets no new work any more and has no successor. When a member will be able to take over is not
-// known.
+// known. A read waits for a replica that answers, which may catch up.
 func (g *Group) IsPrimaryDrained(now core.Time, req Requirement) bool {
 	p := g.members[g.primary]
-	return p != nil && g.isDrained(now, p) && !g.isChangingPrimary(now) && !g.canReplicaServe(now, req)
+	if p == nil || !g.isDrained(now, p) || g.isChangingPrimary(now) {
+		return false
+	}
+	_, sampled := g.readRequirement(req)
+	return req.Primary || !sampled || !g.anyReplicaAnswers(now)
+}
+
+// anyReplicaAnswers reports whether a replica that stays answers.
+func (g *Group) anyReplicaAnswers(now core.Time) bool {
+	for id, m := range g.members {
+		if id != g.primary && !m.isLeaving(now) && !m.suspect && !m.unreadable && m.lastSeen != 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // hasOwnStatus reports whether this daemon itself has a status of the primary's current
