--- a/cmd/limpetspand/main.go
+++ b/cmd/limpetspand/main.go
@@ -120,7 +120,8 @@
 		fmt.Fprintln(os.Stderr, "limpetspand:", err)
 		return exitSettings
 	}
-	provider, err := args.provider(ctx, &s)
+	// The exporter outlives a planned stop that has already begun.
+	provider, err := args.provider(context.WithoutCancel(ctx), &s)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "limpetspand:", err)
 		return exitSettings
