proxy: refuse statements that wait when a leaving primary is drained

Statements that were queued when a leaving primary without a successor reached its drain limit waited until their deadlines, although it was known that they could not run. The queue rejects them now. The spec failed before: 40 transactions on a member with fewer connections, deadlines of 10 s.

--- a/core/admission/queue.go
+++ b/core/admission/queue.go
@@ -168,6 +168,18 @@
 	return q.shed(at)
 }
 
+// RejectIf removes and returns the waiters that cannot be served.
+func (q *Queue[T]) RejectIf(hopeless func(w *Waiter[T]) bool) (rejected []*Waiter[T]) {
+	q.waiters = slices.DeleteFunc(q.waiters, func(w *Waiter[T]) bool {
+		if hopeless(w) {
+			rejected = append(rejected, w)
+			return true
+		}
+		return false
+	})
+	return rejected
+}
+
 // isStanding reports whether a waiter was recently seen that had waited for half of its time.
 func (q *Queue[T]) isStanding(at core.Time) bool {
 	return q.standingAt != 0 && at.Sub(q.standingAt) < standingDuration
--- a/pkg/proxy/drain_test.go
+++ b/pkg/proxy/drain_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,3 +54,51 @@
 		}
 	})
 })
+
+var _ = Describe("Statements that wait for a connection to a leaving primary", func() {
+	const drainBound = 2 * time.Second
+
+	// Guards against callers that wait until their deadline in place of being refused once the drain bound has passed.
+	It("are refused when the drain bound passes", func() {
+		f := newFleet(1, func(f *fleet) {
+			f.adjustSettings = func(s *platform.Settings) { s.DrainBound = drainBound }
+			f.timeoutMS = 10_000
+		})
+		var sessions []*caller
+		for range 40 {
+			x := f.daemons[0].dial("db-primary")
+			x.queryUntilServed("READ k")
+			sessions = append(sessions, x)
+		}
+		primary := f.group.Primary()
+		for _, m := range f.group.Members() {
+			m.Leaving = true
+			Expect(f.store.PutMember(m)).To(Succeed())
+		}
+		time.Sleep(850 * time.Millisecond)
+		began := time.Now()
+		var mu sync.Mutex
+		var served, refused int
+		var latest time.Duration
+		var wg sync.WaitGroup
+		for _, x := range sessions {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				x.query("BEGIN")
+				a := x.query("WRITE k 1")
+				mu.Lock()
+				defer mu.Unlock()
+				if a.isServed() {
+					served++
+					return
+				}
+				refused++
+				latest = max(latest, time.Since(began))
+			})
+		}
+		wg.Wait()
+		GinkgoWriter.Println(primary.ID, "served", served, "refused", refused, "latest", latest)
+		Expect(refused).To(BeNumerically(">", 0))
+		Expect(latest).To(BeNumerically("<", 2*drainBound))
+	})
+})
--- a/pkg/proxy/group.go
+++ b/pkg/proxy/group.go
@@ -278,6 +278,9 @@
 		}
 		return ok
 	})
+	refused = append(refused, g.queue.RejectIf(func(o *admission.Waiter[*waiter]) bool {
+		return g.core.IsPrimaryDrained(at, o.Value.requirement)
+	})...)
 	for _, o := range refused {
 		close(o.Value.granted)
 	}
