Take no watch that returns changes for a proof of all of them

Cause: a watch proved the copy as of its sending, whatever it returned. Nothing in an answer with events shows that it has all of them; the page only says from where to continue.

Change: a watch proves the copy if it ends without a change, a read of all of it as before. After a change the next watch ends when the proof is two watches old, and is a proof if nothing comes. If changes go on until then, a new step, Check, reads the store's position alone: the copy is proved as of that call once it has reached the position in the same era, and watches follow without a pause until it has. Relays answer as soon as they have changes, not only with a younger proof, so that a change still reaches followers within milliseconds. Changes of a watch are dated by the last proof; a promotion lock among them is passed to its group again with the next proof.

"batches changes that come in a burst" executes the new step; its bound of 16 calls is unchanged.

--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -17,8 +17,22 @@
 // # Proof
 //
 // A daemon holds its configuration together with a proof: a time on its own clock as of which
-// the configuration was the newest one in the store. A read or watch that was sent at time s
-// proves it as of s. A relay answers with the age of its proof at the arrival of the question. The
+// the configuration was the newest one in the store. These prove it as of the time s of their sending:
+//
+//   - A read of all that the copy holds.
+//   - A watch that ends without a change. It was sent from the copy's position, and nothing came after
+//     that.
+//   - A check, which reads the store's position alone, once the copy has reached that position in the
+//     same era.
+//
+// A watch that returns changes proves none of this: the store may return a part of the changes, and does
+// not say so. The copy is then complete up to the position that the response names, as of an unknown
+// time. The next watch is shortened so that it may end without a change before the proof is old. If
+// changes go on, a check is sent instead, and the watches after it follow without a pause until the copy
+// has reached the store's position. A new configuration takes effect, and is passed on, before it is
+// proved.
+//
+// A relay answers with the age of its proof at the arrival of the question. The
 // daemon that asked subtracts this age from the time at which it sent the question, on its own
 // clock. The age is negative if the relay waited for a younger proof before it answered. No clocks
 // of different daemons are compared. The question was sent before it arrived, so the proof is
--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"math"
 	"strconv"
 	"time"
 
 	"limpetspan/core"
+	"limpetspan/core/mirror"
 	"limpetspan/core/spread"
 )
 
@@ -21,6 +23,8 @@
 	Load
 	// Watch waits at the store for a change, at most for Wait.
 	Watch
+	// Check reads the position of the store, without its contents.
+	Check
 	// Ask asks Peer for a younger proof. Peer may wait for one, at most for Wait.
 	Ask
 )
@@ -55,6 +59,16 @@
 	// proof is the latest time as of which the configuration was the newest one in the store; 0:
 	// there is no proof yet.
 	proof core.Time
+	// reached is the position up to which the copy holds every change.
+	reached mirror.Position
+	// incomplete is set if the latest watch returned changes, so that there may be more.
+	incomplete bool
+	// checked is the position at which the store was when it answered a Check, which was sent at
+	// checkedAt; 0: the copy has reached it, or there was no such call.
+	checked   mirror.Position
+	checkedAt core.Time
+	// watchesAfterCheck counts the watches that were sent without a pause to reach that position.
+	watchesAfterCheck int
 	// answered is when the latest call to the store was sent that was answered.
 	answered core.Time
 	// proofValidFrom is the time from which calls to the store give a proof.
@@ -184,17 +198,40 @@
 		return Step{Kind: Load}
 	case f.triesOtherCall(now):
 		return Step{Kind: Load, Timeout: time.Duration(f.failures) * trialLoadTimeout / minFailuresOfOneCall}
-	case now < f.watchAt:
-		return Step{Kind: Pause, Wait: f.watchAt.Sub(now)}
+	case now >= f.checkDue():
+		return Step{Kind: Check}
+	case now < f.watchAt && !f.catchesUp():
+		return Step{Kind: Pause, Wait: min(f.watchAt, f.checkDue()).Sub(now)}
 	case f.failures > 0 || now.Sub(f.answered) > f.budget+answerSlack:
 		// This daemon has failed to reach the store or was frozen. If the store does not answer, a call
-		// that waits for changes takes as long to fail. A short one returns what was missed, and proves
-		// as much.
+		// that waits for changes takes as long to fail. A short one returns what was missed.
 		return Step{Kind: Watch, Wait: shortWatch}
+	case f.incomplete:
+		// A watch that ends without a change is the cheapest proof.
+		return Step{Kind: Watch, Wait: max(shortWatch, min(f.watchDuration(), f.checkAge()-now.Sub(f.proof)))}
 	}
 	return Step{Kind: Watch, Wait: f.watchDuration()}
 }
 
+// checkDue returns when a watcher reads the position of the store, if its watches have returned changes for
+// so long that none of them has proved the copy. After a failure it watches first.
+func (f *Follower) checkDue() core.Time {
+	if !f.incomplete || f.checkedAt != 0 || f.failures > 0 {
+		return math.MaxInt64
+	}
+	return max(f.proofValidFrom, f.proof.Add(f.checkAge()))
+}
+
+// checkAge returns the age of the proof from which the position of the store is read. Without changes, a
+// proof is two watches old at most.
+func (f *Follower) checkAge() time.Duration { return 2 * f.watchDuration() }
+
+// catchesUp reports whether the copy lacks changes that the store is known to have. The next watch returns
+// them, or a part of them, at once.
+func (f *Follower) catchesUp() bool {
+	return f.checkedAt != 0 && f.watchesAfterCheck < maxWatchesAfterCheck
+}
+
 // triesOtherCall reports whether a watcher loads the copy, although it could watch. If it has followed
 // nothing for its budget, the reason may be the watch itself rather than the store, and so every other
 // call is a load. Its timeout grows, as it fails too if the store is unreachable.
@@ -271,16 +308,36 @@
 func (f *Follower) Loaded(sent core.Time) {
 	f.watchable = true
 	f.storeAnswered(sent)
+	f.prove(sent)
+}
+
+// Reached records the position up to which the copy holds every change. If the store was at that position
+// or at an earlier one when it was checked, the copy is proved as of the sending of that call.
+func (f *Follower) Reached(copied mirror.Position) {
+	f.reached = copied
+	if f.checkedAt != 0 && copied.Era == f.checked.Era && !copied.Before(f.checked) {
+		f.prove(f.checkedAt)
+	}
+}
+
+// Checked records that the store, asked at the given time, was at that position.
+func (f *Follower) Checked(sent core.Time, store mirror.Position) {
+	f.storeAnswered(sent)
+	f.checked, f.checkedAt, f.watchesAfterCheck = store, sent, 0
+	f.Reached(f.reached)
 }
 
 // Watched records that a watch, sent at the given time, ended with this number of events, which
-// were accepted. After events the next watch is delayed: changes come in bursts, and without a
-// delay each of them would end a watch and cost a call.
+// were accepted. Without events it proves the copy: there was no change to return. With events it does
+// not, as the store may have more of them than it has returned. After events the next watch is delayed:
+// changes come in bursts, and without a delay each of them would end a watch and cost a call.
 func (f *Follower) Watched(now, sent core.Time, events int) {
 	f.unusableWatches = 0
+	f.watchesAfterCheck++
 	f.storeAnswered(sent)
 	switch {
 	case events == 0:
+		f.prove(sent)
 		f.batchDelay = 0
 		return
 	case now.Sub(sent) > 2*f.batchDelay:
@@ -288,13 +345,20 @@
 	default:
 		f.batchDelay = min(2*f.batchDelay, max(minBatchDelay, f.budget/maxBatchDelayDivisor))
 	}
+	f.incomplete = true
 	f.watchAt = now.Add(f.batchDelay)
 }
 
 func (f *Follower) storeAnswered(sent core.Time) {
 	f.failures, f.retryAt, f.refreshNow, f.answered = 0, 0, false, sent
-	if sent >= f.proofValidFrom {
-		f.proof = max(f.proof, sent)
+}
+
+// prove records that the copy was complete at the given time. That is a proof unless the store itself may
+// lack the newest configuration.
+func (f *Follower) prove(at core.Time) {
+	f.incomplete, f.checkedAt = false, 0
+	if at >= f.proofValidFrom {
+		f.proof = max(f.proof, at)
 	}
 }
 
@@ -347,15 +411,15 @@
 }
 
 // RelayAnswered records a relay's proof, whose configuration was accepted. The relay is not asked
-// for a while if its proof is older than two of its watches and answerSlack, if its proof is no
-// younger than this daemon's own, or if this daemon is a watcher and the proof is as old as half of
-// the budget. In these cases the relay itself is probably partitioned from the store, and another
+// for a while if its proof is older than two of its watches and answerSlack, if the answer has neither
+// changes nor a proof younger than this daemon's own, or if this daemon is a watcher and the proof is as
+// old as half of the budget. In these cases the relay itself is probably partitioned from the store, and another
 // relay may reach it.
-func (f *Follower) RelayAnswered(now core.Time, relay core.DaemonID, proof core.Time) {
+func (f *Follower) RelayAnswered(now core.Time, relay core.DaemonID, proof core.Time, changed bool) {
 	f.refreshNow = false
 	f.consulted = now.Sub(proof) < f.budget/2
 	behind := now.Sub(proof) > 2*f.watchDuration()+answerSlack || f.watcher && !f.consulted
-	if behind || proof <= f.proof {
+	if behind || proof <= f.proof && !changed {
 		f.backoffUntil[relay] = now.Add(f.backoff(now))
 	}
 	if proof <= f.proof {
--- a/core/relay/follower_test.go
+++ b/core/relay/follower_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"limpetspan/core"
+	"limpetspan/core/mirror"
 	"limpetspan/core/relay"
 )
 
@@ -86,12 +87,134 @@
 				at += step.Wait
 				continue
 			}
-			calls++
+			if calls++; step.Kind == relay.Check {
+				f.Checked(after(at), mirror.Position{})
+				continue
+			}
 			f.Watched(after(at+5*time.Millisecond), after(at), 3)
 		}
 		Expect(calls).To(BeNumerically("<", 16), "a constant delay of 0.2 s makes 50 calls")
 	})
 
+	// Guards against a copy that counts as proved although it lacks changes: the store has returned a
+	// part of them. Callers whose keys were taken away would be served.
+	It("has no proof by a watch that returned changes, until it has reached the position of the store", func() {
+		f := relay.NewFollower("d", bound, start)
+		f.SetFleet(start, true, []core.DaemonID{"a"})
+		f.Reached(mirror.Position{Revision: 100})
+		f.Loaded(start)
+		f.Reached(mirror.Position{Revision: 104})
+		f.Watched(after(4*time.Second), after(3*time.Second), 4)
+		Expect(f.Proof()).To(Equal(start))
+		Expect(f.Next(after(4 * time.Second)).Kind).To(Equal(relay.Check))
+		f.Checked(after(4*time.Second), mirror.Position{Revision: 111})
+		Expect(f.Proof()).To(Equal(start))
+		Expect(f.Next(after(4020*time.Millisecond)).Kind).To(Equal(relay.Watch), "it lacks changes")
+		f.Reached(mirror.Position{Revision: 108})
+		f.Watched(after(4040*time.Millisecond), after(4020*time.Millisecond), 4)
+		Expect(f.Proof()).To(Equal(start))
+		Expect(f.Next(after(4040 * time.Millisecond)).Kind).To(Equal(relay.Watch))
+		f.Reached(mirror.Position{Revision: 112})
+		f.Watched(after(4060*time.Millisecond), after(4040*time.Millisecond), 4)
+		Expect(f.Proof()).To(Equal(after(4 * time.Second)))
+	})
+
+	It("has a proof by a check that finds the store at the position of the copy", func() {
+		f := relay.NewFollower("d", bound, start)
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		f.Reached(mirror.Position{Era: 1, Revision: 104})
+		f.Watched(after(4*time.Second), after(3*time.Second), 1)
+		f.Checked(after(4*time.Second), mirror.Position{Era: 1, Revision: 104})
+		Expect(f.Proof()).To(Equal(after(4 * time.Second)))
+		Expect(f.Next(after(5 * time.Second)).Kind).To(Equal(relay.Watch))
+	})
+
+	// Guards against a position that a restored store has assigned again.
+	It("has no proof by a check in another era of the store", func() {
+		f := relay.NewFollower("d", bound, start)
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		f.Reached(mirror.Position{Revision: 104})
+		f.Watched(after(4*time.Second), after(3*time.Second), 1)
+		f.Checked(after(4*time.Second), mirror.Position{Revision: 111})
+		f.Reached(mirror.Position{Era: 1, Revision: 120})
+		Expect(f.Proof()).To(Equal(start))
+	})
+
+	// Guards against a proof that never comes while changes go on, and against a check after each of them.
+	It("keeps its proof young with few checks while each watch returns changes", func() {
+		f := relay.NewFollower("d", bound, start)
+		f.SetFleet(start, true, []core.DaemonID{"a"})
+		f.Loaded(start)
+		checks, calls, revision := 0, 0, mirror.Revision(100)
+		for at := start; at < after(30*time.Second); {
+			Expect(at.Sub(f.Proof())).To(BeNumerically("<", 3500*time.Millisecond))
+			step := f.Next(at)
+			if step.Kind == relay.Pause {
+				at = at.Add(step.Wait)
+				continue
+			}
+			sent := at
+			at = at.Add(10 * time.Millisecond)
+			revision += 2
+			if calls++; step.Kind == relay.Check {
+				checks++
+				f.Checked(sent, mirror.Position{Revision: revision})
+				continue
+			}
+			f.Reached(mirror.Position{Revision: revision})
+			f.Watched(at, sent, 2)
+		}
+		Expect(checks).To(BeNumerically("<=", 12))
+		Expect(calls).To(BeNumerically("<", 65))
+	})
+
+	// Guards against a call for each change although a watch would soon prove the copy.
+	It("shortens the watch after a change, so that it proves the copy", func() {
+		f := relay.NewFollower("d", bound, start)
+		f.SetFleet(start, true, []core.DaemonID{"a"})
+		f.Loaded(start)
+		f.Watched(after(1500*time.Millisecond), start, 1)
+		f.Watched(after(2500*time.Millisecond), after(1700*time.Millisecond), 1)
+		step := f.Next(after(2700 * time.Millisecond))
+		Expect(step.Kind).To(Equal(relay.Watch))
+		Expect(step.Wait).To(BeNumerically("~", 633*time.Millisecond, time.Millisecond))
+		f.Watched(after(3335*time.Millisecond), after(2700*time.Millisecond), 0)
+		Expect(f.Proof()).To(Equal(after(2700 * time.Millisecond)))
+		Expect(f.Next(after(3335 * time.Millisecond))).To(Equal(relay.Step{Kind: relay.Watch, Wait: 5 * time.Second / 3}))
+	})
+
+	// Guards against calls without a pause to a store whose watches return the same changes again.
+	It("pauses if the copy does not come nearer to the position of the store", func() {
+		f := relay.NewFollower("d", bound, start)
+		f.SetFleet(start, true, nil)
+		f.Loaded(start)
+		f.Watched(after(4*time.Second), after(3*time.Second), 1)
+		f.Checked(after(4*time.Second), mirror.Position{Revision: 111})
+		calls := 0
+		for at := after(4 * time.Second); at < after(14*time.Second); {
+			step := f.Next(at)
+			if step.Kind == relay.Pause {
+				at = at.Add(step.Wait)
+				continue
+			}
+			calls++
+			f.Watched(at.Add(time.Millisecond), at, 1)
+			at = at.Add(time.Millisecond)
+		}
+		Expect(calls).To(BeNumerically("<", 60))
+	})
+
+	// Guards against followers that leave a relay which has just sent them a change that it cannot prove yet.
+	It("goes on asking a relay that has changes and no younger proof", func() {
+		f := loadedFollower("a", "b")
+		f.RelayAnswered(after(time.Second), "a", start, true)
+		Expect(f.Next(after(time.Second)).Peer).To(Equal(core.DaemonID("a")))
+		f.RelayAnswered(after(2*time.Second), "a", start, false)
+		Expect(f.Next(after(2 * time.Second)).Peer).To(Equal(core.DaemonID("b")))
+	})
+
 	It("watches for a third of its budget if there are other daemons, and else for all of it", func() {
 		f := relay.NewFollower("d", bound, 0)
 		f.SetFleet(start, true, nil)
@@ -146,7 +269,7 @@
 	// its proof shows that it is behind.
 	It("reads the store itself when its relays answer with old proofs", func() {
 		f := loadedFollower("a")
-		f.RelayAnswered(after(4500*time.Millisecond), "a", after(100*time.Millisecond))
+		f.RelayAnswered(after(4500*time.Millisecond), "a", after(100*time.Millisecond), false)
 		for at := 4500 * time.Millisecond; at < 5100*time.Millisecond; at += 10 * time.Millisecond {
 			if f.Next(after(at)).Kind == relay.Load {
 				return
@@ -158,7 +281,7 @@
 	It("continues through its relay while the store rejects this daemon alone", func() {
 		f := loadedFollower("a")
 		f.StoreFailed(after(5 * time.Second))
-		f.RelayAnswered(after(5200*time.Millisecond), "a", after(5100*time.Millisecond))
+		f.RelayAnswered(after(5200*time.Millisecond), "a", after(5100*time.Millisecond), false)
 		Expect(f.Next(after(5200 * time.Millisecond)).Kind).To(Equal(relay.Ask))
 	})
 
@@ -176,7 +299,7 @@
 		Expect(step.Peer).To(Equal(core.DaemonID("a")))
 		f.RelayFailed(after(3*time.Second), "a")
 		Expect(f.Next(after(3 * time.Second)).Peer).To(Equal(core.DaemonID("b")))
-		f.RelayAnswered(after(3010*time.Millisecond), "b", after(2*time.Second))
+		f.RelayAnswered(after(3010*time.Millisecond), "b", after(2*time.Second), false)
 		Expect(f.Proof()).To(Equal(after(2 * time.Second)))
 		Expect(f.Next(after(3010 * time.Millisecond)).Kind).NotTo(Equal(relay.Ask))
 		Expect(f.Next(after(4500*time.Millisecond)).Kind).To(Equal(relay.Watch), "it keeps retrying the store")
@@ -188,13 +311,13 @@
 	It("backs off from a relay without a younger proof, and asks the others without a wait", func() {
 		f := loadedFollower("a", "b", "c")
 		Expect(f.Next(after(time.Second)).Wait).To(BeNumerically(">", time.Second))
-		f.RelayAnswered(after(3400*time.Millisecond), "a", start)
+		f.RelayAnswered(after(3400*time.Millisecond), "a", start, false)
 		step := f.Next(after(3400 * time.Millisecond))
 		Expect(step.Peer).To(Equal(core.DaemonID("b")))
 		Expect(step.Wait).To(BeZero())
-		f.RelayAnswered(after(3401*time.Millisecond), "b", start)
+		f.RelayAnswered(after(3401*time.Millisecond), "b", start, false)
 		Expect(f.Next(after(3401 * time.Millisecond)).Peer).To(Equal(core.DaemonID("c")))
-		f.RelayAnswered(after(3402*time.Millisecond), "c", after(2*time.Second))
+		f.RelayAnswered(after(3402*time.Millisecond), "c", after(2*time.Second), false)
 		Expect(f.Proof()).To(Equal(after(2 * time.Second)))
 	})
 
@@ -204,7 +327,7 @@
 		f.Loaded(start)
 		f.StoreFailed(after(3 * time.Second))
 		Expect(f.Next(after(3 * time.Second)).Peer).To(Equal(core.DaemonID("a")))
-		f.RelayAnswered(after(3*time.Second), "a", after(100*time.Millisecond))
+		f.RelayAnswered(after(3*time.Second), "a", after(100*time.Millisecond), false)
 		Expect(f.Next(after(3*time.Second)).Peer).To(Equal(core.DaemonID("b")), "the first one is partitioned as well")
 	})
 
--- a/core/relay/tuning.go
+++ b/core/relay/tuning.go
@@ -39,6 +39,8 @@
 	maxFailedConsults = 2
 	// shortWatch is how long a watch waits after a failure or a freeze.
 	shortWatch = 50 * time.Millisecond
+	// maxWatchesAfterCheck bounds the watches without a pause of a copy that is behind the store.
+	maxWatchesAfterCheck = 32
 	// minFailuresOfOneCall is the number of failures after which a watcher also tries to load the copy.
 	minFailuresOfOneCall = 2
 	// trialLoadTimeout bounds the first load of a watcher whose calls fail.
--- a/pkg/explore/relays/relays_test.go
+++ b/pkg/explore/relays/relays_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"limpetspan/core"
+	"limpetspan/core/mirror"
 	"limpetspan/core/relay"
 	"limpetspan/pkg/explore/agenda"
 )
@@ -56,6 +57,10 @@
 	allWatch bool
 	// maxWatched is the number of changes that the response of a watch may hold.
 	maxWatched int
+	// maxPart is the number of changes after which the response of a watch ends; 0 is no limit.
+	maxPart int
+	// proveParts takes each response of a watch for a proof.
+	proveParts bool
 	// repeatWatches repeats a watch whose response holds more, as if the store had not answered, and
 	// never loads the copy again.
 	repeatWatches bool
@@ -168,6 +173,8 @@
 		d.load()
 	case relay.Watch:
 		d.watch(s.Wait)
+	case relay.Check:
+		d.check()
 	case relay.Ask:
 		d.ask(s)
 	}
@@ -175,6 +182,20 @@
 
 func (d *node) accept(version int) {
 	d.version = max(d.version, version)
+	d.f.Reached(mirror.Position{Revision: mirror.Revision(d.version)})
+}
+
+// check reads the position of the store, as of a time within the call.
+func (d *node) check() {
+	sent, way := d.clock(), d.w.between(time.Millisecond, 20*time.Millisecond)
+	if d.w.now < d.storeCutTill {
+		d.later(callTimeout, func() { d.f.StoreFailed(d.clock()); d.step() })
+		return
+	}
+	d.w.after(way, func() {
+		position := mirror.Position{Revision: mirror.Revision(d.w.newest(d.w.now))}
+		d.later(way, func() { d.f.Checked(sent, position); d.step() })
+	})
 }
 
 // load reads the store. The result is as of a time within the call.
@@ -208,10 +229,13 @@
 			d.later(max(0, wait+callTimeout-d.w.now.Sub(began)), func() { d.f.StoreFailed(d.clock()); d.step() })
 		case version-had > d.w.maxWatched && d.w.repeatWatches:
 			d.later(d.w.between(time.Millisecond, 20*time.Millisecond), func() { d.f.StoreFailed(d.clock()); d.step() })
-		case version-had > d.w.maxWatched:
+		case version-had > d.w.maxWatched && d.w.maxPart == 0:
 			d.later(d.w.between(time.Millisecond, 20*time.Millisecond), func() { d.f.WatchUnusable(d.clock()); d.step() })
 		case version > had || d.w.now.Sub(began) >= wait:
-			d.later(d.w.between(time.Millisecond, 20*time.Millisecond), func() { d.accept(version); d.f.Watched(d.clock(), sent, version-had); d.step() })
+			if d.w.maxPart != 0 {
+				version = min(version, had+d.w.maxPart)
+			}
+			d.later(d.w.between(time.Millisecond, 20*time.Millisecond), func() { d.watched(sent, had, version) })
 		default:
 			d.w.after(10*time.Millisecond, look)
 		}
@@ -219,10 +243,20 @@
 	look()
 }
 
-// ask asks another daemon, which answers once it has a newer proof than the one it sent last, or
-// when the wait ends.
+// watched handles the changes between two versions.
+func (d *node) watched(sent core.Time, had, version int) {
+	d.accept(version)
+	d.f.Watched(d.clock(), sent, version-had)
+	if d.w.proveParts {
+		d.f.Loaded(sent)
+	}
+	d.step()
+}
+
+// ask asks another daemon, which answers once it has a newer proof than the one it sent last, a version
+// that this daemon lacks, or when the wait ends.
 func (d *node) ask(s relay.Step) {
-	sent, began := d.clock(), d.w.now
+	sent, began, had := d.clock(), d.w.now, d.version
 	var peer *node
 	for _, o := range d.w.daemons {
 		if o.id == s.Peer {
@@ -247,7 +281,7 @@
 			cut := d.w.now < d.relayCutTill || d.w.now < peer.relayCutTill
 			switch {
 			case answered || d.life != life || cut:
-			case proof > peer.told[d.id] || d.w.now.Sub(began) >= s.Wait:
+			case proof > peer.told[d.id] || proof != 0 && peer.version > had || d.w.now.Sub(began) >= s.Wait:
 				peer.told[d.id] = proof
 				offset, version := proof.Sub(arrived), peer.version
 				d.later(d.w.between(time.Millisecond, 300*time.Millisecond), func() {
@@ -259,7 +293,7 @@
 						d.f.RelayFailed(d.clock(), s.Peer)
 					} else {
 						d.accept(version)
-						d.f.RelayAnswered(d.clock(), s.Peer, d.date(sent, offset))
+						d.f.RelayAnswered(d.clock(), s.Peer, d.date(sent, offset), version > had)
 					}
 					d.step()
 				})
@@ -356,6 +390,7 @@
 	It("is in force within the bound at every daemon in touch, and no proof is too young", func() {
 		for seed := range uint64(days) {
 			Expect(play(seed, func(w *world) { w.allWatch = seed%3 == 0 })).To(BeEmpty(), "seed %d", seed)
+			Expect(play(seed, func(w *world) { w.allWatch, w.maxPart = seed%3 == 0, 1+int(seed%2) })).To(BeEmpty(), "seed %d, watches in parts", seed)
 		}
 	})
 
@@ -377,6 +412,10 @@
 		Expect(broken(func(w *world) { w.allWatch, w.repeatWatches = true, true })).To(BeNumerically(">", 0))
 	})
 
+	It("would not be if a watch that returns a part of the changes were a proof", func() {
+		Expect(broken(func(w *world) { w.maxPart, w.proveParts = 1, true })).To(BeNumerically(">", 0))
+	})
+
 	It("would not be were answers dated by their arrival", func() {
 		Expect(broken(func(w *world) { w.dateByArrival = true })).To(BeNumerically(">", 0))
 	})
--- a/pkg/proxy/metadata/copy.go
+++ b/pkg/proxy/metadata/copy.go
@@ -24,6 +24,7 @@
 	List(ctx context.Context, prefix string) ([]platform.Item, mirror.Position, error)
 	ListStale(ctx context.Context, prefix string) ([]platform.Item, error)
 	Watch(ctx context.Context, prefix string, after mirror.Position, wait time.Duration) ([]platform.Item, mirror.Position, error)
+	Position(ctx context.Context) (mirror.Position, error)
 }
 
 // Owner is the daemon that uses the copy. The goroutine of Copy.Run calls its methods, with these
@@ -108,7 +109,7 @@
 	scope, requestedScope reportpb.Scope
 	// awaitedConn is the connection on which a relay's answer is pending, nil if there is none.
 	awaitedConn net.Conn
-	// proofAdvanced is closed and replaced when there is a younger proof.
+	// proofAdvanced is closed and replaced when there is a younger proof, or when the copy has changed.
 	proofAdvanced chan struct{}
 }
 
@@ -198,6 +199,8 @@
 			c.storeCallDone(c.load(step.Timeout))
 		case relay.Watch:
 			c.storeCallDone(c.watch(step.Wait))
+		case relay.Check:
+			c.storeCallDone(c.check())
 		case relay.Ask:
 			c.askRelay(step)
 		}
@@ -272,7 +275,7 @@
 }
 
 // NotifyWaiters wakes the followers' questions that wait for a younger proof, so that Serve notices
-// that this process is stopping.
+// that this process is stopping or that the copy has changed.
 func (c *Copy) NotifyWaiters() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -348,7 +351,10 @@
 	if err := c.apply(scope, position, items, true, sent); err != nil {
 		return err
 	}
-	c.updateFollower(func(f *relay.Follower) { f.Loaded(sent) })
+	c.updateFollower(func(f *relay.Follower) {
+		f.Reached(position)
+		f.Loaded(sent)
+	})
 	return nil
 }
 
@@ -386,12 +392,13 @@
 	ctx, cancel := context.WithTimeout(c.ctx, wait+storeTimeout)
 	defer cancel()
 	c.mu.Lock()
-	after := c.mirror.Position()
+	after, proof := c.mirror.Position(), c.follower.Proof()
 	c.mu.Unlock()
 	sent := c.Now()
 	events, position, err := c.Store.Watch(ctx, allKeys, after, wait)
 	if err == nil {
-		err = c.apply(reportpb.Scope_SCOPE_MEMBERS, position, events, false, sent)
+		// The events may be a part of the changes, so the copy is only known to be complete as of its proof.
+		err = c.apply(reportpb.Scope_SCOPE_MEMBERS, position, events, false, proof)
 	}
 	if isUnusable(err) {
 		c.Owner.WatchUnusable(err)
@@ -401,7 +408,26 @@
 	if err != nil {
 		return err
 	}
-	c.updateFollower(func(f *relay.Follower) { f.Watched(c.Now(), sent, len(events)) })
+	c.updateFollower(func(f *relay.Follower) {
+		f.Reached(position)
+		f.Watched(c.Now(), sent, len(events))
+	})
+	if len(events) > 0 {
+		c.NotifyWaiters()
+	}
+	return nil
+}
+
+// check reads the position of the store.
+func (c *Copy) check() error {
+	ctx, cancel := context.WithTimeout(c.ctx, storeTimeout)
+	defer cancel()
+	sent := c.Now()
+	position, err := c.Store.Position(ctx)
+	if err != nil {
+		return err
+	}
+	c.updateFollower(func(f *relay.Follower) { f.Checked(sent, position) })
 	return nil
 }
 
@@ -417,7 +443,7 @@
 }
 
 // apply updates the copy and notifies the owner. The items are all items of the scope if full is
-// set, else changes. They are complete as of the proof.
+// set, else changes. The copy is then complete as of the proof, or a later time.
 func (c *Copy) apply(scope reportpb.Scope, position mirror.Position, items []platform.Item, full bool, proof core.Time) error {
 	for _, item := range items {
 		if item.Key == platform.ConfigurationKey && !item.Deleted {
--- a/pkg/proxy/metadata/metadata_test.go
+++ b/pkg/proxy/metadata/metadata_test.go
@@ -4,6 +4,9 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -56,6 +59,119 @@
 	return mirror.Position{Era: mirror.Era(era), Revision: mirror.Revision(revision)}
 }
 
+// partStore is a store whose watches return one event at a time. It records the positions at which it was
+// when the calls that it has answered were received.
+type partStore struct {
+	mu     sync.Mutex
+	events []platform.Item
+	states []storeState
+}
+
+type storeState struct {
+	at       core.Time
+	position mirror.Position
+}
+
+// position returns the position of the store, which the lock guards.
+func (s *partStore) position() mirror.Position { return at(0, 100+len(s.events)) }
+
+// change adds an event.
+func (s *partStore) change() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, item("limpetspan/daemon/x", "1", 101+len(s.events)))
+	s.states = append(s.states, storeState{now(), s.position()})
+}
+
+// positionAt returns the position that the store had at the time.
+func (s *partStore) positionAt(t core.Time) mirror.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	position := at(0, 100)
+	for _, state := range s.states {
+		if state.at <= t {
+			position = state.position
+		}
+	}
+	return position
+}
+
+func (s *partStore) List(context.Context, string) ([]platform.Item, mirror.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.events[max(0, len(s.events)-1):]), s.position(), nil
+}
+
+func (s *partStore) ListStale(ctx context.Context, prefix string) ([]platform.Item, error) {
+	items, _, err := s.List(ctx, prefix)
+	return items, err
+}
+
+func (s *partStore) Position(context.Context) (mirror.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.position(), nil
+}
+
+func (s *partStore) Watch(ctx context.Context, _ string, after mirror.Position, wait time.Duration) ([]platform.Item, mirror.Position, error) {
+	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		position, next := s.position(), int(after.Revision)-100
+		events := slices.Clone(s.events[min(next, len(s.events)):])
+		s.mu.Unlock()
+		switch {
+		case len(events) > 0:
+			return events[:1], at(0, int(events[0].Revision)), nil
+		case time.Now().After(end) || ctx.Err() != nil:
+			return nil, position, ctx.Err()
+		}
+	}
+}
+
+// proofOwner checks each proof against the changes that were reported before.
+type proofOwner struct {
+	recordingOwner
+	store  *partStore
+	copied func() mirror.Position
+	proofs atomic.Int64
+	wrong  atomic.Int64
+}
+
+func (o *proofOwner) ProofAdvanced(t core.Time) {
+	o.proofs.Add(1)
+	if o.copied().Before(o.store.positionAt(t)) {
+		o.wrong.Add(1)
+	}
+}
+
+var _ = Describe("a copy of a store that returns the changes of a watch in parts", func() {
+	// Guards against a copy that counts as proved although it lacks changes: callers whose keys were taken
+	// away would be served.
+	It("has no proof of a time as of which it lacks changes, and has young proofs", func() {
+		ctx, stop := context.WithCancel(context.Background())
+		DeferCleanup(stop)
+		store := &partStore{}
+		o := &proofOwner{store: store}
+		c := New(ctx, Options{Self: "d", Store: store, Owner: o, Now: now, MaxProofAge: 2 * time.Second, ShortWatches: true})
+		o.copied = func() mirror.Position {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.mirror.Position()
+		}
+		c.SetFleet(true, nil)
+		go c.Run()
+		Eventually(o.proofs.Load, waitLimit).Should(BeNumerically(">", 0))
+		for range 20 {
+			for range 10 {
+				store.change()
+			}
+			before := o.proofs.Load()
+			Eventually(o.proofs.Load, waitLimit).Should(BeNumerically(">", before))
+		}
+		Expect(o.wrong.Load()).To(BeZero())
+	})
+})
+
 var _ = Describe("a daemon that stops while an answer from a relay is pending", func() {
 	// Guards against a process that still runs at the end of its grace period, because an answer
 	// may take seconds.
--- a/pkg/proxy/metadata/serve.go
+++ b/pkg/proxy/metadata/serve.go
@@ -20,6 +20,8 @@
 	scope      reportpb.Scope
 	era        mirror.Era
 	changesEnd uint64
+	// version is the newest version of the configuration that was sent.
+	version uint64
 }
 
 // Serve answers a follower's questions until the link ends or this process stops. It does not wait
@@ -35,7 +37,7 @@
 			return
 		}
 		arrived := c.Now()
-		f.proof = c.awaitProofAfter(f.proof, time.Duration(min(q.WaitMs, uint64(idleLinkTimeout/time.Millisecond)))*time.Millisecond, stopping)
+		f.proof = c.awaitNews(&q, &f, time.Duration(min(q.WaitMs, uint64(idleLinkTimeout/time.Millisecond)))*time.Millisecond, stopping)
 		a := c.answer(&q, &f)
 		a.Unknown = a.Unknown || f.proof == 0 || stopping()
 		a.ProofNs = int64(f.proof.Sub(arrived))
@@ -50,7 +52,9 @@
 // at least as new as the proof.
 func (c *Copy) answer(q *reportpb.Question, f *followerState) *reportpb.Answer {
 	a := c.itemsFor(q.Scope, f)
-	a.Catalog = c.catalogSince(q.Version)
+	if a.Catalog = c.catalogSince(q.Version); a.Catalog != nil {
+		f.version = a.Catalog.Version
+	}
 	return a
 }
 
@@ -85,14 +89,14 @@
 	return list
 }
 
-// awaitProofAfter waits for a proof younger than the last one sent to the follower, for at most the
-// given time, and returns the current proof. It returns early when this process stops.
-func (c *Copy) awaitProofAfter(lastSent core.Time, wait time.Duration, stopping func() bool) core.Time {
+// awaitNews waits for a proof younger than the last one sent to the follower, or for changes that it lacks,
+// for at most the given time, and returns the current proof. It returns early when this process stops.
+func (c *Copy) awaitNews(q *reportpb.Question, f *followerState, wait time.Duration, stopping func() bool) core.Time {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		proof, advanced := c.Proof()
-		if proof > lastSent || stopping() {
+		if proof > f.proof || c.hasChanges(q, f) || stopping() {
 			return proof
 		}
 		select {
@@ -104,3 +108,19 @@
 		}
 	}
 }
+
+// hasChanges reports whether the follower lacks changes since its last answer.
+func (c *Copy) hasChanges(q *reportpb.Question, f *followerState) bool {
+	switch {
+	case f.proof == 0:
+		return false
+	case c.Version() > max(q.Version, f.version):
+		return true
+	case q.Scope == reportpb.Scope_SCOPE_CONFIGURATION || f.scope != q.Scope:
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	items, kept := c.mirror.Changes(f.changesEnd)
+	return !kept || len(encodeItems(q.Scope, items)) > 0
+}
--- a/pkg/proxy/metadata/source.go
+++ b/pkg/proxy/metadata/source.go
@@ -44,10 +44,13 @@
 	c.mu.Lock()
 	requested := c.requestedScope
 	c.mu.Unlock()
-	proof, err := c.query(step, requested)
+	proof, changed, err := c.query(step, requested)
 	if err == nil {
 		c.Owner.ReportDependency(relayDependency, nil)
-		c.updateFollower(func(f *relay.Follower) { f.RelayAnswered(c.Now(), step.Peer, proof) })
+		c.updateFollower(func(f *relay.Follower) {
+			f.Reached(c.mirror.Position())
+			f.RelayAnswered(c.Now(), step.Peer, proof, changed)
+		})
 		return
 	}
 	c.closeSource()
@@ -62,11 +65,11 @@
 }
 
 // query asks the relay, over the open link if there is one, and applies the answer. It returns the
-// relay's proof, dated on this daemon's clock by proofTime.
-func (c *Copy) query(step relay.Step, scope reportpb.Scope) (core.Time, error) {
+// relay's proof, dated on this daemon's clock by proofTime, and whether the answer has changes.
+func (c *Copy) query(step relay.Step, scope reportpb.Scope) (proof core.Time, changed bool, err error) {
 	deadline := time.Now().Add(step.Timeout)
 	if err := c.connect(step.Peer, deadline); err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	_ = c.source.conn.SetDeadline(deadline)
 	c.setAwaitedConn(c.source.conn, scope)
@@ -74,14 +77,15 @@
 	sent := c.Now()
 	a, err := c.source.exchange(&reportpb.Question{Version: c.Version(), WaitMs: uint64(step.Wait / time.Millisecond), Scope: scope})
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
-	proof := proofTime(sent, c.Now(), a.ProofNs)
+	proof = proofTime(sent, c.Now(), a.ProofNs)
 	if err := c.install(a.Catalog); err != nil {
-		return 0, err
+		return 0, false, err
 	}
 	position := mirror.Position{Era: mirror.Era(a.Era), Revision: mirror.Revision(a.Revision)}
-	return proof, c.apply(scope, position, decodeItems(a.Items), a.Whole, proof)
+	changed = a.Catalog != nil || a.Whole || len(a.Items) > 0
+	return proof, changed, c.apply(scope, position, decodeItems(a.Items), a.Whole, proof)
 }
 
 // setAwaitedConn records the connection on which an answer is pending, nil if there is none, so
--- a/pkg/proxy/view.go
+++ b/pkg/proxy/view.go
@@ -27,6 +27,9 @@
 	members        map[core.MemberID]direct.Member
 	membersByGroup map[core.GroupID]map[core.MemberID]bool
 	locks          map[core.GroupID]platform.Item
+	// unprovedLocks are the groups whose changed promotion lock was passed to them, with the time as of
+	// which the copy was known to be complete then. Only the goroutine of Copy.Run uses it.
+	unprovedLocks map[core.GroupID]core.Time
 	// daemons is replaced, not modified, by each change.
 	daemons *daemonList
 	// hasMembers is set once the copy holds members. asOf is the time as of which the copy is complete.
@@ -40,6 +43,7 @@
 	return &view{
 		p: p, members: make(map[core.MemberID]direct.Member), membersByGroup: make(map[core.GroupID]map[core.MemberID]bool),
 		locks: make(map[core.GroupID]platform.Item), daemons: newDaemonList(),
+		unprovedLocks: make(map[core.GroupID]core.Time),
 	}
 }
 
@@ -82,6 +86,9 @@
 			v.updateGroup(g, e.locks[g.id])
 		}
 	}
+	for id := range e.locks {
+		v.unprovedLocks[id] = change.AsOf
+	}
 	for _, item := range change.Items {
 		if strings.HasPrefix(item.Key, platform.LocksPrefix) {
 			v.p.claims.recheckOverwritten(item)
@@ -150,7 +157,8 @@
 	v.members[id] = m
 }
 
-// ProofAdvanced implements metadata.Owner.
+// ProofAdvanced implements metadata.Owner. A promotion lock that was passed to its group as of an earlier
+// time is passed again, as it now shows that there was no later one until the proof.
 func (v *view) ProofAdvanced(at core.Time) {
 	v.mu.Lock()
 	v.asOf = max(v.asOf, at)
@@ -159,6 +167,12 @@
 	if !has {
 		return
 	}
+	for _, g := range v.p.allGroups() {
+		if asOf, changed := v.unprovedLocks[g.id]; changed && asOf < at {
+			v.updateGroup(g, true)
+		}
+	}
+	clear(v.unprovedLocks)
 	for _, g := range v.p.activeGroups() {
 		g.mu.Lock()
 		g.core.ConfirmMembers(at)
