promotions: cut off a primary with a replica (--pairs)

The review suspected that a replica which the promoting daemon does not count can confirm the old primary. The primary, a replica and some daemons are cut off together; the store drops the entries of both members, and 3.5 s later the other daemons count the third member alone, fence nothing else and promote it.

The suite of pkg/explore/promotions passes.

--- a/pkg/cli/promotions.go
+++ b/pkg/cli/promotions.go
@@ -18,6 +18,7 @@
 	Crowded   bool          `arg:"--crowded" help:"members have at times no room for orders"`
 	Restores  bool          `arg:"--restores" help:"the store comes back from older copies of itself"`
 	Splits    bool          `arg:"--splits" help:"replicas return while the primary and some daemons are cut off"`
+	Pairs     bool          `arg:"--pairs" help:"with --splits: a replica is cut off with the primary at times"`
 	Guards    bool          `arg:"--guards" help:"switch each guard off in turn and tell whether the exploration notices"`
 	SwitchOff []string      `arg:"--switch-off,separate" placeholder:"GUARD" help:"switch a guard off; for testing the exploration"`
 	Trace     bool          `arg:"--trace" help:"write what happens in the first seed's run"`
@@ -32,7 +33,7 @@
 
 // Run carries out the subcommand.
 func (c *PromotionsCommand) Run(ctx context.Context, env *Env) error {
-	o := promotions.Options{Seed: c.Seed, Runs: c.Runs, Duration: c.Duration, FaultEvery: c.Faults, Sync: c.Sync, Crowded: c.Crowded, Restores: c.Restores, Splits: c.Splits}
+	o := promotions.Options{Seed: c.Seed, Runs: c.Runs, Duration: c.Duration, FaultEvery: c.Faults, Sync: c.Sync, Crowded: c.Crowded, Restores: c.Restores, Splits: c.Splits, Pairs: c.Pairs}
 	if c.Runs < 1 || c.Duration <= 0 || c.Faults <= 0 {
 		return Usagef("--runs, --duration and --fault-every are above zero")
 	}
--- a/pkg/explore/promotions/fault.go
+++ b/pkg/explore/promotions/fault.go
@@ -95,13 +95,17 @@
 
 // scheduleSplits lets replicas return behind a partition at random times.
 func (w *world) scheduleSplits(random *rand.Rand) {
+	longest := maxSplit
+	if w.options.Pairs {
+		longest += entryTTL + direct.UnlistedGrace
+	}
 	w.after(time.Duration(random.Int64N(int64(2*splitEvery))), func() {
-		if w.faultsEnd.Sub(w.now) < maxSplit {
+		if w.faultsEnd.Sub(w.now) < longest {
 			return
 		}
-		w.splitTill = w.now.Add(maxSplit)
+		w.splitTill = w.now.Add(longest)
 		w.split(random)
-		w.after(maxSplit, func() { w.scheduleSplits(random) })
+		w.after(longest, func() { w.scheduleSplits(random) })
 	})
 }
 
@@ -115,13 +119,18 @@
 	entryTTL = 1500 * time.Millisecond
 )
 
-// split makes all replicas dark, until daemons no longer count them. Shortly before they return, the
-// primary and some of the daemons are cut off from everything else.
+// split makes replicas dark, until daemons no longer count them. Shortly before they return, the primary,
+// in a pair with the other replica, and some of the daemons are cut off from everything else.
 func (w *world) split(random *rand.Rand) {
 	dark := entryTTL + direct.UnlistedGrace + time.Duration(random.Int64N(int64(4*time.Second)))
 	p := w.leader()
+	pair := w.options.Pairs && random.IntN(2) == 0
+	with := map[*member]bool{p: true}
+	if pair {
+		with[w.members[random.IntN(len(w.members))]] = true
+	}
 	for _, m := range w.members {
-		if m == p {
+		if with[m] {
 			continue
 		}
 		w.note("%s dark for %v", m.id, dark)
@@ -133,9 +142,22 @@
 	beside := 1 + random.IntN(len(w.daemons)-1)
 	first := random.IntN(len(w.daemons))
 	span := 3*time.Second + time.Duration(random.Int64N(int64(3*time.Second)))
+	if pair {
+		// The store drops the entries of the two, and other daemons no longer count the replica.
+		span += entryTTL + direct.UnlistedGrace
+	}
 	w.after(dark-time.Duration(random.Int64N(int64(2*time.Second))), func() {
-		w.note("%s and %d daemons from %s on alone for %v", p.id, beside, w.daemons[first].id, span)
-		island := map[node]bool{p.node(): true}
+		w.note("%s, %d replicas and %d daemons from %s on alone for %v", p.id, len(with)-1, beside, w.daemons[first].id, span)
+		island := make(map[node]bool)
+		for _, m := range w.members {
+			if !with[m] {
+				continue
+			}
+			island[m.node()] = true
+			if pair {
+				w.after(entryTTL, func() { m.entryBack = max(m.entryBack, w.now.Add(span-entryTTL)) })
+			}
+		}
 		for i := range beside {
 			island[w.daemons[(first+i)%len(w.daemons)].node()] = true
 		}
--- a/pkg/explore/promotions/run.go
+++ b/pkg/explore/promotions/run.go
@@ -30,6 +30,8 @@
 	// Splits lets all replicas be away for so long that the store drops their entries, and return while
 	// the primary and some daemons are cut off from the store and from everything else.
 	Splits bool
+	// Pairs lets some splits cut off a replica together with the primary.
+	Pairs bool
 	// Disabled are checks of the reducer that are switched off, shell those of the
 	// code around it.
 	Disabled direct.Guard
