target: control connections match answers by a marker, too

A target that gave the answer to a status query again before the answer to a fence made Control.Fence return the older status (the old term, primary) without an error; each later status was one answer behind. A home would have held its lease by such a status on a target that had been fenced since, and served old state as new.

Cause: control connections ran their queries by pgconn, which takes the next answer for that to the last query.

Change: a control connection is a Conn, and its calls are Runner.Ask: the marker leaves in the same write as the call, no round trip more. It has four parameters here (76 bytes there and back, eight have 108). - An unproved answer tells nothing, neither a status nor a refusal. A status is asked for again on a new connection. So is a fence or a promotion, as before for a connection that broke; without an answer there the error says that the outcome is unknown. A refused dial no longer counts as the target's refusal of a call that was sent before. - A part of an answer on an idle connection is out of step, on control connections and on those of callers; it passed for the end of the connection. - A status over a kept connection that has ended is asked for on a new one. - What a context cut off is cancelled at the target, as pgconn did. - Counter connections_out_of_step and the line "member answered out of step" cover control connections.

Read, and sound: connections of callers and must-not-repeat keys (Run, Ask and Ping end with a marker), the position behind moved records (an exchange of the home), another daemon's opinion (one call on a connection of its own, proved as well), cancel requests (no answer). The daemon itself and its recorder have no connection to a target.

--- a/pkg/home/fake_member_test.go
+++ b/pkg/home/fake_member_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -11,12 +12,14 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"limpetspan/pkg/target"
 )
 
 // fakeMember is a PostgreSQL server whose statements are texts with a meaning
 // for the tests: "WAIT name" waits until the gate of that name is opened,
 // "DIE" ends the connection, "HALF" after a row, "AGAIN" gives an older answer first, "FAIL code" and "FATAL code" answer an error, BEGIN, COMMIT and ROLLBACK do as they say, and
-// everything is counted. Answers repeat the statement's text.
+// everything is counted. A status has the number of its call as its term; the third call gets an older answer first. Answers repeat the statement's text.
 type fakeMember struct {
 	listener net.Listener
 	mu       sync.Mutex
@@ -198,6 +201,7 @@
 	s.member.mu.Lock()
 	s.member.ran[sql]++
 	s.member.lastRun[sql] = s.number
+	calls := s.member.ran[sql]
 	s.member.mu.Unlock()
 	verb, rest, _ := strings.Cut(sql, " ")
 	switch verb {
@@ -228,7 +232,14 @@
 		_ = s.backend.Flush()
 		return false
 	}
-	if strings.Contains(sql, "limpetspan_position") {
+	if sql == target.StatusSQL {
+		if calls == 3 {
+			s.statusRow(1)
+			s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+			s.ready()
+		}
+		s.statusRow(calls)
+	} else if strings.Contains(sql, "limpetspan_position") {
 		s.row("2", "100")
 	} else if verb == "BIG" {
 		for range 64 {
@@ -257,6 +268,12 @@
 	}
 }
 
+func (s *fakeSession) statusRow(term int) {
+	row := []string{strconv.Itoa(term), "primary", "100", "1", "1:0", "3", "f"}
+	s.backend.Send(&pgproto3.RowDescription{Fields: make([]pgproto3.FieldDescription, len(row))})
+	s.row(row...)
+}
+
 func (s *fakeSession) row(values ...string) {
 	row := &pgproto3.DataRow{}
 	for _, v := range values {
--- a/pkg/home/fake_reducer_test.go
+++ b/pkg/home/fake_reducer_test.go
@@ -20,6 +20,8 @@
 	calls   map[core.RequestID]*fakeCall
 	pins    map[core.CallerID]group.ConnID
 	results []group.Result
+	// probed takes the results of probes; the reducer asks for as many as it holds, one after the other.
+	probed chan group.Probed
 }
 
 type fakeCall struct {
@@ -39,6 +41,10 @@
 	case *group.Configure:
 		f.member = e.Members[0].ID
 		f.open(fx, f.conns)
+		f.probe(fx)
+	case *group.Probed:
+		f.probed <- *e
+		f.probe(fx)
 	case *group.ConnOpened:
 		if e.Err == group.FailureNone {
 			f.idle = append(f.idle, e.Conn)
@@ -66,6 +72,12 @@
 
 func (f *fakeReducer) add(fx *group.Effects, e group.Effect) { fx.List = append(fx.List, e) }
 
+func (f *fakeReducer) probe(fx *group.Effects) {
+	if len(f.probed) < cap(f.probed) {
+		f.add(fx, &group.Probe{Member: f.member, Timeout: waitLimit})
+	}
+}
+
 func (f *fakeReducer) open(fx *group.Effects, n int) {
 	for range n {
 		f.last++
--- a/pkg/home/inbound.go
+++ b/pkg/home/inbound.go
@@ -63,6 +63,7 @@
 	ctx, cancel := context.WithTimeout(s.ctx, opinionTimeout)
 	defer cancel()
 	control := s.dialer.Control(addr)
+	control.OnOutOfStep = func(err error) { s.noteBroken(member, err) }
 	status, err := control.Status(ctx, true)
 	_ = control.Close()
 	return err == nil && status.Role == core.RolePrimary
--- a/pkg/home/members.go
+++ b/pkg/home/members.go
@@ -28,6 +28,7 @@
 		return nil
 	}
 	c := s.dialer.Control(m.Addr)
+	c.OnOutOfStep = func(err error) { s.noteBroken(member, err) }
 	s.controls[member] = c
 	return c
 }
--- a/pkg/home/rig_test.go
+++ b/pkg/home/rig_test.go
@@ -102,7 +102,11 @@
 func newRig(conns int) *rig { return newTracedRig(conns, nil) }
 
 func newTracedRig(conns int, tracer trace.Tracer) *rig {
-	r := &rig{member: newFakeMember(), reducer: newFakeReducer(conns), now: clock()}
+	return newRigOf(newFakeReducer(conns), tracer)
+}
+
+func newRigOf(reducer *fakeReducer, tracer trace.Tracer) *rig {
+	r := &rig{member: newFakeMember(), reducer: reducer, now: clock()}
 	r.manager = home.New(home.Options{
 		Self: "d1", Zone: "sapporo-hall", Dialer: &target.Dialer{User: "u", Zone: "sapporo-hall"}, Now: r.now,
 		Tracer: tracer, NewReducer: func(core.GroupID) home.Reducer { return r.reducer },
--- a/pkg/target/batch.go
+++ b/pkg/target/batch.go
@@ -91,6 +91,8 @@
 	// copyRefused: the next error is the member's answer to the refusal of a COPY.
 	copyRefused bool
 	reply       Reply
+	// tag is the command tag of the reply's last statement, with its closing zero.
+	tag []byte
 }
 
 var runners = sync.Pool{New: func() any {
--- a/pkg/target/conn.go
+++ b/pkg/target/conn.go
@@ -20,7 +20,7 @@
 // terminateTimeout bounds the write of the Terminate message.
 const terminateTimeout = 50 * time.Millisecond
 
-// Conn is one caller-work connection to a member, past its start-up. One
+// Conn is one connection to a member, past its start-up. One
 // goroutine at a time may run batches on it; Abort, Cancel and MarkCancelled may
 // be called from others.
 type Conn struct {
@@ -37,7 +37,8 @@
 	txStatus byte
 	prepared preparedSet
 	// marker is the number of the last marker.
-	marker uint32
+	marker       uint32
+	markerDigits int
 	// stateful is set once a statement changed the session's own state, such
 	// as a setting, which the next caller must not inherit.
 	stateful bool
@@ -55,7 +56,7 @@
 	}
 	c := &Conn{
 		dialer: d, addr: addr, net: h.Conn, socket: socket,
-		processID: h.PID, secret: h.SecretKey, txStatus: h.TxStatus, marker: rand.Uint32(),
+		processID: h.PID, secret: h.SecretKey, txStatus: h.TxStatus, marker: rand.Uint32(), markerDigits: markerDigits,
 	}
 	control, ok := socket.(syscall.Conn)
 	if !ok {
@@ -88,21 +89,27 @@
 	if !c.readiness.check() {
 		return nil
 	}
-	return &Broken{Code: c.lastWords(), Err: ErrGone}
+	code, err := c.lastWords()
+	return &Broken{Code: code, Err: err}
 }
 
-// lastWords reads the SQLSTATE of an ErrorResponse that waits to be read.
-func (c *Conn) lastWords() string {
+// lastWords reads the SQLSTATE of an ErrorResponse that waits to be read. The error is ErrGone, and ErrOutOfStep too
+// where a part of an answer waits.
+func (c *Conn) lastWords() (string, error) {
 	c.broken = true
 	_ = c.net.SetReadDeadline(time.Now().Add(terminateTimeout))
 	r := pgframe.NewReader(c.net, lastWordsBuffer, lastWordsBuffer)
 	for {
 		message, err := r.Next()
 		if err != nil {
-			return ""
+			return "", ErrGone
 		}
-		if message.Type() == msgErrorResponse {
-			return parseError(message.Body()).code
+		switch message.Type() {
+		case msgNoticeResponse, msgParameterStatus, msgNotificationResponse:
+		case msgErrorResponse:
+			return parseError(message.Body()).code, ErrGone
+		default:
+			return "", fmt.Errorf("%w: %w: message %q between two exchanges", ErrGone, ErrOutOfStep, message.Type())
 		}
 	}
 }
--- a/pkg/target/dialer.go
+++ b/pkg/target/dialer.go
@@ -102,7 +102,11 @@
 
 // Dial opens a caller-work connection to the member at addr.
 func (d *Dialer) Dial(ctx context.Context, addr string) (*Conn, error) {
-	pg, err := d.connect(ctx, addr, ApplicationWork)
+	return d.open(ctx, addr, ApplicationWork)
+}
+
+func (d *Dialer) open(ctx context.Context, addr, application string) (*Conn, error) {
+	pg, err := d.connect(ctx, addr, application)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/target/marker.go
+++ b/pkg/target/marker.go
@@ -16,10 +16,14 @@
 // state of a transaction, takes no snapshot and runs nothing. It replaces the unnamed statement, which no exchange
 // expects to find.
 
-// markerDigits is the number of parameters of a marker, markerTypes the type of a parameter by its digit. Every
-// server has these types.
-const markerDigits = 8
+// Numbers of parameters of a marker. Probes are frequent and short, so that the markers of control connections weigh
+// most; their numbers come again after 65,536 calls.
+const (
+	markerDigits        = 8
+	controlMarkerDigits = 4
+)
 
+// markerTypes are the types of a parameter by its digit. Every server has them.
 var markerTypes = [16]uint32{
 	pgtype.BoolOID, pgtype.ByteaOID, pgtype.NameOID, pgtype.Int8OID,
 	pgtype.Int2OID, pgtype.Int4OID, pgtype.TextOID, pgtype.OIDOID,
@@ -27,31 +31,32 @@
 	pgtype.DateOID, pgtype.TimestampOID, pgtype.NumericOID, pgtype.UUIDOID,
 }
 
-// Lengths of the messages that hold the types, in bytes without the type of the message.
+// Lengths of the messages that hold the types, in bytes without the type of the message and the digits, and of a digit.
 const (
-	markerParseLen       = 4 + len("\x00") + len("\x00") + 2 + 4*markerDigits
-	markerDescriptionLen = 4 + 2 + 4*markerDigits
+	markerParseLen       = 4 + len("\x00") + len("\x00") + 2
+	markerDescriptionLen = 4 + 2
+	markerDigitLen       = 4
 )
 
 // appendMarker appends the marker as messages: Parse, Describe and Sync.
-func appendMarker(dst []byte, number uint32) []byte {
-	dst = append(dst, msgParse, 0, 0, 0, byte(markerParseLen), 0, 0, 0, markerDigits)
-	dst = appendDigits(dst, number)
+func appendMarker(dst []byte, number uint32, digits int) []byte {
+	dst = append(dst, msgParse, 0, 0, 0, byte(markerParseLen+markerDigitLen*digits), 0, 0, 0, byte(digits))
+	dst = appendDigits(dst, number, digits)
 	dst = append(dst, msgDescribe, 0, 0, 0, 6, closeStatement, 0)
 	return append(dst, msgSync, 0, 0, 0, 4)
 }
 
 // appendMarkerAnswer appends the answer to the marker in the given state of the transaction.
-func appendMarkerAnswer(dst []byte, number uint32, status byte) []byte {
+func appendMarkerAnswer(dst []byte, number uint32, digits int, status byte) []byte {
 	dst = append(dst, msgParseComplete, 0, 0, 0, 4)
-	dst = append(dst, msgParameterDescription, 0, 0, 0, byte(markerDescriptionLen), 0, markerDigits)
-	dst = appendDigits(dst, number)
+	dst = append(dst, msgParameterDescription, 0, 0, 0, byte(markerDescriptionLen+markerDigitLen*digits), 0, byte(digits))
+	dst = appendDigits(dst, number, digits)
 	dst = append(dst, msgNoData, 0, 0, 0, 4)
 	return pgframe.AppendReadyForQuery(dst, status)
 }
 
-func appendDigits(dst []byte, number uint32) []byte {
-	for i := range markerDigits {
+func appendDigits(dst []byte, number uint32, digits int) []byte {
+	for i := range digits {
 		dst = binary.BigEndian.AppendUint32(dst, markerTypes[number>>(4*i)&15])
 	}
 	return dst
@@ -59,7 +64,7 @@
 
 // readMarker reads the answer of the connection's last marker.
 func (r *Runner) readMarker(status byte) error {
-	r.proof = appendMarkerAnswer(r.proof[:0], r.conn.marker, status)
+	r.proof = appendMarkerAnswer(r.proof[:0], r.conn.marker, r.conn.markerDigits, status)
 	for rest := r.proof; len(rest) > 0; {
 		message, err := r.reader.Next()
 		if err != nil {
--- a/pkg/target/outofturn_test.go
+++ b/pkg/target/outofturn_test.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -23,6 +27,48 @@
 	late bool
 	// patient: it gives no answer before it has received a marker.
 	patient bool
+	// at is a part of the statement's text that takes the place of "two", from the one after so many others on.
+	at    string
+	after int32
+	// echo: it gives the answer to the statement again behind that to the next request; setting: a new value of one of
+	// its settings.
+	echo, setting bool
+	// mute is called once it has run the statement, after which it says nothing more on the connection.
+	mute func()
+	// single: it takes one connection.
+	single bool
+	// state is what its control functions report and change.
+	state *scriptedState
+}
+
+// scriptedState is the state of a member, for all of its connections.
+type scriptedState struct {
+	mu   sync.Mutex
+	term uint64
+	role string
+	// seen counts the statements that the script is about.
+	seen atomic.Int32
+}
+
+func newScriptedState() *scriptedState { return &scriptedState{term: 1, role: "primary"} }
+
+// change does what the function of limpetspan in the statement does. It reports whether the member refuses.
+func (st *scriptedState) change(sql string) (row [][]byte, refused bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var term uint64
+	for function, role := range map[string]string{target.FenceSQL: "fenced", target.PromoteSQL: "primary"} {
+		if n, _ := fmt.Sscanf(sql, function, &term); n == 0 {
+			continue
+		}
+		if term <= st.term {
+			return nil, true
+		}
+		st.term, st.role = term, role
+	}
+	row = [][]byte{nil, []byte(st.role), []byte("100"), []byte("1"), []byte("1:0"), []byte("3"), []byte("f")}
+	row[0] = strconv.AppendUint(nil, st.term, 10)
+	return row, false
 }
 
 // scripted is a connection to a member. A request is a Query, or what a Sync ends. BEGIN opens a transaction, FAIL
@@ -37,6 +83,16 @@
 	waiting []byte
 	parse   pgproto3.Parse
 	answer  []byte
+	echoed  []byte
+	silent  bool
+}
+
+// meant reports whether the script is about the statement.
+func (s *scripted) meant(sql string) bool {
+	if s.at == "" {
+		return sql == "two"
+	}
+	return strings.Contains(sql, s.at) && s.state.seen.Add(1) == s.after+1
 }
 
 func (s *scripted) serve() {
@@ -102,6 +158,14 @@
 		return s.copyIn()
 	case strings.Contains(sql, "limpetspan_position"):
 		row.Values = [][]byte{[]byte("2"), []byte("100")}
+	case s.state != nil && strings.Contains(sql, "limpetspan_"):
+		status, refused := s.state.change(sql)
+		if refused {
+			s.send(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "55000", Message: "the term is not above the member's"})
+			return true
+		}
+		s.send(&pgproto3.RowDescription{Fields: make([]pgproto3.FieldDescription, len(status))})
+		row.Values = status
 	}
 	s.send(row, &pgproto3.CommandComplete{CommandTag: []byte(tag)})
 	return true
@@ -122,7 +186,15 @@
 // ready ends the answer to a request.
 func (s *scripted) ready(sql string, isMarker bool) {
 	s.send(&pgproto3.ReadyForQuery{TxStatus: s.status})
-	if sql == "two" && s.repeat > 0 {
+	meant := s.meant(sql)
+	if meant && s.mute != nil {
+		s.silent = true
+		s.mute()
+	}
+	if s.silent {
+		return
+	}
+	if meant && s.repeat > 0 {
 		s.waiting = append(s.waiting, s.answers[max(0, len(s.answers)-s.repeat)]...)
 		if s.late {
 			_, _ = s.conn.Write(s.waiting)
@@ -131,8 +203,15 @@
 	}
 	s.waiting = append(s.waiting, s.answer...)
 	s.answers = append(s.answers, s.answer)
+	s.waiting, s.echoed = append(s.waiting, s.echoed...), nil
+	if meant && s.echo {
+		s.echoed = s.answer
+	}
+	if meant && s.setting {
+		s.echoed, _ = (&pgproto3.ParameterStatus{Name: "TimeZone", Value: "UTC"}).Encode(nil)
+	}
 	s.answer = nil
-	if s.late && sql == "two" || s.patient && !isMarker {
+	if s.late && meant || s.patient && !isMarker {
 		return
 	}
 	_, _ = s.conn.Write(s.waiting)
@@ -142,21 +221,30 @@
 // answerTimeout bounds the wait for answers that a member withholds.
 const answerTimeout = 10 * time.Second
 
-// dialScripted returns a connection to a member that follows the script.
-func dialScripted(ctx SpecContext, what script) *target.Conn {
+// listenScripted returns the address of a member that follows the script.
+func listenScripted(what script) string {
 	GinkgoHelper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(ln.Close)
+	DeferCleanup(func() { _ = ln.Close() })
 	go func() {
 		defer GinkgoRecover()
 		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
 			s := &scripted{script: what, backend: pgproto3.NewBackend(c, c), conn: c, status: 'I'}
 			go s.serve()
+			if what.single {
+				_ = ln.Close()
+			}
 		}
 	}()
+	return ln.Addr().String()
+}
+
+// dialScripted returns a connection to a member that follows the script.
+func dialScripted(ctx SpecContext, what script) *target.Conn {
+	GinkgoHelper()
 	dialer := &target.Dialer{User: "u", Database: "d"}
-	conn, err := dialer.Dial(ctx, ln.Addr().String())
+	conn, err := dialer.Dial(ctx, listenScripted(what))
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(conn.Close)
 	DeferCleanup(time.AfterFunc(answerTimeout, conn.Abort).Stop)
--- a/pkg/target/reply.go
+++ b/pkg/target/reply.go
@@ -17,7 +17,7 @@
 	Code string
 	// Message is the text of that error.
 	Message string
-	// Value is the first column of the last row that is no position.
+	// Value is the first column of the last row that is neither a position nor a status.
 	Value string
 
 	// codes are those of the first parts of the answer.
@@ -28,6 +28,11 @@
 	positions   int
 	position    core.Position
 	positionErr error
+
+	// statuses counts the rows that are a member's status.
+	statuses  int
+	status    core.Status
+	statusErr error
 }
 
 // maxReplyParts is the largest number of parts of an answer whose errors are
@@ -47,6 +52,9 @@
 // isPosition reports whether the answer is that to a PositionQuery alone.
 func (r *Reply) isPosition() bool { return r.rows == 1 && r.positions == 1 }
 
+// isStatus reports whether the answer is a member's status alone.
+func (r *Reply) isStatus() bool { return r.rows == 1 && r.statuses == 1 }
+
 // Position returns the position of a PositionQuery among the statements, zero
 // without one.
 func (r *Reply) Position() core.Position { return r.position }
@@ -101,6 +109,7 @@
 // ask reads the answer to statements of limpetspan's own into r.reply.
 func (r *Runner) ask(groups int) error {
 	r.reply = Reply{}
+	r.tag = r.tag[:0]
 	for part := 0; part < groups; {
 		message, err := r.reader.Next()
 		if err != nil {
@@ -111,6 +120,8 @@
 			if err := r.takeRow(message); err != nil {
 				return err
 			}
+		case msgCommandComplete:
+			r.tag = append(r.tag[:0], message.Body()...)
 		case msgErrorResponse:
 			if err := r.takeReplyError(message, part); err != nil {
 				return err
@@ -131,10 +142,15 @@
 		return fmt.Errorf("malformed row: %w", err)
 	}
 	r.reply.rows++
-	if len(r.row.Values) == positionColumns {
+	switch len(r.row.Values) {
+	case 0:
+	case positionColumns:
 		r.reply.positions++
 		r.reply.position, r.reply.positionErr = parsePosition(r.row.Values)
-	} else if len(r.row.Values) > 0 {
+	case statusColumns:
+		r.reply.statuses++
+		r.reply.status, r.reply.statusErr = parseStatus(r.row.Values)
+	default:
 		r.reply.Value = string(r.row.Values[0])
 	}
 	return nil
--- a/pkg/target/run.go
+++ b/pkg/target/run.go
@@ -61,7 +61,7 @@
 		dst = append(dst, positionQuery...)
 	}
 	r.conn.marker++
-	return appendMarker(dst, r.conn.marker)
+	return appendMarker(dst, r.conn.marker, r.conn.markerDigits)
 }
 
 // compose builds the prefix that the connection lacks, the messages, the
