target: the end of a control connection is no refusal

A target that ended the control connection with an error after it had run a fence (FATAL, such as XX000) counted as having refused the fence. The home took the vote for a refusal and, where no new connection was to be had, knew no status with it.

Cause: each error of the target but those of a stop or of no room was classed as a refusal, also one that ends the connection.

Change: such an error is the loss of the connection; the call is repeated on a new one, and without an answer there the outcome is unknown.

--- a/pkg/target/control.go
+++ b/pkg/target/control.go
@@ -202,7 +202,7 @@
 		return fmt.Errorf("%w: %w", ctx.Err(), err)
 	}
 	broken, ok := errors.AsType[*Broken](err)
-	if ok && broken.Code != "" {
+	if ok && broken.Code != "" && classifyCode(broken.Code) != group.FailureRejected {
 		return fmt.Errorf("%w: %w", err, &pgconn.PgError{Severity: "FATAL", Code: broken.Code, Message: "the member ended the connection"})
 	}
 	return err
--- a/pkg/target/control_step_test.go
+++ b/pkg/target/control_step_test.go
@@ -122,6 +122,21 @@
 	)
 })
 
+var _ = Describe("an error that ends the control connection", func() {
+	// Guards against the end of a connection that counts as the refusal of a fence that has run.
+	DescribeTable("is no refusal of a fence", func(spec SpecContext, code string, failure group.Failure) {
+		control, _ := controlOf(script{at: "fence(2)", fatal: code, single: true})
+		ctx := controlContext(spec)
+		statusTwice(ctx, control)
+		_, err := control.Fence(ctx, 2)
+		Expect(target.Classify(err)).To(Equal(failure))
+		Expect(err).To(MatchError(ContainSubstring("outcome is unknown")))
+	},
+		Entry("an internal error", "XX000", group.FailureLost),
+		Entry("a stop", target.CodeAdminShutdown, group.FailureLeaving),
+	)
+})
+
 var _ = Describe("the proof of an answer on a control connection", func() {
 	// Guards against a round trip more for each probe: the member answers nothing before it has the marker.
 	It("is asked for along with the call", func(spec SpecContext) {
--- a/pkg/target/outofturn_test.go
+++ b/pkg/target/outofturn_test.go
@@ -35,6 +35,8 @@
 	echo, setting bool
 	// mute is called once it has run the statement, after which it says nothing more on the connection.
 	mute func()
+	// fatal is the code with which it ends the connection once it has run the statement.
+	fatal string
 	// single: it takes one connection.
 	single bool
 	// state is what its control functions report and change.
@@ -194,6 +196,12 @@
 	if s.silent {
 		return
 	}
+	if meant && s.fatal != "" {
+		s.answer, _ = (&pgproto3.ErrorResponse{Severity: "FATAL", Code: s.fatal, Message: "as asked"}).Encode(nil)
+		_, _ = s.conn.Write(s.answer)
+		_ = s.conn.Close()
+		return
+	}
 	if meant && s.repeat > 0 {
 		s.waiting = append(s.waiting, s.answers[max(0, len(s.answers)-s.repeat)]...)
 		if s.late {
