direct: release a promotion lock that is acquired after its claim has ended

A working primary could be replaced without need: a daemon took a promotion lock in an era of the store that had not settled, and nobody released it.

Cause: a daemon asked whether the era has settled before it read the lock, and the read itself may bring the new era, which ends the claim; the lock that the write then gave was dropped. It is asked again after the read, and a lock that comes too late is released with the leadership that it found.

--- a/core/direct/claim.go
+++ b/core/direct/claim.go
@@ -286,6 +286,8 @@
 func (g *Group) Claimed(now, sent core.Time, lock PromotionLock) []Effect {
 	c := &g.claim
 	if c.phase != claiming {
+		// The claim has ended meanwhile. A lock that nobody releases would count as an order.
+		g.releaseLock(lock.Token, lock.Leadership, lock.Highest, lock.Unresolved)
 		return g.takeEffects()
 	}
 	c.token, c.lockTerm, c.highest = lock.Token, lock.Term, lock.Highest
@@ -329,6 +331,21 @@
 	return g.takeEffects()
 }
 
+// releaseLock releases the promotion lock with the token, under which no order was sent or its effect is
+// known. leadership is the term in which the lock before left the group, highest the highest term that
+// any has named, unresolved that of an earlier order whose effect is not known; 0 if there is none.
+func (g *Group) releaseLock(token uint64, leadership, highest, unresolved core.Term) {
+	release := Effect{Kind: EffectReleaseLock, Token: token, Term: max(g.term, leadership), Highest: highest}
+	if g.isSuperseded() {
+		unresolved = max(unresolved, g.orderedTerm)
+	}
+	if unresolved > release.Term {
+		release.Term, release.Pending = unresolved, true
+	}
+	release.Highest = max(release.Highest, release.Term)
+	g.emit(release)
+}
+
 // endClaim ends the attempt and removes the fences it may have made, as long as this daemon
 // certainly holds the promotion lock. Without the lock, or after it has expired, removing fences
 // could remove those of the next holder.
@@ -344,12 +361,7 @@
 	if done := c.phase == promoting && g.primary == c.candidate && g.term > c.term; c.token != 0 && (done || c.phase != promoting) {
 		// No order can be sent under the token any more, so the next change need not wait until the
 		// lock expires.
-		release := Effect{Kind: EffectReleaseLock, Token: c.token, Term: max(g.term, c.releasedTerm), Highest: c.highest}
-		if g.isSuperseded() {
-			release.Term, release.Pending = g.orderedTerm, true
-		}
-		release.Highest = max(release.Highest, release.Term)
-		g.emit(release)
+		g.releaseLock(c.token, c.releasedTerm, c.highest, 0)
 	}
 	g.emit(Effect{Kind: EffectDecision, Member: c.candidate, Term: c.term, Reason: "claim ended: " + reason})
 	g.emit(Effect{Kind: EffectReport})
--- a/core/direct/leadership_test.go
+++ b/core/direct/releasedlock_test.go
@@ -41,3 +41,17 @@
 		Expect(d2.g.HasLease(d2.at)).To(BeFalse(), "the lock names %+v after %+v", after, before)
 	})
 })
+
+var _ = Describe("a promotion lock that is acquired after its claim has ended", func() {
+	// Guards against a lock that nobody releases: after OrphanedFenceAge it counts as an order, and a primary that
+	// serves is replaced.
+	It("is released", func() {
+		s := newScript()
+		s.silencePrimary()
+		Expect(s.take(direct.EffectClaim)).To(HaveLen(1))
+		// The answer to the read of the lock shows that the store was restored.
+		s.record(s.g.StoreRestored(s.at))
+		s.record(s.g.Claimed(s.at, s.at, direct.PromotionLock{Token: 7, Term: 401, Highest: 401}))
+		Expect(s.take(direct.EffectReleaseLock)).To(HaveLen(1))
+	})
+})
--- a/pkg/proxy/claims.go
+++ b/pkg/proxy/claims.go
@@ -79,6 +79,10 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return direct.PromotionLock{}, "store: " + err.Error()
 	}
+	if !c.p.eras.isSettled() {
+		// The read itself may have shown that the store was restored.
+		return direct.PromotionLock{}, textEraNotSettled
+	}
 	current := c.parse(item, err == nil, era)
 	if err == nil && !c.isFree(item, current, era) {
 		return direct.PromotionLock{}, "another daemon has the promotion lock"
--- a/pkg/proxy/claims_test.go
+++ b/pkg/proxy/claims_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -9,6 +10,7 @@
 
 	"limpetspan/core"
 	"limpetspan/core/direct"
+	"limpetspan/platform"
 	"limpetspan/platform/standin"
 )
 
@@ -70,3 +72,22 @@
 		Expect(d.p.client.Calls()["/api/kv-key"]).To(Equal(single))
 	})
 })
+
+var _ = Describe("A promotion lock in an era that has not settled", func() {
+	// Guards against a lock that is taken without the wait by a daemon that learns of the era while it takes it.
+	It("is not taken by a daemon that hears of the era in the same read", func() {
+		store, err := standin.NewStore()
+		Expect(err).NotTo(HaveOccurred())
+		defer store.Close()
+		p := New(platform.Settings{Daemon: "d", StoreAddr: store.Addr()}, io.Discard)
+		ctx := context.Background()
+		_, _, err = p.client.Get(ctx, platform.LocksPrefix+"g")
+		Expect(err).To(MatchError(platform.ErrNotFound))
+		Expect(p.eras.isSettled()).To(BeTrue())
+		store.TakeSnapshot()
+		store.RestoreSnapshot(0)
+		lock, refusal := p.claims.acquire(ctx, "g", direct.Effect{Kind: direct.EffectClaim, Group: "g", Term: 2})
+		Expect(p.eras.isSettled()).To(BeFalse())
+		Expect(refusal).To(Equal(textEraNotSettled), "%+v", lock)
+	})
+})
