--- a/pkg/proxy/metadata/turn_test.go
+++ b/pkg/proxy/metadata/turn_test.go
@@ -71,7 +71,7 @@
 
 	// ask returns the age of the proof that the relay's answer brings.
 	ask := func() (time.Duration, error) {
-		proof, err := c.query(relay.Step{Peer: "relay", Timeout: waitLimit}, c.requestedScope)
+		proof, _, err := c.query(relay.Step{Peer: "relay", Timeout: waitLimit}, c.requestedScope)
 		if err != nil {
 			c.closeSource()
 		}
