relay: check the store's position only where callers depend on the proof

A fleet that serves callers without a young proof takes such a watch for a proof again, as before; one with fail_closed, where a key that was taken away must not be served, goes on checking.

--- a/core/relay/follower.go
+++ b/core/relay/follower.go
@@ -59,6 +59,8 @@
 	// proof is the latest time as of which the configuration was the newest one in the store; 0:
 	// there is no proof yet.
 	proof core.Time
+	// trustsWatches is set if a watch that returned changes counts as a proof.
+	trustsWatches bool
 	// reached is the position up to which the copy holds every change.
 	reached mirror.Position
 	// incomplete is set if the latest watch returned changes, so that there may be more.
@@ -109,6 +111,19 @@
 // callers are rejected.
 func (f *Follower) UseShortWatches() { f.watchesPerBudget = shortWatchesPerBudget }
 
+// TrustWatches takes each watch for a proof, also one that returned changes, of which the store may
+// have more. It saves calls in a fleet that serves callers without a young proof.
+func (f *Follower) TrustWatches() { f.trustsWatches = true }
+
+// CompleteAsOf returns the time as of which the copy is complete with the changes of a watch that was
+// sent at the given time.
+func (f *Follower) CompleteAsOf(sent core.Time) core.Time {
+	if f.trustsWatches {
+		return sent
+	}
+	return f.proof
+}
+
 // SetFleet sets whether this daemon watches the store, and which relays it may ask, best first.
 func (f *Follower) SetFleet(now core.Time, watcher bool, relays []core.DaemonID) {
 	if f.fleetKnownAt == 0 {
@@ -335,9 +350,11 @@
 	f.unusableWatches = 0
 	f.watchesAfterCheck++
 	f.storeAnswered(sent)
+	if events == 0 || f.trustsWatches {
+		f.prove(sent)
+	}
 	switch {
 	case events == 0:
-		f.prove(sent)
 		f.batchDelay = 0
 		return
 	case now.Sub(sent) > 2*f.batchDelay:
@@ -345,7 +362,7 @@
 	default:
 		f.batchDelay = min(2*f.batchDelay, max(minBatchDelay, f.budget/maxBatchDelayDivisor))
 	}
-	f.incomplete = true
+	f.incomplete = !f.trustsWatches
 	f.watchAt = now.Add(f.batchDelay)
 }
 
--- a/core/relay/follower_test.go
+++ b/core/relay/follower_test.go
@@ -119,6 +119,20 @@
 		Expect(f.Proof()).To(Equal(after(4 * time.Second)))
 	})
 
+	It("takes a watch that returned changes for a proof, without further calls, if it trusts watches", func() {
+		f := relay.NewFollower("d", bound, start)
+		f.TrustWatches()
+		f.SetFleet(start, true, []core.DaemonID{"a"})
+		f.Reached(mirror.Position{Revision: 100})
+		f.Loaded(start)
+		Expect(f.CompleteAsOf(after(3 * time.Second))).To(Equal(after(3 * time.Second)))
+		f.Reached(mirror.Position{Revision: 104})
+		f.Watched(after(4*time.Second), after(3*time.Second), 4)
+		Expect(f.Proof()).To(Equal(after(3 * time.Second)))
+		Expect(f.Next(after(4 * time.Second)).Kind).To(Equal(relay.Pause))
+		Expect(f.Next(after(5*time.Second)).Wait).To(BeNumerically(">", time.Second), "a whole watch")
+	})
+
 	It("has a proof by a check that finds the store at the position of the copy", func() {
 		f := relay.NewFollower("d", bound, start)
 		f.SetFleet(start, true, nil)
--- a/pkg/proxy/metadata/copy.go
+++ b/pkg/proxy/metadata/copy.go
@@ -75,7 +75,7 @@
 	// this time.
 	MaxProofAge time.Duration
 	// ShortWatches is set if callers are refused without a proof younger than MaxProofAge. Proofs
-	// are then renewed more often.
+	// are then renewed more often, and a watch that returned changes is none.
 	ShortWatches bool
 	// ListAt is the earliest time of the first call to the store, which lists the daemons.
 	ListAt core.Time
@@ -125,6 +125,8 @@
 	}
 	if o.ShortWatches {
 		c.follower.UseShortWatches()
+	} else {
+		c.follower.TrustWatches()
 	}
 	return c
 }
@@ -392,13 +394,12 @@
 	ctx, cancel := context.WithTimeout(c.ctx, wait+storeTimeout)
 	defer cancel()
 	c.mu.Lock()
-	after, proof := c.mirror.Position(), c.follower.Proof()
-	c.mu.Unlock()
 	sent := c.Now()
+	after, asOf := c.mirror.Position(), c.follower.CompleteAsOf(sent)
+	c.mu.Unlock()
 	events, position, err := c.Store.Watch(ctx, allKeys, after, wait)
 	if err == nil {
-		// The events may be a part of the changes, so the copy is only known to be complete as of its proof.
-		err = c.apply(reportpb.Scope_SCOPE_MEMBERS, position, events, false, proof)
+		err = c.apply(reportpb.Scope_SCOPE_MEMBERS, position, events, false, asOf)
 	}
 	if isUnusable(err) {
 		c.Owner.WatchUnusable(err)
