proxy: keep the connections of the specs' silent home open

Cause, in the spec: the silent home kept no reference to the connections that it had accepted. Garbage collection closed six of them within 0.3 ms, 104 ms after the statements were sent and before the verdict, and the entry saw "connection reset by peer" in place of silence. The home keeps them now; what the spec asks for is unchanged.

--- a/pkg/proxy/homes_test.go
+++ b/pkg/proxy/homes_test.go
@@ -36,13 +36,22 @@
 	}
 }
 
-// serveSilently accepts sessions from entries like a home, but never answers a statement or question.
+// serveSilently accepts sessions from entries like a home, but never answers a statement or question. It
+// keeps the connections until the listener is closed: garbage collection would reset those that are no
+// longer referenced.
 func serveSilently(l net.Listener) {
+	var accepted []net.Conn
+	defer func() {
+		for _, c := range accepted {
+			_ = c.Close()
+		}
+	}()
 	for {
 		c, err := l.Accept()
 		if err != nil {
 			return
 		}
+		accepted = append(accepted, c)
 		go func() {
 			var hello reportpb.Hello
 			if protodelim.UnmarshalFrom(bufio.NewReader(c), &hello) == nil && !hello.Configuration {
